Move the clients of the stand-in services out of platform/

Cause: the folder platform/ is to hold the adapter for the users' platform and nothing else. Change: the ports, messages and HTTP clients that the gateway and the scheduler have used towards the stand-ins are now linkspan.services; imports follow, no logic changed. Ruled out: keeping both in one folder, which would mix two protocols.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,8 +29,8 @@
 )
 from linkspan.peer import codec as peer_codec
 from linkspan.peer.messages import Envelope
-from linkspan.platform.http import HttpWorkers
-from linkspan.platform.messages import Orders
+from linkspan.services.http import HttpWorkers
+from linkspan.services.messages import Orders
 
 PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
 
--- a/bench/halls.py
+++ b/bench/halls.py
@@ -9,8 +9,8 @@
 from linkspan.model.worker import WorkerSpec
 from linkspan.placement.placer import PolicyPlacer
 from linkspan.placement.policies import BestFit
-from linkspan.platform.messages import RunKey, WorkerReport
 from linkspan.scheduler.core import SchedulerCore
+from linkspan.services.messages import RunKey, WorkerReport
 
 SIZE = Resources(32_000, 125_000)
 TASK_SIZE = Resources(1_500, 4_000)
--- a/bench/repeatable.py
+++ b/bench/repeatable.py
@@ -17,7 +17,7 @@
 from linkspan.model.job import AttemptId
 from linkspan.peer import codec as peer_codec
 from linkspan.peer.messages import Envelope, Heard, Heartbeat
-from linkspan.platform.wire import (
+from linkspan.services.wire import (
     orders_to_json,
     report_to_json,
 )
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,7 @@
 from linkspan.peer.messages import Envelope
 from linkspan.placement.guard import BatchState
 from linkspan.placement.learned import LearnedPlacer
-from linkspan.platform.wire import (
+from linkspan.services.wire import (
     orders_from_json,
     orders_to_json,
     report_from_json,
--- a/src/linkspan/gateway/router.py
+++ b/src/linkspan/gateway/router.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from linkspan.config.store import ConfigState
     from linkspan.peer.messages import Heartbeat
-    from linkspan.platform.ports import Host
+    from linkspan.services.ports import Host
 
 DRAIN_TICK_S = 0.02
 """Longest time that an expired request waits for its refusal."""
--- a/src/linkspan/ledger/run_keys.py
+++ b/src/linkspan/ledger/run_keys.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.model.job import AttemptId
-from linkspan.platform.messages import RunKey
+from linkspan.services.messages import RunKey
 
 if TYPE_CHECKING:
     from linkspan.ledger.ledger import Ledger
--- a/src/linkspan/placement/learned.py
+++ b/src/linkspan/placement/learned.py
@@ -31,7 +31,7 @@
     from linkspan.model.job import JobSpec
     from linkspan.model.resources import Resources
     from linkspan.placement.guard import Action
-    from linkspan.platform.messages import RunKey, Usage, WorkerReport
+    from linkspan.services.messages import RunKey, Usage, WorkerReport
 
 MOST_PREEMPTIONS = 4
 """Urgent tasks for which room is made in one pass."""
--- a/src/linkspan/placement/placer.py
+++ b/src/linkspan/placement/placer.py
@@ -25,7 +25,7 @@
     from linkspan.ledger.records import Placed, Resized
     from linkspan.model.job import AttemptId
     from linkspan.model.worker import WorkerSpec
-    from linkspan.platform.messages import WorkerReport
+    from linkspan.services.messages import WorkerReport
 
 MAX_PLACEMENTS = 500
 """Most placements of one pass, which bounds its time."""
--- a/src/linkspan/runtime/log_tail.py
+++ b/src/linkspan/runtime/log_tail.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from linkspan.events import EventLog
-    from linkspan.platform.ports import LogPage, LogPort
+    from linkspan.services.ports import LogPage, LogPort
 
 LOG_WAIT_S = 5.0
 """How long a reading of the log waits for a new record."""
--- a/src/linkspan/runtime/node.py
+++ b/src/linkspan/runtime/node.py
@@ -21,16 +21,16 @@
 from linkspan.peer.link import PeerLink
 from linkspan.peer.messages import ConfigAnswer, FetchConfig, Heartbeat
 from linkspan.peer.server import PeerServer
-from linkspan.platform.http import HttpHosts, HttpLog
 from linkspan.runtime.log_tail import LogTail
 from linkspan.runtime.metrics import Metrics
+from linkspan.services.http import HttpHosts, HttpLog
 from linkspan.settings import described
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
     from linkspan.peer.messages import Message
-    from linkspan.platform.ports import Host, HostsPort, LogPort
+    from linkspan.services.ports import Host, HostsPort, LogPort
     from linkspan.settings import DaemonSettings
 
 REMOTE_PEERS = 2
--- a/src/linkspan/scheduler/core.py
+++ b/src/linkspan/scheduler/core.py
@@ -28,7 +28,6 @@
 )
 from linkspan.ledger.run_keys import worker_of
 from linkspan.model.job import AttemptId, TaskId
-from linkspan.platform.messages import Orders, WorkerReport
 from linkspan.scheduler.caller_asks import CallerAsks
 from linkspan.scheduler.findings import findings
 from linkspan.scheduler.hall_peers import HallPeers
@@ -38,6 +37,7 @@
 from linkspan.scheduler.timing import Timing
 from linkspan.scheduler.worker_orders import WorkerOrders
 from linkspan.scheduler.worker_view import WorkerView
+from linkspan.services.messages import Orders, WorkerReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
--- a/src/linkspan/scheduler/daemon.py
+++ b/src/linkspan/scheduler/daemon.py
@@ -17,7 +17,6 @@
 from linkspan.peer.messages import Answer, Heartbeat
 from linkspan.placement.placer import rules_of
 from linkspan.placement.placers import DEFAULT_PLACER, PLACERS
-from linkspan.platform.http import HttpWorkers
 from linkspan.runtime.log_tail import LogTail
 from linkspan.runtime.node import Node, split_address
 from linkspan.runtime.operator_app import json_answer, listen, make_operator_app
@@ -42,6 +41,7 @@
 from linkspan.scheduler.status import status_of
 from linkspan.scheduler.timing import Timing
 from linkspan.scheduler.verdicts import cancel_verdict, submit_verdict
+from linkspan.services.http import HttpWorkers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,8 +50,8 @@
 
     from linkspan.config.store import ConfigState
     from linkspan.placement.placer import Obstacle, PassResult
-    from linkspan.platform.messages import Orders
-    from linkspan.platform.ports import Host, WorkerPort
+    from linkspan.services.messages import Orders
+    from linkspan.services.ports import Host, WorkerPort
     from linkspan.settings import SchedulerSettings
 
 TICK_S = 0.1
--- a/src/linkspan/scheduler/findings.py
+++ b/src/linkspan/scheduler/findings.py
@@ -12,8 +12,8 @@
 
     from linkspan.ledger.ledger import Ledger
     from linkspan.ledger.records import Decision
-    from linkspan.platform.messages import Closed
     from linkspan.scheduler.worker_view import WorkerView
+    from linkspan.services.messages import Closed
 
 
 def findings(
--- a/src/linkspan/scheduler/messages.py
+++ b/src/linkspan/scheduler/messages.py
@@ -10,7 +10,7 @@
 from linkspan.ledger.records import Record, TakenOver
 from linkspan.model.job import JobSpec
 from linkspan.peer.messages import Answer, Heartbeat
-from linkspan.platform.messages import WorkerReport
+from linkspan.services.messages import WorkerReport
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/scheduler/worker_orders.py
+++ b/src/linkspan/scheduler/worker_orders.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING
 
 from linkspan.ledger.run_keys import run_key
-from linkspan.platform.messages import Orders, RunKey, Start
+from linkspan.services.messages import Orders, RunKey, Start
 
 if TYPE_CHECKING:
     from linkspan.ledger.ledger import Ledger
     from linkspan.model.job import TaskId
     from linkspan.placement.placer import Placer
-    from linkspan.platform.messages import WorkerReport
     from linkspan.scheduler.worker_view import WorkerView
+    from linkspan.services.messages import WorkerReport
 
 
 class WorkerOrders:
--- a/src/linkspan/scheduler/worker_view.py
+++ b/src/linkspan/scheduler/worker_view.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from linkspan.platform.messages import Closed, RunKey, WorkerReport
+    from linkspan.services.messages import Closed, RunKey, WorkerReport
 
 
 @dataclass(slots=True)
--- a/src/linkspan/platform/http.py
+++ b/src/linkspan/services/http.py
@@ -9,11 +9,11 @@
 import orjson
 
 from linkspan.errors import LogGap, LogUnavailable, Unreachable
-from linkspan.platform.ports import Host, LogEntry, LogPage
-from linkspan.platform.wire import orders_to_json, report_from_json
+from linkspan.services.ports import Host, LogEntry, LogPage
+from linkspan.services.wire import orders_to_json, report_from_json
 
 if TYPE_CHECKING:
-    from linkspan.platform.messages import Orders, WorkerReport
+    from linkspan.services.messages import Orders, WorkerReport
 
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError, KeyError, ValueError)
 
--- a/src/linkspan/platform/ports.py
+++ b/src/linkspan/services/ports.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
-from linkspan.platform.messages import Orders, WorkerReport
+from linkspan.services.messages import Orders, WorkerReport
 
 
 class LogEntry(NamedTuple):
--- a/src/linkspan/platform/wire.py
+++ b/src/linkspan/services/wire.py
@@ -12,7 +12,7 @@
 from linkspan.errors import Unreachable
 from linkspan.model.resources import Resources
 from linkspan.model.worker import WorkerSpec
-from linkspan.platform.messages import Closed, Orders, RunKey, Start, Usage, WorkerReport
+from linkspan.services.messages import Closed, Orders, RunKey, Start, Usage, WorkerReport
 
 
 def orders_to_json(orders: Orders) -> bytes:
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -12,8 +12,8 @@
 from linkspan.placement.learned import LearnedPlacer
 from linkspan.placement.placer import Obstacle, PlacementRules, PolicyPlacer
 from linkspan.placement.policies import BestFit
-from linkspan.platform.messages import RunKey, Usage, WorkerReport
 from linkspan.selectors.selector import parse_selector
+from linkspan.services.messages import RunKey, Usage, WorkerReport
 from tests.builders import LedgerBuilder, job, worker
 
 SPECS = st.builds(
--- a/tests/scheduler/test_core.py
+++ b/tests/scheduler/test_core.py
@@ -6,8 +6,8 @@
 
 from linkspan.ledger.records import Joined
 from linkspan.placement.placer import PolicyPlacer
-from linkspan.platform.messages import Closed, RunKey, WorkerReport
 from linkspan.scheduler.core import SchedulerCore
+from linkspan.services.messages import Closed, RunKey, WorkerReport
 from tests.builders import LedgerBuilder, job, watcher, worker
 from tests.world import World
 
--- a/tests/standins/fake_log.py
+++ b/tests/standins/fake_log.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from linkspan.errors import LogGap, LogUnavailable
-from linkspan.platform.ports import LogEntry, LogPage
+from linkspan.services.ports import LogEntry, LogPage
 
 
 @dataclass
--- a/tests/standins/fake_worker.py
+++ b/tests/standins/fake_worker.py
@@ -7,7 +7,7 @@
 
 from linkspan.model.resources import NOTHING, Resources
 from linkspan.model.worker import WorkerSpec
-from linkspan.platform.messages import Closed, Orders, RunKey, Start, Usage, WorkerReport
+from linkspan.services.messages import Closed, Orders, RunKey, Start, Usage, WorkerReport
 
 
 @dataclass
--- a/tests/standins/serve.py
+++ b/tests/standins/serve.py
@@ -16,7 +16,7 @@
 from linkspan.errors import LogGap, LogUnavailable
 from linkspan.model.resources import Resources
 from linkspan.model.worker import WorkerSpec
-from linkspan.platform.wire import orders_from_json, report_to_json
+from linkspan.services.wire import orders_from_json, report_to_json
 from tests.standins.fake_log import FakeLog, LogFaults
 from tests.standins.fake_worker import FakeWorker, Witness
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,9 +14,9 @@
 from linkspan.model.resources import Resources
 from linkspan.model.worker import WorkerSpec
 from linkspan.placement.placer import PolicyPlacer
-from linkspan.platform.messages import Orders, WorkerReport
 from linkspan.scheduler.core import SchedulerCore
 from linkspan.scheduler.timing import Timing
+from linkspan.services.messages import Orders, WorkerReport
 from tests.standins.fake_log import FakeLog
 from tests.standins.fake_worker import FakeWorker, Witness
 
