Place and pace best-effort work by learnt pressure on standing tasks

Ruled out: effects that add up in latency (r2 0.1 to 0.4; figures jump from 0.5 to 10). Not yet covered by tests.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -28,6 +28,9 @@
 REMOTE_WATCH_S = 2.0
 """Pause between looks at another hall's ownership."""
 
+CRASH_PAUSE_S = 1.0
+"""Pause after a tenure ended by an error, so that a lasting one does not spin."""
+
 HAND_ON_S = 1.0
 """Longest time for making progress durable before a shard is handed on."""
 
@@ -192,6 +195,7 @@
             self._log.write(Event.OWNER_LOST, shard=self._shard, reason=str(error))
         except Exception as error:
             self._log.write(Event.CRASHED, task=f"shard {self._shard}", error=_describe(error))
+            await asyncio.sleep(CRASH_PAUSE_S)
         if self._tenure is tenure:
             self._tenure = None
             self._view.give_up()
--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -212,8 +212,8 @@
 
 def _running(row: list[Any]) -> RunningTask:
     usage = row[4] if len(row) > 4 else None
-    pace = row[3] if len(row) > 3 else 100
-    return RunningTask(task_from_wire(row[0]), row[1], row[2] or "", pace, usage)
+    progress = row[3] if len(row) > 3 else 0
+    return RunningTask(task_from_wire(row[0]), row[1], row[2] or "", progress, usage)
 
 
 def _ended(row: list[Any]) -> EndedTask:
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -15,6 +15,7 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import Finished, JobState
+from linkspan.shard.colocation import ColocationBook
 from linkspan.shard.executor import ExecutorState, UnackedEnd
 from linkspan.shard.health import UNHEALTHY_PAUSE_S, HealthBook
 from linkspan.shard.leases import LeaseClock
@@ -52,9 +53,6 @@
 """Pause before a start that was refused for want of room is tried again: the time
 in which the executor's next report tells what it has."""
 
-FAILED_RETRY_S = 0.1
-"""Pause before a failed standing task is started again."""
-
 
 class ShardCore:
     """State and decisions of one tenure of a shard.
@@ -80,6 +78,7 @@
         self.executors: dict[str, ExecutorState] = {}
         self.jobs: dict[str, ShardJob] = {}
         self.health = HealthBook()
+        self.colocation = ColocationBook()
         self.configuration: Configuration | None = None
         self.orders: list[Order] = []
         self.finished: list[Finished] = []
@@ -254,7 +253,9 @@
             if attempt.phase is not Phase.RUNNING:
                 attempt.confirmed_at = now
             attempt.phase = Phase.RUNNING
-        attempt.pace = row.pace
+        if row.progress > attempt.progress or attempt.progress_at == NEVER:
+            attempt.progress = row.progress
+            attempt.progress_at = now
         attempt.usage = row.usage
         if row.checkpoint and not attempt.copy:
             attempt.task.checkpoint = row.checkpoint
@@ -344,7 +345,8 @@
         if end.kind is EndKind.DONE:
             self._on_done(executor, task, attempt, now)
         elif end.kind is EndKind.FAILED:
-            self._on_failed(executor, task, end, now)
+            if attempt or end.run >= task.counted_run:
+                self._on_failed(executor, task, end, now)
         elif attempt and not attempt.moved and not task.step.run.job.closing:
             self.log(
                 Event.RUN_ENDED,
@@ -434,7 +436,8 @@
         job = task.step.run.job
         if task.done or job.closing:
             return
-        task.avoid.add(executor.executor_id)
+        if not task.step.spec.standing:
+            task.avoid.add(executor.executor_id)
         failures = self._count_failure(task, end.run)
         until = self.health.failed(executor.executor_id, job.job_id, now)
         self.log(
@@ -453,9 +456,7 @@
                 executor=executor.executor_id,
                 seconds=round(until - now, 2),
             )
-        if task.step.spec.standing:
-            task.not_before = now + FAILED_RETRY_S
-        elif failures >= job.max_attempts:
+        if not task.step.spec.standing and failures >= job.max_attempts:
             self._decide(job, JobState.FAILED)
 
     def _count_failure(self, task: Task, run: int) -> int:
@@ -744,6 +745,7 @@
     def _detach(self, attempt: Attempt) -> None:
         if attempt in attempt.task.attempts:
             attempt.task.attempts.remove(attempt)
+        self.colocation.forget(attempt)
         executor = self.executors.get(attempt.executor_id)
         if executor:
             executor.remove(attempt)
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -73,7 +73,8 @@
         task: Its task.
         run: Number of the run.
         checkpoint: Where another run could resume; empty for the beginning.
-        pace: Share of full speed at which it works, in percent.
+        progress: How much of its work is done, in percent; for standing tasks 100
+            while they are at work.
         usage: A rough figure of the last half second: the tail latency in
             milliseconds for standing tasks with a target, else thousandths of
             a core in use; ``None`` where there is none.
@@ -82,7 +83,7 @@
     task: TaskName
     run: int
     checkpoint: str
-    pace: int
+    progress: int
     usage: float | None
 
 
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.shard.pacing import INNOCENT_PRESSURE
+
 if TYPE_CHECKING:
+    from linkspan.shard.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.health import HealthBook
     from linkspan.shard.state import StepRun, Task
 
-STANDING_USE = 0.6
+STANDING_USE = 0.55
 """Share of their reservation that reserved tasks use at a time, for reckoning what
 is left to best-effort tasks; measured on calm days, where it was 0.45 to 0.7."""
 
@@ -19,20 +22,34 @@
 """Least part of its demand that a best-effort task is to find left over. Below it
 tasks only slow each other down."""
 
+STANDING_HEADROOM = 0.1
+"""Part of each executor that standing tasks leave to short ones, which earn four
+times as much a core. Short tasks use a twentieth on average and come in bursts."""
+
 SLOW_PENALTY = 2.0
 """Added to the score of an executor that was found slow: above any load."""
 
 FAR_PENALTY = 1.0
 """Added away from the step's data: above any difference in load, below slowness."""
 
-SAME_STEP_PENALTY = 0.05
+SAME_STEP_PENALTY = 0.03
 """Added for each task of the same standing step on the executor."""
 
-SAME_RACK_PENALTY = 0.02
-"""Added for each task of the same standing step in the executor's rack."""
+OTHER_IMAGE_PENALTY = 1.0
+"""Weight of the part of an executor that standing tasks of other images hold. Best-effort
+work disturbs some images and leaves others alone, so an executor with one image
+leaves more kinds of it a place than one with all."""
+
+EMPTY_PENALTY = 0.3
+"""Added to an executor with no standing task of the image: a new image takes the
+emptiest one, and a known one fills those that it has."""
+
+DISTURBANCE_WEIGHT = 1.0
+"""Weight of the pressure that a best-effort task adds to a standing one beside it."""
 
-STANDING_NEIGHBOUR_PENALTY = 0.08
-"""Added to best-effort tasks for each standing task that they would disturb."""
+MAX_PRESSURE = 0.78
+"""Pressure on standing tasks up to which best-effort tasks are placed beside them; at
+0.83 they are at their target."""
 
 
 @dataclass
@@ -43,15 +60,16 @@
         step: The step.
         executors: Executors that may get new work.
         health: What is known of them.
+        colocation: What is known of pairs of images.
         now: Steady time.
     """
 
     step: StepRun
     executors: list[ExecutorState]
     health: HealthBook
+    colocation: ColocationBook
     now: float
     _on_executor: Counter[str] = field(default_factory=Counter)
-    _in_rack: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         spec = self.step.spec
@@ -63,18 +81,18 @@
         ]
         if not (spec.max_per_executor or spec.standing):
             return
-        racks = {e.executor_id: e.record.rack for e in self.executors}
         for task in self.step.tasks:
             for attempt in task.attempts:
                 self._on_executor[attempt.executor_id] += 1
-                self._in_rack[racks.get(attempt.executor_id, "")] += 1
 
     def choose(self, task: Task) -> ExecutorState | None:
         """Return the best executor for a task, ``None`` if none has room."""
         best: ExecutorState | None = None
         best_score = float("inf")
         for executor in self.executors:
-            if executor.executor_id in task.avoid or not self.fits(executor):
+            if executor.executor_id in task.avoid or not self.fits(
+                executor, restart=task.next_run > 1
+            ):
                 continue
             score = self._score(executor)
             if score < best_score:
@@ -84,10 +102,15 @@
     def took(self, executor: ExecutorState) -> None:
         """Count a task in that was placed on an executor."""
         self._on_executor[executor.executor_id] += 1
-        self._in_rack[executor.record.rack] += 1
 
-    def fits(self, executor: ExecutorState) -> bool:
-        """Whether an executor has room for one task of the step."""
+    def fits(self, executor: ExecutorState, *, restart: bool = False) -> bool:
+        """Whether an executor has room for one task of the step.
+
+        Args:
+            executor: The executor.
+            restart: Whether the task has run before; standing tasks then may use the
+                room that is kept for short ones.
+        """
         spec = self.step.spec
         demand = spec.demand
         if demand.memory_mb > executor.free_memory or demand.gpus > executor.free_gpus:
@@ -96,8 +119,18 @@
         if most and self._on_executor[executor.executor_id] >= most:
             return False
         if spec.best_effort:
-            return leftover_cpu(executor) >= demand.milli_cpu * BEST_EFFORT_LEAST_SHARE
-        return demand.milli_cpu <= executor.free_cpu
+            if leftover_cpu(executor) < demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
+                return False
+            added = self.colocation.worst_added(executor, spec.image, demand.milli_cpu)
+            return (
+                added <= INNOCENT_PRESSURE
+                or self.colocation.worst_pressure(executor, spec.image, demand.milli_cpu)
+                <= MAX_PRESSURE
+            )
+        headroom = 0.0
+        if spec.standing and not restart:
+            headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
+        return demand.milli_cpu + headroom <= executor.free_cpu
 
     def could_ever(self, executor: ExecutorState) -> bool:
         """Whether an empty executor of this size could take a task of the step."""
@@ -119,11 +152,24 @@
             score += SLOW_PENALTY
         if spec.standing:
             score += SAME_STEP_PENALTY * self._on_executor[executor.executor_id]
-            score += SAME_RACK_PENALTY * self._in_rack[executor.record.rack]
+            score += self._image_score(executor, capacity)
         if spec.best_effort:
-            score += STANDING_NEIGHBOUR_PENALTY * len(executor.standing())
+            added = self.colocation.worst_added(executor, spec.image, spec.demand.milli_cpu)
+            score += DISTURBANCE_WEIGHT * added
         return score
 
+    def _image_score(self, executor: ExecutorState, capacity: int) -> float:
+        same = other = 0
+        for attempt in executor.attempts.values():
+            spec = attempt.task.step.spec
+            if not spec.standing:
+                continue
+            if spec.image == self.step.spec.image:
+                same += spec.demand.milli_cpu
+            else:
+                other += spec.demand.milli_cpu
+        return OTHER_IMAGE_PENALTY * other / capacity + (0.0 if same else EMPTY_PENALTY)
+
 
 def leftover_cpu(executor: ExecutorState) -> float:
     """Return thousandths of a core that best-effort tasks would find unused."""
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard.pacing import MOVE_BELOW
 from linkspan.shard.placement import StepPlacement
 from linkspan.shard.state import NEVER, Phase
 
@@ -34,6 +35,13 @@
 MAX_MOVES = 2
 """Executors that a straggling task is moved away from, at most."""
 
+MOVE_LEFT_S = 1.5
+"""Work that a disturbing best-effort run must have left to be moved: a move costs
+about a second of it."""
+
+MOVE_GAIN = 0.4
+"""Part of the present disturbance that is to be left after a move."""
+
 LEAVE_MARGIN_S = 1.5
 """Time before a draining executor may leave at which runs there are moved: a stop
 of 0.9 s and its answer."""
@@ -64,6 +72,7 @@
         core.release_due(wall, now)
         self._leave_draining(now)
         self._move_stragglers(now)
+        self._move_disturbing(now)
         usable = [e for e in core.executors.values() if e.usable(now) and e.clock]
         for step in self._ordered(wall):
             if core.may_start(step.run.job, now):
@@ -78,17 +87,18 @@
                 self._blocked_logged.discard(step)
         return sorted(ready, key=lambda step: self._urgency(step, wall))
 
-    def _urgency(self, step: StepRun, wall: float) -> tuple[bool, int, float]:
+    def _urgency(self, step: StepRun, wall: float) -> tuple[bool, bool, int, float]:
         job = step.run.job
         schedule = job.spec.schedule
         born = schedule.due(step.run.repetition) if schedule else job.submitted.accepted
         age = wall - born
         late = age > HOPELESS_FACTOR * job.objective_s and not step.spec.standing
         slack = job.objective_s - age - job.spec.after_s[step.index]
-        return late, job.priority, slack
+        restart = step.spec.standing and any(t.pending and t.next_run > 1 for t in step.tasks)
+        return not restart, late, job.priority, slack
 
     def _place_step(self, step: StepRun, usable: list[ExecutorState], now: float) -> None:
-        placement = StepPlacement(step, usable, self._core.health, now)
+        placement = StepPlacement(step, usable, self._core.health, self._core.colocation, now)
         pending = [t for t in step.tasks if t.pending and t.not_before <= now]
         if not pending or not placement.executors:
             return
@@ -187,6 +197,29 @@
         expected = step.spec.estimate_s * 1.5 - (now - attempt.placed_at)
         return left < LEAVE_MARGIN_S + 1.0 or (step.spec.checkpoints and expected > left)
 
+    def _move_disturbing(self, now: float) -> None:
+        """Move best-effort runs that were slowed down to where they disturb less."""
+        for executor in list(self._core.executors.values()):
+            for attempt in executor.best_effort():
+                if attempt.pace < MOVE_BELOW and self._better_elsewhere(attempt, executor, now):
+                    self._core.stop(attempt, now, reason="disturbs standing tasks here")
+
+    def _better_elsewhere(self, attempt: Attempt, executor: ExecutorState, now: float) -> bool:
+        step = attempt.task.step
+        spec = step.spec
+        left_s = spec.estimate_s * (1 - attempt.progress / 100)
+        if not spec.checkpoints or step.spec.gang or left_s < MOVE_LEFT_S:
+            return False
+        others = [e for e in self._core.executors.values() if e is not executor]
+        usable = [e for e in others if e.usable(now) and e.clock]
+        placement = StepPlacement(step, usable, self._core.health, self._core.colocation, now)
+        best = placement.choose(attempt.task)
+        if best is None:
+            return False
+        book, image, cpu = self._core.colocation, spec.image, spec.demand.milli_cpu
+        here = book.worst_added(executor, image, cpu)
+        return book.worst_added(best, image, cpu) < MOVE_GAIN * here
+
     def _move_stragglers(self, now: float) -> None:
         for executor in self._core.executors.values():
             if executor.silent_since is not None or executor.draining:
--- a/src/linkspan/shard/progress.py
+++ b/src/linkspan/shard/progress.py
@@ -87,6 +87,7 @@
         task.done = True
         return
     task.next_run, task.failures, task.checkpoint, attempts = row
+    task.counted_run = task.next_run
     task.attempts = [
         Attempt(task, number, executor_id, Phase.INHERITED, now) for number, executor_id in attempts
     ]
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -44,7 +44,9 @@
         phase: Where it stands.
         placed_at: Steady time of the decision.
         confirmed_at: Steady time at which the executor confirmed it.
-        pace: Share of full speed at which it works, in percent.
+        pace: Share of full speed that it was ordered to work at, in percent.
+        progress: How much of its work is done, in percent.
+        progress_at: Steady time at which that last rose.
         usage: Last figure that the executor gave for it.
         over_since: Since when a standing task is over its latency target.
         stop_sent_at: Steady time of the last stop order.
@@ -60,6 +62,8 @@
     placed_at: float
     confirmed_at: float = NEVER
     pace: int = 100
+    progress: int = 0
+    progress_at: float = NEVER
     usage: float | None = None
     over_since: float | None = None
     stop_sent_at: float = NEVER
@@ -83,6 +87,7 @@
         done: Whether it has ended well; final.
         failures: Runs that ended failed.
         next_run: Number of its next run.
+        counted_run: Ends of runs below this number were counted by a former owner.
         checkpoint: Where the next run resumes.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
@@ -96,6 +101,7 @@
     done: bool = False
     failures: int = 0
     next_run: int = 1
+    counted_run: int = 0
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -164,7 +164,7 @@
         self._writer = GroupWriter(store, self._partition, name="owner", epoch=owner.token)
         self._core = ShardCore(shard, settings.bounds, log=log.write)
         self._planner = Planner(self._core)
-        self._pacer = Pacer(self._core)
+        self._pacer = Pacer(self._core, self._core.colocation)
         self._claimed_at = time.monotonic()
         self._proved_at = self._claimed_at
         self._must_prove_since = float("-inf")
