Gather standing images by hall; halls tell each other what they learnt

Cause: every hall held every standing image, so that some task was always near what it bears. Change: owners tell capacity, standing images and learnt effects in every second renewal; new standing jobs gather by image, best-effort jobs go where they press least.

--- a/src/linkspan/_rendezvous.py
+++ b/src/linkspan/_rendezvous.py
@@ -24,4 +24,9 @@
         >>> rendezvous("worker-3", ["a"])
         'a'
     """
-    return max(nodes, key=lambda node: (xxh3_64_intdigest(f"{key}\0{node}".encode()), node))
+    return max(nodes, key=lambda node: (weight(key, node), node))
+
+
+def weight(key: str, node: str) -> int:
+    """Return a node's rank for a key, from 0 to 2**64 - 1."""
+    return xxh3_64_intdigest(f"{key}\0{node}".encode())
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -28,6 +28,9 @@
 REMOTE_WATCH_S = 2.0
 """Pause between looks at another hall's ownership."""
 
+SUMMARY_EVERY = 2
+"""Renewals of which one tells the state of the hall."""
+
 CRASH_PAUSE_S = 1.0
 """Pause after a tenure ended by an error, so that a lasting one does not spin."""
 
@@ -78,6 +81,7 @@
         self._tenure: Tenure | None = None
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewing_at = float("-inf")
+        self._renewals = 0
         self._enabled = asyncio.Event()
 
     def __repr__(self) -> str:
@@ -222,7 +226,11 @@
         owner = self._view.owner
         if owner is None or not self._view.mine:
             return
-        record = OwnerRecord(act, self._host, self._incarnation, owner.token)
+        self._renewals += 1
+        summary = None
+        if self._tenure and self._renewals % SUMMARY_EVERY == 0:
+            summary = self._tenure.summary()
+        record = OwnerRecord(act, self._host, self._incarnation, owner.token, summary)
         await self._store.append(self._partition, [Record(record.encode())])
 
 
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -37,6 +37,7 @@
 
     from linkspan.host.settings import HostSettings
     from linkspan.shard.ownership import Owner
+    from linkspan.shard.summary import HallSummary
 
 CONNECTIONS_PER_PEER = 12
 """Most connections to one executor or to the store: a look that waits, and orders
@@ -125,7 +126,7 @@
             self._book,
             self._configuration,
             CallerBodies(),
-            choose_shard=ShardChooser(settings, self._registry).choose,
+            choose_shard=ShardChooser(settings, self._registry, self._summary_of).choose,
             host=settings.name,
             log=self._log,
         )
@@ -168,6 +169,17 @@
             )
         self._registry.on_change = self._on_executors
 
+    def _summary_of(self, shard: int) -> HallSummary | None:
+        return self._candidates[shard].view.summary
+
+    def _share_learning(self) -> None:
+        for candidate in self._candidates:
+            if candidate.tenure is None:
+                continue
+            for other in self._candidates:
+                if other is not candidate and other.view.summary:
+                    candidate.tenure.adopt(other.view.summary)
+
     def _on_executors(self) -> None:
         for candidate in self._candidates:
             if candidate.tenure:
@@ -203,6 +215,7 @@
             owning = any(candidate.tenure for candidate in self._candidates)
             self._book.follower.pause_s = OWNER_JOBS_PAUSE_S if owning else JOBS_PAUSE_S
             self._registry.follower.pause_s = OWNER_LISTING_PAUSE_S if owning else LISTING_PAUSE_S
+            self._share_learning()
             if self._knows_all:
                 for candidate in self._candidates:
                     candidate.enable()
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -2,53 +2,162 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import time
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+from linkspan._rendezvous import weight
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from linkspan.host.configuration import Queue
     from linkspan.host.registry import ExecutorRegistry
     from linkspan.host.settings import HostSettings
     from linkspan.jobs.spec import JobSpec, StepSpec
     from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.summary import HallSummary
+
+STALE_S = 2.5
+"""Time for which own choices are counted on top of a hall's summary, which is up to
+that old."""
+
+FULL_SHARE = 0.1
+"""Free part of a hall under which it counts as full for standing tasks: as much as
+they leave to short ones."""
+
+STANDING_SPREAD = 0.5
+"""Weight of a hall's free part against its standing tasks of other images."""
+
+WAITING_WEIGHT = 0.5
+"""Weight of the part of a hall that best-effort work uses or waits for, against the
+pressure that a job would add there."""
+
+LOCAL_BONUS = 0.05
+"""Advantage of the own hall: its callers still reach it when it is cut off."""
+
+
+class _Choice(NamedTuple):
+    at: float
+    shard: int
+    milli_cpu: int
+    standing: bool
 
 
 class ShardChooser:
-    """Chooses the hall whose executors can run a job, the own one first.
+    """Chooses the hall where a job is served best.
+
+    Short tasks stay in the own hall. Standing tasks gather by image, so that each
+    hall leaves some kind of best-effort work in peace; best-effort work goes where it
+    disturbs least and waits least.
 
     Args:
         settings: The host's settings.
         registry: The registered executors.
+        summary_of: Returns what a shard's owner last told, ``None`` if nothing.
     """
 
-    def __init__(self, settings: HostSettings, registry: ExecutorRegistry) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        registry: ExecutorRegistry,
+        summary_of: Callable[[int], HallSummary | None],
+    ) -> None:
         self._settings = settings
         self._registry = registry
+        self._summary_of = summary_of
+        self._choices: deque[_Choice] = deque()
 
     def __repr__(self) -> str:
         return f"ShardChooser({self._settings.hall!r})"
 
     def choose(self, spec: JobSpec, queue: Queue) -> int:
         """Return the number of the shard for a new job."""
+        able = self._able(spec, queue)
+        if len(able) == 1:
+            return able[0]
+        if spec.standing:
+            score = self._standing_score
+        elif any(step.best_effort for step in spec.steps):
+            score = self._best_effort_score
+        else:
+            own = self._settings.shard
+            return own if own in able else able[0]
+        chosen = max(able, key=lambda shard: score(spec, shard))
+        self._choices.append(
+            _Choice(time.monotonic(), chosen, _widest_milli_cpu(spec), spec.standing)
+        )
+        return chosen
+
+    def _able(self, spec: JobSpec, queue: Queue) -> list[int]:
+        """Return the shards whose executors can run most of the job, the own one first."""
         own = self._settings.shard
-        best, best_score = own, -1
-        for shard in [own, *(s for s in range(len(self._settings.halls)) if s != own)]:
-            hall = self._settings.halls[shard]
+        shards = [own, *(s for s in range(len(self._settings.halls)) if s != own)]
+        scores = {}
+        for shard in shards:
             executors = [
                 e
-                for e in self._registry.executors(hall)
+                for e in self._registry.executors(self._settings.halls[shard])
                 if e.service == queue.service and not e.draining
             ]
-            score = _score(spec, executors)
-            if score > best_score:
-                best, best_score = shard, score
-        return best
+            scores[shard] = _ability(spec, executors)
+        best = max(scores.values())
+        return [shard for shard in shards if scores[shard] == best]
+
+    def _standing_score(self, spec: JobSpec, shard: int) -> float:
+        summary = self._summary_of(shard)
+        images = {step.image for step in spec.steps}
+        hall = self._settings.halls[shard]
+        preference = max(weight(image, hall) for image in images) / 2**64
+        if summary is None or not summary.capacity:
+            return preference
+        need = _widest_milli_cpu(spec) + self._chosen_lately(shard, standing=True)
+        free = (summary.free - need) / summary.capacity
+        if free < FULL_SHARE:
+            return free - 2.0
+        others = sum(n for image, n in summary.standing.items() if image not in images)
+        return STANDING_SPREAD * free - others / summary.capacity + 0.1 * preference
+
+    def _best_effort_score(self, spec: JobSpec, shard: int) -> float:
+        summary = self._summary_of(shard)
+        local = LOCAL_BONUS if shard == self._settings.shard else 0.0
+        if summary is None or not summary.capacity:
+            return local - 0.5
+        pressure = max(_pressure(step, summary) for step in spec.steps)
+        busy = summary.best_effort + summary.waiting + self._chosen_lately(shard, standing=False)
+        return local - pressure - WAITING_WEIGHT * busy / summary.capacity
+
+    def _chosen_lately(self, shard: int, *, standing: bool) -> int:
+        limit = time.monotonic() - STALE_S
+        while self._choices and self._choices[0].at < limit:
+            self._choices.popleft()
+        return sum(
+            c.milli_cpu for c in self._choices if c.shard == shard and c.standing == standing
+        )
+
+
+def _widest_milli_cpu(spec: JobSpec) -> int:
+    return max(step.count * step.demand.milli_cpu for step in spec.steps)
+
+
+def _pressure(step: StepSpec, summary: HallSummary) -> float:
+    """Return the pressure that one task adds, averaged over a hall's standing tasks."""
+    total = sum(summary.standing.values())
+    if not step.best_effort or not total:
+        return 0.0
+    effects = {(e.standing, e.image): e.mean for e in summary.effects}
+    cores = step.demand.milli_cpu / 1000
+    return sum(
+        held / total * effects.get((standing, step.image), 0.0) * cores
+        for standing, held in summary.standing.items()
+    )
 
 
-def _score(spec: JobSpec, executors: list[ExecutorRecord]) -> int:
-    """Count the steps that a hall can run, twice where it has their data."""
+def _ability(spec: JobSpec, executors: list[ExecutorRecord]) -> int:
+    """Count the steps that a hall can run, and a little for those whose data it has."""
     score = 0
     for step in spec.steps:
-        able = [e for e in executors if _able(step, e)]
+        able = [e for e in executors if _able_executor(step, e)]
         if able:
             score += 100
         if step.data_rack and any(step.data_rack in e.labels for e in able):
@@ -56,7 +165,7 @@
     return score
 
 
-def _able(step: StepSpec, executor: ExecutorRecord) -> bool:
+def _able_executor(step: StepSpec, executor: ExecutorRecord) -> bool:
     demand, room = step.demand, executor.capacity
     return (
         (not step.label or step.label in executor.labels)
--- a/src/linkspan/shard/colocation.py
+++ b/src/linkspan/shard/colocation.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from linkspan.shard.summary import PairEffect
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -55,6 +57,12 @@
 FIGURE_VARIANCE = 0.1**2
 """Noise of one figure, squared: they are rough."""
 
+TELLING_VARIANCE = 0.5 * PRIOR_EFFECT_VARIANCE
+"""Variance below which an effect is worth telling others."""
+
+ADOPTED_FACTOR = 2.0
+"""Growth of the variance of an effect that another hall learnt."""
+
 
 def pressure_of(ratio: float) -> float:
     """Return the pressure that a latency over target tells of.
@@ -165,6 +173,22 @@
         images = {a.task.step.spec.image for a in executor.standing()}
         return max((self.effect(standing, image) * cores for standing in images), default=0.0)
 
+    def effects(self) -> tuple[PairEffect, ...]:
+        """Return what was learnt, for other owners."""
+        return tuple(
+            PairEffect(standing, image, estimate.mean, estimate.variance)
+            for (standing, image), estimate in self._effects.items()
+            if estimate.variance < TELLING_VARIANCE
+        )
+
+    def adopt(self, effects: Iterable[PairEffect], now: float) -> None:
+        """Take over what other owners learnt, where they know more."""
+        for told in effects:
+            own = self._effects.get((told.standing, told.image))
+            variance = ADOPTED_FACTOR * told.variance
+            if own is None or own.variance > variance:
+                self._effects[(told.standing, told.image)] = _Estimate(told.mean, variance, now)
+
     def forget(self, attempt: Attempt) -> None:
         """Forget the own load of a run that has ended."""
         self._loads.pop(attempt.key, None)
--- a/src/linkspan/shard/ownership.py
+++ b/src/linkspan/shard/ownership.py
@@ -13,6 +13,7 @@
 import orjson
 
 from linkspan.errors import RecordError
+from linkspan.shard.summary import HallSummary
 
 if TYPE_CHECKING:
     from linkspan.store.types import Entry
@@ -50,16 +51,21 @@
         host: Name of the host that wrote it.
         incarnation: Distinguishes the lives of the host's process.
         token: Token of the tenure that is renewed or released; 0 in claims.
+        summary: State of the hall, in some renewals.
     """
 
     act: OwnerAct
     host: str
     incarnation: str
     token: int = 0
+    summary: HallSummary | None = None
 
     def encode(self) -> bytes:
         """Return the record's bytes."""
-        return orjson.dumps([self.act.value, self.host, self.incarnation, self.token])
+        fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
+        if self.summary:
+            fields.append(self.summary.encode())
+        return orjson.dumps(fields)
 
     @classmethod
     def decode(cls, value: bytes) -> OwnerRecord:
@@ -69,8 +75,9 @@
             RecordError: They are no record of ownership.
         """
         try:
-            act, host, incarnation, token = orjson.loads(value)
-            return cls(OwnerAct(act), host, incarnation, token)
+            act, host, incarnation, token, *rest = orjson.loads(value)
+            summary = HallSummary.decode(rest[0]) if rest else None
+            return cls(OwnerAct(act), host, incarnation, token, summary)
         except (ValueError, TypeError) as error:
             raise RecordError(f"ownership record: {error!r}; it is passed over") from error
 
@@ -105,6 +112,7 @@
         self._home = home
         self._owner: Owner | None = None
         self._heard_at: float | None = None
+        self._summary: HallSummary | None = None
 
     def __repr__(self) -> str:
         return f"OwnerView({self._owner})"
@@ -120,6 +128,11 @@
         owner = self._owner
         return owner is not None and owner.incarnation == self._incarnation
 
+    @property
+    def summary(self) -> HallSummary | None:
+        """State of the hall as its owner last told, ``None`` before it did."""
+        return self._summary
+
     def apply(self, entry: Entry, now: float) -> OwnerRecord:
         """Take a record in.
 
@@ -136,6 +149,7 @@
             self._heard_at = now
         elif self._owner and record.token == self._owner.token:
             self._heard_at = now
+            self._summary = record.summary or self._summary
             if record.act is OwnerAct.RELEASE:
                 self._owner = None
         return record
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -44,7 +44,7 @@
 """Added to an executor with no standing task of the image: a new image takes the
 emptiest one, and a known one fills those that it has."""
 
-DISTURBANCE_WEIGHT = 1.0
+DISTURBANCE_WEIGHT = 3.0
 """Weight of the pressure that a best-effort task adds to a standing one beside it."""
 
 MAX_PRESSURE = 0.78
--- /dev/null
+++ b/src/linkspan/shard/summary.py
@@ -0,0 +1,78 @@
+"""What a shard's owner tells the other hosts of its hall."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import orjson
+
+from linkspan.errors import RecordError
+
+
+class PairEffect(NamedTuple):
+    """A learnt effect of best-effort work on a standing task.
+
+    Attributes:
+        standing: Image of the standing task.
+        image: Image of the best-effort work.
+        mean: Pressure that one core of it adds.
+        variance: How far that may be off, squared.
+    """
+
+    standing: str
+    image: str
+    mean: float
+    variance: float
+
+
+@dataclass(frozen=True, slots=True)
+class HallSummary:
+    """State of a hall that matters for where new jobs live.
+
+    Attributes:
+        capacity: Thousandths of a core of all usable executors.
+        free: Thousandths of a core that are not reserved there.
+        best_effort: Thousandths of a core that best-effort tasks there would use.
+        waiting: Thousandths of a core that tasks without room wait for.
+        standing: Thousandths of a core held by standing tasks, by image.
+        effects: Learnt effects.
+    """
+
+    capacity: int = 0
+    free: int = 0
+    best_effort: int = 0
+    waiting: int = 0
+    standing: dict[str, int] = field(default_factory=dict)
+    effects: tuple[PairEffect, ...] = ()
+
+    def encode(self) -> list[object]:
+        """Return the fields for a record."""
+        return [
+            self.capacity,
+            self.free,
+            self.best_effort,
+            self.waiting,
+            self.standing,
+            [[e.standing, e.image, round(e.mean, 4), round(e.variance, 6)] for e in self.effects],
+        ]
+
+    @classmethod
+    def decode(cls, fields: list[object]) -> HallSummary:
+        """Return the summary of a record's fields.
+
+        Raises:
+            RecordError: They are no summary.
+        """
+        try:
+            capacity, free, best_effort, waiting, standing, effects = fields
+            return cls(
+                int(capacity),  # type: ignore[call-overload]
+                int(free),  # type: ignore[call-overload]
+                int(best_effort),  # type: ignore[call-overload]
+                int(waiting),  # type: ignore[call-overload]
+                dict(standing),  # type: ignore[call-overload]
+                tuple(PairEffect(*row) for row in effects),  # type: ignore[attr-defined]
+            )
+        except (ValueError, TypeError) as error:
+            raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -30,7 +30,7 @@
 )
 from linkspan.shard.ownership import OFFLINE_S
 from linkspan.shard.pacing import Pacer
-from linkspan.shard.planner import Planner
+from linkspan.shard.planner import Planner, summarize
 from linkspan.shard.progress import (
     ROSTER_KEY,
     decode_roster,
@@ -54,6 +54,7 @@
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.ownership import Owner
     from linkspan.shard.state import JobRun
+    from linkspan.shard.summary import HallSummary
     from linkspan.store.types import Store
 
 GATHER_S = 0.06
@@ -351,6 +352,14 @@
         self._watch_executors()
         self._news()
 
+    def summary(self) -> HallSummary:
+        """Return the state of the hall for other hosts."""
+        return summarize(self._core, time.monotonic())
+
+    def adopt(self, summary: HallSummary) -> None:
+        """Take over what the owner of another hall learnt."""
+        self._core.colocation.adopt(summary.effects, time.monotonic())
+
     def _news(self) -> None:
         self._wake.set()
         self._hand_out_records()
