Hand waiting work to halls with room; pace to a pressure of 0.8

Change: jobs of which nothing was started move whole, pending standing tasks are lent, each first durable under the owner's epoch and only then told; new standing jobs stay at home unless another hall is freer. Paces aim at 0.8 of pressure (was 0.76).

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -114,6 +114,7 @@
     RUN_MOVED = 537, logging.INFO, "run stopped to continue elsewhere", "read the reason"
     UNKNOWN_RUN_STOPPED = 538, logging.WARNING, "run that nobody wants is stopped", "nothing"
     PACE_SET = 539, logging.INFO, "pace of best-effort runs changed", "nothing"
+    WORK_HANDED_OVER = 550, logging.INFO, "waiting work goes to another hall", "nothing"
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is about to leave", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation is gone", "nothing"
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -152,6 +152,7 @@
                 registry=self._registry,
                 configuration=self._configuration,
                 shard=shard,
+                summary_of=self._summary_of,
                 log=self._log,
             )
 
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
-from linkspan._rendezvous import weight
+from linkspan.shard.messages import can_run
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,12 +22,9 @@
 """Time for which own choices are counted on top of a hall's summary, which is up to
 that old."""
 
-FULL_SHARE = 0.1
-"""Free part of a hall under which it counts as full for standing tasks: as much as
-they leave to short ones."""
-
-STANDING_SPREAD = 0.5
-"""Weight of a hall's free part against its standing tasks of other images."""
+IMAGE_WEIGHT = 0.1
+"""Weight of the part of a hall's standing tasks that have the same image against its
+free part: what gathers disturbs fewer kinds of best-effort work, but room comes first."""
 
 WAITING_WEIGHT = 0.5
 """Weight of the part of a hall that best-effort work uses or waits for, against the
@@ -105,18 +102,17 @@
         return [shard for shard in shards if scores[shard] == best]
 
     def _standing_score(self, spec: JobSpec, shard: int) -> float:
+        local = LOCAL_BONUS if shard == self._settings.shard else 0.0
         summary = self._summary_of(shard)
-        images = {step.image for step in spec.steps}
-        hall = self._settings.halls[shard]
-        preference = max(weight(image, hall) for image in images) / 2**64
         if summary is None or not summary.capacity:
-            return preference
+            return local
         need = _widest_milli_cpu(spec) + self._chosen_lately(shard, standing=True)
         free = (summary.free - need) / summary.capacity
-        if free < FULL_SHARE:
-            return free - 2.0
-        others = sum(n for image, n in summary.standing.items() if image not in images)
-        return STANDING_SPREAD * free - others / summary.capacity + 0.1 * preference
+        images = {step.image for step in spec.steps}
+        total = sum(summary.standing.values())
+        same = sum(n for image, n in summary.standing.items() if image in images)
+        alike = same / total if total else 0.0
+        return local + free + IMAGE_WEIGHT * alike
 
     def _best_effort_score(self, spec: JobSpec, shard: int) -> float:
         summary = self._summary_of(shard)
@@ -157,19 +153,9 @@
     """Count the steps that a hall can run, and a little for those whose data it has."""
     score = 0
     for step in spec.steps:
-        able = [e for e in executors if _able_executor(step, e)]
+        able = [e for e in executors if can_run(step, e)]
         if able:
             score += 100
         if step.data_rack and any(step.data_rack in e.labels for e in able):
             score += 1
     return score
-
-
-def _able_executor(step: StepSpec, executor: ExecutorRecord) -> bool:
-    demand, room = step.demand, executor.capacity
-    return (
-        (not step.label or step.label in executor.labels)
-        and demand.memory_mb <= room.memory_mb
-        and demand.gpus <= room.gpus
-        and (step.best_effort or demand.milli_cpu <= room.milli_cpu)
-    )
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import (
@@ -12,6 +12,8 @@
     Finished,
     JobRecord,
     JobState,
+    Lent,
+    Moved,
     Submitted,
 )
 
@@ -26,6 +28,8 @@
     Attributes:
         submitted: The submission that counts, ``None`` if only a later record is known.
         offset: Offset of that submission.
+        moved: Shard that the job was moved to, and the offset of that record.
+        lent: Standing tasks that other shards look after, by shard.
         hosts: Hosts that accepted the job, each with a record of its own.
         begun: Whether a task of it was started.
         cancelled: Whether a caller cancelled it.
@@ -34,6 +38,8 @@
 
     submitted: Submitted | None = None
     offset: int = -1
+    moved: tuple[int, int] | None = None
+    lent: dict[int, tuple[tuple[int, int], ...]] = field(default_factory=dict)
     hosts: tuple[str, ...] = ()
     begun: bool = False
     cancelled: bool = False
@@ -44,6 +50,14 @@
         """Whether the job was accepted."""
         return self.submitted is not None or self.finished is not None
 
+    @property
+    def shard(self) -> int | None:
+        """Shard that the job lives in, ``None`` while it is not known."""
+        if self.moved:
+            return self.moved[0]
+        source = self.submitted or self.finished
+        return source.shard if source else None
+
     @property
     def state(self) -> JobState:
         """State to show to callers."""
@@ -78,10 +92,9 @@
         return len(self._waiting.get(queue, ()))
 
     def of_shard(self, shard: int) -> Iterator[tuple[str, JobEntry]]:
-        """Iterate over the jobs of a shard."""
+        """Iterate over the jobs that live in a shard or lent tasks to it."""
         for job_id, entry in self._jobs.items():
-            source = entry.submitted or entry.finished
-            if source and source.shard == shard:
+            if entry.known and (entry.shard == shard or shard in entry.lent):
                 yield job_id, entry
 
     def apply(self, offset: int, record: JobRecord) -> str:
@@ -93,7 +106,12 @@
             self._dropped(record)
             return record.job_id
         entry = self._jobs.setdefault(record.job_id, JobEntry())
-        if isinstance(record, Cancelled):
+        if isinstance(record, Moved):
+            if entry.moved is None or entry.moved[1] < offset:
+                entry.moved = (record.shard, offset)
+        elif isinstance(record, Lent):
+            entry.lent[record.shard] = record.tasks
+        elif isinstance(record, Cancelled):
             entry.cancelled = True
         elif isinstance(record, Begun):
             entry.begun = True
@@ -128,7 +146,11 @@
         entry = self._jobs.get(record.job_id)
         if entry is None:
             return
-        if record.kind == "f" or (record.kind == "s" and entry.finished is None):
+        if record.kind == "m":
+            entry.moved = None
+        elif record.kind == "l":
+            entry.lent.pop(int(record.part), None)
+        elif record.kind == "f" or (record.kind == "s" and entry.finished is None):
             # A submission is dropped before the end only if it was void.
             self._forget(record.job_id)
         elif record.kind == "s":
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records of jobs in the store: submitted, cancelled, begun, finished.
+"""Records of jobs in the store: submitted, moved, lent, cancelled, begun, finished.
 
 Each is a keyed record, so that the newest of each key outlasts the log's
 retention. Several hosts may accept one job; each writes a key of its own and the
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from enum import Enum
 from typing import Any
@@ -52,6 +53,29 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """A job of which nothing was started lives in another shard from here on."""
+
+    job_id: str
+    shard: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """Standing tasks of a job are looked after by another shard from here on.
+
+    Attributes:
+        job_id: The job.
+        shard: The other shard.
+        tasks: Step and index of each task lent to it so far.
+    """
+
+    job_id: str
+    shard: int
+    tasks: tuple[tuple[int, int], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Cancelled:
     """A caller cancelled a job."""
@@ -90,23 +114,28 @@
     """A key's record is no longer needed.
 
     Attributes:
-        kind: First letter of the key: ``s``, ``c``, ``b`` or ``f``.
+        kind: First letter of the key: ``s``, ``m``, ``l``, ``c``, ``b`` or ``f``.
         job_id: The job.
-        host: For a submission, the host that had accepted it.
+        part: Rest of the key: the accepting host of a submission, the other shard
+            of a loan.
     """
 
     kind: str
     job_id: str
-    host: str = ""
+    part: str = ""
 
 
-JobRecord = Submitted | Cancelled | Begun | Finished | Dropped
+JobRecord = Submitted | Moved | Lent | Cancelled | Begun | Finished | Dropped
 
 
 def encode(record: JobRecord) -> tuple[bytes, bytes]:
     """Return the key and the value of a record; an empty value drops the key."""
     if isinstance(record, Submitted):
         return f"s:{record.spec.job_id}:{record.host}".encode(), _submitted(record)
+    if isinstance(record, Moved):
+        return f"m:{record.job_id}".encode(), orjson.dumps(record.shard)
+    if isinstance(record, Lent):
+        return f"l:{record.job_id}:{record.shard}".encode(), orjson.dumps(record.tasks)
     if isinstance(record, Cancelled):
         return f"c:{record.job_id}".encode(), b"1"
     if isinstance(record, Begun):
@@ -115,7 +144,7 @@
         fields = [record.state.value, record.shard, record.at, record.queue]
         return f"f:{record.job_id}".encode(), orjson.dumps(fields)
     key = f"{record.kind}:{record.job_id}"
-    return (f"{key}:{record.host}" if record.kind == "s" else key).encode(), b""
+    return (f"{key}:{record.part}" if record.part else key).encode(), b""
 
 
 def decode(key: bytes, value: bytes) -> JobRecord:
@@ -126,17 +155,12 @@
     """
     try:
         kind, job_id, *rest = key.decode().split(":", 2)
+        part = rest[0] if rest else ""
         if not value:
-            return Dropped(kind, job_id, rest[0] if rest else "")
-        if kind == "s":
-            return _submitted_from(orjson.loads(value), rest[0])
-        if kind == "c":
-            return Cancelled(job_id)
-        if kind == "b":
-            return Begun(job_id)
-        if kind == "f":
-            state, shard, at, queue = orjson.loads(value)
-            return Finished(job_id, JobState(state), shard, at, queue)
+            return Dropped(kind, job_id, part)
+        decoder = _DECODERS.get(kind)
+        if decoder:
+            return decoder(job_id, part, orjson.loads(value))
     except (ValueError, TypeError, KeyError, IndexError) as error:
         raise RecordError(f"job record {key!r}: {error!r}") from error
     raise RecordError(f"job record {key!r}: unknown kind")
@@ -195,3 +219,22 @@
     if "depends_on" in known:
         known["depends_on"] = tuple(known["depends_on"])
     return StepSpec(count=fields["count"], demand=Demand(*fields["demand"]), **known)
+
+
+def _finished_from(job_id: str, _part: str, fields: Any) -> Finished:
+    state, shard, at, queue = fields
+    return Finished(job_id, JobState(state), shard, at, queue)
+
+
+def _lent_from(job_id: str, part: str, fields: Any) -> Lent:
+    return Lent(job_id, int(part), tuple((step, index) for step, index in fields))
+
+
+_DECODERS: dict[str, Callable[[str, str, Any], JobRecord]] = {
+    "s": lambda _job_id, host, fields: _submitted_from(fields, host),
+    "m": lambda job_id, _part, shard: Moved(job_id, int(shard)),
+    "l": _lent_from,
+    "c": lambda job_id, _part, _fields: Cancelled(job_id),
+    "b": lambda job_id, _part, _fields: Begun(job_id),
+    "f": _finished_from,
+}
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -429,6 +429,8 @@
                     self._open_steps(run, now)
 
     def _finish_if_done(self, job: ShardJob) -> None:
+        if job.borrowed:
+            return
         if len(job.runs) == job.spec.repetitions and all(run.done for run in job.runs.values()):
             self._decide(job, JobState.SUCCEEDED)
 
@@ -478,7 +480,9 @@
         now: float,
         *,
         inherited: bool = False,
+        moved: bool = False,
         progress: dict[int, bytes] | None = None,
+        borrowed: Iterable[tuple[int, int]] | None = None,
     ) -> None:
         """Take in an accepted job.
 
@@ -486,14 +490,18 @@
             submitted: The job.
             now: Steady time.
             inherited: Whether a former owner may have started tasks of it.
+            moved: Whether another shard gave it to this one.
             progress: Records of its repetitions, by number.
+            borrowed: Step and index of the tasks that its shard lent to this one,
+                ``None`` if it lives here.
 
         Raises:
             RecordError: A progress record does not fit the job.
         """
         if submitted.spec.job_id in self.jobs:
             return
-        job = ShardJob(submitted, inherited=inherited)
+        job = ShardJob(submitted, inherited=inherited, moved=moved)
+        job.borrowed = borrowed is not None
         self.jobs[job.job_id] = job
         self.refresh_queue(job)
         for repetition in range(job.spec.repetitions):
@@ -504,9 +512,54 @@
             elif inherited:
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
+            if borrowed is not None:
+                _keep_only(run, set(borrowed), submitted.shard)
             self._open_steps(run, now)
         self._finish_if_done(job)
 
+    def borrow_more(self, job_id: str, tasks: Iterable[tuple[int, int]], now: float) -> None:
+        """Take in that another shard lent more tasks of a job."""
+        job = self.jobs.get(job_id)
+        if job is None or not job.borrowed:
+            return
+        wanted = set(tasks)
+        for run in job.runs.values():
+            for task in run.tasks():
+                if task.lent is not None and (task.name.step, task.name.index) in wanted:
+                    task.lent = None
+                    self._mark_ready(task, now)
+
+    def lend(self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]) -> JobRun | None:
+        """Stop looking after pending tasks of a job; return their repetition."""
+        job = self.jobs.get(job_id)
+        run = job.runs.get(0) if job else None
+        if run is None:
+            return None
+        for step, index in tasks:
+            run.steps[step].tasks[index].lent = shard
+        self._touch(run)
+        return run
+
+    def loans(self, job_id: str) -> dict[int, tuple[tuple[int, int], ...]]:
+        """Return step and index of the tasks of a job that were lent, by shard."""
+        job = self.jobs.get(job_id)
+        loans: dict[int, tuple[tuple[int, int], ...]] = {}
+        for run in job.runs.values() if job else ():
+            for task in run.tasks():
+                if task.lent is not None:
+                    place = (task.name.step, task.name.index)
+                    loans[task.lent] = (*loans.get(task.lent, ()), place)
+        return loans
+
+    def remove_moved(self, job_id: str) -> None:
+        """Forget a job that was moved to another shard."""
+        job = self.jobs.pop(job_id, None)
+        for run in job.runs.values() if job else ():
+            self.dirty.pop((job_id, run.repetition), None)
+            self.dropped.append(key_of(run))
+            for step in run.steps:
+                self.ready.pop(step, None)
+
     def _restore(self, run: JobRun, value: bytes, now: float) -> None:
         restore_run(run, value, now)
         self._mark_begun(run.job)
@@ -556,6 +609,9 @@
         if job.closing:
             return
         job.closing = True
+        if job.borrowed:
+            # Its own shard writes the final record.
+            return
         self.log(Event.JOB_DECIDED, job=job.job_id, state=state.value)
         # The owner puts its time of day in when it writes the record.
         self.finished.append(Finished(job.job_id, state, self._shard, 0.0, job.spec.queue))
@@ -788,5 +844,11 @@
         }
 
 
+def _keep_only(run: JobRun, tasks: set[tuple[int, int]], home: int) -> None:
+    for task in run.tasks():
+        ours = (task.name.step, task.name.index) in tasks
+        task.lent = None if ours else home
+
+
 def _short(name: TaskName) -> str:
     return f"{name.repetition}.{name.step}.{name.index}"
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from linkspan.jobs.spec import Demand
+from linkspan.jobs.spec import Demand, StepSpec
 
 
 class TaskName(NamedTuple):
@@ -52,6 +52,17 @@
     remaining_s: float = 0.0
 
 
+def can_run(step: StepSpec, executor: ExecutorRecord) -> bool:
+    """Whether an empty executor of this kind could run a task of a step."""
+    demand, room = step.demand, executor.capacity
+    return (
+        (not step.label or step.label in executor.labels)
+        and demand.memory_mb <= room.memory_mb
+        and demand.gpus <= room.gpus
+        and (step.best_effort or demand.milli_cpu <= room.milli_cpu)
+    )
+
+
 class EndKind(Enum):
     """How a run ended."""
 
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -16,11 +16,11 @@
 SLOW_DOWN_AT = 0.95
 """Latency over target from which neighbours slow down."""
 
-AIM_PRESSURE = 0.76
+AIM_PRESSURE = 0.8
 """Pressure that neighbours are slowed down to; the target is at 0.83, and own loads
 rise by a tenth within a figure's age."""
 
-SPEED_UP_PRESSURE = 0.72
+SPEED_UP_PRESSURE = 0.79
 """Pressure up to which they may speed up again."""
 
 INNOCENT_PRESSURE = 0.02
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -132,15 +132,6 @@
             headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
         return demand.milli_cpu + headroom <= executor.free_cpu
 
-    def could_ever(self, executor: ExecutorState) -> bool:
-        """Whether an empty executor of this size could take a task of the step."""
-        capacity, demand = executor.record.capacity, self.step.spec.demand
-        return (
-            demand.memory_mb <= capacity.memory_mb
-            and demand.gpus <= capacity.gpus
-            and (self.step.spec.best_effort or demand.milli_cpu <= capacity.milli_cpu)
-        )
-
     def _score(self, executor: ExecutorState) -> float:
         spec = self.step.spec
         capacity = max(executor.record.capacity.milli_cpu, 1)
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -83,7 +83,7 @@
         ready = self._core.ready
         for step in list(ready):
             job = step.run.job
-            if job.closing or not any(task.pending for task in step.tasks):
+            if job.closing or job.handing_over or not any(task.pending for task in step.tasks):
                 del ready[step]
                 self._blocked_logged.discard(step)
         return sorted(ready, key=lambda step: self._urgency(step, wall))
--- a/src/linkspan/shard/progress.py
+++ b/src/linkspan/shard/progress.py
@@ -57,12 +57,29 @@
 def _task_fields(task: Task) -> Any:
     if task.done:
         return 1
+    if task.lent is not None:
+        return -1 - task.lent
     attempts = [[a.run, a.executor_id] for a in task.attempts]
     if not attempts and task.next_run == 1 and not task.failures:
         return 0
     return [task.next_run, task.failures, task.checkpoint, attempts]
 
 
+def encode_moved(shard: int) -> bytes:
+    """Return the record of a job that is on its way to another shard."""
+    return orjson.dumps({"moved": shard})
+
+
+def moved_to(value: bytes) -> int | None:
+    """Return the shard that a record says its job was moved to, if it does."""
+    if not value.startswith(b"{"):
+        return None
+    try:
+        return int(orjson.loads(value)["moved"])
+    except (ValueError, TypeError, KeyError) as error:
+        raise RecordError(f"progress record {value!r:.60}: {error!r}") from error
+
+
 def restore_run(run: JobRun, value: bytes, now: float) -> None:
     """Fill a new repetition from its record.
 
@@ -86,6 +103,9 @@
     if row == 1:
         task.done = True
         return
+    if isinstance(row, int) and row < 0:
+        task.lent = -1 - row
+        return
     task.next_run, task.failures, task.checkpoint, attempts = row
     task.counted_run = task.next_run
     task.attempts = [
--- /dev/null
+++ b/src/linkspan/shard/rebalance.py
@@ -0,0 +1,160 @@
+"""Work that waits for room in one hall goes to another that has some.
+
+A job of which nothing was started moves whole. Standing tasks of a job that has begun
+are lent one by one: nothing waits for their end, so the two halls need not talk. The
+record of a handover is first made durable under the owner's epoch and only then
+told, so exactly one shard looks after each task.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, NamedTuple
+
+from linkspan.events import Event
+from linkspan.shard.placement import STANDING_HEADROOM
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from linkspan.jobs.spec import StepSpec
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.state import ShardJob, StepRun, Task
+    from linkspan.shard.summary import HallSummary
+
+WAIT_S = 0.5
+"""Time that work waits for room at home first: room frees up within half a second
+on most days, and a handover takes two appends."""
+
+LESS_BUSY = 0.15
+"""Part of a hall by which another must be less busy to take best-effort work over."""
+
+
+class Handover(NamedTuple):
+    """Work to give to another shard.
+
+    Attributes:
+        job_id: The job.
+        shard: The other shard.
+        tasks: Step and index of the tasks to lend, ``None`` to move the whole job.
+    """
+
+    job_id: str
+    shard: int
+    tasks: tuple[tuple[int, int], ...] | None
+
+
+class Rebalancer:
+    """Finds work to give to other halls.
+
+    Args:
+        core: The shard's state.
+        summaries: Returns what the owners of other shards last told.
+        count_able: Returns how many executors of a shard could run a step's task.
+    """
+
+    def __init__(
+        self,
+        core: ShardCore,
+        *,
+        summaries: Callable[[], dict[int, HallSummary]],
+        count_able: Callable[[int, StepSpec, str], int],
+    ) -> None:
+        self._core = core
+        self._summaries = summaries
+        self._count_able = count_able
+
+    def __repr__(self) -> str:
+        return f"Rebalancer({self._core!r})"
+
+    def plan(self, own: HallSummary, now: float) -> list[Handover]:
+        """Return the handovers to make now.
+
+        Args:
+            own: State of this hall.
+            now: Steady time.
+        """
+        halls = self._summaries()
+        found = []
+        for step in list(self._core.ready):
+            handover = self._for_step(step, own, halls, now)
+            if handover:
+                found.append(handover)
+                self._log(handover, step, now)
+        return found
+
+    def _for_step(
+        self, step: StepRun, own: HallSummary, halls: dict[int, HallSummary], now: float
+    ) -> Handover | None:
+        job = step.run.job
+        pending = [t for t in step.tasks if t.pending and now - t.ready_since >= WAIT_S]
+        if not pending or job.closing or job.handing_over or job.borrowed:
+            return None
+        if not job.begun and not job.moved:
+            return self._move(job, own, halls)
+        if step.spec.standing and not step.spec.gang:
+            return self._lend(job, step, pending, halls)
+        return None
+
+    def _move(
+        self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary]
+    ) -> Handover | None:
+        steps = job.spec.steps
+        need = max(step.count * step.demand.milli_cpu for step in steps)
+        best_effort = any(step.best_effort for step in steps)
+        standing = job.spec.standing
+        for shard, hall in sorted(halls.items(), key=lambda item: -_room(item[1])):
+            if not all(self._enough(shard, step, job) for step in steps):
+                continue
+            if best_effort:
+                if _busy(hall) + need / max(hall.capacity, 1) + LESS_BUSY > _busy(own):
+                    continue
+                halls[shard] = replace(hall, waiting=hall.waiting + need)
+            else:
+                if hall.waiting or _room(hall, standing=standing) < need:
+                    continue
+                halls[shard] = replace(hall, free=hall.free - need)
+            return Handover(job.job_id, shard, None)
+        return None
+
+    def _enough(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
+        able = self._count_able(shard, step, job.service)
+        return able * (step.max_per_executor or step.count) >= step.count
+
+    def _lend(
+        self,
+        job: ShardJob,
+        step: StepRun,
+        pending: list[Task],
+        halls: dict[int, HallSummary],
+    ) -> Handover | None:
+        spec = step.spec
+        for shard, hall in sorted(halls.items(), key=lambda item: -_room(item[1])):
+            if not self._count_able(shard, spec, job.service):
+                continue
+            room = _room(hall, standing=True) // max(spec.demand.milli_cpu, 1)
+            if room < 1:
+                continue
+            lent = pending[:room]
+            halls[shard] = replace(hall, free=hall.free - len(lent) * spec.demand.milli_cpu)
+            tasks = tuple((step.index, task.name.index) for task in lent)
+            return Handover(job.job_id, shard, tasks)
+        return None
+
+    def _log(self, handover: Handover, step: StepRun, now: float) -> None:
+        self._core.log(
+            Event.WORK_HANDED_OVER,
+            job=handover.job_id,
+            to_shard=handover.shard,
+            tasks="all" if handover.tasks is None else len(handover.tasks),
+            waited_s=round(now - min(t.ready_since for t in step.tasks if t.pending), 2),
+        )
+
+
+def _room(hall: HallSummary, *, standing: bool = False) -> int:
+    kept = STANDING_HEADROOM * hall.capacity if standing else 0.0
+    return int(hall.free - kept)
+
+
+def _busy(hall: HallSummary) -> float:
+    return (hall.best_effort + hall.waiting) / max(hall.capacity, 1)
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -88,6 +88,7 @@
         failures: Runs that ended failed.
         next_run: Number of its next run.
         counted_run: Ends of runs below this number were counted by a former owner.
+        lent: Shard that looks after it instead of this one, if any.
         checkpoint: Where the next run resumes.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
@@ -102,6 +103,7 @@
     failures: int = 0
     next_run: int = 1
     counted_run: int = 0
+    lent: int | None = None
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
@@ -112,7 +114,7 @@
     @property
     def pending(self) -> bool:
         """Whether it waits for an attempt."""
-        return not self.done and not self.attempts
+        return not self.done and not self.attempts and self.lent is None
 
 
 @dataclass(slots=True, eq=False)
@@ -197,6 +199,9 @@
         runs: Its repetitions by number.
         begun: Whether a task was started.
         closing: Whether its final state is decided; nothing is started any more.
+        handing_over: Whether it is on its way to another shard.
+        moved: Whether it came from another shard.
+        borrowed: Whether it lives in another shard that lent some of its tasks.
         max_attempts: Failed runs of a task after which it has failed.
         priority: Its queue's priority.
         objective_s: Time from acceptance in which it is to be done.
@@ -208,6 +213,9 @@
     runs: dict[int, JobRun] = field(default_factory=dict)
     begun: bool = False
     closing: bool = False
+    handing_over: bool = False
+    moved: bool = False
+    borrowed: bool = False
     max_attempts: int = 1
     priority: int = 0
     objective_s: float = 0.0
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -17,7 +17,7 @@
     WrongIncarnation,
 )
 from linkspan.events import Event
-from linkspan.jobs.records import Begun, Dropped, Finished, JobRecord
+from linkspan.jobs.records import Begun, Dropped, Finished, JobRecord, Lent, Moved
 from linkspan.shard.core import ShardCore
 from linkspan.shard.leases import inherited_lapse
 from linkspan.shard.messages import (
@@ -27,18 +27,23 @@
     StartAnswer,
     StartOrder,
     StopOrder,
+    can_run,
 )
 from linkspan.shard.ownership import OFFLINE_S
 from linkspan.shard.pacing import Pacer
 from linkspan.shard.planner import Planner, summarize
 from linkspan.shard.progress import (
     ROSTER_KEY,
+    RunKey,
     decode_roster,
+    encode_moved,
     encode_roster,
     encode_run,
     key_of,
+    moved_to,
     parse_key,
 )
+from linkspan.shard.rebalance import Rebalancer
 from linkspan.store.types import Partition, Record
 from linkspan.store.writer import GroupWriter
 
@@ -50,9 +55,12 @@
     from linkspan.host.job_book import JobBook
     from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
     from linkspan.host.settings import HostSettings
+    from linkspan.jobs.catalog import JobEntry
+    from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import Order
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.ownership import Owner
+    from linkspan.shard.rebalance import Handover
     from linkspan.shard.state import JobRun
     from linkspan.shard.summary import HallSummary
     from linkspan.store.types import Store
@@ -86,6 +94,9 @@
 BEGUN_S = 1.0
 """Time for which jobs that began are gathered; counts may be two seconds old."""
 
+REBALANCE_S = 0.3
+"""Time between looks for work that another hall could take."""
+
 PRUNE_S = 15.0
 """Time between removals of records that are past their time."""
 
@@ -135,6 +146,7 @@
         registry: The registered executors.
         configuration: The configuration in force.
         shard: Number of the shard.
+        summary_of: Returns what the owner of a shard last told.
         log: Where events go.
     """
 
@@ -149,6 +161,7 @@
         registry: ExecutorRegistry,
         configuration: ConfigurationWatch,
         shard: int,
+        summary_of: Callable[[int], HallSummary | None],
         log: EventLog,
     ) -> None:
         self._owner = owner
@@ -165,6 +178,10 @@
         self._writer = GroupWriter(store, self._partition, name="owner", epoch=owner.token)
         self._core = ShardCore(shard, settings.bounds, log=log.write)
         self._planner = Planner(self._core)
+        self._summary_of = summary_of
+        self._rebalancer = Rebalancer(
+            self._core, summaries=self._other_summaries, count_able=self._count_able
+        )
         self._pacer = Pacer(self._core, self._core.colocation)
         self._claimed_at = time.monotonic()
         self._proved_at = self._claimed_at
@@ -220,6 +237,7 @@
                 self._spawn(self._finish_loop())
                 self._spawn(self._begun_loop())
                 self._spawn(self._prune_loop())
+                self._spawn(self._rebalance_loop())
                 self._spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
@@ -303,19 +321,58 @@
             runs = progress.pop(job_id, {})
             if entry.finished:
                 self._core.drop_progress(job_id, runs)
+            elif self._is_moved(job_id, entry, runs):
+                continue
             else:
-                self._add_job(job_id, now, inherited=True, progress=runs)
+                self._add_job(job_id, entry, now, inherited=True, progress=runs)
+                self._tell_again(job_id, entry)
         for job_id, runs in progress.items():
             self._core.drop_progress(job_id, runs)
 
+    def _is_moved(self, job_id: str, entry: JobEntry, runs: dict[int, bytes]) -> bool:
+        """Finish a move that a former owner began."""
+        try:
+            shard = moved_to(runs.get(0, b""))
+        except RecordError as error:
+            self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+            return False
+        if shard is None:
+            return False
+        if entry.shard == self._shard:
+            self._spawn(self._tell_moved(job_id, shard))
+        else:
+            self._core.drop_progress(job_id, runs)
+        return True
+
+    def _tell_again(self, job_id: str, entry: JobEntry) -> None:
+        """Tell of loans that a former owner may not have told."""
+        if entry.shard != self._shard:
+            return
+        for shard, tasks in self._core.loans(job_id).items():
+            if set(tasks) - set(entry.lent.get(shard, ())):
+                self._book.write([Lent(job_id, shard, tasks)])
+
     def _add_job(
-        self, job_id: str, now: float, *, inherited: bool, progress: dict[int, bytes] | None = None
+        self,
+        job_id: str,
+        entry: JobEntry,
+        now: float,
+        *,
+        inherited: bool,
+        progress: dict[int, bytes] | None = None,
     ) -> None:
-        entry = self._book.catalog.get(job_id)
-        if entry is None or entry.submitted is None:
+        if entry.submitted is None:
             return
+        borrowed = None if entry.shard == self._shard else entry.lent.get(self._shard, ())
         try:
-            self._core.add_job(entry.submitted, now, inherited=inherited, progress=progress)
+            self._core.add_job(
+                entry.submitted,
+                now,
+                inherited=inherited,
+                moved=entry.moved is not None,
+                progress=progress,
+                borrowed=borrowed,
+            )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
         if entry.cancelled:
@@ -332,14 +389,19 @@
             return
         if entry.finished:
             self._core.on_finished(job_id)
-        elif entry.submitted and entry.submitted.shard == self._shard:
-            if job_id not in self._core.jobs:
-                # A former owner that has not yet read of our claim may see it too.
-                self._add_job(job_id, now, inherited=self._core.adopting)
-            elif entry.cancelled:
-                self._core.cancel_job(job_id)
+        elif job_id in self._core.jobs:
+            self._on_known_job(job_id, entry, now)
+        elif entry.shard == self._shard or self._shard in entry.lent:
+            # A former owner that has not yet read of our claim may see it too.
+            self._add_job(job_id, entry, now, inherited=self._core.adopting)
         self._news()
 
+    def _on_known_job(self, job_id: str, entry: JobEntry, now: float) -> None:
+        if entry.cancelled:
+            self._core.cancel_job(job_id)
+        elif entry.shard != self._shard:
+            self._core.borrow_more(job_id, entry.lent.get(self._shard, ()), now)
+
     def _on_configuration(self, configuration: Configuration) -> None:
         self._core.configure(configuration)
         self._news()
@@ -549,7 +611,10 @@
             Finished(finished.job_id, finished.state, finished.shard, time.time(), finished.queue)
         ]
         records += [Dropped("s", finished.job_id, host) for host in (entry.hosts if entry else ())]
-        records += [Dropped("c", finished.job_id), Dropped("b", finished.job_id)]
+        records += [Dropped(kind, finished.job_id) for kind in ("c", "b", "m")]
+        records += [
+            Dropped("l", finished.job_id, str(shard)) for shard in (entry.lent if entry else ())
+        ]
         await self._book.write(records)
         self._core.on_finished(finished.job_id)
         self._news()
@@ -578,6 +643,48 @@
             if old:
                 await self._book.write(old)
 
+    # Handovers
+
+    async def _rebalance_loop(self) -> None:
+        while True:
+            await asyncio.sleep(REBALANCE_S)
+            if not self.may_act(time.monotonic()):
+                continue
+            for handover in self._rebalancer.plan(self.summary(), time.monotonic()):
+                self._core.jobs[handover.job_id].handing_over = True
+                self._spawn(self._hand_over(handover))
+
+    async def _hand_over(self, handover: Handover) -> None:
+        job_id, shard, tasks = handover
+        if tasks is None:
+            key = RunKey(job_id, 0).encode()
+            await self._writer.write([Record(encode_moved(shard), key)])
+            await self._tell_moved(job_id, shard)
+            return
+        run = self._core.lend(job_id, shard, tasks)
+        if run is None:
+            return
+        await self._writer.write([Record(encode_run(run), key_of(run))])
+        await self._book.write([Lent(job_id, shard, self._core.loans(job_id)[shard])])
+        run.job.handing_over = False
+
+    async def _tell_moved(self, job_id: str, shard: int) -> None:
+        await self._book.write([Moved(job_id, shard)])
+        self._core.remove_moved(job_id)
+        self._core.drop_progress(job_id, [0])
+        self._news()
+
+    def _other_summaries(self) -> dict[int, HallSummary]:
+        return {
+            shard: summary
+            for shard in range(len(self._settings.halls))
+            if shard != self._shard and (summary := self._summary_of(shard)) is not None
+        }
+
+    def _count_able(self, shard: int, step: StepSpec, service: str) -> int:
+        executors = self._registry.executors(self._settings.halls[shard])
+        return sum(e.service == service and not e.draining and can_run(step, e) for e in executors)
+
     # Time
 
     async def _tick_loop(self) -> None:
