Never hand over work that a former owner may have started

Change: inherited work in doubt is not handed over; hosts of other halls wait 8 s, longer than a cut.

--- a/src/linkspan/shard/ownership.py
+++ b/src/linkspan/shard/ownership.py
@@ -25,9 +25,9 @@
 """Silence after which a host of the same hall claims a shard: a slow store answers
 in 0.4 s and a slow host takes 0.5 s longer, and neither is to cost the ownership."""
 
-REMOTE_SILENCE_S = 5.0
-"""Silence after which a host of another hall claims it. Longer than most cuts of a
-hall, in which only its own hosts reach its executors."""
+REMOTE_SILENCE_S = 8.0
+"""Silence after which a host of another hall claims it. Longer than cuts of a hall,
+which last 5 to 6 s and in which only its own hosts reach its executors."""
 
 OFFLINE_S = 10.0
 """Time for which an owner goes on without having proved its ownership. Outages of
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -90,6 +90,9 @@
         pending = [t for t in step.tasks if t.pending and now - t.ready_since >= WAIT_S]
         if not pending or job.closing or job.handing_over or job.borrowed:
             return None
+        if not self._core.may_start(job, now):
+            # What a former owner may have started here must not start elsewhere.
+            return None
         if not job.begun and not job.moved:
             return self._move(job, own, halls)
         if step.spec.standing and not step.spec.gang:
