Play whole hosts in virtual time against a judging store and executors

Change: a host without sockets (host/host.py) apart from its daemon; an event loop in virtual time; a store and executors in memory with outages, lost and late answers, fencing tokens, leases on slow clocks; a judge that sees what executors see.

--- a/src/linkspan/errors.py
+++ b/src/linkspan/errors.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import traceback
+from pathlib import Path
+
 
 class LinkspanError(Exception):
     """Base of all errors of this library."""
@@ -150,3 +153,11 @@
 
 class WrongIncarnation(LinkspanError):
     """Another incarnation answers at the address; the intended one is gone."""
+
+
+def describe(error: BaseException) -> str:
+    """Return an error with the place where each of its parts was raised, for a log."""
+    if isinstance(error, BaseExceptionGroup):
+        return "; ".join(describe(part) for part in error.exceptions)
+    frames = traceback.extract_tb(error.__traceback__)[-3:]
+    return f"{error!r} at {[f'{Path(f.filename).name}:{f.lineno}' for f in frames]}"
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import time
-import traceback
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered
+from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, describe
 from linkspan.events import Event
 from linkspan.shard.ownership import RENEW_S, Owner, OwnerAct, OwnerRecord, OwnerView
 from linkspan.shard.tenure import Tenure, TenureLost
@@ -203,7 +201,7 @@
         except TenureLost as error:
             self._log.write(Event.OWNER_LOST, shard=self._shard, reason=str(error))
         except Exception as error:
-            self._log.write(Event.CRASHED, task=f"shard {self._shard}", error=_describe(error))
+            self._log.write(Event.CRASHED, task=f"shard {self._shard}", error=describe(error))
             await asyncio.sleep(CRASH_PAUSE_S)
         if self._tenure is tenure:
             self._tenure = None
@@ -237,11 +235,3 @@
             summary = self._tenure.summary()
         record = OwnerRecord(act, self._host, self._incarnation, owner.token, summary)
         await self._store.append(self._partition, [Record(record.encode())])
-
-
-def _describe(error: BaseException) -> str:
-    """Return an error with the place where each of its parts was raised."""
-    if isinstance(error, BaseExceptionGroup):
-        return "; ".join(_describe(part) for part in error.exceptions)
-    frames = traceback.extract_tb(error.__traceback__)[-3:]
-    return f"{error!r} at {[f'{Path(f.filename).name}:{f.lineno}' for f in frames]}"
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -111,17 +111,17 @@
             return _json(404, b'{"error":"no such queue"}')
         job_id = request.path[len(queue.prefix) :]
         if request.method == "GET" and not job_id:
-            return await self._count(queue)
+            return await self.count(queue)
         if not _JOB_ID.fullmatch(job_id):
             return _json(404, b'{"error":"a job id is 16 hex digits"}')
         deadline = time.monotonic() + self._time_left(request, queue)
         if request.method == "POST":
             body = await request.read()
-            return await self._submit(queue, job_id, body, deadline)
+            return await self.submit(queue, job_id, body, deadline)
         if request.method == "GET":
-            return await self._show(job_id)
+            return await self.show(job_id)
         if request.method == "DELETE":
-            return await self._cancel(job_id, deadline)
+            return await self.cancel(job_id, deadline)
         return _json(405, b'{"error":"use GET, POST or DELETE"}')
 
     def _time_left(self, request: web.BaseRequest, queue: Queue) -> float:
@@ -129,9 +129,15 @@
         seconds = int(given) / 1000 if given.isdecimal() else queue.timeout_s
         return max(seconds - ANSWER_MARGIN_S, 0.05)
 
-    async def _submit(
-        self, queue: Queue, job_id: str, body: bytes, deadline: float
-    ) -> web.Response:
+    async def submit(self, queue: Queue, job_id: str, body: bytes, deadline: float) -> web.Response:
+        """Keep a job and answer once it is kept, or say that it will not run.
+
+        Args:
+            queue: The job's queue.
+            job_id: The caller's id of the job.
+            body: The job as sent.
+            deadline: Steady time by which the caller wants an answer.
+        """
         if self._book.catalog.get(job_id):
             self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
             return _json(200, b"{}")
@@ -187,7 +193,8 @@
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return _unavailable(reason)
 
-    async def _show(self, job_id: str) -> web.Response:
+    async def show(self, job_id: str) -> web.Response:
+        """Answer a question for a job's state."""
         entry, fresh = await self._book.look_up(job_id)
         if entry:
             return _json(200, self._form.state(entry.state))
@@ -197,7 +204,8 @@
         self._log.write(Event.JOB_ASKED, job=job_id, state="no such job")
         return _json(410, b'{"error":"no such job"}')
 
-    async def _cancel(self, job_id: str, deadline: float) -> web.Response:
+    async def cancel(self, job_id: str, deadline: float) -> web.Response:
+        """Cancel a job and answer once that is kept."""
         entry, fresh = await self._book.look_up(job_id)
         if entry is None:
             return _json(410, b"{}") if fresh else _unavailable("store is away")
@@ -215,7 +223,8 @@
         self._log.write(Event.JOB_CANCEL, job=job_id)
         return _json(200, b"{}")
 
-    async def _count(self, queue: Queue) -> web.Response:
+    async def count(self, queue: Queue) -> web.Response:
+        """Answer how many jobs of a queue wait."""
         await self._book.refresh()
         return _json(200, self._form.waiting(self._book.catalog.waiting(queue.name)))
 
--- /dev/null
+++ b/src/linkspan/host/host.py
@@ -0,0 +1,222 @@
+"""One host without its sockets: entry, job records, ownership, all in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.host.candidate import Candidate
+from linkspan.host.front import Front
+from linkspan.host.job_book import JobBook
+from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
+from linkspan.host.shards import ShardChooser
+from linkspan.shard.tenure import Tenure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from linkspan.events import EventLog
+    from linkspan.host.configuration import Configuration
+    from linkspan.host.front import CallerFormat
+    from linkspan.host.settings import HostSettings
+    from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.ownership import Owner
+    from linkspan.shard.summary import HallSummary
+    from linkspan.shard.tenure import Executors
+    from linkspan.store.types import Partition, Store
+
+OWNER_LISTING_PAUSE_S = 0.5
+"""Pause between readings of the executors' registrations where this host owns a
+shard: an executor that drains is to be left within two seconds."""
+
+LISTING_PAUSE_S = 2.5
+"""The same where it only chooses the shard of new jobs."""
+
+OWNER_JOBS_PAUSE_S = 0.02
+"""Pause between readings of the job records by an owner: jobs are to start within
+tens of milliseconds."""
+
+JOBS_PAUSE_S = 1.0
+"""The same elsewhere; callers' questions read at once."""
+
+STORE_LOST_S = 1.5
+"""Time without the store after which this host calls itself not ready: the
+balancer's own limit is two seconds of silence."""
+
+ADAPT_S = 0.1
+"""Time between checks of what this host owns and knows."""
+
+
+@dataclass(frozen=True)
+class Adapter:
+    """What a host needs of the platform's manner of speaking.
+
+    Attributes:
+        store: The platform's store.
+        executors: Makes calls to executors under a fencing token.
+        bodies: Form of what callers send and get.
+        configuration_records: Where the operator writes.
+        configuration_key: Key of the configuration there.
+        executor_records: Where executors register themselves.
+        decode_configuration: Decodes the operator's record.
+        decode_executor: Decodes an executor's record.
+    """
+
+    store: Store
+    executors: Callable[[int], Executors]
+    bodies: CallerFormat
+    configuration_records: Partition
+    configuration_key: bytes
+    executor_records: Partition
+    decode_configuration: Callable[[bytes], Configuration]
+    decode_executor: Callable[[str, bytes], ExecutorRecord]
+
+
+class Host:
+    """Everything that one host decides and keeps.
+
+    Args:
+        settings: The host's settings.
+        adapter: The platform.
+        incarnation: Life of this process.
+        log: Where events go.
+    """
+
+    def __init__(
+        self, settings: HostSettings, adapter: Adapter, *, incarnation: str, log: EventLog
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._log = log
+        self._draining = False
+        self.book = JobBook(adapter.store, incarnation, log)
+        self.registry = ExecutorRegistry(
+            adapter.store, adapter.executor_records, adapter.decode_executor, log
+        )
+        self.configuration = ConfigurationWatch(
+            adapter.store,
+            adapter.configuration_records,
+            adapter.configuration_key,
+            adapter.decode_configuration,
+            log,
+        )
+        self.candidates = [
+            Candidate(
+                adapter.store,
+                shard=shard,
+                host=settings.name,
+                incarnation=incarnation,
+                home=shard == settings.shard,
+                make_tenure=self._make_tenure,
+                log=log,
+            )
+            for shard in range(len(settings.halls))
+        ]
+        self.front = Front(
+            self.book,
+            self.configuration,
+            adapter.bodies,
+            choose_shard=ShardChooser(settings, self.registry, self._summary_of).choose,
+            host=settings.name,
+            log=log,
+        )
+        self.registry.on_change = self._on_executors
+
+    def __repr__(self) -> str:
+        return f"Host({self._settings.name!r})"
+
+    @property
+    def knows_all(self) -> bool:
+        """Whether the configuration, the jobs and the executors were read once."""
+        return (
+            self.configuration.current is not None
+            and self.book.follower.ready
+            and self.registry.follower.ready
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers are served best here."""
+        home = self.candidates[self._settings.shard]
+        return (
+            not self._draining
+            and self.knows_all
+            and time.monotonic() - home.heard_at < STORE_LOST_S
+        )
+
+    async def run(self) -> None:
+        """Run until cancelled.
+
+        Raises:
+            ExceptionGroup: A task ended by an error.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.configuration.follower.run())
+            group.create_task(self.book.follower.run())
+            group.create_task(self.book.writer.run())
+            group.create_task(self.registry.follower.run())
+            group.create_task(self._adapt())
+            for candidate in self.candidates:
+                group.create_task(candidate.run())
+
+    async def drain(self, *, notice_s: float, limit_s: float) -> None:
+        """Leave the balancer, hand shards on and finish what is in flight.
+
+        Args:
+            notice_s: Time for the balancer to see that this host is not ready.
+            limit_s: Longest time that all of it may take.
+        """
+        began = time.monotonic()
+        self._draining = True
+        self.front.draining = True
+        self._log.write(Event.DRAINING, in_flight=self.front.in_flight)
+        await asyncio.gather(*(candidate.hand_on() for candidate in self.candidates))
+        while time.monotonic() < began + limit_s:
+            if self.front.in_flight == 0 and time.monotonic() >= began + notice_s:
+                return
+            await asyncio.sleep(0.05)
+
+    def _make_tenure(self, owner: Owner, shard: int) -> Tenure:
+        return Tenure(
+            owner,
+            settings=self._settings,
+            store=self._adapter.store,
+            executors=self._adapter.executors(owner.token),
+            book=self.book,
+            registry=self.registry,
+            configuration=self.configuration,
+            shard=shard,
+            summary_of=self._summary_of,
+            log=self._log,
+        )
+
+    def _summary_of(self, shard: int) -> HallSummary | None:
+        return self.candidates[shard].view.summary
+
+    async def _adapt(self) -> None:
+        """Read often where a decision waits for it, seldom elsewhere, to save calls."""
+        while True:
+            owning = any(candidate.tenure for candidate in self.candidates)
+            self.book.follower.pause_s = OWNER_JOBS_PAUSE_S if owning else JOBS_PAUSE_S
+            self.registry.follower.pause_s = OWNER_LISTING_PAUSE_S if owning else LISTING_PAUSE_S
+            self._share_learning()
+            if self.knows_all and not self._draining:
+                for candidate in self.candidates:
+                    candidate.enable()
+            await asyncio.sleep(ADAPT_S)
+
+    def _share_learning(self) -> None:
+        for candidate in self.candidates:
+            if candidate.tenure is None:
+                continue
+            for other in self.candidates:
+                if other is not candidate and other.view.summary:
+                    candidate.tenure.adopt(other.view.summary)
+
+    def _on_executors(self) -> None:
+        for candidate in self.candidates:
+            if candidate.tenure:
+                candidate.tenure.on_executors()
--- /dev/null
+++ b/tests/hall_world.py
@@ -0,0 +1,304 @@
+"""Hosts, executors and a store of one deployment in virtual time, with a judge.
+
+Everything of the product runs but its sockets; the judge sees what executors see.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from aiohttp import web
+
+from linkspan.host.configuration import Configuration, Queue, Service
+from linkspan.host.host import Adapter, Host
+from linkspan.host.settings import Bounds, HostSettings, StoreLimits
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.platform.jobs import CallerBodies
+from linkspan.platform.records import executor_from_wire
+from linkspan.shard.messages import EndedTask, EndKind, ExecutorRecord, StartOrder, TaskName
+from linkspan.store.types import Partition
+from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
+from tests.standins.memory_store import MemoryStore, StoreLink
+
+CONFIGURATION = Partition("operator", keyed=True)
+EXECUTORS = Partition("executors", keyed=True)
+QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
+HEARTBEAT_S = 1.5
+
+
+class Lines:
+    """Log that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[float, str, dict[str, Any]]] = []
+
+    def write(self, event: Any, **fields: Any) -> None:
+        now = asyncio.get_running_loop().time()
+        self.lines.append((now, event.name, fields))
+
+    def named(self, name: str) -> list[dict[str, Any]]:
+        return [fields for _, event, fields in self.lines if event == name]
+
+
+@dataclass
+class RunningHost:
+    """A host's process."""
+
+    host: Host
+    task: asyncio.Task[None]
+
+
+@dataclass
+class HallWorld:
+    """A deployment and what went wrong in it."""
+
+    halls: tuple[str, ...] = ("east",)
+    hosts_per_hall: int = 2
+    executors_per_hall: int = 3
+    seed: int = 0
+    milli_cpu: int = 8_000
+    max_lease_s: float = 10.0
+    failing_share: float = 0.0
+    late_share: float = 0.0
+    lost_answer_share: float = 0.0
+    broken: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.store = MemoryStore(self.seed)
+        self.log = Lines()
+        self.hosts: dict[str, RunningHost] = {}
+        self.executors: dict[str, MemoryExecutor] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.specs: dict[str, JobSpec] = {}
+        self.accepted: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.done: set[TaskName] = set()
+        self.done_acknowledged: set[TaskName] = set()
+        self.failed: Counter[TaskName] = Counter()
+        self.starts: defaultdict[TaskName, list[float]] = defaultdict(list)
+        self._lives = 0
+        self._jobs = 0
+
+    # Building
+
+    async def begin(self) -> None:
+        """Start executors and hosts and let them settle."""
+        configuration = Configuration(3, {QUEUE.name: QUEUE}, {"pool": Service("pool")})
+        self.configuration = configuration
+        self.store.put(CONFIGURATION, b"config", b"3")
+        for hall in self.halls:
+            for index in range(self.executors_per_hall):
+                self.add_executor(hall, f"{hall}-{index}:1")
+        self._beats = asyncio.create_task(self._beat())
+        for name, _ in self.host_names():
+            self.start_host(name)
+        await asyncio.sleep(2.0)
+
+    def host_names(self) -> list[tuple[str, str]]:
+        return [(f"{h}-host-{i}", h) for h in self.halls for i in range(self.hosts_per_hall)]
+
+    def start_host(self, name: str) -> RunningHost:
+        self._lives += 1
+        hall = dict(self.host_names())[name]
+        settings = HostSettings(
+            name, hall, self.halls, "", "", StoreLimits(""), bounds=self.bounds()
+        )
+        adapter = Adapter(
+            store=StoreLink(self.store, name),
+            executors=lambda token: ExecutorLink(self, name, token),
+            bodies=CallerBodies(),
+            configuration_records=CONFIGURATION,
+            configuration_key=b"config",
+            executor_records=EXECUTORS,
+            decode_configuration=lambda _value: self.configuration,
+            decode_executor=executor_from_wire,
+        )
+        host = Host(settings, adapter, incarnation=f"life-{self._lives}", log=self.log)
+        running = RunningHost(host, asyncio.create_task(host.run()))
+        self.hosts[name] = running
+        return running
+
+    def bounds(self) -> Bounds:
+        return Bounds(max_lease_s=self.max_lease_s)
+
+    def kill_host(self, name: str) -> None:
+        self.hosts.pop(name).task.cancel()
+
+    def add_executor(self, hall: str, address: str) -> MemoryExecutor:
+        self._lives += 1
+        record = ExecutorRecord(
+            f"life-{self._lives}",
+            "pool",
+            address,
+            hall,
+            Demand(self.milli_cpu, 32_000),
+            frozenset(("kind", f"rack-{hall}")),
+            f"rack-{hall}",
+        )
+        slow_clock = 1.0 - 0.02 * self.random.random()
+        executor = MemoryExecutor(self, record, slow_clock=slow_clock)
+        self.executors[address] = executor
+        self.register(executor)
+        return executor
+
+    def register(self, executor: MemoryExecutor, *, draining: bool = False) -> None:
+        record = executor.record
+        fields = {
+            "service": record.service,
+            "address": record.address,
+            "zone": record.hall,
+            "state": "draining" if draining else "ready",
+            "remainingMs": 2000 if draining else 0,
+            "capacity": {"cpu": record.capacity.milli_cpu, "memMb": record.capacity.memory_mb},
+            "labels": ["kind", record.rack],
+        }
+        self.store.put(EXECUTORS, record.executor_id.encode(), json.dumps(fields).encode())
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for executor in self.executors.values():
+                executor.advance()
+
+    def crash_executor(self, address: str, *, back: bool = True) -> None:
+        executor = self.executors[address]
+        executor.alive = False
+        self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+        if back:
+            self.add_executor(executor.record.hall, address)
+
+    # What executors ask
+
+    def at(self, address: str) -> MemoryExecutor | None:
+        return self.executors.get(address)
+
+    def is_cut(self, host: str, executor: MemoryExecutor) -> bool:
+        return (host, executor.record.address) in self.cuts
+
+    def cut(self, host: str, hall: str) -> None:
+        """Cut a host from a hall's executors."""
+        self.cuts |= {(host, a) for a, e in self.executors.items() if e.record.hall == hall}
+
+    def step_of(self, task: TaskName) -> StepSpec:
+        return self.specs[task.job_id].steps[task.step]
+
+    def running_time(self, task: TaskName) -> float:
+        step = self.step_of(task)
+        return 1e6 if step.standing else step.estimate_s * (0.8 + 0.4 * self.random.random())
+
+    def fails(self, task: TaskName, run: int) -> bool:
+        return self.random.random() < self.failing_share
+
+    def late_by(self) -> float:
+        if self.late_share and self.random.random() < self.late_share:
+            return 2.0 + 6.0 * self.random.random()
+        return 0.0
+
+    def loses_answer(self) -> bool:
+        return bool(self.lost_answer_share) and self.random.random() < self.lost_answer_share
+
+    # The judge
+
+    def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
+        task = order.task
+        now = asyncio.get_running_loop().time()
+        self.starts[task].append(now)
+        for other in self.executors.values():
+            other.advance()
+            run = other.running.get(task)
+            if other.alive and run:
+                self.broken.append(f"{now:.2f} TWICE {task} runs on {other.record.address} too")
+        if task in self.done_acknowledged:
+            self.broken.append(f"{now:.2f} TWICE {task} was done and acknowledged")
+        if task.job_id not in self.specs or order.payload != self.specs[task.job_id].payload:
+            self.broken.append(f"{now:.2f} UNASKED {task}")
+        for earlier in self.step_of(task).depends_on:
+            count = self.specs[task.job_id].steps[earlier].count
+            names = [TaskName(task.job_id, 0, earlier, i) for i in range(count)]
+            if not all(name in self.done for name in names):
+                self.broken.append(f"{now:.2f} ORDER {task}")
+        if self.failed[task] >= QUEUE.max_attempts and not self.step_of(task).standing:
+            self.broken.append(f"{now:.2f} BUDGET {task}")
+
+    def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
+        if kind is EndKind.DONE:
+            self.done.add(task)
+
+    def judge_acknowledged(self, end: EndedTask) -> None:
+        if end.kind is EndKind.DONE:
+            self.done_acknowledged.add(end.task)
+        if end.kind is EndKind.FAILED:
+            self.failed[end.task] += 1
+
+    # Callers
+
+    def new_job(self, *steps: StepSpec) -> JobSpec:
+        self._jobs += 1
+        return JobSpec(f"{self._jobs:016x}", QUEUE.name, f"payload {self._jobs}", steps)
+
+    async def submit(self, name: str, spec: JobSpec) -> int:
+        """Submit a job at a host and return the status."""
+        self.specs[spec.job_id] = spec
+        deadline = asyncio.get_running_loop().time() + 3.0
+        answer = await self.hosts[name].host.front.submit(
+            QUEUE, spec.job_id, job_body(spec), deadline
+        )
+        if answer.status == 200:
+            self.accepted.add(spec.job_id)
+        return answer.status
+
+    async def state(self, name: str, job_id: str) -> str:
+        answer = await self.hosts[name].host.front.show(job_id)
+        return state_of(answer)
+
+    async def wait_for(self, name: str, job_id: str, state: str, *, limit_s: float = 30.0) -> None:
+        async with asyncio.timeout(limit_s):
+            while await self.state(name, job_id) != state:
+                await asyncio.sleep(0.1)
+
+    def owner(self, shard: int = 0) -> str | None:
+        """Return the host that runs a shard at present."""
+        for name, running in self.hosts.items():
+            if running.host.candidates[shard].tenure:
+                return name
+        return None
+
+
+def state_of(answer: web.Response) -> str:
+    assert isinstance(answer.body, bytes)
+    if answer.status != 200:
+        return str(answer.status)
+    return str(json.loads(answer.body)["state"])
+
+
+def job_body(spec: JobSpec) -> bytes:
+    """Return the body that a caller sends for a job."""
+    return json.dumps(
+        {
+            "spec": spec.payload,
+            "steps": [
+                {
+                    "count": s.count,
+                    "cpu": s.demand.milli_cpu,
+                    "memMb": s.demand.memory_mb,
+                    "estimatedMs": s.estimate_s * 1000,
+                    "dependsOn": list(s.depends_on),
+                    "indefinite": s.standing,
+                    "gangScheduled": s.gang,
+                    "antiAffinity": s.max_per_executor,
+                }
+                for s in spec.steps
+            ],
+        }
+    ).encode()
+
+
+def step(count: int = 1, *, cpu: int = 1_000, estimate_s: float = 1.0, **fields: Any) -> StepSpec:
+    """Return a step for tests."""
+    return StepSpec(count=count, demand=Demand(cpu, 100), estimate_s=estimate_s, **fields)
--- /dev/null
+++ b/tests/host/test_hall_world.py
@@ -0,0 +1,274 @@
+"""Whole hosts in virtual time: what must hold when hosts, store and orders fail."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.hall_world import HallWorld, step
+from tests.virtual_time import run_virtual
+
+
+def test_a_job_of_two_steps_runs_in_order() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(4), step(2, depends_on=(0,)))
+        assert await world.submit("east-host-0", spec) == 200
+        await world.wait_for("east-host-1", spec.job_id, "succeeded", limit_s=6.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.broken == []
+    assert len(world.done) == 6
+
+
+def test_the_same_job_at_two_hosts_runs_once() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        spec = world.new_job(step(3))
+        statuses = await asyncio.gather(
+            world.submit("east-host-0", spec), world.submit("west-host-0", spec)
+        )
+        assert statuses == [200, 200]
+        await world.wait_for("west-host-1", spec.job_id, "succeeded")
+        return world
+
+    world = run_virtual(play())
+    assert world.broken == []
+    assert [len(times) for times in world.starts.values()] == [1, 1, 1]
+
+
+def test_a_killed_owner_is_replaced_and_its_work_goes_on() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(4, estimate_s=3.0), step(2, depends_on=(0,)))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(0.5)
+        owner = world.owner()
+        assert owner
+        other = next(name for name in world.hosts if name != owner)
+        world.kill_host(owner)
+        await world.wait_for(other, spec.job_id, "succeeded", limit_s=12.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.broken == []
+    assert all(len(times) == 1 for times in world.starts.values())
+
+
+def test_work_goes_on_while_the_store_is_away() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(2), step(2, depends_on=(0,)))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(0.1)
+        world.store.refusing.update(world.hosts)
+        await asyncio.sleep(4.0)
+        assert len(world.done) == 4
+        refused = world.new_job(step(1))
+        assert await world.submit("east-host-0", refused) == 503
+        world.store.refusing.clear()
+        await world.wait_for("east-host-1", spec.job_id, "succeeded", limit_s=5.0)
+        assert await world.state("east-host-0", refused.job_id) == "410"
+        return world
+
+    world = run_virtual(play())
+    assert world.broken == []
+
+
+def test_a_cancelled_job_stops() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(3, standing=True))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(1.0)
+        front = world.hosts["east-host-1"].host.front
+        answer = await front.cancel(spec.job_id, asyncio.get_running_loop().time() + 3.0)
+        assert answer.status == 200
+        await asyncio.sleep(1.5)
+        assert not any(e.running for e in world.executors.values())
+        assert await world.state("east-host-0", spec.job_id) == "cancelled"
+        return world
+
+    assert run_virtual(play()).broken == []
+
+
+def test_a_standing_task_is_back_soon_after_its_executor_crashed() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(3, standing=True, cpu=5_000))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(1.0)
+        world.crash_executor("east-1:1")
+        await asyncio.sleep(3.0)
+        assert sum(len(e.running) for e in world.executors.values()) == 3
+        return world
+
+    assert run_virtual(play()).broken == []
+
+
+def test_a_host_that_was_cut_off_does_not_claim_at_once() -> None:
+    """After a cut the silence of the owner may have been the host's own."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        owner = world.owner()
+        world.store.silent.update(world.hosts)
+        await asyncio.sleep(6.0)
+        world.store.silent.clear()
+        await asyncio.sleep(4.0)
+        assert world.owner() == owner
+        return world
+
+    world = run_virtual(play())
+    assert len(world.log.named("OWNER_CLAIMED")) == 1
+
+
+def test_a_cut_hall_is_not_robbed_of_its_jobs() -> None:
+    """A remote owner must not move what the cut owner may be running."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        spec = world.new_job(step(3, estimate_s=20.0))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(0.5)
+        for name, hall in world.host_names():
+            other = "west" if hall == "east" else "east"
+            world.cut(name, other)
+            if hall == "east":
+                world.store.silent.add(name)
+        await asyncio.sleep(14.0)
+        world.cuts.clear()
+        world.store.silent.clear()
+        await world.wait_for("west-host-0", spec.job_id, "succeeded", limit_s=60.0)
+        return world
+
+    assert run_virtual(play()).broken == []
+
+
+def test_a_found_run_ends_before_its_task_starts_elsewhere() -> None:
+    """A new owner finds a run that the record does not know."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(late_share=0.3, lost_answer_share=0.2, seed=5)
+        await world.begin()
+        specs = [world.new_job(step(4, estimate_s=2.0)) for _ in range(4)]
+        for spec in specs:
+            await world.submit("east-host-0", spec)
+        for _ in range(3):
+            await asyncio.sleep(2.0)
+            owner = world.owner()
+            if owner:
+                world.kill_host(owner)
+                await asyncio.sleep(0.4)
+                world.start_host(owner)
+        for spec in specs:
+            await world.wait_for("east-host-0", spec.job_id, "succeeded", limit_s=90.0)
+        return world
+
+    assert run_virtual(play()).broken == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_troubles_break_no_promise(seed: int) -> None:
+    world = run_virtual(_random_day(seed), limit_s=400.0)
+    assert world.broken == []
+
+
+async def _random_day(seed: int) -> HallWorld:
+    world = HallWorld(halls=("east", "west"), seed=seed, failing_share=0.03)
+    random = world.random
+    await world.begin()
+    world.late_share = random.choice((0.0, 0.05))
+    world.lost_answer_share = random.choice((0.0, 0.05))
+    callers = asyncio.create_task(_call(world))
+    for _ in range(10):
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        await _trouble(world)
+    world.late_share = world.lost_answer_share = world.store.losing = 0.0
+    world.store.refusing.clear()
+    world.store.silent.clear()
+    world.cuts.clear()
+    for name, _ in world.host_names():
+        if name not in world.hosts:
+            world.start_host(name)
+    await callers
+    await asyncio.sleep(45.0)
+    for job_id in world.accepted:
+        state = await world.state("east-host-0", job_id)
+        if state not in ("succeeded", "failed"):
+            world.broken.append(f"LOST {job_id} is {state}")
+    return world
+
+
+async def _call(world: HallWorld) -> None:
+    for _ in range(25):
+        await asyncio.sleep(world.random.uniform(0.1, 1.0))
+        first = step(world.random.randint(1, 5), estimate_s=world.random.uniform(0.3, 2.0))
+        spec = world.new_job(first, step(2, depends_on=(0,)))
+        for _ in range(3):
+            if not world.hosts:
+                break
+            name = world.random.choice(sorted(world.hosts))
+            if await world.submit(name, spec) == 200:
+                break
+
+
+async def _trouble(world: HallWorld) -> None:
+    random = world.random
+    kind = random.choice(
+        ("kill", "kill owner", "kill all", "refuse", "silent", "lose", "forget", "crash", "cut")
+    )
+    names = [name for name, _ in world.host_names()]
+    victims = [random.choice(names)]
+    if kind == "kill owner":
+        victims = [name for shard in (0, 1) if (name := world.owner(shard))]
+    if kind == "kill all":
+        victims = names
+    if kind.startswith("kill"):
+        for name in victims:
+            if name in world.hosts:
+                world.kill_host(name)
+        await asyncio.sleep(random.uniform(0.2, 2.0))
+        for name in victims:
+            if name not in world.hosts:
+                world.start_host(name)
+    elif kind == "crash":
+        world.crash_executor(random.choice(sorted(world.executors)))
+    elif kind == "forget":
+        for partition in list(world.store._logs):
+            world.store.forget(partition)
+    else:
+        await _outage(world, kind, random.choice(([random.choice(names)], names)))
+
+
+async def _outage(world: HallWorld, kind: str, names: list[str]) -> None:
+    length = world.random.uniform(1.0, 6.0)
+    if kind == "refuse":
+        world.store.refusing.update(names)
+    elif kind == "silent":
+        world.store.silent.update(names)
+    elif kind == "lose":
+        world.store.losing = 0.4
+        world.store.late = world.random.random() < 0.5
+    elif kind == "cut":
+        for name, hall in world.host_names():
+            if hall == "east":
+                world.store.silent.add(name)
+                world.cut(name, "west")
+            else:
+                world.cut(name, "east")
+    await asyncio.sleep(length)
+    world.store.refusing.clear()
+    world.store.silent.clear()
+    world.cuts.clear()
+    world.store.losing = 0.0
--- /dev/null
+++ b/tests/standins/memory_executor.py
@@ -0,0 +1,229 @@
+"""An executor in memory that obeys fencing tokens and leases and judges its orders."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from linkspan.errors import Fenced, Unreachable, WrongIncarnation
+from linkspan.jobs.spec import Demand
+from linkspan.shard.messages import (
+    EndedTask,
+    EndKind,
+    ExecutorRecord,
+    ExecutorReport,
+    PaceOrder,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    TaskName,
+)
+
+if TYPE_CHECKING:
+    from tests.hall_world import HallWorld
+
+ANSWER_S = 0.003
+TIMEOUT_S = 1.0
+STOP_S = 0.3
+
+
+@dataclass
+class _Run:
+    task: TaskName
+    run: int
+    payload: str
+    began: float
+    ends_at: float
+    fails: bool
+    stopping: bool = False
+    done_s: float = 0.0
+
+
+@dataclass
+class MemoryExecutor:
+    """One incarnation."""
+
+    world: HallWorld
+    record: ExecutorRecord
+    slow_clock: float = 1.0
+    alive: bool = True
+    token: int = 0
+    until: float = 0.0
+    last_number: int = 0
+    acknowledged: int = 0
+    running: dict[TaskName, _Run] = field(default_factory=dict)
+    refused_below: dict[TaskName, int] = field(default_factory=dict)
+    ended: list[EndedTask] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def clock(self) -> float:
+        return self.now * self.slow_clock
+
+    def free(self) -> Demand:
+        cpu, memory = self.record.capacity.milli_cpu, self.record.capacity.memory_mb
+        for run in self.running.values():
+            demand = self.world.step_of(run.task).demand
+            cpu -= demand.milli_cpu
+            memory -= demand.memory_mb
+        return Demand(cpu, memory)
+
+    def start(self, order: StartOrder, until_s: float, token: int) -> StartOutcome:
+        self.advance()
+        self.fence(token)
+        self.until = max(self.until, min(until_s, self.clock + self.world.max_lease_s))
+        if until_s <= self.clock:
+            return StartOutcome.LATE
+        present = self.running.get(order.task)
+        if present and present.run == order.run:
+            return StartOutcome.STARTED
+        if order.run <= self.refused_below.get(order.task, 0) or present:
+            return StartOutcome.SUPERSEDED
+        step = self.world.step_of(order.task)
+        free = self.free()
+        if step.demand.milli_cpu > free.milli_cpu or step.demand.memory_mb > free.memory_mb:
+            return StartOutcome.NO_ROOM
+        self.world.judge_start(self, order)
+        took = self.world.running_time(order.task)
+        run = _Run(order.task, order.run, order.payload, self.now, self.now + took, False)
+        run.fails = self.world.fails(order.task, order.run)
+        self.running[order.task] = run
+        asyncio.get_running_loop().call_later(took + 1e-6, self.advance)
+        return StartOutcome.STARTED
+
+    def stop(self, order: StopOrder, token: int) -> None:
+        self.advance()
+        self.fence(token)
+        below = max(self.refused_below.get(order.task, 0), order.run)
+        self.refused_below[order.task] = below
+        run = self.running.get(order.task)
+        if run and run.run == order.run and not run.stopping:
+            run.stopping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_S, self._finish, run, EndKind.STOPPED)
+
+    def fence(self, token: int) -> None:
+        if token < self.token:
+            raise Fenced("a newer owner")
+        self.token = token
+
+    def advance(self) -> None:
+        """Let time pass: runs end, leases lapse."""
+        if not self.alive:
+            return
+        if self.running and self.clock >= self.until:
+            for run in list(self.running.values()):
+                self._finish(run, EndKind.LAPSED)
+        for run in list(self.running.values()):
+            if self.now >= run.ends_at:
+                self._finish(run, EndKind.FAILED if run.fails else EndKind.DONE)
+
+    def _finish(self, run: _Run, kind: EndKind) -> None:
+        if not self.alive or self.running.get(run.task) is not run:
+            return
+        del self.running[run.task]
+        self.refused_below[run.task] = max(self.refused_below.get(run.task, 0), run.run)
+        self.last_number += 1
+        self.ended.append(EndedTask(self.last_number, run.task, run.run, kind, ""))
+        self.world.judge_end(self, run.task, run.run, kind)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def report(self, acknowledged: int) -> ExecutorReport:
+        self.advance()
+        for end in self.ended:
+            if end.number <= acknowledged:
+                self.world.judge_acknowledged(end)
+        self.ended = [end for end in self.ended if end.number > acknowledged]
+        running = tuple(RunningTask(r.task, r.run, "", 50, None) for r in self.running.values())
+        return ExecutorReport(self.clock, running, tuple(self.ended))
+
+
+class ExecutorLink:
+    """One tenure's way to all executors."""
+
+    def __init__(self, world: HallWorld, host: str, token: int) -> None:
+        self._world = world
+        self._host = host
+        self._token = token
+
+    async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
+        executor = await self._reach(address, order.executor_id)
+        delay = self._world.late_by()
+        if delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._start_late, executor, order, until_s)
+            await self._no_answer()
+        outcome = executor.start(order, until_s, self._token)
+        await self._answer()
+        return StartAnswer(outcome, executor.clock)
+
+    def _start_late(self, executor: MemoryExecutor, order: StartOrder, until_s: float) -> None:
+        if executor.alive:
+            try:
+                executor.start(order, until_s, self._token)
+            except Fenced:
+                return
+
+    async def stop(self, address: str, order: StopOrder) -> bool:
+        executor = await self._reach(address, order.executor_id)
+        executor.stop(order, self._token)
+        await self._answer()
+        return True
+
+    async def pace(self, address: str, order: PaceOrder) -> bool:
+        await self._reach(address, order.executor_id)
+        return True
+
+    async def renew(
+        self,
+        address: str,
+        executor_id: str,
+        *,
+        acknowledged: int,
+        until_s: float | None,
+        wait_s: float,
+    ) -> ExecutorReport:
+        executor = await self._reach(address, executor_id)
+        executor.fence(self._token)
+        executor.advance()
+        if until_s is not None:
+            limit = executor.clock + self._world.max_lease_s
+            executor.until = max(executor.until, min(until_s, limit))
+        if wait_s and not [e for e in executor.ended if e.number > acknowledged]:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await executor.changed.wait()
+            except TimeoutError:
+                pass
+            executor = await self._reach(address, executor_id)
+            executor.fence(self._token)
+        report = executor.report(acknowledged)
+        await self._answer()
+        return report
+
+    async def _reach(self, address: str, executor_id: str) -> MemoryExecutor:
+        await asyncio.sleep(ANSWER_S / 2)
+        executor = self._world.at(address)
+        if executor is None or not executor.alive or self._world.is_cut(self._host, executor):
+            await self._no_answer()
+        assert executor
+        if executor.record.executor_id != executor_id:
+            raise WrongIncarnation(executor_id)
+        return executor
+
+    async def _answer(self) -> None:
+        await asyncio.sleep(ANSWER_S / 2)
+        if self._world.loses_answer():
+            await self._no_answer()
+
+    async def _no_answer(self) -> None:
+        await asyncio.sleep(TIMEOUT_S)
+        raise Unreachable("no answer")
