--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -8,7 +8,7 @@
 
 from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, describe
 from linkspan.events import Event
-from linkspan.shard.ownership import RENEW_S, Owner, OwnerAct, OwnerRecord, OwnerView
+from linkspan.shard.ownership import OFFLINE_S, RENEW_S, Owner, OwnerAct, OwnerRecord, OwnerView
 from linkspan.shard.tenure import Tenure, TenureLost
 from linkspan.store.follower import Follower
 from linkspan.store.types import Partition, Record
@@ -45,7 +45,8 @@
         host: This host's name.
         incarnation: Life of this process.
         home: Whether the shard is that of this host's hall.
-        make_tenure: Makes a tenure for a claim.
+        make_tenure: Makes a tenure for a claim, a shard and the time for which the
+            former owner may still act.
         log: Where events go.
     """
 
@@ -57,7 +58,7 @@
         host: str,
         incarnation: str,
         home: bool,
-        make_tenure: Callable[[Owner, int], Tenure],
+        make_tenure: Callable[[Owner, int, float], Tenure],
         log: EventLog,
     ) -> None:
         self._store = store
@@ -81,6 +82,7 @@
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewing_at = float("-inf")
         self._renewals = 0
+        self._former_offline_s = OFFLINE_S
         self._enabled = asyncio.Event()
 
     def __repr__(self) -> str:
@@ -145,6 +147,13 @@
         record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
         silent = self._view.silent_for(time.monotonic())
         former = self._view.owner
+        if former and former.host == self._host:
+            # An earlier life of this host has ended, or we would not run.
+            self._former_offline_s = 0.0
+        elif former:
+            self._former_offline_s = max(OFFLINE_S - silent, 0.0)
+        else:
+            self._former_offline_s = OFFLINE_S
         try:
             await self._follower.sync()
             if not self._view.should_claim(time.monotonic()):
@@ -192,7 +201,7 @@
             self._begin_tenure(owner)
 
     def _begin_tenure(self, owner: Owner) -> None:
-        self._tenure = self._make_tenure(owner, self._shard)
+        self._tenure = self._make_tenure(owner, self._shard, self._former_offline_s)
         self._tenure_task = asyncio.create_task(self._run_tenure(self._tenure))
 
     async def _run_tenure(self, tenure: Tenure) -> None:
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -16,6 +16,7 @@
 from linkspan.host.host import Adapter, Host
 from linkspan.platform.executors import ExecutorClient
 from linkspan.platform.jobs import CallerBodies
+from linkspan.platform.machines import MachineClient
 from linkspan.platform.readiness import READINESS_PATH
 from linkspan.platform.records import configuration_from_wire, executor_from_wire
 from linkspan.platform.settings import read_settings
@@ -139,6 +140,7 @@
     return Adapter(
         store=StoreClient(session, settings.store.address),
         executors=lambda token: ExecutorClient(session, token),
+        machines=MachineClient(session, settings.machines) if settings.machines else None,
         bodies=CallerBodies(),
         configuration_records=CONFIG_RECORDS,
         configuration_key=CONFIG_KEY,
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -22,6 +22,7 @@
     from linkspan.host.configuration import Configuration
     from linkspan.host.front import CallerFormat
     from linkspan.host.settings import HostSettings
+    from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import ExecutorRecord
     from linkspan.shard.ownership import Owner
     from linkspan.shard.summary import HallSummary
@@ -57,6 +58,7 @@
     Attributes:
         store: The platform's store.
         executors: Makes calls to executors under a fencing token.
+        machines: The machine service, ``None`` where there is none.
         bodies: Form of what callers send and get.
         configuration_records: Where the operator writes.
         configuration_key: Key of the configuration there.
@@ -67,6 +69,7 @@
 
     store: Store
     executors: Callable[[int], Executors]
+    machines: MachineService | None
     bodies: CallerFormat
     configuration_records: Partition
     configuration_key: bytes
@@ -179,18 +182,20 @@
                 return
             await asyncio.sleep(0.05)
 
-    def _make_tenure(self, owner: Owner, shard: int) -> Tenure:
+    def _make_tenure(self, owner: Owner, shard: int, former_offline_s: float) -> Tenure:
         return Tenure(
             owner,
             settings=self._settings,
             store=self._adapter.store,
             executors=self._adapter.executors(owner.token),
+            machines=self._adapter.machines,
             book=self.book,
             registry=self.registry,
             configuration=self.configuration,
             shard=shard,
             summary_of=self._summary_of,
             log=self._log,
+            former_offline_s=former_offline_s,
         )
 
     def _summary_of(self, shard: int) -> HallSummary | None:
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -74,6 +74,7 @@
         self._bounds = bounds
         self.log = log
         self._adopting: set[str] = set()
+        self._gone: set[str] = set()
         self._inherited_until = float("-inf")
         self.executors: dict[str, ExecutorState] = {}
         self.jobs: dict[str, ShardJob] = {}
@@ -130,7 +131,7 @@
 
     def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
         """Take in the executors of the hall that are registered at present."""
-        listed = {record.executor_id: record for record in records}
+        listed = {r.executor_id: r for r in records if r.executor_id not in self._gone}
         addresses = {record.address: record.executor_id for record in listed.values()}
         for executor_id, record in listed.items():
             known = self.executors.get(executor_id)
@@ -167,6 +168,8 @@
         self.log(
             Event.EXECUTOR_GONE, executor=executor_id, proof=proof, runs=len(executor.attempts)
         )
+        # Its registration may outlast it, so its id is kept; ids are never used again.
+        self._gone.add(executor_id)
         self._release_all(executor, now)
         self._adopting.discard(executor_id)
         self.health.forget(executor_id)
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -20,6 +20,7 @@
 from linkspan.jobs.records import Begun, Dropped, Finished, JobRecord, Lent, Moved
 from linkspan.shard.core import ShardCore
 from linkspan.shard.leases import inherited_lapse
+from linkspan.shard.machines import MachineWatch
 from linkspan.shard.messages import (
     ExecutorRecord,
     ExecutorReport,
@@ -59,6 +60,7 @@
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import Order
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.machines import MachineService
     from linkspan.shard.ownership import Owner
     from linkspan.shard.rebalance import Handover
     from linkspan.shard.state import JobRun
@@ -91,6 +93,10 @@
 MAX_RETRY_S = 0.6
 """Longest pause between calls to a silent executor."""
 
+MACHINES_S = 1.0
+"""Time between looks at the machine service: an executor that crashed is found
+sooner than by its silence, which takes up to three seconds."""
+
 BEGUN_S = 1.0
 """Time for which jobs that began are gathered; counts may be two seconds old."""
 
@@ -142,12 +148,15 @@
         settings: The host's settings.
         store: The platform's store.
         executors: Calls to executors under the tenure's token.
+        machines: The machine service, where there is one.
         book: The jobs.
         registry: The registered executors.
         configuration: The configuration in force.
         shard: Number of the shard.
         summary_of: Returns what the owner of a shard last told.
         log: Where events go.
+        former_offline_s: Time for which the former owner may act after our claim;
+            0 if it surely does not live.
     """
 
     def __init__(
@@ -157,17 +166,21 @@
         settings: HostSettings,
         store: Store,
         executors: Executors,
+        machines: MachineService | None,
         book: JobBook,
         registry: ExecutorRegistry,
         configuration: ConfigurationWatch,
         shard: int,
         summary_of: Callable[[int], HallSummary | None],
         log: EventLog,
+        former_offline_s: float = OFFLINE_S,
     ) -> None:
+        self._former_offline_s = former_offline_s
         self._owner = owner
         self._settings = settings
         self._store = store
         self._executors = executors
+        self._machines = machines
         self._book = book
         self._registry = registry
         self._configuration = configuration
@@ -189,10 +202,11 @@
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
         self._finish = asyncio.Event()
-        self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._watchers: dict[str, asyncio.Task[None] | None] = {}
         self._group: asyncio.TaskGroup | None = None
         self._roster: frozenset[str] = frozenset()
         self._stopping = False
+        self._ending = False
         self._recovered = False
 
     def __repr__(self) -> str:
@@ -238,10 +252,12 @@
                 self._spawn(self._begun_loop())
                 self._spawn(self._prune_loop())
                 self._spawn(self._rebalance_loop())
+                self._spawn(self._machines_loop())
                 self._spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
         finally:
+            self._ending = True
             for stop in stop_listening:
                 stop()
 
@@ -249,7 +265,8 @@
         """Stop giving orders and make what is known durable, within a time limit."""
         self._stopping = True
         for watcher in self._watchers.values():
-            watcher.cancel()
+            if watcher:
+                watcher.cancel()
         try:
             async with asyncio.timeout(limit_s):
                 await self._flush()
@@ -257,9 +274,20 @@
             # The next owner finds the rest at the executors.
             self._log.write(Event.OWNER_HANDED_ON, shard=self._shard, left=repr(error))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        assert self._group
-        return self._group.create_task(work)
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None] | None:
+        """Run work within the tenure, unless the tenure is ending."""
+        if self._group is None or self._ending:
+            work.close()
+            return None
+        return self._group.create_task(self._guarded(work))
+
+    async def _guarded(self, work: Coroutine[None, None, None]) -> None:
+        try:
+            await work
+        except Exception:
+            # The group cancels the rest; no more work may join it.
+            self._ending = True
+            raise
 
     # Recovery
 
@@ -273,7 +301,9 @@
         core = self._core
         if self._configuration.current:
             core.configure(self._configuration.current)
-        lapse = inherited_lapse(self._claimed_at, OFFLINE_S, self._settings.bounds.max_lease_s)
+        lapse = inherited_lapse(
+            self._claimed_at, self._former_offline_s, self._settings.bounds.max_lease_s
+        )
         core.inherit(self._read_roster(records.pop(ROSTER_KEY, b"")), lapse)
         self._roster = frozenset(core.executors)
         self._add_jobs(records, now)
@@ -494,7 +524,9 @@
             if watcher is None or watcher.done():
                 self._watchers[executor_id] = self._spawn(self._watch(executor))
         for executor_id in self._watchers.keys() - self._core.executors.keys():
-            self._watchers.pop(executor_id).cancel()
+            watcher = self._watchers.pop(executor_id)
+            if watcher:
+                watcher.cancel()
 
     async def _watch(self, executor: ExecutorState) -> None:
         pause = RETRY_S
@@ -521,7 +553,8 @@
     async def _look(self, executor: ExecutorState, wait_s: float) -> bool:
         asked = time.monotonic()
         until = None
-        if executor.clock and self.may_act(asked):
+        # A silent executor's lease must run out: it may hear us without being heard.
+        if executor.clock and executor.silent_since is None and self.may_act(asked):
             until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
         try:
             report = await self._executors.renew(
@@ -557,6 +590,24 @@
             waited += GATHER_S / 2
             executor.advance_acknowledged()
 
+    async def _machines_loop(self) -> None:
+        watch = MachineWatch()
+        while self._machines:
+            await asyncio.sleep(MACHINES_S)
+            executors = self._core.executors.values()
+            known = {e.executor_id for e in executors if e.rostered}
+            silent = {e.executor_id for e in executors if e.silent_since is not None}
+            if not known:
+                continue
+            try:
+                machines = await self._machines.machines()
+            except Unreachable:
+                # Only a help: leases tell in the end.
+                continue
+            for executor_id in watch.gone(machines, known, silent):
+                self._core.on_gone(executor_id, time.monotonic(), "machine lists it no more")
+                self._news()
+
     # Records
 
     async def _flush_loop(self) -> None:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -20,6 +20,7 @@
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
+from linkspan.shard.machines import MachineRecord, MachineState
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorRecord, StartOrder, TaskName
 from linkspan.store.types import Partition
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
@@ -66,6 +67,7 @@
     failing_share: float = 0.0
     late_share: float = 0.0
     lost_answer_share: float = 0.0
+    lists_machines: bool = True
     broken: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -112,6 +114,7 @@
         adapter = Adapter(
             store=StoreLink(self.store, name),
             executors=lambda token: ExecutorLink(self, name, token),
+            machines=self if self.lists_machines else None,
             bodies=CallerBodies(),
             configuration_records=CONFIGURATION,
             configuration_key=b"config",
@@ -173,6 +176,15 @@
         if back:
             self.add_executor(executor.record.hall, address)
 
+    async def machines(self) -> tuple[MachineRecord, ...]:
+        """Answer as the machine service."""
+        await asyncio.sleep(0.005)
+        return tuple(
+            MachineRecord(address, "pool", MachineState.UP, e.record.executor_id)
+            for address, e in self.executors.items()
+            if e.alive
+        )
+
     # What executors ask
 
     def at(self, address: str) -> MemoryExecutor | None:
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -114,6 +114,27 @@
     assert run_virtual(play()).broken == []
 
 
+@pytest.mark.parametrize("lists_machines", [True, False])
+def test_an_executor_lost_for_good_holds_work_up_no_longer_than_its_lease(
+    lists_machines: bool,
+) -> None:
+    """Looks at a silent executor must not renew its lease."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(lists_machines=lists_machines, executors_per_hall=4)
+        await world.begin()
+        spec = world.new_job(step(3, standing=True, cpu=5_000))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(1.0)
+        busy = next(a for a, e in world.executors.items() if e.running)
+        world.crash_executor(busy, back=False)
+        await asyncio.sleep(4.0 if lists_machines else 14.0)
+        assert sum(len(e.running) for e in world.executors.values() if e.alive) == 3
+        return world
+
+    assert run_virtual(play()).broken == []
+
+
 def test_a_host_that_was_cut_off_does_not_claim_at_once() -> None:
     """After a cut the silence of the owner may have been the host's own."""
 
@@ -186,6 +207,7 @@
 
 async def _random_day(seed: int) -> HallWorld:
     world = HallWorld(halls=("east", "west"), seed=seed, failing_share=0.03)
+    world.lists_machines = seed % 3 > 0
     random = world.random
     await world.begin()
     world.late_share = random.choice((0.0, 0.05))
@@ -243,7 +265,11 @@
             if name not in world.hosts:
                 world.start_host(name)
     elif kind == "crash":
-        world.crash_executor(random.choice(sorted(world.executors)))
+        address = random.choice(sorted(world.executors))
+        world.crash_executor(address, back=random.random() < 0.7)
+        if not world.executors[address].alive:
+            hall = world.executors[address].record.hall
+            asyncio.get_running_loop().call_later(8.0, world.add_executor, hall, address)
     elif kind == "forget":
         for partition in list(world.store._logs):
             world.store.forget(partition)
