Lend by what fits each executor; give loans back when there is no room

Change: halls tell the free room of each executor; loans are numbered; a borrower without room for a second gives them back, durable first, then told; what an owner did not tell, its successor tells. A producer whose epoch is a fencing token never raises it by itself. Tests: tests/host/test_handover.py, seen failing (a record that did not encode; the first loans had waited for ever).

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -49,7 +49,12 @@
             on_health=self._on_health,
         )
         self.writer = GroupWriter(
-            store, JOBS, name=f"jobs-{incarnation}", epoch=1, on_health=self._on_health
+            store,
+            JOBS,
+            name=f"jobs-{incarnation}",
+            epoch=1,
+            may_renumber=True,
+            on_health=self._on_health,
         )
 
     def __repr__(self) -> str:
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -13,7 +13,9 @@
     JobRecord,
     JobState,
     Lent,
+    Loan,
     Moved,
+    Returned,
     Submitted,
 )
 
@@ -29,7 +31,8 @@
         submitted: The submission that counts, ``None`` if only a later record is known.
         offset: Offset of that submission.
         moved: Shard that the job was moved to, and the offset of that record.
-        lent: Standing tasks that other shards look after, by shard.
+        lent: Loans of standing tasks to other shards, by shard.
+        returned: Loans that those shards gave back, by shard.
         hosts: Hosts that accepted the job, each with a record of its own.
         begun: Whether a task of it was started.
         cancelled: Whether a caller cancelled it.
@@ -39,7 +42,8 @@
     submitted: Submitted | None = None
     offset: int = -1
     moved: tuple[int, int] | None = None
-    lent: dict[int, tuple[tuple[int, int], ...]] = field(default_factory=dict)
+    lent: dict[int, tuple[Loan, ...]] = field(default_factory=dict)
+    returned: dict[int, tuple[Loan, ...]] = field(default_factory=dict)
     hosts: tuple[str, ...] = ()
     begun: bool = False
     cancelled: bool = False
@@ -58,6 +62,11 @@
         source = self.submitted or self.finished
         return source.shard if source else None
 
+    def open_loans(self, shard: int) -> tuple[Loan, ...]:
+        """Return the loans to a shard that it has not given back."""
+        back = set(self.returned.get(shard, ()))
+        return tuple(loan for loan in self.lent.get(shard, ()) if loan not in back)
+
     @property
     def state(self) -> JobState:
         """State to show to callers."""
@@ -110,7 +119,9 @@
             if entry.moved is None or entry.moved[1] < offset:
                 entry.moved = (record.shard, offset)
         elif isinstance(record, Lent):
-            entry.lent[record.shard] = record.tasks
+            entry.lent[record.shard] = record.loans
+        elif isinstance(record, Returned):
+            entry.returned[record.shard] = record.loans
         elif isinstance(record, Cancelled):
             entry.cancelled = True
         elif isinstance(record, Begun):
@@ -150,6 +161,8 @@
             entry.moved = None
         elif record.kind == "l":
             entry.lent.pop(int(record.part), None)
+        elif record.kind == "r":
+            entry.returned.pop(int(record.part), None)
         elif record.kind == "f" or (record.kind == "s" and entry.finished is None):
             # A submission is dropped before the end only if it was void.
             self._forget(record.job_id)
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records of jobs in the store: submitted, moved, lent, cancelled, begun, finished.
+"""Records of jobs in the store: submitted, moved, lent, returned, cancelled, begun, finished.
 
 Each is a keyed record, so that the newest of each key outlasts the log's
 retention. Several hosts may accept one job; each writes a key of its own and the
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -61,6 +61,20 @@
     shard: int
 
 
+class Loan(NamedTuple):
+    """One handing of a standing task to another shard.
+
+    Attributes:
+        step: Number of the step.
+        index: Number of the task in the step.
+        number: Counts the loans of this task, from 1.
+    """
+
+    step: int
+    index: int  # type: ignore[assignment]
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class Lent:
     """Standing tasks of a job are looked after by another shard from here on.
@@ -68,12 +82,27 @@
     Attributes:
         job_id: The job.
         shard: The other shard.
-        tasks: Step and index of each task lent to it so far.
+        loans: All loans to it that were not returned.
     """
 
     job_id: str
     shard: int
-    tasks: tuple[tuple[int, int], ...]
+    loans: tuple[Loan, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """Loans that the other shard gave back, since it had no room.
+
+    Attributes:
+        job_id: The job.
+        shard: The other shard.
+        loans: All loans that it gave back.
+    """
+
+    job_id: str
+    shard: int
+    loans: tuple[Loan, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +143,7 @@
     """A key's record is no longer needed.
 
     Attributes:
-        kind: First letter of the key: ``s``, ``m``, ``l``, ``c``, ``b`` or ``f``.
+        kind: First letter of the key: ``s``, ``m``, ``l``, ``r``, ``c``, ``b`` or ``f``.
         job_id: The job.
         part: Rest of the key: the accepting host of a submission, the other shard
             of a loan.
@@ -125,7 +154,7 @@
     part: str = ""
 
 
-JobRecord = Submitted | Moved | Lent | Cancelled | Begun | Finished | Dropped
+JobRecord = Submitted | Moved | Lent | Returned | Cancelled | Begun | Finished | Dropped
 
 
 def encode(record: JobRecord) -> tuple[bytes, bytes]:
@@ -135,7 +164,13 @@
     if isinstance(record, Moved):
         return f"m:{record.job_id}".encode(), orjson.dumps(record.shard)
     if isinstance(record, Lent):
-        return f"l:{record.job_id}:{record.shard}".encode(), orjson.dumps(record.tasks)
+        return f"l:{record.job_id}:{record.shard}".encode(), orjson.dumps(
+            [list(loan) for loan in record.loans]
+        )
+    if isinstance(record, Returned):
+        return f"r:{record.job_id}:{record.shard}".encode(), orjson.dumps(
+            [list(loan) for loan in record.loans]
+        )
     if isinstance(record, Cancelled):
         return f"c:{record.job_id}".encode(), b"1"
     if isinstance(record, Begun):
@@ -227,13 +262,18 @@
 
 
 def _lent_from(job_id: str, part: str, fields: Any) -> Lent:
-    return Lent(job_id, int(part), tuple((step, index) for step, index in fields))
+    return Lent(job_id, int(part), tuple(Loan(*row) for row in fields))
+
+
+def _returned_from(job_id: str, part: str, fields: Any) -> Returned:
+    return Returned(job_id, int(part), tuple(Loan(*row) for row in fields))
 
 
 _DECODERS: dict[str, Callable[[str, str, Any], JobRecord]] = {
     "s": lambda _job_id, host, fields: _submitted_from(fields, host),
     "m": lambda job_id, _part, shard: Moved(job_id, int(shard)),
     "l": _lent_from,
+    "r": _returned_from,
     "c": lambda job_id, _part, _fields: Cancelled(job_id),
     "b": lambda job_id, _part, _fields: Begun(job_id),
     "f": _finished_from,
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from linkspan.events import Event
-from linkspan.jobs.records import Finished, JobState
+from linkspan.jobs.records import Finished, JobState, Loan
 from linkspan.shard.colocation import ColocationBook
 from linkspan.shard.executor import ExecutorState, UnackedEnd
 from linkspan.shard.health import UNHEALTHY_PAUSE_S, HealthBook
@@ -495,7 +495,7 @@
         inherited: bool = False,
         moved: bool = False,
         progress: dict[int, bytes] | None = None,
-        borrowed: Iterable[tuple[int, int]] | None = None,
+        borrowed: Iterable[Loan] | None = None,
     ) -> None:
         """Take in an accepted job.
 
@@ -505,8 +505,7 @@
             inherited: Whether a former owner may have started tasks of it.
             moved: Whether another shard gave it to this one.
             progress: Records of its repetitions, by number.
-            borrowed: Step and index of the tasks that its shard lent to this one,
-                ``None`` if it lives here.
+            borrowed: Loans of its tasks to this shard, ``None`` if it lives here.
 
         Raises:
             RecordError: A progress record does not fit the job.
@@ -526,42 +525,62 @@
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
             if borrowed is not None:
-                _keep_only(run, set(borrowed), submitted.shard)
+                _keep_only(run, borrowed, submitted.shard)
             self._open_steps(run, now)
         self._finish_if_done(job)
 
-    def borrow_more(self, job_id: str, tasks: Iterable[tuple[int, int]], now: float) -> None:
-        """Take in that another shard lent more tasks of a job."""
+    def borrow_more(self, job_id: str, loans: Iterable[Loan], now: float) -> None:
+        """Take in all open loans of a job's tasks to this shard."""
         job = self.jobs.get(job_id)
-        if job is None or not job.borrowed:
+        run = job.runs.get(0) if job and job.borrowed else None
+        if run is None:
             return
-        wanted = set(tasks)
-        for run in job.runs.values():
-            for task in run.tasks():
-                if task.lent is not None and (task.name.step, task.name.index) in wanted:
-                    task.lent = None
-                    self._mark_ready(task, now)
-
-    def lend(self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]) -> JobRun | None:
-        """Stop looking after pending tasks of a job; return their repetition."""
+        for loan in loans:
+            task = run.steps[loan.step].tasks[loan.index]
+            if task.lent is not None and task.loan < loan.number:
+                task.lent = None
+                task.loan = loan.number
+                self._mark_ready(task, now)
+
+    def give_away(self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]) -> JobRun | None:
+        """Stop looking after pending tasks of a job; return their repetition.
+
+        A loan of a task that lives here gets the next number; a task that was lent to
+        this shard goes back under the number that it came with.
+        """
         job = self.jobs.get(job_id)
         run = job.runs.get(0) if job else None
-        if run is None:
+        if job is None or run is None:
             return None
         for step, index in tasks:
-            run.steps[step].tasks[index].lent = shard
+            task = run.steps[step].tasks[index]
+            task.lent = shard
+            task.loan += 0 if job.borrowed else 1
         self._touch(run)
         return run
 
-    def loans(self, job_id: str) -> dict[int, tuple[tuple[int, int], ...]]:
-        """Return step and index of the tasks of a job that were lent, by shard."""
+    def take_back(self, job_id: str, returned: Iterable[Loan], now: float) -> None:
+        """Look after tasks again whose loans were given back."""
+        job = self.jobs.get(job_id)
+        run = job.runs.get(0) if job and not job.borrowed else None
+        if run is None:
+            return
+        for loan in returned:
+            task = run.steps[loan.step].tasks[loan.index]
+            if task.lent is not None and task.loan == loan.number:
+                task.lent = None
+                self._touch(run)
+                self._mark_ready(task, now)
+
+    def loans(self, job_id: str) -> dict[int, tuple[Loan, ...]]:
+        """Return the loans of a job's tasks that are out, by shard."""
         job = self.jobs.get(job_id)
-        loans: dict[int, tuple[tuple[int, int], ...]] = {}
+        loans: dict[int, tuple[Loan, ...]] = {}
         for run in job.runs.values() if job else ():
             for task in run.tasks():
-                if task.lent is not None:
-                    place = (task.name.step, task.name.index)
-                    loans[task.lent] = (*loans.get(task.lent, ()), place)
+                if task.lent is not None and task.loan:
+                    loan = Loan(task.name.step, task.name.index, task.loan)
+                    loans[task.lent] = (*loans.get(task.lent, ()), loan)
         return loans
 
     def remove_moved(self, job_id: str) -> None:
@@ -857,10 +876,16 @@
         }
 
 
-def _keep_only(run: JobRun, tasks: set[tuple[int, int]], home: int) -> None:
+def _keep_only(run: JobRun, loans: Iterable[Loan], home: int) -> None:
+    """Leave all tasks but the borrowed ones to the shard that the job lives in."""
+    ours = {(loan.step, loan.index): loan.number for loan in loans}
     for task in run.tasks():
-        ours = (task.name.step, task.name.index) in tasks
-        task.lent = None if ours else home
+        number = ours.get((task.name.step, task.name.index))
+        if number is None:
+            task.lent = home
+        elif task.loan < number:
+            task.lent = None
+            task.loan = number
 
 
 def _short(name: TaskName) -> str:
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -275,4 +275,5 @@
         ),
         standing=standing,
         effects=core.colocation.effects(),
+        rooms=tuple((e.free_cpu, e.free_memory) for e in usable),
     )
--- a/src/linkspan/shard/progress.py
+++ b/src/linkspan/shard/progress.py
@@ -58,11 +58,11 @@
     if task.done:
         return 1
     if task.lent is not None:
-        return -1 - task.lent
+        return [-1 - task.lent, task.loan]
     attempts = [[a.run, a.executor_id] for a in task.attempts]
-    if not attempts and task.next_run == 1 and not task.failures:
+    if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
-    return [task.next_run, task.failures, task.checkpoint, attempts]
+    return [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
 
 
 def encode_moved(shard: int) -> bytes:
@@ -103,10 +103,10 @@
     if row == 1:
         task.done = True
         return
-    if isinstance(row, int) and row < 0:
-        task.lent = -1 - row
+    if row[0] < 0:
+        task.lent, task.loan = -1 - row[0], row[1]
         return
-    task.next_run, task.failures, task.checkpoint, attempts = row
+    task.next_run, task.failures, task.checkpoint, attempts, task.loan = row
     task.counted_run = task.next_run
     task.attempts = [
         Attempt(task, number, executor_id, Phase.INHERITED, now) for number, executor_id in attempts
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -26,6 +26,9 @@
 """Time that work waits for room at home first: room frees up within half a second
 on most days, and a handover takes two appends."""
 
+GIVE_BACK_S = 1.0
+"""Time for which a borrowed task waits for room before it is given back."""
+
 LESS_BUSY = 0.15
 """Part of a hall by which another must be less busy to take best-effort work over."""
 
@@ -36,7 +39,7 @@
     Attributes:
         job_id: The job.
         shard: The other shard.
-        tasks: Step and index of the tasks to lend, ``None`` to move the whole job.
+        tasks: Step and index of the tasks to lend or give back, ``None`` to move the whole job.
     """
 
     job_id: str
@@ -88,17 +91,29 @@
     ) -> Handover | None:
         job = step.run.job
         pending = [t for t in step.tasks if t.pending and now - t.ready_since >= WAIT_S]
-        if not pending or job.closing or job.handing_over or job.borrowed:
+        if not pending or job.closing or job.handing_over:
             return None
         if not self._core.may_start(job, now):
             # What a former owner may have started here must not start elsewhere.
             return None
+        if job.borrowed:
+            return self._give_back(job, step, pending, now)
         if not job.begun and not job.moved:
             return self._move(job, own, halls)
         if step.spec.standing and not step.spec.gang:
             return self._lend(job, step, pending, halls)
         return None
 
+    def _give_back(
+        self, job: ShardJob, step: StepRun, pending: list[Task], now: float
+    ) -> Handover | None:
+        """Return loans for which there has been no room for a while."""
+        late = [task for task in pending if now - task.ready_since >= GIVE_BACK_S]
+        if not late:
+            return None
+        tasks = tuple((step.index, task.name.index) for task in late)
+        return Handover(job.job_id, job.submitted.shard, tasks)
+
     def _move(
         self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary]
     ) -> Handover | None:
@@ -116,6 +131,8 @@
             else:
                 if hall.waiting or _room(hall, standing=standing) < need:
                     continue
+                if not all(hall.slots(step.demand) for step in steps):
+                    continue
                 halls[shard] = replace(hall, free=hall.free - need)
             return Handover(job.job_id, shard, None)
         return None
@@ -135,11 +152,13 @@
         for shard, hall in sorted(halls.items(), key=lambda item: -_room(item[1])):
             if not self._count_able(shard, spec, job.service):
                 continue
-            room = _room(hall, standing=True) // max(spec.demand.milli_cpu, 1)
+            executor_cpu = hall.capacity / max(len(hall.rooms), 1)
+            room = hall.slots(spec.demand, headroom=STANDING_HEADROOM * executor_cpu)
             if room < 1:
                 continue
             lent = pending[:room]
-            halls[shard] = replace(hall, free=hall.free - len(lent) * spec.demand.milli_cpu)
+            # One handover to a hall until it tells of itself again.
+            halls[shard] = replace(hall, free=0, rooms=())
             tasks = tuple((step.index, task.name.index) for task in lent)
             return Handover(job.job_id, shard, tasks)
         return None
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -89,6 +89,7 @@
         next_run: Number of its next run.
         counted_run: Ends of runs below this number were counted by a former owner.
         lent: Shard that looks after it instead of this one, if any.
+        loan: Number of its last loan, 0 before the first.
         checkpoint: Where the next run resumes.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
@@ -104,6 +105,7 @@
     next_run: int = 1
     counted_run: int = 0
     lent: int | None = None
+    loan: int = 0
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
--- a/src/linkspan/shard/summary.py
+++ b/src/linkspan/shard/summary.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import orjson
 
 from linkspan.errors import RecordError
 
+if TYPE_CHECKING:
+    from linkspan.jobs.spec import Demand
+
 
 class PairEffect(NamedTuple):
     """A learnt effect of best-effort work on a standing task.
@@ -37,6 +40,7 @@
         waiting: Thousandths of a core that tasks without room wait for.
         standing: Thousandths of a core held by standing tasks, by image.
         effects: Learnt effects.
+        rooms: Free thousandths of a core and megabytes of each executor.
     """
 
     capacity: int = 0
@@ -45,6 +49,20 @@
     waiting: int = 0
     standing: dict[str, int] = field(default_factory=dict)
     effects: tuple[PairEffect, ...] = ()
+    rooms: tuple[tuple[int, int], ...] = ()
+
+    def slots(self, demand: Demand, *, headroom: float = 0.0) -> int:
+        """Return how many more tasks fit now.
+
+        Args:
+            demand: What one of them takes.
+            headroom: Thousandths of a core that each executor is to keep.
+        """
+        cpu, memory = max(demand.milli_cpu, 1), max(demand.memory_mb, 1)
+        return sum(
+            max(min(int(free_cpu - headroom) // cpu, free_memory // memory), 0)
+            for free_cpu, free_memory in self.rooms
+        )
 
     def encode(self) -> list[object]:
         """Return the fields for a record."""
@@ -55,6 +73,7 @@
             self.waiting,
             self.standing,
             [[e.standing, e.image, round(e.mean, 4), round(e.variance, 6)] for e in self.effects],
+            self.rooms,
         ]
 
     @classmethod
@@ -65,7 +84,7 @@
             RecordError: They are no summary.
         """
         try:
-            capacity, free, best_effort, waiting, standing, effects = fields
+            capacity, free, best_effort, waiting, standing, effects, rooms = fields
             return cls(
                 int(capacity),  # type: ignore[call-overload]
                 int(free),  # type: ignore[call-overload]
@@ -73,6 +92,7 @@
                 int(waiting),  # type: ignore[call-overload]
                 dict(standing),  # type: ignore[call-overload]
                 tuple(PairEffect(*row) for row in effects),  # type: ignore[attr-defined]
+                tuple((cpu, memory) for cpu, memory in rooms),  # type: ignore[attr-defined]
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -10,6 +10,7 @@
     Fenced,
     LinkspanError,
     ProducerFenced,
+    ProducerGap,
     RecordError,
     StoreRefused,
     StoreUnanswered,
@@ -17,7 +18,7 @@
     WrongIncarnation,
 )
 from linkspan.events import Event
-from linkspan.jobs.records import Begun, Dropped, Finished, JobRecord, Lent, Moved
+from linkspan.jobs.records import Begun, Dropped, Finished, JobRecord, Lent, Loan, Moved, Returned
 from linkspan.shard.core import ShardCore
 from linkspan.shard.leases import inherited_lapse
 from linkspan.shard.machines import MachineWatch
@@ -254,7 +255,7 @@
                 self._spawn(self._rebalance_loop())
                 self._spawn(self._machines_loop())
                 self._spawn(self._tick_loop())
-        except* (Fenced, ProducerFenced, TenureLost) as errors:
+        except* (Fenced, ProducerFenced, ProducerGap, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
         finally:
             self._ending = True
@@ -375,12 +376,18 @@
         return True
 
     def _tell_again(self, job_id: str, entry: JobEntry) -> None:
-        """Tell of loans that a former owner may not have told."""
+        """Tell of loans and returns that a former owner may not have told."""
         if entry.shard != self._shard:
+            given = {loan for loans in self._core.loans(job_id).values() for loan in loans}
+            untold = given & set(entry.open_loans(self._shard))
+            if untold:
+                before = entry.returned.get(self._shard, ())
+                self._book.write([Returned(job_id, self._shard, (*before, *sorted(untold)))])
             return
-        for shard, tasks in self._core.loans(job_id).items():
-            if set(tasks) - set(entry.lent.get(shard, ())):
-                self._book.write([Lent(job_id, shard, tasks)])
+        self._take_back(job_id, entry, time.monotonic())
+        for shard, loans in self._core.loans(job_id).items():
+            if set(loans) - set(entry.lent.get(shard, ())):
+                self._book.write([Lent(job_id, shard, loans)])
 
     def _add_job(
         self,
@@ -393,7 +400,7 @@
     ) -> None:
         if entry.submitted is None:
             return
-        borrowed = None if entry.shard == self._shard else entry.lent.get(self._shard, ())
+        borrowed = None if entry.shard == self._shard else entry.open_loans(self._shard)
         try:
             self._core.add_job(
                 entry.submitted,
@@ -430,7 +437,13 @@
         if entry.cancelled:
             self._core.cancel_job(job_id)
         elif entry.shard != self._shard:
-            self._core.borrow_more(job_id, entry.lent.get(self._shard, ()), now)
+            self._core.borrow_more(job_id, entry.open_loans(self._shard), now)
+        else:
+            self._take_back(job_id, entry, now)
+
+    def _take_back(self, job_id: str, entry: JobEntry, now: float) -> None:
+        for loans in entry.returned.values():
+            self._core.take_back(job_id, loans, now)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._core.configure(configuration)
@@ -664,7 +677,9 @@
         records += [Dropped("s", finished.job_id, host) for host in (entry.hosts if entry else ())]
         records += [Dropped(kind, finished.job_id) for kind in ("c", "b", "m")]
         records += [
-            Dropped("l", finished.job_id, str(shard)) for shard in (entry.lent if entry else ())
+            Dropped(kind, finished.job_id, str(shard))
+            for shard in (entry.lent if entry else ())
+            for kind in ("l", "r")
         ]
         await self._book.write(records)
         self._core.on_finished(finished.job_id)
@@ -712,12 +727,22 @@
             await self._writer.write([Record(encode_moved(shard), key)])
             await self._tell_moved(job_id, shard)
             return
-        run = self._core.lend(job_id, shard, tasks)
+        job = self._core.jobs[job_id]
+        run = self._core.give_away(job_id, shard, tasks)
         if run is None:
             return
         await self._writer.write([Record(encode_run(run), key_of(run))])
-        await self._book.write([Lent(job_id, shard, self._core.loans(job_id)[shard])])
-        run.job.handing_over = False
+        if job.borrowed:
+            await self._book.write([self._returned(job_id, run, tasks)])
+        else:
+            await self._book.write([Lent(job_id, shard, self._core.loans(job_id)[shard])])
+        job.handing_over = False
+
+    def _returned(self, job_id: str, run: JobRun, tasks: tuple[tuple[int, int], ...]) -> Returned:
+        entry = self._book.catalog.get(job_id)
+        before = entry.returned.get(self._shard, ()) if entry else ()
+        loans = tuple(Loan(s, i, run.steps[s].tasks[i].loan) for s, i in tasks)
+        return Returned(job_id, self._shard, (*before, *loans))
 
     async def _tell_moved(self, job_id: str, shard: int) -> None:
         await self._book.write([Moved(job_id, shard)])
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -56,6 +56,8 @@
         partition: Partition to write to.
         name: The producer's name.
         epoch: The producer's epoch.
+        may_renumber: Whether the producer may begin a higher epoch of its own when
+            the store lost track of it. Not for epochs that are fencing tokens.
         on_health: Called with whether the store answers, at each change.
     """
 
@@ -66,12 +68,14 @@
         *,
         name: str,
         epoch: int,
+        may_renumber: bool = False,
         on_health: Callable[[bool], None] = lambda _healthy: None,
     ) -> None:
         self._store = store
         self._partition = partition
         self._name = name
         self._epoch = epoch
+        self._may_renumber = may_renumber
         self._sequence = 1
         self._queue: deque[_Item] = deque()
         self._wake = asyncio.Event()
@@ -105,6 +109,7 @@
 
         Raises:
             ProducerFenced: A higher epoch has written.
+            ProducerGap: The store lost track of this producer.
         """
         while True:
             await self._wake.wait()
@@ -143,7 +148,11 @@
                 for item in group:
                     _fail(item, error)
                 raise
-            except ProducerGap:
+            except ProducerGap as error:
+                if not self._may_renumber:
+                    for item in group:
+                        _fail(item, error)
+                    raise
                 # The store lost track of this producer; readers fold records
                 # idempotently, so a repeated group does no harm.
                 self._epoch += 1
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -87,6 +87,12 @@
         self._lives = 0
         self._jobs = 0
 
+    @property
+    def problems(self) -> list[str]:
+        """Promises broken, and errors that the product did not expect."""
+        crashes = [f"CRASHED {fields}" for fields in self.log.named("CRASHED")]
+        return self.broken + crashes
+
     # Building
 
     async def begin(self) -> None:
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -20,7 +20,7 @@
         return world
 
     world = run_virtual(play())
-    assert world.broken == []
+    assert world.problems == []
     assert len(world.done) == 6
 
 
@@ -37,7 +37,7 @@
         return world
 
     world = run_virtual(play())
-    assert world.broken == []
+    assert world.problems == []
     assert [len(times) for times in world.starts.values()] == [1, 1, 1]
 
 
@@ -56,7 +56,7 @@
         return world
 
     world = run_virtual(play())
-    assert world.broken == []
+    assert world.problems == []
     assert all(len(times) == 1 for times in world.starts.values())
 
 
@@ -78,7 +78,7 @@
         return world
 
     world = run_virtual(play())
-    assert world.broken == []
+    assert world.problems == []
 
 
 def test_a_cancelled_job_stops() -> None:
@@ -96,7 +96,7 @@
         assert await world.state("east-host-0", spec.job_id) == "cancelled"
         return world
 
-    assert run_virtual(play()).broken == []
+    assert run_virtual(play()).problems == []
 
 
 def test_a_standing_task_is_back_soon_after_its_executor_crashed() -> None:
@@ -111,7 +111,7 @@
         assert sum(len(e.running) for e in world.executors.values()) == 3
         return world
 
-    assert run_virtual(play()).broken == []
+    assert run_virtual(play()).problems == []
 
 
 @pytest.mark.parametrize("lists_machines", [True, False])
@@ -132,7 +132,7 @@
         assert sum(len(e.running) for e in world.executors.values() if e.alive) == 3
         return world
 
-    assert run_virtual(play()).broken == []
+    assert run_virtual(play()).problems == []
 
 
 def test_a_host_that_was_cut_off_does_not_claim_at_once() -> None:
@@ -173,7 +173,7 @@
         await world.wait_for("west-host-0", spec.job_id, "succeeded", limit_s=60.0)
         return world
 
-    assert run_virtual(play()).broken == []
+    assert run_virtual(play()).problems == []
 
 
 def test_a_found_run_ends_before_its_task_starts_elsewhere() -> None:
@@ -196,13 +196,13 @@
             await world.wait_for("east-host-0", spec.job_id, "succeeded", limit_s=90.0)
         return world
 
-    assert run_virtual(play()).broken == []
+    assert run_virtual(play()).problems == []
 
 
 @pytest.mark.parametrize("seed", range(12))
 def test_random_troubles_break_no_promise(seed: int) -> None:
     world = run_virtual(_random_day(seed), limit_s=400.0)
-    assert world.broken == []
+    assert world.problems == []
 
 
 async def _random_day(seed: int) -> HallWorld:
--- /dev/null
+++ b/tests/host/test_handover.py
@@ -0,0 +1,101 @@
+"""Waiting work goes to a hall with room, and exactly one hall looks after it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.hall_world import HallWorld, step
+from tests.virtual_time import run_virtual
+
+
+def test_a_job_that_waits_for_room_moves_to_another_hall() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        full = world.new_job(step(3, cpu=8_000, estimate_s=30.0))
+        await world.submit("east-host-0", full)
+        await asyncio.sleep(1.0)
+        spec = world.new_job(step(2))
+        await world.submit("east-host-0", spec)
+        await world.wait_for("east-host-0", spec.job_id, "succeeded", limit_s=6.0)
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_standing_tasks_beyond_a_hall_are_lent() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        spec = world.new_job(step(5, standing=True, max_per_executor=1))
+        await world.submit("east-host-0", spec)
+        # Halls hear of each other within three seconds of their start.
+        await asyncio.sleep(6.0)
+        assert running(world, spec.job_id) == 5
+        front = world.hosts["west-host-0"].host.front
+        await front.cancel(spec.job_id, asyncio.get_running_loop().time() + 3.0)
+        await asyncio.sleep(3.0)
+        assert running(world, spec.job_id) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_a_borrowed_task_without_room_is_given_back() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west", "north"))
+        await world.begin()
+        spec = world.new_job(step(4, standing=True, max_per_executor=1))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(6.0)
+        assert running(world, spec.job_id) == 4
+        hall = lender_of(world, spec.job_id)
+        fill = world.new_job(step(3, cpu=7_000, estimate_s=60.0))
+        await world.submit(f"{hall}-host-0", fill)
+        await asyncio.sleep(0.5)
+        lent = next(a for a, e in world.executors.items() if a.startswith(hall) and e.running)
+        world.crash_executor(lent, back=False)
+        await asyncio.sleep(8.0)
+        assert running(world, spec.job_id) == 4
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loans_outlast_their_owners(seed: int) -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"), seed=seed)
+        await world.begin()
+        spec = world.new_job(step(5, standing=True, max_per_executor=1))
+        await world.submit("east-host-0", spec)
+        for _ in range(4):
+            await asyncio.sleep(world.random.uniform(0.3, 1.5))
+            for shard in (0, 1):
+                owner = world.owner(shard)
+                if owner:
+                    world.kill_host(owner)
+                    await asyncio.sleep(world.random.uniform(0.05, 0.5))
+                    world.start_host(owner)
+        await asyncio.sleep(8.0)
+        assert running(world, spec.job_id) == 5
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def running(world: HallWorld, job_id: str) -> int:
+    """Return how many tasks of a job run."""
+    names = [t for e in world.executors.values() if e.alive for t in e.running]
+    return sum(name.job_id == job_id for name in names)
+
+
+def lender_of(world: HallWorld, job_id: str) -> str:
+    """Return the hall other than east that runs a task of a job."""
+    for address, executor in world.executors.items():
+        hall = address.partition("-")[0]
+        if hall != "east" and any(name.job_id == job_id for name in executor.running):
+            return hall
+    raise AssertionError("nothing was lent")
