Do not take in again a job that ended or moved away; keep half-lent steps ready

Change: ids of jobs that left are kept for the tenure; such steps are passed over, not dropped. Also: jobs that can still meet their objective go before late ones.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -75,6 +75,8 @@
         self.log = log
         self._adopting: set[str] = set()
         self._gone: set[str] = set()
+        # Jobs that ended here or moved away: older records of them may still be read.
+        self._left: set[str] = set()
         self._inherited_until = float("-inf")
         self.executors: dict[str, ExecutorState] = {}
         self.jobs: dict[str, ShardJob] = {}
@@ -510,7 +512,8 @@
         Raises:
             RecordError: A progress record does not fit the job.
         """
-        if submitted.spec.job_id in self.jobs:
+        job_id = submitted.spec.job_id
+        if job_id in self.jobs or job_id in self._left:
             return
         job = ShardJob(submitted, inherited=inherited, moved=moved)
         job.borrowed = borrowed is not None
@@ -585,6 +588,7 @@
 
     def remove_moved(self, job_id: str) -> None:
         """Forget a job that was moved to another shard."""
+        self._left.add(job_id)
         job = self.jobs.pop(job_id, None)
         for run in job.runs.values() if job else ():
             self.dirty.pop((job_id, run.repetition), None)
@@ -653,6 +657,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             return
+        self._left.add(job_id)
         for run in job.runs.values():
             run.durable = float("inf")
             self.dirty.pop((job_id, run.repetition), None)
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -19,6 +19,10 @@
 """Multiple of its objective after which a job goes behind those still in time:
 callers give nothing for an answer that is later than three times the objective."""
 
+LATE_SHARE = 0.1
+"""Part of its objective by which a job may be expected to miss it and still counts as
+in time: guesses of running times are rough. A late job earns a seventh."""
+
 STRAGGLER_FACTOR = 3.0
 """Multiple of its siblings' median after which a run counts as a straggler; tasks
 of one step differ by a third at most on a sound executor."""
@@ -82,21 +86,31 @@
     def _ordered(self, wall: float) -> list[StepRun]:
         ready = self._core.ready
         for step in list(ready):
-            job = step.run.job
-            if job.closing or job.handing_over or not any(task.pending for task in step.tasks):
+            if step.run.job.closing or not any(task.pending for task in step.tasks):
                 del ready[step]
                 self._blocked_logged.discard(step)
-        return sorted(ready, key=lambda step: self._urgency(step, wall))
+        waiting = [step for step in ready if not step.run.job.handing_over]
+        return sorted(waiting, key=lambda step: self._urgency(step, wall))
+
+    def _urgency(self, step: StepRun, wall: float) -> tuple[bool, int, int, float]:
+        """Return what steps are ordered by, lowest first.
 
-    def _urgency(self, step: StepRun, wall: float) -> tuple[bool, bool, int, float]:
+        Standing tasks that were at work come first, then priorities, then jobs that
+        can still meet their objective, the most pressing first.
+        """
         job = step.run.job
         schedule = job.spec.schedule
         born = schedule.due(step.run.repetition) if schedule else job.submitted.accepted
         age = wall - born
-        late = age > HOPELESS_FACTOR * job.objective_s and not step.spec.standing
         slack = job.objective_s - age - job.spec.after_s[step.index]
+        if step.spec.standing:
+            hope = 0
+        elif age > HOPELESS_FACTOR * job.objective_s:
+            hope = 2
+        else:
+            hope = int(slack < -LATE_SHARE * job.objective_s)
         restart = step.spec.standing and any(t.pending and t.next_run > 1 for t in step.tasks)
-        return not restart, late, job.priority, slack
+        return not restart, job.priority, hope, slack
 
     def _place_step(self, step: StepRun, usable: list[ExecutorState], now: float) -> None:
         placement = StepPlacement(step, usable, self._core.health, self._core.colocation, now)
--- /dev/null
+++ b/tests/shard/test_core.py
@@ -0,0 +1,219 @@
+"""The core alone: rules that need no sockets and no clock."""
+
+from __future__ import annotations
+
+from linkspan.host.configuration import Configuration, Queue, Service
+from linkspan.host.settings import Bounds
+from linkspan.jobs.records import Submitted
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import (
+    EndedTask,
+    EndKind,
+    ExecutorRecord,
+    ExecutorReport,
+    StartAnswer,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    TaskName,
+)
+from linkspan.shard.planner import Planner
+from tests.hall_world import QUEUE, step
+
+JOB = "00000000000000aa"
+
+
+def core_with(*steps: StepSpec, executors: int = 2) -> ShardCore:
+    """Return a core with executors that have answered and one job."""
+    core = ShardCore(0, Bounds())
+    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    for index in range(executors):
+        add_executor(core, f"e{index}")
+    core.add_job(submitted(*steps), 0.0)
+    return core
+
+
+def add_executor(core: ShardCore, name: str, cpu: int = 8_000) -> None:
+    record = ExecutorRecord(
+        name, "pool", f"{name}:1", "east", Demand(cpu, 32_000), frozenset(), "r"
+    )
+    core.list_executors([e.record for e in core.executors.values()] + [record], 0.0)
+    core.executors[name].rostered = True
+    report(core, name, asked=0.0, now=0.01)
+
+
+def submitted(*steps: StepSpec) -> Submitted:
+    return Submitted(JobSpec(JOB, QUEUE.name, "text", steps), 0, 0.0, "host")
+
+
+def report(core: ShardCore, name: str, *ended: EndedTask, asked: float, now: float) -> None:
+    core.on_report(name, ExecutorReport(now, (), ended), asked=asked, now=now)
+
+
+def plan(core: ShardCore, now: float) -> list[StartOrder]:
+    """Plan and return the starts."""
+    Planner(core).plan(now, now)
+    orders, core.orders = core.orders, []
+    return [order for order in orders if isinstance(order, StartOrder)]
+
+
+def started(core: ShardCore, order: StartOrder, now: float) -> None:
+    core.on_started(order, StartAnswer(StartOutcome.STARTED, now), now)
+
+
+def test_a_finished_job_is_not_taken_in_again() -> None:
+    """Older records of a job may be read after its end was written."""
+    core = core_with(step(1))
+    (order,) = plan(core, 0.1)
+    started(core, order, 0.2)
+    end = EndedTask(1, order.task, order.run, EndKind.DONE, "")
+    report(core, order.executor_id, end, asked=0.3, now=1.0)
+    assert [f.job_id for f in core.finished] == [JOB]
+    core.on_finished(JOB)
+    core.add_job(submitted(step(1)), 1.1)
+    assert plan(core, 1.2) == []
+
+
+def test_a_moved_job_is_not_taken_in_again() -> None:
+    core = core_with(step(1))
+    core.remove_moved(JOB)
+    core.add_job(submitted(step(1)), 0.1)
+    assert plan(core, 0.2) == []
+
+
+def test_a_step_that_is_handed_over_in_part_stays_ready() -> None:
+    core = core_with(step(4, standing=True, max_per_executor=1))
+    assert len(plan(core, 0.1)) == 2
+    job = core.jobs[JOB]
+    job.handing_over = True
+    core.give_away(JOB, 1, [(0, 2)])
+    plan(core, 0.2)
+    job.handing_over = False
+    add_executor(core, "e9")
+    assert [order.task.index for order in plan(core, 0.3)] == [3]
+
+
+def test_a_start_in_doubt_is_stopped_before_it_is_tried_again() -> None:
+    core = core_with(step(1))
+    (order,) = plan(core, 0.1)
+    core.on_start_unanswered(order, 1.1)
+    assert plan(core, 1.2) == []
+    report(core, order.executor_id, asked=1.2, now=1.3)
+    stop = StopOrder(order.executor_id, order.task, order.run)
+    assert core.orders == [stop]
+    core.orders.clear()
+    core.on_stopped(stop, True, 1.4)
+    report(core, order.executor_id, asked=1.35, now=1.5)
+    assert plan(core, 1.6) == [], "the look was asked before the stop was taken"
+    report(core, order.executor_id, asked=1.45, now=1.7)
+    (again,) = plan(core, 1.8)
+    assert again.run == order.run + 1
+
+
+def test_ends_are_acknowledged_only_when_durable() -> None:
+    core = core_with(step(2))
+    first, second = plan(core, 0.1)
+    started(core, first, 0.2)
+    end = EndedTask(1, first.task, first.run, EndKind.DONE, "")
+    report(core, first.executor_id, end, asked=0.3, now=0.9)
+    executor = core.executors[first.executor_id]
+    assert not executor.advance_acknowledged()
+    run = core.jobs[JOB].runs[0]
+    run.durable = run.version
+    assert executor.advance_acknowledged()
+    assert executor.acknowledged == 1
+    assert second.task != first.task
+
+
+def test_a_failure_that_a_former_owner_counted_is_not_counted_again() -> None:
+    first = core_with(step(2))
+    order = next(o for o in plan(first, 0.1) if o.task.index == 0)
+    started(first, order, 0.2)
+    end = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
+    report(first, order.executor_id, end, asked=0.3, now=0.5)
+    from linkspan.shard.progress import encode_run
+
+    value = encode_run(first.jobs[JOB].runs[0])
+    second = ShardCore(0, Bounds())
+    second.configure(first.configuration or Configuration(1))
+    second.inherit([e.record for e in first.executors.values()], 20.0)
+    second.add_job(submitted(step(2)), 1.0, inherited=True, progress={0: value})
+    report(second, order.executor_id, end, asked=1.1, now=1.2)
+    assert second.jobs[JOB].runs[0].steps[0].tasks[0].failures == 1
+
+
+def test_inherited_work_waits_for_every_executor() -> None:
+    core = ShardCore(0, Bounds())
+    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    records = [
+        ExecutorRecord(n, "pool", f"{n}:1", "east", Demand(8_000, 32_000), frozenset(), "r")
+        for n in ("e0", "e1")
+    ]
+    core.inherit(records, 20.0)
+    core.list_executors(records, 0.0)
+    core.add_job(submitted(step(1)), 0.0, inherited=True)
+    report(core, "e0", asked=0.0, now=0.1)
+    assert plan(core, 0.2) == []
+    report(core, "e1", asked=0.2, now=0.3)
+    assert len(plan(core, 0.4)) == 1
+
+
+def test_a_silent_inherited_executor_is_waited_out() -> None:
+    core = ShardCore(0, Bounds())
+    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    records = [
+        ExecutorRecord(n, "pool", f"{n}:1", "east", Demand(8_000, 32_000), frozenset(), "r")
+        for n in ("e0", "e1")
+    ]
+    core.inherit(records, 20.0)
+    core.list_executors(records, 0.0)
+    core.add_job(submitted(step(1)), 0.0, inherited=True)
+    report(core, "e0", asked=0.0, now=0.1)
+    core.on_silent("e1", 1.0)
+    assert plan(core, 19.0) == []
+    assert len(plan(core, 20.1)) == 1
+
+
+def test_a_task_fails_its_job_after_its_attempts() -> None:
+    core = core_with(step(1), executors=4)
+    for attempt in range(QUEUE.max_attempts):
+        now = float(attempt)
+        (order,) = plan(core, now + 0.1)
+        started(core, order, now + 0.2)
+        executor = core.executors[order.executor_id]
+        end = EndedTask(executor.seen + 1, order.task, order.run, EndKind.FAILED, "")
+        report(core, order.executor_id, end, asked=now + 0.3, now=now + 0.4)
+    assert [f.state.value for f in core.finished] == ["failed"]
+    assert plan(core, 9.0) == []
+
+
+def test_a_steps_tasks_wait_for_the_steps_that_they_depend_on() -> None:
+    core = core_with(step(2), step(1, depends_on=(0,)))
+    orders = plan(core, 0.1)
+    assert {order.task.step for order in orders} == {0}
+    for number, order in enumerate(orders):
+        started(core, order, 0.2)
+        end = EndedTask(1, order.task, order.run, EndKind.DONE, "")
+        report(core, order.executor_id, end, asked=0.3 + number, now=0.4 + number)
+        after = plan(core, 0.5 + number)
+    assert [order.task for order in after] == [TaskName(JOB, 0, 1, 0)]
+
+
+def test_a_gang_starts_whole_or_not_at_all() -> None:
+    core = core_with(step(4, gang=True, cpu=5_000))
+    assert plan(core, 0.1) == []
+    add_executor(core, "e8")
+    assert plan(core, 0.2) == []
+    add_executor(core, "e9")
+    orders = plan(core, 0.3)
+    assert len(orders) == 4
+    assert len({order.run for order in orders}) == 1
+
+
+def test_queue_terms_follow_the_configuration() -> None:
+    core = core_with(step(1))
+    changed = Queue("batch", "h", "/b/", "other", max_attempts=1)
+    core.configure(Configuration(2, {"batch": changed}, {"other": Service("other")}))
+    assert core.jobs[JOB].service == "other"
+    assert plan(core, 0.1) == [], "no executor of the new service is there"
