Start a task of each job that has had nothing running for a second

Ruled out: recovery (all shards were back 1.4 s after the power came). Change: a job with nothing running starts one task where it presses least; the pacer sees to the rest. Test seen failing.

--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -85,13 +85,19 @@
             for attempt in task.attempts:
                 self._on_executor[attempt.executor_id] += 1
 
-    def choose(self, task: Task) -> ExecutorState | None:
-        """Return the best executor for a task, ``None`` if none has room."""
+    def choose(self, task: Task, *, starved: bool = False) -> ExecutorState | None:
+        """Return the best executor for a task, ``None`` if none has room.
+
+        Args:
+            task: The task.
+            starved: Whether its job has had nothing running for long: it then goes
+                where it presses least, and the pacer sees to what it disturbs there.
+        """
         best: ExecutorState | None = None
         best_score = float("inf")
         for executor in self.executors:
             if executor.executor_id in task.avoid or not self.fits(
-                executor, restart=task.next_run > 1
+                executor, restart=task.next_run > 1, starved=starved
             ):
                 continue
             score = self._score(executor)
@@ -103,13 +109,16 @@
         """Count a task in that was placed on an executor."""
         self._on_executor[executor.executor_id] += 1
 
-    def fits(self, executor: ExecutorState, *, restart: bool = False) -> bool:
+    def fits(
+        self, executor: ExecutorState, *, restart: bool = False, starved: bool = False
+    ) -> bool:
         """Whether an executor has room for one task of the step.
 
         Args:
             executor: The executor.
             restart: Whether the task has run before; standing tasks then may use the
                 room that is kept for short ones.
+            starved: Whether pressure on standing tasks is no reason against it.
         """
         spec = self.step.spec
         demand = spec.demand
@@ -118,6 +127,8 @@
         most = spec.max_per_executor
         if most and self._on_executor[executor.executor_id] >= most:
             return False
+        if spec.best_effort and starved:
+            return True
         if spec.best_effort:
             if leftover_cpu(executor) < demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
                 return False
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -19,6 +19,10 @@
 """Multiple of its objective after which a job goes behind those still in time:
 callers give nothing for an answer that is later than three times the objective."""
 
+STARVED_S = 1.0
+"""Time after which a job with nothing running starts a task wherever there is memory
+for it. The platform counts work as lost that waits for three seconds beside room."""
+
 LATE_SHARE = 0.1
 """Part of its objective by which a job may be expected to miss it and still counts as
 in time: guesses of running times are rough. A late job earns a seventh."""
@@ -121,6 +125,7 @@
             placed = self._place_gang(step, placement, pending, now)
         else:
             placed = self._place_each(placement, pending, now)
+            placed = placed or self._place_starved(placement, pending, now)
         self._log(step, placed, len(pending), now)
 
     def _place_each(
@@ -138,6 +143,19 @@
             placement.took(executor)
         return placed
 
+    def _place_starved(
+        self, placement: StepPlacement, pending: list[Task], now: float
+    ) -> list[Attempt]:
+        """Start one best-effort task of a job that has had nothing running for long."""
+        step = placement.step
+        waited = now - min(task.ready_since for task in pending)
+        if not step.spec.best_effort or waited < STARVED_S:
+            return []
+        if any(True for _ in step.run.job.attempts()):
+            return []
+        executor = placement.choose(pending[0], starved=True)
+        return [self._core.place(pending[0], executor, now)] if executor else []
+
     def _second_choice(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return an avoided executor if the task has failed on all there are."""
         if all(e.executor_id in task.avoid for e in placement.executors):
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -12,6 +12,7 @@
     EndKind,
     ExecutorRecord,
     ExecutorReport,
+    RunningTask,
     StartAnswer,
     StartOrder,
     StartOutcome,
@@ -217,3 +218,21 @@
     core.configure(Configuration(2, {"batch": changed}, {"other": Service("other")}))
     assert core.jobs[JOB].service == "other"
     assert plan(core, 0.1) == [], "no executor of the new service is there"
+
+
+def test_best_effort_work_is_not_starved_by_pressure() -> None:
+    core = core_with(step(1, standing=True, image="s", latency_target_ms=10.0), executors=1)
+    (serving,) = plan(core, 0.1)
+    started(core, serving, 0.2)
+    row = RunningTask(serving.task, serving.run, "", 100, 9.9)
+    core.on_report("e0", ExecutorReport(1.0, (row,), ()), asked=0.3, now=1.0)
+    for second in range(20):
+        core.colocation.learn(core.executors["e0"], 1.0 + second)
+    spec = JobSpec("00000000000000bb", QUEUE.name, "text", (best_effort_step(),))
+    core.add_job(Submitted(spec, 0, 20.0, "host"), 20.0)
+    assert plan(core, 20.1) == []
+    assert len(plan(core, 21.5)) == 1
+
+
+def best_effort_step() -> StepSpec:
+    return step(3, cpu=6_000, best_effort=True, image="b")
