--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -153,6 +153,11 @@
             if a.phase is Phase.RUNNING and a.task.step.spec.latency_target_ms > 0
         ]
 
+    @property
+    def disturbed(self) -> bool:
+        """Whether a standing task there is over its latency target."""
+        return any(attempt.over_since is not None for attempt in self.attempts.values())
+
     def best_effort(self) -> list[Attempt]:
         """Return running best-effort attempts."""
         return [
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -51,9 +51,6 @@
 """Pressure on standing tasks up to which best-effort tasks are placed beside them; at
 0.83 they are at their target."""
 
-PATIENCE_PER_S = 0.0
-"""Growth of that limit for each second that a step has waited."""
-
 
 @dataclass
 class StepPlacement:
@@ -65,7 +62,6 @@
         health: What is known of them.
         colocation: What is known of pairs of images.
         now: Steady time.
-        waited_s: How long the step has waited for room.
     """
 
     step: StepRun
@@ -73,7 +69,6 @@
     health: HealthBook
     colocation: ColocationBook
     now: float
-    waited_s: float = 0.0
     _on_executor: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
@@ -132,6 +127,9 @@
         most = spec.max_per_executor
         if most and self._on_executor[executor.executor_id] >= most:
             return False
+        if spec.best_effort and executor.disturbed:
+            # A new run starts at full speed, whatever its neighbours were slowed to.
+            return False
         if spec.best_effort and starved:
             return True
         if spec.best_effort:
@@ -141,7 +139,7 @@
             return (
                 added <= INNOCENT_PRESSURE
                 or self.colocation.worst_pressure(executor, spec.image, demand.milli_cpu)
-                <= MAX_PRESSURE + PATIENCE_PER_S * self.waited_s
+                <= MAX_PRESSURE
             )
         headroom = 0.0
         if spec.standing and not restart:
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -120,10 +120,7 @@
         pending = [t for t in step.tasks if t.pending and t.not_before <= now]
         if not pending:
             return
-        waited_s = now - min(task.ready_since for task in pending)
-        placement = StepPlacement(
-            step, usable, self._core.health, self._core.colocation, now, waited_s
-        )
+        placement = StepPlacement(step, usable, self._core.health, self._core.colocation, now)
         if not placement.executors:
             return
         if step.spec.gang:
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -19,6 +19,7 @@
     StopOrder,
     TaskName,
 )
+from linkspan.shard.pacing import Pacer
 from linkspan.shard.planner import Planner
 from tests.hall_world import QUEUE, step
 
@@ -234,5 +235,18 @@
     assert len(plan(core, 21.5)) == 1
 
 
+def test_best_effort_work_keeps_off_executors_with_a_disturbed_task() -> None:
+    core = core_with(step(1, standing=True, image="s", latency_target_ms=10.0), executors=1)
+    (serving,) = plan(core, 0.1)
+    started(core, serving, 0.2)
+    row = RunningTask(serving.task, serving.run, "", 100, 11.0)
+    core.on_report("e0", ExecutorReport(1.0, (row,), ()), asked=0.3, now=1.0)
+    Pacer(core, core.colocation).on_report(core.executors["e0"], 1.0)
+    spec = JobSpec("00000000000000bb", QUEUE.name, "text", (best_effort_step(),))
+    core.add_job(Submitted(spec, 0, 1.0, "host"), 1.0)
+    assert plan(core, 1.1) == []
+    assert plan(core, 9.0) == []
+
+
 def best_effort_step() -> StepSpec:
     return step(3, cpu=6_000, best_effort=True, image="b")
