--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -23,7 +23,7 @@
 SPEED_UP_PRESSURE = 0.79
 """Pressure up to which they may speed up again."""
 
-INNOCENT_PRESSURE = 0.02
+INNOCENT_PRESSURE = 0.05
 """Pressure that a neighbour adds at most, as believed, to count as innocent."""
 
 ALL_GUILTY_AFTER_S = 1.4
