--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,111 @@
+"""The store's client against a server that speaks its protocol."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from linkspan.errors import (
+    LogGap,
+    OffsetConflict,
+    ProducerFenced,
+    ProducerGap,
+    StoreRefused,
+    StoreUnanswered,
+)
+from linkspan.platform.store import StoreClient
+from linkspan.store.types import Appended, Entry, Partition, Producer, Record
+from tests.standins.platform_http import StoreServer, serving
+
+PLAIN = Partition("plain")
+KEYED = Partition("things", 3, keyed=True)
+
+
+@pytest_asyncio.fixture
+async def setup() -> AsyncIterator[tuple[StoreClient, StoreServer]]:
+    server = StoreServer()
+    async with serving(server.handle) as address, aiohttp.ClientSession() as session:
+        yield StoreClient(session, address, timeout_s=1.0), server
+
+
+async def test_records_come_back_as_written(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, _ = setup
+    assert await client.append(PLAIN, [Record(b"a"), Record(b"bc")]) == Appended(0, 2)
+    page = await client.read(PLAIN, 0)
+    assert page.entries == (Entry(0, b"a"), Entry(1, b"bc"))
+    assert page.end == 2
+
+
+async def test_keyed_records_keep_their_keys(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, _ = setup
+    rows = [Record(b"1", b"a"), Record(b"2", b"b"), Record(b"3", b"a"), Record(b"", b"b")]
+    await client.append(KEYED, [*rows, Record(b"4", b"c"), Record(b"5", b"d")])
+    page = await client.newest(KEYED)
+    assert [(e.key, e.value, e.offset) for e in page.entries] == [
+        (b"a", b"3", 2),
+        (b"c", b"4", 4),
+        (b"d", b"5", 5),
+    ]
+    assert page.end == 6
+    assert (await client.read(KEYED, 1)).entries[0] == Entry(1, b"2", b"b")
+
+
+async def test_conditional_appends_conflict(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, _ = setup
+    await client.append(PLAIN, [Record(b"a")], at=0)
+    with pytest.raises(OffsetConflict) as caught:
+        await client.append(PLAIN, [Record(b"b")], at=0)
+    assert caught.value.end == 1
+
+
+async def test_producers_are_numbered_and_fenced(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, _ = setup
+    first = await client.append(PLAIN, [Record(b"a")], producer=Producer("p", 2, 1))
+    again = await client.append(PLAIN, [Record(b"a")], producer=Producer("p", 2, 1))
+    assert first == again
+    with pytest.raises(ProducerGap) as gap:
+        await client.append(PLAIN, [Record(b"c")], producer=Producer("p", 2, 5))
+    assert gap.value.wanted == 2
+    await client.append(PLAIN, [], producer=Producer("p", 3, 1))
+    with pytest.raises(ProducerFenced) as fenced:
+        await client.append(PLAIN, [Record(b"b")], producer=Producer("p", 2, 2))
+    assert fenced.value.epoch == 3
+
+
+async def test_forgotten_records_are_a_gap(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, server = setup
+    await client.append(PLAIN, [Record(b"a"), Record(b"b")])
+    server.store.forget(PLAIN)
+    with pytest.raises(LogGap) as gap:
+        await client.read(PLAIN, 0)
+    assert gap.value.first == 2
+
+
+@pytest.mark.parametrize("status", [429, 503, 507])
+async def test_refusals_say_that_nothing_was_done(
+    setup: tuple[StoreClient, StoreServer], status: int
+) -> None:
+    client, server = setup
+    server.status = status
+    with pytest.raises(StoreRefused) as refused:
+        await client.append(PLAIN, [Record(b"a")])
+    assert refused.value.status == status
+
+
+async def test_other_failures_leave_the_outcome_open(
+    setup: tuple[StoreClient, StoreServer],
+) -> None:
+    client, server = setup
+    server.status = 500
+    with pytest.raises(StoreUnanswered):
+        await client.append(PLAIN, [Record(b"a")])
+
+
+async def test_a_closed_port_is_a_refusal() -> None:
+    async with aiohttp.ClientSession() as session:
+        client = StoreClient(session, "127.0.0.1:1", timeout_s=1.0)
+        with pytest.raises(StoreRefused):
+            await client.read(PLAIN, 0)
