--- /dev/null
+++ b/tests/shard/test_leases.py
@@ -0,0 +1,45 @@
+"""A lapse is never declared while an executor's lease may run."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linkspan.shard.leases import CLOCK_DRIFT, LeaseClock, inherited_lapse
+
+times = st.floats(0, 100)
+
+
+@given(
+    rate=st.floats(1 - CLOCK_DRIFT, 1.0),
+    skew=st.floats(-1_000, 1_000),
+    lease_s=st.floats(0.5, 20),
+    heard=times,
+    delay=st.floats(0, 2),
+    later=st.floats(0, 30),
+)
+def test_no_lease_outlasts_its_lapse(
+    *, rate: float, skew: float, lease_s: float, heard: float, delay: float, later: float
+) -> None:
+    """The executor's clock runs up to 2% slow and its answers take time to come."""
+
+    def clock_at(now: float) -> float:
+        return skew + rate * now
+
+    lease = LeaseClock(clock_at(heard), heard + delay)
+    lease.grant(lease_s, heard + delay + later)
+    lapsed = lease.lapsed_by()
+    assert clock_at(lapsed) >= lease.granted_s
+
+
+@given(times, times)
+def test_grants_never_shorten(first: float, second: float) -> None:
+    lease = LeaseClock(0.0, 0.0)
+    lease.grant(10.0, first)
+    before = lease.granted_s
+    lease.grant(1.0, second)
+    assert lease.granted_s >= before
+
+
+def test_an_inherited_lease_is_waited_out_with_its_owner() -> None:
+    assert inherited_lapse(100.0, 10.0, 9.8) >= 100.0 + 10.0 + 9.8 / 0.98
--- /dev/null
+++ b/tests/shard/test_ownership.py
@@ -0,0 +1,74 @@
+"""Who owns a shard, and when a host claims it."""
+
+from __future__ import annotations
+
+from linkspan.shard.ownership import (
+    REMOTE_SILENCE_S,
+    SILENCE_S,
+    Owner,
+    OwnerAct,
+    OwnerRecord,
+    OwnerView,
+)
+from linkspan.store.types import Entry
+
+
+def entry(offset: int, act: OwnerAct, host: str, *, token: int = 0, life: str = "") -> Entry:
+    return Entry(offset, OwnerRecord(act, host, life or f"{host}-life", token).encode())
+
+
+def view(*, home: bool = True) -> OwnerView:
+    return OwnerView("me", "me-life", home=home)
+
+
+def test_a_claim_is_its_offset_and_one() -> None:
+    seen = view()
+    seen.apply(entry(4, OwnerAct.CLAIM, "other"), 0.0)
+    assert seen.owner == Owner("other", "other-life", 5)
+
+
+def test_a_stale_renewal_does_not_keep_an_owner_alive() -> None:
+    seen = view()
+    seen.apply(entry(0, OwnerAct.CLAIM, "a"), 0.0)
+    seen.apply(entry(1, OwnerAct.CLAIM, "b"), 1.0)
+    seen.apply(entry(2, OwnerAct.RENEW, "a", token=1), 2.5)
+    assert seen.owner and seen.owner.host == "b"
+    assert seen.should_claim(1.0 + SILENCE_S)
+
+
+def test_a_home_host_claims_after_silence_and_a_remote_one_later() -> None:
+    for home, silence in ((True, SILENCE_S), (False, REMOTE_SILENCE_S)):
+        seen = view(home=home)
+        seen.apply(entry(0, OwnerAct.CLAIM, "other"), 0.0)
+        assert not seen.should_claim(silence - 0.01)
+        assert seen.should_claim(silence)
+
+
+def test_a_release_frees_the_shard_for_home_hosts() -> None:
+    for home in (True, False):
+        seen = view(home=home)
+        seen.apply(entry(0, OwnerAct.CLAIM, "other"), 0.0)
+        seen.apply(entry(1, OwnerAct.RELEASE, "other", token=1), 0.1)
+        assert seen.should_claim(0.2) is home
+
+
+def test_an_earlier_life_of_the_own_host_is_replaced_at_once() -> None:
+    seen = view()
+    seen.apply(entry(0, OwnerAct.CLAIM, "me", life="earlier"), 0.0)
+    assert not seen.mine
+    assert seen.should_claim(0.1)
+
+
+def test_the_own_silence_is_not_the_owners() -> None:
+    seen = view()
+    seen.apply(entry(0, OwnerAct.CLAIM, "other"), 0.0)
+    seen.store_back(6.0)
+    assert not seen.should_claim(6.1)
+    assert seen.should_claim(6.0 + SILENCE_S)
+
+
+def test_an_owner_whose_claim_is_forgotten_is_known_by_its_renewal() -> None:
+    seen = view()
+    seen.apply(entry(90, OwnerAct.RENEW, "other", token=12), 0.0)
+    assert seen.owner == Owner("other", "other-life", 12)
+    assert not seen.should_claim(0.5)
