Let a failed task go back after 0.4 s if no other executor has room

Ruled out: room in the hall. Change: it prefers others for 0.4 s. Test seen failing with the rule set to never.

--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -19,6 +19,11 @@
 """Multiple of its objective after which a job goes behind those still in time:
 callers give nothing for an answer that is later than three times the objective."""
 
+AVOID_S = 0.4
+"""Time for which a failed task waits for another executor than the one it failed on:
+about a short task's length. One in fifty fails by its own fault wherever it runs, and
+an executor that fails them all is distrusted after two jobs."""
+
 STARVED_S = 1.5
 """Time after which a job with nothing running starts a task wherever there is memory
 for it. The platform counts work as lost that waits for three seconds beside room."""
@@ -135,7 +140,7 @@
     ) -> list[Attempt]:
         placed = []
         for task in pending:
-            executor = placement.choose(task) or self._second_choice(placement, task)
+            executor = placement.choose(task) or self._second_choice(placement, task, now)
             if executor is None:
                 if not task.avoid:
                     # Tasks of a step are alike: none of the others fits either.
@@ -158,12 +163,15 @@
         executor = placement.choose(pending[0], starved=True)
         return [self._core.place(pending[0], executor, now)] if executor else []
 
-    def _second_choice(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
-        """Return an avoided executor if the task has failed on all there are."""
-        if all(e.executor_id in task.avoid for e in placement.executors):
-            task.avoid.clear()
-            return placement.choose(task)
-        return None
+    def _second_choice(
+        self, placement: StepPlacement, task: Task, now: float
+    ) -> ExecutorState | None:
+        """Return an avoided executor if no other had room for a while, or there is none."""
+        nowhere = all(e.executor_id in task.avoid for e in placement.executors)
+        if not task.avoid or not (nowhere or now - task.ready_since >= AVOID_S):
+            return None
+        task.avoid.clear()
+        return placement.choose(task)
 
     def _place_gang(
         self, step: StepRun, placement: StepPlacement, pending: list[Task], now: float
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -20,7 +20,7 @@
     TaskName,
 )
 from linkspan.shard.pacing import Pacer
-from linkspan.shard.planner import Planner
+from linkspan.shard.planner import AVOID_S, Planner
 from tests.hall_world import QUEUE, step
 
 JOB = "00000000000000aa"
@@ -250,3 +250,19 @@
 
 def best_effort_step() -> StepSpec:
     return step(3, cpu=6_000, best_effort=True, image="b")
+
+
+def test_a_failed_task_does_not_wait_long_for_another_executor() -> None:
+    """It prefers others, but one failure says little of an executor."""
+    core = core_with(step(1, cpu=6_000), executors=2)
+    (order,) = plan(core, 0.1)
+    started(core, order, 0.2)
+    other = next(e for name, e in core.executors.items() if name != order.executor_id)
+    full = StepSpec(1, Demand(7_000, 100), standing=True)
+    core.add_job(Submitted(JobSpec("00000000000000bb", QUEUE.name, "t", (full,)), 0, 0, "h"), 0.3)
+    assert [o.executor_id for o in plan(core, 0.3)] == [other.executor_id]
+    end = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
+    report(core, order.executor_id, end, asked=0.4, now=1.0)
+    assert plan(core, 1.1) == []
+    (again,) = plan(core, 1.1 + AVOID_S)
+    assert again.executor_id == order.executor_id
