Split the shard's core by kind of decision

Its state and the bookkeeping that all decisions share are now ShardBooks; presence of executors, reports, ends, jobs, loans and orders have a class and a module each. ShardCore keeps its public methods and hands each on; refresh_queue, which nobody outside called, became private.

--- /dev/null
+++ b/src/linkspan/shard/_adoption.py
@@ -0,0 +1,144 @@
+"""Reports of executors: runs that are found, and runs that are missing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.shard._books import short_name
+from linkspan.shard.messages import StopOrder
+from linkspan.shard.state import NEVER, Attempt, Phase
+
+if TYPE_CHECKING:
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard._ends import Ends
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
+    from linkspan.shard.state import Task
+
+
+class Adoption:
+    """Compares what executors report with what this tenure believes.
+
+    Args:
+        books: The shard's state.
+        ends: Acts on ends.
+    """
+
+    def __init__(self, books: ShardBooks, ends: Ends) -> None:
+        self._books = books
+        self._ends = ends
+
+    def __repr__(self) -> str:
+        return f"Adoption({self._books!r})"
+
+    def on_report(
+        self, executor_id: str, report: ExecutorReport, *, asked: float, now: float
+    ) -> None:
+        """Take in an executor's report."""
+        executor = self._books.executors.get(executor_id)
+        if executor is None:
+            return
+        self._books.hear(executor, report.clock_s, now)
+        for end in report.ended:
+            if end.number > executor.seen:
+                self._ends.on_end(executor, end, now)
+        listed = set()
+        for row in report.running:
+            listed.add((row.task, row.run))
+            self._on_running(executor, row, now)
+        self._on_missing(executor, listed, asked, now)
+        if not executor.adopted:
+            executor.adopted = True
+            self._books.adopting_ids.discard(executor_id)
+
+    def _on_running(self, executor: ExecutorState, row: RunningTask, now: float) -> None:
+        attempt = executor.attempts.get((row.task, row.run))
+        if attempt is None:
+            attempt = self._adopt(executor, row, now)
+        if attempt is None:
+            return
+        if attempt.phase is not Phase.STOPPING:
+            if attempt.phase is not Phase.RUNNING:
+                attempt.confirmed_at = now
+            attempt.phase = Phase.RUNNING
+        if row.progress > attempt.progress or attempt.progress_at == NEVER:
+            attempt.progress = row.progress
+            attempt.progress_at = now
+        attempt.usage = row.usage
+        if row.checkpoint and not attempt.copy:
+            attempt.task.checkpoint = row.checkpoint
+
+    def _adopt(self, executor: ExecutorState, row: RunningTask, now: float) -> Attempt | None:
+        """Take over a run that this tenure did not start, or have it stopped.
+
+        A run that is to stop counts as an attempt until it has ended, so that its task
+        is not started elsewhere before.
+        """
+        task = self._books.find_task(row.task)
+        if task is None:
+            self._books.orders.append(StopOrder(executor.executor_id, row.task, row.run))
+            self._log_unknown(executor, row)
+            return None
+        attempt = Attempt(task, row.run, executor.executor_id, Phase.RUNNING, now, now)
+        task.next_run = max(task.next_run, row.run + 1)
+        if self._wanted(task, row.run):
+            for older in list(task.attempts):
+                self._books.detach(older)
+            self._books.attach(executor, attempt)
+            self._books.mark_begun(task.step.run.job)
+        else:
+            self._log_unknown(executor, row)
+            self._books.attach(executor, attempt)
+            self._books.order_stop(attempt, now)
+        self._books.touch(task.step.run)
+        return attempt
+
+    def _wanted(self, task: Task, run: int) -> bool:
+        """Whether a run found at an executor is its task's newest and only one.
+
+        A former owner's record of a lower run is older than the run: it starts one
+        only after the one before has ended.
+        """
+        if task.done or task.lent is not None or task.step.run.job.closing:
+            return False
+        return all(a.phase is Phase.INHERITED and a.run < run for a in task.attempts)
+
+    def _log_unknown(self, executor: ExecutorState, row: RunningTask) -> None:
+        self._books.log(
+            Event.UNKNOWN_RUN_STOPPED,
+            executor=executor.executor_id,
+            job=row.task.job_id,
+            task=short_name(row.task),
+            run=row.run,
+        )
+
+    def _on_missing(
+        self,
+        executor: ExecutorState,
+        listed: set[tuple[TaskName, int]],
+        asked: float,
+        now: float,
+    ) -> None:
+        """Resolve attempts that a report neither lists as running nor as ended."""
+        for key, attempt in list(executor.attempts.items()):
+            if key in listed:
+                continue
+            if attempt.phase is Phase.INHERITED:
+                # A start that a former owner sent can no longer be carried out:
+                # the executor has seen our higher token.
+                self._books.close(attempt, now)
+            elif attempt.stop_taken_at is not None and attempt.stop_taken_at <= asked:
+                # It was not there when the stop came, and is refused from then on.
+                self._books.close(attempt, now)
+            elif attempt.phase is Phase.DOUBT:
+                self._books.order_stop(attempt, now)
+            elif attempt.phase is Phase.RUNNING and attempt.confirmed_at < asked:
+                self._books.log(
+                    Event.RUN_LOST,
+                    executor=executor.executor_id,
+                    job=key[0].job_id,
+                    task=short_name(key[0]),
+                    run=key[1],
+                )
+                self._books.order_stop(attempt, now)
--- /dev/null
+++ b/src/linkspan/shard/_books.py
@@ -0,0 +1,201 @@
+"""What a shard's owner knows, and the bookkeeping that all of its decisions share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.jobs.records import Finished, JobState
+from linkspan.shard.colocation import ColocationBook
+from linkspan.shard.health import HealthBook
+from linkspan.shard.leases import LeaseClock
+from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
+from linkspan.shard.state import NEVER, Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from linkspan.host.configuration import Configuration
+    from linkspan.host.settings import Bounds
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import TaskName
+    from linkspan.shard.state import Attempt, JobRun, ShardJob, StepRun, Task
+
+Order = StartOrder | StopOrder | PaceOrder
+
+
+class ShardBooks:
+    """State of one tenure of a shard, and the changes that keep its parts in step.
+
+    Args:
+        shard: Number of the shard.
+        bounds: Times that the deployment grants.
+        log: Takes an event and its fields.
+
+    Attributes:
+        log: Takes an event and its fields.
+        executors: Executors that are registered or may run something, by id.
+        adopting_ids: Inherited executors that have not answered yet.
+        jobs: Jobs that the shard looks after, by id.
+        left: Jobs that ended here or moved away: older records of them may still be read.
+        health: What is known of the executors' soundness.
+        colocation: What is known of how tasks disturb each other.
+        configuration: The configuration in force, ``None`` before the first.
+        orders: Orders to hand out, in order.
+        finished: Final records to write.
+        begun: Jobs of which a first task was started, to be told.
+        dirty: Repetitions whose records are to be written, by job and number.
+        dropped: Keys of the records to remove.
+        look_at: Executors to be asked at once.
+        ready: Steps with tasks that may wait for a start, as an ordered set.
+    """
+
+    def __init__(self, shard: int, bounds: Bounds, *, log: Callable[..., None]) -> None:
+        self._shard = shard
+        self._bounds = bounds
+        self.log = log
+        self.executors: dict[str, ExecutorState] = {}
+        self.adopting_ids: set[str] = set()
+        self.jobs: dict[str, ShardJob] = {}
+        self.left: set[str] = set()
+        self.health = HealthBook()
+        self.colocation = ColocationBook()
+        self.configuration: Configuration | None = None
+        self.orders: list[Order] = []
+        self.finished: list[Finished] = []
+        self.begun: list[str] = []
+        self.dirty: dict[tuple[str, int], JobRun] = {}
+        self.dropped: list[bytes] = []
+        self.look_at: set[str] = set()
+        self.ready: dict[StepRun, None] = {}
+
+    def __repr__(self) -> str:
+        return (
+            f"{type(self).__name__}({self._shard}, {len(self.jobs)} jobs, "
+            f"{len(self.executors)} executors)"
+        )
+
+    @property
+    def shard(self) -> int:
+        """Number of the shard."""
+        return self._shard
+
+    @property
+    def bounds(self) -> Bounds:
+        """Times that the deployment grants."""
+        return self._bounds
+
+    def find_task(self, name: TaskName) -> Task | None:
+        """Return a task by name, ``None`` if this shard has none of that name."""
+        job = self.jobs.get(name.job_id)
+        run = job.runs.get(name.repetition) if job else None
+        return run.task(name) if run else None
+
+    def attach(self, executor: ExecutorState, attempt: Attempt) -> None:
+        """Count an attempt in at its task and its executor."""
+        attempt.task.attempts.append(attempt)
+        executor.add(attempt)
+
+    def detach(self, attempt: Attempt) -> None:
+        """Count an attempt out at its task and its executor."""
+        if attempt in attempt.task.attempts:
+            attempt.task.attempts.remove(attempt)
+        self.colocation.forget(attempt)
+        executor = self.executors.get(attempt.executor_id)
+        if executor:
+            executor.remove(attempt)
+
+    def close(self, attempt: Attempt, now: float) -> None:
+        """Let go of an attempt that surely does not run and never will."""
+        self.detach(attempt)
+        task = attempt.task
+        if task.pending:
+            self.mark_ready(task, now)
+        self.touch(task.step.run)
+
+    def mark_ready(self, task: Task, now: float) -> None:
+        """Let a task wait for a start from now on."""
+        task.ready_since = now
+        task.away_since = now
+        if task.step.open:
+            self.ready[task.step] = None
+
+    def touch(self, run: JobRun) -> None:
+        """Have the record of a repetition written again."""
+        run.version += 1
+        if run.durable != float("inf"):
+            self.dirty[(run.job.job_id, run.repetition)] = run
+
+    def mark_begun(self, job: ShardJob) -> None:
+        """Have it told, once, that a task of a job was started."""
+        if not job.begun:
+            job.begun = True
+            self.begun.append(job.job_id)
+
+    def hear(self, executor: ExecutorState, clock_s: float | None, now: float) -> None:
+        """Take in that an executor answered, and what its clock showed."""
+        if clock_s is not None:
+            if executor.clock is None:
+                executor.clock = LeaseClock(clock_s, now)
+            executor.clock.hear(clock_s, now)
+        if executor.silent_since is not None:
+            self.log(
+                Event.EXECUTOR_BACK,
+                executor=executor.executor_id,
+                silent_s=round(now - executor.silent_since, 2),
+            )
+            executor.silent_since = None
+
+    def order_stop(self, attempt: Attempt, now: float) -> None:
+        """Order a stop of an attempt, unless one is out or the executor must answer first."""
+        if attempt.phase in (Phase.STOPPING, Phase.INHERITED):
+            return
+        attempt.phase = Phase.STOPPING
+        self.send_stop(attempt, now)
+
+    def send_stop(self, attempt: Attempt, now: float) -> None:
+        """Add a stop order, also where one was sent before."""
+        attempt.stop_sent_at = now
+        self.orders.append(StopOrder(attempt.executor_id, attempt.task.name, attempt.run))
+
+    def open_steps(self, run: JobRun, now: float) -> None:
+        """Make the steps ready whose dependencies are done."""
+        for step in run.steps:
+            if not step.left or not step.open:
+                continue
+            self.ready[step] = None
+            for task in step.tasks:
+                if task.ready_since == NEVER:
+                    task.ready_since = now
+                    task.away_since = now
+
+    def decide(self, job: ShardJob, state: JobState) -> None:
+        """Settle the final state of a job; the first decision stands."""
+        if job.closing:
+            return
+        job.closing = True
+        if job.borrowed:
+            # Its own shard writes the final record.
+            return
+        self.log(Event.JOB_DECIDED, job=job.job_id, state=state.value)
+        # The owner puts its time of day in when it writes the record.
+        self.finished.append(Finished(job.job_id, state, self._shard, 0.0, job.spec.queue))
+
+    def finish_if_done(self, job: ShardJob) -> None:
+        """Let a job succeed once all of its repetitions are done."""
+        if job.borrowed:
+            return
+        if len(job.runs) == job.spec.repetitions and all(run.done for run in job.runs.values()):
+            self.decide(job, JobState.SUCCEEDED)
+
+    def forget_if_quiet(self, job: ShardJob) -> None:
+        """Forget a job whose end is durable once nothing of it can be running."""
+        if any(True for _ in job.attempts()):
+            return
+        if all(run.durable == float("inf") for run in job.runs.values()):
+            self.jobs.pop(job.job_id, None)
+
+
+def short_name(name: TaskName) -> str:
+    """Return a task's name within its job, for log lines."""
+    return f"{name.repetition}.{name.step}.{name.index}"
--- /dev/null
+++ b/src/linkspan/shard/_ends.py
@@ -0,0 +1,146 @@
+"""Ends of runs: tasks that are done, failures and what they lead to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.jobs.records import JobState
+from linkspan.shard._books import short_name
+from linkspan.shard.executor import UnackedEnd
+from linkspan.shard.messages import EndKind
+
+if TYPE_CHECKING:
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import EndedTask
+    from linkspan.shard.state import Attempt, Task
+
+
+class Ends:
+    """Acts on the ends that executors list.
+
+    Args:
+        books: The shard's state.
+    """
+
+    def __init__(self, books: ShardBooks) -> None:
+        self._books = books
+
+    def __repr__(self) -> str:
+        return f"Ends({self._books!r})"
+
+    def on_end(self, executor: ExecutorState, end: EndedTask, now: float) -> None:
+        """Act on an end; it is acknowledged once what follows from it is durable."""
+        executor.seen = end.number
+        task = self._books.find_task(end.task)
+        run = task.step.run if task else None
+        if task:
+            self._apply_end(executor, task, end, now)
+        version = run.version if run else 0
+        executor.unacked.append(UnackedEnd(end.number, run, version))
+
+    def _apply_end(self, executor: ExecutorState, task: Task, end: EndedTask, now: float) -> None:
+        attempt = executor.attempts.get((end.task, end.run))
+        task.next_run = max(task.next_run, end.run + 1)
+        if attempt:
+            self._books.detach(attempt)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if end.kind is EndKind.DONE:
+            self._on_done(executor, task, attempt, now)
+        elif end.kind is EndKind.FAILED:
+            if attempt or end.run >= task.counted_run:
+                self._on_failed(executor, task, end, now)
+        elif attempt and not attempt.moved and not task.step.run.job.closing:
+            self._books.log(
+                Event.RUN_ENDED,
+                executor=executor.executor_id,
+                job=end.task.job_id,
+                task=short_name(end.task),
+                run=end.run,
+                how=end.kind.value,
+            )
+        if task.pending:
+            self._books.mark_ready(task, now)
+        self._books.touch(task.step.run)
+
+    def _on_done(
+        self, executor: ExecutorState, task: Task, attempt: Attempt | None, now: float
+    ) -> None:
+        self._books.health.succeeded(executor.executor_id)
+        if task.done:
+            return
+        if attempt and attempt.confirmed_at > 0:
+            self._note_duration(executor, task, now - attempt.placed_at, now)
+        if task.step.spec.gang:
+            for member in task.step.tasks:
+                self._mark_done(member, now)
+        else:
+            self._mark_done(task, now)
+        run = task.step.run
+        if task.step.left == 0:
+            self._books.open_steps(run, now)
+        if run.done:
+            self._books.finish_if_done(run.job)
+
+    def _mark_done(self, task: Task, now: float) -> None:
+        if task.done:
+            return
+        task.done = True
+        task.step.left -= 1
+        for other in task.attempts:
+            # The run that ended is detached; a copy of it is no longer wanted.
+            # Members of a gang end by themselves.
+            if not task.step.spec.gang:
+                self._books.order_stop(other, now)
+
+    def _note_duration(
+        self, executor: ExecutorState, task: Task, took_s: float, now: float
+    ) -> None:
+        step = task.step
+        step.durations.append(took_s)
+        if step.spec.best_effort or step.spec.checkpoints or len(step.durations) < 3:
+            return
+        ordered = sorted(step.durations)
+        like = ordered[len(ordered) // 2]
+        if like > 0:
+            self._books.health.took(executor.executor_id, took_s / like, now)
+
+    def _on_failed(self, executor: ExecutorState, task: Task, end: EndedTask, now: float) -> None:
+        job = task.step.run.job
+        if task.done or job.closing:
+            return
+        if not task.step.spec.standing:
+            task.avoid.add(executor.executor_id)
+        failures = self._count_failure(task, end.run)
+        until = self._books.health.failed(executor.executor_id, job.job_id, now)
+        self._books.log(
+            Event.RUN_FAILED,
+            executor=executor.executor_id,
+            job=job.job_id,
+            task=short_name(end.task),
+            run=end.run,
+            failures=failures,
+            most=job.max_attempts,
+        )
+        if until is not None:
+            executor.distrusted_until = max(executor.distrusted_until, until)
+            self._books.log(
+                Event.EXECUTOR_DISTRUSTED,
+                executor=executor.executor_id,
+                seconds=round(until - now, 2),
+            )
+        if not task.step.spec.standing and failures >= job.max_attempts:
+            self._books.decide(job, JobState.FAILED)
+
+    def _count_failure(self, task: Task, run: int) -> int:
+        """Count a failed run and return how often the task, or its gang, has failed."""
+        step = task.step
+        if not step.spec.gang:
+            task.failures += 1
+            return task.failures
+        if run not in step.failed_runs:
+            step.failed_runs.add(run)
+            task.failures += 1
+        return step.failures
--- /dev/null
+++ b/src/linkspan/shard/_jobs.py
@@ -0,0 +1,155 @@
+"""Jobs that come in, are taken over, fall due, change terms or end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.jobs.records import JobState
+from linkspan.shard.progress import RunKey, key_of, restore_run
+from linkspan.shard.state import ShardJob, new_run
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from linkspan.host.configuration import Configuration
+    from linkspan.jobs.records import Loan, Submitted
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard.state import JobRun
+
+INHERITED_RUN_GAP = 16
+"""Numbers left out for a task whose former owner may have started runs that it did
+not record: more than it can have started within its unrecorded last moments."""
+
+
+class JobIntake:
+    """Takes jobs in and lets them go.
+
+    Args:
+        books: The shard's state.
+    """
+
+    def __init__(self, books: ShardBooks) -> None:
+        self._books = books
+
+    def __repr__(self) -> str:
+        return f"JobIntake({self._books!r})"
+
+    def add_job(
+        self,
+        submitted: Submitted,
+        now: float,
+        *,
+        inherited: bool = False,
+        moved: bool = False,
+        progress: dict[int, bytes] | None = None,
+        borrowed: Iterable[Loan] | None = None,
+    ) -> None:
+        """Take in an accepted job.
+
+        Raises:
+            RecordError: A progress record does not fit the job.
+        """
+        job_id = submitted.spec.job_id
+        if job_id in self._books.jobs or job_id in self._books.left:
+            return
+        job = ShardJob(submitted, inherited=inherited, moved=moved)
+        job.borrowed = borrowed is not None
+        self._books.jobs[job.job_id] = job
+        self._refresh_queue(job)
+        for repetition in range(job.spec.repetitions):
+            run = job.runs[repetition] = new_run(job, repetition)
+            run.released = job.spec.schedule is None
+            if progress and repetition in progress:
+                self._restore(run, progress[repetition], now)
+            elif inherited:
+                for task in run.tasks():
+                    task.next_run = INHERITED_RUN_GAP
+            if borrowed is not None:
+                _keep_only(run, borrowed, submitted.shard)
+            self._books.open_steps(run, now)
+        self._books.finish_if_done(job)
+
+    def _restore(self, run: JobRun, value: bytes, now: float) -> None:
+        restore_run(run, value, now)
+        self._books.mark_begun(run.job)
+        for task in run.tasks():
+            task.next_run += INHERITED_RUN_GAP
+            for attempt in list(task.attempts):
+                executor = self._books.executors.get(attempt.executor_id)
+                if executor:
+                    executor.add(attempt)
+                else:
+                    # Not on the roster, so proved gone by the former owner.
+                    task.attempts.remove(attempt)
+        self._fail_if_used_up(run)
+
+    def _fail_if_used_up(self, run: JobRun) -> None:
+        for step in run.steps:
+            most = step.failures if step.spec.gang else max(t.failures for t in step.tasks)
+            if most >= run.job.max_attempts and not step.spec.standing:
+                self._books.decide(run.job, JobState.FAILED)
+
+    def _refresh_queue(self, job: ShardJob) -> None:
+        """Take a job's limits from the configuration in force.
+
+        A job whose queue was removed keeps what it had.
+        """
+        queue = self._books.configuration and self._books.configuration.queues.get(job.spec.queue)
+        if not queue:
+            return
+        job.max_attempts = queue.max_attempts
+        job.priority = queue.priority
+        job.objective_s = queue.stretch * job.spec.critical_path_s + queue.target_s
+        job.service = queue.service
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self._books.configuration = configuration
+        for job in self._books.jobs.values():
+            self._refresh_queue(job)
+
+    def release_due(self, wall: float, now: float) -> None:
+        """Open repetitions that are due."""
+        for job in self._books.jobs.values():
+            schedule = job.spec.schedule
+            if schedule is None or job.closing:
+                continue
+            for run in job.runs.values():
+                if not run.released and schedule.due(run.repetition) <= wall:
+                    run.released = True
+                    self._books.open_steps(run, now)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Cancel a job; a job that is decided already stays as it is."""
+        job = self._books.jobs.get(job_id)
+        if job and not job.closing:
+            self._books.decide(job, JobState.CANCELLED)
+
+    def on_finished(self, job_id: str) -> None:
+        """Take in that a job's final record is durable."""
+        job = self._books.jobs.get(job_id)
+        if job is None:
+            return
+        self._books.left.add(job_id)
+        for run in job.runs.values():
+            run.durable = float("inf")
+            self._books.dirty.pop((job_id, run.repetition), None)
+            self._books.dropped.append(key_of(run))
+        job.closing = True
+        self._books.forget_if_quiet(job)
+
+    def drop_progress(self, job_id: str, repetitions: Iterable[int]) -> None:
+        """Have the records of a job that is finished, or void, removed."""
+        self._books.dropped += [RunKey(job_id, number).encode() for number in repetitions]
+
+
+def _keep_only(run: JobRun, loans: Iterable[Loan], home: int) -> None:
+    """Leave all tasks but the borrowed ones to the shard that the job lives in."""
+    ours = {(loan.step, loan.index): loan.number for loan in loans}
+    for task in run.tasks():
+        number = ours.get((task.name.step, task.name.index))
+        if number is None:
+            task.lent = home
+        elif task.loan < number:
+            task.lent = None
+            task.loan = number
--- /dev/null
+++ b/src/linkspan/shard/_loans.py
@@ -0,0 +1,92 @@
+"""Tasks that are lent to other shards or borrowed from them, and jobs that move."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.jobs.records import Loan
+from linkspan.shard.progress import key_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard.state import JobRun
+
+
+class Loans:
+    """Keeps track of work that is looked after by another shard than its own.
+
+    Args:
+        books: The shard's state.
+    """
+
+    def __init__(self, books: ShardBooks) -> None:
+        self._books = books
+
+    def __repr__(self) -> str:
+        return f"Loans({self._books!r})"
+
+    def borrow_more(self, job_id: str, loans: Iterable[Loan], now: float) -> None:
+        """Take in all open loans of a job's tasks to this shard."""
+        job = self._books.jobs.get(job_id)
+        run = job.runs.get(0) if job and job.borrowed else None
+        if run is None:
+            return
+        for loan in loans:
+            task = run.steps[loan.step].tasks[loan.index]
+            if task.lent is not None and task.loan < loan.number:
+                task.lent = None
+                task.loan = loan.number
+                self._books.mark_ready(task, now)
+
+    def give_away(self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]) -> JobRun | None:
+        """Stop looking after pending tasks of a job; return their repetition.
+
+        A loan of a task that lives here gets the next number; a task that was lent to
+        this shard goes back under the number that it came with.
+        """
+        job = self._books.jobs.get(job_id)
+        run = job.runs.get(0) if job else None
+        if job is None or run is None:
+            return None
+        for step, index in tasks:
+            task = run.steps[step].tasks[index]
+            task.lent = shard
+            task.loan += 0 if job.borrowed else 1
+        self._books.touch(run)
+        return run
+
+    def take_back(self, job_id: str, returned: Iterable[Loan], now: float) -> None:
+        """Look after tasks again whose loans were given back."""
+        job = self._books.jobs.get(job_id)
+        run = job.runs.get(0) if job and not job.borrowed else None
+        if run is None:
+            return
+        for loan in returned:
+            task = run.steps[loan.step].tasks[loan.index]
+            if task.lent is not None and task.loan == loan.number:
+                task.lent = None
+                self._books.touch(run)
+                self._books.mark_ready(task, now)
+
+    def loans(self, job_id: str) -> dict[int, tuple[Loan, ...]]:
+        """Return the loans of a job's tasks that are out, by shard."""
+        job = self._books.jobs.get(job_id)
+        loans: dict[int, tuple[Loan, ...]] = {}
+        for run in job.runs.values() if job else ():
+            for task in run.tasks():
+                if task.lent is not None and task.loan:
+                    loan = Loan(task.name.step, task.name.index, task.loan)
+                    loans[task.lent] = (*loans.get(task.lent, ()), loan)
+        return loans
+
+    def remove_moved(self, job_id: str) -> None:
+        """Forget a job that was moved to another shard."""
+        self._books.left.add(job_id)
+        job = self._books.jobs.pop(job_id, None)
+        for run in job.runs.values() if job else ():
+            self._books.dirty.pop((job_id, run.repetition), None)
+            self._books.dropped.append(key_of(run))
+            for step in run.steps:
+                self._books.ready.pop(step, None)
--- /dev/null
+++ b/src/linkspan/shard/_orders.py
@@ -0,0 +1,178 @@
+"""Orders to executors and their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.shard._books import short_name
+from linkspan.shard.health import UNHEALTHY_PAUSE_S
+from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome
+from linkspan.shard.state import Attempt, Phase
+
+if TYPE_CHECKING:
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import StartAnswer, StopOrder
+    from linkspan.shard.state import Task
+
+STOP_RESEND_S = 0.5
+"""Time after which a stop whose end was not listed is sent again."""
+
+RETRY_REFUSED_S = 0.05
+"""Pause before a start that was refused for want of room is tried again: the time
+in which the executor's next report tells what it has."""
+
+
+class Orders:
+    """Decides on starts, stops and paces, and takes in how they were answered.
+
+    Args:
+        books: The shard's state.
+    """
+
+    def __init__(self, books: ShardBooks) -> None:
+        self._books = books
+
+    def __repr__(self) -> str:
+        return f"Orders({self._books!r})"
+
+    def place(
+        self,
+        task: Task,
+        executor: ExecutorState,
+        now: float,
+        *,
+        ticket: str = "",
+        run: int | None = None,
+        copy: bool = False,
+    ) -> Attempt:
+        """Decide to start a task on an executor."""
+        number = task.next_run if run is None else run
+        attempt = Attempt(task, number, executor.executor_id, Phase.STARTING, now, copy=copy)
+        task.next_run = number + 1
+        self._books.attach(executor, attempt)
+        self._books.touch(task.step.run)
+        job = task.step.run.job
+        self._books.mark_begun(job)
+        checkpoint = "" if copy else task.checkpoint
+        self._books.orders.append(
+            StartOrder(
+                executor.executor_id, task.name, number, job.spec.payload, checkpoint, ticket
+            )
+        )
+        return attempt
+
+    def unplace(self, attempt: Attempt) -> None:
+        """Take back a placement whose order was not handed out."""
+        self._books.detach(attempt)
+        attempt.task.next_run = attempt.run
+
+    def waited(self, order: StartOrder, now: float) -> float:
+        """Return how long the task of a start waited for it, in seconds."""
+        task = self._books.find_task(order.task)
+        return max(now - task.ready_since, 0.0) if task else 0.0
+
+    def on_started(self, order: StartOrder, answer: StartAnswer, now: float) -> None:
+        """Take in an executor's answer to a start."""
+        executor = self._books.executors.get(order.executor_id)
+        if executor is None:
+            return
+        self._books.hear(executor, answer.clock_s, now)
+        attempt = executor.attempts.get((order.task, order.run))
+        if attempt is None:
+            return
+        if answer.outcome is StartOutcome.STARTED:
+            if attempt.phase in (Phase.STARTING, Phase.DOUBT):
+                attempt.phase = Phase.RUNNING
+                attempt.confirmed_at = now
+            return
+        self._books.log(
+            Event.START_REFUSED,
+            executor=order.executor_id,
+            job=order.task.job_id,
+            task=short_name(order.task),
+            run=order.run,
+            reason=answer.outcome.value,
+        )
+        if answer.outcome is StartOutcome.UNHEALTHY:
+            executor.distrusted_until = max(executor.distrusted_until, now + UNHEALTHY_PAUSE_S)
+        if answer.outcome is StartOutcome.INVALID:
+            attempt.task.avoid.add(order.executor_id)
+        attempt.task.not_before = now + RETRY_REFUSED_S
+        self._books.close(attempt, now)
+
+    def on_start_unanswered(self, order: StartOrder, now: float) -> None:
+        """Take in that a start got no answer: it may be carried out later."""
+        executor = self._books.executors.get(order.executor_id)
+        attempt = executor.attempts.get((order.task, order.run)) if executor else None
+        if attempt is None or attempt.phase is not Phase.STARTING:
+            return
+        attempt.phase = Phase.DOUBT
+        self._books.look_at.add(order.executor_id)
+        self._books.log(
+            Event.START_IN_DOUBT,
+            executor=order.executor_id,
+            job=order.task.job_id,
+            task=short_name(order.task),
+            run=order.run,
+        )
+
+    def on_start_unsent(self, order: StartOrder, now: float) -> None:
+        """Take in that a start was surely never sent."""
+        executor = self._books.executors.get(order.executor_id)
+        attempt = executor.attempts.get((order.task, order.run)) if executor else None
+        if attempt and attempt.phase is Phase.STARTING:
+            self._books.close(attempt, now)
+
+    def on_stopped(self, order: StopOrder, taken: bool, now: float) -> None:
+        """Take in an executor's answer to a stop.
+
+        A stop that was taken keeps a run that is not there from ever starting. One
+        that is there ends within the stop time and is then listed.
+        """
+        executor = self._books.executors.get(order.executor_id)
+        attempt = executor.attempts.get((order.task, order.run)) if executor else None
+        if executor is None or attempt is None or not taken:
+            return
+        if attempt.stop_taken_at is None:
+            # Whether it ran is told by the next look: it is then listed or ended.
+            attempt.stop_taken_at = now
+            self._books.look_at.add(order.executor_id)
+
+    def tick(self, now: float) -> None:
+        """Send stops again whose end was not listed, and settle finished jobs."""
+        for executor in self._books.executors.values():
+            for attempt in executor.attempts.values():
+                if (
+                    attempt.phase is Phase.STOPPING
+                    and now - attempt.stop_sent_at >= STOP_RESEND_S
+                    and executor.silent_since is None
+                ):
+                    self._books.send_stop(attempt, now)
+        for job in list(self._books.jobs.values()):
+            if job.closing:
+                for attempt in job.attempts():
+                    if attempt.phase is not Phase.STOPPING:
+                        self._books.order_stop(attempt, now)
+                self._books.forget_if_quiet(job)
+
+    def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
+        """Stop an attempt so that its task continues elsewhere."""
+        self._books.log(
+            Event.RUN_MOVED,
+            executor=attempt.executor_id,
+            job=attempt.task.name.job_id,
+            task=short_name(attempt.task.name),
+            run=attempt.run,
+            reason=reason,
+        )
+        attempt.moved = True
+        self._books.order_stop(attempt, now)
+
+    def pace(self, attempt: Attempt, percent: int) -> None:
+        """Let a run work at a share of full speed."""
+        attempt.pace = percent
+        self._books.orders.append(
+            PaceOrder(attempt.executor_id, attempt.task.name, attempt.run, percent)
+        )
--- /dev/null
+++ b/src/linkspan/shard/_presence.py
@@ -0,0 +1,123 @@
+"""Which executors are there, are silent, or are gone for good."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.shard.executor import ExecutorState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from linkspan.shard._books import ShardBooks
+    from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.state import ShardJob
+
+
+class Presence:
+    """Tells when what may run on an executor has surely ended.
+
+    Args:
+        books: The shard's state.
+    """
+
+    def __init__(self, books: ShardBooks) -> None:
+        self._books = books
+        self._gone: set[str] = set()
+        self._inherited_until = float("-inf")
+
+    def __repr__(self) -> str:
+        return f"Presence({self._books!r})"
+
+    def inherit(self, roster: Iterable[ExecutorRecord], until: float) -> None:
+        """Take over executors on which a former owner may have started work."""
+        self._inherited_until = until
+        for record in roster:
+            executor = self._add_executor(record)
+            executor.rostered = True
+            executor.listed = False
+            self._books.adopting_ids.add(record.executor_id)
+
+    def may_start(self, job: ShardJob, now: float) -> bool:
+        """Whether no former owner's unrecorded run of a job's tasks can be alive."""
+        return not job.inherited or not self._books.adopting_ids or now >= self._inherited_until
+
+    def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
+        """Take in the executors of the hall that are registered at present."""
+        listed = {r.executor_id: r for r in records if r.executor_id not in self._gone}
+        addresses = {record.address: record.executor_id for record in listed.values()}
+        for executor_id, record in listed.items():
+            known = self._books.executors.get(executor_id)
+            if known is None:
+                self._books.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
+                self._add_executor(record)
+                continue
+            if record.draining and not known.draining:
+                self._books.log(
+                    Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
+                )
+                known.leaves_at = now + record.remaining_s
+            known.record = record
+            known.listed = True
+        for executor_id, known in list(self._books.executors.items()):
+            if executor_id in listed:
+                continue
+            known.listed = False
+            # One address serves one incarnation: its successor proves it gone.
+            if addresses.get(known.record.address, executor_id) != executor_id:
+                self.on_gone(executor_id, now, "successor at its address")
+
+    def on_gone(self, executor_id: str, now: float, proof: str) -> None:
+        """Take in that an incarnation is gone, with all that ran on it."""
+        executor = self._books.executors.pop(executor_id, None)
+        if executor is None:
+            return
+        self._books.log(
+            Event.EXECUTOR_GONE, executor=executor_id, proof=proof, runs=len(executor.attempts)
+        )
+        # Its registration may outlast it, so its id is kept; ids are never used again.
+        self._gone.add(executor_id)
+        self._release_all(executor, now)
+        self._books.adopting_ids.discard(executor_id)
+        self._books.health.forget(executor_id)
+
+    def on_silent(self, executor_id: str, now: float) -> None:
+        """Take in that a call to an executor got no answer."""
+        executor = self._books.executors.get(executor_id)
+        if executor is None:
+            return
+        if executor.silent_since is None:
+            executor.silent_since = now
+            self._books.log(
+                Event.EXECUTOR_SILENT, executor=executor_id, runs=len(executor.attempts)
+            )
+        if now >= self._lapsed_by(executor) and (executor.attempts or not executor.listed):
+            self._on_lapsed(executor, now)
+
+    def _add_executor(self, record: ExecutorRecord) -> ExecutorState:
+        executor = self._books.executors.get(record.executor_id)
+        if executor is None:
+            executor = self._books.executors[record.executor_id] = ExecutorState(record)
+        return executor
+
+    def _lapsed_by(self, executor: ExecutorState) -> float:
+        own = executor.clock.lapsed_by() if executor.clock else float("-inf")
+        return own if executor.adopted else max(own, self._inherited_until)
+
+    def _on_lapsed(self, executor: ExecutorState, now: float) -> None:
+        if executor.attempts:
+            self._books.log(
+                Event.LEASES_LAPSED,
+                executor=executor.executor_id,
+                runs=len(executor.attempts),
+                silent_s=round(now - (executor.silent_since or now), 2),
+            )
+        self._release_all(executor, now)
+        self._books.adopting_ids.discard(executor.executor_id)
+        if not executor.listed:
+            del self._books.executors[executor.executor_id]
+
+    def _release_all(self, executor: ExecutorState, now: float) -> None:
+        for attempt in list(executor.attempts.values()):
+            self._books.close(attempt, now)
