Split a tenure into its parts

Tenure was one class of 650 lines that read the store, watched executors, sent orders, wrote records and handed work over. Each of these is now a class with its own loops, in a module of its own, on a context that they share: recovery, news of jobs, orders, looks at executors, records, handovers, and the proof of ownership.

--- /dev/null
+++ b/src/linkspan/shard/_changes.py
@@ -0,0 +1,48 @@
+"""What there is to do: tells the loops of a tenure of changes in its core."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from linkspan.shard.core import ShardCore
+
+
+class Changes:
+    """Wakes the loops that plan and that write records.
+
+    Args:
+        core: The shard's state.
+
+    Attributes:
+        wake: Set when a plan may find something to do.
+        dirty: Set when progress or the roster is to be written.
+        finish: Set when final records are to be written.
+        roster: Ids of the executors that the durable roster names.
+    """
+
+    def __init__(self, core: ShardCore) -> None:
+        self._core = core
+        self.wake = asyncio.Event()
+        self.dirty = asyncio.Event()
+        self.finish = asyncio.Event()
+        self.roster: frozenset[str] = frozenset()
+
+    def __repr__(self) -> str:
+        return f"Changes({self._core!r})"
+
+    def news(self) -> None:
+        """Take in that the core may have changed."""
+        self.wake.set()
+        self.hand_out_records()
+
+    def hand_out_records(self) -> None:
+        """Wake the loops that write records, if there are any to write."""
+        if self._core.dirty or self._core.dropped or self._roster_changed():
+            self.dirty.set()
+        if self._core.finished:
+            self.finish.set()
+
+    def _roster_changed(self) -> bool:
+        return self.roster != self._core.executors.keys()
--- /dev/null
+++ b/src/linkspan/shard/_context.py
@@ -0,0 +1,95 @@
+"""What the parts of a tenure share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from linkspan.events import EventLog
+    from linkspan.host.job_book import JobBook
+    from linkspan.host.metrics import HostMetrics
+    from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
+    from linkspan.host.settings import HostSettings
+    from linkspan.shard._changes import Changes
+    from linkspan.shard._proof import OwnershipProof
+    from linkspan.shard._scope import Scope
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.machines import MachineService
+    from linkspan.shard.messages import (
+        ExecutorReport,
+        PaceOrder,
+        StartAnswer,
+        StartOrder,
+        StopOrder,
+    )
+    from linkspan.store.types import Partition, Store
+    from linkspan.store.writer import GroupWriter
+
+
+class Executors(Protocol):
+    """Calls to executors under the tenure's token."""
+
+    async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer: ...
+
+    async def stop(self, address: str, order: StopOrder) -> bool: ...
+
+    async def pace(self, address: str, order: PaceOrder) -> bool: ...
+
+    async def renew(
+        self,
+        address: str,
+        executor_id: str,
+        *,
+        acknowledged: int,
+        until_s: float | None,
+        wait_s: float,
+    ) -> ExecutorReport: ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class TenureContext:
+    """The shard of a tenure, its surroundings, and the state that its parts share.
+
+    Attributes:
+        shard: Number of the shard.
+        token: The tenure's token.
+        settings: The host's settings.
+        store: The platform's store.
+        partition: Where the shard's progress is kept.
+        writer: Writes there under the tenure's token.
+        executors: Calls to executors under the tenure's token.
+        machines: The machine service, where there is one.
+        book: The jobs.
+        registry: The registered executors.
+        configuration: The configuration in force.
+        log: Where events go.
+        metrics: Where counts and times go.
+        core: The shard's state.
+        changes: Tells the loops what there is to do.
+        scope: Starts work within the tenure.
+        proof: Whether orders may go out.
+    """
+
+    shard: int
+    token: int
+    settings: HostSettings
+    store: Store
+    partition: Partition
+    writer: GroupWriter
+    executors: Executors
+    machines: MachineService | None
+    book: JobBook
+    registry: ExecutorRegistry
+    configuration: ConfigurationWatch
+    log: EventLog
+    metrics: HostMetrics
+    core: ShardCore
+    changes: Changes
+    scope: Scope
+    proof: OwnershipProof
+
+    @property
+    def hall(self) -> str:
+        """Name of the shard's hall."""
+        return self.settings.halls[self.shard]
--- /dev/null
+++ b/src/linkspan/shard/_dispatch.py
@@ -0,0 +1,101 @@
+"""Plans, and the orders that come of them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.shard.messages import StartOrder, StopOrder
+from linkspan.shard.planner import Planner
+
+if TYPE_CHECKING:
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard._watch import ExecutorWatch
+    from linkspan.shard.core import Order
+
+PLAN_DELAY_S = 0.004
+"""Time for which news is gathered before a plan is made."""
+
+
+class Dispatcher:
+    """Makes a plan when there is news and sends its orders.
+
+    Args:
+        context: What the tenure works with.
+        watch: Looks at executors.
+    """
+
+    def __init__(self, context: TenureContext, watch: ExecutorWatch) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._settings = context.settings
+        self._executors = context.executors
+        self._metrics = context.metrics
+        self._scope = context.scope
+        self._proof = context.proof
+        self._changes = context.changes
+        self._watch = watch
+        self._planner = Planner(self._core)
+
+    def __repr__(self) -> str:
+        return f"Dispatcher(shard={self._shard})"
+
+    async def plan_loop(self) -> None:
+        """Plan whenever there is news."""
+        while True:
+            await self._changes.wake.wait()
+            await asyncio.sleep(PLAN_DELAY_S)
+            self._changes.wake.clear()
+            self._plan()
+
+    def _plan(self) -> None:
+        now = time.monotonic()
+        if self._proof.may_act(now):
+            self._planner.plan(now, time.time())
+            self._send_orders()
+        self._changes.hand_out_records()
+
+    def _send_orders(self) -> None:
+        core = self._core
+        orders, core.orders = core.orders, []
+        for order in orders:
+            if isinstance(order, StartOrder):
+                self._metrics.observe("start_wait", core.waited(order, time.monotonic()))
+        for order in orders:
+            self._scope.spawn(self._send(order))
+        looks, core.look_at = core.look_at, set()
+        for executor_id in looks:
+            executor = core.executors.get(executor_id)
+            if executor:
+                self._scope.spawn(self._watch.look_once(executor))
+
+    async def _send(self, order: Order) -> None:
+        executor = self._core.executors.get(order.executor_id)
+        if executor is None or executor.clock is None:
+            if isinstance(order, StartOrder):
+                self._core.on_start_unsent(order, time.monotonic())
+            return
+        address = executor.record.address
+        try:
+            if isinstance(order, StartOrder):
+                until = executor.clock.grant(self._settings.bounds.max_lease_s, time.monotonic())
+                began = time.monotonic()
+                answer = await self._executors.start(address, order, until_s=until)
+                self._metrics.observe("executor_call", time.monotonic() - began, call="start")
+                self._metrics.count("starts", outcome=answer.outcome.name.lower())
+                self._core.on_started(order, answer, time.monotonic())
+            elif isinstance(order, StopOrder):
+                taken = await self._executors.stop(address, order)
+                self._core.on_stopped(order, taken, time.monotonic())
+            else:
+                await self._executors.pace(address, order)
+        except WrongIncarnation:
+            self._core.on_gone(order.executor_id, time.monotonic(), "another incarnation answers")
+        except Unreachable:
+            call = type(order).__name__
+            self._metrics.count("executor_calls", call=call, outcome="unreachable")
+            if isinstance(order, StartOrder):
+                self._core.on_start_unanswered(order, time.monotonic())
+        self._changes.news()
--- /dev/null
+++ b/src/linkspan/shard/_feed.py
@@ -0,0 +1,86 @@
+"""News of jobs from the job book, as the core takes them in."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from linkspan.errors import RecordError
+from linkspan.events import Event
+
+if TYPE_CHECKING:
+    from linkspan.jobs.catalog import JobEntry
+    from linkspan.shard._context import TenureContext
+
+
+class JobFeed:
+    """Passes on what the job book says of the jobs of a shard.
+
+    Args:
+        context: What the tenure works with.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._book = context.book
+        self._log = context.log
+        self._changes = context.changes
+
+    def __repr__(self) -> str:
+        return f"JobFeed(shard={self._shard})"
+
+    def on_job(self, job_id: str) -> None:
+        """Take in that something is known of a job that was not before."""
+        now = time.monotonic()
+        entry = self._book.catalog.get(job_id)
+        if entry is None:
+            return
+        if entry.finished:
+            self._core.on_finished(job_id)
+        elif job_id in self._core.jobs:
+            self._on_known_job(job_id, entry, now)
+        elif entry.shard == self._shard or self._shard in entry.lent:
+            # A former owner that has not yet read of our claim may see it too.
+            self.add_job(job_id, entry, now, inherited=self._core.adopting)
+        self._changes.news()
+
+    def add_job(
+        self,
+        job_id: str,
+        entry: JobEntry,
+        now: float,
+        *,
+        inherited: bool,
+        progress: dict[int, bytes] | None = None,
+    ) -> None:
+        """Take a job in; a progress record that does not fit it is logged."""
+        if entry.submitted is None:
+            return
+        borrowed = None if entry.shard == self._shard else entry.open_loans(self._shard)
+        try:
+            self._core.add_job(
+                entry.submitted,
+                now,
+                inherited=inherited,
+                moved=entry.moved is not None,
+                progress=progress,
+                borrowed=borrowed,
+            )
+        except RecordError as error:
+            self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+        if entry.cancelled:
+            self._core.cancel_job(job_id)
+
+    def _on_known_job(self, job_id: str, entry: JobEntry, now: float) -> None:
+        if entry.cancelled:
+            self._core.cancel_job(job_id)
+        elif entry.shard != self._shard:
+            self._core.borrow_more(job_id, entry.open_loans(self._shard), now)
+        else:
+            self.take_back(job_id, entry, now)
+
+    def take_back(self, job_id: str, entry: JobEntry, now: float) -> None:
+        """Look after the tasks again that other shards returned."""
+        for loans in entry.returned.values():
+            self._core.take_back(job_id, loans, now)
--- /dev/null
+++ b/src/linkspan/shard/_handovers.py
@@ -0,0 +1,108 @@
+"""Work that goes to other halls, and work that is given back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from linkspan.jobs.records import Lent, Loan, Moved, Returned
+from linkspan.shard.messages import can_run
+from linkspan.shard.planner import summarize
+from linkspan.shard.progress import RunKey, encode_moved, encode_run, key_of
+from linkspan.shard.rebalance import Rebalancer
+from linkspan.store.types import Record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from linkspan.jobs.spec import StepSpec
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.rebalance import Handover
+    from linkspan.shard.state import JobRun
+    from linkspan.shard.summary import HallSummary
+
+REBALANCE_S = 0.3
+"""Time between looks for work that another hall could take."""
+
+
+class Handovers:
+    """Hands over what the rebalancer finds: durable here before it is told there.
+
+    Args:
+        context: What the tenure works with.
+        summary_of: Returns what the owner of a shard last told.
+    """
+
+    def __init__(
+        self, context: TenureContext, summary_of: Callable[[int], HallSummary | None]
+    ) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._settings = context.settings
+        self._book = context.book
+        self._registry = context.registry
+        self._writer = context.writer
+        self._scope = context.scope
+        self._proof = context.proof
+        self._changes = context.changes
+        self._summary_of = summary_of
+        self._rebalancer = Rebalancer(
+            self._core, summaries=self._other_summaries, count_able=self._count_able
+        )
+
+    def __repr__(self) -> str:
+        return f"Handovers(shard={self._shard})"
+
+    async def rebalance_loop(self) -> None:
+        """Look for work that another hall could take, and hand it over."""
+        while True:
+            await asyncio.sleep(REBALANCE_S)
+            if not self._proof.may_act(time.monotonic()):
+                continue
+            own = summarize(self._core, time.monotonic())
+            for handover in self._rebalancer.plan(own, time.monotonic()):
+                self._core.jobs[handover.job_id].handing_over = True
+                self._scope.spawn(self._hand_over(handover))
+
+    async def _hand_over(self, handover: Handover) -> None:
+        job_id, shard, tasks = handover
+        if tasks is None:
+            key = RunKey(job_id, 0).encode()
+            await self._writer.write([Record(encode_moved(shard), key)])
+            await self.tell_moved(job_id, shard)
+            return
+        job = self._core.jobs[job_id]
+        run = self._core.give_away(job_id, shard, tasks)
+        if run is None:
+            return
+        await self._writer.write([Record(encode_run(run), key_of(run))])
+        if job.borrowed:
+            await self._book.write([self._returned(job_id, run, tasks)])
+        else:
+            await self._book.write([Lent(job_id, shard, self._core.loans(job_id)[shard])])
+        job.handing_over = False
+
+    def _returned(self, job_id: str, run: JobRun, tasks: tuple[tuple[int, int], ...]) -> Returned:
+        entry = self._book.catalog.get(job_id)
+        before = entry.returned.get(self._shard, ()) if entry else ()
+        loans = tuple(Loan(s, i, run.steps[s].tasks[i].loan) for s, i in tasks)
+        return Returned(job_id, self._shard, (*before, *loans))
+
+    async def tell_moved(self, job_id: str, shard: int) -> None:
+        """Tell that a job lives in another shard now, and forget it."""
+        await self._book.write([Moved(job_id, shard)])
+        self._core.remove_moved(job_id)
+        self._core.drop_progress(job_id, [0])
+        self._changes.news()
+
+    def _other_summaries(self) -> dict[int, HallSummary]:
+        return {
+            shard: summary
+            for shard in range(len(self._settings.halls))
+            if shard != self._shard and (summary := self._summary_of(shard)) is not None
+        }
+
+    def _count_able(self, shard: int, step: StepSpec, service: str) -> int:
+        executors = self._registry.executors(self._settings.halls[shard])
+        return sum(e.service == service and not e.draining and can_run(step, e) for e in executors)
--- /dev/null
+++ b/src/linkspan/shard/_records.py
@@ -0,0 +1,143 @@
+"""The records of a tenure: progress, ends, beginnings, and their removal."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from linkspan.jobs.records import Begun, Dropped, Finished
+from linkspan.shard.progress import ROSTER_KEY, encode_roster, encode_run, key_of
+from linkspan.store.types import Record
+
+if TYPE_CHECKING:
+    from linkspan.jobs.records import JobRecord
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.state import JobRun
+
+FLUSH_S = 0.06
+"""Time for which changes of progress are gathered into one append."""
+
+BEGUN_S = 1.0
+"""Time for which jobs that began are gathered; counts may be two seconds old."""
+
+PRUNE_S = 15.0
+"""Time between removals of records that are past their time."""
+
+PRUNE_MARGIN_S = 60.0
+"""Time for which finished jobs are kept beyond what callers were promised."""
+
+
+class RecordKeeper:
+    """Writes what the core wants durable and removes what is past its time.
+
+    Args:
+        context: What the tenure works with.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._settings = context.settings
+        self._book = context.book
+        self._writer = context.writer
+        self._scope = context.scope
+        self._changes = context.changes
+
+    def __repr__(self) -> str:
+        return f"RecordKeeper(shard={self._shard})"
+
+    async def flush_loop(self) -> None:
+        """Write changes of progress for as long as the tenure lasts."""
+        while True:
+            await self._changes.dirty.wait()
+            await asyncio.sleep(FLUSH_S)
+            self._changes.dirty.clear()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Write the progress and the roster that changed since the last time.
+
+        Raises:
+            Fenced, ProducerFenced, ProducerGap: Another owner writes.
+        """
+        core = self._core
+        runs = list(core.dirty.values())
+        core.dirty.clear()
+        dropped, core.dropped = core.dropped, []
+        # A job whose final state is on its way is dropped once that is durable.
+        runs = [run for run in runs if not run.job.closing]
+        versions = [run.version for run in runs]
+        records = [Record(encode_run(run), key_of(run)) for run in runs]
+        records += [Record(b"", key) for key in dropped]
+        roster = frozenset(core.executors)
+        if roster != self._changes.roster:
+            listed = encode_roster(e.record for e in core.executors.values())
+            records.append(Record(listed, ROSTER_KEY))
+        if not records:
+            return
+        await self._writer.write(records)
+        self._changes.roster = roster
+        self._mark_durable(runs, versions, roster)
+
+    def _mark_durable(
+        self, runs: list[JobRun], versions: list[int], roster: frozenset[str]
+    ) -> None:
+        for run, version in zip(runs, versions, strict=True):
+            run.durable = max(run.durable, version)
+        for executor_id in roster:
+            executor = self._core.executors.get(executor_id)
+            if executor and not executor.rostered:
+                executor.rostered = True
+                self._changes.wake.set()
+
+    async def finish_loop(self) -> None:
+        """Write the final records of jobs that were decided."""
+        while True:
+            await self._changes.finish.wait()
+            self._changes.finish.clear()
+            decided, self._core.finished = self._core.finished, []
+            for finished in decided:
+                self._scope.spawn(self._record_finish(finished))
+
+    async def _record_finish(self, finished: Finished) -> None:
+        entry = self._book.catalog.get(finished.job_id)
+        records: list[JobRecord] = [
+            Finished(finished.job_id, finished.state, finished.shard, time.time(), finished.queue)
+        ]
+        records += [Dropped("s", finished.job_id, host) for host in (entry.hosts if entry else ())]
+        records += [Dropped(kind, finished.job_id) for kind in ("c", "b", "m")]
+        records += [
+            Dropped(kind, finished.job_id, str(shard))
+            for shard in (entry.lent if entry else ())
+            for kind in ("l", "r")
+        ]
+        await self._book.write(records)
+        self._core.on_finished(finished.job_id)
+        self._changes.news()
+
+    async def begun_loop(self) -> None:
+        """Write which jobs began."""
+        while True:
+            await asyncio.sleep(BEGUN_S)
+            begun, self._core.begun = self._core.begun, []
+            records = [
+                Begun(job_id)
+                for job_id in begun
+                if job_id in self._core.jobs and not self._core.jobs[job_id].closing
+            ]
+            if records:
+                await self._book.write(records)
+
+    async def prune_loop(self) -> None:
+        """Remove the final records that are past their time."""
+        while True:
+            await asyncio.sleep(PRUNE_S)
+            limit = time.time() - self._settings.bounds.state_kept_s - PRUNE_MARGIN_S
+            old = [
+                Dropped("f", job_id)
+                for job_id, entry in self._book.catalog.of_shard(self._shard)
+                if entry.finished and entry.finished.at < limit
+            ]
+            if old:
+                await self._book.write(old)
--- /dev/null
+++ b/src/linkspan/shard/_recovery.py
@@ -0,0 +1,180 @@
+"""How a tenure learns what its predecessor left."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, TypeVar
+
+from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
+from linkspan.events import Event
+from linkspan.jobs.records import Lent, Returned
+from linkspan.shard._watch import RETRY_S
+from linkspan.shard.leases import inherited_lapse
+from linkspan.shard.progress import ROSTER_KEY, decode_roster, moved_to, parse_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from linkspan.jobs.catalog import JobEntry
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard._feed import JobFeed
+    from linkspan.shard._handovers import Handovers
+    from linkspan.shard._watch import ExecutorWatch
+    from linkspan.shard.messages import ExecutorRecord
+
+T = TypeVar("T")
+
+
+class Recovery:
+    """Rebuilds the state of a shard from the store.
+
+    Args:
+        context: What the tenure works with.
+        feed: Takes in jobs.
+        handovers: Finishes moves.
+        watch: Looks at executors.
+        former_offline_s: Time for which the former owner may act after our claim, in seconds.
+    """
+
+    def __init__(
+        self,
+        context: TenureContext,
+        feed: JobFeed,
+        handovers: Handovers,
+        watch: ExecutorWatch,
+        former_offline_s: float,
+    ) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._hall = context.hall
+        self._settings = context.settings
+        self._store = context.store
+        self._partition = context.partition
+        self._book = context.book
+        self._registry = context.registry
+        self._configuration = context.configuration
+        self._log = context.log
+        self._metrics = context.metrics
+        self._writer = context.writer
+        self._scope = context.scope
+        self._proof = context.proof
+        self._changes = context.changes
+        self._feed = feed
+        self._handovers = handovers
+        self._watch = watch
+        self._former_offline_s = former_offline_s
+        self._token = context.token
+        self._done = False
+
+    def __repr__(self) -> str:
+        return f"Recovery(shard={self._shard})"
+
+    @property
+    def done(self) -> bool:
+        """Whether the state is complete."""
+        return self._done
+
+    async def recover(self) -> None:
+        """Fence the former owner off and take over its work.
+
+        Raises:
+            Fenced, ProducerFenced, ProducerGap: A newer owner writes already.
+        """
+        await self._until_stored(self._fence_former)
+        page = await self._until_stored(lambda: self._store.newest(self._partition))
+        await self._until_stored(self._book.follower.sync)
+        await self._until_stored(self._registry.follower.sync)
+        records = {entry.key: entry.value for entry in page.entries if entry.value}
+        now = time.monotonic()
+        core = self._core
+        if self._configuration.current:
+            core.configure(self._configuration.current)
+        lapse = inherited_lapse(
+            self._proof.claimed_at, self._former_offline_s, self._settings.bounds.max_lease_s
+        )
+        core.inherit(self._read_roster(records.pop(ROSTER_KEY, b"")), lapse)
+        self._changes.roster = frozenset(core.executors)
+        self._add_jobs(records, now)
+        core.list_executors(self._registry.executors(self._hall), now)
+        self._done = True
+        self._metrics.count("claims")
+        self._metrics.observe("recovery", now - self._proof.claimed_at)
+        self._log.write(
+            Event.OWNER_RECOVERED,
+            shard=self._shard,
+            token=self._token,
+            took_s=round(now - self._proof.claimed_at, 3),
+            **core.describe(),
+        )
+        self._watch.watch_all()
+        self._changes.news()
+
+    async def _fence_former(self) -> None:
+        await self._writer.write([])
+
+    async def _until_stored(self, call: Callable[[], Coroutine[None, None, T]]) -> T:
+        while True:
+            try:
+                return await call()
+            except (StoreRefused, StoreUnanswered):
+                await asyncio.sleep(RETRY_S)
+
+    def _read_roster(self, value: bytes) -> tuple[ExecutorRecord, ...]:
+        if not value:
+            return ()
+        try:
+            return decode_roster(value)
+        except RecordError as error:
+            self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+            return ()
+
+    def _add_jobs(self, records: dict[bytes, bytes], now: float) -> None:
+        progress: dict[str, dict[int, bytes]] = {}
+        for key, value in records.items():
+            try:
+                run = parse_key(key)
+            except RecordError as error:
+                self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+                continue
+            progress.setdefault(run.job_id, {})[run.repetition] = value
+        for job_id, entry in list(self._book.catalog.of_shard(self._shard)):
+            runs = progress.pop(job_id, {})
+            if entry.finished:
+                self._core.drop_progress(job_id, runs)
+            elif self._is_moved(job_id, entry, runs):
+                continue
+            else:
+                self._feed.add_job(job_id, entry, now, inherited=True, progress=runs)
+                self._tell_again(job_id, entry)
+        for job_id, runs in progress.items():
+            self._core.drop_progress(job_id, runs)
+
+    def _is_moved(self, job_id: str, entry: JobEntry, runs: dict[int, bytes]) -> bool:
+        """Finish a move that a former owner began."""
+        try:
+            shard = moved_to(runs.get(0, b""))
+        except RecordError as error:
+            self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+            return False
+        if shard is None:
+            return False
+        if entry.shard == self._shard:
+            self._scope.spawn(self._handovers.tell_moved(job_id, shard))
+        else:
+            self._core.drop_progress(job_id, runs)
+        return True
+
+    def _tell_again(self, job_id: str, entry: JobEntry) -> None:
+        """Tell of loans and returns that a former owner may not have told."""
+        if entry.shard != self._shard:
+            given = {loan for loans in self._core.loans(job_id).values() for loan in loans}
+            untold = given & set(entry.open_loans(self._shard))
+            if untold:
+                before = entry.returned.get(self._shard, ())
+                self._book.write([Returned(job_id, self._shard, (*before, *sorted(untold)))])
+            return
+        self._feed.take_back(job_id, entry, time.monotonic())
+        for shard, loans in self._core.loans(job_id).items():
+            if set(loans) - set(entry.lent.get(shard, ())):
+                self._book.write([Lent(job_id, shard, loans)])
--- /dev/null
+++ b/src/linkspan/shard/_watch.py
@@ -0,0 +1,167 @@
+"""Looks at executors: their reports, their silence and their end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.shard.machines import MachineWatch
+from linkspan.shard.pacing import Pacer
+
+if TYPE_CHECKING:
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import ExecutorReport
+
+GATHER_S = 0.06
+"""Pause between two looks at an executor: ends that come within it are told
+together. Objectives leave half a second and more beside the work itself."""
+
+IDLE_WAIT_S = 2.0
+"""How long a look waits for an end: the longest that executors grant."""
+
+PACED_WAIT_S = 0.5
+"""How long it waits where best-effort tasks run beside standing ones: the time
+that a figure of their latency covers."""
+
+RETRY_S = 0.15
+"""First pause after a call to an executor got no answer; doubled up to the next.
+A recovery pauses as long when the store does not answer."""
+
+MAX_RETRY_S = 0.6
+"""Longest pause between calls to a silent executor."""
+
+MACHINES_S = 1.0
+"""Time between looks at the machine service: an executor that crashed is found
+sooner than by its silence, which takes up to three seconds."""
+
+
+class ExecutorWatch:
+    """Keeps one look open at each executor and renews the leases there.
+
+    Args:
+        context: What the tenure works with.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        self._core = context.core
+        self._shard = context.shard
+        self._settings = context.settings
+        self._executors = context.executors
+        self._machines = context.machines
+        self._metrics = context.metrics
+        self._scope = context.scope
+        self._proof = context.proof
+        self._changes = context.changes
+        self._pacer = Pacer(self._core, self._core.colocation)
+        self._watchers: dict[str, asyncio.Task[None] | None] = {}
+
+    def __repr__(self) -> str:
+        return f"ExecutorWatch(shard={self._shard})"
+
+    def watch_all(self) -> None:
+        """Watch each executor that the core knows, and no other."""
+        for executor_id, executor in self._core.executors.items():
+            watcher = self._watchers.get(executor_id)
+            if watcher is None or watcher.done():
+                self._watchers[executor_id] = self._scope.spawn(self._watch(executor))
+        for executor_id in self._watchers.keys() - self._core.executors.keys():
+            watcher = self._watchers.pop(executor_id)
+            if watcher:
+                watcher.cancel()
+
+    def cancel(self) -> None:
+        """Stop watching, without waiting for looks that are open."""
+        for watcher in self._watchers.values():
+            if watcher:
+                watcher.cancel()
+
+    async def look_once(self, executor: ExecutorState) -> None:
+        """Ask an executor for its report now."""
+        await self._look(executor, 0.0)
+
+    async def machines_loop(self) -> None:
+        """Find executors whose machine is gone, where a machine service tells."""
+        watch = MachineWatch()
+        while self._machines:
+            await asyncio.sleep(MACHINES_S)
+            executors = self._core.executors.values()
+            known = {e.executor_id for e in executors if e.rostered}
+            silent = {e.executor_id for e in executors if e.silent_since is not None}
+            if not known:
+                continue
+            try:
+                machines = await self._machines.machines()
+            except Unreachable:
+                # Only a help: leases tell in the end.
+                continue
+            for executor_id in watch.gone(machines, known, silent):
+                self._core.on_gone(executor_id, time.monotonic(), "machine lists it no more")
+                self._changes.news()
+
+    async def _watch(self, executor: ExecutorState) -> None:
+        pause = RETRY_S
+        while self._core.executors.get(executor.executor_id) is executor:
+            if await self._look(executor, self._wait_for(executor)):
+                pause = RETRY_S
+                await self._settle(executor)
+            else:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, MAX_RETRY_S)
+
+    def _wait_for(self, executor: ExecutorState) -> float:
+        if not executor.adopted or executor.silent_since is not None:
+            return 0.0
+        if executor.unacked:
+            return 0.0
+        if executor.best_effort() and executor.standing():
+            return PACED_WAIT_S
+        return min(IDLE_WAIT_S, self._settings.bounds.max_lease_s / 6)
+
+    async def _look(self, executor: ExecutorState, wait_s: float) -> bool:
+        asked = time.monotonic()
+        until = None
+        # A silent executor's lease must run out: it may hear us without being heard.
+        if executor.clock and executor.silent_since is None and self._proof.may_act(asked):
+            until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
+        try:
+            report = await self._executors.renew(
+                executor.record.address,
+                executor.executor_id,
+                acknowledged=executor.acknowledged,
+                until_s=until,
+                wait_s=wait_s,
+            )
+        except WrongIncarnation:
+            self._core.on_gone(
+                executor.executor_id, time.monotonic(), "another incarnation answers"
+            )
+            self._changes.news()
+            return False
+        except Unreachable:
+            self._core.on_silent(executor.executor_id, time.monotonic())
+            self._changes.news()
+            return False
+        now = time.monotonic()
+        self._count_ends(executor, report)
+        self._core.on_report(executor.executor_id, report, asked=asked, now=now)
+        self._pacer.on_report(executor, now)
+        self._changes.news()
+        return True
+
+    def _count_ends(self, executor: ExecutorState, report: ExecutorReport) -> None:
+        for end in report.ended:
+            if end.number > executor.seen:
+                self._metrics.count("ends", how=end.kind.value)
+
+    async def _settle(self, executor: ExecutorState) -> None:
+        """Wait until ends are durable, so that the next look does not list them again."""
+        await asyncio.sleep(GATHER_S)
+        executor.advance_acknowledged()
+        waited = GATHER_S
+        while executor.unacked and waited < MAX_RETRY_S:
+            await asyncio.sleep(GATHER_S / 2)
+            waited += GATHER_S / 2
+            executor.advance_acknowledged()
