Remove leftovers of the shard's owner; one median, one home for summaries

next_wake, GroupWriter.fail_all and two constants of the store's client had no caller and no test. The median of a step's running times was worked out twice and is now StepRun.median_s. summarize makes a HallSummary and has moved from the planner to the module of that class. What a few constants and errors mean is written down.

--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -31,11 +31,8 @@
 EXECUTOR_RECORDS = Partition("servers", keyed=True)
 """Where executors register themselves, each under its id."""
 
-STATUS_RECORDS = Partition("status", keyed=True)
-"""Where the operator reads what the system reports."""
-
 CONFIG_KEY = b"config"
-WAVE_PREFIX = b"wave/"
+"""Key of the configuration among the operator's records."""
 
 _LENGTH = Struct(">I")
 _READ_HEAD = Struct(">QQ")
@@ -45,6 +42,7 @@
 20 ms and a slow one (60 times slower) in under 0.6 s."""
 
 _NOTHING_DONE = frozenset((429, 503, 507))
+"""Statuses of calls of which the store has surely done nothing."""
 
 
 class StoreClient:
--- a/src/linkspan/shard/_ends.py
+++ b/src/linkspan/shard/_ends.py
@@ -102,8 +102,7 @@
         step.durations.append(took_s)
         if step.spec.best_effort or step.spec.checkpoints or len(step.durations) < 3:
             return
-        ordered = sorted(step.durations)
-        like = ordered[len(ordered) // 2]
+        like = step.median_s
         if like > 0:
             self._books.health.took(executor.executor_id, took_s / like, now)
 
--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/_handovers.py
@@ -8,9 +8,9 @@
 
 from linkspan.jobs.records import Lent, Loan, Moved, Returned
 from linkspan.shard.messages import can_run
-from linkspan.shard.planner import summarize
 from linkspan.shard.progress import RunKey, encode_moved, encode_run, key_of
 from linkspan.shard.rebalance import Rebalancer
+from linkspan.shard.summary import summarize
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -7,8 +7,7 @@
 from linkspan.events import Event
 from linkspan.shard.pacing import MOVE_BELOW
 from linkspan.shard.placement import StepPlacement
-from linkspan.shard.state import NEVER, Phase
-from linkspan.shard.summary import HallSummary
+from linkspan.shard.state import Phase
 
 if TYPE_CHECKING:
     from linkspan.shard.core import ShardCore
@@ -273,41 +272,5 @@
             return False
         took = now - max(attempt.placed_at, attempt.confirmed_at)
         if len(step.durations) >= 2:
-            ordered = sorted(step.durations)
-            like = ordered[len(ordered) // 2]
-            return took > STRAGGLER_FACTOR * like + STRAGGLER_SLACK_S
+            return took > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
         return took > LONE_FACTOR * spec.estimate_s + LONE_SLACK_S
-
-
-def next_wake(core: ShardCore, now: float) -> float:
-    """Return the steady time at which a plan may find something new by itself."""
-    times = [
-        task.not_before
-        for step in core.ready
-        for task in step.tasks
-        if task.pending and task.not_before > now
-    ]
-    return min(times, default=NEVER)
-
-
-def summarize(core: ShardCore, now: float) -> HallSummary:
-    """Return the state of a shard's hall for other hosts."""
-    usable = [e for e in core.executors.values() if e.usable(now)]
-    standing: dict[str, int] = {}
-    for executor in usable:
-        for attempt in executor.attempts.values():
-            spec = attempt.task.step.spec
-            if spec.standing:
-                standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
-    return HallSummary(
-        capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(e.free_cpu for e in usable),
-        best_effort=sum(e.best_effort_cpu for e in usable),
-        waiting=sum(
-            step.spec.demand.milli_cpu * sum(task.pending for task in step.tasks)
-            for step in core.ready
-        ),
-        standing=standing,
-        effects=core.colocation.effects(),
-        rooms=tuple((e.free_cpu, e.free_memory) for e in usable),
-    )
--- a/src/linkspan/shard/progress.py
+++ b/src/linkspan/shard/progress.py
@@ -7,6 +7,7 @@
 import orjson
 
 from linkspan.errors import RecordError
+from linkspan.jobs.spec import Demand
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.state import Attempt, Phase
 
@@ -15,8 +16,6 @@
 
     from linkspan.shard.state import JobRun, Task
 
-from linkspan.jobs.spec import Demand
-
 ROSTER_KEY = b"roster"
 """Key of the record that lists all executors that may run something."""
 
@@ -71,7 +70,11 @@
 
 
 def moved_to(value: bytes) -> int | None:
-    """Return the shard that a record says its job was moved to, if it does."""
+    """Return the shard that a record says its job was moved to, if it does.
+
+    Raises:
+        RecordError: The bytes tell of a move, but not where to.
+    """
     if not value.startswith(b"{"):
         return None
     try:
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -146,6 +146,11 @@
         """Failed runs of a gang as a whole."""
         return sum(task.failures for task in self.tasks)
 
+    @property
+    def median_s(self) -> float:
+        """Median running time of tasks that are done, in seconds; there must be one."""
+        return sorted(self.durations)[len(self.durations) // 2]
+
     @property
     def open(self) -> bool:
         """Whether all steps that it depends on are done."""
--- a/src/linkspan/shard/summary.py
+++ b/src/linkspan/shard/summary.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand
+    from linkspan.shard.core import ShardCore
 
 
 class PairEffect(NamedTuple):
@@ -96,3 +97,26 @@
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
+
+
+def summarize(core: ShardCore, now: float) -> HallSummary:
+    """Return the state of a shard's hall for other hosts."""
+    usable = [e for e in core.executors.values() if e.usable(now)]
+    standing: dict[str, int] = {}
+    for executor in usable:
+        for attempt in executor.attempts.values():
+            spec = attempt.task.step.spec
+            if spec.standing:
+                standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
+    return HallSummary(
+        capacity=sum(e.record.capacity.milli_cpu for e in usable),
+        free=sum(e.free_cpu for e in usable),
+        best_effort=sum(e.best_effort_cpu for e in usable),
+        waiting=sum(
+            step.spec.demand.milli_cpu * sum(task.pending for task in step.tasks)
+            for step in core.ready
+        ),
+        standing=standing,
+        effects=core.colocation.effects(),
+        rooms=tuple((e.free_cpu, e.free_memory) for e in usable),
+    )
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -27,7 +27,7 @@
 from linkspan.shard._watch import ExecutorWatch
 from linkspan.shard.core import ShardCore
 from linkspan.shard.ownership import OFFLINE_S
-from linkspan.shard.planner import summarize
+from linkspan.shard.summary import summarize
 from linkspan.store.types import Partition
 from linkspan.store.writer import GroupWriter
 
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -117,11 +117,6 @@
             while group := self._next_group():
                 await self._write_group(group)
 
-    def fail_all(self, error: LinkspanError) -> None:
-        """Fail all that is queued, after the writer was stopped."""
-        while self._queue:
-            _fail(self._queue.popleft(), error)
-
     def _next_group(self) -> list[_Item]:
         group: list[_Item] = []
         size = 0
