Say what private records hold; name two pauses; split two long conditions

Three private classes had no word on their fields, and the protocol of calls to executors said nothing of arguments and errors: its only implementation did. The protocol now says it, and the client refers there, as the store's client does. The claim loop's and the drain's pauses have names. How long a former owner may act, and whether best-effort work fits, are methods of their own.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -32,6 +32,9 @@
 CRASH_PAUSE_S = 1.0
 """Pause after a tenure ended by an error, so that a lasting one does not spin."""
 
+CLAIM_TICK_S = 0.1
+"""Time between checks whether it is this host's turn to claim."""
+
 HAND_ON_S = 1.0
 """Longest time for making progress durable before a shard is handed on."""
 
@@ -136,7 +139,7 @@
                 now = time.monotonic()
                 if self._view.should_claim(now) and self._heard_lately(now):
                     await self._claim(group)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(CLAIM_TICK_S)
 
     def _heard_lately(self, now: float) -> bool:
         # The silence must be the owner's, not the store's.
@@ -147,13 +150,7 @@
         record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
         silent = self._view.silent_for(time.monotonic())
         former = self._view.owner
-        if former and former.host == self._host:
-            # An earlier life of this host has ended, or we would not run.
-            self._former_offline_s = 0.0
-        elif former:
-            self._former_offline_s = max(OFFLINE_S - silent, 0.0)
-        else:
-            self._former_offline_s = OFFLINE_S
+        self._former_offline_s = self._offline_left(former, silent)
         try:
             await self._follower.sync()
             if not self._view.should_claim(time.monotonic()):
@@ -172,6 +169,15 @@
             silent_s=round(silent, 2),
         )
 
+    def _offline_left(self, former: Owner | None, silent_s: float) -> float:
+        """Return for how many more seconds a former owner may act unproved."""
+        if former is None:
+            return OFFLINE_S
+        if former.host == self._host:
+            # An earlier life of this host has ended, or we would not run.
+            return 0.0
+        return max(OFFLINE_S - silent_s, 0.0)
+
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         now = time.monotonic()
         for entry in entries:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -53,6 +53,10 @@
 """Time between checks of what this host owns and knows."""
 
 
+DRAIN_TICK_S = 0.05
+"""Time between checks whether a drain is over."""
+
+
 @dataclass(frozen=True)
 class Adapter:
     """What a host needs of the platform's manner of speaking.
@@ -192,7 +196,7 @@
         while time.monotonic() < began + limit_s:
             if self.front.in_flight == 0 and time.monotonic() >= began + notice_s:
                 return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(DRAIN_TICK_S)
 
     def _make_tenure(self, owner: Owner, shard: int, former_offline_s: float) -> Tenure:
         return Tenure(
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -35,6 +35,15 @@
 
 
 class _Choice(NamedTuple):
+    """A choice that the summaries may not show yet.
+
+    Attributes:
+        at: Steady time of the choice.
+        shard: The chosen shard.
+        milli_cpu: Thousandths of a core that the job's widest step asks for.
+        standing: Whether the job has standing tasks.
+    """
+
     at: float
     shard: int
     milli_cpu: int
--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -58,18 +58,7 @@
         return f"ExecutorClient(token={self._token})"
 
     async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
-        """Start a run.
-
-        Args:
-            address: Where the executor takes orders.
-            order: What to start.
-            until_s: Lease of all that runs there, on the executor's clock.
-
-        Raises:
-            Fenced: The executor has seen a higher token.
-            WrongIncarnation: The intended incarnation is gone.
-            Unreachable: No answer; it may be done, even seconds later.
-        """
+        """Start a run; see :meth:`linkspan.shard.tenure.Executors.start`."""
         body = {
             "task": task_to_wire(order.task),
             "run": order.run,
@@ -85,21 +74,13 @@
         return StartAnswer(_start_outcome(status, fields), _clock(fields))
 
     async def stop(self, address: str, order: StopOrder) -> bool:
-        """Stop a run and return whether the order was taken.
-
-        Raises:
-            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
-        """
+        """Stop a run; see :meth:`linkspan.shard.tenure.Executors.stop`."""
         body = {"task": task_to_wire(order.task), "run": order.run, "fencingToken": self._token}
         status, _ = await self._call(address, order.executor_id, "run-stop", body)
         return status == 200
 
     async def pace(self, address: str, order: PaceOrder) -> bool:
-        """Set a run's pace and return whether the order was taken.
-
-        Raises:
-            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
-        """
+        """Set a run's pace; see :meth:`linkspan.shard.tenure.Executors.pace`."""
         body = {
             "task": task_to_wire(order.task),
             "run": order.run,
@@ -118,17 +99,9 @@
         until_s: float | None,
         wait_s: float,
     ) -> ExecutorReport:
-        """Renew the lease of all that runs there and look at it.
-
-        Args:
-            address: Where the executor takes orders.
-            executor_id: The intended incarnation.
-            acknowledged: Number of the last end that need not be listed again.
-            until_s: New lease on the executor's clock, ``None`` to only look.
-            wait_s: Time that the answer waits for an end, 2 s at most.
+        """Renew and look; see :meth:`linkspan.shard.tenure.Executors.renew`.
 
-        Raises:
-            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
+        A wait is cut to the longest that executors grant, 2 s.
         """
         body: dict[str, Any] = {"fencingToken": self._token, "lastSeen": acknowledged}
         if until_s is not None:
--- a/src/linkspan/shard/_context.py
+++ b/src/linkspan/shard/_context.py
@@ -30,11 +30,33 @@
 class Executors(Protocol):
     """Calls to executors under the tenure's token."""
 
-    async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer: ...
+    async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
+        """Start a run.
 
-    async def stop(self, address: str, order: StopOrder) -> bool: ...
+        Args:
+            address: Where the executor takes orders.
+            order: What to start.
+            until_s: Lease of all that runs there, on the executor's clock.
 
-    async def pace(self, address: str, order: PaceOrder) -> bool: ...
+        Raises:
+            Fenced: The executor has seen a higher token.
+            WrongIncarnation: The intended incarnation is gone.
+            Unreachable: No answer; it may be done, even seconds later.
+        """
+
+    async def stop(self, address: str, order: StopOrder) -> bool:
+        """Stop a run and return whether the order was taken.
+
+        Raises:
+            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
+        """
+
+    async def pace(self, address: str, order: PaceOrder) -> bool:
+        """Set a run's pace and return whether the order was taken.
+
+        Raises:
+            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
+        """
 
     async def renew(
         self,
@@ -44,7 +66,19 @@
         acknowledged: int,
         until_s: float | None,
         wait_s: float,
-    ) -> ExecutorReport: ...
+    ) -> ExecutorReport:
+        """Renew the lease of all that runs there and look at it.
+
+        Args:
+            address: Where the executor takes orders.
+            executor_id: The intended incarnation.
+            acknowledged: Number of the last end that need not be listed again.
+            until_s: New lease on the executor's clock, ``None`` to only look.
+            wait_s: Time that the answer waits for an end, in seconds.
+
+        Raises:
+            Fenced, WrongIncarnation, Unreachable: As for :meth:`start`.
+        """
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/linkspan/shard/health.py
+++ b/src/linkspan/shard/health.py
@@ -30,6 +30,15 @@
 
 @dataclass(slots=True)
 class _Record:
+    """What is known of one executor.
+
+    Attributes:
+        failed_jobs: Jobs that failed there since a run ended well.
+        distrust_s: Time that the next distrust lasts, in seconds.
+        slowness: Running times there over those elsewhere, newer ones weighing more.
+        slow_until: Steady time until which it counts as slow.
+    """
+
     failed_jobs: set[str] = field(default_factory=set)
     distrust_s: float = DISTRUST_S
     slowness: float = 1.0
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -127,25 +127,28 @@
         most = spec.max_per_executor
         if most and self._on_executor[executor.executor_id] >= most:
             return False
-        if spec.best_effort and executor.disturbed:
-            # A new run starts at full speed, whatever its neighbours were slowed to.
-            return False
-        if spec.best_effort and starved:
-            return True
         if spec.best_effort:
-            if leftover_cpu(executor) < demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
-                return False
-            added = self.colocation.worst_added(executor, spec.image, demand.milli_cpu)
-            return (
-                added <= INNOCENT_PRESSURE
-                or self.colocation.worst_pressure(executor, spec.image, demand.milli_cpu)
-                <= MAX_PRESSURE
-            )
+            return self._fits_best_effort(executor, starved=starved)
         headroom = 0.0
         if spec.standing and not restart:
             headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
         return demand.milli_cpu + headroom <= executor.free_cpu
 
+    def _fits_best_effort(self, executor: ExecutorState, *, starved: bool) -> bool:
+        """Whether the processor of an executor bears one more best-effort task."""
+        if executor.disturbed:
+            # A new run starts at full speed, whatever its neighbours were slowed to.
+            return False
+        if starved:
+            return True
+        image, milli_cpu = self.step.spec.image, self.step.spec.demand.milli_cpu
+        if leftover_cpu(executor) < milli_cpu * BEST_EFFORT_LEAST_SHARE:
+            return False
+        added = self.colocation.worst_added(executor, image, milli_cpu)
+        if added <= INNOCENT_PRESSURE:
+            return True
+        return self.colocation.worst_pressure(executor, image, milli_cpu) <= MAX_PRESSURE
+
     def _score(self, executor: ExecutorState) -> float:
         spec = self.step.spec
         capacity = max(executor.record.capacity.milli_cpu, 1)
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -35,6 +35,15 @@
 
 @dataclass(slots=True)
 class _Item:
+    """One write that waits.
+
+    Attributes:
+        records: Records to append together.
+        done: Resolved with their first offset.
+        patient: Whether to go on after a refusal.
+        size: Bytes of the records with their frames.
+    """
+
     records: tuple[Record, ...]
     done: asyncio.Future[int]
     patient: bool
