--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -163,14 +163,10 @@
         return f"s:{record.spec.job_id}:{record.host}".encode(), _submitted(record)
     if isinstance(record, Moved):
         return f"m:{record.job_id}".encode(), orjson.dumps(record.shard)
-    if isinstance(record, Lent):
-        return f"l:{record.job_id}:{record.shard}".encode(), orjson.dumps(
-            [list(loan) for loan in record.loans]
-        )
-    if isinstance(record, Returned):
-        return f"r:{record.job_id}:{record.shard}".encode(), orjson.dumps(
-            [list(loan) for loan in record.loans]
-        )
+    if isinstance(record, Lent | Returned):
+        kind = "l" if isinstance(record, Lent) else "r"
+        loans = orjson.dumps([list(loan) for loan in record.loans])
+        return f"{kind}:{record.job_id}:{record.shard}".encode(), loans
     if isinstance(record, Cancelled):
         return f"c:{record.job_id}".encode(), b"1"
     if isinstance(record, Begun):
@@ -261,19 +257,15 @@
     return Finished(job_id, JobState(state), shard, at, queue)
 
 
-def _lent_from(job_id: str, part: str, fields: Any) -> Lent:
-    return Lent(job_id, int(part), tuple(Loan(*row) for row in fields))
-
-
-def _returned_from(job_id: str, part: str, fields: Any) -> Returned:
-    return Returned(job_id, int(part), tuple(Loan(*row) for row in fields))
+def _loans_from(fields: Any) -> tuple[Loan, ...]:
+    return tuple(Loan(*row) for row in fields)
 
 
 _DECODERS: dict[str, Callable[[str, str, Any], JobRecord]] = {
     "s": lambda _job_id, host, fields: _submitted_from(fields, host),
     "m": lambda job_id, _part, shard: Moved(job_id, int(shard)),
-    "l": _lent_from,
-    "r": _returned_from,
+    "l": lambda job_id, shard, fields: Lent(job_id, int(shard), _loans_from(fields)),
+    "r": lambda job_id, shard, fields: Returned(job_id, int(shard), _loans_from(fields)),
     "c": lambda job_id, _part, _fields: Cancelled(job_id),
     "b": lambda job_id, _part, _fields: Begun(job_id),
     "f": _finished_from,
