Name the last bare figures; keep ShardCore.refresh_queue public

The least time of a caller's call, the looks within a lease and the margins for leaving a draining executor stood in the code as bare numbers. Where they come from is not recorded, so their words say only what they are for.

refresh_queue had become private in the split of the core; ShardCore keeps all of its public names.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -33,6 +33,10 @@
 """Time kept for the way back of an answer that is given for want of time."""
 
 
+LEAST_WAIT_S = 0.05
+"""Time that a call gets at least, however little its caller grants."""
+
+
 class CallerFormat(Protocol):
     """Form of what callers send and get."""
 
@@ -132,7 +136,7 @@
     def _time_left(self, request: web.BaseRequest, queue: Queue) -> float:
         given = request.headers.get(self._form.timeout_header, "")
         seconds = int(given) / 1000 if given.isdecimal() else queue.timeout_s
-        return max(seconds - ANSWER_MARGIN_S, 0.05)
+        return max(seconds - ANSWER_MARGIN_S, LEAST_WAIT_S)
 
     async def submit(self, queue: Queue, job_id: str, body: bytes, deadline: float) -> web.Response:
         """Keep a job and answer once it is kept, or say that it will not run.
@@ -219,7 +223,7 @@
             return _json(200, b"{}")
         write = self._book.write([Cancelled(job_id)])
         try:
-            async with asyncio.timeout(max(deadline - time.monotonic(), 0.05)):
+            async with asyncio.timeout(max(deadline - time.monotonic(), LEAST_WAIT_S)):
                 await asyncio.shield(write)
         except TimeoutError:
             self._log.write(Event.JOB_IN_DOUBT, job=job_id, call="cancel")
--- a/src/linkspan/shard/_jobs.py
+++ b/src/linkspan/shard/_jobs.py
@@ -55,7 +55,7 @@
         job = ShardJob(submitted, inherited=inherited, moved=moved)
         job.borrowed = borrowed is not None
         self._books.jobs[job.job_id] = job
-        self._refresh_queue(job)
+        self.refresh_queue(job)
         for repetition in range(job.spec.repetitions):
             run = job.runs[repetition] = new_run(job, repetition)
             run.released = job.spec.schedule is None
@@ -89,7 +89,7 @@
             if most >= run.job.max_attempts and not step.spec.standing:
                 self._books.decide(run.job, JobState.FAILED)
 
-    def _refresh_queue(self, job: ShardJob) -> None:
+    def refresh_queue(self, job: ShardJob) -> None:
         """Take a job's limits from the configuration in force.
 
         A job whose queue was removed keeps what it had.
@@ -106,7 +106,7 @@
         """Put a configuration in force."""
         self._books.configuration = configuration
         for job in self._books.jobs.values():
-            self._refresh_queue(job)
+            self.refresh_queue(job)
 
     def release_due(self, wall: float, now: float) -> None:
         """Open repetitions that are due."""
--- a/src/linkspan/shard/_watch.py
+++ b/src/linkspan/shard/_watch.py
@@ -22,6 +22,9 @@
 IDLE_WAIT_S = 2.0
 """How long a look waits for an end: the longest that executors grant."""
 
+LOOKS_PER_LEASE = 6
+"""Looks, each of which renews, that fit into the longest lease at the least."""
+
 PACED_WAIT_S = 0.5
 """How long it waits where best-effort tasks run beside standing ones: the time
 that a figure of their latency covers."""
@@ -118,7 +121,7 @@
             return 0.0
         if executor.best_effort() and executor.standing():
             return PACED_WAIT_S
-        return min(IDLE_WAIT_S, self._settings.bounds.max_lease_s / 6)
+        return min(IDLE_WAIT_S, self._settings.bounds.max_lease_s / LOOKS_PER_LEASE)
 
     async def _look(self, executor: ExecutorState, wait_s: float) -> bool:
         asked = time.monotonic()
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -161,6 +161,13 @@
         """
         self._intake.release_due(wall, now)
 
+    def refresh_queue(self, job: ShardJob) -> None:
+        """Take a job's limits from the configuration in force.
+
+        A job whose queue was removed keeps what it had.
+        """
+        self._intake.refresh_queue(job)
+
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self._intake.configure(configuration)
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -54,6 +54,13 @@
 """Time before a draining executor may leave at which runs there are moved: a stop
 of 0.9 s and its answer."""
 
+LAST_CHANCE_S = 1.0
+"""Added to that for runs that save checkpoints: from here on they are moved whatever
+they may have left to do."""
+
+ESTIMATE_MARGIN = 1.5
+"""Factor on a caller's guess for whether a run ends before its executor leaves."""
+
 
 class Planner:
     """Turns the state of a shard into starts and stops.
@@ -228,8 +235,8 @@
             return True
         if left > LEAVE_MARGIN_S and not step.spec.checkpoints:
             return False
-        expected = step.spec.estimate_s * 1.5 - (now - attempt.placed_at)
-        return left < LEAVE_MARGIN_S + 1.0 or (step.spec.checkpoints and expected > left)
+        expected = step.spec.estimate_s * ESTIMATE_MARGIN - (now - attempt.placed_at)
+        return left < LEAVE_MARGIN_S + LAST_CHANCE_S or (step.spec.checkpoints and expected > left)
 
     def _move_disturbing(self, now: float) -> None:
         """Move best-effort runs that were slowed down to where they disturb less."""
