--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -7,8 +7,7 @@
 from linkspan.events import Event
 from linkspan.shard.pacing import MOVE_BELOW
 from linkspan.shard.placement import StepPlacement
-from linkspan.shard.state import NEVER, Phase
-from linkspan.shard.summary import HallSummary
+from linkspan.shard.state import Phase
 
 if TYPE_CHECKING:
     from linkspan.shard.core import ShardCore
@@ -60,6 +59,13 @@
 """Time before a draining executor may leave at which runs there are moved: a stop
 of 0.9 s and its answer."""
 
+LAST_CHANCE_S = 1.0
+"""Added to that for runs that save checkpoints: from here on they are moved whatever
+they may have left to do."""
+
+ESTIMATE_MARGIN = 1.5
+"""Factor on a caller's guess for whether a run ends before its executor leaves."""
+
 
 class Planner:
     """Turns the state of a shard into starts and stops.
@@ -237,8 +243,8 @@
             return True
         if left > LEAVE_MARGIN_S and not step.spec.checkpoints:
             return False
-        expected = step.spec.estimate_s * 1.5 - (now - attempt.placed_at)
-        return left < LEAVE_MARGIN_S + 1.0 or (step.spec.checkpoints and expected > left)
+        expected = step.spec.estimate_s * ESTIMATE_MARGIN - (now - attempt.placed_at)
+        return left < LEAVE_MARGIN_S + LAST_CHANCE_S or (step.spec.checkpoints and expected > left)
 
     def _move_disturbing(self, now: float) -> None:
         """Move best-effort runs that were slowed down to where they disturb less."""
@@ -281,41 +287,5 @@
             return False
         took = now - max(attempt.placed_at, attempt.confirmed_at)
         if len(step.durations) >= 2:
-            ordered = sorted(step.durations)
-            like = ordered[len(ordered) // 2]
-            return took > STRAGGLER_FACTOR * like + STRAGGLER_SLACK_S
+            return took > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
         return took > LONE_FACTOR * spec.estimate_s + LONE_SLACK_S
-
-
-def next_wake(core: ShardCore, now: float) -> float:
-    """Return the steady time at which a plan may find something new by itself."""
-    times = [
-        task.not_before
-        for step in core.ready
-        for task in step.tasks
-        if task.pending and task.not_before > now
-    ]
-    return min(times, default=NEVER)
-
-
-def summarize(core: ShardCore, now: float) -> HallSummary:
-    """Return the state of a shard's hall for other hosts."""
-    usable = [e for e in core.executors.values() if e.usable(now)]
-    standing: dict[str, int] = {}
-    for executor in usable:
-        for attempt in executor.attempts.values():
-            spec = attempt.task.step.spec
-            if spec.standing:
-                standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
-    return HallSummary(
-        capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(e.free_cpu for e in usable),
-        best_effort=sum(e.best_effort_cpu for e in usable),
-        waiting=sum(
-            step.spec.demand.milli_cpu * sum(task.pending for task in step.tasks)
-            for step in core.ready
-        ),
-        standing=standing,
-        effects=core.colocation.effects(),
-        rooms=tuple((e.free_cpu, e.free_memory) for e in usable),
-    )
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -35,6 +35,15 @@
 
 @dataclass(slots=True)
 class _Item:
+    """One write that waits.
+
+    Attributes:
+        records: Records to append together.
+        done: Resolved with their first offset.
+        patient: Whether to go on after a refusal.
+        size: Bytes of the records with their frames.
+    """
+
     records: tuple[Record, ...]
     done: asyncio.Future[int]
     patient: bool
@@ -117,11 +126,6 @@
             while group := self._next_group():
                 await self._write_group(group)
 
-    def fail_all(self, error: LinkspanError) -> None:
-        """Fail all that is queued, after the writer was stopped."""
-        while self._queue:
-            _fail(self._queue.popleft(), error)
-
     def _next_group(self) -> list[_Item]:
         group: list[_Item] = []
         size = 0
