One handover of a job at a time; older reports, cut pages and renewals told apart

Causes, found by reading while the code was split: a job with two ready steps could be moved to two halls; a handover of a job that had just ended would have ended the tenure; a report overtaken by a newer one revived an ended run; a cut page of the store would have ended the host; the proof of ownership was dated by the newest renewal sent, not by the one read; lent tasks lost their run number in the record. Change: each mended. Tests seen failing for the handover (with its rule taken out), the report and the page; the others have none of their own.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -83,7 +83,7 @@
         self._follower.wait_s = HOME_WATCH_S if home else 0.0
         self._tenure: Tenure | None = None
         self._tenure_task: asyncio.Task[None] | None = None
-        self._renewing_at = float("-inf")
+        self._renewed_at: dict[int, float] = {}
         self._renewals = 0
         self._former_offline_s = OFFLINE_S
         self._enabled = asyncio.Event()
@@ -188,7 +188,7 @@
                 continue
             if self._view.mine and record.incarnation == self._incarnation and self._tenure:
                 # Our renewal came through with no other claim before it.
-                self._tenure.proved(self._renewing_at)
+                self._tenure.proved(self._renewed_at.pop(record.number, float("-inf")))
         self._follow_view()
 
     def _on_health(self, healthy: bool) -> None:
@@ -227,13 +227,14 @@
             self._tenure_task.cancel()
         self._tenure = None
         self._tenure_task = None
+        self._renewed_at.clear()
 
     async def _renew_loop(self) -> None:
         while True:
             await asyncio.sleep(RENEW_S)
             if self._tenure is None:
                 continue
-            self._renewing_at = time.monotonic()
+            self._renewed_at[self._renewals + 1] = time.monotonic()
             try:
                 await self._append(OwnerAct.RENEW)
             except (StoreRefused, StoreUnanswered):
@@ -248,5 +249,7 @@
         summary = None
         if self._tenure and self._renewals % SUMMARY_EVERY == 0:
             summary = self._tenure.summary()
-        record = OwnerRecord(act, self._host, self._incarnation, owner.token, summary)
+        record = OwnerRecord(
+            act, self._host, self._incarnation, owner.token, self._renewals, summary
+        )
         await self._store.append(self._partition, [Record(record.encode())])
--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 from base64 import b64decode
 from struct import Struct
+from struct import error as StructError
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -144,6 +145,13 @@
 
 
 def _page(partition: Partition, start: int, answer: bytes) -> Page:
+    try:
+        return _records(partition, start, answer)
+    except (StructError, IndexError, ValueError) as error:
+        raise StoreUnanswered(f"store sent a cut page ({error}); read again") from error
+
+
+def _records(partition: Partition, start: int, answer: bytes) -> Page:
     end, first = _READ_HEAD.unpack_from(answer)
     position = _READ_HEAD.size
     offset = max(start, first)
@@ -151,7 +159,10 @@
     while position < len(answer):
         (size,) = _LENGTH.unpack_from(answer, position)
         position += _LENGTH.size
-        entries.append(_entry(partition, offset, answer[position : position + size]))
+        body = answer[position : position + size]
+        if len(body) < size:
+            raise ValueError("last record is not whole")
+        entries.append(_entry(partition, offset, body))
         position += size
         offset += 1
     return Page(tuple(entries), end)
--- a/src/linkspan/shard/_adoption.py
+++ b/src/linkspan/shard/_adoption.py
@@ -40,6 +40,10 @@
         if executor is None:
             return
         self._books.hear(executor, report.clock_s, now)
+        if report.clock_s < executor.reported_s:
+            # A newer report overtook it.
+            return
+        executor.reported_s = report.clock_s
         for end in report.ended:
             if end.number > executor.seen:
                 self._ends.on_end(executor, end, now)
--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/_handovers.py
@@ -72,15 +72,16 @@
             await self._writer.write([Record(encode_moved(shard), key)])
             await self.tell_moved(job_id, shard)
             return
-        job = self._core.jobs[job_id]
+        job = self._core.jobs.get(job_id)
         run = self._core.give_away(job_id, shard, tasks)
-        if run is None:
+        if job is None or run is None:
+            # It ended in the meantime.
             return
         await self._writer.write([Record(encode_run(run), key_of(run))])
         if job.borrowed:
             await self._book.write([self._returned(job_id, run, tasks)])
-        else:
-            await self._book.write([Lent(job_id, shard, self._core.loans(job_id)[shard])])
+        elif loans := self._core.loans(job_id).get(shard):
+            await self._book.write([Lent(job_id, shard, loans)])
         job.handing_over = False
 
     def _returned(self, job_id: str, run: JobRun, tasks: tuple[tuple[int, int], ...]) -> Returned:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -43,6 +43,7 @@
         listed: Whether it is registered at present.
         rostered: Whether the durable roster names it; starts need that.
         adopted: Whether it has answered in this tenure.
+        reported_s: Its own clock in the newest report.
         silent_since: Steady time of the first call without an answer since it
             last answered; ``None`` while it answers.
         seen: Number of the last end that was acted on.
@@ -58,6 +59,7 @@
     listed: bool = True
     rostered: bool = False
     adopted: bool = False
+    reported_s: float = NEVER
     silent_since: float | None = None
     seen: int = 0
     acknowledged: int = 0
--- a/src/linkspan/shard/ownership.py
+++ b/src/linkspan/shard/ownership.py
@@ -51,6 +51,7 @@
         host: Name of the host that wrote it.
         incarnation: Distinguishes the lives of the host's process.
         token: Token of the tenure that is renewed or released; 0 in claims.
+        number: Counts the renewals of a tenure.
         summary: State of the hall, in some renewals.
     """
 
@@ -58,11 +59,13 @@
     host: str
     incarnation: str
     token: int = 0
+    number: int = 0
     summary: HallSummary | None = None
 
     def encode(self) -> bytes:
         """Return the record's bytes."""
         fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
+        fields.append(self.number)
         if self.summary:
             fields.append(self.summary.encode())
         return orjson.dumps(fields)
@@ -75,9 +78,9 @@
             RecordError: They are no record of ownership.
         """
         try:
-            act, host, incarnation, token, *rest = orjson.loads(value)
+            act, host, incarnation, token, number, *rest = orjson.loads(value)
             summary = HallSummary.decode(rest[0]) if rest else None
-            return cls(OwnerAct(act), host, incarnation, token, summary)
+            return cls(OwnerAct(act), host, incarnation, token, number, summary)
         except (ValueError, TypeError) as error:
             raise RecordError(f"ownership record: {error!r}; it is passed over") from error
 
--- a/src/linkspan/shard/progress.py
+++ b/src/linkspan/shard/progress.py
@@ -57,7 +57,7 @@
     if task.done:
         return 1
     if task.lent is not None:
-        return [-1 - task.lent, task.loan]
+        return [-1 - task.lent, task.loan, task.next_run]
     attempts = [[a.run, a.executor_id] for a in task.attempts]
     if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
@@ -107,7 +107,8 @@
         task.done = True
         return
     if row[0] < 0:
-        task.lent, task.loan = -1 - row[0], row[1]
+        task.lent = -1 - row[0]
+        task.loan, task.next_run = row[1:]
         return
     task.next_run, task.failures, task.checkpoint, attempts, task.loan = row
     task.counted_run = task.next_run
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -78,13 +78,16 @@
             now: Steady time.
         """
         halls = self._summaries()
-        found = []
+        found: dict[str, Handover] = {}
         for step in list(self._core.ready):
+            if step.run.job.job_id in found:
+                # One handover of a job at a time: two would give it to two halls.
+                continue
             handover = self._for_step(step, own, halls, now)
             if handover:
-                found.append(handover)
+                found[handover.job_id] = handover
                 self._log(handover, step, now)
-        return found
+        return list(found.values())
 
     def _for_step(
         self, step: StepRun, own: HallSummary, halls: dict[int, HallSummary], now: float
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 import pytest_asyncio
+from aiohttp import web
 
 from linkspan.errors import (
     LogGap,
@@ -109,3 +110,14 @@
         client = StoreClient(session, "127.0.0.1:1", timeout_s=1.0)
         with pytest.raises(StoreRefused):
             await client.read(PLAIN, 0)
+
+
+@pytest.mark.parametrize("body", [b"", b"\0" * 15, b"\0" * 18, b"\0" * 16 + b"\0\0\0\x09a"])
+async def test_a_cut_answer_is_no_answer(body: bytes) -> None:
+    async def handle(_request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=body)
+
+    async with serving(handle) as address, aiohttp.ClientSession() as session:
+        client = StoreClient(session, address, timeout_s=1.0)
+        with pytest.raises(StoreUnanswered):
+            await client.read(KEYED, 0)
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -266,3 +266,15 @@
     assert plan(core, 1.1) == []
     (again,) = plan(core, 1.1 + AVOID_S)
     assert again.executor_id == order.executor_id
+
+
+def test_an_older_report_that_comes_later_changes_nothing() -> None:
+    """Answers on different connections may overtake each other."""
+    core = core_with(step(1))
+    (order,) = plan(core, 0.1)
+    started(core, order, 0.2)
+    end = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
+    core.on_report(order.executor_id, ExecutorReport(5.0, (), (end,)), asked=0.3, now=1.0)
+    row = RunningTask(order.task, order.run, "", 50, None)
+    core.on_report(order.executor_id, ExecutorReport(4.0, (row,), ()), asked=0.3, now=1.1)
+    assert core.executors[order.executor_id].attempts == {}
--- /dev/null
+++ b/tests/shard/test_rebalance.py
@@ -0,0 +1,34 @@
+"""What is handed over, and to how many."""
+
+from __future__ import annotations
+
+from linkspan.shard.rebalance import WAIT_S, Rebalancer
+from linkspan.shard.summary import HallSummary
+from tests.hall_world import step
+from tests.shard.test_core import JOB, core_with, plan
+
+EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
+FULL = HallSummary(capacity=16_000, rooms=((0, 0), (0, 0)))
+
+
+def test_a_job_with_two_ready_steps_moves_once() -> None:
+    core = core_with(step(1, cpu=9_000), step(1, cpu=9_000))
+    assert plan(core, 0.1) == []
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY, 2: EMPTY}, count_able=lambda *_: 2)
+    found = rebalancer.plan(FULL, 0.2 + WAIT_S)
+    assert [handover.job_id for handover in found] == [JOB]
+
+
+def test_work_does_not_move_to_a_hall_without_room() -> None:
+    core = core_with(step(1, cpu=9_000))
+    assert plan(core, 0.1) == []
+    rebalancer = Rebalancer(core, summaries=lambda: {1: FULL}, count_able=lambda *_: 2)
+    assert rebalancer.plan(FULL, 0.2 + WAIT_S) == []
+
+
+def test_inherited_work_in_doubt_does_not_move() -> None:
+    core = core_with(step(1, cpu=9_000))
+    core.jobs[JOB].inherited = True
+    core.inherit([next(iter(core.executors.values())).record], 99.0)
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_able=lambda *_: 2)
+    assert rebalancer.plan(FULL, 0.2 + WAIT_S) == []
