Write a job's submission once a process, and know of it at once

Change: an own record counts at once; keys hold the life of the process. Ruled out: the split of core and tenure (the rule was the same before). Test seen failing.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -64,7 +64,7 @@
         configuration: The configuration in force.
         form: Form of bodies.
         choose_shard: Names the shard for a new job.
-        host: This host's name.
+        incarnation: Life of this process, a part of its records' keys.
         log: Where events go.
         metrics: Where counts and times go.
     """
@@ -76,7 +76,7 @@
         form: CallerFormat,
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
-        host: str,
+        incarnation: str,
         log: EventLog,
         metrics: HostMetrics,
     ) -> None:
@@ -84,7 +84,7 @@
         self._configuration = configuration
         self._form = form
         self._choose_shard = choose_shard
-        self._host = host
+        self._incarnation = incarnation
         self._log = log
         self._metrics = metrics
         self._submitting: dict[str, asyncio.Future[int]] = {}
@@ -92,7 +92,7 @@
         self.draining = False
 
     def __repr__(self) -> str:
-        return f"Front({self._host!r}, in_flight={self._in_flight})"
+        return f"Front({self._incarnation!r}, in_flight={self._in_flight})"
 
     @property
     def in_flight(self) -> int:
@@ -163,12 +163,22 @@
 
     def _start_write(self, spec: JobSpec, queue: Queue) -> asyncio.Future[int]:
         shard = self._choose_shard(spec, queue)
-        record = Submitted(spec, shard, time.time(), self._host)
+        record = Submitted(spec, shard, time.time(), self._incarnation)
         write = self._book.write([record], patient=False)
         self._submitting[spec.job_id] = write
-        write.add_done_callback(lambda _: self._submitting.pop(spec.job_id, None))
+        write.add_done_callback(lambda done: self._on_written(record, done))
         return write
 
+    def _on_written(self, record: Submitted, done: asyncio.Future[int]) -> None:
+        """Know of an own record at once, so that the job is not written again.
+
+        A second record under the same key would hide the first, which may name another
+        shard, from hosts that start later.
+        """
+        self._submitting.pop(record.spec.job_id, None)
+        if not done.cancelled() and done.exception() is None:
+            self._book.catalog.apply(done.result(), record)
+
     async def _await_write(
         self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
     ) -> web.Response:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -138,7 +138,7 @@
             self.configuration,
             adapter.bodies,
             choose_shard=ShardChooser(settings, self.registry, self._summary_of).choose,
-            host=settings.name,
+            incarnation=incarnation,
             log=log,
             metrics=metrics,
         )
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -44,7 +44,7 @@
         spec: The job.
         shard: Number of the shard that runs it.
         accepted: Time of day at the accepting host, in seconds since 1970.
-        host: Name of the accepting host.
+        host: Life of the accepting host's process: each writes a key of its own.
     """
 
     spec: JobSpec
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from linkspan.host.job_book import JOBS
 from tests.hall_world import HallWorld, step
 from tests.virtual_time import run_virtual
 
@@ -298,3 +299,28 @@
     world.store.silent.clear()
     world.cuts.clear()
     world.store.losing = 0.0
+
+
+def test_a_job_sent_twice_to_one_host_has_one_record() -> None:
+    """A second record under the same key would hide the first from hosts that start."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        idle = next(name for name in world.hosts if name not in (world.owner(0), world.owner(1)))
+        first = world.new_job(step(1))
+        spec = world.new_job(step(2))
+        # The host reads this job and then pauses its reading for a second.
+        await world.submit(idle, first)
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            assert await world.submit(idle, spec) == 200
+            await asyncio.sleep(0.2)
+        await world.wait_for(idle, spec.job_id, "succeeded")
+        return world
+
+    world = run_virtual(play())
+    log = world.store.log(JOBS)
+    prefix = f"s:{2:016x}".encode()
+    assert len([e for e in log.entries if e.key.startswith(prefix) and e.value]) <= 1
+    assert world.problems == []
