Let displaced standing tasks use the room kept for short ones, in other halls too

Change: a task that has run before, here or in the lending hall, may use that room. Test seen failing.

--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -97,7 +97,7 @@
         best_score = float("inf")
         for executor in self.executors:
             if executor.executor_id in task.avoid or not self.fits(
-                executor, restart=task.next_run > 1, starved=starved
+                executor, restart=task.displaced, starved=starved
             ):
                 continue
             score = self._score(executor)
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -156,7 +156,8 @@
             if not self._count_able(shard, spec, job.service):
                 continue
             executor_cpu = hall.capacity / max(len(hall.rooms), 1)
-            room = hall.slots(spec.demand, headroom=STANDING_HEADROOM * executor_cpu)
+            kept = 0.0 if pending[0].displaced else STANDING_HEADROOM * executor_cpu
+            room = hall.slots(spec.demand, headroom=kept)
             if room < 1:
                 continue
             lent = pending[:room]
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -118,6 +118,11 @@
         """Whether it waits for an attempt."""
         return not self.done and not self.attempts and self.lent is None
 
+    @property
+    def displaced(self) -> bool:
+        """Whether it has run before, here or in the shard that lent it."""
+        return self.next_run > 1 or self.loan > 0
+
 
 @dataclass(slots=True, eq=False)
 class StepRun:
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -32,3 +32,15 @@
     core.inherit([next(iter(core.executors.values())).record], 99.0)
     rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_able=lambda *_: 2)
     assert rebalancer.plan(FULL, 0.2 + WAIT_S) == []
+
+
+def test_a_displaced_task_may_use_the_room_kept_for_short_ones() -> None:
+    tight = HallSummary(capacity=16_000, free=6_500, rooms=((6_500, 32_000), (0, 0)))
+    core = core_with(step(3, standing=True, cpu=6_000, max_per_executor=1))
+    assert len(plan(core, 0.1)) == 2
+    task = core.jobs[JOB].runs[0].steps[0].tasks[2]
+    rebalancer = Rebalancer(core, summaries=lambda: {1: tight}, count_able=lambda *_: 2)
+    assert rebalancer.plan(FULL, 0.2 + WAIT_S) == []
+    task.next_run = 2
+    (handover,) = rebalancer.plan(FULL, 0.2 + WAIT_S)
+    assert handover.tasks == ((0, 2),)
