--- a/src/linkspan/cli.py
+++ b/src/linkspan/cli.py
@@ -75,6 +75,22 @@
 
         asyncio.run(HostDaemon(loaded, path).serve())
 
+    def trace(self, job_id: str, *logs: str) -> None:
+        """Print what hosts logged of a job, in order.
+
+        Args:
+            job_id: The caller's id of the job.
+            logs: Paths of log files of any hosts.
+        """
+        from linkspan.trace import trace
+
+        lines = [line for path in logs for line in Path(path).read_bytes().splitlines()]
+        found = trace(str(job_id), lines)
+        for line in found:
+            print(line)
+        if not found:
+            raise Refused(f"no line names job {job_id}; give the logs of all hosts")
+
     gateway.__doc__ = (
         f"Run a gateway. --check prints the settings and ends.\n\n{help_of(GatewaySettings)}"
     )
