Count a peer that was never heard of as missing, not as alive

A new scheduler noted a joined but silent peer in the same table as real heartbeats, to count its silence. The peer so counted as alive for one silence (3 s, 1 s in the test). Where the hash gave it the lead, its workers were renewed by nobody meanwhile, their leases ran out and a standing watcher was evicted and begun again. Change: missed peers have a table of their own. Test of the core on a given clock, seen failing.

--- a/src/linkspan/scheduler/hall_peers.py
+++ b/src/linkspan/scheduler/hall_peers.py
@@ -27,6 +27,7 @@
         self._name = name
         self._timing = timing
         self._heard: dict[str, float] = {}
+        self._missed_since: dict[str, float] = {}
         self._unfit: dict[str, frozenset[str]] = {}
 
     def __repr__(self) -> str:
@@ -54,7 +55,9 @@
         asked, so that a scheduler that starts expels nobody.
         """
         for name in ledger.schedulers:
-            silent = now - self._heard.setdefault(name, now)
+            since = self._heard.get(name)
+            # Kept apart from heartbeats: a peer that is only missed is not alive.
+            silent = now - (self._missed_since.setdefault(name, now) if since is None else since)
             if name != self._name and silent > self._timing.offline_renewal_s:
                 yield Expelled(name)
         for name, offset in ledger.expelled.items():
--- a/tests/scheduler/test_core.py
+++ b/tests/scheduler/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from linkspan._rendezvous import rendezvous
 from linkspan.ledger.records import Joined
 from linkspan.placement.placer import PolicyPlacer
 from linkspan.scheduler.core import SchedulerCore
@@ -141,3 +142,23 @@
     world.advance(5.0 + 8.0 * 1.02 + 8.0)
     assert [worker for worker, _ in world.witness.running.values()] == ["w1"]
     assert world.witness.violations == []
+
+
+def test_a_scheduler_that_starts_renews_at_once_what_a_dead_one_placed() -> None:
+    """Found by a process test: a peer that was never heard of counted as alive for the
+    time of a silence, so workers that were its to renew lost their leases meanwhile.
+    """
+    dead = "s1"
+    names = (f"s{number}" for number in range(2, 100))
+    new = next(name for name in names if rendezvous("lead", [dead, name]) == dead)
+    built = LedgerBuilder().with_worker()
+    built.apply(Joined(dead))
+    built.apply(Joined(new))
+    core = SchedulerCore(new, built.ledger, PolicyPlacer())
+    core.on_records([], 0.0, end=built.ledger.next_offset)
+    core.step(0.0)
+    later = core.timing.peer_silence_s / 2
+    core.watch_workers(["w1"], later)
+    core.on_records([], later, end=built.ledger.next_offset)
+    assert core.leads(later)
+    assert "w1" in core.step(later).exchanges
