--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -156,6 +156,9 @@
             return _json(400, b'{"error":"invalid job"}', reason=str(error))
         write = self._submitting.get(job_id)
         if write is None:
+            if not self._book.follower.ready:
+                # Another host may have accepted it, for another hall.
+                return self._refuse(job_id, queue, "job records not read yet")
             if not self._book.writer.healthy:
                 return self._refuse(job_id, queue, "store is away")
             write = self._start_write(spec, queue)
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -7,6 +7,10 @@
 import pytest
 
 from linkspan.host.job_book import JOBS
+from linkspan.jobs.records import Submitted, encode
+from linkspan.shard.messages import StartOrder, TaskName
+from linkspan.shard.progress import RunKey, encode_moved
+from linkspan.store.types import Entry, Partition
 from tests.hall_world import HallWorld, step
 from tests.virtual_time import run_virtual
 
@@ -324,3 +328,26 @@
     prefix = f"s:{2:016x}".encode()
     assert len([e for e in log.entries if e.key.startswith(prefix) and e.value]) <= 1
     assert world.problems == []
+
+
+def test_a_host_that_has_not_read_the_jobs_takes_none() -> None:
+    """It would write a second record of a job, for another hall."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        spec = world.new_job(step(2, estimate_s=3.0))
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.2)
+        world.kill_host("west-host-1")
+        started = world.start_host("west-host-1")
+        # The configuration may be read well before the jobs, from a slow store.
+        started.host.configuration._put_in_force(Entry(0, b"3", b"config"))
+        assert await world.submit("west-host-1", spec) == 503
+        await world.wait_for("west-host-0", spec.job_id, "succeeded")
+        return world
+
+    world = run_virtual(play())
+    keys = [e.key for e in world.store.log(JOBS).entries if e.key.startswith(b"s:") and e.value]
+    assert len(keys) == 1
+    assert world.problems == []
