Do not take a job in again whose handover is under way

Cause: found by reading: a new owner that finds the marker of a handover tells the others of it anew; until that was durable, any news of the job (its caller sending it again) let the owner take it in as its own, and it ran in both halls. Change: the core counts it as one that left. Test seen failing (both of its tasks started).

--- a/src/linkspan/shard/_recovery.py
+++ b/src/linkspan/shard/_recovery.py
@@ -160,6 +160,8 @@
         if shard is None:
             return False
         if entry.shard == self._shard:
+            # Until all hosts are told, news of the job must not bring it back here.
+            self._core.remove_moved(job_id)
             self._scope.spawn(self._handovers.tell_moved(job_id, shard))
         else:
             self._core.drop_progress(job_id, runs)
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -351,3 +351,30 @@
     keys = [e.key for e in world.store.log(JOBS).entries if e.key.startswith(b"s:") and e.value]
     assert len(keys) == 1
     assert world.problems == []
+
+
+def test_a_job_on_its_way_to_another_hall_is_not_taken_in_again() -> None:
+    """A new owner that found a handover under way started the job on news of it."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"), hosts_per_hall=1)
+        await world.begin()
+        spec = world.new_job(step(2, estimate_s=2.0))
+        world.kill_host("east-host-0")
+        record = Submitted(spec, 0, 0.0, "life-x")
+        world.specs[spec.job_id] = spec
+        marker = Partition("progress", 0, keyed=True)
+        world.store.put(JOBS, *encode(record))
+        world.store.put(marker, RunKey(spec.job_id, 0).encode(), encode_moved(1))
+        started = world.start_host("east-host-0")
+        candidate = started.host.candidates[0]
+        while candidate.tenure is None or not candidate.tenure.core.executors:
+            await asyncio.sleep(0.001)
+        # The caller sends the job once more before the other hall was told.
+        world.store.put(JOBS, *encode(Submitted(spec, 1, 0.0, "life-y")))
+        started.host.book.writer.write = lambda *_a, **_k: asyncio.Future()  # type: ignore[method-assign]
+        await asyncio.sleep(1.0)
+        assert world.starts == {}
+        return world
+
+    assert run_virtual(play()).problems == []
