Read the job records before a report's unknown jobs are judged

Cause: found by reading: a former owner may start a job that was accepted a moment ago while a new one takes over. The new one, which had not read the job's record yet, had the run stopped as unknown, acknowledged its end, and then started the job from the beginning. Change: a report that names an unknown job is taken in after a read of the records; if the store is away, without that job. Test seen failing (two starts).

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -81,9 +81,13 @@
         fresh = await self.refresh()
         return self.catalog.get(job_id), fresh
 
-    async def refresh(self) -> bool:
-        """Read to the present end of the records and return whether that was possible."""
-        if time.monotonic() - self.follower.synced_at < FRESH_S:
+    async def refresh(self, *, fresh_s: float = FRESH_S) -> bool:
+        """Read to the present end of the records and return whether that was possible.
+
+        Args:
+            fresh_s: Age in seconds under which what was read counts as present.
+        """
+        if time.monotonic() - self.follower.synced_at < fresh_s:
             return True
         try:
             await self.follower.sync()
--- a/src/linkspan/shard/_watch.py
+++ b/src/linkspan/shard/_watch.py
@@ -50,6 +50,7 @@
 
     def __init__(self, context: TenureContext) -> None:
         self._core = context.core
+        self._book = context.book
         self._shard = context.shard
         self._settings = context.settings
         self._executors = context.executors
@@ -147,6 +148,7 @@
             self._core.on_silent(executor.executor_id, time.monotonic())
             self._changes.news()
             return False
+        report = await self._known_part(report)
         now = time.monotonic()
         self._count_ends(executor, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
@@ -154,6 +156,17 @@
         self._changes.news()
         return True
 
+    async def _known_part(self, report: ExecutorReport) -> ExecutorReport:
+        """Return what a report says of jobs whose records were read up to it.
+
+        A former owner may have started a job that was accepted just now: taken for
+        unknown, it would be started once more when its record is read.
+        """
+        unknown = self._core.unknown(report.job_ids)
+        if not unknown or await self._book.refresh(fresh_s=0.0):
+            return report
+        return report.without(unknown)
+
     def _count_ends(self, executor: ExecutorState, report: ExecutorReport) -> None:
         for end in report.ended:
             if end.number > executor.seen:
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -123,6 +123,10 @@
         """
         self._adoption.on_report(executor_id, report, asked=asked, now=now)
 
+    def unknown(self, job_ids: set[str]) -> set[str]:
+        """Return those of some jobs that this shard never looked after in this tenure."""
+        return {job_id for job_id in job_ids if job_id not in self.jobs} - self.left
+
     # Jobs
 
     def add_job(
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
+from itertools import takewhile
 from typing import NamedTuple
 
 from linkspan.jobs.spec import Demand, StepSpec
@@ -130,6 +131,20 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
 
+    @property
+    def job_ids(self) -> set[str]:
+        """Jobs that the report names."""
+        return {row.task.job_id for row in (*self.running, *self.ended)}
+
+    def without(self, job_ids: set[str]) -> ExecutorReport:
+        """Return the report without some jobs, and without ends from their first on.
+
+        Ends are acknowledged by number, so later ones have to wait for an earlier one.
+        """
+        running = tuple(row for row in self.running if row.task.job_id not in job_ids)
+        ended = tuple(takewhile(lambda end: end.task.job_id not in job_ids, self.ended))
+        return replace(self, running=running, ended=ended)
+
 
 class StartOutcome(Enum):
     """What an executor answered to a start."""
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -378,3 +378,30 @@
         return world
 
     assert run_virtual(play()).problems == []
+
+
+def test_a_run_of_a_job_that_was_not_read_yet_is_taken_over() -> None:
+    """A former owner started it while the new one was taking over."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(hosts_per_hall=1)
+        await world.begin()
+        spec = world.new_job(step(1, estimate_s=3.0))
+        world.specs[spec.job_id] = spec
+        world.kill_host("east-host-0")
+        started = world.start_host("east-host-0")
+        candidate = started.host.candidates[0]
+        while candidate.tenure is None or not candidate.tenure.core.executors:
+            await asyncio.sleep(0.0005)
+        world.store.put(JOBS, *encode(Submitted(spec, 0, 0.0, "life-x")))
+        executor = world.executors["east-0:1"]
+        order = StartOrder(
+            executor.record.executor_id, TaskName(spec.job_id, 0, 0, 0), 1, spec.payload, "", ""
+        )
+        executor.start(order, executor.clock + 8.0, executor.token)
+        await world.wait_for("east-host-0", spec.job_id, "succeeded")
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1]
