Remove what is left of a finished job together with its end

Cause: found by reading: a submission that was sent again after a job had ended stayed in the store; two minutes later the end's record was removed, and the next host to start took the submission for a new job and ran it. Change: all submissions go first. Test seen failing (the job had run again).

--- a/src/linkspan/shard/_records.py
+++ b/src/linkspan/shard/_records.py
@@ -11,6 +11,7 @@
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
+    from linkspan.jobs.catalog import JobEntry
     from linkspan.jobs.records import JobRecord
     from linkspan.shard._context import TenureContext
     from linkspan.shard.state import JobRun
@@ -135,9 +136,20 @@
             await asyncio.sleep(PRUNE_S)
             limit = time.time() - self._settings.bounds.state_kept_s - PRUNE_MARGIN_S
             old = [
-                Dropped("f", job_id)
+                record
                 for job_id, entry in self._book.catalog.of_shard(self._shard)
                 if entry.finished and entry.finished.at < limit
+                for record in _last_records(job_id, entry)
             ]
             if old:
                 await self._book.write(old)
+
+
+def _last_records(job_id: str, entry: JobEntry) -> list[JobRecord]:
+    """Return what removes a finished job whole.
+
+    A caller that sent the job again may have left a submission behind its end: without
+    the end it would count as a new job.
+    """
+    submissions = [Dropped("s", job_id, host) for host in entry.hosts]
+    return [*submissions, Dropped("f", job_id)]
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -405,3 +405,26 @@
     world = run_virtual(play())
     assert world.problems == []
     assert [len(times) for times in world.starts.values()] == [1]
+
+
+def test_a_pruned_job_does_not_come_back() -> None:
+    """A submission that was sent again outlasted the end of its job."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(1))
+        await world.submit("east-host-0", spec)
+        await world.wait_for("east-host-0", spec.job_id, "succeeded")
+        world.store.put(JOBS, *encode(Submitted(spec, 0, 0.0, "life-y")))
+        await asyncio.sleep(world.bounds().state_kept_s + 90.0)
+        for name, _ in world.host_names():
+            world.kill_host(name)
+            world.start_host(name)
+        await asyncio.sleep(5.0)
+        assert await world.state("east-host-0", spec.job_id) == "410"
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1]
