--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -134,7 +134,8 @@
     @property
     def job_ids(self) -> set[str]:
         """Jobs that the report names."""
-        return {row.task.job_id for row in (*self.running, *self.ended)}
+        running = {row.task.job_id for row in self.running}
+        return running | {end.task.job_id for end in self.ended}
 
     def without(self, job_ids: set[str]) -> ExecutorReport:
         """Return the report without some jobs, and without ends from their first on.
