--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -6,10 +6,12 @@
 import sys
 import time
 from enum import Enum
-from typing import Any
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from linkspan._dropping_stream import DroppingStream
+
 FLOOD_PER_S = 200
 """Lines of one event that are written in a second; the rest are counted."""
 
@@ -27,6 +29,12 @@
         "a task of the daemon ended by an error",
         ("report it with the line; the process ends and is to be started again"),
     )
+    LINES_DROPPED = (
+        112,
+        logging.WARNING,
+        "log lines dropped, the reader was behind",
+        "see why standard output is not read; the count is in the line",
+    )
     FLOOD = 106, logging.WARNING, "lines of an event left out", "see the count in the line"
     CONFIG_IN_FORCE = 200, logging.INFO, "configuration version in force", "nothing"
     CONFIG_REFUSED = 201, logging.WARNING, "configuration change refused", "read the reason"
@@ -151,7 +159,8 @@
         self._logger = logging.getLogger(f"linkspan.{daemon}")
         self._logger.setLevel(level.upper())
         self._logger.propagate = False
-        self._logger.handlers = [_handler(stream)]
+        self._stream = _stream(stream)
+        self._logger.handlers = [_handler(self._stream)]
         self._common = {"daemon": daemon}
         self._second = 0
         self._written: dict[Event, int] = {}
@@ -168,6 +177,7 @@
         second = int(time.monotonic())
         if second != self._second:
             self._report_flood()
+            self._report_dropped()
             self._second = second
         count = self._written[event] = self._written.get(event, 0) + 1
         if count <= FLOOD_PER_S:
@@ -180,13 +190,23 @@
                 self._emit(Event.FLOOD, left_out)
         self._written.clear()
 
+    def _report_dropped(self) -> None:
+        dropped = self._stream.take_dropped() if isinstance(self._stream, DroppingStream) else 0
+        if dropped:
+            self._emit(Event.LINES_DROPPED, {"lines": dropped})
+
     def _emit(self, event: Event, details: dict[str, Any]) -> None:
         extra = {"event": event.number, "kind": event.name.lower(), **self._common, **details}
         self._logger.log(event.level, event.text, extra=extra)
 
 
-def _handler(stream: str) -> logging.Handler:
-    handler = logging.StreamHandler(sys.stdout if stream == "stdout" else sys.stderr)
+def _stream(name: str) -> DroppingStream | TextIO:
+    """Return where lines go; standard output is not waited for."""
+    return DroppingStream(sys.stdout.fileno()) if name == "stdout" else sys.stderr
+
+
+def _handler(stream: DroppingStream | TextIO) -> logging.Handler:
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         JsonFormatter(
             "%(levelname)s %(message)s", timestamp=True, rename_fields={"levelname": "level"}
