Ask a queue's placement policy for tickets

Change: the adapter asks the service; the shard's owner keeps refusals for good and tickets while they hold, asks for the executors with the most room first, 30 at most a call and one call at a time, and places a step only where it has a ticket. Counted and logged (551, 552). Tests: the book's rules, the planner, the client's decoding, and whole hosts in virtual time against a service that is busy for every third call.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -123,6 +123,13 @@
     UNKNOWN_RUN_STOPPED = 538, logging.WARNING, "run that nobody wants is stopped", "nothing"
     PACE_SET = 539, logging.INFO, "pace of best-effort runs changed", "nothing"
     WORK_HANDED_OVER = 550, logging.INFO, "waiting work goes to another hall", "nothing"
+    ADVICE_GIVEN = 551, logging.INFO, "placement policy gave tickets", "nothing"
+    ADVICE_MISSING = (
+        552,
+        logging.WARNING,
+        "placement policy gave no answer",
+        "check its service; steps of its queues wait",
+    )
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is about to leave", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation is gone", "nothing"
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -15,6 +15,7 @@
 from linkspan.events import Event, EventLog
 from linkspan.host.host import Adapter, Host
 from linkspan.host.metrics import HostMetrics
+from linkspan.platform.advice import AdviceClient
 from linkspan.platform.executors import ExecutorClient
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.machines import MachineClient
@@ -165,6 +166,7 @@
         store=StoreClient(session, settings.store.address),
         executors=lambda token: ExecutorClient(session, token),
         machines=MachineClient(session, settings.machines) if settings.machines else None,
+        policy=AdviceClient(session, settings.advice) if settings.advice else None,
         bodies=CallerBodies(),
         configuration_records=CONFIG_RECORDS,
         configuration_key=CONFIG_KEY,
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -24,6 +24,7 @@
     from linkspan.host.front import CallerFormat
     from linkspan.host.metrics import HostMetrics
     from linkspan.host.settings import HostSettings
+    from linkspan.shard.advice import PolicyService
     from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import ExecutorRecord
     from linkspan.shard.ownership import Owner
@@ -65,6 +66,7 @@
         store: The platform's store.
         executors: Makes calls to executors under a fencing token.
         machines: The machine service, ``None`` where there is none.
+        policy: The placement policies' service, ``None`` where there is none.
         bodies: Form of what callers send and get.
         configuration_records: Where the operator writes.
         configuration_key: Key of the configuration there.
@@ -76,6 +78,7 @@
     store: Store
     executors: Callable[[int], Executors]
     machines: MachineService | None
+    policy: PolicyService | None
     bodies: CallerFormat
     configuration_records: Partition
     configuration_key: bytes
@@ -205,6 +208,7 @@
             store=self._adapter.store,
             executors=self._adapter.executors(owner.token),
             machines=self._adapter.machines,
+            policy=self._adapter.policy,
             book=self.book,
             registry=self.registry,
             configuration=self.configuration,
--- a/src/linkspan/host/metrics.py
+++ b/src/linkspan/host/metrics.py
@@ -53,6 +53,7 @@
     "linkspan_start_wait_seconds": "From a task's turn to its placement",
     "linkspan_store_call_seconds": "Time of a store call, waits left out",
     "linkspan_executor_call_seconds": "Time of an executor call, waits left out",
+    "linkspan_advice_seconds": "Time of a call to the placement policies' service",
     "linkspan_recovery_seconds": "From a claim to the first plan",
 }
 """Names follow the convention: unit last, counters end in total. docs/OPERATIONS.md
--- /dev/null
+++ b/src/linkspan/platform/advice.py
@@ -0,0 +1,65 @@
+"""Client of the service that decides which executors may run a step."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import orjson
+
+from linkspan.errors import Unreachable
+from linkspan.shard.advice import Advice
+
+if TYPE_CHECKING:
+    from linkspan.shard.state import StepRun
+
+CALL_TIMEOUT_S = 5.0
+"""Time for an answer: the service takes its time for each executor named, and calls of
+one host wait for each other."""
+
+
+class AdviceClient:
+    """The service over HTTP.
+
+    Args:
+        session: Shared client session.
+        address: ``ip:port`` of the service.
+        timeout_s: Time that an answer may take.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._session = session
+        self._url = f"http://{address}/api/advise"
+        self._timeout_s = timeout_s
+
+    def __repr__(self) -> str:
+        return f"AdviceClient({self._url!r})"
+
+    async def advise(self, step: StepRun, executor_ids: tuple[str, ...]) -> Advice:
+        """Ask; see :meth:`linkspan.shard.advice.PolicyService.advise`."""
+        run = step.run
+        name = f"{run.job.job_id}.{run.repetition}.{step.index}"
+        # "workers" names executors by their ids.
+        body = orjson.dumps({"step": name, "workers": list(executor_ids)})
+        headers = {"Content-Type": "application/json"}
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                async with self._session.post(self._url, data=body, headers=headers) as answer:
+                    data = await answer.read()
+                    if answer.status != 200:
+                        raise Unreachable(f"policy service answered {answer.status}; ask later")
+                    return _advice(orjson.loads(data))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise Unreachable(f"policy service: {error!r}; it is asked again") from error
+
+
+def _advice(fields: Any) -> Advice:
+    try:
+        # "good" holds rows of an executor's id and its ticket.
+        tickets = {str(row[0]): str(row[1]) for row in fields.get("good") or ()}
+        return Advice(tickets, float(fields.get("valid_ms") or 0) / 1000)
+    except (TypeError, ValueError, IndexError, KeyError, AttributeError) as error:
+        raise Unreachable(f"policy service sent no advice: {error!r}; ask again") from error
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -6,6 +6,7 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import Finished, JobState
+from linkspan.shard.advice import AdviceBook
 from linkspan.shard.colocation import ColocationBook
 from linkspan.shard.health import HealthBook
 from linkspan.shard.leases import LeaseClock
@@ -40,6 +41,7 @@
         left: Jobs that ended here or moved away: older records of them may still be read.
         health: What is known of the executors' soundness.
         colocation: What is known of how tasks disturb each other.
+        advice: Tickets of the queues' placement policies.
         configuration: The configuration in force, ``None`` before the first.
         orders: Orders to hand out, in order.
         finished: Final records to write.
@@ -60,6 +62,7 @@
         self.left: set[str] = set()
         self.health = HealthBook()
         self.colocation = ColocationBook()
+        self.advice = AdviceBook()
         self.configuration: Configuration | None = None
         self.orders: list[Order] = []
         self.finished: list[Finished] = []
--- a/src/linkspan/shard/_changes.py
+++ b/src/linkspan/shard/_changes.py
@@ -18,6 +18,7 @@
     Attributes:
         wake: Set when a plan may find something to do.
         dirty: Set when progress or the roster is to be written.
+        advice: Set when tickets may be asked for.
         finish: Set when final records are to be written.
         roster: Ids of the executors that the durable roster names.
     """
@@ -27,6 +28,7 @@
         self.wake = asyncio.Event()
         self.dirty = asyncio.Event()
         self.finish = asyncio.Event()
+        self.advice = asyncio.Event()
         self.roster: frozenset[str] = frozenset()
 
     def __repr__(self) -> str:
@@ -43,6 +45,8 @@
             self.dirty.set()
         if self._core.finished:
             self.finish.set()
+        if self._core.advice.next_call(float("inf")):
+            self.advice.set()
 
     def _roster_changed(self) -> bool:
         return self.roster != self._core.executors.keys()
--- a/src/linkspan/shard/_jobs.py
+++ b/src/linkspan/shard/_jobs.py
@@ -101,6 +101,8 @@
         job.priority = queue.priority
         job.objective_s = queue.stretch * job.spec.critical_path_s + queue.target_s
         job.service = queue.service
+        job.advised = queue.advice is not None
+        job.ticket_valid_s = queue.advice.valid_s if queue.advice else 0.0
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
--- a/src/linkspan/shard/_orders.py
+++ b/src/linkspan/shard/_orders.py
@@ -104,6 +104,8 @@
             executor.distrusted_until = max(executor.distrusted_until, now + UNHEALTHY_PAUSE_S)
         if answer.outcome is StartOutcome.INVALID:
             attempt.task.avoid.add(order.executor_id)
+        if answer.outcome is StartOutcome.NO_TICKET:
+            self._books.advice.drop(attempt.task.step, order.executor_id)
         attempt.task.not_before = now + RETRY_REFUSED_S
         self._books.close(attempt, now)
 
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -110,6 +110,8 @@
         placement = self._placement(step, usable, now)
         if not placement.executors:
             return
+        if step.run.job.advised and not self._has_tickets(placement, now):
+            return
         if step.spec.gang:
             placed = self._place_gang(step, placement, pending, now)
         else:
@@ -123,6 +125,21 @@
         core = self._core
         return StepPlacement(step, executors, core.health, core.colocation, self._rooms, now)
 
+    def _has_tickets(self, placement: StepPlacement, now: float) -> bool:
+        """Keep to the executors that the queue's policy lets run the step."""
+        step, book = placement.step, self._core.advice
+        by_room = sorted(placement.executors, key=lambda e: -e.free_cpu)
+        book.want(step, (e.executor_id for e in by_room), now)
+        placement.executors = [
+            e for e in placement.executors if book.ticket(step, e.executor_id, now) is not None
+        ]
+        return bool(placement.executors)
+
+    def _ticket(self, step: StepRun, executor: ExecutorState, now: float) -> str:
+        if not step.run.job.advised:
+            return ""
+        return self._core.advice.ticket(step, executor.executor_id, now) or ""
+
     def _place_each(
         self, placement: StepPlacement, pending: list[Task], now: float
     ) -> list[Attempt]:
@@ -135,7 +152,8 @@
                     break
                 continue
             pace = placement.pace(executor)
-            placed.append(self._core.place(task, executor, now, pace=pace))
+            ticket = self._ticket(placement.step, executor, now)
+            placed.append(self._core.place(task, executor, now, ticket=ticket, pace=pace))
             placement.took(executor)
         return placed
 
@@ -154,7 +172,8 @@
             return []
         pace = placement.pace(executor)
         placement.took(executor)
-        return [self._core.place(pending[0], executor, now, pace=pace)]
+        ticket = self._ticket(step, executor, now)
+        return [self._core.place(pending[0], executor, now, ticket=ticket, pace=pace)]
 
     def _second_choice(
         self, placement: StepPlacement, task: Task, now: float
@@ -181,7 +200,8 @@
                 self._undo(placed, orders)
                 return []
             task.checkpoint = checkpoint
-            placed.append(self._core.place(task, executor, now, run=run))
+            ticket = self._ticket(step, executor, now)
+            placed.append(self._core.place(task, executor, now, ticket=ticket, run=run))
             placement.took(executor)
         return placed
 
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -223,6 +223,8 @@
         priority: Its queue's priority.
         objective_s: Time from acceptance in which it is to be done.
         service: Service whose executors run it.
+        advised: Whether its queue's policy decides where its steps may run.
+        ticket_valid_s: How long a ticket of that policy holds, in seconds.
     """
 
     submitted: Submitted
@@ -237,6 +239,8 @@
     priority: int = 0
     objective_s: float = 0.0
     service: str = ""
+    advised: bool = False
+    ticket_valid_s: float = 0.0
 
     @property
     def spec(self) -> JobSpec:
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -3,8 +3,8 @@
 The parts share a context and have a module each: ``_recovery`` (what the former owner
 left), ``_feed`` (news of jobs), ``_dispatch`` (plans and orders), ``_watch`` (looks at
 executors), ``_records`` (what is written), ``_handovers`` (work for other halls),
-``_proof`` (whether orders may go out). ``_scope`` runs their loops, and ``_changes``
-wakes them.
+``_advisor`` (tickets of placement policies), ``_proof`` (whether orders may go out).
+``_scope`` runs their loops, and ``_changes`` wakes them.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 
 from linkspan.errors import Fenced, LinkspanError, ProducerFenced, ProducerGap
 from linkspan.events import Event
+from linkspan.shard._advisor import Advisor
 from linkspan.shard._changes import Changes
 from linkspan.shard._context import TenureContext
 from linkspan.shard._dispatch import Dispatcher
@@ -41,6 +42,7 @@
     from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
     from linkspan.host.settings import HostSettings
     from linkspan.shard._context import Executors
+    from linkspan.shard.advice import PolicyService
     from linkspan.shard.machines import MachineService
     from linkspan.shard.ownership import Owner
     from linkspan.shard.summary import HallSummary
@@ -61,6 +63,7 @@
         store: The platform's store.
         executors: Calls to executors under the tenure's token.
         machines: The machine service, where there is one.
+        policy: The placement policies' service, where there is one.
         book: The jobs.
         registry: The registered executors.
         configuration: The configuration in force.
@@ -80,6 +83,7 @@
         store: Store,
         executors: Executors,
         machines: MachineService | None,
+        policy: PolicyService | None,
         book: JobBook,
         registry: ExecutorRegistry,
         configuration: ConfigurationWatch,
@@ -126,6 +130,7 @@
         self._watch = ExecutorWatch(context)
         self._dispatcher = Dispatcher(context, self._watch)
         self._handovers = Handovers(context, summary_of)
+        self._advisor = Advisor(context, policy)
         self._feed = JobFeed(context)
         self._recovery = Recovery(
             context, self._feed, self._handovers, self._watch, former_offline_s
@@ -174,6 +179,7 @@
                 scope.spawn(self._records.prune_loop())
                 scope.spawn(self._handovers.rebalance_loop())
                 scope.spawn(self._watch.machines_loop())
+                scope.spawn(self._advisor.run())
                 scope.spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, ProducerGap, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -21,6 +21,7 @@
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
+from linkspan.shard.advice import PolicyService
 from linkspan.shard.machines import MachineRecord, MachineState
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorRecord, StartOrder, TaskName
 from linkspan.store.types import Partition
@@ -69,6 +70,7 @@
     late_share: float = 0.0
     lost_answer_share: float = 0.0
     lists_machines: bool = True
+    policy: PolicyService | None = None
     broken: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -100,7 +102,7 @@
         """Start executors and hosts and let them settle."""
         configuration = Configuration(3, {QUEUE.name: QUEUE}, {"pool": Service("pool")})
         self.configuration = configuration
-        self.store.put(CONFIGURATION, b"config", b"3")
+        self.publish()
         for hall in self.halls:
             for index in range(self.executors_per_hall):
                 self.add_executor(hall, f"{hall}-{index}:1")
@@ -109,6 +111,11 @@
             self.start_host(name)
         await asyncio.sleep(2.0)
 
+    def publish(self) -> None:
+        """Write the configuration as the operator does."""
+        version = str(self.configuration.version).encode()
+        self.store.put(CONFIGURATION, b"config", version)
+
     def host_names(self) -> list[tuple[str, str]]:
         return [(f"{h}-host-{i}", h) for h in self.halls for i in range(self.hosts_per_hall)]
 
@@ -122,6 +129,7 @@
             store=StoreLink(self.store, name),
             executors=lambda token: ExecutorLink(self, name, token),
             machines=self if self.lists_machines else None,
+            policy=self.policy,
             bodies=CallerBodies(),
             configuration_records=CONFIGURATION,
             configuration_key=b"config",
--- /dev/null
+++ b/tests/shard/test_advice.py
@@ -0,0 +1,97 @@
+"""Tickets of placement policies: asked for once, used while they hold."""
+
+from __future__ import annotations
+
+import asyncio
+
+from linkspan.errors import Unreachable
+from linkspan.host.configuration import AdviceRule, Configuration, Queue, Service
+from linkspan.shard.advice import RETRY_S, Advice, AdviceBook
+from linkspan.shard.state import StepRun
+from tests.hall_world import QUEUE, HallWorld, step
+from tests.shard.test_core import JOB, core_with, plan
+from tests.virtual_time import run_virtual
+
+VALID_S = 3.0
+
+
+def advised(*, executors: int = 2) -> tuple[AdviceBook, StepRun]:
+    """Return the advice of a core with one job of one task, and its step."""
+    core = core_with(step(1), executors=executors)
+    return core.advice, core.jobs[JOB].runs[0].steps[0]
+
+
+def test_an_executor_that_was_refused_is_not_asked_for_again() -> None:
+    book, run = advised()
+    book.want(run, ["e0", "e1"], 0.0)
+    call = book.next_call(0.0)
+    assert call and call.executor_ids == ("e0", "e1")
+    book.on_advice(call, Advice({"e1": "t"}, VALID_S), asked=0.0, valid_s=0.0)
+    assert book.ticket(run, "e1", 1.0) == "t"
+    book.want(run, ["e0", "e1"], 1.0)
+    assert book.next_call(1.0) is None
+
+
+def test_a_ticket_is_asked_for_again_before_it_ends() -> None:
+    book, run = advised()
+    book.want(run, ["e0"], 0.0)
+    call = book.next_call(0.0)
+    assert call
+    book.on_advice(call, Advice({"e0": "t"}, 0.0), asked=0.0, valid_s=VALID_S)
+    assert book.ticket(run, "e0", VALID_S) is None
+    book.want(run, ["e0"], VALID_S)
+    assert book.next_call(VALID_S) == call
+
+
+def test_a_call_that_failed_is_made_again_after_a_pause() -> None:
+    book, run = advised()
+    book.want(run, ["e0"], 0.0)
+    book.on_failed(0.0)
+    assert book.next_call(0.0) is None
+    assert book.next_call(RETRY_S) is not None
+
+
+def test_a_step_waits_for_its_ticket_and_keeps_to_the_executors_that_have_one() -> None:
+    core = core_with(step(3))
+    queue = Queue("batch", "h", "/b/", "pool", advice=AdviceRule(VALID_S))
+    core.configure(Configuration(2, {"batch": queue}, {"pool": Service("pool")}))
+    assert plan(core, 0.1) == []
+    call = core.advice.next_call(0.1)
+    assert call and set(call.executor_ids) == {"e0", "e1"}
+    core.advice.on_advice(call, Advice({"e1": "t"}, VALID_S), asked=0.1, valid_s=VALID_S)
+    orders = plan(core, 0.2)
+    assert {(order.executor_id, order.ticket) for order in orders} == {("e1", "t")}
+
+
+class Policy:
+    """A policy's service that is busy now and then and lets every second executor run."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def advise(self, step: StepRun, executor_ids: tuple[str, ...]) -> Advice:
+        self.calls += 1
+        await asyncio.sleep(0.02 + 0.005 * len(executor_ids))
+        if self.calls % 3 == 1:
+            raise Unreachable("busy; ask later")
+        good = sorted(executor_ids)[::2]
+        return Advice({name: f"ticket-{name}" for name in good}, VALID_S)
+
+
+def test_a_job_of_a_queue_with_a_policy_runs_through_whole_hosts() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(policy=Policy())
+        await world.begin()
+        queue = Queue(QUEUE.name, QUEUE.host, QUEUE.prefix, "pool", advice=AdviceRule(VALID_S))
+        world.configuration = Configuration(4, {QUEUE.name: queue}, {"pool": Service("pool")})
+        world.publish()
+        await asyncio.sleep(1.5)
+        spec = world.new_job(step(4), step(2, depends_on=(0,)))
+        assert await world.submit("east-host-0", spec) == 200
+        await world.wait_for("east-host-1", spec.job_id, "succeeded", limit_s=8.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert world.log.named("ADVICE_MISSING")
+    assert len(world.log.named("ADVICE_GIVEN")) == 2
