Copy a run that takes long, where its step allows copies

A slow or hanging executor costs a short job its objective before three times its siblings' median has passed, when the run was stopped and begun anew. Change: from 1.6 times the median on a copy starts on another executor, for a quarter of a step's tasks at most; whichever ends first counts and the other is stopped. Tests of the core; the rule was not there before.

--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard._books import short_name
 from linkspan.shard._pressure_room import PressureRooms
 from linkspan.shard.pacing import MOVE_BELOW
 from linkspan.shard.placement import StepPlacement
@@ -39,6 +40,17 @@
 LONE_SLACK_S = 2.0
 """Added to that."""
 
+COPY_FACTOR = 1.6
+"""Multiple of its siblings' median after which a run of a speculative step gets a copy:
+objectives of short work are one and a half times its length."""
+
+COPY_SLACK_S = 0.15
+"""Added to that, for the shortest: about the time that a copy takes to start."""
+
+COPIES_SHARE = 0.25
+"""Part of a step's tasks that may have copies at a time: more would only load executors
+that are all slow."""
+
 MAX_MOVES = 2
 """Executors that a straggling task is moved away from, at most."""
 
@@ -93,6 +105,7 @@
         for step in self._ordered(wall):
             if core.may_start(step.run.job, now):
                 self._place_step(step, usable, now)
+        self._copy_stragglers(usable, now)
 
     def _ordered(self, wall: float) -> list[StepRun]:
         ready = self._core.ready
@@ -287,6 +300,41 @@
                     self._core.health.took(executor.executor_id, STRAGGLER_FACTOR * 2, now)
                     self._core.stop(attempt, now, reason="runs far longer than its like")
 
+    def _copy_stragglers(self, usable: list[ExecutorState], now: float) -> None:
+        """Start copies of runs that take long beside their like, where that is allowed."""
+        for executor in list(self._core.executors.values()):
+            for attempt in list(executor.attempts.values()):
+                if self._wants_copy(attempt, now):
+                    self._copy(attempt, [e for e in usable if e is not executor], now)
+
+    def _wants_copy(self, attempt: Attempt, now: float) -> bool:
+        step = attempt.task.step
+        if not step.spec.speculative or step.spec.gang or step.run.job.advised:
+            return False
+        if attempt.phase is not Phase.RUNNING or len(attempt.task.attempts) > 1:
+            return False
+        if len(step.durations) < 2 or step.run.job.closing:
+            return False
+        copied = sum(len(task.attempts) > 1 for task in step.tasks)
+        if copied >= max(COPIES_SHARE * step.spec.count, 1):
+            return False
+        return now - attempt.placed_at > COPY_FACTOR * step.median_s + COPY_SLACK_S
+
+    def _copy(self, attempt: Attempt, executors: list[ExecutorState], now: float) -> None:
+        executor = self._placement(attempt.task.step, executors, now).choose(attempt.task)
+        if executor is None:
+            return
+        copy = self._core.place(attempt.task, executor, now, copy=True)
+        self._core.log(
+            Event.RUN_COPIED,
+            executor=copy.executor_id,
+            job=attempt.task.name.job_id,
+            task=short_name(attempt.task.name),
+            run=copy.run,
+            beside=attempt.executor_id,
+            running_s=round(now - attempt.placed_at, 2),
+        )
+
     def _straggles(self, attempt: Attempt, now: float) -> bool:
         step = attempt.task.step
         spec = step.spec
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -278,3 +278,35 @@
     row = RunningTask(order.task, order.run, "", 50, None)
     core.on_report(order.executor_id, ExecutorReport(4.0, (row,), ()), asked=0.3, now=1.1)
     assert core.executors[order.executor_id].attempts == {}
+
+
+def test_a_run_that_takes_long_gets_a_copy_where_that_is_allowed() -> None:
+    core = core_with(step(3, speculative=True), step(1, depends_on=(0,)), executors=4)
+    first, second, slow = plan(core, 0.1)
+    for order in (first, second, slow):
+        started(core, order, 0.1)
+    for number, order in enumerate((first, second), 1):
+        end = EndedTask(number, order.task, order.run, EndKind.DONE, "")
+        core.on_report(order.executor_id, ExecutorReport(1.1, (), (end,)), asked=1.0, now=1.1)
+    assert plan(core, 1.2) == []
+    (copy,) = plan(core, 1.9)
+    assert copy.task == slow.task
+    assert copy.executor_id != slow.executor_id
+    assert plan(core, 3.0) == [], "one copy is enough"
+    started(core, copy, 1.9)
+    end = EndedTask(9, copy.task, copy.run, EndKind.DONE, "")
+    core.on_report(copy.executor_id, ExecutorReport(2.9, (), (end,)), asked=2.8, now=2.9)
+    stops = [order for order in core.orders if isinstance(order, StopOrder)]
+    assert [(stop.executor_id, stop.run) for stop in stops] == [(slow.executor_id, slow.run)]
+    assert [order.task.step for order in plan(core, 3.1)] == [1]
+
+
+def test_a_run_of_a_step_without_copies_gets_none() -> None:
+    core = core_with(step(3), executors=4)
+    orders = plan(core, 0.1)
+    for number, order in enumerate(orders, 1):
+        started(core, order, 0.1)
+        if number < 3:
+            end = EndedTask(number, order.task, order.run, EndKind.DONE, "")
+            core.on_report(order.executor_id, ExecutorReport(1.1, (), (end,)), asked=1.0, now=1.1)
+    assert plan(core, 1.9) == []
