Keep every loan that was given back in the record that tells of it

A second one before the first was read, as a slow store allows, left the first's loan out, so neither hall looked after its task. Change: the owner keeps what it gave back itself.

--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/_handovers.py
@@ -14,7 +14,7 @@
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container, Iterable
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard._context import TenureContext
@@ -26,6 +26,36 @@
 """Time between looks for work that another hall could take."""
 
 
+class GivenBack:
+    """Loans that this shard gave back, also those whose record it has not read yet.
+
+    A record holds all loans that were given back, under one key: one that left some out
+    would hide them, and nobody would look after their tasks.
+    """
+
+    def __init__(self) -> None:
+        self._loans: dict[str, dict[Loan, None]] = {}
+
+    def __repr__(self) -> str:
+        return f"GivenBack({len(self._loans)} jobs)"
+
+    def add(self, job_id: str, told: Iterable[Loan], loans: Iterable[Loan]) -> tuple[Loan, ...]:
+        """Return all loans of a job for its next record.
+
+        Args:
+            job_id: The job.
+            told: Loans that the last record read holds.
+            loans: Loans that are given back now.
+        """
+        known = self._loans.setdefault(job_id, {})
+        known.update(dict.fromkeys((*told, *loans)))
+        return tuple(known)
+
+    def keep_only(self, job_ids: Container[str]) -> None:
+        """Forget all other jobs."""
+        self._loans = {j: loans for j, loans in self._loans.items() if j in job_ids}
+
+
 class Handovers:
     """Hands over what the rebalancer finds: durable here before it is told there.
 
@@ -47,6 +77,7 @@
         self._proof = context.proof
         self._changes = context.changes
         self._summary_of = summary_of
+        self._given_back = GivenBack()
         self._rebalancer = Rebalancer(
             self._core, summaries=self._other_summaries, count_able=self._count_able
         )
@@ -88,7 +119,8 @@
         entry = self._book.catalog.get(job_id)
         before = entry.returned.get(self._shard, ()) if entry else ()
         loans = tuple(Loan(s, i, run.steps[s].tasks[i].loan) for s, i in tasks)
-        return Returned(job_id, self._shard, (*before, *loans))
+        self._given_back.keep_only(self._core.jobs)
+        return Returned(job_id, self._shard, self._given_back.add(job_id, before, loans))
 
     async def tell_moved(self, job_id: str, shard: int) -> None:
         """Tell that a job lives in another shard now, and forget it."""
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from linkspan.jobs.records import Loan
+from linkspan.shard._handovers import GivenBack
 from linkspan.shard.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
 from linkspan.shard.summary import HallSummary
 from tests.hall_world import step
@@ -48,6 +50,15 @@
     assert handover.tasks == ((0, 2),)
 
 
+def test_a_loan_given_back_is_in_every_later_record() -> None:
+    """A second record before the first was read left the first's loan out: its task was lost."""
+    given = GivenBack()
+    assert given.add(JOB, (), [Loan(0, 1, 1)]) == (Loan(0, 1, 1),)
+    assert given.add(JOB, (), [Loan(0, 2, 1)]) == (Loan(0, 1, 1), Loan(0, 2, 1))
+    given.keep_only({"another"})
+    assert given.add(JOB, [Loan(0, 1, 1)], []) == (Loan(0, 1, 1),)
+
+
 def test_a_short_job_moves_soon_also_to_a_hall_where_best_effort_work_waits() -> None:
     """It waited for room at home, since every hall had some best-effort work waiting."""
     core = core_with(step(1, cpu=9_000))
