Read to the end of a partition in a sync, over as many pages as it takes

Cause: found by reading: one read returns a megabyte at most, and a sync made one read. A host that was further behind, after a cut, told callers that a job which was accepted meanwhile did not exist, and a new owner recovered from part of the jobs. Change: it reads until it has seen the end. Test on pages of two records seen failing.

--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -110,7 +110,8 @@
         """
         asked = time.monotonic()
         async with self._lock:
-            if self._synced_at < asked:
+            # One read returns a bounded part of what there is.
+            while self._synced_at < asked:
                 await self._step(0.0)
 
     async def _step(self, wait_s: float) -> None:
--- a/tests/store/test_writer.py
+++ b/tests/store/test_writer.py
@@ -8,7 +8,7 @@
 
 from linkspan.errors import ProducerFenced, StoreRefused
 from linkspan.store.follower import Follower
-from linkspan.store.types import Entry, Partition, Producer, Record
+from linkspan.store.types import Entry, Page, Partition, Producer, Record
 from linkspan.store.writer import GroupWriter
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import run_virtual
@@ -120,6 +120,26 @@
     assert seen == store.log(LOG).entries
 
 
+def test_a_sync_reads_to_the_end_over_many_pages() -> None:
+    """It stopped after one page, and what lay behind it counted as not there."""
+
+    class SmallPages(StoreLink):
+        async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
+            page = await super().read(partition, start, wait_s=wait_s)
+            return Page(page.entries[:2], page.end)
+
+    async def play() -> list[Entry]:
+        store = MemoryStore()
+        seen: list[Entry] = []
+        for number in range(7):
+            store.put(LOG, b"", b"%d" % number)
+        follower = Follower(SmallPages(store, "h"), LOG, on_entries=seen.extend)
+        await follower.sync()
+        return seen
+
+    assert [entry.value for entry in run_virtual(play())] == [b"%d" % n for n in range(7)]
+
+
 def test_a_keyed_follower_starts_over_after_a_gap() -> None:
     async def play() -> None:
         store = MemoryStore()
