Split the moves and copies of runs from the planner

planner.py did three jobs in 346 lines: placing, moving runs and copying them. Moves are in _moves.py and copies in _copies.py now; _plan_view.py holds what all of them see during one plan, in place of a set of pressure rooms that the planner kept between plans, and the rule for usable executors stands once. No behaviour changed.

--- /dev/null
+++ b/src/linkspan/shard/_copies.py
@@ -0,0 +1,80 @@
+"""Which runs that take long get a copy beside them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.events import Event
+from linkspan.shard._books import short_name
+from linkspan.shard.state import Phase
+
+if TYPE_CHECKING:
+    from linkspan.shard._plan_view import PlanView
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.state import Attempt
+
+COPY_FACTOR = 1.6
+"""Multiple of its siblings' median after which a run of a speculative step gets a copy:
+objectives of short work are one and a half times its length."""
+
+COPY_SLACK_S = 0.15
+"""Added to that, for the shortest: about the time that a copy takes to start."""
+
+COPIES_SHARE = 0.25
+"""Part of a step's tasks that may have copies at a time: more would only load executors
+that are all slow."""
+
+
+class Copies:
+    """Copies that one plan starts, where a step allows them.
+
+    Args:
+        view: What the plan works with.
+    """
+
+    def __init__(self, view: PlanView) -> None:
+        self._view = view
+        self._core = view.core
+        self._now = view.now
+
+    def __repr__(self) -> str:
+        return f"Copies({self._view!r})"
+
+    def order(self, usable: list[ExecutorState]) -> None:
+        """Start copies of runs that take long beside their like.
+
+        Args:
+            usable: Executors that may get new work.
+        """
+        for executor in list(self._core.executors.values()):
+            for attempt in list(executor.attempts.values()):
+                if self._wants_copy(attempt):
+                    self._copy(attempt, [e for e in usable if e is not executor])
+
+    def _wants_copy(self, attempt: Attempt) -> bool:
+        step = attempt.task.step
+        if not step.spec.speculative or step.spec.gang or step.run.job.advised:
+            return False
+        if attempt.phase is not Phase.RUNNING or len(attempt.task.attempts) > 1:
+            return False
+        if len(step.durations) < 2 or step.run.job.closing:
+            return False
+        copied = sum(len(task.attempts) > 1 for task in step.tasks)
+        if copied >= max(COPIES_SHARE * step.spec.count, 1):
+            return False
+        return self._now - attempt.placed_at > COPY_FACTOR * step.median_s + COPY_SLACK_S
+
+    def _copy(self, attempt: Attempt, executors: list[ExecutorState]) -> None:
+        executor = self._view.placement(attempt.task.step, executors).choose(attempt.task)
+        if executor is None:
+            return
+        copy = self._core.place(attempt.task, executor, self._now, copy=True)
+        self._core.log(
+            Event.RUN_COPIED,
+            executor=copy.executor_id,
+            job=attempt.task.name.job_id,
+            task=short_name(attempt.task.name),
+            run=copy.run,
+            beside=attempt.executor_id,
+            running_s=round(self._now - attempt.placed_at, 2),
+        )
--- /dev/null
+++ b/src/linkspan/shard/_moves.py
@@ -0,0 +1,130 @@
+"""Which runs are stopped to go on elsewhere."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.shard.pacing import MOVE_BELOW
+from linkspan.shard.state import Phase
+
+if TYPE_CHECKING:
+    from linkspan.shard._plan_view import PlanView
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.state import Attempt
+
+STRAGGLER_FACTOR = 3.0
+"""Multiple of its siblings' median after which a run counts as a straggler; tasks
+of one step differ by a third at most on a sound executor."""
+
+STRAGGLER_SLACK_S = 0.5
+"""Added to that, for short tasks: a stop and a new start cost about this much."""
+
+LONE_FACTOR = 5.0
+"""Multiple of the caller's guess that stands in where no sibling has ended; guesses
+are wrong by a factor of two to three."""
+
+LONE_SLACK_S = 2.0
+"""Added to that."""
+
+MAX_MOVES = 2
+"""Executors that a straggling task is moved away from, at most."""
+
+MOVE_LEFT_S = 1.5
+"""Work that a disturbing best-effort run must have left to be moved: a move costs
+about a second of it."""
+
+MOVE_GAIN = 0.4
+"""Part of the present disturbance that is to be left after a move."""
+
+LEAVE_MARGIN_S = 1.5
+"""Time before a draining executor may leave at which runs there are moved: a stop
+of 0.9 s and its answer."""
+
+LAST_CHANCE_S = 1.0
+"""Added to that for runs that save checkpoints: from here on they are moved whatever
+they may have left to do."""
+
+ESTIMATE_MARGIN = 1.5
+"""Factor on a caller's guess for whether a run ends before its executor leaves."""
+
+
+class Moves:
+    """Moves of one plan: each is a stop, after which the task is placed again.
+
+    Args:
+        view: What the plan works with.
+    """
+
+    def __init__(self, view: PlanView) -> None:
+        self._view = view
+        self._core = view.core
+        self._now = view.now
+
+    def __repr__(self) -> str:
+        return f"Moves({self._view!r})"
+
+    def order(self) -> None:
+        """Order the stops that are due now."""
+        self._leave_draining()
+        self._move_stragglers()
+        self._move_disturbing()
+
+    def _leave_draining(self) -> None:
+        for executor in self._core.executors.values():
+            if not executor.draining or executor.silent_since is not None:
+                continue
+            left = executor.leaves_at - self._now
+            for attempt in list(executor.attempts.values()):
+                if attempt.phase is Phase.RUNNING and self._should_leave(attempt, left):
+                    self._core.stop(attempt, self._now, reason="executor leaves")
+
+    def _should_leave(self, attempt: Attempt, left: float) -> bool:
+        step = attempt.task.step
+        if step.spec.standing:
+            return True
+        if left > LEAVE_MARGIN_S and not step.spec.checkpoints:
+            return False
+        expected = step.spec.estimate_s * ESTIMATE_MARGIN - (self._now - attempt.placed_at)
+        return left < LEAVE_MARGIN_S + LAST_CHANCE_S or (step.spec.checkpoints and expected > left)
+
+    def _move_stragglers(self) -> None:
+        for executor in self._core.executors.values():
+            if executor.silent_since is not None or executor.draining:
+                continue
+            for attempt in list(executor.attempts.values()):
+                if attempt.phase is Phase.RUNNING and self._straggles(attempt):
+                    task = attempt.task
+                    task.avoid.add(executor.executor_id)
+                    self._core.health.took(executor.executor_id, STRAGGLER_FACTOR * 2, self._now)
+                    self._core.stop(attempt, self._now, reason="runs far longer than its like")
+
+    def _straggles(self, attempt: Attempt) -> bool:
+        step = attempt.task.step
+        spec = step.spec
+        if spec.standing or spec.gang or spec.best_effort or len(attempt.task.avoid) >= MAX_MOVES:
+            return False
+        took = self._now - max(attempt.placed_at, attempt.confirmed_at)
+        if len(step.durations) >= 2:
+            return took > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
+        return took > LONE_FACTOR * spec.estimate_s + LONE_SLACK_S
+
+    def _move_disturbing(self) -> None:
+        """Move best-effort runs that were slowed down to where they disturb less."""
+        for executor in list(self._core.executors.values()):
+            for attempt in executor.best_effort():
+                if attempt.pace < MOVE_BELOW and self._better_elsewhere(attempt, executor):
+                    self._core.stop(attempt, self._now, reason="disturbs standing tasks here")
+
+    def _better_elsewhere(self, attempt: Attempt, executor: ExecutorState) -> bool:
+        step = attempt.task.step
+        spec = step.spec
+        left_s = spec.estimate_s * (1 - attempt.progress / 100)
+        if not spec.checkpoints or spec.gang or left_s < MOVE_LEFT_S:
+            return False
+        others = [e for e in self._view.usable() if e is not executor]
+        best = self._view.placement(step, others).choose(attempt.task)
+        if best is None:
+            return False
+        book, image, cpu = self._core.colocation, spec.image, spec.demand.milli_cpu
+        here = book.worst_added(executor, image, cpu)
+        return book.worst_added(best, image, cpu) < MOVE_GAIN * here
--- /dev/null
+++ b/src/linkspan/shard/_plan_view.py
@@ -0,0 +1,38 @@
+"""What one plan sees of its shard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from linkspan.shard.placement import StepPlacement
+
+if TYPE_CHECKING:
+    from linkspan.shard._pressure_room import PressureRooms
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.state import StepRun
+
+
+@dataclass(frozen=True, slots=True)
+class PlanView:
+    """State of a shard at the time of a plan.
+
+    Attributes:
+        core: The shard's state.
+        rooms: What standing tasks bear beside them.
+        now: Steady time of the plan.
+    """
+
+    core: ShardCore
+    rooms: PressureRooms
+    now: float
+
+    def usable(self) -> list[ExecutorState]:
+        """Return the executors that may get new work."""
+        return [e for e in self.core.executors.values() if e.usable(self.now) and e.clock]
+
+    def placement(self, step: StepRun, executors: list[ExecutorState]) -> StepPlacement:
+        """Return what chooses among some executors for a step."""
+        core = self.core
+        return StepPlacement(step, executors, core.health, core.colocation, self.rooms, self.now)
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -1,20 +1,20 @@
-"""Which tasks start now, in what order, and which runs are better moved."""
+"""Which tasks start now, in what order."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._books import short_name
+from linkspan.shard._copies import Copies
+from linkspan.shard._moves import Moves
+from linkspan.shard._plan_view import PlanView
 from linkspan.shard._pressure_room import PressureRooms
-from linkspan.shard.pacing import MOVE_BELOW
-from linkspan.shard.placement import StepPlacement
-from linkspan.shard.state import Phase
 from linkspan.shard.urgency import urgency
 
 if TYPE_CHECKING:
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.placement import StepPlacement
     from linkspan.shard.state import Attempt, StepRun, Task
 
 AVOID_S = 0.4
@@ -26,52 +26,6 @@
 """Time after which a job with nothing running starts a task wherever there is memory
 for it. The platform counts work as lost that waits for three seconds beside room."""
 
-STRAGGLER_FACTOR = 3.0
-"""Multiple of its siblings' median after which a run counts as a straggler; tasks
-of one step differ by a third at most on a sound executor."""
-
-STRAGGLER_SLACK_S = 0.5
-"""Added to that, for short tasks: a stop and a new start cost about this much."""
-
-LONE_FACTOR = 5.0
-"""Multiple of the caller's guess that stands in where no sibling has ended; guesses
-are wrong by a factor of two to three."""
-
-LONE_SLACK_S = 2.0
-"""Added to that."""
-
-COPY_FACTOR = 1.6
-"""Multiple of its siblings' median after which a run of a speculative step gets a copy:
-objectives of short work are one and a half times its length."""
-
-COPY_SLACK_S = 0.15
-"""Added to that, for the shortest: about the time that a copy takes to start."""
-
-COPIES_SHARE = 0.25
-"""Part of a step's tasks that may have copies at a time: more would only load executors
-that are all slow."""
-
-MAX_MOVES = 2
-"""Executors that a straggling task is moved away from, at most."""
-
-MOVE_LEFT_S = 1.5
-"""Work that a disturbing best-effort run must have left to be moved: a move costs
-about a second of it."""
-
-MOVE_GAIN = 0.4
-"""Part of the present disturbance that is to be left after a move."""
-
-LEAVE_MARGIN_S = 1.5
-"""Time before a draining executor may leave at which runs there are moved: a stop
-of 0.9 s and its answer."""
-
-LAST_CHANCE_S = 1.0
-"""Added to that for runs that save checkpoints: from here on they are moved whatever
-they may have left to do."""
-
-ESTIMATE_MARGIN = 1.5
-"""Factor on a caller's guess for whether a run ends before its executor leaves."""
-
 
 class Planner:
     """Turns the state of a shard into starts and stops.
@@ -83,7 +37,6 @@
     def __init__(self, core: ShardCore) -> None:
         self._core = core
         self._blocked_logged: set[StepRun] = set()
-        self._rooms = PressureRooms(core.colocation, 0.0, 0.0)
 
     def __repr__(self) -> str:
         return f"Planner({self._core!r})"
@@ -96,16 +49,14 @@
             wall: Time of day, in seconds since 1970, for due times and urgency.
         """
         core = self._core
-        self._rooms = PressureRooms(core.colocation, now, wall)
+        view = PlanView(core, PressureRooms(core.colocation, now, wall), now)
         core.release_due(wall, now)
-        self._leave_draining(now)
-        self._move_stragglers(now)
-        self._move_disturbing(now)
-        usable = [e for e in core.executors.values() if e.usable(now) and e.clock]
+        Moves(view).order()
+        usable = view.usable()
         for step in self._ordered(wall):
             if core.may_start(step.run.job, now):
-                self._place_step(step, usable, now)
-        self._copy_stragglers(usable, now)
+                self._place_step(step, usable, view)
+        Copies(view).order(usable)
 
     def _ordered(self, wall: float) -> list[StepRun]:
         ready = self._core.ready
@@ -116,11 +67,12 @@
         waiting = [step for step in ready if not step.run.job.handing_over]
         return sorted(waiting, key=lambda step: urgency(step, wall))
 
-    def _place_step(self, step: StepRun, usable: list[ExecutorState], now: float) -> None:
+    def _place_step(self, step: StepRun, usable: list[ExecutorState], view: PlanView) -> None:
+        now = view.now
         pending = [t for t in step.tasks if t.pending and t.not_before <= now]
         if not pending:
             return
-        placement = self._placement(step, usable, now)
+        placement = view.placement(step, usable)
         if not placement.executors:
             return
         if step.run.job.advised and not self._has_tickets(placement, now):
@@ -132,12 +84,6 @@
             placed = placed or self._place_starved(placement, pending, now)
         self._log(step, placed, len(pending), now)
 
-    def _placement(
-        self, step: StepRun, executors: list[ExecutorState], now: float
-    ) -> StepPlacement:
-        core = self._core
-        return StepPlacement(step, executors, core.health, core.colocation, self._rooms, now)
-
     def _has_tickets(self, placement: StepPlacement, now: float) -> bool:
         """Keep to the executors that the queue's policy lets run the step."""
         step, book = placement.step, self._core.advice
@@ -245,102 +191,3 @@
                 milli_cpu=step.spec.demand.milli_cpu,
                 memory_mb=step.spec.demand.memory_mb,
             )
-
-    # Moves
-
-    def _leave_draining(self, now: float) -> None:
-        for executor in self._core.executors.values():
-            if not executor.draining or executor.silent_since is not None:
-                continue
-            left = executor.leaves_at - now
-            for attempt in list(executor.attempts.values()):
-                if attempt.phase is Phase.RUNNING and self._should_leave(attempt, left, now):
-                    self._core.stop(attempt, now, reason="executor leaves")
-
-    def _should_leave(self, attempt: Attempt, left: float, now: float) -> bool:
-        step = attempt.task.step
-        if step.spec.standing:
-            return True
-        if left > LEAVE_MARGIN_S and not step.spec.checkpoints:
-            return False
-        expected = step.spec.estimate_s * ESTIMATE_MARGIN - (now - attempt.placed_at)
-        return left < LEAVE_MARGIN_S + LAST_CHANCE_S or (step.spec.checkpoints and expected > left)
-
-    def _move_disturbing(self, now: float) -> None:
-        """Move best-effort runs that were slowed down to where they disturb less."""
-        for executor in list(self._core.executors.values()):
-            for attempt in executor.best_effort():
-                if attempt.pace < MOVE_BELOW and self._better_elsewhere(attempt, executor, now):
-                    self._core.stop(attempt, now, reason="disturbs standing tasks here")
-
-    def _better_elsewhere(self, attempt: Attempt, executor: ExecutorState, now: float) -> bool:
-        step = attempt.task.step
-        spec = step.spec
-        left_s = spec.estimate_s * (1 - attempt.progress / 100)
-        if not spec.checkpoints or step.spec.gang or left_s < MOVE_LEFT_S:
-            return False
-        others = [e for e in self._core.executors.values() if e is not executor]
-        usable = [e for e in others if e.usable(now) and e.clock]
-        placement = self._placement(step, usable, now)
-        best = placement.choose(attempt.task)
-        if best is None:
-            return False
-        book, image, cpu = self._core.colocation, spec.image, spec.demand.milli_cpu
-        here = book.worst_added(executor, image, cpu)
-        return book.worst_added(best, image, cpu) < MOVE_GAIN * here
-
-    def _move_stragglers(self, now: float) -> None:
-        for executor in self._core.executors.values():
-            if executor.silent_since is not None or executor.draining:
-                continue
-            for attempt in list(executor.attempts.values()):
-                if attempt.phase is Phase.RUNNING and self._straggles(attempt, now):
-                    task = attempt.task
-                    task.avoid.add(executor.executor_id)
-                    self._core.health.took(executor.executor_id, STRAGGLER_FACTOR * 2, now)
-                    self._core.stop(attempt, now, reason="runs far longer than its like")
-
-    def _copy_stragglers(self, usable: list[ExecutorState], now: float) -> None:
-        """Start copies of runs that take long beside their like, where that is allowed."""
-        for executor in list(self._core.executors.values()):
-            for attempt in list(executor.attempts.values()):
-                if self._wants_copy(attempt, now):
-                    self._copy(attempt, [e for e in usable if e is not executor], now)
-
-    def _wants_copy(self, attempt: Attempt, now: float) -> bool:
-        step = attempt.task.step
-        if not step.spec.speculative or step.spec.gang or step.run.job.advised:
-            return False
-        if attempt.phase is not Phase.RUNNING or len(attempt.task.attempts) > 1:
-            return False
-        if len(step.durations) < 2 or step.run.job.closing:
-            return False
-        copied = sum(len(task.attempts) > 1 for task in step.tasks)
-        if copied >= max(COPIES_SHARE * step.spec.count, 1):
-            return False
-        return now - attempt.placed_at > COPY_FACTOR * step.median_s + COPY_SLACK_S
-
-    def _copy(self, attempt: Attempt, executors: list[ExecutorState], now: float) -> None:
-        executor = self._placement(attempt.task.step, executors, now).choose(attempt.task)
-        if executor is None:
-            return
-        copy = self._core.place(attempt.task, executor, now, copy=True)
-        self._core.log(
-            Event.RUN_COPIED,
-            executor=copy.executor_id,
-            job=attempt.task.name.job_id,
-            task=short_name(attempt.task.name),
-            run=copy.run,
-            beside=attempt.executor_id,
-            running_s=round(now - attempt.placed_at, 2),
-        )
-
-    def _straggles(self, attempt: Attempt, now: float) -> bool:
-        step = attempt.task.step
-        spec = step.spec
-        if spec.standing or spec.gang or spec.best_effort or len(attempt.task.avoid) >= MAX_MOVES:
-            return False
-        took = now - max(attempt.placed_at, attempt.confirmed_at)
-        if len(step.durations) >= 2:
-            return took > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
-        return took > LONE_FACTOR * spec.estimate_s + LONE_SLACK_S
