Start tasks in one place in the planner

Each, starved and gang placing had their own copy of ticket, order and count, and a method named like a question narrowed the executors. No behaviour changed.

--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -9,6 +9,7 @@
 from linkspan.shard._moves import Moves
 from linkspan.shard._plan_view import PlanView
 from linkspan.shard._pressure_room import PressureRooms
+from linkspan.shard.state import FULL_PACE
 from linkspan.shard.urgency import urgency
 
 if TYPE_CHECKING:
@@ -68,60 +69,70 @@
         return sorted(waiting, key=lambda step: urgency(step, wall))
 
     def _place_step(self, step: StepRun, usable: list[ExecutorState], view: PlanView) -> None:
-        now = view.now
-        pending = [t for t in step.tasks if t.pending and t.not_before <= now]
+        pending = [t for t in step.tasks if t.pending and t.not_before <= view.now]
         if not pending:
             return
         placement = view.placement(step, usable)
         if not placement.executors:
             return
-        if step.run.job.advised and not self._has_tickets(placement, now):
-            return
+        if step.run.job.advised:
+            self._keep_ticketed(placement)
+            if not placement.executors:
+                return
         if step.spec.gang:
-            placed = self._place_gang(step, placement, pending, now)
+            placed = self._place_gang(placement, pending)
         else:
-            placed = self._place_each(placement, pending, now)
-            placed = placed or self._place_starved(placement, pending, now)
-        self._log(step, placed, len(pending), now)
+            placed = self._place_each(placement, pending)
+            placed = placed or self._place_starved(placement, pending)
+        self._log(step, placed, len(pending), view.now)
 
-    def _has_tickets(self, placement: StepPlacement, now: float) -> bool:
+    def _keep_ticketed(self, placement: StepPlacement) -> None:
         """Keep to the executors that the queue's policy lets run the step."""
-        step, book = placement.step, self._core.advice
+        step, now, book = placement.step, placement.now, self._core.advice
         by_room = sorted(placement.executors, key=lambda e: -e.free_cpu)
         book.want(step, (e.executor_id for e in by_room), now)
         placement.executors = [
             e for e in placement.executors if book.ticket(step, e.executor_id, now) is not None
         ]
-        return bool(placement.executors)
 
-    def _ticket(self, step: StepRun, executor: ExecutorState, now: float) -> str:
+    def _start(
+        self,
+        placement: StepPlacement,
+        task: Task,
+        executor: ExecutorState,
+        *,
+        run: int | None = None,
+        pace: int = FULL_PACE,
+    ) -> Attempt:
+        """Order a start under the step's ticket, if it needs one, and count it in."""
+        ticket = self._ticket(placement, executor)
+        attempt = self._core.place(task, executor, placement.now, ticket=ticket, run=run, pace=pace)
+        placement.took(executor)
+        return attempt
+
+    def _ticket(self, placement: StepPlacement, executor: ExecutorState) -> str:
+        step = placement.step
         if not step.run.job.advised:
             return ""
-        return self._core.advice.ticket(step, executor.executor_id, now) or ""
+        return self._core.advice.ticket(step, executor.executor_id, placement.now) or ""
 
-    def _place_each(
-        self, placement: StepPlacement, pending: list[Task], now: float
-    ) -> list[Attempt]:
+    def _place_each(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
         placed = []
         for task in pending:
-            executor = placement.choose(task) or self._second_choice(placement, task, now)
+            executor = placement.choose(task) or self._second_choice(placement, task)
             if executor is None:
                 if not task.avoid:
                     # Tasks of a step are alike: none of the others fits either.
                     break
                 continue
             pace = placement.pace(executor)
-            ticket = self._ticket(placement.step, executor, now)
-            placed.append(self._core.place(task, executor, now, ticket=ticket, pace=pace))
-            placement.took(executor)
+            placed.append(self._start(placement, task, executor, pace=pace))
         return placed
 
-    def _place_starved(
-        self, placement: StepPlacement, pending: list[Task], now: float
-    ) -> list[Attempt]:
+    def _place_starved(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
         """Start one best-effort task of a job that has had nothing running for long."""
         step = placement.step
-        waited = now - min(task.ready_since for task in pending)
+        waited = placement.now - min(task.ready_since for task in pending)
         if not step.spec.best_effort or waited < STARVED_S:
             return []
         if any(True for _ in step.run.job.attempts()):
@@ -130,24 +141,19 @@
         if executor is None:
             return []
         pace = placement.pace(executor)
-        placement.took(executor)
-        ticket = self._ticket(step, executor, now)
-        return [self._core.place(pending[0], executor, now, ticket=ticket, pace=pace)]
+        return [self._start(placement, pending[0], executor, pace=pace)]
 
-    def _second_choice(
-        self, placement: StepPlacement, task: Task, now: float
-    ) -> ExecutorState | None:
+    def _second_choice(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return an avoided executor if no other had room for a while, or there is none."""
         nowhere = all(e.executor_id in task.avoid for e in placement.executors)
-        if not task.avoid or not (nowhere or now - task.ready_since >= AVOID_S):
+        waited = placement.now - task.ready_since
+        if not task.avoid or not (nowhere or waited >= AVOID_S):
             return None
         task.avoid.clear()
         return placement.choose(task)
 
-    def _place_gang(
-        self, step: StepRun, placement: StepPlacement, pending: list[Task], now: float
-    ) -> list[Attempt]:
-        if len(pending) < len(step.tasks):
+    def _place_gang(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
+        if len(pending) < len(placement.step.tasks):
             return []
         run = max(task.next_run for task in pending)
         checkpoint = max((task.checkpoint for task in pending), key=len)
@@ -159,9 +165,7 @@
                 self._undo(placed, orders)
                 return []
             task.checkpoint = checkpoint
-            ticket = self._ticket(step, executor, now)
-            placed.append(self._core.place(task, executor, now, ticket=ticket, run=run))
-            placement.took(executor)
+            placed.append(self._start(placement, task, executor, run=run))
         return placed
 
     def _undo(self, placed: list[Attempt], orders: int) -> None:
