Give the pressure rooms of a plan a module and a name of their own

_pressure_room.py held two classes whose names differ by one letter, and its MOST_PRESSURE meant something else than that of colocation.py. The rooms of a plan are PlanRooms in _plan_rooms.py, and the limit up to which paces are kept is KEPT_PRESSURE. No behaviour changed. Run: tests of shard, host, platform, jobs, store, events and the dropping stream; ruff and mypy.

--- /dev/null
+++ b/src/linkspan/shard/_plan_rooms.py
@@ -0,0 +1,53 @@
+"""What standing tasks bear during one plan, by the hope of the work beside them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.shard._pressure_room import PressureRoom
+from linkspan.shard.urgency import Hope, urgency
+
+if TYPE_CHECKING:
+    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.state import StepRun
+
+
+class PlanRooms:
+    """Rooms of executors during one plan.
+
+    Work of less hope is not counted: it gives way to a task of more.
+
+    Args:
+        book: What is known of pairs of images.
+        now: Steady time.
+        wall: Time of day, in seconds since 1970, for urgency.
+    """
+
+    def __init__(self, book: ColocationBook, now: float, wall: float) -> None:
+        self._book = book
+        self._now = now
+        self._wall = wall
+        self._rooms: dict[tuple[str, Hope], PressureRoom] = {}
+
+    def __repr__(self) -> str:
+        return f"PlanRooms({len(self._rooms)})"
+
+    def of(self, executor: ExecutorState, step: StepRun) -> PressureRoom:
+        """Return the room that an executor has for a step's tasks."""
+        hope = urgency(step, self._wall).hope
+        key = executor.executor_id, hope
+        room = self._rooms.get(key)
+        if room is None:
+            beside = (
+                a
+                for a in executor.attempts.values()
+                if a.task.step.spec.best_effort and urgency(a.task.step, self._wall).hope <= hope
+            )
+            room = self._rooms[key] = PressureRoom(executor, self._book, self._now, beside)
+        return room
+
+    def changed(self, executor: ExecutorState) -> None:
+        """Take in that something was placed on an executor."""
+        for hope in Hope:
+            self._rooms.pop((executor.executor_id, hope), None)
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/_plan_view.py
@@ -8,7 +8,7 @@
 from linkspan.shard.placement import StepPlacement
 
 if TYPE_CHECKING:
-    from linkspan.shard._pressure_room import PressureRooms
+    from linkspan.shard._plan_rooms import PlanRooms
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import StepRun
@@ -25,7 +25,7 @@
     """
 
     core: ShardCore
-    rooms: PressureRooms
+    rooms: PlanRooms
     now: float
 
     def usable(self) -> list[ExecutorState]:
--- a/src/linkspan/shard/_pressure_room.py
+++ b/src/linkspan/shard/_pressure_room.py
@@ -1,11 +1,10 @@
-"""How much pressure the standing tasks of an executor still bear, and who gets it."""
+"""How much pressure the standing tasks of an executor still bear."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from linkspan.shard.colocation import scaled_cores
-from linkspan.shard.urgency import Hope, urgency
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -13,13 +12,13 @@
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import Attempt, StepRun
+    from linkspan.shard.state import Attempt
 
 AIM_PRESSURE = 0.805
 """Pressure up to which best-effort tasks are placed, and given pace, beside a standing one;
 its target is at 0.83, and loads are foreseen to about 0.04."""
 
-MOST_PRESSURE = 0.83
+KEPT_PRESSURE = 0.83
 """Pressure up to which they keep the pace that they have: just under the target, so that
 the error of what is foreseen slows nobody down."""
 
@@ -81,43 +80,3 @@
         cores = share * scaled_cores(self._executor, spec.demand.milli_cpu)
         for image in self._rooms:
             self._rooms[image] -= self._book.effect(image, spec.image) * cores
-
-
-class PressureRooms:
-    """Rooms of executors during one plan.
-
-    Work of less hope is not counted: it gives way to a task of more.
-
-    Args:
-        book: What is known of pairs of images.
-        now: Steady time.
-        wall: Time of day, in seconds since 1970, for urgency.
-    """
-
-    def __init__(self, book: ColocationBook, now: float, wall: float) -> None:
-        self._book = book
-        self._now = now
-        self._wall = wall
-        self._rooms: dict[tuple[str, Hope], PressureRoom] = {}
-
-    def __repr__(self) -> str:
-        return f"PressureRooms({len(self._rooms)})"
-
-    def of(self, executor: ExecutorState, step: StepRun) -> PressureRoom:
-        """Return the room that an executor has for a step's tasks."""
-        hope = urgency(step, self._wall).hope
-        key = executor.executor_id, hope
-        room = self._rooms.get(key)
-        if room is None:
-            beside = (
-                a
-                for a in executor.attempts.values()
-                if a.task.step.spec.best_effort and urgency(a.task.step, self._wall).hope <= hope
-            )
-            room = self._rooms[key] = PressureRoom(executor, self._book, self._now, beside)
-        return room
-
-    def changed(self, executor: ExecutorState) -> None:
-        """Take in that something was placed on an executor."""
-        for hope in Hope:
-            self._rooms.pop((executor.executor_id, hope), None)
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._pressure_room import MOST_PRESSURE, PressureRoom
+from linkspan.shard._pressure_room import KEPT_PRESSURE, PressureRoom
 from linkspan.shard.colocation import latency_ratio
 from linkspan.shard.state import FULL_PACE
 from linkspan.shard.urgency import urgency
@@ -76,7 +76,7 @@
         if not neighbours or now - last < FIGURE_S:
             return
         by_need = sorted(neighbours, key=lambda a: urgency(a.task.step, wall))
-        present = PressureRoom(executor, self._book, now, neighbours, limit=MOST_PRESSURE)
+        present = PressureRoom(executor, self._book, now, neighbours, limit=KEPT_PRESSURE)
         if present.overdrawn or any(a.over_since is not None for a in standing):
             self._share_out(executor, standing, by_need, now)
         else:
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -9,7 +9,7 @@
 from linkspan.shard.pacing import STOP_BELOW
 
 if TYPE_CHECKING:
-    from linkspan.shard._pressure_room import PressureRooms
+    from linkspan.shard._plan_rooms import PlanRooms
     from linkspan.shard.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.health import HealthBook
@@ -89,7 +89,7 @@
     executors: list[ExecutorState]
     health: HealthBook
     colocation: ColocationBook
-    rooms: PressureRooms
+    rooms: PlanRooms
     now: float
     _on_executor: Counter[str] = field(default_factory=Counter)
 
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -7,8 +7,8 @@
 from linkspan.events import Event
 from linkspan.shard._copies import Copies
 from linkspan.shard._moves import Moves
+from linkspan.shard._plan_rooms import PlanRooms
 from linkspan.shard._plan_view import PlanView
-from linkspan.shard._pressure_room import PressureRooms
 from linkspan.shard.state import FULL_PACE
 from linkspan.shard.urgency import urgency
 
@@ -50,7 +50,7 @@
             wall: Time of day, in seconds since 1970, for due times and urgency.
         """
         core = self._core
-        view = PlanView(core, PressureRooms(core.colocation, now, wall), now)
+        view = PlanView(core, PlanRooms(core.colocation, now, wall), now)
         core.release_due(wall, now)
         Moves(view).order()
         usable = view.usable()
