Name what placement and pacing share, once

The room of a step's task was reckoned in three places of placement.py, a parameter named restart no longer meant one, HEADROOM_WAIT_S spoke of "that room" far from it, and full pace was a bare 100 beside FULL_PACE. No behaviour changed.

--- a/src/linkspan/shard/_orders.py
+++ b/src/linkspan/shard/_orders.py
@@ -46,7 +46,7 @@
         ticket: str = "",
         run: int | None = None,
         copy: bool = False,
-        pace: int = 100,
+        pace: int = FULL_PACE,
     ) -> Attempt:
         """Decide to start a task on an executor."""
         number = task.next_run if run is None else run
--- a/src/linkspan/shard/colocation.py
+++ b/src/linkspan/shard/colocation.py
@@ -109,7 +109,7 @@
         if now - last < SAMPLE_S:
             return
         self._learnt_at[executor.executor_id] = now
-        cores = cores_in_use(executor)
+        cores = _cores_in_use(executor)
         for attempt in executor.standing():
             ratio = latency_ratio(attempt)
             if ratio is not None:
@@ -204,14 +204,10 @@
     return milli_cpu / 1000 * REFERENCE_MILLI_CPU / capacity
 
 
-def cores_in_use(executor: ExecutorState) -> dict[str, float]:
+def _cores_in_use(executor: ExecutorState) -> dict[str, float]:
     """Return the scaled cores that best-effort attempts there used last, by image."""
-    return _by_image(executor, ((a, a.usage or 0.0) for a in executor.best_effort()))
-
-
-def _by_image(executor: ExecutorState, used: Iterable[tuple[Attempt, float]]) -> dict[str, float]:
     cores: dict[str, float] = {}
-    for attempt, milli_cpu in used:
+    for attempt in executor.best_effort():
         image = attempt.task.step.spec.image
-        cores[image] = cores.get(image, 0.0) + scaled_cores(executor, milli_cpu)
+        cores[image] = cores.get(image, 0.0) + scaled_cores(executor, attempt.usage or 0.0)
     return cores
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -30,6 +30,7 @@
 from linkspan.shard._loans import Loans
 from linkspan.shard._orders import Orders
 from linkspan.shard._presence import Presence
+from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -226,7 +227,7 @@
         ticket: str = "",
         run: int | None = None,
         copy: bool = False,
-        pace: int = 100,
+        pace: int = FULL_PACE,
     ) -> Attempt:
         """Decide to start a task on an executor.
 
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.pacing import STOP_BELOW
+from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
     from linkspan.shard._plan_rooms import PlanRooms
@@ -27,16 +28,16 @@
 """Part of each executor that standing tasks leave to short ones, which earn four
 times as much a core. Short tasks use a twentieth on average and come in bursts."""
 
+HEADROOM_WAIT_S = 3.0
+"""Time after which a standing task may use that room, too: it is then worth more at work
+than the room is to short tasks."""
+
 SLOW_PENALTY = 2.0
 """Added to the score of an executor that was found slow: above any load."""
 
 FAR_PENALTY = 1.0
 """Added away from the step's data: above any difference in load, below slowness."""
 
-HEADROOM_WAIT_S = 3.0
-"""Time after which a standing task may use that room, too: it is then worth more at work
-than the room is to short tasks."""
-
 STANDING_LOAD_WEIGHT = 0.3
 """Weight of an executor's load for standing tasks: it decides only between executors
 whose neighbours are alike."""
@@ -67,7 +68,7 @@
 SLOWED_PENALTY = 2.0
 """Weight of the part of full speed that a best-effort task would lack: above any load."""
 
-LEAST_SHARE = 1.0
+LEAST_START_SHARE = 1.0
 """Least share of full speed at which a best-effort task is worth a start: a third of
 its objective is its own work."""
 
@@ -117,20 +118,17 @@
         """
         best: ExecutorState | None = None
         best_score = float("inf")
+        fill = self._may_fill(task)
         for executor in self.executors:
-            if executor.executor_id in task.avoid or not self.fits(
-                executor, restart=self.may_fill(task), starved=starved
-            ):
+            if executor.executor_id in task.avoid:
+                continue
+            if not self.fits(executor, fill=fill, starved=starved):
                 continue
             score = self._score(executor)
             if score < best_score:
                 best, best_score = executor, score
         return best
 
-    def may_fill(self, task: Task) -> bool:
-        """Whether a task may use the room that standing tasks leave to short ones."""
-        return task.displaced or self.now - task.ready_since >= HEADROOM_WAIT_S
-
     def took(self, executor: ExecutorState) -> None:
         """Count a task in that was placed on an executor."""
         self._on_executor[executor.executor_id] += 1
@@ -139,18 +137,16 @@
     def pace(self, executor: ExecutorState) -> int:
         """Return the pace in percent at which a task of the step is to begin there."""
         if not self.step.spec.best_effort:
-            return 100
-        share = self.rooms.of(executor, self.step).share(self.step.spec)
+            return FULL_PACE
+        share = self._share(executor)
         return int(100 * share) if share >= STOP_BELOW / 100 else 0
 
-    def fits(
-        self, executor: ExecutorState, *, restart: bool = False, starved: bool = False
-    ) -> bool:
+    def fits(self, executor: ExecutorState, *, fill: bool = False, starved: bool = False) -> bool:
         """Whether an executor has room for one task of the step.
 
         Args:
             executor: The executor.
-            restart: Whether a standing task may use the room that is kept for short ones.
+            fill: Whether a standing task may use the room that is kept for short ones.
             starved: Whether pressure on standing tasks is no reason against it.
         """
         spec = self.step.spec
@@ -163,10 +159,18 @@
         if spec.best_effort:
             return self._fits_best_effort(executor, starved=starved)
         headroom = 0.0
-        if spec.standing and not restart:
+        if spec.standing and not fill:
             headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
         return demand.milli_cpu + headroom <= executor.free_cpu
 
+    def _share(self, executor: ExecutorState) -> float:
+        """Return the share of full speed at which a task of the step may work there."""
+        return self.rooms.of(executor, self.step).share(self.step.spec)
+
+    def _may_fill(self, task: Task) -> bool:
+        """Whether a standing task may use the room that is kept for short ones."""
+        return task.displaced or self.now - task.ready_since >= HEADROOM_WAIT_S
+
     def _fits_best_effort(self, executor: ExecutorState, *, starved: bool) -> bool:
         """Whether the processor of an executor bears one more best-effort task."""
         if executor.disturbed:
@@ -177,7 +181,7 @@
         spec = self.step.spec
         if leftover_cpu(executor) < spec.demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
             return False
-        return self.rooms.of(executor, self.step).share(spec) >= LEAST_SHARE
+        return self._share(executor) >= LEAST_START_SHARE
 
     def _score(self, executor: ExecutorState) -> float:
         spec = self.step.spec
@@ -195,7 +199,7 @@
         if spec.best_effort:
             added = self.colocation.worst_added(executor, spec.image, spec.demand.milli_cpu)
             score += DISTURBANCE_WEIGHT * added
-            score += SLOWED_PENALTY * (1.0 - self.rooms.of(executor, self.step).share(spec))
+            score += SLOWED_PENALTY * (1.0 - self._share(executor))
         return score
 
     def _neighbour_score(self, executor: ExecutorState, capacity: int) -> float:
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -65,7 +65,7 @@
     phase: Phase
     placed_at: float
     confirmed_at: float = NEVER
-    pace: int = 100
+    pace: int = FULL_PACE
     pace_known: bool = True
     progress: int = 0
     progress_at: float = NEVER
