Give the loans that were given back a module of their own

_handovers.py held a second class, whose job is bookkeeping and which has a test of its own. It stands in _given_back.py, unchanged; the test's import follows. No behaviour changed.

--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/_handovers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Lent, Loan, Moved, Returned
+from linkspan.shard._given_back import GivenBack
 from linkspan.shard.messages import can_run
 from linkspan.shard.progress import RunKey, encode_moved, encode_run, key_of
 from linkspan.shard.rebalance import Rebalancer
@@ -14,7 +15,7 @@
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container, Iterable
+    from collections.abc import Callable
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard._context import TenureContext
@@ -26,36 +27,6 @@
 """Time between looks for work that another hall could take."""
 
 
-class GivenBack:
-    """Loans that this shard gave back, also those whose record it has not read yet.
-
-    A record holds all loans that were given back, under one key: one that left some out
-    would hide them, and nobody would look after their tasks.
-    """
-
-    def __init__(self) -> None:
-        self._loans: dict[str, dict[Loan, None]] = {}
-
-    def __repr__(self) -> str:
-        return f"GivenBack({len(self._loans)} jobs)"
-
-    def add(self, job_id: str, told: Iterable[Loan], loans: Iterable[Loan]) -> tuple[Loan, ...]:
-        """Return all loans of a job for its next record.
-
-        Args:
-            job_id: The job.
-            told: Loans that the last record read holds.
-            loans: Loans that are given back now.
-        """
-        known = self._loans.setdefault(job_id, {})
-        known.update(dict.fromkeys((*told, *loans)))
-        return tuple(known)
-
-    def keep_only(self, job_ids: Container[str]) -> None:
-        """Forget all other jobs."""
-        self._loans = {j: loans for j, loans in self._loans.items() if j in job_ids}
-
-
 class Handovers:
     """Hands over what the rebalancer finds: durable here before it is told there.
 
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from linkspan.jobs.records import Loan
-from linkspan.shard._handovers import GivenBack
+from linkspan.shard._given_back import GivenBack
 from linkspan.shard.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
 from linkspan.shard.summary import HallSummary
 from tests.hall_world import step
