Read the answers of the platform's JSON services in one place

The clients of the machine and of the policy service had the same lines for time limit, refusal and decoding, down to the words of their errors. read_answer in _answers.py holds them; the checks of what an answer says stay with each client.

--- a/src/linkspan/platform/advice.py
+++ b/src/linkspan/platform/advice.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
 import orjson
 
 from linkspan.errors import Unreachable
+from linkspan.platform._answers import read_answer
 from linkspan.shard.advice import Advice
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from linkspan.shard.state import StepRun
 
 CALL_TIMEOUT_S = 5.0
@@ -45,15 +46,9 @@
         # "workers" names executors by their ids.
         body = orjson.dumps({"step": name, "workers": list(executor_ids)})
         headers = {"Content-Type": "application/json"}
-        try:
-            async with asyncio.timeout(self._timeout_s):
-                async with self._session.post(self._url, data=body, headers=headers) as answer:
-                    data = await answer.read()
-                    if answer.status != 200:
-                        raise Unreachable(f"policy service answered {answer.status}; ask later")
-                    return _advice(orjson.loads(data))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise Unreachable(f"policy service: {error!r}; it is asked again") from error
+        request = self._session.post(self._url, data=body, headers=headers)
+        fields = await read_answer(request, service="policy service", timeout_s=self._timeout_s)
+        return _advice(fields)
 
 
 def _advice(fields: Any) -> Advice:
--- a/src/linkspan/platform/machines.py
+++ b/src/linkspan/platform/machines.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
-from typing import Any
-
-import aiohttp
-import orjson
+from typing import TYPE_CHECKING, Any
 
 from linkspan.errors import Unreachable
+from linkspan.platform._answers import read_answer
 from linkspan.shard.machines import MachineRecord, MachineState
 
+if TYPE_CHECKING:
+    import aiohttp
+
 CALL_TIMEOUT_S = 1.0
 """Time for an answer: a healthy service answers within 10 ms."""
 
@@ -53,15 +53,8 @@
                 return tuple(records)
 
     async def _page(self, query: str) -> dict[str, Any]:
-        try:
-            async with asyncio.timeout(self._timeout_s):
-                async with self._session.get(self._url + query) as answer:
-                    body = await answer.read()
-                    if answer.status != 200:
-                        raise Unreachable(f"machine service answered {answer.status}; ask later")
-                    fields = orjson.loads(body)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise Unreachable(f"machine service: {error!r}; it is asked again") from error
+        request = self._session.get(self._url + query)
+        fields = await read_answer(request, service="machine service", timeout_s=self._timeout_s)
         if not isinstance(fields, dict):
             raise Unreachable("machine service sent no object; it is asked again")
         return fields
