Say once how a hall's widest step and summary are read

The chooser of halls searched for a job's widest step in two ways and tested in three places whether a hall's summary is of any use. No behaviour changed.

--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -62,9 +62,9 @@
 class ShardChooser:
     """Chooses the hall where a job is served best.
 
-    Short tasks stay in the own hall while it has room. Standing tasks gather by image, so that each
-    hall leaves some kind of best-effort work in peace; best-effort work goes where it
-    disturbs least and waits least.
+    Short tasks stay in the own hall while it has room. Standing tasks gather by image,
+    so that each hall leaves some kind of best-effort work in peace; best-effort work
+    goes where it disturbs least and waits least.
 
     Args:
         settings: The host's settings.
@@ -97,20 +97,18 @@
         else:
             score = self._standing_score if kind is _Kind.STANDING else self._best_effort_score
             chosen = max(able, key=lambda shard: score(spec, shard))
-        self._choices.append(_Choice(time.monotonic(), chosen, _widest_milli_cpu(spec), kind))
+        self._choices.append(_Choice(time.monotonic(), chosen, _milli_cpu(_widest(spec)), kind))
         return chosen
 
     def _with_room(self, spec: JobSpec, able: list[int]) -> int:
         """Return the first shard with room for the job's widest step, the own one first."""
-        widest = max(spec.steps, key=lambda step: step.count * step.demand.milli_cpu)
+        widest = _widest(spec)
         for shard in able:
-            summary = self._summary_of(shard)
-            if summary is None or not summary.capacity:
+            summary = self._usable_summary(shard)
+            if summary is None:
                 continue
-            taken = self._chosen_lately(shard, _Kind.SHORT)
-            free = summary.free - summary.queued - taken
-            fits = summary.slots(widest.demand) >= widest.count
-            if fits and free >= widest.count * widest.demand.milli_cpu:
+            free = summary.free - summary.queued - self._chosen_lately(shard, _Kind.SHORT)
+            if summary.slots(widest.demand) >= widest.count and free >= _milli_cpu(widest):
                 return shard
         return able[0]
 
@@ -130,11 +128,11 @@
         return [shard for shard in shards if scores[shard] == best]
 
     def _standing_score(self, spec: JobSpec, shard: int) -> float:
-        local = LOCAL_BONUS if shard == self._settings.shard else 0.0
-        summary = self._summary_of(shard)
-        if summary is None or not summary.capacity:
+        local = self._local_bonus(shard)
+        summary = self._usable_summary(shard)
+        if summary is None:
             return local
-        need = _widest_milli_cpu(spec) + self._chosen_lately(shard, _Kind.STANDING)
+        need = _milli_cpu(_widest(spec)) + self._chosen_lately(shard, _Kind.STANDING)
         free = (summary.free - need) / summary.capacity
         images = {step.image for step in spec.steps}
         total = sum(summary.standing.values())
@@ -143,14 +141,22 @@
         return local + free + IMAGE_WEIGHT * alike
 
     def _best_effort_score(self, spec: JobSpec, shard: int) -> float:
-        summary = self._summary_of(shard)
-        local = LOCAL_BONUS if shard == self._settings.shard else 0.0
-        if summary is None or not summary.capacity:
+        local = self._local_bonus(shard)
+        summary = self._usable_summary(shard)
+        if summary is None:
             return local - 0.5
         pressure = max(_pressure(step, summary) for step in spec.steps)
         busy = summary.best_effort + summary.waiting + self._chosen_lately(shard, _Kind.BEST_EFFORT)
         return local - pressure - WAITING_WEIGHT * busy / summary.capacity
 
+    def _usable_summary(self, shard: int) -> HallSummary | None:
+        """Return a hall's summary if there is one and the hall has usable executors."""
+        summary = self._summary_of(shard)
+        return summary if summary and summary.capacity else None
+
+    def _local_bonus(self, shard: int) -> float:
+        return LOCAL_BONUS if shard == self._settings.shard else 0.0
+
     def _chosen_lately(self, shard: int, kind: _Kind) -> int:
         limit = time.monotonic() - STALE_S
         while self._choices and self._choices[0].at < limit:
@@ -165,8 +171,12 @@
     return _Kind.BEST_EFFORT if best_effort else _Kind.SHORT
 
 
-def _widest_milli_cpu(spec: JobSpec) -> int:
-    return max(step.count * step.demand.milli_cpu for step in spec.steps)
+def _widest(spec: JobSpec) -> StepSpec:
+    return max(spec.steps, key=_milli_cpu)
+
+
+def _milli_cpu(step: StepSpec) -> int:
+    return step.count * step.demand.milli_cpu
 
 
 def _pressure(step: StepSpec, summary: HallSummary) -> float:
