Say in names how a pace is rounded, and return only what is used

Setting a pace began with two conditional expressions that a reader had to take apart, and Trend.advance returned a variance that no caller took. No behaviour changed.

--- a/src/linkspan/shard/_trend.py
+++ b/src/linkspan/shard/_trend.py
@@ -50,7 +50,7 @@
         Example:
             >>> trend = Trend(0.5, 0.1, 0.0)
             >>> for tick in range(1, 20):
-            ...     _ = trend.advance(tick * 0.5)
+            ...     trend.advance(tick * 0.5)
             ...     trend.correct(0.4 + 0.01 * tick - trend.at(tick * 0.5), trend.variance + 0.01)
             >>> round(trend.at(10.0), 2)
             0.6
@@ -58,11 +58,11 @@
         ahead = min(max(time_s - self._at, 0.0), LONGEST_STEP_S)
         return max(self._level + self._slope * ahead, 0.0)
 
-    def advance(self, time_s: float) -> float:
-        """Carry the value on to a time and return its variance there."""
+    def advance(self, time_s: float) -> None:
+        """Carry the value on to a time."""
         step = time_s - self._at
         if step <= 0.0:
-            return self._variance
+            return
         ahead = min(step, LONGEST_STEP_S)
         self._level = max(self._level + self._slope * ahead, 0.0)
         self._variance += 2 * ahead * self._cross + ahead * ahead * self._slope_variance
@@ -70,7 +70,6 @@
         self._cross += ahead * self._slope_variance
         self._slope_variance += SLOPE_DRIFT_PER_S * step
         self._at = time_s
-        return self._variance
 
     def correct(self, error: float, total_variance: float) -> None:
         """Take in a measurement.
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -117,8 +117,7 @@
         now: float,
     ) -> None:
         """Order a pace if the change is worth it, or the one in force is not known."""
-        pace = pace if pace >= STOP_BELOW else 0
-        pace = pace if pace <= 100 - LEAST_STEP or pace < attempt.pace else 100
+        pace = _rounded(pace, attempt.pace)
         if abs(pace - attempt.pace) < LEAST_STEP and attempt.pace_known:
             return
         self._changed_at[executor.executor_id] = now
@@ -135,6 +134,13 @@
         self._core.pace(attempt, pace)
 
 
+def _rounded(pace: int, present: int) -> int:
+    """Return the pace to order: none for very little, full speed if little short of it."""
+    if pace < STOP_BELOW:
+        return 0
+    return pace if pace <= FULL_PACE - LEAST_STEP or pace < present else FULL_PACE
+
+
 def _over_factor(standing: list[Attempt], now: float) -> float:
     """Return the factor on all paces where a standing task has been over target for long."""
     since = [a.over_since for a in standing if a.over_since is not None]
