Split the scores of executors from the choice among them

placement.py answered both who can take a task and who takes it best, with ten of its constants for the second. No behaviour changed.

--- a/src/linkspan/shard/_plan_rooms.py
+++ b/src/linkspan/shard/_plan_rooms.py
@@ -33,7 +33,16 @@
     def __repr__(self) -> str:
         return f"PlanRooms({len(self._rooms)})"
 
-    def of(self, executor: ExecutorState, step: StepRun) -> PressureRoom:
+    def share(self, executor: ExecutorState, step: StepRun) -> float:
+        """Return the share of full speed at which one more task of a step may work there."""
+        return self._of(executor, step).share(step.spec)
+
+    def changed(self, executor: ExecutorState) -> None:
+        """Take in that something was placed on an executor."""
+        for hope in Hope:
+            self._rooms.pop((executor.executor_id, hope), None)
+
+    def _of(self, executor: ExecutorState, step: StepRun) -> PressureRoom:
         """Return the room that an executor has for a step's tasks."""
         hope = urgency(step, self._wall).hope
         key = executor.executor_id, hope
@@ -46,8 +55,3 @@
             )
             room = self._rooms[key] = PressureRoom(executor, self._book, self._now, beside)
         return room
-
-    def changed(self, executor: ExecutorState) -> None:
-        """Take in that something was placed on an executor."""
-        for hope in Hope:
-            self._rooms.pop((executor.executor_id, hope), None)
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/_plan_view.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from linkspan.shard._step_scores import StepScores
 from linkspan.shard.placement import StepPlacement
 
 if TYPE_CHECKING:
@@ -35,4 +36,5 @@
     def placement(self, step: StepRun, executors: list[ExecutorState]) -> StepPlacement:
         """Return what chooses among some executors for a step."""
         core = self.core
-        return StepPlacement(step, executors, core.health, core.colocation, self.rooms, self.now)
+        scores = StepScores(step, core.health, core.colocation, self.rooms, self.now)
+        return StepPlacement(step, executors, scores, self.rooms, self.now)
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -1,4 +1,4 @@
-"""Where a step's tasks go: who can take one, and who takes it best."""
+"""Where a step's tasks go."""
 
 from __future__ import annotations
 
@@ -11,9 +11,8 @@
 
 if TYPE_CHECKING:
     from linkspan.shard._plan_rooms import PlanRooms
-    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard._step_scores import StepScores
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.health import HealthBook
     from linkspan.shard.state import StepRun, Task
 
 STANDING_USE = 0.55
@@ -32,42 +31,6 @@
 """Time after which a standing task may use that room, too: it is then worth more at work
 than the room is to short tasks."""
 
-SLOW_PENALTY = 2.0
-"""Added to the score of an executor that was found slow: above any load."""
-
-FAR_PENALTY = 1.0
-"""Added away from the step's data: above any difference in load, below slowness."""
-
-STANDING_LOAD_WEIGHT = 0.3
-"""Weight of an executor's load for standing tasks: it decides only between executors
-whose neighbours are alike."""
-
-OTHER_STEP_PENALTY = 0.5
-"""Weight of the part of an executor that standing tasks of other steps hold. Tasks of one
-step share their callers, so their loads rise and fall together, and best-effort work
-beside them may use what the loads leave; tasks of several steps seldom leave any."""
-
-OTHER_IMAGE_PENALTY = 0.5
-"""Added weight of those that have another image, too. Best-effort work disturbs some images
-and leaves others alone, so an executor with one image leaves more kinds of it a place."""
-
-EMPTY_PENALTY = 0.3
-"""Added to an executor with no standing task of the image: a new image takes the
-emptiest one, and a known one fills those that it has."""
-
-MOST_OF_STEP = 0.5
-"""Part of a standing step that one executor takes while others have room: a crash is to
-leave the service the other half."""
-
-CROWDED_PENALTY = 2.0
-"""Added beyond that part: above any load."""
-
-DISTURBANCE_WEIGHT = 3.0
-"""Weight of the pressure that a best-effort task adds to a standing one beside it."""
-
-SLOWED_PENALTY = 2.0
-"""Weight of the part of full speed that a best-effort task would lack: above any load."""
-
 LEAST_START_SHARE = 1.0
 """Least share of full speed at which a best-effort task is worth a start: a third of
 its objective is its own work."""
@@ -80,16 +43,14 @@
     Args:
         step: The step.
         executors: Executors that may get new work.
-        health: What is known of them.
-        colocation: What is known of pairs of images.
+        scores: How well they suit the step.
         rooms: What standing tasks bear beside them.
         now: Steady time.
     """
 
     step: StepRun
     executors: list[ExecutorState]
-    health: HealthBook
-    colocation: ColocationBook
+    scores: StepScores
     rooms: PlanRooms
     now: float
     _on_executor: Counter[str] = field(default_factory=Counter)
@@ -124,7 +85,7 @@
                 continue
             if not self.fits(executor, fill=fill, starved=starved):
                 continue
-            score = self._score(executor)
+            score = self.scores.of(executor, placed=self._on_executor[executor.executor_id])
             if score < best_score:
                 best, best_score = executor, score
         return best
@@ -138,7 +99,7 @@
         """Return the pace in percent at which a task of the step is to begin there."""
         if not self.step.spec.best_effort:
             return FULL_PACE
-        share = self._share(executor)
+        share = self.rooms.share(executor, self.step)
         return int(100 * share) if share >= STOP_BELOW / 100 else 0
 
     def fits(self, executor: ExecutorState, *, fill: bool = False, starved: bool = False) -> bool:
@@ -163,10 +124,6 @@
             headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
         return demand.milli_cpu + headroom <= executor.free_cpu
 
-    def _share(self, executor: ExecutorState) -> float:
-        """Return the share of full speed at which a task of the step may work there."""
-        return self.rooms.of(executor, self.step).share(self.step.spec)
-
     def _may_fill(self, task: Task) -> bool:
         """Whether a standing task may use the room that is kept for short ones."""
         return task.displaced or self.now - task.ready_since >= HEADROOM_WAIT_S
@@ -181,44 +138,7 @@
         spec = self.step.spec
         if leftover_cpu(executor) < spec.demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
             return False
-        return self._share(executor) >= LEAST_START_SHARE
-
-    def _score(self, executor: ExecutorState) -> float:
-        spec = self.step.spec
-        capacity = max(executor.record.capacity.milli_cpu, 1)
-        load = (executor.reserved_cpu + executor.best_effort_cpu + spec.demand.milli_cpu) / capacity
-        score = STANDING_LOAD_WEIGHT * load if spec.standing else load
-        if spec.data_rack and spec.data_rack not in executor.record.labels:
-            score += FAR_PENALTY
-        if self.health.slow(executor.executor_id, self.now):
-            score += SLOW_PENALTY
-        if spec.standing:
-            score += self._neighbour_score(executor, capacity)
-            if self._on_executor[executor.executor_id] + 1 > max(spec.count * MOST_OF_STEP, 1):
-                score += CROWDED_PENALTY
-        if spec.best_effort:
-            added = self.colocation.worst_added(executor, spec.image, spec.demand.milli_cpu)
-            score += DISTURBANCE_WEIGHT * added
-            score += SLOWED_PENALTY * (1.0 - self._share(executor))
-        return score
-
-    def _neighbour_score(self, executor: ExecutorState, capacity: int) -> float:
-        """Return how little a standing task suits the standing tasks of an executor."""
-        other_steps = other_images = 0
-        same_image = False
-        for attempt in executor.attempts.values():
-            other = attempt.task.step
-            if not other.spec.standing or other is self.step:
-                same_image = same_image or other is self.step
-                continue
-            other_steps += other.spec.demand.milli_cpu
-            if other.spec.image == self.step.spec.image:
-                same_image = True
-            else:
-                other_images += other.spec.demand.milli_cpu
-        score = 0.0 if same_image else EMPTY_PENALTY
-        score += OTHER_STEP_PENALTY * other_steps / capacity
-        return score + OTHER_IMAGE_PENALTY * other_images / capacity
+        return self.rooms.share(executor, self.step) >= LEAST_START_SHARE
 
 
 def leftover_cpu(executor: ExecutorState) -> float:
