Ask for tickets again after a failed call, for other steps first

Cause: found by reading the tidied code: after a call that failed the retry waited for any other news, a step whose calls fail kept all others waiting, a job that had moved to another hall was still asked for, and a step that waits for tickets left no log line. Change: each mended. Tests of the book for the order and for moved jobs, which fail on the code before; the retry by time has none.

--- a/src/linkspan/shard/_advisor.py
+++ b/src/linkspan/shard/_advisor.py
@@ -8,6 +8,7 @@
 
 from linkspan.errors import Unreachable
 from linkspan.events import Event
+from linkspan.shard.advice import RETRY_S
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
@@ -53,8 +54,9 @@
         try:
             advice = await service.advise(call.step, call.executor_ids)
         except Unreachable as error:
-            self._core.advice.on_failed(time.monotonic())
+            self._core.advice.on_failed(call, time.monotonic())
             self._log.write(Event.ADVICE_MISSING, job=job.job_id, error=str(error))
+            await asyncio.sleep(RETRY_S)
             return
         took_s = time.monotonic() - asked
         self._metrics.observe("advice", took_s)
--- a/src/linkspan/shard/_loans.py
+++ b/src/linkspan/shard/_loans.py
@@ -90,3 +90,4 @@
             self._books.dropped.append(key_of(run))
             for step in run.steps:
                 self._books.ready.pop(step, None)
+                self._books.advice.forget(step)
--- a/src/linkspan/shard/advice.py
+++ b/src/linkspan/shard/advice.py
@@ -139,6 +139,13 @@
             else:
                 known.tickets[executor_id] = _Ticket(text, until)
 
-    def on_failed(self, now: float) -> None:
-        """Take in that a call was refused or not answered."""
+    def on_failed(self, call: AdviceCall, now: float) -> None:
+        """Take in that a call was refused or not answered: other steps come first now."""
         self._not_before = now + RETRY_S
+        known = self._steps.pop(call.step, None)
+        if known:
+            self._steps[call.step] = known
+
+    def forget(self, step: StepRun) -> None:
+        """Forget a step that this shard looks after no more."""
+        self._steps.pop(step, None)
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -78,6 +78,7 @@
         if step.run.job.advised:
             self._keep_ticketed(placement)
             if not placement.executors:
+                self._log(step, [], len(pending), view.now)
                 return
         if step.spec.gang:
             placed = self._place_gang(placement, pending)
--- a/tests/shard/test_advice.py
+++ b/tests/shard/test_advice.py
@@ -46,9 +46,30 @@
 def test_a_call_that_failed_is_made_again_after_a_pause() -> None:
     book, run = advised()
     book.want(run, ["e0"], 0.0)
-    book.on_failed(0.0)
+    call = book.next_call(0.0)
+    assert call
+    book.on_failed(call, 0.0)
     assert book.next_call(0.0) is None
-    assert book.next_call(RETRY_S) is not None
+    assert book.next_call(RETRY_S) == call
+
+
+def test_a_call_that_fails_does_not_hold_up_other_steps() -> None:
+    core = core_with(step(1), step(1))
+    book, (first, second) = core.advice, core.jobs[JOB].runs[0].steps
+    book.want(first, ["e0"], 0.0)
+    book.want(second, ["e0"], 0.0)
+    call = book.next_call(0.0)
+    assert call and call.step is first
+    book.on_failed(call, 0.0)
+    call = book.next_call(RETRY_S)
+    assert call and call.step is second
+
+
+def test_a_job_that_moved_away_is_not_asked_for() -> None:
+    core = core_with(step(1))
+    core.advice.want(core.jobs[JOB].runs[0].steps[0], ["e0"], 0.0)
+    core.remove_moved(JOB)
+    assert core.advice.next_call(0.0) is None
 
 
 def test_a_step_waits_for_its_ticket_and_keeps_to_the_executors_that_have_one() -> None:
