Read a hall's summary from hosts of other versions

Cause: found by reading: the summary had grown by a field in its middle, and a renewal that does not decode is passed over, so that in a rolling change of version an owner would have counted as silent. Change: the field stands last, missing ones have a default, more are passed over. Test added; it fails on the code before.

--- a/src/linkspan/shard/summary.py
+++ b/src/linkspan/shard/summary.py
@@ -74,10 +74,10 @@
             self.free,
             self.best_effort,
             self.waiting,
-            self.queued,
             self.standing,
             [[e.standing, e.image, round(e.mean, 4), round(e.variance, 6)] for e in self.effects],
             self.rooms,
+            self.queued,
         ]
 
     @classmethod
@@ -88,7 +88,9 @@
             RecordError: They are no summary.
         """
         try:
-            capacity, free, best_effort, waiting, queued, standing, effects, rooms = fields
+            # Hosts of other versions tell less, or more behind it.
+            capacity, free, best_effort, waiting, standing, effects, rooms, *rest = fields
+            queued = rest[0] if rest else 0
             return cls(
                 int(capacity),  # type: ignore[call-overload]
                 int(free),  # type: ignore[call-overload]
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -70,3 +70,11 @@
     queued = replace(EMPTY, queued=1_000)
     rebalancer = Rebalancer(core, summaries=lambda: {1: queued}, count_able=lambda *_: 2)
     assert rebalancer.plan(FULL, 0.2 + SHORT_WAIT_S) == []
+
+
+def test_a_summary_of_another_version_is_read() -> None:
+    """A renewal that does not decode is passed over, and its owner then counts as silent."""
+    fields = replace(EMPTY, queued=7).encode()
+    assert HallSummary.decode(fields).queued == 7
+    assert HallSummary.decode(fields[:-1]) == EMPTY
+    assert HallSummary.decode([*fields, "more"]).queued == 7
