Copy no best-effort run and move none of a queue with a policy

Cause: found by reading: a copy of a best-effort run started at full pace whatever its neighbours bear; a run under a policy was stopped for an executor that may have no ticket for it. Change: both are left where they are. No test of their own; tests of shard, host, platform and store green.

--- a/src/linkspan/shard/_copies.py
+++ b/src/linkspan/shard/_copies.py
@@ -55,6 +55,9 @@
         step = attempt.task.step
         if not step.spec.speculative or step.spec.gang or step.run.job.advised:
             return False
+        if step.spec.best_effort:
+            # It is slow because others come first, and a copy would be, too.
+            return False
         if attempt.phase is not Phase.RUNNING or len(attempt.task.attempts) > 1:
             return False
         if len(step.durations) < 2 or step.run.job.closing:
--- a/src/linkspan/shard/_moves.py
+++ b/src/linkspan/shard/_moves.py
@@ -121,6 +121,9 @@
         left_s = spec.estimate_s * (1 - attempt.progress / 100)
         if not spec.checkpoints or spec.gang or left_s < MOVE_LEFT_S:
             return False
+        if step.run.job.advised:
+            # The other executor may have no ticket, and then it would only wait.
+            return False
         others = [e for e in self._view.usable() if e is not executor]
         best = self._view.placement(step, others).choose(attempt.task)
         if best is None:
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -32,8 +32,9 @@
 than the room is to short tasks."""
 
 LEAST_START_SHARE = 1.0
-"""Least share of full speed at which a best-effort task is worth a start: a third of
-its objective is its own work."""
+"""Least share of full speed at which a best-effort task is started: fewer tasks at full
+speed end in time more often than more at a part of it (trials: batch jobs of a calm day
+earned 0.35 with a third of full speed and 0.37 with all of it)."""
 
 
 @dataclass
