Let a host take jobs again after the store refused it once

A host that owns no shard writes nothing else, so one refusal (busy, or a port that was closed for a moment) made it refuse all new jobs until its next start. Ruled out: the writer's own retries; they end with the refused group. Change: the store's answer to a read since then lets the next job try. Test seen failing (503 three seconds after the store was back).

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -159,7 +159,7 @@
             if not self._book.follower.ready:
                 # Another host may have accepted it, for another hall.
                 return self._refuse(job_id, queue, "job records not read yet")
-            if not self._book.writer.healthy:
+            if not self._book.takes_writes:
                 return self._refuse(job_id, queue, "store is away")
             write = self._start_write(spec, queue)
         return await self._await_write(write, job_id, queue, deadline)
--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -60,6 +60,11 @@
     def __repr__(self) -> str:
         return f"JobBook({self.catalog!r})"
 
+    @property
+    def takes_writes(self) -> bool:
+        """Whether the store took the last record, or has answered since it did not."""
+        return self.writer.healthy or self.follower.heard_at > self.writer.failed_at
+
     def listen(self, listener: Callable[[str], None]) -> Callable[[], None]:
         """Call a listener with the id of each job that changes; return the way to end it."""
         self._listeners.append(listener)
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -89,6 +90,7 @@
         self._queue: deque[_Item] = deque()
         self._wake = asyncio.Event()
         self._healthy = True
+        self._failed_at = float("-inf")
         self._in_doubt = False
         self._on_health = on_health
 
@@ -100,6 +102,11 @@
         """Whether the last append was answered."""
         return self._healthy
 
+    @property
+    def failed_at(self) -> float:
+        """Steady time of the last append that was refused or not answered."""
+        return self._failed_at
+
     def write(self, records: Sequence[Record], *, patient: bool = True) -> asyncio.Future[int]:
         """Queue records and return a future of their first offset.
 
@@ -176,6 +183,8 @@
         return appended.offset
 
     def _set_health(self, healthy: bool) -> None:
+        if not healthy:
+            self._failed_at = time.monotonic()
         if healthy != self._healthy:
             self._healthy = healthy
             self._on_health(healthy)
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -289,3 +289,21 @@
     world = run_virtual(play())
     assert world.problems == []
     assert [len(times) for times in world.starts.values()] == [1]
+
+
+def test_a_host_that_was_refused_once_takes_jobs_again() -> None:
+    """Nothing else wrote there, so its writer counted as refused for good."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        idle = next(name for name in world.hosts if name != world.owner())
+        world.store.refusing.add(idle)
+        assert await world.submit(idle, world.new_job(step(1))) == 503
+        assert await world.submit(idle, world.new_job(step(1))) == 503
+        world.store.refusing.clear()
+        await asyncio.sleep(3.0)
+        assert await world.submit(idle, world.new_job(step(1))) == 200
+        return world
+
+    assert run_virtual(play()).problems == []
