Count a job as begun when only an end tells of its run

An end did not mark the job as begun, so its other tasks, which waited for room, had it moved whole, and the other hall ran all of it again as run 1. Ruled out: a second submission (the halls' views agree by offset), the store's pages (fewer keys than one page holds), inherited work (its runs are numbered from 16). Change: an end marks the job as begun. Test seen failing.

--- a/src/linkspan/shard/_ends.py
+++ b/src/linkspan/shard/_ends.py
@@ -36,6 +36,8 @@
         task = self._books.find_task(end.task)
         run = task.step.run if task else None
         if task:
+            # Also a run that only its end tells of: the job must not move whole any more.
+            self._books.mark_begun(task.step.run.job)
             self._apply_end(executor, task, end, now)
         version = run.version if run else 0
         executor.unacked.append(UnackedEnd(end.number, run, version))
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -6,10 +6,11 @@
 
 from linkspan.jobs.records import Loan
 from linkspan.shard._given_back import GivenBack
+from linkspan.shard.messages import EndedTask, EndKind, TaskName
 from linkspan.shard.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
 from linkspan.shard.summary import HallSummary
 from tests.hall_world import step
-from tests.shard.test_core import JOB, core_with, plan
+from tests.shard.test_core import JOB, core_with, plan, report
 
 EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
 FULL = HallSummary(capacity=16_000, rooms=((0, 0), (0, 0)))
@@ -72,6 +73,18 @@
     assert rebalancer.plan(FULL, 0.2 + SHORT_WAIT_S) == []
 
 
+def test_a_job_that_an_end_shows_to_have_begun_does_not_move() -> None:
+    """A new owner learnt of it from an end alone, and the other hall ran all of it again."""
+    core = core_with(step(1), step(1, cpu=9_000))
+    core.jobs[JOB].inherited = True
+    end = EndedTask(1, TaskName(JOB, 0, 0, 0), 1, EndKind.DONE, "")
+    report(core, "e0", end, asked=0.1, now=0.1)
+    assert plan(core, 0.2) == []
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_able=lambda *_: 2)
+    assert rebalancer.plan(FULL, 0.3 + WAIT_S) == []
+    assert core.begun == [JOB]
+
+
 def test_a_summary_of_another_version_is_read() -> None:
     """A renewal that does not decode is passed over, and its owner then counts as silent."""
     fields = replace(EMPTY, queued=7).encode()
