--- /dev/null
+++ b/tests/bench/test_paired.py
@@ -0,0 +1,41 @@
+"""Rows and differences of paired plays."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from bench.paired import WHOLE, Play, Row, differences, read_rows, table
+
+
+def _row(tree: str, seed: int, worth: float, *, broken: str = "", **kinds: float) -> Row:
+    return Row(Play(tree, "site", "day", seed), {WHOLE: worth, **kinds}, broken)
+
+
+def test_rows_survive_their_file(tmp_path: Path) -> None:
+    rows = [_row("a", 1, 0.5, short=0.4), _row("b", 1, 0.6, broken="TWICE 1")]
+    file = tmp_path / "rows.jsonl"
+    file.write_bytes(b"".join(row.encode() for row in rows))
+    assert read_rows(file) == rows
+
+
+def test_only_pairs_count() -> None:
+    rows = [_row("a", 1, 0.5), _row("b", 1, 0.6), _row("a", 2, 0.1), _row("b", 3, 0.9)]
+    (whole,) = differences(rows, "a", "b")
+    assert whole.pairs == 1
+    assert whole.mean == pytest.approx(0.1)
+    assert whole.error is None
+
+
+def test_a_play_without_figures_is_named_and_not_counted() -> None:
+    failed = Row(Play("b", "site", "day", 1), {}, "not played, exit 2")
+    rows = [_row("a", 1, 0.5), failed, _row("a", 2, 0.5), _row("b", 2, 0.7)]
+    assert [d.pairs for d in differences(rows, "a", "b")] == [1]
+    assert "not played, exit 2" in table(rows, "a", "b")
+
+
+def test_a_report_with_a_broken_rule_says_so() -> None:
+    report = {"G": 0.5, "classes": [{"name": "short", "worth": 0.25}], "breaks": {"TWICE": 2}}
+    row = Row.of_report(Play("a", "site", "day", 1), report | {"fault": None})
+    assert row.figures == {WHOLE: 0.5, "short": 0.25}
+    assert row.broken == "TWICE 2"
