Tell where the time of jobs went, and what held the room they waited for

It now names what speaks against each executor and who holds the hall's cores; 525 names queue, priority and objective; 554 tells how long a standing task was over its target. `linkspan report LOGS...` divides each job's time among not accepted, start in doubt, waiting for room (by what lacked), run again after a failure, and running, by queue, hall and five seconds, in bounded memory; lines that are no log lines are counted. The builders of shard cores move to a module of their own.

--- a/src/linkspan/cli.py
+++ b/src/linkspan/cli.py
@@ -91,6 +91,24 @@
         if not found:
             raise Refused(f"no line names job {job_id}; give the logs of all hosts")
 
+    def report(self, *logs: str) -> None:
+        """Print what the jobs' time went to, by queue, hall and span of time.
+
+        Lines that are no log lines are counted and passed over.
+
+        Args:
+            logs: Paths of log files of any hosts; each is read once, in its order.
+        """
+        from linkspan.report import LogReader, render
+
+        reader = LogReader()
+        for path in logs:
+            with Path(path).open("rb") as lines:
+                reader.read(lines)
+        if not reader.times:
+            raise Refused("no end of a job was read; give the logs of all hosts")
+        print(render(reader))
+
     gateway.__doc__ = (
         f"Run a gateway. --check prints the settings and ends.\n\n{help_of(GatewaySettings)}"
     )
--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -131,6 +131,7 @@
         "placement policy gave no answer",
         "check its service; steps of its queues wait",
     )
+    LATENCY_OVER = 554, logging.INFO, "standing task was over its latency target", "see 539"
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is about to leave", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation is gone", "nothing"
--- /dev/null
+++ b/src/linkspan/report/__init__.py
@@ -0,0 +1,6 @@
+"""Where the time of jobs went, told from the logs of all hosts."""
+
+from linkspan.report.reader import JobTimes, LogReader
+from linkspan.report.table import render
+
+__all__ = ["JobTimes", "LogReader", "render"]
--- /dev/null
+++ b/src/linkspan/report/_intervals.py
@@ -0,0 +1,72 @@
+"""A job's time divided among causes."""
+
+from __future__ import annotations
+
+from enum import Enum
+from itertools import pairwise
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class Cause(Enum):
+    """What a job's time went to; where several apply at a time, the first counts."""
+
+    NOT_ACCEPTED = "not accepted"
+    IN_DOUBT = "start in doubt"
+    WAITING = "waiting for room"
+    RUN_AGAIN = "run again after a failure"
+    RUNNING = "running"
+
+
+_RANK = {cause: rank for rank, cause in enumerate(Cause)}
+
+
+class Interval(NamedTuple):
+    """A stretch of time and its cause.
+
+    Attributes:
+        start: Beginning, in seconds.
+        end: End, in seconds.
+        cause: What it went to.
+        detail: More on the cause, such as what the room was lacking.
+    """
+
+    start: float
+    end: float
+    cause: Cause
+    detail: str = ""
+
+
+def split(
+    intervals: Iterable[Interval], start: float, end: float
+) -> dict[tuple[Cause, str], float]:
+    """Divide a span among the intervals that cover it; the rest counts as running.
+
+    Args:
+        intervals: They may overlap.
+        start: Beginning of the span, in seconds.
+        end: Its end.
+
+    Returns:
+        Seconds by cause and detail; they add up to the span.
+
+    Example:
+        >>> waits = [Interval(1.0, 3.0, Cause.WAITING, "cores")]
+        >>> {cause.value: s for (cause, _), s in split(waits, 0.0, 5.0).items()}
+        {'running': 3.0, 'waiting for room': 2.0}
+    """
+    clipped = [
+        i._replace(start=max(i.start, start), end=min(i.end, end))
+        for i in intervals
+        if i.end > start and i.start < end
+    ]
+    edges = sorted({start, end, *(i.start for i in clipped), *(i.end for i in clipped)})
+    parts: dict[tuple[Cause, str], float] = {}
+    for left, right in pairwise(edges):
+        covering = [i for i in clipped if i.start <= left and i.end >= right]
+        first = min(covering, key=lambda i: _RANK[i.cause], default=None)
+        key = (first.cause, first.detail) if first else (Cause.RUNNING, "")
+        parts[key] = parts.get(key, 0.0) + right - left
+    return parts
--- /dev/null
+++ b/src/linkspan/shard/_blocked.py
@@ -0,0 +1,45 @@
+"""Why a step's tasks wait: what speaks against each executor, and who holds the hall."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.placement import StepPlacement
+
+
+def blocked_fields(placement: StepPlacement, hall: dict[str, int]) -> dict[str, Any]:
+    """Return the fields of a log line that tells why a step's tasks wait.
+
+    Args:
+        placement: What found no executor for the step.
+        hall: Who holds the hall, from :func:`held_cores`.
+    """
+    against = Counter(placement.reason_against(e) or "avoided" for e in placement.executors)
+    return {"against": dict(against), "held_cores": hall}
+
+
+def held_cores(executors: Iterable[ExecutorState]) -> dict[str, int]:
+    """Return the cores of a hall by what holds them.
+
+    Reservations are counted by the kind of work; ``best effort`` is beside them, at its
+    present pace.
+
+    Args:
+        executors: Executors that may get new work.
+    """
+    held: Counter[str] = Counter()
+    for executor in executors:
+        held["free"] += executor.free_cpu
+        held["best effort"] += int(executor.paced_cpu)
+        for attempt in executor.attempts.values():
+            step = attempt.task.step
+            if step.spec.best_effort:
+                continue
+            kind = "standing" if step.spec.standing else f"priority {step.run.job.priority}"
+            held[kind] += step.spec.demand.milli_cpu
+    return {kind: milli_cpu // 1000 for kind, milli_cpu in held.items()}
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -180,7 +180,14 @@
         if job.borrowed:
             # Its own shard writes the final record.
             return
-        self.log(Event.JOB_DECIDED, job=job.job_id, state=state.value)
+        self.log(
+            Event.JOB_DECIDED,
+            job=job.job_id,
+            state=state.value,
+            queue=job.spec.queue,
+            priority=job.priority,
+            objective_s=round(job.objective_s, 2),
+        )
         # The owner puts its time of day in when it writes the record.
         self.finished.append(Finished(job.job_id, state, self._shard, 0.0, job.spec.queue))
 
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/_plan_view.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from linkspan.shard._blocked import held_cores
 from linkspan.shard._step_scores import StepScores
 from linkspan.shard.placement import StepPlacement
 
@@ -33,6 +34,10 @@
         """Return the executors that may get new work."""
         return [e for e in self.core.executors.values() if e.usable(self.now) and e.clock]
 
+    def held_cores(self) -> dict[str, int]:
+        """Return the hall's cores by what holds them."""
+        return held_cores(self.usable())
+
     def placement(self, step: StepRun, executors: list[ExecutorState]) -> StepPlacement:
         """Return what chooses among some executors for a step."""
         core = self.core
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -69,9 +69,9 @@
         """
         self._book.learn(executor, now)
         standing = executor.standing()
-        for attempt in standing:
-            _note_over(attempt, now)
         neighbours = executor.best_effort()
+        for attempt in standing:
+            self._note_over(attempt, len(neighbours), now)
         last = self._changed_at.get(executor.executor_id, float("-inf"))
         if not neighbours or now - last < FIGURE_S:
             return
@@ -82,6 +82,25 @@
         else:
             self._speed_up(executor, by_need, now)
 
+    def _note_over(self, attempt: Attempt, neighbours: int, now: float) -> None:
+        """Keep since when a standing task is over its target, and tell for how long it was."""
+        ratio = latency_ratio(attempt)
+        if ratio is not None and ratio >= 1.0:
+            if attempt.over_since is None:
+                # The figure covers the half second before it.
+                attempt.over_since = now - FIGURE_S
+            return
+        if attempt.over_since is not None:
+            self._core.log(
+                Event.LATENCY_OVER,
+                executor=attempt.executor_id,
+                job=attempt.task.name.job_id,
+                image=attempt.task.step.spec.image,
+                over_s=round(now - FIGURE_S - attempt.over_since, 2),
+                best_effort=neighbours,
+            )
+        attempt.over_since = None
+
     def _share_out(
         self, executor: ExecutorState, standing: list[Attempt], by_need: list[Attempt], now: float
     ) -> None:
@@ -148,12 +167,3 @@
     if over_s >= STAND_STILL_AFTER_S:
         return 0.0
     return SLOW_DOWN_FACTOR if over_s >= ALL_GUILTY_AFTER_S else 1.0
-
-
-def _note_over(attempt: Attempt, now: float) -> None:
-    ratio = latency_ratio(attempt)
-    if ratio is None or ratio < 1.0:
-        attempt.over_since = None
-    elif attempt.over_since is None:
-        # The figure covers the half second before it.
-        attempt.over_since = now - FIGURE_S
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -106,6 +106,18 @@
     def fits(self, executor: ExecutorState, *, fill: bool = False, starved: bool = False) -> bool:
         """Whether an executor has room for one task of the step.
 
+        Args:
+            executor: The executor.
+            fill: Whether a standing task may use the room that is kept for short ones.
+            starved: Whether pressure on standing tasks is no reason against it.
+        """
+        return self.reason_against(executor, fill=fill, starved=starved) is None
+
+    def reason_against(
+        self, executor: ExecutorState, *, fill: bool = False, starved: bool = False
+    ) -> str | None:
+        """Return why an executor has no room for a task, in a word; ``None`` if it has.
+
         Args:
             executor: The executor.
             fill: Whether a standing task may use the room that is kept for short ones.
@@ -113,17 +125,21 @@
         """
         spec = self.step.spec
         demand = spec.demand
-        if demand.memory_mb > executor.free_memory or demand.gpus > executor.free_gpus:
-            return False
+        if demand.memory_mb > executor.free_memory:
+            return "memory"
+        if demand.gpus > executor.free_gpus:
+            return "accelerators"
         most = spec.max_per_executor
         if most and self._on_executor[executor.executor_id] >= most:
-            return False
+            return "spread limit"
         if spec.best_effort:
-            return self._fits_best_effort(executor, starved=starved)
-        headroom = 0.0
+            return None if self._fits_best_effort(executor, starved=starved) else "pressure"
+        if demand.milli_cpu > executor.free_cpu:
+            return "cores"
         if spec.standing and not fill:
-            headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
-        return demand.milli_cpu + headroom <= executor.free_cpu
+            kept = STANDING_HEADROOM * executor.record.capacity.milli_cpu
+            return "kept for short work" if demand.milli_cpu + kept > executor.free_cpu else None
+        return None
 
     def _may_fill(self, task: Task) -> bool:
         """Whether a standing task may use the room that is kept for short ones."""
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard._blocked import blocked_fields
 from linkspan.shard._copies import Copies
 from linkspan.shard._moves import Moves
 from linkspan.shard._plan_rooms import PlanRooms
@@ -78,14 +79,14 @@
         if step.run.job.advised:
             self._keep_ticketed(placement)
             if not placement.executors:
-                self._log(step, [], len(pending), view.now)
+                self._log(placement, [], len(pending), view)
                 return
         if step.spec.gang:
             placed = self._place_gang(placement, pending)
         else:
             placed = self._place_each(placement, pending)
             placed = placed or self._place_starved(placement, pending)
-        self._log(step, placed, len(pending), view.now)
+        self._log(placement, placed, len(pending), view)
 
     def _keep_ticketed(self, placement: StepPlacement) -> None:
         """Keep to the executors that the queue's policy lets run the step."""
@@ -174,7 +175,10 @@
         for attempt in placed:
             self._core.unplace(attempt)
 
-    def _log(self, step: StepRun, placed: list[Attempt], pending: int, now: float) -> None:
+    def _log(
+        self, placement: StepPlacement, placed: list[Attempt], pending: int, view: PlanView
+    ) -> None:
+        step, now = placement.step, view.now
         job = step.run.job
         if placed:
             self._core.log(
@@ -195,4 +199,5 @@
                 pending=pending,
                 milli_cpu=step.spec.demand.milli_cpu,
                 memory_mb=step.spec.demand.memory_mb,
+                **blocked_fields(placement, view.held_cores()),
             )
--- a/tests/platform/test_advice_client.py
+++ b/tests/platform/test_advice_client.py
@@ -12,7 +12,7 @@
 from linkspan.shard.advice import Advice
 from linkspan.shard.state import ShardJob, new_run
 from tests.hall_world import step
-from tests.shard.test_core import JOB, submitted
+from tests.shard.builders import JOB, submitted
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/shard/builders.py
@@ -0,0 +1,69 @@
+"""Builders of shard cores with executors and jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from linkspan.events import Event
+from linkspan.host.configuration import Configuration, Service
+from linkspan.host.settings import Bounds
+from linkspan.jobs.records import Submitted
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import (
+    EndedTask,
+    ExecutorRecord,
+    ExecutorReport,
+    StartAnswer,
+    StartOrder,
+    StartOutcome,
+)
+from linkspan.shard.planner import Planner
+from tests.hall_world import QUEUE
+
+JOB = "00000000000000aa"
+
+
+def ignore(_event: Event, **_fields: Any) -> None:
+    """Write nothing."""
+
+
+def core_with(
+    *steps: StepSpec, executors: int = 2, log: Callable[..., None] | None = None
+) -> ShardCore:
+    """Return a core with executors that have answered and one job."""
+    core = ShardCore(0, Bounds(), log=log or ignore)
+    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    for index in range(executors):
+        add_executor(core, f"e{index}")
+    core.add_job(submitted(*steps), 0.0)
+    return core
+
+
+def add_executor(core: ShardCore, name: str, cpu: int = 8_000) -> None:
+    record = ExecutorRecord(
+        name, "pool", f"{name}:1", "east", Demand(cpu, 32_000), frozenset(), "r"
+    )
+    core.list_executors([e.record for e in core.executors.values()] + [record], 0.0)
+    core.executors[name].rostered = True
+    report(core, name, asked=0.0, now=0.01)
+
+
+def submitted(*steps: StepSpec) -> Submitted:
+    return Submitted(JobSpec(JOB, QUEUE.name, "text", steps), 0, 0.0, "host")
+
+
+def report(core: ShardCore, name: str, *ended: EndedTask, asked: float, now: float) -> None:
+    core.on_report(name, ExecutorReport(now, (), ended), asked=asked, now=now)
+
+
+def plan(core: ShardCore, now: float) -> list[StartOrder]:
+    """Plan and return the starts."""
+    Planner(core).plan(now, now)
+    orders, core.orders = core.orders, []
+    return [order for order in orders if isinstance(order, StartOrder)]
+
+
+def started(core: ShardCore, order: StartOrder, now: float) -> None:
+    core.on_started(order, StartAnswer(StartOutcome.STARTED, now), now)
--- a/tests/shard/test_advice.py
+++ b/tests/shard/test_advice.py
@@ -9,7 +9,7 @@
 from linkspan.shard.advice import RETRY_S, Advice, AdviceBook
 from linkspan.shard.state import StepRun
 from tests.hall_world import QUEUE, HallWorld, step
-from tests.shard.test_core import JOB, core_with, plan
+from tests.shard.builders import JOB, core_with, plan
 from tests.virtual_time import run_virtual
 
 VALID_S = 3.0
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -15,7 +15,7 @@
 from linkspan.shard.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
 from tests.hall_world import QUEUE, step
-from tests.shard.test_core import JOB, core_with, plan, started, submitted
+from tests.shard.builders import JOB, core_with, plan, started, submitted
 
 
 def place(core: ShardCore, executor: ExecutorState, **fields: object) -> Attempt:
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -13,55 +13,13 @@
     ExecutorRecord,
     ExecutorReport,
     RunningTask,
-    StartAnswer,
-    StartOrder,
-    StartOutcome,
     StopOrder,
     TaskName,
 )
 from linkspan.shard.pacing import Pacer
-from linkspan.shard.planner import AVOID_S, Planner
+from linkspan.shard.planner import AVOID_S
 from tests.hall_world import QUEUE, step
-
-JOB = "00000000000000aa"
-
-
-def core_with(*steps: StepSpec, executors: int = 2) -> ShardCore:
-    """Return a core with executors that have answered and one job."""
-    core = ShardCore(0, Bounds())
-    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
-    for index in range(executors):
-        add_executor(core, f"e{index}")
-    core.add_job(submitted(*steps), 0.0)
-    return core
-
-
-def add_executor(core: ShardCore, name: str, cpu: int = 8_000) -> None:
-    record = ExecutorRecord(
-        name, "pool", f"{name}:1", "east", Demand(cpu, 32_000), frozenset(), "r"
-    )
-    core.list_executors([e.record for e in core.executors.values()] + [record], 0.0)
-    core.executors[name].rostered = True
-    report(core, name, asked=0.0, now=0.01)
-
-
-def submitted(*steps: StepSpec) -> Submitted:
-    return Submitted(JobSpec(JOB, QUEUE.name, "text", steps), 0, 0.0, "host")
-
-
-def report(core: ShardCore, name: str, *ended: EndedTask, asked: float, now: float) -> None:
-    core.on_report(name, ExecutorReport(now, (), ended), asked=asked, now=now)
-
-
-def plan(core: ShardCore, now: float) -> list[StartOrder]:
-    """Plan and return the starts."""
-    Planner(core).plan(now, now)
-    orders, core.orders = core.orders, []
-    return [order for order in orders if isinstance(order, StartOrder)]
-
-
-def started(core: ShardCore, order: StartOrder, now: float) -> None:
-    core.on_started(order, StartAnswer(StartOutcome.STARTED, now), now)
+from tests.shard.builders import JOB, add_executor, core_with, plan, report, started, submitted
 
 
 def test_a_finished_job_is_not_taken_in_again() -> None:
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -10,7 +10,7 @@
 from linkspan.shard.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
 from linkspan.shard.summary import HallSummary
 from tests.hall_world import step
-from tests.shard.test_core import JOB, core_with, plan, report
+from tests.shard.builders import JOB, core_with, plan, report
 
 EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
 FULL = HallSummary(capacity=16_000, rooms=((0, 0), (0, 0)))
