--- a/bench/paired.py
+++ b/bench/paired.py
@@ -46,7 +46,7 @@
     Attributes:
         play: The play.
         figures: Worth earned of that owed: whole, and by kind of request.
-        broken: Rules broken, or why there are no figures; empty for none.
+        broken: Rules broken and floors missed, or why there are no figures; empty for none.
     """
 
     play: Play
@@ -58,8 +58,10 @@
         """Return the row of a bench's report."""
         figures = {WHOLE: float(report["G"])}
         figures |= {row["name"]: float(row["worth"]) for row in report["classes"]}
-        broken = ", ".join(f"{name} {count}" for name, count in report["breaks"].items())
-        return cls(play, figures, broken or str(report["fault"] or ""))
+        broken = [f"{name} {count}" for name, count in report["breaks"].items()]
+        broken += [str(report["fault"])] if report["fault"] else []
+        broken += [f"short: {text}" for text in report["short"]]
+        return cls(play, figures, ", ".join(broken))
 
     def encode(self) -> bytes:
         """Return the row as a line."""
--- a/tests/bench/test_paired.py
+++ b/tests/bench/test_paired.py
@@ -36,6 +36,6 @@
 
 def test_a_report_with_a_broken_rule_says_so() -> None:
     report = {"G": 0.5, "classes": [{"name": "short", "worth": 0.25}], "breaks": {"TWICE": 2}}
-    row = Row.of_report(Play("a", "site", "day", 1), report | {"fault": None})
+    row = Row.of_report(Play("a", "site", "day", 1), report | {"fault": None, "short": ["floor"]})
     assert row.figures == {WHOLE: 0.5, "short": 0.25}
-    assert row.broken == "TWICE 2"
+    assert row.broken == "TWICE 2, short: floor"
