Refuse at once a job that no executor is large enough for

Cause: a job whose tasks ask for more than any executor of the service has was accepted and waited until its caller gave up, though the host knows the sizes of all executors. It now gets 429 at once, with the step named and Retry-After 60 s: a larger executor would have to be added first. Executors that are gone still count, since a successor may come at any time; labels are no reason, since a kind may come; nothing is refused before any executor of the service was seen.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -11,17 +11,18 @@
 
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
+from linkspan.host._impossible import oversized_step
 from linkspan.jobs.records import Cancelled, JobState, Submitted
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from linkspan.events import EventLog
     from linkspan.host.configuration import Queue
     from linkspan.host.job_book import JobBook
     from linkspan.host.metrics import HostMetrics
     from linkspan.host.registry import ConfigurationWatch
-    from linkspan.jobs.spec import JobSpec
+    from linkspan.jobs.spec import Demand, JobSpec
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
@@ -29,6 +30,10 @@
 """Time after which a caller that was refused may come back: outages of the store
 last seconds, and a host that lost it alone is out of the balancer by then."""
 
+OVERSIZED_RETRY_AFTER_S = 60
+"""Time after which a caller may come back with a job that no executor is large enough
+for: a larger one would have to be added first, which takes a minute and more."""
+
 ANSWER_MARGIN_S = 0.15
 """Time kept for the way back of an answer that is given for want of time."""
 
@@ -64,6 +69,7 @@
         configuration: The configuration in force.
         form: Form of bodies.
         choose_shard: Names the shard for a new job.
+        capacities: Returns the sizes of a service's executors seen so far.
         incarnation: Life of this process, a part of its records' keys.
         log: Where events go.
         metrics: Where counts and times go.
@@ -76,6 +82,7 @@
         form: CallerFormat,
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
+        capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
         log: EventLog,
         metrics: HostMetrics,
@@ -84,6 +91,7 @@
         self._configuration = configuration
         self._form = form
         self._choose_shard = choose_shard
+        self._capacities = capacities
         self._incarnation = incarnation
         self._log = log
         self._metrics = metrics
@@ -161,6 +169,9 @@
                 return self._refuse(job_id, queue, "job records not read yet")
             if not self._book.takes_writes:
                 return self._refuse(job_id, queue, "store is away")
+            oversized = oversized_step(spec, self._capacities(queue.service))
+            if oversized is not None:
+                return self._refuse_oversized(job_id, queue, oversized)
             write = self._start_write(spec, queue)
         return await self._await_write(write, job_id, queue, deadline)
 
@@ -216,6 +227,13 @@
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return _unavailable(reason)
 
+    def _refuse_oversized(self, job_id: str, queue: Queue, step: int) -> web.Response:
+        reason = f"tasks of step {step} are larger than any executor of the service"
+        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
+        answer = _json(429, b'{"error":"not taken, it will not run"}', reason=reason)
+        answer.headers["Retry-After"] = str(OVERSIZED_RETRY_AFTER_S)
+        return answer
+
     async def show(self, job_id: str) -> web.Response:
         """Answer a question for a job's state."""
         entry, fresh = await self._book.look_up(job_id)
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -141,6 +141,7 @@
             self.configuration,
             adapter.bodies,
             choose_shard=ShardChooser(settings, self.registry, self._summary_of).choose,
+            capacities=self.registry.capacities,
             incarnation=incarnation,
             log=log,
             metrics=metrics,
--- a/src/linkspan/host/registry.py
+++ b/src/linkspan/host/registry.py
@@ -14,6 +14,7 @@
 
     from linkspan.events import EventLog
     from linkspan.host.configuration import Configuration
+    from linkspan.jobs.spec import Demand
     from linkspan.shard.messages import ExecutorRecord
     from linkspan.store.types import Entry, Partition, Store
 
@@ -49,6 +50,7 @@
         self._raw: dict[str, bytes] = {}
         self._records: dict[str, ExecutorRecord] = {}
         self._gone_at: dict[str, float] = {}
+        self._capacities: dict[str, set[Demand]] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.follower = Follower(
             store, partition, on_entries=self._on_entries, on_reset=self._on_reset
@@ -62,6 +64,10 @@
         self._expire()
         return [r for r in self._records.values() if hall is None or r.hall == hall]
 
+    def capacities(self, service: str) -> frozenset[Demand]:
+        """Return the sizes of a service's executors seen so far, also of those gone."""
+        return frozenset(self._capacities.get(service, ()))
+
     def _expire(self) -> None:
         limit = time.monotonic() - LISTING_GRACE_S
         for executor_id in [e for e, gone in self._gone_at.items() if gone < limit]:
@@ -85,10 +91,12 @@
             self._gone_at.setdefault(executor_id, time.monotonic())
             return
         try:
-            self._records[executor_id] = self._decode(executor_id, entry.value)
+            record = self._decode(executor_id, entry.value)
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             return
+        self._records[executor_id] = record
+        self._capacities.setdefault(record.service, set()).add(record.capacity)
         self._gone_at.pop(executor_id, None)
 
 
