--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -133,7 +133,7 @@
         if most and self._on_executor[executor.executor_id] >= most:
             return "spread limit"
         if spec.best_effort:
-            return None if self._fits_best_effort(executor, starved=starved) else "pressure"
+            return self._against_best_effort(executor, starved=starved)
         if demand.milli_cpu > executor.free_cpu:
             return "cores"
         if spec.standing and not fill:
@@ -145,17 +145,17 @@
         """Whether a standing task may use the room that is kept for short ones."""
         return task.displaced or self.now - task.ready_since >= HEADROOM_WAIT_S
 
-    def _fits_best_effort(self, executor: ExecutorState, *, starved: bool) -> bool:
-        """Whether the processor of an executor bears one more best-effort task."""
+    def _against_best_effort(self, executor: ExecutorState, *, starved: bool) -> str | None:
+        """Return why an executor does not bear one more best-effort task, in a word."""
         if executor.disturbed:
             # A new run starts at full speed, whatever its neighbours were slowed to.
-            return False
+            return "latency over target"
         if starved:
-            return True
+            return None
         spec = self.step.spec
         if leftover_cpu(executor) < spec.demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
-            return False
-        return self.rooms.share(executor, self.step) >= LEAST_START_SHARE
+            return "unused cores"
+        return None if self.rooms.share(executor, self.step) >= LEAST_START_SHARE else "pressure"
 
 
 def leftover_cpu(executor: ExecutorState) -> float:
