Bound what a guess of any size makes of an expected length

Cause: a guess is a caller's number. With one of 1e300 s among those seen an exponential overflowed, and the plan of the hall's owner with it. Guesses are taken between 10 ms and 12 days, and no expected length differs from its guess by more than a hundred times.

--- a/src/linkspan/shard/lengths.py
+++ b/src/linkspan/shard/lengths.py
@@ -19,6 +19,13 @@
 LEAST_S = 0.01
 """Least length that is told apart, in seconds."""
 
+MOST_S = 1e6
+"""Longest, about twelve days: callers may write any number."""
+
+MOST_RATIO = log(100.0)
+"""Most that an expected length may differ from its guess, as a logarithm: a guess off by more
+is an error of the caller that no other guess of the queue tells of."""
+
 
 @dataclass(slots=True)
 class _Fit:
@@ -44,7 +51,8 @@
         spread = self.guess_squared - self.guess * mean_guess
         together = self.product - self.ratio * mean_guess
         slope = together / (spread + TRUST_IN_SLOPE)
-        return self.ratio / (self.count + TRUST_IN_GUESSES) + slope * (guess - mean_guess)
+        ratio = self.ratio / (self.count + TRUST_IN_GUESSES) + slope * (guess - mean_guess)
+        return min(max(ratio, -MOST_RATIO), MOST_RATIO)
 
 
 class LengthBook:
@@ -78,8 +86,8 @@
             took_s: The longest of its tasks, in seconds.
         """
         self.learnt += 1
-        guess = log(max(guess_s, LEAST_S))
-        self._fits.setdefault(queue, _Fit()).add(guess, log(max(took_s, LEAST_S)) - guess)
+        guess = _log(guess_s)
+        self._fits.setdefault(queue, _Fit()).add(guess, _log(took_s) - guess)
 
     def expected_s(self, queue: str, guess_s: float) -> float:
         """Return how long a step is likely to take, in seconds.
@@ -96,5 +104,9 @@
         fit = self._fits.get(queue)
         if fit is None:
             return guess_s
-        guess = log(max(guess_s, LEAST_S))
+        guess = _log(guess_s)
         return exp(guess + fit.ratio_at(guess))
+
+
+def _log(seconds: float) -> float:
+    return log(min(max(seconds, LEAST_S), MOST_S))
