Say once what is large enough, and keep the log commands apart

Written twice: whether a step fits an empty executor stood in can_run and again, without labels, in the refusal of oversized jobs; both now ask large_enough. No behaviour changes: tests of hosts, shards, report and trace pass unchanged, and both commands print as before.

--- a/src/linkspan/cli.py
+++ b/src/linkspan/cli.py
@@ -13,6 +13,7 @@
 import orjson
 
 from linkspan import __version__
+from linkspan._log_commands import LogCommands
 from linkspan.errors import LinkspanError, OutcomeUnknown, Refused, SettingsError, Unreachable
 from linkspan.settings import (
     DaemonSettings,
@@ -26,7 +27,7 @@
 _CLIENT_TIMEOUT_S = 15.0
 
 
-class Cli:
+class Cli(LogCommands):
     """linkspan, a scheduler for services and batch work on the same hosts.
 
     Commands towards a gateway take --gateway IP:PORT (or LINKSPAN_GATEWAY):
@@ -75,40 +76,6 @@
 
         asyncio.run(HostDaemon(loaded, path).serve())
 
-    def trace(self, job_id: str, *logs: str) -> None:
-        """Print what hosts logged of a job, in order.
-
-        Args:
-            job_id: The caller's id of the job.
-            logs: Paths of log files of any hosts.
-        """
-        from linkspan.trace import trace
-
-        lines = [line for path in logs for line in Path(path).read_bytes().splitlines()]
-        found = trace(str(job_id), lines)
-        for line in found:
-            print(line)
-        if not found:
-            raise Refused(f"no line names job {job_id}; give the logs of all hosts")
-
-    def report(self, *logs: str) -> None:
-        """Print what the jobs' time went to, by queue, hall and span of time.
-
-        Lines that are no log lines are counted and passed over.
-
-        Args:
-            logs: Paths of log files of any hosts; each is read once, in its order.
-        """
-        from linkspan.report import LogReader, render
-
-        reader = LogReader()
-        for path in logs:
-            with Path(path).open("rb") as lines:
-                reader.read(lines)
-        if not reader.times:
-            raise Refused("no end of a job was read; give the logs of all hosts")
-        print(render(reader))
-
     gateway.__doc__ = (
         f"Run a gateway. --check prints the settings and ends.\n\n{help_of(GatewaySettings)}"
     )
--- a/src/linkspan/host/_impossible.py
+++ b/src/linkspan/host/_impossible.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from linkspan.shard.messages import large_enough
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+    from linkspan.jobs.spec import Demand, JobSpec
 
 
 def oversized_step(spec: JobSpec, capacities: Collection[Demand]) -> int | None:
@@ -26,16 +28,6 @@
     if not capacities:
         return None
     for index, step in enumerate(spec.steps):
-        if not any(_fits(step, capacity) for capacity in capacities):
+        if not any(large_enough(step, capacity) for capacity in capacities):
             return index
     return None
-
-
-def _fits(step: StepSpec, capacity: Demand) -> bool:
-    demand = step.demand
-    cpu = 0 if step.best_effort else demand.milli_cpu
-    return (
-        cpu <= capacity.milli_cpu
-        and demand.memory_mb <= capacity.memory_mb
-        and demand.gpus <= capacity.gpus
-    )
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -55,12 +55,17 @@
 
 def can_run(step: StepSpec, executor: ExecutorRecord) -> bool:
     """Whether an empty executor of this kind could run a task of a step."""
-    demand, room = step.demand, executor.capacity
+    labelled = not step.label or step.label in executor.labels
+    return labelled and large_enough(step, executor.capacity)
+
+
+def large_enough(step: StepSpec, capacity: Demand) -> bool:
+    """Whether a task of a step fits into an empty executor of a size, whatever its labels."""
+    demand = step.demand
     return (
-        (not step.label or step.label in executor.labels)
-        and demand.memory_mb <= room.memory_mb
-        and demand.gpus <= room.gpus
-        and (step.best_effort or demand.milli_cpu <= room.milli_cpu)
+        demand.memory_mb <= capacity.memory_mb
+        and demand.gpus <= capacity.gpus
+        and (step.best_effort or demand.milli_cpu <= capacity.milli_cpu)
     )
 
 
