Play troubles that overlap, hosts that stand still and listings in pages

Change: each host's tasks carry the name of their process, and the virtual loop holds what is due of a process that stands still; the store in memory lists 20 keys a page and reads 40 records an answer, each page at its own time, and can delay pages; callers are served by the host's process and get no answer from one that is gone; the judge also finds a start after an end that is acknowledged later.

--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -8,6 +8,8 @@
 import asyncio
 import json
 from collections import Counter, defaultdict
+from collections.abc import Callable, Coroutine
+from contextvars import Context, copy_context
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -15,6 +17,7 @@
 from aiohttp import web
 
 from linkspan.host.configuration import Configuration, Queue, Service
+from linkspan.host.front import Front
 from linkspan.host.host import Adapter, Host
 from linkspan.host.metrics import HostMetrics
 from linkspan.host.settings import Bounds, HostSettings, StoreLimits
@@ -27,6 +30,7 @@
 from linkspan.store.types import Partition
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.virtual_time import HOST, virtual_loop
 
 CONFIGURATION = Partition("operator", keyed=True)
 EXECUTORS = Partition("executors", keyed=True)
@@ -54,6 +58,12 @@
 
     host: Host
     task: asyncio.Task[None]
+    context: Context
+
+    @property
+    def process(self) -> str:
+        """Name of the process: the host's and its life's."""
+        return self.context[HOST]
 
 
 @dataclass
@@ -85,6 +95,7 @@
         self.cancelled: set[str] = set()
         self.done: set[TaskName] = set()
         self.done_acknowledged: set[TaskName] = set()
+        self.done_at: dict[tuple[TaskName, int], float] = {}
         self.failed: Counter[TaskName] = Counter()
         self.starts: defaultdict[TaskName, list[float]] = defaultdict(list)
         self._lives = 0
@@ -144,7 +155,10 @@
             log=self.log,
             metrics=HostMetrics(),
         )
-        running = RunningHost(host, asyncio.create_task(host.run()))
+        context = copy_context()
+        context.run(HOST.set, f"{name} {self._lives}")
+        loop = asyncio.get_running_loop()
+        running = RunningHost(host, loop.create_task(host.run(), context=context), context)
         self.hosts[name] = running
         return running
 
@@ -154,6 +168,15 @@
     def kill_host(self, name: str) -> None:
         self.hosts.pop(name).task.cancel()
 
+    def freeze_host(self, name: str) -> None:
+        """Let a host stand still, as a stopped process does; what it asked for goes on."""
+        virtual_loop().freeze(self.hosts[name].process)
+
+    def thaw(self, running: RunningHost) -> None:
+        """Let a process that stood still go on with all that came due meanwhile."""
+        if running in self.hosts.values():
+            virtual_loop().thaw(running.process)
+
     def add_executor(self, hall: str, address: str) -> MemoryExecutor:
         self._lives += 1
         record = ExecutorRecord(
@@ -218,6 +241,15 @@
         """Cut a host from a hall's executors."""
         self.cuts |= {(host, a) for a, e in self.executors.items() if e.record.hall == hall}
 
+    def cuts_around(self, hall: str) -> set[tuple[str, str]]:
+        """Return the pairs of host and executor that a cut around a hall separates."""
+        return {
+            (name, address)
+            for name, own in self.host_names()
+            for address, executor in self.executors.items()
+            if (own == hall) != (executor.record.hall == hall)
+        }
+
     def step_of(self, task: TaskName) -> StepSpec:
         return self.specs[task.job_id].steps[task.step]
 
@@ -262,10 +294,14 @@
     def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
         if kind is EndKind.DONE:
             self.done.add(task)
+            self.done_at.setdefault((task, run), asyncio.get_running_loop().time())
 
     def judge_acknowledged(self, end: EndedTask) -> None:
         if end.kind is EndKind.DONE:
             self.done_acknowledged.add(end.task)
+            ended = self.done_at[(end.task, end.run)]
+            if any(start > ended for start in self.starts[end.task]):
+                self.broken.append(f"{ended:.2f} TWICE {end.task} began again after its end")
         if end.kind is EndKind.FAILED:
             self.failed[end.task] += 1
 
@@ -275,17 +311,42 @@
         self._jobs += 1
         return JobSpec(f"{self._jobs:016x}", QUEUE.name, f"payload {self._jobs}", steps)
 
-    async def submit(self, name: str, spec: JobSpec) -> int:
-        """Submit a job at a host and return the status."""
+    async def submit(self, name: str, spec: JobSpec, *, patience_s: float = 3.0) -> int:
+        """Submit a job at a host and return the status, 0 if no answer came in time."""
         self.specs[spec.job_id] = spec
-        deadline = asyncio.get_running_loop().time() + 3.0
-        answer = await self.hosts[name].host.front.submit(
-            QUEUE, spec.job_id, job_body(spec), deadline
-        )
+
+        async def serve(front: Front) -> web.Response:
+            # A host that stood still reads what came in meanwhile, also late.
+            deadline = asyncio.get_running_loop().time() + patience_s
+            return await front.submit(QUEUE, spec.job_id, job_body(spec), deadline)
+
+        answer = await self._call(name, serve, patience_s)
+        if answer is None:
+            return 0
         if answer.status == 200:
             self.accepted.add(spec.job_id)
         return answer.status
 
+    async def ask(self, name: str, job_id: str, *, patience_s: float = 3.0) -> str:
+        """Return a job's state as a caller sees it, empty if no answer came in time."""
+        answer = await self._call(name, lambda front: front.show(job_id), patience_s)
+        return state_of(answer) if answer else ""
+
+    async def _call(
+        self,
+        name: str,
+        serve: Callable[[Front], Coroutine[Any, Any, web.Response]],
+        patience_s: float,
+    ) -> web.Response | None:
+        """Have a host's process serve a call, and return its answer if it came in time."""
+        running = self.hosts[name]
+        loop = asyncio.get_running_loop()
+        serving = loop.create_task(serve(running.host.front), context=running.context)
+        done, _ = await asyncio.wait([serving], timeout=patience_s)
+        if not done or self.hosts.get(name) is not running:
+            return None
+        return serving.result()
+
     async def state(self, name: str, job_id: str) -> str:
         answer = await self.hosts[name].host.front.show(job_id)
         return state_of(answer)
--- /dev/null
+++ b/tests/host/overlapping_day.py
@@ -0,0 +1,248 @@
+"""A day of drawn troubles that overlap, with callers that send jobs again elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from random import Random
+
+from linkspan.jobs.spec import JobSpec
+from tests.hall_world import HallWorld, step
+
+TROUBLES_FROM_S = 3.0
+"""Time after the start of the traffic at which the first trouble may begin."""
+
+TROUBLES_UNTIL_S = 14.0
+"""Time by which the last trouble has begun."""
+
+TRAFFIC_S = 22.0
+"""Length of the traffic."""
+
+CALM_S = 30.0
+"""Time after the traffic in which all that was accepted is to end."""
+
+VISIBLE_S = 3.0
+"""Time after its acceptance from which every host knows a job."""
+
+Trouble = Callable[["OverlappingDay"], Awaitable[None]]
+TROUBLES: dict[str, Trouble] = {}
+
+
+def trouble(function: Trouble) -> Trouble:
+    """Register a kind of trouble."""
+    TROUBLES[function.__name__] = function
+    return function
+
+
+class OverlappingDay:
+    """Traffic and troubles of one seed.
+
+    Args:
+        seed: Decides all that is drawn.
+        halls: Names of the halls.
+        jobs_per_s: New jobs a second.
+        troubles: How many troubles begin.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        halls: tuple[str, ...] = ("east", "west", "north"),
+        hosts_per_hall: int = 2,
+        jobs_per_s: float = 5.0,
+        troubles: int = 7,
+    ) -> None:
+        self.world = HallWorld(
+            halls=halls, hosts_per_hall=hosts_per_hall, seed=seed, failing_share=0.02
+        )
+        self.random = Random(seed * 7919 + 1)
+        self._jobs_per_s = jobs_per_s
+        self._troubles = troubles
+        self.told: list[str] = []
+
+    async def play(self) -> HallWorld:
+        """Play the day and return its world, with what was broken."""
+        world = self.world
+        await world.begin()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._traffic(group))
+            for _ in range(self._troubles):
+                at = self.random.uniform(TROUBLES_FROM_S, TROUBLES_UNTIL_S)
+                group.create_task(self._trouble(at))
+        world.store.calm()
+        world.cuts.clear()
+        self._start_missing()
+        await asyncio.sleep(CALM_S)
+        await self._ask_for_all()
+        return world
+
+    async def _trouble(self, at: float) -> None:
+        name = self.random.choice(sorted(TROUBLES))
+        await asyncio.sleep(at)
+        self.told.append(f"{asyncio.get_running_loop().time():.2f} {name}")
+        await TROUBLES[name](self)
+
+    async def _traffic(self, group: asyncio.TaskGroup) -> None:
+        until = asyncio.get_running_loop().time() + TRAFFIC_S
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.random.expovariate(self._jobs_per_s))
+            group.create_task(self._caller(self._job()))
+
+    def _job(self) -> JobSpec:
+        random = self.random
+        if random.random() < 0.6:
+            first = step(random.randint(2, 6), estimate_s=random.uniform(0.3, 1.0))
+        else:
+            first = step(8, estimate_s=random.uniform(1.0, 2.5))
+        if random.random() < 0.5:
+            return self.world.new_job(first, step(2, estimate_s=0.6, depends_on=(0,)))
+        return self.world.new_job(first)
+
+    async def _caller(self, spec: JobSpec) -> None:
+        """Send a job until it is accepted, and sometimes once more seconds later."""
+        world, random = self.world, self.random
+        for _ in range(5):
+            if not world.hosts:
+                await asyncio.sleep(0.5)
+                continue
+            name = random.choice(sorted(world.hosts))
+            if await world.submit(name, spec) == 200:
+                await self._ask(spec.job_id)
+                break
+            await asyncio.sleep(random.uniform(0.1, 1.0))
+        if random.random() < 0.2:
+            await asyncio.sleep(random.uniform(0.5, 4.0))
+            with suppress(IndexError):
+                await world.submit(random.choice(sorted(world.hosts)), spec)
+
+    async def _ask(self, job_id: str) -> None:
+        """Ask for an accepted job now and then, at any host."""
+        world, random = self.world, self.random
+        await asyncio.sleep(VISIBLE_S)
+        for _ in range(random.randint(0, 12)):
+            await asyncio.sleep(random.expovariate(4.0))
+            names = sorted(world.hosts)
+            if names and await world.ask(random.choice(names), job_id) == "410":
+                now = asyncio.get_running_loop().time()
+                world.broken.append(f"{now:.2f} LOST {job_id} is not known")
+
+    def some_hosts(self) -> list[str]:
+        """Return one host, some hosts, an owner, or all but one or two."""
+        names = sorted(self.world.hosts)
+        if not names:
+            return []
+        kind = self.random.choice(("one", "some", "owner", "most", "all"))
+        if kind == "owner":
+            shard = self.random.randrange(len(self.world.halls))
+            owner = self.world.owner(shard)
+            return [owner] if owner else []
+        count = {"one": 1, "some": 2, "most": len(names) - 2, "all": len(names)}[kind]
+        return self.random.sample(names, max(min(count, len(names)), 1))
+
+    async def last(self, low: float, high: float) -> None:
+        """Let a trouble last for a drawn time, in seconds."""
+        await asyncio.sleep(self.random.uniform(low, high))
+
+    def _start_missing(self) -> None:
+        for name, _ in self.world.host_names():
+            if name not in self.world.hosts:
+                self.world.start_host(name)
+
+    async def _ask_for_all(self) -> None:
+        world = self.world
+        for job_id in sorted(world.accepted):
+            for name in sorted(world.hosts):
+                state = await world.state(name, job_id)
+                if state not in ("succeeded", "failed"):
+                    world.broken.append(f"LOST {job_id} is {state} at {name}")
+
+
+@trouble
+async def kill(day: OverlappingDay) -> None:
+    """Processes are killed and start again."""
+    victims = day.some_hosts()
+    for name in victims:
+        if name in day.world.hosts:
+            day.world.kill_host(name)
+    await day.last(0.2, 1.5)
+    for name in victims:
+        if name not in day.world.hosts:
+            day.world.start_host(name)
+
+
+@trouble
+async def freeze(day: OverlappingDay) -> None:
+    """Processes stand still and go on."""
+    victims = {name: day.world.hosts[name] for name in day.some_hosts()}
+    for name in victims:
+        day.world.freeze_host(name)
+    await day.last(1.0, 5.0)
+    for running in victims.values():
+        day.world.thaw(running)
+
+
+@trouble
+async def turn_away(day: OverlappingDay) -> None:
+    """The store turns some hosts away."""
+    victims = set(day.some_hosts())
+    day.world.store.refusing |= victims
+    await day.last(1.0, 6.0)
+    day.world.store.refusing -= victims
+
+
+@trouble
+async def cut_from_store(day: OverlappingDay) -> None:
+    """Some hosts do not reach the store."""
+    victims = set(day.some_hosts())
+    day.world.store.silent |= victims
+    await day.last(1.0, 6.0)
+    day.world.store.silent -= victims
+
+
+@trouble
+async def lose_answers(day: OverlappingDay) -> None:
+    """Answers of the store are lost; what was asked may be done seconds later."""
+    day.world.store.losing = 0.4
+    day.world.store.late = day.random.random() < 0.5
+    await day.last(1.0, 4.0)
+    day.world.store.losing = 0.0
+
+
+@trouble
+async def forget(day: OverlappingDay) -> None:
+    """The store forgets its history."""
+    for partition in day.world.store.partitions():
+        day.world.store.forget(partition)
+
+
+@trouble
+async def cut_hall(day: OverlappingDay) -> None:
+    """A hall is cut from the store and from the other halls."""
+    world = day.world
+    hall = day.random.choice(world.halls)
+    inside = {name for name, other in world.host_names() if other == hall}
+    world.store.silent |= inside
+    cuts = world.cuts_around(hall)
+    world.cuts |= cuts
+    await day.last(2.0, 6.0)
+    world.cuts -= cuts
+    world.store.silent -= inside
+
+
+@trouble
+async def late_orders(day: OverlappingDay) -> None:
+    """Executors leave orders unanswered and carry them out late."""
+    day.world.late_share = 0.1
+    day.world.lost_answer_share = 0.05
+    await day.last(1.0, 4.0)
+    day.world.late_share = day.world.lost_answer_share = 0.0
+
+
+@trouble
+async def crash_executor(day: OverlappingDay) -> None:
+    """An executor crashes and comes back as another incarnation."""
+    address = day.random.choice(sorted(day.world.executors))
+    if day.world.executors[address].alive:
+        day.world.crash_executor(address)
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Sequence
+from contextvars import Context
 from dataclasses import dataclass, field
 from random import Random
 
@@ -21,6 +22,12 @@
 ANSWER_S = 0.004
 TIMEOUT_S = 1.0
 
+READ_RECORDS = 40
+"""Records in one answer to a read: few, so that readers see groups in parts."""
+
+LISTED_KEYS = 20
+"""Keys in one page of a listing, whose pages are no snapshot."""
+
 
 @dataclass
 class _Log:
@@ -43,6 +50,8 @@
         silent: Hosts that get no answer, and whose calls are not done.
         losing: Share of appends that are done and not answered.
         late: Whether lost appends are done seconds later.
+        page_delays: Times that a host's next calls for pages of a listing take on
+            their way to the store, in seconds.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -52,10 +61,21 @@
         self.silent: set[str] = set()
         self.losing = 0.0
         self.late = False
+        self.page_delays: defaultdict[tuple[str, Partition], list[float]] = defaultdict(list)
 
     def log(self, partition: Partition) -> _Log:
         return self._logs[partition]
 
+    def partitions(self) -> list[Partition]:
+        """Return the partitions that were used."""
+        return list(self._logs)
+
+    def calm(self) -> None:
+        """End all troubles."""
+        self.refusing.clear()
+        self.silent.clear()
+        self.losing = 0.0
+
     def forget(self, partition: Partition) -> None:
         """Drop a partition's records; the newest of each key stay."""
         log = self._logs[partition]
@@ -141,7 +161,8 @@
 
         if self._store.late:
             delay = 1.0 + 5.0 * self._store.random.random()
-            asyncio.get_running_loop().call_later(delay, do)
+            # The store does it, whatever becomes of the host that asked.
+            asyncio.get_running_loop().call_later(delay, do, context=Context())
         else:
             do()
         await asyncio.sleep(TIMEOUT_S)
@@ -160,14 +181,26 @@
             except TimeoutError:
                 return Page((), log.end)
             await self._reach()
+        page = Page(tuple(log.entries[start : start + READ_RECORDS]), log.end)
         await asyncio.sleep(ANSWER_S / 2)
-        return Page(tuple(log.entries[start:]), log.end)
+        return page
 
     async def newest(self, partition: Partition) -> Page:
-        await self._reach()
-        log = self._store.log(partition)
-        newest = {entry.key: entry for entry in log.entries}
-        return Page(tuple(e for e in newest.values() if e.value), log.end)
+        entries: list[Entry] = []
+        end = -1
+        delays = self._store.page_delays[self._host, partition]
+        while True:
+            await asyncio.sleep(delays.pop(0) if delays else 0.0)
+            await self._reach()
+            log = self._store.log(partition)
+            end = log.end if end < 0 else end
+            after = entries[-1].key if entries else b""
+            newest = {entry.key: entry for entry in log.entries if entry.key > after}
+            rows = sorted((e for e in newest.values() if e.value), key=lambda e: e.key)
+            entries += rows[:LISTED_KEYS]
+            await asyncio.sleep(ANSWER_S / 2)
+            if len(rows) <= LISTED_KEYS:
+                return Page(tuple(entries), end)
 
     async def _reach(self) -> None:
         await asyncio.sleep(ANSWER_S / 2)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -5,7 +5,9 @@
 import asyncio
 import selectors
 import time
-from collections.abc import Coroutine
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
+from contextvars import Context, ContextVar
 from typing import Any, TypeVar
 from unittest.mock import patch
 
@@ -15,6 +17,10 @@
 """Time of day at steady time 0."""
 
 
+HOST: ContextVar[str] = ContextVar("HOST", default="")
+"""Name of the host whose process a task belongs to; empty outside of all."""
+
+
 class _Selector(selectors.SelectSelector):
     def __init__(self) -> None:
         super().__init__()
@@ -35,11 +41,82 @@
 
     def __init__(self) -> None:
         self._virtual = _Selector()
+        self._frozen: set[str] = set()
+        self._held: defaultdict[str, list[_Guard]] = defaultdict(list)
         super().__init__(self._virtual)
 
     def time(self) -> float:
         return self._virtual.now
 
+    def freeze(self, host: str) -> None:
+        """Let nothing of a host run any more, as when its process is stopped."""
+        self._frozen.add(host)
+
+    def thaw(self, host: str) -> None:
+        """Let a host run again, with all that came due meanwhile, in order."""
+        self._frozen.discard(host)
+        for held in self._held.pop(host, ()):
+            super().call_soon(held, context=held.context)
+
+    def thaw_all(self) -> None:
+        """Let all hosts run again."""
+        for host in list(self._frozen):
+            self.thaw(host)
+
+    def call_soon(
+        self, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        guard = _Guard(self, callback, args, context)
+        guard.handle = super().call_soon(guard, context=context)
+        return guard.handle
+
+    def call_at(
+        self, when: float, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        guard = _Guard(self, callback, args, context)
+        timer = super().call_at(when, guard, context=context)
+        guard.handle = timer
+        return timer
+
+    def hold(self, guard: _Guard) -> bool:
+        """Keep a callback of a host that stands still, and return whether it does."""
+        if guard.host not in self._frozen:
+            return False
+        self._held[guard.host].append(guard)
+        return True
+
+
+class _Guard:
+    """A callback that waits while its host stands still."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        callback: Callable[..., Any],
+        args: tuple[Any, ...],
+        context: Context | None,
+    ) -> None:
+        self._loop = loop
+        self._callback = callback
+        self._args = args
+        self.context = context
+        self.host = HOST.get() if context is None else context.get(HOST, "")
+        self.handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        if self.handle and self.handle.cancelled():
+            # Cancelled while it was held.
+            return
+        if not self.host or not self._loop.hold(self):
+            self._callback(*self._args)
+
+
+def virtual_loop() -> VirtualLoop:
+    """Return the running loop."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    return loop
+
 
 def run_virtual(work: Coroutine[Any, Any, T], *, limit_s: float = 600.0) -> T:
     """Run a coroutine to its end in virtual time; the limit is virtual, too."""
@@ -61,6 +138,7 @@
 
 
 def _cancel_all(loop: VirtualLoop) -> None:
+    loop.thaw_all()
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
