Read the keys of a partition once at a time, and as of one offset

Cause: two listings of one partition ran side by side, and each was applied as it came. Class: state that was read in parts at several times, applied as if it were of one time, over newer state. Ruled out: a listing alone; JobCatalog.retain (it does what it is told); readers of the tail beside each other (they drop what is below the offset). The registry of executors and the configuration follow their partitions in the same way and are mended with it: an older listing could mark live executors as gone. A tenure's own listing of its progress needs nothing: its epoch has fenced every other writer before. Cost: one read more for each listing, and one listing where callers asked a host that had just started for several. Figures: tests/host/test_first_read.py, both tests fail before (410 for a job that has ended; TWICE for two tasks) and pass after.

--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import LogGap, StoreRefused, StoreUnanswered
+from linkspan.store.snapshot import read_snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +35,8 @@
         partition: Partition to follow.
         on_entries: Takes entries in order; called with no await between reads.
         on_reset: For keyed partitions, takes the newest record of each key and
-            the end of the partition, at the start and after a gap.
+            the end of the partition up to which they hold, at the start and after
+            a gap.
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
     """
@@ -60,6 +62,7 @@
         self._healthy = True
         self._ready = asyncio.Event()
         self._lock = asyncio.Lock()
+        self._listing = asyncio.Lock()
         self.pause_s = pause_s
         self.wait_s = WAIT_S
 
@@ -116,14 +119,15 @@
 
     async def _step(self, wait_s: float) -> None:
         if self._offset < 0 and self._on_reset:
-            await self._reset()
+            await self._list_keys(self._offset)
+            return
         asked = time.monotonic()
         start = max(self._offset, 0)
         try:
             page = await self._store.read(self._partition, start, wait_s=wait_s)
         except LogGap as gap:
             if self._on_reset:
-                await self._reset()
+                await self._list_keys(start)
             else:
                 self._offset = max(self._offset, gap.first)
             return
@@ -141,11 +145,26 @@
             self._synced_at = max(self._synced_at, asked)
             self._ready.set()
 
-    async def _reset(self) -> None:
+    async def _list_keys(self, missed: int) -> None:
+        """Read the newest record of each key, unless another reader just did.
+
+        A second listing beside the first could be the older one and undo what was
+        read since.
+
+        Args:
+            missed: Offset that could not be read on from.
+        """
         assert self._on_reset
-        page = await self._store.newest(self._partition)
-        self._on_reset(page.entries, page.end)
-        self._offset = max(self._offset, page.end)
+        async with self._listing:
+            if self._offset > missed:
+                return
+            asked = time.monotonic()
+            entries, end = await read_snapshot(self._store, self._partition)
+            self._heard_at = time.monotonic()
+            self._on_reset(entries, end)
+            self._offset = end
+            self._synced_at = max(self._synced_at, asked)
+            self._ready.set()
 
     def _set_health(self, healthy: bool) -> None:
         if healthy != self._healthy:
--- a/tests/host/test_first_read.py
+++ b/tests/host/test_first_read.py
@@ -12,7 +12,7 @@
 the job, and what had been written since was not read again. A host that had stood still
 in the meantime sent in the job once more, for its own hall, and there it counted as new.
 
-What proved it: the test below, which plays it whole.
+What proved it: the tests below; the first of them needs nothing but one host.
 """
 
 from __future__ import annotations
@@ -21,12 +21,34 @@
 import time
 
 from linkspan.host.job_book import JOBS
-from linkspan.jobs.records import Finished, JobState, Submitted, encode
+from linkspan.jobs.records import Dropped, Finished, JobState, Submitted, encode
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld, step
 from tests.standins.memory_store import LISTED_KEYS
 from tests.virtual_time import run_virtual
 
+SECOND_PAGE_S = 0.4
+"""Time that the second page of the first listing takes."""
+
+
+def test_an_older_listing_does_not_forget_a_finished_job() -> None:
+    """The job is asked for while the host reads the records for the first time."""
+
+    async def play() -> str:
+        world = HallWorld(hosts_per_hall=1, executors_per_hall=0)
+        await world.begin()
+        spec = await _waiting_beside_many(world, shard=0)
+        world.kill_host("east-host-0")
+        _start_with_slow_listing(world, "east-host-0", SECOND_PAGE_S)
+        await asyncio.sleep(SECOND_PAGE_S / 2)
+        for record in (_finished(spec), Dropped("s", spec.job_id, "life-x")):
+            world.store.put(JOBS, *encode(record))
+        await world.ask("east-host-0", spec.job_id)
+        await asyncio.sleep(2 * SECOND_PAGE_S)
+        return await world.state("east-host-0", spec.job_id)
+
+    assert run_virtual(play()) == "succeeded"
+
 
 def test_a_finished_job_is_not_started_again_in_another_hall() -> None:
     """A host that stood still sends the job in once more when it goes on."""
