Take no run for missing in a report that was read in part

Cause: where the job records could not be read, a report is judged without the jobs that no record is known of, and its ends are cut at the first of them. The rest still counted as whole: a run whose end stood behind the cut was neither running nor ended, so a new owner let go of it and started its task again, though it had ended well; and the executor counted as having answered, so that inherited work without a record could start, too. The same for an executor with 500 ends or more, which lists no more at once. Found by looking for the class of the double start elsewhere: a part of a state applied as if it were all of it. Change: ExecutorReport.whole; a report in part acts on what it names, and neither misses a run nor counts as the executor's first answer. Cost: while the store does not answer a new owner, work that it inherited waits.

--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -29,6 +29,9 @@
 MAX_WAIT_S = 2.0
 """Longest wait for an end that executors grant."""
 
+ENDS_LISTED = 500
+"""Most ends in one report, as the platform states: behind so many there may be more."""
+
 _REASONS = {
     "old": StartOutcome.SUPERSEDED,
     "late": StartOutcome.LATE,
@@ -178,6 +181,7 @@
             clock_s=fields["clockMs"] / 1000,
             running=tuple(_running(row) for row in fields.get("running") or ()),
             ended=tuple(_ended(row) for row in fields.get("ended") or ()),
+            whole=len(fields.get("ended") or ()) < ENDS_LISTED,
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise Unreachable(f"executor sent no report: {error!r}; it is asked again") from error
--- a/src/linkspan/shard/_adoption.py
+++ b/src/linkspan/shard/_adoption.py
@@ -51,6 +51,9 @@
         for row in report.running:
             listed.add((row.task, row.run))
             self._on_running(executor, row, now)
+        if not report.whole:
+            # What it leaves out may be the end of a run: nothing is missing yet.
+            return
         self._on_missing(executor, listed, asked, now)
         if not executor.adopted:
             executor.adopted = True
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -130,11 +130,13 @@
         clock_s: The executor's steady clock when it answered.
         running: Runs at work.
         ended: Ends that are not acknowledged yet, in order.
+        whole: Whether it names all runs there, so that a run in neither list is none.
     """
 
     clock_s: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    whole: bool = True
 
     @property
     def job_ids(self) -> set[str]:
@@ -149,7 +151,7 @@
         """
         running = tuple(row for row in self.running if row.task.job_id not in job_ids)
         ended = tuple(takewhile(lambda end: end.task.job_id not in job_ids, self.ended))
-        return replace(self, running=running, ended=ended)
+        return replace(self, running=running, ended=ended, whole=False)
 
 
 class StartOutcome(Enum):
--- a/tests/platform/test_executor_client.py
+++ b/tests/platform/test_executor_client.py
@@ -119,3 +119,15 @@
     setup.server.answers.append((200, fields))
     with pytest.raises(Unreachable):
         await setup.client.renew(setup.address, "i-1", acknowledged=0, until_s=None, wait_s=0)
+
+
+@pytest.mark.parametrize(("ends", "whole"), [(499, True), (500, False)])
+async def test_a_report_with_as_many_ends_as_fit_is_not_whole(
+    setup: Setup, ends: int, whole: bool
+) -> None:
+    rows = [[n + 1, task_to_wire(TASK), 1, "done", ""] for n in range(ends)]
+    setup.server.answers.append((200, {"clockMs": 1, "running": [], "ended": rows}))
+    report = await setup.client.renew(
+        setup.address, "i-1", acknowledged=0, until_s=None, wait_s=0.0
+    )
+    assert report.whole is whole
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from linkspan.host.configuration import Configuration, Queue, Service
 from linkspan.host.settings import Bounds
 from linkspan.jobs.records import Submitted
@@ -18,6 +20,7 @@
 )
 from linkspan.shard.pacing import Pacer
 from linkspan.shard.planner import AVOID_S
+from linkspan.shard.progress import encode_run
 from tests.hall_world import QUEUE, step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started, submitted
 
@@ -268,3 +271,45 @@
             end = EndedTask(number, order.task, order.run, EndKind.DONE, "")
             core.on_report(order.executor_id, ExecutorReport(1.1, (), (end,)), asked=1.0, now=1.1)
     assert plan(core, 1.9) == []
+
+
+def test_a_report_in_part_shows_no_run_as_missing() -> None:
+    """A new owner started a task again whose end stood behind one it could not judge."""
+    core = core_with(step(1))
+    (order,) = plan(core, 0.1)
+    started(core, order, 0.2)
+    (run,) = core.jobs[JOB].runs.values()
+    heir = ShardCore(0, Bounds())
+    heir.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    records = [e.record for e in core.executors.values()]
+    heir.inherit(records, until=20.0)
+    heir.list_executors(records, 1.0)
+    heir.add_job(submitted(step(1)), 1.0, inherited=True, progress={0: encode_run(run)})
+    end = EndedTask(2, order.task, order.run, EndKind.DONE, "")
+    stranger = EndedTask(1, TaskName("00000000000000bb", 0, 0, 0), 1, EndKind.DONE, "")
+    whole = ExecutorReport(1.0, (), (stranger, end))
+    part = whole.without({"00000000000000bb"})
+    for name in heir.executors:
+        mine = part if name == order.executor_id else ExecutorReport(1.0, (), ())
+        heir.on_report(name, mine, asked=1.0, now=1.1)
+    assert plan(heir, 1.2) == []
+    assert heir.adopting
+    heir.on_report(order.executor_id, replace(whole, clock_s=2.0), asked=2.0, now=2.1)
+    assert plan(heir, 2.2) == []
+    assert [f.job_id for f in heir.finished] == [JOB]
+    assert not heir.adopting
+
+
+def test_a_report_in_part_leaves_inherited_work_in_doubt() -> None:
+    """A run that no record tells of may stand in the part that was left out."""
+    heir = ShardCore(0, Bounds())
+    heir.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    record = ExecutorRecord("e0", "pool", "e0:1", "east", Demand(8_000, 9_000), frozenset(), "r")
+    heir.inherit([record], until=20.0)
+    heir.list_executors([record], 1.0)
+    heir.add_job(submitted(step(1)), 1.0, inherited=True)
+    part = ExecutorReport(1.0, (), (), whole=False)
+    heir.on_report("e0", part, asked=1.0, now=1.1)
+    assert plan(heir, 1.2) == []
+    heir.on_report("e0", replace(part, whole=True, clock_s=2.0), asked=2.0, now=2.1)
+    assert [order.run for order in plan(heir, 2.2)] == [16]
