Tell listeners of jobs once all that was written is read

Cause: a host told its shard's owner of each record as it was applied. An owner that had fallen behind (cut from the store for seconds, and not yet aware of its successor) heard of a job's submission before it read, in the same answer or the next, that the job had moved to another hall or had ended, and took it in; a job that is known is not let go of by a later move. Executors that the successor could not reach would have obeyed it. Change: Follower calls on_caught_up when a read reached the present end; JobBook gathers the changed jobs and tells of each once, as it then is. Cost: none in steady state, where each read reaches the end; fewer calls, since a job's records of one answer are told once.

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from linkspan.events import EventLog
     from linkspan.store.types import Entry, Store
@@ -40,12 +40,14 @@
     def __init__(self, store: Store, incarnation: str, log: EventLog) -> None:
         self._log = log
         self._listeners: list[Callable[[str], None]] = []
+        self._changed: dict[str, None] = {}
         self.catalog = JobCatalog()
         self.follower = Follower(
             store,
             JOBS,
             on_entries=self._on_entries,
             on_reset=self._on_reset,
+            on_caught_up=self._on_caught_up,
             on_health=self._on_health,
         )
         self.writer = GroupWriter(
@@ -101,15 +103,15 @@
             return False
         return True
 
-    def _on_entries(self, entries: Sequence[Entry]) -> None:
+    def _on_entries(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
             job_id = self._apply(entry)
             if job_id:
-                self._notify(job_id)
+                self._changed[job_id] = None
 
     def _on_reset(self, entries: Sequence[Entry], end: int) -> None:
-        job_ids = {self._apply(entry) for entry in sorted(entries)}
-        forgotten = self.catalog.retain((j for j in job_ids if j), before=end)
+        job_ids = {job_id for entry in sorted(entries) if (job_id := self._apply(entry))}
+        forgotten = self.catalog.retain(job_ids, before=end)
         self._log.write(
             Event.RECORDS_LISTED,
             partition=JOBS.topic,
@@ -117,9 +119,17 @@
             end=end,
             forgotten=forgotten,
         )
-        for job_id in job_ids:
-            if job_id:
-                self._notify(job_id)
+        self._changed |= dict.fromkeys(job_ids)
+
+    def _on_caught_up(self) -> None:
+        """Tell of what changed, once all that was written by now is known.
+
+        Told record by record, a listener would act on jobs that have moved or ended
+        in a later record of the same read.
+        """
+        changed, self._changed = self._changed, {}
+        for job_id in changed:
+            self._notify(job_id)
 
     def _apply(self, entry: Entry) -> str | None:
         try:
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -39,6 +39,7 @@
             a gap.
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
+        on_caught_up: Called after each read behind which nothing was written yet.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         *,
         on_entries: Callable[[tuple[Entry, ...]], None],
         on_reset: Callable[[tuple[Entry, ...], int], None] | None = None,
+        on_caught_up: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
         on_health: Callable[[bool], None] = lambda _healthy: None,
     ) -> None:
@@ -56,6 +58,7 @@
         self._on_entries = on_entries
         self._on_reset = on_reset
         self._on_health = on_health
+        self._on_caught_up = on_caught_up
         self._offset = -1
         self._synced_at = float("-inf")
         self._heard_at = float("-inf")
@@ -142,8 +145,7 @@
         self._offset = max(self._offset, 0)
         if self._offset >= page.end:
             # With a wait, the answer is as fresh as its arrival.
-            self._synced_at = max(self._synced_at, asked)
-            self._ready.set()
+            self._caught_up(asked)
 
     async def _list_keys(self, missed: int) -> None:
         """Read the newest record of each key, unless another reader just did.
@@ -163,8 +165,12 @@
             self._heard_at = time.monotonic()
             self._on_reset(entries, end)
             self._offset = end
-            self._synced_at = max(self._synced_at, asked)
-            self._ready.set()
+            self._caught_up(asked)
+
+    def _caught_up(self, asked: float) -> None:
+        self._synced_at = max(self._synced_at, asked)
+        self._ready.set()
+        self._on_caught_up()
 
     def _set_health(self, healthy: bool) -> None:
         if healthy != self._healthy:
