Let an own submission count where it stands in the log

Cause: a host put its own accepted job into its catalog when the store answered, beside the reading in order. A record in front of it that it had not read yet may name another hall, and the first one counts: an owner that recovered at that moment took the job in for its own hall, and the other hall's owner had it, too. Class: as before, a later part of a state applied before an earlier one. Change: JobBook.note_accepted keeps the id until the record is read back; a submission of it is answered from there, so nothing is written twice, and a question for it reads first. The catalog is a fold of the log and of nothing else. Figures: tests/host/test_job_book.py, seen failing (the catalog named the own hall for a job whose first record names the other); a job just accepted is known (test added with it); tests/host, tests/store, tests/jobs pass.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -155,7 +155,7 @@
             body: The job as sent.
             deadline: Steady time by which the caller wants an answer.
         """
-        if self._book.catalog.get(job_id):
+        if self._book.knows(job_id):
             self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
             return _json(200, b"{}")
         try:
@@ -180,18 +180,18 @@
         record = Submitted(spec, shard, time.time(), self._incarnation)
         write = self._book.write([record], patient=False)
         self._submitting[spec.job_id] = write
-        write.add_done_callback(lambda done: self._on_written(record, done))
+        write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
         return write
 
-    def _on_written(self, record: Submitted, done: asyncio.Future[int]) -> None:
+    def _on_written(self, job_id: str, done: asyncio.Future[int]) -> None:
         """Know of an own record at once, so that the job is not written again.
 
         A second record under the same key would hide the first, which may name another
         shard, from hosts that start later.
         """
-        self._submitting.pop(record.spec.job_id, None)
+        self._submitting.pop(job_id, None)
         if not done.cancelled() and done.exception() is None:
-            self._book.catalog.apply(done.result(), record)
+            self._book.note_accepted(job_id, done.result())
 
     async def _await_write(
         self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -41,6 +41,7 @@
         self._log = log
         self._listeners: list[Callable[[str], None]] = []
         self._changed: dict[str, None] = {}
+        self._unread: dict[str, int] = {}
         self.catalog = JobCatalog()
         self.follower = Follower(
             store,
@@ -78,6 +79,19 @@
         rows = [Record(value, key) for key, value in map(encode, records)]
         return self.writer.write(rows, patient=patient)
 
+    def knows(self, job_id: str) -> bool:
+        """Whether a job was accepted, by what was read or by this host itself."""
+        return job_id in self._unread or self.catalog.get(job_id) is not None
+
+    def note_accepted(self, job_id: str, offset: int) -> None:
+        """Know of a job that this host wrote, before its record is read back.
+
+        It enters the catalog when it is read: a record in front of it may name another
+        hall, and the first one counts.
+        """
+        if offset >= self.follower.offset:
+            self._unread[job_id] = offset
+
     async def look_up(self, job_id: str) -> tuple[JobEntry | None, bool]:
         """Return a job as of now, and whether the view is fresh.
 
@@ -86,7 +100,7 @@
         entry = self.catalog.get(job_id)
         if entry and entry.finished:
             return entry, True
-        fresh = await self.refresh()
+        fresh = await self.refresh(fresh_s=0.0 if job_id in self._unread else FRESH_S)
         return self.catalog.get(job_id), fresh
 
     async def refresh(self, *, fresh_s: float = FRESH_S) -> bool:
@@ -127,6 +141,8 @@
         Told record by record, a listener would act on jobs that have moved or ended
         in a later record of the same read.
         """
+        read = self.follower.offset
+        self._unread = {j: offset for j, offset in self._unread.items() if offset >= read}
         changed, self._changed = self._changed, {}
         for job_id in changed:
             self._notify(job_id)
--- a/tests/host/test_job_book.py
+++ b/tests/host/test_job_book.py
@@ -39,6 +39,37 @@
     assert len(heard) == READ_RECORDS + 1
 
 
+def test_an_own_record_does_not_count_before_those_in_front_of_it() -> None:
+    """An owner that recovered just then took in a job that lived in another hall."""
+
+    async def play() -> tuple[int, list[str]]:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        idle = next(name for name in world.hosts if name not in (world.owner(0), world.owner(1)))
+        shard = world.halls.index(dict(world.host_names())[idle])
+        # The host reads this job and then pauses its reading for a second.
+        await world.submit(idle, world.new_job(step(1)))
+        await asyncio.sleep(0.05)
+        spec = world.new_job(step(1))
+        world.store.put(JOBS, *encode(Submitted(spec, 1 - shard, 0.0, "life-x")))
+        status = await world.submit(idle, spec)
+        catalog = world.hosts[idle].host.book.catalog
+        return status, [job_id for job_id, _ in catalog.of_shard(shard) if job_id == spec.job_id]
+
+    assert run_virtual(play()) == (200, [])
+
+
+def test_a_job_that_was_just_accepted_is_known() -> None:
+    async def play() -> str:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(1))
+        assert await world.submit("east-host-0", spec) == 200
+        return await world.state("east-host-0", spec.job_id)
+
+    assert run_virtual(play()) in ("queued", "running")
+
+
 def _shard(book: JobBook, job_id: str) -> int | None:
     entry = book.catalog.get(job_id)
     return entry.shard if entry else None
