--- /dev/null
+++ b/bench/first_read.py
@@ -0,0 +1,129 @@
+"""Bytes of a host's first read of the store, and its time until it knows all, by link.
+
+``python -m bench.first_read``; real clients and followers, a store on loopback behind a
+link of a limited rate.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+
+import aiohttp
+from tests.standins.platform_http import StoreServer, serving
+from tests.standins.slow_link import SlowLink
+from tests.standins.stored_jobs import fill_configuration, fill_executors, fill_jobs
+
+from linkspan.events import EventLog
+from linkspan.host.job_book import JOBS, JobBook
+from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
+from linkspan.platform.records import configuration_from_wire, executor_from_wire
+from linkspan.platform.store import (
+    CONFIG_KEY,
+    CONFIG_RECORDS,
+    EXECUTOR_RECORDS,
+    StoreClient,
+)
+
+LIMIT_S = 30.0
+"""Longest time that a host gets to know all."""
+
+PAGE_KEYS = 500
+"""Keys in a page of the platform's store."""
+
+ASKERS = 20
+"""Questions for a job's state that come at the start, and again each second."""
+
+LINKS_MBIT = (2.0, 5.0, 10.0, 100.0)
+
+
+@dataclass(frozen=True)
+class Size:
+    """What a store holds."""
+
+    live: int
+    finished: int
+    executors: int
+    routes: int
+
+
+SIZES = (
+    Size(0, 0, 176, 40),
+    Size(0, 0, 176, 1_160),
+    Size(200, 0, 176, 1_160),
+    Size(0, 2_000, 176, 1_160),
+    Size(400, 2_000, 176, 1_160),
+    Size(2_000, 2_000, 2_800, 1_160),
+)
+
+
+async def _first_read(address: str, askers: int) -> float | None:
+    log = EventLog("bench")
+    connector = aiohttp.TCPConnector(limit=0, limit_per_host=12)
+    async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
+        store = StoreClient(session, address)
+        book = JobBook(store, "bench", log)
+        registry = ExecutorRegistry(store, EXECUTOR_RECORDS, executor_from_wire, log)
+        configuration = ConfigurationWatch(
+            store, CONFIG_RECORDS, CONFIG_KEY, configuration_from_wire, log
+        )
+        followers = [book.follower, registry.follower, configuration.follower]
+        work = [asyncio.create_task(follower.run()) for follower in followers]
+        began = time.monotonic()
+        asking = [asyncio.create_task(_ask(book)) for _ in range(askers)]
+        while not all(follower.ready for follower in followers):
+            await asyncio.sleep(0.02)
+            if time.monotonic() - began > LIMIT_S:
+                break
+        took = time.monotonic() - began
+        for task in (*work, *asking):
+            task.cancel()
+        await asyncio.gather(*work, *asking, return_exceptions=True)
+    return took if took < LIMIT_S else None
+
+
+async def _ask(book: JobBook) -> None:
+    while True:
+        await book.look_up("0" * 16)
+        await asyncio.sleep(1.0)
+
+
+async def _measure(size: Size) -> None:
+    server = StoreServer(page_keys=PAGE_KEYS)
+    fill_jobs(server.store, live=size.live, finished=size.finished)
+    fill_executors(server.store, size.executors)
+    fill_configuration(server.store, size.routes)
+    async with serving(server.handle) as target:
+        amounts = [await _bytes_of(target, p) for p in (JOBS, EXECUTOR_RECORDS, CONFIG_RECORDS)]
+        kb = ", ".join(f"{amount / 1000:.0f}" for amount in amounts)
+        print(f"{size}: KB of jobs, executors, configuration {kb}", flush=True)
+        for mbit in LINKS_MBIT:
+            for askers in (0, ASKERS):
+                await _play(target, mbit, askers)
+
+
+async def _play(target: str, mbit: float, askers: int) -> None:
+    link = SlowLink(target, mbit * 1e6 / 8)
+    async with link.serve() as address:
+        took = await _first_read(address, askers)
+    told = "never" if took is None else f"{took:.2f} s"
+    print(f"  {mbit:g} Mbit/s, {askers} askers: {told}, {link.passed / 1000:.0f} KB", flush=True)
+
+
+async def _bytes_of(target: str, partition: object) -> int:
+    link = SlowLink(target, 1e12)
+    async with link.serve() as address, aiohttp.ClientSession() as session:
+        await StoreClient(session, address, timeout_s=10.0).newest(partition)  # type: ignore[arg-type]
+        return link.passed
+
+
+async def _main() -> None:
+    for size in SIZES:
+        await _measure(size)
+
+
+if __name__ == "__main__":
+    logging.disable(logging.CRITICAL)
+    asyncio.run(_main())
--- a/tests/standins/platform_http.py
+++ b/tests/standins/platform_http.py
@@ -17,11 +17,20 @@
 
 
 class StoreServer:
-    """Speaks the store's protocol over a store in memory."""
+    """Speaks the store's protocol over a store in memory.
 
-    def __init__(self) -> None:
+    Attributes:
+        store: What it holds.
+        status: Status of all answers, ``None`` for true ones.
+        page_keys: Keys in one page of the newest.
+        asked: Name and query of each call, in order.
+    """
+
+    def __init__(self, *, page_keys: int = 2) -> None:
         self.store = MemoryStore()
         self.status: int | None = None
+        self.page_keys = page_keys
+        self.asked: list[tuple[str, dict[str, str]]] = []
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.status:
@@ -30,6 +39,7 @@
         keyed = topic.startswith("keyed.")
         place = Partition(topic.removeprefix("keyed."), int(request.query["part"]), keyed)
         name = request.path.rpartition("/")[2]
+        self.asked.append((name, dict(request.query)))
         return await getattr(self, "_" + name.replace("-", "_"))(request, place)
 
     async def _log_append(self, request: web.BaseRequest, place: Partition) -> web.Response:
@@ -56,10 +66,13 @@
         if start < log.first:
             return web.json_response({"first": log.first}, status=410)
         body = pack(">QQ", log.end, log.first)
+        limit = 1024 * int(request.query.get("max_kb", "1024"))
         for entry in log.entries[start:]:
             value = entry.value
             if place.keyed:
                 value = bytes((len(entry.key),)) + entry.key + value
+            if len(body) + len(value) + 4 > limit:
+                break
             body += pack(">I", len(value)) + value
         return web.Response(body=body)
 
@@ -74,9 +87,10 @@
                 "value": b64encode(newest[key].value).decode(),
                 "offset": newest[key].offset,
             }
-            for key in keys[:2]
+            for key in keys[: self.page_keys]
         ]
-        return web.json_response({"items": items, "more": len(keys) > 2, "end": log.end})
+        more = len(keys) > self.page_keys
+        return web.json_response({"items": items, "more": more, "end": log.end})
 
 
 def _records(body: bytes, keyed: bool) -> list[Record]:
