Bound calls to the store by silence, and their whole generously

Cause: the bound of 1 s on a whole call made a page that the link brings in 1.1 s as good as no page at all, and each try filled the link anew.

A call is now given up after 1 s without a byte, and after 17 s in all (the largest page at half a megabit a second). A read of records asks for 320 KB at once: above the largest record that stores take, half a second of 5 Mbit/s. The bounds are policy and stand in store/bounds.py; the client counts them.

Ruled out: a longer bound on the whole alone. It would find a dead connection as much later as it helps a slow one.

--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -19,6 +19,7 @@
     StoreRefused,
     StoreUnanswered,
 )
+from linkspan.store.bounds import READ_BYTES, SILENCE_S, WHOLE_S
 from linkspan.store.types import Appended, Entry, Page, Partition
 
 if TYPE_CHECKING:
@@ -38,10 +39,6 @@
 _LENGTH = Struct(">I")
 _READ_HEAD = Struct(">QQ")
 
-CALL_TIMEOUT_S = 1.0
-"""Time for an answer, beside any wait asked for. A healthy store answers in under
-20 ms and a slow one (60 times slower) in under 0.6 s."""
-
 _NOTHING_DONE = frozenset((429, 503, 507))
 """Statuses of calls of which the store has surely done nothing."""
 
@@ -52,15 +49,25 @@
     Args:
         session: Shared client session.
         address: ``ip:port`` of the store.
-        timeout_s: Time that an answer may take, beside any wait asked for.
+        timeout_s: Time that an answer may be silent, beside any wait asked for.
+        whole_s: Time that a whole answer may take, beside any wait asked for.
+        read_bytes: Bytes of records to ask for in one read.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, *, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        *,
+        timeout_s: float = SILENCE_S,
+        whole_s: float = WHOLE_S,
+        read_bytes: int = READ_BYTES,
     ) -> None:
         self._session = session
         self._base = f"http://{address}/api/"
         self._timeout_s = timeout_s
+        self._whole_s = whole_s
+        self._read_kb = read_bytes // 1024
 
     def __repr__(self) -> str:
         return f"StoreClient({self._base!r})"
@@ -92,7 +99,7 @@
 
     async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
         """Read records; see :meth:`linkspan.store.types.Store.read`."""
-        path = f"log-read?{_place(partition)}&from={start}"
+        path = f"log-read?{_place(partition)}&from={start}&max_kb={self._read_kb}"
         if wait_s:
             path += f"&waitMs={round(wait_s * 1000)}"
         status, answer = await self._call("GET", path, wait_s=wait_s)
@@ -123,14 +130,26 @@
         self, method: str, path: str, body: bytes | None = None, *, wait_s: float = 0.0
     ) -> tuple[int, bytes]:
         try:
-            async with asyncio.timeout(self._timeout_s + wait_s):
-                async with self._session.request(method, self._base + path, data=body) as answer:
-                    return answer.status, await answer.read()
+            async with (
+                asyncio.timeout(self._whole_s + wait_s),
+                asyncio.timeout(self._timeout_s + wait_s) as silence,
+                self._session.request(method, self._base + path, data=body) as answer,
+            ):
+                return answer.status, await self._read_on(answer, silence)
         except aiohttp.ClientConnectorError as error:
             raise StoreRefused(0) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnanswered(f"store: {error!r}; the call may be done later") from error
 
+    async def _read_on(self, answer: aiohttp.ClientResponse, silence: asyncio.Timeout) -> bytes:
+        loop = asyncio.get_running_loop()
+        parts: list[bytes] = []
+        silence.reschedule(loop.time() + self._timeout_s)
+        async for part in answer.content.iter_any():
+            parts.append(part)
+            silence.reschedule(loop.time() + self._timeout_s)
+        return b"".join(parts)
+
 
 def _place(partition: Partition) -> str:
     prefix = "keyed." if partition.keyed else ""
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -121,3 +123,31 @@
         client = StoreClient(session, address, timeout_s=1.0)
         with pytest.raises(StoreUnanswered):
             await client.read(KEYED, 0)
+
+
+async def test_an_answer_that_keeps_coming_is_still_bounded_as_a_whole() -> None:
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        while True:
+            await answer.write(b"\0")
+            await asyncio.sleep(0.02)
+
+    async with serving(handle) as address, aiohttp.ClientSession() as session:
+        client = StoreClient(session, address, timeout_s=0.2, whole_s=0.5)
+        began = time.monotonic()
+        with pytest.raises(StoreUnanswered):
+            await client.read(PLAIN, 0)
+        assert 0.4 < time.monotonic() - began < 2.0
+
+
+async def test_a_read_asks_for_room_for_the_largest_record() -> None:
+    """A page smaller than one record could never bring it."""
+    server = StoreServer()
+    async with serving(server.handle) as address, aiohttp.ClientSession() as session:
+        client = StoreClient(session, address)
+        for _ in range(2):
+            await client.append(PLAIN, [Record(b"x" * 262_144)])
+        page = await client.read(PLAIN, 0)
+    assert [entry.offset for entry in page.entries] == [0]
+    assert page.end == 2
