Test that all who ask a follower share one first read (red)

Cause: run() and sync() each begin a read of their own. While the first listing is on its way, a question for a job begins a second one over the same link, and whichever answer comes last is applied last.

The test holds the first listing's answer back, changes the record, and lets it go: the state ends as the older one.

--- a/tests/store/test_first_read.py
+++ b/tests/store/test_first_read.py
@@ -8,10 +8,13 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+from aiohttp import web
 
 from linkspan.events import EventLog
 from linkspan.host.job_book import JobBook
 from linkspan.platform.store import StoreClient
+from linkspan.store.follower import Follower
+from linkspan.store.types import Entry, Partition
 from tests.standins.platform_http import StoreServer, serving
 from tests.standins.slow_link import SlowLink
 from tests.standins.stored_jobs import fill_jobs
@@ -52,3 +55,52 @@
         work.cancel()
     assert entry and fresh
     assert link.passed < 350_000, "no byte is read twice"
+
+
+class _FirstHeld(StoreServer):
+    """Holds the first answer of newest keys back until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__(page_keys=500)
+        self.let_go = asyncio.Event()
+        self._held = False
+
+    async def _log_newest(self, request: web.BaseRequest, place: Partition) -> web.Response:
+        answer = await super()._log_newest(request, place)
+        if not self._held:
+            self._held = True
+            await self.let_go.wait()
+        return answer
+
+
+async def test_all_who_ask_share_one_first_read() -> None:
+    """Each began a read of its own, and the oldest answer was applied last."""
+    server = _FirstHeld()
+    keyed = Partition("things", keyed=True)
+    server.store.put(keyed, b"a", b"old")
+    state: dict[bytes, bytes] = {}
+
+    def take(entries: tuple[Entry, ...]) -> None:
+        state.update({entry.key: entry.value for entry in entries})
+
+    async with serving(server.handle) as address, aiohttp.ClientSession() as session:
+        follower = Follower(
+            StoreClient(session, address, timeout_s=LIMIT_S),
+            keyed,
+            on_entries=take,
+            on_reset=lambda entries, _end: take(entries),
+        )
+        work = asyncio.create_task(follower.run())
+        asking = [asyncio.create_task(follower.sync()) for _ in range(20)]
+        await asyncio.sleep(0.2)
+        server.store.put(keyed, b"a", b"new")
+        await asyncio.sleep(0.2)
+        server.let_go.set()
+        async with asyncio.timeout(LIMIT_S):
+            await asyncio.gather(*asking)
+        listings = [name for name, _ in server.asked if name == "log-newest"]
+        reads = [name for name, query in server.asked if name == "log-read"]
+        work.cancel()
+    assert state == {b"a": b"new"}
+    assert len(listings) == 1
+    assert len(reads) <= 4
