Stop a test's other hall from being told, whatever the timing

tests/host/test_takeovers.py, a job on its way to another hall: the test says that the other hall isn't told yet, but silenced the job records' writer only after it had found the new owner at work, in the same millisecond in which that owner tells. Which came first hung on the number of turns of the event loop. When telling came first the other hall started the job, rightly, and the test failed (seen with another follower: record m: at offset 2, both runs on the other hall's executors).

The writer is silenced before the host starts to work. The check is the same and as strict: with the line that it guards taken out (remove_moved for a handover under way) it fails, before and after this change.

--- a/tests/host/test_takeovers.py
+++ b/tests/host/test_takeovers.py
@@ -110,12 +110,12 @@
         world.store.put(JOBS, *encode(record))
         world.store.put(marker, RunKey(spec.job_id, 0).encode(), encode_moved(1))
         started = world.start_host("east-host-0")
+        started.host.book.writer.write = lambda *_a, **_k: asyncio.Future()  # type: ignore[method-assign]
         candidate = started.host.candidates[0]
         while candidate.tenure is None or not candidate.tenure.core.executors:
             await asyncio.sleep(0.001)
         # The caller sends the job once more before the other hall was told.
         world.store.put(JOBS, *encode(Submitted(spec, 1, 0.0, "life-y")))
-        started.host.book.writer.write = lambda *_a, **_k: asyncio.Future()  # type: ignore[method-assign]
         await asyncio.sleep(1.0)
         assert world.starts == {}
         return world
