Share one read of a partition among all who ask

Cause: run() and sync() of a follower read side by side, and questions waited one after the other behind a lock, each for a failure of its own.

Now there is one read at a time towards the end of a partition. The follower itself and all who ask join it; an answer or a failure is that of all. A read that waits for news stays apart, and what it brings while the keys are to be read anew is dropped, since the keys' end counts. One who asks may leave without ending the read; with the follower the read ends, too, and who still waits is told so (StoreUnanswered).

--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -55,11 +55,13 @@
         self._on_reset = on_reset
         self._on_health = on_health
         self._offset = -1
+        self._end = 0
+        self._unlisted = on_reset is not None
         self._synced_at = float("-inf")
         self._heard_at = float("-inf")
         self._healthy = True
         self._ready = asyncio.Event()
-        self._lock = asyncio.Lock()
+        self._reading: asyncio.Task[None] | None = None
         self.pause_s = pause_s
         self.wait_s = WAIT_S
 
@@ -89,49 +91,90 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         pause = RETRY_S
-        while True:
-            try:
-                await self._step(self.wait_s if self.ready else 0.0)
-            except (StoreRefused, StoreUnanswered):
-                self._set_health(False)
-                await asyncio.sleep(pause)
-                pause = min(2 * pause, MAX_RETRY_S)
-                continue
-            self._set_health(True)
-            pause = RETRY_S
-            await asyncio.sleep(self.pause_s)
+        try:
+            while True:
+                try:
+                    await self._follow()
+                except (StoreRefused, StoreUnanswered):
+                    self._set_health(False)
+                    await asyncio.sleep(pause)
+                    pause = min(2 * pause, MAX_RETRY_S)
+                    continue
+                self._set_health(True)
+                pause = RETRY_S
+                if not self._behind:
+                    await asyncio.sleep(self.pause_s)
+        finally:
+            if self._reading:
+                self._reading.cancel()
 
     async def sync(self) -> None:
-        """Read up to the present end.
+        """Read up to the present end; all who ask at one time share the reads.
 
         Raises:
             StoreRefused: The store answers with a refusal.
             StoreUnanswered: The store does not answer.
         """
         asked = time.monotonic()
-        async with self._lock:
-            # One read returns a bounded part of what there is.
-            while self._synced_at < asked:
-                await self._step(0.0)
+        # One read returns a bounded part of what there is, and may have begun before.
+        while self._synced_at < asked:
+            await self._share_read()
+
+    @property
+    def _behind(self) -> bool:
+        return self._unlisted or not self.ready or self._offset < self._end
 
-    async def _step(self, wait_s: float) -> None:
-        if self._offset < 0 and self._on_reset:
+    async def _follow(self) -> None:
+        if self._behind:
+            await self._share_read()
+        else:
+            await self._await_records()
+
+    async def _share_read(self) -> None:
+        """Wait for the read that is under way, or begin one.
+
+        It goes on when one who waits for it leaves.
+        """
+        reading = self._reading
+        if reading is None or reading.done():
+            reading = self._reading = asyncio.create_task(self._read())
+        try:
+            await asyncio.shield(reading)
+        except asyncio.CancelledError:
+            own = asyncio.current_task()
+            if reading.cancelled() and own and not own.cancelling():
+                raise StoreUnanswered("reading has ended; ask another host") from None
+            raise
+
+    async def _read(self) -> None:
+        if self._unlisted:
             await self._reset()
+        await self._read_records(0.0)
+
+    async def _await_records(self) -> None:
+        await self._read_records(self.wait_s)
+
+    async def _read_records(self, wait_s: float) -> None:
         asked = time.monotonic()
-        start = max(self._offset, 0)
         try:
-            page = await self._store.read(self._partition, start, wait_s=wait_s)
+            page = await self._store.read(self._partition, max(self._offset, 0), wait_s=wait_s)
         except LogGap as gap:
-            if self._on_reset:
-                await self._reset()
-            else:
-                self._offset = max(self._offset, gap.first)
+            self._on_gap(gap)
             return
-        self._take(page, asked)
+        self._heard_at = time.monotonic()
+        # Once the keys are to be read anew, only what follows them counts.
+        if not self._unlisted:
+            self._take(page, asked)
+
+    def _on_gap(self, gap: LogGap) -> None:
+        if self._on_reset:
+            self._unlisted = True
+        else:
+            self._offset = max(self._offset, gap.first)
 
     def _take(self, page: Page, asked: float) -> None:
-        self._heard_at = time.monotonic()
         fresh = tuple(entry for entry in page.entries if entry.offset >= self._offset)
+        self._end = max(self._end, page.end)
         if fresh:
             self._offset = fresh[-1].offset + 1
             self._on_entries(fresh)
@@ -146,6 +189,7 @@
         page = await self._store.newest(self._partition)
         self._on_reset(page.entries, page.end)
         self._offset = max(self._offset, page.end)
+        self._unlisted = False
 
     def _set_health(self, healthy: bool) -> None:
         if healthy != self._healthy:
