Test that a listing goes on after the last page that came (red)

Cause: the client keeps the pages of one listing in a local list; a page that fails throws away all before it, and the next try begins with the first one.

--- a/tests/store/test_first_read.py
+++ b/tests/store/test_first_read.py
@@ -104,3 +104,19 @@
     assert state == {b"a": b"new"}
     assert len(listings) == 1
     assert len(reads) <= 4
+
+
+async def test_a_read_that_broke_off_goes_on_after_the_last_page() -> None:
+    """Each try began with the first page, so that a long listing was never whole."""
+    server = StoreServer(page_keys=20)
+    job_ids = fill_jobs(server.store, live=100)
+    async with _slow(server, 1_000_000.0) as (book, link):
+        for broken_at in (60_000, 110_000, 160_000):
+            link.reset_at(broken_at)
+        work = asyncio.create_task(book.follower.run())
+        await _until(lambda: book.follower.ready)
+        work.cancel()
+    pages = [query for name, query in server.asked if name == "log-newest"]
+    assert [query for query in pages if "dependsOn" not in query] == pages[:1]
+    assert len(pages) == 2 * len(job_ids) / 20 + 3, "only pages that broke off are asked twice"
+    assert all(book.catalog.get(job_id) for job_id in job_ids)
