Keep the pages of a listing and go on after the last one

Cause: a listing was one call for its readers, so any failure threw all of it away.

The store's client names one page of keys (newest_page); store/listing.py asks for page after page, keeps what came and goes on after the last key, over failures and outages of any length. Store.newest stays for the recovery of a shard, which reads its own progress records; it has the same weakness and should use Listing.

--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -20,7 +20,7 @@
     StoreUnanswered,
 )
 from linkspan.store.bounds import READ_BYTES, SILENCE_S, WHOLE_S
-from linkspan.store.types import Appended, Entry, Page, Partition
+from linkspan.store.types import Appended, Entry, KeyPage, Page, Partition
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -110,21 +110,23 @@
 
     async def newest(self, partition: Partition) -> Page:
         """Read the newest keys; see :meth:`linkspan.store.types.Store.newest`."""
-        entries: list[Entry] = []
-        end = -1
-        after = ""
-        while True:
-            path = f"log-newest?{_place(partition)}{after}"
-            status, answer = await self._call("GET", path)
-            _check(status)
-            fields = _object(answer)
-            end = int(fields.get("end", 0)) if end < 0 else end
-            rows = fields.get("items") or []
-            entries += [_newest_entry(row) for row in rows]
-            if not fields.get("more") or not rows:
-                return Page(tuple(entries), end)
-            # "dependsOn" is the wire's name for the key to go on after.
-            after = f"&dependsOn={rows[-1]['privateKey']}"
+        page = await self.newest_page(partition)
+        entries, end = list(page.entries), page.end
+        while page.more:
+            page = await self.newest_page(partition, after=entries[-1].key)
+            entries += page.entries
+        return Page(tuple(entries), end)
+
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        """Read a page of keys; see :meth:`linkspan.store.types.Store.newest_page`."""
+        # "dependsOn" is the wire's name for the key to go on after.
+        rest = "" if after is None else f"&dependsOn={after.decode()}"
+        status, answer = await self._call("GET", f"log-newest?{_place(partition)}{rest}")
+        _check(status)
+        fields = _object(answer)
+        rows = fields.get("items") or []
+        entries = tuple(_newest_entry(row) for row in rows)
+        return KeyPage(entries, int(fields.get("end", 0)), bool(rows and fields.get("more")))
 
     async def _call(
         self, method: str, path: str, body: bytes | None = None, *, wait_s: float = 0.0
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import LogGap, StoreRefused, StoreUnanswered
+from linkspan.store.listing import Listing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,6 +62,7 @@
         self._heard_at = float("-inf")
         self._healthy = True
         self._ready = asyncio.Event()
+        self._listing = Listing(store, partition)
         self._reading: asyncio.Task[None] | None = None
         self.pause_s = pause_s
         self.wait_s = WAIT_S
@@ -186,9 +188,11 @@
 
     async def _reset(self) -> None:
         assert self._on_reset
-        page = await self._store.newest(self._partition)
-        self._on_reset(page.entries, page.end)
-        self._offset = max(self._offset, page.end)
+        listing = self._listing
+        await listing.read()
+        self._listing = Listing(self._store, self._partition)
+        self._on_reset(listing.entries, listing.end)
+        self._offset = max(self._offset, listing.end)
         self._unlisted = False
 
     def _set_health(self, healthy: bool) -> None:
--- a/src/linkspan/store/metered.py
+++ b/src/linkspan/store/metered.py
@@ -12,7 +12,7 @@
     from typing import TypeVar
 
     from linkspan.host.metrics import HostMetrics
-    from linkspan.store.types import Appended, Page, Partition, Producer, Record, Store
+    from linkspan.store.types import Appended, KeyPage, Page, Partition, Producer, Record, Store
 
     T = TypeVar("T")
 
@@ -49,6 +49,10 @@
         work = self._store.read(partition, start, wait_s=wait_s)
         return await self._timed("wait" if wait_s else "read", work)
 
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        """Read a page of keys; see :meth:`linkspan.store.types.Store.newest_page`."""
+        return await self._timed("newest", self._store.newest_page(partition, after=after))
+
     async def newest(self, partition: Partition) -> Page:
         """Read the newest keys; see :meth:`linkspan.store.types.Store.newest`."""
         return await self._timed("newest", self._store.newest(partition))
--- a/src/linkspan/store/types.py
+++ b/src/linkspan/store/types.py
@@ -55,6 +55,20 @@
     end: int
 
 
+class KeyPage(NamedTuple):
+    """Newest records of some keys.
+
+    Attributes:
+        entries: The records, in order of keys.
+        end: First offset that was not yet written when the store answered.
+        more: Whether keys follow after the last one.
+    """
+
+    entries: tuple[Entry, ...]
+    end: int
+    more: bool = False
+
+
 class Producer(NamedTuple):
     """Writer whose appends the store applies once, in sequence.
 
@@ -118,6 +132,14 @@
             LogGap: Records at ``start`` are gone.
         """
 
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        """Return the newest records of the first keys, or of those after a key.
+
+        Raises:
+            StoreRefused: Nothing was done.
+            StoreUnanswered: No answer.
+        """
+
     async def newest(self, partition: Partition) -> Page:
         """Return the newest record of each key; the pages are no snapshot.
 
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -16,7 +16,7 @@
     StoreRefused,
     StoreUnanswered,
 )
-from linkspan.store.types import Appended, Entry, Page, Partition, Producer, Record
+from linkspan.store.types import Appended, Entry, KeyPage, Page, Partition, Producer, Record
 
 ANSWER_S = 0.004
 TIMEOUT_S = 1.0
@@ -169,6 +169,11 @@
         newest = {entry.key: entry for entry in log.entries}
         return Page(tuple(e for e in newest.values() if e.value), log.end)
 
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        assert after is None, "the first page holds all"
+        page = await self.newest(partition)
+        return KeyPage(page.entries, page.end)
+
     async def _reach(self) -> None:
         await asyncio.sleep(ANSWER_S / 2)
         if self._host in self._store.refusing:
