Test that a listing is told as of one offset (red)

A record that changes after its page was answered is told in its old form first; who acts upon it, acts upon a state that never was beside the other keys' (a dropped key, an end that is already there).

The test changes three of four records between two pages.

--- a/tests/store/test_first_read.py
+++ b/tests/store/test_first_read.py
@@ -120,3 +120,39 @@
     assert [query for query in pages if "dependsOn" not in query] == pages[:1]
     assert len(pages) == 2 * len(job_ids) / 20 + 3, "only pages that broke off are asked twice"
     assert all(book.catalog.get(job_id) for job_id in job_ids)
+
+
+class _ChangedBetweenPages(StoreServer):
+    """Changes its records after the first page of keys was answered."""
+
+    def __init__(self, partition: Partition) -> None:
+        super().__init__(page_keys=2)
+        self._place = partition
+        for key in (b"a", b"b", b"c", b"d"):
+            self.store.put(partition, key, b"old")
+
+    async def _log_newest(self, request: web.BaseRequest, place: Partition) -> web.Response:
+        answer = await super()._log_newest(request, place)
+        if "dependsOn" not in request.query:
+            self.store.put(place, b"a", b"new")
+            self.store.put(place, b"b", b"")
+            self.store.put(place, b"d", b"new")
+        return answer
+
+
+async def test_what_is_read_by_keys_is_told_as_of_one_offset() -> None:
+    """Pages of keys are no snapshot: the first told of what the last had overtaken."""
+    keyed = Partition("things", keyed=True)
+    server = _ChangedBetweenPages(keyed)
+    told: list[tuple[dict[bytes, bytes], int]] = []
+    async with serving(server.handle) as address, aiohttp.ClientSession() as session:
+        follower = Follower(
+            StoreClient(session, address),
+            keyed,
+            on_entries=lambda _entries: None,
+            on_reset=lambda entries, end: told.append(({e.key: e.value for e in entries}, end)),
+        )
+        async with asyncio.timeout(LIMIT_S):
+            await follower.sync()
+    assert told == [({b"a": b"new", b"b": b"", b"c": b"old", b"d": b"new"}, 7)]
+    assert follower.ready and follower.offset == 7
