Tell what is read by keys as of one offset

Cause: a listing was told page by page's worth, before the records that had overtaken it were read.

A listing now reads on from its first page's end until it reaches the end of the partition, and only then is told, once, in order of offsets, with the keys that were dropped meanwhile. The follower counts as ready in the same step, so nothing is acted upon before. When the records in between are gone, the listing begins anew. The job book keeps those jobs of which a key is held at that offset. A follower that is behind and got nothing pauses, so that a store that sends empty pages isn't asked in a loop.

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -107,11 +107,16 @@
                 self._notify(job_id)
 
     def _on_reset(self, entries: Sequence[Entry], end: int) -> None:
-        job_ids = {self._apply(entry) for entry in sorted(entries)}
-        self.catalog.retain((j for j in job_ids if j), before=end)
-        for job_id in job_ids:
+        job_of_key: dict[bytes, str | None] = {}
+        job_ids: set[str] = set()
+        for entry in entries:
+            job_id = self._apply(entry)
+            job_of_key[entry.key] = job_id if entry.value else None
             if job_id:
-                self._notify(job_id)
+                job_ids.add(job_id)
+        self.catalog.retain((j for j in job_of_key.values() if j), before=end)
+        for job_id in job_ids:
+            self._notify(job_id)
 
     def _apply(self, entry: Entry) -> str | None:
         try:
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -34,8 +34,10 @@
         store: Where to read.
         partition: Partition to follow.
         on_entries: Takes entries in order; called with no await between reads.
-        on_reset: For keyed partitions, takes the newest record of each key and
-            the end of the partition, at the start and after a gap.
+        on_reset: For keyed partitions, takes the newest record of each key as of an
+            offset, and that offset, at the start and after a gap. Records come in order;
+            those of keys that changed or were dropped while the others were read are
+            among them.
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
     """
@@ -95,6 +97,7 @@
         pause = RETRY_S
         try:
             while True:
+                offset = self._offset
                 try:
                     await self._follow()
                 except (StoreRefused, StoreUnanswered):
@@ -106,6 +109,8 @@
                 pause = RETRY_S
                 if not self._behind:
                     await asyncio.sleep(self.pause_s)
+                elif self._offset == offset:
+                    await asyncio.sleep(RETRY_S)
         finally:
             if self._reading:
                 self._reading.cancel()
@@ -150,8 +155,9 @@
 
     async def _read(self) -> None:
         if self._unlisted:
-            await self._reset()
-        await self._read_records(0.0)
+            await self._list()
+        else:
+            await self._read_records(0.0)
 
     async def _await_records(self) -> None:
         await self._read_records(self.wait_s)
@@ -183,17 +189,26 @@
         self._offset = max(self._offset, 0)
         if self._offset >= page.end:
             # With a wait, the answer is as fresh as its arrival.
-            self._synced_at = max(self._synced_at, asked)
-            self._ready.set()
+            self._reached_end(asked)
 
-    async def _reset(self) -> None:
+    async def _list(self) -> None:
         assert self._on_reset
         listing = self._listing
-        await listing.read()
+        try:
+            synced_at = await listing.read()
+        except LogGap:
+            self._listing = Listing(self._store, self._partition)
+            return
         self._listing = Listing(self._store, self._partition)
-        self._on_reset(listing.entries, listing.end)
-        self._offset = max(self._offset, listing.end)
         self._unlisted = False
+        self._heard_at = time.monotonic()
+        self._offset = self._end = listing.end
+        self._on_reset(listing.entries, listing.end)
+        self._reached_end(synced_at)
+
+    def _reached_end(self, synced_at: float) -> None:
+        self._synced_at = max(self._synced_at, synced_at)
+        self._ready.set()
 
     def _set_health(self, healthy: bool) -> None:
         if healthy != self._healthy:
