Log what a host's first read of the job records brought and when

Event 560: keys, bytes, offset and the time since the host started; one line a life, and one more after a gap. It says what 510 and 511 don't: how large the read was that a host was waiting for.

Measured: pytest tests/store tests/host tests/test_events.py, 70 passed.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -106,6 +106,7 @@
     )
     STORE_BACK = 511, logging.INFO, "store answers again", "nothing"
     RECORD_SKIPPED = 512, logging.WARNING, "store record does not decode", "check its writer"
+    JOBS_LISTED = 560, logging.INFO, "job records read by their keys", "nothing"
     JOB_ACCEPTED = 520, logging.INFO, "job accepted and kept", "nothing"
     JOB_REFUSED = 521, logging.WARNING, "job refused, it never runs", "read the reason"
     JOB_IN_DOUBT = 522, logging.WARNING, "job may be kept or not", "the caller sends it again"
--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -39,6 +39,7 @@
 
     def __init__(self, store: Store, incarnation: str, log: EventLog) -> None:
         self._log = log
+        self._started = time.monotonic()
         self._listeners: list[Callable[[str], None]] = []
         self.catalog = JobCatalog()
         self.follower = Follower(
@@ -115,6 +116,13 @@
             if job_id:
                 job_ids.add(job_id)
         self.catalog.retain((j for j in job_of_key.values() if j), before=end)
+        self._log.write(
+            Event.JOBS_LISTED,
+            keys=len(job_of_key),
+            bytes=sum(len(entry.key) + len(entry.value) for entry in entries),
+            offset=end,
+            since_start_s=round(time.monotonic() - self._started, 3),
+        )
         for job_id in job_ids:
             self._notify(job_id)
 
