--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -41,6 +41,7 @@
     Attributes:
         refusing: Hosts that get refusals.
         silent: Hosts that get no answer, and whose calls are not done.
+        reads_take: Seconds that whole answers to reads take, by host and topic.
         losing: Share of appends that are done and not answered.
         late: Whether lost appends are done seconds later.
     """
@@ -50,6 +51,7 @@
         self.random = Random(seed)
         self.refusing: set[str] = set()
         self.silent: set[str] = set()
+        self.reads_take: dict[tuple[str, str], float] = {}
         self.losing = 0.0
         self.late = False
 
@@ -160,20 +162,28 @@
             except TimeoutError:
                 return Page((), log.end)
             await self._reach()
-        await asyncio.sleep(ANSWER_S / 2)
-        return Page(tuple(log.entries[start:]), log.end)
+        page = Page(tuple(log.entries[start:]), log.end)
+        await self._bring(partition)
+        return page
 
     async def newest(self, partition: Partition) -> Page:
         await self._reach()
         log = self._store.log(partition)
         newest = {entry.key: entry for entry in log.entries}
-        return Page(tuple(e for e in newest.values() if e.value), log.end)
+        page = Page(tuple(e for e in newest.values() if e.value), log.end)
+        if (self._host, partition.topic) in self._store.reads_take:
+            await self._bring(partition)
+        return page
 
     async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
         assert after is None, "the first page holds all"
         page = await self.newest(partition)
         return KeyPage(page.entries, page.end)
 
+    async def _bring(self, partition: Partition) -> None:
+        taken = self._store.reads_take.get((self._host, partition.topic), 0.0)
+        await asyncio.sleep(max(ANSWER_S / 2, taken))
+
     async def _reach(self) -> None:
         await asyncio.sleep(ANSWER_S / 2)
         if self._host in self._store.refusing:
