Answer questions within their callers' time while records are read

Cause: show, cancel and count waited for a read up to the present end without any bound of their own; count answered 0 on a host that had read nothing.

A question waits for half of its caller's time and 2 s at most, for 1 s where the job is known; the read goes on for the next who asks. A job that is known is then answered from what was read. 410 is only said after a whole read; else 503 with Retry-After, with the other half of the time left to ask another host. A cancellation of a known job is written without a fresh view. A count is given from a view of 3 s at most (visible_s), else refused. A look at an executor waits 1 s for the records of jobs that it doesn't know, as it did.

Ruled out: 503 at once where nothing was read; after all hosts restart no other host would answer, either.

Tests, all four seen failing before the change (the callers' 3 s passed), and one more for a stop in the middle of a first read (new, not seen failing: the bound of the drain held before, too).

Measured: pytest tests/store tests/host, 72 passed.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import time
 from typing import TYPE_CHECKING, Protocol
@@ -12,6 +13,7 @@
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._impossible import oversized_step
+from linkspan.host.job_book import REFRESH_S
 from linkspan.jobs.records import Cancelled, JobState, Submitted
 
 if TYPE_CHECKING:
@@ -42,6 +44,18 @@
 """Time that a call gets at least, however little its caller grants."""
 
 
+ASK_SHARE = 0.5
+"""Share of a caller's time for which an answer waits for the job records to be read; in
+the rest the caller can ask another host, which may have read them."""
+
+ASK_LIMIT_S = 2.0
+"""Longest such wait, whatever the caller grants: a store that is well takes 20 ms."""
+
+COUNT_AGE_S = 3.0
+"""Age up to which a count of waiting jobs is given: the time in which an accepted job is
+to be seen on every host."""
+
+
 class CallerFormat(Protocol):
     """Form of what callers send and get."""
 
@@ -128,7 +142,8 @@
             return _json(404, b'{"error":"no such queue"}')
         job_id = request.path[len(queue.prefix) :]
         if request.method == "GET" and not job_id:
-            return await self.count(queue)
+            deadline = time.monotonic() + self._time_left(request, queue)
+            return await self.count(queue, deadline)
         if not _JOB_ID.fullmatch(job_id):
             return _json(404, b'{"error":"a job id is 16 hex digits"}')
         deadline = time.monotonic() + self._time_left(request, queue)
@@ -136,7 +151,7 @@
             body = await request.read()
             return await self.submit(queue, job_id, body, deadline)
         if request.method == "GET":
-            return await self.show(job_id)
+            return await self.show(job_id, deadline)
         if request.method == "DELETE":
             return await self.cancel(job_id, deadline)
         return _json(405, b'{"error":"use GET, POST or DELETE"}')
@@ -234,22 +249,27 @@
         answer.headers["Retry-After"] = str(OVERSIZED_RETRY_AFTER_S)
         return answer
 
-    async def show(self, job_id: str) -> web.Response:
-        """Answer a question for a job's state."""
-        entry, fresh = await self._book.look_up(job_id)
+    async def show(self, job_id: str, deadline: float = math.inf) -> web.Response:
+        """Answer a question for a job's state.
+
+        Args:
+            job_id: The job.
+            deadline: Steady time by which the caller wants an answer.
+        """
+        entry, fresh = await self._book.look_up(job_id, limit_s=_wait_until(deadline))
         if entry:
             return _json(200, self._form.state(entry.state))
         if not fresh:
-            self._log.write(Event.JOB_ASKED, job=job_id, state="not known, store is away")
-            return _unavailable("store is away")
+            self._log.write(Event.JOB_ASKED, job=job_id, state="not known, records not read")
+            return _unavailable("job records not read to their end")
         self._log.write(Event.JOB_ASKED, job=job_id, state="no such job")
         return _json(410, b'{"error":"no such job"}')
 
     async def cancel(self, job_id: str, deadline: float) -> web.Response:
         """Cancel a job and answer once that is kept."""
-        entry, fresh = await self._book.look_up(job_id)
+        entry, fresh = await self._book.look_up(job_id, limit_s=_wait_until(deadline))
         if entry is None:
-            return _json(410, b"{}") if fresh else _unavailable("store is away")
+            return _json(410, b"{}") if fresh else _unavailable("job records not read to their end")
         if entry.state.final:
             return _json(200, b"{}")
         write = self._book.write([Cancelled(job_id)])
@@ -264,12 +284,25 @@
         self._log.write(Event.JOB_CANCEL, job=job_id)
         return _json(200, b"{}")
 
-    async def count(self, queue: Queue) -> web.Response:
-        """Answer how many jobs of a queue wait."""
-        await self._book.refresh()
+    async def count(self, queue: Queue, deadline: float = math.inf) -> web.Response:
+        """Answer how many jobs of a queue wait.
+
+        Args:
+            queue: The queue.
+            deadline: Steady time by which the caller wants an answer.
+        """
+        await self._book.refresh(limit_s=min(_wait_until(deadline), REFRESH_S))
+        if time.monotonic() - self._book.follower.synced_at > COUNT_AGE_S:
+            return _unavailable("job records not read lately")
         return _json(200, self._form.waiting(self._book.catalog.waiting(queue.name)))
 
 
+def _wait_until(deadline: float) -> float:
+    """Return how long an answer may wait for the job records, in seconds."""
+    left = ASK_SHARE * (deadline - time.monotonic())
+    return max(min(left, ASK_LIMIT_S), LEAST_WAIT_S)
+
+
 def _host_name(request: web.BaseRequest) -> str:
     name, _, port = (request.headers.get("Host") or "").rpartition(":")
     return name if name and port.isdecimal() else f"{name}:{port}" if name else port
--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -14,7 +15,6 @@
 from linkspan.store.writer import GroupWriter
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Callable, Sequence
 
     from linkspan.events import EventLog
@@ -28,6 +28,11 @@
 7 to 15 ms, so a younger one would not be much different."""
 
 
+REFRESH_S = 1.0
+"""Longest wait for a present view where the caller names no time, in seconds: a store
+that is well answers in a fiftieth of it, and who asks has executors' leases to renew."""
+
+
 class JobBook:
     """Follows the job records and writes new ones.
 
@@ -76,28 +81,39 @@
         rows = [Record(value, key) for key, value in map(encode, records)]
         return self.writer.write(rows, patient=patient)
 
-    async def look_up(self, job_id: str) -> tuple[JobEntry | None, bool]:
+    async def look_up(
+        self, job_id: str, *, limit_s: float = REFRESH_S
+    ) -> tuple[JobEntry | None, bool]:
         """Return a job as of now, and whether the view is fresh.
 
-        A final state is shown without asking the store: it never changes.
+        A final state is shown without asking the store: it never changes. A job that is
+        not known is surely none only where the view is fresh.
+
+        Args:
+            job_id: The job.
+            limit_s: Longest wait for a fresh view, in seconds.
         """
         entry = self.catalog.get(job_id)
         if entry and entry.finished:
             return entry, True
-        fresh = await self.refresh()
+        fresh = await self.refresh(limit_s=min(limit_s, REFRESH_S) if entry else limit_s)
         return self.catalog.get(job_id), fresh
 
-    async def refresh(self, *, fresh_s: float = FRESH_S) -> bool:
+    async def refresh(self, *, fresh_s: float = FRESH_S, limit_s: float = REFRESH_S) -> bool:
         """Read to the present end of the records and return whether that was possible.
 
+        The read goes on after the limit, for the next who asks.
+
         Args:
             fresh_s: Age in seconds under which what was read counts as present.
+            limit_s: Longest wait in seconds.
         """
         if time.monotonic() - self.follower.synced_at < fresh_s:
             return True
         try:
-            await self.follower.sync()
-        except (StoreRefused, StoreUnanswered):
+            async with asyncio.timeout(limit_s):
+                await self.follower.sync()
+        except (StoreRefused, StoreUnanswered, TimeoutError):
             return False
         return True
 
--- a/tests/host/test_answers_in_time.py
+++ b/tests/host/test_answers_in_time.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
+import pytest
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
+from linkspan.errors import StoreUnanswered
 from linkspan.host.job_book import JOBS
+from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import QUEUE, HallWorld, state_of, step
 from tests.virtual_time import run_virtual
@@ -67,3 +71,66 @@
         assert isinstance(answer, web.Response) and state_of(answer) == "running"
 
     run_virtual(play())
+
+
+def test_a_job_that_is_known_is_shown_while_a_read_takes_long() -> None:
+    async def play() -> None:
+        world, spec = await world_with_a_job()
+        world.store.reads_take[HOST, JOBS.topic] = LONG_S
+        await asyncio.sleep(2.5)
+        answer = await ask(world, spec.job_id)
+        assert isinstance(answer, web.Response) and state_of(answer) == "running"
+        assert (await ask(world, spec.job_id, method="DELETE")).status == 200
+
+    run_virtual(play())
+
+
+def test_a_job_is_only_called_unknown_after_a_whole_read() -> None:
+    async def play() -> None:
+        world, _ = await world_with_a_job()
+        unknown = world.new_job(step(1))
+        assert (await ask(world, unknown.job_id)).status == 410
+        world.store.reads_take[HOST, JOBS.topic] = LONG_S
+        await asyncio.sleep(2.5)
+        world.store.put(JOBS, *encode(Submitted(unknown, 0, 0.0, "other")))
+        assert (await ask(world, unknown.job_id)).status == 503
+
+    run_virtual(play())
+
+
+def test_a_count_is_not_given_long_after_the_last_read() -> None:
+    async def play() -> None:
+        world, _ = await world_with_a_job()
+        assert (await ask(world)).status == 200
+        world.store.reads_take[HOST, JOBS.topic] = LONG_S
+        await asyncio.sleep(1.0)
+        young = await ask(world)
+        assert isinstance(young, web.Response) and isinstance(young.body, bytes)
+        assert json.loads(young.body) == {"waiting": 0}
+        await asyncio.sleep(4.0)
+        assert (await ask(world)).status == 503
+
+    run_virtual(play())
+
+
+def test_a_stop_in_the_middle_of_a_first_read_leaves_nobody_waiting() -> None:
+    async def play() -> None:
+        world, spec = await world_with_a_job()
+        await start_anew(world)
+        running = world.hosts[HOST]
+        asking = asyncio.create_task(ask(world, spec.job_id))
+        await asyncio.sleep(0.1)
+        began = asyncio.get_running_loop().time()
+        await running.host.drain(notice_s=0.5, limit_s=4.5)
+        assert (await asking).status == 503
+        late = asyncio.create_task(running.host.book.follower.sync())
+        await asyncio.sleep(0.01)
+        running.task.cancel()
+        await asyncio.gather(running.task, return_exceptions=True)
+        assert asyncio.get_running_loop().time() - began < CALLER_S
+        with pytest.raises(StoreUnanswered):
+            await late
+        reading = running.host.book.follower._reading
+        assert reading and reading.done()
+
+    run_virtual(play())
