Say which partition's reads fail, for configuration and executors, too

Cause: hosts that never got their configuration logged nothing about it: only the job records' and owners' followers told 510 and 511.

Seen failing: pytest tests/host/test_registry_health.py, 1 failed. After: pytest tests/store tests/host, 73 passed.

--- a/src/linkspan/host/registry.py
+++ b/src/linkspan/host/registry.py
@@ -28,6 +28,16 @@
 configuration is to be in force within two seconds."""
 
 
+def health_lines(log: EventLog, partition: Partition) -> Callable[[bool], None]:
+    """Return what tells the log that a partition's reads began to fail or to come again."""
+
+    def tell(healthy: bool) -> None:
+        event = Event.STORE_BACK if healthy else Event.STORE_DOWN
+        log.write(event, partition=partition.topic)
+
+    return tell
+
+
 class ExecutorRegistry:
     """Executors by id, as they register themselves.
 
@@ -53,7 +63,11 @@
         self._capacities: dict[str, set[Demand]] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.follower = Follower(
-            store, partition, on_entries=self._on_entries, on_reset=self._on_reset
+            store,
+            partition,
+            on_entries=self._on_entries,
+            on_reset=self._on_reset,
+            on_health=health_lines(log, partition),
         )
 
     def __repr__(self) -> str:
@@ -125,7 +139,11 @@
         self._current: Configuration | None = None
         self._listeners: list[Callable[[Configuration], None]] = []
         self.follower = Follower(
-            store, partition, on_entries=self._on_entries, on_reset=self._on_reset
+            store,
+            partition,
+            on_entries=self._on_entries,
+            on_reset=self._on_reset,
+            on_health=health_lines(log, partition),
         )
         self.follower.wait_s = CONFIGURATION_WAIT_S
 
