--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -19,7 +19,8 @@
     StoreRefused,
     StoreUnanswered,
 )
-from linkspan.store.types import Appended, Entry, Page, Partition
+from linkspan.store.bounds import READ_BYTES, SILENCE_S, WHOLE_S
+from linkspan.store.types import Appended, Entry, KeyPage, Page, Partition
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -38,10 +39,6 @@
 _LENGTH = Struct(">I")
 _READ_HEAD = Struct(">QQ")
 
-CALL_TIMEOUT_S = 1.0
-"""Time for an answer, beside any wait asked for. A healthy store answers in under
-20 ms and a slow one (60 times slower) in under 0.6 s."""
-
 _NOTHING_DONE = frozenset((429, 503, 507))
 """Statuses of calls of which the store has surely done nothing."""
 
@@ -52,15 +49,25 @@
     Args:
         session: Shared client session.
         address: ``ip:port`` of the store.
-        timeout_s: Time that an answer may take, beside any wait asked for.
+        timeout_s: Time that an answer may be silent, beside any wait asked for.
+        whole_s: Time that a whole answer may take, beside any wait asked for.
+        read_bytes: Bytes of records to ask for in one read.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, *, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        *,
+        timeout_s: float = SILENCE_S,
+        whole_s: float = WHOLE_S,
+        read_bytes: int = READ_BYTES,
     ) -> None:
         self._session = session
         self._base = f"http://{address}/api/"
         self._timeout_s = timeout_s
+        self._whole_s = whole_s
+        self._read_kb = read_bytes // 1024
 
     def __repr__(self) -> str:
         return f"StoreClient({self._base!r})"
@@ -92,7 +99,7 @@
 
     async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
         """Read records; see :meth:`linkspan.store.types.Store.read`."""
-        path = f"log-read?{_place(partition)}&from={start}"
+        path = f"log-read?{_place(partition)}&from={start}&max_kb={self._read_kb}"
         if wait_s:
             path += f"&waitMs={round(wait_s * 1000)}"
         status, answer = await self._call("GET", path, wait_s=wait_s)
@@ -103,34 +110,48 @@
 
     async def newest(self, partition: Partition) -> Page:
         """Read the newest keys; see :meth:`linkspan.store.types.Store.newest`."""
-        entries: list[Entry] = []
-        end = -1
-        after = ""
-        while True:
-            path = f"log-newest?{_place(partition)}{after}"
-            status, answer = await self._call("GET", path)
-            _check(status)
-            fields = _object(answer)
-            end = int(fields.get("end", 0)) if end < 0 else end
-            rows = fields.get("items") or []
-            entries += [_newest_entry(row) for row in rows]
-            if not fields.get("more") or not rows:
-                return Page(tuple(entries), end)
-            # "dependsOn" is the wire's name for the key to go on after.
-            after = f"&dependsOn={rows[-1]['privateKey']}"
+        page = await self.newest_page(partition)
+        entries, end = list(page.entries), page.end
+        while page.more:
+            page = await self.newest_page(partition, after=entries[-1].key)
+            entries += page.entries
+        return Page(tuple(entries), end)
+
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        """Read a page of keys; see :meth:`linkspan.store.types.Store.newest_page`."""
+        # "dependsOn" is the wire's name for the key to go on after.
+        rest = "" if after is None else f"&dependsOn={after.decode()}"
+        status, answer = await self._call("GET", f"log-newest?{_place(partition)}{rest}")
+        _check(status)
+        fields = _object(answer)
+        rows = fields.get("items") or []
+        entries = tuple(_newest_entry(row) for row in rows)
+        return KeyPage(entries, int(fields.get("end", 0)), bool(rows and fields.get("more")))
 
     async def _call(
         self, method: str, path: str, body: bytes | None = None, *, wait_s: float = 0.0
     ) -> tuple[int, bytes]:
         try:
-            async with asyncio.timeout(self._timeout_s + wait_s):
-                async with self._session.request(method, self._base + path, data=body) as answer:
-                    return answer.status, await answer.read()
+            async with (
+                asyncio.timeout(self._whole_s + wait_s),
+                asyncio.timeout(self._timeout_s + wait_s) as silence,
+                self._session.request(method, self._base + path, data=body) as answer,
+            ):
+                return answer.status, await self._read_on(answer, silence)
         except aiohttp.ClientConnectorError as error:
             raise StoreRefused(0) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnanswered(f"store: {error!r}; the call may be done later") from error
 
+    async def _read_on(self, answer: aiohttp.ClientResponse, silence: asyncio.Timeout) -> bytes:
+        loop = asyncio.get_running_loop()
+        parts: list[bytes] = []
+        silence.reschedule(loop.time() + self._timeout_s)
+        async for part in answer.content.iter_any():
+            parts.append(part)
+            silence.reschedule(loop.time() + self._timeout_s)
+        return b"".join(parts)
+
 
 def _place(partition: Partition) -> str:
     prefix = "keyed." if partition.keyed else ""
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import LogGap, StoreRefused, StoreUnanswered
-from linkspan.store.snapshot import read_snapshot
+from linkspan.store.listing import Listing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,9 +34,10 @@
         store: Where to read.
         partition: Partition to follow.
         on_entries: Takes entries in order; called with no await between reads.
-        on_reset: For keyed partitions, takes the newest record of each key and
-            the end of the partition up to which they hold, at the start and after
-            a gap.
+        on_reset: For keyed partitions, takes the newest record of each key as of an
+            offset, and that offset, at the start and after a gap. Records come in order;
+            those of keys that changed or were dropped while the others were read are
+            among them.
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
         on_caught_up: Called after each read behind which nothing was written yet.
@@ -60,12 +61,14 @@
         self._on_health = on_health
         self._on_caught_up = on_caught_up
         self._offset = -1
+        self._end = 0
+        self._unlisted = on_reset is not None
         self._synced_at = float("-inf")
         self._heard_at = float("-inf")
         self._healthy = True
         self._ready = asyncio.Event()
-        self._lock = asyncio.Lock()
-        self._listing = asyncio.Lock()
+        self._listing = Listing(store, partition)
+        self._reading: asyncio.Task[None] | None = None
         self.pause_s = pause_s
         self.wait_s = WAIT_S
 
@@ -95,80 +98,119 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         pause = RETRY_S
-        while True:
-            try:
-                await self._step(self.wait_s if self.ready else 0.0)
-            except (StoreRefused, StoreUnanswered):
-                self._set_health(False)
-                await asyncio.sleep(pause)
-                pause = min(2 * pause, MAX_RETRY_S)
-                continue
-            self._set_health(True)
-            pause = RETRY_S
-            await asyncio.sleep(self.pause_s)
+        try:
+            while True:
+                offset = self._offset
+                try:
+                    await self._follow()
+                except (StoreRefused, StoreUnanswered):
+                    self._set_health(False)
+                    await asyncio.sleep(pause)
+                    pause = min(2 * pause, MAX_RETRY_S)
+                    continue
+                self._set_health(True)
+                pause = RETRY_S
+                if not self._behind:
+                    await asyncio.sleep(self.pause_s)
+                elif self._offset == offset:
+                    await asyncio.sleep(RETRY_S)
+        finally:
+            if self._reading:
+                self._reading.cancel()
 
     async def sync(self) -> None:
-        """Read up to the present end.
+        """Read up to the present end; all who ask at one time share the reads.
 
         Raises:
             StoreRefused: The store answers with a refusal.
             StoreUnanswered: The store does not answer.
         """
         asked = time.monotonic()
-        async with self._lock:
-            # One read returns a bounded part of what there is.
-            while self._synced_at < asked:
-                await self._step(0.0)
-
-    async def _step(self, wait_s: float) -> None:
-        if self._offset < 0 and self._on_reset:
-            await self._list_keys(self._offset)
-            return
+        # One read returns a bounded part of what there is, and may have begun before.
+        while self._synced_at < asked:
+            await self._share_read()
+
+    @property
+    def _behind(self) -> bool:
+        return self._unlisted or not self.ready or self._offset < self._end
+
+    async def _follow(self) -> None:
+        if self._behind:
+            await self._share_read()
+        else:
+            await self._await_records()
+
+    async def _share_read(self) -> None:
+        """Wait for the read that is under way, or begin one.
+
+        It goes on when one who waits for it leaves.
+        """
+        reading = self._reading
+        if reading is None or reading.done():
+            reading = self._reading = asyncio.create_task(self._read())
+        try:
+            await asyncio.shield(reading)
+        except asyncio.CancelledError:
+            own = asyncio.current_task()
+            if reading.cancelled() and own and not own.cancelling():
+                raise StoreUnanswered("reading has ended; ask another host") from None
+            raise
+
+    async def _read(self) -> None:
+        if self._unlisted:
+            await self._list()
+        else:
+            await self._read_records(0.0)
+
+    async def _await_records(self) -> None:
+        await self._read_records(self.wait_s)
+
+    async def _read_records(self, wait_s: float) -> None:
         asked = time.monotonic()
-        start = max(self._offset, 0)
         try:
-            page = await self._store.read(self._partition, start, wait_s=wait_s)
+            page = await self._store.read(self._partition, max(self._offset, 0), wait_s=wait_s)
         except LogGap as gap:
-            if self._on_reset:
-                await self._list_keys(start)
-            else:
-                self._offset = max(self._offset, gap.first)
+            self._on_gap(gap)
             return
-        self._take(page, asked)
+        self._heard_at = time.monotonic()
+        # Once the keys are to be read anew, only what follows them counts.
+        if not self._unlisted:
+            self._take(page, asked)
+
+    def _on_gap(self, gap: LogGap) -> None:
+        if self._on_reset:
+            self._unlisted = True
+        else:
+            self._offset = max(self._offset, gap.first)
 
     def _take(self, page: Page, asked: float) -> None:
-        self._heard_at = time.monotonic()
         fresh = tuple(entry for entry in page.entries if entry.offset >= self._offset)
+        self._end = max(self._end, page.end)
         if fresh:
             self._offset = fresh[-1].offset + 1
             self._on_entries(fresh)
         self._offset = max(self._offset, 0)
         if self._offset >= page.end:
             # With a wait, the answer is as fresh as its arrival.
-            self._caught_up(asked)
-
-    async def _list_keys(self, missed: int) -> None:
-        """Read the newest record of each key, unless another reader just did.
+            self._reached_end(asked)
 
-        A second listing beside the first could be the older one and undo what was
-        read since.
-
-        Args:
-            missed: Offset that could not be read on from.
-        """
+    async def _list(self) -> None:
         assert self._on_reset
-        async with self._listing:
-            if self._offset > missed:
-                return
-            asked = time.monotonic()
-            entries, end = await read_snapshot(self._store, self._partition)
-            self._heard_at = time.monotonic()
-            self._on_reset(entries, end)
-            self._offset = end
-            self._caught_up(asked)
-
-    def _caught_up(self, asked: float) -> None:
-        self._synced_at = max(self._synced_at, asked)
+        listing = self._listing
+        try:
+            synced_at = await listing.read()
+        except LogGap:
+            self._listing = Listing(self._store, self._partition)
+            return
+        self._listing = Listing(self._store, self._partition)
+        self._unlisted = False
+        self._heard_at = time.monotonic()
+        self._offset = self._end = listing.end
+        self._on_reset(listing.entries, listing.end)
+        self._reached_end(synced_at)
+
+    def _reached_end(self, synced_at: float) -> None:
+        self._synced_at = max(self._synced_at, synced_at)
         self._ready.set()
         self._on_caught_up()
 
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -17,7 +17,7 @@
     StoreRefused,
     StoreUnanswered,
 )
-from linkspan.store.types import Appended, Entry, Page, Partition, Producer, Record
+from linkspan.store.types import Appended, Entry, KeyPage, Page, Partition, Producer, Record
 
 ANSWER_S = 0.004
 TIMEOUT_S = 1.0
@@ -48,6 +48,7 @@
     Attributes:
         refusing: Hosts that get refusals.
         silent: Hosts that get no answer, and whose calls are not done.
+        reads_take: Seconds that whole answers to reads take, by host and topic.
         losing: Share of appends that are done and not answered.
         late: Whether lost appends are done seconds later.
         page_delays: Times that a host's next calls for pages of a listing take on
@@ -59,6 +60,7 @@
         self.random = Random(seed)
         self.refusing: set[str] = set()
         self.silent: set[str] = set()
+        self.reads_take: dict[tuple[str, str], float] = {}
         self.losing = 0.0
         self.late = False
         self.page_delays: defaultdict[tuple[str, Partition], list[float]] = defaultdict(list)
@@ -125,6 +127,8 @@
 class StoreLink:
     """One host's way to the store."""
 
+    listed_keys = LISTED_KEYS
+
     def __init__(self, store: MemoryStore, host: str) -> None:
         self._store = store
         self._host = host
@@ -182,25 +186,35 @@
                 return Page((), log.end)
             await self._reach()
         page = Page(tuple(log.entries[start : start + READ_RECORDS]), log.end)
-        await asyncio.sleep(ANSWER_S / 2)
+        await self._bring(partition)
         return page
 
     async def newest(self, partition: Partition) -> Page:
         entries: list[Entry] = []
         end = -1
-        delays = self._store.page_delays[self._host, partition]
+        after: bytes | None = None
         while True:
-            await asyncio.sleep(delays.pop(0) if delays else 0.0)
-            await self._reach()
-            log = self._store.log(partition)
-            end = log.end if end < 0 else end
-            after = entries[-1].key if entries else b""
-            newest = {entry.key: entry for entry in log.entries if entry.key > after}
-            rows = sorted((e for e in newest.values() if e.value), key=lambda e: e.key)
-            entries += rows[:LISTED_KEYS]
-            await asyncio.sleep(ANSWER_S / 2)
-            if len(rows) <= LISTED_KEYS:
+            page = await self.newest_page(partition, after=after)
+            end = page.end if end < 0 else end
+            entries += page.entries
+            if not page.more:
                 return Page(tuple(entries), end)
+            after = page.entries[-1].key
+
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        delays = self._store.page_delays[self._host, partition]
+        await asyncio.sleep(delays.pop(0) if delays else 0.0)
+        await self._reach()
+        log = self._store.log(partition)
+        newest = {entry.key: entry for entry in log.entries if entry.key > (after or b"")}
+        rows = sorted((e for e in newest.values() if e.value), key=lambda e: e.key)
+        page = KeyPage(tuple(rows[: self.listed_keys]), log.end, len(rows) > self.listed_keys)
+        await self._bring(partition)
+        return page
+
+    async def _bring(self, partition: Partition) -> None:
+        taken = self._store.reads_take.get((self._host, partition.topic), 0.0)
+        await asyncio.sleep(max(ANSWER_S / 2, taken))
 
     async def _reach(self) -> None:
         await asyncio.sleep(ANSWER_S / 2)
