Fault soak: host processes under drawn faults, judged from outside

Cause: nothing ran the real daemon against faults of processes and links together; the world in virtual time leaves sockets, signals and start-up out.

The judge of the virtual world judges each order; callers' answers, connections that are used to their end, and a calm end judge the rest.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Runs real host processes under drawn faults and judges what callers and executors see."""
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,92 @@
+"""What a run consists of: addresses, settings files and configurations."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+import yaml
+from tests.hall_world import QUEUE
+
+CALLERS_PORT = 8161
+READINESS_PORT = 8167
+"""Ports of each host. Each has a loopback address of its own, at which no outgoing
+connection can take them."""
+
+GRACE_S = 6.0
+MAX_LEASE_S = 6.0
+"""The users' bounds on a stop and on leases (the shorter of their deployments)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Size and seed of a run.
+
+    Attributes:
+        seed: From which all is drawn.
+        seconds: Time in which faults begin.
+        hosts: Number of hosts.
+        executors: Number of executors.
+        halls: Number of halls.
+        jobs_per_s: Jobs submitted a second.
+    """
+
+    seed: int
+    seconds: float
+    hosts: int
+    executors: int
+    halls: int
+    jobs_per_s: float
+
+    def hall(self, number: int) -> str:
+        """Return the hall of a host or executor."""
+        return f"hall-{number % self.halls}"
+
+
+def host_address(number: int) -> str:
+    """Return the loopback address of a host; runs of other processes have others."""
+    process = os.getpid()
+    return f"127.{1 + (process >> 8) % 250}.{process % 256}.{1 + number}"
+
+
+def write_settings(path: Path, plan: Plan, number: int, address: str, store: str) -> None:
+    """Write a host's settings file."""
+    fields = {
+        "nodeName": f"host-{number}",
+        "ip": address,
+        "zone": plan.hall(number),
+        "zones": {plan.hall(hall): "region" for hall in range(plan.halls)},
+        "bindAddresses": {
+            "front": f"{address}:{CALLERS_PORT}",
+            "ready": f"{address}:{READINESS_PORT}",
+        },
+        "limits": {"memoryMb": 300},
+        "heartbeatMs": 1500,
+        "bounds": {"holdMaxMs": int(MAX_LEASE_S * 1000), "graceS": GRACE_S},
+        "commands": "invoke",
+        "platform": {"address": store},
+    }
+    path.write_text(yaml.safe_dump(fields))
+
+
+def configuration(version: int, extra_routes: int) -> str:
+    """Return a configuration: the queue of all jobs, and queues that only come and go."""
+    names = [(QUEUE.name, QUEUE.prefix)]
+    names += [(f"extra-{n}", f"/extra-{n}/") for n in range(extra_routes)]
+    routes = [
+        {
+            "name": name,
+            "hostname": QUEUE.host,
+            "pathPrefix": prefix,
+            "service": QUEUE.service,
+            "maxAttempts": QUEUE.max_attempts,
+            "stretch": 2.0,
+            "targetLatencyMs": 1000,
+            "timeoutMs": 3000,
+        }
+        for name, prefix in names
+    ]
+    services = [{"name": QUEUE.service, "admissionCheck": True}]
+    return json.dumps({"version": version, "routes": routes, "services": services})
--- /dev/null
+++ b/soak/executors.py
@@ -0,0 +1,260 @@
+"""Process of all executors, which judges each order: ``python -m soak.executors SEED``."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections import defaultdict
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from tests.hall_world import EXECUTORS, QUEUE, HallWorld
+from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
+from tests.standins.platform_http import local_port
+
+from linkspan.errors import Fenced, Unreachable, WrongIncarnation
+from linkspan.platform.executors import task_from_wire, task_to_wire
+from linkspan.platform.jobs import job_from_wire
+from linkspan.shard.messages import (
+    EndedTask,
+    EndKind,
+    PaceOrder,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    TaskName,
+)
+from linkspan.store.types import Partition
+from soak.standin import listen, serve
+
+_REASONS = {
+    StartOutcome.SUPERSEDED: "old",
+    StartOutcome.LATE: "late",
+    StartOutcome.NO_ROOM: "room",
+}
+
+
+class Registrations:
+    """Stands where the world has its store: entries go to the store's process, in order."""
+
+    def __init__(self, control: str) -> None:
+        self._url = f"http://{control}/put"
+        self._queue: asyncio.Queue[dict[str, str]] = asyncio.Queue()
+
+    def put(self, partition: Partition, key: bytes, value: bytes) -> None:
+        """Queue an entry; an empty value takes it out."""
+        record = {"topic": "servers", "key": key.decode(), "value": value.decode()}
+        assert partition == EXECUTORS
+        self._queue.put_nowait(record)
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                record = await self._queue.get()
+                async with session.post(self._url, json=record) as answer:
+                    answer.raise_for_status()
+
+
+@dataclass
+class ExecutorWorld(HallWorld):
+    """Executors with sockets; the judge is the one of the virtual world.
+
+    Attributes:
+        done_at: When each task first ended as done.
+        run_done_at: When each run ended as done.
+        started_at: When runs of each job started.
+    """
+
+    done_at: dict[TaskName, float] = field(default_factory=dict)
+    run_done_at: dict[tuple[TaskName, int], float] = field(default_factory=dict)
+    started_at: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+
+    def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
+        """Judge a start; a job that nobody sent has no steps to judge it by."""
+        self.started_at[order.task.job_id].append(executor.now)
+        super().judge_start(executor, order)
+
+    def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
+        """Note when tasks were done."""
+        super().judge_end(executor, task, run, kind)
+        if kind is EndKind.DONE:
+            self.done_at.setdefault(task, executor.now)
+            self.run_done_at[task, run] = executor.now
+
+    def judge_acknowledged(self, end: EndedTask) -> None:
+        """Judge starts between an end and its acknowledgement."""
+        super().judge_acknowledged(end)
+        if end.kind is not EndKind.DONE:
+            return
+        if self.starts[end.task][-1] > self.run_done_at[end.task, end.run]:
+            self.broken.append(f"TWICE {end.task} started after run {end.run} was done")
+
+
+class ExecutorFront:
+    """Speaks the executors' protocol over executors in memory."""
+
+    def __init__(self, world: ExecutorWorld) -> None:
+        self._world = world
+        self.addresses: dict[int, str] = {}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one order."""
+        address = self.addresses[local_port(request)]
+        body = json.loads(await request.read())
+        target = request.headers["Linkspan-Target-Instance"]
+        link = ExecutorLink(self._world, "", int(body.get("fencingToken", 0)))
+        name = request.path.rpartition("/")[2].replace("-", "_")
+        try:
+            status, fields = await getattr(self, f"_{name}")(link, address, target, body)
+        except Fenced:
+            status, fields = 409, {"reason": "fence"}
+        except WrongIncarnation:
+            status, fields = 421, {}
+        except Unreachable:
+            assert request.transport
+            request.transport.abort()
+            return web.Response(status=503)
+        executor = self._world.at(address)
+        if executor:
+            fields = {"clockMs": int(executor.clock * 1000), **fields}
+        return web.json_response(fields, status=status)
+
+    async def _run_start(
+        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        task = task_from_wire(body["task"])
+        if task.job_id not in self._world.specs:
+            self._world.broken.append(f"UNASKED {task}: no client sent it")
+            return 400, {}
+        order = StartOrder(target, task, body["run"], body["spec"], body.get("checkpoint", ""))
+        answer = await link.start(address, order, until_s=body["untilMs"] / 1000)
+        if answer.outcome is StartOutcome.STARTED:
+            return 200, {}
+        return 409, {"reason": _REASONS[answer.outcome]}
+
+    async def _run_stop(
+        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        order = StopOrder(target, task_from_wire(body["task"]), body["run"])
+        await link.stop(address, order)
+        return 200, {}
+
+    async def _pace(
+        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        task = task_from_wire(body["task"])
+        await link.pace(address, PaceOrder(target, task, body["run"], body["percent"]))
+        return 200, {}
+
+    async def _hold(
+        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        until_ms = body.get("untilMs")
+        report = await link.renew(
+            address,
+            target,
+            acknowledged=body.get("lastSeen", 0),
+            until_s=None if until_ms is None else until_ms / 1000,
+            wait_s=body.get("waitMs", 0) / 1000,
+        )
+        running = [[task_to_wire(r.task), r.run, "", 100] for r in report.running]
+        ended = [[e.number, task_to_wire(e.task), e.run, e.kind.value, ""] for e in report.ended]
+        return 200, {"running": running, "ended": ended}
+
+
+class ExecutorControl:
+    """Switches of the executors, for the process that started them."""
+
+    def __init__(self, world: ExecutorWorld, front: ExecutorFront) -> None:
+        self._world = world
+        self._front = front
+
+    def __call__(self, command: str, argument: Any) -> Any:
+        """Run a command; its name is that of a public method here."""
+        return getattr(self, command)(argument)
+
+    def job(self, job: dict[str, str]) -> None:
+        """Learn a job before it is submitted for the first time."""
+        self._world.specs[job["id"]] = job_from_wire(job["id"], QUEUE.name, job["body"].encode())
+
+    def executor(self, where: dict[str, str]) -> None:
+        """Begin a new executor at a ``port`` here, reached at an ``address``."""
+        self._front.addresses[int(where["port"])] = where["address"]
+        self._world.add_executor(where["hall"], where["address"])
+
+    def crash(self, where: dict[str, Any]) -> None:
+        """End an executor at once; another may begin at its address."""
+        if self._world.executors[where["address"]].alive:
+            self._world.crash_executor(where["address"], back=where["back"])
+
+    def drain(self, where: dict[str, str]) -> None:
+        """Register an executor as about to leave."""
+        executor = self._world.executors[where["address"]]
+        if executor.alive:
+            self._world.register(executor, draining=True)
+
+    def world(self, values: dict[str, Any]) -> None:
+        """Set attributes of the world: ``failing_share``, ``late_share``, ..."""
+        for name, value in values.items():
+            setattr(self._world, name, value)
+
+    def observed(self, _argument: None) -> dict[str, Any]:
+        """Return what the executors saw so far."""
+        world = self._world
+        alive = [executor for executor in world.executors.values() if executor.alive]
+        for executor in alive:
+            executor.advance()
+        return asdict(
+            Observed(
+                broken=world.broken,
+                done_at={task_to_wire(task): at for task, at in world.done_at.items()},
+                started_at=dict(world.started_at),
+                running=[task_to_wire(task) for e in alive for task in e.running],
+                failed={task_to_wire(task): count for task, count in world.failed.items()},
+                listed_ends=sum(len(executor.ended) for executor in alive),
+            )
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Observed:
+    """What the executors saw.
+
+    Attributes:
+        broken: Promises broken by orders.
+        done_at: Steady time at which each task was first done.
+        started_at: Steady times at which runs of each job started.
+        running: Tasks at work now.
+        failed: Failed ends that were acknowledged, by task.
+        listed_ends: Ends that executors list and nobody acknowledged.
+    """
+
+    broken: list[str]
+    done_at: dict[str, float]
+    started_at: dict[str, list[float]]
+    running: list[str]
+    failed: dict[str, int]
+    listed_ends: int
+
+
+async def main(seed: int, executors: int, store_control: str) -> None:
+    """Serve until standard input ends."""
+    world = ExecutorWorld(seed=seed)
+    registrations = Registrations(store_control)
+    world.store = registrations  # type: ignore[assignment]
+    writing = asyncio.create_task(registrations.run())
+    front = ExecutorFront(world)
+    addresses = {}
+    for number in range(executors):
+        addresses[f"executor-{number}"] = await listen(front.handle)
+    control = ExecutorControl(world, front)
+    await serve(control, addresses)
+    writing.cancel()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), sys.argv[3]))
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,122 @@
+"""What must hold at the end of a run, and while it goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from tests.hall_world import QUEUE
+
+from soak.callers import Callers, Job
+from soak.world import World
+
+SETTLE_S = 60.0
+"""Longest time from the last fault until all is served again: leases of 6 s, a wait of
+8 s for another hall's shard, and several times both for a busy machine."""
+
+LOOK_S = 0.5
+"""Pause between looks while all settles."""
+
+LATE_START_S = 10.0
+"""Time after an acknowledged cancel, in calm times, from which on no task of the job
+may start: three times the users' bound."""
+
+ASKED_HOSTS = 8
+"""Hosts that are asked for each job at the end; every host where there are fewer."""
+
+FINAL = ("succeeded", "failed", "cancelled")
+
+
+async def settle(world: World, callers: Callers) -> list[str]:
+    """Wait until all is as it should be and return what is not, within its time."""
+    limit = time.monotonic() + SETTLE_S
+    while issues := await _issues(world, callers):
+        if time.monotonic() > limit:
+            return issues
+        await asyncio.sleep(LOOK_S)
+    return []
+
+
+async def _issues(world: World, callers: Callers) -> list[str]:
+    issues = [
+        f"UNSERVED {host.name} is not ready"
+        for host in world.hosts.values()
+        if not await world.ready(host)
+    ]
+    issues += await _configuration_issues(world, callers)
+    observed = await world.observed()
+    if observed["listed_ends"]:
+        issues.append(f"ACKS {observed['listed_ends']} ends are listed and not acknowledged")
+    accepted = [job for job in callers.jobs if job.accepted_at]
+    rows = await asyncio.gather(
+        *(_job_issue(world, callers, job, n, observed) for n, job in enumerate(accepted))
+    )
+    return issues + [row for row in rows if row]
+
+
+async def _configuration_issues(world: World, callers: Callers) -> list[str]:
+    there, gone = world.extra_routes - 1, world.extra_routes
+    issues = []
+    for name in world.hosts:
+        if there >= 0:
+            status, _ = await callers.call("GET", name, "", prefix=f"/extra-{there}/")
+            if status != 200:
+                issues.append(f"CONFIG {name} answers {status} on a route that is there")
+        status, _ = await callers.call("GET", name, "", prefix=f"/extra-{gone}/")
+        if status != 404:
+            issues.append(f"CONFIG {name} answers {status} on a route that is gone")
+    return issues
+
+
+async def _job_issue(
+    world: World, callers: Callers, job: Job, number: int, observed: dict[str, Any]
+) -> str | None:
+    names = list(world.hosts)
+    asked = {names[(number + step) % len(names)] for step in range(min(ASKED_HOSTS, len(names)))}
+    for name in sorted(asked):
+        state = await callers.ask(job, name)
+        if not _is_right(job, state, observed):
+            return f"LOST {job.id}: {name} shows {state}{_running(job, observed)}"
+    left = set(job.tasks) & set(observed["running"])
+    if job.standing and not job.cancel_asked_at and len(left) < len(job.tasks):
+        return f"LOST {job.id}: {len(job.tasks) - len(left)} standing tasks do not run"
+    if job.cancelled_at and left:
+        return f"UNASKED {job.id} is cancelled and runs{_running(job, observed)}"
+    return None
+
+
+def _is_right(job: Job, state: str | None, observed: dict[str, Any]) -> bool:
+    if state == "cancelled":
+        return job.cancel_asked_at is not None
+    if state == "failed":
+        failed = observed["failed"]
+        return any(failed.get(task, 0) >= QUEUE.max_attempts for task in job.tasks)
+    if state == "succeeded":
+        return not job.standing
+    # A cancel without an acknowledgement may have been done, or not.
+    return state == "running" and job.standing and job.cancelled_at is None
+
+
+def _running(job: Job, observed: dict[str, Any]) -> str:
+    running = sorted(set(job.tasks) & set(observed["running"]))
+    done = len(set(job.tasks) & set(observed["done_at"]))
+    return f" (done {done} of {len(job.tasks)}, running {running}, told {job.told})"
+
+
+def judge(callers: Callers, observed: dict[str, Any], calm_from: float) -> list[str]:
+    """Return promises broken by what executors and callers saw in the whole run."""
+    broken = list(observed["broken"]) + callers.broken
+    for job in callers.jobs:
+        started = observed["started_at"].get(job.id, [])
+        if job.never_taken and started:
+            broken.append(f"REFUSED {job.id} started, and was only ever refused")
+        if job.cancelled_at:
+            limit = max(job.cancelled_at, calm_from) + LATE_START_S
+            if any(at > limit for at in started):
+                broken.append(f"UNASKED {job.id} started {LATE_START_S} s after its cancel")
+        if job.succeeded_at:
+            done = [observed["done_at"].get(task, float("inf")) for task in job.tasks]
+            if max(done) > job.succeeded_at:
+                broken.append(f"MIXED {job.id} was shown as succeeded before its last end")
+    return broken
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,172 @@
+"""One run: start all, send jobs, cause faults, wait for calm, judge."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from soak.callers import Callers
+from soak.deployment import CALLERS_PORT, Plan
+from soak.faults import SERIES, run_series
+from soak.judge import judge, settle
+from soak.keepers import Keeper, Tally
+from soak.world import World
+
+START_LIMIT_S = 60.0
+"""Longest time until all hosts are ready: 2 s each where the machine is free."""
+
+KEEPERS_PER_HOST = 3
+MOST_KEEPERS = 60
+"""Callers that use their connection to its end."""
+
+CALM_JOBS = 8
+"""Jobs submitted after the last fault, which must be accepted and end."""
+
+WATCH_S = 2.0
+"""Pause between looks at what the executors judged."""
+
+
+@dataclass
+class Outcome:
+    """What a run gave.
+
+    Attributes:
+        plan: Size and seed.
+        broken: Broken promises, with the time since the start where it is known.
+        jobs: Jobs submitted.
+        accepted: Jobs accepted.
+        starts: Runs that executors started.
+        questions: Answers on connections that are used to their end.
+        closed: Requests that met a connection that was just being closed.
+        settled_s: Time from the last fault until all was served again.
+        seconds: Time that the whole run took.
+    """
+
+    plan: Plan
+    broken: list[str] = field(default_factory=list)
+    jobs: int = 0
+    accepted: int = 0
+    starts: int = 0
+    questions: int = 0
+    closed: int = 0
+    settled_s: float = 0.0
+    seconds: float = 0.0
+
+    def __str__(self) -> str:
+        verdict = f"BROKEN {len(self.broken)}" if self.broken else "kept"
+        return (
+            f"seed {self.plan.seed}: {verdict}; {self.plan.hosts} hosts, "
+            f"{self.plan.executors} executors, {self.jobs} jobs, {self.accepted} accepted, "
+            f"{self.starts} starts, {self.questions} questions, {self.closed} met a closing "
+            f"connection, settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
+        )
+
+
+class Run:
+    """A run.
+
+    Args:
+        plan: Size and seed.
+        folder: Where settings and logs go.
+    """
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._began = time.monotonic()
+        self._tally = Tally(0, 0, [])
+        self._seen = 0
+        self._outcome = Outcome(plan)
+
+    async def play(self) -> Outcome:
+        """Play it to its end and return what it gave."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        async with World(self._plan, self._folder) as world:
+            await self._await_start(world)
+            random = Random(f"{self._plan.seed} callers")
+            callers = Callers(random, world.callers_at, world.executors, world.session)
+            await self._disturb(world, callers)
+            await self._calm_down(world, callers)
+        self._outcome.broken += self._crashes()
+        self._outcome.seconds = time.monotonic() - self._began
+        return self._outcome
+
+    async def _await_start(self, world: World) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            for host in world.hosts.values():
+                while not await world.ready(host):
+                    await asyncio.sleep(0.1)
+
+    async def _disturb(self, world: World, callers: Callers) -> None:
+        until = time.monotonic() + self._plan.seconds
+        hosts = list(world.hosts.values())
+        others = [asyncio.create_task(callers.send_jobs(self._plan.jobs_per_s))]
+        others.append(asyncio.create_task(self._watch(world)))
+        for number in range(min(KEEPERS_PER_HOST * len(hosts), MOST_KEEPERS)):
+            host = hosts[number % len(hosts)]
+            address = f"{host.address}:{CALLERS_PORT}"
+            keeper = Keeper(
+                Random(f"{self._plan.seed} keeper {number}"), host, address, callers, self._tally
+            )
+            others.append(asyncio.create_task(keeper.run()))
+        series = (run_series(world, n, until, self._note) for n in range(SERIES))
+        try:
+            await asyncio.gather(*series)
+        finally:
+            for task in others:
+                task.cancel()
+            results = await asyncio.gather(*others, return_exceptions=True)
+        for result in results:
+            if not isinstance(result, asyncio.CancelledError):
+                raise RuntimeError(f"a caller of the soak ended: {result!r}")
+
+    async def _watch(self, world: World) -> None:
+        while True:
+            await asyncio.sleep(WATCH_S)
+            for line in (await world.observed())["broken"][self._seen :]:
+                self._seen += 1
+                self._note(f"BROKEN {line}")
+
+    async def _calm_down(self, world: World, callers: Callers) -> None:
+        calm_from = time.monotonic()
+        self._note("calm begins")
+        await world.settle_links()
+        outcome = self._outcome
+        for _ in range(CALM_JOBS):
+            job = callers.draw_job(calm=True)
+            await callers.submit(job, Random(job.id))
+        outcome.broken += await settle(world, callers)
+        outcome.settled_s = time.monotonic() - calm_from
+        standing = [j for j in callers.jobs if j.accepted_at and j.standing and not j.cancelled_at]
+        await asyncio.gather(*(callers.cancel(job, Random(job.id)) for job in standing))
+        outcome.broken += await settle(world, callers)
+        observed = await world.observed()
+        outcome.broken += judge(callers, observed, calm_from)
+        outcome.broken += world.broken + self._tally.cut
+        outcome.broken += [f"ENDED {end}" for h in world.hosts.values() for end in h.own_ends]
+        outcome.jobs = len(callers.jobs)
+        outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
+        outcome.starts = sum(map(len, observed["started_at"].values()))
+        outcome.questions, outcome.closed = self._tally.answered, self._tally.closed
+
+    def _crashes(self) -> list[str]:
+        """Return errors that hosts logged and did not expect."""
+        lines = []
+        for path in sorted(self._folder.glob("host-*.log")):
+            for line in path.read_text(errors="replace").splitlines():
+                with suppress(ValueError):
+                    if json.loads(line).get("name") == "crashed":
+                        lines.append(f"CRASHED {path.stem}: {line[:300]}")
+                        continue
+                if line.startswith("Traceback"):
+                    lines.append(f"CRASHED {path.stem}: traceback in its output")
+        return lines
+
+    def _note(self, text: str) -> None:
+        with (self._folder / "faults.log").open("a") as log:
+            log.write(f"{time.monotonic() - self._began:7.2f} {time.monotonic():.2f} {text}\n")
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,175 @@
+"""The processes and links of one run."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from soak.deployment import (
+    CALLERS_PORT,
+    GRACE_S,
+    READINESS_PORT,
+    Plan,
+    configuration,
+    host_address,
+    write_settings,
+)
+from soak.processes import HostProcess, StandIn
+from soak.proxy import FaultProxy
+
+READINESS_TIMEOUT_S = 1.0
+
+
+class World:
+    """Starts and ends everything of a run.
+
+    Args:
+        plan: Size and seed.
+        folder: Where settings and logs go.
+
+    Attributes:
+        hosts: Hosts by name.
+        callers: Proxy of the callers' side of each host, by name.
+        store_links: Proxy of the store for each host, by name.
+        executor_links: Proxy of each executor, by the address that it registers.
+        callers_at: Address of each proxy in ``callers``.
+        broken: Promises broken by the processes themselves.
+    """
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan = plan
+        self._folder = folder
+        self._stack = AsyncExitStack()
+        self._ports: dict[str, int] = {}
+        self._halls: dict[str, str] = {}
+        self.began = time.monotonic()
+        self.hosts: dict[str, HostProcess] = {}
+        self.callers: dict[str, FaultProxy] = {}
+        self.store_links: dict[str, FaultProxy] = {}
+        self.executor_links: dict[str, FaultProxy] = {}
+        self.callers_at: dict[str, str] = {}
+        self.broken: list[str] = []
+        self.version = 0
+        self.extra_routes = 0
+
+    @property
+    def executor_addresses(self) -> list[str]:
+        """Addresses of all executors."""
+        return list(self._ports)
+
+    def hall_of(self, executor: str) -> str:
+        """Return the hall of an executor's address."""
+        return self._halls[executor]
+
+    async def __aenter__(self) -> World:
+        """Start the stand-ins, the links and the hosts."""
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """End everything that was started."""
+        await self._stack.aclose()
+
+    async def _start(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector)
+        )
+        names = [f"host-{number}" for number in range(self.plan.hosts)]
+        self.store = await self._stand_in("soak.store", *names)
+        self.executors = await self._stand_in(
+            "soak.executors", str(self.plan.seed), str(self.plan.executors), self.store.control
+        )
+        await self.configure(0)
+        for number in range(self.plan.executors):
+            await self._add_executor(number)
+        for number, name in enumerate(names):
+            await self._add_host(number, name)
+        await asyncio.gather(*(host.start() for host in self.hosts.values()))
+
+    async def _stand_in(self, module: str, *arguments: str) -> StandIn:
+        stand_in = StandIn(module, self._folder / f"{module}.log", self.session)
+        await stand_in.start(*arguments)
+        self._stack.push_async_callback(stand_in.end)
+        return stand_in
+
+    async def _link(self, target: str) -> tuple[FaultProxy, str]:
+        proxy = FaultProxy(target)
+        address = await proxy.listen()
+        self._stack.push_async_callback(proxy.close)
+        return proxy, address
+
+    async def _add_executor(self, number: int) -> None:
+        target = self.executors.addresses[f"executor-{number}"]
+        proxy, address = await self._link(target)
+        self.executor_links[address] = proxy
+        self._ports[address] = int(target.rpartition(":")[2])
+        self._halls[address] = self.plan.hall(number)
+        await self.renew_executor(address)
+
+    async def renew_executor(self, address: str) -> None:
+        """Begin a new executor at an address."""
+        where = {"hall": self._halls[address], "address": address, "port": self._ports[address]}
+        await self.executors.tell("executor", where)
+
+    async def _add_host(self, number: int, name: str) -> None:
+        address = host_address(number)
+        self.store_links[name], store = await self._link(self.store.addresses[name])
+        settings = self._folder / f"{name}.yaml"
+        write_settings(settings, self.plan, number, address, store)
+        host = HostProcess(name, address, settings, self._folder / f"{name}.log")
+        self.hosts[name] = host
+        self._stack.push_async_callback(host.kill)
+        self.callers[name], self.callers_at[name] = await self._link(f"{address}:{CALLERS_PORT}")
+
+    async def configure(self, extra_routes: int) -> None:
+        """Publish a configuration with some routes beside the one of all jobs."""
+        self.version += 3
+        self.extra_routes = extra_routes
+        value = configuration(self.version, extra_routes)
+        await self.store.tell("put", {"topic": "op", "key": "config", "value": value})
+
+    async def stop(self, host: HostProcess) -> None:
+        """Stop a host as planned; it must end within its time, without an error."""
+        if not await host.stop(GRACE_S) and host.harmed_at < time.monotonic() - 2 * GRACE_S:
+            self.broken.append(f"STOP {host.name} had not ended {GRACE_S:.0f} s after SIGTERM")
+
+    async def ready(self, host: HostProcess) -> bool:
+        """Whether a host calls itself ready."""
+        url = f"http://{host.address}:{READINESS_PORT}/api/readiness"
+        timeout = aiohttp.ClientTimeout(total=READINESS_TIMEOUT_S)
+        try:
+            async with self.session.get(url, timeout=timeout) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def settle_links(self) -> None:
+        """End all faults of links, stand-ins and hosts."""
+        links = (self.callers, self.store_links, self.executor_links)
+        for proxy in (proxy for group in links for proxy in group.values()):
+            proxy.cut = frozenset()
+            proxy.delay_s = 0.0
+        await self.store.tell("server", {"status": None, "delay_s": 0.0})
+        await self.store.tell("store", {"losing": 0.0, "late": False})
+        await self.store.tell("turn_away", {"refusing": [], "silent": []})
+        await self.executors.tell("world", dict.fromkeys(EXECUTOR_SHARES, 0.0))
+        await asyncio.gather(*(host.start() for host in self.hosts.values()))
+
+    async def observed(self) -> dict[str, Any]:
+        """Return what the executors saw so far."""
+        answer: dict[str, Any] = await self.executors.tell("observed")
+        return answer
+
+
+EXECUTOR_SHARES = ("failing_share", "late_share", "lost_answer_share")
+"""Shares of starts that fail, of orders done late and of answers that are lost."""
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -53,6 +53,10 @@
         self.losing = 0.0
         self.late = False
 
+    @property
+    def partitions(self) -> tuple[Partition, ...]:
+        return tuple(self._logs)
+
     def log(self, partition: Partition) -> _Log:
         return self._logs[partition]
 
--- a/tests/standins/platform_http.py
+++ b/tests/standins/platform_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from base64 import b64encode
 from collections.abc import AsyncIterator
@@ -11,28 +12,64 @@
 
 from aiohttp import web
 
-from linkspan.errors import OffsetConflict, ProducerFenced, ProducerGap
+from linkspan.errors import (
+    LogGap,
+    OffsetConflict,
+    ProducerFenced,
+    ProducerGap,
+    StoreRefused,
+    StoreUnanswered,
+)
 from linkspan.store.types import Partition, Producer, Record
-from tests.standins.memory_store import MemoryStore
+from tests.standins.memory_store import MemoryStore, StoreLink
 
+MAX_READ_KB = 1_024
+"""Kilobytes of one answer where the reader names no limit; one record more may come."""
 
-class StoreServer:
-    """Speaks the store's protocol over a store in memory."""
+SILENCE_S = 30.0
+"""Time for which a lost answer's connection stays open: longer than any caller waits."""
 
-    def __init__(self) -> None:
+
+class StoreServer:
+    """Speaks the store's protocol over a store in memory.
+
+    Attributes:
+        store: The state, with its own switches.
+        status: Status of all answers while it is set.
+        delay_s: Seconds by which each call is held up.
+        page_keys: Most keys in one page of the newest records.
+        hosts: Which host calls at which port of the server; the store's switches
+            that name hosts go by it.
+        last_conditional: Host that last wrote under a condition.
+    """
+
+    def __init__(self, *, page_keys: int = 2) -> None:
         self.store = MemoryStore()
         self.status: int | None = None
+        self.delay_s = 0.0
+        self.page_keys = page_keys
+        self.hosts: dict[int, str] = {}
+        self.last_conditional = ""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.status:
             return web.Response(status=self.status)
+        await asyncio.sleep(self.delay_s)
         topic = request.query["topic"]
         keyed = topic.startswith("keyed.")
         place = Partition(topic.removeprefix("keyed."), int(request.query["part"]), keyed)
         name = request.path.rpartition("/")[2]
-        return await getattr(self, "_" + name.replace("-", "_"))(request, place)
-
-    async def _log_append(self, request: web.BaseRequest, place: Partition) -> web.Response:
+        link = StoreLink(self.store, self.hosts.get(local_port(request), ""))
+        try:
+            return await getattr(self, "_" + name.replace("-", "_"))(request, place, link)
+        except StoreRefused as error:
+            return web.Response(status=error.status)
+        except StoreUnanswered:
+            return await no_answer()
+
+    async def _log_append(
+        self, request: web.BaseRequest, place: Partition, link: StoreLink
+    ) -> web.Response:
         query = request.query
         producer = None
         if "producer" in query:
@@ -41,42 +78,75 @@
         at = int(query["at"]) if "at" in query else None
         records = list(_records(await request.read(), place.keyed))
         try:
-            done = self.store.apply(place, records, at, producer)
+            done = await link.append(place, records, at=at, producer=producer)
         except OffsetConflict as error:
             return web.json_response({"end": error.end}, status=412)
         except ProducerFenced as error:
             return web.json_response({"reason": "fenced", "epoch": error.epoch}, status=409)
         except ProducerGap as error:
             return web.json_response({"reason": "seq", "callSeq": error.wanted}, status=409)
+        if at is not None:
+            self.last_conditional = self.hosts.get(local_port(request), "")
         return web.json_response({"offset": done.offset, "end": done.end})
 
-    async def _log_read(self, request: web.BaseRequest, place: Partition) -> web.Response:
-        log = self.store.log(place)
-        start = int(request.query["from"])
-        if start < log.first:
-            return web.json_response({"first": log.first}, status=410)
-        body = pack(">QQ", log.end, log.first)
-        for entry in log.entries[start:]:
+    async def _log_read(
+        self, request: web.BaseRequest, place: Partition, link: StoreLink
+    ) -> web.Response:
+        query = request.query
+        wait_s = int(query.get("waitMs", 0)) / 1000
+        limit = 1024 * int(query.get("max_kb", MAX_READ_KB))
+        try:
+            page = await link.read(place, int(query["from"]), wait_s=wait_s)
+        except LogGap as gap:
+            return web.json_response({"first": gap.first}, status=410)
+        # History may be forgotten while a read is under way: what it brings is still
+        # numbered from where it was asked.
+        first = min(self.store.log(place).first, int(query["from"]))
+        body = pack(">QQ", page.end, first)
+        for entry in page.entries:
             value = entry.value
             if place.keyed:
                 value = bytes((len(entry.key),)) + entry.key + value
             body += pack(">I", len(value)) + value
+            if len(body) > limit:
+                break
         return web.Response(body=body)
 
-    async def _log_newest(self, request: web.BaseRequest, place: Partition) -> web.Response:
-        log = self.store.log(place)
-        newest = {entry.key.decode(): entry for entry in log.entries}
-        keys = sorted(key for key, entry in newest.items() if entry.value)
-        keys = [key for key in keys if key > request.query.get("dependsOn", "")]
+    async def _log_newest(
+        self, request: web.BaseRequest, place: Partition, link: StoreLink
+    ) -> web.Response:
+        page = await link.newest(place)
+        newest = {entry.key.decode(): entry for entry in page.entries}
+        keys = [key for key in sorted(newest) if key > request.query.get("dependsOn", "")]
         items = [
             {
                 "privateKey": key,
                 "value": b64encode(newest[key].value).decode(),
                 "offset": newest[key].offset,
             }
-            for key in keys[:2]
+            for key in keys[: self.page_keys]
         ]
-        return web.json_response({"items": items, "more": len(keys) > 2, "end": log.end})
+        more = len(keys) > self.page_keys
+        return web.json_response({"items": items, "more": more, "end": page.end})
+
+    async def _log_trim(
+        self, request: web.BaseRequest, place: Partition, _link: StoreLink
+    ) -> web.Response:
+        log = self.store.log(place)
+        log.first = max(log.first, min(int(request.query["before"]), log.end))
+        return web.json_response({})
+
+
+def local_port(request: web.BaseRequest) -> int:
+    """Return the port at which a request came in."""
+    assert request.transport
+    return int(request.transport.get_extra_info("sockname")[1])
+
+
+async def no_answer() -> web.StreamResponse:
+    """Say nothing until the caller has left."""
+    await asyncio.sleep(SILENCE_S)
+    return web.Response(status=503)
 
 
 def _records(body: bytes, keyed: bool) -> list[Record]:
