Fault soak: versions of the configuration, unguarded executors, tests of the judge

Cause: nothing noticed a host that goes back to an older configuration, nor room that is overfilled where executors take whatever they are told.

Change: each version has a queue of its own; callers on open connections ask for the last ones, and in calm times the newest must be in force everywhere within 6 s. Every third seed's executors guard nothing, and say when they are overfilled.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -40,6 +40,11 @@
     halls: int
     jobs_per_s: float
 
+    @property
+    def guards_room(self) -> bool:
+        """Whether executors refuse what does not fit; every third seed's do not."""
+        return self.seed % 3 != 0
+
     def hall(self, number: int) -> str:
         """Return the hall of a host or executor."""
         return f"hall-{number % self.halls}"
@@ -71,9 +76,14 @@
     path.write_text(yaml.safe_dump(fields))
 
 
-def configuration(version: int, extra_routes: int) -> str:
-    """Return a configuration: the queue of all jobs, and queues that only come and go."""
-    names = [(QUEUE.name, QUEUE.prefix)]
+def version_prefix(version: int) -> str:
+    """Return the path of a queue that only this version of the configuration has."""
+    return f"/version-{version}/"
+
+
+def configuration(version: int, extra_routes: int, *, guards_room: bool) -> str:
+    """Return a configuration: the queue of all jobs, its own, and some that come and go."""
+    names = [(QUEUE.name, QUEUE.prefix), (f"version-{version}", version_prefix(version))]
     names += [(f"extra-{n}", f"/extra-{n}/") for n in range(extra_routes)]
     routes = [
         {
@@ -88,5 +98,5 @@
         }
         for name, prefix in names
     ]
-    services = [{"name": QUEUE.service, "admissionCheck": True}]
+    services = [{"name": QUEUE.service, "admissionCheck": guards_room}]
     return json.dumps({"version": version, "routes": routes, "services": services})
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -9,7 +9,8 @@
 from tests.hall_world import QUEUE
 
 from soak.callers import Callers, Job
-from soak.world import World
+from soak.deployment import version_prefix
+from soak.world import VERSION_STEP, World
 
 SETTLE_S = 60.0
 """Longest time from the last fault until all is served again: leases of 6 s, a wait of
@@ -22,6 +23,10 @@
 """Time after an acknowledged cancel, in calm times, from which on no task of the job
 may start: three times the users' bound."""
 
+CONFIGURATION_S = 6.0
+"""Time in which a configuration must be in force everywhere, in calm times: three times
+the users' bound."""
+
 ASKED_HOSTS = 8
 """Hosts that are asked for each job at the end; every host where there are fewer."""
 
@@ -55,17 +60,24 @@
     return issues + [row for row in rows if row]
 
 
+async def await_configuration(world: World, callers: Callers) -> list[str]:
+    """Wait until the newest configuration is in force; return where it is not in its time."""
+    limit = time.monotonic() + CONFIGURATION_S
+    while issues := await _configuration_issues(world, callers):
+        if time.monotonic() > limit:
+            return issues
+        await asyncio.sleep(LOOK_S)
+    return []
+
+
 async def _configuration_issues(world: World, callers: Callers) -> list[str]:
-    there, gone = world.extra_routes - 1, world.extra_routes
     issues = []
+    old, new = world.version - VERSION_STEP, world.version
     for name in world.hosts:
-        if there >= 0:
-            status, _ = await callers.call("GET", name, "", prefix=f"/extra-{there}/")
-            if status != 200:
-                issues.append(f"CONFIG {name} answers {status} on a route that is there")
-        status, _ = await callers.call("GET", name, "", prefix=f"/extra-{gone}/")
-        if status != 404:
-            issues.append(f"CONFIG {name} answers {status} on a route that is gone")
+        for version, right in ((old, 404), (new, 200)):
+            status, _ = await callers.call("GET", name, "", prefix=version_prefix(version))
+            if status != right:
+                issues.append(f"CONFIG {name} answers {status} on version {version} of {new}")
     return issues
 
 
--- a/soak/keepers.py
+++ b/soak/keepers.py
@@ -10,7 +10,9 @@
 from tests.hall_world import QUEUE
 
 from soak.callers import PATIENCE_S, Callers
+from soak.deployment import CALLERS_PORT, version_prefix
 from soak.processes import HostProcess
+from soak.world import VERSION_STEP, World
 
 CLOSING_SLACK_S = 1.0
 """A connection may end this long after a request was sent on it, unread: five times the
@@ -32,12 +34,12 @@
     Attributes:
         answered: Requests with whole answers.
         closed: Requests that met a connection that was just being closed.
-        cut: Requests cut, with what was seen.
+        broken: Requests cut or held, and configurations that went back.
     """
 
     answered: int
     closed: int
-    cut: list[str]
+    broken: list[str]
 
 
 class Keeper:
@@ -46,26 +48,26 @@
     Args:
         random: Draws pauses and questions.
         host: The host.
-        address: Its callers' address.
+        world: Whose configurations it asks for.
         callers: Whose jobs it asks for.
         tally: Where it counts.
     """
 
     def __init__(
-        self, random: Random, host: HostProcess, address: str, callers: Callers, tally: Tally
+        self, random: Random, host: HostProcess, world: World, callers: Callers, tally: Tally
     ) -> None:
         self._random = random
         self._host = host
-        self._address = address
+        self._world = world
         self._callers = callers
+        self._version = 0
         self._tally = tally
 
     async def run(self) -> None:
         """Connect, use the connection to its end, and again until cancelled."""
-        ip, _, port = self._address.rpartition(":")
         while True:
             try:
-                reader, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await asyncio.open_connection(self._host.address, CALLERS_PORT)
             except OSError:
                 await asyncio.sleep(RECONNECT_S)
                 continue
@@ -75,11 +77,14 @@
                 writer.transport.abort()
 
     async def _use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # One connection belongs to one life of the host.
+        self._version = 0
         while not reader.at_eof():
+            asked = self._draw_version()
             sent = time.monotonic()
             head = b""
             try:
-                writer.write(self._request())
+                writer.write(self._request(version_prefix(asked) if asked else self._path()))
                 async with asyncio.timeout(WAIT_S):
                     head = await reader.readuntil(b"\r\n\r\n")
                     await reader.readexactly(_length(head))
@@ -93,15 +98,32 @@
                 self._judge_silence(sent)
                 return
             self._tally.answered += 1
+            if asked and b" 200 " in head[:20]:
+                self._judge_version(asked)
             if b"connection: close" in head.lower():
                 return
             await asyncio.sleep(self._random.choice((0.0, 0.02, 0.1, 0.4)))
 
-    def _request(self) -> bytes:
+    def _draw_version(self) -> int:
+        """Return one of the last versions to ask for, or mostly 0 for a question on jobs."""
+        if self._random.random() < 0.6:
+            return 0
+        return max(0, self._world.version - VERSION_STEP * self._random.randrange(4))
+
+    def _judge_version(self, version: int) -> None:
+        if version < self._version:
+            line = f"CONFIG {self._host.name} went back from {self._version} to {version}"
+            self._tally.broken.append(line)
+        self._version = max(self._version, version)
+
+    def _path(self) -> str:
         jobs = [job for job in self._callers.jobs[-50:] if job.accepted_at]
-        path = self._random.choice(jobs).id if jobs and self._random.random() < 0.8 else ""
+        named = jobs and self._random.random() < 0.8
+        return QUEUE.prefix + (self._random.choice(jobs).id if named else "")
+
+    def _request(self, path: str) -> bytes:
         lines = (
-            f"GET {QUEUE.prefix}{path} HTTP/1.1",
+            f"GET {path} HTTP/1.1",
             f"Host: {QUEUE.host}",
             f"Linkspan-Timeout-Ms: {int(PATIENCE_S * 1000)}",
         )
@@ -115,12 +137,12 @@
             self._tally.closed += 1
             return
         part = "in its answer" if began else "without an answer"
-        self._tally.cut.append(f"CUT a request to {self._host.name} {part} after {took:.2f} s")
+        self._tally.broken.append(f"CUT a request to {self._host.name} {part} after {took:.2f} s")
 
     def _judge_silence(self, sent: float) -> None:
         if self._host.harmed_at < sent - HARM_S:
             line = f"SILENT {self._host.name} held a question for {WAIT_S:.0f} s"
-            self._tally.cut.append(line)
+            self._tally.broken.append(line)
 
 
 def _length(head: bytes) -> int:
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,9 +11,9 @@
 from random import Random
 
 from soak.callers import Callers
-from soak.deployment import CALLERS_PORT, Plan
+from soak.deployment import Plan
 from soak.faults import SERIES, run_series
-from soak.judge import judge, settle
+from soak.judge import await_configuration, judge, settle
 from soak.keepers import Keeper, Tally
 from soak.world import World
 
@@ -109,10 +109,8 @@
         others.append(asyncio.create_task(self._watch(world)))
         for number in range(min(KEEPERS_PER_HOST * len(hosts), MOST_KEEPERS)):
             host = hosts[number % len(hosts)]
-            address = f"{host.address}:{CALLERS_PORT}"
-            keeper = Keeper(
-                Random(f"{self._plan.seed} keeper {number}"), host, address, callers, self._tally
-            )
+            random = Random(f"{self._plan.seed} keeper {number}")
+            keeper = Keeper(random, host, world, callers, self._tally)
             others.append(asyncio.create_task(keeper.run()))
         series = (run_series(world, n, until, self._note) for n in range(SERIES))
         try:
@@ -142,12 +140,14 @@
             await callers.submit(job, Random(job.id))
         outcome.broken += await settle(world, callers)
         outcome.settled_s = time.monotonic() - calm_from
+        await world.configure(extra_routes=1)
+        outcome.broken += await await_configuration(world, callers)
         standing = [j for j in callers.jobs if j.accepted_at and j.standing and not j.cancelled_at]
         await asyncio.gather(*(callers.cancel(job, Random(job.id)) for job in standing))
         outcome.broken += await settle(world, callers)
         observed = await world.observed()
         outcome.broken += judge(callers, observed, calm_from)
-        outcome.broken += world.broken + self._tally.cut
+        outcome.broken += world.broken + self._tally.broken
         outcome.broken += [f"ENDED {end}" for h in world.hosts.values() for end in h.own_ends]
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
--- a/soak/world.py
+++ b/soak/world.py
@@ -24,6 +24,9 @@
 
 READINESS_TIMEOUT_S = 1.0
 
+VERSION_STEP = 3
+"""Versions of configurations rise, and leave some out."""
+
 
 class World:
     """Starts and ends everything of a run.
@@ -89,6 +92,7 @@
         self.executors = await self._stand_in(
             "soak.executors", str(self.plan.seed), str(self.plan.executors), self.store.control
         )
+        await self.executors.tell("world", {"guards_room": self.plan.guards_room})
         await self.configure(0)
         for number in range(self.plan.executors):
             await self._add_executor(number)
@@ -133,9 +137,10 @@
 
     async def configure(self, extra_routes: int) -> None:
         """Publish a configuration with some routes beside the one of all jobs."""
-        self.version += 3
+        self.version += VERSION_STEP
         self.extra_routes = extra_routes
-        value = configuration(self.version, extra_routes)
+        guards_room = self.plan.guards_room
+        value = configuration(self.version, extra_routes, guards_room=guards_room)
         await self.store.tell("put", {"topic": "op", "key": "config", "value": value})
 
     async def stop(self, host: HostProcess) -> None:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -70,6 +70,7 @@
     late_share: float = 0.0
     lost_answer_share: float = 0.0
     lists_machines: bool = True
+    guards_room: bool = True
     policy: PolicyService | None = None
     broken: list[str] = field(default_factory=list)
 
--- /dev/null
+++ b/tests/soak/test_judge.py
@@ -0,0 +1,106 @@
+"""The judge notices what executors and callers saw go wrong, and only that."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from soak.callers import Callers, Job, Told
+from soak.executors import ExecutorWorld
+from soak.judge import LATE_START_S, judge
+
+from linkspan.jobs.spec import JobSpec
+from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
+from tests.hall_world import QUEUE, step
+
+CALM_FROM = 100.0
+SPEC = JobSpec("0" * 15 + "1", QUEUE.name, "payload", (step(2), step(1, depends_on=(0,))))
+TASK = TaskName(SPEC.job_id, 0, 0, 0)
+
+
+def _judged(job: Job, **seen: Any) -> list[str]:
+    callers = Callers(Random(0), {}, SimpleNamespace(), SimpleNamespace())  # type: ignore[arg-type]
+    callers.jobs.append(job)
+    observed = {"broken": [], "started_at": {}, "done_at": {}, **seen}
+    return [line.split()[0] for line in judge(callers, observed, CALM_FROM)]
+
+
+@pytest.mark.parametrize(
+    ("told", "broken"),
+    [
+        ([Told.REFUSED, Told.UNSENT], ["REFUSED"]),
+        ([Told.REFUSED, Told.UNKNOWN], []),
+        ([Told.REFUSED, Told.ACCEPTED], []),
+    ],
+)
+def test_only_a_job_that_was_refused_each_time_must_not_start(
+    told: list[Told], broken: list[str]
+) -> None:
+    assert _judged(Job(SPEC, told=told), started_at={SPEC.job_id: [1.0]}) == broken
+
+
+@pytest.mark.parametrize(("late_s", "broken"), [(0.1, ["UNASKED"]), (-0.1, [])])
+def test_a_start_long_after_its_cancel_is_noticed(late_s: float, broken: list[str]) -> None:
+    job = Job(SPEC, told=[Told.ACCEPTED], cancelled_at=CALM_FROM + 5)
+    started = CALM_FROM + 5 + LATE_START_S + late_s
+    assert _judged(job, started_at={SPEC.job_id: [started]}) == broken
+
+
+@pytest.mark.parametrize(("last_done", "broken"), [(9.0, []), (11.0, ["MIXED"]), (None, ["MIXED"])])
+def test_success_is_shown_after_the_last_end(last_done: float | None, broken: list[str]) -> None:
+    job = Job(SPEC, told=[Told.ACCEPTED], succeeded_at=10.0)
+    done = dict.fromkeys(job.tasks, 8.0)
+    if last_done is None:
+        done.pop(job.tasks[-1])
+    else:
+        done[job.tasks[-1]] = last_done
+    assert _judged(job, done_at=done) == broken
+
+
+async def _world(**fields: Any) -> ExecutorWorld:
+    world = ExecutorWorld(**fields)
+    world.specs[SPEC.job_id] = SPEC
+    for number in range(2):
+        world.add_executor("east", f"east-{number}:1").until = float("inf")
+    return world
+
+
+def _start(world: ExecutorWorld, number: int, task: TaskName, run: int, payload: str) -> None:
+    executor = world.executors[f"east-{number}:1"]
+    order = StartOrder(executor.record.executor_id, task, run, payload, "")
+    executor.start(order, executor.clock + 5.0, token=1)
+
+
+async def test_two_runs_of_a_task_at_once_are_noticed() -> None:
+    world = await _world()
+    _start(world, 0, TASK, 1, "payload")
+    assert not world.broken
+    _start(world, 1, TASK, 2, "payload")
+    assert "TWICE" in world.broken[0]
+
+
+async def test_another_payload_and_a_step_too_early_are_noticed() -> None:
+    world = await _world()
+    _start(world, 0, TASK, 1, "another")
+    _start(world, 0, TaskName(SPEC.job_id, 0, 1, 0), 1, "payload")
+    assert [line.split()[1] for line in world.broken] == ["UNASKED", "ORDER"]
+
+
+async def test_a_start_after_a_done_end_is_noticed_once_that_is_acknowledged() -> None:
+    world = await _world()
+    _start(world, 0, TASK, 1, "payload")
+    first = world.executors["east-0:1"]
+    first._finish(first.running[TASK], EndKind.DONE)
+    _start(world, 1, TASK, 2, "payload")
+    assert not world.broken
+    world.judge_acknowledged(EndedTask(1, TASK, 1, EndKind.DONE, ""))
+    assert "TWICE" in world.broken[0]
+
+
+async def test_an_executor_that_guards_nothing_tells_when_it_is_overfilled() -> None:
+    world = await _world(guards_room=False, milli_cpu=1_500)
+    _start(world, 0, TASK, 1, "payload")
+    _start(world, 0, TaskName(SPEC.job_id, 0, 0, 1), 1, "payload")
+    assert "LIMIT" in world.broken[0]
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -89,7 +89,9 @@
         step = self.world.step_of(order.task)
         free = self.free()
         if step.demand.milli_cpu > free.milli_cpu or step.demand.memory_mb > free.memory_mb:
-            return StartOutcome.NO_ROOM
+            if self.world.guards_room:
+                return StartOutcome.NO_ROOM
+            self.world.broken.append(f"{self.now:.2f} LIMIT {order.task} overfills")
         self.world.judge_start(self, order)
         took = self.world.running_time(order.task)
         run = _Run(order.task, order.run, order.payload, self.now, self.now + took, False)
