Found by the soak, known red: a task that was done is started again while the store is down

After the store was back the ends were acknowledged.

Cause (by reading, and a test of the core): shard/_watch.py, _known_part. A report that names a job which this tenure never looked after is taken in whole only after the job records were read; while the store is away it is cut by ExecutorReport.without: the ends from the first unknown one on are left out. Runs that ended are then neither running nor ended in what the core gets, and shard/_adoption.py, _on_missing, takes them for lost (and closes inherited ones at once). An end of a job that had left before the takeover suffices, as long as it is listed.

Ruled out: a lease that lapsed in between (the owner looked at that executor all the while, and the judge now leaves such ends out); numbers of ends that a former owner acknowledged.

Suspected remedy: what was left out must not resolve anything: no _on_missing for a report that was cut. Not mended here.

The test was seen failing: a StopOrder for the run that ended.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,9 +1,11 @@
 """Fault soak of the host daemon.
 
-    python -m soak run --seed 7 --seconds 20 --hosts 4 --executors 6 [--keep_logs DIR]
-    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--keep_logs DIR]
+    python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2]
+    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2
+    python -m soak regressions --jobs 2
 
-The exit code is 1 where a promise was broken; the logs of such runs are kept.
+Sizes that are not given go round with the seed. The exit code is 1 where a promise was
+broken; the logs of such runs are kept.
 """
 
 from __future__ import annotations
@@ -11,22 +13,31 @@
 import asyncio
 import shutil
 import sys
+from collections.abc import Iterable
+from dataclasses import replace
 from pathlib import Path
 
 import fire
 
 from soak.deployment import Plan
+from soak.regressions import REGRESSIONS
 from soak.run import Outcome, Run
 
 LOGS = "target/soak"
 """Where logs go when no other folder is named."""
 
+REGRESSION_S = 20.0
+"""Time in which faults begin when the seeds that failed once are played again."""
+
+MOST_LINES = 20
+"""Broken promises that are printed of one run."""
+
 
 async def _play(plan: Plan, folder: Path, *, keep: bool) -> Outcome:
     shutil.rmtree(folder, ignore_errors=True)
     outcome = await Run(plan, folder).play()
     print(outcome, flush=True)
-    for line in outcome.broken[:20]:
+    for line in outcome.broken[:MOST_LINES]:
         print(f"  {line}")
     if outcome.broken:
         print(f"  logs: {folder}", flush=True)
@@ -35,56 +46,52 @@
     return outcome
 
 
-def run(
-    seed: int,
-    *,
-    seconds: float = 20.0,
-    hosts: int = 4,
-    executors: int = 6,
-    halls: int = 2,
-    jobs_per_s: float = 4.0,
-    keep_logs: str = "",
-) -> None:
-    """Play one seed."""
-    plan = Plan(seed, seconds, hosts, executors, halls, jobs_per_s)
+def run(seed: int, *, seconds: float = 20.0, keep_logs: str = "", **sizes: float) -> None:
+    """Play one seed.
+
+    Args:
+        seed: From which all is drawn.
+        seconds: Time in which faults begin.
+        keep_logs: Folder in which logs are kept in any case.
+        sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``.
+    """
+    plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
     outcome = asyncio.run(_play(plan, folder, keep=bool(keep_logs)))
     sys.exit(1 if outcome.broken else 0)
 
 
 def series(
-    first: int,
-    *,
-    count: int = 50,
-    seconds: float = 20.0,
-    jobs: int = 2,
-    keep_logs: str = LOGS,
+    first: int, *, count: int = 50, seconds: float = 20.0, jobs: int = 2, keep_logs: str = LOGS
 ) -> None:
     """Play seeds in a row, some at a time, each in a process of its own."""
-    failed = asyncio.run(_series(range(first, first + count), seconds, jobs, keep_logs))
-    print(f"{count} seeds from {first}, {seconds:g} s each: {count - len(failed)} kept all")
-    if failed:
-        print(f"broken: {', '.join(map(str, failed))}; logs below {keep_logs}")
-    sys.exit(1 if failed else 0)
+    _play_seeds(range(first, first + count), seconds, jobs, keep_logs)
+
+
+def regressions(*, jobs: int = 2, keep_logs: str = LOGS) -> None:
+    """Play every seed that ever failed."""
+    _play_seeds(REGRESSIONS, REGRESSION_S, jobs, keep_logs)
+
+
+def _play_seeds(seeds: Iterable[int], seconds: float, jobs: int, keep_logs: str) -> None:
+    seeds = list(seeds)
+    broken = asyncio.run(play_all(seeds, seconds, jobs, keep_logs))
+    kept = len(seeds) - len(broken)
+    print(f"{len(seeds)} seeds, {seconds:g} s each, {jobs} at a time: {kept} kept all")
+    if broken:
+        print(f"broken: {', '.join(map(str, broken))}; logs below {keep_logs}")
+    sys.exit(1 if broken else 0)
 
 
-async def _series(seeds: range, seconds: float, jobs: int, keep_logs: str) -> list[int]:
+async def play_all(seeds: list[int], seconds: float, jobs: int, keep_logs: str) -> list[int]:
+    """Play seeds, some at a time, and return those that broke a promise."""
     free = asyncio.Semaphore(jobs)
 
     async def play(seed: int) -> int | None:
-        # Sizes go round with the seed: two or three halls, four to nine hosts.
-        halls = 2 + seed % 2
-        arguments = {
-            "seed": seed,
-            "seconds": seconds,
-            "halls": halls,
-            "hosts": halls * (2 + seed % 3 // 2),
-            "executors": halls * (2 + seed % 4),
-        }
-        flags = [f"--{name}={value}" for name, value in arguments.items()]
+        flags = [f"--seed={seed}", f"--seconds={seconds}", f"--keep_logs={keep_logs}"]
         async with free:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "soak", "run", *flags, f"--keep_logs={keep_logs}"
+                sys.executable, "-m", "soak", "run", *flags
             )
             return seed if await process.wait() else None
 
@@ -93,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"run": run, "series": series})
+    fire.Fire({"run": run, "series": series, "regressions": regressions})
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -20,6 +20,10 @@
 """The users' bounds on a stop and on leases (the shorter of their deployments)."""
 
 
+JOBS_PER_S = 4.0
+"""Jobs a second: some sixty at work at a time leave room on four executors."""
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Size and seed of a run.
@@ -40,6 +44,13 @@
     halls: int
     jobs_per_s: float
 
+    @classmethod
+    def of_seed(cls, seed: int, seconds: float) -> Plan:
+        """Return a plan whose sizes go round with the seed."""
+        halls = 2 + seed % 2
+        hosts = halls * (2 + seed % 3 // 2)
+        return cls(seed, seconds, hosts, halls * (2 + seed % 4), halls, JOBS_PER_S)
+
     @property
     def guards_room(self) -> bool:
         """Whether executors refuse what does not fit; every third seed's do not."""
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -67,11 +67,13 @@
         done_at: When each task first ended as done.
         run_done_at: When each run ended as done.
         started_at: When runs of each job started.
+        lapsed_at: When each executor's lease was last over, by its id.
     """
 
     done_at: dict[TaskName, float] = field(default_factory=dict)
     run_done_at: dict[tuple[TaskName, int], float] = field(default_factory=dict)
     started_at: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    lapsed_at: dict[str, float] = field(default_factory=dict)
 
     def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
         """Judge a start; a job that nobody sent has no steps to judge it by."""
@@ -86,13 +88,30 @@
             self.run_done_at[task, run] = executor.now
 
     def judge_acknowledged(self, end: EndedTask) -> None:
-        """Judge starts between an end and its acknowledgement."""
-        super().judge_acknowledged(end)
-        if end.kind is not EndKind.DONE:
+        """Judge starts between an end and its acknowledgement.
+
+        Where the lease was over in between, the end may have been waited out: it does
+        not count as taken note of.
+        """
+        done_at = self.run_done_at.get((end.task, end.run), 0.0)
+        if end.kind is EndKind.DONE and self._lapsed_at(end) > done_at:
             return
-        if self.starts[end.task][-1] > self.run_done_at[end.task, end.run]:
+        super().judge_acknowledged(end)
+        if end.kind is EndKind.DONE and self.starts[end.task][-1] > done_at:
             self.broken.append(f"TWICE {end.task} started after run {end.run} was done")
 
+    def _lapsed_at(self, end: EndedTask) -> float:
+        for executor in self.executors.values():
+            if any(listed is end for listed in executor.ended):
+                return self.lapsed_at.get(executor.record.executor_id, 0.0)
+        return 0.0
+
+    def note_lapse(self, address: str) -> None:
+        """Note whether the lease of the executor at an address is over."""
+        executor = self.executors.get(address)
+        if executor and executor.clock >= executor.until:
+            self.lapsed_at[executor.record.executor_id] = executor.now
+
 
 class ExecutorFront:
     """Speaks the executors' protocol over executors in memory."""
@@ -105,6 +124,7 @@
         """Answer one order."""
         address = self.addresses[local_port(request)]
         body = json.loads(await request.read())
+        self._world.note_lapse(address)
         target = request.headers["Linkspan-Target-Instance"]
         link = ExecutorLink(self._world, "", int(body.get("fencingToken", 0)))
         name = request.path.rpartition("/")[2].replace("-", "_")
@@ -173,10 +193,6 @@
         self._world = world
         self._front = front
 
-    def __call__(self, command: str, argument: Any) -> Any:
-        """Run a command; its name is that of a public method here."""
-        return getattr(self, command)(argument)
-
     def job(self, job: dict[str, str]) -> None:
         """Learn a job before it is submitted for the first time."""
         self._world.specs[job["id"]] = job_from_wire(job["id"], QUEUE.name, job["body"].encode())
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import time
-from typing import Any
 
 from tests.hall_world import QUEUE
 
 from soak.callers import Callers, Job
 from soak.deployment import version_prefix
+from soak.executors import Observed
 from soak.world import VERSION_STEP, World
 
 SETTLE_S = 60.0
@@ -51,8 +51,8 @@
     ]
     issues += await _configuration_issues(world, callers)
     observed = await world.observed()
-    if observed["listed_ends"]:
-        issues.append(f"ACKS {observed['listed_ends']} ends are listed and not acknowledged")
+    if observed.listed_ends:
+        issues.append(f"ACKS {observed.listed_ends} ends are listed and not acknowledged")
     accepted = [job for job in callers.jobs if job.accepted_at]
     rows = await asyncio.gather(
         *(_job_issue(world, callers, job, n, observed) for n, job in enumerate(accepted))
@@ -82,7 +82,7 @@
 
 
 async def _job_issue(
-    world: World, callers: Callers, job: Job, number: int, observed: dict[str, Any]
+    world: World, callers: Callers, job: Job, number: int, observed: Observed
 ) -> str | None:
     names = list(world.hosts)
     asked = {names[(number + step) % len(names)] for step in range(min(ASKED_HOSTS, len(names)))}
@@ -90,7 +90,7 @@
         state = await callers.ask(job, name)
         if not _is_right(job, state, observed):
             return f"LOST {job.id}: {name} shows {state}{_running(job, observed)}"
-    left = set(job.tasks) & set(observed["running"])
+    left = set(job.tasks) & set(observed.running)
     if job.standing and not job.cancel_asked_at and len(left) < len(job.tasks):
         return f"LOST {job.id}: {len(job.tasks) - len(left)} standing tasks do not run"
     if job.cancelled_at and left:
@@ -98,11 +98,11 @@
     return None
 
 
-def _is_right(job: Job, state: str | None, observed: dict[str, Any]) -> bool:
+def _is_right(job: Job, state: str | None, observed: Observed) -> bool:
     if state == "cancelled":
         return job.cancel_asked_at is not None
     if state == "failed":
-        failed = observed["failed"]
+        failed = observed.failed
         return any(failed.get(task, 0) >= QUEUE.max_attempts for task in job.tasks)
     if state == "succeeded":
         return not job.standing
@@ -110,17 +110,17 @@
     return state == "running" and job.standing and job.cancelled_at is None
 
 
-def _running(job: Job, observed: dict[str, Any]) -> str:
-    running = sorted(set(job.tasks) & set(observed["running"]))
-    done = len(set(job.tasks) & set(observed["done_at"]))
+def _running(job: Job, observed: Observed) -> str:
+    running = sorted(set(job.tasks) & set(observed.running))
+    done = len(set(job.tasks) & set(observed.done_at))
     return f" (done {done} of {len(job.tasks)}, running {running}, told {job.told})"
 
 
-def judge(callers: Callers, observed: dict[str, Any], calm_from: float) -> list[str]:
+def judge(callers: Callers, observed: Observed, calm_from: float) -> list[str]:
     """Return promises broken by what executors and callers saw in the whole run."""
-    broken = list(observed["broken"]) + callers.broken
+    broken = list(observed.broken) + callers.broken
     for job in callers.jobs:
-        started = observed["started_at"].get(job.id, [])
+        started = observed.started_at.get(job.id, [])
         if job.never_taken and started:
             broken.append(f"REFUSED {job.id} started, and was only ever refused")
         if job.cancelled_at:
@@ -128,7 +128,7 @@
             if any(at > limit for at in started):
                 broken.append(f"UNASKED {job.id} started {LATE_START_S} s after its cancel")
         if job.succeeded_at:
-            done = [observed["done_at"].get(task, float("inf")) for task in job.tasks]
+            done = [observed.done_at.get(task, float("inf")) for task in job.tasks]
             if max(done) > job.succeeded_at:
                 broken.append(f"MIXED {job.id} was shown as succeeded before its last end")
     return broken
--- /dev/null
+++ b/soak/regressions.py
@@ -0,0 +1,46 @@
+"""Seeds that failed once, and why; none is taken out."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Regression(NamedTuple):
+    """What a seed showed.
+
+    Attributes:
+        cause: Why it failed.
+        test: For a fault of the product, the test that shows it each time.
+        mended: Whether the cause is mended; only such seeds are played in CI.
+    """
+
+    cause: str
+    test: str = ""
+    mended: bool = True
+
+
+REGRESSIONS: dict[int, Regression] = {
+    2: Regression("TWICE by the judge: a start was compared with the end of an earlier run"),
+    3: Regression(
+        "ENDED: SIGHUP ends a host until its handler is set; hosts get it later since",
+        "tests/soak/test_signals.py",
+    ),
+    5: Regression(
+        "LOST by the store's stand-in: records of a read under way when the history was "
+        "forgotten were numbered anew; and the cause of seed 2",
+        "tests/soak/test_standins.py",
+    ),
+    11: Regression("REFUSED by the judge: a caller that left in the midst counted as refused"),
+    1002: Regression(
+        "LIMIT: a run of a job that had ended takes no room in a new owner's books",
+        "tests/shard/test_unknown_runs.py",
+        mended=False,
+    ),
+    1004: Regression(
+        "TWICE: ends behind one of an unread job are left out of a report while the store is "
+        "away, and their runs are taken for lost",
+        "tests/shard/test_cut_reports.py",
+        mended=False,
+    ),
+}
+"""By seed; sizes are those that go with the seed, ``REGRESSION_S`` of faults."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -126,7 +126,7 @@
     async def _watch(self, world: World) -> None:
         while True:
             await asyncio.sleep(WATCH_S)
-            for line in (await world.observed())["broken"][self._seen :]:
+            for line in (await world.observed()).broken[self._seen :]:
                 self._seen += 1
                 self._note(f"BROKEN {line}")
 
@@ -151,7 +151,7 @@
         outcome.broken += [f"ENDED {end}" for h in world.hosts.values() for end in h.own_ends]
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
-        outcome.starts = sum(map(len, observed["started_at"].values()))
+        outcome.starts = sum(map(len, observed.started_at.values()))
         outcome.questions, outcome.closed = self._tally.answered, self._tally.closed
 
     def _crashes(self) -> list[str]:
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -6,15 +6,12 @@
 import json
 import sys
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from aiohttp import web
 
 LOOPBACK = "127.0.0.1"
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-Control = Callable[[str, Any], Any]
-"""Takes the name of a command and its argument and returns the answer."""
 
 
 async def listen(handler: Handler) -> str:
@@ -25,12 +22,17 @@
     return "{}:{}".format(*runner.addresses[0][:2])
 
 
-async def serve(control: Control, addresses: dict[str, str]) -> None:
-    """Tell the addresses on standard output, take commands, end with standard input."""
+async def serve(control: object, addresses: dict[str, str]) -> None:
+    """Tell the addresses on standard output, take commands, end with standard input.
+
+    Args:
+        control: Its public methods are the commands; each takes one argument.
+        addresses: Addresses by name; that of the commands is added.
+    """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         argument = json.loads(await request.read() or b"null")
-        return web.json_response(control(request.path[1:], argument))
+        return web.json_response(getattr(control, request.path[1:])(argument))
 
     print(json.dumps({**addresses, "control": await listen(handle)}), flush=True)
     # Whoever started this process keeps its standard input open as long as it lives.
--- a/soak/store.py
+++ b/soak/store.py
@@ -21,10 +21,6 @@
     def __init__(self, server: StoreServer) -> None:
         self._server = server
 
-    def __call__(self, command: str, argument: Any) -> Any:
-        """Run a command; its name is that of a public method here."""
-        return getattr(self, command)(argument)
-
     def put(self, record: dict[str, str]) -> None:
         """Write a record as the platform itself does."""
         partition = Partition(record["topic"], keyed=True)
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,7 +6,6 @@
 import time
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import Any
 
 import aiohttp
 
@@ -19,6 +18,7 @@
     host_address,
     write_settings,
 )
+from soak.executors import Observed
 from soak.processes import HostProcess, StandIn
 from soak.proxy import FaultProxy
 
@@ -170,10 +170,9 @@
         await self.executors.tell("world", dict.fromkeys(EXECUTOR_SHARES, 0.0))
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
-    async def observed(self) -> dict[str, Any]:
+    async def observed(self) -> Observed:
         """Return what the executors saw so far."""
-        answer: dict[str, Any] = await self.executors.tell("observed")
-        return answer
+        return Observed(**await self.executors.tell("observed"))
 
 
 EXECUTOR_SHARES = ("failing_share", "late_share", "lost_answer_share")
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -8,7 +8,7 @@
 
 import pytest
 from soak.callers import Callers, Job, Told
-from soak.executors import ExecutorWorld
+from soak.executors import ExecutorWorld, Observed
 from soak.judge import LATE_START_S, judge
 
 from linkspan.jobs.spec import JobSpec
@@ -23,7 +23,8 @@
 def _judged(job: Job, **seen: Any) -> list[str]:
     callers = Callers(Random(0), {}, SimpleNamespace(), SimpleNamespace())  # type: ignore[arg-type]
     callers.jobs.append(job)
-    observed = {"broken": [], "started_at": {}, "done_at": {}, **seen}
+    empty = {"broken": [], "started_at": {}, "done_at": {}, "running": []}
+    observed = Observed(**{**empty, "failed": {}, "listed_ends": 0, **seen})
     return [line.split()[0] for line in judge(callers, observed, CALM_FROM)]
 
 
@@ -104,3 +105,16 @@
     _start(world, 0, TASK, 1, "payload")
     _start(world, 0, TaskName(SPEC.job_id, 0, 0, 1), 1, "payload")
     assert "LIMIT" in world.broken[0]
+
+
+async def test_an_end_that_a_lapsed_lease_hid_may_be_repeated() -> None:
+    world = await _world()
+    _start(world, 0, TASK, 1, "payload")
+    first = world.executors["east-0:1"]
+    first._finish(first.running[TASK], EndKind.DONE)
+    first.until = 0.0
+    world.note_lapse("east-0:1")
+    _start(world, 1, TASK, 2, "payload")
+    first.until = float("inf")
+    first.report(1)
+    assert not world.broken
