Soak: proxy and executors over HTTP are stand-ins of the tests; one proxy instead of two

Cause: soak/ had a proxy beside tests/standins/silent_proxy.py, and a calm job that was refused was not noticed.

Change: tests/standins/fault_proxy.py does what both did and the adapter's test of silent connections uses it, unchanged but for the name; the executors' protocol moves beside the store's.

--- a/soak/executors.py
+++ b/soak/executors.py
@@ -3,39 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 from collections import defaultdict
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 from tests.hall_world import EXECUTORS, QUEUE, HallWorld
-from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
-from tests.standins.platform_http import local_port
+from tests.standins.executor_http import ExecutorFront
+from tests.standins.memory_executor import MemoryExecutor
 
-from linkspan.errors import Fenced, Unreachable, WrongIncarnation
-from linkspan.platform.executors import task_from_wire, task_to_wire
+from linkspan.platform.executors import task_to_wire
 from linkspan.platform.jobs import job_from_wire
-from linkspan.shard.messages import (
-    EndedTask,
-    EndKind,
-    PaceOrder,
-    StartOrder,
-    StartOutcome,
-    StopOrder,
-    TaskName,
-)
+from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
 from linkspan.store.types import Partition
 from soak.standin import listen, serve
 
-_REASONS = {
-    StartOutcome.SUPERSEDED: "old",
-    StartOutcome.LATE: "late",
-    StartOutcome.NO_ROOM: "room",
-}
-
 
 class Registrations:
     """Stands where the world has its store: entries go to the store's process, in order."""
@@ -113,79 +96,6 @@
             self.lapsed_at[executor.record.executor_id] = executor.now
 
 
-class ExecutorFront:
-    """Speaks the executors' protocol over executors in memory."""
-
-    def __init__(self, world: ExecutorWorld) -> None:
-        self._world = world
-        self.addresses: dict[int, str] = {}
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one order."""
-        address = self.addresses[local_port(request)]
-        body = json.loads(await request.read())
-        self._world.note_lapse(address)
-        target = request.headers["Linkspan-Target-Instance"]
-        link = ExecutorLink(self._world, "", int(body.get("fencingToken", 0)))
-        name = request.path.rpartition("/")[2].replace("-", "_")
-        try:
-            status, fields = await getattr(self, f"_{name}")(link, address, target, body)
-        except Fenced:
-            status, fields = 409, {"reason": "fence"}
-        except WrongIncarnation:
-            status, fields = 421, {}
-        except Unreachable:
-            assert request.transport
-            request.transport.abort()
-            return web.Response(status=503)
-        executor = self._world.at(address)
-        if executor:
-            fields = {"clockMs": int(executor.clock * 1000), **fields}
-        return web.json_response(fields, status=status)
-
-    async def _run_start(
-        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
-        task = task_from_wire(body["task"])
-        if task.job_id not in self._world.specs:
-            self._world.broken.append(f"UNASKED {task}: no client sent it")
-            return 400, {}
-        order = StartOrder(target, task, body["run"], body["spec"], body.get("checkpoint", ""))
-        answer = await link.start(address, order, until_s=body["untilMs"] / 1000)
-        if answer.outcome is StartOutcome.STARTED:
-            return 200, {}
-        return 409, {"reason": _REASONS[answer.outcome]}
-
-    async def _run_stop(
-        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
-        order = StopOrder(target, task_from_wire(body["task"]), body["run"])
-        await link.stop(address, order)
-        return 200, {}
-
-    async def _pace(
-        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
-        task = task_from_wire(body["task"])
-        await link.pace(address, PaceOrder(target, task, body["run"], body["percent"]))
-        return 200, {}
-
-    async def _hold(
-        self, link: ExecutorLink, address: str, target: str, body: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
-        until_ms = body.get("untilMs")
-        report = await link.renew(
-            address,
-            target,
-            acknowledged=body.get("lastSeen", 0),
-            until_s=None if until_ms is None else until_ms / 1000,
-            wait_s=body.get("waitMs", 0) / 1000,
-        )
-        running = [[task_to_wire(r.task), r.run, "", 100] for r in report.running]
-        ended = [[e.number, task_to_wire(e.task), e.run, e.kind.value, ""] for e in report.ended]
-        return 200, {"running": running, "ended": ended}
-
-
 class ExecutorControl:
     """Switches of the executors, for the process that started them."""
 
@@ -264,6 +174,7 @@
     world.store = registrations  # type: ignore[assignment]
     writing = asyncio.create_task(registrations.run())
     front = ExecutorFront(world)
+    front.on_order = world.note_lapse
     addresses = {}
     for number in range(executors):
         addresses[f"executor-{number}"] = await listen(front.handle)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,8 +8,9 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+from tests.standins.fault_proxy import FaultProxy
+
 from soak.processes import HostProcess
-from soak.proxy import FaultProxy
 from soak.world import EXECUTOR_SHARES, World
 
 Fault = Callable[[World, Random], Awaitable[None]]
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from random import Random
 
-from soak.callers import Callers
+from soak.callers import Callers, Told
 from soak.deployment import Plan
 from soak.faults import SERIES, run_series
 from soak.judge import await_configuration, judge, settle
@@ -135,11 +135,13 @@
         self._note("calm begins")
         await world.settle_links()
         outcome = self._outcome
+        outcome.broken += await settle(world, callers)
+        outcome.settled_s = time.monotonic() - calm_from
         for _ in range(CALM_JOBS):
             job = callers.draw_job(calm=True)
             await callers.submit(job, Random(job.id))
-        outcome.broken += await settle(world, callers)
-        outcome.settled_s = time.monotonic() - calm_from
+            if job.told != [Told.ACCEPTED]:
+                outcome.broken.append(f"UNSERVED {job.id} in calm times: {job.told}")
         await world.configure(extra_routes=1)
         outcome.broken += await await_configuration(world, callers)
         standing = [j for j in callers.jobs if j.accepted_at and j.standing and not j.cancelled_at]
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -8,8 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-
-LOOPBACK = "127.0.0.1"
+from tests.standins.fault_proxy import LOOPBACK
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import aiohttp
+from tests.standins.fault_proxy import FaultProxy
 
 from soak.deployment import (
     CALLERS_PORT,
@@ -20,7 +21,6 @@
 )
 from soak.executors import Observed
 from soak.processes import HostProcess, StandIn
-from soak.proxy import FaultProxy
 
 READINESS_TIMEOUT_S = 1.0
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -19,8 +19,8 @@
 from linkspan.store.types import Partition, Record
 from tests.hall_world import step
 from tests.shard.builders import core_with
+from tests.standins.fault_proxy import FaultProxy
 from tests.standins.platform_http import StoreServer, serving
-from tests.standins.silent_proxy import SilentProxy
 
 TIMEOUT_S = 0.2
 POOLED = 3
@@ -74,7 +74,7 @@
 async def test_a_silent_connection_costs_its_bound_and_no_more(name: str) -> None:
     call = CALLS[name]
     async with serving(_answer) as target, aiohttp.ClientSession() as session:
-        proxy = SilentProxy(target)
+        proxy = FaultProxy(target)
         async with proxy.serve() as address:
             await asyncio.gather(*(call(session, address) for _ in range(POOLED)))
             proxy.silence()
--- a/soak/proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from soak.standin import LOOPBACK
-
+LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
 
 
@@ -33,6 +34,7 @@
         delay_s: Seconds by which each piece is held up.
         cut: Directions in which nothing passes now: ``there``, ``back``; what came
             meanwhile is lost.
+        accepted: Connections so far.
     """
 
     def __init__(self, target: str) -> None:
@@ -41,6 +43,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.delay_s = 0.0
         self.cut: frozenset[str] = frozenset()
+        self.accepted = 0
+
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[str]:
+        """Listen on a free port for a while and give the address."""
+        try:
+            yield await self.listen()
+        finally:
+            await self.close()
 
     async def listen(self) -> str:
         """Listen on a free port and return the address."""
@@ -68,6 +79,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
         try:
             ahead, onward = await asyncio.open_connection(self._host, int(self._port))
         except OSError:
