--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -80,6 +80,7 @@
     late_share: float = 0.0
     lost_answer_share: float = 0.0
     lists_machines: bool = True
+    guards_room: bool = True
     policy: PolicyService | None = None
     broken: list[str] = field(default_factory=list)
 
@@ -95,7 +96,7 @@
         self.cancelled: set[str] = set()
         self.done: set[TaskName] = set()
         self.done_acknowledged: set[TaskName] = set()
-        self.done_at: dict[tuple[TaskName, int], float] = {}
+        self.done_runs_at: dict[tuple[TaskName, int], float] = {}
         self.failed: Counter[TaskName] = Counter()
         self.starts: defaultdict[TaskName, list[float]] = defaultdict(list)
         self._lives = 0
@@ -294,12 +295,12 @@
     def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
         if kind is EndKind.DONE:
             self.done.add(task)
-            self.done_at.setdefault((task, run), asyncio.get_running_loop().time())
+            self.done_runs_at.setdefault((task, run), asyncio.get_running_loop().time())
 
     def judge_acknowledged(self, end: EndedTask) -> None:
         if end.kind is EndKind.DONE:
             self.done_acknowledged.add(end.task)
-            ended = self.done_at[(end.task, end.run)]
+            ended = self.done_runs_at[(end.task, end.run)]
             if any(start > ended for start in self.starts[end.task]):
                 self.broken.append(f"{ended:.2f} TWICE {end.task} began again after its end")
         if end.kind is EndKind.FAILED:
--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -213,7 +213,7 @@
 @trouble
 async def forget(day: OverlappingDay) -> None:
     """The store forgets its history."""
-    for partition in day.world.store.partitions():
+    for partition in day.world.store.partitions:
         day.world.store.forget(partition)
 
 
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -65,13 +65,14 @@
         self.late = False
         self.page_delays: defaultdict[tuple[str, Partition], list[float]] = defaultdict(list)
 
+    @property
+    def partitions(self) -> tuple[Partition, ...]:
+        """The partitions that were used."""
+        return tuple(self._logs)
+
     def log(self, partition: Partition) -> _Log:
         return self._logs[partition]
 
-    def partitions(self) -> list[Partition]:
-        """Return the partitions that were used."""
-        return list(self._logs)
-
     def calm(self) -> None:
         """End all troubles."""
         self.refusing.clear()
@@ -128,6 +129,7 @@
     """One host's way to the store."""
 
     listed_keys = LISTED_KEYS
+    read_records = READ_RECORDS
 
     def __init__(self, store: MemoryStore, host: str) -> None:
         self._store = store
@@ -185,7 +187,7 @@
             except TimeoutError:
                 return Page((), log.end)
             await self._reach()
-        page = Page(tuple(log.entries[start : start + READ_RECORDS]), log.end)
+        page = Page(tuple(log.entries[start : start + self.read_records]), log.end)
         await self._bring(partition)
         return page
 
--- a/tests/store/test_first_read.py
+++ b/tests/store/test_first_read.py
@@ -15,6 +15,7 @@
 from linkspan.platform.store import StoreClient
 from linkspan.store.follower import Follower
 from linkspan.store.types import Entry, Partition
+from tests.standins.memory_store import StoreLink
 from tests.standins.platform_http import StoreServer, serving
 from tests.standins.slow_link import SlowLink
 from tests.standins.stored_jobs import fill_jobs
@@ -65,8 +66,10 @@
         self.let_go = asyncio.Event()
         self._held = False
 
-    async def _log_newest(self, request: web.BaseRequest, place: Partition) -> web.Response:
-        answer = await super()._log_newest(request, place)
+    async def _log_newest(
+        self, request: web.BaseRequest, place: Partition, link: StoreLink
+    ) -> web.Response:
+        answer = await super()._log_newest(request, place, link)
         if not self._held:
             self._held = True
             await self.let_go.wait()
@@ -131,8 +134,10 @@
         for key in (b"a", b"b", b"c", b"d"):
             self.store.put(partition, key, b"old")
 
-    async def _log_newest(self, request: web.BaseRequest, place: Partition) -> web.Response:
-        answer = await super()._log_newest(request, place)
+    async def _log_newest(
+        self, request: web.BaseRequest, place: Partition, link: StoreLink
+    ) -> web.Response:
+        answer = await super()._log_newest(request, place, link)
         if "dependsOn" not in request.query:
             self.store.put(place, b"a", b"new")
             self.store.put(place, b"b", b"")
