Give an executor without guard nothing new while it runs what no record tells of

Cause: a run of a job that the shard does not know (cancelled and ended under the former owner, say) is stopped, but takes no room in the books until it has ended. An executor that does not refuse what exceeds its room was then overfilled. Found by the soak; its test on the core was seen failing with eight starts of a core each beside the unknown run on an executor of eight cores. Ruled out: booking the run's room; no record tells how much it takes. Change: ExecutorState.unknown_runs, set by each report (also by one read in part); ShardBooks.takes_work keeps such an executor out of plans and summaries where its service does not guard room. Guarding executors go on as before. Cost: where room is not guarded, up to the stop time (0.9 s) without new work on an executor after a change of owner that found such a run.

--- a/src/linkspan/shard/_adoption.py
+++ b/src/linkspan/shard/_adoption.py
@@ -48,6 +48,7 @@
             if end.number > executor.seen:
                 self._ends.on_end(executor, end, now)
         listed = set()
+        executor.unknown_runs = not report.whole
         for row in report.running:
             listed.add((row.task, row.run))
             self._on_running(executor, row, now)
@@ -64,6 +65,7 @@
         if attempt is None:
             attempt = self._adopt(executor, row, now)
         if attempt is None:
+            executor.unknown_runs = True
             return
         if attempt.phase is Phase.INHERITED:
             attempt.pace_known = False
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -97,6 +97,21 @@
         run = job.runs.get(name.repetition) if job else None
         return run.task(name) if run else None
 
+    def takes_work(self, executor: ExecutorState, now: float) -> bool:
+        """Whether an executor may get new work.
+
+        One that does not guard its room gets none while it runs what is not in these
+        books: it would be overfilled.
+        """
+        if not executor.usable(now):
+            return False
+        return not executor.unknown_runs or self.guards_room(executor.record.service)
+
+    def guards_room(self, service: str) -> bool:
+        """Whether executors of a service refuse what does not fit."""
+        terms = self.configuration and self.configuration.services.get(service)
+        return bool(terms and terms.guards_room)
+
     def attach(self, executor: ExecutorState, attempt: Attempt) -> None:
         """Count an attempt in at its task and its executor."""
         attempt.task.attempts.append(attempt)
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/_plan_view.py
@@ -32,7 +32,8 @@
 
     def usable(self) -> list[ExecutorState]:
         """Return the executors that may get new work."""
-        return [e for e in self.core.executors.values() if e.usable(self.now) and e.clock]
+        executors = self.core.executors.values()
+        return [e for e in executors if e.clock and self.core.takes_work(e, self.now)]
 
     def held_cores(self) -> dict[str, int]:
         """Return the hall's cores by what holds them."""
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -52,6 +52,8 @@
         attempts: Attempts that may be running there, by task and run.
         distrusted_until: Steady time until which it gets no new work.
         leaves_at: Steady time at which it may leave, while it drains.
+        unknown_runs: Whether it runs, or may run, what this shard knows no job of: how
+            much room that takes is not known.
     """
 
     record: ExecutorRecord
@@ -67,6 +69,7 @@
     attempts: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     distrusted_until: float = NEVER
     leaves_at: float = float("inf")
+    unknown_runs: bool = False
 
     _cpu: int = 0
     _best_effort_cpu: int = 0
--- a/src/linkspan/shard/summary.py
+++ b/src/linkspan/shard/summary.py
@@ -107,7 +107,7 @@
 
 def summarize(core: ShardCore, now: float) -> HallSummary:
     """Return the state of a shard's hall for other hosts."""
-    usable = [e for e in core.executors.values() if e.usable(now)]
+    usable = [e for e in core.executors.values() if core.takes_work(e, now)]
     standing: dict[str, int] = {}
     for executor in usable:
         for attempt in executor.attempts.values():
