Tests of executors' entries: unchanged, lapsed, missing, back

In virtual time, on whole hosts. Three cases hold: an entry that does not change for a minute, entries that lapse while the store is away and are back 1.9 s after its return (no run is started twice, short work goes on meanwhile), one that is back after 20 s.

One fails: an executor whose entry goes while it serves on, with no other entry changing, got 7 of 20 tasks that were submitted 2.6 s later and more (seen failing). The registry forgets the entry when it is next asked, and nothing asks it: the owner takes the list in when entries arrive only.

--- /dev/null
+++ b/tests/host/test_registrations.py
@@ -0,0 +1,120 @@
+"""What executors' entries in the store say, and what it means when one is missing."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.hall_world import EXECUTORS, HallWorld, step
+from tests.standins.memory_executor import MemoryExecutor
+from tests.virtual_time import run_virtual
+
+BACK_S = 1.9
+"""Time after the store's return by which a living executor's entry is back."""
+
+GRACE_S = 2.6
+"""A little more than the time for which a missing entry is still believed in."""
+
+
+def lapse(world: HallWorld, executor: MemoryExecutor) -> None:
+    """Let an executor's entry go while the executor serves on."""
+    world.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+
+
+async def begin(world: HallWorld, *, standing: int = 0) -> None:
+    """Begin with standing tasks, one an executor, at work."""
+    await world.begin()
+    if not standing:
+        return
+    spec = world.new_job(step(standing, standing=True, cpu=5_000))
+    assert await world.submit("east-host-0", spec) == 200
+    await asyncio.sleep(1.0)
+    assert at_work(world) == standing
+
+
+def at_work(world: HallWorld) -> int:
+    return sum(len(e.running) for e in world.executors.values() if e.alive)
+
+
+async def run_short(world: HallWorld, count: int) -> float:
+    """Run a job of short tasks and return the time until it has succeeded."""
+    spec = world.new_job(step(count, estimate_s=0.5))
+    began = asyncio.get_running_loop().time()
+    assert await world.submit("east-host-0", spec) == 200
+    await world.wait_for("east-host-1", spec.job_id, "succeeded")
+    return asyncio.get_running_loop().time() - began
+
+
+def test_an_entry_that_does_not_change_stays_believed_in() -> None:
+    """An entry is written again and again, and changes only when it says something new."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await begin(world, standing=3)
+        await asyncio.sleep(60.0)
+        assert at_work(world) == 3
+        assert await run_short(world, 6) < 2.0
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * 9
+
+
+def test_entries_that_lapse_while_the_store_is_away_cost_nothing() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await begin(world, standing=3)
+        world.store.refusing.update(world.hosts)
+        await asyncio.sleep(4.0)
+        for executor in world.executors.values():
+            lapse(world, executor)
+        await asyncio.sleep(2.0)
+        world.store.refusing.clear()
+        await asyncio.sleep(0.7)
+        assert await run_short(world, 6) < 2.0
+        await asyncio.sleep(BACK_S - 0.7)
+        for executor in world.executors.values():
+            world.register(executor)
+        await asyncio.sleep(10.0)
+        assert at_work(world) == 3
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * 9
+
+
+def test_an_executor_whose_entry_stays_missing_gets_nothing_new() -> None:
+    """It never said that it drains, or its entry lapsed and did not come back."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await begin(world)
+        missing = next(iter(world.executors.values()))
+        lapse(world, missing)
+        await asyncio.sleep(GRACE_S)
+        # More than the two others have room for at once.
+        await run_short(world, 20)
+        assert missing.last_number == 0
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+
+
+def test_an_entry_that_comes_back_late_is_believed_in_again() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=1)
+        await begin(world, standing=1)
+        only = next(iter(world.executors.values()))
+        lapse(world, only)
+        await asyncio.sleep(20.0)
+        world.register(only)
+        await asyncio.sleep(0.5)
+        assert await run_short(world, 2) < 2.0
+        assert at_work(world) == 1
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * 3
