Tell the owner when a missing entry's time is over

Cause: the registry forgot a missing entry only when it was asked for its list, and the owner asks when entries arrive. With no other entry changing, an executor that went without saying that it drains kept getting work until it ended.

Change: the host lets the registry drop what is overdue ten times a second, and the registry tells the owner, as it does of entries that arrive. Asking for the list changes nothing any more.

Cost: one look at a mostly empty dictionary ten times a second.

--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -230,6 +230,7 @@
             self.book.follower.pause_s = OWNER_JOBS_PAUSE_S if owning else JOBS_PAUSE_S
             self.registry.follower.pause_s = OWNER_LISTING_PAUSE_S if owning else LISTING_PAUSE_S
             self._share_learning()
+            self.registry.expire()
             if self.knows_all and not self._draining:
                 for candidate in self.candidates:
                     candidate.enable()
--- a/src/linkspan/host/registry.py
+++ b/src/linkspan/host/registry.py
@@ -61,18 +61,22 @@
 
     def executors(self, hall: str | None = None) -> list[ExecutorRecord]:
         """Return the registered executors, of one hall or of all."""
-        self._expire()
         return [r for r in self._records.values() if hall is None or r.hall == hall]
 
     def capacities(self, service: str) -> frozenset[Demand]:
         """Return the sizes of a service's executors seen so far, also of those gone."""
         return frozenset(self._capacities.get(service, ()))
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Drop executors whose entry has been missing for too long, and tell of it."""
         limit = time.monotonic() - LISTING_GRACE_S
-        for executor_id in [e for e, gone in self._gone_at.items() if gone < limit]:
+        expired = [e for e, gone in self._gone_at.items() if gone < limit]
+        if not expired:
+            return
+        for executor_id in expired:
             del self._gone_at[executor_id]
             self._records.pop(executor_id, None)
+        self.on_change()
 
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
