Test that entries get their time anew when the store goes again

An entry that lapsed has two and a half seconds to come back, counted from when it was read as gone, also while the store is away once more and nobody can write an entry. In the test the store is back for a second, away for four and back; the executors' entries are written 0.7 s and more after that. Seen failing: two of three executors of the hall got none of nine short tasks, since they counted as gone.

--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -85,6 +85,33 @@
     assert [len(times) for times in world.starts.values()] == [1] * 9
 
 
+def test_entries_get_their_time_anew_when_the_store_goes_again() -> None:
+    """Executors could not write while it was away, so that time says nothing of them."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await begin(world, standing=3)
+        world.store.refusing.update(world.hosts)
+        for executor in world.executors.values():
+            lapse(world, executor)
+        await asyncio.sleep(4.0)
+        world.store.refusing.clear()
+        await asyncio.sleep(1.0)
+        world.store.refusing.update(world.hosts)
+        await asyncio.sleep(4.0)
+        world.store.refusing.clear()
+        await asyncio.sleep(0.7)
+        world.register(next(iter(world.executors.values())))
+        await asyncio.sleep(0.1)
+        # More than one executor has room for.
+        assert await run_short(world, 9) < 2.0
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert all(e.last_number for e in world.executors.values())
+
+
 def test_an_executor_whose_entry_stays_missing_gets_nothing_new() -> None:
     """It never said that it drains, or its entry lapsed and did not come back."""
 
