Tests of executors that drain

In virtual time, on whole hosts: the standing task of an executor that says draining is at work elsewhere within 2 s, nothing starts there in the many seconds that it serves on, and all tasks are at work after its end.

--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -149,3 +149,29 @@
     world = run_virtual(play())
     assert world.problems == []
     assert [len(times) for times in world.starts.values()] == [1] * 3
+
+
+def test_a_draining_executor_is_left_and_gets_nothing_new_until_it_ends() -> None:
+    """It may serve on for many seconds longer than it said."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=4)
+        await begin(world, standing=3)
+        leaving = next(e for e in world.executors.values() if e.running)
+        world.register(leaving, draining=True)
+        await asyncio.sleep(2.0)
+        assert not leaving.running
+        assert at_work(world) == 3
+        begun = leaving.last_number
+        for _ in range(6):
+            # More than the others have room for at once.
+            await run_short(world, 20)
+            await asyncio.sleep(1.0)
+        assert leaving.last_number == begun
+        world.crash_executor(leaving.record.address, back=False)
+        await asyncio.sleep(5.0)
+        assert at_work(world) == 3
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
