Learn when an executor leaves that drained before it was seen

Cause: the time at which a draining executor leaves was set only when its state changed from ready under the owner's eyes. An owner that came later, by an entry or by the roster, took it for one that never leaves, so that runs there were not stopped with a checkpoint, nor kept off its end.

Change: the time is set whenever a draining entry is taken in and none is known yet.

test_an_executor_that_drains_already_leaves_when_it_says failed before (inf, not 12.0) and passes; tests/shard and tests/host/test_registrations.py: 72 passed. Not measured: what such runs earned; a later owner reckons from its own reading, so it may take the executor for staying longer than it does by the age of the entry.

--- a/src/linkspan/shard/_presence.py
+++ b/src/linkspan/shard/_presence.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.executor import ExecutorState
+from linkspan.shard.executor import NEVER_LEAVES, ExecutorState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,15 +51,14 @@
             known = self._books.executors.get(executor_id)
             if known is None:
                 self._books.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
-                self._add_executor(record)
-                continue
-            if record.draining and not known.draining:
+                known = self._add_executor(record)
+            known.record = record
+            known.listed = True
+            if record.draining and known.leaves_at == NEVER_LEAVES:
                 self._books.log(
                     Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
                 )
                 known.leaves_at = now + record.remaining_s
-            known.record = record
-            known.listed = True
         for executor_id, known in list(self._books.executors.items()):
             if executor_id in listed:
                 continue
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -14,6 +14,10 @@
     from linkspan.shard.state import Attempt, JobRun
 
 
+NEVER_LEAVES = float("inf")
+"""Steady time at which an executor leaves that has not said that it will."""
+
+
 class UnackedEnd(NamedTuple):
     """An end that was acted on and may not be durable.
 
@@ -66,7 +70,7 @@
     unacked: deque[UnackedEnd] = field(default_factory=deque)
     attempts: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     distrusted_until: float = NEVER
-    leaves_at: float = float("inf")
+    leaves_at: float = NEVER_LEAVES
 
     _cpu: int = 0
     _best_effort_cpu: int = 0
