Test that an executor whose entry stays missing is left

Some executors never say that they drain: their entry goes, they serve on and end. The test keeps one serving for 6 s and ends it; no machine service is there. Seen failing: its standing task was still there after 6 s, and would have been away for the rest of its lease.

--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -175,3 +175,21 @@
 
     world = run_virtual(play())
     assert world.problems == []
+
+
+def test_an_executor_whose_entry_stays_missing_is_left_before_it_ends() -> None:
+    """Some never say that they drain; without a machine service their end takes a lease."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=4, lists_machines=False)
+        await begin(world, standing=3)
+        leaving = next(e for e in world.executors.values() if e.running)
+        lapse(world, leaving)
+        await asyncio.sleep(6.0)
+        assert not leaving.running
+        world.crash_executor(leaving.record.address, back=False)
+        await asyncio.sleep(0.5)
+        assert at_work(world) == 3
+        return world
+
+    assert run_virtual(play()).problems == []
