Leave an executor whose entry stays missing

Cause: an executor that ends without ever having said that it drains was left only by its end, and that takes a lease to prove where no machine service tells of it: its standing tasks were away for that long, though the entry had told seconds before.

Change: once an entry is taken for gone (2.5 s in which the store answers) while its executor still answers, standing tasks there are stopped and placed again. The executor may as well be sound and cut off from the store alone, so a step's tasks go one at a time, only while all of the step are at work, in this shard, and only where another executor has room. Gangs, lent tasks and queues with a policy stay; batch runs stay, too: they end or are found. An owner that takes a shard over gives entries that are missing then the 2.5 s of its own.

Ruled out: leaving at once when the entry goes (entries also lapse while the store is away, and are back within two seconds); leaving as a draining executor is left, all at once.

Cost: one look at each executor of a hall a plan; a choice of place only for tasks on a missing executor whose step is whole.

--- a/src/linkspan/shard/_moves.py
+++ b/src/linkspan/shard/_moves.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.pacing import MOVE_BELOW
-from linkspan.shard.state import Phase
+from linkspan.shard.state import FULL_PROGRESS, Phase
 
 if TYPE_CHECKING:
     from linkspan.shard._plan_view import PlanView
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import Attempt
+    from linkspan.shard.state import Attempt, StepRun, Task
 
 STRAGGLER_FACTOR = 3.0
 """Multiple of its siblings' median after which a run counts as a straggler; tasks
@@ -66,6 +66,7 @@
     def order(self) -> None:
         """Order the stops that are due now."""
         self._leave_draining()
+        self._leave_missing()
         self._move_stragglers()
         self._move_disturbing()
 
@@ -87,6 +88,32 @@
         expected = step.spec.estimate_s * ESTIMATE_MARGIN - (self._now - attempt.placed_at)
         return left < LEAVE_MARGIN_S + LAST_CHANCE_S or (step.spec.checkpoints and expected > left)
 
+    def _leave_missing(self) -> None:
+        """Move standing tasks off executors whose entry is gone while they answer.
+
+        Some end without having said that they drain. Others are sound and cut off from
+        the store alone: so a step's tasks go one at a time, and only where there is room.
+        """
+        for executor in self._core.executors.values():
+            if executor.missing_since > self._now or executor.silent_since is not None:
+                continue
+            for attempt in list(executor.attempts.values()):
+                if self._all_at_work(attempt.task.step) and self._fits_elsewhere(attempt):
+                    self._core.stop(attempt, self._now, reason="executor is registered no more")
+
+    def _all_at_work(self, step: StepRun) -> bool:
+        """Whether each task of a standing step is at work, all of them in this shard."""
+        if not step.spec.standing or step.spec.gang or step.run.job.borrowed:
+            return False
+        return all(_at_work(task) for task in step.tasks)
+
+    def _fits_elsewhere(self, attempt: Attempt) -> bool:
+        step = attempt.task.step
+        if step.run.job.advised:
+            # The other executor may have no ticket, and then it would only wait.
+            return False
+        return self._view.placement(step, self._view.usable()).choose(attempt.task) is not None
+
     def _move_stragglers(self) -> None:
         for executor in self._core.executors.values():
             if executor.silent_since is not None or executor.draining:
@@ -131,3 +158,7 @@
         book, image, cpu = self._core.colocation, spec.image, spec.demand.milli_cpu
         here = book.worst_added(executor, image, cpu)
         return book.worst_added(best, image, cpu) < MOVE_GAIN * here
+
+
+def _at_work(task: Task) -> bool:
+    return any(a.phase is Phase.RUNNING and a.progress >= FULL_PROGRESS for a in task.attempts)
--- a/src/linkspan/shard/_presence.py
+++ b/src/linkspan/shard/_presence.py
@@ -15,6 +15,11 @@
     from linkspan.shard.state import ShardJob
 
 
+INHERITED_GRACE_S = 2.5
+"""Time for which an executor that a former owner used is not taken for gone when its
+entry is missing: after an outage of the store entries are back within about two seconds."""
+
+
 class Presence:
     """Tells when what may run on an executor has surely ended.
 
@@ -54,6 +59,7 @@
                 known = self._add_executor(record)
             known.record = record
             known.listed = True
+            known.missing_since = NEVER_LEAVES
             if record.draining and known.leaves_at == NEVER_LEAVES:
                 self._books.log(
                     Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
@@ -62,6 +68,8 @@
         for executor_id, known in list(self._books.executors.items()):
             if executor_id in listed:
                 continue
+            if known.missing_since == NEVER_LEAVES:
+                known.missing_since = now if known.listed else now + INHERITED_GRACE_S
             known.listed = False
             # One address serves one incarnation: its successor proves it gone.
             if addresses.get(known.record.address, executor_id) != executor_id:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -15,7 +15,8 @@
 
 
 NEVER_LEAVES = float("inf")
-"""Steady time at which an executor leaves that has not said that it will."""
+"""Steady time at which an executor leaves that has not said that it will, or goes
+missing that is registered."""
 
 
 class UnackedEnd(NamedTuple):
@@ -56,6 +57,7 @@
         attempts: Attempts that may be running there, by task and run.
         distrusted_until: Steady time until which it gets no new work.
         leaves_at: Steady time at which it may leave, while it drains.
+        missing_since: Steady time since when its registration is taken for gone.
     """
 
     record: ExecutorRecord
@@ -71,6 +73,7 @@
     attempts: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     distrusted_until: float = NEVER
     leaves_at: float = NEVER_LEAVES
+    missing_since: float = NEVER_LEAVES
 
     _cpu: int = 0
     _best_effort_cpu: int = 0
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -20,6 +20,9 @@
 FULL_PACE = 100
 """Pace in percent at which each run starts."""
 
+FULL_PROGRESS = 100
+"""Progress in percent of a run that is done, or of a standing task that is at work."""
+
 
 class Phase(Enum):
     """Where an attempt stands."""
--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -33,7 +33,8 @@
 
 
 def at_work(world: HallWorld) -> int:
-    return sum(len(e.running) for e in world.executors.values() if e.alive)
+    alive = (e for e in world.executors.values() if e.alive)
+    return sum(not run.stopping for e in alive for run in e.running.values())
 
 
 async def run_short(world: HallWorld, count: int) -> float:
@@ -193,3 +194,52 @@
         return world
 
     assert run_virtual(play()).problems == []
+
+
+def test_tasks_of_a_step_leave_a_missing_executor_one_at_a_time() -> None:
+    """The executor may be sound and cut off from the store alone."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=1)
+        spec = world.new_job(step(4, standing=True, cpu=1_000))
+        await world.begin()
+        only = next(iter(world.executors.values()))
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(1.0)
+        world.add_executor("east", "east-9:1")
+        await asyncio.sleep(1.0)
+        lapse(world, only)
+        least = 4
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            least = min(least, at_work(world))
+        assert not only.running
+        assert least == 3
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_new_owners_give_missing_entries_their_time_too() -> None:
+    """They never saw entries that lapsed before they started."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=4)
+        await begin(world, standing=3)
+        busy = [e for e in world.executors.values() if e.running]
+        for name in list(world.hosts):
+            world.kill_host(name)
+        for executor in busy:
+            lapse(world, executor)
+        for name, _ in world.host_names():
+            world.start_host(name)
+        await asyncio.sleep(BACK_S)
+        for executor in busy:
+            world.register(executor)
+        await asyncio.sleep(10.0)
+        assert at_work(world) == 3
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * 3
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -142,9 +142,13 @@
             if end.number <= acknowledged:
                 self.world.judge_acknowledged(end)
         self.ended = [end for end in self.ended if end.number > acknowledged]
-        running = tuple(RunningTask(r.task, r.run, "", 50, None) for r in self.running.values())
+        running = tuple(self._row(run) for run in self.running.values())
         return ExecutorReport(self.clock, running, tuple(self.ended))
 
+    def _row(self, run: _Run) -> RunningTask:
+        at_work = self.world.step_of(run.task).standing
+        return RunningTask(run.task, run.run, "", 100 if at_work else 50, None)
+
 
 class ExecutorLink:
     """One tenure's way to all executors."""
