--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -14,6 +14,7 @@
 from linkspan.errors import SettingsError, describe
 from linkspan.events import Event, EventLog
 from linkspan.host.host import Adapter, Host
+from linkspan.host.listener import listen
 from linkspan.host.metrics import HostMetrics
 from linkspan.platform.advice import AdviceClient
 from linkspan.platform.executors import ExecutorClient
@@ -30,7 +31,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
     from linkspan.host.settings import HostSettings
@@ -55,9 +55,6 @@
 
 METRICS_PATH = "/metrics"
 
-BACKLOG = 1024
-"""Connections that wait to be accepted: a balancer may open hundreds at once."""
-
 
 class HostDaemon:
     """Runs one host as a process.
@@ -110,8 +107,8 @@
         )
         self._host = host
         runners = [
-            await _listen(host.front.handle, settings.callers),
-            await _listen(self._answer_readiness, settings.readiness),
+            await listen(host.front.handle, settings.callers),
+            await listen(self._answer_readiness, settings.readiness),
         ]
         runners += await self._listen_for_scrapers()
         self._log.write(Event.LISTENING, callers=settings.callers, readiness=settings.readiness)
@@ -137,7 +134,7 @@
 
     async def _listen_for_scrapers(self) -> list[web.ServerRunner]:
         try:
-            return [await _listen(self._answer_readiness, f"{self._settings.ip}:{METRICS_PORT}")]
+            return [await listen(self._answer_readiness, f"{self._settings.ip}:{METRICS_PORT}")]
         except OSError as error:
             # The readiness address serves them, too.
             self._log.write(Event.METRICS_UNSERVED, port=METRICS_PORT, error=str(error))
@@ -174,13 +171,3 @@
         decode_configuration=configuration_from_wire,
         decode_executor=executor_from_wire,
     )
-
-
-async def _listen(
-    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], address: str
-) -> web.ServerRunner:
-    host, _, port = address.rpartition(":")
-    runner = web.ServerRunner(web.Server(handler, access_log=None))
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
-    return runner
