Give up a body that does not arrive in its caller's time

Cause: the front waited for a body without a bound, and counted the request as in flight, so a connection that went silent in the middle of one held a task for good and a planned stop until its limit.

Change: the body is waited for until the caller's own deadline; then the answer is 503 with when to come back, which is true since nothing was written, and the connection is closed. A request is in flight, for a drain, once it was read whole.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -97,6 +97,7 @@
         self._metrics = metrics
         self._submitting: dict[str, asyncio.Future[int]] = {}
         self._in_flight = 0
+        self._receiving = 0
         self.draining = False
 
     def __repr__(self) -> str:
@@ -104,8 +105,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests that are not answered yet."""
-        return self._in_flight
+        """Requests that were read whole and are not answered yet."""
+        return self._in_flight - self._receiving
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -133,7 +134,9 @@
             return _json(404, b'{"error":"a job id is 16 hex digits"}')
         deadline = time.monotonic() + self._time_left(request, queue)
         if request.method == "POST":
-            body = await request.read()
+            body = await self._receive(request, deadline)
+            if body is None:
+                return self._give_up_half(job_id, queue)
             return await self.submit(queue, job_id, body, deadline)
         if request.method == "GET":
             return await self.show(job_id)
@@ -141,6 +144,25 @@
             return await self.cancel(job_id, deadline)
         return _json(405, b'{"error":"use GET, POST or DELETE"}')
 
+    async def _receive(self, request: web.BaseRequest, deadline: float) -> bytes | None:
+        """Return a request's body, ``None`` if it is not there whole by a steady time.
+
+        A connection may go silent for good in the middle of it.
+        """
+        self._receiving += 1
+        try:
+            async with asyncio.timeout(deadline - time.monotonic()):
+                return await request.read()
+        except TimeoutError:
+            return None
+        finally:
+            self._receiving -= 1
+
+    def _give_up_half(self, job_id: str, queue: Queue) -> web.Response:
+        answer = self._refuse(job_id, queue, "request did not arrive whole")
+        answer.force_close()
+        return answer
+
     def _time_left(self, request: web.BaseRequest, queue: Queue) -> float:
         given = request.headers.get(self._form.timeout_header, "")
         seconds = int(given) / 1000 if given.isdecimal() else queue.timeout_s
