Close callers' connections that went silent

Cause: a caller's connection that goes silent towards us held its descriptor and a task for an hour where it had sent half a head or nothing, and for good where it took nothing of an answer; a listener's end waited 60 s and more for a half-sent body, past the time at which the process is killed.

Change, in a protocol and a server of our own over aiohttp's: half a head is given 10 s, an answer of which nothing is taken 10 s, and of connections between two calls the 512 that were used last are kept. Healthy idle ones stay open, since callers use them again at any time: for these the system probes after 15 s without a packet and gives up after 30 s, also on bytes that were not confirmed. A listener's end waits 0.25 s, twice, for what is still being written; the drain before has waited for whole requests. Event 565 tells of each connection closed.

Not run: a network that drops packets without a word, which needs rights that tests do not have; the test reads the socket's options.

Cost: five fields a connection, and a look at each once a second.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -132,6 +132,7 @@
         "check its service; steps of its queues wait",
     )
     LATENCY_OVER = 554, logging.INFO, "standing task was over its latency target", "see 539"
+    CALLER_DROPPED = 565, logging.INFO, "connection of a caller that went silent closed", "nothing"
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is about to leave", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation is gone", "nothing"
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -107,7 +107,7 @@
         )
         self._host = host
         runners = [
-            await listen(host.front.handle, settings.callers),
+            await listen(host.front.handle, settings.callers, on_drop=self._on_drop),
             await listen(self._answer_readiness, settings.readiness),
         ]
         runners += await self._listen_for_scrapers()
@@ -148,6 +148,9 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._host.ready else 503)
 
+    def _on_drop(self, reason: str) -> None:
+        self._log.write(Event.CALLER_DROPPED, reason=reason)
+
     def _reload(self) -> None:
         """Read the settings again; addresses and halls take a restart to change."""
         try:
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any, cast
 
+import pytest
+import pytest_asyncio
 from aiohttp import web
 
+from linkspan.host import connections
+from linkspan.host.listener import listen
 from tests.hall_world import QUEUE, HallWorld
 from tests.virtual_time import run_virtual
 
@@ -62,3 +70,149 @@
         return asyncio.get_running_loop().time() - began
 
     assert run_virtual(play()) < 1.0
+
+
+# Over sockets, with the bounds made short.
+
+BOUND_S = 0.3
+"""Stands for each of the listener's bounds."""
+
+HEAD = b"GET / HTTP/1.1\r\nHost: host.example\r\n"
+WHOLE = HEAD + b"\r\n"
+
+
+@pytest_asyncio.fixture
+async def address(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[str]:
+    """A listener whose answers are larger than what a connection holds unread."""
+    for name in ("HALF_REQUEST_S", "UNREAD_S"):
+        monkeypatch.setattr(connections, name, BOUND_S)
+    monkeypatch.setattr(connections, "SWEEP_S", 0.05)
+    monkeypatch.setattr(connections, "MAX_IDLE", 3)
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
+
+    runner = await listen(answer, "127.0.0.1:0")
+    try:
+        port = runner.addresses[0][1]
+        yield f"127.0.0.1:{port}"
+    finally:
+        await runner.cleanup()
+
+
+async def _connect(address: str, sent: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(sent)
+    return reader, writer
+
+
+async def _ask(address: str) -> bytes:
+    reader, writer = await _connect(address, WHOLE)
+    line = await asyncio.wait_for(reader.readline(), 5.0)
+    writer.close()
+    return line
+
+
+async def _closed_after(reader: asyncio.StreamReader) -> float:
+    """Return the time until the other side closes or resets a connection."""
+    began = time.monotonic()
+    async with asyncio.timeout(5.0):
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(65536):
+                pass
+    return time.monotonic() - began
+
+
+async def test_a_connection_with_half_a_request_is_closed(address: str) -> None:
+    reader, writer = await _connect(address, HEAD)
+    assert await _closed_after(reader) >= 0.5 * BOUND_S
+    writer.close()
+    assert b"200" in await _ask(address)
+
+
+async def test_a_caller_that_stops_reading_is_cut_off(address: str) -> None:
+    reader, writer = await _connect(address, HEAD.replace(b"/ ", b"/large ") + b"\r\n")
+    await asyncio.sleep(BOUND_S + 1.0)
+    body = b""
+    with contextlib.suppress(ConnectionError):
+        while piece := await asyncio.wait_for(reader.read(1_000_000), 5.0):
+            body += piece
+    assert len(body) < 40_000_000
+    writer.close()
+
+
+async def test_a_caller_that_reads_slowly_is_not_cut_off(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(connections, "UNREAD_S", 1.0)
+    reader, writer = await _connect(address, HEAD.replace(b"/ ", b"/large ") + b"\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"200" in head
+    for _ in range(10):
+        # It takes longer than the bound in all, but takes something all the while.
+        await asyncio.wait_for(reader.readexactly(4_000_000 - 1), 5.0)
+        await asyncio.sleep(0.15)
+    assert len(await asyncio.wait_for(reader.readexactly(10), 5.0)) == 10
+    writer.close()
+
+
+async def test_more_idle_connections_than_the_bound_cost_the_oldest(address: str) -> None:
+    idle = []
+    for _ in range(5):
+        idle.append(await _connect(address, b""))
+        await asyncio.sleep(0.02)
+    async with asyncio.timeout(5.0):
+        while not all(reader.at_eof() for reader, _ in idle[:2]):
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(0.2)
+    assert not any(reader.at_eof() for reader, _ in idle[2:])
+    assert b"200" in await _ask(address)
+    for _, writer in idle:
+        writer.close()
+
+
+async def test_an_idle_connection_is_kept_and_watched(address: str) -> None:
+    """Healthy ones stay open; the system finds those whose other end vanished."""
+    reader, writer = await _connect(address, WHOLE)
+    assert b"200" in await reader.readline()
+    await asyncio.sleep(4 * BOUND_S)
+    writer.write(WHOLE)
+    async with asyncio.timeout(5.0):
+        while b"HTTP/1.1 200" not in await reader.readline():
+            pass
+    writer.close()
+
+
+async def test_silent_connections_do_not_hold_up_the_listeners_end() -> None:
+    async def never(request: web.BaseRequest) -> web.Response:
+        await request.read()
+        return web.Response()
+
+    runner = await listen(never, "127.0.0.1:0")
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    half_body = HEAD.replace(b"GET", b"POST") + b"Content-Length: 9\r\n\r\nabc"
+    open_ones = [await _connect(address, sent) for sent in (b"", HEAD, half_body)]
+    await asyncio.sleep(0.1)
+    began = time.monotonic()
+    await asyncio.wait_for(runner.cleanup(), 10.0)
+    assert time.monotonic() - began < 3.0
+    for _, writer in open_ones:
+        writer.close()
+
+
+async def test_the_system_is_asked_to_find_vanished_callers() -> None:
+    async def answer(_request: web.BaseRequest) -> web.Response:
+        return web.Response()
+
+    runner = await listen(answer, "127.0.0.1:0")
+    _, writer = await _connect(f"127.0.0.1:{runner.addresses[0][1]}", b"")
+    await asyncio.sleep(0.1)
+    assert runner.server
+    (connection,) = runner.server.connections
+    accepted = connection.transport.get_extra_info("socket")
+    assert accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 15
+    assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 30_000
+    writer.close()
+    await runner.cleanup()
