--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.hall_world import EXECUTORS, HallWorld, step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
@@ -243,3 +245,48 @@
     world = run_virtual(play())
     assert world.problems == []
     assert [len(times) for times in world.starts.values()] == [1] * 3
+
+
+def test_what_runs_on_a_missing_executor_ends_there_once() -> None:
+    """It serves on: its ends count, and nothing of it is started anew meanwhile."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await begin(world)
+        spec = world.new_job(step(6, estimate_s=6.0, cpu=4_000))
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.5)
+        missing = next(iter(world.executors.values()))
+        assert missing.running
+        lapse(world, missing)
+        await world.wait_for("east-host-1", spec.job_id, "succeeded", limit_s=9.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * 6
+
+
+@pytest.mark.parametrize(("lists_machines", "limit_s"), [(True, 4.0), (False, 13.0)])
+def test_what_a_missing_executor_took_along_is_started_again(
+    lists_machines: bool, limit_s: float
+) -> None:
+    """Its end is proved by the machine service within seconds, else by its lease."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(lists_machines=lists_machines)
+        await begin(world)
+        spec = world.new_job(step(3, estimate_s=200.0, cpu=4_000))
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.5)
+        missing = next(e for e in world.executors.values() if e.running)
+        lost = len(missing.running)
+        lapse(world, missing)
+        await asyncio.sleep(6.0)
+        assert len(missing.running) == lost
+        world.crash_executor(missing.record.address, back=False)
+        await asyncio.sleep(limit_s)
+        assert at_work(world) == 3
+        return world
+
+    assert run_virtual(play()).problems == []
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -96,6 +96,30 @@
     assert configuration.services["s"].guards_room
 
 
+def test_an_executors_entry_is_decoded_and_what_is_not_used_passed_over() -> None:
+    fields = {
+        "service": "pool",
+        "address": "10.2.0.7:8200",
+        "zone": "b",
+        "version": "2.31",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 1500,
+        "callSeq": 17,
+        "capacity": {"cpu": 8000, "memMb": 32000},
+        "labels": ["kind-a", "rack-1"],
+    }
+    ready = executor_from_wire("e1", orjson.dumps(fields))
+    assert (ready.executor_id, ready.service, ready.address) == ("e1", "pool", "10.2.0.7:8200")
+    assert (ready.hall, ready.capacity, ready.rack) == ("b", Demand(8000, 32000), "rack-1")
+    assert (ready.draining, ready.remaining_s) == (False, 0.0)
+    later = executor_from_wire("e1", orjson.dumps({**fields, "callSeq": 18, "coldRemainingMs": 0}))
+    assert later == ready
+    fields.update(state="draining", remainingMs=2500)
+    leaving = executor_from_wire("e1", orjson.dumps(fields))
+    assert (leaving.draining, leaving.remaining_s) == (True, 2.5)
+
+
 def test_a_job_is_decoded() -> None:
     body = {
         "spec": "text",
