Tests of links between hosts that go silent

A connection that goes silent for good, without a reset, is never replaced: each question over it runs into its time-out, and heartbeats are written into it until 256 KB wait.

--- a/tests/peer/test_peer.py
+++ b/tests/peer/test_peer.py
@@ -11,6 +11,7 @@
 
 from linkspan.config.store import ConfigState
 from linkspan.errors import BadFrame, Unreachable
+from linkspan.peer import link as peer_link
 from linkspan.peer.codec import decode, encode
 from linkspan.peer.directory import PeerDirectory
 from linkspan.peer.framing import MAX_FRAME_BYTES, read_frame
@@ -29,6 +30,7 @@
     Submit,
 )
 from linkspan.peer.server import PeerServer
+from tests.standins.silent_proxy import SilentProxy
 from tests.builders import job
 
 TEXT = st.text(max_size=20)
@@ -133,6 +135,51 @@
         await link.ask(Ask("a"), timeout_s=1)
 
 
+async def test_a_link_that_went_silent_costs_one_question() -> None:
+    async def answer(message: Message) -> Message:
+        assert isinstance(message, Ask)
+        return Answer(message.job_id)
+
+    server = PeerServer(answer)
+    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    async with proxy.serve() as address:
+        link = PeerLink(address)
+        assert await link.ask(Ask("a"), timeout_s=5) == Answer("a")
+        proxy.silence()
+        with pytest.raises(Unreachable, match="did not answer"):
+            await link.ask(Ask("b"), timeout_s=0.1)
+        assert await link.ask(Ask("c"), timeout_s=5) == Answer("c")
+        assert proxy.accepted == 2
+        await link.close()
+    await server.stop()
+
+
+async def test_a_link_that_only_tells_is_opened_anew_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Heartbeats get no answer that would show whether they arrive."""
+    monkeypatch.setattr(peer_link, "RENEW_S", 0.2, raising=False)
+    heard = asyncio.Event()
+
+    async def hear(message: Message) -> None:
+        heard.set()
+
+    server = PeerServer(hear)
+    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    async with proxy.serve() as address:
+        link = PeerLink(address)
+        await link.send(Ask("a"))
+        await asyncio.wait_for(heard.wait(), 5)
+        proxy.silence()
+        heard.clear()
+        async with asyncio.timeout(5):
+            while not heard.is_set():
+                await link.send(Ask("b"))
+                await asyncio.sleep(0.05)
+        await link.close()
+    await server.stop()
+
+
 def test_directory_orders_and_forgets() -> None:
     directory = PeerDirectory(silence_s=3.0, forget_s=10.0)
     directory.hear(Heartbeat("a", "scheduler", "h1", "x:1", config=5), 0.0)
