Open a link anew that went silent

Cause: a link to a peer was replaced only when its connection broke or 256 KB waited in it.

Change: a question that runs into its time-out without a word from the peer meanwhile drops the connection, so that the next message opens a new one; and so does the next message after 30 s without a word, for links that only tell. What else was asked over a dropped connection keeps its own time-out; a connection that broke still fails what waits at once.

--- a/src/linkspan/peer/link.py
+++ b/src/linkspan/peer/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,11 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time that opening a connection may take."""
 
+RENEW_S = 30.0
+"""Time without a word from a peer after which its connection is opened anew: one that
+went silent without a reset looks like one whose messages want no answer, as heartbeats
+do. Costs a handshake for each peer that often."""
+
 
 class PeerLink:
     """Sends messages to one peer and pairs its answers with the requests.
@@ -37,6 +43,7 @@
         self._reading: asyncio.Task[None] | None = None
         self._requests = count(1)
         self._waiting: dict[int, asyncio.Future[Message]] = {}
+        self._heard_at = float("-inf")
         self._lock = asyncio.Lock()
 
     def __repr__(self) -> str:
@@ -65,11 +72,15 @@
         request = next(self._requests)
         answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._waiting[request] = answer
+        asked = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(message, request)
                 return await answer
         except TimeoutError as error:
+            if self._heard_at < asked:
+                # It may have gone silent for good: the next message opens it anew.
+                self._drop()
             raise Unreachable(f"peer {self._address} did not answer in {timeout_s} s") from error
         finally:
             self._waiting.pop(request, None)
@@ -84,6 +95,8 @@
 
     async def _open(self) -> StreamWriter:
         async with self._lock:
+            if time.monotonic() - self._heard_at > RENEW_S:
+                self._drop()
             if self._writer is not None and not self._writer.is_closing():
                 return self._writer
             host, _, port = self._address.rpartition(":")
@@ -94,7 +107,7 @@
                 raise
             except (OSError, TimeoutError) as error:
                 raise Unreachable(f"peer {self._address}: {error!r}; it is tried again") from error
-            self._writer = writer
+            self._writer, self._heard_at = writer, time.monotonic()
             self._reading = asyncio.create_task(self._read(reader, writer))
             return writer
 
@@ -102,6 +115,7 @@
         try:
             while (body := await read_frame(reader)) is not None:
                 envelope = decode(body)
+                self._heard_at = time.monotonic()
                 answer = self._waiting.pop(envelope.request, None)
                 if answer is not None and not answer.done():
                     answer.set_result(envelope.message)
@@ -109,7 +123,8 @@
             pass
         finally:
             writer.close()
-            self._fail_waiting()
+            if self._writer is writer:
+                self._fail_waiting()
 
     def _fail_waiting(self) -> None:
         for answer in self._waiting.values():
@@ -118,6 +133,12 @@
         self._waiting.clear()
 
     def _cut(self) -> None:
+        """Close the connection and give up what was asked over it."""
+        self._drop()
+        self._fail_waiting()
+
+    def _drop(self) -> None:
+        """Close the connection; what was asked over it may still be asked anew."""
         if self._reading is not None:
             self._reading.cancel()
         if self._writer is not None:
--- a/tests/peer/test_peer.py
+++ b/tests/peer/test_peer.py
@@ -30,8 +30,8 @@
     Submit,
 )
 from linkspan.peer.server import PeerServer
-from tests.standins.silent_proxy import SilentProxy
 from tests.builders import job
+from tests.standins.silent_proxy import SilentProxy
 
 TEXT = st.text(max_size=20)
 NUMBER = st.integers(0, 2**32 - 1)
@@ -158,7 +158,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Heartbeats get no answer that would show whether they arrive."""
-    monkeypatch.setattr(peer_link, "RENEW_S", 0.2, raising=False)
+    monkeypatch.setattr(peer_link, "RENEW_S", 0.2)
     heard = asyncio.Event()
 
     async def hear(message: Message) -> None:
