Close peers' connections that went silent at the server, too

Cause: a server kept a connection for good over which nothing came any more. The other side opens a new one and cannot tell this one that it gave up, and beyond 1,024 connections the server refuses new ones.

Change: a connection without a whole message for 120 s is closed. A link that was silent for 30 s is opened anew before it is used, so none of these carries a message.

test_a_connection_that_went_silent_is_closed failed before (open after 5 s at a bound of 0.2 s) and passes; tests/peer: 14 passed.

--- a/src/linkspan/peer/server.py
+++ b/src/linkspan/peer/server.py
@@ -20,6 +20,10 @@
 MAX_CONNECTIONS = 1_024
 """Connections that are served at once; more are closed."""
 
+SILENT_S = 120.0
+"""Time without a whole message after which a connection is closed. Peers open a link anew
+that was silent for 30 s before they use it, so none of these carries a message any more."""
+
 
 class PeerServer:
     """Serves peers' messages; a peer that sends rubbish is cut off.
@@ -65,13 +69,13 @@
             return
         self._connections.add(writer)
         try:
-            while (body := await read_frame(reader)) is not None:
+            while (body := await _next_frame(reader)) is not None:
                 task = asyncio.create_task(self._answer(decode(body), writer))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
         except BadFrame as error:
             self._on_bad_peer(str(error))
-        except OSError:
+        except (OSError, TimeoutError):
             pass
         finally:
             self._connections.discard(writer)
@@ -84,3 +88,8 @@
         write_frame(writer, encode(Envelope(envelope.request, answer)))
         with contextlib.suppress(OSError):
             await writer.drain()
+
+
+async def _next_frame(reader: StreamReader) -> bytes | None:
+    async with asyncio.timeout(SILENT_S):
+        return await read_frame(reader)
--- a/tests/peer/test_peer.py
+++ b/tests/peer/test_peer.py
@@ -12,6 +12,7 @@
 from linkspan.config.store import ConfigState
 from linkspan.errors import BadFrame, Unreachable
 from linkspan.peer import link as peer_link
+from linkspan.peer import server as peer_server
 from linkspan.peer.codec import decode, encode
 from linkspan.peer.directory import PeerDirectory
 from linkspan.peer.framing import MAX_FRAME_BYTES, read_frame
@@ -189,3 +190,20 @@
     assert [p.beat.name for p in directory.live(4.0)] == ["c", "b"]
     assert directory.newest_config().beat.name == "c"
     assert directory.live(20.0) == [] and directory.all() == []
+
+
+async def test_a_connection_that_went_silent_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Those that the other side has given up would fill the server in the end."""
+    monkeypatch.setattr(peer_server, "SILENT_S", 0.2)
+
+    async def hear(message: Message) -> None:
+        return None
+
+    server = PeerServer(hear)
+    host, _, port = (await server.start("127.0.0.1", 0)).rpartition(":")
+    for sent in (b"", b"\x01\x00"):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        writer.close()
+    await server.stop()
