--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -43,6 +43,10 @@
 LEAST_WAIT_S = 0.05
 """Time that a call gets at least, however little its caller grants."""
 
+PROMPT_BODY_S = 1.0
+"""Time after which a body that is still on its way holds up no drain. The largest that is
+taken by default (262,144 bytes) needs 0.42 s over a link of 5 Mbit/s."""
+
 
 ASK_SHARE = 0.5
 """Share of a caller's time for which an answer waits for the job records to be read; in
@@ -111,6 +115,7 @@
         self._metrics = metrics
         self._submitting: dict[str, asyncio.Future[int]] = {}
         self._in_flight = 0
+        self._receiving: list[float] = []
         self.draining = False
 
     def __repr__(self) -> str:
@@ -118,8 +123,9 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests that are not answered yet."""
-        return self._in_flight
+        """Requests that are not answered yet, without those whose body is long in coming."""
+        limit = time.monotonic() - PROMPT_BODY_S
+        return self._in_flight - sum(began < limit for began in self._receiving)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -148,7 +154,9 @@
             return _json(404, b'{"error":"a job id is 16 hex digits"}')
         deadline = time.monotonic() + self._time_left(request, queue)
         if request.method == "POST":
-            body = await request.read()
+            body = await self._receive(request, deadline)
+            if body is None:
+                return self._give_up_half(job_id, queue)
             return await self.submit(queue, job_id, body, deadline)
         if request.method == "GET":
             return await self.show(job_id, deadline)
@@ -156,6 +164,26 @@
             return await self.cancel(job_id, deadline)
         return _json(405, b'{"error":"use GET, POST or DELETE"}')
 
+    async def _receive(self, request: web.BaseRequest, deadline: float) -> bytes | None:
+        """Return a request's body, ``None`` if it is not there whole by a steady time.
+
+        A connection may go silent for good in the middle of it.
+        """
+        began = time.monotonic()
+        self._receiving.append(began)
+        try:
+            async with asyncio.timeout(deadline - began):
+                return await request.read()
+        except TimeoutError:
+            return None
+        finally:
+            self._receiving.remove(began)
+
+    def _give_up_half(self, job_id: str, queue: Queue) -> web.Response:
+        answer = self._refuse(job_id, queue, "request did not arrive whole")
+        answer.force_close()
+        return answer
+
     def _time_left(self, request: web.BaseRequest, queue: Queue) -> float:
         given = request.headers.get(self._form.timeout_header, "")
         seconds = int(given) / 1000 if given.isdecimal() else queue.timeout_s
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -181,6 +181,7 @@
             group.create_task(self.book.follower.run())
             group.create_task(self.book.writer.run())
             group.create_task(self.registry.follower.run())
+            group.create_task(self.registry.expire_loop())
             group.create_task(self._adapt())
             for candidate in self.candidates:
                 group.create_task(candidate.run())
--- a/src/linkspan/shard/_presence.py
+++ b/src/linkspan/shard/_presence.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.executor import ExecutorState
+from linkspan.shard.executor import NEVER_LEAVES, ExecutorState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -15,6 +15,11 @@
     from linkspan.shard.state import ShardJob
 
 
+INHERITED_GRACE_S = 2.5
+"""Time for which an executor that a former owner used is not taken for gone when its
+entry is missing: after an outage of the store entries are back within about two seconds."""
+
+
 class Presence:
     """Tells when what may run on an executor has surely ended.
 
@@ -51,18 +56,20 @@
             known = self._books.executors.get(executor_id)
             if known is None:
                 self._books.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
-                self._add_executor(record)
-                continue
-            if record.draining and not known.draining:
+                known = self._add_executor(record)
+            known.record = record
+            known.listed = True
+            known.missing_since = NEVER_LEAVES
+            if record.draining and known.leaves_at == NEVER_LEAVES:
                 self._books.log(
                     Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
                 )
                 known.leaves_at = now + record.remaining_s
-            known.record = record
-            known.listed = True
         for executor_id, known in list(self._books.executors.items()):
             if executor_id in listed:
                 continue
+            if known.missing_since == NEVER_LEAVES:
+                known.missing_since = now if known.listed else now + INHERITED_GRACE_S
             known.listed = False
             # One address serves one incarnation: its successor proves it gone.
             if addresses.get(known.record.address, executor_id) != executor_id:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -14,6 +14,11 @@
     from linkspan.shard.state import Attempt, JobRun
 
 
+NEVER_LEAVES = float("inf")
+"""Steady time at which an executor leaves that has not said that it will, or goes
+missing that is registered."""
+
+
 class UnackedEnd(NamedTuple):
     """An end that was acted on and may not be durable.
 
@@ -54,6 +59,7 @@
         leaves_at: Steady time at which it may leave, while it drains.
         unknown_runs: Whether it runs, or may run, what this shard knows no job of: how
             much room that takes is not known.
+        missing_since: Steady time since when its registration is taken for gone.
     """
 
     record: ExecutorRecord
@@ -68,8 +74,9 @@
     unacked: deque[UnackedEnd] = field(default_factory=deque)
     attempts: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     distrusted_until: float = NEVER
-    leaves_at: float = float("inf")
+    leaves_at: float = NEVER_LEAVES
     unknown_runs: bool = False
+    missing_since: float = NEVER_LEAVES
 
     _cpu: int = 0
     _best_effort_cpu: int = 0
--- a/tests/peer/test_peer.py
+++ b/tests/peer/test_peer.py
@@ -11,6 +11,8 @@
 
 from linkspan.config.store import ConfigState
 from linkspan.errors import BadFrame, Unreachable
+from linkspan.peer import link as peer_link
+from linkspan.peer import server as peer_server
 from linkspan.peer.codec import decode, encode
 from linkspan.peer.directory import PeerDirectory
 from linkspan.peer.framing import MAX_FRAME_BYTES, read_frame
@@ -30,6 +32,7 @@
 )
 from linkspan.peer.server import PeerServer
 from tests.builders import job
+from tests.standins.silent_proxy import SilentProxy
 
 TEXT = st.text(max_size=20)
 NUMBER = st.integers(0, 2**32 - 1)
@@ -133,6 +136,51 @@
         await link.ask(Ask("a"), timeout_s=1)
 
 
+async def test_a_link_that_went_silent_costs_one_question() -> None:
+    async def answer(message: Message) -> Message:
+        assert isinstance(message, Ask)
+        return Answer(message.job_id)
+
+    server = PeerServer(answer)
+    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    async with proxy.serve() as address:
+        link = PeerLink(address)
+        assert await link.ask(Ask("a"), timeout_s=5) == Answer("a")
+        proxy.silence()
+        with pytest.raises(Unreachable, match="did not answer"):
+            await link.ask(Ask("b"), timeout_s=0.1)
+        assert await link.ask(Ask("c"), timeout_s=5) == Answer("c")
+        assert proxy.accepted == 2
+        await link.close()
+    await server.stop()
+
+
+async def test_a_link_that_only_tells_is_opened_anew_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Heartbeats get no answer that would show whether they arrive."""
+    monkeypatch.setattr(peer_link, "RENEW_S", 0.2)
+    heard = asyncio.Event()
+
+    async def hear(message: Message) -> None:
+        heard.set()
+
+    server = PeerServer(hear)
+    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    async with proxy.serve() as address:
+        link = PeerLink(address)
+        await link.send(Ask("a"))
+        await asyncio.wait_for(heard.wait(), 5)
+        proxy.silence()
+        heard.clear()
+        async with asyncio.timeout(5):
+            while not heard.is_set():
+                await link.send(Ask("b"))
+                await asyncio.sleep(0.05)
+        await link.close()
+    await server.stop()
+
+
 def test_directory_orders_and_forgets() -> None:
     directory = PeerDirectory(silence_s=3.0, forget_s=10.0)
     directory.hear(Heartbeat("a", "scheduler", "h1", "x:1", config=5), 0.0)
@@ -142,3 +190,20 @@
     assert [p.beat.name for p in directory.live(4.0)] == ["c", "b"]
     assert directory.newest_config().beat.name == "c"
     assert directory.live(20.0) == [] and directory.all() == []
+
+
+async def test_a_connection_that_went_silent_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Those that the other side has given up would fill the server in the end."""
+    monkeypatch.setattr(peer_server, "SILENT_S", 0.2)
+
+    async def hear(message: Message) -> None:
+        return None
+
+    server = PeerServer(hear)
+    host, _, port = (await server.start("127.0.0.1", 0)).rpartition(":")
+    for sent in (b"", b"\x01\x00"):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        writer.close()
+    await server.stop()
