Judge in virtual time whether work of cancelled jobs ends in time

Asked for: a task must not run on after its job was cancelled, also one that an executor started late, and one whose starter was removed. The world had no caller that cancels, no stop that comes late, no host that is stopped as planned for good, and its judge did not look at cancels at all.

Added: `cancel`, `remove_host`, `forget_registration`, stops that come late as starts do, how late at most (the platform says 12 s), and a check every 0.1 s: a task of a cancelled job is gone 3 s and 0.9 s after the cancel was answered, or 3 s and 0.9 s after its start if that is later; only kills, cuts, lost executors and troubles of the store put this off, until 3 s after them. Late orders and planned stops of hosts put nothing off. A start that is carried out at once more than 3 s after the cancel is a fault, too.

Found: when all hosts of a hall are stopped as planned, nobody looks at its executors for 8 s and more, since another hall's host waits as long as for a silent owner, although the release says that there is none.

--- /dev/null
+++ b/tests/cancelling_days.py
@@ -0,0 +1,167 @@
+"""Days with troubles that overlap, for tests in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from tests.hall_world import HallWorld, step
+
+TROUBLES: dict[str, Callable[[HallWorld, Random], Awaitable[None]]] = {}
+"""Troubles by name; each ends by itself."""
+
+
+def trouble(
+    play: Callable[[HallWorld, Random], Awaitable[None]],
+) -> Callable[[HallWorld, Random], Awaitable[None]]:
+    """Register a trouble under its function's name."""
+    TROUBLES[play.__name__] = play
+    return play
+
+
+async def cancelling_day(seed: int, *, troubles: int = 10) -> HallWorld:
+    """Play a day on which callers cancel many of their jobs, amid troubles that overlap."""
+    world = HallWorld(
+        halls=("east", "west"), hosts_per_hall=3, seed=seed, failing_share=0.03, late_most_s=12.0
+    )
+    world.lists_machines = seed % 3 > 0
+    random = world.random
+    await world.begin()
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_call_and_cancel(world))
+        for _ in range(troubles):
+            await asyncio.sleep(random.uniform(0.2, 3.0))
+            name = random.choice(sorted(TROUBLES))
+            group.create_task(_play(name, world))
+    for name, _ in world.host_names():
+        if name not in world.hosts:
+            world.start_host(name)
+    world.trouble()
+    await asyncio.sleep(15.0)
+    return world
+
+
+async def _play(name: str, world: HallWorld) -> None:
+    await TROUBLES[name](world, world.random)
+
+
+async def _call_and_cancel(world: HallWorld) -> None:
+    async with asyncio.TaskGroup() as group:
+        for _ in range(30):
+            await asyncio.sleep(world.random.uniform(0.1, 1.2))
+            group.create_task(_one_call(world))
+
+
+async def _one_call(world: HallWorld) -> None:
+    random = world.random
+    if random.random() < 0.4:
+        spec = world.new_job(step(random.randint(2, 5), standing=True, max_per_executor=1))
+    else:
+        first = step(random.randint(1, 8), estimate_s=random.uniform(0.3, 20.0))
+        spec = world.new_job(first, step(2, depends_on=(0,)))
+    if not world.hosts or await world.submit(_any_host(world), spec) != 200:
+        return
+    await asyncio.sleep(random.choice((0.0, random.uniform(0.0, 1.0), random.uniform(1.0, 9.0))))
+    for _ in range(20):
+        if world.hosts and await world.cancel(_any_host(world), spec.job_id) == 200:
+            return
+        await asyncio.sleep(0.5)
+
+
+def _any_host(world: HallWorld) -> str:
+    return world.random.choice(sorted(world.hosts))
+
+
+@trouble
+async def late_orders(world: HallWorld, random: Random) -> None:
+    """Orders get no answer and are carried out seconds later."""
+    world.late_share = random.choice((0.05, 0.3, 0.7))
+    await asyncio.sleep(random.uniform(1.0, 6.0))
+    world.late_share = 0.0
+
+
+@trouble
+async def lost_answers(world: HallWorld, random: Random) -> None:
+    """Orders are carried out, and their answers lost."""
+    world.lost_answer_share = random.choice((0.05, 0.3))
+    await _last(world, random.uniform(1.0, 5.0))
+    world.lost_answer_share = 0.0
+
+
+@trouble
+async def owner_removed(world: HallWorld, random: Random) -> None:
+    """An owner is stopped as planned and does not come back."""
+    name = world.owner(random.choice((0, 1)))
+    if name and len(world.hosts) > 1:
+        await world.remove_host(name)
+
+
+@trouble
+async def owner_killed(world: HallWorld, random: Random) -> None:
+    """An owner is killed and is back seconds later, if ever."""
+    name = world.owner(random.choice((0, 1)))
+    if not name or len(world.hosts) < 2:
+        return
+    world.kill_host(name)
+    world.trouble()
+    if random.random() < 0.5:
+        await asyncio.sleep(random.uniform(0.3, 4.0))
+        if name not in world.hosts:
+            world.start_host(name)
+    world.trouble()
+
+
+@trouble
+async def store_away(world: HallWorld, random: Random) -> None:
+    """The store is silent, or refuses, towards some hosts or all."""
+    names = [name for name, _ in world.host_names()]
+    towards = random.choice((world.store.refusing, world.store.silent))
+    towards.update(random.choice((names, [random.choice(names)])))
+    await _last(world, random.uniform(1.0, 5.0))
+    towards.clear()
+
+
+@trouble
+async def records_lost(world: HallWorld, random: Random) -> None:
+    """The store drops its history but for the newest record of each key."""
+    for partition in list(world.store._logs):
+        world.store.forget(partition)
+    world.trouble()
+
+
+@trouble
+async def executor_crashed(world: HallWorld, random: Random) -> None:
+    """An executor is lost; another life of it comes at once or later."""
+    address = random.choice(sorted(world.executors))
+    if not world.executors[address].alive:
+        return
+    hall = world.executors[address].record.hall
+    world.crash_executor(address, back=False)
+    await _last(world, random.choice((0.0, 8.0)))
+    world.add_executor(hall, address)
+
+
+@trouble
+async def hall_cut(world: HallWorld, random: Random) -> None:
+    """A hall reaches neither the store nor the other hall, nor is reached."""
+    hall = random.choice(world.halls)
+    for name, at in world.host_names():
+        if at == hall:
+            world.store.silent.add(name)
+        for other in world.halls:
+            if other != at and hall in (at, other):
+                world.cut(name, other)
+    await _last(world, random.uniform(1.0, 7.0))
+    world.store.silent.clear()
+    world.cuts.clear()
+
+
+async def _last(world: HallWorld, seconds: float) -> None:
+    """Let a trouble last."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    world.trouble()
+    while loop.time() < until:
+        await asyncio.sleep(0.05)
+        world.trouble()
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -33,6 +33,18 @@
 QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
 HEARTBEAT_S = 1.5
 
+CONTACT_S = 3.0
+"""The platform's `contactMs`: how long a trouble excuses what comes after it."""
+
+CANCEL_S = 3.0
+"""The platform's `cancel_ms`: time from a cancel's answer to the last start."""
+
+STOP_S = 0.9
+"""The platform's `stop_ms`: longest time that a stop takes."""
+
+CANCEL_CHECK_S = 0.1
+"""Time between looks for work of cancelled jobs."""
+
 
 class Lines:
     """Log that keeps what is written."""
@@ -68,6 +80,7 @@
     max_lease_s: float = 10.0
     failing_share: float = 0.0
     late_share: float = 0.0
+    late_most_s: float = 8.0
     lost_answer_share: float = 0.0
     lists_machines: bool = True
     policy: PolicyService | None = None
@@ -82,7 +95,9 @@
         self.cuts: set[tuple[str, str]] = set()
         self.specs: dict[str, JobSpec] = {}
         self.accepted: set[str] = set()
-        self.cancelled: set[str] = set()
+        self.cancelled: dict[str, float] = {}
+        self.troubled_until = float("-inf")
+        self._overdue: set[TaskName] = set()
         self.done: set[TaskName] = set()
         self.done_acknowledged: set[TaskName] = set()
         self.failed: Counter[TaskName] = Counter()
@@ -107,6 +122,7 @@
             for index in range(self.executors_per_hall):
                 self.add_executor(hall, f"{hall}-{index}:1")
         self._beats = asyncio.create_task(self._beat())
+        self._checks = asyncio.create_task(self._check_cancelled())
         for name, _ in self.host_names():
             self.start_host(name)
         await asyncio.sleep(2.0)
@@ -154,6 +170,17 @@
     def kill_host(self, name: str) -> None:
         self.hosts.pop(name).task.cancel()
 
+    async def remove_host(self, name: str) -> None:
+        """Stop a host as planned; it does not come back."""
+        running = self.hosts[name]
+        await running.host.drain(notice_s=0.2, limit_s=3.0)
+        if self.hosts.get(name) is running:
+            self.kill_host(name)
+
+    def trouble(self) -> None:
+        """Note that something other than cancels, late orders and removals is going on."""
+        self.troubled_until = asyncio.get_running_loop().time()
+
     def add_executor(self, hall: str, address: str) -> MemoryExecutor:
         self._lives += 1
         record = ExecutorRecord(
@@ -184,6 +211,10 @@
         }
         self.store.put(EXECUTORS, record.executor_id.encode(), json.dumps(fields).encode())
 
+    def forget_registration(self, executor: MemoryExecutor) -> None:
+        """Drop an executor's entry while it serves on."""
+        self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -230,7 +261,7 @@
 
     def late_by(self) -> float:
         if self.late_share and self.random.random() < self.late_share:
-            return 2.0 + 6.0 * self.random.random()
+            return 2.0 + (self.late_most_s - 2.0) * self.random.random()
         return 0.0
 
     def loses_answer(self) -> bool:
@@ -259,6 +290,33 @@
         if self.failed[task] >= QUEUE.max_attempts and not self.step_of(task).standing:
             self.broken.append(f"{now:.2f} BUDGET {task}")
 
+    def judge_start_of_cancelled(self, task: TaskName) -> None:
+        """Judge a start that was carried out when it was ordered."""
+        now = asyncio.get_running_loop().time()
+        if now > self._cancel_counts_from(task.job_id) + CANCEL_S:
+            self.broken.append(f"{now:.2f} UNASKED {task} was started after its cancel")
+
+    async def _check_cancelled(self) -> None:
+        """Find tasks that run on after their job was cancelled, whoever started them."""
+        while True:
+            await asyncio.sleep(CANCEL_CHECK_S)
+            now = asyncio.get_running_loop().time()
+            for executor in self.executors.values():
+                executor.advance()
+                for run in executor.running.values() if executor.alive else ():
+                    if now > self._gone_by(run.task, run.began) and run.task not in self._overdue:
+                        self._overdue.add(run.task)
+                        self.broken.append(f"{now:.2f} UNASKED {run.task} runs on")
+
+    def _gone_by(self, task: TaskName, began: float) -> float:
+        """Return when a task must be gone: its start may have been carried out late."""
+        return max(self._cancel_counts_from(task.job_id) + CANCEL_S, began + CONTACT_S) + STOP_S
+
+    def _cancel_counts_from(self, job_id: str) -> float:
+        """Return when a job was cancelled, or when troubles were over long enough."""
+        cancelled = self.cancelled.get(job_id, float("inf"))
+        return max(cancelled, self.troubled_until + CONTACT_S)
+
     def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
         if kind is EndKind.DONE:
             self.done.add(task)
@@ -286,6 +344,14 @@
             self.accepted.add(spec.job_id)
         return answer.status
 
+    async def cancel(self, name: str, job_id: str) -> int:
+        """Cancel a job at a host and return the status."""
+        deadline = asyncio.get_running_loop().time() + 3.0
+        answer = await self.hosts[name].host.front.cancel(job_id, deadline)
+        if answer.status == 200:
+            self.cancelled.setdefault(job_id, asyncio.get_running_loop().time())
+        return answer.status
+
     async def state(self, name: str, job_id: str) -> str:
         answer = await self.hosts[name].host.front.show(job_id)
         return state_of(answer)
--- /dev/null
+++ b/tests/host/test_cancelled_work.py
@@ -0,0 +1,201 @@
+"""Work of cancelled jobs ends in time, however late it was started and whoever started it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tests.cancelling_days import cancelling_day
+from tests.hall_world import CANCEL_S, CONTACT_S, STOP_S, HallWorld, step
+from tests.virtual_time import run_virtual
+
+BOUND_S = CONTACT_S + CANCEL_S + STOP_S
+
+
+def running(world: HallWorld) -> int:
+    return sum(len(e.running) for e in world.executors.values() if e.alive)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("late_stops", [False, True])
+def test_a_start_carried_out_late_does_not_outlive_its_cancelled_job(
+    seed: int, late_stops: bool
+) -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(seed=seed, late_most_s=12.0)
+        await world.begin()
+        spec = world.new_job(step(12, estimate_s=30.0))
+        world.late_share = 0.7
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.3)
+        world.late_share = 0.9 if late_stops else 0.0
+        assert await world.cancel("east-host-1", spec.job_id) == 200
+        await asyncio.sleep(1.0)
+        world.late_share = 0.0
+        await asyncio.sleep(13.0)
+        assert running(world) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("planned", [False, True])
+def test_a_late_start_ends_though_its_starter_was_removed(seed: int, planned: bool) -> None:
+    """The next owner must find what a start that it never heard of brings."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(seed=seed, late_most_s=12.0)
+        await world.begin()
+        owner = world.owner()
+        assert owner
+        other = next(name for name in world.hosts if name != owner)
+        spec = world.new_job(step(12, estimate_s=30.0))
+        world.late_share = 0.7
+        assert await world.submit(other, spec) == 200
+        await asyncio.sleep(0.3)
+        assert await world.cancel(other, spec.job_id) == 200
+        if planned:
+            await world.remove_host(owner)
+        else:
+            world.kill_host(owner)
+        world.late_share = 0.0
+        await asyncio.sleep(14.0)
+        assert running(world) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_cancelled_work_ends_though_all_hosts_of_its_hall_were_removed() -> None:
+    """Another hall's host must claim the shard before the work is overdue."""
+
+    async def play(seed: int) -> HallWorld:
+        world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
+        await world.begin()
+        spec = world.new_job(step(12, estimate_s=30.0))
+        world.late_share = 0.3
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.4)
+        world.late_share = 0.0
+        hall = next(h for h in world.halls if any(running_in(world, h)))
+        for name in [name for name, at in world.host_names() if at == hall]:
+            await world.remove_host(name)
+        other = next(iter(world.hosts))
+        assert await world.cancel(other, spec.job_id) == 200
+        await asyncio.sleep(14.0)
+        assert running(world) == 0
+        return world
+
+    assert [run_virtual(play(seed)).problems for seed in range(4)] == [[], [], [], []]
+
+
+def running_in(world: HallWorld, hall: str) -> list[int]:
+    return [len(e.running) for e in world.executors.values() if e.record.hall == hall]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_cancelled_work_ends_after_all_hosts_of_its_hall_were_killed(seed: int) -> None:
+    """Until another hall takes over, its lease bounds it."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
+        await world.begin()
+        spec = world.new_job(step(12, estimate_s=30.0))
+        world.late_share = 0.3
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.4)
+        world.late_share = 0.0
+        hall = next(h for h in world.halls if any(running_in(world, h)))
+        for name in [name for name, at in world.host_names() if at == hall]:
+            world.kill_host(name)
+        other = next(iter(world.hosts))
+        assert await world.cancel(other, spec.job_id) == 200
+        until = asyncio.get_running_loop().time() + 8.0
+        while asyncio.get_running_loop().time() < until:
+            # Nobody of another hall may act for eight seconds.
+            world.trouble()
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(CANCEL_S + STOP_S)
+        assert running(world) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+async def lose_by_kill(world: HallWorld, hall: str) -> None:
+    owner = world.owner(world.halls.index(hall))
+    assert owner
+    world.kill_host(owner)
+
+
+async def lose_by_removal(world: HallWorld, hall: str) -> None:
+    owner = world.owner(world.halls.index(hall))
+    assert owner
+    await world.remove_host(owner)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("lose", [lose_by_kill, lose_by_removal])
+@pytest.mark.parametrize("home", [False, True])
+def test_borrowed_work_of_a_cancelled_job_ends(
+    seed: int, lose: Callable[[HallWorld, str], object], home: bool
+) -> None:
+    """Either shard's owner may go just as the job is cancelled."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
+        await world.begin()
+        spec = world.new_job(step(6, standing=True, max_per_executor=1))
+        world.late_share = 0.3
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(7.0 + seed)
+        assert all(any(running_in(world, hall)) for hall in world.halls)
+        place = next(r for r in world.hosts.values()).host.book.catalog.get(spec.job_id)
+        assert place and place.shard is not None
+        hall = world.halls[place.shard if home else 1 - place.shard]
+        names = [name for name in world.hosts if name not in (world.owner(0), world.owner(1))]
+        assert await world.cancel(names[0], spec.job_id) == 200
+        await lose(world, hall)
+        world.late_share = 0.0
+        await asyncio.sleep(14.0)
+        assert running(world) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize("gone", ["draining", "entry went"])
+@pytest.mark.parametrize("planned", [False, True])
+def test_cancelled_work_ends_on_an_executor_that_leaves(gone: str, planned: bool) -> None:
+    """Its registration is gone or says so, and the owner that knew it is gone, too."""
+
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(6, estimate_s=30.0))
+        assert await world.submit("east-host-0", spec) == 200
+        await asyncio.sleep(0.5)
+        for executor in world.executors.values():
+            if gone == "draining":
+                world.register(executor, draining=True)
+            else:
+                world.forget_registration(executor)
+        await asyncio.sleep(3.0)
+        owner = world.owner()
+        assert owner
+        other = next(name for name in world.hosts if name != owner)
+        assert await world.cancel(other, spec.job_id) == 200
+        await (lose_by_removal if planned else lose_by_kill)(world, "east")
+        await asyncio.sleep(CANCEL_S + STOP_S)
+        assert running(world) == 0
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_cancels_amid_troubles_leave_nothing_running(seed: int) -> None:
+    assert run_virtual(cancelling_day(seed), limit_s=400.0).problems == []
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -162,6 +162,8 @@
             loop.call_later(delay, self._start_late, executor, order, until_s)
             await self._no_answer()
         outcome = executor.start(order, until_s, self._token)
+        if outcome is StartOutcome.STARTED:
+            self._world.judge_start_of_cancelled(order.task)
         await self._answer()
         return StartAnswer(outcome, executor.clock)
 
@@ -174,10 +176,22 @@
 
     async def stop(self, address: str, order: StopOrder) -> bool:
         executor = await self._reach(address, order.executor_id)
+        delay = self._world.late_by()
+        if delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._stop_late, executor, order)
+            await self._no_answer()
         executor.stop(order, self._token)
         await self._answer()
         return True
 
+    def _stop_late(self, executor: MemoryExecutor, order: StopOrder) -> None:
+        if executor.alive:
+            try:
+                executor.stop(order, self._token)
+            except Fenced:
+                return
+
     async def pace(self, address: str, order: PaceOrder) -> bool:
         await self._reach(address, order.executor_id)
         return True
