Show that a tenure outlives the host that it belongs to

A candidate runs its tenure as a task of its own, and ending the candidate did not end it: it went on renewing leases and giving orders without reading jobs or owners any more, until its proof was 20 s old.

On a machine the process ends with its loops, so only an error in one of them could show this; in the virtual-time world each owner that was "killed" went on for a while as one that was cut off from the store.

--- a/tests/host/test_takeovers.py
+++ b/tests/host/test_takeovers.py
@@ -32,6 +32,22 @@
     assert all(len(times) == 1 for times in world.starts.values())
 
 
+def test_a_killed_host_renews_no_lease() -> None:
+    """What it owned ends with it, so that what ran there is over within a lease."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(hosts_per_hall=1)
+        await world.begin()
+        await world.submit("east-host-0", world.new_job(step(4, estimate_s=60.0)))
+        await asyncio.sleep(0.5)
+        world.kill_host("east-host-0")
+        await asyncio.sleep(1.05 * world.max_lease_s)
+        assert not any(e.running for e in world.executors.values())
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
 def test_a_host_that_was_cut_off_does_not_claim_at_once() -> None:
     """After a cut the silence of the owner may have been the host's own."""
 
