End a tenure with the candidate that runs it

Ruled out: late orders, lent tasks and the roster had no part in it; the task that ran on was looked at and renewed by the killed owner itself.

Change: a candidate that ends, by a cancel or by an error in one of its loops, ends its tenure.

Test: `test_a_killed_host_renews_no_lease`, red before, green now; `pytest tests/host tests/shard` pass. What the virtual-time world calls a killed owner is one from here on; owners that are cut off and live on are played by the cuts of stores and halls, as before.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -113,10 +113,14 @@
 
     async def run(self) -> None:
         """Watch and claim until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
-            group.create_task(self._claim_loop(group))
-            group.create_task(self._renew_loop())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follower.run())
+                group.create_task(self._claim_loop(group))
+                group.create_task(self._renew_loop())
+        finally:
+            # A tenure that nothing tells of newer owners must not go on giving orders.
+            self._end_tenure()
 
     async def hand_on(self) -> None:
         """Give the shard to another host before a planned stop."""
