Show that lengths are learnt with the pauses that we order

Tried before and taken back: runs that stand still for longer than a move would cost move to an executor with room at full speed (one at a time for each, jobs with hope only).

--- a/tests/shard/test_lengths.py
+++ b/tests/shard/test_lengths.py
@@ -105,3 +105,16 @@
     old, young = (core.jobs[name].runs[0].steps[0] for name in (JOB, OTHER))
     assert urgency(young, 60.0).hope is Hope.NONE
     assert urgency(old, 60.0) < urgency(young, 60.0)
+
+
+def test_a_run_that_was_slowed_teaches_its_length_at_full_speed() -> None:
+    """An objective counts work at full speed: our own pauses must not stretch it."""
+    core = core_with(step(1, estimate_s=1.0, best_effort=True, image="b"))
+    (order,) = plan(core, 0.1)
+    started(core, order, 0.1)
+    (attempt,) = core.executors[order.executor_id].best_effort()
+    for now, percent in ((0.5, 0), (6.5, 50), (8.5, 100)):
+        core.pace(attempt, percent, now)
+    end = EndedTask(1, order.task, order.run, EndKind.DONE, "")
+    report(core, order.executor_id, end, asked=9.0, now=9.1)
+    assert round(core.jobs[JOB].step_took_s[0], 3) == 2.0
