--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -155,7 +155,7 @@
         spec: What the caller asked for.
         tasks: Its tasks.
         left: Tasks that are not done.
-        durations: Running times of tasks that are done, in seconds.
+        durations: Running times at full speed of tasks that are done, in seconds.
         failed_runs: Numbers of a gang's runs that failed.
     """
 
--- a/tests/shard/builders.py
+++ b/tests/shard/builders.py
@@ -11,6 +11,7 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.shard.core import ShardCore
+from linkspan.shard.executor import ExecutorState
 from linkspan.shard.messages import (
     EndedTask,
     ExecutorRecord,
@@ -20,7 +21,8 @@
     StartOutcome,
 )
 from linkspan.shard.planner import Planner
-from tests.hall_world import QUEUE
+from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
+from tests.hall_world import QUEUE, step
 
 JOB = "00000000000000aa"
 
@@ -67,3 +69,13 @@
 
 def started(core: ShardCore, order: StartOrder, now: float) -> None:
     core.on_started(order, StartAnswer(StartOutcome.STARTED, now), now)
+
+
+def place(core: ShardCore, executor: ExecutorState, **fields: object) -> Attempt:
+    """Put a running task of a new step on an executor."""
+    job = ShardJob(submitted(step(1, **fields)), service="pool")
+    task = new_run(job, 0).steps[0].tasks[0]
+    attempt = Attempt(task, len(executor.attempts) + 1, executor.executor_id, Phase.RUNNING, 0.0)
+    task.attempts.append(attempt)
+    executor.add(attempt)
+    return attempt
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -9,23 +9,11 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from linkspan.shard.colocation import UNLOADED, ColocationBook, pressure_of
-from linkspan.shard.core import ShardCore
-from linkspan.shard.executor import ExecutorState
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
 from linkspan.shard.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
 from tests.hall_world import QUEUE, step
-from tests.shard.builders import JOB, core_with, plan, started, submitted
-
-
-def place(core: ShardCore, executor: ExecutorState, **fields: object) -> Attempt:
-    """Put a running task of a new step on an executor."""
-    job = ShardJob(submitted(step(1, **fields)), service="pool")
-    task = new_run(job, 0).steps[0].tasks[0]
-    attempt = Attempt(task, len(executor.attempts) + 1, executor.executor_id, Phase.RUNNING, 0.0)
-    task.attempts.append(attempt)
-    executor.add(attempt)
-    return attempt
+from tests.shard.builders import JOB, core_with, place, plan, started, submitted
 
 
 def figures(attempt: Attempt, pressure: float) -> None:
