--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, describe
@@ -112,10 +113,14 @@
 
     async def run(self) -> None:
         """Watch and claim until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
-            group.create_task(self._claim_loop(group))
-            group.create_task(self._renew_loop())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follower.run())
+                group.create_task(self._claim_loop(group))
+                group.create_task(self._renew_loop())
+        finally:
+            # A tenure that nothing tells of newer owners must not go on giving orders.
+            self._end_tenure()
 
     async def hand_on(self) -> None:
         """Give the shard to another host before a planned stop."""
@@ -168,6 +173,9 @@
             former=former.host if former else None,
             silent_s=round(silent, 2),
         )
+        # Another hall's ownership is looked at seldom, and its claim counts once it is read.
+        with suppress(StoreRefused, StoreUnanswered):
+            await self._follower.sync()
 
     def _offline_left(self, former: Owner | None, silent_s: float) -> float:
         """Return for how many more seconds a former owner may act unproved."""
