--- a/src/linkspan/shard/_ends.py
+++ b/src/linkspan/shard/_ends.py
@@ -75,7 +75,7 @@
         if task.done:
             return
         if attempt and attempt.confirmed_at > 0:
-            self._note_duration(executor, task, now - attempt.placed_at, now)
+            self._note_duration(executor, task, attempt.worked_by(now), now)
         if task.step.spec.gang:
             for member in task.step.tasks:
                 self._mark_done(member, now)
--- a/src/linkspan/shard/_orders.py
+++ b/src/linkspan/shard/_orders.py
@@ -90,7 +90,7 @@
                 attempt.confirmed_at = now
                 if attempt.pace < FULL_PACE:
                     # Every run starts at full speed.
-                    self.pace(attempt, attempt.pace)
+                    self.pace(attempt, attempt.pace, now)
             return
         self._books.log(
             Event.START_REFUSED,
@@ -184,10 +184,9 @@
         attempt.moved = True
         self._books.order_stop(attempt, now)
 
-    def pace(self, attempt: Attempt, percent: int) -> None:
+    def pace(self, attempt: Attempt, percent: int, now: float) -> None:
         """Let a run work at a share of full speed."""
-        attempt.pace = percent
-        attempt.pace_known = True
+        attempt.set_pace(percent, now)
         self._books.orders.append(
             PaceOrder(attempt.executor_id, attempt.task.name, attempt.run, percent)
         )
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -284,9 +284,9 @@
         """Stop an attempt so that its task continues elsewhere."""
         self._dispatch.stop(attempt, now, reason=reason)
 
-    def pace(self, attempt: Attempt, percent: int) -> None:
-        """Let a run work at a share of full speed."""
-        self._dispatch.pace(attempt, percent)
+    def pace(self, attempt: Attempt, percent: int, now: float) -> None:
+        """Let a run work at a share of full speed from now on."""
+        self._dispatch.pace(attempt, percent, now)
 
     def describe(self) -> dict[str, Any]:
         """Return counts for a log line."""
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -150,7 +150,7 @@
             disturbed=worst.task.step.spec.image if worst else None,
             latency_over_target=round(latency_ratio(worst) or 0.0, 2) if worst else None,
         )
-        self._core.pace(attempt, pace)
+        self._core.pace(attempt, pace, now)
 
 
 def _rounded(pace: int, present: int) -> int:
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -52,6 +52,8 @@
         confirmed_at: Steady time at which the executor confirmed it.
         pace: Share of full speed that it was ordered to work at, in percent.
         pace_known: Whether the executor is known to have taken that.
+        paced_at: Steady time at which that was ordered.
+        worked_s: Time of full speed that it had worked for by then.
         progress: How much of its work is done, in percent.
         progress_at: Steady time at which that last rose.
         usage: Last figure that the executor gave for it.
@@ -70,6 +72,8 @@
     confirmed_at: float = NEVER
     pace: int = FULL_PACE
     pace_known: bool = True
+    paced_at: float = NEVER
+    worked_s: float = 0.0
     progress: int = 0
     progress_at: float = NEVER
     usage: float | None = None
@@ -84,6 +88,18 @@
         """Name under which executors list it."""
         return self.task.name, self.run
 
+    def worked_by(self, now: float) -> float:
+        """Return how much time of full speed it has worked for, in seconds."""
+        since = max(self.placed_at, self.paced_at)
+        return self.worked_s + (now - since) * self.pace / FULL_PACE
+
+    def set_pace(self, percent: int, now: float) -> None:
+        """Let it work at a share of full speed from now on."""
+        self.worked_s = self.worked_by(now)
+        self.paced_at = now
+        self.pace = percent
+        self.pace_known = True
+
 
 @dataclass(slots=True, eq=False)
 class Task:
@@ -142,7 +158,7 @@
         spec: What the caller asked for.
         tasks: Its tasks.
         left: Tasks that are not done.
-        durations: Running times of tasks that are done, in seconds.
+        durations: Running times at full speed of tasks that are done, in seconds.
         failed_runs: Numbers of a gang's runs that failed.
     """
 
