Tell jobs that were read by keys in order of their records

Cause: listeners heard of them in the order of a set of texts, which differs from process to process.

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -125,12 +125,12 @@
 
     def _on_reset(self, entries: Sequence[Entry], end: int) -> None:
         job_of_key: dict[bytes, str | None] = {}
-        job_ids: set[str] = set()
+        job_ids: dict[str, None] = {}
         for entry in entries:
             job_id = self._apply(entry)
             job_of_key[entry.key] = job_id if entry.value else None
             if job_id:
-                job_ids.add(job_id)
+                job_ids[job_id] = None
         self.catalog.retain((j for j in job_of_key.values() if j), before=end)
         self._log.write(
             Event.JOBS_LISTED,
