--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -135,7 +135,7 @@
         if self._behind:
             await self._share_read()
         else:
-            await self._await_records()
+            await self._read_records(self.wait_s)
 
     async def _share_read(self) -> None:
         """Wait for the read that is under way, or begin one.
@@ -159,9 +159,6 @@
         else:
             await self._read_records(0.0)
 
-    async def _await_records(self) -> None:
-        await self._read_records(self.wait_s)
-
     async def _read_records(self, wait_s: float) -> None:
         asked = time.monotonic()
         try:
