--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -138,7 +138,7 @@
         if self._behind:
             await self._share_read()
         else:
-            await self._await_records()
+            await self._read_records(self.wait_s)
 
     async def _share_read(self) -> None:
         """Wait for the read that is under way, or begin one.
@@ -148,6 +148,7 @@
         reading = self._reading
         if reading is None or reading.done():
             reading = self._reading = asyncio.create_task(self._read())
+            reading.add_done_callback(_note_failure)
         try:
             await asyncio.shield(reading)
         except asyncio.CancelledError:
@@ -162,9 +163,6 @@
         else:
             await self._read_records(0.0)
 
-    async def _await_records(self) -> None:
-        await self._read_records(self.wait_s)
-
     async def _read_records(self, wait_s: float) -> None:
         asked = time.monotonic()
         try:
@@ -218,3 +216,12 @@
         if healthy != self._healthy:
             self._healthy = healthy
             self._on_health(healthy)
+
+
+def _note_failure(reading: asyncio.Task[None]) -> None:
+    """Count a failed read as seen, also where all who waited for it have left.
+
+    Those who wait are told, and the follower itself reads again and tells its health.
+    """
+    if not reading.cancelled():
+        reading.exception()
