--- a/tests/host/test_job_book.py
+++ b/tests/host/test_job_book.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from linkspan.host.job_book import JOBS, JobBook
-from linkspan.jobs.records import Moved, Submitted, encode
+from linkspan.jobs.records import Dropped, Moved, Submitted, encode
+from linkspan.store.types import Page, Partition
 from tests.hall_world import HallWorld, Lines, step
 from tests.standins.memory_store import READ_RECORDS, MemoryStore, StoreLink
 from tests.virtual_time import run_virtual
@@ -70,6 +71,76 @@
     assert run_virtual(play()) in ("queued", "running")
 
 
+def test_a_job_that_was_accepted_right_after_a_read_is_known() -> None:
+    """The view that was young enough for others did not hold the job yet."""
+
+    async def play() -> str:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(1))
+        await world.hosts["east-host-0"].host.book.refresh(fresh_s=0.0)
+        assert await world.submit("east-host-0", spec) == 200
+        return await world.state("east-host-0", spec.job_id)
+
+    assert run_virtual(play()) in ("queued", "running")
+
+
+def test_an_accepted_job_stays_known_over_a_read_that_was_asked_before() -> None:
+    """Forgotten then, it would be written a second time when a caller sends it again."""
+
+    async def play() -> tuple[bool, bool]:
+        store = MemoryStore()
+        book = JobBook(_SlowReads(store, "host"), "life-1", Lines())  # type: ignore[arg-type]
+        writing = asyncio.create_task(book.writer.run())
+        await book.refresh(fresh_s=0.0)
+        spec = HallWorld().new_job(step(1))
+        reading = asyncio.create_task(book.refresh(fresh_s=0.0))
+        await asyncio.sleep(READ_S / 2)
+        offset = await book.write([Submitted(spec, 0, 0.0, "life-1")])
+        book.note_accepted(spec.job_id, offset)
+        assert await reading
+        known = book.knows(spec.job_id), book.catalog.get(spec.job_id) is not None
+        writing.cancel()
+        return known
+
+    assert run_virtual(play()) == (True, False)
+
+
+def test_a_job_that_was_read_back_and_removed_is_not_known() -> None:
+    """What is kept of accepted jobs until they are read would grow without end."""
+
+    async def play() -> list[bool]:
+        store = MemoryStore()
+        book = JobBook(StoreLink(store, "host"), "life-1", Lines())  # type: ignore[arg-type]
+        writing = asyncio.create_task(book.writer.run())
+        spec = HallWorld().new_job(step(1))
+        offset = await book.write([Submitted(spec, 0, 0.0, "life-1")])
+        book.note_accepted(spec.job_id, offset)
+        known = [book.knows(spec.job_id)]
+        await book.refresh(fresh_s=0.0)
+        store.put(JOBS, *encode(Dropped("s", spec.job_id, "life-1")))
+        await book.refresh(fresh_s=0.0)
+        known.append(book.knows(spec.job_id))
+        # An answer to the write that comes after the record was read back.
+        book.note_accepted(spec.job_id, offset)
+        known.append(book.knows(spec.job_id))
+        writing.cancel()
+        return known
+
+    assert run_virtual(play()) == [True, False, False]
+
+
+READ_S = 0.1
+"""Time that the answer to a read takes on its way back."""
+
+
+class _SlowReads(StoreLink):
+    async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
+        page = await super().read(partition, start, wait_s=wait_s)
+        await asyncio.sleep(READ_S)
+        return page
+
+
 def _shard(book: JobBook, job_id: str) -> int | None:
     entry = book.catalog.get(job_id)
     return entry.shard if entry else None
