Show a listing that is applied over newer state; fails

Cause: Follower._list_keys applies what it listed and sets the offset to its end, also where the follower's other reader has read past that end meanwhile: only the listings wait for each other, reads do not. It takes a gap that one reader met while the other's answer was on its way, and a listing whose last answer is overtaken. The offset goes back, and older records are applied and told as present until they are read again. Class: older state over newer, as in the double start. Ruled out as its cause: an owner that starts has no offset to go on from. Change: the test only. Conclusion: red until the mend; rare, and the catalog of jobs bears it, since its records fold in any order but those of loans.

--- a/tests/store/test_listing.py
+++ b/tests/store/test_listing.py
@@ -269,3 +269,27 @@
 
     read, newest = run_virtual(play())
     assert read == newest
+
+
+def test_a_listing_that_another_reader_has_passed_is_not_applied() -> None:
+    """An older listing over newer state: the offset went back, and what was known with it."""
+
+    async def play() -> tuple[list[int], list[dict[bytes, bytes]]]:
+        store = MemoryStore()
+        filled(store, keys=3)
+        link = OvertakenLink(store)
+        reader = Reader(link)
+        work = asyncio.create_task(reader.follower.run())
+        await asyncio.sleep(0.5)
+        link.gap = True
+        late = asyncio.create_task(reader.follower.sync())
+        await asyncio.sleep(SECOND_PAGE_S / 2)
+        store.put(KEYED, b"k000", b"new")
+        await late
+        work.cancel()
+        return reader.offsets, reader.caught_up
+
+    offsets, caught_up = run_virtual(play())
+    assert offsets == sorted(offsets)
+    values = [state[b"k000"] for state in caught_up]
+    assert values == sorted(values, key=[b"old", b"new"].index)
