--- a/tests/peer/test_peer.py
+++ b/tests/peer/test_peer.py
@@ -32,7 +32,7 @@
 )
 from linkspan.peer.server import PeerServer
 from tests.builders import job
-from tests.standins.silent_proxy import SilentProxy
+from tests.standins.fault_proxy import FaultProxy
 
 TEXT = st.text(max_size=20)
 NUMBER = st.integers(0, 2**32 - 1)
@@ -142,7 +142,7 @@
         return Answer(message.job_id)
 
     server = PeerServer(answer)
-    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    proxy = FaultProxy(await server.start("127.0.0.1", 0))
     async with proxy.serve() as address:
         link = PeerLink(address)
         assert await link.ask(Ask("a"), timeout_s=5) == Answer("a")
@@ -166,7 +166,7 @@
         heard.set()
 
     server = PeerServer(hear)
-    proxy = SilentProxy(await server.start("127.0.0.1", 0))
+    proxy = FaultProxy(await server.start("127.0.0.1", 0))
     async with proxy.serve() as address:
         link = PeerLink(address)
         await link.send(Ask("a"))
