Take an executor for gone only where two lists of machines leave it out

Cause: one list that left an executor out and one call without an answer counted as proof that its incarnation had ended. Ruled out: dropping the quick look; crashes would be found a second later. Change: it takes two lists. Where an executor is silent, the second one is asked for after 0.25 s instead of 1 s, for such executors alone. Figures: tests/host/test_machine_lists.py, seen failing (a task at once on two executors), passes; tests/shard, tests/host/test_hall_world.py and tests/host/test_registrations.py pass. Whether the platform's lists ever leave a machine out was not seen. Cost: a crash is found 0.25 s later, by one call more.

--- a/src/linkspan/shard/_watch.py
+++ b/src/linkspan/shard/_watch.py
@@ -40,6 +40,10 @@
 """Time between looks at the machine service: an executor that crashed is found
 sooner than by its silence, which takes up to three seconds."""
 
+MACHINES_AGAIN_S = 0.25
+"""The same where a list left out an executor that is silent: it takes a second list to
+believe it, and what ran there waits for that."""
+
 
 class ExecutorWatch:
     """Keeps one look open at each executor and renews the leases there.
@@ -90,10 +94,9 @@
         """Find executors whose machine is gone, where a machine service tells."""
         watch = MachineWatch()
         while self._machines:
-            await asyncio.sleep(MACHINES_S)
-            executors = self._core.executors.values()
-            known = {e.executor_id for e in executors if e.rostered}
-            silent = {e.executor_id for e in executors if e.silent_since is not None}
+            suspects = watch.missed & self._silent()
+            await asyncio.sleep(MACHINES_AGAIN_S if suspects else MACHINES_S)
+            known = suspects or self._rostered()
             if not known:
                 continue
             try:
@@ -101,10 +104,17 @@
             except Unreachable:
                 # Only a help: leases tell in the end.
                 continue
-            for executor_id in watch.gone(machines, known, silent):
+            for executor_id in watch.gone(machines, known):
                 self._core.on_gone(executor_id, time.monotonic(), "machine lists it no more")
                 self._changes.news()
 
+    def _rostered(self) -> set[str]:
+        return {e.executor_id for e in self._core.executors.values() if e.rostered}
+
+    def _silent(self) -> set[str]:
+        executors = self._core.executors.values()
+        return {e.executor_id for e in executors if e.silent_since is not None}
+
     async def _watch(self, executor: ExecutorState) -> None:
         pause = RETRY_S
         while self._core.executors.get(executor.executor_id) is executor:
--- a/src/linkspan/shard/machines.py
+++ b/src/linkspan/shard/machines.py
@@ -48,8 +48,8 @@
     """Finds incarnations that the machine service lists no more.
 
     An executor that is only cut off stays listed, so one that is not listed has
-    ended. A list may be made just before an executor registers, so it takes a
-    second list, or silence, to believe it.
+    ended. One list proves nothing: it may be made just before an executor registers,
+    and its pages are no snapshot. It takes two in a row.
     """
 
     def __init__(self) -> None:
@@ -58,19 +58,21 @@
     def __repr__(self) -> str:
         return f"MachineWatch({len(self._missed)} missed)"
 
-    def gone(
-        self, machines: tuple[MachineRecord, ...], known: set[str], silent: set[str]
-    ) -> set[str]:
+    @property
+    def missed(self) -> frozenset[str]:
+        """Executors that the last list they were looked for in left out."""
+        return frozenset(self._missed)
+
+    def gone(self, machines: tuple[MachineRecord, ...], known: set[str]) -> set[str]:
         """Return the executors that have ended.
 
         Args:
-            machines: A list that was asked for after ``silent`` was made.
-            known: Executors to look for.
-            silent: Those of them that gave no answer.
+            machines: A list, made after all of the executors were known.
+            known: Executors to look for; what is known of others stays as it is.
         """
         if not machines:
             return set()
         missing = known - {machine.executor_id for machine in machines}
-        gone = missing & (self._missed | silent)
-        self._missed = missing - gone
+        gone = missing & self._missed
+        self._missed = (self._missed - known) | (missing - gone)
         return gone
