--- a/src/linkspan/shard/machines.py
+++ b/src/linkspan/shard/machines.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
 
 
 class MachineState(Enum):
@@ -63,7 +66,7 @@
         """Executors that the last list they were looked for in left out."""
         return frozenset(self._missed)
 
-    def gone(self, machines: tuple[MachineRecord, ...], known: set[str]) -> set[str]:
+    def gone(self, machines: tuple[MachineRecord, ...], known: AbstractSet[str]) -> set[str]:
         """Return the executors that have ended.
 
         Args:
@@ -72,7 +75,7 @@
         """
         if not machines:
             return set()
-        missing = known - {machine.executor_id for machine in machines}
+        missing = set(known) - {machine.executor_id for machine in machines}
         gone = missing & self._missed
         self._missed = (self._missed - known) | (missing - gone)
         return gone
