Judge an executor's first report by job records read after it

Cause: a new owner reads the job records, and then asks the executors. A former owner that does not know yet that it is one may in between write that a job is done and let the executor forget the end. The new owner, if it does not hear of that in time, finds the run neither running nor ended and starts the task again. Class: two views of one state, read at different times, taken as of one time. Ruled out: a longer wait before the first plan; it bounds nothing. Change: the first report of an executor counts as whole only if the job records were read to their end after it. All first looks of a takeover share that read. Figures: tests/host/test_end_beside_recovery.py, seen failing (run 18 of a task that was done), passes. Cost: one read more for each takeover; while the store does not answer a new owner, work that it inherited waits, at most until the former owner's leases have ended.

--- a/src/linkspan/shard/_watch.py
+++ b/src/linkspan/shard/_watch.py
@@ -36,6 +36,10 @@
 MAX_RETRY_S = 0.6
 """Longest pause between calls to a silent executor."""
 
+FIRST_REFRESH_S = 3.5
+"""Longest wait for the job records behind an executor's first report: a slow link
+brings a read in three seconds, and the shortest lease lasts six."""
+
 MACHINES_S = 1.0
 """Time between looks at the machine service: an executor that crashed is found
 sooner than by its silence, which takes up to three seconds."""
@@ -158,7 +162,7 @@
             self._core.on_silent(executor.executor_id, time.monotonic())
             self._changes.news()
             return False
-        report = await self._known_part(report)
+        report = await self._known_part(report, first=not executor.adopted)
         now = time.monotonic()
         self._count_ends(executor, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
@@ -166,14 +170,22 @@
         self._changes.news()
         return True
 
-    async def _known_part(self, report: ExecutorReport) -> ExecutorReport:
+    async def _known_part(self, report: ExecutorReport, *, first: bool) -> ExecutorReport:
         """Return what a report says of jobs whose records were read up to it.
 
         A former owner may have started a job that was accepted just now: taken for
-        unknown, it would be started once more when its record is read.
+        unknown, it would be started once more when its record is read. It may also have
+        ended a job and let the executor forget that: what the first report of an
+        executor does not name counts as not run only by records read after it.
         """
         unknown = self._core.unknown(report.job_ids)
-        if not unknown or await self._book.refresh(fresh_s=0.0):
+        if not unknown and not first:
+            return report
+        if first:
+            read = await self._book.refresh(fresh_s=0.0, limit_s=FIRST_REFRESH_S)
+        else:
+            read = await self._book.refresh(fresh_s=0.0)
+        if read:
             return report
         return report.without(unknown)
 
