Lose no loan to a record that is done late

Cause: a record of loans replaced the one before, in the order in which the store did them. An append of a former owner may be done seconds after its successor's; it names fewer loans, and the others were then nobody's: the lender took them for looked after, the borrower for none of its own. Class: an older part of a state applied over a newer one. Change: loans of a record join those that are known; numbers tell them apart, and a return takes one back. The same for returns. What is left: a host that starts later and reads by keys sees the late record alone, until the lender's next owner tells again what it has out.

--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -119,9 +119,9 @@
             if entry.moved is None or entry.moved[1] < offset:
                 entry.moved = (record.shard, offset)
         elif isinstance(record, Lent):
-            entry.lent[record.shard] = record.loans
+            entry.lent[record.shard] = _joined(entry.lent, record)
         elif isinstance(record, Returned):
-            entry.returned[record.shard] = record.loans
+            entry.returned[record.shard] = _joined(entry.returned, record)
         elif isinstance(record, Cancelled):
             entry.cancelled = True
         elif isinstance(record, Begun):
@@ -183,3 +183,12 @@
         entry = self._jobs.pop(job_id, None)
         if entry and entry.submitted:
             self._waiting.get(entry.submitted.spec.queue, set()).discard(job_id)
+
+
+def _joined(known: dict[int, tuple[Loan, ...]], record: Lent | Returned) -> tuple[Loan, ...]:
+    """Return the loans of a record and those known before.
+
+    Loans are numbered and none is taken back but by its return, so nothing is lost if a
+    record that was written earlier is done later than its successor.
+    """
+    return tuple(dict.fromkeys((*known.get(record.shard, ()), *record.loans)))
