Test that a lull does not make the next burst hopeless

Found while tracing refusals: the answers a second that a pool gave lately bound what it is taken to give, although a service that is seldom asked answers seldom. Seen failing: after four requests in four seconds, each answered in 20 ms, the third of 60 that arrive at once beyond the 8 slots was refused as too late for a deadline of 3 s; all could be served in 0.2 s.

--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -146,6 +146,18 @@
     assert [type(result) for result in results] == [Queued] * 11
 
 
+def test_a_lull_does_not_make_the_next_burst_hopeless() -> None:
+    """A service that is seldom asked answers seldom, however fast it is."""
+    pool = _pool(queue=100)
+    for n in range(4):
+        assigned = pool.arrive(n, n + 3.0, float(n))
+        assert isinstance(assigned, Assigned)
+        pool.answered(assigned.executor, 0.02, n + 0.02)
+    results = [pool.arrive(10 + n, 7.0, 4.0) for n in range(60)]
+    kinds = [type(result) for result in results]
+    assert kinds == [Assigned] * 8 + [Queued] * 52
+
+
 def test_no_executor_is_told_so() -> None:
     pool = _pool()
     pool.set_executors({}, frozenset())
