Forget a pool's rate when it has nothing left to do

Cause: the rate at which answers left in the last 5 s bounds what a pool is taken to give, also where it came from a time with few requests.

Change: a pool that has nothing in flight and nothing queued forgets the rate; until new answers tell, what its slots can do at the learnt latencies stands (as where nothing was measured yet).

test_a_lull_does_not_make_the_next_burst_hopeless failed before and passes; tests/routing: 19 passed. What is left: a service that always has something in flight, but little, is still taken to give as little as it is asked for; a burst then waits by a reckoning that is too long.

--- a/src/linkspan/routing/drain_rate.py
+++ b/src/linkspan/routing/drain_rate.py
@@ -24,6 +24,10 @@
         """Count a completion at this time, in seconds."""
         self._times.append(now)
 
+    def forget(self) -> None:
+        """Begin anew: what was seen tells nothing of what could have left."""
+        self._times.clear()
+
     def per_second(self, now: float) -> float:
         """Return completions a second, 0 when there were none lately."""
         while self._times and self._times[0] < now - self._window_s:
--- a/src/linkspan/routing/pool.py
+++ b/src/linkspan/routing/pool.py
@@ -299,6 +299,9 @@
         if executor is None:
             return None
         executor.in_flight -= 1
+        if not self.in_flight and not self._queue:
+            # Answers before a lull are as few as the requests were.
+            self._drain.forget()
         return executor
 
     def _pick(self, now: float, avoid: str = "") -> Executor | None:
