Soak: a reset tells what a host had not read; other cuts count from 0.4 s

Cause: a request that was cut within a second counted as one that met a closing connection, so a drain that was taken out (the process ends at once at SIGTERM) was not noticed.

Change: what the host had not read is reset by its system, however late; any other end counts as a cut from 0.4 s on, twice the users' bound.

--- a/soak/keepers.py
+++ b/soak/keepers.py
@@ -14,9 +14,9 @@
 from soak.processes import HostProcess
 from soak.world import VERSION_STEP, World
 
-CLOSING_SLACK_S = 1.0
-"""A connection may end this long after a request was sent on it, unread: five times the
-users' bound, since a busy machine may hold the request up in the socket."""
+CLOSING_SLACK_S = 0.4
+"""A connection that was closed may be found so this long after a request was sent on it:
+twice the users' bound. What the host had not read is reset instead, however late."""
 
 HARM_S = 3.0
 """Time after a kill or a pause in which a cut request is no planned stop's doing."""
@@ -89,10 +89,10 @@
                     head = await reader.readuntil(b"\r\n\r\n")
                     await reader.readexactly(_length(head))
             except asyncio.IncompleteReadError as error:
-                self._judge_cut(sent, bool(head or error.partial))
+                self._judge_cut(sent, began=bool(head or error.partial))
                 return
             except OSError:
-                self._judge_cut(sent, bool(head))
+                self._judge_cut(sent, began=bool(head), unread=not head)
                 return
             except TimeoutError:
                 self._judge_silence(sent)
@@ -129,11 +129,11 @@
         )
         return "\r\n".join((*lines, "", "")).encode()
 
-    def _judge_cut(self, sent: float, began: bool) -> None:
+    def _judge_cut(self, sent: float, *, began: bool, unread: bool = False) -> None:
         took = time.monotonic() - sent
         if self._host.harmed_at > sent - HARM_S:
             return
-        if not began and took <= CLOSING_SLACK_S:
+        if unread or (not began and took <= CLOSING_SLACK_S):
             self._tally.closed += 1
             return
         part = "in its answer" if began else "without an answer"
