Keep the pages of a recovery's listing, and read the job records last

Cause: a new owner listed the shard's progress in one call; a page that broke off threw all before it away. Where a listing has two pages and every second one fails, it never ended. Besides, the records of jobs were read before the registrations, so they were as old as that read took when jobs were taken in. Change: Recovery reads a Listing, which goes on after the last page that came, and reads the job records last. The test of a job that ends beside a recovery waits for the reads in their new order, and ends the job just after the last one is answered; with the mend that it guards taken out it fails, as before.

--- a/src/linkspan/shard/_recovery.py
+++ b/src/linkspan/shard/_recovery.py
@@ -6,12 +6,13 @@
 import time
 from typing import TYPE_CHECKING, TypeVar
 
-from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
+from linkspan.errors import LogGap, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.records import Lent, Returned
 from linkspan.shard._watch import RETRY_S
 from linkspan.shard.leases import inherited_lapse
 from linkspan.shard.progress import ROSTER_KEY, decode_roster, moved_to, parse_key
+from linkspan.store.listing import Listing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -82,10 +83,10 @@
             Fenced, ProducerFenced, ProducerGap: A newer owner writes already.
         """
         await self._until_stored(self._fence_former)
-        page = await self._until_stored(lambda: self._store.newest(self._partition))
-        await self._until_stored(self._book.follower.sync)
+        records = await self._read_progress()
         await self._until_stored(self._registry.follower.sync)
-        records = {entry.key: entry.value for entry in page.entries if entry.value}
+        # Last, so that nothing is taken in on an older view of the jobs.
+        await self._until_stored(self._book.follower.sync)
         now = time.monotonic()
         core = self._core
         if self._configuration.current:
@@ -110,6 +111,19 @@
         self._watch.watch_all()
         self._changes.news()
 
+    async def _read_progress(self) -> dict[bytes, bytes]:
+        """Return the records of the shard; pages that came are kept over failures."""
+        listing = Listing(self._store, self._partition)
+        while True:
+            try:
+                await self._until_stored(listing.read)
+            except LogGap:
+                # What was written meanwhile, by this tenure's fence, is gone already.
+                listing = Listing(self._store, self._partition)
+                continue
+            newest = {entry.key: entry.value for entry in listing.entries}
+            return {key: value for key, value in newest.items() if value}
+
     async def _fence_former(self) -> None:
         await self._writer.write([])
 
--- a/tests/host/test_end_beside_recovery.py
+++ b/tests/host/test_end_beside_recovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextvars import Context
 from typing import Any
 
 from linkspan.host.job_book import JOBS
@@ -16,7 +17,7 @@
 from tests.virtual_time import run_virtual
 
 PROGRESS = Partition("progress", 0, keyed=True)
-RECOVERY = [PROGRESS, JOBS, EXECUTORS]
+RECOVERY = [PROGRESS, EXECUTORS, JOBS]
 """What a new owner reads, in order."""
 
 AWAY_S = 1.5
@@ -95,5 +96,6 @@
         if self._awaited and partition == self._awaited[0]:
             self._awaited.pop(0)
             if not self._awaited:
-                self._call()
+                # Just after the answer to that read is made up.
+                asyncio.get_running_loop().call_soon(self._call, context=Context())
         return super().log(partition)
