--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from linkspan.shard.messages import TaskName
 from tests.hall_world import EXECUTORS, HallWorld, step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
@@ -290,3 +291,55 @@
         return world
 
     assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_lapses_among_other_troubles_break_no_promise(seed: int) -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(executors_per_hall=5, seed=seed, lists_machines=seed % 2 == 0)
+        await begin(world, standing=4)
+        jobs = asyncio.create_task(_keep_running(world))
+        for _ in range(8):
+            await asyncio.sleep(world.random.uniform(0.2, 3.0))
+            await _trouble(world)
+        await jobs
+        await asyncio.sleep(30.0)
+        assert sum(world.step_of(task).standing for task in running(world)) == 4
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def running(world: HallWorld) -> list[TaskName]:
+    return [task for e in world.executors.values() if e.alive for task in e.running]
+
+
+async def _keep_running(world: HallWorld) -> None:
+    for _ in range(20):
+        await asyncio.sleep(world.random.uniform(0.2, 1.5))
+        if world.hosts:
+            spec = world.new_job(step(3, estimate_s=world.random.uniform(0.3, 4.0)))
+            await world.submit(world.random.choice(sorted(world.hosts)), spec)
+
+
+async def _trouble(world: HallWorld) -> None:
+    kind = world.random.choice(("lapse", "lapse", "leave", "leave", "kill owner", "store away"))
+    if kind == "kill owner":
+        name = world.owner()
+        if name:
+            world.kill_host(name)
+            world.start_host(name)
+        return
+    victims = world.random.sample([e for e in world.executors.values() if e.alive], 2)
+    if kind == "store away":
+        world.store.refusing.update(name for name, _ in world.host_names())
+    for executor in victims if kind != "leave" else victims[:1]:
+        lapse(world, executor)
+    await asyncio.sleep(world.random.uniform(1.0, 8.0))
+    world.store.refusing.clear()
+    if kind == "leave":
+        world.crash_executor(victims[0].record.address)
+        return
+    await asyncio.sleep(world.random.uniform(0.1, BACK_S))
+    for executor in victims:
+        world.register(executor)
