--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -31,6 +31,10 @@
         "tests/soak/test_standins.py",
     ),
     11: Regression("REFUSED by the judge: a caller that left in the midst counted as refused"),
+    1018: Regression(
+        "TWICE by the judge: an end that was hidden by a lapsed lease counted as taken note of",
+        "tests/soak/test_judge.py",
+    ),
     1002: Regression(
         "LIMIT: a run of a job that had ended takes no room in a new owner's books",
         "tests/shard/test_unknown_runs.py",
--- a/soak/run.py
+++ b/soak/run.py
@@ -155,6 +155,8 @@
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
         outcome.starts = sum(map(len, observed.started_at.values()))
         outcome.questions, outcome.closed = self._tally.answered, self._tally.closed
+        if not (outcome.accepted and outcome.starts and outcome.questions):
+            outcome.broken.append("EMPTY nothing was served in the whole run")
 
     def _crashes(self) -> list[str]:
         """Return errors that hosts logged and did not expect."""
