--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -38,13 +38,11 @@
     1002: Regression(
         "LIMIT: a run of a job that had ended takes no room in a new owner's books",
         "tests/shard/test_unknown_runs.py",
-        mended=False,
     ),
     1004: Regression(
         "TWICE: ends behind one of an unread job are left out of a report while the store is "
         "away, and their runs are taken for lost",
         "tests/shard/test_cut_reports.py",
-        mended=False,
     ),
 }
 """By seed; sizes are those that go with the seed, ``REGRESSION_S`` of faults."""
