--- a/soak/world.py
+++ b/soak/world.py
@@ -50,7 +50,6 @@
         self._stack = AsyncExitStack()
         self._ports: dict[str, int] = {}
         self._halls: dict[str, str] = {}
-        self.began = time.monotonic()
         self.hosts: dict[str, HostProcess] = {}
         self.callers: dict[str, FaultProxy] = {}
         self.store_links: dict[str, FaultProxy] = {}
