Draw standing work, drains and planned stops among troubles that overlap

At the end each task of a standing job has to be at work. A recovery whose listing met a gap waits before it lists anew.

--- a/src/linkspan/shard/_recovery.py
+++ b/src/linkspan/shard/_recovery.py
@@ -120,6 +120,7 @@
             except LogGap:
                 # What was written meanwhile, by this tenure's fence, is gone already.
                 listing = Listing(self._store, self._partition)
+                await asyncio.sleep(RETRY_S)
                 continue
             newest = {entry.key: entry.value for entry in listing.entries}
             return {key: value for key, value in newest.items() if value}
--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from linkspan.jobs.spec import JobSpec
+from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld, step
 
 TROUBLES_FROM_S = 3.0
@@ -22,6 +23,9 @@
 CALM_S = 30.0
 """Time after the traffic in which all that was accepted is to end."""
 
+STANDING_JOBS = 3
+"""Jobs of a day whose tasks last."""
+
 VISIBLE_S = 3.0
 """Time after its acceptance from which every host knows a job."""
 
@@ -60,6 +64,7 @@
         self.random = Random(seed * 7919 + 1)
         self._jobs_per_s = jobs_per_s
         self._troubles = troubles
+        self._standing = 0
         self.told: list[str] = []
 
     async def play(self) -> HallWorld:
@@ -92,6 +97,10 @@
 
     def _job(self) -> JobSpec:
         random = self.random
+        if self._standing < STANDING_JOBS and random.random() < 0.1:
+            # More tasks than a hall has executors, so that some are lent.
+            self._standing += 1
+            return self.world.new_job(step(5, cpu=400, standing=True, max_per_executor=1))
         if random.random() < 0.6:
             first = step(random.randint(2, 6), estimate_s=random.uniform(0.3, 1.0))
         else:
@@ -153,10 +162,21 @@
     async def _ask_for_all(self) -> None:
         world = self.world
         for job_id in sorted(world.accepted):
+            steps = world.specs[job_id].steps
+            right = ("running",) if steps[0].standing else ("succeeded", "failed")
             for name in sorted(world.hosts):
                 state = await world.state(name, job_id)
-                if state not in ("succeeded", "failed"):
+                if state not in right:
                     world.broken.append(f"LOST {job_id} is {state} at {name}")
+            if steps[0].standing:
+                self._find_standing(job_id, steps[0].count)
+
+    def _find_standing(self, job_id: str, count: int) -> None:
+        executors = [e for e in self.world.executors.values() if e.alive]
+        running = {task for e in executors for task in e.running if task.job_id == job_id}
+        for index in range(count):
+            if TaskName(job_id, 0, 0, index) not in running:
+                self.world.broken.append(f"LOST task {index} of {job_id} does not run")
 
 
 @trouble
@@ -246,3 +266,29 @@
     address = day.random.choice(sorted(day.world.executors))
     if day.world.executors[address].alive:
         day.world.crash_executor(address)
+
+
+@trouble
+async def roll(day: OverlappingDay) -> None:
+    """Hosts are stopped as planned and started again, one after the other."""
+    for name, _ in day.world.host_names():
+        if name not in day.world.hosts:
+            continue
+        await day.world.remove_host(name)
+        await day.last(0.1, 0.6)
+        if name not in day.world.hosts:
+            day.world.start_host(name)
+
+
+@trouble
+async def drain_executors(day: OverlappingDay) -> None:
+    """Executors say that they leave, serve on for a while and end; others come."""
+    world = day.world
+    for address in day.random.sample(sorted(world.executors), 2):
+        executor = world.executors[address]
+        if not executor.alive:
+            continue
+        world.register(executor, draining=True)
+        await day.last(2.0, 4.0)
+        if world.executors[address] is executor:
+            world.crash_executor(address)
