Show that tasks of a job that moved away cannot be lent back; listed as red

Cause: an owner keeps the ids of jobs that left its shard, so that older records do not bring them back. A job that it moved to another hall whole, and of which that hall later lends tasks to it, counts as such: the loan is not taken, and the lender takes the tasks for looked after until the shard has another owner.

--- a/tests/host/test_handover.py
+++ b/tests/host/test_handover.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from linkspan.host.job_book import JOBS
+from linkspan.jobs.records import Submitted, encode
 from tests.hall_world import HallWorld, step
 from tests.virtual_time import run_virtual
 
@@ -99,3 +101,26 @@
         if hall != "east" and any(name.job_id == job_id for name in executor.running):
             return hall
     raise AssertionError("nothing was lent")
+
+
+def test_tasks_of_a_job_that_moved_away_can_be_lent_back() -> None:
+    """The hall that the job came from took no loan of it: nobody looked after those tasks."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(halls=("east", "west"))
+        await world.begin()
+        full = world.new_job(step(3, cpu=8_000, estimate_s=4.0))
+        await world.submit("east-host-0", full)
+        await asyncio.sleep(1.0)
+        spec = world.new_job(step(3, standing=True, max_per_executor=1))
+        world.specs[spec.job_id] = spec
+        world.store.put(JOBS, *encode(Submitted(spec, 0, 0.0, "life-x")))
+        await asyncio.sleep(6.0)
+        assert [row["tasks"] for row in world.log.named("WORK_HANDED_OVER")] == ["all"]
+        assert running(world, spec.job_id) == 3
+        world.crash_executor("west-0:1", back=False)
+        await asyncio.sleep(8.0)
+        assert running(world, spec.job_id) == 3
+        return world
+
+    assert run_virtual(play()).problems == []
