Take loans of a job that moved away

Class: an id kept against older news was held against newer news, too. Ruled out: forgetting the id with the move; late records of the job would then bring the whole job back. Change: an id that left holds off a job of the own shard, not a loan. Dropped keys of progress are written before the records of the same flush, so that what came back is not dropped with what had left.

--- a/src/linkspan/shard/_jobs.py
+++ b/src/linkspan/shard/_jobs.py
@@ -51,7 +51,10 @@
             RecordError: A progress record does not fit the job.
         """
         job_id = submitted.spec.job_id
-        if job_id in self._books.jobs or job_id in self._books.left:
+        if job_id in self._books.jobs:
+            return
+        if job_id in self._books.left and borrowed is None:
+            # A loan is newer than the move that it follows; other news is older.
             return
         job = ShardJob(submitted, inherited=inherited, moved=moved)
         job.borrowed = borrowed is not None
--- a/src/linkspan/shard/_records.py
+++ b/src/linkspan/shard/_records.py
@@ -69,8 +69,9 @@
         # A job whose final state is on its way is dropped once that is durable.
         runs = [run for run in runs if not run.job.closing]
         versions = [run.version for run in runs]
-        records = [Record(encode_run(run), key_of(run)) for run in runs]
-        records += [Record(b"", key) for key in dropped]
+        # First, since a job that moved away may have come back with loans meanwhile.
+        records = [Record(b"", key) for key in dropped]
+        records += [Record(encode_run(run), key_of(run)) for run in runs]
         roster = frozenset(core.executors)
         if roster != self._changes.roster:
             listed = encode_roster(e.record for e in core.executors.values())
