Take no request that a planned stop would cut

A host that was stopping went on taking requests until a look, every 0.05 s, found none in flight or its time was over. What came in after that look got the listener's closing time, twice 0.25 s, and was cut; the 0.51 s of the finding are these two. A call that was granted more than the drain's time was cut as well.

Change: once the balancer has had its notice the listener takes neither connections nor requests, so what is in flight runs dry; a drain shortens all waits of callers to its own end (host/caller_waits.py), and they get a true answer (504, 503) before the process ends. The listener is a class of its own.

--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -14,7 +14,7 @@
 from linkspan.errors import SettingsError, describe
 from linkspan.events import Event, EventLog
 from linkspan.host.host import Adapter, Host
-from linkspan.host.listener import listen
+from linkspan.host.listener import Listener
 from linkspan.host.metrics import HostMetrics
 from linkspan.platform.advice import AdviceClient
 from linkspan.platform.executors import ExecutorClient
@@ -106,19 +106,20 @@
             metrics=self._metrics,
         )
         self._host = host
-        runners = [
-            await listen(host.front.handle, settings.callers, on_drop=self._on_drop),
-            await listen(self._answer_readiness, settings.readiness),
+        callers = Listener(host.front.handle, on_drop=self._on_drop)
+        listeners = [
+            await callers.open(settings.callers),
+            await Listener(self._answer_readiness).open(settings.readiness),
         ]
-        runners += await self._listen_for_scrapers()
+        listeners += await self._listen_for_scrapers()
         self._log.write(Event.LISTENING, callers=settings.callers, readiness=settings.readiness)
         # What start-up made stays: the collector need not look at it again.
         gc.freeze()
-        await self._run(host)
-        for runner in runners:
-            await runner.cleanup()
+        await self._run(host, callers)
+        for listener in listeners:
+            await listener.close()
 
-    async def _run(self, host: Host) -> None:
+    async def _run(self, host: Host, callers: Listener) -> None:
         work = asyncio.create_task(host.run())
         stop = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait([work, stop], return_when=asyncio.FIRST_COMPLETED)
@@ -127,14 +128,16 @@
         if stop in done:
             grace_s = self._settings.bounds.grace_s
             limit_s = DRAIN_SHARE * grace_s
-            await host.drain(notice_s=min(NOT_READY_NOTICE_S, limit_s), limit_s=limit_s)
+            notice_s = min(NOT_READY_NOTICE_S, limit_s)
+            await host.drain(notice_s=notice_s, limit_s=limit_s, refuse_new=callers.refuse_new)
         for task in (work, stop):
             task.cancel()
         await asyncio.gather(work, stop, return_exceptions=True)
 
-    async def _listen_for_scrapers(self) -> list[web.ServerRunner]:
+    async def _listen_for_scrapers(self) -> list[Listener]:
+        listener = Listener(self._answer_readiness)
         try:
-            return [await listen(self._answer_readiness, f"{self._settings.ip}:{METRICS_PORT}")]
+            return [await listener.open(f"{self._settings.ip}:{METRICS_PORT}")]
         except OSError as error:
             # The readiness address serves them, too.
             self._log.write(Event.METRICS_UNSERVED, port=METRICS_PORT, error=str(error))
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -13,6 +13,7 @@
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._impossible import oversized_step
+from linkspan.host.caller_waits import LEAST_WAIT_S, CallerWaits
 from linkspan.host.job_book import REFRESH_S
 from linkspan.jobs.records import Cancelled, JobState, Submitted
 
@@ -36,13 +37,6 @@
 """Time after which a caller may come back with a job that no executor is large enough
 for: a larger one would have to be added first, which takes a minute and more."""
 
-ANSWER_MARGIN_S = 0.15
-"""Time kept for the way back of an answer that is given for want of time."""
-
-
-LEAST_WAIT_S = 0.05
-"""Time that a call gets at least, however little its caller grants."""
-
 PROMPT_BODY_S = 1.0
 """Time after which a body that is still on its way holds up no drain. The largest that is
 taken by default (262,144 bytes) needs 0.42 s over a link of 5 Mbit/s."""
@@ -116,7 +110,7 @@
         self._submitting: dict[str, asyncio.Future[int]] = {}
         self._in_flight = 0
         self._receiving: list[float] = []
-        self.draining = False
+        self._waits = CallerWaits()
 
     def __repr__(self) -> str:
         return f"Front({self._incarnation!r}, in_flight={self._in_flight})"
@@ -135,10 +129,14 @@
         finally:
             self._in_flight -= 1
         self._metrics.count("calls", kind=request.method, status=str(answer.status))
-        if self.draining:
+        if self._waits.draining:
             answer.force_close()
         return answer
 
+    def drain(self, until: float) -> None:
+        """Answer all that waits before a steady time, and have callers go elsewhere."""
+        self._waits.drain(until)
+
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         configuration = self._configuration.current
         if configuration is None:
@@ -148,11 +146,10 @@
             return _json(404, b'{"error":"no such queue"}')
         job_id = request.path[len(queue.prefix) :]
         if request.method == "GET" and not job_id:
-            deadline = time.monotonic() + self._time_left(request, queue)
-            return await self.count(queue, deadline)
+            return await self.count(queue, self._deadline(request, queue))
         if not _JOB_ID.fullmatch(job_id):
             return _json(404, b'{"error":"a job id is 16 hex digits"}')
-        deadline = time.monotonic() + self._time_left(request, queue)
+        deadline = self._deadline(request, queue)
         if request.method == "POST":
             body = await self._receive(request, deadline)
             if body is None:
@@ -172,7 +169,7 @@
         began = time.monotonic()
         self._receiving.append(began)
         try:
-            async with asyncio.timeout(deadline - began):
+            async with self._waits.until(deadline):
                 return await request.read()
         except TimeoutError:
             return None
@@ -184,10 +181,10 @@
         answer.force_close()
         return answer
 
-    def _time_left(self, request: web.BaseRequest, queue: Queue) -> float:
+    def _deadline(self, request: web.BaseRequest, queue: Queue) -> float:
+        """Return the steady time by which an answer is to be given."""
         given = request.headers.get(self._form.timeout_header, "")
-        seconds = int(given) / 1000 if given.isdecimal() else queue.timeout_s
-        return max(seconds - ANSWER_MARGIN_S, LEAST_WAIT_S)
+        return self._waits.deadline(int(given) / 1000 if given.isdecimal() else queue.timeout_s)
 
     async def submit(self, queue: Queue, job_id: str, body: bytes, deadline: float) -> web.Response:
         """Keep a job and answer once it is kept, or say that it will not run.
@@ -241,7 +238,7 @@
     ) -> web.Response:
         began = time.monotonic()
         try:
-            async with asyncio.timeout_at(asyncio.get_running_loop().time() + deadline - began):
+            async with self._waits.until(deadline):
                 offset = await asyncio.shield(write)
         except StoreRefused as error:
             return self._refuse(job_id, queue, f"store refused with {error.status}")
@@ -302,7 +299,7 @@
             return _json(200, b"{}")
         write = self._book.write([Cancelled(job_id)])
         try:
-            async with asyncio.timeout(max(deadline - time.monotonic(), LEAST_WAIT_S)):
+            async with self._waits.until(max(deadline, time.monotonic() + LEAST_WAIT_S)):
                 await asyncio.shield(write)
         except TimeoutError:
             self._log.write(Event.JOB_IN_DOUBT, job=job_id, call="cancel")
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -17,7 +17,7 @@
 from linkspan.store.metered import MeteredStore
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from linkspan.events import EventLog
     from linkspan.host.configuration import Configuration
@@ -186,21 +186,31 @@
             for candidate in self.candidates:
                 group.create_task(candidate.run())
 
-    async def drain(self, *, notice_s: float, limit_s: float) -> None:
+    async def drain(
+        self,
+        *,
+        notice_s: float,
+        limit_s: float,
+        refuse_new: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         """Leave the balancer, hand shards on and finish what is in flight.
 
         Args:
             notice_s: Time for the balancer to see that this host is not ready.
-            limit_s: Longest time that all of it may take.
+            limit_s: Longest time that all of it may take; what waits for the store is
+                answered by then.
+            refuse_new: Called after the notice; from then on no request may come in, so
+                that what is in flight runs dry.
         """
         began = time.monotonic()
         self._draining = True
-        self.front.draining = True
+        self.front.drain(until=began + limit_s)
         self._log.write(Event.DRAINING, in_flight=self.front.in_flight)
         await asyncio.gather(*(candidate.hand_on() for candidate in self.candidates))
-        while time.monotonic() < began + limit_s:
-            if self.front.in_flight == 0 and time.monotonic() >= began + notice_s:
-                return
+        await asyncio.sleep(began + notice_s - time.monotonic())
+        if refuse_new:
+            await refuse_new()
+        while self.front.in_flight and time.monotonic() < began + limit_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
     def _make_tenure(self, owner: Owner, shard: int, former_offline_s: float) -> Tenure:
--- a/src/linkspan/host/listener.py
+++ b/src/linkspan/host/listener.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Self
 
 from aiohttp import web
 
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from aiohttp.web_protocol import RequestHandler
+
 BACKLOG = 1024
 """Connections that wait to be accepted: a balancer may open hundreds at once."""
 
@@ -19,22 +21,57 @@
 is given up then. Whole requests were waited for before."""
 
 
-async def listen(
-    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-    address: str,
-    *,
-    on_drop: Callable[[str], None] = lambda _reason: None,
-) -> web.ServerRunner:
-    """Serve HTTP at an ``ip:port``; the runner's ``cleanup`` ends it.
+class Listener:
+    """Serves HTTP at one address.
 
     Args:
         handler: Answers a request.
-        address: Where to listen.
         on_drop: Called with the reason when a connection that went silent is closed.
     """
-    host, _, port = address.rpartition(":")
-    server = CallerServer(handler, on_drop=on_drop)
-    runner = web.ServerRunner(server, shutdown_timeout=STOP_S)
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
-    return runner
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        *,
+        on_drop: Callable[[str], None] = lambda _reason: None,
+    ) -> None:
+        self._server = CallerServer(handler, on_drop=on_drop)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=STOP_S)
+
+    def __repr__(self) -> str:
+        return f"Listener({self.addresses!r})"
+
+    @property
+    def addresses(self) -> list[Any]:
+        """Where it listens, as the system names sockets."""
+        return self._runner.addresses
+
+    @property
+    def connections(self) -> list[RequestHandler]:
+        """Callers' open connections."""
+        return self._server.connections
+
+    async def open(self, address: str) -> Self:
+        """Listen at an ``ip:port``.
+
+        Raises:
+            OSError: The address is taken.
+        """
+        host, _, port = address.rpartition(":")
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, int(port), backlog=BACKLOG).start()
+        return self
+
+    async def refuse_new(self) -> None:
+        """Take no connection and no request from now on; what was read whole goes on.
+
+        Callers that keep coming would otherwise have a request in flight at any moment,
+        also at the one at which the process ends.
+        """
+        for site in list(self._runner.sites):
+            await site.stop()
+        self._server.pre_shutdown()
+
+    async def close(self) -> None:
+        """Close all connections and stop listening."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/tests/host/test_planned_stop.py
@@ -0,0 +1,145 @@
+"""A planned stop answers all that a host has read, however callers press.
+
+Seen: one of twelve callers, who ask again and again over connections that they open anew, got
+no answer 0.51 s after its request. A host that was stopping took requests until it found none
+in flight or its time was over, and only then closed its listener; a request that came in
+between got the listener's own closing time, twice 0.25 s, and was cut.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+
+from linkspan.host.job_book import JOBS
+from linkspan.host.listener import Listener
+from tests.hall_world import QUEUE, HallWorld, step
+from tests.virtual_time import run_virtual
+
+ANSWER_S = 0.6
+"""Time that an answer takes: more than a listener that closes waits for by itself."""
+
+CALLERS = 6
+HOST = "east-host-0"
+REQUEST = b"GET / HTTP/1.1\r\nHost: host.example\r\n\r\n"
+
+
+class Pressing:
+    """Callers that always have a request in flight, and what became of these."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.answered = 0
+        self.cut: list[float] = []
+
+    async def ask_on(self) -> None:
+        """Ask over a new connection each time until none is taken."""
+        while True:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            writer.write(REQUEST)
+            sent = time.monotonic()
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                self.answered += 1
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self.cut.append(time.monotonic() - sent)
+            writer.close()
+
+
+async def test_a_listener_that_takes_nothing_new_runs_dry() -> None:
+    in_flight = 0
+
+    async def answer(_request: web.BaseRequest) -> web.Response:
+        nonlocal in_flight
+        in_flight += 1
+        await asyncio.sleep(ANSWER_S)
+        in_flight -= 1
+        return web.Response(headers={"Connection": "close"})
+
+    listener = await Listener(answer).open("127.0.0.1:0")
+    pressing = Pressing(listener.addresses[0][1])
+    callers = []
+    for _ in range(CALLERS):
+        callers.append(asyncio.create_task(pressing.ask_on()))
+        await asyncio.sleep(ANSWER_S / CALLERS)
+    assert in_flight
+    await listener.refuse_new()
+    async with asyncio.timeout(5.0):
+        while in_flight:
+            await asyncio.sleep(0.01)
+        await listener.close()
+        # Each caller ends once it is refused.
+        for caller in callers:
+            with suppress(OSError):
+                await caller
+    assert pressing.answered >= CALLERS
+    assert [took for took in pressing.cut if took > 0.2] == []
+
+
+def _request(job_id: str, *, method: str = "GET", timeout_s: float = 3.0) -> web.Request:
+    headers = {"Host": f"{QUEUE.host}:80", "Linkspan-Timeout-Ms": str(round(timeout_s * 1000))}
+    return make_mocked_request(method, QUEUE.prefix + job_id, headers=headers)
+
+
+def test_a_drain_takes_nothing_new_once_the_balancer_was_told() -> None:
+    """With callers that never pause, it ends when the last of them has its answer."""
+
+    async def play() -> tuple[float, int]:
+        world = HallWorld()
+        await world.begin()
+        host = world.hosts[HOST].host
+        world.store.reads_take[HOST, JOBS.topic] = ANSWER_S
+        taking = True
+        answered = 0
+
+        async def refuse_new() -> None:
+            nonlocal taking
+            taking = False
+
+        async def ask_on(pause_s: float) -> None:
+            nonlocal answered
+            await asyncio.sleep(pause_s)
+            while taking:
+                await host.front.handle(_request("00000000000000aa"))
+                answered += 1
+
+        callers = [asyncio.create_task(ask_on(0.05 * n)) for n in range(CALLERS)]
+        await asyncio.sleep(2.0)
+        began = asyncio.get_running_loop().time()
+        await host.drain(notice_s=0.5, limit_s=30.0, refuse_new=refuse_new)
+        took = asyncio.get_running_loop().time() - began
+        await asyncio.gather(*callers)
+        return took, answered
+
+    took, answered = run_virtual(play())
+    assert 0.5 <= took < 0.5 + 2 * ANSWER_S
+    assert answered > CALLERS
+
+
+def test_what_waits_for_the_store_is_answered_before_a_drain_ends() -> None:
+    """A caller that grants ten seconds would be cut by the process, which ends after three."""
+
+    async def play() -> tuple[int, float]:
+        world = HallWorld()
+        await world.begin()
+        spec = world.new_job(step(1, estimate_s=30.0))
+        assert await world.submit(HOST, spec) == 200
+        await asyncio.sleep(1.0)
+        host = world.hosts[HOST].host
+        world.store.silent.add(HOST)
+        request = _request(spec.job_id, method="DELETE", timeout_s=10.0)
+        asked = asyncio.create_task(host.front.handle(request))
+        await asyncio.sleep(0.2)
+        began = asyncio.get_running_loop().time()
+        await host.drain(notice_s=0.5, limit_s=3.0)
+        assert host.front.in_flight == 0
+        assert asyncio.get_running_loop().time() - began <= 3.0
+        return (await asked).status, asyncio.get_running_loop().time() - began
+
+    status, took = run_virtual(play())
+    assert status == 504
+    assert took <= 3.0
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 
 from linkspan.host import connections
-from linkspan.host.listener import listen
+from linkspan.host.listener import Listener
 from tests.hall_world import QUEUE, HallWorld
 from tests.virtual_time import run_virtual
 
@@ -94,12 +94,12 @@
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
 
-    runner = await listen(answer, "127.0.0.1:0")
+    listener = await Listener(answer).open("127.0.0.1:0")
     try:
-        port = runner.addresses[0][1]
+        port = listener.addresses[0][1]
         yield f"127.0.0.1:{port}"
     finally:
-        await runner.cleanup()
+        await listener.close()
 
 
 async def _connect(address: str, sent: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -191,13 +191,13 @@
         await request.read()
         return web.Response()
 
-    runner = await listen(never, "127.0.0.1:0")
-    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    listener = await Listener(never).open("127.0.0.1:0")
+    address = f"127.0.0.1:{listener.addresses[0][1]}"
     half_body = HEAD.replace(b"GET", b"POST") + b"Content-Length: 9\r\n\r\nabc"
     open_ones = [await _connect(address, sent) for sent in (b"", HEAD, half_body)]
     await asyncio.sleep(0.1)
     began = time.monotonic()
-    await asyncio.wait_for(runner.cleanup(), 10.0)
+    await asyncio.wait_for(listener.close(), 10.0)
     assert time.monotonic() - began < 3.0
     for _, writer in open_ones:
         writer.close()
@@ -207,14 +207,13 @@
     async def answer(_request: web.BaseRequest) -> web.Response:
         return web.Response()
 
-    runner = await listen(answer, "127.0.0.1:0")
-    _, writer = await _connect(f"127.0.0.1:{runner.addresses[0][1]}", b"")
+    listener = await Listener(answer).open("127.0.0.1:0")
+    _, writer = await _connect(f"127.0.0.1:{listener.addresses[0][1]}", b"")
     await asyncio.sleep(0.1)
-    assert runner.server
-    (connection,) = runner.server.connections
+    (connection,) = listener.connections
     accepted = connection.transport.get_extra_info("socket")
     assert accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
     assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 15
     assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 30_000
     writer.close()
-    await runner.cleanup()
+    await listener.close()
