Play the tests that start no processes by four at a time

Tests that start processes stay one after the other, so that their verdict does not depend on each other's load.

Change: pytest-xdist with four workers for all but tests/process and tests/soak. What a worker passes over by KNOWN-RED.txt is told to the run that prints (seen with a line put there for a trial, with and without workers).

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
+# Processes for the tests that start none themselves; those that do run one after the other.
+WORKERS := 4
+
 .PHONY: run test setup bench bench-calm
 
 setup: $(VENV)/.installed
@@ -18,7 +21,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --ignore=tests/process --ignore=tests/soak
+	$(BIN)/python -m pytest tests/process tests/soak
 
 bench: setup
 	$(BIN)/python -m bench.placement
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import settings
@@ -29,6 +30,19 @@
         _FOUND.extend(f"{item.nodeid}: {red[item.nodeid]}" for item in listed)
 
 
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    """Have a worker of a parallel run tell what it passed over."""
+    if hasattr(session.config, "workeroutput"):
+        session.config.workeroutput["passed_over"] = list(_FOUND)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_testnodedown(node: Any) -> None:
+    """Take over what a worker tells; all of them collect the same tests."""
+    told = getattr(node, "workeroutput", {}).get("passed_over", [])
+    _FOUND.extend(line for line in told if line not in _FOUND)
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for line in _FOUND:
         terminalreporter.write_line(f"KNOWN RED, passed over: {line}")
