Split the shard by concern and turn its imports the right way

shard/ had 45 modules in one folder. Now, on the way of a task: intake (_feed, _jobs), planning (planner, placement, urgency, lengths, advice and their private modules), orders (_dispatch, _orders), reports (_watch, _presence, _adoption, _ends, health), recovery (_recovery, _records, progress), ownership (ownership, _proof, _scope), colocation (colocation, pacing, _trend, _pressure_room, _plan_rooms), handover (_handovers, _loans, _given_back, rebalance, summary). What all share stays at the root: core, tenure, _books, _context, _changes, state, executor, leases, messages, machines.

Arrows against the direction of imports, counted as pairs of packages that import each other: shard and host, store and host, platform and host, config and placement, config and routing. Three go by moves: host/registry to shard/, host/job_book to jobs/, host/configuration and host/settings to model/, host/metrics beside events. Left: config asks placement and routing, in one module, which names have registered themselves there; no move mends that, and it is of the earlier core, which is to go.

Modules only moved and import lines changed (one docstring names a moved class by its path). Checked by a script that compares each module of src/ with the one before, less imports and with the old paths put back: 186 compared, none differs; all modules import.

--- a/bench/first_read.py
+++ b/bench/first_read.py
@@ -17,8 +17,7 @@
 from tests.standins.stored_jobs import fill_configuration, fill_executors, fill_jobs
 
 from linkspan.events import EventLog
-from linkspan.host.job_book import JOBS, JobBook
-from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
+from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.platform.records import configuration_from_wire, executor_from_wire
 from linkspan.platform.store import (
     CONFIG_KEY,
@@ -26,6 +25,7 @@
     EXECUTOR_RECORDS,
     StoreClient,
 )
+from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
 
 LIMIT_S = 30.0
 """Longest time that a host gets to know all."""
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -9,7 +9,14 @@
 
 from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, describe
 from linkspan.events import Event
-from linkspan.shard.ownership import OFFLINE_S, RENEW_S, Owner, OwnerAct, OwnerRecord, OwnerView
+from linkspan.shard.ownership.ownership import (
+    OFFLINE_S,
+    RENEW_S,
+    Owner,
+    OwnerAct,
+    OwnerRecord,
+    OwnerView,
+)
 from linkspan.shard.tenure import Tenure, TenureLost
 from linkspan.store.follower import Follower
 from linkspan.store.types import Partition, Record
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -15,7 +15,7 @@
 from linkspan.events import Event, EventLog
 from linkspan.host.host import Adapter, Host
 from linkspan.host.listener import listen
-from linkspan.host.metrics import HostMetrics
+from linkspan.metrics import HostMetrics
 from linkspan.platform.advice import AdviceClient
 from linkspan.platform.executors import ExecutorClient
 from linkspan.platform.jobs import CallerBodies
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from linkspan.host.settings import HostSettings
+    from linkspan.model.settings import HostSettings
 
 CONNECTIONS_PER_PEER = 12
 """Most connections to one executor or to the store: a look that waits, and orders
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -13,18 +13,18 @@
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._impossible import oversized_step
-from linkspan.host.job_book import REFRESH_S
+from linkspan.jobs.job_book import REFRESH_S
 from linkspan.jobs.records import Cancelled, JobState, Submitted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from linkspan.events import EventLog
-    from linkspan.host.configuration import Queue
-    from linkspan.host.job_book import JobBook
-    from linkspan.host.metrics import HostMetrics
-    from linkspan.host.registry import ConfigurationWatch
+    from linkspan.jobs.job_book import JobBook
     from linkspan.jobs.spec import Demand, JobSpec
+    from linkspan.metrics import HostMetrics
+    from linkspan.model.configuration import Queue
+    from linkspan.shard.registry import ConfigurationWatch
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -10,9 +10,9 @@
 from linkspan.events import Event
 from linkspan.host.candidate import Candidate
 from linkspan.host.front import Front
-from linkspan.host.job_book import JobBook
-from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
 from linkspan.host.shards import ShardChooser
+from linkspan.jobs.job_book import JobBook
+from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
 from linkspan.shard.tenure import Tenure
 from linkspan.store.metered import MeteredStore
 
@@ -20,15 +20,15 @@
     from collections.abc import Callable
 
     from linkspan.events import EventLog
-    from linkspan.host.configuration import Configuration
     from linkspan.host.front import CallerFormat
-    from linkspan.host.metrics import HostMetrics
-    from linkspan.host.settings import HostSettings
-    from linkspan.shard.advice import PolicyService
+    from linkspan.metrics import HostMetrics
+    from linkspan.model.configuration import Configuration
+    from linkspan.model.settings import HostSettings
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import ExecutorRecord
-    from linkspan.shard.ownership import Owner
-    from linkspan.shard.summary import HallSummary
+    from linkspan.shard.ownership.ownership import Owner
+    from linkspan.shard.planning.advice import PolicyService
     from linkspan.shard.tenure import Executors
     from linkspan.store.types import Partition, Store
 
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -12,12 +12,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from linkspan.host.configuration import Queue
-    from linkspan.host.registry import ExecutorRegistry
-    from linkspan.host.settings import HostSettings
     from linkspan.jobs.spec import JobSpec, StepSpec
+    from linkspan.model.configuration import Queue
+    from linkspan.model.settings import HostSettings
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.messages import ExecutorRecord
-    from linkspan.shard.summary import HallSummary
+    from linkspan.shard.registry import ExecutorRegistry
 
 STALE_S = 2.5
 """Time for which own choices are counted on top of a hall's summary, which is up to
--- a/src/linkspan/platform/advice.py
+++ b/src/linkspan/platform/advice.py
@@ -8,7 +8,7 @@
 
 from linkspan.errors import Unreachable
 from linkspan.platform._answers import read_answer
-from linkspan.shard.advice import Advice
+from linkspan.shard.planning.advice import Advice
 
 if TYPE_CHECKING:
     import aiohttp
@@ -40,7 +40,7 @@
         return f"AdviceClient({self._url!r})"
 
     async def advise(self, step: StepRun, executor_ids: tuple[str, ...]) -> Advice:
-        """Ask; see :meth:`linkspan.shard.advice.PolicyService.advise`."""
+        """Ask; see :meth:`linkspan.shard.planning.advice.PolicyService.advise`."""
         run = step.run
         name = f"{run.job.job_id}.{run.repetition}.{step.index}"
         # "workers" names executors by their ids.
--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -7,8 +7,8 @@
 import orjson
 
 from linkspan.errors import RecordError
-from linkspan.host.configuration import AdviceRule, Configuration, Queue, Service
 from linkspan.jobs.spec import Demand
+from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
 from linkspan.shard.messages import ExecutorRecord
 
 
--- a/src/linkspan/platform/settings.py
+++ b/src/linkspan/platform/settings.py
@@ -9,7 +9,7 @@
 import yaml
 
 from linkspan.errors import SettingsError
-from linkspan.host.settings import Bounds, HostSettings, StoreLimits
+from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 
 PATH_VARIABLE = "LINKSPAN_BOOT"
 """Environment variable that holds the file's path."""
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -6,19 +6,19 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import Finished, JobState
-from linkspan.shard.advice import AdviceBook
-from linkspan.shard.colocation import ColocationBook
-from linkspan.shard.health import HealthBook
+from linkspan.shard.colocation.colocation import ColocationBook
 from linkspan.shard.leases import LeaseClock
-from linkspan.shard.lengths import LengthBook
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
+from linkspan.shard.planning.advice import AdviceBook
+from linkspan.shard.planning.lengths import LengthBook
+from linkspan.shard.reports.health import HealthBook
 from linkspan.shard.state import NEVER, Phase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from linkspan.host.configuration import Configuration
-    from linkspan.host.settings import Bounds
+    from linkspan.model.configuration import Configuration
+    from linkspan.model.settings import Bounds
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import TaskName
     from linkspan.shard.state import Attempt, JobRun, ShardJob, StepRun, Task
--- a/src/linkspan/shard/_context.py
+++ b/src/linkspan/shard/_context.py
@@ -7,13 +7,10 @@
 
 if TYPE_CHECKING:
     from linkspan.events import EventLog
-    from linkspan.host.job_book import JobBook
-    from linkspan.host.metrics import HostMetrics
-    from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
-    from linkspan.host.settings import HostSettings
+    from linkspan.jobs.job_book import JobBook
+    from linkspan.metrics import HostMetrics
+    from linkspan.model.settings import HostSettings
     from linkspan.shard._changes import Changes
-    from linkspan.shard._proof import OwnershipProof
-    from linkspan.shard._scope import Scope
     from linkspan.shard.core import ShardCore
     from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import (
@@ -23,6 +20,9 @@
         StartOrder,
         StopOrder,
     )
+    from linkspan.shard.ownership._proof import OwnershipProof
+    from linkspan.shard.ownership._scope import Scope
+    from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
     from linkspan.store.types import Partition, Store
     from linkspan.store.writer import GroupWriter
 
--- a/src/linkspan/shard/_plan_rooms.py
+++ b/src/linkspan/shard/colocation/_plan_rooms.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from linkspan.shard._pressure_room import PressureRoom
-from linkspan.shard.urgency import Hope, urgency
+from linkspan.shard.colocation._pressure_room import PressureRoom
+from linkspan.shard.planning.urgency import Hope, urgency
 
 if TYPE_CHECKING:
-    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import StepRun
 
--- a/src/linkspan/shard/_pressure_room.py
+++ b/src/linkspan/shard/colocation/_pressure_room.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from linkspan.shard.colocation import scaled_cores
+from linkspan.shard.colocation.colocation import scaled_cores
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from linkspan.jobs.spec import StepSpec
-    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import Attempt
 
--- a/src/linkspan/shard/colocation.py
+++ b/src/linkspan/shard/colocation/colocation.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from linkspan.shard._trend import Trend
-from linkspan.shard.summary import PairEffect
+from linkspan.shard.colocation._trend import Trend
+from linkspan.shard.handover.summary import PairEffect
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._pressure_room import KEPT_PRESSURE, PressureRoom
-from linkspan.shard.colocation import latency_ratio
+from linkspan.shard.colocation._pressure_room import KEPT_PRESSURE, PressureRoom
+from linkspan.shard.colocation.colocation import latency_ratio
+from linkspan.shard.planning.urgency import urgency
 from linkspan.shard.state import FULL_PACE
-from linkspan.shard.urgency import urgency
 
 if TYPE_CHECKING:
-    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import Attempt
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -23,21 +23,21 @@
 
 from typing import TYPE_CHECKING, Any
 
-from linkspan.shard._adoption import Adoption
 from linkspan.shard._books import Order, ShardBooks
-from linkspan.shard._ends import Ends
-from linkspan.shard._jobs import JobIntake
-from linkspan.shard._loans import Loans
-from linkspan.shard._orders import Orders
-from linkspan.shard._presence import Presence
+from linkspan.shard.handover._loans import Loans
+from linkspan.shard.intake._jobs import JobIntake
+from linkspan.shard.orders._orders import Orders
+from linkspan.shard.reports._adoption import Adoption
+from linkspan.shard.reports._ends import Ends
+from linkspan.shard.reports._presence import Presence
 from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from linkspan.host.configuration import Configuration
-    from linkspan.host.settings import Bounds
     from linkspan.jobs.records import Loan, Submitted
+    from linkspan.model.configuration import Configuration
+    from linkspan.model.settings import Bounds
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import (
         ExecutorRecord,
--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Lent, Loan, Moved, Returned
-from linkspan.shard._given_back import GivenBack
+from linkspan.shard.handover._given_back import GivenBack
+from linkspan.shard.handover.rebalance import Rebalancer
+from linkspan.shard.handover.summary import summarize
 from linkspan.shard.messages import can_run
-from linkspan.shard.progress import RunKey, encode_moved, encode_run, key_of
-from linkspan.shard.rebalance import Rebalancer
-from linkspan.shard.summary import summarize
+from linkspan.shard.recovery.progress import RunKey, encode_moved, encode_run, key_of
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
@@ -19,9 +19,9 @@
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard._context import TenureContext
-    from linkspan.shard.rebalance import Handover
+    from linkspan.shard.handover.rebalance import Handover
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.state import JobRun
-    from linkspan.shard.summary import HallSummary
 
 REBALANCE_S = 0.3
 """Time between looks for work that another hall could take."""
--- a/src/linkspan/shard/_loans.py
+++ b/src/linkspan/shard/handover/_loans.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Loan
-from linkspan.shard.progress import key_of
+from linkspan.shard.recovery.progress import key_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -12,15 +12,15 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.events import Event
-from linkspan.shard.placement import STANDING_HEADROOM
+from linkspan.shard.planning.placement import STANDING_HEADROOM
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import ShardCore
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.state import ShardJob, StepRun, Task
-    from linkspan.shard.summary import HallSummary
 
 WAIT_S = 0.5
 """Time that work waits for room at home first: room frees up within half a second
--- a/src/linkspan/shard/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import JobState
-from linkspan.shard._outlook import refresh_outlook
-from linkspan.shard.progress import RunKey, key_of, restore_run
+from linkspan.shard.planning._outlook import refresh_outlook
+from linkspan.shard.recovery.progress import RunKey, key_of, restore_run
 from linkspan.shard.state import ShardJob, new_run
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from linkspan.host.configuration import Configuration
     from linkspan.jobs.records import Loan, Submitted
+    from linkspan.model.configuration import Configuration
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.state import JobRun
 
--- /dev/null
+++ b/src/linkspan/shard/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to executors, and what their answers mean."""
--- a/src/linkspan/shard/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -8,12 +8,12 @@
 
 from linkspan.errors import Unreachable, WrongIncarnation
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
-from linkspan.shard.planner import Planner
+from linkspan.shard.planning.planner import Planner
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
-    from linkspan.shard._watch import ExecutorWatch
     from linkspan.shard.core import Order
+    from linkspan.shard.reports._watch import ExecutorWatch
 
 PLAN_DELAY_S = 0.004
 """Time for which news is gathered before a plan is made."""
--- a/src/linkspan/shard/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -6,8 +6,8 @@
 
 from linkspan.events import Event
 from linkspan.shard._books import short_name
-from linkspan.shard.health import UNHEALTHY_PAUSE_S
 from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome
+from linkspan.shard.reports.health import UNHEALTHY_PAUSE_S
 from linkspan.shard.state import FULL_PACE, Attempt, Phase
 
 if TYPE_CHECKING:
--- a/src/linkspan/shard/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -8,7 +8,7 @@
 
 from linkspan.errors import LinkspanError
 from linkspan.events import Event
-from linkspan.shard.ownership import OFFLINE_S
+from linkspan.shard.ownership.ownership import OFFLINE_S
 
 if TYPE_CHECKING:
     from linkspan.events import EventLog
--- a/src/linkspan/shard/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -13,7 +13,7 @@
 import orjson
 
 from linkspan.errors import RecordError
-from linkspan.shard.summary import HallSummary
+from linkspan.shard.handover.summary import HallSummary
 
 if TYPE_CHECKING:
     from linkspan.store.types import Entry
--- a/src/linkspan/shard/_advisor.py
+++ b/src/linkspan/shard/planning/_advisor.py
@@ -8,11 +8,11 @@
 
 from linkspan.errors import Unreachable
 from linkspan.events import Event
-from linkspan.shard.advice import RETRY_S
+from linkspan.shard.planning.advice import RETRY_S
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
-    from linkspan.shard.advice import AdviceCall, PolicyService
+    from linkspan.shard.planning.advice import AdviceCall, PolicyService
 
 TICK_S = 0.1
 """Time between checks for calls that were put off."""
--- a/src/linkspan/shard/_blocked.py
+++ b/src/linkspan/shard/planning/_blocked.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.placement import StepPlacement
+    from linkspan.shard.planning.placement import StepPlacement
 
 
 def blocked_fields(placement: StepPlacement, hall: dict[str, int]) -> dict[str, Any]:
--- a/src/linkspan/shard/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -9,8 +9,8 @@
 from linkspan.shard.state import Phase
 
 if TYPE_CHECKING:
-    from linkspan.shard._plan_view import PlanView
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning._plan_view import PlanView
     from linkspan.shard.state import Attempt
 
 COPY_FACTOR = 1.6
--- a/src/linkspan/shard/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from linkspan.shard.pacing import MOVE_BELOW
+from linkspan.shard.colocation.pacing import MOVE_BELOW
 from linkspan.shard.state import FULL_PROGRESS, Phase
 
 if TYPE_CHECKING:
-    from linkspan.shard._plan_view import PlanView
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning._plan_view import PlanView
     from linkspan.shard.state import Attempt, StepRun, Task
 
 STRAGGLER_FACTOR = 3.0
--- a/src/linkspan/shard/_outlook.py
+++ b/src/linkspan/shard/planning/_outlook.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from linkspan.shard.lengths import LengthBook
+    from linkspan.shard.planning.lengths import LengthBook
     from linkspan.shard.state import ShardJob, StepRun
 
 REFRESH_EVERY = 8
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from linkspan.shard._blocked import held_cores
-from linkspan.shard._step_scores import StepScores
-from linkspan.shard.placement import StepPlacement
+from linkspan.shard.planning._blocked import held_cores
+from linkspan.shard.planning._step_scores import StepScores
+from linkspan.shard.planning.placement import StepPlacement
 
 if TYPE_CHECKING:
-    from linkspan.shard._plan_rooms import PlanRooms
+    from linkspan.shard.colocation._plan_rooms import PlanRooms
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import StepRun
--- a/src/linkspan/shard/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from linkspan.shard._plan_rooms import PlanRooms
-    from linkspan.shard.colocation import ColocationBook
+    from linkspan.shard.colocation._plan_rooms import PlanRooms
+    from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.health import HealthBook
+    from linkspan.shard.reports.health import HealthBook
     from linkspan.shard.state import StepRun
 
 SLOW_PENALTY = 2.0
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from linkspan.shard.pacing import STOP_BELOW
+from linkspan.shard.colocation.pacing import STOP_BELOW
 from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
-    from linkspan.shard._plan_rooms import PlanRooms
-    from linkspan.shard._step_scores import StepScores
+    from linkspan.shard.colocation._plan_rooms import PlanRooms
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning._step_scores import StepScores
     from linkspan.shard.state import StepRun, Task
 
 STANDING_USE = 0.55
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -5,18 +5,18 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._blocked import blocked_fields
-from linkspan.shard._copies import Copies
-from linkspan.shard._moves import Moves
-from linkspan.shard._plan_rooms import PlanRooms
-from linkspan.shard._plan_view import PlanView
+from linkspan.shard.colocation._plan_rooms import PlanRooms
+from linkspan.shard.planning._blocked import blocked_fields
+from linkspan.shard.planning._copies import Copies
+from linkspan.shard.planning._moves import Moves
+from linkspan.shard.planning._plan_view import PlanView
+from linkspan.shard.planning.urgency import urgency
 from linkspan.shard.state import FULL_PACE
-from linkspan.shard.urgency import urgency
 
 if TYPE_CHECKING:
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.placement import StepPlacement
+    from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.state import Attempt, StepRun, Task
 
 AVOID_S = 0.4
--- a/src/linkspan/shard/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Begun, Dropped, Finished
-from linkspan.shard.progress import ROSTER_KEY, encode_roster, encode_run, key_of
+from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, key_of
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
--- a/src/linkspan/shard/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -9,9 +9,9 @@
 from linkspan.errors import LogGap, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.records import Lent, Returned
-from linkspan.shard._watch import RETRY_S
 from linkspan.shard.leases import inherited_lapse
-from linkspan.shard.progress import ROSTER_KEY, decode_roster, moved_to, parse_key
+from linkspan.shard.recovery.progress import ROSTER_KEY, decode_roster, moved_to, parse_key
+from linkspan.shard.reports._watch import RETRY_S
 from linkspan.store.listing import Listing
 
 if TYPE_CHECKING:
@@ -19,10 +19,10 @@
 
     from linkspan.jobs.catalog import JobEntry
     from linkspan.shard._context import TenureContext
-    from linkspan.shard._feed import JobFeed
-    from linkspan.shard._handovers import Handovers
-    from linkspan.shard._watch import ExecutorWatch
+    from linkspan.shard.handover._handovers import Handovers
+    from linkspan.shard.intake._feed import JobFeed
     from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.reports._watch import ExecutorWatch
 
 T = TypeVar("T")
 
--- a/src/linkspan/host/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -14,8 +14,8 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from linkspan.events import EventLog
-    from linkspan.host.configuration import Configuration
     from linkspan.jobs.spec import Demand
+    from linkspan.model.configuration import Configuration
     from linkspan.shard.messages import ExecutorRecord
     from linkspan.store.types import Entry, Partition, Store
 
--- /dev/null
+++ b/src/linkspan/shard/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What executors say: runs found, missing and ended, and which executors are there."""
--- a/src/linkspan/shard/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -11,9 +11,9 @@
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
-    from linkspan.shard._ends import Ends
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
+    from linkspan.shard.reports._ends import Ends
     from linkspan.shard.state import Task
 
 
--- a/src/linkspan/shard/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -7,9 +7,9 @@
 from linkspan.events import Event
 from linkspan.jobs.records import JobState
 from linkspan.shard._books import short_name
-from linkspan.shard._outlook import REFRESH_EVERY, note_length, refresh_outlook
 from linkspan.shard.executor import UnackedEnd
 from linkspan.shard.messages import EndKind
+from linkspan.shard.planning._outlook import REFRESH_EVERY, note_length, refresh_outlook
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
--- a/src/linkspan/shard/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.machines import MachineWatch
-from linkspan.shard.pacing import Pacer
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -15,20 +15,20 @@
 
 from linkspan.errors import Fenced, LinkspanError, ProducerFenced, ProducerGap
 from linkspan.events import Event
-from linkspan.shard._advisor import Advisor
 from linkspan.shard._changes import Changes
 from linkspan.shard._context import TenureContext
-from linkspan.shard._dispatch import Dispatcher
-from linkspan.shard._feed import JobFeed
-from linkspan.shard._handovers import Handovers
-from linkspan.shard._proof import OwnershipProof, TenureLost
-from linkspan.shard._records import RecordKeeper
-from linkspan.shard._recovery import Recovery
-from linkspan.shard._scope import Scope
-from linkspan.shard._watch import ExecutorWatch
 from linkspan.shard.core import ShardCore
-from linkspan.shard.ownership import OFFLINE_S
-from linkspan.shard.summary import summarize
+from linkspan.shard.handover._handovers import Handovers
+from linkspan.shard.handover.summary import summarize
+from linkspan.shard.intake._feed import JobFeed
+from linkspan.shard.orders._dispatch import Dispatcher
+from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
+from linkspan.shard.ownership._scope import Scope
+from linkspan.shard.ownership.ownership import OFFLINE_S
+from linkspan.shard.planning._advisor import Advisor
+from linkspan.shard.recovery._records import RecordKeeper
+from linkspan.shard.recovery._recovery import Recovery
+from linkspan.shard.reports._watch import ExecutorWatch
 from linkspan.store.types import Partition
 from linkspan.store.writer import GroupWriter
 
@@ -36,16 +36,16 @@
     from collections.abc import Callable
 
     from linkspan.events import EventLog
-    from linkspan.host.configuration import Configuration
-    from linkspan.host.job_book import JobBook
-    from linkspan.host.metrics import HostMetrics
-    from linkspan.host.registry import ConfigurationWatch, ExecutorRegistry
-    from linkspan.host.settings import HostSettings
+    from linkspan.jobs.job_book import JobBook
+    from linkspan.metrics import HostMetrics
+    from linkspan.model.configuration import Configuration
+    from linkspan.model.settings import HostSettings
     from linkspan.shard._context import Executors
-    from linkspan.shard.advice import PolicyService
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
-    from linkspan.shard.ownership import Owner
-    from linkspan.shard.summary import HallSummary
+    from linkspan.shard.ownership.ownership import Owner
+    from linkspan.shard.planning.advice import PolicyService
+    from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
     from linkspan.store.types import Store
 
 __all__ = ["Executors", "Tenure", "TenureLost"]
--- a/src/linkspan/store/metered.py
+++ b/src/linkspan/store/metered.py
@@ -11,7 +11,7 @@
     from collections.abc import Awaitable, Sequence
     from typing import TypeVar
 
-    from linkspan.host.metrics import HostMetrics
+    from linkspan.metrics import HostMetrics
     from linkspan.store.types import Appended, KeyPage, Page, Partition, Producer, Record, Store
 
     T = TypeVar("T")
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -16,15 +16,14 @@
 
 from aiohttp import web
 
-from linkspan.host.configuration import Configuration, Queue, Service
 from linkspan.host.front import Front
 from linkspan.host.host import Adapter, Host
-from linkspan.host.metrics import HostMetrics
-from linkspan.host.settings import Bounds, HostSettings, StoreLimits
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.metrics import HostMetrics
+from linkspan.model.configuration import Configuration, Queue, Service
+from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
-from linkspan.shard.advice import PolicyService
 from linkspan.shard.machines import MachineRecord, MachineState
 from linkspan.shard.messages import (
     EndedTask,
@@ -34,6 +33,7 @@
     StartOutcome,
     TaskName,
 )
+from linkspan.shard.planning.advice import PolicyService
 from linkspan.store.types import Partition
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import MemoryStore, StoreLink
--- a/tests/host/test_answers_in_time.py
+++ b/tests/host/test_answers_in_time.py
@@ -10,7 +10,7 @@
 from aiohttp.test_utils import make_mocked_request
 
 from linkspan.errors import StoreUnanswered
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import QUEUE, HallWorld, state_of, step
--- a/tests/host/test_end_beside_recovery.py
+++ b/tests/host/test_end_beside_recovery.py
@@ -8,7 +8,7 @@
 from contextvars import Context
 from typing import Any
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Dropped, Finished, JobState, encode
 from linkspan.shard.messages import EndKind
 from linkspan.store.types import Partition
--- a/tests/host/test_first_read.py
+++ b/tests/host/test_first_read.py
@@ -20,7 +20,7 @@
 import asyncio
 import time
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Dropped, Finished, JobState, Submitted, encode
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld, step
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.store.types import Entry
 from tests.hall_world import HallWorld, step
--- a/tests/host/test_job_book.py
+++ b/tests/host/test_job_book.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from linkspan.host.job_book import JOBS, JobBook
+from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import Dropped, Moved, Submitted, encode
 from linkspan.store.types import Page, Partition
 from tests.hall_world import HallWorld, Lines, step
--- a/tests/host/test_late_loans.py
+++ b/tests/host/test_late_loans.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Lent, encode
 from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld, step
--- a/tests/host/test_shard_chooser.py
+++ b/tests/host/test_shard_chooser.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from linkspan.host.settings import HostSettings, StoreLimits
 from linkspan.host.shards import ShardChooser
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.model.settings import HostSettings, StoreLimits
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorRecord
-from linkspan.shard.summary import HallSummary
 from tests.hall_world import QUEUE, step
 
 HALLS = ("east", "west")
--- a/tests/host/test_takeovers.py
+++ b/tests/host/test_takeovers.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.shard.messages import StartOrder, TaskName
-from linkspan.shard.progress import RunKey, encode_moved
+from linkspan.shard.recovery.progress import RunKey, encode_moved
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld, step
 from tests.virtual_time import run_virtual
--- a/tests/platform/test_advice_client.py
+++ b/tests/platform/test_advice_client.py
@@ -9,7 +9,7 @@
 
 from linkspan.errors import Unreachable
 from linkspan.platform.advice import AdviceClient
-from linkspan.shard.advice import Advice
+from linkspan.shard.planning.advice import Advice
 from linkspan.shard.state import ShardJob, new_run
 from tests.hall_world import step
 from tests.shard.builders import JOB, submitted
--- a/tests/shard/builders.py
+++ b/tests/shard/builders.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from linkspan.events import Event
-from linkspan.host.configuration import Configuration, Service
-from linkspan.host.settings import Bounds
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.model.configuration import Configuration, Service
+from linkspan.model.settings import Bounds
 from linkspan.shard.core import ShardCore
 from linkspan.shard.executor import ExecutorState
 from linkspan.shard.messages import (
@@ -20,7 +20,7 @@
     StartOrder,
     StartOutcome,
 )
-from linkspan.shard.planner import Planner
+from linkspan.shard.planning.planner import Planner
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
 from tests.hall_world import QUEUE, step
 
--- a/tests/shard/test_advice.py
+++ b/tests/shard/test_advice.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from linkspan.errors import Unreachable
-from linkspan.host.configuration import AdviceRule, Configuration, Queue, Service
-from linkspan.shard.advice import RETRY_S, Advice, AdviceBook
+from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
+from linkspan.shard.planning.advice import RETRY_S, Advice, AdviceBook
 from linkspan.shard.state import StepRun
 from tests.hall_world import QUEUE, HallWorld, step
 from tests.shard.builders import JOB, core_with, plan
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -8,9 +8,9 @@
 
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
-from linkspan.shard.colocation import UNLOADED, ColocationBook, pressure_of
+from linkspan.shard.colocation.colocation import UNLOADED, ColocationBook, pressure_of
+from linkspan.shard.colocation.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
-from linkspan.shard.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
 from tests.hall_world import QUEUE, step
 from tests.shard.builders import JOB, core_with, place, plan, started, submitted
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -4,10 +4,11 @@
 
 from dataclasses import replace
 
-from linkspan.host.configuration import Configuration, Queue, Service
-from linkspan.host.settings import Bounds
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.model.configuration import Configuration, Queue, Service
+from linkspan.model.settings import Bounds
+from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import (
     EndedTask,
@@ -18,9 +19,8 @@
     StopOrder,
     TaskName,
 )
-from linkspan.shard.pacing import Pacer
-from linkspan.shard.planner import AVOID_S
-from linkspan.shard.progress import encode_run
+from linkspan.shard.planning.planner import AVOID_S
+from linkspan.shard.recovery.progress import encode_run
 from tests.hall_world import QUEUE, step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started, submitted
 
@@ -95,7 +95,7 @@
     started(first, order, 0.2)
     end = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
     report(first, order.executor_id, end, asked=0.3, now=0.5)
-    from linkspan.shard.progress import encode_run
+    from linkspan.shard.recovery.progress import encode_run
 
     value = encode_run(first.jobs[JOB].runs[0])
     second = ShardCore(0, Bounds())
--- a/tests/shard/test_lengths.py
+++ b/tests/shard/test_lengths.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from linkspan.jobs.spec import JobSpec
-from linkspan.shard._outlook import refresh_outlook
-from linkspan.shard.lengths import LengthBook
+from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.messages import EndedTask, EndKind
-from linkspan.shard.pacing import Pacer
-from linkspan.shard.urgency import Hope, urgency
+from linkspan.shard.planning._outlook import refresh_outlook
+from linkspan.shard.planning.lengths import LengthBook
+from linkspan.shard.planning.urgency import Hope, urgency
 from tests.hall_world import QUEUE, step
 from tests.shard.builders import JOB, core_with, place, plan, report, started, submitted
 
--- a/tests/shard/test_ownership.py
+++ b/tests/shard/test_ownership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from linkspan.shard.ownership import (
+from linkspan.shard.ownership.ownership import (
     RELEASED_S,
     REMOTE_SILENCE_S,
     SILENCE_S,
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 from linkspan.jobs.records import Loan
-from linkspan.shard._given_back import GivenBack
+from linkspan.shard.handover._given_back import GivenBack
+from linkspan.shard.handover.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, TaskName
-from linkspan.shard.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
-from linkspan.shard.summary import HallSummary
 from tests.hall_world import step
 from tests.shard.builders import JOB, core_with, plan, report
 
--- a/tests/shard/test_unknown_runs.py
+++ b/tests/shard/test_unknown_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from linkspan.host.configuration import Configuration, Service
+from linkspan.model.configuration import Configuration, Service
 from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
 from tests.hall_world import QUEUE, step
 from tests.shard.builders import core_with, plan, report
--- a/tests/standins/stored_jobs.py
+++ b/tests/standins/stored_jobs.py
@@ -4,7 +4,7 @@
 
 import json
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Begun, Finished, JobRecord, JobState, Submitted, encode
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.platform.store import CONFIG_KEY, CONFIG_RECORDS, EXECUTOR_RECORDS
--- a/tests/store/test_first_read.py
+++ b/tests/store/test_first_read.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from linkspan.events import EventLog
-from linkspan.host.job_book import JobBook
+from linkspan.jobs.job_book import JobBook
 from linkspan.platform.store import StoreClient
 from linkspan.store.follower import Follower
 from linkspan.store.types import Entry, Partition
