--- a/tests/host/test_planned_stop.py
+++ b/tests/host/test_planned_stop.py
@@ -15,8 +15,8 @@
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
-from linkspan.host.job_book import JOBS
 from linkspan.host.listener import Listener
+from linkspan.jobs.job_book import JOBS
 from tests.hall_world import QUEUE, HallWorld, step
 from tests.virtual_time import run_virtual
 
