--- /dev/null
+++ b/tests/host/test_one_hall.py
@@ -0,0 +1,151 @@
+"""Every host, whenever it started, names the same hall for each job.
+
+What was seen: a drawn store that loses track of producers, and two hosts that accept one
+job for two halls. Hosts that had read all records named the one hall, and hosts that
+started later, from the newest record of each key, named the other.
+
+How it came about: a group without an answer was done, and was written again under a new
+epoch since the store no longer knew the producer. The second writing of a submission had
+the key of the first and hid it; between the two stood the other host's submission.
+
+What proved it: the plays below, of which the first draws nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from linkspan.host.job_book import JOBS, JobBook
+from linkspan.jobs.records import Submitted
+from linkspan.jobs.spec import JobSpec
+from tests.hall_world import HallWorld, Lines, step
+from tests.one_hall import OneHall
+from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.virtual_time import run_virtual
+
+HALLS = 3
+
+PLAYS = 30
+"""Drawn plays; three of them showed the fault."""
+
+PLAY_S = 20.0
+"""Length of a drawn play: several outages long."""
+
+
+def test_a_submission_that_is_written_again_does_not_hide_the_first() -> None:
+    async def play() -> list[str]:
+        readers = _Readers(MemoryStore())
+        first, second = readers.start("first"), readers.start("second")
+        await asyncio.sleep(0.1)
+        first.submit(readers.spec(), 0)
+        await asyncio.sleep(1.0)
+        spec = readers.spec()
+        readers.store.losing = 1.0
+        readers.store.silent.add("second")
+        first.submit(spec, 0)
+        await asyncio.sleep(0.5)
+        readers.store.losing = 0.0
+        assert second.submit(spec, 1)
+        readers.store.silent.clear()
+        await asyncio.sleep(0.3)
+        readers.store.forget_producers(JOBS)
+        await asyncio.sleep(3.0)
+        return readers.compare()
+
+    assert run_virtual(play()) == []
+
+
+def test_readers_of_a_store_that_forgets_name_the_same_halls() -> None:
+    """Hosts accept jobs twice, start anew and are cut off; producers are forgotten."""
+
+    async def play(seed: int) -> list[str]:
+        return await _drawn(_Readers(MemoryStore(seed)), Random(seed))
+
+    assert [(seed, found) for seed in range(PLAYS) if (found := run_virtual(play(seed)))] == []
+
+
+async def _drawn(readers: _Readers, random: Random) -> list[str]:
+    store, found = readers.store, []
+    names = [f"host-{number}" for number in range(4)]
+    for name in names:
+        readers.start(name)
+    jobs: list[JobSpec] = []
+    until = asyncio.get_running_loop().time() + PLAY_S
+    while asyncio.get_running_loop().time() < until:
+        await asyncio.sleep(random.expovariate(8.0))
+        name = random.choice(names)
+        if random.random() < 0.5 or not jobs:
+            jobs.append(readers.spec())
+        readers.hosts[name].submit(random.choice(jobs[-3:]), random.randrange(HALLS))
+        trouble = random.random()
+        if trouble < 0.05:
+            readers.start(name)
+        elif trouble < 0.1:
+            store.forget_producers(JOBS)
+        elif trouble < 0.13:
+            store.forget(JOBS)
+        elif trouble < 0.18:
+            store.silent ^= {name}
+        elif trouble < 0.25:
+            store.losing, store.late = random.choice((0.0, 0.6)), random.random() < 0.5
+        found += readers.compare()
+    store.calm()
+    await asyncio.sleep(8.0)
+    return found + readers.compare()
+
+
+class _Reader:
+    """A host of which only the job book is played, and what its front does with it."""
+
+    def __init__(self, store: MemoryStore, name: str, life: str) -> None:
+        self.book = JobBook(StoreLink(store, name), life, Lines())  # type: ignore[arg-type]
+        self._life = life
+        self._submitting: set[str] = set()
+        loops = (self.book.follower.run(), self.book.writer.run())
+        self._work = [asyncio.create_task(loop) for loop in loops]
+
+    def kill(self) -> None:
+        for task in self._work:
+            task.cancel()
+
+    def submit(self, spec: JobSpec, shard: int) -> asyncio.Future[int] | None:
+        """Keep a job as a front does: once, and only if it is not known."""
+        job_id = spec.job_id
+        known = job_id in self._submitting or self.book.knows(job_id)
+        if known or not self.book.follower.ready:
+            return None
+        self._submitting.add(job_id)
+        write = self.book.write([Submitted(spec, shard, 0.0, self._life)])
+        write.add_done_callback(lambda done: self._on_written(job_id, done))
+        return write
+
+    def _on_written(self, job_id: str, done: asyncio.Future[int]) -> None:
+        self._submitting.discard(job_id)
+        if not done.cancelled() and done.exception() is None:
+            self.book.note_accepted(job_id, done.result())
+
+
+class _Readers:
+    """Hosts that share a store."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+        self._world = HallWorld()
+        self._judge = OneHall(store)
+        self._lives = 0
+        self.hosts: dict[str, _Reader] = {}
+
+    def spec(self) -> JobSpec:
+        return self._world.new_job(step(1))
+
+    def start(self, name: str) -> _Reader:
+        """Start a host, in the place of its earlier life if it has one."""
+        if name in self.hosts:
+            self.hosts[name].kill()
+        self._lives += 1
+        self.hosts[name] = _Reader(self.store, name, f"life-{self._lives}")
+        return self.hosts[name]
+
+    def compare(self) -> list[str]:
+        return self._judge.compare((name, host.book) for name, host in self.hosts.items())
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -35,6 +35,7 @@
     first: int = 0
     epochs: dict[str, tuple[int, int]] = field(default_factory=dict)
     answers: dict[tuple[str, int, int], Appended] = field(default_factory=dict)
+    forgotten: set[str] = field(default_factory=set)
     grown: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -84,6 +85,13 @@
         log = self._logs[partition]
         log.first = log.end
 
+    def forget_producers(self, partition: Partition) -> None:
+        """Lose track of what producers wrote: each has to begin a higher epoch."""
+        log = self._logs[partition]
+        log.forgotten.update(log.epochs)
+        log.epochs.clear()
+        log.answers.clear()
+
     def put(self, partition: Partition, key: bytes, value: bytes) -> None:
         """Write as the platform itself does."""
         self.apply(partition, [Record(value, key)], None, None)
@@ -107,6 +115,7 @@
             log.entries.append(Entry(log.end, record.value, record.key))
         appended = Appended(offset, log.end)
         if producer:
+            log.forgotten.discard(producer.name)
             log.epochs[producer.name] = (producer.epoch, producer.sequence)
             log.answers[producer] = appended
         if records:
@@ -115,6 +124,8 @@
         return appended
 
     def _check(self, log: _Log, producer: Producer) -> Appended | None:
+        if producer.name in log.forgotten and producer.sequence > 1:
+            raise ProducerGap(1)
         epoch, sequence = log.epochs.get(producer.name, (producer.epoch, producer.sequence - 1))
         if producer.epoch < epoch:
             raise ProducerFenced(epoch)
