Give a submission that is sent again a key of its own

Ruled out: an order that does not rest on offsets (a late record with a lower number would change a hall that others act on already); a read before a group is written again (the sending in doubt may be done after that read). Change: GroupWriter has records rewritten when a group is sent again after sendings without an answer, and the job book gives each sending of a submission a key. A store that knows the producer answers as before and writes none of it; one that does not gets a record that hides none.

--- a/src/linkspan/host/job_book.py
+++ b/src/linkspan/host/job_book.py
@@ -9,7 +9,7 @@
 from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.catalog import JobCatalog, JobEntry
-from linkspan.jobs.records import JobRecord, decode, encode
+from linkspan.jobs.records import JobRecord, decode, encode, key_sent_again
 from linkspan.store.follower import Follower
 from linkspan.store.types import Partition, Record
 from linkspan.store.writer import GroupWriter
@@ -65,6 +65,7 @@
             may_renumber=True,
             on_health=self._on_health,
             on_renumber=self._on_renumber,
+            rewrite=_sent_again,
         )
 
     def __repr__(self) -> str:
@@ -190,3 +191,7 @@
     def _on_health(self, healthy: bool) -> None:
         event = Event.STORE_BACK if healthy else Event.STORE_DOWN
         self._log.write(event, partition=JOBS.topic)
+
+
+def _sent_again(record: Record, unanswered: int) -> Record:
+    return record._replace(key=key_sent_again(record.key, unanswered))
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -44,7 +44,8 @@
         spec: The job.
         shard: Number of the shard that runs it.
         accepted: Time of day at the accepting host, in seconds since 1970.
-        host: Life of the accepting host's process: each writes a key of its own.
+        host: Life of the accepting host's process, and which sending of its record this
+            is: each writes a key of its own.
     """
 
     spec: JobSpec
@@ -178,6 +179,21 @@
     return (f"{key}:{record.part}" if record.part else key).encode(), b""
 
 
+def key_sent_again(key: bytes, unanswered: int) -> bytes:
+    """Return the key of a record that is sent again.
+
+    A submission gets another one: under the same key it would hide what was written
+    first, which may stand in front of another host's submission, from all who list keys.
+
+    Args:
+        key: The record's key.
+        unanswered: How often it was sent before.
+    """
+    if not unanswered or not key.startswith(b"s:"):
+        return key
+    return key + b".%d" % unanswered
+
+
 def decode(key: bytes, value: bytes) -> JobRecord:
     """Return the record of a key and a value.
 
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -70,6 +70,8 @@
             the store lost track of it. Not for epochs that are fencing tokens.
         on_health: Called with whether the store answers, at each change.
         on_renumber: Called with the new epoch whenever one is begun.
+        rewrite: Returns a record as it is sent again after so many sendings without an
+            answer, each of which may stand in the log.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         may_renumber: bool = False,
         on_health: Callable[[bool], None] = lambda _healthy: None,
         on_renumber: Callable[[int], None] = lambda _epoch: None,
+        rewrite: Callable[[Record, int], Record] = lambda record, _unanswered: record,
     ) -> None:
         self._store = store
         self._partition = partition
@@ -93,9 +96,10 @@
         self._wake = asyncio.Event()
         self._healthy = True
         self._failed_at = float("-inf")
-        self._in_doubt = False
+        self._unanswered = 0
         self._on_health = on_health
         self._on_renumber = on_renumber
+        self._rewrite = rewrite
 
     def __repr__(self) -> str:
         return f"GroupWriter({self._partition}, {self._name!r}, {len(self._queue)} queued)"
@@ -146,18 +150,18 @@
         return group
 
     async def _write_group(self, group: list[_Item]) -> None:
-        self._in_doubt = False
+        self._unanswered = 0
         pause = RETRY_S
         while group:
             try:
                 offset = await self._append(group)
             except StoreRefused as error:
                 self._set_health(False)
-                if not self._in_doubt:
+                if not self._unanswered:
                     group = _without_impatient(group, error)
             except StoreUnanswered:
                 self._set_health(False)
-                self._in_doubt = True
+                self._unanswered += 1
             except ProducerFenced as error:
                 for item in group:
                     _fail(item, error)
@@ -167,8 +171,8 @@
                     for item in group:
                         _fail(item, error)
                     raise
-                # The store lost track of this producer; readers fold records
-                # idempotently, so a repeated group does no harm.
+                # The store lost track of this producer. The group may be there already:
+                # readers fold records idempotently, and none of them hides another.
                 self._epoch += 1
                 self._sequence = 1
                 self._on_renumber(self._epoch)
@@ -180,7 +184,8 @@
             pause = min(2 * pause, MAX_RETRY_S)
 
     async def _append(self, group: list[_Item]) -> int:
-        records = [record for item in group for record in item.records]
+        times = self._unanswered
+        records = [self._rewrite(record, times) for item in group for record in item.records]
         producer = Producer(self._name, self._epoch, self._sequence)
         appended = await self._store.append(self._partition, records, producer=producer)
         self._sequence += 1
