Reset requests that come to a connection which is being closed

The HTTP library ignores what arrives on a connection that it was told to close before it waited for a first request: the bytes are read, nothing answers them, and the connection stays open until the listener's end.

Ruled out: the test's judge (the bytes were read, so the caller had nothing to tell it from an answer that takes long); the look at what is in flight (it holds no such request).

Change: a connection that is being closed resets a request that comes too late, within milliseconds; the listener looks until no idle connection is left; a drain looks at what is in flight only after a tick, since what was read just now counts a moment later.

--- a/src/linkspan/host/connections.py
+++ b/src/linkspan/host/connections.py
@@ -44,11 +44,19 @@
 class CallerConnection(RequestHandler):
     """One caller's connection, with what tells that it went silent."""
 
-    __slots__ = ("_begun_at", "_busy", "_idle_since", "_unread_bytes", "_unread_since")
+    __slots__ = (
+        "_begun_at",
+        "_busy",
+        "_closing",
+        "_idle_since",
+        "_unread_bytes",
+        "_unread_since",
+    )
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
         self._busy = False
+        self._closing = False
         self._begun_at: float | None = None
         self._idle_since = self._loop.time()
         self._unread_bytes = 0
@@ -70,11 +78,22 @@
         _probe(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
-        """Note when a request begins."""
+        """Note when a request begins; one that comes too late is reset at once.
+
+        The library would read it and leave it unanswered until the listener's end.
+        """
         if not self._busy and self._begun_at is None:
+            if self._closing:
+                self.drop()
+                return
             self._begun_at = self._loop.time()
         super().data_received(data)
 
+    def close(self) -> None:
+        """Take no further request; what was read whole gets its answer."""
+        self._closing = True
+        super().close()
+
     def begin_call(self) -> None:
         """Note that a request's head was read whole."""
         self._busy = True
@@ -121,6 +140,11 @@
         self._on_drop = on_drop
         self._sweeping: asyncio.TimerHandle | None = None
 
+    @property
+    def caller_connections(self) -> list[CallerConnection]:
+        """The open connections."""
+        return [c for c in self.connections if isinstance(c, CallerConnection)]
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         if self._sweeping is None:
@@ -143,7 +167,7 @@
 
     def _sweep(self) -> None:
         now = self._loop.time()
-        open_ones = [c for c in self.connections if isinstance(c, CallerConnection)]
+        open_ones = self.caller_connections
         for connection in open_ones:
             reason = connection.overdue(now)
             if reason:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -210,6 +210,8 @@
         await asyncio.sleep(began + notice_s - time.monotonic())
         if refuse_new:
             await refuse_new()
+        # What was read just now counts as in flight a moment later.
+        await asyncio.sleep(DRAIN_TICK_S)
         while self.front.in_flight and time.monotonic() < began + limit_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
--- a/src/linkspan/host/listener.py
+++ b/src/linkspan/host/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any, Self
 
 from aiohttp import web
@@ -11,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from aiohttp.web_protocol import RequestHandler
+    from linkspan.host.connections import CallerConnection
 
 BACKLOG = 1024
 """Connections that wait to be accepted: a balancer may open hundreds at once."""
@@ -21,6 +22,10 @@
 is given up then. Whole requests were waited for before."""
 
 
+CLOSE_TICK_S = 0.01
+"""Time between looks for idle connections while a listener takes nothing new."""
+
+
 class Listener:
     """Serves HTTP at one address.
 
@@ -47,9 +52,9 @@
         return self._runner.addresses
 
     @property
-    def connections(self) -> list[RequestHandler]:
+    def connections(self) -> list[CallerConnection]:
         """Callers' open connections."""
-        return self._server.connections
+        return self._server.caller_connections
 
     async def open(self, address: str) -> Self:
         """Listen at an ``ip:port``.
@@ -70,7 +75,10 @@
         """
         for site in list(self._runner.sites):
             await site.stop()
-        self._server.pre_shutdown()
+        # One that was accepted just now waits for its first request a moment later.
+        while any(connection.idle for connection in self.connections):
+            self._server.pre_shutdown()
+            await asyncio.sleep(CLOSE_TICK_S)
 
     async def close(self) -> None:
         """Close all connections and stop listening."""
--- a/tests/host/test_one_hall.py
+++ b/tests/host/test_one_hall.py
@@ -16,7 +16,7 @@
 import asyncio
 from random import Random
 
-from linkspan.host.job_book import JOBS, JobBook
+from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld, Lines, step
--- a/tests/one_hall.py
+++ b/tests/one_hall.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from linkspan.host.job_book import JOBS, JobBook
 from linkspan.jobs.catalog import JobCatalog
+from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import decode
 from linkspan.store.types import Entry
 
