--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -24,6 +24,7 @@
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
+from linkspan.shard._context import Executors
 from linkspan.shard.advice import PolicyService
 from linkspan.shard.machines import MachineRecord, MachineState
 from linkspan.shard.messages import (
@@ -34,7 +35,7 @@
     StartOutcome,
     TaskName,
 )
-from linkspan.store.types import Partition
+from linkspan.store.types import Partition, Store
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import HOST, virtual_loop
@@ -162,8 +163,8 @@
             name, hall, self.halls, "", "", StoreLimits(""), bounds=self.bounds()
         )
         adapter = Adapter(
-            store=StoreLink(self.store, name),
-            executors=lambda token: ExecutorLink(self, name, token),
+            store=self.store_link(name),
+            executors=lambda token: self.link(name, token),
             machines=self if self.lists_machines else None,
             policy=self.policy,
             bodies=CallerBodies(),
@@ -190,6 +191,14 @@
     def bounds(self) -> Bounds:
         return Bounds(max_lease_s=self.max_lease_s)
 
+    def store_link(self, host: str) -> Store:
+        """Return a host's way to the store."""
+        return StoreLink(self.store, host)
+
+    def link(self, host: str, token: int) -> Executors:
+        """Return a tenure's way to all executors."""
+        return ExecutorLink(self, host, token)
+
     def kill_host(self, name: str) -> None:
         self.hosts.pop(name).task.cancel()
 
@@ -299,6 +308,10 @@
         step = self.step_of(task)
         return 1e6 if step.standing else step.estimate_s * (0.8 + 0.4 * self.random.random())
 
+    def figure(self, task: TaskName) -> float | None:
+        """Return what executors tell of a run's latency or use, nothing here."""
+        return None
+
     def fails(self, task: TaskName, run: int) -> bool:
         return self.random.random() < self.failing_share
 
@@ -465,6 +478,9 @@
                     "indefinite": s.standing,
                     "gangScheduled": s.gang,
                     "antiAffinity": s.max_per_executor,
+                    "fills": s.best_effort,
+                    "target_ms": s.latency_target_ms,
+                    "image": s.image,
                 }
                 for s in spec.steps
             ],
--- a/tests/standins/executor_http.py
+++ b/tests/standins/executor_http.py
@@ -100,6 +100,6 @@
             until_s=None if until_ms is None else until_ms / 1000,
             wait_s=body.get("waitMs", 0) / 1000,
         )
-        running = [[task_to_wire(r.task), r.run, "", 100] for r in report.running]
+        running = [[task_to_wire(r.task), r.run, "", 100, r.usage] for r in report.running]
         ended = [[e.number, task_to_wire(e.task), e.run, e.kind.value, ""] for e in report.ended]
         return 200, {"running": running, "ended": ended}
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -149,7 +149,8 @@
 
     def _row(self, run: _Run) -> RunningTask:
         at_work = self.world.step_of(run.task).standing
-        return RunningTask(run.task, run.run, "", 100 if at_work else 50, None)
+        figure = self.world.figure(run.task)
+        return RunningTask(run.task, run.run, "", 100 if at_work else 50, figure)
 
 
 class ExecutorLink:
