Encode log lines with orjson, without a look for their caller

Ruled out: fewer lines (each is read in an incident). Change: the same library's orjson formatter; fields that it refuses (numbers over 64 bits, text that is no UTF-8) go through the former encoder. The new test passes on the former code, too.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 import time
 from enum import Enum
 from typing import Any, TextIO
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.orjson import OrjsonFormatter, orjson_default
 
 from linkspan._dropping_stream import DroppingStream
 
@@ -164,6 +165,22 @@
         self.remedy = remedy
 
 
+class _LineFormatter(OrjsonFormatter):
+    """Formats lines, also those with fields that the encoder refuses."""
+
+    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
+        try:
+            return super().jsonify_log_record(log_data)
+        except TypeError:
+            # Numbers of more than 64 bits, and text that is no UTF-8.
+            return json.dumps(log_data, default=_field)
+
+
+def _field(value: Any) -> Any:
+    """Return what stands for a field of a type that JSON does not have."""
+    return list(value) if isinstance(value, tuple) else orjson_default(value)
+
+
 class EventLog:
     """Writes events as JSON lines, with a bound on floods of one kind.
 
@@ -215,7 +232,14 @@
 
     def _emit(self, event: Event, details: dict[str, Any]) -> None:
         extra = {"event": event.number, "kind": event.name.lower(), **self._common, **details}
-        self._logger.log(event.level, event.text, extra=extra)
+        logger = self._logger
+        if logger.isEnabledFor(event.level):
+            # Without a look for the caller's line, which no line shows: a fifth of its time.
+            logger.handle(
+                logger.makeRecord(
+                    logger.name, event.level, "", 0, event.text, (), None, extra=extra
+                )
+            )
 
 
 def _stream(name: str) -> DroppingStream | TextIO:
@@ -226,8 +250,11 @@
 def _handler(stream: DroppingStream | TextIO) -> logging.Handler:
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
-        JsonFormatter(
-            "%(levelname)s %(message)s", timestamp=True, rename_fields={"levelname": "level"}
+        _LineFormatter(
+            "%(levelname)s %(message)s",
+            timestamp=True,
+            rename_fields={"levelname": "level"},
+            json_default=_field,
         )
     )
     return handler
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -9,6 +9,7 @@
 
 from linkspan import events
 from linkspan.events import Event, EventLog, catalogue
+from linkspan.shard.messages import EndKind, TaskName
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 
@@ -36,3 +37,28 @@
     flood = lines[-2]
     assert (flood["event"], flood["of"], flood["left_out"]) == (106, 300, 50)
     assert lines[0]["kind"] == "routed" and lines[0]["daemon"] == "test"
+
+
+def test_lines_hold_fields_of_all_types(capsys: pytest.CaptureFixture[str]) -> None:
+    log = EventLog("test")
+    fields = {
+        "number": 2**70,
+        "task": TaskName("job", 0, 1, 2),
+        "kind_of_end": EndKind.DONE,
+        "runs": {1: "a", "b": None},
+        "text": "caf\u00e9 \ud800",
+        "pairs": [(1, 2.5)],
+    }
+    for name, value in fields.items():
+        log.write(Event.STOPPED, **{name: value})
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    shown = [line[name] for name, line in zip(fields, lines, strict=True)]
+    assert shown == [
+        2**70,
+        ["job", 0, 1, 2],
+        "done",
+        {"1": "a", "b": None},
+        "caf\u00e9 \ud800",
+        [[1, 2.5]],
+    ]
+    assert all(line["level"] == "INFO" and line["timestamp"] for line in lines)
