Close idle connections when a listener takes nothing new

The HTTP library, told to close an idle connection, ends its reader and leaves the connection open until its listener ends; the look that waits for idle connections to go waited for ever.

Change: an idle connection that is to take nothing more is closed there and then.

--- a/src/linkspan/host/connections.py
+++ b/src/linkspan/host/connections.py
@@ -90,9 +90,14 @@
         super().data_received(data)
 
     def close(self) -> None:
-        """Take no further request; what was read whole gets its answer."""
+        """Take no further request; what was read whole gets its answer.
+
+        The library leaves an idle connection open, with nobody to read it.
+        """
         self._closing = True
         super().close()
+        if self.idle:
+            self.drop()
 
     def begin_call(self) -> None:
         """Note that a request's head was read whole."""
--- a/tests/host/test_planned_stop.py
+++ b/tests/host/test_planned_stop.py
@@ -145,3 +145,21 @@
     status, took = run_virtual(play())
     assert status == 504
     assert took <= 3.0
+
+
+async def test_a_listener_that_takes_nothing_new_closes_idle_connections_at_once() -> None:
+    async def answer(_request: web.BaseRequest) -> web.Response:
+        return web.Response()
+
+    listener = await Listener(answer).open("127.0.0.1:0")
+    port = listener.addresses[0][1]
+    fresh = await asyncio.open_connection("127.0.0.1", port)
+    used = await asyncio.open_connection("127.0.0.1", port)
+    used[1].write(REQUEST)
+    await used[0].readuntil(b"\r\n\r\n")
+    async with asyncio.timeout(2.0):
+        await listener.refuse_new()
+        for reader, writer in (fresh, used):
+            await reader.read()
+            writer.close()
+    await listener.close()
