Show a job that moves whole though its beginning is on record; listed as red

Cause: a new owner that finds no progress of a job takes it for one that has not begun, also where the job records say that it has; where its hall has no room it is moved whole and begins at run 1 in the other hall. Ruled out: harm by a rule was looked for and not found. Runs of it that live, and their ends, are found at the executors before it may move, and else their leases have lapsed or the executor is gone. Change: the test only. It fails each time: the job is handed over. The class is that of the double start: what is known is left out of the decision.

--- a/tests/host/test_whole_moves.py
+++ b/tests/host/test_whole_moves.py
@@ -6,11 +6,11 @@
 job for new, or got it whole.
 
 How it can come about: the progress of a job is not durable when its owner dies. The next
-owner learns of its runs from executors alone. If it overlooks
+owner learns of its runs from executors, or from the record that it began. If it overlooks
 that and the hall has no room, the job moves whole, and the other hall runs all of it.
 
 What showed it: the first play, and the drawn days, with the rule taken out that an end
-counts as a beginning.
+counts as a beginning; the second play as it stands.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 import pytest
 
 from linkspan.host.job_book import JOBS
-from linkspan.jobs.records import Submitted, encode
+from linkspan.jobs.records import Begun, Submitted, encode
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld, step
 from tests.host.recorded_day import RecordedDay
@@ -59,6 +59,24 @@
     assert world.problems == []
 
 
+def test_a_job_whose_beginning_is_on_record_does_not_move() -> None:
+    """Its progress was not written, and nothing of it is found at the executors."""
+
+    async def play() -> HallWorld:
+        world = await _first_hall_full_but_for(milli_cpu=500)
+        _kill_all(world)
+        spec = world.new_job(step(2))
+        _accept(world, spec)
+        world.store.put(JOBS, *encode(Begun(spec.job_id)))
+        _start_all(world)
+        await asyncio.sleep(8.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert [f["job"] for f in world.log.named("WORK_HANDED_OVER")] == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_day_in_the_pattern_of_the_record_breaks_no_promise(seed: int) -> None:
     assert run_virtual(RecordedDay(seed).play(), limit_s=400.0).problems == []
