Count a job as begun when its beginning is on record

Cause: an owner judged whether a job had begun by progress and by executors alone, and passed over the record of its beginning, so it could move such a job whole. Ruled out: a record that is done after the new owner's recovery: a host that has read to the end pauses before it reads on, and the job may move in that time (seen with a record done 0.3 s after the start); left as it is, since runs that live and their ends are found before. Change: the feed passes on that the job has begun; such a job waits for room at home, as it does where progress is found.

--- a/src/linkspan/shard/_feed.py
+++ b/src/linkspan/shard/_feed.py
@@ -74,6 +74,7 @@
                 now,
                 inherited=inherited,
                 moved=entry.moved is not None,
+                begun=entry.begun,
                 progress=progress,
                 borrowed=borrowed,
             )
--- a/src/linkspan/shard/_jobs.py
+++ b/src/linkspan/shard/_jobs.py
@@ -42,6 +42,7 @@
         *,
         inherited: bool = False,
         moved: bool = False,
+        begun: bool = False,
         progress: dict[int, bytes] | None = None,
         borrowed: Iterable[Loan] | None = None,
     ) -> None:
@@ -56,7 +57,8 @@
         if job_id in self._books.left and borrowed is None:
             # A loan is newer than the move that it follows; other news is older.
             return
-        job = ShardJob(submitted, inherited=inherited, moved=moved)
+        # Begun by the records: its progress may not have become durable.
+        job = ShardJob(submitted, inherited=inherited, moved=moved, begun=begun)
         job.borrowed = borrowed is not None
         self._books.jobs[job.job_id] = job
         self.refresh_queue(job)
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -138,6 +138,7 @@
         *,
         inherited: bool = False,
         moved: bool = False,
+        begun: bool = False,
         progress: dict[int, bytes] | None = None,
         borrowed: Iterable[Loan] | None = None,
     ) -> None:
@@ -148,6 +149,7 @@
             now: Steady time.
             inherited: Whether a former owner may have started tasks of it.
             moved: Whether another shard gave it to this one.
+            begun: Whether it is on record that a task of it was started.
             progress: Records of its repetitions, by number.
             borrowed: Loans of its tasks to this shard, ``None`` if it lives here.
 
@@ -155,7 +157,13 @@
             RecordError: A progress record does not fit the job.
         """
         self._intake.add_job(
-            submitted, now, inherited=inherited, moved=moved, progress=progress, borrowed=borrowed
+            submitted,
+            now,
+            inherited=inherited,
+            moved=moved,
+            begun=begun,
+            progress=progress,
+            borrowed=borrowed,
         )
 
     def release_due(self, wall: float, now: float) -> None:
