Look in each plan only at runs that may move, and once at tasks that wait

Cause: a plan with nothing to do asked each executor for lists of its runs three times, sorted the times of a step for each of its runs, and went through a ready step's tasks three times. Ruled out: fewer plans (a report that changes nothing is rare: most tell of an end). Change: executors without runs of a kind answer at once; a step's median is kept until a time is added; a run younger than the least bound is no straggler; pending tasks are listed once.

--- a/src/linkspan/shard/_copies.py
+++ b/src/linkspan/shard/_copies.py
@@ -52,10 +52,10 @@
             return False
         if len(step.durations) < 2 or step.run.job.closing:
             return False
-        copied = sum(len(task.attempts) > 1 for task in step.tasks)
-        if copied >= max(COPIES_SHARE * step.spec.count, 1):
+        if self._now - attempt.placed_at <= COPY_FACTOR * step.median_s + COPY_SLACK_S:
             return False
-        return self._now - attempt.placed_at > COPY_FACTOR * step.median_s + COPY_SLACK_S
+        copied = sum(len(task.attempts) > 1 for task in step.tasks)
+        return copied < max(COPIES_SHARE * step.spec.count, 1)
 
     def _copy(self, attempt: Attempt, beside: ExecutorState) -> None:
         others = [e for e in self._view.usable() if e is not beside]
--- a/src/linkspan/shard/_moves.py
+++ b/src/linkspan/shard/_moves.py
@@ -72,7 +72,7 @@
 
     def _leave_draining(self) -> None:
         for executor in self._core.executors.values():
-            if not executor.draining or executor.silent_since is not None:
+            if not executor.record.draining or executor.silent_since is not None:
                 continue
             left = executor.leaves_at - self._now
             for attempt in list(executor.attempts.values()):
@@ -131,6 +131,9 @@
         if len(attempt.task.avoid) >= MAX_MOVES:
             return False
         took = self._now - max(attempt.placed_at, attempt.confirmed_at)
+        if took <= STRAGGLER_SLACK_S:
+            # Most runs are younger than that; neither bound is below it.
+            return False
         if len(step.durations) >= 2:
             return took > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
         return took > LONE_FACTOR * spec.estimate_s + LONE_SLACK_S
@@ -138,8 +141,8 @@
     def _move_disturbing(self) -> None:
         """Move best-effort runs that were slowed down to where they disturb less."""
         for executor in list(self._core.executors.values()):
-            for attempt in executor.best_effort():
-                if attempt.pace < MOVE_BELOW and self._better_elsewhere(attempt, executor):
+            for attempt in executor.slowed(MOVE_BELOW):
+                if self._better_elsewhere(attempt, executor):
                     self._core.stop(attempt, self._now, reason="disturbs standing tasks here")
 
     def _better_elsewhere(self, attempt: Attempt, executor: ExecutorState) -> bool:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -208,8 +208,19 @@
 
     def timed(self) -> list[Attempt]:
         """Return running attempts whose length tells whether they stand still."""
+        # Most executors have none at most times, and each plan asks all of them.
+        if not self._timed:
+            return []
         return [a for a in self._timed.values() if a.phase is Phase.RUNNING]
 
     def copied(self) -> list[Attempt]:
         """Return running attempts of tasks that may have a copy beside them."""
+        if not self._copied:
+            return []
         return [a for a in self._copied.values() if a.phase is Phase.RUNNING]
+
+    def slowed(self, below: int) -> list[Attempt]:
+        """Return running best-effort attempts with less than some pace, in percent."""
+        if not self._beside:
+            return []
+        return [a for a in self._beside.values() if a.pace < below and a.phase is Phase.RUNNING]
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -54,22 +54,26 @@
         view = PlanView(core, PlanRooms(core.colocation, now, wall), now)
         core.release_due(wall, now)
         Moves(view).order()
-        for step in self._ordered(wall):
+        for step, waiting in self._ordered(wall):
             if core.may_start(step.run.job, now):
-                self._place_step(step, view)
+                self._place_step(step, waiting, view)
         Copies(view).order()
 
-    def _ordered(self, wall: float) -> list[StepRun]:
+    def _ordered(self, wall: float) -> list[tuple[StepRun, list[Task]]]:
+        """Return the steps to serve, in order, each with its tasks that wait."""
         ready = self._core.ready
+        waiting = []
         for step in list(ready):
-            if step.run.job.closing or not any(task.pending for task in step.tasks):
+            tasks = [] if step.run.job.closing else step.pending()
+            if not tasks:
                 del ready[step]
                 self._blocked_logged.discard(step)
-        waiting = [step for step in ready if not step.run.job.handing_over]
-        return sorted(waiting, key=lambda step: urgency(step, wall))
+            elif not step.run.job.handing_over:
+                waiting.append((step, tasks))
+        return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
 
-    def _place_step(self, step: StepRun, view: PlanView) -> None:
-        pending = [t for t in step.tasks if t.pending and t.not_before <= view.now]
+    def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
+        pending = [t for t in waiting if t.not_before <= view.now]
         if not pending:
             return
         placement = view.placement(step, view.usable())
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -169,6 +169,8 @@
     left: int = 0
     durations: list[float] = field(default_factory=list)
     failed_runs: set[int] = field(default_factory=set)
+    _median_s: float = 0.0
+    _median_of: int = 0
 
     @property
     def failures(self) -> int:
@@ -178,7 +180,15 @@
     @property
     def median_s(self) -> float:
         """Median running time of tasks that are done, in seconds; there must be one."""
-        return sorted(self.durations)[len(self.durations) // 2]
+        # Each plan asks for it for each run, and times are only ever added.
+        if self._median_of != len(self.durations):
+            self._median_of = len(self.durations)
+            self._median_s = sorted(self.durations)[self._median_of // 2]
+        return self._median_s
+
+    def pending(self) -> list[Task]:
+        """Return the tasks that wait for an attempt."""
+        return [t for t in self.tasks if not (t.done or t.attempts) and t.lent is None]
 
     @property
     def open(self) -> bool:
