--- /dev/null
+++ b/src/linkspan/_typed.py
@@ -0,0 +1,72 @@
+"""Values of decoded JSON or YAML as the types that the code behind them counts on."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+MOST_WHOLE = 2**53
+"""Largest size of a whole number: up to it, JSON of any writer keeps numbers exact."""
+
+
+def text(value: Any) -> str:
+    """Return a text.
+
+    Raises:
+        TypeError: It is none.
+        ValueError: It cannot be encoded.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r:.60} is no text")
+    value.encode()
+    return value
+
+
+def whole(value: Any, *, least: int = 0) -> int:
+    """Return a whole number; a fraction is cut off.
+
+    Raises:
+        TypeError: It is no number.
+        ValueError: It is out of bounds.
+    """
+    return int(number(value, least=least, most=MOST_WHOLE))
+
+
+def number(value: Any, *, least: float = 0.0, most: float = math.inf) -> float:
+    """Return a finite number as it was given.
+
+    Raises:
+        TypeError: It is none.
+        ValueError: It is out of bounds.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r:.60} is no number")
+    if not math.isfinite(value) or not least <= value <= most:
+        raise ValueError(f"{value!r:.60} is out of bounds")
+    return value
+
+
+def rows(value: Any) -> list[Any]:
+    """Return a list; one that is left out is empty.
+
+    Raises:
+        TypeError: It is none.
+    """
+    if value is None:
+        return []
+    if not isinstance(value, list | tuple):
+        raise TypeError(f"{value!r:.60} is no list")
+    return list(value)
+
+
+def fields(value: Any) -> dict[str, Any]:
+    """Return an object; one that is left out is empty.
+
+    Raises:
+        TypeError: It is none.
+    """
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise TypeError(f"{value!r:.60} is no object")
+    return value
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,16 @@
 
 ROOT = Path(linkspan.__file__).parent
 LAYERS = (
-    ("", "errors", "metrics", "model", "_capnp_schema", "_dropping_stream", "_rendezvous"),
+    (
+        "",
+        "errors",
+        "metrics",
+        "model",
+        "_capnp_schema",
+        "_dropping_stream",
+        "_rendezvous",
+        "_typed",
+    ),
     ("events", "settings", "trace", "selectors", "services", "store", "_fields", "_registry"),
     ("jobs", "config", "ledger", "report"),
     ("shard", "peer", "placement", "routing"),
