Refuse callers' bodies whose fields are of a wrong type or out of all bounds

Cause: a body was decoded whatever stood in its fields. An estimate of the text "inf" or "nan" was accepted with 200 and stood as null in its record: each host that read it ended (TypeError in jobs/spec), and so did each life of the shard's owner (CRASHED), so that the hall took no more work. A label that is a list or an object failed in the front without an answer, a size over 64 bits in encoding the record. A repeatCount had no bound, and the owner makes every repetition's tasks at once.

Change: fields are read by type; check_job bounds sizes (2**31), estimates and intervals (1e9 s) and the tasks of all repetitions (100,000, about 30 MB at the owner by an estimate of 300 bytes each, not measured). All of it is answered with 400 and a reason.

--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -13,6 +13,17 @@
 MAX_TASKS = 10_000
 """Most tasks of one job; above it one job could outgrow a store record."""
 
+MAX_REPEATED_TASKS = 100_000
+"""Most tasks of all repetitions of a job. An owner holds each from the start, in about
+300 bytes, and a host has 40 MB and more."""
+
+MAX_SIZE = 2**31
+"""Largest size that a task may ask for, in thousandths of a core or megabytes: sums over
+a whole hall stay within the 64 bits of a record's numbers."""
+
+MAX_TIME_S = 1e9
+"""Longest estimate and latest due time after one another, in seconds: thirty years."""
+
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -158,6 +169,16 @@
     total = sum(step.count for step in spec.steps)
     if total > MAX_TASKS:
         raise InvalidInput("steps", f"{total} tasks", f"give {MAX_TASKS} at most")
+    if spec.schedule:
+        _check_schedule(spec.schedule, total)
+
+
+def _check_schedule(schedule: Schedule, tasks: int) -> None:
+    if not 1 <= schedule.count <= MAX_REPEATED_TASKS // tasks:
+        problem = f"{schedule.count} times {tasks} tasks"
+        raise InvalidInput("schedule", problem, f"give {MAX_REPEATED_TASKS} tasks at most")
+    if not 0 <= schedule.interval_s <= MAX_TIME_S:
+        raise InvalidInput("schedule", "interval", f"give 0 to {MAX_TIME_S:.0f} s")
 
 
 def _check_step(index: int, step: StepSpec) -> None:
@@ -167,5 +188,9 @@
     demand = step.demand
     if min(demand.milli_cpu, demand.memory_mb, demand.gpus, step.estimate_s) < 0:
         raise InvalidInput(path, "negative size or estimate", "give 0 or more")
+    if max(demand.milli_cpu, demand.memory_mb, demand.gpus) > MAX_SIZE:
+        raise InvalidInput(path, "size", f"give {MAX_SIZE} at most")
+    if step.estimate_s > MAX_TIME_S:
+        raise InvalidInput(path, "estimate", f"give {MAX_TIME_S:.0f} s at most")
     if any(not 0 <= earlier < index for earlier in step.depends_on):
         raise InvalidInput(f"{path}/depends_on", "no earlier step", "name earlier steps only")
--- a/src/linkspan/platform/jobs.py
+++ b/src/linkspan/platform/jobs.py
@@ -6,6 +6,8 @@
 
 import orjson
 
+from linkspan._typed import fields as fields_of
+from linkspan._typed import number, rows, text, whole
 from linkspan.errors import InvalidInput
 from linkspan.jobs.records import JobState
 from linkspan.jobs.spec import JobSpec, Schedule, StepSpec, check_job
@@ -22,12 +24,12 @@
         InvalidInput: The body is no valid job.
     """
     try:
-        fields = orjson.loads(body)
+        fields = fields_of(orjson.loads(body))
         spec = JobSpec(
             job_id=job_id,
             queue=queue,
-            payload=str(fields.get("spec") or ""),
-            steps=tuple(_step(row) for row in fields["steps"]),
+            payload=text(fields.get("spec") or ""),
+            steps=tuple(_step(fields_of(row)) for row in rows(fields["steps"])),
             schedule=_schedule(fields),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -37,33 +39,33 @@
 
 
 def _schedule(fields: dict[str, Any]) -> Schedule | None:
-    count = int(fields.get("repeatCount") or 0)
-    if count <= 0:
+    count = whole(fields.get("repeatCount") or 0)
+    if not count:
         return None
-    first_s = float(fields.get("firstMs") or 0) / 1000
-    return Schedule(count, first_s, float(fields.get("intervalMs") or 0) / 1000)
+    first_s = number(fields.get("firstMs") or 0) / 1000
+    return Schedule(count, first_s, number(fields.get("intervalMs") or 0) / 1000)
 
 
 def _step(row: dict[str, Any]) -> StepSpec:
     budget = row.get("may_miss")
     standing = bool(row.get("indefinite"))
     return StepSpec(
-        count=int(row.get("count") or 1),
+        count=whole(row.get("count") or 1),
         demand=demand_from_wire(row),
-        estimate_s=float(row.get("estimatedMs") or 0) / 1000,
-        depends_on=tuple(int(index) for index in row.get("dependsOn") or ()),
-        label=row.get("requirements") or "",
-        data_rack=row.get("affinity") or "",
-        max_per_executor=int(row.get("antiAffinity") or 0),
+        estimate_s=number(row.get("estimatedMs") or 0) / 1000,
+        depends_on=tuple(whole(index) for index in rows(row.get("dependsOn"))),
+        label=text(row.get("requirements") or ""),
+        data_rack=text(row.get("affinity") or ""),
+        max_per_executor=whole(row.get("antiAffinity") or 0),
         gang=bool(row.get("gangScheduled")),
         one_rack=bool(row.get("rackLocal")),
         speculative=bool(row.get("speculative")),
         standing=standing,
         # An omitted 0 means that none may be away.
-        disruption_budget=int(budget or 0) if standing else None,
+        disruption_budget=whole(budget or 0) if standing else None,
         best_effort=bool(row.get("fills")),
-        image=row.get("image") or "",
-        latency_target_ms=float(row.get("target_ms") or 0),
+        image=text(row.get("image") or ""),
+        latency_target_ms=number(row.get("target_ms") or 0),
         checkpoints=bool(row.get("checkpointing")),
     )
 
