Refuse settings that are of no sound type with a line instead of a trace

Cause: the file's loader raises more than YAML errors (a date of month 13: ValueError; other constructors as well; deep nesting), and fields were passed on as they stood: a name of null, a bound of .nan or .inf, a port range of three, a hall that is not among the halls, which fails only when its number is asked for. Change: all of these are a SettingsError; fields are read by type. Unknown fields stay passed over.

--- a/src/linkspan/platform/settings.py
+++ b/src/linkspan/platform/settings.py
@@ -8,6 +8,8 @@
 
 import yaml
 
+from linkspan._typed import fields as fields_of
+from linkspan._typed import number, rows, text, whole
 from linkspan.errors import SettingsError
 from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 
@@ -52,44 +54,61 @@
     try:
         loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
         fields = yaml.load(path.read_bytes(), Loader=loader)
-    except (OSError, yaml.YAMLError) as error:
+    except (OSError, yaml.YAMLError, ValueError, TypeError, KeyError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}; check the settings file") from error
     try:
-        return _settings(fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return _settings(fields_of(fields))
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: field {error}; give it in the documented form") from error
 
 
 def _settings(fields: dict[str, Any]) -> HostSettings:
-    addresses = fields["bindAddresses"]
-    store = fields["platform"]
+    addresses = fields_of(fields["bindAddresses"])
+    store = fields_of(fields["platform"])
     if fields.get("commands", "invoke") != "invoke":
         raise SettingsError("commands: only 'invoke' is supported; set it to that")
+    hall = text(fields["zone"])
+    halls = _halls(fields["zones"])
+    if hall not in halls:
+        raise ValueError(f"zone: {hall!r} is not among zones")
     return HostSettings(
-        name=fields["nodeName"],
-        hall=fields["zone"],
-        halls=tuple(sorted(fields["zones"])),
-        callers=addresses["front"],
-        readiness=addresses["ready"],
+        name=text(fields["nodeName"]),
+        hall=hall,
+        halls=halls,
+        callers=text(addresses["front"]),
+        readiness=text(addresses["ready"]),
         store=StoreLimits(
-            store["address"],
-            float(store.get("writes_per_s") or 800),
-            float(store.get("reads_per_s") or 2000),
+            text(store["address"]),
+            number(store.get("writes_per_s") or 800),
+            number(store.get("reads_per_s") or 2000),
         ),
-        advice=fields.get("advice") or "",
-        machines=(fields.get("cloudApi") or {}).get("address") or "",
-        bounds=_bounds(fields.get("bounds") or {}),
-        executor_heartbeat_s=float(fields.get("heartbeatMs") or 1500) / 1000,
-        memory_mb=int((fields.get("limits") or {}).get("memoryMb") or 300),
-        peer_ports=tuple(fields.get("internalPortRange") or (0, 0)),
-        ip=fields["ip"],
+        advice=text(fields.get("advice") or ""),
+        machines=text(fields_of(fields.get("cloudApi")).get("address") or ""),
+        bounds=_bounds(fields_of(fields.get("bounds"))),
+        executor_heartbeat_s=number(fields.get("heartbeatMs") or 1500) / 1000,
+        memory_mb=whole(fields_of(fields.get("limits")).get("memoryMb") or 300, least=1),
+        peer_ports=_ports(rows(fields.get("internalPortRange"))),
+        ip=text(fields["ip"]),
     )
 
 
+def _halls(given: Any) -> tuple[str, ...]:
+    """Return the halls in order, of a list of them or an object that has them as keys."""
+    named = given if isinstance(given, dict) else rows(given)
+    return tuple(sorted(text(hall) for hall in named))
+
+
+def _ports(given: list[Any]) -> tuple[int, int]:
+    if not given:
+        return (0, 0)
+    first, last = (whole(port) for port in given)
+    return (first, last)
+
+
 def _bounds(given: dict[str, Any]) -> Bounds:
     return Bounds(
         **{
-            field: float(given[name]) * unit
+            field: number(given[name]) * unit
             for field, (name, unit) in _BOUNDS.items()
             if given.get(name) is not None
         }
