Take answers of executors, machines and policies that are not sound as none

Cause: a task's name that is a number left the decoder of reports as AttributeError, a clock that is a list as TypeError: either ended the shard's tenure, with all its orders. Runs, progress and figures were passed on as they stood; a task's index could be negative, which named another task. An end of a kind, or with a field, that a later version adds made the whole report none, for ever, so its executor counted as silent. A machine list whose token repeats was asked for without end.

Change: fields are read by type; an unknown end is one that was neither done nor failed, so that its task begins anew and is not charged; what a row tells behind its known fields is passed over; a token that comes again ends the list as unanswered.

A fence or refusal keeps its meaning.

--- a/src/linkspan/platform/advice.py
+++ b/src/linkspan/platform/advice.py
@@ -6,6 +6,8 @@
 
 import orjson
 
+from linkspan._typed import fields as fields_of
+from linkspan._typed import number, rows, text
 from linkspan.errors import Unreachable
 from linkspan.platform._answers import read_answer
 from linkspan.shard.planning.advice import Advice
@@ -54,7 +56,9 @@
 def _advice(fields: Any) -> Advice:
     try:
         # "good" holds rows of an executor's id and its ticket.
-        tickets = {str(row[0]): str(row[1]) for row in fields.get("good") or ()}
-        return Advice(tickets, float(fields.get("valid_ms") or 0) / 1000)
-    except (TypeError, ValueError, IndexError, KeyError, AttributeError) as error:
+        fields = fields_of(fields)
+        good = [rows(row) for row in rows(fields.get("good"))]
+        tickets = {text(row[0]): text(row[1]) for row in good}
+        return Advice(tickets, number(fields.get("valid_ms") or 0) / 1000)
+    except (TypeError, ValueError, IndexError) as error:
         raise Unreachable(f"policy service sent no advice: {error!r}; ask again") from error
--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 
+from linkspan._typed import number, rows, text, whole
 from linkspan.errors import Fenced, Unreachable, WrongIncarnation
 from linkspan.shard.messages import (
     EndedTask,
@@ -158,8 +159,11 @@
     Raises:
         ValueError: It is no name of a task.
     """
-    job_id, repetition, step, index = text.split(".")
-    return TaskName(job_id, int(repetition), int(step), int(index))
+    job_id, *numbers = text.split(".")
+    if not all(number.isascii() and number.isdecimal() for number in numbers):
+        raise ValueError(f"{text!r:.60} names no task")
+    repetition, step, index = map(int, numbers)
+    return TaskName(job_id, repetition, step, index)
 
 
 def _start_outcome(status: int, fields: dict[str, Any]) -> StartOutcome:
@@ -172,27 +176,43 @@
 
 def _clock(fields: dict[str, Any]) -> float | None:
     clock_ms = fields.get("clockMs")
-    return None if clock_ms is None else clock_ms / 1000
+    try:
+        return None if clock_ms is None else number(clock_ms) / 1000
+    except (TypeError, ValueError) as error:
+        raise Unreachable(f"executor's clock: {error!r}; it is asked again") from error
 
 
 def _report(fields: dict[str, Any]) -> ExecutorReport:
     try:
+        ended = rows(fields.get("ended"))
         return ExecutorReport(
-            clock_s=fields["clockMs"] / 1000,
-            running=tuple(_running(row) for row in fields.get("running") or ()),
-            ended=tuple(_ended(row) for row in fields.get("ended") or ()),
-            whole=len(fields.get("ended") or ()) < ENDS_LISTED,
+            clock_s=number(fields["clockMs"]) / 1000,
+            running=tuple(_running(rows(row)) for row in rows(fields.get("running"))),
+            ended=tuple(_ended(rows(row)) for row in ended),
+            whole=len(ended) < ENDS_LISTED,
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise Unreachable(f"executor sent no report: {error!r}; it is asked again") from error
 
 
 def _running(row: list[Any]) -> RunningTask:
-    usage = row[4] if len(row) > 4 else None
-    progress = row[3] if len(row) > 3 else 0
-    return RunningTask(task_from_wire(row[0]), row[1], row[2] or "", progress, usage)
+    usage = None if len(row) < 5 or row[4] is None else number(row[4])
+    progress = whole(row[3]) if len(row) > 3 else 0
+    return RunningTask(
+        task_from_wire(text(row[0])), whole(row[1]), text(row[2] or ""), progress, usage
+    )
 
 
 def _ended(row: list[Any]) -> EndedTask:
-    number, task, run, how, saved = row
-    return EndedTask(number, task_from_wire(task), run, EndKind(how), saved or "")
+    # Later versions may tell more behind it.
+    count, task, run, how, saved, *_ = row
+    name = task_from_wire(text(task))
+    return EndedTask(whole(count), name, whole(run), _end_kind(text(how)), text(saved or ""))
+
+
+def _end_kind(how: str) -> EndKind:
+    """Return how a run ended; one that this version does not know was not done, nor failed."""
+    try:
+        return EndKind(how)
+    except ValueError:
+        return EndKind.STOPPED
--- a/src/linkspan/platform/machines.py
+++ b/src/linkspan/platform/machines.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
+from linkspan._typed import fields as fields_of
+from linkspan._typed import rows, text
 from linkspan.errors import Unreachable
 from linkspan.platform._answers import read_answer
 from linkspan.shard.machines import MachineRecord, MachineState
@@ -42,30 +45,43 @@
         """
         records: list[MachineRecord] = []
         token = ""
+        seen = set()
         while True:
-            fields = await self._page(f"?pageToken={token}" if token else "")
-            try:
-                records += [_machine(row) for row in fields.get("machines") or ()]
-            except (KeyError, TypeError, ValueError) as error:
-                raise Unreachable(f"machine service: {error!r}; it is asked again") from error
-            token = fields.get("nextToken") or ""
+            fields = await self._page(token)
+            records += _machines(fields)
+            token = _next_token(fields)
             if not token:
                 return tuple(records)
+            if token in seen:
+                raise Unreachable("machine service repeats its pages; it is asked again")
+            seen.add(token)
 
-    async def _page(self, query: str) -> dict[str, Any]:
+    async def _page(self, token: str) -> Any:
+        query = f"?pageToken={quote(token, safe='')}" if token else ""
         request = self._session.get(self._url + query)
-        fields = await read_answer(request, service="machine service", timeout_s=self._timeout_s)
-        if not isinstance(fields, dict):
-            raise Unreachable("machine service sent no object; it is asked again")
-        return fields
+        return await read_answer(request, service="machine service", timeout_s=self._timeout_s)
+
+
+def _machines(fields: Any) -> tuple[MachineRecord, ...]:
+    try:
+        return tuple(_machine(fields_of(row)) for row in rows(fields_of(fields).get("machines")))
+    except (KeyError, TypeError, ValueError) as error:
+        raise Unreachable(f"machine service: {error!r}; it is asked again") from error
+
+
+def _next_token(fields: Any) -> str:
+    try:
+        return text(fields_of(fields).get("nextToken") or "")
+    except (TypeError, ValueError) as error:
+        raise Unreachable(f"machine service: {error!r}; it is asked again") from error
 
 
 def _machine(row: dict[str, Any]) -> MachineRecord:
     return MachineRecord(
-        name=row["machine"],
+        name=text(row["machine"]),
         # "pool" names the service whose executors the machine runs.
-        service=row.get("pool") or "",
-        state=MachineState(row.get("state") or "up"),
+        service=text(row.get("pool") or ""),
+        state=MachineState(text(row.get("state") or "up")),
         # "id" is that of the machine's executor, empty while it has none.
-        executor_id=row.get("id") or "",
+        executor_id=text(row.get("id") or ""),
     )
