Pass over job records that do not decode instead of ending the host

Cause: a submission whose value is null or a list left the decoder as AttributeError, which the job book does not handle: the follower ended, and with it the host; so did each host that read the record after a start. A dropped loan whose shard is no number failed in the catalog. Fields were passed on as they stood (a count that is a text, a time of null), to fail in the owner. A submission from a later version with one more field in its schedule, or an end with one more field, did not decode: the job was lost on hosts of this version, or was taken for unfinished.

An end of an unknown state stays passed over: what to show for it is not known.

--- a/src/linkspan/jobs/job_book.py
+++ b/src/linkspan/jobs/job_book.py
@@ -6,10 +6,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
+from linkspan.errors import InvalidInput, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.catalog import JobCatalog, JobEntry
-from linkspan.jobs.records import JobRecord, decode, encode
+from linkspan.jobs.records import JobRecord, Submitted, decode, encode
+from linkspan.jobs.spec import check_job
 from linkspan.store.follower import Follower
 from linkspan.store.types import Partition, Record
 from linkspan.store.writer import GroupWriter
@@ -175,8 +176,11 @@
 
     def _apply(self, entry: Entry) -> str | None:
         try:
-            return self.catalog.apply(entry.offset, decode(entry.key, entry.value))
-        except RecordError as error:
+            record = decode(entry.key, entry.value)
+            if isinstance(record, Submitted):
+                check_job(record.spec)
+            return self.catalog.apply(entry.offset, record)
+        except (RecordError, InvalidInput) as error:
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             return None
 
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -14,6 +14,8 @@
 
 import orjson
 
+from linkspan._typed import fields as fields_of
+from linkspan._typed import number, rows, text, whole
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand, JobSpec, Schedule, StepSpec
 
@@ -188,13 +190,19 @@
         kind, job_id, *rest = key.decode().split(":", 2)
         part = rest[0] if rest else ""
         if not value:
-            return Dropped(kind, job_id, part)
+            return _dropped(kind, job_id, part)
         decoder = _DECODERS.get(kind)
         if decoder:
             return decoder(job_id, part, orjson.loads(value))
     except (ValueError, TypeError, KeyError, IndexError) as error:
-        raise RecordError(f"job record {key!r}: {error!r}") from error
-    raise RecordError(f"job record {key!r}: unknown kind")
+        raise RecordError(f"job record {key!r:.90}: {error!r}") from error
+    raise RecordError(f"job record {key!r:.90}: unknown kind")
+
+
+def _dropped(kind: str, job_id: str, part: str) -> Dropped:
+    if kind in _OF_SHARDS:
+        int(part)
+    return Dropped(kind, job_id, part)
 
 
 def _submitted(record: Submitted) -> bytes:
@@ -233,37 +241,80 @@
     return fields
 
 
-def _submitted_from(fields: dict[str, Any], host: str) -> Submitted:
+def _submitted_from(value: Any, host: str) -> Submitted:
+    fields = fields_of(value)
     schedule = fields.get("schedule")
     spec = JobSpec(
-        fields["id"],
-        fields["queue"],
-        fields["payload"],
-        tuple(_step_from(step) for step in fields["steps"]),
-        Schedule(**schedule) if schedule else None,
+        text(fields["id"]),
+        text(fields["queue"]),
+        text(fields["payload"]),
+        tuple(_step_from(fields_of(step)) for step in rows(fields["steps"])),
+        _schedule_from(fields_of(schedule)) if schedule else None,
     )
-    return Submitted(spec, fields["shard"], fields["accepted"], host)
+    return Submitted(spec, whole(fields["shard"]), number(fields["accepted"]), host)
+
+
+def _schedule_from(fields: dict[str, Any]) -> Schedule:
+    first, interval = number(fields["first_s"]), number(fields["interval_s"])
+    return Schedule(whole(fields["count"]), first, interval)
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r:.60} is neither true nor false")
+    return value
+
+
+def _indexes(value: Any) -> tuple[int, ...]:
+    return tuple(whole(index) for index in rows(value))
+
+
+def _budget(value: Any) -> int | None:
+    return None if value is None else whole(value)
+
+
+_STEP_READERS: dict[str, Callable[[Any], Any]] = {
+    "estimate_s": number,
+    "depends_on": _indexes,
+    "label": text,
+    "data_rack": text,
+    "max_per_executor": whole,
+    "disruption_budget": _budget,
+    "image": text,
+    "latency_target_ms": number,
+}
+"""How fields of a step are read that are no flags."""
+
+
+def _step_field(name: str, value: Any) -> Any:
+    reader: Callable[[Any], Any] = _STEP_READERS.get(name, _flag)
+    return reader(value)
 
 
 def _step_from(fields: dict[str, Any]) -> StepSpec:
-    known = {name: fields[name] for name in _STEP_DEFAULTS if name in fields}
-    if "depends_on" in known:
-        known["depends_on"] = tuple(known["depends_on"])
-    return StepSpec(count=fields["count"], demand=Demand(*fields["demand"]), **known)
+    known = {name: _step_field(name, fields[name]) for name in _STEP_DEFAULTS if name in fields}
+    # Later versions may tell more behind what this one knows, here and below.
+    milli_cpu, memory_mb, gpus, *_ = (whole(size) for size in rows(fields["demand"]))
+    return StepSpec(
+        count=whole(fields["count"]), demand=Demand(milli_cpu, memory_mb, gpus), **known
+    )
 
 
 def _finished_from(job_id: str, _part: str, fields: Any) -> Finished:
-    state, shard, at, queue = fields
-    return Finished(job_id, JobState(state), shard, at, queue)
+    state, shard, at, queue, *_ = rows(fields)
+    return Finished(job_id, JobState(text(state)), whole(shard), number(at), text(queue))
 
 
 def _loans_from(fields: Any) -> tuple[Loan, ...]:
-    return tuple(Loan(*row) for row in fields)
+    return tuple(Loan(*(whole(part) for part in rows(row)[:3])) for row in rows(fields))
+
 
+_OF_SHARDS = frozenset(("l", "r"))
+"""Kinds of keys that end with the number of another shard."""
 
 _DECODERS: dict[str, Callable[[str, str, Any], JobRecord]] = {
     "s": lambda _job_id, host, fields: _submitted_from(fields, host),
-    "m": lambda job_id, _part, shard: Moved(job_id, int(shard)),
+    "m": lambda job_id, _part, shard: Moved(job_id, whole(shard)),
     "l": lambda job_id, shard, fields: Lent(job_id, int(shard), _loans_from(fields)),
     "r": lambda job_id, shard, fields: Returned(job_id, int(shard), _loans_from(fields)),
     "c": lambda job_id, _part, _fields: Cancelled(job_id),
