Take only sound fields from records of ownership and of progress

Cause: the fields of claims, summaries, rosters and progress were passed on as they stood: a life that is a number, an executor of no name, a run of null, which failed in the owner that took the shard over, at each takeover anew. A row with one more field, from a later version, made a job's whole progress undecodable. A renewal whose summary does not decode was passed over whole, so its owner counted as silent and hosts of two versions would have taken a shard from each other.

Change: fields are read by type, what stands behind known ones is passed over; a renewal stands without a summary of an unknown form (no line for that: it comes every second).

--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import orjson
 
+from linkspan._typed import MOST_WHOLE, number, rows, text, whole
+from linkspan._typed import fields as fields_of
 from linkspan.errors import RecordError
 
 if TYPE_CHECKING:
@@ -92,19 +95,34 @@
             capacity, free, best_effort, waiting, standing, effects, rooms, *rest = fields
             queued = rest[0] if rest else 0
             return cls(
-                int(capacity),  # type: ignore[call-overload]
-                int(free),  # type: ignore[call-overload]
-                int(best_effort),  # type: ignore[call-overload]
-                int(waiting),  # type: ignore[call-overload]
-                int(queued),  # type: ignore[call-overload]
-                dict(standing),  # type: ignore[call-overload]
-                tuple(PairEffect(*row) for row in effects),  # type: ignore[attr-defined]
-                tuple((cpu, memory) for cpu, memory in rooms),  # type: ignore[attr-defined]
+                whole(capacity),
+                _signed(free),
+                whole(best_effort),
+                whole(waiting),
+                whole(queued),
+                {text(image): whole(held) for image, held in fields_of(standing).items()},
+                tuple(_effect(rows(row)) for row in rows(effects)),
+                tuple(_room(rows(row)) for row in rows(rooms)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
 
 
+def _signed(value: object) -> int:
+    # Where room is not guarded, more may be reserved than there is.
+    return whole(value, least=-MOST_WHOLE)
+
+
+def _effect(row: list[Any]) -> PairEffect:
+    standing, image, mean, variance, *_ = row
+    return PairEffect(text(standing), text(image), number(mean, least=-math.inf), number(variance))
+
+
+def _room(row: list[Any]) -> tuple[int, int]:
+    cpu, memory, *_ = row
+    return _signed(cpu), _signed(memory)
+
+
 def summarize(core: ShardCore, now: float) -> HallSummary:
     """Return the state of a shard's hall for other hosts."""
     usable = [e for e in core.executors.values() if core.takes_work(e, now)]
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -8,10 +8,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
+from linkspan._typed import rows, text, whole
 from linkspan.errors import RecordError
 from linkspan.shard.handover.summary import HallSummary
 
@@ -84,13 +85,24 @@
             RecordError: They are no record of ownership.
         """
         try:
-            act, host, incarnation, token, number, *rest = orjson.loads(value)
-            summary = HallSummary.decode(rest[0]) if rest else None
-            return cls(OwnerAct(act), host, incarnation, token, number, summary)
+            act, host, incarnation, token, number, *rest = rows(orjson.loads(value))
+            named = OwnerAct(text(act)), text(host), text(incarnation)
+            return cls(*named, whole(token), whole(number), _summary(rest))
         except (ValueError, TypeError) as error:
             raise RecordError(f"ownership record: {error!r}; it is passed over") from error
 
 
+def _summary(rest: list[Any]) -> HallSummary | None:
+    """Return a renewal's summary, ``None`` for one of a form that is not known.
+
+    The renewal itself stands: else hosts of two versions would take a shard from each other.
+    """
+    try:
+        return HallSummary.decode(rows(rest[0])) if rest else None
+    except (RecordError, TypeError):
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Owner:
     """A tenure of a shard.
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from linkspan._typed import MOST_WHOLE, rows, text, whole
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.shard.messages import ExecutorRecord
@@ -43,7 +44,7 @@
         RecordError: It names none.
     """
     job_id, _, repetition = key.decode(errors="replace").rpartition(".")
-    if not job_id or not repetition.isdecimal():
+    if not job_id or not (repetition.isascii() and repetition.isdecimal()):
         raise RecordError(f"progress key {key!r}; it is passed over")
     return RunKey(job_id, int(repetition))
 
@@ -78,7 +79,7 @@
     if not value.startswith(b"{"):
         return None
     try:
-        return int(orjson.loads(value)["moved"])
+        return whole(orjson.loads(value)["moved"])
     except (ValueError, TypeError, KeyError) as error:
         raise RecordError(f"progress record {value!r:.60}: {error!r}") from error
 
@@ -92,11 +93,11 @@
         RecordError: The bytes are no progress of this job.
     """
     try:
-        for step, rows in zip(run.steps, orjson.loads(value), strict=True):
-            for task, row in zip(step.tasks, rows, strict=True):
+        for step, listed in zip(run.steps, rows(orjson.loads(value)), strict=True):
+            for task, row in zip(step.tasks, rows(listed), strict=True):
                 _restore_task(task, row, now)
             step.left = sum(not task.done for task in step.tasks)
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise RecordError(f"progress of {run.job.job_id}: {error!r}") from error
 
 
@@ -106,15 +107,19 @@
     if row == 1:
         task.done = True
         return
-    if row[0] < 0:
-        task.lent = -1 - row[0]
-        task.loan, task.next_run = row[1:]
+    # Later versions may tell more behind it.
+    first = whole(rows(row)[0], least=-MOST_WHOLE)
+    if first < 0:
+        _, loan, next_run, *_ = row
+        task.lent = -1 - first
+        task.loan, task.next_run = whole(loan), whole(next_run, least=1)
         return
-    task.next_run, task.failures, task.checkpoint, attempts, task.loan = row
-    task.counted_run = task.next_run
-    task.attempts = [
-        Attempt(task, number, executor_id, Phase.INHERITED, now) for number, executor_id in attempts
-    ]
+    next_run, failures, checkpoint, attempts, loan, *_ = row
+    task.next_run = task.counted_run = whole(next_run, least=1)
+    task.failures, task.checkpoint, task.loan = whole(failures), text(checkpoint), whole(loan)
+    for number, executor_id, *_ in map(rows, rows(attempts)):
+        attempt = Attempt(task, whole(number), text(executor_id), Phase.INHERITED, now)
+        task.attempts.append(attempt)
 
 
 def encode_roster(executors: Iterable[ExecutorRecord]) -> bytes:
@@ -142,9 +147,21 @@
         RecordError: The bytes are no roster.
     """
     try:
-        return tuple(
-            ExecutorRecord(name, service, address, hall, Demand(*room), frozenset(labels), rack)
-            for name, service, address, hall, room, labels, rack in orjson.loads(value)
-        )
+        return tuple(_executor(rows(row)) for row in rows(orjson.loads(value)))
     except (ValueError, TypeError) as error:
         raise RecordError(f"roster: {error!r}") from error
+
+
+def _executor(row: list[Any]) -> ExecutorRecord:
+    # Later versions may tell more behind it.
+    name, service, address, hall, room, labels, rack, *_ = row
+    milli_cpu, memory_mb, gpus, *_ = (whole(size) for size in rows(room))
+    return ExecutorRecord(
+        text(name),
+        text(service),
+        text(address),
+        text(hall),
+        Demand(milli_cpu, memory_mb, gpus),
+        frozenset(text(label) for label in rows(labels)),
+        text(rack),
+    )
