Let no form of the ports between hosts hold a start up

Hosts open no connections to each other, so nothing reads the range; the check of settings by type refused a file over it, where the code before took most forms. Any form but two numbers now counts as none.

--- a/src/linkspan/platform/settings.py
+++ b/src/linkspan/platform/settings.py
@@ -87,7 +87,7 @@
         bounds=_bounds(fields_of(fields.get("bounds"))),
         executor_heartbeat_s=number(fields.get("heartbeatMs") or 1500) / 1000,
         memory_mb=whole(fields_of(fields.get("limits")).get("memoryMb") or 300, least=1),
-        peer_ports=_ports(rows(fields.get("internalPortRange"))),
+        peer_ports=_ports(fields.get("internalPortRange")),
         ip=text(fields["ip"]),
     )
 
@@ -98,10 +98,12 @@
     return tuple(sorted(text(hall) for hall in named))
 
 
-def _ports(given: list[Any]) -> tuple[int, int]:
-    if not given:
+def _ports(given: Any) -> tuple[int, int]:
+    """Return the first and the last port; hosts use none, so no form of them is refused."""
+    try:
+        first, last = (whole(port) for port in rows(given))
+    except (TypeError, ValueError):
         return (0, 0)
-    first, last = (whole(port) for port in given)
     return (first, last)
 
 
--- a/tests/fuzz/test_settings_file.py
+++ b/tests/fuzz/test_settings_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 
 import pytest
@@ -50,3 +51,10 @@
     assert unsound_fields(settings) == ""
     assert settings.shard >= 0
     assert min(settings.bounds.max_lease_s, settings.memory_mb) > 0
+
+
+@pytest.mark.parametrize("ports", [None, "9000-9010", {"from": 9000}, [9000], [1, 2, 3]])
+def test_ports_that_nothing_uses_hold_no_start_up(ports: object) -> None:
+    path = _PATHS[0]
+    path.write_text(json.dumps({**builders.SETTINGS, "internalPortRange": ports}))
+    assert read_settings(path).peer_ports == (0, 0)
