Keep a job alive whose progress record does not decode

Cause: a record that did not fit was raised in the middle of taking the job in: the job was in the books with a step or two half restored and none ready, for ever; its repetitions behind that one did not exist.

Change: the repetition is made anew as begun and inherited. Inherited work waits until every executor of the roster has answered the new token or its lease is over, so what still runs is taken over and no task runs in two places; other tasks begin with run 1,000,000, above all that executors may have seen. Loans that all hosts were told of stay away. Weighed: failing the job (loses work that runs), keeping it standing (it never ends).

tests/fuzz/test_whole_hosts.py plays hosts in virtual time among garbage in all that they read, bodies with odd fields and reports that name what there is not; other jobs end, no host stops, nothing runs twice.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -33,7 +33,7 @@
 from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from linkspan.jobs.records import Loan, Submitted
     from linkspan.model.configuration import Configuration
@@ -140,6 +140,7 @@
         moved: bool = False,
         progress: dict[int, bytes] | None = None,
         borrowed: Iterable[Loan] | None = None,
+        lent: Mapping[int, Iterable[Loan]] | None = None,
     ) -> None:
         """Take in an accepted job.
 
@@ -150,12 +151,20 @@
             moved: Whether another shard gave it to this one.
             progress: Records of its repetitions, by number.
             borrowed: Loans of its tasks to this shard, ``None`` if it lives here.
+            lent: Loans of its tasks to other shards as all hosts know them, for where its
+                own record of them is not readable.
 
         Raises:
-            RecordError: A progress record does not fit the job.
+            RecordError: A progress record does not fit the job, which is taken in without it.
         """
         self._intake.add_job(
-            submitted, now, inherited=inherited, moved=moved, progress=progress, borrowed=borrowed
+            submitted,
+            now,
+            inherited=inherited,
+            moved=moved,
+            progress=progress,
+            borrowed=borrowed,
+            lent=lent,
         )
 
     def release_due(self, wall: float, now: float) -> None:
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -76,6 +76,7 @@
                 moved=entry.moved is not None,
                 progress=progress,
                 borrowed=borrowed,
+                lent={s: entry.open_loans(s) for s in entry.lent if s != self._shard},
             )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from linkspan.errors import RecordError
 from linkspan.jobs.records import JobState
+from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._outlook import refresh_outlook
 from linkspan.shard.recovery.progress import RunKey, key_of, restore_run
 from linkspan.shard.state import ShardJob, new_run
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from linkspan.jobs.records import Loan, Submitted
     from linkspan.model.configuration import Configuration
@@ -21,6 +23,10 @@
 """Numbers left out for a task whose former owner may have started runs that it did
 not record: more than it can have started within its unrecorded last moments."""
 
+UNREAD_RUN = 1_000_000
+"""First run of a task whose record is not readable: above all runs that an executor may
+have seen of it. At ten starts a second a task takes a day to get there."""
+
 
 class JobIntake:
     """Takes jobs in and lets them go.
@@ -44,11 +50,12 @@
         moved: bool = False,
         progress: dict[int, bytes] | None = None,
         borrowed: Iterable[Loan] | None = None,
+        lent: Mapping[int, Iterable[Loan]] | None = None,
     ) -> None:
         """Take in an accepted job.
 
         Raises:
-            RecordError: A progress record does not fit the job.
+            RecordError: A progress record does not fit the job, which is taken in without it.
         """
         job_id = submitted.spec.job_id
         if job_id in self._books.jobs:
@@ -60,11 +67,16 @@
         job.borrowed = borrowed is not None
         self._books.jobs[job.job_id] = job
         self.refresh_queue(job)
+        unread: list[str] = []
         for repetition in range(job.spec.repetitions):
             run = job.runs[repetition] = new_run(job, repetition)
             run.released = job.spec.schedule is None
             if progress and repetition in progress:
-                self._restore(run, progress[repetition], now)
+                try:
+                    self._restore(run, progress[repetition], now)
+                except RecordError as error:
+                    unread.append(str(error))
+                    run = job.runs[repetition] = self._unread_run(job, repetition, lent or {})
             elif inherited:
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
@@ -72,6 +84,30 @@
                 _keep_only(run, borrowed, submitted.shard)
             self._books.open_steps(run, now)
         self._books.finish_if_done(job)
+        if unread:
+            raise RecordError("; ".join(unread))
+
+    def _unread_run(
+        self, job: ShardJob, repetition: int, lent: Mapping[int, Iterable[Loan]]
+    ) -> JobRun:
+        """Return a repetition of which it is not known what was started or done.
+
+        What runs is found at the executors, or waited out as for all inherited work; what
+        they do not know any more begins anew. Tasks that other shards were told to look
+        after stay there.
+        """
+        run = new_run(job, repetition)
+        run.released = job.spec.schedule is None
+        self._books.mark_begun(job)
+        for task in run.tasks():
+            task.next_run = task.counted_run = UNREAD_RUN
+        for shard, loans in lent.items():
+            for loan in loans:
+                away = run.task(TaskName(job.job_id, repetition, loan.step, loan.index))
+                if away:
+                    away.lent, away.loan = shard, loan.number
+        self._books.touch(run)
+        return run
 
     def _restore(self, run: JobRun, value: bytes, now: float) -> None:
         restore_run(run, value, now)
--- /dev/null
+++ b/tests/fuzz/test_whole_hosts.py
@@ -0,0 +1,227 @@
+"""Whole hosts among records, answers and bodies that are partly garbage."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import suppress
+from random import Random
+
+from linkspan.errors import InvalidInput
+from linkspan.jobs.job_book import JOBS
+from linkspan.platform.jobs import job_from_wire
+from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, TaskName
+from linkspan.shard.recovery.progress import ROSTER_KEY, RunKey
+from linkspan.store.types import Partition
+from tests.fuzz import builders
+from tests.hall_world import CONFIGURATION, EXECUTORS, QUEUE, HallWorld, step
+from tests.standins.memory_executor import MemoryExecutor
+from tests.virtual_time import run_virtual
+
+PROGRESS = Partition("progress", 0, keyed=True)
+OWNERS = Partition("owners", 0)
+
+GARBAGE = (
+    b"null",
+    b"{}",
+    b"[",
+    b"\xff\xfe",
+    b'"text"',
+    b"[[1,2,3],null]",
+    b'{"moved":"x"}',
+    b"[" * builders.DEPTH,
+    b"9" * 40,
+    json.dumps(["claim", 5, None, -1, {}]).encode(),
+    json.dumps({**builders.SUBMITTED, "steps": [{"count": "x", "demand": None}]}).encode(),
+    json.dumps(
+        {**builders.SUBMITTED, "steps": [{"count": 1, "demand": [1, 1, 0], "depends_on": [7]}]}
+    ).encode(),
+    json.dumps(
+        {**builders.SUBMITTED, "schedule": {"count": 10**12, "first_s": 0.0, "interval_s": 0.0}}
+    ).encode(),
+)
+KEYS = (b"s:0a:h", b"m:0a", b"l:0a:x", b"l:0a:1", b"r:0a:0", b"f:0a", b"z:0a", b"", b"\xff")
+"""Keys of job records, some of a later version or of none."""
+
+
+def put_garbage(world: HallWorld) -> None:
+    """Write what no reader understands into all that the hosts read."""
+    for value in (b"", *GARBAGE):
+        for key in KEYS:
+            world.store.put(JOBS, key, value)
+        for key in (b"0a.0", b"0a.x", b"\xff.0", b"fieldOfLater"):
+            world.store.put(PROGRESS, key, value)
+        world.store.put(OWNERS, b"", value)
+        world.store.put(EXECUTORS, b"strange", value)
+        world.store.put(CONFIGURATION, b"wave", value)
+
+
+def other_than(world: HallWorld, owner: str | None) -> str:
+    return next(name for name in world.hosts if name != owner)
+
+
+async def kill_owner(world: HallWorld) -> str:
+    """End the owner's process and return another host."""
+    owner = world.owner()
+    assert owner
+    world.kill_host(owner)
+    return other_than(world, owner)
+
+
+def test_garbage_in_the_store_stops_no_host_and_no_job() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        first = world.new_job(step(4, estimate_s=3.0), step(2, depends_on=(0,)))
+        assert await world.submit("east-host-0", first) == 200
+        put_garbage(world)
+        await asyncio.sleep(0.5)
+        host = await kill_owner(world)
+        second = world.new_job(step(2))
+        assert await world.submit(host, second) == 200
+        await world.wait_for(host, first.job_id, "succeeded", limit_s=20.0)
+        await world.wait_for(host, second.job_id, "succeeded", limit_s=20.0)
+        assert world.log.named("RECORD_SKIPPED")
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+    assert all(len(times) == 1 for times in world.starts.values())
+
+
+def test_a_job_whose_progress_is_garbage_goes_on() -> None:
+    """Its runs are found at their executors, or waited out; nothing runs twice."""
+
+    async def play(value: bytes) -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        job = world.new_job(step(4, estimate_s=4.0), step(2, depends_on=(0,)))
+        other = world.new_job(step(2, estimate_s=3.0))
+        assert await world.submit("east-host-0", job) == 200
+        assert await world.submit("east-host-0", other) == 200
+        await asyncio.sleep(1.0)
+        world.store.put(PROGRESS, RunKey(job.job_id, 0).encode(), value)
+        host = await kill_owner(world)
+        await world.wait_for(host, other.job_id, "succeeded", limit_s=20.0)
+        await world.wait_for(host, job.job_id, "succeeded", limit_s=30.0)
+        assert world.log.named("RECORD_SKIPPED")
+        return world
+
+    for value in (b"[", b"[[1,1,1,[null]],[0,0]]", b"[[0,0,0,0]]", b'{"moved":"x"}', b"7"):
+        world = run_virtual(play(value))
+        assert world.problems == [], value
+        assert all(len(times) == 1 for times in world.starts.values()), value
+
+
+def test_a_job_whose_progress_is_garbage_waits_for_a_silent_executor() -> None:
+    """An executor that nobody reaches may run its tasks until their leases are over."""
+
+    async def play() -> HallWorld:
+        world = HallWorld(lists_machines=False)
+        await world.begin()
+        job = world.new_job(step(6, cpu=4_000, estimate_s=30.0))
+        assert await world.submit("east-host-0", job) == 200
+        await asyncio.sleep(1.0)
+        world.store.put(PROGRESS, RunKey(job.job_id, 0).encode(), b"[")
+        owner = world.owner()
+        assert owner
+        host = other_than(world, owner)
+        world.cuts.add((host, "east-0:1"))
+        world.kill_host(owner)
+        await world.wait_for(host, job.job_id, "succeeded", limit_s=90.0)
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_a_roster_of_garbage_holds_nothing_up() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        job = world.new_job(step(4, estimate_s=3.0))
+        assert await world.submit("east-host-0", job) == 200
+        await asyncio.sleep(1.0)
+        world.store.put(PROGRESS, ROSTER_KEY, b'[["e"]]')
+        host = await kill_owner(world)
+        await world.wait_for(host, job.job_id, "succeeded", limit_s=30.0)
+        return world
+
+    world = run_virtual(play())
+    assert world.problems == []
+
+
+def test_bodies_of_any_form_stop_nobody() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        random = Random(5)
+        front = world.hosts["east-host-0"].host.front
+        statuses = set()
+        for number in range(300):
+            job_id = f"{0xFF00 + number:016x}"
+            body = json.dumps(odd_body(random)).encode()
+            with suppress(InvalidInput):
+                world.specs[job_id] = job_from_wire(job_id, QUEUE.name, body)
+            deadline = asyncio.get_running_loop().time() + 3.0
+            statuses.add((await front.submit(QUEUE, job_id, body, deadline)).status)
+        assert statuses == {200, 400, 429}
+        sound = world.new_job(step(2))
+        assert await world.submit("east-host-1", sound) == 200
+        await world.wait_for("east-host-1", sound.job_id, "succeeded", limit_s=120.0)
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def odd_body(random: Random) -> object:
+    """Return a job in which one field of a step is of another type or size."""
+    name = random.choice(
+        (
+            "requirements",
+            "affinity",
+            "image",
+            "count",
+            "cpu",
+            "memMb",
+            "estimatedMs",
+            "antiAffinity",
+        )
+    )
+    fields: dict[str, object] = {"count": 1, "cpu": 100, "memMb": 10, "estimatedMs": 10}
+    fields[name] = random.choice(
+        ([1], {"a": 1}, "nan", "inf", -5, 10**6, 10**17, 1e300, True, None, "x", 0.5, "", [])
+    )
+    return {"spec": "text", "steps": [fields]}
+
+
+def test_reports_that_name_what_there_is_not_stop_nobody() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        job = world.new_job(step(4, estimate_s=3.0), step(2, depends_on=(0,)))
+        add_strange_rows(world.executors["east-0:1"], job.job_id)
+        assert await world.submit("east-host-0", job) == 200
+        await world.wait_for("east-host-0", job.job_id, "succeeded", limit_s=30.0)
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def add_strange_rows(executor: MemoryExecutor, job_id: str) -> None:
+    """Have an executor list runs and ends that no owner knows of."""
+    sound = executor.report
+    strange = (TaskName(job_id, 0, 99, 0), TaskName(job_id, 7, 0, 0), TaskName("zz", 0, 0, 0))
+
+    def report(acknowledged: int) -> ExecutorReport:
+        told = sound(acknowledged)
+        running = tuple(RunningTask(name, 1, "", 0, None) for name in strange)
+        last = told.ended[-1].number if told.ended else executor.last_number
+        ended = tuple(
+            EndedTask(last + index, name, 3, EndKind.FAILED, "")
+            for index, name in enumerate(strange, start=1)
+            if last + index > acknowledged
+        )
+        executor.last_number = max(executor.last_number, last + len(strange))
+        return ExecutorReport(told.clock_s, told.running + running, told.ended + ended)
+
+    executor.report = report  # type: ignore[method-assign]
