Say why an executor counts as silent

Change: the line carries the cause, once for each silence as before. A host in virtual time with an executor whose reports never decode: its work goes on elsewhere after the lease, and the line names the report. Before: KeyError 'cause' in the test. After: passes, with the other whole-host tests.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -108,9 +108,9 @@
         """Take in that an incarnation is gone, with all that ran on it."""
         self._presence.on_gone(executor_id, now, proof)
 
-    def on_silent(self, executor_id: str, now: float) -> None:
-        """Take in that a call to an executor got no answer."""
-        self._presence.on_silent(executor_id, now)
+    def on_silent(self, executor_id: str, now: float, *, cause: str = "") -> None:
+        """Take in that a call to an executor got no answer, or none that decodes."""
+        self._presence.on_silent(executor_id, now, cause=cause)
 
     def on_report(
         self, executor_id: str, report: ExecutorReport, *, asked: float, now: float
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -89,15 +89,18 @@
         self._books.adopting_ids.discard(executor_id)
         self._books.health.forget(executor_id)
 
-    def on_silent(self, executor_id: str, now: float) -> None:
-        """Take in that a call to an executor got no answer."""
+    def on_silent(self, executor_id: str, now: float, *, cause: str = "") -> None:
+        """Take in that a call to an executor got no answer, or none that decodes."""
         executor = self._books.executors.get(executor_id)
         if executor is None:
             return
         if executor.silent_since is None:
             executor.silent_since = now
             self._books.log(
-                Event.EXECUTOR_SILENT, executor=executor_id, runs=len(executor.attempts)
+                Event.EXECUTOR_SILENT,
+                executor=executor_id,
+                runs=len(executor.attempts),
+                cause=cause,
             )
         if now >= self._lapsed_by(executor) and (executor.attempts or not executor.listed):
             self._on_lapsed(executor, now)
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -158,8 +158,8 @@
             )
             self._changes.news()
             return False
-        except Unreachable:
-            self._core.on_silent(executor.executor_id, time.monotonic())
+        except Unreachable as error:
+            self._core.on_silent(executor.executor_id, time.monotonic(), cause=str(error))
             self._changes.news()
             return False
         report = await self._known_part(report, first=not executor.adopted)
--- a/tests/fuzz/test_whole_hosts.py
+++ b/tests/fuzz/test_whole_hosts.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from random import Random
 
-from linkspan.errors import InvalidInput
+from linkspan.errors import InvalidInput, Unreachable
 from linkspan.jobs.job_book import JOBS
 from linkspan.platform.jobs import job_from_wire
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, TaskName
@@ -225,3 +225,27 @@
         return ExecutorReport(told.clock_s, told.running + running, told.ended + ended)
 
     executor.report = report  # type: ignore[method-assign]
+
+
+def test_an_executor_whose_reports_do_not_decode_stops_nobody_and_is_told_of() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld(lists_machines=False)
+        await world.begin()
+        job = world.new_job(step(6, cpu=4_000, estimate_s=3.0))
+        assert await world.submit("east-host-0", job) == 200
+        await asyncio.sleep(0.5)
+        garble(world.executors["east-0:1"])
+        await world.wait_for("east-host-0", job.job_id, "succeeded", limit_s=60.0)
+        assert "no report" in world.log.named("EXECUTOR_SILENT")[0]["cause"]
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def garble(executor: MemoryExecutor) -> None:
+    """Have an executor answer looks with what its client takes for none."""
+
+    def report(_acknowledged: int) -> ExecutorReport:
+        raise Unreachable("executor sent no report")
+
+    executor.report = report  # type: ignore[method-assign]
