--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -33,7 +33,7 @@
 from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from linkspan.jobs.records import Loan, Submitted
     from linkspan.model.configuration import Configuration
@@ -108,9 +108,9 @@
         """Take in that an incarnation is gone, with all that ran on it."""
         self._presence.on_gone(executor_id, now, proof)
 
-    def on_silent(self, executor_id: str, now: float) -> None:
-        """Take in that a call to an executor got no answer."""
-        self._presence.on_silent(executor_id, now)
+    def on_silent(self, executor_id: str, now: float, *, cause: str = "") -> None:
+        """Take in that a call to an executor got no answer, or none that decodes."""
+        self._presence.on_silent(executor_id, now, cause=cause)
 
     def on_report(
         self, executor_id: str, report: ExecutorReport, *, asked: float, now: float
@@ -141,6 +141,7 @@
         begun: bool = False,
         progress: dict[int, bytes] | None = None,
         borrowed: Iterable[Loan] | None = None,
+        lent: Mapping[int, Iterable[Loan]] | None = None,
     ) -> None:
         """Take in an accepted job.
 
@@ -152,9 +153,11 @@
             begun: Whether it is on record that a task of it was started.
             progress: Records of its repetitions, by number.
             borrowed: Loans of its tasks to this shard, ``None`` if it lives here.
+            lent: Loans of its tasks to other shards as all hosts know them, for where its
+                own record of them is not readable.
 
         Raises:
-            RecordError: A progress record does not fit the job.
+            RecordError: A progress record does not fit the job, which is taken in without it.
         """
         self._intake.add_job(
             submitted,
@@ -164,6 +167,7 @@
             begun=begun,
             progress=progress,
             borrowed=borrowed,
+            lent=lent,
         )
 
     def release_due(self, wall: float, now: float) -> None:
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -77,6 +77,7 @@
                 begun=entry.begun,
                 progress=progress,
                 borrowed=borrowed,
+                lent={s: entry.open_loans(s) for s in entry.lent if s != self._shard},
             )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
