Ask once a plan whether any executor has room for a kind of task

Cause: with steps that wait, each plan checked each of 60 executors for each of them, four million times for 1,857 runs with 24 batch jobs a second, and each check summed the paces of all best-effort runs there: 16 of the 17.7 ms that a run cost. Ruled out: fewer plans; a bound on the steps that are tried (another order of starts). Change: a kind of task (service, label, size, standing, image and hope of best-effort work) that found no room in a plan is not tried again in that plan, since a plan only takes room away: not for gangs, spread limits, tickets, or where an executor was avoided. What best-effort tasks find unused is worked out once for each executor until something is placed.

--- a/src/linkspan/shard/_plan_rooms.py
+++ b/src/linkspan/shard/_plan_rooms.py
@@ -12,6 +12,13 @@
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import StepRun
 
+STANDING_USE = 0.55
+"""Share of their reservation that reserved tasks use at a time, for reckoning what
+is left to best-effort tasks; measured on calm days, where it was 0.45 to 0.7."""
+
+NONE_LEFT = float("-inf")
+"""Unused cores of an executor where a standing task is over its latency target."""
+
 
 class PlanRooms:
     """Rooms of executors during one plan.
@@ -30,6 +37,7 @@
         self._wall = wall
         self._rooms: dict[tuple[str, Hope], PressureRoom] = {}
         self._hopes: dict[StepRun, Hope] = {}
+        self._unused: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"PlanRooms({len(self._rooms)})"
@@ -42,20 +50,39 @@
         """Take in that something was placed on an executor."""
         for hope in Hope:
             self._rooms.pop((executor.executor_id, hope), None)
+        self._unused.pop(executor.executor_id, None)
+
+    def unused_cpu(self, executor: ExecutorState) -> float:
+        """Return thousandths of a core that best-effort tasks would find unused there.
+
+        None where a standing task is over its target: a new run starts at full speed,
+        whatever its neighbours were slowed to.
+        """
+        unused = self._unused.get(executor.record.executor_id)
+        if unused is None:
+            unused = NONE_LEFT if executor.disturbed else leftover_cpu(executor)
+            self._unused[executor.record.executor_id] = unused
+        return unused
 
     def _of(self, executor: ExecutorState, step: StepRun) -> PressureRoom:
         """Return the room that an executor has for a step's tasks."""
-        hope = self._hope(step)
+        hope = self.hope(step)
         key = executor.executor_id, hope
         room = self._rooms.get(key)
         if room is None:
-            beside = (a for a in executor.best_effort_attempts() if self._hope(a.task.step) <= hope)
+            beside = (a for a in executor.best_effort_attempts() if self.hope(a.task.step) <= hope)
             room = self._rooms[key] = PressureRoom(executor, self._book, self._now, beside)
         return room
 
-    def _hope(self, step: StepRun) -> Hope:
+    def hope(self, step: StepRun) -> Hope:
         """Return a step's hope, which no placement of a plan changes."""
         hope = self._hopes.get(step)
         if hope is None:
             hope = self._hopes[step] = hope_of(step, self._wall)
         return hope
+
+
+def leftover_cpu(executor: ExecutorState) -> float:
+    """Return thousandths of a core that best-effort tasks would find unused."""
+    used = STANDING_USE * executor.reserved_cpu + executor.paced_cpu
+    return executor.record.capacity.milli_cpu - used
--- a/src/linkspan/shard/_plan_view.py
+++ b/src/linkspan/shard/_plan_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from linkspan.shard._blocked import held_cores
@@ -13,6 +13,7 @@
     from linkspan.shard._plan_rooms import PlanRooms
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.placement import TaskKind
     from linkspan.shard.state import StepRun
 
 
@@ -30,6 +31,7 @@
     rooms: PlanRooms
     now: float
     _usable: list[ExecutorState] | None = None
+    _full: set[TaskKind] = field(default_factory=set)
 
     def usable(self) -> list[ExecutorState]:
         """Return the executors that may get new work; no order of a plan changes them."""
@@ -42,8 +44,12 @@
         """Return the hall's cores by what holds them."""
         return held_cores(self.usable())
 
-    def placement(self, step: StepRun, executors: list[ExecutorState]) -> StepPlacement:
-        """Return what chooses among some executors for a step."""
+    def placement(
+        self, step: StepRun, executors: list[ExecutorState] | None = None
+    ) -> StepPlacement:
+        """Return what chooses for a step among some executors, or all that may get new work."""
         core = self.core
         scores = StepScores(step, core.health, core.colocation, self.rooms, self.now)
+        if executors is None:
+            return StepPlacement(step, self.usable(), scores, self.rooms, self.now, self._full)
         return StepPlacement(step, executors, scores, self.rooms, self.now)
--- a/src/linkspan/shard/placement.py
+++ b/src/linkspan/shard/placement.py
@@ -4,20 +4,19 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from linkspan.shard._plan_rooms import NONE_LEFT
 from linkspan.shard.pacing import STOP_BELOW
 from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
+    from linkspan.jobs.spec import Demand
     from linkspan.shard._plan_rooms import PlanRooms
     from linkspan.shard._step_scores import StepScores
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.state import StepRun, Task
-
-STANDING_USE = 0.55
-"""Share of their reservation that reserved tasks use at a time, for reckoning what
-is left to best-effort tasks; measured on calm days, where it was 0.45 to 0.7."""
+    from linkspan.shard.urgency import Hope
 
 BEST_EFFORT_LEAST_SHARE = 0.6
 """Least part of its demand that a best-effort task is to find left over. Below it
@@ -40,6 +39,28 @@
 """Score of an executor without room."""
 
 
+class TaskKind(NamedTuple):
+    """Tasks that fit on the same executors.
+
+    Attributes:
+        service: Service whose executors run them.
+        label: Label that they ask for.
+        demand: What one of them takes.
+        standing: Whether they last.
+        beside: Image and hope of best-effort tasks, ``None`` for others.
+        fill: Whether a standing one may use the room that is kept for short ones.
+        starved: Whether pressure on standing tasks is no reason against it.
+    """
+
+    service: str
+    label: str
+    demand: Demand
+    standing: bool
+    beside: tuple[str, Hope] | None
+    fill: bool
+    starved: bool
+
+
 @dataclass
 class StepPlacement:
     """Chooses executors for the pending tasks of one step.
@@ -50,6 +71,8 @@
         scores: How well they suit the step.
         rooms: What standing tasks bear beside them.
         now: Steady time.
+        full: Kinds of tasks that no executor of the plan has room for; ``None`` if not
+            all of them are to choose from.
     """
 
     step: StepRun
@@ -57,6 +80,7 @@
     scores: StepScores
     rooms: PlanRooms
     now: float
+    full: set[TaskKind] | None = None
     _on_executor: Counter[str] = field(default_factory=Counter)
     _scores: dict[tuple[bool, bool], dict[str, float]] = field(default_factory=dict)
 
@@ -88,6 +112,9 @@
         best_score = NO_ROOM
         avoid = task.avoid
         fill = self._may_fill(task)
+        kind = self._kind(fill, starved)
+        if self.full is not None and kind in self.full:
+            return None
         scores = self._scores.setdefault((fill, starved), {})
         for executor in self.executors:
             executor_id = executor.record.executor_id
@@ -96,8 +123,23 @@
                 score = scores[executor_id] = self._score(executor, fill, starved)
             if score < best_score and executor_id not in avoid:
                 best, best_score = executor, score
+        if best is None and not avoid and kind and self.full is not None:
+            self.full.add(kind)
         return best
 
+    def _kind(self, fill: bool, starved: bool) -> TaskKind | None:
+        """Return what decides whether an executor has room for the step's next task.
+
+        A plan only takes room away, so a kind that found none finds none in the same plan.
+        Members of a gang give theirs back, and spread limits and tickets are a step's own.
+        """
+        spec = self.step.spec
+        if spec.gang or spec.max_per_executor or self.step.run.job.advised:
+            return None
+        beside = (spec.image, self.rooms.hope(self.step)) if spec.best_effort else None
+        service = self.step.run.job.service
+        return TaskKind(service, spec.label, spec.demand, spec.standing, beside, fill, starved)
+
     def took(self, executor: ExecutorState) -> None:
         """Count a task in that was placed on an executor."""
         self._on_executor[executor.executor_id] += 1
@@ -151,18 +193,12 @@
 
     def _against_best_effort(self, executor: ExecutorState, *, starved: bool) -> str | None:
         """Return why an executor does not bear one more best-effort task, in a word."""
-        if executor.disturbed:
-            # A new run starts at full speed, whatever its neighbours were slowed to.
+        unused = self.rooms.unused_cpu(executor)
+        if unused == NONE_LEFT:
             return "latency over target"
         if starved:
             return None
         spec = self.step.spec
-        if leftover_cpu(executor) < spec.demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
+        if unused < spec.demand.milli_cpu * BEST_EFFORT_LEAST_SHARE:
             return "unused cores"
         return None if self.rooms.share(executor, self.step) >= LEAST_START_SHARE else "pressure"
-
-
-def leftover_cpu(executor: ExecutorState) -> float:
-    """Return thousandths of a core that best-effort tasks would find unused."""
-    used = STANDING_USE * executor.reserved_cpu + executor.paced_cpu
-    return executor.record.capacity.milli_cpu - used
--- a/src/linkspan/shard/planner.py
+++ b/src/linkspan/shard/planner.py
@@ -76,7 +76,7 @@
         pending = [t for t in waiting if t.not_before <= view.now]
         if not pending:
             return
-        placement = view.placement(step, view.usable())
+        placement = view.placement(step)
         if not placement.executors:
             return
         if step.run.job.advised:
