Lend a task that a hall gave back to another hall next

Ruled out: a longer wait before the next loan (the same hall is chosen); telling the room by step (a summary would grow with the steps). Change: a task keeps the number of the last loan that each hall gave back; halls that gave none back come first, then those that did so longer ago, then by room. So each hall is tried in turn. A new owner begins with no such memory.

--- a/src/linkspan/shard/_loans.py
+++ b/src/linkspan/shard/_loans.py
@@ -66,6 +66,7 @@
         for loan in returned:
             task = run.steps[loan.step].tasks[loan.index]
             if task.lent is not None and task.loan == loan.number:
+                task.given_back[task.lent] = loan.number
                 task.lent = None
                 self._books.touch(run)
                 self._books.mark_ready(task, now)
--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -157,7 +157,8 @@
         halls: dict[int, HallSummary],
     ) -> Handover | None:
         spec = step.spec
-        for shard, hall in sorted(halls.items(), key=lambda item: -_room(item[1])):
+        for shard in _by_promise(halls, pending[0]):
+            hall = halls[shard]
             if not self._count_able(shard, spec, job.service):
                 continue
             executor_cpu = hall.capacity / max(len(hall.rooms), 1)
@@ -187,5 +188,14 @@
     return int(hall.free - kept)
 
 
+def _by_promise(halls: dict[int, HallSummary], task: Task) -> list[int]:
+    """Return the halls to lend a task to, best first: the room told is not always for it.
+
+    What a step may not use (its spread limit, a label) is in the room that a hall tells of.
+    So a hall that gave the task back comes after those that did not, or did longer ago.
+    """
+    return sorted(halls, key=lambda shard: (task.given_back.get(shard, 0), -_room(halls[shard])))
+
+
 def _busy(hall: HallSummary) -> float:
     return (hall.best_effort + hall.waiting) / max(hall.capacity, 1)
--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -114,6 +114,7 @@
         counted_run: Ends of runs below this number were counted by a former owner.
         lent: Shard that looks after it instead of this one, if any.
         loan: Number of its last loan, 0 before the first.
+        given_back: Number of the last loan that each shard gave back, by shard.
         checkpoint: Where the next run resumes.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
@@ -130,6 +131,7 @@
     counted_run: int = 0
     lent: int | None = None
     loan: int = 0
+    given_back: dict[int, int] = field(default_factory=dict)
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
