Take a loan also where the record of the move is still there

Cause: Recovery passed over a job whose record tells of a move, also where the job lives elsewhere by now and tasks of it were lent back before the takeover. Ruled out: dropping the record together with the telling of the move (they stand in two partitions, an owner can end between them). Change: the record is dropped as before, and the job is taken in with its open loans, as inherited, so that nothing starts before the hall's executors answered.

--- a/src/linkspan/shard/_recovery.py
+++ b/src/linkspan/shard/_recovery.py
@@ -158,7 +158,9 @@
             if entry.finished:
                 self._core.drop_progress(job_id, runs)
             elif self._is_moved(job_id, entry, runs):
-                continue
+                if entry.open_loans(self._shard):
+                    # Lent back since: the record of the move is older than the loan.
+                    self._feed.add_job(job_id, entry, now, inherited=True)
             else:
                 self._feed.add_job(job_id, entry, now, inherited=True, progress=runs)
                 self._tell_again(job_id, entry)
