Let go of a job that moved once its move is read

Cause: a hall held a job as its own until the store had answered the record of its move. An answer can come seconds later, or with a later try, while the other hall has read the record, run the job and lent tasks of it back. The loan was not taken, and the answer dropped the job with its progress. Ruled out: bounding the wait for the answer (the record stands all the same). Change: a job on its way is let go of when its move is read, and taken in again with its loans; a late answer leaves a job alone that was lent back.

--- a/src/linkspan/shard/_feed.py
+++ b/src/linkspan/shard/_feed.py
@@ -85,10 +85,18 @@
     def _on_known_job(self, job_id: str, entry: JobEntry, now: float) -> None:
         if entry.cancelled:
             self._core.cancel_job(job_id)
-        elif entry.shard != self._shard:
-            self._core.borrow_more(job_id, entry.open_loans(self._shard), now)
-        else:
+        elif entry.shard == self._shard:
             self.take_back(job_id, entry, now)
+        elif self._core.jobs[job_id].borrowed:
+            self._core.borrow_more(job_id, entry.open_loans(self._shard), now)
+        elif self._core.jobs[job_id].handing_over:
+            self._on_moved_job(job_id, entry, now)
+
+    def _on_moved_job(self, job_id: str, entry: JobEntry, now: float) -> None:
+        """Let go of a job whose move is told; the answer to its record may come later."""
+        self._core.remove_moved(job_id)
+        if entry.open_loans(self._shard):
+            self.add_job(job_id, entry, now, inherited=self._core.adopting)
 
     def take_back(self, job_id: str, entry: JobEntry, now: float) -> None:
         """Look after the tasks again that other shards returned."""
--- a/src/linkspan/shard/_handovers.py
+++ b/src/linkspan/shard/_handovers.py
@@ -96,8 +96,11 @@
     async def tell_moved(self, job_id: str, shard: int) -> None:
         """Tell that a job lives in another shard now, and forget it."""
         await self._book.write([Moved(job_id, shard)])
-        self._core.remove_moved(job_id)
-        self._core.drop_progress(job_id, [0])
+        job = self._core.jobs.get(job_id)
+        if job is None or not job.borrowed:
+            # Otherwise it was lent back before this answer came.
+            self._core.remove_moved(job_id)
+            self._core.drop_progress(job_id, [0])
         self._changes.news()
 
     def _other_summaries(self) -> dict[int, HallSummary]:
