Show that a displaced standing task is not lent behind one that never ran; listed as red

Cause: the rebalancer reckons the room of another hall for the first waiting task of a step by its index. One that never ran leaves the room kept for short work alone; a displaced one behind it may use it, but is not asked for. Figures: the test fails on the code as it is (nothing is handed over).

--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -51,6 +51,21 @@
     assert handover.tasks == ((0, 2),)
 
 
+def test_a_displaced_task_is_lent_before_one_that_never_ran() -> None:
+    """A task of its step that had never run stood before it and may not use such room.
+
+    Other halls had room for it only in what is kept for short work; so it stayed at home,
+    which was full, for as long as the other task waited.
+    """
+    tight = HallSummary(capacity=16_000, free=6_500, rooms=((6_500, 32_000), (0, 0)))
+    core = core_with(step(4, standing=True, cpu=6_000, max_per_executor=1))
+    assert len(plan(core, 0.1)) == 2
+    core.jobs[JOB].runs[0].steps[0].tasks[3].next_run = 2
+    rebalancer = Rebalancer(core, summaries=lambda: {1: tight}, count_able=lambda *_: 2)
+    (handover,) = rebalancer.plan(FULL, 0.2 + WAIT_S)
+    assert handover.tasks == ((0, 3),)
+
+
 def test_a_loan_given_back_is_in_every_later_record() -> None:
     """A second record before the first was read left the first's loan out: its task was lost."""
     given = GivenBack()
