Lend displaced standing tasks before those of their step that never ran

Ruled out: letting tasks that never ran be lent into the room kept for short work after three seconds, as at home: it would change what is kept there, which was measured. Change: where a step has displaced tasks waiting, only these are lent, with the room that they may use. Figures: the test failed before, passes after; tests of handovers and loans pass (21). At home the same order costs a displaced task three seconds at most, which is left as it is.

--- a/src/linkspan/shard/rebalance.py
+++ b/src/linkspan/shard/rebalance.py
@@ -157,6 +157,8 @@
         halls: dict[int, HallSummary],
     ) -> Handover | None:
         spec = step.spec
+        # Only these may use the room that is kept for short work.
+        pending = [task for task in pending if task.displaced] or pending
         for shard in _by_promise(halls, pending[0]):
             hall = halls[shard]
             if not self._count_able(shard, spec, job.service):
