--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from contextlib import suppress
 
+from linkspan.host.job_book import JOBS
+from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec, StepSpec
 from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld, step
@@ -17,11 +19,21 @@
 MOST_STANDING = 9
 """Jobs whose tasks last: with these drawn sizes they take about nine tenths of the cores."""
 
+MISPLACED_SHARE = 0.6
+"""Share of them that are accepted for any hall, as by a host with old news of the halls' room:
+the full ones among these move them away."""
+
+LOSSES = 5
+"""Executors that are lost one after the other once the drawn troubles are over."""
+
+LOST_FOR_S = 2.5
+"""Time after which another executor takes such a one's place: tasks are lent before."""
+
 WATCH_S = 0.5
 """Time between looks at which tasks are at work."""
 
 SETTLE_S = 8.0
-"""Time from the last trouble on in which owners may still be found and reports come in."""
+"""Time from the drawn troubles on in which owners may still be found and reports come in."""
 
 IDLE_S = 8.0
 """Longest time for which a task may be away beside room: it may be lent to two other halls
@@ -67,8 +79,29 @@
         )
         return self.world.new_job(tasks)
 
+    async def _caller(self, spec: JobSpec) -> None:
+        if not spec.standing or self.random.random() >= MISPLACED_SHARE:
+            await super()._caller(spec)
+            return
+        world = self.world
+        world.specs[spec.job_id] = spec
+        hall = self.random.randrange(len(world.halls))
+        world.store.put(JOBS, *encode(Submitted(spec, hall, 0.0, "life-x")))
+        world.accepted.add(spec.job_id)
+
     def _start_missing(self) -> None:
         super()._start_missing()
+        self._losing = asyncio.create_task(self._lose_executors())
+
+    async def _lose_executors(self) -> None:
+        await asyncio.sleep(SETTLE_S / 2)
+        for _ in range(LOSSES):
+            alive = [a for a, e in self.world.executors.items() if e.alive]
+            address = self.random.choice(sorted(alive))
+            hall = self.world.executors[address].record.hall
+            self.world.crash_executor(address, back=False)
+            await asyncio.sleep(LOST_FOR_S)
+            self.world.add_executor(hall, address)
         self._calm_at = asyncio.get_running_loop().time()
 
     async def _ask_for_all(self) -> None:
@@ -78,7 +111,7 @@
         while True:
             await asyncio.sleep(WATCH_S)
             now = asyncio.get_running_loop().time()
-            if now >= self._calm_at + SETTLE_S:
+            if now >= self._calm_at:
                 self._look(now)
 
     def _look(self, now: float) -> None:
@@ -105,4 +138,4 @@
         return slots >= ROOM_FOR
 
 
-assert SETTLE_S + IDLE_S < CALM_S
+assert SETTLE_S / 2 + LOSSES * LOST_FOR_S + IDLE_S < CALM_S - WATCH_S
