--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from contextlib import suppress
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec, StepSpec
 from linkspan.shard.messages import TaskName
--- a/tests/host/test_loans_after_moves.py
+++ b/tests/host/test_loans_after_moves.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from linkspan.host.job_book import JOBS
+from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import JobRecord, Moved, Submitted, encode
-from linkspan.shard.progress import RunKey, encode_moved
+from linkspan.shard.recovery.progress import RunKey, encode_moved
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld, step
 from tests.virtual_time import run_virtual
