Name the callers' bodies that stopped a hall in tests of their own

The fuzzed bodies cover them by chance; these do so by name, with the bound on repetitions from both sides.

--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+
+import pytest
 from hypothesis import given, settings
 
 from linkspan.errors import InvalidInput
@@ -14,3 +17,27 @@
 @given(damaged_bytes(builders.JOB))
 def test_a_callers_body_is_a_job_or_refused(body: bytes) -> None:
     check(lambda b: job_from_wire("0a", "q", b), body, InvalidInput)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"estimatedMs": "inf"},
+        {"estimatedMs": "nan"},
+        {"estimatedMs": 1e300},
+        {"requirements": ["kind"]},
+        {"cpu": 2**40},
+        {"antiAffinity": -1},
+    ],
+)
+def test_a_step_that_would_stop_its_hall_is_refused(fields: dict[str, object]) -> None:
+    body = json.dumps({"steps": [{"count": 1, "cpu": 100, **fields}]}).encode()
+    with pytest.raises(InvalidInput):
+        job_from_wire("0a", "q", body)
+
+
+def test_more_repetitions_than_an_owner_can_hold_are_refused() -> None:
+    body = {"steps": [{"count": 2}], "repeatCount": 50_000, "intervalMs": 1}
+    assert job_from_wire("0a", "q", json.dumps(body).encode()).repetitions == 50_000
+    with pytest.raises(InvalidInput, match="100000"):
+        job_from_wire("0a", "q", json.dumps({**body, "repeatCount": 50_001}).encode())
