--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -118,14 +118,15 @@
 
     def advance(self) -> None:
         """Let time pass: runs end, leases lapse."""
-        if not self.alive:
+        if not self.alive or not self.running:
             return
-        if self.running and self.clock >= self.until:
+        now = self.now
+        if now * self.slow_clock >= self.until:
             for run in list(self.running.values()):
                 self._finish(run, EndKind.LAPSED)
-        for run in list(self.running.values()):
-            if self.now >= run.ends_at:
-                self._finish(run, EndKind.FAILED if run.fails else EndKind.DONE)
+        due = [run for run in self.running.values() if now >= run.ends_at]
+        for run in due:
+            self._finish(run, EndKind.FAILED if run.fails else EndKind.DONE)
 
     def _finish(self, run: _Run, kind: EndKind) -> None:
         if not self.alive or self.running.get(run.task) is not run:
