--- a/src/linkspan/shard/pacing.py
+++ b/src/linkspan/shard/pacing.py
@@ -8,7 +8,7 @@
 from linkspan.shard._pressure_room import KEPT_PRESSURE, PressureRoom
 from linkspan.shard.colocation import latency_ratio
 from linkspan.shard.state import FULL_PACE
-from linkspan.shard.urgency import Hope, urgency
+from linkspan.shard.urgency import urgency
 
 if TYPE_CHECKING:
     from linkspan.shard.colocation import ColocationBook
@@ -77,8 +77,7 @@
             return
         by_need = sorted(neighbours, key=lambda a: urgency(a.task.step, wall))
         present = PressureRoom(executor, self._book, now, neighbours, limit=KEPT_PRESSURE)
-        over = any(a.over_since is not None for a in standing)
-        if present.overdrawn or over or _hope_held_up(by_need, wall):
+        if present.overdrawn or any(a.over_since is not None for a in standing):
             self._share_out(executor, standing, by_need, now)
         else:
             self._speed_up(executor, by_need, now)
@@ -161,20 +160,6 @@
     return pace if pace <= FULL_PACE - LEAST_STEP or pace < present else FULL_PACE
 
 
-def _hope_held_up(by_need: list[Attempt], wall: float) -> bool:
-    """Whether a slowed run has less hopeful ones at work beside it.
-
-    Theirs is then a pace from before the other came or they were late, and it would keep
-    it from speeding up until a standing task suffers. On days on which pressure is short
-    a fifth to a third of the time that runs in time were slowed was spent so. That they
-    give way earned batch jobs 0.012 more of what is owed to them (standard error 0.005,
-    eight pairs of days).
-    """
-    slowed = [urgency(a.task.step, wall).hope for a in by_need if a.pace < FULL_PACE]
-    working = [urgency(a.task.step, wall).hope for a in by_need if a.pace > 0]
-    return min(slowed, default=Hope.NONE) < max(working, default=Hope.IN_TIME)
-
-
 def _over_factor(standing: list[Attempt], now: float) -> float:
     """Return the factor on all paces where a standing task has been over target for long."""
     since = [a.over_since for a in standing if a.over_since is not None]
