--- /dev/null
+++ b/tests/bench/test_host_profile.py
@@ -0,0 +1,50 @@
+"""What a plan keeps between its steps changes none of its orders."""
+
+from __future__ import annotations
+
+import pytest
+from bench._busy_hall import BusyHall
+
+from linkspan.shard._plan_rooms import NONE_LEFT, PlanRooms, leftover_cpu
+from linkspan.shard.executor import ExecutorState
+from linkspan.shard.placement import StepPlacement
+from linkspan.shard.state import Task
+from tests.virtual_time import run_virtual
+
+SECONDS = 2.0
+"""Length of the traffic: long enough for steps that wait."""
+
+
+def _choose(placement: StepPlacement, task: Task, *, starved: bool = False) -> ExecutorState | None:
+    """Choose as the placement does, with each executor looked at anew."""
+    best, best_score = None, float("inf")
+    fill = placement._may_fill(task)
+    for executor in placement.executors:
+        if executor.executor_id in task.avoid:
+            continue
+        if placement.reason_against(executor, fill=fill, starved=starved) is not None:
+            continue
+        placed = placement._on_executor[executor.executor_id]
+        score = placement.scores.of(executor, placed=placed)
+        if score < best_score:
+            best, best_score = executor, score
+    return best
+
+
+def _unused(_rooms: PlanRooms, executor: ExecutorState) -> float:
+    return NONE_LEFT if executor.disturbed else leftover_cpu(executor)
+
+
+def _play() -> tuple[int, str]:
+    world = BusyHall(seed=3, batch_per_s=24.0, executors_per_hall=20)
+    run_virtual(world.play(SECONDS), limit_s=60.0)
+    assert world.problems == []
+    return world.runs, world.digest.hexdigest()
+
+
+def test_a_plan_that_looks_at_all_anew_orders_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    kept = _play()
+    monkeypatch.setattr(StepPlacement, "choose", _choose)
+    monkeypatch.setattr(PlanRooms, "unused_cpu", _unused)
+    assert _play() == kept
+    assert kept[0] > 100
