--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -234,7 +234,7 @@
         extra = {"event": event.number, "kind": event.name.lower(), **self._common, **details}
         logger = self._logger
         if logger.isEnabledFor(event.level):
-            # Without a look for the caller's line, which no line shows: a fifth of its time.
+            # Without a look for the caller's place, which no line shows: 2 to 10 us less.
             logger.handle(
                 logger.makeRecord(
                     logger.name, event.level, "", 0, event.text, (), None, extra=extra
--- a/src/linkspan/host/metrics.py
+++ b/src/linkspan/host/metrics.py
@@ -23,7 +23,7 @@
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
-        # The library takes 7 us to find a series by its labels; here it takes 1 us.
+        # The library finds a series by its labels anew: 7 us a count or time, so 1 and 5 us.
         self._counted: dict[_Series, int] = {}
         self._observed: dict[_Series, SeriesHistogram] = {}
         for name, doc in _COUNTERS.items():
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -148,8 +148,7 @@
     def _kinds(self, spec: StepSpec) -> Iterator[dict[tuple[TaskName, int], Attempt]]:
         """Iterate over the kinds of attempts that one of a step belongs to.
 
-        Each plan looks at a few of them only: not passing over the others saves 0.1 ms of a
-        plan over 60 executors with 120 attempts.
+        Each plan looks at a few of them only and need not pass over the others.
         """
         if spec.best_effort:
             yield self._beside
