--- a/tests/bench/test_host_profile.py
+++ b/tests/bench/test_host_profile.py
@@ -5,9 +5,9 @@
 import pytest
 from bench._busy_hall import BusyHall
 
-from linkspan.shard._plan_rooms import NONE_LEFT, PlanRooms, leftover_cpu
+from linkspan.shard.colocation._plan_rooms import NONE_LEFT, PlanRooms, leftover_cpu
 from linkspan.shard.executor import ExecutorState
-from linkspan.shard.placement import StepPlacement
+from linkspan.shard.planning.placement import StepPlacement
 from linkspan.shard.state import Task
 from tests.virtual_time import run_virtual
 
