Read a host's log lines as JSON in the process tests

Cause: tests/process/test_host_process.py looked for the text '"event": 101' in the log; since log lines are encoded by another library they carry no space there, and three tests waited 30 s in vain for a host that was listening.

Change: the line is read as JSON and its event compared with the number of LISTENING: as strict.

Measured: 3 failed before, 4 passed after.

--- a/tests/process/test_host_process.py
+++ b/tests/process/test_host_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -15,6 +16,7 @@
 import pytest
 import yaml
 
+from linkspan.events import Event
 from tests.standins.fleet import ROOT
 from tests.standins.platform_http import StoreServer, serving
 from tests.standins.start_bound import within_start_bound
@@ -79,7 +81,7 @@
 async def _until_listening(process: Process) -> None:
     assert process.stdout is not None
     while line := await process.stdout.readline():
-        if b'"event": 101' in line:
+        if json.loads(line).get("event") == Event.LISTENING.number:
             return
     raise AssertionError("host ended before it listened")
 
