Give the judge, the jobs and the kept log of the virtual world modules of their own

The judge is now tests/run_judge.py, the builders tests/job_builders.py, the log tests/kept_lines.py; the world keeps what it does to hosts, executors and callers. Moved unchanged but for imports, the judge's fields as a data class and one name that lost its underscore (check_cancelled). No check was changed.

--- a/bench/_busy_hall.py
+++ b/bench/_busy_hall.py
@@ -10,7 +10,9 @@
 from random import Random
 from typing import Any, TextIO
 
-from tests.hall_world import HEARTBEAT_S, HallWorld, Lines, step
+from tests.hall_world import HEARTBEAT_S, HallWorld
+from tests.job_builders import step
+from tests.kept_lines import Lines
 from tests.standins.memory_executor import ExecutorLink
 
 from linkspan.events import EventLog
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import aiohttp
-from tests.hall_world import QUEUE, job_body, step
+from tests.job_builders import QUEUE, job_body, step
 
 from linkspan.jobs.spec import JobSpec
 from linkspan.platform.executors import task_to_wire
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import yaml
-from tests.hall_world import QUEUE
+from tests.job_builders import QUEUE
 
 CALLERS_PORT = 8161
 READINESS_PORT = 8167
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 import aiohttp
-from tests.hall_world import EXECUTORS, QUEUE, HallWorld
+from tests.hall_world import EXECUTORS, HallWorld
+from tests.job_builders import QUEUE
 from tests.standins.executor_http import ExecutorFront
 from tests.standins.memory_executor import MemoryExecutor
 
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from tests.hall_world import QUEUE
+from tests.job_builders import QUEUE
 
 from soak.callers import Callers, Job
 from soak.deployment import version_prefix
--- a/soak/keepers.py
+++ b/soak/keepers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from tests.hall_world import QUEUE
+from tests.job_builders import QUEUE
 
 from soak.callers import PATIENCE_S, Callers
 from soak.deployment import CALLERS_PORT, version_prefix
--- a/tests/cancelling_days.py
+++ b/tests/cancelling_days.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 
 TROUBLES: dict[str, Callable[[HallWorld, Random], Awaitable[None]]] = {}
 """Troubles by name; each ends by itself."""
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -7,10 +7,10 @@
 
 import asyncio
 import json
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextvars import Context, copy_context
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -20,58 +20,31 @@
 from linkspan.host.host import Adapter, Host
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.metrics import HostMetrics
-from linkspan.model.configuration import Configuration, Queue, Service
+from linkspan.model.configuration import Configuration, Service
 from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
 from linkspan.shard._context import Executors
 from linkspan.shard.machines import MachineRecord, MachineState
 from linkspan.shard.messages import (
-    EndedTask,
-    EndKind,
     ExecutorRecord,
-    StartOrder,
     StartOutcome,
     TaskName,
 )
 from linkspan.shard.planning.advice import PolicyService
 from linkspan.store.types import Partition, Store
+from tests.job_builders import QUEUE, job_body, state_of
+from tests.kept_lines import Lines
 from tests.one_hall import OneHall
+from tests.run_judge import RunJudge
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import HOST, virtual_loop
 
 CONFIGURATION = Partition("operator", keyed=True)
 EXECUTORS = Partition("executors", keyed=True)
-QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
 HEARTBEAT_S = 1.5
 
-CONTACT_S = 3.0
-"""The platform's `contactMs`: how long a trouble excuses what comes after it."""
-
-CANCEL_S = 3.0
-"""The platform's `cancel_ms`: time from a cancel's answer to the last start."""
-
-STOP_S = 0.9
-"""The platform's `stop_ms`: longest time that a stop takes."""
-
-CANCEL_CHECK_S = 0.1
-"""Time between looks for work of cancelled jobs."""
-
-
-class Lines:
-    """Log that keeps what is written."""
-
-    def __init__(self) -> None:
-        self.lines: list[tuple[float, str, dict[str, Any]]] = []
-
-    def write(self, event: Any, **fields: Any) -> None:
-        now = asyncio.get_running_loop().time()
-        self.lines.append((now, event.name, fields))
-
-    def named(self, name: str) -> list[dict[str, Any]]:
-        return [fields for _, event, fields in self.lines if event == name]
-
 
 @dataclass
 class RunningHost:
@@ -88,7 +61,7 @@
 
 
 @dataclass
-class HallWorld:
+class HallWorld(RunJudge):
     """A deployment and what went wrong in it."""
 
     halls: tuple[str, ...] = ("east",)
@@ -104,7 +77,6 @@
     lists_machines: bool = True
     guards_room: bool = True
     policy: PolicyService | None = None
-    broken: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
@@ -112,19 +84,9 @@
         self.one_hall = OneHall(self.store)
         self.log = Lines()
         self.hosts: dict[str, RunningHost] = {}
-        self.executors: dict[str, MemoryExecutor] = {}
         self.cuts: set[tuple[str, str]] = set()
-        self.specs: dict[str, JobSpec] = {}
         self.accepted: set[str] = set()
-        self.cancelled: dict[str, float] = {}
         self.late_starts: Counter[StartOutcome] = Counter()
-        self.troubled_until = float("-inf")
-        self._overdue: set[TaskName] = set()
-        self.done: set[TaskName] = set()
-        self.done_acknowledged: set[TaskName] = set()
-        self.done_runs_at: dict[tuple[TaskName, int], float] = {}
-        self.failed: Counter[TaskName] = Counter()
-        self.starts: defaultdict[TaskName, list[float]] = defaultdict(list)
         self._lives = 0
         self._jobs = 0
 
@@ -145,7 +107,7 @@
             for index in range(self.executors_per_hall):
                 self.add_executor(hall, f"{hall}-{index}:1")
         self._beats = asyncio.create_task(self._beat())
-        self._checks = asyncio.create_task(self._check_cancelled())
+        self._checks = asyncio.create_task(self.check_cancelled())
         for name, _ in self.host_names():
             self.start_host(name)
         await asyncio.sleep(2.0)
@@ -222,10 +184,6 @@
         if self.hosts.get(name) is running:
             self.kill_host(name)
 
-    def trouble(self) -> None:
-        """Note that something other than cancels, late orders and removals is going on."""
-        self.troubled_until = asyncio.get_running_loop().time()
-
     def add_executor(self, hall: str, address: str) -> MemoryExecutor:
         self._lives += 1
         record = ExecutorRecord(
@@ -303,9 +261,6 @@
             if (own == hall) != (executor.record.hall == hall)
         }
 
-    def step_of(self, task: TaskName) -> StepSpec:
-        return self.specs[task.job_id].steps[task.step]
-
     def running_time(self, task: TaskName) -> float:
         step = self.step_of(task)
         return 1e6 if step.standing else step.estimate_s * (0.8 + 0.4 * self.random.random())
@@ -325,71 +280,6 @@
     def loses_answer(self) -> bool:
         return bool(self.lost_answer_share) and self.random.random() < self.lost_answer_share
 
-    # The judge
-
-    def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
-        task = order.task
-        now = asyncio.get_running_loop().time()
-        self.starts[task].append(now)
-        self.broken += [f"{now:.2f} {line}" for line in self.one_hall.on_start(executor, order)]
-        for other in self.executors.values():
-            other.advance()
-            run = other.running.get(task)
-            if other.alive and run:
-                self.broken.append(f"{now:.2f} TWICE {task} runs on {other.record.address} too")
-        if task in self.done_acknowledged:
-            self.broken.append(f"{now:.2f} TWICE {task} was done and acknowledged")
-        if task.job_id not in self.specs or order.payload != self.specs[task.job_id].payload:
-            self.broken.append(f"{now:.2f} UNASKED {task}")
-        for earlier in self.step_of(task).depends_on:
-            count = self.specs[task.job_id].steps[earlier].count
-            names = [TaskName(task.job_id, 0, earlier, i) for i in range(count)]
-            if not all(name in self.done for name in names):
-                self.broken.append(f"{now:.2f} ORDER {task}")
-        if self.failed[task] >= QUEUE.max_attempts and not self.step_of(task).standing:
-            self.broken.append(f"{now:.2f} BUDGET {task}")
-
-    def judge_start_of_cancelled(self, task: TaskName) -> None:
-        """Judge a start that was carried out when it was ordered."""
-        now = asyncio.get_running_loop().time()
-        if now > self._cancel_counts_from(task.job_id) + CANCEL_S:
-            self.broken.append(f"{now:.2f} UNASKED {task} was started after its cancel")
-
-    async def _check_cancelled(self) -> None:
-        """Find tasks that run on after their job was cancelled, whoever started them."""
-        while True:
-            await asyncio.sleep(CANCEL_CHECK_S)
-            now = asyncio.get_running_loop().time()
-            for executor in self.executors.values():
-                executor.advance()
-                for run in executor.running.values() if executor.alive else ():
-                    if now > self._gone_by(run.task, run.began) and run.task not in self._overdue:
-                        self._overdue.add(run.task)
-                        self.broken.append(f"{now:.2f} UNASKED {run.task} runs on")
-
-    def _gone_by(self, task: TaskName, began: float) -> float:
-        """Return when a task must be gone: its start may have been carried out late."""
-        return max(self._cancel_counts_from(task.job_id) + CANCEL_S, began + CONTACT_S) + STOP_S
-
-    def _cancel_counts_from(self, job_id: str) -> float:
-        """Return when a job was cancelled, or when troubles were over long enough."""
-        cancelled = self.cancelled.get(job_id, float("inf"))
-        return max(cancelled, self.troubled_until + CONTACT_S)
-
-    def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
-        if kind is EndKind.DONE:
-            self.done.add(task)
-            self.done_runs_at.setdefault((task, run), asyncio.get_running_loop().time())
-
-    def judge_acknowledged(self, end: EndedTask) -> None:
-        if end.kind is EndKind.DONE:
-            self.done_acknowledged.add(end.task)
-            ended = self.done_runs_at[(end.task, end.run)]
-            if any(start > ended for start in self.starts[end.task]):
-                self.broken.append(f"{ended:.2f} TWICE {end.task} began again after its end")
-        if end.kind is EndKind.FAILED:
-            self.failed[end.task] += 1
-
     # Callers
 
     def new_job(self, *steps: StepSpec) -> JobSpec:
@@ -457,40 +347,3 @@
             if running.host.candidates[shard].tenure:
                 return name
         return None
-
-
-def state_of(answer: web.Response) -> str:
-    assert isinstance(answer.body, bytes)
-    if answer.status != 200:
-        return str(answer.status)
-    return str(json.loads(answer.body)["state"])
-
-
-def job_body(spec: JobSpec) -> bytes:
-    """Return the body that a caller sends for a job."""
-    return json.dumps(
-        {
-            "spec": spec.payload,
-            "steps": [
-                {
-                    "count": s.count,
-                    "cpu": s.demand.milli_cpu,
-                    "memMb": s.demand.memory_mb,
-                    "estimatedMs": s.estimate_s * 1000,
-                    "dependsOn": list(s.depends_on),
-                    "indefinite": s.standing,
-                    "gangScheduled": s.gang,
-                    "antiAffinity": s.max_per_executor,
-                    "fills": s.best_effort,
-                    "target_ms": s.latency_target_ms,
-                    "image": s.image,
-                }
-                for s in spec.steps
-            ],
-        }
-    ).encode()
-
-
-def step(count: int = 1, *, cpu: int = 1_000, estimate_s: float = 1.0, **fields: Any) -> StepSpec:
-    """Return a step for tests."""
-    return StepSpec(count=count, demand=Demand(cpu, 100), estimate_s=estimate_s, **fields)
--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -9,7 +9,8 @@
 
 from linkspan.jobs.spec import JobSpec
 from linkspan.shard.messages import TaskName
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 
 TROUBLES_FROM_S = 3.0
 """Time after the start of the traffic at which the first trouble may begin."""
--- a/tests/host/recorded_day.py
+++ b/tests/host/recorded_day.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from linkspan.jobs.spec import JobSpec
-from tests.hall_world import step
 from tests.host.overlapping_day import OverlappingDay
+from tests.job_builders import step
 
 
 class RecordedDay(OverlappingDay):
--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -10,8 +10,9 @@
 from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec, StepSpec
 from linkspan.shard.messages import TaskName
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
 from tests.host.overlapping_day import CALM_S, OverlappingDay
+from tests.job_builders import step
 
 STANDING_SHARE = 0.3
 """Share of the jobs whose tasks last, up to the next bound."""
--- a/tests/host/test_answers_in_time.py
+++ b/tests/host/test_answers_in_time.py
@@ -13,7 +13,8 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.jobs.spec import JobSpec
-from tests.hall_world import QUEUE, HallWorld, state_of, step
+from tests.hall_world import HallWorld
+from tests.job_builders import QUEUE, state_of, step
 from tests.virtual_time import run_virtual
 
 CALLER_S = 3.0
--- a/tests/host/test_cancelled_work.py
+++ b/tests/host/test_cancelled_work.py
@@ -9,7 +9,9 @@
 
 from linkspan.shard.messages import StartOutcome
 from tests.cancelling_days import cancelling_day
-from tests.hall_world import CANCEL_S, STOP_S, HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.run_judge import CANCEL_S, STOP_S
 from tests.virtual_time import run_virtual
 
 
--- a/tests/host/test_first_read.py
+++ b/tests/host/test_first_read.py
@@ -23,7 +23,8 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Dropped, Finished, JobState, Submitted, encode
 from linkspan.jobs.spec import JobSpec
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.standins.memory_store import LISTED_KEYS
 from tests.virtual_time import run_virtual
 
--- a/tests/host/test_hall_world.py
+++ b/tests/host/test_hall_world.py
@@ -9,7 +9,8 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from linkspan.store.types import Entry
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 
--- a/tests/host/test_impossible.py
+++ b/tests/host/test_impossible.py
@@ -7,7 +7,8 @@
 
 from linkspan.host._impossible import oversized_step
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 SIZES = st.builds(
--- a/tests/host/test_late_loans.py
+++ b/tests/host/test_late_loans.py
@@ -7,7 +7,8 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Lent, encode
 from linkspan.shard.messages import TaskName
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 BORROWER = 1
--- a/tests/host/test_loans_after_moves.py
+++ b/tests/host/test_loans_after_moves.py
@@ -12,7 +12,8 @@
 from linkspan.jobs.records import JobRecord, Moved, Submitted, encode
 from linkspan.shard.recovery.progress import RunKey, encode_moved
 from linkspan.store.types import Partition
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 HOME = 0
--- a/tests/host/test_machine_lists.py
+++ b/tests/host/test_machine_lists.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from linkspan.shard.machines import MachineRecord
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 CUT_S = 4.5
--- a/tests/host/test_one_hall.py
+++ b/tests/host/test_one_hall.py
@@ -19,7 +19,9 @@
 from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
-from tests.hall_world import HallWorld, Lines, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.kept_lines import Lines
 from tests.one_hall import OneHall
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import run_virtual
--- a/tests/host/test_recovery_reads.py
+++ b/tests/host/test_recovery_reads.py
@@ -9,7 +9,8 @@
 from linkspan.errors import StoreUnanswered
 from linkspan.store.types import KeyPage, Partition, Record
 from tests import hall_world
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.standins.memory_store import LISTED_KEYS, StoreLink
 from tests.virtual_time import run_virtual
 
--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -7,7 +7,8 @@
 import pytest
 
 from linkspan.shard.messages import TaskName
-from tests.hall_world import EXECUTORS, HallWorld, step
+from tests.hall_world import EXECUTORS, HallWorld
+from tests.job_builders import step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
 
--- a/tests/host/test_shard_chooser.py
+++ b/tests/host/test_shard_chooser.py
@@ -7,7 +7,7 @@
 from linkspan.model.settings import HostSettings, StoreLimits
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorRecord
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 
 HALLS = ("east", "west")
 SETTINGS = HostSettings("host", "east", HALLS, "", "", StoreLimits(""))
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -16,7 +16,8 @@
 
 from linkspan.host import connections
 from linkspan.host.listener import Listener
-from tests.hall_world import QUEUE, HallWorld
+from tests.hall_world import HallWorld
+from tests.job_builders import QUEUE
 from tests.virtual_time import run_virtual
 
 
--- a/tests/host/test_takeovers.py
+++ b/tests/host/test_takeovers.py
@@ -9,7 +9,8 @@
 from linkspan.shard.messages import StartOrder, TaskName
 from linkspan.shard.recovery.progress import RunKey, encode_moved
 from linkspan.store.types import Partition
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 
--- a/tests/host/test_whole_moves.py
+++ b/tests/host/test_whole_moves.py
@@ -23,8 +23,9 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Begun, Submitted, encode
 from linkspan.jobs.spec import JobSpec
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
 from tests.host.recorded_day import RecordedDay
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 UNWRITTEN_S = 0.03
--- /dev/null
+++ b/tests/job_builders.py
@@ -0,0 +1,50 @@
+"""Builders of jobs, as callers send them and as hosts keep them."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiohttp import web
+
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.model.configuration import Queue
+
+QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
+
+
+def state_of(answer: web.Response) -> str:
+    assert isinstance(answer.body, bytes)
+    if answer.status != 200:
+        return str(answer.status)
+    return str(json.loads(answer.body)["state"])
+
+
+def job_body(spec: JobSpec) -> bytes:
+    """Return the body that a caller sends for a job."""
+    return json.dumps(
+        {
+            "spec": spec.payload,
+            "steps": [
+                {
+                    "count": s.count,
+                    "cpu": s.demand.milli_cpu,
+                    "memMb": s.demand.memory_mb,
+                    "estimatedMs": s.estimate_s * 1000,
+                    "dependsOn": list(s.depends_on),
+                    "indefinite": s.standing,
+                    "gangScheduled": s.gang,
+                    "antiAffinity": s.max_per_executor,
+                    "fills": s.best_effort,
+                    "target_ms": s.latency_target_ms,
+                    "image": s.image,
+                }
+                for s in spec.steps
+            ],
+        }
+    ).encode()
+
+
+def step(count: int = 1, *, cpu: int = 1_000, estimate_s: float = 1.0, **fields: Any) -> StepSpec:
+    """Return a step for tests."""
+    return StepSpec(count=count, demand=Demand(cpu, 100), estimate_s=estimate_s, **fields)
--- a/tests/platform/test_advice_client.py
+++ b/tests/platform/test_advice_client.py
@@ -11,7 +11,7 @@
 from linkspan.platform.advice import AdviceClient
 from linkspan.shard.planning.advice import Advice
 from linkspan.shard.state import ShardJob, new_run
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import JOB, submitted
 
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -17,7 +17,7 @@
 from linkspan.platform.store import StoreClient
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder, TaskName
 from linkspan.store.types import Partition, Record
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import core_with
 from tests.standins.fault_proxy import FaultProxy
 from tests.standins.platform_http import StoreServer, serving
--- a/tests/shard/builders.py
+++ b/tests/shard/builders.py
@@ -22,7 +22,7 @@
 )
 from linkspan.shard.planning.planner import Planner
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 
 JOB = "00000000000000aa"
 
--- a/tests/shard/test_advice.py
+++ b/tests/shard/test_advice.py
@@ -8,7 +8,8 @@
 from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
 from linkspan.shard.planning.advice import RETRY_S, Advice, AdviceBook
 from linkspan.shard.state import StepRun
-from tests.hall_world import QUEUE, HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, plan
 from tests.virtual_time import run_virtual
 
--- a/tests/shard/test_blocked.py
+++ b/tests/shard/test_blocked.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from linkspan.events import Event
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import core_with, plan
 
 
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -12,7 +12,7 @@
 from linkspan.shard.colocation.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, place, plan, started, submitted
 
 
--- a/tests/shard/test_cut_reports.py
+++ b/tests/shard/test_cut_reports.py
@@ -15,7 +15,7 @@
     RunningTask,
     TaskName,
 )
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, plan, started, submitted
 from tests.shard.test_rebalance import EMPTY, FULL
 
--- a/tests/shard/test_lengths.py
+++ b/tests/shard/test_lengths.py
@@ -14,7 +14,7 @@
 from linkspan.shard.planning._outlook import refresh_outlook
 from linkspan.shard.planning.lengths import LengthBook
 from linkspan.shard.planning.urgency import Hope, urgency
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, place, plan, report, started, submitted
 
 OTHER = "00000000000000bb"
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -9,7 +9,7 @@
 from linkspan.shard.handover.rebalance import SHORT_WAIT_S, WAIT_S, Rebalancer
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, TaskName
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan, report
 
 EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
--- a/tests/shard/test_unknown_runs.py
+++ b/tests/shard/test_unknown_runs.py
@@ -4,7 +4,7 @@
 
 from linkspan.model.configuration import Configuration, Service
 from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import core_with, plan, report
 
 UNKNOWN = TaskName("00000000000000bb", 0, 0, 0)
--- a/tests/shard/test_unread_progress.py
+++ b/tests/shard/test_unread_progress.py
@@ -8,7 +8,7 @@
 from linkspan.jobs.records import Loan
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan, submitted
 
 UNREAD = {0: b"["}
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -13,7 +13,7 @@
 
 from linkspan.jobs.spec import JobSpec
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 
 CALM_FROM = 100.0
 SPEC = JobSpec("0" * 15 + "1", QUEUE.name, "payload", (step(2), step(1, depends_on=(0,))))
