--- /dev/null
+++ b/tests/host/test_removals_sent_again.py
@@ -0,0 +1,69 @@
+"""What removes a submission removes it also where the removal is sent more than once."""
+
+from __future__ import annotations
+
+import asyncio
+
+from linkspan.jobs.job_book import JOBS, JobBook
+from linkspan.jobs.records import Dropped, Finished, JobState, Submitted
+from tests.hall_world import HallWorld, Lines, step
+from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.virtual_time import run_virtual
+
+HOST = "life-1"
+
+
+def test_a_removal_that_did_not_arrive_at_first_removes_the_submission() -> None:
+    """The submission stayed under its key, with nothing that would remove it."""
+
+    async def play() -> list[bytes]:
+        store = MemoryStore()
+        book = JobBook(StoreLink(store, "host"), HOST, Lines())  # type: ignore[arg-type]
+        loops = [asyncio.create_task(loop) for loop in (book.follower.run(), book.writer.run())]
+        spec = HallWorld().new_job(step(1))
+        await book.write([Submitted(spec, 0, 0.0, HOST)])
+        end = Finished(spec.job_id, JobState.SUCCEEDED, 0, 0.0, spec.queue)
+        await _write_twice(store, book, [end, Dropped("s", spec.job_id, HOST)])
+        kept = [entry.key for entry in (await StoreLink(store, "host").newest(JOBS)).entries]
+        for loop in loops:
+            loop.cancel()
+        return kept
+
+    (kept,) = run_virtual(play())
+    assert kept.startswith(b"f:")
+
+
+def test_a_job_whose_end_is_removed_late_is_not_new_to_a_host_that_starts() -> None:
+    """A host that listed the keys took a job that had ended for a new one, and ran it."""
+
+    async def play() -> bool:
+        store = MemoryStore()
+        book = JobBook(StoreLink(store, "host"), HOST, Lines())  # type: ignore[arg-type]
+        loops = [asyncio.create_task(loop) for loop in (book.follower.run(), book.writer.run())]
+        spec = HallWorld().new_job(step(1))
+        await book.write([Submitted(spec, 0, 0.0, HOST)])
+        end = Finished(spec.job_id, JobState.SUCCEEDED, 0, 0.0, spec.queue)
+        submission = Dropped("s", spec.job_id, HOST)
+        await _write_twice(store, book, [end, submission])
+        await _write_twice(store, book, [submission, Dropped("f", spec.job_id)])
+        store.forget(JOBS)
+        late = JobBook(StoreLink(store, "late"), "life-2", Lines())  # type: ignore[arg-type]
+        loops.append(asyncio.create_task(late.follower.run()))
+        await asyncio.sleep(1.0)
+        assert late.follower.ready
+        for loop in loops:
+            loop.cancel()
+        return late.catalog.get(spec.job_id) is not None
+
+    assert not run_virtual(play())
+
+
+async def _write_twice(
+    store: MemoryStore, book: JobBook, records: list[Finished | Dropped]
+) -> None:
+    """Write records whose first sending is not done and gets no answer."""
+    store.silent.add("host")
+    written = book.write(records)
+    await asyncio.sleep(0.5)
+    store.silent.clear()
+    await written
