Remove submissions under the keys that they were written under

Ruled out: removing all keys that a submission may have had (how often each host sent it is not known to who removes it). Change: a record without a value is sent again as it is.

--- a/src/linkspan/jobs/job_book.py
+++ b/src/linkspan/jobs/job_book.py
@@ -198,4 +198,7 @@
 
 
 def _sent_again(record: Record, unanswered: int) -> Record:
+    if not record.value:
+        # It removes a record under the key that this was written under.
+        return record
     return record._replace(key=key_sent_again(record.key, unanswered))
