Count room as free again when a gang gives it back

Ruled out: keeping nothing of the room (a plan asks for it for each executor and step). Change: a gang that is undone tells its placement, which forgets what it keeps of the executors concerned, as it does where a task is placed.

--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -143,6 +143,15 @@
     def took(self, executor: ExecutorState) -> None:
         """Count a task in that was placed on an executor."""
         self._on_executor[executor.executor_id] += 1
+        self._changed(executor)
+
+    def gave_back(self, executor: ExecutorState) -> None:
+        """Count a task out that was not to stay on an executor."""
+        self._on_executor[executor.executor_id] -= 1
+        # Steps behind this one would find its room taken.
+        self._changed(executor)
+
+    def _changed(self, executor: ExecutorState) -> None:
         self.rooms.changed(executor)
         for scores in self._scores.values():
             scores.pop(executor.executor_id, None)
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -167,16 +167,17 @@
         for task in pending:
             executor = placement.choose(task)
             if executor is None:
-                self._undo(placed, orders)
+                self._undo(placement, placed, orders)
                 return []
             task.checkpoint = checkpoint
             placed.append(self._start(placement, task, executor, run=run))
         return placed
 
-    def _undo(self, placed: list[Attempt], orders: int) -> None:
+    def _undo(self, placement: StepPlacement, placed: list[Attempt], orders: int) -> None:
         del self._core.orders[orders:]
         for attempt in placed:
             self._core.unplace(attempt)
+            placement.gave_back(self._core.executors[attempt.executor_id])
 
     def _log(
         self, placement: StepPlacement, placed: list[Attempt], pending: int, view: PlanView
