Show a gang that counts as begun though nothing of it was started; listed as red

Cause: placing a task counts its job as begun. A gang that finds room for a part of its members is undone in the same plan, and its orders with it, but the job stays begun: that is told to all hosts and, with its progress, to later owners. The job is not among those that wait, and cannot move whole to a hall that has room for it. Ruled out: the rebalancer (with no room for any member the job moves). Change: a test only.

--- /dev/null
+++ b/tests/shard/test_gangs_not_begun.py
@@ -0,0 +1,22 @@
+"""A job whose gang found no room whole has not begun."""
+
+from __future__ import annotations
+
+from linkspan.shard.handover.rebalance import WAIT_S, Rebalancer
+from linkspan.shard.handover.summary import HallSummary
+from tests.hall_world import step
+from tests.shard.builders import JOB, core_with, plan
+
+EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
+FULL = HallSummary(capacity=16_000, rooms=((0, 0), (0, 0)))
+
+
+def test_a_gang_that_found_room_for_a_part_moves_whole() -> None:
+    """It was told as begun, was no longer counted as waiting, and waited at home for ever."""
+    core = core_with(step(3, gang=True, cpu=8_000))
+    assert plan(core, 0.1) == []
+    assert core.begun == []
+    assert not core.dirty
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_able=lambda *_: 3)
+    (handover,) = rebalancer.plan(FULL, 0.2 + WAIT_S)
+    assert (handover.job_id, handover.shard, handover.tasks) == (JOB, 1, None)
