Count no job as begun for a gang that was undone

Ruled out: counting a job as begun when its order is handed out (progress must be durable before that, and tells later owners that it began). Change: a gang that is undone takes back what its first member made of the job, where nothing of it had begun before: the mark, and the record that was to be written. It changes which gangs move: those that found room for a part are now among them.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -147,12 +147,28 @@
         if run.durable != float("inf"):
             self.dirty[(run.job.job_id, run.repetition)] = run
 
+    def is_dirty(self, run: JobRun) -> bool:
+        """Whether the record of a repetition is to be written."""
+        return (run.job.job_id, run.repetition) in self.dirty
+
     def mark_begun(self, job: ShardJob) -> None:
         """Have it told, once, that a task of a job was started."""
         if not job.begun:
             job.begun = True
             self.begun.append(job.job_id)
 
+    def unmark_begun(self, run: JobRun, *, dirty: bool) -> None:
+        """Take back, before it is told or written, that a first task was started.
+
+        Args:
+            run: The repetition that the task is of.
+            dirty: Whether its record was to be written in any case.
+        """
+        run.job.begun = False
+        self.begun.remove(run.job.job_id)
+        if not dirty:
+            self.dirty.pop((run.job.job_id, run.repetition), None)
+
     def hear(self, executor: ExecutorState, clock_s: float | None, now: float) -> None:
         """Take in that an executor answered, and what its clock showed."""
         if clock_s is not None:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -162,12 +162,17 @@
             return []
         run = max(task.next_run for task in pending)
         checkpoint = max((task.checkpoint for task in pending), key=len)
+        progress = placement.step.run
+        begun, dirty = progress.job.begun, self._core.is_dirty(progress)
         placed: list[Attempt] = []
         orders = len(self._core.orders)
         for task in pending:
             executor = placement.choose(task)
             if executor is None:
                 self._undo(placement, placed, orders)
+                if placed and not begun:
+                    # What counts as begun no longer moves to another hall.
+                    self._core.unmark_begun(progress, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
             placed.append(self._start(placement, task, executor, run=run))
