--- /dev/null
+++ b/tests/host/test_stop_beside_bodies.py
@@ -0,0 +1,41 @@
+"""A planned stop answers a request that is coming in when the host takes nothing new."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from linkspan.host.listener import Listener
+
+HEAD = b"POST / HTTP/1.1\r\nHost: host.example\r\nContent-Length: 8\r\n\r\n"
+BODY = b"12345678"
+
+PROMPT_S = 1.0
+"""Far more than the rest of a request takes that is on its way."""
+
+
+@pytest.mark.parametrize("there", [len(HEAD) // 2, len(HEAD), len(HEAD) + len(BODY) // 2])
+async def test_the_rest_of_a_request_is_read_while_nothing_new_is_taken(there: int) -> None:
+    """What came in behind that moment was read and thrown away: no answer was given for it."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=await request.read())
+
+    listener = await Listener(answer).open("127.0.0.1:0")
+    address = listener.addresses[0][:2]
+    _, idle = await asyncio.open_connection(*address)
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write((HEAD + BODY)[:there])
+    await asyncio.sleep(0.1)
+    await listener.refuse_new()
+    writer.write((HEAD + BODY)[there:])
+    try:
+        async with asyncio.timeout(PROMPT_S):
+            assert (await reader.readuntil(BODY)).startswith(b"HTTP/1.1 200 ")
+            assert await reader.read() == b""
+    finally:
+        idle.close()
+        writer.close()
+        await listener.close()
