Read on what is coming in when a host takes nothing new

Ruled out: waiting for such requests before connections are told to close (callers that keep coming would always have one). Change: a connection with a request that is coming in, or is being answered, is closed behind the answer; idle ones at once, as before. One that never sends the rest ends with the listener, which may take its closing time (0.25 s) for it.

--- a/src/linkspan/host/connections.py
+++ b/src/linkspan/host/connections.py
@@ -90,11 +90,14 @@
         super().data_received(data)
 
     def close(self) -> None:
-        """Take no further request; what was read whole gets its answer.
+        """Take no further request; one that is coming in is read on and gets its answer.
 
-        The library leaves an idle connection open, with nobody to read it.
+        The library would throw the rest of it away, and leaves an idle connection open
+        with nobody to read it.
         """
         self._closing = True
+        if self._busy or self._begun_at is not None:
+            return
         super().close()
         if self.idle:
             self.drop()
@@ -108,6 +111,9 @@
         """Note that a request has its answer."""
         self._busy = False
         self._idle_since = self._loop.time()
+        if self._closing:
+            # The library ends the connection behind the answer.
+            super().close()
 
     def overdue(self, now: float) -> str | None:
         """Return why it is to be closed at a time of the loop, if it is."""
