Show a busy connection that goes on when a listener takes nothing new; listed as red

Cause: connections are told to close in a loop that runs only while one of them is idle. Ruled out: an effect on callers of a host that drains: each of its answers ends its connection by itself (host/front.py). It is the listener that does not do what it says. Change: a test only.

--- a/tests/host/test_stop_beside_bodies.py
+++ b/tests/host/test_stop_beside_bodies.py
@@ -39,3 +39,26 @@
         idle.close()
         writer.close()
         await listener.close()
+
+
+async def test_a_busy_connection_takes_no_further_request() -> None:
+    """Connections were told to close only where one of them was idle."""
+    answered = asyncio.Event()
+
+    async def answer(_request: web.BaseRequest) -> web.Response:
+        await answered.wait()
+        return web.Response(body=BODY)
+
+    listener = await Listener(answer).open("127.0.0.1:0")
+    reader, writer = await asyncio.open_connection(*listener.addresses[0][:2])
+    writer.write(HEAD + BODY)
+    await asyncio.sleep(0.1)
+    await listener.refuse_new()
+    answered.set()
+    try:
+        async with asyncio.timeout(PROMPT_S):
+            await reader.readuntil(BODY)
+            assert await reader.read() == b""
+    finally:
+        writer.close()
+        await listener.close()
