--- a/src/linkspan/host/listener.py
+++ b/src/linkspan/host/listener.py
@@ -75,10 +75,11 @@
         """
         for site in list(self._runner.sites):
             await site.stop()
+        self._server.pre_shutdown()
         # One that was accepted just now waits for its first request a moment later.
         while any(connection.idle for connection in self.connections):
-            self._server.pre_shutdown()
             await asyncio.sleep(CLOSE_TICK_S)
+            self._server.pre_shutdown()
 
     async def close(self) -> None:
         """Close all connections and stop listening."""
