Move a gang only to a hall that has room for all of it

Ruled out: a second move (work would go to and fro between full halls). Change: a step whose tasks run together needs room for all of them where its job moves. Not covered: a spread limit, which the room that a hall tells of does not show, and gangs of best-effort work.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -139,7 +139,7 @@
             else:
                 if hall.queued or _room(hall, standing=standing) < need:
                     continue
-                if not all(hall.slots(step.demand) for step in steps):
+                if not all(hall.slots(step.demand) >= _least(step) for step in steps):
                     continue
                 halls[shard] = replace(hall, free=hall.free - need)
             return Handover(job.job_id, shard, None)
@@ -199,5 +199,10 @@
     return sorted(halls, key=lambda shard: (task.given_back.get(shard, 0), -_room(halls[shard])))
 
 
+def _least(step: StepSpec) -> int:
+    """Return for how many tasks of a step there is to be room: a job moves once only."""
+    return step.count if step.gang else 1
+
+
 def _busy(hall: HallSummary) -> float:
     return (hall.best_effort + hall.waiting) / max(hall.capacity, 1)
