Show a draining executor whose record is passed over; listed as red

Cause: the time left of an executor that drains is taken only from 0 on. One that serves on beyond its time, as executors may, could tell of less; its record is then passed over whole, and where it is the first that says draining the executor counts as ready. Ruled out: the bytes of such a record being unsound elsewhere (it decoded before fields were read by type). Change: a test only. Figures: the test fails on the code as it is (RecordError).

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -169,3 +169,10 @@
 def test_any_bytes_are_decoded_or_refused(body: bytes) -> None:
     with pytest.raises((InvalidInput, RecordError)):
         job_from_wire("00", "q", body)
+
+
+def test_an_executor_that_stays_beyond_its_time_still_drains() -> None:
+    """It serves on for a while after its time is over; its record was passed over then."""
+    fields = {"service": "s", "address": "a:1", "state": "draining", "remainingMs": -40}
+    leaving = executor_from_wire("e1", orjson.dumps(fields))
+    assert (leaving.draining, leaving.remaining_s) == (True, 0.0)
