Read a time left below zero as none left

Ruled out: passing over the field alone (a drain without a time would look the same). Change: a time left below 0 counts as 0; what is no number is refused as before.

--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -6,8 +6,8 @@
 
 import orjson
 
+from linkspan._typed import MOST_NUMBER, number, rows, text, whole
 from linkspan._typed import fields as fields_of
-from linkspan._typed import number, rows, text, whole
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
@@ -79,7 +79,8 @@
             labels=frozenset(labels),
             rack=labels[-1] if labels else "",
             draining=fields.get("state") == "draining",
-            remaining_s=number(fields.get("remainingMs") or 0) / 1000,
+            # Below 0 it stays beyond its time; that it drains counts all the same.
+            remaining_s=max(number(fields.get("remainingMs") or 0, least=-MOST_NUMBER), 0) / 1000,
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RecordError(f"executor {executor_id}: {error!r}; it is passed over") from error
