Show that the largest job taken does not fit into an owner; listed as red

Cause: an owner makes the tasks of all repetitions when it takes a job in. The bound of 100,000 such tasks rests on 300 bytes each, an estimate that was never measured. Change: a test only.

--- /dev/null
+++ b/tests/shard/test_largest_job.py
@@ -0,0 +1,29 @@
+"""The largest job that is taken fits into the memory that an owner may use for it."""
+
+from __future__ import annotations
+
+import tracemalloc
+
+from linkspan.jobs.records import Submitted
+from linkspan.jobs.spec import MAX_REPEATED_TASKS, JobSpec, Schedule, check_job
+from linkspan.shard.state import ShardJob, new_run
+from tests.hall_world import QUEUE, step
+from tests.shard.builders import JOB
+
+OWNER_BYTES = 40_000_000
+"""What a host has at least, by the origin of the bound on repeated tasks."""
+
+
+def test_the_largest_job_with_repetitions_fits_into_an_owner() -> None:
+    """An owner holds each repetition from the start; the bound rests on 300 bytes a task."""
+    spec = JobSpec(JOB, QUEUE.name, "text", (step(1),), Schedule(MAX_REPEATED_TASKS, 0.0, 1.0))
+    check_job(spec)
+    tracemalloc.start()
+    try:
+        job = ShardJob(Submitted(spec, 0, 0.0, "host"))
+        for repetition in range(spec.repetitions):
+            job.runs[repetition] = new_run(job, repetition)
+        taken, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert taken < OWNER_BYTES
