--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -162,21 +162,27 @@
             return []
         run = max(task.next_run for task in pending)
         checkpoint = max((task.checkpoint for task in pending), key=len)
+        progress = placement.step.run
+        begun, dirty = progress.job.begun, self._core.is_dirty(progress)
         placed: list[Attempt] = []
         orders = len(self._core.orders)
         for task in pending:
             executor = placement.choose(task)
             if executor is None:
-                self._undo(placed, orders)
+                self._undo(placement, placed, orders)
+                if placed and not begun:
+                    # What counts as begun no longer moves to another hall.
+                    self._core.unmark_begun(progress, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
             placed.append(self._start(placement, task, executor, run=run))
         return placed
 
-    def _undo(self, placed: list[Attempt], orders: int) -> None:
+    def _undo(self, placement: StepPlacement, placed: list[Attempt], orders: int) -> None:
         del self._core.orders[orders:]
         for attempt in placed:
             self._core.unplace(attempt)
+            placement.gave_back(self._core.executors[attempt.executor_id])
 
     def _log(
         self, placement: StepPlacement, placed: list[Attempt], pending: int, view: PlanView
