--- a/tests/host/test_moved_gangs.py
+++ b/tests/host/test_moved_gangs.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from tests.hall_world import HallWorld, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 HOME_IS_FULL_S = 4.0
--- a/tests/host/test_removals_sent_again.py
+++ b/tests/host/test_removals_sent_again.py
@@ -6,7 +6,9 @@
 
 from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import Dropped, Finished, JobState, Submitted
-from tests.hall_world import HallWorld, Lines, step
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.kept_lines import Lines
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import run_virtual
 
--- a/tests/shard/test_gangs_beside.py
+++ b/tests/shard/test_gangs_beside.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import core_with, plan, submitted
 
 
--- a/tests/shard/test_gangs_not_begun.py
+++ b/tests/shard/test_gangs_not_begun.py
@@ -4,7 +4,7 @@
 
 from linkspan.shard.handover.rebalance import WAIT_S, Rebalancer
 from linkspan.shard.handover.summary import HallSummary
-from tests.hall_world import step
+from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan
 
 EMPTY = HallSummary(capacity=40_000, free=40_000, rooms=((20_000, 32_000), (20_000, 32_000)))
--- a/tests/shard/test_largest_job.py
+++ b/tests/shard/test_largest_job.py
@@ -7,7 +7,7 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import MAX_REPEATED_TASKS, JobSpec, Schedule, check_job
 from linkspan.shard.state import ShardJob, new_run
-from tests.hall_world import QUEUE, step
+from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB
 
 OWNER_BYTES = 40_000_000
