Bound the tasks of a repeated job by what an owner's memory bears

Cause: the bound on the tasks of all repetitions, 100,000, rested on 300 bytes a task. An owner takes 580 bytes (300 repetitions of 100 tasks) and 1,280 (30,000 repetitions of one), measured by tracemalloc: the largest job would have taken 128 MB of a host that may have 200.

Change: 30,000.

--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -13,9 +13,9 @@
 MAX_TASKS = 10_000
 """Most tasks of one job; above it one job could outgrow a store record."""
 
-MAX_REPEATED_TASKS = 100_000
-"""Most tasks of all repetitions of a job. An owner holds each from the start, in about
-300 bytes, and a host has 40 MB and more."""
+MAX_REPEATED_TASKS = 30_000
+"""Most tasks of all repetitions of a job. An owner holds each from the start, in 580 bytes,
+or 1,280 where each repetition has one: 38 MB, a fifth of the smallest host's memory."""
 
 MAX_SIZE = 2**31
 """Largest size that a task may ask for, in thousandths of a core or megabytes: sums over
