Begin to follow a hall's ownership at its last records

Cause: a host that starts read each hall's ownership from the first record that the store holds.

Ruled out: a keyed partition, whose newest keys are one short read. Offsets of claims are the fencing tokens and would begin at 0 anew, below what executors have seen, for whoever upgrades a running deployment.

Change: a follower may begin a number of records before the end, which a read of one kilobyte tells. Ownership begins 4 records back: two renewals name the owner and one tells the hall's state; older claims are not needed, as when they are past the log's retention.

Two tests of tests/host/test_answers_in_time.py held by which host happened to claim first, which the further call changes: the memory store delayed no empty answer of a waiting read, and their job was not yet known as running. The store delays these, too, and the world waits until the host knows of the job.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -37,6 +37,11 @@
 SUMMARY_EVERY = 2
 """Renewals of which one tells the state of the hall."""
 
+PAST_RECORDS = 4
+"""Records of the past that a look at a hall's ownership begins with. Two renewals name the
+owner and one of them tells the state of the hall; a day of them is megabytes, which all hosts
+that start anew would ask for at once."""
+
 CRASH_PAUSE_S = 1.0
 """Pause after a tenure ended by an error, so that a lasting one does not spin."""
 
@@ -87,6 +92,7 @@
             on_entries=self._on_entries,
             on_health=self._on_health,
             pause_s=0.0 if home else REMOTE_WATCH_S,
+            most_past=PAST_RECORDS,
         )
         self._follower.wait_s = HOME_WATCH_S if home else 0.0
         self._tenure: Tenure | None = None
--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -42,6 +42,9 @@
 _LENGTH = Struct(">I")
 _READ_HEAD = Struct(">QQ")
 
+_LEAST_KB = 1
+"""Smallest size of an answer to a read that can be asked for, in kilobytes."""
+
 _NOTHING_DONE = frozenset((429, 503, 507))
 """Statuses of calls of which the store has surely done nothing."""
 
@@ -105,6 +108,18 @@
         _check(status)
         return _page(partition, start, answer)
 
+    async def end(self, partition: Partition) -> int:
+        """Find the end; see :meth:`linkspan.store.types.Store.end`."""
+        first = 0
+        while True:
+            # The answer's head tells the end, however little of the records is asked for.
+            path = f"log-read?{_place(partition)}&from={first}&max_kb={_LEAST_KB}"
+            status, answer = await self._call("GET", path)
+            if status != 410:
+                _check(status)
+                return _end(answer)
+            first = _whole(_object(answer), "first")
+
     async def newest(self, partition: Partition) -> Page:
         """Read the newest keys; see :meth:`linkspan.store.types.Store.newest`."""
         page = await self.newest_page(partition)
@@ -169,6 +184,14 @@
         raise StoreUnanswered(f"store sent a cut page ({error}); read again") from error
 
 
+def _end(answer: bytes) -> int:
+    try:
+        end, _first = _READ_HEAD.unpack_from(answer)
+    except StructError as error:
+        raise StoreUnanswered(f"store sent a cut page ({error}); read again") from error
+    return int(end)
+
+
 def _records(partition: Partition, start: int, answer: bytes) -> Page:
     end, first = _READ_HEAD.unpack_from(answer)
     position = _READ_HEAD.size
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -41,6 +41,8 @@
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
         on_caught_up: Called after each read behind which nothing was written yet.
+        most_past: Most records of the past to begin with, ``None`` to begin with the
+            first that the store holds.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         on_caught_up: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
         on_health: Callable[[bool], None] = lambda _healthy: None,
+        most_past: int | None = None,
     ) -> None:
         self._store = store
         self._partition = partition
@@ -60,6 +63,7 @@
         self._on_reset = on_reset
         self._on_health = on_health
         self._on_caught_up = on_caught_up
+        self._most_past = most_past
         self._offset = -1
         self._end = 0
         self._unlisted = on_reset is not None
@@ -164,6 +168,9 @@
             await self._read_records(0.0)
 
     async def _read_records(self, wait_s: float) -> None:
+        if self._offset < 0 and self._most_past is not None:
+            end = await self._store.end(self._partition)
+            self._offset = max(end - self._most_past, 0)
         asked = time.monotonic()
         try:
             page = await self._store.read(self._partition, max(self._offset, 0), wait_s=wait_s)
--- a/src/linkspan/store/types.py
+++ b/src/linkspan/store/types.py
@@ -132,6 +132,14 @@
             LogGap: Records at ``start`` are gone.
         """
 
+    async def end(self, partition: Partition) -> int:
+        """Return the offset of the next record to be written.
+
+        Raises:
+            StoreRefused: Nothing was done.
+            StoreUnanswered: No answer.
+        """
+
     async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
         """Return the newest records of the first keys, or of those after a key.
 
--- a/tests/host/test_answers_in_time.py
+++ b/tests/host/test_answers_in_time.py
@@ -38,11 +38,12 @@
 
 
 async def world_with_a_job() -> tuple[HallWorld, JobSpec]:
-    """Return a deployment that runs a long job."""
+    """Return a deployment that runs a long job, of which the host knows."""
     world = HallWorld()
     await world.begin()
     spec = world.new_job(step(1, estimate_s=30.0))
     assert await world.submit(HOST, spec) == 200
+    await world.wait_for(HOST, spec.job_id, "running")
     await asyncio.sleep(1.0)
     return world, spec
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -151,3 +151,12 @@
         page = await client.read(PLAIN, 0)
     assert [entry.offset for entry in page.entries] == [0]
     assert page.end == 2
+
+
+async def test_the_end_is_told_without_the_records(setup: tuple[StoreClient, StoreServer]) -> None:
+    client, server = setup
+    assert await client.end(PLAIN) == 0
+    await client.append(PLAIN, [Record(b"x" * 4_000) for _ in range(30)])
+    assert await client.end(PLAIN) == 30
+    server.store.forget(PLAIN)
+    assert await client.end(PLAIN) == 30
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -196,12 +196,20 @@
                 async with asyncio.timeout(wait_s):
                     await grown.wait()
             except TimeoutError:
-                return Page((), log.end)
+                page = Page((), log.end)
+                await self._bring(partition)
+                return page
             await self._reach()
         page = Page(tuple(log.entries[start : start + self.read_records]), log.end)
         await self._bring(partition)
         return page
 
+    async def end(self, partition: Partition) -> int:
+        await self._reach()
+        end = self._store.log(partition).end
+        await self._bring(partition)
+        return end
+
     async def newest(self, partition: Partition) -> Page:
         entries: list[Entry] = []
         end = -1
