Tell learnt effects as news, and learn from them once

Cause: every second renewal of a hall's owner told all pairs of images whose effect it had learnt, and took over what the others told, so all halls told all pairs. Owners took all of it over again ten times a second.

Ruled out: telling effects seldom: what changed would come late. Leaving them to owners: the choice of a hall for best-effort work needs them.

Owners learn from a summary when it comes. A new owner begins with what all halls told, its own among them; so far it began its hall with nothing.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable, Sequence
 
     from linkspan.events import EventLog
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.store.types import Entry, Store
 
 HOME_WATCH_S = 0.7
@@ -64,6 +65,7 @@
         make_tenure: Makes a tenure for a claim, a shard and the time for which the
             former owner may still act.
         log: Where events go.
+        on_summary: Takes what another owner of the shard tells of its hall.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         home: bool,
         make_tenure: Callable[[Owner, int, float], Tenure],
         log: EventLog,
+        on_summary: Callable[[HallSummary], None] = lambda _summary: None,
     ) -> None:
         self._store = store
         self._shard = shard
@@ -84,6 +87,7 @@
         self._home = home
         self._make_tenure = make_tenure
         self._log = log
+        self._on_summary = on_summary
         self._view = OwnerView(host, incarnation, home=home)
         self._partition = Partition("owners", shard)
         self._follower = Follower(
@@ -210,6 +214,8 @@
             if self._view.mine and record.incarnation == self._incarnation and self._tenure:
                 # Our renewal came through with no other claim before it.
                 self._tenure.proved(self._renewed_at.pop(record.number, float("-inf")))
+            elif record.summary:
+                self._on_summary(record.summary)
         self._follow_view()
 
     def _on_health(self, healthy: bool) -> None:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -137,6 +137,7 @@
                 home=shard == settings.shard,
                 make_tenure=self._make_tenure,
                 log=log,
+                on_summary=self._on_summary,
             )
             for shard in range(len(settings.halls))
         ]
@@ -221,7 +222,7 @@
             await asyncio.sleep(DRAIN_TICK_S)
 
     def _make_tenure(self, owner: Owner, shard: int, former_offline_s: float) -> Tenure:
-        return Tenure(
+        tenure = Tenure(
             owner,
             settings=self._settings,
             store=self._adapter.store,
@@ -237,6 +238,11 @@
             metrics=self._metrics,
             former_offline_s=former_offline_s,
         )
+        # Also of this hall itself: a new owner goes on with what its predecessor told.
+        for told in range(len(self._settings.halls)):
+            if summary := self._summary_of(told):
+                tenure.adopt(summary)
+        return tenure
 
     def _serves(self, service: str) -> bool:
         configuration = self.configuration.current
@@ -251,19 +257,16 @@
             owning = any(candidate.tenure for candidate in self.candidates)
             self.book.follower.pause_s = OWNER_JOBS_PAUSE_S if owning else JOBS_PAUSE_S
             self.registry.follower.pause_s = OWNER_LISTING_PAUSE_S if owning else LISTING_PAUSE_S
-            self._share_learning()
             if self.knows_all and not self._draining:
                 for candidate in self.candidates:
                     candidate.enable()
             await asyncio.sleep(ADAPT_S)
 
-    def _share_learning(self) -> None:
+    def _on_summary(self, summary: HallSummary) -> None:
+        """Have the shards of this host learn what another hall tells."""
         for candidate in self.candidates:
-            if candidate.tenure is None:
-                continue
-            for other in self.candidates:
-                if other is not candidate and other.view.summary:
-                    candidate.tenure.adopt(other.view.summary)
+            if candidate.tenure:
+                candidate.tenure.adopt(summary)
 
     def _on_executors(self) -> None:
         for candidate in self.candidates:
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -1,4 +1,4 @@
-"""What a shard's owner tells the other hosts of its hall."""
+"""What a shard's owner tells all hosts of its hall."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
         waiting: Thousandths of a core that best-effort tasks wait for.
         queued: Thousandths of a core that other tasks wait for.
         standing: Thousandths of a core held by standing tasks, by image.
-        effects: Learnt effects.
+        effects: Learnt effects: of a record those that are news, of a view all that it knows.
         rooms: Free thousandths of a core and megabytes of each executor.
     """
 
@@ -140,7 +140,6 @@
         waiting=_pending_cpu(core, best_effort=True),
         queued=_pending_cpu(core, best_effort=False),
         standing=standing,
-        effects=core.colocation.effects(),
         rooms=tuple((e.free_cpu, e.free_memory) for e in usable),
     )
 
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -14,7 +14,7 @@
 
 from linkspan._typed import rows, text, whole
 from linkspan.errors import RecordError
-from linkspan.shard.handover.summary import HallSummary
+from linkspan.shard.handover.summary import HallSummary, PairEffect
 
 if TYPE_CHECKING:
     from linkspan.store.types import Entry
@@ -41,6 +41,11 @@
 the store last up to 9 s."""
 
 
+MOST_EFFECTS = 2_000
+"""Effects kept of a hall, the newest: images come and go with what runs, and a host that
+does not own the hall is not to keep those of weeks. Some 300 are known at once."""
+
+
 class OwnerAct(Enum):
     """What a record of ownership says."""
 
@@ -135,6 +140,7 @@
         self._released = False
         self._heard_at: float | None = None
         self._summary: HallSummary | None = None
+        self._effects: dict[tuple[str, str], PairEffect] = {}
 
     def __repr__(self) -> str:
         return f"OwnerView({self._owner})"
@@ -152,8 +158,10 @@
 
     @property
     def summary(self) -> HallSummary | None:
-        """State of the hall as its owner last told, ``None`` before it did."""
-        return self._summary
+        """State of the hall as its owners told it, ``None`` before one did."""
+        if self._summary is None:
+            return None
+        return replace(self._summary, effects=tuple(self._effects.values()))
 
     def apply(self, entry: Entry, now: float) -> OwnerRecord:
         """Take a record in.
@@ -167,17 +175,34 @@
             self._released = False
             self._heard_at = now
         elif self._owner is None and record.act is OwnerAct.RENEW:
-            # The claim itself is past the log's retention.
+            # The claim itself is past the log's retention, or past what was read of it.
             self._owner = Owner(record.host, record.incarnation, record.token)
-            self._heard_at = now
+            self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
-            self._heard_at = now
-            self._summary = record.summary or self._summary
+            self._hear(record, now)
             if record.act is OwnerAct.RELEASE:
                 self._owner = None
                 self._released = True
         return record
 
+    def _hear(self, record: OwnerRecord, now: float) -> None:
+        self._heard_at = now
+        if record.summary:
+            self._take_in(record.summary)
+
+    def _take_in(self, summary: HallSummary) -> None:
+        """Take in a hall's state, with the effects that are news.
+
+        What is known of the others stays: effects are of images, whoever owns the hall.
+        """
+        self._summary = summary
+        for effect in summary.effects:
+            pair = effect.standing, effect.image
+            self._effects.pop(pair, None)
+            self._effects[pair] = effect
+        while len(self._effects) > MOST_EFFECTS:
+            del self._effects[next(iter(self._effects))]
+
     def give_up(self) -> None:
         """Take in that this process no longer acts as the owner."""
         if self.mine:
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -11,12 +11,14 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from linkspan.errors import Fenced, LinkspanError, ProducerFenced, ProducerGap
 from linkspan.events import Event
 from linkspan.shard._changes import Changes
 from linkspan.shard._context import TenureContext
+from linkspan.shard.colocation._news import EffectNews
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._handovers import Handovers
 from linkspan.shard.handover.summary import summarize
@@ -103,6 +105,7 @@
         self._log = log
         self._core = core
         self._writer = GroupWriter(store, partition, name="owner", epoch=owner.token)
+        self._news = EffectNews()
         self._changes = Changes(core)
         self._scope = Scope()
         self._proof = OwnershipProof(shard, freeze_s=settings.bounds.freeze_s, log=log)
@@ -208,8 +211,9 @@
         self._changes.news()
 
     def summary(self) -> HallSummary:
-        """Return the state of the hall for other hosts."""
-        return summarize(self._core, time.monotonic())
+        """Return the state of the hall for other hosts, with what is news of its effects."""
+        news = self._news.take(self._core.colocation.effects())
+        return replace(summarize(self._core, time.monotonic()), effects=news)
 
     def adopt(self, summary: HallSummary) -> None:
         """Take over what the owner of another hall learnt."""
--- /dev/null
+++ b/tests/shard/test_effect_news.py
@@ -0,0 +1,94 @@
+"""What owners tell of learnt effects, and what other hosts make of it."""
+
+from __future__ import annotations
+
+from random import Random
+
+from linkspan.shard.colocation._news import TOLD_AS_CHANGED, TOLD_IN_TURN, EffectNews
+from linkspan.shard.handover.summary import HallSummary, PairEffect
+from linkspan.shard.ownership.ownership import MOST_EFFECTS, OwnerAct, OwnerRecord, OwnerView
+from linkspan.store.types import Entry
+
+STANDING = 16
+IMAGES = 30
+"""Images that tasks of a hall had on the largest deployment that was played."""
+
+MOST_BYTES = 1_200
+"""Bytes of news in a summary: five halls tell one in 1.2 s, and a host is to spend a few
+kilobytes a second on all that it follows."""
+
+
+def pairs(count: int, *, seed: int = 0) -> list[PairEffect]:
+    random = Random(seed)
+    names = [(f"s{s:05x}", f"b{i:05x}") for s in range(STANDING) for i in range(IMAGES)]
+    return [
+        PairEffect(standing, image, random.uniform(0.0, 0.2), 1e-4)
+        for standing, image in names[:count]
+    ]
+
+
+def record(offset: int, *effects: PairEffect) -> Entry:
+    summary = HallSummary(capacity=1, effects=effects)
+    return Entry(offset, OwnerRecord(OwnerAct.RENEW, "a", "a-1", 1, offset, summary).encode())
+
+
+def test_news_of_all_pairs_of_a_large_hall_stay_short() -> None:
+    news = EffectNews()
+    known = pairs(STANDING * IMAGES)
+    for _ in range(60):
+        told = HallSummary(effects=news.take(known)).encode()
+        bare = HallSummary().encode()
+        assert len(str(told)) - len(str(bare)) <= MOST_BYTES
+
+
+def test_each_pair_is_told_in_its_turn() -> None:
+    news = EffectNews()
+    known = pairs(300)
+    rounds = -(-len(known) // TOLD_IN_TURN)
+    told = {(e.standing, e.image) for _ in range(rounds) for e in news.take(known)}
+    assert len(told) == len(known)
+    again = {(e.standing, e.image) for _ in range(rounds) for e in news.take(known)}
+    assert again == told
+
+
+def test_what_changed_most_is_told_at_once() -> None:
+    news = EffectNews()
+    known = pairs(300)
+    for _ in range(40):
+        news.take(known)
+    changed = known[250:255]
+    known[250:255] = [effect._replace(mean=effect.mean + 0.1) for effect in changed]
+    told = {(e.standing, e.image): e for e in news.take(known)}
+    assert [told[e.standing, e.image].mean for e in changed] == [e.mean + 0.1 for e in changed]
+    assert len(told) <= TOLD_IN_TURN + TOLD_AS_CHANGED
+
+
+def test_a_pair_that_is_known_no_more_is_not_told() -> None:
+    news = EffectNews()
+    known = pairs(5)
+    assert len(news.take(known)) == 5
+    assert set(news.take(known[:2])) == set(known[:2])
+    assert news.take([]) == ()
+
+
+def test_a_host_adds_up_what_it_is_told() -> None:
+    view = OwnerView("me", "me-1", home=False)
+    first, second, later = pairs(3)
+    view.apply(record(0, first, second), 0.0)
+    view.apply(record(1, later, first._replace(mean=0.5)), 1.0)
+    view.apply(record(2), 2.0)
+    assert view.summary
+    assert {(e.image, round(e.mean, 4)) for e in view.summary.effects} == {
+        (second.image, round(second.mean, 4)),
+        (later.image, round(later.mean, 4)),
+        (first.image, 0.5),
+    }
+
+
+def test_a_host_keeps_the_newest_of_many_effects() -> None:
+    view = OwnerView("me", "me-1", home=False)
+    effects = [PairEffect("s", f"{n:06x}", 0.1, 1e-4) for n in range(MOST_EFFECTS + 50)]
+    for offset, effect in enumerate(effects):
+        view.apply(record(offset, effect), 0.0)
+    assert view.summary
+    assert [e.image for e in view.summary.effects] == [e.image for e in effects[50:]]
