Sum up what is left of wide steps without a call for each task

Cause: each plan orders the steps that wait, and each report the runs beside a standing task, by what is left of their jobs.

Ruled out: keeping the sums and changing them with each report and end: eight places write what they depend on, and one that is forgotten gives a wrong order in silence.

Change: the sums are plain loops, and the longest part ends at the first task without a run.

--- a/src/linkspan/shard/state.py
+++ b/src/linkspan/shard/state.py
@@ -192,7 +192,25 @@
     @property
     def share_left(self) -> float:
         """Part of its longest task that is not done, 0 to 1."""
-        return max((task.share_left for task in self.tasks), default=0.0)
+        longest = 0.0
+        for task in self.tasks:
+            if task.done:
+                continue
+            if not task.attempts:
+                # Most steps that are looked at wait for a start: the first such task tells.
+                return 1.0
+            longest = max(longest, task.share_left)
+        return longest
+
+    @property
+    def tasks_left(self) -> float:
+        """Sum of the parts of its tasks that are not done, in tasks."""
+        total = 0.0
+        for task in self.tasks:
+            if task.done:
+                continue
+            total += task.share_left if task.attempts else 1.0
+        return total
 
     @property
     def median_s(self) -> float:
@@ -245,9 +263,9 @@
         """Work of the tasks that are not done, in thousandths of a core times seconds."""
         lengths = self.job.lengths_s
         return sum(
-            sum(task.share_left for task in s.tasks) * s.spec.demand.milli_cpu * lengths[s.index]
-            for s in self.steps
-            if s.left
+            step.tasks_left * step.spec.demand.milli_cpu * lengths[step.index]
+            for step in self.steps
+            if step.left
         )
 
     def tasks(self) -> Iterator[Task]:
--- /dev/null
+++ b/tests/shard/test_work_left.py
@@ -0,0 +1,41 @@
+"""What is left of wide steps, as the order of work reads it at each plan."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linkspan.jobs.records import Submitted
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.shard.state import FULL_PROGRESS, Attempt, JobRun, Phase, ShardJob, new_run
+
+WIDTH = 160
+"""Tasks of the widest step that was seen; 39 on average."""
+
+PARTS = st.lists(st.sampled_from((None, 0, 35, 100, -1)), min_size=1, max_size=WIDTH)
+"""Percent that each task's run reports; none runs, or it is done (-1)."""
+
+
+def run_with(parts: list[int | None]) -> JobRun:
+    steps = (StepSpec(len(parts), Demand(2_000, 1)), StepSpec(3, Demand(1_000, 1), depends_on=(0,)))
+    run = new_run(ShardJob(Submitted(JobSpec("0a", "q", "", steps), 0, 0.0, "h")), 0)
+    for task, part in zip(run.steps[0].tasks, parts, strict=True):
+        if part == -1:
+            task.done = True
+            run.steps[0].left -= 1
+        elif part is not None:
+            attempt = Attempt(task, 1, "e1", Phase.RUNNING, 0.0)
+            attempt.progress = part
+            task.attempts.append(attempt)
+    return run
+
+
+@given(PARTS)
+def test_what_is_left_of_a_step_is_that_of_its_tasks(parts: list[int | None]) -> None:
+    run = run_with(parts)
+    left = [0.0 if p == -1 else 1.0 - (p or 0) / FULL_PROGRESS for p in parts]
+    assert run.steps[0].share_left == max(left)
+    assert abs(run.steps[0].tasks_left - sum(left)) < 1e-9
+    lengths = run.job.lengths_s
+    open_work = sum(left) * 2_000 * lengths[0] if run.steps[0].left else 0.0
+    assert abs(run.work_left - open_work - 3 * 1_000 * lengths[1]) < 1e-6
