Have hosts that are slow by their own observation claim a shard later

Cause: home hosts watch a shard alike and claim it at the same silence, so which one owns it is chance.

Ruled out: going by the settings' cores or classes. What a host gets may be less than its settings say, and a host turns slow. Handing on from weak owners to strong ones is open: it needs news of hosts that own nothing.

Change: a host lets others first for half of the time that its program took to load and for the lag of its loop that it saw lately, 0.3 s at most. An earlier life's shard is claimed at once, as before.

--- a/src/linkspan/host/__main__.py
+++ b/src/linkspan/host/__main__.py
@@ -9,10 +9,12 @@
 import os
 import signal
 import sys
+import time
 
 
 def main() -> int:
     """Run a host daemon and return its exit code."""
+    began = time.monotonic()
     # A reload that is asked for during the imports, 0.6 s, would end the process; the
     # settings are read after them in any case.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -21,7 +23,7 @@
     os.environ["SSL_CERT_FILE"] = os.devnull
     from linkspan.host._run import run
 
-    return run()
+    return run(began)
 
 
 if __name__ == "__main__":
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -62,11 +62,13 @@
     Args:
         settings: The host's settings.
         path: Where they were read from, to read them again.
+        loaded_s: Time that the program took to load, in seconds.
     """
 
-    def __init__(self, settings: HostSettings, path: Path) -> None:
+    def __init__(self, settings: HostSettings, path: Path, *, loaded_s: float = 0.0) -> None:
         self._settings = settings
         self._path = path
+        self._loaded_s = loaded_s
         self._incarnation = secrets.token_hex(6)
         self._log = EventLog("host", stream="stdout")
         self._log.name(host=settings.name, hall=settings.hall, life=self._incarnation[:4])
@@ -104,6 +106,7 @@
             incarnation=self._incarnation,
             log=self._log,
             metrics=self._metrics,
+            loaded_s=self._loaded_s,
         )
         self._host = host
         callers = Listener(host.front.handle, on_drop=self._on_drop)
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.host._slowness import Slowness
 from linkspan.host.candidate import Candidate
 from linkspan.host.front import Front
 from linkspan.host.shards import ShardChooser
@@ -93,6 +94,7 @@
         incarnation: Life of this process.
         log: Where events go.
         metrics: Where counts and times go.
+        loaded_s: Time that the program took to load, in seconds.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         incarnation: str,
         log: EventLog,
         metrics: HostMetrics,
+        loaded_s: float = 0.0,
     ) -> None:
         self._settings = settings
         self._adapter = replace(adapter, store=MeteredStore(adapter.store, metrics))
@@ -111,6 +114,7 @@
         self._log = log
         self._draining = False
         self._follows_executors = False
+        self._slowness = Slowness(loaded_s)
         self._sizes = ExecutorSizes(len(settings.halls))
         self.book = JobBook(adapter.store, incarnation, log)
         self.registry = ExecutorRegistry(
@@ -136,6 +140,7 @@
                 home=shard == settings.shard,
                 make_tenure=self._make_tenure,
                 log=log,
+                slowness=self._slowness,
                 on_summary=self._on_summary,
             )
             for shard in range(len(settings.halls))
@@ -265,7 +270,9 @@
             if self.knows_all and not self._draining:
                 for candidate in self.candidates:
                     candidate.enable()
+            began = time.monotonic()
             await asyncio.sleep(ADAPT_S)
+            self._slowness.note_lag(time.monotonic() - began - ADAPT_S)
 
     def _on_summary(self, shard: int, summary: HallSummary) -> None:
         """Take in what a hall tells, and have the shards of this host learn from it."""
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -221,15 +221,20 @@
             self._heard_at = now
         return now - self._heard_at
 
-    def should_claim(self, now: float) -> bool:
-        """Whether to claim the shard, just after the store said that there is no more."""
+    def should_claim(self, now: float, *, delay_s: float = 0.0) -> bool:
+        """Whether to claim the shard, just after the store said that there is no more.
+
+        Args:
+            now: Steady time.
+            delay_s: Time for which faster hosts are let first, in seconds.
+        """
         if self.mine:
             return False
-        silent = self.silent_for(now)
+        silent = self.silent_for(now) - delay_s
         if not self._home:
             # Who released it gives no orders any more, unlike an owner that is cut off.
             return silent >= (RELEASED_S if self._released else REMOTE_SILENCE_S)
-        if self._owner is None or self._owner.host == self._host:
-            # Free, or held by an earlier life of this host.
-            return True
-        return silent >= SILENCE_S
+        if self._owner is None:
+            return silent >= 0.0
+        # An earlier life of this host has ended: nobody else can know that as soon.
+        return self._owner.host == self._host or silent >= SILENCE_S
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextvars import Context, copy_context
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -77,6 +77,7 @@
     lists_machines: bool = True
     guards_room: bool = True
     policy: PolicyService | None = None
+    loaded_s: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
@@ -144,6 +145,7 @@
             incarnation=f"life-{self._lives}",
             log=self.log,
             metrics=HostMetrics(),
+            loaded_s=self.loaded_s.get(name, 0.0),
         )
         context = copy_context()
         context.run(HOST.set, f"{name} {self._lives}")
