Test how long news is gathered, by the load that it answers

A module without network: bounds of the delay, the part of an owner's time that plans take, and the rates for a plan of 0.2 ms and one of 2.4 ms (the length seen at 108 executors, under a profile).

--- /dev/null
+++ b/tests/shard/test_gathering.py
@@ -0,0 +1,42 @@
+"""How long an owner gathers news before it plans.
+
+Answers a hall of 108 executors at a surge of batches: each answer to an order is news, and an
+owner that planned at once made 70 plans a second, half of its processor time, most of them
+for the answers to the plan before.
+"""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linkspan.shard.orders._dispatch import (
+    MOST_PLAN_DELAY_S,
+    PLAN_DELAY_FACTOR,
+    PLAN_DELAY_S,
+    gathering_s,
+)
+
+SHORT_TASK_S = 0.25
+"""Time that the shortest callers' work is given beside its own length."""
+
+BINDING_S = MOST_PLAN_DELAY_S / PLAN_DELAY_FACTOR
+"""Length of a plan from which the longest delay binds."""
+
+
+@given(st.floats(0.0, 10.0))
+def test_news_waits_no_longer_than_a_start_may(took_s: float) -> None:
+    assert PLAN_DELAY_S <= gathering_s(took_s) <= MOST_PLAN_DELAY_S
+    assert MOST_PLAN_DELAY_S <= SHORT_TASK_S / 8
+
+
+@given(st.floats(0.0, BINDING_S))
+def test_plans_take_a_small_part_of_an_owners_time(took_s: float) -> None:
+    assert took_s <= (took_s + gathering_s(took_s)) / (1.0 + PLAN_DELAY_FACTOR) + 1e-12
+
+
+def test_a_surge_brings_fewer_plans_where_each_takes_longer() -> None:
+    """2.4 ms is what a plan over 108 executors took, under a profile."""
+    rates = [1.0 / (took + gathering_s(took)) for took in (0.0002, 0.0024)]
+    assert rates[0] > 200.0
+    assert rates[1] < 40.0
