Keep the variance of an effect at 0 or above

Before effects were told as news the same number was written and no reader took it: each passed over all that the hall told in that renewal, in silence.

Ruled out: catching errors of the news. The number is wrong for learning, too.

Change: drift counts from the later of both times on.

Shown by a test in tests/shard/test_colocation.py, seen failing.

--- a/src/linkspan/shard/colocation/colocation.py
+++ b/src/linkspan/shard/colocation/colocation.py
@@ -145,9 +145,10 @@
         if effect is None:
             effect = _Estimate(PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE, now)
             self._effects[(standing, image)] = effect
-        drift = effect.variance + EFFECT_DRIFT_PER_S * (now - effect.at)
-        effect.variance = min(drift, PRIOR_EFFECT_VARIANCE)
-        effect.at = now
+        # A figure is of a time before it was read, and the effect may have been adopted since.
+        age_s = max(now - effect.at, 0.0)
+        effect.variance = min(effect.variance + EFFECT_DRIFT_PER_S * age_s, PRIOR_EFFECT_VARIANCE)
+        effect.at = max(effect.at, now)
         return effect
 
     def effect(self, standing: str, image: str) -> float:
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -8,8 +8,10 @@
 
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
+from linkspan.shard.colocation._news import EffectNews
 from linkspan.shard.colocation.colocation import UNLOADED, ColocationBook, pressure_of
 from linkspan.shard.colocation.pacing import STAND_STILL_AFTER_S, Pacer
+from linkspan.shard.handover.summary import HallSummary, PairEffect
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
 from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
 from tests.job_builders import QUEUE, step
@@ -151,3 +153,27 @@
     (pace,) = core.orders
     assert isinstance(pace, PaceOrder)
     assert pace.percent < 50
+
+
+def test_an_effect_that_was_just_adopted_keeps_a_variance_that_can_be_told() -> None:
+    """Figures cover the half second before them, so one may be older than what was adopted.
+
+    An effect that another hall knows well is told with a variance of 0. It fell below 0 with
+    the next figure: its owner's news failed, and with them the host; readers of earlier news
+    passed over all that the hall told.
+    """
+    core = core_with(step(1), executors=1)
+    executor = core.executors["e0"]
+    serving = place(core, executor, standing=True, image="s", latency_target_ms=10.0)
+    beside = place(core, executor, best_effort=True, image="b", cpu=3_000)
+    beside.usage = 3_000.0
+    book = ColocationBook()
+    news = EffectNews()
+    news.take(book.effects())
+    for tick in range(20):
+        book.adopt([PairEffect("s", "b", 0.05, 0.0)], 0.1 + 0.5 * tick)
+        figures(serving, 0.5)
+        book.learn(executor, 0.1 + 0.5 * tick)
+        assert all(effect.variance >= 0.0 for effect in book.effects())
+        told = HallSummary(effects=news.take(book.effects()))
+        assert len(HallSummary.decode(told.encode()).effects) == 1
