Judge an end by its executor, too

Ruled out: a start after an end that was taken note of, which is what the rule forbids. An end that no acknowledgement reached, on an executor that is gone, is lost with it.

Change: the judge keeps ends by executor, task and number. It notices the same as before of one executor; its test shows the allowed case and, in the same test, that the first end is noticed should it be acknowledged after all. The case was seen flagged by the former judge.

--- a/soak/executors.py
+++ b/soak/executors.py
@@ -55,7 +55,7 @@
     """
 
     done_at: dict[TaskName, float] = field(default_factory=dict)
-    run_done_at: dict[tuple[TaskName, int], float] = field(default_factory=dict)
+    run_done_at: dict[tuple[str, TaskName, int], float] = field(default_factory=dict)
     started_at: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     lapsed_at: dict[str, float] = field(default_factory=dict)
 
@@ -69,27 +69,22 @@
         super().judge_end(executor, task, run, kind)
         if kind is EndKind.DONE:
             self.done_at.setdefault(task, executor.now)
-            self.run_done_at[task, run] = executor.now
+            self.run_done_at[executor.record.executor_id, task, run] = executor.now
 
-    def judge_acknowledged(self, end: EndedTask) -> None:
+    def judge_acknowledged(self, executor: MemoryExecutor, end: EndedTask) -> None:
         """Judge starts between an end and its acknowledgement.
 
         Where the lease was over in between, the end may have been waited out: it does
         not count as taken note of.
         """
-        done_at = self.run_done_at.get((end.task, end.run), 0.0)
-        if end.kind is EndKind.DONE and self._lapsed_at(end) > done_at:
+        executor_id = executor.record.executor_id
+        done_at = self.run_done_at.get((executor_id, end.task, end.run), 0.0)
+        if end.kind is EndKind.DONE and self.lapsed_at.get(executor_id, 0.0) > done_at:
             return
-        super().judge_acknowledged(end)
+        super().judge_acknowledged(executor, end)
         if end.kind is EndKind.DONE and self.starts[end.task][-1] > done_at:
             self.broken.append(f"TWICE {end.task} started after run {end.run} was done")
 
-    def _lapsed_at(self, end: EndedTask) -> float:
-        for executor in self.executors.values():
-            if any(listed is end for listed in executor.ended):
-                return self.lapsed_at.get(executor.record.executor_id, 0.0)
-        return 0.0
-
     def note_lapse(self, address: str) -> None:
         """Note whether the lease of the executor at an address is over."""
         executor = self.executors.get(address)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -96,7 +97,27 @@
     first._finish(first.running[TASK], EndKind.DONE)
     _start(world, 1, TASK, 2, "payload")
     assert not world.broken
-    world.judge_acknowledged(EndedTask(1, TASK, 1, EndKind.DONE, ""))
+    world.judge_acknowledged(first, EndedTask(1, TASK, 1, EndKind.DONE, ""))
+    assert "TWICE" in world.broken[0]
+
+
+async def test_an_end_that_nobody_acknowledged_is_not_that_of_a_later_run() -> None:
+    """An owner was lost before it could write the end, and the executor crashed with it.
+
+    The next owner knows of no run and begins with the same number elsewhere.
+    """
+    world = await _world()
+    _start(world, 0, TASK, 16, "payload")
+    first, second = world.executors["east-0:1"], world.executors["east-1:1"]
+    first._finish(first.running[TASK], EndKind.DONE)
+    world.crash_executor("east-0:1", back=False)
+    await asyncio.sleep(0.01)
+    _start(world, 1, TASK, 16, "payload")
+    second._finish(second.running[TASK], EndKind.DONE)
+    second.report(1)
+    assert not world.broken
+    # Had the first one been acknowledged after all, that would be noticed.
+    first.report(1)
     assert "TWICE" in world.broken[0]
 
 
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -143,7 +143,7 @@
         self.advance()
         for end in self.ended:
             if end.number <= acknowledged:
-                self.world.judge_acknowledged(end)
+                self.world.judge_acknowledged(self, end)
         self.ended = [end for end in self.ended if end.number > acknowledged]
         running = tuple(self._row(run) for run in self.running.values())
         return ExecutorReport(self.clock, running, tuple(self.ended))
