--- a/tests/shard/test_gathering.py
+++ b/tests/shard/test_gathering.py
@@ -1,8 +1,7 @@
 """How long an owner gathers news before it plans.
 
 Answers a hall of 108 executors at a surge of batches: each answer to an order is news, and an
-owner that planned at once made 70 plans a second, half of its processor time, most of them
-for the answers to the plan before.
+owner made 70 plans a second, which took 8.3 s of 19.6 s of its processor time under a profile.
 """
 
 from __future__ import annotations
