Let inherited work go by each executor's own answer or silence, not by one time

Cause: inherited jobs were let go at one time after the claim, also while an executor had answered in part only. The new owner renews such an executor, so its lease does not end by then, and an end that stands behind one of an unread job is not acted on: the task ran again, or the job moved whole and the other hall began with run 1. Ruled out: ending the renewals of such executors: their work would be lost each time the job records are away for a lease's length. Change: each executor that has not answered whole counts until its own leases have ended, those of former owners and those of this one; silence past that settles it, also where nothing is known to run. Conclusion: where the job records are unread for longer than a lease, inherited work waits for them.

--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -41,12 +41,20 @@
         for record in roster:
             executor = self._add_executor(record)
             executor.rostered = True
+            executor.adopted = False
             executor.listed = False
             self._books.adopting_ids.add(record.executor_id)
 
     def may_start(self, job: ShardJob, now: float) -> bool:
-        """Whether no former owner's unrecorded run of a job's tasks can be alive."""
-        return not job.inherited or not self._books.adopting_ids or now >= self._inherited_until
+        """Whether no former owner's unrecorded run of a job can be alive, or have ended unseen.
+
+        Told by each executor for itself. One that answers in part is renewed by this owner, so
+        what a former one granted there does not lapse: only a whole report or its silence counts.
+        """
+        if not job.inherited:
+            return True
+        unanswered = map(self._books.executors.__getitem__, self._books.adopting_ids)
+        return all(now >= self._lapsed_by(executor) for executor in unanswered)
 
     def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
         """Take in the executors of the hall that are registered at present."""
@@ -102,7 +110,7 @@
                 runs=len(executor.attempts),
                 cause=cause,
             )
-        if now >= self._lapsed_by(executor) and (executor.attempts or not executor.listed):
+        if now >= self._lapsed_by(executor) and self._held(executor):
             self._on_lapsed(executor, now)
 
     def _add_executor(self, record: ExecutorRecord) -> ExecutorState:
@@ -111,7 +119,13 @@
             executor = self._books.executors[record.executor_id] = ExecutorState(record)
         return executor
 
+    def _held(self, executor: ExecutorState) -> bool:
+        """Whether anything waits for what may run on an executor to be over."""
+        waited_for = executor.executor_id in self._books.adopting_ids
+        return waited_for or bool(executor.attempts) or not executor.listed
+
     def _lapsed_by(self, executor: ExecutorState) -> float:
+        """Return the steady time from which leases there have ended, whoever granted them."""
         own = executor.clock.lapsed_by() if executor.clock else float("-inf")
         return own if executor.adopted else max(own, self._inherited_until)
 
