Reckon with every former owner that may still act, not with the last one

Cause: a host that claimed a shard after an earlier life of its own took no former owner for alive, also where that life had just followed one that is only cut off from the store and renews leases for up to 10 s. Leases at executors that the new owner does not reach were taken for over up to 10 s early. Ruled out: counting 10 s always: after each start of all hosts, work at silent executors would wait 10 s longer; a renewal's number tells how long a tenure has ruled, and so that its predecessors cannot act. Change: the fold of ownership keeps until when owners before the present one may act, also for one whose claim was not read; the time is taken after the last read before the claim; renewals count by tenure. Conclusion: rules out one way to two runs at once. Renewals' numbers of hosts of an earlier version count from the process's start and may tell too long a rule.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -184,11 +184,12 @@
         record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
         silent = self._view.silent_for(time.monotonic())
         former = self._view.owner
-        self._former_offline_s = self._offline_left(former, silent)
         try:
             await self._follower.sync()
-            if not self._should_claim(time.monotonic()):
+            now = time.monotonic()
+            if not self._should_claim(now):
                 return
+            self._former_offline_s = self._view.offline_left(now)
             appended = await self._store.append(
                 self._partition, [Record(record.encode())], at=self._follower.offset
             )
@@ -206,15 +207,6 @@
         with suppress(StoreRefused, StoreUnanswered):
             await self._follower.sync()
 
-    def _offline_left(self, former: Owner | None, silent_s: float) -> float:
-        """Return for how many more seconds a former owner may act unproved."""
-        if former is None:
-            return OFFLINE_S
-        if former.host == self._host:
-            # An earlier life of this host has ended, or we would not run.
-            return 0.0
-        return max(OFFLINE_S - silent_s, 0.0)
-
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         now = time.monotonic()
         for entry in entries:
@@ -246,6 +238,8 @@
             self._begin_tenure(owner)
 
     def _begin_tenure(self, owner: Owner) -> None:
+        # Renewals tell who starts later how long this tenure has ruled.
+        self._renewals = 0
         self._tenure = self._make_tenure(owner, self._shard, self._former_offline_s)
         self._tenure_task = asyncio.create_task(self._run_tenure(self._tenure))
 
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -139,6 +139,7 @@
         self._owner: Owner | None = None
         self._released = False
         self._heard_at: float | None = None
+        self._others_until = float("-inf")
         self._summary: HallSummary | None = None
         self._effects: dict[tuple[str, str], PairEffect] = {}
 
@@ -171,11 +172,14 @@
         """
         record = OwnerRecord.decode(entry.value)
         if record.act is OwnerAct.CLAIM:
+            self._follow_on(record, now)
             self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
             self._released = False
             self._heard_at = now
         elif self._owner is None and record.act is OwnerAct.RENEW:
             # The claim itself is past the log's retention, or past what was read of it.
+            ruled_s = (record.number - 1) * RENEW_S
+            self._others_until = now + OFFLINE_S - ruled_s
             self._owner = Owner(record.host, record.incarnation, record.token)
             self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
@@ -185,6 +189,15 @@
                 self._released = True
         return record
 
+    def _follow_on(self, claim: OwnerRecord, now: float) -> None:
+        """Note for how long the owner before a claim, or one that was not read of, may act."""
+        if self._released:
+            return
+        if self._owner is None:
+            self._others_until = now + OFFLINE_S
+        elif self._owner.host != claim.host:
+            self._others_until = max(self._others_until, now - self.silent_for(now) + OFFLINE_S)
+
     def _hear(self, record: OwnerRecord, now: float) -> None:
         self._heard_at = now
         if record.summary:
@@ -221,6 +234,19 @@
             self._heard_at = now
         return now - self._heard_at
 
+    def offline_left(self, now: float) -> float:
+        """Return for how many seconds former owners may act, unproved, after a claim made now.
+
+        All of them count: the first of several in a row may be cut off from the store only, and
+        an earlier life of this host, which surely has ended, may have followed it.
+        """
+        others = max(self._others_until - now, 0.0)
+        if self._owner is None:
+            return OFFLINE_S
+        if self._owner.host == self._host:
+            return others
+        return max(OFFLINE_S - self.silent_for(now), others)
+
     def should_claim(self, now: float, *, delay_s: float = 0.0) -> bool:
         """Whether to claim the shard, just after the store said that there is no more.
 
--- a/tests/shard/test_ownership.py
+++ b/tests/shard/test_ownership.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from linkspan.shard.ownership.ownership import (
+    OFFLINE_S,
     RELEASED_S,
     REMOTE_SILENCE_S,
+    RENEW_S,
     SILENCE_S,
     Owner,
     OwnerAct,
@@ -83,3 +85,39 @@
     seen.apply(entry(90, OwnerAct.RENEW, "other", token=12), 0.0)
     assert seen.owner == Owner("other", "other-life", 12)
     assert not seen.should_claim(0.5)
+
+
+def renewal(offset: int, host: str, *, token: int, number: int) -> Entry:
+    record = OwnerRecord(OwnerAct.RENEW, host, f"{host}-life", token, number)
+    return Entry(offset, record.encode())
+
+
+def test_a_silent_owner_may_act_for_the_rest_of_its_time() -> None:
+    seen = view()
+    seen.apply(renewal(9, "other", token=1, number=50), 0.0)
+    assert seen.offline_left(4.0) == OFFLINE_S - 4.0
+
+
+def test_an_owner_that_gave_the_shard_back_counts_as_one_that_is_not_known() -> None:
+    seen = view()
+    assert seen.offline_left(0.0) == OFFLINE_S
+
+
+def test_the_owner_before_an_earlier_life_of_this_host_counts() -> None:
+    seen = view()
+    seen.apply(renewal(9, "other", token=1, number=50), 0.0)
+    seen.apply(entry(10, OwnerAct.CLAIM, "me", life="me-first"), 3.0)
+    assert seen.offline_left(4.0) == OFFLINE_S - 4.0
+
+
+def test_an_earlier_life_that_ruled_for_long_leaves_no_time_to_others() -> None:
+    seen = view()
+    ruled = int(OFFLINE_S / RENEW_S) + 2
+    seen.apply(renewal(9, "me", token=1, number=ruled), 0.0)
+    assert seen.offline_left(0.0) == 0.0
+
+
+def test_an_earlier_life_whose_claim_alone_is_read_may_have_followed_another() -> None:
+    seen = view()
+    seen.apply(entry(9, OwnerAct.CLAIM, "me", life="me-first"), 0.0)
+    assert seen.offline_left(1.0) == OFFLINE_S - 1.0
