Let a renewal of a newer tenure tell of it, and none bring back one that ended

Cause: a host that starts reads the last records of a hall's ownership only. If the first of them is a renewal that the store did late, of a tenure that had ended, the present owner's renewals were passed over: the host took the shard from a living owner, and reckoned its leases from the former one. A late renewal after a release made its writer the owner again. Ruled out: that fencing alone settles it: orders are refused by token, but leases that the living owner had just granted were taken for over too early. Change: the highest token seen decides which tenure a renewal tells of.

--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -137,6 +137,7 @@
         self._incarnation = incarnation
         self._home = home
         self._owner: Owner | None = None
+        self._newest = 0
         self._released = False
         self._heard_at: float | None = None
         self._others_until = float("-inf")
@@ -174,13 +175,17 @@
         if record.act is OwnerAct.CLAIM:
             self._follow_on(record, now)
             self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
+            self._newest = self._owner.token
             self._released = False
             self._heard_at = now
-        elif self._owner is None and record.act is OwnerAct.RENEW:
-            # The claim itself is past the log's retention, or past what was read of it.
+        elif record.act is OwnerAct.RENEW and record.token > self._newest:
+            # The claim itself is past the log's retention, or past what was read of it. A
+            # renewal that is done late, of a tenure that ended, tells of no owner.
+            self._newest = record.token
             ruled_s = (record.number - 1) * RENEW_S
             self._others_until = now + OFFLINE_S - ruled_s
             self._owner = Owner(record.host, record.incarnation, record.token)
+            self._released = False
             self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
             self._hear(record, now)
--- a/tests/shard/test_ownership.py
+++ b/tests/shard/test_ownership.py
@@ -121,3 +121,20 @@
     seen = view()
     seen.apply(entry(9, OwnerAct.CLAIM, "me", life="me-first"), 0.0)
     assert seen.offline_left(1.0) == OFFLINE_S - 1.0
+
+
+def test_a_renewal_that_was_done_late_does_not_hide_the_owner_from_who_starts_behind_it() -> None:
+    """Whoever starts reads the last records only: the first of them is of a former tenure."""
+    seen = view()
+    seen.apply(renewal(20, "me", token=3, number=9), 0.0)
+    seen.apply(renewal(21, "other", token=18, number=2), 0.0)
+    assert seen.owner == Owner("other", "other-life", 18)
+    assert seen.offline_left(1.0) == OFFLINE_S - 1.0
+
+
+def test_a_renewal_that_was_done_late_does_not_bring_a_released_tenure_back() -> None:
+    seen = view()
+    seen.apply(entry(4, OwnerAct.CLAIM, "other"), 0.0)
+    seen.apply(entry(5, OwnerAct.RELEASE, "other", token=5), 1.0)
+    seen.apply(renewal(6, "other", token=5, number=1), 1.5)
+    assert seen.owner is None
