Wait for a former owner's lease at an executor that answered and was granted nothing

Cause: an owner leases with its second call to an executor, and only while its ownership is proved. Until then its own record of leases was empty, which counted as a lease that had ended: if the executor fell silent, what it ran for the former owner was started elsewhere at once. Ruled out: the longer of that and the time for which a former owner may act, as a trial did: after the first answer the executor refuses the former owner, so one longest lease from that answer is enough. Change: the first answer sets the latest lease that may have been granted; it has no default any more. Conclusion: of the ways found so far the one that needs least: a new owner that stands still for 0.3 s after an executor's first answer, as overloaded hosts do, and an executor that is cut off then.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -173,7 +173,10 @@
         """Take in that an executor answered, and what its clock showed."""
         if clock_s is not None:
             if executor.clock is None:
-                executor.clock = LeaseClock(clock_s, now)
+                # Until this answer, which shows that it knows our token, a former owner may
+                # have granted the longest lease there.
+                granted_s = clock_s + self._bounds.max_lease_s
+                executor.clock = LeaseClock(clock_s, now, granted_s)
             executor.clock.hear(clock_s, now)
         if executor.silent_since is not None:
             self.log(
--- a/src/linkspan/shard/leases.py
+++ b/src/linkspan/shard/leases.py
@@ -19,12 +19,12 @@
     Attributes:
         clock_s: The executor's clock in its last answer.
         heard_at: Our steady time when that answer arrived.
-        granted_s: Latest lease end that we ever sent, on the executor's clock.
+        granted_s: Latest lease end that anyone may have sent, on the executor's clock.
     """
 
     clock_s: float
     heard_at: float
-    granted_s: float = float("-inf")
+    granted_s: float
 
     def hear(self, clock_s: float, now: float) -> None:
         """Take in the clock of an answer; answers may overtake each other."""
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -41,7 +41,6 @@
         for record in roster:
             executor = self._add_executor(record)
             executor.rostered = True
-            executor.adopted = False
             executor.listed = False
             self._books.adopting_ids.add(record.executor_id)
 
@@ -126,8 +125,7 @@
 
     def _lapsed_by(self, executor: ExecutorState) -> float:
         """Return the steady time from which leases there have ended, whoever granted them."""
-        own = executor.clock.lapsed_by() if executor.clock else float("-inf")
-        return own if executor.adopted else max(own, self._inherited_until)
+        return executor.clock.lapsed_by() if executor.clock else self._inherited_until
 
     def _on_lapsed(self, executor: ExecutorState, now: float) -> None:
         if executor.attempts:
--- a/tests/shard/test_leases.py
+++ b/tests/shard/test_leases.py
@@ -26,7 +26,7 @@
     def clock_at(now: float) -> float:
         return skew + rate * now
 
-    lease = LeaseClock(clock_at(heard), heard + delay)
+    lease = LeaseClock(clock_at(heard), heard + delay, clock_at(heard))
     lease.grant(lease_s, heard + delay + later)
     lapsed = lease.lapsed_by()
     assert clock_at(lapsed) >= lease.granted_s
@@ -34,7 +34,7 @@
 
 @given(times, times)
 def test_grants_never_shorten(first: float, second: float) -> None:
-    lease = LeaseClock(0.0, 0.0)
+    lease = LeaseClock(0.0, 0.0, 0.0)
     lease.grant(10.0, first)
     before = lease.granted_s
     lease.grant(1.0, second)
