Count ownership as proved from the claim on, not from when it was read

Cause: a tenure took the time at which it read its own claim for the time as of which its ownership was proved. A read that takes seconds let it act longer than its successor reckons with. Ruled out: the answer to the claim's append: it may be lost, and the claim is then read back later still. Change: a claim carries the time before which it was not done, taken before the read that its condition rests on, and the time for which former owners may act from then on. A renewal counts as proof only for the tenure that wrote it, since renewals are numbered by tenure now. Conclusion: bounds of both sides start at the same event now.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -13,6 +13,7 @@
 from linkspan.shard.ownership.ownership import (
     OFFLINE_S,
     RENEW_S,
+    Claim,
     Owner,
     OwnerAct,
     OwnerRecord,
@@ -68,8 +69,7 @@
         host: This host's name.
         incarnation: Life of this process.
         home: Whether the shard is that of this host's hall.
-        make_tenure: Makes a tenure for a claim, a shard and the time for which the
-            former owner may still act.
+        make_tenure: Makes a tenure for an owner, a shard and what is known of the claim.
         log: Where events go.
         slowness: What this host observes of itself.
         on_summary: Takes the shard and what its owner tells of its hall.
@@ -83,7 +83,7 @@
         host: str,
         incarnation: str,
         home: bool,
-        make_tenure: Callable[[Owner, int, float], Tenure],
+        make_tenure: Callable[[Owner, int, Claim], Tenure],
         log: EventLog,
         slowness: Slowness,
         on_summary: Callable[[int, HallSummary], None] = lambda _shard, _summary: None,
@@ -112,7 +112,7 @@
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewed_at: dict[int, float] = {}
         self._renewals = 0
-        self._former_offline_s = OFFLINE_S
+        self._claimed = Claim(float("-inf"), OFFLINE_S)
         self._enabled = asyncio.Event()
 
     def __repr__(self) -> str:
@@ -184,12 +184,14 @@
         record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
         silent = self._view.silent_for(time.monotonic())
         former = self._view.owner
+        asked = time.monotonic()
         try:
             await self._follower.sync()
             now = time.monotonic()
             if not self._should_claim(now):
                 return
-            self._former_offline_s = self._view.offline_left(now)
+            # An earlier claim of ours, without an answer, may be done since we asked.
+            self._claimed = Claim(asked, now - asked + self._view.offline_left(now))
             appended = await self._store.append(
                 self._partition, [Record(record.encode())], at=self._follower.offset
             )
@@ -215,13 +217,17 @@
             except RecordError as error:
                 self._log.write(Event.RECORD_SKIPPED, partition="owners", error=str(error))
                 continue
-            if self._view.mine and record.incarnation == self._incarnation and self._tenure:
-                # Our renewal came through with no other claim before it.
-                self._tenure.proved(self._renewed_at.pop(record.number, float("-inf")))
+            self._take_proof(record)
             if record.summary:
                 self._on_summary(self._shard, record.summary)
         self._follow_view()
 
+    def _take_proof(self, record: OwnerRecord) -> None:
+        """Count a renewal of the present tenure that came through with no other claim before it."""
+        owner = self._view.owner
+        if self._tenure and self._view.mine and owner and record.token == owner.token:
+            self._tenure.proved(self._renewed_at.pop(record.number, float("-inf")))
+
     def _on_health(self, healthy: bool) -> None:
         if healthy:
             self._view.store_back(time.monotonic())
@@ -240,7 +246,7 @@
     def _begin_tenure(self, owner: Owner) -> None:
         # Renewals tell who starts later how long this tenure has ruled.
         self._renewals = 0
-        self._tenure = self._make_tenure(owner, self._shard, self._former_offline_s)
+        self._tenure = self._make_tenure(owner, self._shard, self._claimed)
         self._tenure_task = asyncio.create_task(self._run_tenure(self._tenure))
 
     async def _run_tenure(self, tenure: Tenure) -> None:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -28,7 +28,7 @@
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import ExecutorRecord
-    from linkspan.shard.ownership.ownership import Owner
+    from linkspan.shard.ownership.ownership import Claim, Owner
     from linkspan.shard.planning.advice import PolicyService
     from linkspan.shard.tenure import Executors, Tenure
     from linkspan.store.types import Partition, Store
@@ -225,12 +225,13 @@
         while self.front.in_flight and time.monotonic() < began + limit_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
-    def _make_tenure(self, owner: Owner, shard: int, former_offline_s: float) -> Tenure:
+    def _make_tenure(self, owner: Owner, shard: int, claim: Claim) -> Tenure:
         # Most hosts never own a shard; each start of theirs would load all that it takes.
         from linkspan.shard.tenure import Tenure
 
         tenure = Tenure(
             owner,
+            claim,
             settings=self._settings,
             store=self._adapter.store,
             executors=self._adapter.executors(owner.token),
@@ -243,7 +244,6 @@
             summary_of=self._summary_of,
             log=self._log,
             metrics=self._metrics,
-            former_offline_s=former_offline_s,
         )
         self.book.follower.pause_s = OWNER_JOBS_PAUSE_S
         if not self._follows_executors:
--- a/src/linkspan/shard/ownership/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -26,15 +26,16 @@
 
     Args:
         shard: Number of the shard.
+        claimed_at: Steady time before which the claim was not done.
         freeze_s: Stand-still of this process after which ownership must be proved anew.
         log: Where events go.
     """
 
-    def __init__(self, shard: int, *, freeze_s: float, log: EventLog) -> None:
+    def __init__(self, shard: int, claimed_at: float, *, freeze_s: float, log: EventLog) -> None:
         self._shard = shard
         self._freeze_s = freeze_s
         self._log = log
-        self._claimed_at = time.monotonic()
+        self._claimed_at = claimed_at
         self._proved_at = self._claimed_at
         self._must_prove_since = float("-inf")
         self._stopping = False
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -123,6 +123,20 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a host knows of its claim of a shard.
+
+    Attributes:
+        sent_at: Steady time before which it was not done. The shard was this host's when it
+            was done, so its ownership is proved as of then, however late that is read.
+        former_offline_s: Time from then on for which former owners may act unproved, in seconds.
+    """
+
+    sent_at: float
+    former_offline_s: float
+
+
 class OwnerView:
     """Fold of a shard's records of ownership, as one host sees it.
 
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -35,7 +35,7 @@
         feed: Takes in jobs.
         handovers: Finishes moves.
         watch: Looks at executors.
-        former_offline_s: Time for which the former owner may act after our claim, in seconds.
+        former_offline_s: Time for which former owners may act after our claim, in seconds.
     """
 
     def __init__(
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -26,7 +26,6 @@
 from linkspan.shard.orders._dispatch import Dispatcher
 from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
 from linkspan.shard.ownership._scope import Scope
-from linkspan.shard.ownership.ownership import OFFLINE_S
 from linkspan.shard.planning._advisor import Advisor
 from linkspan.shard.recovery._records import RecordKeeper
 from linkspan.shard.recovery._recovery import Recovery
@@ -45,7 +44,7 @@
     from linkspan.shard._context import Executors
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
-    from linkspan.shard.ownership.ownership import Owner
+    from linkspan.shard.ownership.ownership import Claim, Owner
     from linkspan.shard.planning.advice import PolicyService
     from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
     from linkspan.store.types import Store
@@ -61,6 +60,7 @@
 
     Args:
         owner: This tenure as the store holds it.
+        claim: What this host knows of its claim.
         settings: The host's settings.
         store: The platform's store.
         executors: Calls to executors under the tenure's token.
@@ -73,13 +73,12 @@
         summary_of: Returns what the owner of a shard last told.
         log: Where events go.
         metrics: Where counts and times go.
-        former_offline_s: Time for which the former owner may act after our claim;
-            0 if it surely does not live.
     """
 
     def __init__(
         self,
         owner: Owner,
+        claim: Claim,
         *,
         settings: HostSettings,
         store: Store,
@@ -93,7 +92,6 @@
         summary_of: Callable[[int], HallSummary | None],
         log: EventLog,
         metrics: HostMetrics,
-        former_offline_s: float = OFFLINE_S,
     ) -> None:
         core = ShardCore(shard, settings.bounds, log=log.write)
         partition = Partition("progress", shard, keyed=True)
@@ -108,7 +106,9 @@
         self._news = EffectNews()
         self._changes = Changes(core)
         self._scope = Scope()
-        self._proof = OwnershipProof(shard, freeze_s=settings.bounds.freeze_s, log=log)
+        self._proof = OwnershipProof(
+            shard, claim.sent_at, freeze_s=settings.bounds.freeze_s, log=log
+        )
         context = TenureContext(
             shard=shard,
             token=owner.token,
@@ -136,7 +136,7 @@
         self._advisor = Advisor(context, policy)
         self._feed = JobFeed(context)
         self._recovery = Recovery(
-            context, self._feed, self._handovers, self._watch, former_offline_s
+            context, self._feed, self._handovers, self._watch, claim.former_offline_s
         )
 
     def __repr__(self) -> str:
