Test that renewals prove the tenure that wrote them only

Cause: renewals are numbered by tenure since they tell how long it has ruled, so numbers come again. Ruled out: nothing. Change: a test; with the token's comparison taken out it fails.

--- /dev/null
+++ b/tests/host/test_renewals_by_tenure.py
@@ -0,0 +1,104 @@
+"""A renewal proves the ownership of the tenure that wrote it, and of no other of its host."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import cast
+
+from linkspan.errors import StoreUnanswered
+from linkspan.host._slowness import Slowness
+from linkspan.host.candidate import Candidate
+from linkspan.shard.ownership._proof import TenureLost
+from linkspan.shard.ownership.ownership import Claim, Owner, OwnerAct, OwnerRecord
+from linkspan.shard.tenure import Tenure
+from linkspan.store.types import Appended, Partition, Producer, Record
+from tests.kept_lines import Lines
+from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.virtual_time import run_virtual
+
+OWNERS = Partition("owners", 0)
+LIFE = "life-1"
+
+SETTLED_S = 3.0
+"""Time within which a host claims a hall that nobody owns, and renews a few times."""
+
+
+class _Tenure:
+    """Stands for a tenure, and keeps when it was proved."""
+
+    def __init__(self) -> None:
+        self.proofs: list[float] = []
+        self._lost = asyncio.Event()
+
+    def proved(self, at: float) -> None:
+        self.proofs.append(at)
+
+    def summary(self) -> None:
+        return None
+
+    def lose(self) -> None:
+        self._lost.set()
+
+    async def run(self) -> None:
+        await self._lost.wait()
+        raise TenureLost("as told")
+
+
+class _LosesRenewals(StoreLink):
+    """A way to the store on which appends without a condition are lost, once told."""
+
+    loses = False
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[Record],
+        *,
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> Appended:
+        if self.loses and at is None:
+            raise StoreUnanswered("as told")
+        return await super().append(partition, records, at=at, producer=producer)
+
+
+def test_a_late_renewal_of_an_earlier_tenure_proves_nothing() -> None:
+    async def play() -> None:
+        store, tenures = MemoryStore(0), list[_Tenure]()
+        link = _LosesRenewals(store, "host")
+        candidate = _candidate(link, tenures)
+        candidate.enable()
+        running = asyncio.create_task(candidate.run())
+        await asyncio.sleep(SETTLED_S)
+        (first,) = tenures
+        assert max(first.proofs) > 0.0
+        link.loses = True
+        first.lose()
+        await asyncio.sleep(SETTLED_S)
+        _, second = tenures
+        for number in range(1, 9):
+            late = OwnerRecord(OwnerAct.RENEW, "host", LIFE, 1, number)
+            store.put(OWNERS, b"", late.encode())
+        await asyncio.sleep(SETTLED_S)
+        assert all(at == float("-inf") for at in second.proofs)
+        running.cancel()
+
+    run_virtual(play())
+
+
+def _candidate(link: StoreLink, tenures: list[_Tenure]) -> Candidate:
+    def make(_owner: Owner, _shard: int, _claim: Claim) -> Tenure:
+        tenures.append(_Tenure())
+        return cast(Tenure, tenures[-1])
+
+    return Candidate(
+        link,
+        shard=0,
+        host="host",
+        incarnation=LIFE,
+        home=True,
+        make_tenure=make,
+        log=Lines(),
+        slowness=Slowness(0.0),
+    )
