Read a machine list past its odd rows

Cause: one row with a field missing or of another type, or a state that is not named, made the whole list unread, for as long as the row stayed; a token that is false, 0 or an empty list was taken for the end of the list, and a page without rows for an empty one, which proved all that it did not name gone.

Change: the client tells each place that it cannot read, with the executor's id where that is a text that is not empty. The watch takes nobody for gone by a list with a place that names nobody; lists before and after it count as in a row. A place that names its executor hides no other. A service that is not known is no reason to doubt a row: it is not used.

Ruled out: passing an odd row over and believing the rest. A row that was left out of the list by its oddness made a task run twice in the test at whole hosts.

--- a/src/linkspan/platform/machines.py
+++ b/src/linkspan/platform/machines.py
@@ -5,15 +5,16 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
-from linkspan._typed import fields as fields_of
-from linkspan._typed import rows, text
+from linkspan._typed import text
 from linkspan.errors import Unreachable
 from linkspan.platform._answers import read_answer
-from linkspan.shard.machines import MachineRecord, MachineState
+from linkspan.shard.machines import MachineRecord, MachineState, UnreadMachines
 
 if TYPE_CHECKING:
     import aiohttp
 
+    from linkspan.shard.machines import MachineList
+
 CALL_TIMEOUT_S = 1.0
 """Time for an answer: a healthy service answers within 10 ms."""
 
@@ -37,51 +38,76 @@
     def __repr__(self) -> str:
         return f"MachineClient({self._url!r})"
 
-    async def machines(self) -> tuple[MachineRecord, ...]:
-        """Return all machines.
+    async def machines(self) -> MachineList:
+        """Return all machines, and places of the list that cannot be read.
+
+        A row is sound if it has all fields, they are texts and its state is named. A row
+        that is not, a page without rows and a token of the next page that is no text are told
+        as :class:`~linkspan.shard.machines.UnreadMachines`, and all else that came holds.
+        What such a list proves is not decided here.
 
         Raises:
-            Unreachable: No answer, or a refusal.
+            Unreachable: No answer, a refusal, or an answer that is no page.
         """
-        records: list[MachineRecord] = []
+        records: list[MachineRecord | UnreadMachines] = []
         token = ""
         seen = set()
         while True:
             fields = await self._page(token)
             records += _machines(fields)
-            token = _next_token(fields)
+            try:
+                token = _next_token(fields)
+            except (TypeError, ValueError):
+                # Pages follow, and nothing says where.
+                return (*records, UnreadMachines())
             if not token:
                 return tuple(records)
             if token in seen:
                 raise Unreachable("machine service repeats its pages; it is asked again")
             seen.add(token)
 
-    async def _page(self, token: str) -> Any:
+    async def _page(self, token: str) -> dict[str, Any]:
         query = f"?pageToken={quote(token, safe='')}" if token else ""
         request = self._session.get(self._url + query)
-        return await read_answer(request, service="machine service", timeout_s=self._timeout_s)
+        page = await read_answer(request, service="machine service", timeout_s=self._timeout_s)
+        if not isinstance(page, dict):
+            raise Unreachable("machine service sent no page; it is asked again")
+        return page
+
+
+def _machines(page: dict[str, Any]) -> list[MachineRecord | UnreadMachines]:
+    listed = page.get("machines")
+    if not isinstance(listed, list):
+        return [UnreadMachines()]
+    return [_machine_or_not(row) for row in listed]
+
+
+def _next_token(page: dict[str, Any]) -> str:
+    token = page.get("nextToken")
+    return "" if token is None else text(token)
 
 
-def _machines(fields: Any) -> tuple[MachineRecord, ...]:
+def _machine_or_not(row: Any) -> MachineRecord | UnreadMachines:
     try:
-        return tuple(_machine(fields_of(row)) for row in rows(fields_of(fields).get("machines")))
-    except (KeyError, TypeError, ValueError) as error:
-        raise Unreachable(f"machine service: {error!r}; it is asked again") from error
+        return _machine(row)
+    except (KeyError, TypeError, ValueError):
+        return UnreadMachines(_readable_id(row))
 
 
-def _next_token(fields: Any) -> str:
+def _readable_id(row: Any) -> str | None:
     try:
-        return text(fields_of(fields).get("nextToken") or "")
-    except (TypeError, ValueError) as error:
-        raise Unreachable(f"machine service: {error!r}; it is asked again") from error
+        # An odd row that names no executor may as well have lost its name.
+        return text(row["id"]) or None
+    except (KeyError, TypeError, ValueError):
+        return None
 
 
-def _machine(row: dict[str, Any]) -> MachineRecord:
+def _machine(row: Any) -> MachineRecord:
     return MachineRecord(
         name=text(row["machine"]),
         # "pool" names the service whose executors the machine runs.
-        service=text(row.get("pool") or ""),
-        state=MachineState(text(row.get("state") or "up")),
-        # "id" is that of the machine's executor, empty while it has none.
-        executor_id=text(row.get("id") or ""),
+        service=text(row["pool"]),
+        state=MachineState(text(row["state"])),
+        # "id" is that of the machine's executor: an empty text, not left out, while it has none.
+        executor_id=text(row["id"]),
     )
--- a/src/linkspan/shard/machines.py
+++ b/src/linkspan/shard/machines.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
@@ -36,10 +36,26 @@
     executor_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadMachines:
+    """A place in a list of which nothing holds, or nothing but whose executor it names.
+
+    Attributes:
+        executor_id: Id of that executor; ``None`` where the place may be that of any machine,
+            or of many.
+    """
+
+    executor_id: str | None = None
+
+
+MachineList: TypeAlias = "tuple[MachineRecord | UnreadMachines, ...]"
+"""Machines as they were listed, and places that could not be read."""
+
+
 class MachineService(Protocol):
     """The platform's machine service."""
 
-    async def machines(self) -> tuple[MachineRecord, ...]:
+    async def machines(self) -> MachineList:
         """Return all machines.
 
         Raises:
@@ -53,6 +69,13 @@
     An executor that is only cut off stays listed, so one that is not listed has
     ended. One list proves nothing: it may be made just before an executor registers,
     and its pages are no snapshot. It takes two in a row.
+
+    A place that could not be read proves nothing by itself. If it names its executor,
+    that one is listed, and the place hides no other. If it does not, it may be the place
+    of any executor that the list leaves out: then the list says who is there and nothing
+    of the others, and lists before and after it count as in a row. What ended is then
+    found by its silence, which takes seconds longer; taken for ended wrongly, its tasks
+    would run twice.
     """
 
     def __init__(self) -> None:
@@ -66,7 +89,7 @@
         """Executors that the last list they were looked for in left out."""
         return frozenset(self._missed)
 
-    def gone(self, machines: tuple[MachineRecord, ...], known: AbstractSet[str]) -> set[str]:
+    def gone(self, machines: MachineList, known: AbstractSet[str]) -> set[str]:
         """Return the executors that have ended.
 
         Args:
@@ -75,7 +98,11 @@
         """
         if not machines:
             return set()
-        missing = set(known) - {machine.executor_id for machine in machines}
+        listed = {machine.executor_id for machine in machines}
+        if None in listed:
+            self._missed -= listed & known
+            return set()
+        missing = set(known) - listed
         gone = missing & self._missed
         self._missed = (self._missed - known) | (missing - gone)
         return gone
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -25,7 +25,7 @@
 from linkspan.platform.jobs import CallerBodies
 from linkspan.platform.records import executor_from_wire
 from linkspan.shard._context import Executors
-from linkspan.shard.machines import MachineRecord, MachineState
+from linkspan.shard.machines import MachineList, MachineRecord, MachineState
 from linkspan.shard.messages import (
     ExecutorRecord,
     StartOutcome,
@@ -255,7 +255,7 @@
         if back:
             self.add_executor(executor.record.hall, address)
 
-    async def machines(self) -> tuple[MachineRecord, ...]:
+    async def machines(self) -> MachineList:
         """Answer as the machine service."""
         await asyncio.sleep(0.005)
         return tuple(
