Follow the store's word on where its records begin in the follower

Cause: the client of the store asked for the end once more for each answer that the records begin later. How often and from where a call is made again is the product's part; the client puts a call into the platform's words and its answer back.

Change: Store.end takes an offset and raises LogGap like Store.read; the follower asks from the gap's first record. The calls are the same, in the same order and without a pause between them. In the metrics each of them counts, the answered gap as LogGap.

--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -102,23 +102,13 @@
         path = f"log-read?{_place(partition)}&from={start}&max_kb={self._read_kb}"
         if wait_s:
             path += f"&waitMs={round(wait_s * 1000)}"
-        status, answer = await self._call("GET", path, wait_s=wait_s)
-        if status == 410:
-            raise LogGap(_whole(_object(answer), "first"))
-        _check(status)
-        return _page(partition, start, answer)
+        return _page(partition, start, await self._records(path, wait_s=wait_s))
 
-    async def end(self, partition: Partition) -> int:
+    async def end(self, partition: Partition, start: int) -> int:
         """Find the end; see :meth:`linkspan.store.types.Store.end`."""
-        first = 0
-        while True:
-            # The answer's head tells the end, however little of the records is asked for.
-            path = f"log-read?{_place(partition)}&from={first}&max_kb={_LEAST_KB}"
-            status, answer = await self._call("GET", path)
-            if status != 410:
-                _check(status)
-                return _end(answer)
-            first = _whole(_object(answer), "first")
+        # The answer's head tells the end, however little of the records is asked for.
+        path = f"log-read?{_place(partition)}&from={start}&max_kb={_LEAST_KB}"
+        return _end(await self._records(path))
 
     async def newest(self, partition: Partition) -> Page:
         """Read the newest keys; see :meth:`linkspan.store.types.Store.newest`."""
@@ -140,6 +130,13 @@
             raise StoreUnanswered("store repeats a page of keys; read again")
         return page
 
+    async def _records(self, path: str, *, wait_s: float = 0.0) -> bytes:
+        status, answer = await self._call("GET", path, wait_s=wait_s)
+        if status == 410:
+            raise LogGap(_whole(_object(answer), "first"))
+        _check(status)
+        return answer
+
     async def _call(
         self, method: str, path: str, body: bytes | None = None, *, wait_s: float = 0.0
     ) -> tuple[int, bytes]:
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -185,8 +185,7 @@
 
     async def _read_records(self, wait_s: float) -> None:
         if self._offset < 0 and self._most_past is not None:
-            end = await self._store.end(self._partition)
-            self._offset = max(end - self._most_past, 0)
+            self._offset = max(await self._find_end() - self._most_past, 0)
         asked = time.monotonic()
         try:
             page = await self._store.read(self._partition, max(self._offset, 0), wait_s=wait_s)
@@ -198,6 +197,15 @@
         if not self._unlisted:
             self._take(page, asked)
 
+    async def _find_end(self) -> int:
+        """Return the end, asked for from where the store says that its records begin."""
+        start = 0
+        while True:
+            try:
+                return await self._store.end(self._partition, start)
+            except LogGap as gap:
+                start = gap.first
+
     def _on_gap(self, gap: LogGap) -> None:
         if self._on_reset:
             self._unlisted = True
--- a/src/linkspan/store/metered.py
+++ b/src/linkspan/store/metered.py
@@ -49,9 +49,9 @@
         work = self._store.read(partition, start, wait_s=wait_s)
         return await self._timed("wait" if wait_s else "read", work)
 
-    async def end(self, partition: Partition) -> int:
+    async def end(self, partition: Partition, start: int) -> int:
         """Find the end; see :meth:`linkspan.store.types.Store.end`."""
-        return await self._timed("end", self._store.end(partition))
+        return await self._timed("end", self._store.end(partition, start))
 
     async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
         """Read a page of keys; see :meth:`linkspan.store.types.Store.newest_page`."""
--- a/src/linkspan/store/types.py
+++ b/src/linkspan/store/types.py
@@ -132,12 +132,17 @@
             LogGap: Records at ``start`` are gone.
         """
 
-    async def end(self, partition: Partition) -> int:
-        """Return the offset of the next record to be written.
+    async def end(self, partition: Partition, start: int) -> int:
+        """Return the offset of the next record to be written, without the records.
+
+        Args:
+            partition: Where.
+            start: An offset whose record is not gone.
 
         Raises:
             StoreRefused: Nothing was done.
             StoreUnanswered: No answer.
+            LogGap: Records at ``start`` are gone.
         """
 
     async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -154,9 +154,20 @@
 
 
 async def test_the_end_is_told_without_the_records(setup: tuple[StoreClient, StoreServer]) -> None:
-    client, server = setup
-    assert await client.end(PLAIN) == 0
+    client, _ = setup
+    assert await client.end(PLAIN, 0) == 0
     await client.append(PLAIN, [Record(b"x" * 4_000) for _ in range(30)])
-    assert await client.end(PLAIN) == 30
+    assert await client.end(PLAIN, 0) == 30
+    assert await client.end(PLAIN, 20) == 30
+
+
+async def test_where_the_records_begin_is_told_and_not_followed(
+    setup: tuple[StoreClient, StoreServer],
+) -> None:
+    client, server = setup
+    await client.append(PLAIN, [Record(b"x") for _ in range(30)])
     server.store.forget(PLAIN)
-    assert await client.end(PLAIN) == 30
+    with pytest.raises(LogGap) as gap:
+        await client.end(PLAIN, 0)
+    assert gap.value.first == 30
+    assert await client.end(PLAIN, 30) == 30
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -204,9 +204,12 @@
         await self._bring(partition)
         return page
 
-    async def end(self, partition: Partition) -> int:
+    async def end(self, partition: Partition, start: int) -> int:
         await self._reach()
-        end = self._store.log(partition).end
+        log = self._store.log(partition)
+        if start < log.first:
+            raise LogGap(log.first)
+        end = log.end
         await self._bring(partition)
         return end
 
