Pause where a store names no record to begin with

Cause: a store that answers each question for the end with a gap that begins no later was asked again without a pause, for ever.

Change: such a gap counts as no answer, and the follower's growing pause applies and its health is told. The test was seen failing.

--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -204,6 +204,8 @@
             try:
                 return await self._store.end(self._partition, start)
             except LogGap as gap:
+                if gap.first <= start:
+                    raise StoreUnanswered("store names no record to begin with; ask again") from gap
                 start = gap.first
 
     def _on_gap(self, gap: LogGap) -> None:
--- a/tests/store/test_find_end.py
+++ b/tests/store/test_find_end.py
@@ -61,3 +61,33 @@
         assert asyncio.get_running_loop().time() - began < 0.02
 
     run_virtual(play())
+
+
+class StuckLink(StoreLink):
+    """Tells of a gap whose end is never reached."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        super().__init__(store, "h")
+        self.asked = 0
+
+    async def end(self, partition: Partition, start: int) -> int:
+        await super().end(partition, start)
+        self.asked += 1
+        raise LogGap(start)
+
+
+def test_a_store_that_names_no_later_record_is_asked_again_with_a_pause() -> None:
+    async def play() -> int:
+        link = StuckLink(MemoryStore())
+        health: list[bool] = []
+        follower = Follower(
+            link, THINGS, on_entries=lambda _entries: None, on_health=health.append, most_past=4
+        )
+        work = asyncio.create_task(follower.run())
+        await asyncio.sleep(6.0)
+        work.cancel()
+        assert health == [False]
+        return link.asked
+
+    # Pauses grow to 0.6 s.
+    assert run_virtual(play()) <= 14
