Give each kind of a shard's state a module of its own

Cause: shard/state.py held five classes and their words in 361 lines: an attempt was read beside a job's terms, and a reader of either had the whole file.

Change: attempt.py (Attempt, Phase, paces, progress), task.py, step_run.py, job_run.py (with new_run) and shard_job.py, moved as they were. The chain of steps, tasks and jobs names the other classes for types only where it did so before.

--- a/src/linkspan/platform/advice.py
+++ b/src/linkspan/platform/advice.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 CALL_TIMEOUT_S = 5.0
 """Time for an answer: the service takes its time for each executor named, and calls of
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -6,22 +6,26 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import Finished, JobState
+from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation.colocation import ColocationBook
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
 from linkspan.shard.planning.advice import AdviceBook
 from linkspan.shard.planning.lengths import LengthBook
 from linkspan.shard.reports.health import HealthBook
-from linkspan.shard.state import NEVER, Phase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from linkspan.model.configuration import Configuration
     from linkspan.model.settings import Bounds
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.messages import TaskName
-    from linkspan.shard.state import Attempt, JobRun, ShardJob, StepRun, Task
+    from linkspan.shard.shard_job import ShardJob
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 Order = StartOrder | StopOrder | PaceOrder
 
--- a/src/linkspan/shard/colocation/_plan_rooms.py
+++ b/src/linkspan/shard/colocation/_plan_rooms.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 STANDING_USE = 0.55
 """Share of their reservation that reserved tasks use at a time, for reckoning what
--- a/src/linkspan/shard/colocation/_pressure_room.py
+++ b/src/linkspan/shard/colocation/_pressure_room.py
@@ -10,9 +10,9 @@
     from collections.abc import Iterable
 
     from linkspan.jobs.spec import StepSpec
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import Attempt
 
 AIM_PRESSURE = 0.805
 """Pressure up to which best-effort tasks are placed, and given pace, beside a standing one;
--- a/src/linkspan/shard/colocation/colocation.py
+++ b/src/linkspan/shard/colocation/colocation.py
@@ -21,8 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import Attempt, StepRun
+    from linkspan.shard.step_run import StepRun
 
 SAMPLE_S = 0.45
 """Least time between two figures that are learnt from: each covers half a second."""
--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._pressure_room import KEPT_PRESSURE, PressureRoom
 from linkspan.shard.colocation.colocation import latency_ratio
 from linkspan.shard.planning.urgency import urgency
-from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.state import Attempt
 
 ALL_GUILTY_AFTER_S = 1.4
 """Time over target after which every neighbour slows down: what is believed of them
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -24,13 +24,13 @@
 from typing import TYPE_CHECKING, Any
 
 from linkspan.shard._books import Order, ShardBooks
+from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.handover._loans import Loans
 from linkspan.shard.intake._jobs import JobIntake
 from linkspan.shard.orders._orders import Orders
 from linkspan.shard.reports._adoption import Adoption
 from linkspan.shard.reports._ends import Ends
 from linkspan.shard.reports._presence import Presence
-from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -38,7 +38,9 @@
     from linkspan.jobs.records import Loan, Submitted
     from linkspan.model.configuration import Configuration
     from linkspan.model.settings import Bounds
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.messages import (
         ExecutorRecord,
         ExecutorReport,
@@ -47,7 +49,8 @@
         StartOrder,
         StopOrder,
     )
-    from linkspan.shard.state import Attempt, JobRun, ShardJob, Task
+    from linkspan.shard.shard_job import ShardJob
+    from linkspan.shard.task import Task
 
 __all__ = ["Order", "ShardCore"]
 
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -6,15 +6,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from linkspan.shard.state import NEVER, Phase
+from linkspan.shard.attempt import NEVER, Phase
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from linkspan.jobs.spec import StepSpec
+    from linkspan.shard.attempt import Attempt
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.leases import LeaseClock
     from linkspan.shard.messages import ExecutorRecord, TaskName
-    from linkspan.shard.state import Attempt, JobRun
 
 
 NEVER_LEAVES = float("inf")
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -20,7 +20,7 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.handover.rebalance import Handover
     from linkspan.shard.handover.summary import HallSummary
-    from linkspan.shard.state import JobRun
+    from linkspan.shard.job_run import JobRun
 
 REBALANCE_S = 0.3
 """Time between looks for work that another hall could take."""
--- a/src/linkspan/shard/handover/_loans.py
+++ b/src/linkspan/shard/handover/_loans.py
@@ -11,7 +11,7 @@
     from collections.abc import Iterable
 
     from linkspan.shard._books import ShardBooks
-    from linkspan.shard.state import JobRun
+    from linkspan.shard.job_run import JobRun
 
 
 class Loans:
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -20,7 +20,9 @@
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import ShardCore
     from linkspan.shard.handover.summary import HallSummary
-    from linkspan.shard.state import ShardJob, StepRun, Task
+    from linkspan.shard.shard_job import ShardJob
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 WAIT_S = 0.5
 """Time that work waits for room at home first: room frees up within half a second
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -6,10 +6,11 @@
 
 from linkspan.errors import RecordError
 from linkspan.jobs.records import JobState
+from linkspan.shard.job_run import new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._outlook import refresh_outlook
 from linkspan.shard.recovery.progress import RunKey, key_of, restore_run
-from linkspan.shard.state import ShardJob, new_run
+from linkspan.shard.shard_job import ShardJob
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -17,7 +18,7 @@
     from linkspan.jobs.records import Loan, Submitted
     from linkspan.model.configuration import Configuration
     from linkspan.shard._books import ShardBooks
-    from linkspan.shard.state import JobRun
+    from linkspan.shard.job_run import JobRun
 
 INHERITED_RUN_GAP = 16
 """Numbers left out for a task whose former owner may have started runs that it did
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -6,15 +6,15 @@
 
 from linkspan.events import Event
 from linkspan.shard._books import short_name
+from linkspan.shard.attempt import FULL_PACE, Attempt, Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome
 from linkspan.shard.reports.health import UNHEALTHY_PAUSE_S
-from linkspan.shard.state import FULL_PACE, Attempt, Phase
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import StartAnswer, StopOrder
-    from linkspan.shard.state import Task
+    from linkspan.shard.task import Task
 
 STOP_RESEND_S = 0.5
 """Time after which a stop whose end was not listed is sent again."""
--- a/src/linkspan/shard/planning/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -8,9 +8,9 @@
 from linkspan.shard._books import short_name
 
 if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._plan_view import PlanView
-    from linkspan.shard.state import Attempt
 
 COPY_FACTOR = 1.6
 """Multiple of its siblings' median after which a run of a speculative step gets a copy:
--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from linkspan.shard.attempt import FULL_PROGRESS, Phase
 from linkspan.shard.colocation.pacing import MOVE_BELOW
-from linkspan.shard.state import FULL_PROGRESS, Phase
 
 if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._plan_view import PlanView
-    from linkspan.shard.state import Attempt, StepRun, Task
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 STRAGGLER_FACTOR = 3.0
 """Multiple of its siblings' median after which a run counts as a straggler; tasks
--- a/src/linkspan/shard/planning/_outlook.py
+++ b/src/linkspan/shard/planning/_outlook.py
@@ -6,7 +6,8 @@
 
 if TYPE_CHECKING:
     from linkspan.shard.planning.lengths import LengthBook
-    from linkspan.shard.state import ShardJob, StepRun
+    from linkspan.shard.shard_job import ShardJob
+    from linkspan.shard.step_run import StepRun
 
 REFRESH_EVERY = 8
 """Ended steps after which all jobs are looked at anew: a fit moves little by fewer."""
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -14,7 +14,7 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning.placement import TaskKind
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 
 @dataclass(slots=True)
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -10,7 +10,7 @@
     from linkspan.shard.colocation.colocation import ColocationBook
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.reports.health import HealthBook
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 SLOW_PENALTY = 2.0
 """Added to the score of an executor that was found slow: above any load."""
--- a/src/linkspan/shard/planning/advice.py
+++ b/src/linkspan/shard/planning/advice.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 MOST_ASKED = 30
 """Executors named in one call. Each costs the service time, and objectives allow for one
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._plan_rooms import NONE_LEFT
 from linkspan.shard.colocation.pacing import STOP_BELOW
-from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand
@@ -16,7 +16,8 @@
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._step_scores import StepScores
     from linkspan.shard.planning.urgency import Hope
-    from linkspan.shard.state import StepRun, Task
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 BEST_EFFORT_LEAST_SHARE = 0.6
 """Least part of its demand that a best-effort task is to find left over. Below it
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -5,19 +5,21 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._plan_rooms import PlanRooms
 from linkspan.shard.planning._blocked import blocked_fields
 from linkspan.shard.planning._copies import Copies
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning.urgency import urgency
-from linkspan.shard.state import FULL_PACE
 
 if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning.placement import StepPlacement
-    from linkspan.shard.state import Attempt, StepRun, Task
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 AVOID_S = 0.4
 """Time for which a failed task waits for another executor than the one it failed on:
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from linkspan.shard.state import StepRun
+    from linkspan.shard.step_run import StepRun
 
 HOPELESS_FACTOR = 3.0
 """Multiple of its objective after which a job goes behind those still in time:
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -14,7 +14,7 @@
     from linkspan.jobs.catalog import JobEntry
     from linkspan.jobs.records import JobRecord
     from linkspan.shard._context import TenureContext
-    from linkspan.shard.state import JobRun
+    from linkspan.shard.job_run import JobRun
 
 FLUSH_S = 0.06
 """Time for which changes of progress are gathered into one append."""
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -9,13 +9,14 @@
 from linkspan._typed import MOST_WHOLE, rows, text, whole
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
+from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.messages import ExecutorRecord
-from linkspan.shard.state import Attempt, Phase
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from linkspan.shard.state import JobRun, Task
+    from linkspan.shard.job_run import JobRun
+    from linkspan.shard.task import Task
 
 ROSTER_KEY = b"roster"
 """Key of the record that lists all executors that may run something."""
--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -6,15 +6,15 @@
 
 from linkspan.events import Event
 from linkspan.shard._books import short_name
+from linkspan.shard.attempt import NEVER, Attempt, Phase
 from linkspan.shard.messages import StopOrder
-from linkspan.shard.state import NEVER, Attempt, Phase
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
     from linkspan.shard.reports._ends import Ends
-    from linkspan.shard.state import Task
+    from linkspan.shard.task import Task
 
 
 class Adoption:
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -13,9 +13,11 @@
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import EndedTask
-    from linkspan.shard.state import Attempt, StepRun, Task
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
 
 
 class Ends:
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -12,7 +12,7 @@
 
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.messages import ExecutorRecord
-    from linkspan.shard.state import ShardJob
+    from linkspan.shard.shard_job import ShardJob
 
 
 INHERITED_GRACE_S = 2.5
--- /dev/null
+++ b/src/linkspan/shard/shard_job.py
@@ -0,0 +1,82 @@
+"""A job that lives in a shard, and what its owner expects of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from linkspan.jobs.records import Submitted
+    from linkspan.jobs.spec import JobSpec
+    from linkspan.shard.attempt import Attempt
+    from linkspan.shard.job_run import JobRun
+
+
+@dataclass(slots=True, eq=False)
+class ShardJob:
+    """A job that lives in the shard.
+
+    Attributes:
+        submitted: Its submission.
+        inherited: Whether a former owner may have started tasks of it.
+        runs: Its repetitions by number.
+        begun: Whether a task was started.
+        closing: Whether its final state is decided; nothing is started any more.
+        handing_over: Whether it is on its way to another shard.
+        moved: Whether it came from another shard.
+        borrowed: Whether it lives in another shard that lent some of its tasks.
+        max_attempts: Failed runs of a task after which it has failed.
+        priority: Its queue's priority.
+        stretch: Part of its objective, in times of its longest chain of steps.
+        target_s: Time that its objective has beside that.
+        objective_s: Time from acceptance in which it is to be done, as expected.
+        step_took_s: Times of the steps that have ended, in seconds.
+        lengths_s: For each step, time that one of its tasks is expected to take.
+        after_s: For each step, time of the longest chain that begins with it.
+        service: Service whose executors run it.
+        advised: Whether its queue's policy decides where its steps may run.
+        ticket_valid_s: How long a ticket of that policy holds, in seconds.
+    """
+
+    submitted: Submitted
+    inherited: bool = False
+    runs: dict[int, JobRun] = field(default_factory=dict)
+    begun: bool = False
+    closing: bool = False
+    handing_over: bool = False
+    moved: bool = False
+    borrowed: bool = False
+    max_attempts: int = 1
+    priority: int = 0
+    stretch: float = 1.0
+    target_s: float = 0.0
+    objective_s: float = 0.0
+    step_took_s: dict[int, float] = field(default_factory=dict)
+    lengths_s: tuple[float, ...] = ()
+    after_s: tuple[float, ...] = ()
+    service: str = ""
+    advised: bool = False
+    ticket_valid_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        # Until more is known, the caller's guesses stand.
+        self.lengths_s = tuple(step.estimate_s for step in self.spec.steps)
+        self.after_s = self.spec.after(self.lengths_s)
+
+    @property
+    def spec(self) -> JobSpec:
+        """What the caller asked for."""
+        return self.submitted.spec
+
+    @property
+    def job_id(self) -> str:
+        """The job's id."""
+        return self.submitted.spec.job_id
+
+    def attempts(self) -> Iterator[Attempt]:
+        """Iterate over all attempts that may be running."""
+        for run in self.runs.values():
+            for task in run.tasks():
+                yield from task.attempts
--- /dev/null
+++ b/src/linkspan/shard/task.py
@@ -0,0 +1,72 @@
+"""One task of a step, over all its runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from linkspan.shard.attempt import FULL_PROGRESS, NEVER
+
+if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
+    from linkspan.shard.messages import TaskName
+    from linkspan.shard.step_run import StepRun
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of a step.
+
+    Attributes:
+        name: Its name.
+        step: Its step.
+        done: Whether it has ended well; final.
+        failures: Runs that ended failed.
+        next_run: Number of its next run.
+        counted_run: Ends of runs below this number were counted by a former owner.
+        lent: Shard that looks after it instead of this one, if any.
+        loan: Number of its last loan, 0 before the first.
+        given_back: Number of the last loan that each shard gave back, by shard.
+        checkpoint: Where the next run resumes.
+        attempts: Its attempts that may be running.
+        avoid: Executors on which it failed or stood still.
+        not_before: Steady time before which it is not started again.
+        ready_since: Steady time since when it could have been started.
+        away_since: For standing tasks, since when it is not at work.
+    """
+
+    name: TaskName
+    step: StepRun
+    done: bool = False
+    failures: int = 0
+    next_run: int = 1
+    counted_run: int = 0
+    lent: int | None = None
+    loan: int = 0
+    given_back: dict[int, int] = field(default_factory=dict)
+    checkpoint: str = ""
+    attempts: list[Attempt] = field(default_factory=list)
+    avoid: set[str] = field(default_factory=set)
+    not_before: float = NEVER
+    ready_since: float = NEVER
+    away_since: float = NEVER
+
+    @property
+    def pending(self) -> bool:
+        """Whether it waits for an attempt."""
+        return not self.done and not self.attempts and self.lent is None
+
+    @property
+    def share_left(self) -> float:
+        """Part of its work that is not done, 0 to 1, by what its runs report.
+
+        Without a run it is all to do: how far a checkpoint reaches is not known.
+        """
+        if self.done:
+            return 0.0
+        return 1.0 - max((a.progress for a in self.attempts), default=0) / FULL_PROGRESS
+
+    @property
+    def displaced(self) -> bool:
+        """Whether it has run before, here or in the shard that lent it."""
+        return self.next_run > 1 or self.loan > 0
--- a/tests/bench/test_host_profile.py
+++ b/tests/bench/test_host_profile.py
@@ -8,7 +8,7 @@
 from linkspan.shard.colocation._plan_rooms import NONE_LEFT, PlanRooms, leftover_cpu
 from linkspan.shard.executor import ExecutorState
 from linkspan.shard.planning.placement import StepPlacement
-from linkspan.shard.state import Task
+from linkspan.shard.task import Task
 from tests.virtual_time import run_virtual
 
 SECONDS = 2.0
--- a/tests/platform/test_advice_client.py
+++ b/tests/platform/test_advice_client.py
@@ -9,8 +9,9 @@
 
 from linkspan.errors import Unreachable
 from linkspan.platform.advice import AdviceClient
+from linkspan.shard.job_run import new_run
 from linkspan.shard.planning.advice import Advice
-from linkspan.shard.state import ShardJob, new_run
+from linkspan.shard.shard_job import ShardJob
 from tests.job_builders import step
 from tests.shard.builders import JOB, submitted
 
--- a/tests/shard/builders.py
+++ b/tests/shard/builders.py
@@ -10,8 +10,10 @@
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.model.configuration import Configuration, Service
 from linkspan.model.settings import Bounds
+from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.core import ShardCore
 from linkspan.shard.executor import ExecutorState
+from linkspan.shard.job_run import new_run
 from linkspan.shard.messages import (
     EndedTask,
     ExecutorRecord,
@@ -21,7 +23,7 @@
     StartOutcome,
 )
 from linkspan.shard.planning.planner import Planner
-from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
+from linkspan.shard.shard_job import ShardJob
 from tests.job_builders import QUEUE, step
 
 JOB = "00000000000000aa"
--- a/tests/shard/test_advice.py
+++ b/tests/shard/test_advice.py
@@ -7,7 +7,7 @@
 from linkspan.errors import Unreachable
 from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
 from linkspan.shard.planning.advice import RETRY_S, Advice, AdviceBook
-from linkspan.shard.state import StepRun
+from linkspan.shard.step_run import StepRun
 from tests.hall_world import HallWorld
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, plan
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -8,12 +8,14 @@
 
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
+from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.colocation._news import EffectNews
 from linkspan.shard.colocation.colocation import UNLOADED, ColocationBook, pressure_of
 from linkspan.shard.colocation.pacing import STAND_STILL_AFTER_S, Pacer
 from linkspan.shard.handover.summary import HallSummary, PairEffect
+from linkspan.shard.job_run import new_run
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
-from linkspan.shard.state import Attempt, Phase, ShardJob, new_run
+from linkspan.shard.shard_job import ShardJob
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, core_with, place, plan, started, submitted
 
--- a/tests/shard/test_largest_job.py
+++ b/tests/shard/test_largest_job.py
@@ -6,7 +6,8 @@
 
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import MAX_REPEATED_TASKS, JobSpec, Schedule, check_job
-from linkspan.shard.state import ShardJob, new_run
+from linkspan.shard.job_run import new_run
+from linkspan.shard.shard_job import ShardJob
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB
 
--- a/tests/shard/test_work_left.py
+++ b/tests/shard/test_work_left.py
@@ -7,7 +7,9 @@
 
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
-from linkspan.shard.state import FULL_PROGRESS, Attempt, JobRun, Phase, ShardJob, new_run
+from linkspan.shard.attempt import FULL_PROGRESS, Attempt, Phase
+from linkspan.shard.job_run import JobRun, new_run
+from linkspan.shard.shard_job import ShardJob
 
 WIDTH = 160
 """Tasks of the widest step that was seen; 39 on average."""
