Keep the virtual world's callers apart from its executors

Change: hall_executors.py (entries, crashes, cuts, how runs go), hall_callers.py (submit, ask, cancel, wait) and running_host.py, moved as they were; HallWorld starts hosts and holds the two together. The soak's executors and the executors in memory need the executors only and say so. The beat of executors and the number of the next process have public names, as they are used over modules.

--- a/bench/_busy_hall.py
+++ b/bench/_busy_hall.py
@@ -10,7 +10,8 @@
 from random import Random
 from typing import Any, TextIO
 
-from tests.hall_world import HEARTBEAT_S, HallWorld
+from tests.hall_executors import HEARTBEAT_S
+from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.kept_lines import Lines
 from tests.standins.memory_executor import ExecutorLink
@@ -119,7 +120,7 @@
         executor = next(e for e in self.executors.values() if task in e.running)
         return sum(self.step_of(other).best_effort for other in executor.running)
 
-    async def _beat(self) -> None:
+    async def beat(self) -> None:
         """Have executors register anew as they do, whether anything changed or not."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import aiohttp
-from tests.hall_world import EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS, HallExecutors
 from tests.job_builders import QUEUE
 from tests.standins.executor_http import ExecutorFront
 from tests.standins.memory_executor import MemoryExecutor
@@ -44,7 +44,7 @@
 
 
 @dataclass
-class ExecutorWorld(HallWorld):
+class ExecutorWorld(HallExecutors):
     """Executors with sockets; the judge is the one of the virtual world.
 
     Attributes:
--- a/tests/fuzz/test_whole_hosts.py
+++ b/tests/fuzz/test_whole_hosts.py
@@ -14,7 +14,8 @@
 from linkspan.shard.recovery.progress import ROSTER_KEY, RunKey
 from linkspan.store.types import Partition
 from tests.fuzz import builders
-from tests.hall_world import CONFIGURATION, EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import CONFIGURATION, HallWorld
 from tests.job_builders import QUEUE, step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
--- /dev/null
+++ b/tests/hall_callers.py
@@ -0,0 +1,89 @@
+"""The callers of one deployment in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from linkspan.host.front import Front
+from linkspan.jobs.spec import JobSpec, StepSpec
+from tests.job_builders import QUEUE, job_body, state_of
+from tests.run_judge import RunJudge
+from tests.running_host import RunningHost
+
+
+@dataclass
+class HallCallers(RunJudge):
+    """Callers that submit, ask and cancel at hosts by name.
+
+    Attributes:
+        hosts: The hosts that run.
+        accepted: Jobs that were accepted.
+    """
+
+    hosts: dict[str, RunningHost] = field(default_factory=dict, init=False)
+    accepted: set[str] = field(default_factory=set, init=False)
+    _jobs: int = field(default=0, init=False)
+
+    def new_job(self, *steps: StepSpec) -> JobSpec:
+        self._jobs += 1
+        return JobSpec(f"{self._jobs:016x}", QUEUE.name, f"payload {self._jobs}", steps)
+
+    async def submit(self, name: str, spec: JobSpec, *, patience_s: float = 3.0) -> int:
+        """Submit a job at a host and return the status, 0 if no answer came in time."""
+        self.specs[spec.job_id] = spec
+
+        async def serve(front: Front) -> web.Response:
+            # A host that stood still reads what came in meanwhile, also late.
+            deadline = asyncio.get_running_loop().time() + patience_s
+            return await front.submit(QUEUE, spec.job_id, job_body(spec), deadline)
+
+        answer = await self._call(name, serve, patience_s)
+        if answer is None:
+            return 0
+        if answer.status == 200:
+            self.accepted.add(spec.job_id)
+        return answer.status
+
+    async def ask(self, name: str, job_id: str, *, patience_s: float = 3.0) -> str:
+        """Return a job's state as a caller sees it, empty if no answer came in time."""
+        answer = await self._call(name, lambda front: front.show(job_id), patience_s)
+        return state_of(answer) if answer else ""
+
+    async def _call(
+        self,
+        name: str,
+        serve: Callable[[Front], Coroutine[Any, Any, web.Response]],
+        patience_s: float,
+    ) -> web.Response | None:
+        """Have a host's process serve a call, and return its answer if it came in time."""
+        running = self.hosts[name]
+        loop = asyncio.get_running_loop()
+        serving = loop.create_task(serve(running.host.front), context=running.context)
+        done, _ = await asyncio.wait([serving], timeout=patience_s)
+        if not done or self.hosts.get(name) is not running:
+            return None
+        return serving.result()
+
+    async def cancel(self, name: str, job_id: str) -> int:
+        """Cancel a job at a host and return the status."""
+        deadline = asyncio.get_running_loop().time() + 3.0
+        answer = await self._call(name, lambda front: front.cancel(job_id, deadline), 3.0)
+        if answer is None:
+            return 0
+        if answer.status == 200:
+            self.cancelled.setdefault(job_id, asyncio.get_running_loop().time())
+        return answer.status
+
+    async def state(self, name: str, job_id: str) -> str:
+        answer = await self.hosts[name].host.front.show(job_id)
+        return state_of(answer)
+
+    async def wait_for(self, name: str, job_id: str, state: str, *, limit_s: float = 30.0) -> None:
+        async with asyncio.timeout(limit_s):
+            while await self.state(name, job_id) != state:
+                await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/hall_executors.py
@@ -0,0 +1,156 @@
+"""The executors of one deployment in virtual time: entries, links, and how runs go."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+
+from linkspan.jobs.spec import Demand
+from linkspan.shard.machines import MachineList, MachineRecord, MachineState
+from linkspan.shard.messages import ExecutorRecord, StartOutcome, TaskName
+from linkspan.store.types import Partition
+from tests.one_hall import OneHall
+from tests.run_judge import RunJudge
+from tests.standins.memory_executor import MemoryExecutor
+from tests.standins.memory_store import MemoryStore
+
+EXECUTORS = Partition("executors", keyed=True)
+HEARTBEAT_S = 1.5
+
+
+@dataclass
+class HallExecutors(RunJudge):
+    """Executors that begin, crash, leave, and are cut from hosts."""
+
+    seed: int = 0
+    milli_cpu: int = 8_000
+    max_lease_s: float = 10.0
+    failing_share: float = 0.0
+    late_share: float = 0.0
+    late_most_s: float = 8.0
+    lost_answer_share: float = 0.0
+    guards_room: bool = True
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.store = MemoryStore(self.seed)
+        self.one_hall = OneHall(self.store)
+        self.cuts: set[tuple[str, str]] = set()
+        self.late_starts: Counter[StartOutcome] = Counter()
+        self._lives = 0
+
+    def next_life(self) -> int:
+        """Return the number of the next process, an executor's or a host's."""
+        self._lives += 1
+        return self._lives
+
+    def add_executor(self, hall: str, address: str) -> MemoryExecutor:
+        record = ExecutorRecord(
+            f"life-{self.next_life()}",
+            "pool",
+            address,
+            hall,
+            Demand(self.milli_cpu, 32_000),
+            frozenset(("kind", f"rack-{hall}")),
+            f"rack-{hall}",
+        )
+        slow_clock = 1.0 - 0.02 * self.random.random()
+        executor = MemoryExecutor(self, record, slow_clock=slow_clock)
+        self.executors[address] = executor
+        self.register(executor)
+        return executor
+
+    def register(self, executor: MemoryExecutor, *, draining: bool = False) -> None:
+        entry = self.entry_fields(executor.record, draining=draining)
+        self.enter(executor.record.executor_id, json.dumps(entry).encode())
+
+    def entry_fields(
+        self, record: ExecutorRecord, *, draining: bool = False, **changes: object
+    ) -> dict[str, object]:
+        """Return the fields of an executor's entry."""
+        fields: dict[str, object] = {
+            "service": record.service,
+            "address": record.address,
+            "zone": record.hall,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if draining else "ready",
+            "remainingMs": 2000 if draining else 0,
+            "coldRemainingMs": 0,
+            "callSeq": 1,
+            "capacity": {
+                "cpu": record.capacity.milli_cpu,
+                "memMb": record.capacity.memory_mb,
+                "gpu": record.capacity.gpus,
+            },
+            "labels": ["kind", record.rack],
+        }
+        return {**fields, **changes}
+
+    def enter(self, executor_id: str, entry: bytes) -> None:
+        """Write an executor's entry, whoever it comes from."""
+        self.enter_under(executor_id.encode(), entry)
+
+    def enter_under(self, key: bytes, entry: bytes) -> None:
+        """Write an entry under a key that may be no executor's id."""
+        self.store.put(EXECUTORS, key, entry)
+
+    def forget_registration(self, executor: MemoryExecutor) -> None:
+        """Drop an executor's entry while it serves on."""
+        self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+
+    async def beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for executor in self.executors.values():
+                executor.advance()
+
+    def crash_executor(self, address: str, *, back: bool = True) -> None:
+        executor = self.executors[address]
+        executor.alive = False
+        self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+        if back:
+            self.add_executor(executor.record.hall, address)
+
+    async def machines(self) -> MachineList:
+        """Answer as the machine service."""
+        await asyncio.sleep(0.005)
+        return tuple(
+            MachineRecord(address, "pool", MachineState.UP, e.record.executor_id)
+            for address, e in self.executors.items()
+            if e.alive
+        )
+
+    # What executors and their links ask
+
+    def at(self, address: str) -> MemoryExecutor | None:
+        return self.executors.get(address)
+
+    def is_cut(self, host: str, executor: MemoryExecutor) -> bool:
+        return (host, executor.record.address) in self.cuts
+
+    def cut(self, host: str, hall: str) -> None:
+        """Cut a host from a hall's executors."""
+        self.cuts |= {(host, a) for a, e in self.executors.items() if e.record.hall == hall}
+
+    def running_time(self, task: TaskName) -> float:
+        step = self.step_of(task)
+        return 1e6 if step.standing else step.estimate_s * (0.8 + 0.4 * self.random.random())
+
+    def figure(self, task: TaskName) -> float | None:
+        """Return what executors tell of a run's latency or use, nothing here."""
+        return None
+
+    def fails(self, task: TaskName, run: int) -> bool:
+        return self.random.random() < self.failing_share
+
+    def late_by(self) -> float:
+        if self.late_share and self.random.random() < self.late_share:
+            return 2.0 + (self.late_most_s - 2.0) * self.random.random()
+        return 0.0
+
+    def loses_answer(self) -> bool:
+        return bool(self.lost_answer_share) and self.random.random() < self.lost_answer_share
--- a/tests/host/test_end_beside_recovery.py
+++ b/tests/host/test_end_beside_recovery.py
@@ -12,7 +12,8 @@
 from linkspan.jobs.records import Dropped, Finished, JobState, encode
 from linkspan.shard.messages import EndKind
 from linkspan.store.types import Partition
-from tests.hall_world import EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.standins.memory_store import MemoryStore
 from tests.virtual_time import run_virtual
--- a/tests/host/test_ownership_reads.py
+++ b/tests/host/test_ownership_reads.py
@@ -18,7 +18,8 @@
 from linkspan.host.candidate import PAST_RECORDS
 from linkspan.store.types import Page, Partition
 from tests import hall_world
-from tests.hall_world import EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.standins.memory_store import MemoryStore, StoreLink
 from tests.virtual_time import run_virtual
--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -7,7 +7,8 @@
 import pytest
 
 from linkspan.shard.messages import TaskName
-from tests.hall_world import EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import HallWorld
 from tests.host.short_work import at_work, begin, run_short
 from tests.job_builders import step
 from tests.standins.memory_executor import MemoryExecutor
--- a/tests/host/test_registry_health.py
+++ b/tests/host/test_registry_health.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from tests.hall_world import CONFIGURATION, EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import CONFIGURATION, HallWorld
 from tests.virtual_time import run_virtual
 
 
--- a/tests/host/test_slow_first_reads.py
+++ b/tests/host/test_slow_first_reads.py
@@ -7,7 +7,8 @@
 import pytest
 
 from linkspan.jobs.job_book import JOBS
-from tests.hall_world import CONFIGURATION, EXECUTORS, HallWorld
+from tests.hall_executors import EXECUTORS
+from tests.hall_world import CONFIGURATION, HallWorld
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
--- a/tests/standins/executor_http.py
+++ b/tests/standins/executor_http.py
@@ -11,7 +11,7 @@
 from linkspan.errors import Fenced, Unreachable, WrongIncarnation
 from linkspan.platform.executors import task_from_wire, task_to_wire
 from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome, StopOrder
-from tests.hall_world import HallWorld
+from tests.hall_executors import HallExecutors
 from tests.standins.memory_executor import ExecutorLink
 from tests.standins.platform_http import local_port
 
@@ -40,7 +40,7 @@
         on_order: Called with the executor's address before each order.
     """
 
-    def __init__(self, world: HallWorld) -> None:
+    def __init__(self, world: HallExecutors) -> None:
         self._world = world
         self.addresses: dict[int, str] = {}
         self.on_order: Callable[[str], None] = lambda _address: None
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -23,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from tests.hall_world import HallWorld
+    from tests.hall_executors import HallExecutors
 
 ANSWER_S = 0.003
 TIMEOUT_S = 1.0
@@ -46,7 +46,7 @@
 class MemoryExecutor:
     """One incarnation."""
 
-    world: HallWorld
+    world: HallExecutors
     record: ExecutorRecord
     slow_clock: float = 1.0
     alive: bool = True
@@ -157,7 +157,7 @@
 class ExecutorLink:
     """One tenure's way to all executors."""
 
-    def __init__(self, world: HallWorld, host: str, token: int) -> None:
+    def __init__(self, world: HallExecutors, host: str, token: int) -> None:
         self._world = world
         self._host = host
         self._token = token
