--- a/src/linkspan/platform/advice.py
+++ b/src/linkspan/platform/advice.py
@@ -9,12 +9,10 @@
 from linkspan._typed import fields as fields_of
 from linkspan._typed import number, rows, text
 from linkspan.errors import Unreachable
-from linkspan.platform._answers import read_answer
+from linkspan.platform._answers import JsonService
 from linkspan.shard.planning.advice import Advice
 
 if TYPE_CHECKING:
-    import aiohttp
-
     from linkspan.shard.step_run import StepRun
 
 CALL_TIMEOUT_S = 5.0
@@ -22,24 +20,12 @@
 one host wait for each other."""
 
 
-class AdviceClient:
-    """The service over HTTP.
-
-    Args:
-        session: Shared client session.
-        address: ``ip:port`` of the service.
-        timeout_s: Time that an answer may take.
-    """
-
-    def __init__(
-        self, session: aiohttp.ClientSession, address: str, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> None:
-        self._session = session
-        self._url = f"http://{address}/api/advise"
-        self._timeout_s = timeout_s
+class AdviceClient(JsonService):
+    """The service over HTTP."""
 
-    def __repr__(self) -> str:
-        return f"AdviceClient({self._url!r})"
+    _NAME = "policy service"
+    _PATH = "/api/advise"
+    _TIMEOUT_S = CALL_TIMEOUT_S
 
     async def advise(self, step: StepRun, executor_ids: tuple[str, ...]) -> Advice:
         """Ask; see :meth:`linkspan.shard.planning.advice.PolicyService.advise`."""
@@ -49,7 +35,7 @@
         body = orjson.dumps({"step": name, "workers": list(executor_ids)})
         headers = {"Content-Type": "application/json"}
         request = self._session.post(self._url, data=body, headers=headers)
-        fields = await read_answer(request, service="policy service", timeout_s=self._timeout_s)
+        fields = await self._answer(request)
         return _advice(fields)
 
 
--- a/src/linkspan/platform/machines.py
+++ b/src/linkspan/platform/machines.py
@@ -7,36 +7,22 @@
 
 from linkspan._typed import text
 from linkspan.errors import Unreachable
-from linkspan.platform._answers import read_answer
+from linkspan.platform._answers import JsonService
 from linkspan.shard.machines import MachineRecord, MachineState, UnreadMachines
 
 if TYPE_CHECKING:
-    import aiohttp
-
     from linkspan.shard.machines import MachineList
 
 CALL_TIMEOUT_S = 1.0
 """Time for an answer: a healthy service answers within 10 ms."""
 
 
-class MachineClient:
-    """The machine service over HTTP.
-
-    Args:
-        session: Shared client session.
-        address: ``ip:port`` of the service.
-        timeout_s: Time that an answer may take.
-    """
-
-    def __init__(
-        self, session: aiohttp.ClientSession, address: str, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> None:
-        self._session = session
-        self._url = f"http://{address}/api/machines"
-        self._timeout_s = timeout_s
+class MachineClient(JsonService):
+    """The machine service over HTTP."""
 
-    def __repr__(self) -> str:
-        return f"MachineClient({self._url!r})"
+    _NAME = "machine service"
+    _PATH = "/api/machines"
+    _TIMEOUT_S = CALL_TIMEOUT_S
 
     async def machines(self) -> MachineList:
         """Return all machines, and places of the list that cannot be read.
@@ -68,8 +54,7 @@
 
     async def _page(self, token: str) -> dict[str, Any]:
         query = f"?pageToken={quote(token, safe='')}" if token else ""
-        request = self._session.get(self._url + query)
-        page = await read_answer(request, service="machine service", timeout_s=self._timeout_s)
+        page = await self._answer(self._session.get(self._url + query))
         if not isinstance(page, dict):
             raise Unreachable("machine service sent no page; it is asked again")
         return page
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -239,6 +239,13 @@
         if len(job.runs) == job.spec.repetitions and all(run.done for run in job.runs.values()):
             self.decide(job, JobState.SUCCEEDED)
 
+    def log_run(
+        self, event: Event, executor_id: str, task: TaskName, run: int, **fields: object
+    ) -> None:
+        """Log what befell a run, with what else there is to say of it."""
+        name = _short_name(task)
+        self.log(event, executor=executor_id, job=task.job_id, task=name, run=run, **fields)
+
     def forget_if_quiet(self, job: ShardJob) -> None:
         """Forget a job whose end is durable once nothing of it can be running."""
         if any(True for _ in job.attempts()):
@@ -247,6 +254,6 @@
             self.jobs.pop(job.job_id, None)
 
 
-def short_name(name: TaskName) -> str:
+def _short_name(name: TaskName) -> str:
     """Return a task's name within its job, for log lines."""
     return f"{name.repetition}.{name.step}.{name.index}"
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._books import short_name
 from linkspan.shard.attempt import FULL_PACE, Attempt, Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome
 from linkspan.shard.reports.health import UNHEALTHY_PAUSE_S
@@ -92,13 +91,9 @@
                     # Every run starts at full speed.
                     self.pace(attempt, attempt.pace, now)
             return
-        self._books.log(
-            Event.START_REFUSED,
-            executor=order.executor_id,
-            job=order.task.job_id,
-            task=short_name(order.task),
-            run=order.run,
-            reason=answer.outcome.value,
+        reason = answer.outcome.value
+        self._books.log_run(
+            Event.START_REFUSED, order.executor_id, order.task, order.run, reason=reason
         )
         if answer.outcome is StartOutcome.UNHEALTHY:
             executor.distrusted_until = max(executor.distrusted_until, now + UNHEALTHY_PAUSE_S)
@@ -117,13 +112,7 @@
             return
         attempt.phase = Phase.DOUBT
         self._books.look_at.add(order.executor_id)
-        self._books.log(
-            Event.START_IN_DOUBT,
-            executor=order.executor_id,
-            job=order.task.job_id,
-            task=short_name(order.task),
-            run=order.run,
-        )
+        self._books.log_run(Event.START_IN_DOUBT, order.executor_id, order.task, order.run)
 
     def on_pace_unknown(self, order: PaceOrder) -> None:
         """Take in that an executor may not have taken a pace: it is set again."""
@@ -173,14 +162,8 @@
 
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
         """Stop an attempt so that its task continues elsewhere."""
-        self._books.log(
-            Event.RUN_MOVED,
-            executor=attempt.executor_id,
-            job=attempt.task.name.job_id,
-            task=short_name(attempt.task.name),
-            run=attempt.run,
-            reason=reason,
-        )
+        task, run = attempt.key
+        self._books.log_run(Event.RUN_MOVED, attempt.executor_id, task, run, reason=reason)
         attempt.moved = True
         self._books.order_stop(attempt, now)
 
--- a/src/linkspan/shard/planning/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._books import short_name
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -63,12 +62,11 @@
         if executor is None:
             return
         copy = self._core.place(attempt.task, executor, self._now, copy=True)
-        self._core.log(
+        self._core.log_run(
             Event.RUN_COPIED,
-            executor=copy.executor_id,
-            job=attempt.task.name.job_id,
-            task=short_name(attempt.task.name),
-            run=copy.run,
+            copy.executor_id,
+            attempt.task.name,
+            copy.run,
             beside=attempt.executor_id,
             running_s=round(self._now - attempt.placed_at, 2),
         )
--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard._books import short_name
 from linkspan.shard.attempt import NEVER, Attempt, Phase
 from linkspan.shard.messages import StopOrder
 
@@ -118,13 +117,7 @@
         return all(a.phase is Phase.INHERITED and a.run < run for a in task.attempts)
 
     def _log_unknown(self, executor: ExecutorState, row: RunningTask) -> None:
-        self._books.log(
-            Event.UNKNOWN_RUN_STOPPED,
-            executor=executor.executor_id,
-            job=row.task.job_id,
-            task=short_name(row.task),
-            run=row.run,
-        )
+        self._books.log_run(Event.UNKNOWN_RUN_STOPPED, executor.executor_id, row.task, row.run)
 
     def _on_missing(
         self,
@@ -147,11 +140,5 @@
             elif attempt.phase is Phase.DOUBT:
                 self._books.order_stop(attempt, now)
             elif attempt.phase is Phase.RUNNING and attempt.confirmed_at < asked:
-                self._books.log(
-                    Event.RUN_LOST,
-                    executor=executor.executor_id,
-                    job=key[0].job_id,
-                    task=short_name(key[0]),
-                    run=key[1],
-                )
+                self._books.log_run(Event.RUN_LOST, executor.executor_id, *key)
                 self._books.order_stop(attempt, now)
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -6,7 +6,6 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import JobState
-from linkspan.shard._books import short_name
 from linkspan.shard.executor import UnackedEnd
 from linkspan.shard.messages import EndKind
 from linkspan.shard.planning._outlook import REFRESH_EVERY, note_length, refresh_outlook
@@ -58,14 +57,8 @@
             if attempt or end.run >= task.counted_run:
                 self._on_failed(executor, task, end, now)
         elif attempt and not attempt.moved and not task.step.run.job.closing:
-            self._books.log(
-                Event.RUN_ENDED,
-                executor=executor.executor_id,
-                job=end.task.job_id,
-                task=short_name(end.task),
-                run=end.run,
-                how=end.kind.value,
-            )
+            how = end.kind.value
+            self._books.log_run(Event.RUN_ENDED, executor.executor_id, end.task, end.run, how=how)
         if task.pending:
             self._books.mark_ready(task, now)
         self._books.touch(task.step.run)
@@ -127,12 +120,11 @@
             task.avoid.add(executor.executor_id)
         failures = self._count_failure(task, end.run)
         until = self._books.health.failed(executor.executor_id, job.job_id, now)
-        self._books.log(
+        self._books.log_run(
             Event.RUN_FAILED,
-            executor=executor.executor_id,
-            job=job.job_id,
-            task=short_name(end.task),
-            run=end.run,
+            executor.executor_id,
+            end.task,
+            end.run,
             failures=failures,
             most=job.max_attempts,
         )
--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -217,22 +217,24 @@
         day.world.thaw(running)
 
 
+async def _leave_out(day: OverlappingDay, left_out: set[str]) -> None:
+    """Have some hosts among those that the store leaves out, for a while."""
+    victims = set(day.some_hosts())
+    left_out |= victims
+    await day.last(1.0, 6.0)
+    left_out -= victims
+
+
 @trouble
 async def turn_away(day: OverlappingDay) -> None:
     """The store turns some hosts away."""
-    victims = set(day.some_hosts())
-    day.world.store.refusing |= victims
-    await day.last(1.0, 6.0)
-    day.world.store.refusing -= victims
+    await _leave_out(day, day.world.store.refusing)
 
 
 @trouble
 async def cut_from_store(day: OverlappingDay) -> None:
     """Some hosts do not reach the store."""
-    victims = set(day.some_hosts())
-    day.world.store.silent |= victims
-    await day.last(1.0, 6.0)
-    day.world.store.silent -= victims
+    await _leave_out(day, day.world.store.silent)
 
 
 @trouble
--- a/tests/host/short_work.py
+++ b/tests/host/short_work.py
@@ -32,3 +32,9 @@
     assert await world.submit("east-host-0", spec) == 200
     await world.wait_for("east-host-1", spec.job_id, "succeeded")
     return asyncio.get_running_loop().time() - began
+
+
+def assert_each_began_once(world: HallWorld, tasks: int) -> None:
+    """Assert that no promise was broken, and that each of so many tasks began once."""
+    assert world.problems == []
+    assert [len(times) for times in world.starts.values()] == [1] * tasks
--- a/tests/host/test_cancelled_work.py
+++ b/tests/host/test_cancelled_work.py
@@ -78,22 +78,28 @@
     assert run_virtual(play()).problems == []
 
 
+async def begun_in_one_of_two_halls(seed: int) -> tuple[HallWorld, str, list[str]]:
+    """Return a world, its one job, some of whose orders may come late, and the hall's hosts."""
+    world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
+    await world.begin()
+    spec = world.new_job(step(12, estimate_s=30.0))
+    world.late_share = 0.3
+    assert await world.submit("east-host-0", spec) == 200
+    await asyncio.sleep(0.4)
+    world.late_share = 0.0
+    hall = next(h for h in world.halls if any(running_in(world, h)))
+    return world, spec.job_id, [name for name, at in world.host_names() if at == hall]
+
+
 def test_cancelled_work_ends_though_all_hosts_of_its_hall_were_removed() -> None:
     """Another hall's host must claim the shard before the work is overdue."""
 
     async def play(seed: int) -> HallWorld:
-        world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
-        await world.begin()
-        spec = world.new_job(step(12, estimate_s=30.0))
-        world.late_share = 0.3
-        assert await world.submit("east-host-0", spec) == 200
-        await asyncio.sleep(0.4)
-        world.late_share = 0.0
-        hall = next(h for h in world.halls if any(running_in(world, h)))
-        for name in [name for name, at in world.host_names() if at == hall]:
+        world, job_id, hosts = await begun_in_one_of_two_halls(seed)
+        for name in hosts:
             await world.remove_host(name)
         other = next(iter(world.hosts))
-        assert await world.cancel(other, spec.job_id) == 200
+        assert await world.cancel(other, job_id) == 200
         await asyncio.sleep(14.0)
         assert running(world) == 0
         return world
@@ -110,18 +116,11 @@
     """Until another hall takes over, its lease bounds it."""
 
     async def play() -> HallWorld:
-        world = HallWorld(halls=("east", "west"), seed=seed, late_most_s=12.0)
-        await world.begin()
-        spec = world.new_job(step(12, estimate_s=30.0))
-        world.late_share = 0.3
-        assert await world.submit("east-host-0", spec) == 200
-        await asyncio.sleep(0.4)
-        world.late_share = 0.0
-        hall = next(h for h in world.halls if any(running_in(world, h)))
-        for name in [name for name, at in world.host_names() if at == hall]:
+        world, job_id, hosts = await begun_in_one_of_two_halls(seed)
+        for name in hosts:
             world.kill_host(name)
         other = next(iter(world.hosts))
-        assert await world.cancel(other, spec.job_id) == 200
+        assert await world.cancel(other, job_id) == 200
         until = asyncio.get_running_loop().time() + 8.0
         while asyncio.get_running_loop().time() < until:
             # Nobody of another hall may act for eight seconds.
--- a/tests/host/test_entries_of_other_writers.py
+++ b/tests/host/test_entries_of_other_writers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.hall_world import HallWorld
-from tests.host.short_work import at_work, begin, run_short
+from tests.host.short_work import assert_each_began_once, at_work, begin, run_short
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
 
@@ -63,9 +63,7 @@
         assert at_work(world) == 3
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 3
+    assert_each_began_once(run_virtual(play()), 3)
 
 
 @pytest.mark.parametrize("kind", ODD)
--- a/tests/host/test_registrations.py
+++ b/tests/host/test_registrations.py
@@ -9,7 +9,7 @@
 from linkspan.shard.messages import TaskName
 from tests.hall_executors import EXECUTORS
 from tests.hall_world import HallWorld
-from tests.host.short_work import at_work, begin, run_short
+from tests.host.short_work import assert_each_began_once, at_work, begin, run_short
 from tests.job_builders import step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
@@ -38,9 +38,7 @@
         assert await run_short(world, 6) < 2.0
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 9
+    assert_each_began_once(run_virtual(play()), 9)
 
 
 def test_entries_that_lapse_while_the_store_is_away_cost_nothing() -> None:
@@ -62,9 +60,7 @@
         assert at_work(world) == 3
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 9
+    assert_each_began_once(run_virtual(play()), 9)
 
 
 def test_entries_get_their_time_anew_when_the_store_goes_again() -> None:
@@ -128,9 +124,7 @@
         assert at_work(world) == 1
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 3
+    assert_each_began_once(run_virtual(play()), 3)
 
 
 def test_a_draining_executor_is_left_and_gets_nothing_new_until_it_ends() -> None:
@@ -221,9 +215,7 @@
         assert at_work(world) == 3
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 3
+    assert_each_began_once(run_virtual(play()), 3)
 
 
 def test_what_runs_on_a_missing_executor_ends_there_once() -> None:
@@ -241,9 +233,7 @@
         await world.wait_for("east-host-1", spec.job_id, "succeeded", limit_s=9.0)
         return world
 
-    world = run_virtual(play())
-    assert world.problems == []
-    assert [len(times) for times in world.starts.values()] == [1] * 6
+    assert_each_began_once(run_virtual(play()), 6)
 
 
 @pytest.mark.parametrize(("lists_machines", "limit_s"), [(True, 4.0), (False, 13.0)])
--- a/tests/host/test_removals_sent_again.py
+++ b/tests/host/test_removals_sent_again.py
@@ -6,6 +6,7 @@
 
 from linkspan.jobs.job_book import JOBS, JobBook
 from linkspan.jobs.records import Dropped, Finished, JobState, Submitted
+from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.kept_lines import Lines
@@ -22,9 +23,7 @@
         store = MemoryStore()
         book = JobBook(StoreLink(store, "host"), HOST, Lines())  # type: ignore[arg-type]
         loops = [asyncio.create_task(loop) for loop in (book.follower.run(), book.writer.run())]
-        spec = HallWorld().new_job(step(1))
-        await book.write([Submitted(spec, 0, 0.0, HOST)])
-        end = Finished(spec.job_id, JobState.SUCCEEDED, 0, 0.0, spec.queue)
+        spec, end = await _submitted(book)
         await _write_twice(store, book, [end, Dropped("s", spec.job_id, HOST)])
         kept = [entry.key for entry in (await StoreLink(store, "host").newest(JOBS)).entries]
         for loop in loops:
@@ -42,9 +41,7 @@
         store = MemoryStore()
         book = JobBook(StoreLink(store, "host"), HOST, Lines())  # type: ignore[arg-type]
         loops = [asyncio.create_task(loop) for loop in (book.follower.run(), book.writer.run())]
-        spec = HallWorld().new_job(step(1))
-        await book.write([Submitted(spec, 0, 0.0, HOST)])
-        end = Finished(spec.job_id, JobState.SUCCEEDED, 0, 0.0, spec.queue)
+        spec, end = await _submitted(book)
         submission = Dropped("s", spec.job_id, HOST)
         await _write_twice(store, book, [end, submission])
         await _write_twice(store, book, [submission, Dropped("f", spec.job_id)])
@@ -60,6 +57,13 @@
     assert not run_virtual(play())
 
 
+async def _submitted(book: JobBook) -> tuple[JobSpec, Finished]:
+    """Write a submission; return the job and the record of its end."""
+    spec = HallWorld().new_job(step(1))
+    await book.write([Submitted(spec, 0, 0.0, HOST)])
+    return spec, Finished(spec.job_id, JobState.SUCCEEDED, 0, 0.0, spec.queue)
+
+
 async def _write_twice(
     store: MemoryStore, book: JobBook, records: list[Finished | Dropped]
 ) -> None:
--- a/tests/shard/test_colocation.py
+++ b/tests/shard/test_colocation.py
@@ -12,6 +12,7 @@
 from linkspan.shard.colocation._news import EffectNews
 from linkspan.shard.colocation.colocation import UNLOADED, ColocationBook, pressure_of
 from linkspan.shard.colocation.pacing import STAND_STILL_AFTER_S, Pacer
+from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.summary import HallSummary, PairEffect
 from linkspan.shard.job_run import new_run
 from linkspan.shard.messages import ExecutorReport, PaceOrder, RunningTask
@@ -49,11 +50,16 @@
     assert [pressure_of(r) for r in ratios] == sorted(pressure_of(r) for r in ratios)
 
 
-def test_neighbours_stand_still_before_a_task_counts_as_harmed() -> None:
+def _serving_beside_a_neighbour() -> tuple[ShardCore, Attempt, Attempt]:
     core = core_with(step(1), executors=1)
     executor = core.executors["e0"]
     serving = place(core, executor, standing=True, image="s", latency_target_ms=10.0)
-    neighbour = place(core, executor, best_effort=True, image="b", cpu=3_000)
+    return core, serving, place(core, executor, best_effort=True, image="b", cpu=3_000)
+
+
+def test_neighbours_stand_still_before_a_task_counts_as_harmed() -> None:
+    core, serving, neighbour = _serving_beside_a_neighbour()
+    executor = core.executors["e0"]
     neighbour.usage = 3_000.0
     pacer = Pacer(core, core.colocation)
     now = 0.0
@@ -65,10 +71,8 @@
 
 
 def test_neighbours_speed_up_when_there_is_room() -> None:
-    core = core_with(step(1), executors=1)
+    core, serving, neighbour = _serving_beside_a_neighbour()
     executor = core.executors["e0"]
-    serving = place(core, executor, standing=True, image="s", latency_target_ms=10.0)
-    neighbour = place(core, executor, best_effort=True, image="b", cpu=3_000)
     neighbour.pace = 0
     neighbour.usage = 0.0
     pacer = Pacer(core, core.colocation)
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -106,7 +106,7 @@
     assert second.jobs[JOB].runs[0].steps[0].tasks[0].failures == 1
 
 
-def test_inherited_work_waits_for_every_executor() -> None:
+def _core_that_heard_one_of_two_inherited_executors() -> ShardCore:
     core = ShardCore(0, Bounds())
     core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
     records = [
@@ -117,22 +117,18 @@
     core.list_executors(records, 0.0)
     core.add_job(submitted(step(1)), 0.0, inherited=True)
     report(core, "e0", asked=0.0, now=0.1)
+    return core
+
+
+def test_inherited_work_waits_for_every_executor() -> None:
+    core = _core_that_heard_one_of_two_inherited_executors()
     assert plan(core, 0.2) == []
     report(core, "e1", asked=0.2, now=0.3)
     assert len(plan(core, 0.4)) == 1
 
 
 def test_a_silent_inherited_executor_is_waited_out() -> None:
-    core = ShardCore(0, Bounds())
-    core.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
-    records = [
-        ExecutorRecord(n, "pool", f"{n}:1", "east", Demand(8_000, 32_000), frozenset(), "r")
-        for n in ("e0", "e1")
-    ]
-    core.inherit(records, 20.0)
-    core.list_executors(records, 0.0)
-    core.add_job(submitted(step(1)), 0.0, inherited=True)
-    report(core, "e0", asked=0.0, now=0.1)
+    core = _core_that_heard_one_of_two_inherited_executors()
     core.on_silent("e1", 1.0)
     assert plan(core, 19.0) == []
     assert len(plan(core, 20.1)) == 1
@@ -182,12 +178,18 @@
     assert plan(core, 0.1) == [], "no executor of the new service is there"
 
 
-def test_best_effort_work_is_not_starved_by_pressure() -> None:
+def _core_that_serves_in(*, latency_ms: float) -> ShardCore:
+    """Return a core with a standing task, whose target is 10 ms, by its first report."""
     core = core_with(step(1, standing=True, image="s", latency_target_ms=10.0), executors=1)
     (serving,) = plan(core, 0.1)
     started(core, serving, 0.2)
-    row = RunningTask(serving.task, serving.run, "", 100, 9.9)
+    row = RunningTask(serving.task, serving.run, "", 100, latency_ms)
     core.on_report("e0", ExecutorReport(1.0, (row,), ()), asked=0.3, now=1.0)
+    return core
+
+
+def test_best_effort_work_is_not_starved_by_pressure() -> None:
+    core = _core_that_serves_in(latency_ms=9.9)
     for second in range(20):
         core.colocation.learn(core.executors["e0"], 1.0 + second)
     spec = JobSpec("00000000000000bb", QUEUE.name, "text", (best_effort_step(),))
@@ -197,11 +199,7 @@
 
 
 def test_best_effort_work_keeps_off_executors_with_a_disturbed_task() -> None:
-    core = core_with(step(1, standing=True, image="s", latency_target_ms=10.0), executors=1)
-    (serving,) = plan(core, 0.1)
-    started(core, serving, 0.2)
-    row = RunningTask(serving.task, serving.run, "", 100, 11.0)
-    core.on_report("e0", ExecutorReport(1.0, (row,), ()), asked=0.3, now=1.0)
+    core = _core_that_serves_in(latency_ms=11.0)
     Pacer(core, core.colocation).on_report(core.executors["e0"], 1.0, 1.0)
     spec = JobSpec("00000000000000bb", QUEUE.name, "text", (best_effort_step(),))
     core.add_job(Submitted(spec, 0, 1.0, "host"), 1.0)
