Tell by what an owner may start a job, and by what it moves it

Cause: a task was started in two halls, and the logs of all hosts could not tell why the second owner took itself for entitled: a placement named neither the shard nor the tenure, a taken-in job not the offset of the move or the loans, a whole move not what the owner knew of its beginning. Line 526 also had a field `host`, the host that accepted the job, which replaced the name of the host that wrote the line; it is `accepted_by` now (seen failing: test_no_field_hides_which_host_wrote_a_line).

Change, of log lines only: - 530, 553: shard, token, by (new or inherited, moved or borrowed); for inherited work how the inherited executors were settled (answered, gone, lapsed, open); numbers of the loans of the tasks started. - 526: token, executors still to answer, progress records, begun, offset of the move, loans (20 at most), and whether the job had left this tenure before. - 550: shard, token; of a whole move also executors on the roster and how many answered, versions of the run record, whether hosts were told that it began, age of the view of the job records. - 555, 556 (new): the move is durable, and told, with offsets. - 500, 501: former token, seconds for which the former owner may act, seconds to the end of inherited leases, size of the roster.

Nothing is built where no line is written.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -132,6 +132,8 @@
     UNKNOWN_RUN_STOPPED = 538, logging.WARNING, "run that nobody wants is stopped", "nothing"
     PACE_SET = 539, logging.INFO, "pace of best-effort runs changed", "nothing"
     WORK_HANDED_OVER = 550, logging.INFO, "waiting work goes to another hall", "nothing"
+    MOVE_KEPT = 555, logging.INFO, "move of a whole job is durable", "nothing; 556 follows"
+    MOVE_TOLD = 556, logging.INFO, "all hosts are told of a job's move", "nothing"
     RUN_COPIED = 553, logging.INFO, "copy of a run that takes long started", "nothing"
     ADVICE_GIVEN = 551, logging.INFO, "placement policy gave tickets", "nothing"
     ADVICE_MISSING = (
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -204,6 +204,8 @@
             token=appended.offset + 1,
             former=former.host if former else None,
             silent_s=round(silent, 2),
+            former_token=former.token if former else None,
+            former_acts_s=round(self._claimed.former_offline_s, 2),
         )
         # Another hall's ownership is looked at seldom, and its claim counts once it is read.
         with suppress(StoreRefused, StoreUnanswered):
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
@@ -37,11 +38,13 @@
         shard: Number of the shard.
         bounds: Times that the deployment grants.
         log: Takes an event and its fields.
+        token: The tenure's token, which tells its log lines from those of other owners.
 
     Attributes:
         log: Takes an event and its fields.
         executors: Executors that are registered or may run something, by id.
         adopting_ids: Inherited executors that have not answered yet.
+        settled: How many of the others answered, are gone or outlived their lease.
         jobs: Jobs that the shard looks after, by id.
         left: Jobs that ended here or moved away: older records of them may still be read.
         health: What is known of the executors' soundness.
@@ -58,12 +61,16 @@
         ready: Steps with tasks that may wait for a start, as an ordered set.
     """
 
-    def __init__(self, shard: int, bounds: Bounds, *, log: Callable[..., None]) -> None:
+    def __init__(
+        self, shard: int, bounds: Bounds, *, log: Callable[..., None], token: int = 0
+    ) -> None:
         self._shard = shard
+        self._token = token
         self._bounds = bounds
         self.log = log
         self.executors: dict[str, ExecutorState] = {}
         self.adopting_ids: set[str] = set()
+        self.settled: Counter[str] = Counter()
         self.jobs: dict[str, ShardJob] = {}
         self.left: set[str] = set()
         self.health = HealthBook()
@@ -90,11 +97,22 @@
         """Number of the shard."""
         return self._shard
 
+    @property
+    def token(self) -> int:
+        """The tenure's token."""
+        return self._token
+
     @property
     def bounds(self) -> Bounds:
         """Times that the deployment grants."""
         return self._bounds
 
+    def settle(self, executor_id: str, how: str) -> None:
+        """Wait no longer for an inherited executor, and count why."""
+        if executor_id in self.adopting_ids:
+            self.adopting_ids.remove(executor_id)
+            self.settled[how] += 1
+
     def find_task(self, name: TaskName) -> Task | None:
         """Return a task by name, ``None`` if this shard has none of that name."""
         job = self.jobs.get(name.job_id)
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -65,6 +65,7 @@
         shard: Number of the shard.
         bounds: Times that the deployment grants.
         log: Takes an event and its fields.
+        token: The tenure's token.
     """
 
     def __init__(
@@ -73,8 +74,9 @@
         bounds: Bounds,
         *,
         log: Callable[..., None] = lambda _event, **_fields: None,
+        token: int = 0,
     ) -> None:
-        super().__init__(shard, bounds, log=log)
+        super().__init__(shard, bounds, log=log, token=token)
         self._presence = Presence(self)
         self._adoption = Adoption(self, Ends(self))
         self._intake = JobIntake(self)
--- /dev/null
+++ b/src/linkspan/shard/handover/_evidence.py
@@ -0,0 +1,47 @@
+"""By what an owner holds a job for one of which nothing was started."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from linkspan.shard._reasons import origin, roster_counts
+
+if TYPE_CHECKING:
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.shard_job import ShardJob
+
+
+class MoveEvidence:
+    """Tells what the owner knows when it moves a whole job, for the log.
+
+    Args:
+        context: What the tenure works with.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        self._core = context.core
+        self._book = context.book
+
+    def __repr__(self) -> str:
+        return f"MoveEvidence({self._core!r})"
+
+    def fields(self, job: ShardJob, now: float) -> dict[str, Any]:
+        """Return what speaks for it that no task of a job was started.
+
+        Args:
+            job: The job.
+            now: Steady time.
+        """
+        rostered = [e for e in self._core.executors.values() if e.rostered]
+        entry = self._book.catalog.get(job.job_id)
+        run = job.runs[0]
+        return {
+            "by": origin(job),
+            "rostered": len(rostered),
+            "answered": sum(e.adopted for e in rostered),
+            "roster": roster_counts(self._core),
+            "run_version": run.version,
+            "run_durable": run.durable,
+            "told_begun": entry.begun if entry else None,
+            "view_age_s": round(now - self._book.follower.synced_at, 3),
+        }
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -6,7 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from linkspan.events import Event
 from linkspan.jobs.records import Lent, Loan, Moved, Returned
+from linkspan.shard.handover._evidence import MoveEvidence
 from linkspan.shard.handover._given_back import GivenBack
 from linkspan.shard.handover.rebalance import Rebalancer
 from linkspan.shard.handover.summary import summarize
@@ -39,6 +41,8 @@
     ) -> None:
         self._core = context.core
         self._shard = context.shard
+        self._token = context.token
+        self._log = context.log
         self._settings = context.settings
         self._book = context.book
         self._writer = context.writer
@@ -48,7 +52,10 @@
         self._summary_of = summary_of
         self._given_back = GivenBack()
         self._rebalancer = Rebalancer(
-            self._core, summaries=self._other_summaries, count_able=self._count_able
+            self._core,
+            summaries=self._other_summaries,
+            count_able=self._count_able,
+            evidence=MoveEvidence(context).fields,
         )
 
     def __repr__(self) -> str:
@@ -69,7 +76,8 @@
         job_id, shard, tasks = handover
         if tasks is None:
             key = RunKey(job_id, 0).encode()
-            await self._writer.write([Record(encode_moved(shard), key)])
+            offset = await self._writer.write([Record(encode_moved(shard), key)])
+            self._log_move(Event.MOVE_KEPT, job_id, shard, offset)
             await self.tell_moved(job_id, shard)
             return
         job = self._core.jobs.get(job_id)
@@ -93,7 +101,8 @@
 
     async def tell_moved(self, job_id: str, shard: int) -> None:
         """Tell that a job lives in another shard now, and forget it."""
-        await self._book.write([Moved(job_id, shard)])
+        offset = await self._book.write([Moved(job_id, shard)])
+        self._log_move(Event.MOVE_TOLD, job_id, shard, offset)
         job = self._core.jobs.get(job_id)
         if job is None or not job.borrowed:
             # Otherwise it was lent back before this answer came.
@@ -101,6 +110,16 @@
             self._core.drop_progress(job_id, [0])
         self._changes.news()
 
+    def _log_move(self, event: Event, job_id: str, shard: int, offset: int) -> None:
+        self._log.write(
+            event,
+            job=job_id,
+            shard=self._shard,
+            to_shard=shard,
+            token=self._token,
+            offset=offset,
+        )
+
     def _other_summaries(self) -> dict[int, HallSummary]:
         return {
             shard: summary
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from linkspan.events import Event
 from linkspan.shard.planning.placement import STANDING_HEADROOM
@@ -60,6 +60,7 @@
         core: The shard's state.
         summaries: Returns what the owners of other shards last told.
         count_able: Returns how many executors of a shard could run a step's task.
+        evidence: Returns fields that tell by what a job that moves whole has not begun.
     """
 
     def __init__(
@@ -68,10 +69,12 @@
         *,
         summaries: Callable[[], dict[int, HallSummary]],
         count_able: Callable[[int, StepSpec, str], int],
+        evidence: Callable[[ShardJob, float], dict[str, Any]] = lambda _job, _now: {},
     ) -> None:
         self._core = core
         self._summaries = summaries
         self._count_able = count_able
+        self._evidence = evidence
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
@@ -178,12 +181,16 @@
         return None
 
     def _log(self, handover: Handover, step: StepRun, now: float) -> None:
+        whole = handover.tasks is None
         self._core.log(
             Event.WORK_HANDED_OVER,
             job=handover.job_id,
             to_shard=handover.shard,
             tasks="all" if handover.tasks is None else len(handover.tasks),
             waited_s=round(now - min(t.ready_since for t in step.tasks if t.pending), 2),
+            shard=self._core.shard,
+            token=self._core.token,
+            **(self._evidence(step.run.job, now) if whole else {}),
         )
 
 
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from itertools import islice
+from typing import TYPE_CHECKING, Any
 
 from linkspan.errors import RecordError
 from linkspan.events import Event
 
 if TYPE_CHECKING:
     from linkspan.jobs.catalog import JobEntry
+    from linkspan.jobs.records import Loan
     from linkspan.shard._context import TenureContext
 
+MOST_LOANS_TOLD = 20
+"""Loans that a line names: a job may have lent hundreds of tasks, and each line that
+places one names its number, too."""
+
 
 class JobFeed:
     """Passes on what the job book says of the jobs of a shard.
@@ -23,6 +29,7 @@
     def __init__(self, context: TenureContext) -> None:
         self._core = context.core
         self._shard = context.shard
+        self._token = context.token
         self._book = context.book
         self._log = context.log
         self._changes = context.changes
@@ -63,10 +70,16 @@
             shard=self._shard,
             job=job_id,
             offset=entry.offset,
-            host=entry.submitted.host,
+            accepted_by=entry.submitted.host,
+            token=self._token,
             inherited=inherited,
+            adopting=len(self._core.adopting_ids),
+            left=job_id in self._core.left,
+            records=len(progress or ()),
+            begun=entry.begun,
             moved=entry.moved is not None,
             borrowed=borrowed is not None,
+            **_handed_over(entry, borrowed),
         )
         try:
             self._core.add_job(
@@ -104,3 +117,15 @@
         """Look after the tasks again that other shards returned."""
         for loans in entry.returned.values():
             self._core.take_back(job_id, loans, now)
+
+
+def _handed_over(entry: JobEntry, borrowed: tuple[Loan, ...] | None) -> dict[str, Any]:
+    """Return the records by which other shards gave a job or tasks of it."""
+    fields: dict[str, Any] = {}
+    if entry.moved:
+        fields["moved_at"] = entry.moved[1]
+    if borrowed:
+        fields["loans"] = {
+            f"{loan.step}.{loan.index}": loan.number for loan in islice(borrowed, MOST_LOANS_TOLD)
+        }
+    return fields
--- a/src/linkspan/shard/planning/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard._reasons import start_reason
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -69,4 +70,5 @@
             copy.run,
             beside=attempt.executor_id,
             running_s=round(self._now - attempt.placed_at, 2),
+            **start_reason(self._core, attempt.task.step.run.job, [copy]),
         )
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard._reasons import start_reason
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._plan_rooms import PlanRooms
 from linkspan.shard.planning._blocked import blocked_fields
@@ -199,6 +200,7 @@
                 waited_s=round(now - placed[0].task.ready_since, 3),
                 runs={f"{a.task.name.index}/{a.run}": a.executor_id for a in placed},
                 left=pending - len(placed),
+                **start_reason(self._core, job, placed),
             )
             self._blocked_logged.discard(step)
         elif step not in self._blocked_logged:
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -106,6 +106,9 @@
             shard=self._shard,
             token=self._token,
             took_s=round(now - self._proof.claimed_at, 3),
+            roster=len(core.adopting_ids),
+            former_acts_s=round(self._former_offline_s, 2),
+            leases_end_s=round(lapse - now, 2),
             **core.describe(),
         )
         self._watch.watch_all()
--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -57,7 +57,7 @@
         self._on_missing(executor, listed, asked, now)
         if not executor.adopted:
             executor.adopted = True
-            self._books.adopting_ids.discard(executor_id)
+            self._books.settle(executor_id, "answered")
 
     def _on_running(self, executor: ExecutorState, row: RunningTask, now: float) -> None:
         attempt = executor.attempts.get((row.task, row.run))
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -93,7 +93,7 @@
         # Its registration may outlast it, so its id is kept; ids are never used again.
         self._gone.add(executor_id)
         self._release_all(executor, now)
-        self._books.adopting_ids.discard(executor_id)
+        self._books.settle(executor_id, "gone")
         self._books.health.forget(executor_id)
 
     def on_silent(self, executor_id: str, now: float, *, cause: str = "") -> None:
@@ -136,7 +136,7 @@
                 silent_s=round(now - (executor.silent_since or now), 2),
             )
         self._release_all(executor, now)
-        self._books.adopting_ids.discard(executor.executor_id)
+        self._books.settle(executor.executor_id, "lapsed")
         if not executor.listed:
             del self._books.executors[executor.executor_id]
 
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -93,7 +93,7 @@
         log: EventLog,
         metrics: HostMetrics,
     ) -> None:
-        core = ShardCore(shard, settings.bounds, log=log.write)
+        core = ShardCore(shard, settings.bounds, log=log.write, token=owner.token)
         partition = Partition("progress", shard, keyed=True)
         self._owner = owner
         self._shard = shard
