Tell of ends that belong to no job of the shard

Cause: an end of a job that is not in the owner's books is taken note of with nothing durable and nothing written. After a whole move that is how the first hall's owner hears of runs that the other hall repeats.

No end is handled otherwise than before.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -131,6 +131,12 @@
     RUN_MOVED = 537, logging.INFO, "run stopped to continue elsewhere", "read the reason"
     UNKNOWN_RUN_STOPPED = 538, logging.WARNING, "run that nobody wants is stopped", "nothing"
     PACE_SET = 539, logging.INFO, "pace of best-effort runs changed", "nothing"
+    END_UNKNOWN = (
+        557,
+        logging.INFO,
+        "end taken note of that belongs to no job here",
+        "see OPERATIONS.md, a task ran twice, if its job goes on in another hall",
+    )
     WORK_HANDED_OVER = 550, logging.INFO, "waiting work goes to another hall", "nothing"
     MOVE_KEPT = 555, logging.INFO, "move of a whole job is durable", "nothing; 556 follows"
     MOVE_TOLD = 556, logging.INFO, "all hosts are told of a job's move", "nothing"
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -6,6 +6,7 @@
 
 from linkspan.events import Event
 from linkspan.jobs.records import JobState
+from linkspan.shard._line_limit import LineLimit
 from linkspan.shard.executor import UnackedEnd
 from linkspan.shard.messages import EndKind
 from linkspan.shard.planning._outlook import REFRESH_EVERY, note_length, refresh_outlook
@@ -18,6 +19,10 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
+MOST_UNKNOWN_PER_S = 20
+"""Lines a second on ends of jobs that are not in the books: a first report after a takeover
+may list hundreds of jobs that have ended, and who looks for one run reads all hosts' logs."""
+
 
 class Ends:
     """Acts on the ends that executors list.
@@ -28,6 +33,7 @@
 
     def __init__(self, books: ShardBooks) -> None:
         self._books = books
+        self._unknown = LineLimit(MOST_UNKNOWN_PER_S)
 
     def __repr__(self) -> str:
         return f"Ends({self._books!r})"
@@ -41,9 +47,28 @@
             # Also a run that only its end tells of: the job must not move whole any more.
             self._books.mark_begun(task.step.run.job)
             self._apply_end(executor, task, end, now)
+        else:
+            self._log_unknown(executor, end, now)
         version = run.version if run else 0
         executor.unacked.append(UnackedEnd(end.number, run, version))
 
+    def _log_unknown(self, executor: ExecutorState, end: EndedTask, now: float) -> None:
+        """Tell of an end that is taken note of with nothing durable."""
+        left_out = self._unknown.take(now)
+        if left_out is None:
+            return
+        self._books.log_run(
+            Event.END_UNKNOWN,
+            executor.executor_id,
+            end.task,
+            end.run,
+            how=end.kind.value,
+            shard=self._books.shard,
+            token=self._books.token,
+            left=end.task.job_id in self._books.left,
+            left_out=left_out,
+        )
+
     def _apply_end(self, executor: ExecutorState, task: Task, end: EndedTask, now: float) -> None:
         attempt = executor.attempts.get((end.task, end.run))
         task.next_run = max(task.next_run, end.run + 1)
