Set the starts of a task beside each other in trace

Cause: `linkspan trace` printed a job's lines in order of time; who asks why a task was started twice had to find both starts, their owners and the moves in it.

Change: behind the lines, for each task that was started more than once, a row a start: host, hall, shard, token, executor, run, the owner's reason (of the placement and of its line on taking the job in) and what lines tell of the run; then the lines on the job's moves. Claims of the owners that named the job stand among the lines. The module is a package now; what it gave stays under its name.

--- a/src/linkspan/_log_commands.py
+++ b/src/linkspan/_log_commands.py
@@ -11,13 +11,13 @@
     """What the command line tells from log files."""
 
     def trace(self, job_id: str, *logs: str) -> None:
-        """Print what hosts logged of a job, in order.
+        """Print what hosts logged of a job, in order, and which tasks were started again.
 
         Args:
             job_id: The caller's id of the job.
             logs: Paths of log files of any hosts.
         """
-        from linkspan.trace import trace
+        from linkspan.trace import summary, trace
 
         lines = [line for path in logs for line in Path(path).read_bytes().splitlines()]
         found = trace(str(job_id), lines)
@@ -25,6 +25,8 @@
             print(line)
         if not found:
             raise Refused(f"no line names job {job_id}; give the logs of all hosts")
+        for text in summary(found):
+            print(text)
 
     def report(self, *logs: str) -> None:
         """Print what the jobs' time went to, by queue, hall and span of time.
--- a/src/linkspan/trace.py
+++ b/src/linkspan/trace/_lines.py
@@ -1,4 +1,4 @@
-"""Following one job through the logs of all hosts."""
+"""Lines of hosts' logs that concern one job."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
     Attributes:
         at: When it was written, by the host's time of day.
         host: Host that wrote it.
+        hall: Hall of that host.
         event: Number of the event.
         kind: Name of the event.
         details: Everything else that it says.
@@ -26,6 +27,7 @@
 
     at: str
     host: str
+    hall: str
     event: int
     kind: str
     details: dict[str, Any]
@@ -39,7 +41,8 @@
     """Return what hosts logged of a job, in order of their times of day.
 
     Lines that name an executor of the job's runs as silent, gone or distrusted are
-    shown, too: they often are the cause.
+    shown, too: they often are the cause. So are the claims of the owners that named
+    the job, each told by its shard and token.
 
     Args:
         job_id: The caller's id of the job.
@@ -48,10 +51,13 @@
     entries = list(_entries(lines))
     own = [entry for entry in entries if entry.get("job") == job_id]
     executors = {name for entry in own for name in _executors(entry)}
+    owners = {_owner(entry) for entry in own} - {None}
     found = own + [
         entry
         for entry in entries
-        if "job" not in entry and entry.get("executor") in executors and "percent" not in entry
+        if "job" not in entry
+        and "percent" not in entry
+        and (entry.get("executor") in executors or _owner(entry) in owners)
     ]
     found.sort(key=lambda entry: str(entry.get("timestamp", "")))
     return [_line(entry) for entry in found]
@@ -70,6 +76,13 @@
             yield entry
 
 
+def _owner(entry: dict[str, Any]) -> tuple[str, str] | None:
+    """Return the shard and token that a line names, if it names both."""
+    if "shard" not in entry or "token" not in entry:
+        return None
+    return str(entry["shard"]), str(entry["token"])
+
+
 def _executors(entry: dict[str, Any]) -> Iterator[str]:
     if "executor" in entry:
         yield str(entry["executor"])
@@ -82,6 +95,7 @@
     return TraceLine(
         at=str(entry.get("timestamp", "")),
         host=str(entry.get("host", "")),
+        hall=str(entry.get("hall", "")),
         event=int(entry["event"]),
         kind=str(entry.get("kind", "")),
         details={key: value for key, value in entry.items() if key not in _HEAD},
