Count a lease as over only where no later owner can have renewed it

Cause: an owner that is cut from the store acts on for up to 10 s without proof. Its own last lease at an executor that it does not reach ends before that, and it started the work again, while a later owner, which does reach the executor, had taken the run over and renewed it. Ruled out: acting unproved for less time: what goes on through an outage of the store is work of callers. Conclusion: while the store is away from an owner, work of executors that fall silent waits for it.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -58,6 +58,8 @@
         dirty: Repetitions whose records are to be written, by job and number.
         dropped: Keys of the records to remove.
         look_at: Executors to be asked at once.
+        sole_until: Steady time until which no later owner can have claimed the shard. A lease
+            that ends by then is over; one that ends after it a later owner may have renewed.
         ready: Steps with tasks that may wait for a start, as an ordered set.
     """
 
@@ -84,6 +86,7 @@
         self.dirty: dict[tuple[str, int], JobRun] = {}
         self.dropped: list[bytes] = []
         self.look_at: set[str] = set()
+        self.sole_until = float("inf")
         self.ready: dict[StepRun, None] = {}
 
     def __repr__(self) -> str:
--- a/src/linkspan/shard/ownership/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -8,7 +8,7 @@
 
 from linkspan.errors import LinkspanError
 from linkspan.events import Event
-from linkspan.shard.ownership.ownership import OFFLINE_S
+from linkspan.shard.ownership.ownership import OFFLINE_S, SILENCE_S
 
 if TYPE_CHECKING:
     from linkspan.events import EventLog
@@ -48,6 +48,11 @@
         """Steady time of the claim."""
         return self._claimed_at
 
+    @property
+    def sole_until(self) -> float:
+        """Steady time until which no other host can have claimed the shard since the last proof."""
+        return self._proved_at + SILENCE_S
+
     def proved(self, at: float) -> None:
         """Take in that the store had no other owner at a steady time."""
         self._proved_at = max(self._proved_at, at)
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -53,7 +53,7 @@
         if not job.inherited:
             return True
         unanswered = map(self._books.executors.__getitem__, self._books.adopting_ids)
-        return all(now >= self._lapsed_by(executor) for executor in unanswered)
+        return all(self._lapsed(executor, now) for executor in unanswered)
 
     def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
         """Take in the executors of the hall that are registered at present."""
@@ -109,7 +109,7 @@
                 runs=len(executor.attempts),
                 cause=cause,
             )
-        if now >= self._lapsed_by(executor) and self._held(executor):
+        if self._lapsed(executor, now) and self._held(executor):
             self._on_lapsed(executor, now)
 
     def _add_executor(self, record: ExecutorRecord) -> ExecutorState:
@@ -123,9 +123,10 @@
         waited_for = executor.executor_id in self._books.adopting_ids
         return waited_for or bool(executor.attempts) or not executor.listed
 
-    def _lapsed_by(self, executor: ExecutorState) -> float:
-        """Return the steady time from which leases there have ended, whoever granted them."""
-        return executor.clock.lapsed_by() if executor.clock else self._inherited_until
+    def _lapsed(self, executor: ExecutorState, now: float) -> bool:
+        """Whether all leases there have ended, whoever granted them."""
+        ended_at = executor.clock.lapsed_by() if executor.clock else self._inherited_until
+        return ended_at <= min(now, self._books.sole_until)
 
     def _on_lapsed(self, executor: ExecutorState, now: float) -> None:
         if executor.attempts:
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -109,6 +109,7 @@
         self._proof = OwnershipProof(
             shard, claim.sent_at, freeze_s=settings.bounds.freeze_s, log=log
         )
+        core.sole_until = self._proof.sole_until
         context = TenureContext(
             shard=shard,
             token=owner.token,
@@ -150,6 +151,7 @@
     def proved(self, at: float) -> None:
         """Take in that the store had no other owner at a steady time."""
         self._proof.proved(at)
+        self._core.sole_until = self._proof.sole_until
 
     def may_act(self, now: float) -> bool:
         """Whether orders may go out.
