Trust a renewal alone for no more than its own records can show

Cause: a renewal that is done late, read first by a host that starts, named its tenure as the present one with a long rule; a claim behind it by a later life of the same host counted as no change of owner, so an owner between the two, cut from the store, was left out. Ruled out: reading further back: a history of ownership is what starts were slow by. Change: a tenure known by renewals only may have been followed by others before the next claim; and its rule counts only if no more records stand behind its claim than it wrote itself.

--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -152,6 +152,7 @@
         self._home = home
         self._owner: Owner | None = None
         self._newest = 0
+        self._claim_read = False
         self._released = False
         self._heard_at: float | None = None
         self._others_until = float("-inf")
@@ -190,15 +191,16 @@
             self._follow_on(record, now)
             self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
             self._newest = self._owner.token
+            self._claim_read = True
             self._released = False
             self._heard_at = now
         elif record.act is OwnerAct.RENEW and record.token > self._newest:
             # The claim itself is past the log's retention, or past what was read of it. A
             # renewal that is done late, of a tenure that ended, tells of no owner.
             self._newest = record.token
-            ruled_s = (record.number - 1) * RENEW_S
-            self._others_until = now + OFFLINE_S - ruled_s
+            self._others_until = now + OFFLINE_S - _ruled_s(record, entry.offset)
             self._owner = Owner(record.host, record.incarnation, record.token)
+            self._claim_read = False
             self._released = False
             self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
@@ -212,7 +214,8 @@
         """Note for how long the owner before a claim, or one that was not read of, may act."""
         if self._released:
             return
-        if self._owner is None:
+        if self._owner is None or not self._claim_read:
+            # A renewal may be done late: others may have ruled since, in records not read.
             self._others_until = now + OFFLINE_S
         elif self._owner.host != claim.host:
             self._others_until = max(self._others_until, now - self.silent_for(now) + OFFLINE_S)
@@ -283,3 +286,12 @@
             return silent >= 0.0
         # An earlier life of this host has ended: nobody else can know that as soon.
         return self._owner.host == self._host or silent >= SILENCE_S
+
+
+def _ruled_s(renewal: OwnerRecord, offset: int) -> float:
+    """Return for how long a renewal's tenure has surely been the last one, in seconds.
+
+    More records since its claim than it has written itself are of others, maybe of a claim.
+    """
+    since_claim = offset + 1 - renewal.token
+    return (renewal.number - 1) * RENEW_S if since_claim <= renewal.number else 0.0
