Send no order that was given up, or whose owner may not act, since it was planned

Cause: an order goes out a turn of the loop after its plan. A process that stands still for long goes on with the plan, then takes the executor for lapsed, and still sent the start, whose task was planned elsewhere as well; or it sent it though its ownership was in doubt by then, with a lease reckoned anew. Ruled out: sending within the plan: calls are awaited. Change: before an order is sent its owner may act, and a start's attempt still waits to be sent.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.shard.attempt import Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
 from linkspan.shard.planning.planner import Planner
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
     from linkspan.shard.core import Order
+    from linkspan.shard.executor import ExecutorState
     from linkspan.shard.reports._watch import ExecutorWatch
 
 PLAN_DELAY_S = 0.004
@@ -92,11 +94,25 @@
             if executor:
                 self._scope.spawn(self._watch.look_once(executor))
 
+    def _may_send(self, order: Order, executor: ExecutorState) -> bool:
+        """Whether an order still holds: this process may have stood still since it was planned.
+
+        Its ownership may be in doubt by now, or a start's run given up and planned elsewhere.
+        """
+        if not self._proof.may_act(time.monotonic()):
+            return False
+        if not isinstance(order, StartOrder):
+            return True
+        attempt = executor.attempts.get((order.task, order.run))
+        return attempt is not None and attempt.phase is Phase.STARTING
+
     async def _send(self, order: Order) -> None:
         executor = self._core.executors.get(order.executor_id)
-        if executor is None or executor.clock is None:
+        if executor is None or executor.clock is None or not self._may_send(order, executor):
             if isinstance(order, StartOrder):
                 self._core.on_start_unsent(order, time.monotonic())
+            elif isinstance(order, PaceOrder):
+                self._core.on_pace_unknown(order)
             return
         address = executor.record.address
         try:
