Wait for all leases where the roster of executors cannot be read

Cause: a roster that does not decode, as one of a later version, counted as naming no executor: nothing was waited for after a takeover, and runs on record there counted as over. Ruled out: giving up the claim: the next owner would read the same. Change: the registered executors are taken for the roster, which is written anew before any start there, and inherited work waits until all leases have ended besides.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -85,14 +85,15 @@
 
     # Taking over
 
-    def inherit(self, roster: Iterable[ExecutorRecord], until: float) -> None:
+    def inherit(self, roster: Iterable[ExecutorRecord], until: float, *, read: bool = True) -> None:
         """Take over executors on which a former owner may have started work.
 
         Args:
-            roster: Those executors.
+            roster: Those executors, or those registered where the roster is not readable.
             until: Steady time by which all leases granted there have ended.
+            read: Whether the roster was read. If not, it may name others, too.
         """
-        self._presence.inherit(roster, until)
+        self._presence.inherit(roster, until, read=read)
 
     @property
     def adopting(self) -> bool:
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -21,7 +21,6 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.handover._handovers import Handovers
     from linkspan.shard.intake._feed import JobFeed
-    from linkspan.shard.messages import ExecutorRecord
     from linkspan.shard.reports._watch import ExecutorWatch
 
 T = TypeVar("T")
@@ -94,8 +93,7 @@
         lapse = inherited_lapse(
             self._proof.claimed_at, self._former_offline_s, self._settings.bounds.max_lease_s
         )
-        core.inherit(self._read_roster(records.pop(ROSTER_KEY, b"")), lapse)
-        self._changes.roster = frozenset(core.executors)
+        self._inherit(records.pop(ROSTER_KEY, b""), lapse)
         self._add_jobs(records, now)
         core.list_executors(self._registry.executors(self._hall), now)
         self._done = True
@@ -138,14 +136,15 @@
             except (StoreRefused, StoreUnanswered):
                 await asyncio.sleep(RETRY_S)
 
-    def _read_roster(self, value: bytes) -> tuple[ExecutorRecord, ...]:
-        if not value:
-            return ()
+    def _inherit(self, roster: bytes, lapse: float) -> None:
+        """Take over the executors of a roster, or the registered ones if it is not readable."""
+        core = self._core
         try:
-            return decode_roster(value)
+            core.inherit(decode_roster(roster) if roster else (), lapse)
+            self._changes.roster = frozenset(core.executors)
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
-            return ()
+            core.inherit(self._registry.executors(self._hall), lapse, read=False)
 
     def _add_jobs(self, records: dict[bytes, bytes], now: float) -> None:
         progress: dict[str, dict[int, bytes]] = {}
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -31,16 +31,24 @@
         self._books = books
         self._gone: set[str] = set()
         self._inherited_until = float("-inf")
+        self._roster_read = True
 
     def __repr__(self) -> str:
         return f"Presence({self._books!r})"
 
-    def inherit(self, roster: Iterable[ExecutorRecord], until: float) -> None:
-        """Take over executors on which a former owner may have started work."""
+    def inherit(self, roster: Iterable[ExecutorRecord], until: float, *, read: bool = True) -> None:
+        """Take over executors on which a former owner may have started work.
+
+        Args:
+            roster: Those executors, or those registered where the roster is not readable.
+            until: Steady time by which all leases granted there have ended.
+            read: Whether the roster was read. If not, it may name others, too.
+        """
         self._inherited_until = until
+        self._roster_read = read
         for record in roster:
             executor = self._add_executor(record)
-            executor.rostered = True
+            executor.rostered = read
             executor.listed = False
             self._books.adopting_ids.add(record.executor_id)
 
@@ -52,6 +60,8 @@
         """
         if not job.inherited:
             return True
+        if not (self._roster_read or self._over(self._inherited_until, now)):
+            return False
         unanswered = map(self._books.executors.__getitem__, self._books.adopting_ids)
         return all(self._lapsed(executor, now) for executor in unanswered)
 
@@ -125,7 +135,11 @@
 
     def _lapsed(self, executor: ExecutorState, now: float) -> bool:
         """Whether all leases there have ended, whoever granted them."""
-        ended_at = executor.clock.lapsed_by() if executor.clock else self._inherited_until
+        clock = executor.clock
+        return self._over(clock.lapsed_by() if clock else self._inherited_until, now)
+
+    def _over(self, ended_at: float, now: float) -> bool:
+        """Whether a lease is over that ends at a steady time, and that no later owner renewed."""
         return ended_at <= min(now, self._books.sole_until)
 
     def _on_lapsed(self, executor: ExecutorState, now: float) -> None:
