--- /dev/null
+++ b/tests/host/test_unread_jobs.py
@@ -0,0 +1,66 @@
+"""What is on record of a job stays on record while the job itself cannot be read.
+
+What was suspected: a task was started again though a run of it had ended well.
+
+How it comes about: the record of a job does not decode, or does not pass the check of jobs, at a
+host of another version, and that host takes the hall over. It takes the job for void and removes
+what was recorded of its progress. The next owner reads the job, finds no progress, and begins it
+anew.
+
+What proves it: the play; a job that is read by all owners goes on where it was.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from linkspan.errors import InvalidInput
+from linkspan.jobs import job_book
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.virtual_time import HOST, run_virtual
+
+BEGUN_S = 3.0
+"""Time after a submission by which its first step is done, and by which that is on record."""
+
+LONG_S = 100.0
+"""Length of the second step's work."""
+
+
+@pytest.mark.parametrize("reads", [False, True])
+def test_a_job_that_one_owner_could_not_read_does_not_begin_anew(
+    monkeypatch: pytest.MonkeyPatch, reads: bool
+) -> None:
+    check = job_book.check_job
+    unread: set[str] = set()
+
+    def check_here(spec: object) -> None:
+        if HOST.get().split(" ")[0] in unread:
+            raise InvalidInput("steps", "a later form", "pass it over")
+        check(spec)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(job_book, "check_job", check_here)
+
+    async def play() -> HallWorld:
+        world = HallWorld(lists_machines=False)
+        await world.begin()
+        first = str(world.owner())
+        second = next(name for name in world.hosts if name != first)
+        if not reads:
+            world.kill_host(second)
+            unread.add(second)
+            world.start_host(second)
+            await asyncio.sleep(2.0)
+        spec = world.new_job(step(2, estimate_s=0.5), step(1, estimate_s=LONG_S, depends_on=(0,)))
+        assert await world.submit(first, spec) == 200
+        await asyncio.sleep(BEGUN_S)
+        world.kill_host(first)
+        await asyncio.sleep(6.0)
+        world.kill_host(second)
+        world.start_host(first)
+        await asyncio.sleep(10.0)
+        return world
+
+    assert run_virtual(play()).problems == []
