Take no executor for gone by another entry at its address

Cause: an entry at an executor's address was taken for that of its successor. It may be that of its predecessor: entries outlast an executor by three heartbeats, and that of the living one goes at times while the store is down. A new owner then let go of all that ran there at once. Ruled out: telling old from new by the entries: nothing in them orders lives. Change: the rule is taken out; the first call to the address tells, since another life answers that it is another, and so do two lists of machines.

--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -68,7 +68,6 @@
     def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
         """Take in the executors of the hall that are registered at present."""
         listed = {r.executor_id: r for r in records if r.executor_id not in self._gone}
-        addresses = {record.address: record.executor_id for record in listed.values()}
         for executor_id, record in listed.items():
             known = self._books.executors.get(executor_id)
             if known is None:
@@ -88,9 +87,6 @@
             if known.missing_since == NEVER_LEAVES:
                 known.missing_since = now if known.listed else now + INHERITED_GRACE_S
             known.listed = False
-            # One address serves one incarnation: its successor proves it gone.
-            if addresses.get(known.record.address, executor_id) != executor_id:
-                self.on_gone(executor_id, now, "successor at its address")
 
     def on_gone(self, executor_id: str, now: float, proof: str) -> None:
         """Take in that an incarnation is gone, with all that ran on it."""
