Reckon with owners in records of ownership that were not read

Cause: where the store had dropped records that a host had not read, the host went on behind them with the owner that it knew. If that was an earlier life of its own it claimed at once and took no other owner for alive. Ruled out: reading from the oldest record kept: a claim may be among those that went. Change: the follower tells that records went; the host then waits for a silence first, and reckons with an owner that may act for the longest time.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -104,6 +104,7 @@
             self._partition,
             on_entries=self._on_entries,
             on_health=self._on_health,
+            on_missed=lambda: self._view.miss(time.monotonic()),
             pause_s=0.0 if home else REMOTE_WATCH_S,
             most_past=PAST_RECORDS,
         )
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -153,6 +153,7 @@
         self._owner: Owner | None = None
         self._newest = 0
         self._claim_read = False
+        self._missed = False
         self._released = False
         self._heard_at: float | None = None
         self._others_until = float("-inf")
@@ -192,6 +193,7 @@
             self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
             self._newest = self._owner.token
             self._claim_read = True
+            self._missed = False
             self._released = False
             self._heard_at = now
         elif record.act is OwnerAct.RENEW and record.token > self._newest:
@@ -201,6 +203,7 @@
             self._others_until = now + OFFLINE_S - _ruled_s(record, entry.offset)
             self._owner = Owner(record.host, record.incarnation, record.token)
             self._claim_read = False
+            self._missed = False
             self._released = False
             self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
@@ -243,6 +246,13 @@
         if self.mine:
             self._owner = None
 
+    def miss(self, now: float) -> None:
+        """Take in that records went that were not read, a claim of any host maybe among them."""
+        self._missed = True
+        self._claim_read = False
+        self._heard_at = now
+        self._others_until = now + OFFLINE_S
+
     def store_back(self, now: float) -> None:
         """Take in that the store answers this host again.
 
@@ -282,6 +292,8 @@
         if not self._home:
             # Who released it gives no orders any more, unlike an owner that is cut off.
             return silent >= (RELEASED_S if self._released else REMOTE_SILENCE_S)
+        if self._missed:
+            return silent >= SILENCE_S
         if self._owner is None:
             return silent >= 0.0
         # An earlier life of this host has ended: nobody else can know that as soon.
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -41,6 +41,7 @@
         pause_s: Least time between two reads, to save calls.
         on_health: Called with whether the store answers, at each change.
         on_caught_up: Called after each read behind which nothing was written yet.
+        on_missed: Called when records went that were not read; for partitions without keys.
         most_past: Most records of the past to begin with, ``None`` to begin with the
             first that the store holds.
     """
@@ -53,6 +54,7 @@
         on_entries: Callable[[tuple[Entry, ...]], None],
         on_reset: Callable[[tuple[Entry, ...], int], None] | None = None,
         on_caught_up: Callable[[], None] = lambda: None,
+        on_missed: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
         on_health: Callable[[bool], None] = lambda _healthy: None,
         most_past: int | None = None,
@@ -63,6 +65,7 @@
         self._on_reset = on_reset
         self._on_health = on_health
         self._on_caught_up = on_caught_up
+        self._on_missed = on_missed
         self._most_past = most_past
         self._offset = -1
         self._end = 0
@@ -211,8 +214,9 @@
     def _on_gap(self, gap: LogGap) -> None:
         if self._on_reset:
             self._unlisted = True
-        else:
-            self._offset = max(self._offset, gap.first)
+        elif gap.first > self._offset:
+            self._offset = gap.first
+            self._on_missed()
 
     def _take(self, page: Page, asked: float) -> None:
         fresh = tuple(entry for entry in page.entries if entry.offset >= self._offset)
