Keep the progress of jobs that cannot be read

Cause: an owner that cannot read a job, as one that a later version wrote, took it for void and removed what was on record of its progress. The next owner that reads the job began it anew. Ruled out: refusing the shard: all other work there would wait. Change: only progress of jobs that are known to live elsewhere is removed. Conclusion: acts while versions are mixed. What a job that was pruned may have left stays on record.

--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -167,7 +167,9 @@
                 self._feed.add_job(job_id, entry, now, inherited=True, progress=runs)
                 self._tell_again(job_id, entry)
         for job_id, runs in progress.items():
-            self._core.drop_progress(job_id, runs)
+            # Of a job that is not known here another version may know: it stays on record.
+            if self._book.catalog.get(job_id):
+                self._core.drop_progress(job_id, runs)
 
     def _is_moved(self, job_id: str, entry: JobEntry, runs: dict[int, bytes]) -> bool:
         """Finish a move that a former owner began."""
