--- a/soak/executors.py
+++ b/soak/executors.py
@@ -108,10 +108,13 @@
         self._front.addresses[int(where["port"])] = where["address"]
         self._world.add_executor(where["hall"], where["address"])
 
-    def crash(self, where: dict[str, Any]) -> None:
-        """End an executor at once; another may begin at its address."""
-        if self._world.executors[where["address"]].alive:
-            self._world.crash_executor(where["address"], back=where["back"])
+    def crash(self, where: dict[str, Any]) -> list[str]:
+        """End an executor at once and return what ran there; another may begin there."""
+        executor = self._world.executors[where["address"]]
+        if not executor.alive:
+            return []
+        self._world.crash_executor(where["address"], back=where["back"])
+        return list(map(task_to_wire, executor.running))
 
     def drain(self, where: dict[str, str]) -> None:
         """Register an executor as about to leave."""
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
+from contextlib import suppress
+from pathlib import Path
 
 from tests.job_builders import QUEUE
 
@@ -116,6 +119,20 @@
     return f" (done {done} of {len(job.tasks)}, running {running}, told {job.told})"
 
 
+def crashes(folder: Path) -> list[str]:
+    """Return errors that hosts logged in a folder and did not expect."""
+    lines = []
+    for path in sorted(folder.glob("host-*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            with suppress(ValueError):
+                if json.loads(line).get("name") == "crashed":
+                    lines.append(f"CRASHED {path.stem}: {line[:300]}")
+                    continue
+            if line.startswith("Traceback"):
+                lines.append(f"CRASHED {path.stem}: traceback in its output")
+    return lines
+
+
 def judge(callers: Callers, observed: Observed, calm_from: float) -> list[str]:
     """Return promises broken by what executors and callers saw in the whole run."""
     broken = list(observed.broken) + callers.broken
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -13,7 +11,7 @@
 from soak.callers import Callers, Told
 from soak.deployment import Plan
 from soak.faults import SERIES, run_series
-from soak.judge import await_configuration, judge, settle
+from soak.judge import await_configuration, crashes, judge, settle
 from soak.keepers import Keeper, Tally
 from soak.world import World
 
@@ -87,21 +85,15 @@
         """Play it to its end and return what it gave."""
         self._folder.mkdir(parents=True, exist_ok=True)
         async with World(self._plan, self._folder) as world:
-            await self._await_start(world)
+            await world.await_ready(START_LIMIT_S)
             random = Random(f"{self._plan.seed} callers")
             callers = Callers(random, world.callers_at, world.executors, world.session)
             await self._disturb(world, callers)
             await self._calm_down(world, callers)
-        self._outcome.broken += self._crashes()
+        self._outcome.broken += crashes(self._folder)
         self._outcome.seconds = time.monotonic() - self._began
         return self._outcome
 
-    async def _await_start(self, world: World) -> None:
-        async with asyncio.timeout(START_LIMIT_S):
-            for host in world.hosts.values():
-                while not await world.ready(host):
-                    await asyncio.sleep(0.1)
-
     async def _disturb(self, world: World, callers: Callers) -> None:
         until = time.monotonic() + self._plan.seconds
         hosts = list(world.hosts.values())
@@ -158,19 +150,6 @@
         if not (outcome.accepted and outcome.starts and outcome.questions):
             outcome.broken.append("EMPTY nothing was served in the whole run")
 
-    def _crashes(self) -> list[str]:
-        """Return errors that hosts logged and did not expect."""
-        lines = []
-        for path in sorted(self._folder.glob("host-*.log")):
-            for line in path.read_text(errors="replace").splitlines():
-                with suppress(ValueError):
-                    if json.loads(line).get("name") == "crashed":
-                        lines.append(f"CRASHED {path.stem}: {line[:300]}")
-                        continue
-                if line.startswith("Traceback"):
-                    lines.append(f"CRASHED {path.stem}: traceback in its output")
-        return lines
-
     def _note(self, text: str) -> None:
         with (self._folder / "faults.log").open("a") as log:
             log.write(f"{time.monotonic() - self._began:7.2f} {time.monotonic():.2f} {text}\n")
--- a/soak/world.py
+++ b/soak/world.py
@@ -157,6 +157,17 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    async def await_ready(self, limit_s: float) -> None:
+        """Wait until all hosts are ready.
+
+        Raises:
+            TimeoutError: One is not, after so many seconds.
+        """
+        async with asyncio.timeout(limit_s):
+            for host in self.hosts.values():
+                while not await self.ready(host):
+                    await asyncio.sleep(0.1)
+
     async def settle_links(self) -> None:
         """End all faults of links, stand-ins and hosts."""
         links = (self.callers, self.store_links, self.executor_links)
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -25,9 +25,7 @@
     tally = Tally(0, 0, [])
     async with World(plan, tmp_path) as world:
         hosts = list(world.hosts.values())
-        async with asyncio.timeout(START_LIMIT_S):
-            while not all([await world.ready(host) for host in hosts]):
-                await asyncio.sleep(0.1)
+        await world.await_ready(START_LIMIT_S)
         callers = Callers(Random(7), world.callers_at, world.executors, world.session)
         await callers.submit(callers.draw_job(calm=True), Random(7))
         await world.store.tell("server", {"delay_s": SLOW_S})
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -1,4 +1,4 @@
-"""Starts the stand-ins and daemons as processes, for the demo and process tests."""
+"""Starts the stand-ins and daemons as processes, for the process tests."""
 
 from __future__ import annotations
 
