Play a run that its owner leaves out of an executor's reports

Cause: shard/reports/_presence.py, may_start, lets inherited jobs go by the clock. An executor whose reports are cut (the job's record can't be read) is not adopted, but its lease is renewed (reports/_watch.py, _look), so the run there outlives that time.

Ruled out: shorter times.

A look and the read of the records run beside each other, so it takes a slow host.

The bound in the code for outages of the store is 9 s: only a longer one of that topic can do it.

--- /dev/null
+++ b/tests/host/test_partial_reports.py
@@ -0,0 +1,141 @@
+"""A run that was left out of an executor's reports is waited for, however long.
+
+What was seen: a task ran on two executors at once. Its owner had looked at the first executor
+and renewed the leases there for longer than any lease of a former owner lasts.
+
+How it came about: a former owner, not yet aware of its successor, started a job on an executor
+that the successor reached a moment later. The successor could not read the job's record, and
+so left the run out of the executor's reports: none of them counted as a first answer. Work
+that may have been started before was held back until a time by which leases of former owners
+have ended; but this owner itself had gone on renewing the lease of that run. Then the record
+was read, and the job was started.
+
+What proved it: the play; a record that is read before that time breaks nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import pytest
+
+from linkspan.errors import StoreRefused
+from linkspan.jobs.job_book import JOBS
+from linkspan.store.types import Appended, KeyPage, Page, Partition, Producer, Record, Store
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.virtual_time import run_virtual
+from tests.wide_world import WideWorld
+
+LOOK_S = 0.005
+"""Time between looks at what has happened."""
+
+WAIT_S = 5.0
+"""Longest time until a successor has claimed the shard, or a task runs."""
+
+SETTLED_S = 5.0
+"""Time after which a record that could be read again was read, and what follows was done."""
+
+CALL_S = 0.2
+"""Time by which a call of a slow host takes longer, on its way and on the way back."""
+
+ASKED_S = 0.05
+"""Time between two questions of callers."""
+
+LONG_S = 100.0
+"""Length of the work."""
+
+
+class PartLink(StoreLink):
+    """A host's way to a store of which parts are away."""
+
+    def __init__(self, store: MemoryStore, host: str, away: set[tuple[str, str]]) -> None:
+        super().__init__(store, host)
+        self._away = away
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[Record],
+        *,
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> Appended:
+        await self._find(partition)
+        return await super().append(partition, records, at=at, producer=producer)
+
+    async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
+        await self._find(partition)
+        page = await super().read(partition, start, wait_s=wait_s)
+        await self._find(partition)
+        return page
+
+    async def end(self, partition: Partition) -> int:
+        await self._find(partition)
+        return await super().end(partition)
+
+    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
+        await self._find(partition)
+        return await super().newest_page(partition, after=after)
+
+    async def _find(self, partition: Partition) -> None:
+        if (self._host, partition.topic) in self._away:
+            raise StoreRefused(503)
+
+
+@dataclass
+class PartWorld(WideWorld):
+    """A deployment whose store is away in part.
+
+    Attributes:
+        away: Pairs of host and topic.
+    """
+
+    away: set[tuple[str, str]] = field(default_factory=set)
+
+    def store_link(self, host: str) -> Store:
+        return PartLink(self.store, host, self.away)
+
+
+@pytest.mark.parametrize("unread_s", [5.0, 12.0, 21.0])
+def test_a_run_of_an_unread_job_is_waited_for(unread_s: float) -> None:
+    async def play() -> HallWorld:
+        world = PartWorld(lists_machines=False)
+        await world.begin()
+        first = world.owner()
+        assert first
+        second = next(name for name, _ in world.host_names() if name != first)
+        busy, *others = sorted(world.executors)
+        # One side of a cut has the first owner and an executor, the other one all else.
+        world.cuts = {(second, busy)} | {(first, address) for address in others}
+        world.call_s = {second: CALL_S}
+        world.away.add((first, "owners"))
+        await _until(lambda: _heard(world, second) == len(others))
+        world.away.add((second, JOBS.topic))
+        assert await world.submit(first, world.new_job(step(1, estimate_s=LONG_S))) == 200
+        await _until(lambda: bool(world.executors[busy].running))
+        world.cuts.discard((second, busy))
+        await asyncio.sleep(unread_s)
+        world.away.discard((second, JOBS.topic))
+        # Callers ask for jobs, for which a host reads the records, too.
+        for _ in range(round(SETTLED_S / ASKED_S)):
+            await asyncio.gather(asyncio.sleep(ASKED_S), world.ask(second, "f" * 16))
+        assert sum(map(len, world.starts.values())) >= 1
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def _heard(world: HallWorld, host: str) -> int:
+    """Return how many executors an owner has heard of in full."""
+    tenure = world.hosts[host].host.candidates[0].tenure
+    return sum(e.adopted for e in tenure.core.executors.values()) if tenure else 0
+
+
+async def _until(happens: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not happens():
+            await asyncio.sleep(LOOK_S)
--- /dev/null
+++ b/tests/wide_world.py
@@ -0,0 +1,150 @@
+"""A world of hosts of two classes, one-way cuts, gangs, copies and work that fills."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from linkspan.errors import Unreachable
+from linkspan.shard.messages import EndKind
+from tests.hall_world import HallWorld
+from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
+
+if TYPE_CHECKING:
+    from linkspan.jobs.spec import Demand
+    from linkspan.shard._context import Executors
+    from linkspan.shard.messages import (
+        EndedTask,
+        ExecutorReport,
+        StartAnswer,
+        StartOrder,
+        StopOrder,
+        TaskName,
+    )
+
+LOST_S = 1.0
+"""Time after which a call whose answer does not come counts as unanswered."""
+
+
+@dataclass
+class WideExecutor(MemoryExecutor):
+    """One incarnation whose room is not taken by what fills.
+
+    Attributes:
+        lapsed_at: Time until which the last lease lasted that a later order found lapsed.
+    """
+
+    lapsed_at: float = float("-inf")
+
+    def free(self) -> Demand:
+        free = super().free()
+        for run in self.running.values():
+            step = self.world.step_of(run.task)
+            if step.best_effort:
+                free = type(free)(free.milli_cpu + step.demand.milli_cpu, free.memory_mb)
+        return free
+
+    def fence(self, token: int) -> None:
+        super().fence(token)
+        if self.clock >= self.until:
+            self.lapsed_at = self.until / self.slow_clock
+
+
+@dataclass
+class WideWorld(HallWorld):
+    """A deployment with pairs that hear each other in one direction only.
+
+    Attributes:
+        deaf: Pairs of host and executor whose calls are carried out and not answered.
+        call_s: Time that each call of a host to an executor takes longer, by host.
+        excused: Runs after an end whose executor's lease lapsed before it was noted.
+    """
+
+    deaf: set[tuple[str, str]] = field(default_factory=set)
+    call_s: dict[str, float] = field(default_factory=dict)
+    excused: list[str] = field(default_factory=list)
+
+    def link(self, host: str, token: int) -> Executors:
+        return WideLink(self, host, token)
+
+    def add_executor(self, hall: str, address: str) -> MemoryExecutor:
+        made = super().add_executor(hall, address)
+        executor = WideExecutor(self, made.record, slow_clock=made.slow_clock)
+        self.executors[address] = executor
+        return executor
+
+    def running_time(self, task: TaskName) -> float:
+        step = self.step_of(task)
+        if step.gang:
+            # Members work together and end together.
+            return step.estimate_s * Random(f"{task.job_id} {task.step}").uniform(0.8, 1.2)
+        if step.speculative and self.random.random() < 0.2:
+            # So slow that a copy is worth its while.
+            return step.estimate_s * 6
+        return super().running_time(task)
+
+    def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
+        before = len(self.broken)
+        super().judge_start(executor, order)
+        if self.step_of(order.task).speculative:
+            new = [line for line in self.broken[before:] if " TWICE " not in line]
+            self.broken[before:] = new
+
+    def judge_acknowledged(self, executor: MemoryExecutor, end: EndedTask) -> None:
+        if end.kind is EndKind.DONE:
+            assert isinstance(executor, WideExecutor)
+            ended = self.done_runs_at[executor.record.executor_id, end.task, end.run]
+            if executor.lapsed_at >= ended:
+                if any(start > ended for start in self.starts[end.task]):
+                    self.excused.append(f"{ended:.2f} {end.task} began again after a lapse")
+                return
+            if self.step_of(end.task).speculative:
+                return
+        super().judge_acknowledged(executor, end)
+
+
+class WideLink(ExecutorLink):
+    """One tenure's way to all executors, slow from some hosts and deaf to some executors."""
+
+    def __init__(self, world: WideWorld, host: str, token: int) -> None:
+        super().__init__(world, host, token)
+        self._wide = world
+
+    async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
+        await self._slow()
+        answer = await super().start(address, order, until_s=until_s)
+        await self._hear(address)
+        return answer
+
+    async def stop(self, address: str, order: StopOrder) -> bool:
+        await self._slow()
+        answer = await super().stop(address, order)
+        await self._hear(address)
+        return answer
+
+    async def renew(
+        self,
+        address: str,
+        executor_id: str,
+        *,
+        acknowledged: int,
+        until_s: float | None,
+        wait_s: float,
+    ) -> ExecutorReport:
+        await self._slow()
+        report = await super().renew(
+            address, executor_id, acknowledged=acknowledged, until_s=until_s, wait_s=wait_s
+        )
+        await self._hear(address)
+        return report
+
+    async def _slow(self) -> None:
+        await asyncio.sleep(self._wide.call_s.get(self._host, 0.0))
+
+    async def _hear(self, address: str) -> None:
+        if (self._host, address) in self._wide.deaf:
+            await asyncio.sleep(LOST_S)
+            raise Unreachable("no answer")
+        await asyncio.sleep(self._wide.call_s.get(self._host, 0.0))
