--- /dev/null
+++ b/tests/host/test_wide_days.py
@@ -0,0 +1,79 @@
+"""Days of a wide site: steps of 10 and 20 tasks, lent work, silent executors, lost hosts."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
+from tests.host.wide_day import WideDay
+from tests.job_builders import step
+from tests.virtual_time import run_virtual
+from tests.wide_world import WideExecutor, WideWorld
+
+LIMIT_S = 400.0
+"""Longest time of a day, in virtual seconds."""
+
+BEGUN_S = 1.0
+"""Time after a submission by which its tasks run."""
+
+UNNOTED_S = 0.3
+"""Time after a submission by which its task runs and has not ended."""
+
+
+@pytest.mark.parametrize("seed", [5001, 5002])
+def test_a_wide_day_breaks_no_promise(seed: int) -> None:
+    day = WideDay(seed)
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
+    # Without any lent or moved work, or any new owner, a day shows nothing.
+    names = [event for _, event, _ in day.wide.log.lines]
+    assert "WORK_HANDED_OVER" in names
+    assert names.count("OWNER_CLAIMED") > len(day.wide.halls)
+
+
+def test_a_task_that_lasts_and_runs_in_two_halls_is_found() -> None:
+    """Whoever looks after a lent task: it runs once."""
+
+    async def play() -> WideWorld:
+        world = WideWorld(halls=("east", "west"))
+        await world.begin()
+        spec = world.new_job(step(1, standing=True))
+        owner = world.owner(0)
+        assert owner
+        assert await world.submit(owner, spec) == 200
+        await asyncio.sleep(BEGUN_S)
+        order = StartOrder("", TaskName(spec.job_id, 0, 0, 0), 1, spec.payload, "")
+        others = [e for e in world.executors.values() if not e.running]
+        world.judge_start(others[-1], order)
+        return world
+
+    (line,) = run_virtual(play()).problems
+    assert " TWICE " in line
+
+
+def test_an_end_whose_lease_lapsed_before_it_was_noted_is_excused() -> None:
+    async def play() -> WideWorld:
+        world = WideWorld(halls=("east",))
+        await world.begin()
+        owner = world.owner()
+        assert owner
+        spec = world.new_job(step(1))
+        assert await world.submit(owner, spec) == 200
+        await asyncio.sleep(UNNOTED_S)
+        (executor,) = (e for e in world.executors.values() if e.running)
+        assert isinstance(executor, WideExecutor)
+        (run,) = executor.running.values()
+        done = EndedTask(1, run.task, run.run, EndKind.DONE, "")
+        world.judge_end(executor, run.task, run.run, EndKind.DONE)
+        world.starts[run.task].append(executor.now + 1.0)
+        executor.lapsed_at = executor.now + 2.0
+        world.judge_acknowledged(executor, done)
+        assert len(world.excused) == 1
+        assert world.broken == []
+        executor.lapsed_at = executor.now - 2.0
+        world.judge_acknowledged(executor, done)
+        return world
+
+    (line,) = run_virtual(play()).broken
+    assert "began again after its end" in line
