--- a/tests/host/test_partial_reports.py
+++ b/tests/host/test_partial_reports.py
@@ -16,19 +16,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import pytest
 
-from linkspan.errors import StoreRefused
 from linkspan.jobs.job_book import JOBS
-from linkspan.store.types import Appended, KeyPage, Page, Partition, Producer, Record, Store
 from tests.hall_world import HallWorld
 from tests.job_builders import step
-from tests.standins.memory_store import MemoryStore, StoreLink
+from tests.part_world import PartWorld
 from tests.virtual_time import run_virtual
-from tests.wide_world import WideWorld
 
 LOOK_S = 0.005
 """Time between looks at what has happened."""
@@ -49,57 +45,6 @@
 """Length of the work."""
 
 
-class PartLink(StoreLink):
-    """A host's way to a store of which parts are away."""
-
-    def __init__(self, store: MemoryStore, host: str, away: set[tuple[str, str]]) -> None:
-        super().__init__(store, host)
-        self._away = away
-
-    async def append(
-        self,
-        partition: Partition,
-        records: Sequence[Record],
-        *,
-        at: int | None = None,
-        producer: Producer | None = None,
-    ) -> Appended:
-        await self._find(partition)
-        return await super().append(partition, records, at=at, producer=producer)
-
-    async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
-        await self._find(partition)
-        page = await super().read(partition, start, wait_s=wait_s)
-        await self._find(partition)
-        return page
-
-    async def end(self, partition: Partition) -> int:
-        await self._find(partition)
-        return await super().end(partition)
-
-    async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
-        await self._find(partition)
-        return await super().newest_page(partition, after=after)
-
-    async def _find(self, partition: Partition) -> None:
-        if (self._host, partition.topic) in self._away:
-            raise StoreRefused(503)
-
-
-@dataclass
-class PartWorld(WideWorld):
-    """A deployment whose store is away in part.
-
-    Attributes:
-        away: Pairs of host and topic.
-    """
-
-    away: set[tuple[str, str]] = field(default_factory=set)
-
-    def store_link(self, host: str) -> Store:
-        return PartLink(self.store, host, self.away)
-
-
 @pytest.mark.parametrize("unread_s", [5.0, 12.0, 21.0])
 def test_a_run_of_an_unread_job_is_waited_for(unread_s: float) -> None:
     async def play() -> HallWorld:
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -36,6 +36,7 @@
                     "gangScheduled": s.gang,
                     "antiAffinity": s.max_per_executor,
                     "fills": s.best_effort,
+                    "speculative": s.speculative,
                     "target_ms": s.latency_target_ms,
                     "image": s.image,
                 }
