--- a/tests/part_world.py
+++ b/tests/part_world.py
@@ -35,9 +35,9 @@
         await self._find(partition)
         return page
 
-    async def end(self, partition: Partition) -> int:
+    async def end(self, partition: Partition, start: int) -> int:
         await self._find(partition)
-        return await super().end(partition)
+        return await super().end(partition, start)
 
     async def newest_page(self, partition: Partition, *, after: bytes | None = None) -> KeyPage:
         await self._find(partition)
