--- /dev/null
+++ b/tests/host/standing_entries_day.py
@@ -0,0 +1,70 @@
+"""A drawn day on which the entries of executors outlast them, or go before them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.hall_executors import EXECUTORS, HEARTBEAT_S
+from tests.hall_world import HallWorld
+from tests.host.overlapping_day import TROUBLES, OverlappingDay
+
+MISSED_HEARTBEATS = 3
+"""Heartbeats after which the platform drops the entry of an executor that is silent."""
+
+LOST_SHARE = 0.5
+"""Share of the entries that go while the store is down."""
+
+LEFT_OUT = {"drain_executors", "late_orders", "lose_answers", "forget"}
+"""Troubles that this day leaves to others."""
+
+
+class StandingEntriesWorld(HallWorld):
+    """A deployment whose crashed executors stay registered for as long as the platform keeps them."""
+
+    def crash_executor(self, address: str, *, back: bool = True) -> None:
+        executor = self.executors[address]
+        executor.alive = False
+        key = executor.record.executor_id.encode()
+        delay_s = MISSED_HEARTBEATS * HEARTBEAT_S
+        asyncio.get_running_loop().call_later(delay_s, self.store.put, EXECUTORS, key, b"")
+        if back:
+            self.add_executor(executor.record.hall, address)
+
+
+async def lose_store(day: OverlappingDay) -> None:
+    """The store is down, and entries of executors that serve on go meanwhile."""
+    world = day.world
+    names = set(world.hosts)
+    world.store.silent |= names
+    alive = [executor for executor in world.executors.values() if executor.alive]
+    lost = [executor for executor in alive if day.random.random() < LOST_SHARE]
+    for executor in lost:
+        world.forget_registration(executor)
+    await day.last(2.0, 6.0)
+    world.store.silent -= names
+    await day.last(0.5, 2.0)
+    for executor in lost:
+        if executor.alive:
+            world.register(executor)
+
+
+class StandingEntriesDay(OverlappingDay):
+    """Traffic and troubles of one seed.
+
+    Args:
+        seed: Decides all that is drawn.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, halls=("east", "west"), troubles=14, jobs_per_s=3.0)
+        self.world = StandingEntriesWorld(
+            halls=("east", "west"), seed=seed, failing_share=0.02, lists_machines=False
+        )
+        self._kinds = {name: kind for name, kind in TROUBLES.items() if name not in LEFT_OUT}
+        self._kinds["store_down"] = lose_store
+
+    async def _trouble(self, at: float) -> None:
+        name = self.random.choice(sorted(self._kinds))
+        await asyncio.sleep(at)
+        self.told.append(f"{asyncio.get_running_loop().time():.2f} {name}")
+        await self._kinds[name](self)
