--- a/tests/host/standing_entries_day.py
+++ b/tests/host/standing_entries_day.py
@@ -19,7 +19,7 @@
 
 
 class StandingEntriesWorld(HallWorld):
-    """A deployment whose crashed executors stay registered for as long as the platform keeps them."""
+    """A deployment whose crashed executors stay registered as long as on the platform."""
 
     def crash_executor(self, address: str, *, back: bool = True) -> None:
         executor = self.executors[address]
