Share the times and the wait of plays of owners in turn

Cause: six plays had the same four times and the same wait, written again in each. Ruled out: nothing. Change: a module of them; what is played and asserted is unchanged, the finer look of one play stays. Conclusion: tests only.

--- a/tests/host/test_first_lease.py
+++ b/tests/host/test_first_lease.py
@@ -14,18 +14,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
 
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, until
 from tests.job_builders import step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
 
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
 LOOK_S = 0.002
 """Time between looks at what a host knows."""
 
@@ -41,20 +38,21 @@
 SILENT_S = 15.0
 """Time for which an executor does not answer: longer than a lease."""
 
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("silent", [True, False])
 def test_a_run_is_waited_for_though_the_store_was_away_after_the_claim(silent: bool) -> None:
     async def play() -> HallWorld:
         world, first, second, busy = await _working()
         world.store.silent.add(first)
-        await _until(lambda: world.hosts[second].host.candidates[0].tenure is not None)
+        await until(
+            lambda: world.hosts[second].host.candidates[0].tenure is not None,
+            limit_s=WAIT_S,
+            look_s=LOOK_S,
+        )
         world.store.silent.add(second)
         await asyncio.sleep(AWAY_S)
         world.store.silent.discard(second)
-        await _until(lambda: _has_heard(world, second, busy))
+        await until(lambda: _has_heard(world, second, busy), limit_s=WAIT_S, look_s=LOOK_S)
         await _keep_from(world, second, busy, silent)
         return world
 
@@ -66,7 +64,7 @@
     async def play() -> HallWorld:
         world, first, second, busy = await _working()
         world.kill_host(first)
-        await _until(lambda: _has_heard(world, second, busy))
+        await until(lambda: _has_heard(world, second, busy), limit_s=WAIT_S, look_s=LOOK_S)
         running = world.hosts[second]
         world.freeze_host(second)
         await asyncio.sleep(STILL_S)
@@ -102,9 +100,3 @@
     if silent:
         world.cuts.add((host, busy.record.address))
     await asyncio.sleep(SILENT_S)
-
-
-async def _until(happens: Callable[[], bool]) -> None:
-    async with asyncio.timeout(WAIT_S):
-        while not happens():
-            await asyncio.sleep(LOOK_S)
--- a/tests/host/test_last_owner_but_one.py
+++ b/tests/host/test_last_owner_but_one.py
@@ -26,27 +26,19 @@
 from linkspan.jobs.job_book import JOBS
 from linkspan.jobs.records import Submitted, encode
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
 CLAIMED_WITHIN_S = 5.0
 """Longest time within which a silent owner's successor claims the shard."""
 
 DOWN_S = 0.5
 """Time for which a killed host is down."""
 
-OUTLIVED_S = 25.0
-"""Time by which all leases of a former owner have surely ended."""
-
 UNWRITTEN_S = 0.03
 """Time after an acceptance by which the first tasks run and no progress is written yet."""
 
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("killed", [True, False])
 def test_the_last_owner_but_one_is_waited_for(killed: bool) -> None:
--- a/tests/host/test_late_renewal.py
+++ b/tests/host/test_late_renewal.py
@@ -15,34 +15,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
 
 from linkspan.host.candidate import PAST_RECORDS
 from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord
-from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S, OWNERS, until
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
-OWNERS = Partition("owners", 0)
-
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
-LOOK_S = 0.01
-"""Time between looks at what is written."""
-
 WAIT_S = 5.0
 """Longest time until a successor has claimed the shard, or has renewed a few times."""
 
-OUTLIVED_S = 25.0
-"""Time by which all leases of a former owner have surely ended."""
-
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("late", [True, False])
 def test_a_late_renewal_hides_no_owner(late: bool) -> None:
@@ -55,14 +40,14 @@
         assert life and life.token == token
         second = next(name for name, _ in world.host_names() if name != first)
         world.kill_host(first)
-        await _until(lambda: world.owner() == second)
+        await until(lambda: world.owner() == second, limit_s=WAIT_S)
         assert await world.submit(second, world.new_job(step(1, estimate_s=LONG_S))) == 200
         await asyncio.sleep(BEGUN_S)
         if late:
             record = OwnerRecord(OwnerAct.RENEW, first, life.incarnation, token, 99)
             world.store.put(OWNERS, b"", record.encode())
         end = world.store.log(OWNERS).end
-        await _until(lambda: world.store.log(OWNERS).end == end + PAST_RECORDS - 1)
+        await until(lambda: world.store.log(OWNERS).end == end + PAST_RECORDS - 1, limit_s=WAIT_S)
         # One side of a cut has the owner and its task's executor, the other one all else.
         for address, executor in world.executors.items():
             world.cuts.add((first if executor.running else second, address))
@@ -72,9 +57,3 @@
         return world
 
     assert run_virtual(play()).problems == []
-
-
-async def _until(happens: Callable[[], bool]) -> None:
-    async with asyncio.timeout(WAIT_S):
-        while not happens():
-            await asyncio.sleep(LOOK_S)
--- a/tests/host/test_late_renewal_before_a_claim.py
+++ b/tests/host/test_late_renewal_before_a_claim.py
@@ -15,34 +15,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
 
 from linkspan.host.candidate import PAST_RECORDS
 from linkspan.shard.ownership.ownership import OFFLINE_S, OwnerAct, OwnerRecord, OwnerView
-from linkspan.store.types import Entry, Partition
+from linkspan.store.types import Entry
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S, OWNERS, until
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
-OWNERS = Partition("owners", 0)
-
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
-LOOK_S = 0.01
-"""Time between looks at what is written."""
-
 WAIT_S = 5.0
 """Longest time until a successor has claimed the shard, or has renewed a few times."""
 
-OUTLIVED_S = 25.0
-"""Time by which all leases of a former owner have surely ended."""
-
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("late", [True, False])
 def test_an_owner_between_two_lives_of_a_host_is_reckoned_with(late: bool) -> None:
@@ -55,7 +41,7 @@
         assert life and life.token == token
         second = next(name for name, _ in world.host_names() if name != first)
         world.kill_host(first)
-        await _until(lambda: world.owner() == second)
+        await until(lambda: world.owner() == second, limit_s=WAIT_S)
         assert await world.submit(second, world.new_job(step(1, estimate_s=LONG_S))) == 200
         await asyncio.sleep(BEGUN_S)
         # One side of a cut has the owner and its task's executor, the other one all else.
@@ -68,7 +54,7 @@
         end = world.store.log(OWNERS).end
         world.start_host(first)
         # The claim of its second life, and as many renewals as leave no older record to read.
-        await _until(lambda: world.store.log(OWNERS).end == end + PAST_RECORDS - 1)
+        await until(lambda: world.store.log(OWNERS).end == end + PAST_RECORDS - 1, limit_s=WAIT_S)
         world.kill_host(first)
         world.start_host(first)
         await asyncio.sleep(OUTLIVED_S)
@@ -87,9 +73,3 @@
     for offset, record in enumerate(records, 118):
         view.apply(Entry(offset, record.encode()), 10.0)
     assert view.offline_left(10.0) == OFFLINE_S
-
-
-async def _until(happens: Callable[[], bool]) -> None:
-    async with asyncio.timeout(WAIT_S):
-        while not happens():
-            await asyncio.sleep(LOOK_S)
--- a/tests/host/test_leases_of_a_newer_owner.py
+++ b/tests/host/test_leases_of_a_newer_owner.py
@@ -15,23 +15,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
 
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, until
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
 CUT_S = 15.0
 """Time for which the hall is cut: longer than an owner acts unproved."""
 
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("offset_s", [0.0, 0.4, 0.8, 1.2, 1.6])
 @pytest.mark.parametrize(("lease_s", "cut_s"), [(6.0, 6.0), (6.0, CUT_S), (10.0, CUT_S)])
@@ -49,7 +43,7 @@
         for address, executor in world.executors.items():
             world.cuts.add((first if executor.running else second, address))
         world.store.silent.add(first)
-        await _until(lambda: world.hosts[second].host.candidates[0].tenure is not None)
+        await until(lambda: world.hosts[second].host.candidates[0].tenure is not None, limit_s=5.0)
         await asyncio.sleep(cut_s - 3.0)
         world.cuts.clear()
         world.store.silent.discard(first)
@@ -57,9 +51,3 @@
         return world
 
     assert run_virtual(play()).problems == []
-
-
-async def _until(happens: Callable[[], bool]) -> None:
-    async with asyncio.timeout(5.0):
-        while not happens():
-            await asyncio.sleep(0.01)
--- a/tests/host/test_owners_forgotten.py
+++ b/tests/host/test_owners_forgotten.py
@@ -14,32 +14,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
 
-from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S, OWNERS, until
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
-OWNERS = Partition("owners", 0)
-
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
 LOOK_S = 0.001
 """Time between looks at what a host has read."""
 
 WAIT_S = 5.0
 """Longest time until a host has read of an owner, or has claimed the shard."""
 
-OUTLIVED_S = 25.0
-"""Time by which all leases of a former owner have surely ended."""
-
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("forgets", [True, False])
 def test_an_owner_that_the_store_has_forgotten_is_reckoned_with(forgets: bool) -> None:
@@ -52,10 +40,12 @@
         await asyncio.sleep(BEGUN_S)
         world.kill_host(first)
         candidate = world.start_host(first).host.candidates[0]
-        await _until(lambda: candidate.view.owner is not None)
+        await until(lambda: candidate.view.owner is not None, limit_s=WAIT_S)
         world.store.silent.add(first)
         assert candidate.tenure is None
-        await _until(lambda: world.hosts[second].host.candidates[0].tenure is not None)
+        await until(
+            lambda: world.hosts[second].host.candidates[0].tenure is not None, limit_s=WAIT_S
+        )
         await asyncio.sleep(BEGUN_S)
         # One side of a cut has the owner and its task's executor, the other one all else.
         for address, executor in world.executors.items():
@@ -69,9 +59,3 @@
         return world
 
     assert run_virtual(play()).problems == []
-
-
-async def _until(happens: Callable[[], bool]) -> None:
-    async with asyncio.timeout(WAIT_S):
-        while not happens():
-            await asyncio.sleep(LOOK_S)
--- a/tests/host/test_unread_roster.py
+++ b/tests/host/test_unread_roster.py
@@ -18,20 +18,12 @@
 from linkspan.shard.recovery.progress import ROSTER_KEY
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
 PROGRESS = Partition("progress", 0, keyed=True)
 
-BEGUN_S = 3.0
-"""Time after a submission by which its tasks run, and by which their record is written."""
-
-OUTLIVED_S = 25.0
-"""Time by which all leases of a former owner have surely ended."""
-
-LONG_S = 100.0
-"""Length of the work."""
-
 
 @pytest.mark.parametrize("value", [b'{"later": []}', None])
 def test_a_run_is_waited_for_though_the_roster_is_not_read(value: bytes | None) -> None:
