Tell of each crash of an executor with the tasks that were there

Cause of the blindness: a run that its executor took along had no line, so crashes under one task looked like crashes by chance. Change: event 558, with how long each run had been there; those that began last first, bounded. Figures: one line a crash; none where an executor leaves as it said. Conclusion: the two hypotheses, not counted or lost with an owner, can be told apart from the logs.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -153,6 +153,12 @@
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is about to leave", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation is gone", "nothing"
+    EXECUTOR_CRASHED = (
+        558,
+        logging.WARNING,
+        "executor crashed, with the tasks that were there",
+        "see OPERATIONS.md, a job whose tasks crash executors, if a task comes again",
+    )
     EXECUTOR_SILENT = 543, logging.WARNING, "executor gives no answer", "check the executor"
     EXECUTOR_BACK = 544, logging.INFO, "executor answers again", "nothing"
     EXECUTOR_DISTRUSTED = 545, logging.WARNING, "executor gets no new work", "check the executor"
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -6,6 +6,7 @@
 
 from linkspan.events import Event
 from linkspan.shard.executor import NEVER_LEAVES, ExecutorState
+from linkspan.shard.reports._crashes import Crashes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,6 +30,7 @@
 
     def __init__(self, books: ShardBooks) -> None:
         self._books = books
+        self._crashes = Crashes(books)
         self._gone: set[str] = set()
         self._inherited_until = float("-inf")
         self._roster_read = True
@@ -98,6 +100,7 @@
         )
         # Its registration may outlast it, so its id is kept; ids are never used again.
         self._gone.add(executor_id)
+        self._crashes.on_gone(executor, now, proof)
         self._release_all(executor, now)
         self._books.settle(executor_id, "gone")
         self._books.health.forget(executor_id)
