Show tasks that crash each executor that starts them; red

What callers saw: a job that never ended, and work of others that was lost with 119 executors. Stand-ins: tasks that crash their executor some time after their begin, which is back 1.5 s later under a new id; a crash may reset connections, as those of a process that ended; members of a gang end as broken where another one's executor falls (they ended well before, which no platform does). Conclusion: no race; it comes each time, with one owner and a quiet store.

--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections import Counter
+from contextvars import Context
 from dataclasses import dataclass
 from random import Random
 
@@ -23,7 +24,13 @@
 
 @dataclass
 class HallExecutors(RunJudge):
-    """Executors that begin, crash, leave, and are cut from hosts."""
+    """Executors that begin, crash, leave, and are cut from hosts.
+
+    Attributes:
+        resets: Whether a crash resets the executor's connections, and calls to its address are
+            refused, so that it is found at once and not after a time-out.
+        crash_back_s: Seconds after which an executor is back that a task crashed.
+    """
 
     seed: int = 0
     milli_cpu: int = 8_000
@@ -33,6 +40,8 @@
     late_most_s: float = 8.0
     lost_answer_share: float = 0.0
     guards_room: bool = True
+    resets: bool = False
+    crash_back_s: float = 1.5
 
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
@@ -112,9 +121,38 @@
         executor = self.executors[address]
         executor.alive = False
         self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+        self._break_gangs(executor)
+        if self.resets:
+            executor.changed.set()
         if back:
             self.add_executor(executor.record.hall, address)
 
+    def _break_gangs(self, fallen: MemoryExecutor) -> None:
+        """End the other members of the gangs that lost one with an executor."""
+        members = [r for r in fallen.running.values() if self.step_of(r.task).gang]
+        for other in self.executors.values():
+            for member in members if other.alive else ():
+                other.break_member(member.task, member.run)
+
+    def crash_after_start(self, executor: MemoryExecutor, task: TaskName, run: int) -> None:
+        """Let an executor fall some time after the begin of a run, if its task does that."""
+        after_s = self.crashing.after_s.get(task)
+        if after_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        # Whatever becomes of the host that ordered it.
+        loop.call_later(after_s, self._crash_under, executor, task, run, context=Context())
+
+    def _crash_under(self, executor: MemoryExecutor, task: TaskName, run: int) -> None:
+        present = executor.running.get(task)
+        if not executor.alive or present is None or present.run != run:
+            return
+        self.crashing.on_crash(task, set(executor.running))
+        address, hall = executor.record.address, executor.record.hall
+        self.crash_executor(address, back=False)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.crash_back_s, self.add_executor, hall, address, context=Context())
+
     async def machines(self) -> MachineList:
         """Answer as the machine service."""
         await asyncio.sleep(0.005)
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from linkspan.jobs.spec import Demand, JobSpec, Schedule, StepSpec
 from linkspan.model.configuration import Queue
 
 QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
@@ -25,6 +25,7 @@
     return json.dumps(
         {
             "spec": spec.payload,
+            **_times(spec.schedule),
             "steps": [
                 {
                     "count": s.count,
@@ -46,6 +47,16 @@
     ).encode()
 
 
+def _times(schedule: Schedule | None) -> dict[str, int]:
+    if schedule is None:
+        return {}
+    return {
+        "repeatCount": schedule.count,
+        "firstMs": int(schedule.first_s * 1000),
+        "intervalMs": int(schedule.interval_s * 1000),
+    }
+
+
 def step(count: int = 1, *, cpu: int = 1_000, estimate_s: float = 1.0, **fields: Any) -> StepSpec:
     """Return a step for tests."""
     return StepSpec(count=count, demand=Demand(cpu, 100), estimate_s=estimate_s, **fields)
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
+from tests.crashing import CrashingTasks
 from tests.job_builders import QUEUE
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
         starts: When runs of a task began.
         executors: The executors, by address.
         one_hall: Judges in which hall first runs begin.
+        crashing: Judges starts of tasks that crash their executors.
     """
 
     broken: list[str] = field(default_factory=list, kw_only=True)
@@ -60,6 +62,7 @@
     )
     executors: dict[str, MemoryExecutor] = field(default_factory=dict, init=False)
     one_hall: OneHall = field(init=False)
+    crashing: CrashingTasks = field(default_factory=CrashingTasks, init=False)
     _overdue: set[TaskName] = field(default_factory=set, init=False)
 
     def trouble(self) -> None:
@@ -74,6 +77,7 @@
         now = asyncio.get_running_loop().time()
         self.starts[task].append(now)
         self.broken += [f"{now:.2f} {line}" for line in self.one_hall.on_start(executor, order)]
+        self.broken += [f"{now:.2f} {line}" for line in self.crashing.on_start(task)]
         for other in self.executors.values():
             other.advance()
             run = other.running.get(task)
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -98,6 +98,7 @@
         run.fails = self.world.fails(order.task, order.run)
         self.running[order.task] = run
         asyncio.get_running_loop().call_later(took + 1e-6, self.advance)
+        self.world.crash_after_start(self, order.task, order.run)
         return StartOutcome.STARTED
 
     def stop(self, order: StopOrder, token: int) -> None:
@@ -139,6 +140,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def break_member(self, member: TaskName, run: int) -> None:
+        """End the runs of a gang one of whose members ended on another executor."""
+        for other in list(self.running.values()):
+            task = other.task
+            if task[:3] == member[:3] and other.run == run and self.world.step_of(task).gang:
+                self._finish(other, EndKind.BROKEN)
+
     def report(self, acknowledged: int) -> ExecutorReport:
         self.advance()
         for end in self.ended:
@@ -226,6 +234,8 @@
                     await executor.changed.wait()
             except TimeoutError:
                 pass
+            if self._world.resets and not executor.alive:
+                raise Unreachable("connection reset")
             executor = await self._reach(address, executor_id)
             executor.fence(self._token)
         report = executor.report(acknowledged)
@@ -235,6 +245,8 @@
     async def _reach(self, address: str, executor_id: str) -> MemoryExecutor:
         await asyncio.sleep(ANSWER_S / 2)
         executor = self._world.at(address)
+        if self._world.resets and executor and not executor.alive:
+            raise Unreachable("connection refused")
         if executor is None or not executor.alive or self._world.is_cut(self._host, executor):
             await self._no_answer()
         assert executor
