Count crashes of executors at the tasks that were there, and give up those that they name

Cause: attempts were counted by the ends that executors tell, and one that crashes tells none. Its runs were let go without a trace in their tasks' history, in memory and on record. Ruled out: a count that is lost with owners (one owner all along), ends matched to another run (no 534). Change: each crash counts at the tasks that were there, most at what had begun right before, least in any case; from a crash of full weight on a task is started apart from other suspects, where least is lost, on a quarter of the hall at a time, and only once its crashes are on record; at two such crashes, three within seconds or four of any kind it is given up and its job shown as failed, with its reason. A planned leave is no crash. Why it holds: the least that a crash counts bounds the crashes under a task at four, whatever else is weighed; a start goes out only when its next owner would know of the crashes before it. Open, and next: counts are lost when a task is lent; orders to executors that had fallen already count.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -159,6 +159,12 @@
         "executor crashed, with the tasks that were there",
         "see OPERATIONS.md, a job whose tasks crash executors, if a task comes again",
     )
+    TASK_GIVEN_UP = (
+        559,
+        logging.WARNING,
+        "task given up, executors crash under it",
+        "have its caller look at what it runs; 558 has the executors",
+    )
     EXECUTOR_SILENT = 543, logging.WARNING, "executor gives no answer", "check the executor"
     EXECUTOR_BACK = 544, logging.INFO, "executor answers again", "nothing"
     EXECUTOR_DISTRUSTED = 545, logging.WARNING, "executor gets no new work", "check the executor"
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -75,6 +75,8 @@
     "linkspan_starts_total": "Runs started, by outcome",
     "linkspan_ends_total": "Runs ended, by how",
     "linkspan_claims_total": "Shards claimed",
+    "linkspan_crashes_total": "Executors that crashed with work on them",
+    "linkspan_tasks_given_up_total": "Tasks given up, as executors crash under them",
 }
 
 _HISTOGRAMS = {
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -39,9 +39,11 @@
         bounds: Times that the deployment grants.
         log: Takes an event and its fields.
         token: The tenure's token, which tells its log lines from those of other owners.
+        count: Takes the name of what is counted, for metrics.
 
     Attributes:
         log: Takes an event and its fields.
+        count: Takes the name of what is counted.
         executors: Executors that are registered or may run something, by id.
         adopting_ids: Inherited executors that have not answered yet.
         settled: How many of the others answered, are gone or outlived their lease.
@@ -58,18 +60,26 @@
         dirty: Repetitions whose records are to be written, by job and number.
         dropped: Keys of the records to remove.
         look_at: Executors to be asked at once.
+        suspects: Tasks under which executors crashed, as an ordered set; some may be cleared.
         sole_until: Steady time until which no later owner can have claimed the shard. A lease
             that ends by then is over; one that ends after it a later owner may have renewed.
         ready: Steps with tasks that may wait for a start, as an ordered set.
     """
 
     def __init__(
-        self, shard: int, bounds: Bounds, *, log: Callable[..., None], token: int = 0
+        self,
+        shard: int,
+        bounds: Bounds,
+        *,
+        log: Callable[..., None],
+        token: int = 0,
+        count: Callable[[str], None] = lambda _name: None,
     ) -> None:
         self._shard = shard
         self._token = token
         self._bounds = bounds
         self.log = log
+        self.count = count
         self.executors: dict[str, ExecutorState] = {}
         self.adopting_ids: set[str] = set()
         self.settled: Counter[str] = Counter()
@@ -86,6 +96,7 @@
         self.dirty: dict[tuple[str, int], JobRun] = {}
         self.dropped: list[bytes] = []
         self.look_at: set[str] = set()
+        self.suspects: dict[Task, None] = {}
         self.sole_until = float("inf")
         self.ready: dict[StepRun, None] = {}
 
@@ -210,6 +221,7 @@
                 silent_s=round(now - executor.silent_since, 2),
             )
             executor.silent_since = None
+            executor.lapsed.clear()
 
     def order_stop(self, attempt: Attempt, now: float) -> None:
         """Order a stop of an attempt, unless one is out or the executor must answer first."""
@@ -234,13 +246,19 @@
                     task.ready_since = now
                     task.away_since = now
 
-    def decide(self, job: ShardJob, state: JobState) -> None:
-        """Settle the final state of a job; the first decision stands."""
+    def decide(self, job: ShardJob, state: JobState, *, reason: str = "") -> None:
+        """Settle the final state of a job; the first decision stands.
+
+        Args:
+            job: The job.
+            state: Its final state.
+            reason: Why it failed where no executor told, for the log.
+        """
         if job.closing:
             return
         job.closing = True
-        if job.borrowed:
-            # Its own shard writes the final record.
+        if job.borrowed and state is not JobState.FAILED:
+            # Its own shard writes the final record; what failed here it cannot know.
             return
         self.log(
             Event.JOB_DECIDED,
@@ -249,6 +267,7 @@
             queue=job.spec.queue,
             priority=job.priority,
             objective_s=round(job.objective_s, 2),
+            **({"reason": reason} if reason else {}),
         )
         # The owner puts its time of day in when it writes the record.
         self.finished.append(Finished(job.job_id, state, self._shard, 0.0, job.spec.queue))
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -57,6 +57,9 @@
         stop_sent_at: Steady time of the last stop order.
         stop_taken_at: Steady time at which the executor took a stop, if it did.
         copy: Whether it runs beside an earlier attempt of its task.
+        found: Whether it was found on record or at its executor: for how long it runs is not
+            known then.
+        apart: Whether it was started apart from other suspects of crashes.
         moved: Whether it is stopped to continue elsewhere.
     """
 
@@ -77,6 +80,8 @@
     stop_sent_at: float = NEVER
     stop_taken_at: float | None = None
     copy: bool = False
+    found: bool = False
+    apart: bool = False
     moved: bool = False
 
     @property
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -66,6 +66,7 @@
         bounds: Times that the deployment grants.
         log: Takes an event and its fields.
         token: The tenure's token.
+        count: Takes the name of what is counted, for metrics.
     """
 
     def __init__(
@@ -75,8 +76,9 @@
         *,
         log: Callable[..., None] = lambda _event, **_fields: None,
         token: int = 0,
+        count: Callable[[str], None] = lambda _name: None,
     ) -> None:
-        super().__init__(shard, bounds, log=log, token=token)
+        super().__init__(shard, bounds, log=log, token=token, count=count)
         self._presence = Presence(self)
         self._adoption = Adoption(self, Ends(self))
         self._intake = JobIntake(self)
@@ -106,9 +108,21 @@
 
     # Executors
 
-    def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
-        """Take in the executors of the hall that are registered at present."""
-        self._presence.list_executors(records, now)
+    def list_executors(
+        self,
+        records: Iterable[ExecutorRecord],
+        now: float,
+        *,
+        missing: Mapping[str, float] | None = None,
+    ) -> None:
+        """Take in the executors of the hall that are registered at present.
+
+        Args:
+            records: These executors, also those whose entry went moments ago.
+            now: Steady time.
+            missing: Since when entries of some of them are missing, in steady time.
+        """
+        self._presence.list_executors(records, now, missing=missing or {})
 
     def on_gone(self, executor_id: str, now: float, proof: str) -> None:
         """Take in that an incarnation is gone, with all that ran on it."""
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -64,6 +64,8 @@
         unknown_runs: Whether it runs, or may run, what this shard knows no job of: how
             much room that takes is not known.
         missing_since: Steady time since when its registration is taken for gone.
+        entry_went_at: Steady time at which its entry went, if it did not come back.
+        lapsed: Attempts that were let go when its leases had ended, while it stays silent.
     """
 
     record: ExecutorRecord
@@ -81,6 +83,8 @@
     leaves_at: float = NEVER_LEAVES
     unknown_runs: bool = False
     missing_since: float = NEVER_LEAVES
+    entry_went_at: float = NEVER_LEAVES
+    lapsed: list[Attempt] = field(default_factory=list)
 
     _beside: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _judged: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
@@ -101,6 +105,12 @@
         """Whether it is about to leave."""
         return self.record.draining
 
+    @property
+    def left(self) -> bool:
+        """Whether it leaves as planned: it said so, or answered on when its entry was gone."""
+        heard_at = self.clock.heard_at if self.clock else NEVER
+        return self.draining or heard_at > self.entry_went_at
+
     @property
     def reserved_cpu(self) -> int:
         """Thousandths of a core that attempts with a reservation hold."""
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -11,6 +11,7 @@
 from linkspan.shard.planning._outlook import refresh_outlook
 from linkspan.shard.recovery.progress import RunKey, key_of, restore_run
 from linkspan.shard.shard_job import ShardJob
+from linkspan.shard.suspicion import CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -117,6 +118,8 @@
         self._books.mark_begun(run.job)
         for task in run.tasks():
             task.next_run += INHERITED_RUN_GAP
+            if task.suspicion:
+                self._books.suspects[task] = None
             for attempt in list(task.attempts):
                 executor = self._books.executors.get(attempt.executor_id)
                 if executor:
@@ -131,6 +134,9 @@
             most = step.failures if step.spec.gang else max(t.failures for t in step.tasks)
             if most >= run.job.max_attempts and not step.spec.standing:
                 self._books.decide(run.job, JobState.FAILED)
+            if any(t.suspicion and t.suspicion.convicted for t in step.tasks):
+                # Its former owner was lost before the end was on record.
+                self._books.decide(run.job, JobState.FAILED, reason=CRASHES)
 
     def refresh_queue(self, job: ShardJob) -> None:
         """Take a job's limits from the configuration in force.
--- a/src/linkspan/shard/planning/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -50,6 +50,9 @@
         step = attempt.task.step
         if step.run.job.advised or len(attempt.task.attempts) > 1:
             return False
+        if attempt.task.suspicion:
+            # A copy would be one more executor to lose.
+            return False
         if len(step.durations) < 2 or step.run.job.closing:
             return False
         if self._now - attempt.placed_at <= COPY_FACTOR * step.median_s + COPY_SLACK_S:
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -7,6 +7,7 @@
 
 from linkspan.shard.planning._blocked import held_cores
 from linkspan.shard.planning._step_scores import StepScores
+from linkspan.shard.planning._trials import Trials
 from linkspan.shard.planning.placement import StepPlacement
 
 if TYPE_CHECKING:
@@ -40,6 +41,10 @@
             self._usable = [e for e in executors if e.clock and self.core.takes_work(e, self.now)]
         return self._usable
 
+    def trials(self) -> Trials:
+        """Return what keeps suspects of crashes apart."""
+        return Trials(self.core, len(self.usable()), self.now)
+
     def held_cores(self) -> dict[str, int]:
         """Return the hall's cores by what holds them."""
         return held_cores(self.usable())
--- /dev/null
+++ b/src/linkspan/shard/planning/_trials.py
@@ -0,0 +1,72 @@
+"""Where tasks are started that may crash their executor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from linkspan.shard.suspicion import SOON_S
+
+if TYPE_CHECKING:
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning.placement import StepPlacement
+    from linkspan.shard.task import Task
+
+MOST_SHARE = 0.25
+"""Part of a hall's executors on which suspects are tried at a time. What they crash leaves
+three quarters of the hall to others; and where more fall at once, it was not they."""
+
+WAIT_S = 2.0
+"""Time for which a suspect waits for an executor of its own. Few of them are guilty, and
+standing tasks that are away for longer are missed."""
+
+
+class Trials:
+    """Keeps suspects of crashes apart: one an executor, few at a time.
+
+    A crash on a trial names its task; and where it is held least is lost.
+
+    Args:
+        core: The shard's state.
+        usable: Number of executors that may get new work.
+        now: Steady time of the plan.
+    """
+
+    def __init__(self, core: ShardCore, usable: int, now: float) -> None:
+        self._core = core
+        self._most = max(int(MOST_SHARE * usable), 1)
+        self._now = now
+
+    def __repr__(self) -> str:
+        return f"Trials(at most {self._most})"
+
+    def choose(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
+        """Return the executor for a suspect, ``None`` if it is to wait."""
+        if self.overdue(task):
+            return placement.choose(task)
+        running = self._running()
+        if len(running) >= self._most:
+            return None
+        free = [e for e in placement.fitting(task) if e.executor_id not in running]
+        return min(free, key=_held, default=None)
+
+    def overdue(self, task: Task) -> bool:
+        """Whether a suspect has waited so long that it may start beside others."""
+        return self._now - task.ready_since >= WAIT_S
+
+    def _running(self) -> set[str]:
+        """Return the executors on which suspects are tried at present."""
+        suspects = self._core.suspects
+        running = set()
+        for task in list(suspects):
+            if task.done or task.suspicion is None or task.step.run.job.closing:
+                del suspects[task]
+            elif task.suspect:
+                young = (a for a in task.attempts if self._now - a.placed_at < SOON_S)
+                running |= {attempt.executor_id for attempt in young}
+        return running
+
+
+def _held(executor: ExecutorState) -> int:
+    """Return thousandths of a core of all that would be lost with an executor."""
+    return executor.reserved_cpu + executor.best_effort_cpu
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -128,6 +128,15 @@
             self.full.add(kind)
         return best
 
+    def fitting(self, task: Task) -> list[ExecutorState]:
+        """Return all executors that have room for a task, and on which it did not fail."""
+        fill = self._may_fill(task)
+        return [
+            e
+            for e in self.executors
+            if e.executor_id not in task.avoid and self.reason_against(e, fill=fill) is None
+        ]
+
     def _kind(self, fill: bool, starved: bool) -> TaskKind | None:
         """Return what decides whether an executor has room for the step's next task.
 
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -18,6 +18,7 @@
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning._trials import Trials
     from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -76,7 +77,7 @@
         return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
 
     def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
-        pending = [t for t in waiting if t.not_before <= view.now]
+        pending = [t for t in waiting if t.not_before <= view.now and t.on_record]
         if not pending:
             return
         placement = view.placement(step)
@@ -88,9 +89,11 @@
                 self._log(placement, [], len(pending), view)
                 return
         if step.spec.gang:
-            placed = self._place_gang(placement, pending)
+            placed = self._place_gang(placement, pending, view.trials())
         else:
-            placed = self._place_each(placement, pending)
+            trusted = [t for t in pending if not t.suspect]
+            placed = self._place_each(placement, trusted)
+            placed += self._place_suspects(placement, [t for t in pending if t.suspect], view)
             placed = placed or self._place_starved(placement, pending)
         self._log(placement, placed, len(pending), view)
 
@@ -137,6 +140,20 @@
             placed.append(self._start(placement, task, executor, pace=pace))
         return placed
 
+    def _place_suspects(
+        self, placement: StepPlacement, suspects: list[Task], view: PlanView
+    ) -> list[Attempt]:
+        trials = view.trials()
+        placed = []
+        for task in suspects:
+            executor = trials.choose(placement, task)
+            if executor is None:
+                continue
+            attempt = self._start(placement, task, executor, pace=placement.pace(executor))
+            attempt.apart = not trials.overdue(task)
+            placed.append(attempt)
+        return placed
+
     def _place_starved(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
         """Start one best-effort task of a job that has had nothing running for long."""
         step = placement.step
@@ -160,7 +177,9 @@
         task.avoid.clear()
         return placement.choose(task)
 
-    def _place_gang(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
+    def _place_gang(
+        self, placement: StepPlacement, pending: list[Task], trials: Trials
+    ) -> list[Attempt]:
         if len(pending) < len(placement.step.tasks):
             return []
         run = max(task.next_run for task in pending)
@@ -170,7 +189,7 @@
         placed: list[Attempt] = []
         orders = len(self._core.orders)
         for task in pending:
-            executor = placement.choose(task)
+            executor = trials.choose(placement, task) if task.suspect else placement.choose(task)
             if executor is None:
                 self._undo(placement, placed, orders)
                 if placed and not begun:
@@ -178,7 +197,9 @@
                     self._core.unmark_begun(progress, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
-            placed.append(self._start(placement, task, executor, run=run))
+            attempt = self._start(placement, task, executor, run=run)
+            attempt.apart = task.suspect and not trials.overdue(task)
+            placed.append(attempt)
         return placed
 
     def _undo(self, placement: StepPlacement, placed: list[Attempt], orders: int) -> None:
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -80,6 +80,9 @@
             return
         await self._writer.write(records)
         self._changes.roster = roster
+        if self._core.suspects:
+            # They wait until their crashes are on record.
+            self._changes.wake.set()
         self._mark_durable(runs, versions, roster)
 
     def _mark_durable(
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -11,6 +11,7 @@
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.messages import ExecutorRecord
+from linkspan.shard.suspicion import Suspicion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -59,11 +60,18 @@
     if task.done:
         return 1
     if task.lent is not None:
-        return [-1 - task.lent, task.loan, task.next_run]
+        return [-1 - task.lent, task.loan, task.next_run, *_crash_fields(task)]
     attempts = [[a.run, a.executor_id] for a in task.attempts]
     if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
-    return [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
+    fields = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
+    return [*fields, *_crash_fields(task)]
+
+
+def _crash_fields(task: Task) -> list[int]:
+    """Return what a record holds of crashes under a task: nothing for nearly all tasks."""
+    known = task.suspicion
+    return [known.crashes, known.points] if known else []
 
 
 def encode_moved(shard: int) -> bytes:
@@ -111,18 +119,26 @@
     # Later versions may tell more behind it.
     first = whole(rows(row)[0], least=-MOST_WHOLE)
     if first < 0:
-        _, loan, next_run, *_ = row
+        _, loan, next_run, *crashes = row
         task.lent = -1 - first
+        task.suspicion = _suspicion(crashes)
         task.loan, task.next_run = whole(loan), whole(next_run, least=1)
         return
-    next_run, failures, checkpoint, attempts, loan, *_ = row
+    next_run, failures, checkpoint, attempts, loan, *crashes = row
+    task.suspicion = _suspicion(crashes)
     task.next_run = task.counted_run = whole(next_run, least=1)
     task.failures, task.checkpoint, task.loan = whole(failures), text(checkpoint), whole(loan)
     for number, executor_id, *_ in map(rows, rows(attempts)):
-        attempt = Attempt(task, whole(number), text(executor_id), Phase.INHERITED, now)
+        attempt = Attempt(task, whole(number), text(executor_id), Phase.INHERITED, now, found=True)
         task.attempts.append(attempt)
 
 
+def _suspicion(fields: list[Any]) -> Suspicion | None:
+    if len(fields) < 2:
+        return None
+    return Suspicion(whole(fields[0]), whole(fields[1]))
+
+
 def encode_roster(executors: Iterable[ExecutorRecord]) -> bytes:
     """Return the record of all executors that may run something."""
     return orjson.dumps(
--- a/src/linkspan/shard/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -102,6 +102,11 @@
         named = (r for r in self._records.values() if hall is None or r.hall == hall)
         return [record for record in named if self._serves(record.service)]
 
+    @property
+    def missing(self) -> dict[str, float]:
+        """Since when entries are missing of executors that still count as registered."""
+        return dict(self._gone_at)
+
     async def expire_loop(self) -> None:
         """Drop executors whose entry stays missing, until cancelled."""
         while True:
--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -90,7 +90,7 @@
             self._books.orders.append(StopOrder(executor.executor_id, row.task, row.run))
             self._log_unknown(executor, row)
             return None
-        attempt = Attempt(task, row.run, executor.executor_id, Phase.RUNNING, now, now)
+        attempt = Attempt(task, row.run, executor.executor_id, Phase.RUNNING, now, now, found=True)
         # Its former owner may have slowed it down.
         attempt.pace_known = False
         task.next_run = max(task.next_run, row.run + 1)
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -1,24 +1,69 @@
-"""Executors that crashed, and the tasks that were there."""
+"""Executors that crashed, the tasks that were there, and what that says of them.
+
+A run that ends with its executor has no end that anyone tells. It is counted here, at its
+task and on record, or what crashes its executors would be started for ever, each time with
+the loss of all that runs beside it.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.events import Event
+from linkspan.jobs.records import JobState
 from linkspan.shard.attempt import NEVER
+from linkspan.shard.suspicion import (
+    AT_ONCE_POINTS,
+    AT_ONCE_S,
+    CLEARED_S,
+    CRASHES,
+    LEAST_POINTS,
+    SOON_POINTS,
+    SOON_S,
+    one_more,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
 
+SAME_TIME_S = 0.1
+"""Added to the times between which an executor can have fallen: a rack loses its power in
+less, and a task that is started again takes longer to fall once more."""
+
+FALLS_KEPT = 64
+"""Falls that are looked back on: a hall has more executors only where hundreds of hosts are."""
+
 MOST_TOLD = 20
 """Tasks that a line on a crash names, those that began last first: what crashes an executor
 does so soon, and an executor of a wide step holds more than a line can."""
 
 
+class Fall(NamedTuple):
+    """An executor that fell.
+
+    Attributes:
+        executor_id: The executor.
+        after: Steady time of its last answer.
+        by: Steady time since when it is silent.
+        tried: Whether a suspect was tried there, apart from others: that explains it.
+    """
+
+    executor_id: str
+    after: float
+    by: float
+    tried: bool
+
+    def may_be_one_with(self, other: Fall) -> bool:
+        """Whether two executors may have fallen at the same time."""
+        return self.after <= other.by + SAME_TIME_S and other.after <= self.by + SAME_TIME_S
+
+
 class Crashes:
-    """Tells which tasks were on an executor that crashed, and for how long.
+    """Counts crashes at the tasks that were there, and gives up those that they name.
 
     Args:
         books: The shard's state.
@@ -26,24 +71,107 @@
 
     def __init__(self, books: ShardBooks) -> None:
         self._books = books
+        self._falls: list[Fall] = []
 
     def __repr__(self) -> str:
-        return f"Crashes({self._books!r})"
+        return f"Crashes({len(self._falls)} falls)"
 
     def on_gone(self, executor: ExecutorState, now: float, proof: str) -> None:
         """Take in that an incarnation ended; its attempts are still on the books."""
-        if not executor.attempts or executor.draining:
-            return
+        self._on_end(executor, now, proof, sure=True)
+
+    def on_lost(self, executor: ExecutorState, now: float) -> None:
+        """Take in that an executor is neither heard nor registered; it may only be cut off."""
+        self._on_end(executor, now, "leases ended and no entry", sure=False)
+
+    def _on_end(self, executor: ExecutorState, now: float, proof: str, *, sure: bool) -> None:
+        attempts = list(executor.attempts.values()) or executor.lapsed
         fell_at = now if executor.silent_since is None else executor.silent_since
-        by_age = sorted(executor.attempts.values(), key=lambda a: worked_s(a, fell_at))
+        if executor.left or not attempts:
+            return
+        self._books.count("crashes")
+        by_age = sorted(attempts, key=lambda a: worked_s(a, fell_at))
+        fall = _fall(executor, fell_at)
+        beside = self._falls_beside(fall)
+        self._log(executor, by_age, fell_at, now, proof=proof, beside=len(beside))
+        self._falls = [*self._falls[1 - FALLS_KEPT :], fall]
+        outside = any(not other.tried for other in beside)
+        suspects = [a for a in attempts if a.task.suspect]
+        for attempt in by_age:
+            named = sure and not outside and (not suspects or suspects == [attempt])
+            self._count(attempt, worked_s(attempt, fell_at), named=named)
+        for attempt in by_age:
+            self._give_up(attempt)
+
+    def _falls_beside(self, fall: Fall) -> list[Fall]:
+        """Return the other executors that may have fallen at the same time."""
+        silent = (
+            _fall(e, e.silent_since)
+            for e in self._books.executors.values()
+            if e.silent_since is not None
+        )
+        return [
+            other
+            for other in (*self._falls, *silent)
+            if other.executor_id != fall.executor_id and fall.may_be_one_with(other)
+        ]
+
+    def _count(self, attempt: Attempt, worked: float, *, named: bool) -> None:
+        """Count a crash at a task that was there.
+
+        Args:
+            attempt: Its run.
+            worked: For how long that was there, in seconds.
+            named: Whether nothing else explains the crash better.
+        """
+        task = attempt.task
+        if task.done or task.step.run.job.closing:
+            return
+        if worked >= CLEARED_S:
+            task.suspicion = None
+            return
+        run = task.step.run
+        self._books.touch(run)
+        points = _points(attempt, worked) if named else LEAST_POINTS
+        task.suspicion = one_more(task.suspicion, points, run.version)
+        self._books.suspects[task] = None
+
+    def _give_up(self, attempt: Attempt) -> None:
+        task = attempt.task
+        job = task.step.run.job
+        if task.suspicion is None or not task.suspicion.convicted or job.closing:
+            return
+        self._books.count("tasks_given_up")
+        self._books.log_run(
+            Event.TASK_GIVEN_UP,
+            attempt.executor_id,
+            task.name,
+            attempt.run,
+            crashes=task.suspicion.crashes,
+            points=task.suspicion.points,
+        )
+        self._books.decide(job, JobState.FAILED, reason=CRASHES)
+
+    def _log(
+        self,
+        executor: ExecutorState,
+        by_age: Iterable[Attempt],
+        fell_at: float,
+        now: float,
+        *,
+        proof: str,
+        beside: int,
+    ) -> None:
+        tasks = {_name(a): _told(a, fell_at) for a in by_age}
         self._books.log(
             Event.EXECUTOR_CRASHED,
             executor=executor.executor_id,
             address=executor.record.address,
             proof=proof,
             fell_s=round(now - fell_at, 3),
-            runs=len(by_age),
-            tasks={_name(a): round(worked_s(a, fell_at), 3) for a in by_age[:MOST_TOLD]},
+            fell_beside=beside,
+            runs=len(tasks),
+            tasks=dict(list(tasks.items())[:MOST_TOLD]),
         )
 
 
@@ -56,6 +184,26 @@
     return max(fell_at - began, 0.0)
 
 
+def _points(attempt: Attempt, worked: float) -> int:
+    """Return what a crash counts under a run that was there for some seconds."""
+    if attempt.found or worked > SOON_S:
+        return LEAST_POINTS
+    return AT_ONCE_POINTS if worked <= AT_ONCE_S else SOON_POINTS
+
+
+def _fall(executor: ExecutorState, by: float) -> Fall:
+    after = executor.clock.heard_at if executor.clock else NEVER
+    tried = any(attempt.apart for attempt in executor.attempts.values())
+    return Fall(executor.executor_id, after, by, tried)
+
+
+def _told(attempt: Attempt, fell_at: float) -> list[float]:
+    """Return how long a run was there, and the crashes under its task before and their points."""
+    known = attempt.task.suspicion
+    before = [known.crashes, known.points] if known else [0, 0]
+    return [round(worked_s(attempt, fell_at), 3), *before]
+
+
 def _name(attempt: Attempt) -> str:
     task = attempt.task.name
     return f"{task.job_id}.{task.repetition}.{task.step}.{task.index}/{attempt.run}"
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -9,7 +9,7 @@
 from linkspan.shard.reports._crashes import Crashes
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.messages import ExecutorRecord
@@ -67,8 +67,16 @@
         unanswered = map(self._books.executors.__getitem__, self._books.adopting_ids)
         return all(self._lapsed(executor, now) for executor in unanswered)
 
-    def list_executors(self, records: Iterable[ExecutorRecord], now: float) -> None:
-        """Take in the executors of the hall that are registered at present."""
+    def list_executors(
+        self, records: Iterable[ExecutorRecord], now: float, *, missing: Mapping[str, float]
+    ) -> None:
+        """Take in the executors of the hall that are registered at present.
+
+        Args:
+            records: These executors, also those whose entry went moments ago.
+            now: Steady time.
+            missing: Since when entries of some of them are missing, in steady time.
+        """
         listed = {r.executor_id: r for r in records if r.executor_id not in self._gone}
         for executor_id, record in listed.items():
             known = self._books.executors.get(executor_id)
@@ -78,6 +86,9 @@
             known.record = record
             known.listed = True
             known.missing_since = NEVER_LEAVES
+            went_at = missing.get(executor_id, NEVER_LEAVES)
+            # The first time stands: an outage of the store moves the one that is told.
+            known.entry_went_at = min(went_at, known.entry_went_at) if went_at < now else went_at
             if record.draining and known.leaves_at == NEVER_LEAVES:
                 self._books.log(
                     Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
@@ -149,6 +160,10 @@
                 runs=len(executor.attempts),
                 silent_s=round(now - (executor.silent_since or now), 2),
             )
+            # A cut looks like a crash until the incarnation is known to be gone.
+            executor.lapsed = list(executor.attempts.values())
+        if not executor.listed:
+            self._crashes.on_lost(executor, now)
         self._release_all(executor, now)
         self._books.settle(executor.executor_id, "lapsed")
         if not executor.listed:
--- /dev/null
+++ b/src/linkspan/shard/suspicion.py
@@ -0,0 +1,83 @@
+"""How far a task is suspected of crashing the executors that start it.
+
+A crash names nobody: all that ran there is suspected. What began right before it is most of
+all; what was there for seconds, or fell with executors that have nothing in common with it,
+least. So a job that can be done is not given up for having been there, while the least that
+a crash counts bounds how many executors a task can take down, whatever the weighing says.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+AT_ONCE_S = 0.5
+"""Time from a run's begin to a crash that makes it most suspect. A query of death fails in
+its first moments; of a thousand executors' runs few are as young at a crash by chance."""
+
+SOON_S = 3.0
+"""Time after which a run is suspected least: short work takes less than that in all."""
+
+CLEARED_S = 20.0
+"""Time of work after which a run has not crashed its executor, and neither has its task those
+before. An executor that crashes by chance each twenty seconds serves nobody."""
+
+AT_ONCE_POINTS = 4
+"""What a crash counts under the only task there that had begun right before."""
+
+SOON_POINTS = 3
+"""What it counts under one that had begun within seconds."""
+
+LEAST_POINTS = 2
+"""What it counts in any case: the fourth is enough, one start after the third."""
+
+APART_POINTS = 4
+"""Points from which a task is started apart from others that are suspected as much, so that
+a further crash names one of them."""
+
+GIVE_UP_POINTS = 8
+"""Points at which a task is given up: two crashes right after a begin, of which the second
+came apart from all other suspects, three within seconds, four of any kind."""
+
+CRASHES = "executors crash under one of its tasks"
+"""Why a job failed of which a task was given up, for the log."""
+
+GIVE_UP_CRASHES = 2
+"""Crashes under a task before which the platform does not let it be given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """What crashes say against a task.
+
+    Attributes:
+        crashes: Executors that crashed under it.
+        points: What these count.
+        version: Version of its repetition's record from which on that holds them.
+    """
+
+    crashes: int
+    points: int
+    version: int = 0
+
+    @property
+    def apart(self) -> bool:
+        """Whether the task is to be started apart from other suspects."""
+        return self.points >= APART_POINTS
+
+    @property
+    def convicted(self) -> bool:
+        """Whether the task is to be given up."""
+        return self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
+
+
+def one_more(known: Suspicion | None, points: int, version: int) -> Suspicion:
+    """Return what is known of a task after one more crash.
+
+    Args:
+        known: What was known before.
+        points: What the crash counts.
+        version: Version of its repetition's record that will hold it.
+    """
+    if known is None:
+        return Suspicion(1, points, version)
+    return Suspicion(known.crashes + 1, known.points + points, version)
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -11,6 +11,7 @@
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.messages import TaskName
     from linkspan.shard.step_run import StepRun
+    from linkspan.shard.suspicion import Suspicion
 
 
 @dataclass(slots=True, eq=False)
@@ -30,6 +31,7 @@
         checkpoint: Where the next run resumes.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
+        suspicion: What crashes of its executors say against it, ``None`` for nothing.
         not_before: Steady time before which it is not started again.
         ready_since: Steady time since when it could have been started.
         away_since: For standing tasks, since when it is not at work.
@@ -47,6 +49,7 @@
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
+    suspicion: Suspicion | None = None
     not_before: float = NEVER
     ready_since: float = NEVER
     away_since: float = NEVER
@@ -56,6 +59,19 @@
         """Whether it waits for an attempt."""
         return not self.done and not self.attempts and self.lent is None
 
+    @property
+    def suspect(self) -> bool:
+        """Whether it is to be started apart from others that may crash their executor."""
+        return self.suspicion is not None and self.suspicion.apart
+
+    @property
+    def on_record(self) -> bool:
+        """Whether the store holds the crashes under it.
+
+        Until it does, a next owner would not know that a start of it is one more.
+        """
+        return self.suspicion is None or self.step.run.durable >= self.suspicion.version
+
     @property
     def share_left(self) -> float:
         """Part of its work that is not done, 0 to 1, by what its runs report.
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -93,7 +93,9 @@
         log: EventLog,
         metrics: HostMetrics,
     ) -> None:
-        core = ShardCore(shard, settings.bounds, log=log.write, token=owner.token)
+        core = ShardCore(
+            shard, settings.bounds, log=log.write, token=owner.token, count=metrics.count
+        )
         partition = Partition("progress", shard, keyed=True)
         self._owner = owner
         self._shard = shard
@@ -208,7 +210,9 @@
         """Take in that registrations changed."""
         if not self._recovery.done:
             return
-        self._core.list_executors(self._registry.executors(self._hall), time.monotonic())
+        self._core.list_executors(
+            self._registry.executors(self._hall), time.monotonic(), missing=self._registry.missing
+        )
         self._watch.watch_all()
         self._changes.news()
 
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -24,7 +24,10 @@
     core.on_gone("e0", 4.0, "machine lists it no more")
     (line,) = lines
     assert line["fell_s"] == 1.0
-    assert line["tasks"] == {f"{JOB}.0.0.0/1": 1.8, f"{JOB}.0.1.0/1": 2.0}
+    assert line["tasks"] == {
+        f"{JOB}.0.0.0/1": [1.8, 0, 0],
+        f"{JOB}.0.1.0/1": [2.0, 0, 0],
+    }
     assert second.run == 1
 
 
