Let the crashes under a standing task go along with its loans

What callers saw: a standing task that falls five seconds after each begin took down seven executors, three in its own hall and four in the one it was lent to. Cause: the count was kept with the task in the shard that looked after it; a loan named the task alone. Change: a loan carries the crashes and their points, lent and given back. They are no part of what names the loan, and stand behind what earlier versions read. Why it holds: whoever looks after the task next has the count from the record that gives it the task.

--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any
 
 import orjson
 
@@ -64,18 +64,24 @@
     shard: int
 
 
-class Loan(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class Loan:
     """One handing of a standing task to another shard.
 
     Attributes:
         step: Number of the step.
         index: Number of the task in the step.
         number: Counts the loans of this task, from 1.
+        crashes: Executors that had crashed under it when it was lent, or given back; what it
+            may still take down is bounded over all halls. No part of what names the loan.
+        points: What these count.
     """
 
     step: int
-    index: int  # type: ignore[assignment]
+    index: int
     number: int
+    crashes: int = field(default=0, compare=False)
+    points: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +174,7 @@
         return f"m:{record.job_id}".encode(), orjson.dumps(record.shard)
     if isinstance(record, Lent | Returned):
         kind = "l" if isinstance(record, Lent) else "r"
-        loans = orjson.dumps([list(loan) for loan in record.loans])
+        loans = orjson.dumps([_loan_row(loan) for loan in record.loans])
         return f"{kind}:{record.job_id}:{record.shard}".encode(), loans
     if isinstance(record, Cancelled):
         return f"c:{record.job_id}".encode(), b"1"
@@ -322,7 +328,14 @@
 
 
 def _loans_from(fields: Any) -> tuple[Loan, ...]:
-    return tuple(Loan(*(whole(part) for part in rows(row)[:3])) for row in rows(fields))
+    # Later versions may tell more behind it.
+    return tuple(Loan(*(whole(part) for part in rows(row)[:5])) for row in rows(fields))
+
+
+def _loan_row(loan: Loan) -> list[int]:
+    """Return a loan's fields; those of crashes are left out where there were none."""
+    crashes = [loan.crashes, loan.points] if loan.crashes else []
+    return [loan.step, loan.index, loan.number, *crashes]
 
 
 _OF_SHARDS = frozenset(("l", "r"))
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -26,6 +26,7 @@
     from linkspan.shard.messages import TaskName
     from linkspan.shard.shard_job import ShardJob
     from linkspan.shard.step_run import StepRun
+    from linkspan.shard.suspicion import Suspicion
     from linkspan.shard.task import Task
 
 Order = StartOrder | StopOrder | PaceOrder
@@ -170,6 +171,12 @@
             self.mark_ready(task, now)
         self.touch(task.step.run)
 
+    def suspect(self, task: Task, suspicion: Suspicion | None) -> None:
+        """Set what crashes say against a task."""
+        task.suspicion = suspicion
+        if suspicion:
+            self.suspects[task] = None
+
     def mark_ready(self, task: Task, now: float) -> None:
         """Let a task wait for a start from now on."""
         task.ready_since = now
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.jobs.records import Lent, Loan, Moved, Returned
+from linkspan.jobs.records import Lent, Moved, Returned
 from linkspan.shard.handover._evidence import MoveEvidence
 from linkspan.shard.handover._given_back import GivenBack
+from linkspan.shard.handover._loans import loan_of
 from linkspan.shard.handover.rebalance import Rebalancer
 from linkspan.shard.handover.summary import summarize
 from linkspan.shard.recovery.progress import RunKey, encode_moved, encode_run, key_of
@@ -95,7 +96,7 @@
     def _returned(self, job_id: str, run: JobRun, tasks: tuple[tuple[int, int], ...]) -> Returned:
         entry = self._book.catalog.get(job_id)
         before = entry.returned.get(self._shard, ()) if entry else ()
-        loans = tuple(Loan(s, i, run.steps[s].tasks[i].loan) for s, i in tasks)
+        loans = tuple(loan_of(run.steps[step].tasks[index]) for step, index in tasks)
         self._given_back.keep_only(self._core.jobs)
         return Returned(job_id, self._shard, self._given_back.add(job_id, before, loans))
 
--- a/src/linkspan/shard/handover/_loans.py
+++ b/src/linkspan/shard/handover/_loans.py
@@ -6,12 +6,14 @@
 
 from linkspan.jobs.records import Loan
 from linkspan.shard.recovery.progress import key_of
+from linkspan.shard.suspicion import as_lent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.task import Task
 
 
 class Loans:
@@ -38,6 +40,7 @@
             if task.lent is not None and task.loan < loan.number:
                 task.lent = None
                 task.loan = loan.number
+                self._books.suspect(task, as_lent(loan))
                 self._books.mark_ready(task, now)
 
     def give_away(self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]) -> JobRun | None:
@@ -68,6 +71,7 @@
             if task.lent is not None and task.loan == loan.number:
                 task.given_back[task.lent] = loan.number
                 task.lent = None
+                self._books.suspect(task, as_lent(loan))
                 self._books.touch(run)
                 self._books.mark_ready(task, now)
 
@@ -78,8 +82,7 @@
         for run in job.runs.values() if job else ():
             for task in run.tasks():
                 if task.lent is not None and task.loan:
-                    loan = Loan(task.name.step, task.name.index, task.loan)
-                    loans[task.lent] = (*loans.get(task.lent, ()), loan)
+                    loans[task.lent] = (*loans.get(task.lent, ()), loan_of(task))
         return loans
 
     def remove_moved(self, job_id: str) -> None:
@@ -92,3 +95,10 @@
             for step in run.steps:
                 self._books.ready.pop(step, None)
                 self._books.advice.forget(step)
+
+
+def loan_of(task: Task) -> Loan:
+    """Return a task's last loan, with the crashes under it: the count goes with the task."""
+    known = task.suspicion
+    crashes, points = (known.crashes, known.points) if known else (0, 0)
+    return Loan(task.name.step, task.name.index, task.loan, crashes, points)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -11,7 +11,7 @@
 from linkspan.shard.planning._outlook import refresh_outlook
 from linkspan.shard.recovery.progress import RunKey, key_of, restore_run
 from linkspan.shard.shard_job import ShardJob
-from linkspan.shard.suspicion import CRASHES
+from linkspan.shard.suspicion import CRASHES, as_lent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -85,7 +85,7 @@
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
             if borrowed is not None:
-                _keep_only(run, borrowed, submitted.shard)
+                self._keep_only(run, borrowed, submitted.shard)
             self._books.open_steps(run, now)
         self._books.finish_if_done(job)
         if unread:
@@ -118,8 +118,7 @@
         self._books.mark_begun(run.job)
         for task in run.tasks():
             task.next_run += INHERITED_RUN_GAP
-            if task.suspicion:
-                self._books.suspects[task] = None
+            self._books.suspect(task, task.suspicion)
             for attempt in list(task.attempts):
                 executor = self._books.executors.get(attempt.executor_id)
                 if executor:
@@ -138,6 +137,18 @@
                 # Its former owner was lost before the end was on record.
                 self._books.decide(run.job, JobState.FAILED, reason=CRASHES)
 
+    def _keep_only(self, run: JobRun, loans: Iterable[Loan], home: int) -> None:
+        """Leave all tasks but the borrowed ones to the shard that the job lives in."""
+        ours = {(loan.step, loan.index): loan for loan in loans}
+        for task in run.tasks():
+            loan = ours.get((task.name.step, task.name.index))
+            if loan is None:
+                task.lent = home
+            elif task.loan < loan.number:
+                task.lent = None
+                task.loan = loan.number
+                self._books.suspect(task, as_lent(loan))
+
     def refresh_queue(self, job: ShardJob) -> None:
         """Take a job's limits from the configuration in force.
 
@@ -195,15 +206,3 @@
     def drop_progress(self, job_id: str, repetitions: Iterable[int]) -> None:
         """Have the records of a job that is finished, or void, removed."""
         self._books.dropped += [RunKey(job_id, number).encode() for number in repetitions]
-
-
-def _keep_only(run: JobRun, loans: Iterable[Loan], home: int) -> None:
-    """Leave all tasks but the borrowed ones to the shard that the job lives in."""
-    ours = {(loan.step, loan.index): loan.number for loan in loans}
-    for task in run.tasks():
-        number = ours.get((task.name.step, task.name.index))
-        if number is None:
-            task.lent = home
-        elif task.loan < number:
-            task.lent = None
-            task.loan = number
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -133,8 +133,7 @@
         run = task.step.run
         self._books.touch(run)
         points = _points(attempt, worked) if named else LEAST_POINTS
-        task.suspicion = one_more(task.suspicion, points, run.version)
-        self._books.suspects[task] = None
+        self._books.suspect(task, one_more(task.suspicion, points, run.version))
 
     def _give_up(self, attempt: Attempt) -> None:
         task = attempt.task
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -9,6 +9,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from linkspan.jobs.records import Loan
 
 AT_ONCE_S = 0.5
 """Time from a run's begin to a crash that makes it most suspect. A query of death fails in
@@ -70,6 +74,11 @@
         return self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
 
 
+def as_lent(loan: Loan) -> Suspicion | None:
+    """Return what a loan brings along, or brings back, of crashes under its task."""
+    return Suspicion(loan.crashes, loan.points) if loan.crashes else None
+
+
 def one_more(known: Suspicion | None, points: int, version: int) -> Suspicion:
     """Return what is known of a task after one more crash.
 
--- a/tests/host/test_crashing_tasks.py
+++ b/tests/host/test_crashing_tasks.py
@@ -232,3 +232,23 @@
     world, shown = _play(play())
     assert world.problems == []
     assert shown == ["running"]
+
+
+def test_the_count_goes_along_with_loans() -> None:
+    """A standing task that fell five seconds after each begin was counted anew in each hall.
+
+    It took seven executors: the three of its hall, which were not back yet, and four in the
+    hall that it was lent to. The record of a loan had no place for its crashes.
+    """
+
+    async def play() -> Played:
+        world = await day(executors_per_hall=3, crash_back_s=LONG_S)
+        spec = await submit_crashing(world, step(standing=True), after_s=5.0)
+        await asyncio.sleep(GIVEN_UP_S)
+        return world, await states(world, [spec])
+
+    world, shown = _play(play())
+    assert world.log.named("WORK_HANDED_OVER")
+    assert world.problems == []
+    assert shown == ["failed"]
+    assert sum(world.crashing.fallen.values()) <= 4
--- a/tests/jobs/test_records.py
+++ b/tests/jobs/test_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -124,3 +126,16 @@
 def test_malformed_keys_are_refused(key: bytes) -> None:
     with pytest.raises(RecordError):
         decode(key, b"7")
+
+
+def test_a_loan_tells_of_crashes_to_those_who_know_of_them() -> None:
+    """Earlier versions read the first three fields; what they write has no others."""
+    lent = Lent("0a", 1, (Loan(0, 0, 1, crashes=2, points=6), Loan(0, 1, 1)))
+    key, value = encode(lent)
+    assert json.loads(value) == [[0, 0, 1, 2, 6], [0, 1, 1]]
+    read = decode(key, value)
+    assert isinstance(read, Lent)
+    assert [(loan.crashes, loan.points) for loan in read.loans] == [(2, 6), (0, 0)]
+    earlier = decode(key, b"[[0,0,1]]")
+    assert isinstance(earlier, Lent) and earlier.loans == (Loan(0, 0, 1),)
+    assert earlier.loans[0] == lent.loans[0], "what names a loan is not what it tells"
