Count no crash under a run whose order came to its executor after the fall

What callers saw: nothing yet; a job that can be done could be given up for starts that never were. Cause: an executor that has fallen is found so up to a second later. Orders planned meanwhile looked like runs that had begun right before the fall, which speaks most against a task. Change: an order that another incarnation refuses, or for which no connection came about, was surely not done: it is taken back, and the executor counts as silent at once. Why it holds: a refused connection has carried nothing, and an incarnation does nothing under the name of another. A time-out, or a connection that broke, proves nothing and stays in doubt.

--- a/src/linkspan/errors.py
+++ b/src/linkspan/errors.py
@@ -68,6 +68,10 @@
     exit_code = 5
 
 
+class Unconnected(Unreachable):
+    """No connection came about: what was asked for was surely not sent."""
+
+
 class LogUnavailable(Unreachable):
     """The platform's log service failed or timed out.
 
--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -9,7 +9,7 @@
 import orjson
 
 from linkspan._typed import number, rows, text, whole
-from linkspan.errors import Fenced, Unreachable, WrongIncarnation
+from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.messages import (
     EndedTask,
     EndKind,
@@ -137,6 +137,8 @@
                 async with self._session.post(url, data=data, headers=headers) as answer:
                     status = answer.status
                     fields = orjson.loads(await answer.read() or b"{}")
+        except aiohttp.ClientConnectorError as error:
+            raise Unconnected(f"executor at {address}: {error!r}; it is asked again") from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise Unreachable(f"executor at {address}: {error!r}; it is asked again") from error
         if status == 421:
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.errors import Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.attempt import Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
 from linkspan.shard.planning.planner import Planner
@@ -109,10 +109,7 @@
     async def _send(self, order: Order) -> None:
         executor = self._core.executors.get(order.executor_id)
         if executor is None or executor.clock is None or not self._may_send(order, executor):
-            if isinstance(order, StartOrder):
-                self._core.on_start_unsent(order, time.monotonic())
-            elif isinstance(order, PaceOrder):
-                self._core.on_pace_unknown(order)
+            self._take_back(order)
             return
         address = executor.record.address
         try:
@@ -129,12 +126,28 @@
             elif not await self._executors.pace(address, order):
                 self._core.on_pace_unknown(order)
         except WrongIncarnation:
+            # The one that it was meant for had gone before: the run was not there when it fell.
+            self._take_back(order)
             self._core.on_gone(order.executor_id, time.monotonic(), "another incarnation answers")
+        except Unconnected as error:
+            self._count_unreachable(order)
+            self._core.on_silent(order.executor_id, time.monotonic(), cause=str(error))
+            self._take_back(order)
         except Unreachable:
-            call = type(order).__name__
-            self._metrics.count("executor_calls", call=call, outcome="unreachable")
+            self._count_unreachable(order)
             if isinstance(order, StartOrder):
                 self._core.on_start_unanswered(order, time.monotonic())
             elif isinstance(order, PaceOrder):
                 self._core.on_pace_unknown(order)
         self._changes.news()
+
+    def _take_back(self, order: Order) -> None:
+        """Take in that an order was surely not sent, or not to whom it was meant for."""
+        if isinstance(order, StartOrder):
+            self._core.on_start_unsent(order, time.monotonic())
+        elif isinstance(order, PaceOrder):
+            self._core.on_pace_unknown(order)
+
+    def _count_unreachable(self, order: Order) -> None:
+        call = type(order).__name__
+        self._metrics.count("executor_calls", call=call, outcome="unreachable")
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -187,7 +187,10 @@
     """Return what a crash counts under a run that was there for some seconds."""
     if attempt.found or worked > SOON_S:
         return LEAST_POINTS
-    return AT_ONCE_POINTS if worked <= AT_ONCE_S else SOON_POINTS
+    if attempt.confirmed_at == NEVER or worked > AT_ONCE_S:
+        # A start without an answer may have come to an executor that had fallen already.
+        return SOON_POINTS
+    return AT_ONCE_POINTS
 
 
 def _fall(executor: ExecutorState, by: float) -> Fall:
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from linkspan.events import Event
+from tests.hall_world import HallWorld
+from tests.host.crashing_day import day, states, submit
 from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan, started
+from tests.virtual_time import run_virtual
 
 
 def test_a_crash_names_the_tasks_that_were_there() -> None:
@@ -40,3 +44,33 @@
     core.on_gone("e0", 4.0, "another incarnation answers")
     assert Event.EXECUTOR_GONE in lines
     assert Event.EXECUTOR_CRASHED not in lines
+
+
+def test_a_start_that_another_incarnation_refuses_was_not_there_when_its_executor_fell() -> None:
+    """Such an order comes after the fall: it would make its task look as if it had done it."""
+
+    async def play() -> HallWorld:
+        world = await day(resets=False, lists_machines=False, executors_per_hall=1)
+        world.crash_executor("east-0:1")
+        spec = await submit(world, step(estimate_s=1.0))
+        await asyncio.sleep(10.0)
+        assert await states(world, [spec]) == ["succeeded"]
+        return world
+
+    assert run_virtual(play()).log.named("EXECUTOR_CRASHED") == []
+
+
+def test_a_start_whose_connection_is_refused_was_never_sent() -> None:
+    """Nothing listens where an executor fell a moment ago; its task may start elsewhere at once."""
+
+    async def play() -> HallWorld:
+        world = await day(executors_per_hall=2)
+        world.executors["east-0:1"].alive = False
+        spec = await submit(world, step(estimate_s=1.0))
+        await asyncio.sleep(10.0)
+        assert await states(world, [spec]) == ["succeeded"]
+        return world
+
+    world = run_virtual(play())
+    assert world.log.named("START_IN_DOUBT") == []
+    assert world.log.named("EXECUTOR_CRASHED") == []
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from linkspan.errors import Fenced, Unreachable, WrongIncarnation
+from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
 from linkspan.jobs.spec import Demand
 from linkspan.shard.messages import (
     EndedTask,
@@ -246,7 +246,7 @@
         await asyncio.sleep(ANSWER_S / 2)
         executor = self._world.at(address)
         if self._world.resets and executor and not executor.alive:
-            raise Unreachable("connection refused")
+            raise Unconnected("connection refused")
         if executor is None or not executor.alive or self._world.is_cut(self._host, executor):
             await self._no_answer()
         assert executor
