Keep suspects apart also when they waited for long, and let them use what they failed on

What callers saw: a suspect that may wait no longer could start beside another one, so that a crash named neither; and one that had failed, or stood still, on all executors waited for ever. Cause: the way past a full trial went to the common placement, which knows of no suspects; and a suspect was placed without the rule by which failed tasks forgive executors after 0.4 s. Change: such a suspect lifts the bound on the hall's share first, and goes beside others only where no executor without one has room; the rule of forgiving is one, with the placement. Figures: two tests, red before.

--- a/src/linkspan/shard/planning/_trials.py
+++ b/src/linkspan/shard/planning/_trials.py
@@ -17,8 +17,8 @@
 three quarters of the hall to others; and where more fall at once, it was not they."""
 
 WAIT_S = 2.0
-"""Time for which a suspect waits for an executor of its own. Few of them are guilty, and
-standing tasks that are away for longer are missed."""
+"""Time for which a suspect waits: after it on a larger part of the hall, and beside others if
+it must be. Few of them are guilty, and standing tasks that are away for longer are missed."""
 
 
 class Trials:
@@ -42,19 +42,17 @@
 
     def choose(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return the executor for a suspect, ``None`` if it is to wait."""
-        if self.overdue(task):
-            return placement.choose(task)
-        running = self._running()
-        if len(running) >= self._most:
+        placement.forgive(task)
+        running = self.running()
+        overdue = self._now - task.ready_since >= WAIT_S
+        if len(running) >= self._most and not overdue:
             return None
         free = [e for e in placement.fitting(task) if e.executor_id not in running]
-        return min(free, key=_held, default=None)
+        if free or not overdue:
+            return min(free, key=_held, default=None)
+        return placement.choose(task)
 
-    def overdue(self, task: Task) -> bool:
-        """Whether a suspect has waited so long that it may start beside others."""
-        return self._now - task.ready_since >= WAIT_S
-
-    def _running(self) -> set[str]:
+    def running(self) -> set[str]:
         """Return the executors on which suspects are tried at present."""
         suspects = self._core.suspects
         running = set()
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -36,6 +36,11 @@
 speed end in time more often than more at a part of it (trials: batch jobs of a calm day
 earned 0.35 with a third of full speed and 0.37 with all of it)."""
 
+AVOID_S = 0.4
+"""Time for which a failed task waits for another executor than the one it failed on:
+about a short task's length. One in fifty fails by its own fault wherever it runs, and
+an executor that fails them all is distrusted after two jobs."""
+
 NO_ROOM = float("inf")
 """Score of an executor without room."""
 
@@ -128,6 +133,15 @@
             self.full.add(kind)
         return best
 
+    def forgive(self, task: Task) -> bool:
+        """Let a task use executors again that it failed on, if no other had room for a while."""
+        nowhere = all(e.executor_id in task.avoid for e in self.executors)
+        waited = self.now - task.ready_since
+        if not task.avoid or not (nowhere or waited >= AVOID_S):
+            return False
+        task.avoid.clear()
+        return True
+
     def fitting(self, task: Task) -> list[ExecutorState]:
         """Return all executors that have room for a task, and on which it did not fail."""
         fill = self._may_fill(task)
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -23,11 +23,6 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-AVOID_S = 0.4
-"""Time for which a failed task waits for another executor than the one it failed on:
-about a short task's length. One in fifty fails by its own fault wherever it runs, and
-an executor that fails them all is distrusted after two jobs."""
-
 STARVED_S = 1.5
 """Time after which a job with nothing running starts a task wherever there is memory
 for it. The platform counts work as lost that waits for three seconds beside room."""
@@ -149,8 +144,9 @@
             executor = trials.choose(placement, task)
             if executor is None:
                 continue
+            apart = executor.executor_id not in trials.running()
             attempt = self._start(placement, task, executor, pace=placement.pace(executor))
-            attempt.apart = not trials.overdue(task)
+            attempt.apart = apart
             placed.append(attempt)
         return placed
 
@@ -170,12 +166,7 @@
 
     def _second_choice(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return an avoided executor if no other had room for a while, or there is none."""
-        nowhere = all(e.executor_id in task.avoid for e in placement.executors)
-        waited = placement.now - task.ready_since
-        if not task.avoid or not (nowhere or waited >= AVOID_S):
-            return None
-        task.avoid.clear()
-        return placement.choose(task)
+        return placement.choose(task) if placement.forgive(task) else None
 
     def _place_gang(
         self, placement: StepPlacement, pending: list[Task], trials: Trials
@@ -197,8 +188,9 @@
                     self._core.unmark_begun(progress, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
+            apart = task.suspect and executor.executor_id not in trials.running()
             attempt = self._start(placement, task, executor, run=run)
-            attempt.apart = task.suspect and not trials.overdue(task)
+            attempt.apart = apart
             placed.append(attempt)
         return placed
 
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -19,7 +19,7 @@
     StopOrder,
     TaskName,
 )
-from linkspan.shard.planning.planner import AVOID_S
+from linkspan.shard.planning.placement import AVOID_S
 from linkspan.shard.recovery.progress import encode_run
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started, submitted
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from linkspan.events import Event
+from linkspan.shard.suspicion import Suspicion
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
 from tests.job_builders import step
-from tests.shard.builders import JOB, core_with, plan, started
+from tests.shard.builders import JOB, core_with, place, plan, started
 from tests.virtual_time import run_virtual
 
 
@@ -74,3 +75,24 @@
     world = run_virtual(play())
     assert world.log.named("START_IN_DOUBT") == []
     assert world.log.named("EXECUTOR_CRASHED") == []
+
+
+def test_suspects_that_waited_for_long_still_keep_apart() -> None:
+    """A suspect that may wait no longer goes to an executor where no other is tried."""
+    core = core_with(step(2), executors=2)
+    place(core, core.executors["e1"], cpu=6_000)
+    for task in core.jobs[JOB].runs[0].tasks():
+        core.suspect(task, Suspicion(1, 4))
+    (tried,) = plan(core, 1.0)
+    assert tried.executor_id == "e0", "where least is lost"
+    (late,) = plan(core, 3.5)
+    assert late.executor_id == "e1"
+
+
+def test_a_suspect_that_failed_everywhere_is_started_again() -> None:
+    """It waited for ever: a task that failed on an executor avoids it, but not for good."""
+    core = core_with(step(1), executors=2)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    core.suspect(task, Suspicion(1, 4))
+    task.avoid |= {"e0", "e1"}
+    assert plan(core, 3.5)
