Move work off executors whose room shrank, and remember how large they were

By tests: seven cores of work on an executor with two, beside an empty one, for as long as it ran; a job refused for good by a host that had started while rooms were small, though it fits again seconds later. Cause: an executor's room was taken for fixed over its life. Starts keep to what its entry tells now; nothing looked at what was there already, and sizes of jobs were judged by the room of the moment. Ruled out: starts beyond a room that shrank. Change: after a second, work leaves an overfull executor if it fits elsewhere, best-effort work first, then by priority, standing tasks one at a time; room that moves take is counted until they have ended.

--- a/src/linkspan/host/sizes.py
+++ b/src/linkspan/host/sizes.py
@@ -9,6 +9,11 @@
     from linkspan.shard.handover.summary import HallSummary
 
 
+MOST_SIZES = 64
+"""Sizes of a service's executors from which on one that a larger one holds is not kept: rooms
+that shrink and grow bring ever new ones, and each job is compared with all."""
+
+
 class ExecutorSizes:
     """The sizes of executors that were ever told of, by service.
 
@@ -29,7 +34,15 @@
             return
         self._untold.discard(shard)
         for kind in summary.kinds:
-            self._seen.setdefault(kind.service, set()).add(kind.capacity)
+            self._note(kind.service, kind.capacity)
+        for service, size in summary.larger:
+            self._note(service, size)
+
+    def _note(self, service: str, size: Demand) -> None:
+        seen = self._seen.setdefault(service, set())
+        if len(seen) >= MOST_SIZES and any(known.union(size) == known for known in seen):
+            return
+        seen.add(size)
 
     def of(self, service: str) -> frozenset[Demand]:
         """Return the sizes of a service's executors, also of those that are gone.
--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -39,6 +39,19 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    def union(self, other: Demand) -> Demand:
+        """Return the least room that holds either.
+
+        Example:
+            >>> Demand(2_000, 100).union(Demand(1_000, 200))
+            Demand(milli_cpu=2000, memory_mb=200, gpus=0)
+        """
+        return Demand(
+            max(self.milli_cpu, other.milli_cpu),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
 
 @dataclass(frozen=True)
 class StepSpec:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
 
 if TYPE_CHECKING:
@@ -65,6 +66,8 @@
             much room that takes is not known.
         missing_since: Steady time since when its registration is taken for gone.
         entry_went_at: Steady time at which its entry went, if it did not come back.
+        largest: The most room that it was seen with: what shrank grows again.
+        overfull_since: Steady time since when it holds more than its room.
         lapsed: Attempts that were let go when its leases had ended, while it stays silent.
     """
 
@@ -85,6 +88,8 @@
     missing_since: float = NEVER_LEAVES
     entry_went_at: float = NEVER_LEAVES
     lapsed: list[Attempt] = field(default_factory=list)
+    largest: Demand = field(default_factory=Demand)
+    overfull_since: float | None = None
 
     _beside: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _judged: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
@@ -95,6 +100,9 @@
     _memory: int = 0
     _gpus: int = 0
 
+    def __post_init__(self) -> None:
+        self.largest = self.record.capacity
+
     @property
     def executor_id(self) -> str:
         """Id of the incarnation."""
@@ -136,11 +144,23 @@
         """Megabytes that are not taken."""
         return self.record.capacity.memory_mb - self._memory
 
+    @property
+    def overfull(self) -> bool:
+        """Whether attempts there hold more than its room."""
+        return self.free_cpu < 0 or self.free_memory < 0 or self.free_gpus < 0
+
     @property
     def free_gpus(self) -> int:
         """Accelerators that are not taken."""
         return self.record.capacity.gpus - self._gpus
 
+    def register(self, record: ExecutorRecord) -> None:
+        """Take in what it says of itself now."""
+        self.record = record
+        self.listed = True
+        self.missing_since = NEVER_LEAVES
+        self.largest = self.largest.union(record.capacity)
+
     def add(self, attempt: Attempt) -> None:
         """Count an attempt in."""
         if attempt.key not in self.attempts:
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -49,6 +49,7 @@
         rooms: Free thousandths of a core and megabytes of each executor.
         kinds: What its executors are like, also of those that take no work just now, but
             for those that leave; ``None`` if that is not told.
+        larger: Service and size of executors that had more room before: it comes back.
     """
 
     capacity: int = 0
@@ -60,6 +61,7 @@
     effects: tuple[PairEffect, ...] = ()
     rooms: tuple[tuple[int, int], ...] = ()
     kinds: tuple[ExecutorKind, ...] | None = None
+    larger: tuple[tuple[str, Demand], ...] = ()
 
     def able(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -91,6 +93,7 @@
             self.rooms,
             self.queued,
             None if self.kinds is None else [_kind_row(kind) for kind in self.kinds],
+            [[service, _size_row(size)] for service, size in self.larger],
         ]
 
     @classmethod
@@ -105,6 +108,7 @@
             capacity, free, best_effort, waiting, standing, effects, rooms, *rest = fields
             queued = rest[0] if rest else 0
             kinds = rest[1] if len(rest) > 1 else None
+            larger = rest[2] if len(rest) > 2 else ()
             return cls(
                 whole(capacity),
                 _signed(free),
@@ -115,6 +119,7 @@
                 tuple(_effect(rows(row)) for row in rows(effects)),
                 tuple(_room(rows(row)) for row in rows(rooms)),
                 None if kinds is None else tuple(_kind(rows(row)) for row in rows(kinds)),
+                tuple(_larger(rows(row)) for row in rows(larger)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
@@ -138,16 +143,27 @@
 
 
 def _kind_row(kind: ExecutorKind) -> list[object]:
-    room = kind.capacity
-    size = (room.milli_cpu, room.memory_mb, room.gpus)
-    return [kind.service, size, sorted(kind.labels), kind.count]
+    return [kind.service, _size_row(kind.capacity), sorted(kind.labels), kind.count]
+
+
+def _size_row(size: Demand) -> tuple[int, int, int]:
+    return size.milli_cpu, size.memory_mb, size.gpus
 
 
 def _kind(row: list[Any]) -> ExecutorKind:
     service, size, labels, count, *_ = row
-    milli_cpu, memory_mb, gpus, *_ = (whole(part) for part in rows(size))
     named = frozenset(text(label) for label in rows(labels))
-    return ExecutorKind(text(service), Demand(milli_cpu, memory_mb, gpus), named, whole(count))
+    return ExecutorKind(text(service), _size(size), named, whole(count))
+
+
+def _larger(row: list[Any]) -> tuple[str, Demand]:
+    service, size, *_ = row
+    return text(service), _size(size)
+
+
+def _size(row: object) -> Demand:
+    milli_cpu, memory_mb, gpus, *_ = (whole(part) for part in rows(row))
+    return Demand(milli_cpu, memory_mb, gpus)
 
 
 def summarize(core: ShardCore, now: float) -> HallSummary:
@@ -170,9 +186,16 @@
         kinds=kinds_of(
             e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
         ),
+        larger=_larger_before(core),
     )
 
 
+def _larger_before(core: ShardCore) -> tuple[tuple[str, Demand], ...]:
+    """Return the sizes of executors that have less room now than they had."""
+    shrunk = (e for e in core.executors.values() if e.listed and e.largest != e.record.capacity)
+    return tuple({(e.record.service, e.largest): None for e in shrunk})
+
+
 def _pending_cpu(core: ShardCore, *, best_effort: bool) -> int:
     return sum(
         step.spec.demand.milli_cpu * sum(task.pending for task in step.tasks)
--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from linkspan.shard.attempt import FULL_PROGRESS, Phase
+from linkspan.shard.attempt import Phase
 from linkspan.shard.colocation.pacing import MOVE_BELOW
+from linkspan.shard.planning._overfull import Overfull
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._plan_view import PlanView
     from linkspan.shard.step_run import StepRun
-    from linkspan.shard.task import Task
 
 STRAGGLER_FACTOR = 3.0
 """Multiple of its siblings' median after which a run counts as a straggler; tasks
@@ -69,6 +69,7 @@
         """Order the stops that are due now."""
         self._leave_draining()
         self._leave_missing()
+        Overfull(self._view).order()
         self._move_stragglers()
         self._move_disturbing()
 
@@ -105,9 +106,7 @@
 
     def _all_at_work(self, step: StepRun) -> bool:
         """Whether each task of a standing step is at work, all of them in this shard."""
-        if not step.spec.standing or step.spec.gang or step.run.job.borrowed:
-            return False
-        return all(_at_work(task) for task in step.tasks)
+        return step.spec.standing and not step.spec.gang and step.all_at_work
 
     def _fits_elsewhere(self, attempt: Attempt) -> bool:
         step = attempt.task.step
@@ -163,7 +162,3 @@
         book, image, cpu = self._core.colocation, spec.image, spec.demand.milli_cpu
         here = book.worst_added(executor, image, cpu)
         return book.worst_added(best, image, cpu) < MOVE_GAIN * here
-
-
-def _at_work(task: Task) -> bool:
-    return any(a.phase is Phase.RUNNING and a.progress >= FULL_PROGRESS for a in task.attempts)
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Begun, Dropped, Finished
@@ -74,7 +75,10 @@
         records += [Record(encode_run(run), key_of(run)) for run in runs]
         roster = frozenset(core.executors)
         if roster != self._changes.roster:
-            listed = encode_roster(e.record for e in core.executors.values())
+            # At their largest: what a next owner sees of them may be small for a while.
+            listed = encode_roster(
+                replace(e.record, capacity=e.largest) for e in core.executors.values()
+            )
             records.append(Record(listed, ROSTER_KEY))
         if not records:
             return
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -83,9 +83,7 @@
             if known is None:
                 self._books.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
                 known = self._add_executor(record)
-            known.record = record
-            known.listed = True
-            known.missing_since = NEVER_LEAVES
+            known.register(record)
             went_at = missing.get(executor_id, NEVER_LEAVES)
             # The first time stands: an outage of the store moves the one that is told.
             known.entry_went_at = min(went_at, known.entry_went_at) if went_at < now else went_at
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -72,6 +72,16 @@
             self._median_s = sorted(self.durations)[self._median_of // 2]
         return self._median_s
 
+    @property
+    def all_at_work(self) -> bool:
+        """Whether each task of a standing step is at work, all of them in this shard.
+
+        Only then may one of them be ended by our doing: others count as away, too.
+        """
+        if self.run.job.borrowed:
+            return False
+        return all(task.at_work for task in self.tasks)
+
     def pending(self) -> list[Task]:
         """Return the tasks that wait for an attempt."""
         return [t for t in self.tasks if not (t.done or t.attempts) and t.lent is None]
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from linkspan.shard.attempt import FULL_PROGRESS, NEVER
+from linkspan.shard.attempt import FULL_PROGRESS, NEVER, Phase
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -59,6 +59,11 @@
         """Whether it waits for an attempt."""
         return not self.done and not self.attempts and self.lent is None
 
+    @property
+    def at_work(self) -> bool:
+        """Whether a run of it tells that it is at work; of standing tasks."""
+        return any(a.phase is Phase.RUNNING and a.progress >= FULL_PROGRESS for a in self.attempts)
+
     @property
     def suspect(self) -> bool:
         """Whether it is to be started apart from others that may crash their executor."""
--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -14,7 +14,7 @@
 from linkspan.shard.messages import ExecutorRecord, StartOutcome, TaskName
 from linkspan.store.types import Partition
 from tests.one_hall import OneHall
-from tests.run_judge import RunJudge
+from tests.run_judge import CONTACT_S, RunJudge
 from tests.standins.memory_executor import MemoryExecutor
 from tests.standins.memory_store import MemoryStore
 
@@ -107,6 +107,13 @@
         """Write an entry under a key that may be no executor's id."""
         self.store.put(EXECUTORS, key, entry)
 
+    def resize(self, address: str, milli_cpu: int, memory_mb: int = 32_000) -> None:
+        """Let an executor's room shrink or grow while it runs, as its entry then tells."""
+        executor = self.executors[address]
+        known_by = executor.now + CONTACT_S + HEARTBEAT_S
+        executor.resize(Demand(milli_cpu, memory_mb), known_by=known_by)
+        self.register(executor)
+
     def forget_registration(self, executor: MemoryExecutor) -> None:
         """Drop an executor's entry while it serves on."""
         self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
--- /dev/null
+++ b/tests/host/test_shrinking_room.py
@@ -0,0 +1,196 @@
+"""Executors whose room shrinks and grows again while they run.
+
+What could be seen: work that no longer fits stays on an executor whose room shrank, beside
+executors that are free; and a host that starts meanwhile refuses a job for good that fits
+again as soon as the room is back.
+
+How it comes about: an executor's room was taken for fixed, but for its next incarnation. Starts
+keep to what its entry tells; nothing looked at what ran there already, and the sizes that a
+host judges jobs by were those of the moment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from linkspan.jobs.spec import StepSpec
+from tests.hall_executors import HEARTBEAT_S
+from tests.hall_world import HallWorld
+from tests.host.crashing_day import states, submit
+from tests.job_builders import step
+from tests.run_judge import CONTACT_S
+from tests.virtual_time import run_virtual
+
+FITS_AGAIN_S = CONTACT_S + HEARTBEAT_S
+"""Time in which what does not fit any more is to be elsewhere."""
+
+TOLD_AGAIN_S = 12.0
+"""Time after which no record that a host reads at its start tells of the larger room."""
+
+LONG_S = 60.0
+"""Length of work that outlasts a play."""
+
+
+async def _world(**fields: object) -> HallWorld:
+    world = HallWorld(**{"executors_per_hall": 2, "guards_room": False, **fields})  # type: ignore[arg-type]
+    await world.begin()
+    return world
+
+
+def _held(world: HallWorld, address: str) -> int:
+    """Return thousandths of a core of what runs on an executor."""
+    executor = world.executors[address]
+    executor.advance()
+    return sum(world.step_of(task).demand.milli_cpu for task in executor.running)
+
+
+def test_no_start_brings_a_shrunk_executor_over_its_room() -> None:
+    """The executors do not guard it, and new work comes all the while."""
+
+    async def play() -> HallWorld:
+        world = await _world()
+        specs = []
+        for count in range(60):
+            if count in (5, 35):
+                world.resize("east-0:1", 2_000)
+            if count in (25, 55):
+                world.resize("east-0:1", 8_000)
+            specs.append(await submit(world, step(4, cpu=900, estimate_s=2.0)))
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(30.0)
+        assert await states(world, specs) == ["succeeded"] * 60
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        pytest.param(step(7, cpu=1_000, estimate_s=LONG_S), id="timed"),
+        pytest.param(step(7, cpu=1_000, standing=True), id="standing"),
+    ],
+)
+def test_what_does_not_fit_any_more_goes_on_elsewhere(kind: StepSpec) -> None:
+    async def play() -> HallWorld:
+        world = await _world()
+        await submit(world, kind)
+        await asyncio.sleep(3.0)
+        full = max(("east-0:1", "east-1:1"), key=lambda address: _held(world, address))
+        assert _held(world, full) >= 4_000
+        world.resize(full, 2_000)
+        await asyncio.sleep(FITS_AGAIN_S)
+        assert _held(world, full) <= 2_000
+        assert sum(_held(world, address) for address in world.executors) == 7_000
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_best_effort_work_goes_first_where_memory_shrinks() -> None:
+    """It holds no cores of its own, and waits more easily."""
+
+    async def play() -> HallWorld:
+        world = await _world(executors_per_hall=2)
+        await submit(world, step(2, cpu=4_000, estimate_s=LONG_S))
+        await submit(world, step(2, cpu=1_000, estimate_s=LONG_S, best_effort=True))
+        await asyncio.sleep(2.0)
+        world.resize("east-0:1", 8_000, memory_mb=100)
+        await asyncio.sleep(FITS_AGAIN_S)
+        kept = [world.step_of(task) for task in world.executors["east-0:1"].running]
+        assert [spec.best_effort for spec in kept] == [False]
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_what_fits_nowhere_else_stays() -> None:
+    """Stopped, it would only lose what it has done."""
+
+    async def play() -> HallWorld:
+        world = await _world(executors_per_hall=1)
+        await submit(world, step(2, cpu=3_000, estimate_s=LONG_S))
+        await asyncio.sleep(2.0)
+        world.resize("east-0:1", 2_000)
+        await asyncio.sleep(FITS_AGAIN_S)
+        assert _held(world, "east-0:1") == 6_000
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_standing_tasks_leave_one_at_a_time() -> None:
+    """Few of a step's tasks may be away at once by what we do."""
+
+    async def play() -> HallWorld:
+        world = await _world(milli_cpu=16_000)
+        spec = await submit(world, step(8, cpu=1_000, standing=True, disruption_budget=1))
+        await asyncio.sleep(3.0)
+        full = max(("east-0:1", "east-1:1"), key=lambda address: _held(world, address))
+        world.resize(full, 1_000)
+        least = 8
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            least = min(least, sum(_held(world, address) for address in world.executors) // 1_000)
+        assert least >= 7
+        assert _held(world, full) <= 1_000
+        assert await states(world, [spec]) == ["running"]
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_a_host_that_starts_while_rooms_are_small_refuses_nothing_for_good() -> None:
+    async def play() -> HallWorld:
+        world = await _world(hosts_per_hall=3)
+        for address in ("east-0:1", "east-1:1"):
+            world.resize(address, 1_000)
+        await asyncio.sleep(TOLD_AGAIN_S)
+        owner = world.owner(0)
+        other = next(name for name in world.hosts if name != owner)
+        world.kill_host(other)
+        world.start_host(other)
+        await asyncio.sleep(4.0)
+        spec = world.new_job(step(1, cpu=6_000))
+        assert await world.submit(other, spec) == 200
+        world.resize("east-0:1", 8_000)
+        await asyncio.sleep(6.0)
+        assert await states(world, [spec]) == ["succeeded"]
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_a_next_owner_knows_how_large_executors_were() -> None:
+    """All hosts start while all rooms are small: the roster tells."""
+
+    async def play() -> HallWorld:
+        world = await _world()
+        for address in ("east-0:1", "east-1:1"):
+            world.resize(address, 1_000)
+        await asyncio.sleep(TOLD_AGAIN_S)
+        for name in list(world.hosts):
+            world.kill_host(name)
+        for name, _ in world.host_names():
+            world.start_host(name)
+        await asyncio.sleep(12.0)
+        assert await world.submit("east-host-0", world.new_job(step(1, cpu=6_000))) == 200
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
+def test_an_executor_may_shrink_to_nothing() -> None:
+    async def play() -> HallWorld:
+        world = await _world()
+        spec = await submit(world, step(4, cpu=1_000, standing=True, latency_target_ms=50.0))
+        await submit(world, step(4, cpu=500, estimate_s=LONG_S, best_effort=True))
+        world.resize("east-0:1", 0, memory_mb=0)
+        await asyncio.sleep(FITS_AGAIN_S + 3.0)
+        assert await states(world, [spec]) == ["running"]
+        assert world.executors["east-0:1"].running == {}
+        return world
+
+    assert run_virtual(play()).problems == []
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -105,5 +105,6 @@
     fields = replace(EMPTY, queued=7).encode()
     assert HallSummary.decode(fields).queued == 7
     assert HallSummary.decode(fields[:-1]) == replace(EMPTY, queued=7)
-    assert HallSummary.decode(fields[:-2]) == EMPTY
+    assert HallSummary.decode(fields[:-2]) == replace(EMPTY, queued=7)
+    assert HallSummary.decode(fields[:-3]) == EMPTY
     assert HallSummary.decode([*fields, "more"]).queued == 7
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
@@ -58,6 +58,8 @@
     refused_below: dict[TaskName, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    larger: Demand | None = None
+    larger_until: float = 0.0
 
     @property
     def now(self) -> float:
@@ -67,8 +69,25 @@
     def clock(self) -> float:
         return self.now * self.slow_clock
 
-    def free(self) -> Demand:
-        cpu, memory = self.record.capacity.milli_cpu, self.record.capacity.memory_mb
+    def resize(self, capacity: Demand, *, known_by: float) -> None:
+        """Change the room in all; starts are judged by the larger one until that is known."""
+        self.larger, self.larger_until = self.record.capacity, known_by
+        self.record = replace(self.record, capacity=capacity)
+
+    def judged_room(self) -> Demand:
+        """Return the room that starts must keep to: a smaller one counts once it is known."""
+        present = self.record.capacity
+        if self.larger is None or self.now >= self.larger_until:
+            return present
+        return Demand(
+            max(present.milli_cpu, self.larger.milli_cpu),
+            max(present.memory_mb, self.larger.memory_mb),
+        )
+
+    def free(self, room: Demand | None = None) -> Demand:
+        """Return what is left of a room, by default of that which there is."""
+        room = room or self.record.capacity
+        cpu, memory = room.milli_cpu, room.memory_mb
         for run in self.running.values():
             demand = self.world.step_of(run.task).demand
             cpu -= demand.milli_cpu
@@ -87,9 +106,10 @@
         if order.run <= self.refused_below.get(order.task, 0) or present:
             return StartOutcome.SUPERSEDED
         step = self.world.step_of(order.task)
-        free = self.free()
+        guarded = self.world.guards_room
+        free = self.free(None if guarded else self.judged_room())
         if step.demand.milli_cpu > free.milli_cpu or step.demand.memory_mb > free.memory_mb:
-            if self.world.guards_room:
+            if guarded:
                 return StartOutcome.NO_ROOM
             self.world.broken.append(f"{self.now:.2f} LIMIT {order.task} overfills")
         self.world.judge_start(self, order)
--- a/tests/wide_world.py
+++ b/tests/wide_world.py
@@ -39,8 +39,8 @@
 
     lapsed_at: float = float("-inf")
 
-    def free(self) -> Demand:
-        free = super().free()
+    def free(self, room: Demand | None = None) -> Demand:
+        free = super().free(room)
         for run in self.running.values():
             step = self.world.step_of(run.task)
             if step.best_effort:
