Read one steady clock that counts the time for which a machine was suspended

Cause: all times came from the steady clock that a suspension stops. The owner went on with a proof, and with what it had heard, that much too young, renewed leases that its heir waited out, and found no stand-still of itself. Change: linkspan.clock is the one clock of host, shard, store, platform and jobs, and counts that time. Timers of the loop do not, so the watch for stand-stills wakes up to 50 ms after a suspension: who is to act asks for it, too. In virtual time a host can be suspended beside frozen: its loop and steady clock stand, the other clocks go on; executors' timers go on whichever host called them. Two tests that set the clock set the one that is read now.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -5,13 +5,13 @@
 import json
 import logging
 import sys
-import time
 from enum import Enum
 from typing import Any, TextIO
 
 from pythonjsonlogger.orjson import OrjsonFormatter, orjson_default
 
 from linkspan._dropping_stream import DroppingStream
+from linkspan.clock import steady
 
 FLOOD_PER_S = 200
 """Lines of one event that are written in a second; the rest are counted."""
@@ -229,7 +229,7 @@
 
     def write(self, event: Event, **details: Any) -> None:
         """Write one line, unless this second has had too many of its kind."""
-        second = int(time.monotonic())
+        second = int(steady())
         if second != self._second:
             self._report_flood()
             self._report_dropped()
--- a/src/linkspan/host/__main__.py
+++ b/src/linkspan/host/__main__.py
@@ -9,12 +9,13 @@
 import os
 import signal
 import sys
-import time
+
+from linkspan.clock import steady
 
 
 def main() -> int:
     """Run a host daemon and return its exit code."""
-    began = time.monotonic()
+    began = steady()
     # A reload that is asked for during the imports, 0.6 s, would end the process; the
     # settings are read after them in any case.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/src/linkspan/host/_run.py
+++ b/src/linkspan/host/_run.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import sys
-import time
 
+from linkspan.clock import steady
 from linkspan.errors import LinkspanError
 from linkspan.host.daemon import HostDaemon
 from linkspan.platform.settings import read_settings, settings_path
@@ -17,7 +17,7 @@
     Args:
         began: Steady time at which the program began to load.
     """
-    loaded_s = time.monotonic() - began
+    loaded_s = steady() - began
     try:
         path = settings_path()
         asyncio.run(HostDaemon(read_settings(path), path, loaded_s=loaded_s).serve())
--- a/src/linkspan/host/caller_waits.py
+++ b/src/linkspan/host/caller_waits.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import math
-import time
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -47,7 +48,7 @@
 
     def deadline(self, granted_s: float) -> float:
         """Return the steady time by which a caller that grants so long is answered."""
-        now = time.monotonic()
+        now = steady()
         wanted = min(now + granted_s - ANSWER_MARGIN_S, self._drained_at)
         return max(wanted, now + LEAST_WAIT_S)
 
@@ -67,5 +68,5 @@
                 self._open.discard(wait)
 
 
-def _loop_time(steady: float) -> float:
-    return asyncio.get_running_loop().time() + steady - time.monotonic()
+def _loop_time(at: float) -> float:
+    return asyncio.get_running_loop().time() + at - steady()
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, describe
 from linkspan.events import Event
 from linkspan.shard.ownership._proof import TenureLost
@@ -104,7 +104,7 @@
             self._partition,
             on_entries=self._on_entries,
             on_health=self._on_health,
-            on_missed=lambda: self._view.miss(time.monotonic()),
+            on_missed=lambda: self._view.miss(steady()),
             pause_s=0.0 if home else REMOTE_WATCH_S,
             most_past=PAST_RECORDS,
         )
@@ -168,7 +168,7 @@
         await self._enabled.wait()
         while True:
             if self._follower.ready and self._enabled.is_set():
-                now = time.monotonic()
+                now = steady()
                 if self._should_claim(now) and self._heard_lately(now):
                     await self._claim(group)
             await asyncio.sleep(CLAIM_TICK_S if self._home else REMOTE_CLAIM_TICK_S)
@@ -183,12 +183,12 @@
 
     async def _claim(self, group: asyncio.TaskGroup) -> None:
         record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
-        silent = self._view.silent_for(time.monotonic())
+        silent = self._view.silent_for(steady())
         former = self._view.owner
-        asked = time.monotonic()
+        asked = steady()
         try:
             await self._follower.sync()
-            now = time.monotonic()
+            now = steady()
             if not self._should_claim(now):
                 return
             # An earlier claim of ours, without an answer, may be done since we asked.
@@ -213,7 +213,7 @@
             await self._follower.sync()
 
     def _on_entries(self, entries: Sequence[Entry]) -> None:
-        now = time.monotonic()
+        now = steady()
         for entry in entries:
             try:
                 record = self._view.apply(entry, now)
@@ -233,7 +233,7 @@
 
     def _on_health(self, healthy: bool) -> None:
         if healthy:
-            self._view.store_back(time.monotonic())
+            self._view.store_back(steady())
 
     def _follow_view(self) -> None:
         owner = self._view.owner
@@ -276,7 +276,7 @@
             await asyncio.sleep(RENEW_S)
             if self._tenure is None:
                 continue
-            self._renewed_at[self._renewals + 1] = time.monotonic()
+            self._renewed_at[self._renewals + 1] = steady()
             try:
                 await self._append(OwnerAct.RENEW)
             except (StoreRefused, StoreUnanswered):
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from linkspan.clock import steady
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._impossible import oversized_step
@@ -118,7 +119,7 @@
     @property
     def in_flight(self) -> int:
         """Requests that are not answered yet, without those whose body is long in coming."""
-        limit = time.monotonic() - PROMPT_BODY_S
+        limit = steady() - PROMPT_BODY_S
         return self._in_flight - sum(began < limit for began in self._receiving)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -166,7 +167,7 @@
 
         A connection may go silent for good in the middle of it.
         """
-        began = time.monotonic()
+        began = steady()
         self._receiving.append(began)
         try:
             async with self._waits.until(deadline):
@@ -236,7 +237,7 @@
     async def _await_write(
         self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
     ) -> web.Response:
-        began = time.monotonic()
+        began = steady()
         try:
             async with self._waits.until(deadline):
                 offset = await asyncio.shield(write)
@@ -249,16 +250,16 @@
                 Event.JOB_IN_DOUBT,
                 job=job_id,
                 queue=queue.name,
-                waited_s=round(time.monotonic() - began, 3),
+                waited_s=round(steady() - began, 3),
             )
             return _json(504, b'{"error":"not known yet whether the job is kept"}')
-        self._metrics.observe("accept", time.monotonic() - began)
+        self._metrics.observe("accept", steady() - began)
         self._log.write(
             Event.JOB_ACCEPTED,
             job=job_id,
             queue=queue.name,
             offset=offset,
-            waited_s=round(time.monotonic() - began, 3),
+            waited_s=round(steady() - began, 3),
             version=self._configuration.current and self._configuration.current.version,
         )
         return _json(200, b"{}")
@@ -299,7 +300,7 @@
             return _json(200, b"{}")
         write = self._book.write([Cancelled(job_id)])
         try:
-            async with self._waits.until(max(deadline, time.monotonic() + LEAST_WAIT_S)):
+            async with self._waits.until(max(deadline, steady() + LEAST_WAIT_S)):
                 await asyncio.shield(write)
         except TimeoutError:
             self._log.write(Event.JOB_IN_DOUBT, job=job_id, call="cancel")
@@ -317,14 +318,14 @@
             deadline: Steady time by which the caller wants an answer.
         """
         await self._book.refresh(limit_s=min(_wait_until(deadline), REFRESH_S))
-        if time.monotonic() - self._book.follower.synced_at > COUNT_AGE_S:
+        if steady() - self._book.follower.synced_at > COUNT_AGE_S:
             return _unavailable("job records not read lately")
         return _json(200, self._form.waiting(self._book.catalog.waiting(queue.name)))
 
 
 def _wait_until(deadline: float) -> float:
     """Return how long an answer may wait for the job records, in seconds."""
-    left = ASK_SHARE * (deadline - time.monotonic())
+    left = ASK_SHARE * (deadline - steady())
     return max(min(left, ASK_LIMIT_S), LEAST_WAIT_S)
 
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.host._slowness import Slowness
 from linkspan.host.candidate import Candidate
@@ -174,11 +174,7 @@
     def ready(self) -> bool:
         """Whether callers are served best here."""
         home = self.candidates[self._settings.shard]
-        return (
-            not self._draining
-            and self.knows_all
-            and time.monotonic() - home.heard_at < STORE_LOST_S
-        )
+        return not self._draining and self.knows_all and steady() - home.heard_at < STORE_LOST_S
 
     async def run(self) -> None:
         """Run until cancelled.
@@ -212,17 +208,17 @@
             refuse_new: Called after the notice; from then on no request may come in, so
                 that what is in flight runs dry.
         """
-        began = time.monotonic()
+        began = steady()
         self._draining = True
         self.front.drain(until=began + limit_s)
         self._log.write(Event.DRAINING, in_flight=self.front.in_flight)
         await asyncio.gather(*(candidate.hand_on() for candidate in self.candidates))
-        await asyncio.sleep(began + notice_s - time.monotonic())
+        await asyncio.sleep(began + notice_s - steady())
         if refuse_new:
             await refuse_new()
         # What was read just now counts as in flight a moment later.
         await asyncio.sleep(DRAIN_TICK_S)
-        while self.front.in_flight and time.monotonic() < began + limit_s:
+        while self.front.in_flight and steady() < began + limit_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
     def _make_tenure(self, owner: Owner, shard: int, claim: Claim) -> Tenure:
@@ -278,9 +274,9 @@
 
     async def _rest(self, pause_s: float) -> None:
         """Sleep, and observe by how much that takes too long."""
-        began = time.monotonic()
+        began = steady()
         await asyncio.sleep(pause_s)
-        self._slowness.note_lag(time.monotonic() - began - pause_s)
+        self._slowness.note_lag(steady() - began - pause_s)
 
     def _on_summary(self, shard: int, summary: HallSummary) -> None:
         """Take in what a hall tells, and have the shards of this host learn from it."""
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
+from linkspan.clock import steady
 from linkspan.shard.messages import can_run
 
 if TYPE_CHECKING:
@@ -97,7 +97,7 @@
         else:
             score = self._standing_score if kind is _Kind.STANDING else self._best_effort_score
             chosen = max(able, key=lambda shard: score(spec, shard))
-        self._choices.append(_Choice(time.monotonic(), chosen, _milli_cpu(_widest(spec)), kind))
+        self._choices.append(_Choice(steady(), chosen, _milli_cpu(_widest(spec)), kind))
         return chosen
 
     def _with_room(self, spec: JobSpec, able: list[int]) -> int:
@@ -162,7 +162,7 @@
         return LOCAL_BONUS if shard == self._settings.shard else 0.0
 
     def _chosen_lately(self, shard: int, kind: _Kind) -> int:
-        limit = time.monotonic() - STALE_S
+        limit = steady() - STALE_S
         while self._choices and self._choices[0].at < limit:
             self._choices.popleft()
         return sum(c.milli_cpu for c in self._choices if c.shard == shard and c.kind is kind)
--- a/src/linkspan/jobs/job_book.py
+++ b/src/linkspan/jobs/job_book.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import InvalidInput, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.catalog import JobCatalog, JobEntry
@@ -45,7 +45,7 @@
 
     def __init__(self, store: Store, incarnation: str, log: EventLog) -> None:
         self._log = log
-        self._started = time.monotonic()
+        self._started = steady()
         self._listeners: list[Callable[[str], None]] = []
         self._changed: dict[str, None] = {}
         self._unread: dict[str, int] = {}
@@ -129,7 +129,7 @@
             fresh_s: Age in seconds under which what was read counts as present.
             limit_s: Longest wait in seconds.
         """
-        if time.monotonic() - self.follower.synced_at < fresh_s:
+        if steady() - self.follower.synced_at < fresh_s:
             return True
         try:
             async with asyncio.timeout(limit_s):
@@ -160,7 +160,7 @@
             bytes=sum(len(entry.key) + len(entry.value) for entry in entries),
             end=end,
             forgotten=forgotten,
-            since_start_s=round(time.monotonic() - self._started, 3),
+            since_start_s=round(steady() - self._started, 3),
         )
 
     def _on_caught_up(self) -> None:
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.jobs.records import Lent, Moved, Returned
 from linkspan.shard.handover._evidence import MoveEvidence
@@ -66,10 +66,10 @@
         """Look for work that another hall could take, and hand it over."""
         while True:
             await asyncio.sleep(REBALANCE_S)
-            if not self._proof.may_act(time.monotonic()):
+            if not self._proof.may_act(steady()):
                 continue
-            own = summarize(self._core, time.monotonic())
-            for handover in self._rebalancer.plan(own, time.monotonic()):
+            own = summarize(self._core, steady())
+            for handover in self._rebalancer.plan(own, steady()):
                 self._core.jobs[handover.job_id].handing_over = True
                 self._scope.spawn(self._hand_over(handover))
 
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from itertools import islice
 from typing import TYPE_CHECKING, Any
 
+from linkspan.clock import steady
 from linkspan.errors import RecordError
 from linkspan.events import Event
 
@@ -39,7 +39,7 @@
 
     def on_job(self, job_id: str) -> None:
         """Take in that something is known of a job that was not before."""
-        now = time.monotonic()
+        now = steady()
         entry = self._book.catalog.get(job_id)
         if entry is None:
             return
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.attempt import Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
@@ -69,12 +70,12 @@
             await self._changes.wake.wait()
             await asyncio.sleep(gathering_s(took_s))
             self._changes.wake.clear()
-            began = time.monotonic()
+            began = steady()
             self._plan()
-            took_s = time.monotonic() - began
+            took_s = steady() - began
 
     def _plan(self) -> None:
-        now = time.monotonic()
+        now = steady()
         if self._proof.may_act(now):
             self._planner.plan(now, time.time())
             self._send_orders()
@@ -85,7 +86,7 @@
         orders, core.orders = core.orders, []
         for order in orders:
             if isinstance(order, StartOrder):
-                self._metrics.observe("start_wait", core.waited(order, time.monotonic()))
+                self._metrics.observe("start_wait", core.waited(order, steady()))
         for order in orders:
             self._scope.spawn(self._send(order))
         looks, core.look_at = core.look_at, set()
@@ -99,7 +100,7 @@
 
         Its ownership may be in doubt by now, or a start's run given up and planned elsewhere.
         """
-        if not self._proof.may_act(time.monotonic()):
+        if not self._proof.may_act(steady()):
             return False
         if not isinstance(order, StartOrder):
             return True
@@ -114,29 +115,29 @@
         address = executor.record.address
         try:
             if isinstance(order, StartOrder):
-                until = executor.clock.grant(self._settings.bounds.max_lease_s, time.monotonic())
-                began = time.monotonic()
+                until = executor.clock.grant(self._settings.bounds.max_lease_s, steady())
+                began = steady()
                 answer = await self._executors.start(address, order, until_s=until)
-                self._metrics.observe("executor_call", time.monotonic() - began, call="start")
+                self._metrics.observe("executor_call", steady() - began, call="start")
                 self._metrics.count("starts", outcome=answer.outcome.name.lower())
-                self._core.on_started(order, answer, time.monotonic())
+                self._core.on_started(order, answer, steady())
             elif isinstance(order, StopOrder):
                 taken = await self._executors.stop(address, order)
-                self._core.on_stopped(order, taken, time.monotonic())
+                self._core.on_stopped(order, taken, steady())
             elif not await self._executors.pace(address, order):
                 self._core.on_pace_unknown(order)
         except WrongIncarnation:
             # The one that it was meant for had gone before: the run was not there when it fell.
             self._take_back(order)
-            self._core.on_gone(order.executor_id, time.monotonic(), "another incarnation answers")
+            self._core.on_gone(order.executor_id, steady(), "another incarnation answers")
         except Unconnected as error:
             self._count_unreachable(order)
-            self._core.on_silent(order.executor_id, time.monotonic(), cause=str(error))
+            self._core.on_silent(order.executor_id, steady(), cause=str(error))
             self._take_back(order)
         except Unreachable:
             self._count_unreachable(order)
             if isinstance(order, StartOrder):
-                self._core.on_start_unanswered(order, time.monotonic())
+                self._core.on_start_unanswered(order, steady())
             elif isinstance(order, PaceOrder):
                 self._core.on_pace_unknown(order)
         self._changes.news()
@@ -144,7 +145,7 @@
     def _take_back(self, order: Order) -> None:
         """Take in that an order was surely not sent, or not to whom it was meant for."""
         if isinstance(order, StartOrder):
-            self._core.on_start_unsent(order, time.monotonic())
+            self._core.on_start_unsent(order, steady())
         elif isinstance(order, PaceOrder):
             self._core.on_pace_unknown(order)
 
--- a/src/linkspan/shard/ownership/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import LinkspanError
 from linkspan.events import Event
 from linkspan.shard.ownership.ownership import OFFLINE_S, SILENCE_S
@@ -38,6 +38,7 @@
         self._claimed_at = claimed_at
         self._proved_at = self._claimed_at
         self._must_prove_since = float("-inf")
+        self._watched_at: float | None = None
         self._stopping = False
 
     def __repr__(self) -> str:
@@ -66,6 +67,7 @@
 
         After a stand-still another owner may be at work: it must be ruled out first.
         """
+        self._find_stand_still(now)
         if self._stopping or self._proved_at < self._must_prove_since:
             return False
         return now - self._proved_at < OFFLINE_S
@@ -81,16 +83,26 @@
 
     async def watch_freeze(self) -> None:
         """Find out that this process stood still: another may own the shard since."""
-        last = time.monotonic()
+        self._watched_at = steady()
         while True:
             await asyncio.sleep(FREEZE_TICK_S)
-            now = time.monotonic()
-            if now - last > self._freeze_s + FREEZE_TICK_S:
-                self._must_prove_since = now
-                self._log.write(
-                    Event.OWNER_SILENT,
-                    shard=self._shard,
-                    owner="this host",
-                    stood_still_s=round(now - last, 2),
-                )
-            last = now
+            now = steady()
+            self._find_stand_still(now)
+            self._watched_at = now
+
+    def _find_stand_still(self, now: float) -> None:
+        """Compare the clock with the last look at it.
+
+        Whoever is to act asks, too: after a suspension the timer of the watch is due only when
+        the rest of its time has passed, and orders would go out before.
+        """
+        if self._watched_at is None or now - self._watched_at <= self._freeze_s + FREEZE_TICK_S:
+            return
+        self._must_prove_since = now
+        self._log.write(
+            Event.OWNER_SILENT,
+            shard=self._shard,
+            owner="this host",
+            stood_still_s=round(now - self._watched_at, 2),
+        )
+        self._watched_at = now
--- a/src/linkspan/shard/planning/_advisor.py
+++ b/src/linkspan/shard/planning/_advisor.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import Unreachable
 from linkspan.events import Event
 from linkspan.shard.planning.advice import RETRY_S
@@ -41,7 +41,7 @@
         """Ask for as long as the tenure lasts."""
         while self._service:
             await self._changes.advice.wait()
-            call = self._core.advice.next_call(time.monotonic())
+            call = self._core.advice.next_call(steady())
             if call is None:
                 self._changes.advice.clear()
                 await asyncio.sleep(TICK_S)
@@ -49,16 +49,16 @@
             await self._ask(self._service, call)
 
     async def _ask(self, service: PolicyService, call: AdviceCall) -> None:
-        asked = time.monotonic()
+        asked = steady()
         job = call.step.run.job
         try:
             advice = await service.advise(call.step, call.executor_ids)
         except Unreachable as error:
-            self._core.advice.on_failed(call, time.monotonic())
+            self._core.advice.on_failed(call, steady())
             self._log.write(Event.ADVICE_MISSING, job=job.job_id, error=str(error))
             await asyncio.sleep(RETRY_S)
             return
-        took_s = time.monotonic() - asked
+        took_s = steady() - asked
         self._metrics.observe("advice", took_s)
         self._core.advice.on_advice(call, advice, asked=asked, valid_s=job.ticket_valid_s)
         self._log.write(
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, TypeVar
 
+from linkspan.clock import steady
 from linkspan.errors import LogGap, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.jobs.records import Lent, Returned
@@ -86,7 +86,7 @@
         await self._until_stored(self._registry.follower.sync)
         # Last, so that nothing is taken in on an older view of the jobs.
         await self._until_stored(self._book.follower.sync)
-        now = time.monotonic()
+        now = steady()
         core = self._core
         if self._configuration.current:
             core.configure(self._configuration.current)
@@ -197,7 +197,7 @@
                 before = entry.returned.get(self._shard, ())
                 self._book.write([Returned(job_id, self._shard, (*before, *sorted(untold)))])
             return
-        self._feed.take_back(job_id, entry, time.monotonic())
+        self._feed.take_back(job_id, entry, steady())
         for shard, loans in self._core.loans(job_id).items():
             if set(loans) - set(entry.lent.get(shard, ())):
                 self._book.write([Lent(job_id, shard, loans)])
--- a/src/linkspan/shard/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
 from linkspan.store.follower import Follower
@@ -116,7 +116,7 @@
                 await self._expire()
 
     def _overdue(self) -> list[str]:
-        limit = time.monotonic() - LISTING_GRACE_S
+        limit = steady() - LISTING_GRACE_S
         return [executor_id for executor_id, gone in self._gone_at.items() if gone < limit]
 
     async def _expire(self) -> None:
@@ -146,7 +146,7 @@
         Executors cannot write while it is away, so that time says nothing of them.
         """
         self._store_answers = healthy
-        self._gone_at = dict.fromkeys(self._gone_at, time.monotonic())
+        self._gone_at = dict.fromkeys(self._gone_at, steady())
 
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
@@ -156,7 +156,7 @@
     def _on_reset(self, entries: Sequence[Entry], _end: int) -> None:
         present = {entry.key.decode(errors="replace") for entry in entries if entry.value}
         for executor_id in set(self._records) - present:
-            self._gone_at.setdefault(executor_id, time.monotonic())
+            self._gone_at.setdefault(executor_id, steady())
         self._on_entries(entries)
 
     def _apply(self, entry: Entry) -> None:
@@ -166,7 +166,7 @@
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             return
         if not entry.value:
-            self._gone_at.setdefault(executor_id, time.monotonic())
+            self._gone_at.setdefault(executor_id, steady())
             return
         try:
             record = self._decode(executor_id, entry.value)
@@ -186,7 +186,7 @@
         if known is None:
             return
         self._records[executor_id] = replace(known, confirmed=False)
-        self._gone_at.setdefault(executor_id, time.monotonic())
+        self._gone_at.setdefault(executor_id, steady())
 
 
 class ConfigurationWatch:
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import Unreachable, WrongIncarnation
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.machines import MachineWatch
@@ -109,7 +110,7 @@
                 # Only a help: leases tell in the end.
                 continue
             for executor_id in watch.gone(machines, known):
-                self._core.on_gone(executor_id, time.monotonic(), "machine lists it no more")
+                self._core.on_gone(executor_id, steady(), "machine lists it no more")
                 self._changes.news()
 
     def _rostered(self) -> set[str]:
@@ -139,7 +140,7 @@
         return min(IDLE_WAIT_S, self._settings.bounds.max_lease_s / LOOKS_PER_LEASE)
 
     async def _look(self, executor: ExecutorState, wait_s: float) -> bool:
-        asked = time.monotonic()
+        asked = steady()
         until = None
         # A silent executor's lease must run out: it may hear us without being heard.
         if executor.clock and executor.silent_since is None and self._proof.may_act(asked):
@@ -153,17 +154,15 @@
                 wait_s=wait_s,
             )
         except WrongIncarnation:
-            self._core.on_gone(
-                executor.executor_id, time.monotonic(), "another incarnation answers"
-            )
+            self._core.on_gone(executor.executor_id, steady(), "another incarnation answers")
             self._changes.news()
             return False
         except Unreachable as error:
-            self._core.on_silent(executor.executor_id, time.monotonic(), cause=str(error))
+            self._core.on_silent(executor.executor_id, steady(), cause=str(error))
             self._changes.news()
             return False
         report = await self._known_part(report, first=not executor.adopted)
-        now = time.monotonic()
+        now = steady()
         self._count_ends(executor, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
         self._pacer.on_report(executor, now, time.time())
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -10,10 +10,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import Fenced, LinkspanError, ProducerFenced, ProducerGap
 from linkspan.events import Event
 from linkspan.shard._changes import Changes
@@ -211,7 +211,7 @@
         if not self._recovery.done:
             return
         self._core.list_executors(
-            self._registry.executors(self._hall), time.monotonic(), missing=self._registry.missing
+            self._registry.executors(self._hall), steady(), missing=self._registry.missing
         )
         self._watch.watch_all()
         self._changes.news()
@@ -219,11 +219,11 @@
     def summary(self) -> HallSummary:
         """Return the state of the hall for other hosts, with what is news of its effects."""
         news = self._news.take(self._core.colocation.effects())
-        return replace(summarize(self._core, time.monotonic()), effects=news)
+        return replace(summarize(self._core, steady()), effects=news)
 
     def adopt(self, summary: HallSummary) -> None:
         """Take over what the owner of another hall learnt."""
-        self._core.colocation.adopt(summary.effects, time.monotonic())
+        self._core.colocation.adopt(summary.effects, steady())
 
     def _on_job(self, job_id: str) -> None:
         if self._recovery.done:
@@ -236,7 +236,7 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = time.monotonic()
+            now = steady()
             self._core.tick(now)
             self._proof.check(now)
             if self._core.ready or self._core.orders or self._core.jobs:
--- a/src/linkspan/store/follower.py
+++ b/src/linkspan/store/follower.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import LogGap, StoreRefused, StoreUnanswered
 from linkspan.store.listing import Listing
 
@@ -148,7 +148,7 @@
             StoreRefused: The store answers with a refusal.
             StoreUnanswered: The store does not answer.
         """
-        asked = time.monotonic()
+        asked = steady()
         # One read returns a bounded part of what there is, and may have begun before.
         while self._synced_at < asked:
             await self._share_read()
@@ -189,13 +189,13 @@
     async def _read_records(self, wait_s: float) -> None:
         if self._offset < 0 and self._most_past is not None:
             self._offset = max(await self._find_end() - self._most_past, 0)
-        asked = time.monotonic()
+        asked = steady()
         try:
             page = await self._store.read(self._partition, max(self._offset, 0), wait_s=wait_s)
         except LogGap as gap:
             self._on_gap(gap)
             return
-        self._heard_at = time.monotonic()
+        self._heard_at = steady()
         # Once the keys are to be read anew, only what follows them counts.
         if not self._unlisted:
             self._take(page, asked)
@@ -239,7 +239,7 @@
             return
         self._listing = Listing(self._store, self._partition)
         self._unlisted = False
-        self._heard_at = time.monotonic()
+        self._heard_at = steady()
         self._offset = self._end = listing.end
         self._on_reset(listing.entries, listing.end)
         self._reached_end(synced_at)
--- a/src/linkspan/store/listing.py
+++ b/src/linkspan/store/listing.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -54,7 +55,7 @@
         while not self._listed:
             await self._read_page()
         while True:
-            asked = time.monotonic()
+            asked = steady()
             if await self._reach_end():
                 return asked
 
--- a/src/linkspan/store/metered.py
+++ b/src/linkspan/store/metered.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import LinkspanError
 
 if TYPE_CHECKING:
@@ -62,7 +62,7 @@
         return await self._timed("newest", self._store.newest(partition))
 
     async def _timed(self, call: str, work: Awaitable[T]) -> T:
-        began = time.monotonic()
+        began = steady()
         try:
             answer = await work
         except LinkspanError as error:
@@ -70,5 +70,5 @@
             raise
         self._metrics.count("store_calls", call=call, outcome="done")
         if call != "wait":
-            self._metrics.observe("store_call", time.monotonic() - began, call=call)
+            self._metrics.observe("store_call", steady() - began, call=call)
         return answer
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.errors import (
     LinkspanError,
     ProducerFenced,
@@ -193,7 +193,7 @@
 
     def _set_health(self, healthy: bool) -> None:
         if not healthy:
-            self._failed_at = time.monotonic()
+            self._failed_at = steady()
         if healthy != self._healthy:
             self._healthy = healthy
             self._on_health(healthy)
--- a/tests/hall_callers.py
+++ b/tests/hall_callers.py
@@ -14,6 +14,7 @@
 from tests.job_builders import QUEUE, job_body, state_of
 from tests.run_judge import RunJudge
 from tests.running_host import RunningHost
+from tests.virtual_time import world_time
 
 
 @dataclass
@@ -39,7 +40,7 @@
 
         async def serve(front: Front) -> web.Response:
             # A host that stood still reads what came in meanwhile, also late.
-            deadline = asyncio.get_running_loop().time() + patience_s
+            deadline = world_time() + patience_s
             return await front.submit(QUEUE, spec.job_id, job_body(spec), deadline)
 
         answer = await self._call(name, serve, patience_s)
@@ -71,12 +72,12 @@
 
     async def cancel(self, name: str, job_id: str) -> int:
         """Cancel a job at a host and return the status."""
-        deadline = asyncio.get_running_loop().time() + 3.0
+        deadline = world_time() + 3.0
         answer = await self._call(name, lambda front: front.cancel(job_id, deadline), 3.0)
         if answer is None:
             return 0
         if answer.status == 200:
-            self.cancelled.setdefault(job_id, asyncio.get_running_loop().time())
+            self.cancelled.setdefault(job_id, world_time())
         return answer.status
 
     async def state(self, name: str, job_id: str) -> str:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -125,6 +125,17 @@
         virtual_loop().freeze(self.hosts[name].process)
         self.troubled_until = float("inf")
 
+    def suspend_host(self, name: str) -> None:
+        """Suspend a host's machine: unlike a freeze, its steady clock and timers stand, too."""
+        virtual_loop().suspend(self.hosts[name].process)
+        self.troubled_until = float("inf")
+
+    def resume(self, running: RunningHost) -> None:
+        """Let a machine that was suspended go on."""
+        self.trouble()
+        if running in self.hosts.values():
+            virtual_loop().resume(running.process)
+
     def thaw(self, running: RunningHost) -> None:
         """Let a process that stood still go on with all that came due meanwhile."""
         self.trouble()
--- a/tests/kept_lines.py
+++ b/tests/kept_lines.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from datetime import UTC, datetime
 from typing import Any
 
-from tests.virtual_time import HOST
+from tests.virtual_time import HOST, world_time
 
 
 class Lines:
@@ -18,7 +17,7 @@
         self.writers: list[str] = []
 
     def write(self, event: Any, **fields: Any) -> None:
-        now = asyncio.get_running_loop().time()
+        now = world_time()
         self.lines.append((now, event.name, fields))
         self.writers.append(HOST.get().partition(" ")[0])
 
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -10,6 +10,7 @@
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
 from tests.crashing import CrashingTasks
 from tests.job_builders import QUEUE
+from tests.virtual_time import world_time
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import JobSpec, StepSpec
@@ -67,14 +68,14 @@
 
     def trouble(self) -> None:
         """Note that something other than cancels, late orders and removals is going on."""
-        self.troubled_until = asyncio.get_running_loop().time()
+        self.troubled_until = world_time()
 
     def step_of(self, task: TaskName) -> StepSpec:
         return self.specs[task.job_id].steps[task.step]
 
     def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
         task = order.task
-        now = asyncio.get_running_loop().time()
+        now = world_time()
         self.starts[task].append(now)
         self.broken += [f"{now:.2f} {line}" for line in self.one_hall.on_start(executor, order)]
         self.broken += [f"{now:.2f} {line}" for line in self.crashing.on_start(task)]
@@ -97,7 +98,7 @@
 
     def judge_start_of_cancelled(self, task: TaskName) -> None:
         """Judge a start that was carried out when it was ordered."""
-        now = asyncio.get_running_loop().time()
+        now = world_time()
         if now > self._cancel_counts_from(task.job_id) + CANCEL_S:
             self.broken.append(f"{now:.2f} UNASKED {task} was started after its cancel")
 
@@ -105,7 +106,7 @@
         """Find tasks that run on after their job was cancelled, whoever started them."""
         while True:
             await asyncio.sleep(CANCEL_CHECK_S)
-            now = asyncio.get_running_loop().time()
+            now = world_time()
             for executor in self.executors.values():
                 executor.advance()
                 for run in executor.running.values() if executor.alive else ():
@@ -126,7 +127,7 @@
         if kind is EndKind.DONE:
             self.done.add(task)
             ended = executor.record.executor_id, task, run
-            self.done_runs_at.setdefault(ended, asyncio.get_running_loop().time())
+            self.done_runs_at.setdefault(ended, world_time())
 
     def judge_acknowledged(self, executor: MemoryExecutor, end: EndedTask) -> None:
         if end.kind is EndKind.DONE:
--- a/tests/shard/test_orders_not_sent_yet.py
+++ b/tests/shard/test_orders_not_sent_yet.py
@@ -69,13 +69,13 @@
         return StartAnswer(StartOutcome.STARTED, until_s - LEASE_S)
 
     def plan(self, now: float) -> None:
-        with patch.object(time, "monotonic", lambda: now):
+        with patch.object(time, "clock_gettime", lambda _clock: now):
             self.dispatcher._plan()
 
     def turn(self, now: float) -> None:
         """Let the orders that wait go out."""
         waiting, self.waiting[:] = list(self.waiting), []
-        with patch.object(time, "monotonic", lambda: now):
+        with patch.object(time, "clock_gettime", lambda _clock: now):
             for work in waiting:
                 asyncio.run(work)
 
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from contextvars import Context
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
 from linkspan.jobs.spec import Demand
@@ -21,6 +23,7 @@
     StopOrder,
     TaskName,
 )
+from tests.virtual_time import world_time
 
 if TYPE_CHECKING:
     from tests.hall_executors import HallExecutors
@@ -63,7 +66,7 @@
 
     @property
     def now(self) -> float:
-        return asyncio.get_running_loop().time()
+        return world_time()
 
     @property
     def clock(self) -> float:
@@ -117,7 +120,7 @@
         run = _Run(order.task, order.run, order.payload, self.now, self.now + took, False)
         run.fails = self.world.fails(order.task, order.run)
         self.running[order.task] = run
-        asyncio.get_running_loop().call_later(took + 1e-6, self.advance)
+        self._later(took + 1e-6, self.advance)
         self.world.crash_after_start(self, order.task, order.run)
         return StartOutcome.STARTED
 
@@ -129,8 +132,11 @@
         run = self.running.get(order.task)
         if run and run.run == order.run and not run.stopping:
             run.stopping = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(STOP_S, self._finish, run, EndKind.STOPPED)
+            self._later(STOP_S, self._finish, run, EndKind.STOPPED)
+
+    def _later(self, delay_s: float, callback: Callable[..., None], *args: Any) -> None:
+        """Call back later, whatever becomes of the host that calls now."""
+        asyncio.get_running_loop().call_later(delay_s, callback, *args, context=Context())
 
     def fence(self, token: int) -> None:
         if token < self.token:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -26,7 +26,7 @@
     capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     now = 100.0
-    monkeypatch.setattr(events.time, "monotonic", lambda: now)
+    monkeypatch.setattr(events, "steady", lambda: now)
     log = EventLog("test")
     for n in range(events.FLOOD_PER_S + 50):
         log.write(Event.ROUTED, n=n)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,6 +12,7 @@
     (
         "",
         "errors",
+        "clock",
         "metrics",
         "model",
         "_capnp_schema",
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -43,11 +43,23 @@
         self._virtual = _Selector()
         self._frozen: set[str] = set()
         self._held: defaultdict[str, list[_Guard]] = defaultdict(list)
+        self._suspended_at: dict[str, float] = {}
+        self._suspended_s: defaultdict[str, float] = defaultdict(float)
         super().__init__(self._virtual)
 
-    def time(self) -> float:
+    @property
+    def world_s(self) -> float:
+        """Time that goes on for all, whichever host asks."""
         return self._virtual.now
 
+    def time(self) -> float:
+        """Return the steady time of the host that asks: its suspensions do not count."""
+        return self._virtual.now - self._suspended_s[HOST.get()]
+
+    def suspended_s(self, host: str) -> float:
+        """Return for how long a host has been suspended so far."""
+        return self._suspended_s[host]
+
     def freeze(self, host: str) -> None:
         """Let nothing of a host run any more, as when its process is stopped."""
         self._frozen.add(host)
@@ -58,6 +70,19 @@
         for held in self._held.pop(host, ()):
             super().call_soon(held, context=held.context)
 
+    def suspend(self, host: str) -> None:
+        """Suspend a host's machine: nothing of it runs, and its steady clock stands."""
+        self._suspended_at[host] = self._virtual.now
+        self._frozen.add(host)
+
+    def resume(self, host: str) -> None:
+        """Let a suspended machine go on: its timers are due as much later as it stood."""
+        self._suspended_s[host] += self._virtual.now - self._suspended_at.pop(host)
+        self._frozen.discard(host)
+        for held in self._held.pop(host, ()):
+            if not held.put_off():
+                super().call_soon(held, context=held.context)
+
     def thaw_all(self) -> None:
         """Let all hosts run again."""
         for host in list(self._frozen):
@@ -74,10 +99,15 @@
         self, when: float, callback: Callable[..., Any], *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
         guard = _Guard(self, callback, args, context)
-        timer = super().call_at(when, guard, context=context)
+        guard.due = when + self._suspended_s[HOST.get()]
+        timer = super().call_at(guard.due, guard, context=context)
         guard.handle = timer
         return timer
 
+    def call_again(self, guard: _Guard, due: float) -> None:
+        """Call a timer's callback at a later time; its handle still cancels it."""
+        super().call_at(due, guard, context=guard.context)
+
     def hold(self, guard: _Guard) -> bool:
         """Keep a callback of a host that stands still, and return whether it does."""
         if guard.host not in self._frozen:
@@ -102,11 +132,25 @@
         self.context = context
         self.host = HOST.get() if context is None else context.get(HOST, "")
         self.handle: asyncio.Handle | None = None
+        self.due: float | None = None
+        self._suspended_s = loop.suspended_s(self.host)
+
+    def put_off(self) -> bool:
+        """Put a timer off by what its host was suspended since it was set, if it was."""
+        since_s = self._loop.suspended_s(self.host) - self._suspended_s
+        if self.due is None or not since_s:
+            return False
+        self._suspended_s += since_s
+        self.due += since_s
+        self._loop.call_again(self, self.due)
+        return True
 
     def __call__(self) -> None:
         if self.handle and self.handle.cancelled():
             # Cancelled while it was held.
             return
+        if self.host and self.put_off():
+            return
         if not self.host or not self._loop.hold(self):
             self._callback(*self._args)
 
@@ -118,9 +162,25 @@
     return loop
 
 
-def run_virtual(work: Coroutine[Any, Any, T], *, limit_s: float = 600.0) -> T:
-    """Run a coroutine to its end in virtual time; the limit is virtual, too."""
+def world_time() -> float:
+    """Return the time that goes on for all, in a virtual world or not."""
+    loop = asyncio.get_running_loop()
+    return loop.world_s if isinstance(loop, VirtualLoop) else loop.time()
+
+
+def run_virtual(
+    work: Coroutine[Any, Any, T], *, limit_s: float = 600.0, suspensions_count: bool = True
+) -> T:
+    """Run a coroutine to its end in virtual time.
+
+    Args:
+        work: The coroutine.
+        limit_s: Longest time, which is virtual, too.
+        suspensions_count: Whether the clock of the product counts suspensions of its host;
+            taken out to show what that protects.
+    """
     loop = VirtualLoop()
+    clock_s = (lambda: loop.world_s) if suspensions_count else loop.time
 
     async def bounded() -> T:
         async with asyncio.timeout(limit_s):
@@ -128,7 +188,8 @@
 
     with (
         patch.object(time, "monotonic", loop.time),
-        patch.object(time, "time", lambda: EPOCH + loop.time()),
+        patch.object(time, "clock_gettime", lambda _clock: clock_s()),
+        patch.object(time, "time", lambda: EPOCH + loop.world_s),
     ):
         try:
             return loop.run_until_complete(bounded())
