Try a start less often that executors refuse again and again

What callers saw: nothing by itself; calls that others wait behind, and that are charged. A refusal left nothing at its task but a pause of 50 ms, and for a copy not even that: it was tried at each plan. Ruled out: a count after which to give up. A job that was never started cannot be called failed. Change: the pause doubles to 0.4 s with each refusal in a row; copies keep to it, too. Why it holds: the pause belongs to the task, whoever it is sent to, and ends with a start that is taken.

--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -22,6 +22,10 @@
 """Pause before a start that was refused for want of room is tried again: the time
 in which the executor's next report tells what it has."""
 
+MOST_RETRY_REFUSED_S = 0.4
+"""Longest pause, to which it doubles with each refusal in a row: a heartbeat, after which an
+executor's entry tells of less room, is not much longer, and short tasks are not to wait more."""
+
 
 class Orders:
     """Decides on starts, stops and paces, and takes in how they were answered.
@@ -84,6 +88,7 @@
         if attempt is None:
             return
         if answer.outcome is StartOutcome.STARTED:
+            attempt.task.refusals = 0
             if attempt.phase in (Phase.STARTING, Phase.DOUBT):
                 attempt.phase = Phase.RUNNING
                 attempt.confirmed_at = now
@@ -101,7 +106,8 @@
             attempt.task.avoid.add(order.executor_id)
         if answer.outcome is StartOutcome.NO_TICKET:
             self._books.advice.drop(attempt.task.step, order.executor_id)
-        attempt.task.not_before = now + RETRY_REFUSED_S
+        attempt.task.not_before = now + _pause_s(attempt.task.refusals)
+        attempt.task.refusals += 1
         self._books.close(attempt, now)
 
     def on_start_unanswered(self, order: StartOrder, now: float) -> None:
@@ -173,3 +179,17 @@
         self._books.orders.append(
             PaceOrder(attempt.executor_id, attempt.task.name, attempt.run, percent)
         )
+
+
+def _pause_s(refusals: int) -> float:
+    """Return the pause after a refused start, in seconds.
+
+    Args:
+        refusals: Starts of the task that were refused in a row before.
+
+    Example:
+        >>> [_pause_s(refusals) for refusals in (0, 1, 2, 3, 400)]
+        [0.05, 0.1, 0.2, 0.4, 0.4]
+    """
+    doublings = min(refusals, 8)
+    return min(RETRY_REFUSED_S * 2**doublings, MOST_RETRY_REFUSED_S)
--- a/src/linkspan/shard/planning/_copies.py
+++ b/src/linkspan/shard/planning/_copies.py
@@ -50,8 +50,8 @@
         step = attempt.task.step
         if step.run.job.advised or len(attempt.task.attempts) > 1:
             return False
-        if attempt.task.suspicion:
-            # A copy would be one more executor to lose.
+        if attempt.task.suspicion or self._now < attempt.task.not_before:
+            # It would be one more executor to lose, or was refused a moment ago.
             return False
         if len(step.durations) < 2 or step.run.job.closing:
             return False
