Look at overfull executors and suspects of crashes no more often than it is worth

Cause: reading the diff. An overfull executor was weighed against all others at each plan, and a step's waiting tasks were asked for suspicions that nobody has; suspects that were done were kept until the next trial. Change: an overfull executor is looked at four times a second; suspects are asked for only where there are any, and forgotten with each plan. Entries that are missing are read as they are told.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -61,7 +61,7 @@
         dirty: Repetitions whose records are to be written, by job and number.
         dropped: Keys of the records to remove.
         look_at: Executors to be asked at once.
-        suspects: Tasks under which executors crashed, as an ordered set; some may be cleared.
+        suspects: Tasks under which executors crashed, as an ordered set.
         sole_until: Steady time until which no later owner can have claimed the shard. A lease
             that ends by then is over; one that ends after it a later owner may have renewed.
         ready: Steps with tasks that may wait for a start, as an ordered set.
@@ -176,6 +176,14 @@
         task.suspicion = suspicion
         if suspicion:
             self.suspects[task] = None
+        else:
+            self.suspects.pop(task, None)
+
+    def forget_suspects(self) -> None:
+        """Forget suspects that are done, or whose job has ended."""
+        over = [t for t in self.suspects if t.done or t.step.run.job.closing]
+        for task in over:
+            del self.suspects[task]
 
     def mark_ready(self, task: Task, now: float) -> None:
         """Let a task wait for a start from now on."""
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -67,7 +67,7 @@
         missing_since: Steady time since when its registration is taken for gone.
         entry_went_at: Steady time at which its entry went, if it did not come back.
         largest: The most room that it was seen with: what shrank grows again.
-        overfull_since: Steady time since when it holds more than its room.
+        relieve_at: Steady time from which work leaves it, while it holds more than its room.
         lapsed: Attempts that were let go when its leases had ended, while it stays silent.
     """
 
@@ -89,7 +89,7 @@
     entry_went_at: float = NEVER_LEAVES
     lapsed: list[Attempt] = field(default_factory=list)
     largest: Demand = field(default_factory=Demand)
-    overfull_since: float | None = None
+    relieve_at: float | None = None
 
     _beside: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _judged: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
--- a/src/linkspan/shard/planning/_overfull.py
+++ b/src/linkspan/shard/planning/_overfull.py
@@ -17,6 +17,10 @@
 """Time for which an executor may hold more than its room before work leaves it: what grows
 again within a heartbeat costs nobody a run. Three seconds after it shrank all is to fit."""
 
+AGAIN_S = 0.25
+"""Time between looks at an executor that work is to leave: each weighs all that runs there
+against all other executors, milliseconds where there are a hundred."""
+
 
 class Overfull(PlanPart):
     """Moves work off executors that hold more than their room, where there is room elsewhere.
@@ -36,10 +40,11 @@
         """Order the stops that are due now."""
         for executor in self._core.executors.values():
             if not executor.overfull:
-                executor.overfull_since = None
-            elif executor.overfull_since is None:
-                executor.overfull_since = self._now
-            elif self._now - executor.overfull_since >= OVERFULL_S:
+                executor.relieve_at = None
+            elif executor.relieve_at is None:
+                executor.relieve_at = self._now + OVERFULL_S
+            elif self._now >= executor.relieve_at:
+                executor.relieve_at = self._now + AGAIN_S
                 self._relieve(executor)
 
     def _relieve(self, executor: ExecutorState) -> None:
--- a/src/linkspan/shard/planning/_trials.py
+++ b/src/linkspan/shard/planning/_trials.py
@@ -54,15 +54,13 @@
 
     def running(self) -> set[str]:
         """Return the executors on which suspects are tried at present."""
-        suspects = self._core.suspects
-        running = set()
-        for task in list(suspects):
-            if task.done or task.suspicion is None or task.step.run.job.closing:
-                del suspects[task]
-            elif task.suspect:
-                young = (a for a in task.attempts if self._now - a.placed_at < SOON_S)
-                running |= {attempt.executor_id for attempt in young}
-        return running
+        return {
+            attempt.executor_id
+            for task in self._core.suspects
+            if task.suspect
+            for attempt in task.attempts
+            if self._now - attempt.placed_at < SOON_S
+        }
 
 
 def _held(executor: ExecutorState) -> int:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -52,6 +52,7 @@
         core = self._core
         view = PlanView(core, PlanRooms(core.colocation, now, wall), now)
         core.release_due(wall, now)
+        core.forget_suspects()
         Moves(view).order()
         for step, waiting in self._ordered(wall):
             if core.may_start(step.run.job, now):
@@ -72,7 +73,9 @@
         return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
 
     def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
-        pending = [t for t in waiting if t.not_before <= view.now and t.on_record]
+        pending = [t for t in waiting if t.not_before <= view.now]
+        if self._core.suspects:
+            pending = [t for t in pending if t.on_record]
         if not pending:
             return
         placement = view.placement(step)
@@ -86,9 +89,10 @@
         if step.spec.gang:
             placed = self._place_gang(placement, pending, view.trials())
         else:
-            trusted = [t for t in pending if not t.suspect]
+            suspects = [t for t in pending if t.suspect] if self._core.suspects else []
+            trusted = [t for t in pending if not t.suspect] if suspects else pending
             placed = self._place_each(placement, trusted)
-            placed += self._place_suspects(placement, [t for t in pending if t.suspect], view)
+            placed += self._place_suspects(placement, suspects, view.trials())
             placed = placed or self._place_starved(placement, pending)
         self._log(placement, placed, len(pending), view)
 
@@ -136,9 +140,8 @@
         return placed
 
     def _place_suspects(
-        self, placement: StepPlacement, suspects: list[Task], view: PlanView
+        self, placement: StepPlacement, suspects: list[Task], trials: Trials
     ) -> list[Attempt]:
-        trials = view.trials()
         placed = []
         for task in suspects:
             executor = trials.choose(placement, task)
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -128,7 +128,7 @@
         if task.done or task.step.run.job.closing:
             return
         if worked >= CLEARED_S:
-            task.suspicion = None
+            self._books.suspect(task, None)
             return
         run = task.step.run
         self._books.touch(run)
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -84,9 +84,11 @@
                 self._books.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
                 known = self._add_executor(record)
             known.register(record)
-            went_at = missing.get(executor_id, NEVER_LEAVES)
-            # The first time stands: an outage of the store moves the one that is told.
-            known.entry_went_at = min(went_at, known.entry_went_at) if went_at < now else went_at
+            if executor_id in missing:
+                # The first time stands: an outage of the store moves the one that is told.
+                known.entry_went_at = min(missing[executor_id], known.entry_went_at)
+            else:
+                known.entry_went_at = NEVER_LEAVES
             if record.draining and known.leaves_at == NEVER_LEAVES:
                 self._books.log(
                     Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
