Play tasks that crash executors, and rooms that shrink, in the soak

Change: jobs whose first task crashes its executor at once, soon or late; a series of its own in which rooms shrink, some to nothing, and some stay small, so that what other seeds draw is as it was.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -33,6 +33,14 @@
 """Drawn so that each happens several times in a run of 20 s at 4 jobs a second, and
 standing jobs leave most of the room to others."""
 
+CRASH_AFTER_S = (0.01, 0.4, 3.0)
+"""Seconds after its begin at which a task crashes its executor: at once as in what callers
+saw, within short work's length, and later than most of it takes."""
+
+CRASHES_EVERY_S = 5.0
+"""Time between jobs of which a task crashes its executors: few at a time, with others' work
+beside each of them."""
+
 PAYLOAD = "payload {}"
 
 
@@ -56,6 +64,8 @@
         cancel_asked_at: Steady time at which its cancelling was first sent.
         cancelled_at: Steady time at which that was acknowledged.
         succeeded_at: Steady time at which it was first shown to have succeeded.
+        crash_after_s: Seconds after its begin at which its first task crashes its executor.
+        last_state: State that was shown last.
     """
 
     spec: JobSpec
@@ -64,6 +74,8 @@
     cancel_asked_at: float | None = None
     cancelled_at: float | None = None
     succeeded_at: float | None = None
+    crash_after_s: float | None = None
+    last_state: str = ""
 
     @property
     def id(self) -> str:
@@ -121,6 +133,17 @@
                 group.create_task(self._use(self.draw_job()))
                 await asyncio.sleep(self._random.expovariate(per_s))
 
+    async def send_crashing_jobs(self, draw: Random) -> None:
+        """Submit jobs whose first task crashes its executors, until cancelled."""
+        while True:
+            await asyncio.sleep(draw.uniform(0.0, CRASHES_EVERY_S))
+            kind = step(draw.randint(1, 2), cpu=500, estimate_s=60.0, standing=draw.random() < 0.5)
+            payload = PAYLOAD.format(f"crashing {len(self.jobs)}")
+            spec = JobSpec(f"{draw.getrandbits(64):016x}", QUEUE.name, payload, (kind,))
+            job = Job(spec, crash_after_s=draw.choice(CRASH_AFTER_S))
+            self.jobs.append(job)
+            await self.submit(job, draw)
+
     def draw_job(self, *, calm: bool = False) -> Job:
         """Return a new job; in calm times one that ends soon."""
         draw = self._random
@@ -160,8 +183,10 @@
 
     async def submit(self, job: Job, draw: Random) -> None:
         """Submit a job as the users' callers do: again elsewhere until it is answered."""
-        body = job_body(job.spec).decode()
-        await self._executors.tell("job", {"id": job.id, "body": body})
+        told: dict[str, object] = {"id": job.id, "body": job_body(job.spec).decode()}
+        if job.crash_after_s is not None:
+            told["crash_after_s"] = job.crash_after_s
+        await self._executors.tell("job", told)
         for _ in range(ATTEMPTS):
             told = await self._attempt(job, self._host(draw))
             if told is Told.ACCEPTED:
@@ -193,7 +218,7 @@
         self._judge_gone(job, host, "GET", status, asked)
         if status != 200:
             return None
-        state = str(fields["state"])
+        state = job.last_state = str(fields["state"])
         if state == "succeeded" and job.succeeded_at is None:
             job.succeeded_at = time.monotonic()
         return state
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -20,6 +20,10 @@
 from linkspan.store.types import Partition
 from soak.standin import listen, serve
 
+SHRUNK_COUNTS_S = 12.0
+"""Time after which a start must keep to a room that shrank: an owner that the store does not
+answer goes on for ten seconds, and an executor tells of itself within a heartbeat more."""
+
 
 class Registrations:
     """Stands where the world has its store: entries go to the store's process, in order."""
@@ -100,8 +104,14 @@
         self._front = front
 
     def job(self, job: dict[str, str]) -> None:
-        """Learn a job before it is submitted for the first time."""
+        """Learn a job before it is submitted for the first time.
+
+        With ``crash_after_s``, its first task crashes each executor that starts it.
+        """
         self._world.specs[job["id"]] = job_from_wire(job["id"], QUEUE.name, job["body"].encode())
+        if "crash_after_s" in job:
+            first = TaskName(job["id"], 0, 0, 0)
+            self._world.crashing.after_s[first] = float(job["crash_after_s"])
 
     def executor(self, where: dict[str, str]) -> None:
         """Begin a new executor at a ``port`` here, reached at an ``address``."""
@@ -116,6 +126,11 @@
         self._world.crash_executor(where["address"], back=where["back"])
         return list(map(task_to_wire, executor.running))
 
+    def resize(self, where: dict[str, Any]) -> None:
+        """Change the room of an executor while it runs."""
+        if self._world.executors[where["address"]].alive:
+            self._world.resize(where["address"], where["milli_cpu"])
+
     def drain(self, where: dict[str, str]) -> None:
         """Register an executor as about to leave."""
         executor = self._world.executors[where["address"]]
@@ -141,6 +156,7 @@
                 running=[task_to_wire(task) for e in alive for task in e.running],
                 failed={task_to_wire(task): count for task, count in world.failed.items()},
                 listed_ends=sum(len(executor.ended) for executor in alive),
+                crashes={task_to_wire(task): n for task, n in world.crashing.under.items()},
             )
         )
 
@@ -156,6 +172,7 @@
         running: Tasks at work now.
         failed: Failed ends that were acknowledged, by task.
         listed_ends: Ends that executors list and nobody acknowledged.
+        crashes: Executors that crashed while a task ran there, by task.
     """
 
     broken: list[str]
@@ -164,11 +181,12 @@
     running: list[str]
     failed: dict[str, int]
     listed_ends: int
+    crashes: dict[str, int] = field(default_factory=dict)
 
 
 async def main(seed: int, executors: int, store_control: str) -> None:
     """Serve until standard input ends."""
-    world = ExecutorWorld(seed=seed)
+    world = ExecutorWorld(seed=seed, shrunk_counts_s=SHRUNK_COUNTS_S)
     registrations = Registrations(store_control)
     world.store = registrations  # type: ignore[assignment]
     writing = asyncio.create_task(registrations.run())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,9 +18,19 @@
 FAULTS: dict[str, Fault] = {}
 """Faults by name, filled by :func:`fault`."""
 
+ROOM_FAULTS: dict[str, Fault] = {}
+"""Faults of executors' rooms, which have a series of their own: what seeds draw in the others
+stays as it was."""
+
 SERIES = 3
 """Series of faults that run beside each other."""
 
+FULL_ROOM = 8_000
+"""Thousandths of a core of an executor when it begins."""
+
+LEFT_ROOM = 4_000
+"""What some have left at the end, when starts are judged by it: any task fits."""
+
 PAUSE_S = 1.5
 """Longest pause between two faults of a series, in seconds."""
 
@@ -35,14 +45,20 @@
     return function
 
 
-async def run_series(world: World, number: int, until: float, note: Callable[[str], None]) -> None:
+async def run_series(
+    world: World,
+    number: int,
+    until: float,
+    note: Callable[[str], None],
+    faults: dict[str, Fault] = FAULTS,
+) -> None:
     """Run one fault after the other until a steady time."""
     draw = Random(f"{world.plan.seed} {number}")
-    names = sorted(FAULTS)
+    names = sorted(faults)
     while time.monotonic() < until:
         name = draw.choice(names)
         note(f"{name} begins")
-        await FAULTS[name](world, Random(draw.getrandbits(32)))
+        await faults[name](world, Random(draw.getrandbits(32)))
         note(f"{name} is over")
         await asyncio.sleep(draw.uniform(0.0, PAUSE_S))
 
@@ -322,3 +338,26 @@
     await world.executors.tell("world", {name: draw.choice((0.05, 0.3))})
     await _last(draw)
     await world.executors.tell("world", {name: 0.0})
+
+
+# Rooms
+
+
+def room_fault(function: Fault) -> Fault:
+    """Enter a fault of executors' rooms under its function's name."""
+    ROOM_FAULTS[function.__name__] = function
+    return function
+
+
+@room_fault
+async def shrink_rooms(world: World, draw: Random) -> None:
+    """Have the rooms of executors shrink, some to nothing, and grow again, a few not wholly."""
+    addresses = world.executor_addresses
+    addresses = draw.sample(addresses, draw.randint(1, (len(addresses) + 1) // 2))
+    for address in addresses:
+        room = {"address": address, "milli_cpu": draw.choice((0, 1_000, LEFT_ROOM))}
+        await world.executors.tell("resize", room)
+    await _last(draw)
+    for address in addresses:
+        room = {"address": address, "milli_cpu": draw.choice((LEFT_ROOM, FULL_ROOM, FULL_ROOM))}
+        await world.executors.tell("resize", room)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,8 +10,8 @@
 
 from soak.callers import Callers, Told
 from soak.deployment import Plan
-from soak.faults import SERIES, run_series
-from soak.judge import await_configuration, crashes, judge, settle
+from soak.faults import ROOM_FAULTS, SERIES, run_series
+from soak.judge import await_configuration, crashes, given_up_beside, judge, settle
 from soak.keepers import Keeper, Tally
 from soak.world import World
 
@@ -39,6 +39,8 @@
         jobs: Jobs submitted.
         accepted: Jobs accepted.
         starts: Runs that executors started.
+        crashing: Accepted jobs of which a task crashes its executors.
+        given_up: Other jobs that were given up, as executors had crashed under them, too.
         questions: Answers on connections that are used to their end.
         closed: Requests that met a connection that was just being closed.
         settled_s: Time from the last fault until all was served again.
@@ -50,6 +52,8 @@
     jobs: int = 0
     accepted: int = 0
     starts: int = 0
+    crashing: int = 0
+    given_up: int = 0
     questions: int = 0
     closed: int = 0
     settled_s: float = 0.0
@@ -60,7 +64,8 @@
         return (
             f"seed {self.plan.seed}: {verdict}; {self.plan.hosts} hosts, "
             f"{self.plan.executors} executors, {self.jobs} jobs, {self.accepted} accepted, "
-            f"{self.starts} starts, {self.questions} questions, {self.closed} met a closing "
+            f"{self.starts} starts, {self.crashing} that crash executors, {self.given_up} others "
+            f"given up, {self.questions} questions, {self.closed} met a closing "
             f"connection, settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
         )
 
@@ -98,13 +103,16 @@
         until = time.monotonic() + self._plan.seconds
         hosts = list(world.hosts.values())
         others = [asyncio.create_task(callers.send_jobs(self._plan.jobs_per_s))]
+        crashing = callers.send_crashing_jobs(Random(f"{self._plan.seed} crashing"))
+        others.append(asyncio.create_task(crashing))
         others.append(asyncio.create_task(self._watch(world)))
         for number in range(min(KEEPERS_PER_HOST * len(hosts), MOST_KEEPERS)):
             host = hosts[number % len(hosts)]
             random = Random(f"{self._plan.seed} keeper {number}")
             keeper = Keeper(random, host, world, callers, self._tally)
             others.append(asyncio.create_task(keeper.run()))
-        series = (run_series(world, n, until, self._note) for n in range(SERIES))
+        series = [run_series(world, n, until, self._note) for n in range(SERIES)]
+        series.append(run_series(world, SERIES, until, self._note, ROOM_FAULTS))
         try:
             await asyncio.gather(*series)
         finally:
@@ -136,7 +144,11 @@
                 outcome.broken.append(f"UNSERVED {job.id} in calm times: {job.told}")
         await world.configure(extra_routes=1)
         outcome.broken += await await_configuration(world, callers)
-        standing = [j for j in callers.jobs if j.accepted_at and j.standing and not j.cancelled_at]
+        standing = [
+            job
+            for job in callers.jobs
+            if job.accepted_at and job.standing and not job.cancelled_at and not job.crash_after_s
+        ]
         await asyncio.gather(*(callers.cancel(job, Random(job.id)) for job in standing))
         outcome.broken += await settle(world, callers)
         observed = await world.observed()
@@ -145,6 +157,8 @@
         outcome.broken += [f"ENDED {end}" for h in world.hosts.values() for end in h.own_ends]
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
+        outcome.crashing = sum(1 for job in callers.jobs if job.accepted_at and job.crash_after_s)
+        outcome.given_up = given_up_beside(callers, observed)
         outcome.starts = sum(map(len, observed.started_at.values()))
         outcome.questions, outcome.closed = self._tally.answered, self._tally.closed
         if not (outcome.accepted and outcome.starts and outcome.questions):
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -22,11 +22,13 @@
         after_s: Seconds after its begin at which a run of a task crashes its executor.
         fallen: Executors that crashed under each task.
         lost_beside: Runs of other tasks that were lost with these executors.
+        under: Executors that crashed, for whatever reason, while a task ran there.
     """
 
     after_s: dict[TaskName, float] = field(default_factory=dict)
     fallen: Counter[TaskName] = field(default_factory=Counter)
     lost_beside: int = 0
+    under: Counter[TaskName] = field(default_factory=Counter)
     _starts_after: Counter[TaskName] = field(default_factory=Counter)
 
     def on_start(self, task: TaskName) -> list[str]:
