Move a straggling task twice at most, and learn no length from runs that were taken over

A plain kill of the owner of a hall with two executors was enough (test). The bound was the number of executors that a task avoids, and that list is emptied where no other executor has room. And its like seemed to take 0.2 s: an owner counted runs that it had taken over from then on. Ruled out: an effect of suspects. Change: moves are counted at the task; a run that was found tells no length. Why it holds: the count goes up with each move and nothing sets it back in a tenure.

--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -29,7 +29,8 @@
 """Added to that."""
 
 MAX_MOVES = 2
-"""Executors that a straggling task is moved away from, at most."""
+"""Times that a straggling task is moved, at most: each costs its work so far, and what takes
+long on a third executor, too, takes that long."""
 
 MOVE_LEFT_S = 1.5
 """Work that a disturbing best-effort run must have left to be moved: a move costs
@@ -110,6 +111,7 @@
             for attempt in executor.timed():
                 if self._straggles(attempt):
                     task = attempt.task
+                    task.moves += 1
                     task.avoid.add(executor.executor_id)
                     self._core.health.took(executor.executor_id, STRAGGLER_FACTOR * 2, self._now)
                     self._core.stop(attempt, self._now, reason="runs far longer than its like")
@@ -117,7 +119,8 @@
     def _straggles(self, attempt: Attempt) -> bool:
         step = attempt.task.step
         spec = step.spec
-        if len(attempt.task.avoid) >= MAX_MOVES:
+        if attempt.task.moves >= MAX_MOVES:
+            # Not by what it avoids: that is forgotten where no other executor has room.
             return False
         took = self._now - max(attempt.placed_at, attempt.confirmed_at)
         if took <= STRAGGLER_SLACK_S:
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -94,7 +94,8 @@
         self._books.health.succeeded(executor.executor_id)
         if task.done:
             return
-        if attempt and attempt.confirmed_at > 0:
+        if attempt and attempt.confirmed_at > 0 and not attempt.found:
+            # Of a run that was taken over only the rest was seen: its like would seem to straggle.
             self._note_duration(executor, task, attempt.worked_by(now), now)
         if task.step.spec.gang:
             for member in task.step.tasks:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -33,6 +33,7 @@
         avoid: Executors on which it failed or stood still.
         suspicion: What crashes of its executors say against it, ``None`` for nothing.
         not_before: Steady time before which it is not started again.
+        moves: Times that it was moved since a run took far longer than its like.
         refusals: Starts of it that executors refused in a row.
         ready_since: Steady time since when it could have been started.
         away_since: For standing tasks, since when it is not at work.
@@ -52,6 +53,7 @@
     avoid: set[str] = field(default_factory=set)
     suspicion: Suspicion | None = None
     not_before: float = NEVER
+    moves: int = 0
     refusals: int = 0
     ready_since: float = NEVER
     away_since: float = NEVER
