Convict no task by a crash that names nobody, but for the fourth

Cause: points of crashes beside another suspect added up to a verdict, the same for both. Change: a crash that names nobody brings a task to the brink of a verdict, not over it; four crashes are the most whatever they count.

--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -32,15 +32,19 @@
 """What it counts under one that had begun within seconds."""
 
 LEAST_POINTS = 2
-"""What it counts in any case: the fourth is enough, one start after the third."""
+"""What it counts in any case, also where it names nobody."""
 
 APART_POINTS = 4
 """Points from which a task is started apart from others that are suspected as much, so that
 a further crash names one of them."""
 
 GIVE_UP_POINTS = 8
-"""Points at which a task is given up: two crashes right after a begin, of which the second
-came apart from all other suspects, three within seconds, four of any kind."""
+"""Points at which a task is given up, by a crash that names it: two right after a begin, the
+second apart from all other suspects, or three within seconds."""
+
+MOST_CRASHES = 4
+"""Crashes after which a task is given up whatever they count: one start after the third, and
+the platform bears two, of which an owner that is lost may leave one off the record."""
 
 CRASHES = "executors crash under one of its tasks"
 """Why a job failed of which a task was given up, for the log."""
@@ -71,7 +75,8 @@
     @property
     def convicted(self) -> bool:
         """Whether the task is to be given up."""
-        return self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
+        named = self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
+        return named or self.crashes >= MOST_CRASHES
 
 
 def as_lent(loan: Loan) -> Suspicion | None:
@@ -89,4 +94,8 @@
     """
     if known is None:
         return Suspicion(1, points, version)
-    return Suspicion(known.crashes + 1, known.points + points, version)
+    total = known.points + points
+    if points == LEAST_POINTS:
+        # A crash that names nobody convicts nobody: others were there each time, too.
+        total = min(total, GIVE_UP_POINTS - 1)
+    return Suspicion(known.crashes + 1, total, version)
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from linkspan.events import Event
-from linkspan.shard.suspicion import Suspicion
+from linkspan.shard.suspicion import Suspicion, one_more
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
 from tests.job_builders import step
@@ -96,3 +96,13 @@
     core.suspect(task, Suspicion(1, 4))
     task.avoid |= {"e0", "e1"}
     assert plan(core, 3.5)
+
+
+def test_a_crash_that_names_nobody_convicts_nobody_before_the_last() -> None:
+    """Two tasks were there each time: one of them is innocent, and is tried apart once more."""
+    known = None
+    for points in (3, 3, 2):
+        known = one_more(known, points, 0)
+        assert not known.convicted
+    assert one_more(known, 2, 0).convicted, "whatever they count, four crashes are the most"
+    assert one_more(Suspicion(2, 6), 3, 0).convicted, "it was named"
