--- a/soak/judge.py
+++ b/soak/judge.py
@@ -94,7 +94,7 @@
     asked = {names[(number + step) % len(names)] for step in range(min(ASKED_HOSTS, len(names)))}
     for name in sorted(asked):
         state = await callers.ask(job, name)
-        if not _is_right(job, state, observed):
+        if not is_right(job, state, observed):
             return f"LOST {job.id}: {name} shows {state}{_running(job, observed)}"
     left = set(job.tasks) & set(observed.running)
     lasts = job.standing and not job.cancel_asked_at and job.last_state != "failed"
@@ -105,7 +105,8 @@
     return None
 
 
-def _is_right(job: Job, state: str | None, observed: Observed) -> bool:
+def is_right(job: Job, state: str | None, observed: Observed) -> bool:
+    """Whether a job may be shown in a state once all has settled."""
     if state == "cancelled":
         return job.cancel_asked_at is not None
     if state == "failed":
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -10,7 +10,7 @@
 import pytest
 from soak.callers import Callers, Job, Told
 from soak.executors import ExecutorWorld, Observed
-from soak.judge import LATE_START_S, judge
+from soak.judge import LATE_START_S, given_up_beside, is_right, judge
 
 from linkspan.jobs.spec import JobSpec
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
@@ -139,3 +139,39 @@
     first.until = float("inf")
     first.report(1)
     assert not world.broken
+
+
+def _seen(**seen: Any) -> Observed:
+    empty: dict[str, Any] = {"broken": [], "started_at": {}, "done_at": {}, "running": []}
+    return Observed(**{**empty, "failed": {}, "listed_ends": 0, **seen})
+
+
+@pytest.mark.parametrize(
+    ("crash_after_s", "state", "crashes", "right"),
+    [
+        (0.01, "failed", 2, True),
+        (0.01, "running", 2, False),
+        (0.01, "succeeded", 2, False),
+        (None, "failed", 2, True),
+        (None, "failed", 1, False),
+        (None, "succeeded", 4, True),
+    ],
+)
+def test_a_job_is_given_up_only_where_executors_crashed_under_it(
+    crash_after_s: float | None, state: str, crashes: int, right: bool
+) -> None:
+    job = Job(SPEC, told=[Told.ACCEPTED], crash_after_s=crash_after_s)
+    seen = _seen(crashes={job.tasks[0]: crashes})
+    assert is_right(job, state, seen) is right
+
+
+def test_others_that_were_given_up_are_counted() -> None:
+    callers = Callers(Random(0), {}, SimpleNamespace(), SimpleNamespace())  # type: ignore[arg-type]
+    callers.jobs += [
+        Job(SPEC, last_state="failed"),
+        Job(SPEC, last_state="failed", crash_after_s=0.4),
+        Job(SPEC, last_state="succeeded"),
+    ]
+    assert given_up_beside(callers, _seen()) == 1
+    failed = {callers.jobs[0].tasks[0]: QUEUE.max_attempts}
+    assert given_up_beside(callers, _seen(failed=failed)) == 0
