Show a start without an answer that convicts its task; red

Cause, by the logs: two of its starts got no answer; they had come to executors that had fallen a moment before and were found gone, and counted three points each under the task, as crashes that name it.

--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -123,6 +123,22 @@
     assert task.suspicion == Suspicion(1, 2, version=1)
 
 
+def test_a_start_without_an_answer_convicts_no_task() -> None:
+    """It may have come to an executor that had fallen a moment before, as in soak seed 9246.
+
+    There a job was given up for three crashes, of which two were such starts: only one
+    executor had crashed under its task, and the platform asks for two.
+    """
+    core = core_with(step(1), executors=1)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    (order,) = plan(core, 1.0)
+    core.suspect(task, Suspicion(2, 5))
+    core.on_silent("e0", 1.9)
+    core.on_start_unanswered(order, 2.0)
+    core.on_gone("e0", 2.1, "another incarnation answers")
+    assert core.finished == []
+
+
 def place_task(core: ShardCore, task: Task, executor_id: str, *, began: float) -> None:
     """Put a run of a task on an executor, where it began at some time."""
     run = Attempt(task, task.next_run, executor_id, Phase.RUNNING, began, confirmed_at=began)
