--- a/tests/host/test_crashing_tasks.py
+++ b/tests/host/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 crashes tells none, so a run that ended with it left nothing in its task's history, with one
 owner, a quiet store, and each time.
 
-What proved it: the plays below, each of which started its task 25 times and more after the third
+What proved it: the plays below, each of which started its task 7 to 37 times after the third
 crash; and the log of the incident, with 542 and 530 in turn and no count that rises.
 """
 
