Tell each next life of an executor a higher fencing token first

Cause: an executor's next life has seen no token, and all our calls carried the one of the claim: starts, stops and looks meant for the life before were obeyed whenever they came, also after that life was listed, its tasks begun elsewhere and its ends acknowledged. Change: the token rises within a tenure. Each renewal of the owner's that it reads back without a gap and without another claim before it makes the numbers up to its offset the tenure's own, since any later claim has a higher offset. A life that is found gets one more than those before it under its id, is asked under that by its own name before anything is concluded from it, and refuses what comes under a lower one. A call that is refused so does not end the tenure. Left are orders that come to a life before our first call there. A tenure that has read no renewal of its own yet has no number to spare: within the first 0.6 s after a claim the next life has the former one's token.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -229,7 +229,8 @@
         """Count a renewal of the present tenure that came through with no other claim before it."""
         owner = self._view.owner
         if self._tenure and self._view.mine and owner and record.token == owner.token:
-            self._tenure.proved(self._renewed_at.pop(record.number, float("-inf")))
+            renewed_at = self._renewed_at.pop(record.number, float("-inf"))
+            self._tenure.proved(renewed_at, token_limit=self._view.token_limit)
 
     def _on_health(self, healthy: bool) -> None:
         if healthy:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -230,7 +230,7 @@
             claim,
             settings=self._settings,
             store=self._adapter.store,
-            executors=self._adapter.executors(owner.token),
+            executors=self._adapter.executors,
             machines=self._adapter.machines,
             policy=self._adapter.policy,
             book=self.book,
--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -12,6 +12,7 @@
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
+from linkspan.shard.ownership._tokens import TenureTokens
 from linkspan.shard.planning.advice import AdviceBook
 from linkspan.shard.planning.lengths import LengthBook
 from linkspan.shard.reports.health import HealthBook
@@ -47,6 +48,7 @@
     Attributes:
         log: Takes an event and its fields.
         count: Takes the name of what is counted.
+        tokens: Fencing tokens of the executors' lives.
         executors: Executors that are registered or may run something, by name.
         lives: The same by id: lives that share one, of which at most one goes on.
         entered: How many lives came or went, so that nobody need compare them all.
@@ -86,6 +88,7 @@
         self._bounds = bounds
         self.log = log
         self.count = count
+        self.tokens = TenureTokens(token)
         self.executors: dict[str, ExecutorState] = {}
         self.lives: dict[str, dict[str, ExecutorState]] = {}
         self.entered = 0
@@ -134,12 +137,16 @@
         """Take in a life of an executor."""
         name = executor.executor_id
         self.executors[name] = executor
-        self.lives.setdefault(Incarnation.of(name).executor_id, {})[name] = executor
+        lives = self.lives.setdefault(Incarnation.of(name).executor_id, {})
+        executor.token = self.tokens.of_next(lives.values())
+        lives[name] = executor
         self.entered += 1
 
     def leave(self, name: str) -> None:
         """Let go of a life; what is on it stays for the caller to settle."""
-        self.executors.pop(name, None)
+        executor = self.executors.pop(name, None)
+        if executor:
+            self.tokens.on_end(executor.token)
         executor_id = Incarnation.of(name).executor_id
         lives = self.lives.get(executor_id, {})
         lives.pop(name, None)
--- a/src/linkspan/shard/_context.py
+++ b/src/linkspan/shard/_context.py
@@ -20,6 +20,7 @@
         StartOrder,
         StopOrder,
     )
+    from linkspan.shard.orders._calls import ExecutorCalls
     from linkspan.shard.ownership._proof import OwnershipProof
     from linkspan.shard.ownership._scope import Scope
     from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
@@ -28,7 +29,7 @@
 
 
 class Executors(Protocol):
-    """Calls to executors under the tenure's token."""
+    """Calls to executors under one fencing token."""
 
     async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
         """Start a run.
@@ -92,7 +93,7 @@
         store: The platform's store.
         partition: Where the shard's progress is kept.
         writer: Writes there under the tenure's token.
-        executors: Calls to executors under the tenure's token.
+        calls: Calls to executors, each life under its token.
         machines: The machine service, where there is one.
         book: The jobs.
         registry: The registered executors.
@@ -111,7 +112,7 @@
     store: Store
     partition: Partition
     writer: GroupWriter
-    executors: Executors
+    calls: ExecutorCalls
     machines: MachineService | None
     book: JobBook
     registry: ExecutorRegistry
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -84,9 +84,9 @@
     ) -> None:
         super().__init__(shard, bounds, log=log, token=token, count=count)
         self._crashes = Crashes(self)
-        successions = Successions(self, self._crashes)
-        self._presence = Presence(self, self._crashes, successions)
-        self._adoption = Adoption(self, Ends(self), self._presence, successions)
+        self._successions = Successions(self, self._crashes)
+        self._presence = Presence(self, self._crashes, self._successions)
+        self._adoption = Adoption(self, Ends(self), self._presence, self._successions)
         self._intake = JobIntake(self)
         self._lending = Loans(self)
         self._dispatch = Orders(self)
@@ -166,6 +166,17 @@
         """
         self._adoption.on_report(executor_id, report, asked=asked, now=now)
 
+    def find_life(self, executor_id: str, name: str, *, asked: float, now: float) -> None:
+        """Take in that another life answers under an executor's id: it is asked by its own name.
+
+        Args:
+            executor_id: The life that was asked.
+            name: The one that answered.
+            asked: Steady time at which the question was sent.
+            now: Steady time of the answer.
+        """
+        self._successions.find(executor_id, name, asked=asked, now=now)
+
     def unknown(self, job_ids: set[str]) -> set[str]:
         """Return those of some jobs that this shard never looked after in this tenure."""
         return {job_id for job_id in job_ids if job_id not in self.jobs} - self.left
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -73,6 +73,7 @@
         relieve_at: Steady time from which work leaves it, while it holds more than its room.
         lapses_at: Steady time by which what a life that nobody met may hold has ended.
         forgotten: Number of the last end that it was told to forget, in a call that was answered.
+        token: Fencing token of all calls to it.
         lapsed: Attempts that were let go when its leases had ended, while it stays silent.
     """
 
@@ -99,6 +100,7 @@
     relieve_at: float | None = None
     lapses_at: float = NEVER
     forgotten: int = 0
+    token: int = 0
 
     _beside: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _judged: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -55,7 +55,7 @@
         self._core = context.core
         self._shard = context.shard
         self._settings = context.settings
-        self._executors = context.executors
+        self._calls = context.calls
         self._metrics = context.metrics
         self._scope = context.scope
         self._proof = context.proof
@@ -120,18 +120,19 @@
             return
         address = executor.record.address
         try:
-            if isinstance(order, StartOrder):
-                until = executor.clock.grant(self._settings.bounds.max_lease_s, steady())
-                began = steady()
-                answer = await self._executors.start(address, order, until_s=until)
-                self._metrics.observe("executor_call", steady() - began, call="start")
-                self._metrics.count("starts", outcome=answer.outcome.name.lower())
-                self._core.on_started(order, answer, steady())
-            elif isinstance(order, StopOrder):
-                taken = await self._executors.stop(address, order)
-                self._core.on_stopped(order, taken, steady())
-            elif not await self._executors.pace(address, order):
-                self._core.on_pace_unknown(order)
+            with self._calls.to(executor) as call:
+                if isinstance(order, StartOrder):
+                    until = executor.clock.grant(self._settings.bounds.max_lease_s, steady())
+                    began = steady()
+                    answer = await call.start(address, order, until_s=until)
+                    self._metrics.observe("executor_call", steady() - began, call="start")
+                    self._metrics.count("starts", outcome=answer.outcome.name.lower())
+                    self._core.on_started(order, answer, steady())
+                elif isinstance(order, StopOrder):
+                    taken = await call.stop(address, order)
+                    self._core.on_stopped(order, taken, steady())
+                elif not await call.pace(address, order):
+                    self._core.on_pace_unknown(order)
         except WrongIncarnation:
             # The one that it was meant for had gone before: the run was not there when it fell.
             self._take_back(order)
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -152,6 +152,7 @@
         self._home = home
         self._owner: Owner | None = None
         self._newest = 0
+        self._token_limit = 0
         self._claim_read = False
         self._missed = False
         self._released = False
@@ -174,6 +175,14 @@
         owner = self._owner
         return owner is not None and owner.incarnation == self._incarnation
 
+    @property
+    def token_limit(self) -> int:
+        """Number up to which tokens are the owner's own, where that is this process.
+
+        Any other claim has a higher offset than what of this tenure was read without a gap.
+        """
+        return self._token_limit
+
     @property
     def summary(self) -> HallSummary | None:
         """State of the hall as its owners told it, ``None`` before one did."""
@@ -192,6 +201,7 @@
             self._follow_on(record, now)
             self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
             self._newest = self._owner.token
+            self._token_limit = self._owner.token
             self._claim_read = True
             self._missed = False
             self._released = False
@@ -208,6 +218,8 @@
             self._hear(record, now)
         elif self._owner and record.token == self._owner.token:
             self._hear(record, now)
+            if self.mine and not self._missed:
+                self._token_limit = entry.offset + 1
             if record.act is OwnerAct.RELEASE:
                 self._owner = None
                 self._released = True
--- a/src/linkspan/shard/reports/_successions.py
+++ b/src/linkspan/shard/reports/_successions.py
@@ -86,6 +86,15 @@
             self._succeed(former, executor, report, asked, now)
         return executor
 
+    def find(self, executor_id: str, name: str, *, asked: float, now: float) -> None:
+        """Take in a life that answered in another one's place, unless it was known to be over."""
+        if asked <= self._over.get(name, NEVER):
+            self.pass_over(name, "another life of its id answered since it was asked", now)
+            return
+        known = self._books.executors.get(executor_id)
+        if known and name not in self._books.executors:
+            self._begin(known, name)
+
     def await_next(self, executor: ExecutorState, unsure: list[Attempt], now: float) -> None:
         """Keep what an executor's next life may carry out, until that answers or its lease ends."""
         name = Incarnation.of(executor.executor_id).executor_id
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -79,7 +79,7 @@
         self._book = context.book
         self._shard = context.shard
         self._settings = context.settings
-        self._executors = context.executors
+        self._calls = context.calls
         self._machines = context.machines
         self._metrics = context.metrics
         self._scope = context.scope
@@ -181,13 +181,14 @@
         if executor.clock and executor.silent_since is None and self._proof.may_act(asked):
             until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
         try:
-            report = await self._executors.renew(
-                executor.record.address,
-                executor.executor_id,
-                acknowledged=acknowledged,
-                until_s=until,
-                wait_s=wait_s,
-            )
+            with self._calls.to(executor) as call:
+                report = await call.renew(
+                    executor.record.address,
+                    executor.executor_id,
+                    acknowledged=acknowledged,
+                    until_s=until,
+                    wait_s=wait_s,
+                )
         except WrongIncarnation:
             self._core.on_gone(executor.executor_id, steady(), "another incarnation answers")
             self._follow_lives()
@@ -198,16 +199,18 @@
             self._changes.news()
             return False
         name = answering(executor.executor_id, report)
-        if name == executor.executor_id:
-            executor.forgotten = max(executor.forgotten, acknowledged)
-            executor.answered_at = steady()
+        if name != executor.executor_id:
+            # It has not seen the token that it is to be asked under.
+            self._core.find_life(executor.executor_id, name, asked=asked, now=steady())
+            self._follow_lives()
+            return False
+        executor.forgotten = max(executor.forgotten, acknowledged)
+        executor.answered_at = steady()
         report = await self._known_part(report, first=not self._core.adopted(name))
         now = steady()
         self._count_ends(name, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
-        answered = self._core.executors.get(name)
-        if answered:
-            self._pacer.on_report(answered, now, time.time())
+        self._pacer.on_report(executor, now, time.time())
         self._follow_lives()
         self._changes.news()
         return True
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -23,6 +23,7 @@
 from linkspan.shard.handover._handovers import Handovers
 from linkspan.shard.handover.summary import summarize
 from linkspan.shard.intake._feed import JobFeed
+from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.orders._dispatch import Dispatcher
 from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
 from linkspan.shard.ownership._scope import Scope
@@ -63,7 +64,7 @@
         claim: What this host knows of its claim.
         settings: The host's settings.
         store: The platform's store.
-        executors: Calls to executors under the tenure's token.
+        executors: Makes calls to executors under a fencing token.
         machines: The machine service, where there is one.
         policy: The placement policies' service, where there is one.
         book: The jobs.
@@ -82,7 +83,7 @@
         *,
         settings: HostSettings,
         store: Store,
-        executors: Executors,
+        executors: Callable[[int], Executors],
         machines: MachineService | None,
         policy: PolicyService | None,
         book: JobBook,
@@ -119,7 +120,7 @@
             store=store,
             partition=partition,
             writer=self._writer,
-            executors=executors,
+            calls=ExecutorCalls(executors, core.tokens),
             machines=machines,
             book=book,
             registry=registry,
@@ -150,9 +151,15 @@
         """The shard's state."""
         return self._core
 
-    def proved(self, at: float) -> None:
-        """Take in that the store had no other owner at a steady time."""
+    def proved(self, at: float, *, token_limit: int = 0) -> None:
+        """Take in that the store had no other owner at a steady time.
+
+        Args:
+            at: That time.
+            token_limit: Number up to which fencing tokens are this tenure's own.
+        """
         self._proof.proved(at)
+        self._core.tokens.allow(token_limit)
         self._core.sole_until = self._proof.sole_until
 
     def may_act(self, now: float) -> bool:
--- a/tests/host/test_renewals_by_tenure.py
+++ b/tests/host/test_renewals_by_tenure.py
@@ -31,7 +31,8 @@
         self.proofs: list[float] = []
         self._lost = asyncio.Event()
 
-    def proved(self, at: float) -> None:
+    def proved(self, at: float, *, token_limit: int) -> None:
+        assert token_limit > 0
         self.proofs.append(at)
 
     def summary(self) -> None:
--- a/tests/shard/test_orders_not_sent_yet.py
+++ b/tests/shard/test_orders_not_sent_yet.py
@@ -28,6 +28,7 @@
 from linkspan.shard._context import TenureContext
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import StartAnswer, StartOrder, StartOutcome
+from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.orders._dispatch import Dispatcher
 from linkspan.shard.ownership._proof import OwnershipProof
 from linkspan.shard.ownership.ownership import OFFLINE_S
@@ -55,7 +56,7 @@
             core=self.core,
             shard=0,
             settings=SimpleNamespace(bounds=Bounds(max_lease_s=LEASE_S)),
-            executors=self,
+            calls=ExecutorCalls(lambda _token: cast(Any, self), self.core.tokens),
             metrics=SimpleNamespace(observe=_ignore, count=_ignore),
             scope=SimpleNamespace(spawn=self.waiting.append),
             proof=self.proof,
--- /dev/null
+++ b/tests/shard/test_tokens.py
@@ -0,0 +1,91 @@
+"""Fencing tokens of executors' lives: each is told a higher one than those before it."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import pytest
+
+from linkspan.errors import Fenced, Unreachable
+from linkspan.shard.orders._calls import ExecutorCalls
+from linkspan.shard.ownership._tokens import TenureTokens
+from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord, OwnerView
+from linkspan.store.types import Entry
+from tests.job_builders import step
+from tests.shard.builders import add_executor, core_with
+
+FIRST, SECOND = "e0@1000", "e0@2000"
+
+
+def _entry(offset: int, act: OwnerAct, life: str, *, token: int = 0, number: int = 0) -> Entry:
+    record = OwnerRecord(act, life, life, token, number)
+    return Entry(offset, record.encode())
+
+
+def _view() -> OwnerView:
+    view = OwnerView("me", "me", home=True)
+    view.apply(_entry(4, OwnerAct.CLAIM, "me"), 0.0)
+    return view
+
+
+def test_a_next_life_is_told_a_higher_token() -> None:
+    core = core_with(step(1), executors=0)
+    core.tokens.allow(5)
+    add_executor(core, FIRST)
+    add_executor(core, "e1@1000")
+    add_executor(core, SECOND)
+    assert core.executors[FIRST].token == core.executors["e1@1000"].token
+    assert core.executors[SECOND].token == core.executors[FIRST].token + 1
+
+
+def test_a_life_that_is_found_after_the_one_before_left_is_told_a_higher_token() -> None:
+    core = core_with(step(1), executors=0)
+    core.tokens.allow(5)
+    add_executor(core, FIRST)
+    token = core.executors[FIRST].token
+    core.on_gone(FIRST, 1.0, "machine lists it no more", since=0.5)
+    add_executor(core, SECOND)
+    assert core.executors[SECOND].token > token
+
+
+def test_no_token_is_higher_than_what_is_this_tenures_own() -> None:
+    tokens = TenureTokens(7)
+    tokens.on_end(7)
+    assert tokens.of_next([]) == 7
+    tokens.allow(8)
+    assert tokens.of_next([]) == 8
+
+
+def test_renewals_that_were_read_raise_the_limit() -> None:
+    view = _view()
+    assert view.token_limit == 5
+    view.apply(_entry(9, OwnerAct.RENEW, "me", token=5, number=1), 1.0)
+    assert view.token_limit == 10
+
+
+def test_a_renewal_behind_records_that_went_raises_no_limit() -> None:
+    """A claim of another host may be among them, and its token is the higher one."""
+    view = _view()
+    view.miss(0.5)
+    view.apply(_entry(9, OwnerAct.RENEW, "me", token=5, number=1), 1.0)
+    assert view.token_limit == 5
+
+
+def test_a_renewal_that_comes_after_another_claim_raises_no_limit() -> None:
+    view = _view()
+    view.apply(_entry(6, OwnerAct.CLAIM, "other"), 0.5)
+    view.apply(_entry(9, OwnerAct.RENEW, "me", token=5, number=1), 1.0)
+    assert view.token_limit == 7, "of the other's tenure, which is not this process's"
+    assert not view.mine
+
+
+def test_a_call_that_a_next_life_refuses_does_not_end_the_tenure() -> None:
+    core = core_with(step(1), executors=0)
+    core.tokens.allow(5)
+    add_executor(core, FIRST)
+    add_executor(core, SECOND)
+    calls = ExecutorCalls(lambda token: cast(Any, token), core.tokens)
+    with pytest.raises(Unreachable), calls.to(core.executors[FIRST]):
+        raise Fenced("the next life was told a higher token")
+    with pytest.raises(Fenced), calls.to(core.executors[SECOND]):
+        raise Fenced("a newer owner is at work")
