Bound how long a last trial waits to be alone, and how many ends wait behind one that is held

Cause, by reading the change as a whole: a suspect that one more crash gives up waited for a sound executor without end, also where the only one is full of work that lasts: its job would never have ended. And an executor lists 500 ends at once: behind held ones, later ends could have been hidden for up to twelve seconds. Change: ten seconds to be alone, then as any suspect; no hold with more than 250 ends behind it. Tests: test_a_last_trial_does_not_wait_for_ever_for_a_place_of_its_own, test_no_end_is_held_that_would_hide_later_ones.

--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -24,6 +24,10 @@
 missing that is registered."""
 
 
+MOST_HELD_ENDS = 250
+"""Ends behind one that is held: an executor lists 500 at once, and none that came after."""
+
+
 class UnackedEnd(NamedTuple):
     """An end that was acted on and may not be durable.
 
@@ -238,7 +242,9 @@
 
     def holds_end(self, now: float) -> bool:
         """Whether its next end to be acknowledged waits for a start that may be on its way."""
-        return bool(self.unacked) and self.unacked[0].held_until > now
+        if not self.unacked or len(self.unacked) > MOST_HELD_ENDS:
+            return False
+        return self.unacked[0].held_until > now
 
     def advance_acknowledged(self, now: float) -> bool:
         """Move past ends that are durable and return whether there were any."""
--- a/src/linkspan/shard/planning/_trials.py
+++ b/src/linkspan/shard/planning/_trials.py
@@ -21,6 +21,10 @@
 """Time for which a suspect waits: after it on a larger part of the hall, and beside others if
 it must be. Few of them are guilty, and standing tasks that are away for longer are missed."""
 
+LAST_WAIT_S = 10.0
+"""Time for which one waits to be alone that is given up at the next crash. The only other executor
+may be full of work that lasts."""
+
 
 class Trials:
     """Keeps suspects of crashes apart: one an executor, few at a time.
@@ -45,10 +49,11 @@
         """Return the executor for a suspect, ``None`` if it is to wait."""
         placement.forgive(task)
         running = self.running()
-        overdue = self._now - task.ready_since >= WAIT_S
+        waited = self._now - task.ready_since
+        overdue = waited >= WAIT_S
         if len(running) >= self._most and not overdue:
             return None
-        alone = task.last_trial and not task.step.spec.gang
+        alone = task.last_trial and not task.step.spec.gang and waited < LAST_WAIT_S
         sound = self._sound(placement, task)
         free = [e for e in sound if e.executor_id not in running]
         if free or alone or not overdue:
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -11,6 +11,7 @@
 from linkspan.shard._books import MOST_STARTS
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.core import ShardCore
+from linkspan.shard.executor import MOST_HELD_ENDS, UnackedEnd
 from linkspan.shard.messages import (
     EndedTask,
     EndKind,
@@ -135,6 +136,18 @@
     assert executor.advance_acknowledged(1.1 + LATE_START_S)
 
 
+def test_no_end_is_held_that_would_hide_later_ones() -> None:
+    """Guards against lists that are full of ends that wait."""
+    core = core_with(step(1))
+    executor = core.executors["e0"]
+    executor.unacked.extend(
+        UnackedEnd(number, None, 0, 99.0) for number in range(1, MOST_HELD_ENDS + 2)
+    )
+    assert executor.advance_acknowledged(1.0)
+    assert executor.acknowledged == 1
+    assert len(executor.unacked) == MOST_HELD_ENDS
+
+
 def test_an_end_is_not_held_where_the_only_order_for_its_run_was_carried_out() -> None:
     core = core_with(step(1))
     (order,) = plan(core, 0.1)
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -9,6 +9,7 @@
 from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport
+from linkspan.shard.planning._trials import LAST_WAIT_S
 from linkspan.shard.suspicion import Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
@@ -179,3 +180,15 @@
     core.tick(9.0)
     assert task.suspicion == Suspicion(3, 7)
     assert core.finished == []
+
+
+def test_a_last_trial_does_not_wait_for_ever_for_a_place_of_its_own() -> None:
+    """Guards against a job that never ends where the only sound executor is full for good."""
+    core = core_with(step(1, cpu=4_000))
+    (task,) = core.jobs[JOB].runs[0].steps[0].tasks
+    place(core, core.executors["e0"], cpu=8_000, standing=True)
+    core.suspect(task, Suspicion(3, 7, 0, frozenset(("e1:1",))))
+    core.jobs[JOB].runs[0].durable = float("inf")
+    assert plan(core, LAST_WAIT_S - 0.1) == []
+    (order,) = plan(core, LAST_WAIT_S + 0.1)
+    assert order.executor_id == "e1"
