Count figures of tasks once, though looks follow each other at once

Cause: a look that tells an executor to forget ends does not wait since then, and the one after it does. Both told the same figures of the last half second, and each was learnt from and paced by as a new one. Change: figures of a look that did not wait count a quarter of a second after the last ones at the earliest.

--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -65,6 +65,7 @@
         reported_at: Steady time at which its newest report was read.
         answered_at: Steady time at which an answer that names it last came; its report is read once
             the jobs that it names are.
+        figures_at: Steady time at which figures of its tasks were last taken in.
         silent_since: Steady time of the first call without an answer since it
             last answered; ``None`` while it answers.
         seen: Number of the last end that was acted on.
@@ -93,6 +94,7 @@
     reported_s: float = NEVER
     reported_at: float = NEVER
     answered_at: float = NEVER
+    figures_at: float = NEVER
     silent_since: float | None = None
     seen: int = 0
     acknowledged: int = 0
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -31,6 +31,10 @@
 """How long it waits where best-effort tasks run beside standing ones: the time
 that a figure of their latency covers."""
 
+FIGURES_APART_S = 0.25
+"""Least time between figures of tasks that count, but for looks that waited: they are of the last
+half second, and are told again by looks that follow each other at once."""
+
 RETRY_S = 0.15
 """First pause after a call to an executor got no answer; doubled up to the next.
 A recovery pauses as long when the store does not answer."""
@@ -210,7 +214,9 @@
         now = steady()
         self._count_ends(name, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
-        self._pacer.on_report(executor, now, time.time())
+        if wait_s or now - executor.figures_at >= FIGURES_APART_S:
+            executor.figures_at = now
+            self._pacer.on_report(executor, now, time.time())
         self._follow_lives()
         self._changes.news()
         return True
