Let a refused call end the tenure, unless that executor's next life was told a higher token

Found by reading the change as a whole: a call that an executor refused by its token was taken for one that came to a next life as soon as any life of the hall had been told a higher token. An owner that a newer one had replaced would have gone on calling the other executors until the store told it: refused each time, and counted so. Change: only where another life under the same id has a higher token, or the life is off the books.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -146,6 +146,16 @@
         lives[name] = executor
         self.entered += 1
 
+    def outdated(self, executor: ExecutorState) -> bool:
+        """Whether a next life may have been told a higher token than this one's.
+
+        Otherwise a call that is refused by its token tells of a newer owner.
+        """
+        if self.executors.get(executor.executor_id) is not executor:
+            return True
+        lives = self.lives[Incarnation.of(executor.executor_id).executor_id]
+        return any(other.token > executor.token for other in lives.values())
+
     def leave(self, name: str) -> None:
         """Let go of a life; what is on it stays for the caller to settle."""
         executor = self.executors.pop(name, None)
--- a/src/linkspan/shard/orders/_calls.py
+++ b/src/linkspan/shard/orders/_calls.py
@@ -12,7 +12,6 @@
 
     from linkspan.shard._context import Executors
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.ownership._tokens import TenureTokens
 
 
 class ExecutorCalls:
@@ -20,15 +19,17 @@
 
     Args:
         link: Makes calls under a token.
-        tokens: The tenure's tokens.
+        outdated: Whether a life's token may be too low by this tenure's own doing.
     """
 
-    def __init__(self, link: Callable[[int], Executors], tokens: TenureTokens) -> None:
+    def __init__(
+        self, link: Callable[[int], Executors], outdated: Callable[[ExecutorState], bool]
+    ) -> None:
         self._link = link
-        self._tokens = tokens
+        self._outdated = outdated
 
     def __repr__(self) -> str:
-        return f"ExecutorCalls({self._tokens!r})"
+        return f"ExecutorCalls({self._link!r})"
 
     @contextmanager
     def to(self, executor: ExecutorState) -> Iterator[Executors]:
@@ -41,6 +42,6 @@
         try:
             yield self._link(executor.token)
         except Fenced as error:
-            if not self._tokens.raised_above(executor.token):
+            if not self._outdated(executor):
                 raise
             raise Unreachable(f"{executor.executor_id}: its next life answers: {error}") from error
--- a/src/linkspan/shard/ownership/_tokens.py
+++ b/src/linkspan/shard/ownership/_tokens.py
@@ -50,7 +50,3 @@
     def on_end(self, token: int) -> None:
         """Take in that a life with a token ended, whose id may come again."""
         self._least = max(self._least, token + 1)
-
-    def raised_above(self, token: int) -> bool:
-        """Whether this tenure itself may have had a call with a token refused."""
-        return token < self._highest
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -120,7 +120,7 @@
             store=store,
             partition=partition,
             writer=self._writer,
-            calls=ExecutorCalls(executors, core.tokens),
+            calls=ExecutorCalls(executors, core.outdated),
             machines=machines,
             book=book,
             registry=registry,
--- a/tests/shard/test_tokens.py
+++ b/tests/shard/test_tokens.py
@@ -84,8 +84,20 @@
     core.tokens.allow(5)
     add_executor(core, FIRST)
     add_executor(core, SECOND)
-    calls = ExecutorCalls(lambda token: cast(Any, token), core.tokens)
+    calls = ExecutorCalls(lambda token: cast(Any, token), core.outdated)
     with pytest.raises(Unreachable), calls.to(core.executors[FIRST]):
         raise Fenced("the next life was told a higher token")
     with pytest.raises(Fenced), calls.to(core.executors[SECOND]):
         raise Fenced("a newer owner is at work")
+
+
+def test_a_newer_owner_is_believed_though_other_executors_were_told_higher_tokens() -> None:
+    """Guards against an owner that goes on calling after a newer one was obeyed."""
+    core = core_with(step(1), executors=0)
+    core.tokens.allow(5)
+    add_executor(core, "e1@1000")
+    add_executor(core, FIRST)
+    add_executor(core, SECOND)
+    calls = ExecutorCalls(lambda token: cast(Any, token), core.outdated)
+    with pytest.raises(Fenced), calls.to(core.executors["e1@1000"]):
+        raise Fenced("a newer owner is at work")
