Count failed runs by name, so that an end that is told again is the same failure

Callers saw a job as failed of which one run had failed, once. An executor lists an end until it is acknowledged, and that waits for the record of its count. Cut off until its leases and its entry had gone, an executor left the books, and with it the number of the last end that was acted on; back in the same life it listed the end again, the attempt was gone, no former owner had counted anything, and the failure counted twice. By the same cause: a gang's failed run counted once a member over a change of owners (which runs had failed was on no record), and a failed run that nobody had counted was acknowledged uncounted, where its attempt had been given up by lapse (the watermark held the number of the next run, not what was counted). Class: a count where the fact is a set. Change: a task keeps the names of its failed runs (number and life of the executor) on record and counts those; a gang's are its members' by number. An end that names a known one is told by 562 and a counter. A record of an earlier version counts runs without names: an end below its next run is taken for one of these. Earlier versions read the count where it stood. A failed run adds some 20 bytes to its task's row. Standing tasks have no limit and keep none, so loans, which are of these alone, carry none. Ruled out: keeping `seen` by life beyond the entry (a next owner has none of it).

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -126,6 +126,7 @@
     START_REFUSED = 532, logging.INFO, "executor refused a start", "read the reason"
     START_IN_DOUBT = 533, logging.WARNING, "start got no answer", "nothing; it is stopped or seen"
     RUN_FAILED = 534, logging.INFO, "run ended failed", "see the job's limit of attempts"
+    FAILURE_HEARD_AGAIN = 562, logging.INFO, "failed run that was counted is told again", "nothing"
     RUN_ENDED = 535, logging.INFO, "run ended before its task was done", "read how"
     RUN_LOST = 536, logging.WARNING, "executor no longer lists a run", "nothing; it is run again"
     RUN_MOVED = 537, logging.INFO, "run stopped to continue elsewhere", "read the reason"
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -75,6 +75,7 @@
     "linkspan_starts_total": "Runs started, by outcome",
     "linkspan_ends_total": "Runs ended, by how",
     "linkspan_claims_total": "Shards claimed",
+    "linkspan_failures_heard_again_total": "Ends of failed runs that were counted before",
     "linkspan_crashes_total": "Executors that crashed with work on them",
     "linkspan_restarts_total": "Executors found to have started again under their id",
     "linkspan_reports_passed_over_total": "Reports of executors that nothing was concluded from",
--- /dev/null
+++ b/src/linkspan/shard/failures.py
@@ -0,0 +1,82 @@
+"""Failed runs of a task, by name.
+
+Executors tell an end until it is acknowledged, to whoever owns the shard by then. What is counted
+is therefore a set: a failed run that is heard of again, by the same owner or by the next one, is
+the same failure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+
+class FailedRun(NamedTuple):
+    """Name of a failed run.
+
+    Attributes:
+        run: Its number.
+        life: Name of the executor's life that ran it: owners that do not know of each other, and
+            an order that goes on to a next life, may bring one number about twice.
+    """
+
+    run: int
+    life: str
+
+
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """Failed runs of a task.
+
+    Attributes:
+        named: Those that are known by name.
+        unnamed: How many more a record counts that names none.
+        unnamed_below: Those have run numbers below this one.
+    """
+
+    named: frozenset[FailedRun] = frozenset()
+    unnamed: int = 0
+    unnamed_below: int = 0
+
+    @property
+    def count(self) -> int:
+        """How many runs failed."""
+        return len(self.named) + self.unnamed
+
+    def with_run(self, failed: FailedRun) -> Failures:
+        """Return the failures with one that was heard of; it may be among them.
+
+        Example:
+            >>> once = Failures().with_run(FailedRun(1, "e"))
+            >>> once.with_run(FailedRun(1, "e")).count
+            1
+            >>> Failures(unnamed=1, unnamed_below=2).with_run(FailedRun(1, "e")).count
+            1
+        """
+        if failed in self.named:
+            return self
+        named = self.named | {failed}
+        if self.unnamed and failed.run < self.unnamed_below:
+            return replace(self, named=named, unnamed=self.unnamed - 1)
+        return replace(self, named=named)
+
+
+NO_FAILURES = Failures()
+"""What most tasks have."""
+
+
+def gang_failures(members: list[Failures]) -> int:
+    """Return how often a gang failed as a whole: its members share the numbers of its runs.
+
+    What a record counts without a name may be a run that another member names.
+
+    Example:
+        >>> one, other = (Failures(frozenset([FailedRun(1, life)])) for life in "ab")
+        >>> gang_failures([one, other])
+        1
+    """
+    runs = {failed.run for failures in members for failed in failures.named}
+    unnamed = sum(failures.unnamed for failures in members)
+    below = max((f.unnamed_below for f in members if f.unnamed), default=0)
+    of_record = sum(run < below for run in runs)
+    return len(runs) - of_record + max(of_record, unnamed)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -105,7 +105,7 @@
         run.released = job.spec.schedule is None
         self._books.mark_begun(job)
         for task in run.tasks():
-            task.next_run = task.counted_run = UNREAD_RUN
+            task.next_run = UNREAD_RUN
         for shard, loans in lent.items():
             for loan in loans:
                 away = run.task(TaskName(job.job_id, repetition, loan.step, loan.index))
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -10,6 +10,7 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import Attempt, Phase
+from linkspan.shard.failures import FailedRun, Failures
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.suspicion import Suspicion
@@ -24,6 +25,10 @@
 """Key of the record that lists all executors that may run something."""
 
 
+NO_CRASHES = [0, 0]
+"""What stands in place of crashes where there were none and more follows."""
+
+
 class RunKey(NamedTuple):
     """Key of a repetition's record."""
 
@@ -66,7 +71,11 @@
     if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
     fields = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
-    return [*fields, *_crash_fields(task)]
+    if not task.failed.named:
+        return [*fields, *_crash_fields(task)]
+    crashes = _crash_fields(task) or NO_CRASHES
+    failed = [[failed.run, *_life_fields(failed.life)] for failed in sorted(task.failed.named)]
+    return [*fields, *crashes, failed]
 
 
 def _crash_fields(task: Task) -> list[int]:
@@ -125,10 +134,11 @@
         task.suspicion = _suspicion(crashes)
         task.loan, task.next_run = whole(loan), whole(next_run, least=1)
         return
-    next_run, failures, checkpoint, attempts, loan, *crashes = row
-    task.suspicion = _suspicion(crashes)
-    task.next_run = task.counted_run = whole(next_run, least=1)
-    task.failures, task.checkpoint, task.loan = whole(failures), text(checkpoint), whole(loan)
+    next_run, failures, checkpoint, attempts, loan, *more = row
+    task.suspicion = _suspicion(more)
+    task.next_run = whole(next_run, least=1)
+    task.failed = _failures(whole(failures), more[2:], task.next_run)
+    task.checkpoint, task.loan = text(checkpoint), whole(loan)
     for number, *life in map(rows, rows(attempts)):
         attempt = Attempt(task, whole(number), _life(life), Phase.INHERITED, now, found=True)
         task.attempts.append(attempt)
@@ -147,11 +157,26 @@
 
 
 def _suspicion(fields: list[Any]) -> Suspicion | None:
-    if len(fields) < 2:
+    if len(fields) < 2 or fields[:2] == NO_CRASHES:
         return None
     return Suspicion(whole(fields[0]), whole(fields[1]))
 
 
+def _failures(count: int, more: list[Any], next_run: int) -> Failures:
+    """Return the failed runs of a record.
+
+    Args:
+        count: How many there are.
+        more: Their names, if it tells any: records of earlier versions do not.
+        next_run: Number of the task's next run when it was written.
+    """
+    names = frozenset(
+        FailedRun(whole(number), _life(life))
+        for number, *life in map(rows, rows(more[0]) if more else ())
+    )
+    return Failures(names, max(count - len(names), 0), next_run)
+
+
 def encode_roster(executors: Iterable[ExecutorRecord]) -> bytes:
     """Return the record of all executors that may run something."""
     return orjson.dumps(
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -10,6 +10,7 @@
 from linkspan.shard._reasons import used_up
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.executor import UnackedEnd
+from linkspan.shard.failures import FailedRun
 from linkspan.shard.messages import EndKind
 from linkspan.shard.planning._outlook import REFRESH_EVERY, note_length, refresh_outlook
 
@@ -83,8 +84,7 @@
         if end.kind is EndKind.DONE:
             self._on_done(executor, task, attempt, now)
         elif end.kind is EndKind.FAILED:
-            if attempt or end.run >= task.counted_run:
-                self._on_failed(executor, task, end, now)
+            self._on_failed(executor, task, end, now)
         elif attempt and not attempt.moved and not task.step.run.job.closing:
             how = end.kind.value
             self._books.log_run(Event.RUN_ENDED, executor.executor_id, end.task, end.run, how=how)
@@ -146,9 +146,15 @@
         job = task.step.run.job
         if task.done or job.closing:
             return
+        failures = 0
         if not task.step.spec.standing:
+            known = task.failures
+            task.failed = task.failed.with_run(FailedRun(end.run, executor.executor_id))
+            if task.failures == known:
+                self._on_heard_again(executor, task, end)
+                return
             task.avoid.add(executor.executor_id)
-        failures = self._count_failure(task, end.run)
+            failures = task.step.failures if task.step.spec.gang else task.failures
         until = self._books.health.failed(executor.executor_id, job.job_id, now)
         self._books.log_run(
             Event.RUN_FAILED,
@@ -170,13 +176,14 @@
                 job, JobState.FAILED, **used_up(task, failures, job.max_attempts), run=end.run
             )
 
-    def _count_failure(self, task: Task, run: int) -> int:
-        """Count a failed run and return how often the task, or its gang, has failed."""
-        step = task.step
-        if not step.spec.gang:
-            task.failures += 1
-            return task.failures
-        if run not in step.failed_runs:
-            step.failed_runs.add(run)
-            task.failures += 1
-        return step.failures
+    def _on_heard_again(self, executor: ExecutorState, task: Task, end: EndedTask) -> None:
+        """Tell that a failed run was counted before; its end had not been acknowledged."""
+        self._books.count("failures_heard_again")
+        self._books.log_run(
+            Event.FAILURE_HEARD_AGAIN,
+            executor.executor_id,
+            end.task,
+            end.run,
+            failures=task.failures,
+            most=task.step.run.job.max_attempts,
+        )
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.shard.failures import gang_failures
+
 if TYPE_CHECKING:
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.job_run import JobRun
@@ -22,7 +24,6 @@
         tasks: Its tasks.
         left: Tasks that are not done.
         durations: Running times at full speed of tasks that are done, in seconds.
-        failed_runs: Numbers of a gang's runs that failed.
     """
 
     run: JobRun
@@ -31,14 +32,13 @@
     tasks: list[Task] = field(default_factory=list)
     left: int = 0
     durations: list[float] = field(default_factory=list)
-    failed_runs: set[int] = field(default_factory=set)
     _median_s: float = 0.0
     _median_of: int = 0
 
     @property
     def failures(self) -> int:
         """Failed runs of a gang as a whole."""
-        return sum(task.failures for task in self.tasks)
+        return gang_failures([task.failed for task in self.tasks])
 
     @property
     def share_left(self) -> float:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.attempt import FULL_PROGRESS, NEVER, Phase
+from linkspan.shard.failures import NO_FAILURES, Failures
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -22,9 +23,8 @@
         name: Its name.
         step: Its step.
         done: Whether it has ended well; final.
-        failures: Runs that ended failed.
+        failed: Runs that ended failed; of standing tasks, which have no limit, none are kept.
         next_run: Number of its next run.
-        counted_run: Ends of runs below this number were counted by a former owner.
         lent: Shard that looks after it instead of this one, if any.
         loan: Number of its last loan, 0 before the first.
         given_back: Number of the last loan that each shard gave back, by shard.
@@ -42,9 +42,8 @@
     name: TaskName
     step: StepRun
     done: bool = False
-    failures: int = 0
+    failed: Failures = NO_FAILURES
     next_run: int = 1
-    counted_run: int = 0
     lent: int | None = None
     loan: int = 0
     given_back: dict[int, int] = field(default_factory=dict)
@@ -58,6 +57,11 @@
     ready_since: float = NEVER
     away_since: float = NEVER
 
+    @property
+    def failures(self) -> int:
+        """How many of its runs ended failed."""
+        return self.failed.count
+
     @property
     def pending(self) -> bool:
         """Whether it waits for an attempt."""
--- a/tests/shard/test_failed_jobs_told.py
+++ b/tests/shard/test_failed_jobs_told.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from linkspan.events import Event
+from linkspan.shard.failures import Failures
 from linkspan.shard.messages import EndedTask, EndKind
 from linkspan.shard.recovery.progress import encode_run
 from tests.job_builders import QUEUE, step
@@ -23,12 +24,10 @@
     core = core_with(
         step(2), executors=1, log=lambda event, **fields: lines.append((event, fields))
     )
-    number = 0
-    for attempt in range(QUEUE.max_attempts):
-        now = 10.0 * attempt + 1.0
+    for number in range(1, QUEUE.max_attempts + 1):
+        now = 10.0 * number
         order = next(o for o in plan(core, now) if o.task.index == 1)
         started(core, order, now + 0.1)
-        number += 1
         end = EndedTask(number, order.task, order.run, EndKind.FAILED, "")
         report(core, order.executor_id, end, asked=now + 0.2, now=now + 0.5)
     (told,) = decided(lines)
@@ -41,7 +40,7 @@
     lines: list[Line] = []
     core = core_with(step(2))
     task = core.jobs[JOB].runs[0].steps[0].tasks[1]
-    task.next_run, task.failures = 4, 3
+    task.next_run, task.failed = 4, Failures(unnamed=3)
     heir = core_with(step(1), log=lambda event, **fields: lines.append((event, fields)))
     heir.jobs.clear()
     record = {0: encode_run(core.jobs[JOB].runs[0])}
--- /dev/null
+++ b/tests/shard/test_failed_runs.py
@@ -0,0 +1,154 @@
+"""Failed runs of a task: each counts once, however often and by whom its end is heard."""
+
+from __future__ import annotations
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linkspan.model.configuration import Configuration, Service
+from linkspan.model.settings import Bounds
+from linkspan.shard.core import ShardCore
+from linkspan.shard.failures import FailedRun
+from linkspan.shard.messages import EndedTask, EndKind, StartOrder
+from linkspan.shard.recovery.progress import encode_run
+from tests.job_builders import QUEUE, step
+from tests.shard.builders import JOB, core_with, plan, report, started, submitted
+
+GONE_S = 60.0
+"""Steady time by which all leases have ended that were granted before."""
+
+
+def failed(order: StartOrder, number: int = 1) -> EndedTask:
+    return EndedTask(number, order.task, order.run, EndKind.FAILED, "")
+
+
+def first_start(core: ShardCore, now: float) -> StartOrder:
+    order = plan(core, now)[0]
+    started(core, order, now + 0.1)
+    return order
+
+
+def cut_off_and_back(core: ShardCore, executor_id: str) -> None:
+    """Let an executor leave the books, and come back in the same life."""
+    records = [e.record for e in core.executors.values()]
+    core.list_executors([r for r in records if r.executor_id != executor_id], 2.0)
+    core.on_silent(executor_id, 2.0)
+    core.on_silent(executor_id, GONE_S)
+    assert executor_id not in core.executors
+    core.list_executors(records, GONE_S + 1.0)
+    core.executors[executor_id].rostered = True
+
+
+def test_an_end_that_is_listed_again_by_an_executor_that_comes_back_counts_once() -> None:
+    """Guards against a job shown as failed for one failed run that was counted twice.
+
+    The end had been counted, and was not durable yet, when the executor was cut off until its
+    leases and its entry had gone; it came back in the same life and listed the end again.
+    """
+    core = core_with(step(1))
+    order = first_start(core, 0.1)
+    report(core, order.executor_id, failed(order), asked=0.3, now=0.5)
+    cut_off_and_back(core, order.executor_id)
+    report(core, order.executor_id, failed(order), asked=GONE_S + 1.1, now=GONE_S + 1.2)
+    assert core.jobs[JOB].runs[0].steps[0].tasks[0].failures == 1
+
+
+def heir_of(core: ShardCore, record: bytes | None = None) -> ShardCore:
+    """Return the next owner, which reads what was recorded, or another record."""
+    heir = ShardCore(0, Bounds())
+    heir.configure(Configuration(1, {QUEUE.name: QUEUE}, {"pool": Service("pool")}))
+    heir.inherit([e.record for e in core.executors.values()], 20.0)
+    run = core.jobs[JOB].runs[0]
+    specs = [s.spec for s in run.steps]
+    heir.add_job(submitted(*specs), 1.0, inherited=True, progress={0: record or encode_run(run)})
+    return heir
+
+
+def test_a_failed_run_of_a_gang_counts_once_over_a_change_of_owners() -> None:
+    """Guards against a gang's job shown as failed for one failed run, counted once a member.
+
+    The failed run of one member was on record, and the next owner heard of another member's.
+    """
+    core = core_with(step(2, gang=True))
+    first, second = plan(core, 0.1)
+    for order in (first, second):
+        started(core, order, 0.2)
+    report(core, first.executor_id, failed(first), asked=0.3, now=0.5)
+    heir = heir_of(core)
+    ended = failed(second, 2 if second.executor_id == first.executor_id else 1)
+    report(heir, second.executor_id, ended, asked=1.1, now=1.2)
+    assert heir.jobs[JOB].runs[0].steps[0].failures == 1
+
+
+def test_a_failure_that_no_former_owner_counted_is_counted() -> None:
+    """Guards against a start beyond the limit, for a failed run that nobody counted.
+
+    The attempt was on record, and had been given up as lapsed, when its end was listed.
+    """
+    core = core_with(step(1))
+    order = first_start(core, 0.1)
+    records = [e.record for e in core.executors.values()]
+    core.list_executors([r for r in records if r.executor_id != order.executor_id], 2.0)
+    core.on_silent(order.executor_id, 2.0)
+    core.on_silent(order.executor_id, GONE_S)
+    heir = heir_of(core)
+    heir.list_executors(records, GONE_S)
+    report(heir, order.executor_id, failed(order), asked=GONE_S + 1.1, now=GONE_S + 1.2)
+    assert heir.jobs[JOB].runs[0].steps[0].tasks[0].failures == 1
+
+
+def test_two_failed_runs_of_one_number_on_two_executors_count_as_two() -> None:
+    """Two owners that do not know of each other may give one number twice."""
+    core = core_with(step(1))
+    order = first_start(core, 0.1)
+    other = next(name for name in core.executors if name != order.executor_id)
+    report(core, order.executor_id, failed(order), asked=0.3, now=0.5)
+    report(core, other, failed(order), asked=0.6, now=0.7)
+    assert core.jobs[JOB].runs[0].steps[0].tasks[0].failures == 2
+
+
+def test_a_record_of_an_earlier_version_counts_what_it_does_not_name() -> None:
+    """Its row ends before the names, and a run below its next one is among what it counts."""
+    core = core_with(step(1))
+    order = first_start(core, 0.1)
+    report(core, order.executor_id, failed(order), asked=0.3, now=0.5)
+    run = core.jobs[JOB].runs[0]
+    rows = orjson.loads(encode_run(run))
+    rows[0][0] = rows[0][0][:5]
+    heir = heir_of(core, orjson.dumps(rows))
+    task = heir.jobs[JOB].runs[0].steps[0].tasks[0]
+    assert task.failures == 1
+    report(heir, order.executor_id, failed(order), asked=1.1, now=1.2)
+    assert task.failures == 1
+    again = EndedTask(2, order.task, order.run + 20, EndKind.FAILED, "")
+    report(heir, order.executor_id, again, asked=1.3, now=1.4)
+    assert task.failures == 2
+
+
+def test_an_earlier_version_reads_the_count_where_it_always_stood() -> None:
+    core = core_with(step(1))
+    order = first_start(core, 0.1)
+    report(core, order.executor_id, failed(order), asked=0.3, now=0.5)
+    ((row,),) = orjson.loads(encode_run(core.jobs[JOB].runs[0]))
+    next_run, failures, _checkpoint, _attempts, _loan, *_more = row
+    assert (next_run, failures) == (2, 1)
+
+
+@given(
+    ends=st.lists(st.tuples(st.integers(1, 4), st.sampled_from("ab")), max_size=8),
+    handovers=st.sets(st.integers(0, 7)),
+)
+def test_failures_are_as_many_as_there_are_failed_runs(
+    ends: list[tuple[int, str]], handovers: set[int]
+) -> None:
+    """Whatever is told again, and by however many owners it is heard."""
+    core = core_with(step(1))
+    for number, (run, name) in enumerate(ends):
+        if number in handovers:
+            core = heir_of(core)
+        task = core.jobs[JOB].runs[0].steps[0].tasks[0]
+        told = task.failed.with_run(FailedRun(run, name))
+        task.failed = told
+        task.next_run = max(task.next_run, run + 1)
+    assert core.jobs[JOB].runs[0].steps[0].tasks[0].failures == len(set(ends))
