Let no end that is told again take a task's saved work back

A task could resume behind what a later run of it had saved: an executor that comes back in the same life tells its unacknowledged ends again, and the checkpoint of an earlier run stood over that of the one at work. Callers wait longer, and work is done twice. Class: as for failed runs, a fact that is told again taken for news. Change: a checkpoint counts by the run that saved it; an earlier run's is passed over. A next owner begins with what is on record, where the run is not named, and takes the first that it hears. Copies, which begin at the beginning, save nothing for their task.

--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -98,8 +98,8 @@
             attempt.progress = row.progress
             attempt.progress_at = now
         attempt.usage = row.usage
-        if row.checkpoint and not attempt.copy:
-            attempt.task.checkpoint = row.checkpoint
+        if not attempt.copy:
+            attempt.task.save(row.run, row.checkpoint)
 
     def _adopt(self, executor: ExecutorState, row: RunningTask, now: float) -> Attempt | None:
         """Take over a run that this tenure did not start, or have it stopped.
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -79,8 +79,8 @@
         task.next_run = max(task.next_run, end.run + 1)
         if attempt:
             self._books.detach(attempt)
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        if not (attempt and attempt.copy):
+            task.save(end.run, end.checkpoint)
         if end.kind is EndKind.DONE:
             self._on_done(executor, task, attempt, now)
         elif end.kind is EndKind.FAILED:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -29,6 +29,7 @@
         loan: Number of its last loan, 0 before the first.
         given_back: Number of the last loan that each shard gave back, by shard.
         checkpoint: Where the next run resumes.
+        saved_by: Number of the run that saved that, as far as this owner heard.
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
         suspicion: What crashes of its executors say against it, ``None`` for nothing.
@@ -48,6 +49,7 @@
     loan: int = 0
     given_back: dict[int, int] = field(default_factory=dict)
     checkpoint: str = ""
+    saved_by: int = 0
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
     suspicion: Suspicion | None = None
@@ -57,6 +59,12 @@
     ready_since: float = NEVER
     away_since: float = NEVER
 
+    def save(self, run: int, checkpoint: str) -> None:
+        """Take in where a run could be resumed; what an earlier run saved is behind that."""
+        if checkpoint and run >= self.saved_by:
+            self.checkpoint = checkpoint
+            self.saved_by = run
+
     @property
     def failures(self) -> int:
         """How many of its runs ended failed."""
