Keep the terms that a job was accepted under on its record

Callers saw jobs as failed after one failed run, where an operator had removed their queue: a next owner, a mover or a borrower took such a job in with the default of one attempt, and without a service, so that no task of it could be started any more. Cause: a job's limits were known to the owner alone that had seen its queue configured; what was not known was filled in by the strictest value. Change: the accepting host writes service, attempts, priority, objective and policy of the queue with the job; they hold until a configuration names the queue again. A limit that nobody knows, as in records of earlier versions, decides nothing. Ruled out: keeping removed queues in the owner's memory (the next owner has none).

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -218,7 +218,7 @@
 
     def _start_write(self, spec: JobSpec, queue: Queue) -> asyncio.Future[int]:
         shard = self._choose_shard(spec, queue)
-        record = Submitted(spec, shard, time.time(), self._incarnation)
+        record = Submitted(spec, shard, time.time(), self._incarnation, queue.terms)
         write = self._book.write([record], patient=False)
         self._submitting[spec.job_id] = write
         write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -28,6 +28,7 @@
     Submitted,
 )
 from linkspan.jobs.spec import Demand, JobSpec, Schedule, StepSpec
+from linkspan.model.configuration import AdviceRule, QueueTerms
 
 
 def encode(record: JobRecord) -> tuple[bytes, bytes]:
@@ -103,9 +104,26 @@
     }
     if spec.schedule:
         fields["schedule"] = asdict(spec.schedule)
+    if record.terms:
+        fields["terms"] = _terms_row(record.terms)
     return orjson.dumps(fields)
 
 
+def _terms_row(terms: QueueTerms) -> list[Any]:
+    """Return the terms of a job's queue; the policy is left out where there is none."""
+    row = [terms.service, terms.max_attempts, terms.priority, terms.stretch, terms.target_s]
+    return [*row, terms.advice.valid_s] if terms.advice else row
+
+
+def _terms_from(row: list[Any]) -> QueueTerms:
+    # Later versions may tell more behind it.
+    service, most, priority, stretch, target_s, *valid_s = row
+    advice = AdviceRule(number(valid_s[0])) if valid_s else None
+    return QueueTerms(
+        text(service), whole(most), whole(priority), number(stretch), number(target_s), advice
+    )
+
+
 _STEP_DEFAULTS = {
     name: spec.default
     for name, spec in StepSpec.__dataclass_fields__.items()
@@ -137,7 +155,8 @@
         tuple(_step_from(fields_of(step)) for step in rows(fields["steps"])),
         _schedule_from(fields_of(schedule)) if schedule else None,
     )
-    return Submitted(spec, whole(fields["shard"]), number(fields["accepted"]), host)
+    terms = _terms_from(rows(fields["terms"])) if "terms" in fields else None
+    return Submitted(spec, whole(fields["shard"]), number(fields["accepted"]), host, terms)
 
 
 def _schedule_from(fields: dict[str, Any]) -> Schedule:
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import JobSpec
+    from linkspan.model.configuration import QueueTerms
 
 
 class JobState(Enum):
@@ -43,12 +44,14 @@
         accepted: Time of day at the accepting host, in seconds since 1970.
         host: Life of the accepting host's process, and which sending of its record this
             is: each writes a key of its own.
+        terms: What it was accepted under; ``None`` in records of earlier versions.
     """
 
     spec: JobSpec
     shard: int
     accepted: float
     host: str
+    terms: QueueTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/model/configuration.py
+++ b/src/linkspan/model/configuration.py
@@ -16,6 +16,27 @@
     valid_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class QueueTerms:
+    """What a job is accepted under; it holds until a configuration names the job's queue again.
+
+    Attributes:
+        service: Service whose executors run its tasks.
+        max_attempts: Failed runs of a task after which its job has failed.
+        priority: 0 goes first and may preempt others.
+        stretch: Factor on a job's longest chain of work in its objective.
+        target_s: Time beside that in the objective.
+        advice: The queue's placement policy, ``None`` without one.
+    """
+
+    service: str
+    max_attempts: int
+    priority: int
+    stretch: float
+    target_s: float
+    advice: AdviceRule | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of jobs.
@@ -44,6 +65,18 @@
     timeout_s: float = 3.0
     advice: AdviceRule | None = None
 
+    @property
+    def terms(self) -> QueueTerms:
+        """What jobs are accepted under."""
+        return QueueTerms(
+            self.service,
+            self.max_attempts,
+            self.priority,
+            self.stretch,
+            self.target_s,
+            self.advice,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/src/linkspan/shard/_reasons.py
+++ b/src/linkspan/shard/_reasons.py
@@ -22,7 +22,7 @@
     return f"{name.repetition}.{name.step}.{name.index}"
 
 
-def used_up(task: Task, failures: int, most: int) -> dict[str, Any]:
+def used_up(task: Task, failures: int, most: int | None) -> dict[str, Any]:
     """Return the fields that tell why a job failed of which a task used its attempts up.
 
     Args:
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -70,6 +70,8 @@
         # Begun by the records: its progress may not have become durable.
         job = ShardJob(submitted, inherited=inherited, moved=moved, begun=begun)
         job.borrowed = borrowed is not None
+        if submitted.terms:
+            job.take_terms(submitted.terms)
         self._books.jobs[job.job_id] = job
         self.refresh_queue(job)
         unread: list[str] = []
@@ -135,7 +137,7 @@
             # Its former owner was lost before the end was on record.
             worst = max(step.tasks, key=lambda t: t.failures)
             failures = step.failures if step.spec.gang else worst.failures
-            if failures >= run.job.max_attempts and not step.spec.standing:
+            if run.job.used_up(failures) and not step.spec.standing:
                 why = used_up(worst, failures, run.job.max_attempts)
                 self._books.decide(run.job, JobState.FAILED, **why)
             for task in step.tasks:
@@ -161,16 +163,8 @@
         A job whose queue was removed keeps what it had.
         """
         queue = self._books.configuration and self._books.configuration.queues.get(job.spec.queue)
-        if not queue:
-            refresh_outlook(job, self._books.lengths)
-            return
-        job.max_attempts = queue.max_attempts
-        job.priority = queue.priority
-        job.stretch = queue.stretch
-        job.target_s = queue.target_s
-        job.service = queue.service
-        job.advised = queue.advice is not None
-        job.ticket_valid_s = queue.advice.valid_s if queue.advice else 0.0
+        if queue:
+            job.take_terms(queue.terms)
         refresh_outlook(job, self._books.lengths)
 
     def configure(self, configuration: Configuration) -> None:
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -171,7 +171,7 @@
                 executor=executor.executor_id,
                 seconds=round(until - now, 2),
             )
-        if not task.step.spec.standing and failures >= job.max_attempts:
+        if not task.step.spec.standing and job.used_up(failures):
             self._books.decide(
                 job, JobState.FAILED, **used_up(task, failures, job.max_attempts), run=end.run
             )
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -10,6 +10,7 @@
 
     from linkspan.jobs.records import Submitted
     from linkspan.jobs.spec import JobSpec
+    from linkspan.model.configuration import QueueTerms
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.job_run import JobRun
 
@@ -27,7 +28,8 @@
         handing_over: Whether it is on its way to another shard.
         moved: Whether it came from another shard.
         borrowed: Whether it lives in another shard that lent some of its tasks.
-        max_attempts: Failed runs of a task after which it has failed.
+        max_attempts: Failed runs of a task after which it has failed; ``None`` while its queue's
+            limit is not known, which decides nothing.
         priority: Its queue's priority.
         stretch: Part of its objective, in times of its longest chain of steps.
         target_s: Time that its objective has beside that.
@@ -48,7 +50,7 @@
     handing_over: bool = False
     moved: bool = False
     borrowed: bool = False
-    max_attempts: int = 1
+    max_attempts: int | None = None
     priority: int = 0
     stretch: float = 1.0
     target_s: float = 0.0
@@ -75,6 +77,20 @@
         """The job's id."""
         return self.submitted.spec.job_id
 
+    def take_terms(self, terms: QueueTerms) -> None:
+        """Hold to what a queue says from now on."""
+        self.max_attempts = terms.max_attempts
+        self.priority = terms.priority
+        self.stretch = terms.stretch
+        self.target_s = terms.target_s
+        self.service = terms.service
+        self.advised = terms.advice is not None
+        self.ticket_valid_s = terms.advice.valid_s if terms.advice else 0.0
+
+    def used_up(self, failures: int) -> bool:
+        """Whether a task with some failed runs has none left."""
+        return self.max_attempts is not None and failures >= self.max_attempts
+
     def attempts(self) -> Iterator[Attempt]:
         """Iterate over all attempts that may be running."""
         for run in self.runs.values():
