Decide by a limit once it becomes known

A job whose limit nobody knew, of an earlier version's record and a removed queue, could go on past the limit that a configuration names later: no further failure, no decision. It is looked at when the limit becomes known. Test beside; without the change the job stays undecided.

--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -171,7 +171,11 @@
         """Put a configuration in force."""
         self._books.configuration = configuration
         for job in self._books.jobs.values():
+            unknown = job.max_attempts is None
             self.refresh_queue(job)
+            if unknown and job.max_attempts is not None:
+                for run in job.runs.values():
+                    self._fail_if_used_up(run)
 
     def release_due(self, wall: float, now: float) -> None:
         """Open repetitions that are due."""
