--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from linkspan.events import Event
 from linkspan.jobs.records import JobState
@@ -146,44 +146,46 @@
         job = task.step.run.job
         if task.done or job.closing:
             return
-        failures = 0
-        if not task.step.spec.standing:
-            known = task.failures
-            task.failed = task.failed.with_run(FailedRun(end.run, executor.executor_id))
-            if task.failures == known:
-                self._on_heard_again(executor, task, end)
-                return
-            task.avoid.add(executor.executor_id)
-            failures = task.step.failures if task.step.spec.gang else task.failures
-        until = self._books.health.failed(executor.executor_id, job.job_id, now)
-        self._books.log_run(
-            Event.RUN_FAILED,
-            executor.executor_id,
-            end.task,
-            end.run,
-            failures=failures,
-            most=job.max_attempts,
-        )
-        if until is not None:
-            executor.distrusted_until = max(executor.distrusted_until, until)
-            self._books.log(
-                Event.EXECUTOR_DISTRUSTED,
-                executor=executor.executor_id,
-                seconds=round(until - now, 2),
-            )
-        if not task.step.spec.standing and job.used_up(failures):
-            self._books.decide(
-                job, JobState.FAILED, **used_up(task, failures, job.max_attempts), run=end.run
-            )
-
-    def _on_heard_again(self, executor: ExecutorState, task: Task, end: EndedTask) -> None:
-        """Tell that a failed run was counted before; its end had not been acknowledged."""
-        self._books.count("failures_heard_again")
-        self._books.log_run(
-            Event.FAILURE_HEARD_AGAIN,
-            executor.executor_id,
-            end.task,
-            end.run,
-            failures=task.failures,
-            most=task.step.run.job.max_attempts,
+        if task.step.spec.standing:
+            # It is started again however often it fails: nothing is counted.
+            self._log_failed(executor, end)
+            self._note_health(executor, task, now)
+            return
+        known = task.failures
+        task.failed = task.failed.with_run(FailedRun(end.run, executor.executor_id))
+        failures = task.step.failures if task.step.spec.gang else task.failures
+        counts: dict[str, Any] = {"failures": failures, "most": job.max_attempts}
+        if task.failures == known:
+            # It was counted before, and its end had not been acknowledged.
+            self._books.count("failures_heard_again")
+            self._log_failed(executor, end, event=Event.FAILURE_HEARD_AGAIN, **counts)
+            return
+        task.avoid.add(executor.executor_id)
+        self._log_failed(executor, end, **counts)
+        self._note_health(executor, task, now)
+        if job.used_up(failures):
+            why = used_up(task, failures, job.max_attempts)
+            self._books.decide(job, JobState.FAILED, **why, run=end.run)
+
+    def _log_failed(
+        self,
+        executor: ExecutorState,
+        end: EndedTask,
+        *,
+        event: Event = Event.RUN_FAILED,
+        **counts: Any,
+    ) -> None:
+        self._books.log_run(event, executor.executor_id, end.task, end.run, **counts)
+
+    def _note_health(self, executor: ExecutorState, task: Task, now: float) -> None:
+        """Have an executor rest at which tasks of several jobs failed."""
+        job_id = task.name.job_id
+        until = self._books.health.failed(executor.executor_id, job_id, now)
+        if until is None:
+            return
+        executor.distrusted_until = max(executor.distrusted_until, until)
+        self._books.log(
+            Event.EXECUTOR_DISTRUSTED,
+            executor=executor.executor_id,
+            seconds=round(until - now, 2),
         )
