--- a/tests/hall_callers.py
+++ b/tests/hall_callers.py
@@ -10,8 +10,9 @@
 from aiohttp import web
 
 from linkspan.host.front import Front
+from linkspan.jobs.records import JobState
 from linkspan.jobs.spec import JobSpec, StepSpec
-from tests.job_builders import QUEUE, job_body, state_of
+from tests.job_builders import job_body, state_of
 from tests.run_judge import RunJudge
 from tests.running_host import RunningHost
 from tests.virtual_time import world_time
@@ -32,7 +33,7 @@
 
     def new_job(self, *steps: StepSpec) -> JobSpec:
         self._jobs += 1
-        return JobSpec(f"{self._jobs:016x}", QUEUE.name, f"payload {self._jobs}", steps)
+        return JobSpec(f"{self._jobs:016x}", self.queue.name, f"payload {self._jobs}", steps)
 
     async def submit(self, name: str, spec: JobSpec, *, patience_s: float = 3.0) -> int:
         """Submit a job at a host and return the status, 0 if no answer came in time."""
@@ -41,7 +42,7 @@
         async def serve(front: Front) -> web.Response:
             # A host that stood still reads what came in meanwhile, also late.
             deadline = world_time() + patience_s
-            return await front.submit(QUEUE, spec.job_id, job_body(spec), deadline)
+            return await front.submit(self.queue, spec.job_id, job_body(spec), deadline)
 
         answer = await self._call(name, serve, patience_s)
         if answer is None:
@@ -53,7 +54,7 @@
     async def ask(self, name: str, job_id: str, *, patience_s: float = 3.0) -> str:
         """Return a job's state as a caller sees it, empty if no answer came in time."""
         answer = await self._call(name, lambda front: front.show(job_id), patience_s)
-        return state_of(answer) if answer else ""
+        return self._shown(name, job_id, state_of(answer)) if answer else ""
 
     async def _call(
         self,
@@ -82,7 +83,13 @@
 
     async def state(self, name: str, job_id: str) -> str:
         answer = await self.hosts[name].host.front.show(job_id)
-        return state_of(answer)
+        return self._shown(name, job_id, state_of(answer))
+
+    def _shown(self, name: str, job_id: str, state: str) -> str:
+        """Return a state that a caller is shown, and judge it."""
+        if state == JobState.FAILED.value:
+            self.judge_failed(job_id, f"at {name}")
+        return state
 
     async def wait_for(self, name: str, job_id: str, state: str, *, limit_s: float = 30.0) -> None:
         async with asyncio.timeout(limit_s):
--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -58,6 +58,7 @@
     shrunk_counts_s: float = CONTACT_S + HEARTBEAT_S
 
     def __post_init__(self) -> None:
+        super().__post_init__()
         self.random = Random(self.seed)
         self.store = MemoryStore(self.seed)
         self.one_hall = OneHall(self.store)
@@ -196,6 +197,7 @@
             )
 
     def _fall(self, executor: MemoryExecutor) -> None:
+        self.look_at_records()
         executor.alive = False
         self.crashing.under.update(executor.running.keys())
         self._break_gangs(executor)
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from linkspan.host.host import Adapter, Host
+from linkspan.jobs.job_book import JOBS
 from linkspan.metrics import HostMetrics
 from linkspan.model.configuration import Configuration, Service
 from linkspan.model.settings import Bounds, HostSettings, StoreLimits
@@ -20,7 +21,6 @@
 from linkspan.store.types import Partition, Store
 from tests.hall_callers import HallCallers
 from tests.hall_executors import EXECUTORS, HallExecutors
-from tests.job_builders import QUEUE
 from tests.kept_lines import Lines
 from tests.running_host import RunningHost
 from tests.standins.memory_executor import ExecutorLink
@@ -48,12 +48,17 @@
     @property
     def problems(self) -> list[str]:
         """Promises broken, and errors that the product did not expect."""
+        self.look_at_records()
         crashes = [f"CRASHED {fields}" for fields in self.log.named("CRASHED")]
         return self.broken + crashes
 
+    def look_at_records(self) -> None:
+        """Judge the final states that are on record since the last look."""
+        self.broken += self.failed_jobs.look(self.store.log(JOBS).entries)
+
     async def begin(self) -> None:
         """Start executors and hosts and let them settle."""
-        configuration = Configuration(3, {QUEUE.name: QUEUE}, {"pool": Service("pool")})
+        configuration = Configuration(3, {self.queue.name: self.queue}, {"pool": Service("pool")})
         self.configuration = configuration
         self.publish()
         for hall in self.halls:
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -8,12 +8,15 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
+from tests.attempt_budget import AttemptBudget
 from tests.crashing import CrashingTasks
+from tests.failed_jobs import FailedJobs
 from tests.job_builders import QUEUE
 from tests.virtual_time import world_time
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import JobSpec, StepSpec
+    from linkspan.model.configuration import Queue
     from tests.one_hall import OneHall
     from tests.standins.memory_executor import MemoryExecutor
 
@@ -36,6 +39,7 @@
 
     Attributes:
         broken: Promises that were broken.
+        queue: What jobs are sent to, as it was configured when they were accepted.
         specs: Jobs that were sent.
         cancelled: When cancels of jobs were answered.
         troubled_until: When the last trouble ended.
@@ -48,9 +52,12 @@
         executors: The executors, by address.
         one_hall: Judges in which hall first runs begin.
         crashing: Judges starts of tasks that crash their executors.
+        budget: Judges starts of tasks that failed as often as they may.
+        failed_jobs: Judges which jobs are shown as failed.
     """
 
     broken: list[str] = field(default_factory=list, kw_only=True)
+    queue: Queue = field(default=QUEUE, kw_only=True)
     specs: dict[str, JobSpec] = field(default_factory=dict, init=False)
     cancelled: dict[str, float] = field(default_factory=dict, init=False)
     troubled_until: float = field(default=float("-inf"), init=False)
@@ -64,8 +71,14 @@
     executors: dict[str, MemoryExecutor] = field(default_factory=dict, init=False)
     one_hall: OneHall = field(init=False)
     crashing: CrashingTasks = field(default_factory=CrashingTasks, init=False)
+    budget: AttemptBudget = field(init=False)
+    failed_jobs: FailedJobs = field(init=False)
     _overdue: set[TaskName] = field(default_factory=set, init=False)
 
+    def __post_init__(self) -> None:
+        self.budget = AttemptBudget(self)
+        self.failed_jobs = FailedJobs(self)
+
     def trouble(self) -> None:
         """Note that something other than cancels, late orders and removals is going on."""
         self.troubled_until = world_time()
@@ -93,8 +106,7 @@
             names = [TaskName(task.job_id, 0, earlier, i) for i in range(count)]
             if not all(name in self.done for name in names):
                 self.broken.append(f"{now:.2f} ORDER {task}")
-        if self.failed[task] >= QUEUE.max_attempts and not self.step_of(task).standing:
-            self.broken.append(f"{now:.2f} BUDGET {task}")
+        self.broken += [f"{now:.2f} {line}" for line in self.budget.on_start(task)]
 
     def judge_start_of_cancelled(self, task: TaskName) -> None:
         """Judge a start that was carried out when it was ordered."""
@@ -128,6 +140,23 @@
             self.done.add(task)
             ended = executor.life, task, run
             self.done_runs_at.setdefault(ended, world_time())
+        if kind is EndKind.FAILED:
+            self.budget.on_failed(executor, task, run)
+
+    def judge_listed(self, executor: MemoryExecutor, ends: list[EndedTask]) -> None:
+        """Take in what an executor tells; what was shown before was shown without it."""
+        if any(end.kind is EndKind.FAILED for end in ends):
+            self.look_at_records()
+        for end in ends:
+            self.failed_jobs.on_listed(executor, end)
+
+    def judge_failed(self, job_id: str, where: str) -> None:
+        """Judge that a job is shown as failed."""
+        now = world_time()
+        self.broken += [f"{now:.2f} {li}" for li in self.failed_jobs.on_shown(job_id, where)]
+
+    def look_at_records(self) -> None:
+        """Judge what new records tell, where there are any to be seen."""
 
     def judge_acknowledged(self, executor: MemoryExecutor, end: EndedTask) -> None:
         if end.kind is EndKind.DONE:
@@ -137,3 +166,5 @@
                 self.broken.append(f"{ended:.2f} TWICE {end.task} began again after its end")
         if end.kind is EndKind.FAILED:
             self.failed[end.task] += 1
+            now = world_time()
+            self.broken += [f"{now:.2f} {line}" for line in self.budget.on_noted(executor, end)]
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -206,6 +206,7 @@
             if end.number <= acknowledged:
                 self.world.judge_acknowledged(self, end)
         self.ended = [end for end in self.ended if end.number > acknowledged]
+        self.world.judge_listed(self, self.ended)
         running = tuple(self._row(run) for run in self.running.values())
         return ExecutorReport(self.clock, running, tuple(self.ended), born=self.born)
 
