--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -72,6 +72,7 @@
         dirty: Repetitions whose records are to be written, by job and number.
         dropped: Keys of the records to remove.
         look_at: Executors to be asked at once.
+        holds: How many ends were held back so far, so that nobody need compare them all.
         suspects: Tasks under which executors crashed, as an ordered set.
         falls: Executors that fell, the newest last.
         sole_until: Steady time until which no later owner can have claimed the shard. A lease
@@ -112,6 +113,7 @@
         self.dirty: dict[tuple[str, int], JobRun] = {}
         self.dropped: list[bytes] = []
         self.look_at: set[str] = set()
+        self.holds = 0
         self.suspects: dict[Task, None] = {}
         self.falls: list[Fall] = []
         self.sole_until = float("inf")
@@ -329,6 +331,8 @@
         elif executor.rostered:
             attempt.phase = Phase.STARTING
             attempt.starts += 1
+            # A next owner is to know that there is more than one order.
+            self.touch(attempt.task.step.run)
             self.send_start(attempt)
 
     def _wants_again(self, attempt: Attempt, executor: ExecutorState) -> bool:
@@ -337,6 +341,9 @@
         # A suspect is placed anew each time, apart from others.
         if task.done or task.suspect or attempt.copy or job.closing:
             return False
+        if attempt.found and (len(task.attempts) > 1 or job.advised):
+            # On record, neither a copy is told from what it runs beside, nor a ticket.
+            return False
         suits = executor.record.takes_new_work and executor.record.service == job.service
         return suits and attempt.starts < MOST_STARTS
 
