Name the crashes under a task, and take back those of executors that had left as planned

Callers saw jobs shown as failed for executors that had crashed under one of their tasks, though fewer had than the count said.

Cause: an executor that drains and leaves is replaced at its address. Where the store answers late, the owner finds another incarnation there before it reads that the one before was about to leave, and counts a crash under all that ran on it. When the entry is read, nothing is corrected.

Class: a count is kept where the fact is a set. A crash is the end of one life of an executor with a run of the task on it; a number can't tell which end it stands for, so none can be taken back.

Change: what is known against a task names its crashes by life, run, points and address. A draining entry of a life that is off the books takes its crash back, with the fall that speaks for others and against its address (566, a counter). Points of a crash that is found to have had a fall beside it are taken off by its name, too.

Tests that build what is known against a task name crashes now; what they ask for is the same.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -160,6 +160,7 @@
         "executor crashed, with the tasks that were there",
         "see OPERATIONS.md, a job whose tasks crash executors, if a task comes again",
     )
+    CRASH_TAKEN_BACK = 566, logging.INFO, "executor that had seemed to crash had not", "nothing"
     EXECUTOR_RESTARTED = (
         560,
         logging.WARNING,
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -77,6 +77,7 @@
     "linkspan_claims_total": "Shards claimed",
     "linkspan_failures_heard_again_total": "Ends of failed runs that were counted before",
     "linkspan_crashes_total": "Executors that crashed with work on them",
+    "linkspan_crashes_taken_back_total": "Crashes counted under tasks that turned out to be none",
     "linkspan_restarts_total": "Executors found to have started again under their id",
     "linkspan_reports_passed_over_total": "Reports of executors that nothing was concluded from",
     "linkspan_tasks_given_up_total": "Tasks given up, as executors crash under them",
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -24,8 +24,10 @@
     MOST_CRASHES,
     SOON_POINTS,
     SOON_S,
-    one_less,
+    Crash,
     one_more,
+    unnamed,
+    without,
 )
 
 if TYPE_CHECKING:
@@ -74,6 +76,30 @@
         """Take in that an executor is neither heard nor registered; it may only be cut off."""
         self._on_end(executor, now, "leases ended and no entry", sure=False)
 
+    def take_back(self, life: str, reason: str) -> None:
+        """Take in that the end of a life was no crash: it speaks against nobody, and for nobody.
+
+        Args:
+            life: Name of the life.
+            reason: What tells so, for the log.
+        """
+        self._books.falls = [fall for fall in self._books.falls if fall.executor_id != life]
+        tasks = [t for t in self._books.suspects if t.suspicion and t.suspicion.crash_of(life)]
+        for task in tasks:
+            self._take_back(task, life)
+        if tasks:
+            self._books.count("crashes_taken_back")
+            names = [short_name(task.name) for task in tasks[:MOST_TOLD]]
+            self._books.log(
+                Event.CRASH_TAKEN_BACK, executor=life, reason=reason, runs=len(tasks), tasks=names
+            )
+
+    def _take_back(self, task: Task, life: str) -> None:
+        if task.suspicion:
+            run = task.step.run
+            self._books.touch(run)
+            self._books.suspect(task, without(task.suspicion, life, run.version))
+
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, sure: bool) -> None:
         attempts = list(executor.attempts.values()) or executor.lapsed
         fell_at = now if executor.silent_since is None else executor.silent_since
@@ -95,24 +121,25 @@
         named = [a for a in attempts if sure and not untried and _stands_out(a, suspects)]
         for attempt in by_age:
             points = _points(attempt, worked_s(attempt, fell_at))
-            self._count(
-                attempt,
-                worked_s(attempt, fell_at),
-                points=points if attempt in named else LEAST_POINTS,
-                address=executor.record.address,
+            crash = Crash(
+                executor.executor_id,
+                attempt.run,
+                points if attempt in named else LEAST_POINTS,
+                executor.record.address,
             )
-        fall.named.update((a.task, _points(a, worked_s(a, fell_at))) for a in named)
+            self._count(attempt, worked_s(attempt, fell_at), crash)
+        fall.named.update(a.task for a in named)
         for attempt in by_age:
             self._accuse(attempt, now, convicts=untried < COMMON_FALLS)
 
     def _excuse(self, beside: Iterable[Fall]) -> None:
         """Take back what falls named, now that another one beside them was found."""
         for other in beside:
-            for task, points in other.named.items():
-                if task.suspicion and points > LEAST_POINTS:
-                    self._books.touch(task.step.run)
-                    version = task.step.run.version
-                    excused = one_less(task.suspicion, points - LEAST_POINTS, version)
+            for task in other.named:
+                if task.suspicion:
+                    run = task.step.run
+                    self._books.touch(run)
+                    excused = unnamed(task.suspicion, other.executor_id, run.version)
                     self._books.suspect(task, excused)
             other.named.clear()
 
@@ -129,14 +156,13 @@
             if _id(other) != _id(fall) and fall.may_be_one_with(other)
         ]
 
-    def _count(self, attempt: Attempt, worked: float, *, points: int, address: str) -> None:
+    def _count(self, attempt: Attempt, worked: float, crash: Crash) -> None:
         """Count a crash at a task that was there.
 
         Args:
             attempt: Its run.
             worked: For how long that was there, in seconds.
-            points: What it counts.
-            address: Where the executor was.
+            crash: The crash.
         """
         task = attempt.task
         if task.done or task.step.run.job.closing:
@@ -149,8 +175,7 @@
         attempt.counted = True
         run = task.step.run
         self._books.touch(run)
-        known = one_more(task.suspicion, points, run.version, address=address)
-        self._books.suspect(task, known)
+        self._books.suspect(task, one_more(task.suspicion, crash, run.version))
 
     def _may_be_none(self, attempt: Attempt) -> bool:
         """Whether a crash is not counted, since its run may never have been there.
@@ -271,7 +296,7 @@
     # Starts are answered, too, if not by whom.
     after = max([heard_at, *(a.confirmed_at for a in executor.attempts.values())])
     tried = any(attempt.apart for attempt in executor.attempts.values())
-    return Fall(executor.executor_id, executor.record.address, after, by, tried, {})
+    return Fall(executor.executor_id, executor.record.address, after, by, tried, set())
 
 
 def _told(attempt: Attempt, fell_at: float) -> list[float]:
--- a/src/linkspan/shard/reports/_falls.py
+++ b/src/linkspan/shard/reports/_falls.py
@@ -31,7 +31,7 @@
         after: Steady time of its last answer.
         by: Steady time since when it is silent.
         tried: Whether a suspect was tried there, apart from others: that explains it.
-        named: Tasks that it named, and what it counted under them.
+        named: Tasks that it named.
     """
 
     executor_id: str
@@ -39,7 +39,7 @@
     after: float
     by: float
     tried: bool
-    named: dict[Task, int]
+    named: set[Task]
 
     def may_be_one_with(self, other: Fall) -> bool:
         """Whether two executors may have fallen at the same time."""
--- a/src/linkspan/shard/reports/_presence.py
+++ b/src/linkspan/shard/reports/_presence.py
@@ -84,7 +84,8 @@
             now: Steady time.
             missing: Since when entries of some of them are missing, in steady time.
         """
-        named = map(self._named, records)
+        named = [self._named(record) for record in records]
+        self._excuse_planned(named)
         listed = {r.executor_id: r for r in named if not self._successions.is_over(r.executor_id)}
         for executor_id, record in listed.items():
             known = self._books.executors.get(executor_id)
@@ -158,6 +159,15 @@
         if self._lapsed(executor, now) and self._held(executor):
             self._on_lapsed(executor, now)
 
+    def _excuse_planned(self, records: Iterable[ExecutorRecord]) -> None:
+        """Take back crashes of executors that had left as planned, as entries tell that come late.
+
+        The store may tell that an executor leaves after another one answers at its address.
+        """
+        for record in records:
+            if record.draining and record.executor_id not in self._books.executors:
+                self._crashes.take_back(record.executor_id, "it left as planned")
+
     def _named(self, record: ExecutorRecord) -> ExecutorRecord:
         """Return an entry under the name of the life that it is of.
 
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -4,12 +4,15 @@
 all; what was there for seconds, or fell with executors that have nothing in common with it,
 least. So a job that can be done is not given up for having been there, while the least that
 a crash counts bounds how many executors a task can take down, whatever the weighing says.
+
+A crash is the end of one life of an executor with a run of the task on it, and is known by the
+name of that life: what turns out to be none is taken back, and none counts twice.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from linkspan.jobs.records import Loan
@@ -53,6 +56,22 @@
 """Crashes under a task before which the platform does not let it be given up."""
 
 
+class Crash(NamedTuple):
+    """An executor that crashed under a task.
+
+    Attributes:
+        life: Name of the life that ended.
+        run: Number of the task's run that was there.
+        points: What it counts.
+        address: Where it was; empty where a former owner saw it.
+    """
+
+    life: str
+    run: int
+    points: int
+    address: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """What crashes say against a task.
@@ -61,13 +80,22 @@
         crashes: Executors that crashed under it.
         points: What these count.
         version: Version of its repetition's record from which on that holds them.
-        addresses: Where they were, as far as this owner saw.
+        named: Those of the crashes that are known by name, the oldest first.
     """
 
     crashes: int
     points: int
     version: int = 0
-    addresses: frozenset[str] = field(default=frozenset(), compare=False)
+    named: tuple[Crash, ...] = field(default=(), compare=False)
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Where executors crashed, as far as this owner saw."""
+        return frozenset(crash.address for crash in self.named)
+
+    def crash_of(self, life: str) -> Crash | None:
+        """Return the crash that was the end of a life, if it is among those known by name."""
+        return next((crash for crash in self.named if crash.life == life), None)
 
     @property
     def apart(self) -> bool:
@@ -91,31 +119,55 @@
     return Suspicion(loan.crashes, loan.points) if loan.crashes else None
 
 
-def one_more(known: Suspicion | None, points: int, version: int, *, address: str = "") -> Suspicion:
-    """Return what is known of a task after one more crash.
+def one_more(known: Suspicion | None, crash: Crash, version: int) -> Suspicion:
+    """Return what is known of a task after a crash, which may be known already.
 
     Args:
         known: What was known before.
-        points: What the crash counts.
+        crash: The crash.
         version: Version of its repetition's record that will hold it.
-        address: Where the executor was.
     """
     if known is None:
-        return Suspicion(1, points, version, frozenset((address,)))
-    total = known.points + points
-    if points == LEAST_POINTS:
+        return Suspicion(1, crash.points, version, (crash,))
+    if known.crash_of(crash.life):
+        return known
+    total = known.points + crash.points
+    if crash.points == LEAST_POINTS:
         # A crash that names nobody convicts nobody: others were there each time, too.
         total = min(total, GIVE_UP_POINTS - 1)
-    return Suspicion(known.crashes + 1, total, version, known.addresses | {address})
+    return Suspicion(known.crashes + 1, total, version, (*known.named, crash))
 
 
-def one_less(known: Suspicion, points: int, version: int) -> Suspicion:
+def unnamed(known: Suspicion, life: str, version: int) -> Suspicion:
     """Return what is known of a task once a crash that named it names nobody any more.
 
     Args:
         known: What was known before.
-        points: What it counted for that.
+        life: Name of the life that ended by the crash.
+        version: Version of its repetition's record that will hold it.
+    """
+    crash = known.crash_of(life)
+    if crash is None or crash.points == LEAST_POINTS:
+        return known
+    left = min(known.points - crash.points + LEAST_POINTS, GIVE_UP_POINTS - 1)
+    named = tuple(c._replace(points=LEAST_POINTS) if c is crash else c for c in known.named)
+    return replace(known, points=max(left, LEAST_POINTS), version=version, named=named)
+
+
+def without(known: Suspicion, life: str, version: int) -> Suspicion | None:
+    """Return what is known of a task once the end of a life turns out to be no crash.
+
+    Args:
+        known: What was known before.
+        life: Name of the life.
         version: Version of its repetition's record that will hold it.
     """
-    left = min(known.points - points, GIVE_UP_POINTS - 1)
-    return replace(known, points=max(left, LEAST_POINTS), version=version)
+    crash = known.crash_of(life)
+    if crash is None:
+        return known
+    if known.crashes == 1:
+        return None
+    crashes = known.crashes - 1
+    points = max(known.points - crash.points, LEAST_POINTS * min(crashes, MOST_CRASHES - 1))
+    named = tuple(other for other in known.named if other is not crash)
+    return Suspicion(crashes, min(points, GIVE_UP_POINTS - 1), version, named)
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -10,7 +10,7 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.planning._trials import LAST_WAIT_S
-from linkspan.shard.suspicion import Suspicion, one_more
+from linkspan.shard.suspicion import Crash, Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
@@ -106,11 +106,12 @@
 def test_a_crash_that_names_nobody_convicts_nobody_before_the_last() -> None:
     """Two tasks were there each time: one of them is innocent, and is tried apart once more."""
     known = None
-    for points in (3, 3, 2):
-        known = one_more(known, points, 0)
+    for run, points in enumerate((3, 3, 2)):
+        known = one_more(known, Crash(f"e{run}", run, points), 0)
         assert not known.convicted
-    assert one_more(known, 2, 0).convicted, "whatever they count, four crashes are the most"
-    assert one_more(Suspicion(2, 6), 3, 0).convicted, "it was named"
+    last = Crash("e3", 3, 2)
+    assert one_more(known, last, 0).convicted, "whatever they count, four crashes are the most"
+    assert one_more(Suspicion(2, 6), Crash("e2", 2, 3), 0).convicted, "it was named"
 
 
 def test_an_empty_executor_that_fell_beside_speaks_for_the_tasks_of_others() -> None:
@@ -187,7 +188,7 @@
     core = core_with(step(1, cpu=4_000))
     (task,) = core.jobs[JOB].runs[0].steps[0].tasks
     place(core, core.executors["e0"], cpu=8_000, standing=True)
-    core.suspect(task, Suspicion(3, 7, 0, frozenset(("e1:1",))))
+    core.suspect(task, Suspicion(3, 7, 0, (Crash("e1", 1, 2, "e1:1"),)))
     core.jobs[JOB].runs[0].durable = float("inf")
     assert plan(core, LAST_WAIT_S - 0.1) == []
     (order,) = plan(core, LAST_WAIT_S + 0.1)
