Take back the crash of an executor that was only cut off once it answers again

Callers saw jobs shown as failed for crashes under a task where executors had only been cut off.

Cause: an executor whose leases ended while its entry was gone counts as crashed under all that ran there. When it answers again in the same life it is taken in as a new one, and the count stays.

Class: as for planned leaves, a count that can't be told to be of what turns out not to have been.

Change: the first answer of a life takes back what was counted as its end, with its fall. A life that is proved gone never answers: its reports are passed over.

Evidence: the new test counted one crash before.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -86,7 +86,9 @@
         self._crashes = Crashes(self)
         self._successions = Successions(self, self._crashes)
         self._presence = Presence(self, self._crashes, self._successions)
-        self._adoption = Adoption(self, Ends(self), self._presence, self._successions)
+        self._adoption = Adoption(
+            self, Ends(self), self._presence, self._successions, self._crashes
+        )
         self._intake = JobIntake(self)
         self._lending = Loans(self)
         self._dispatch = Orders(self)
--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -12,6 +12,7 @@
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
+    from linkspan.shard.reports._crashes import Crashes
     from linkspan.shard.reports._ends import Ends
     from linkspan.shard.reports._presence import Presence
     from linkspan.shard.reports._successions import Successions
@@ -26,13 +27,20 @@
         ends: Acts on ends.
         presence: Tells who is there.
         successions: Tells whose a report is.
+        crashes: Counts crashes.
     """
 
     def __init__(
-        self, books: ShardBooks, ends: Ends, presence: Presence, successions: Successions
+        self,
+        books: ShardBooks,
+        ends: Ends,
+        presence: Presence,
+        successions: Successions,
+        crashes: Crashes,
     ) -> None:
         self._books = books
         self._ends = ends
+        self._crashes = crashes
         self._presence = presence
         self._successions = successions
 
@@ -49,6 +57,9 @@
         if report.clock_s < executor.reported_s:
             self._on_clock_behind(executor, asked, now)
             return
+        if executor.clock is None:
+            # Taken for lost, by this owner or a former one, it was only cut off.
+            self._crashes.take_back(executor.executor_id, "it answers")
         self._books.hear(executor, report.clock_s, now)
         executor.reported_s = report.clock_s
         executor.reported_at = now
--- a/tests/shard/test_crashes_that_were_none.py
+++ b/tests/shard/test_crashes_that_were_none.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.task import Task
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started
@@ -53,3 +54,19 @@
     core.list_executors([replace(record, draining=True, remaining_s=1.0)], 57.5)
     assert only_task(core).suspicion is None
     assert core.falls == [], "and it speaks for no other task, nor against its address"
+
+
+def test_an_executor_that_was_cut_off_and_answers_again_has_not_crashed() -> None:
+    """Guards against crashes counted for cuts that last longer than leases and entries."""
+    core = core_with(step(1), executors=0)
+    start_on(core, "e0", 1.0)
+    record = core.executors["e0"].record
+    core.on_silent("e0", 2.0)
+    core.list_executors([], 5.0)
+    core.on_silent("e0", 40.0)
+    assert "e0" not in core.executors
+    assert only_task(core).suspicion
+    core.list_executors([record], 41.0)
+    core.on_report("e0", ExecutorReport(41.2, (), ()), asked=41.1, now=41.2)
+    assert only_task(core).suspicion is None
+    assert core.falls == []
