Keep the crashes under a task by name on record and in loans

Callers saw jobs shown as failed for crashes that a next owner, or a hall that borrowed a task, could neither tell apart nor take back: it was left with a number.

Cause: names of crashes ended with the owner that had counted them; record and loan held how many there were.

Class: a count is kept where the fact is a set.

Change: a row of a task that is suspected, and a loan of one, end with the crashes' lives, runs and points. Count and points stay where earlier versions read them. A life that is heard of again, by whichever owner, is the same crash; one that was counted by a former owner and answers is taken back.

Evidence: on the code before, the record of two named crashes read back as two crashes of 5 points that stayed when one of their executors answered. Rows of tasks that no executor crashed under are as they were.

--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -14,6 +14,7 @@
 from linkspan._typed import fields as fields_of
 from linkspan._typed import number, rows, text, whole
 from linkspan.errors import RecordError
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.records import (
     Begun,
     Cancelled,
@@ -211,14 +212,25 @@
 
 
 def _loans_from(fields: Any) -> tuple[Loan, ...]:
-    # Later versions may tell more behind it.
-    return tuple(Loan(*(whole(part) for part in rows(row)[:5])) for row in rows(fields))
+    return tuple(_loan_from(rows(row)) for row in rows(fields))
+
+
+def _loan_from(row: list[Any]) -> Loan:
+    """Return a loan; earlier versions tell nothing of crashes, later ones may tell more."""
+    step, index, number_, crashes, points, *more = [*row, 0, 0][: max(len(row), 5)]
+    named = tuple(
+        Crash(text(life), whole(run), whole(counts))
+        for life, run, counts, *_ in map(rows, rows(more[0]) if more else ())
+    )
+    name = whole(step), whole(index), whole(number_)
+    return Loan(*name, whole(crashes), whole(points), named)
 
 
-def _loan_row(loan: Loan) -> list[int]:
+def _loan_row(loan: Loan) -> list[Any]:
     """Return a loan's fields; those of crashes are left out where there were none."""
     crashes = [loan.crashes, loan.points] if loan.crashes else []
-    return [loan.step, loan.index, loan.number, *crashes]
+    named = [[c.life, c.run, c.points] for c in loan.named]
+    return [loan.step, loan.index, loan.number, *crashes, *([named] if named else [])]
 
 
 _OF_SHARDS = frozenset(("l", "r"))
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from linkspan.jobs.crash import Crash
     from linkspan.jobs.spec import JobSpec
     from linkspan.model.configuration import QueueTerms
 
@@ -73,6 +74,7 @@
         crashes: Executors that had crashed under it when it was lent, or given back; what it
             may still take down is bounded over all halls. No part of what names the loan.
         points: What these count.
+        named: Those of the crashes that are known by name.
     """
 
     step: int
@@ -80,6 +82,7 @@
     number: int
     crashes: int = field(default=0, compare=False)
     points: int = field(default=0, compare=False)
+    named: tuple[Crash, ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/handover/_loans.py
+++ b/src/linkspan/shard/handover/_loans.py
@@ -100,5 +100,5 @@
 def loan_of(task: Task) -> Loan:
     """Return a task's last loan, with the crashes under it: the count goes with the task."""
     known = task.suspicion
-    crashes, points = (known.crashes, known.points) if known else (0, 0)
-    return Loan(task.name.step, task.name.index, task.loan, crashes, points)
+    name = task.name.step, task.name.index, task.loan
+    return Loan(*name, known.crashes, known.points, known.named) if known else Loan(*name)
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -8,6 +8,7 @@
 
 from linkspan._typed import MOST_WHOLE, birth, rows, text, whole
 from linkspan.errors import RecordError
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.failures import FailedRun, Failures
@@ -66,16 +67,23 @@
     if task.done:
         return 1
     if task.lent is not None:
-        return [-1 - task.lent, task.loan, task.next_run, *_crash_fields(task)]
+        return [
+            -1 - task.lent,
+            task.loan,
+            task.next_run,
+            *_crash_fields(task),
+            *_named_crashes(task),
+        ]
     attempts = [[a.run, *_life_fields(a.executor_id)] for a in task.attempts]
     if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
     fields = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
-    if not task.failed.named:
+    named = _named_crashes(task)
+    if not task.failed.named and not named:
         return [*fields, *_crash_fields(task)]
     crashes = _crash_fields(task) or NO_CRASHES
     failed = [[failed.run, *_life_fields(failed.life)] for failed in sorted(task.failed.named)]
-    return [*fields, *crashes, failed]
+    return [*fields, *crashes, failed, *named]
 
 
 def _crash_fields(task: Task) -> list[int]:
@@ -84,6 +92,14 @@
     return [known.crashes, known.points] if known else []
 
 
+def _named_crashes(task: Task) -> list[list[list[str | int]]]:
+    """Return the field that names crashes under a task, if any is known by name."""
+    named = task.suspicion.named if task.suspicion else ()
+    if not named:
+        return []
+    return [[[crash.run, crash.points, *_life_fields(crash.life)] for crash in named]]
+
+
 def encode_moved(shard: int) -> bytes:
     """Return the record of a job that is on its way to another shard."""
     return orjson.dumps({"moved": shard})
@@ -129,13 +145,13 @@
     # Later versions may tell more behind it.
     first = whole(rows(row)[0], least=-MOST_WHOLE)
     if first < 0:
-        _, loan, next_run, *crashes = row
+        _, loan, next_run, *more = row
         task.lent = -1 - first
-        task.suspicion = _suspicion(crashes)
+        task.suspicion = _suspicion(more, more[2:])
         task.loan, task.next_run = whole(loan), whole(next_run, least=1)
         return
     next_run, failures, checkpoint, attempts, loan, *more = row
-    task.suspicion = _suspicion(more)
+    task.suspicion = _suspicion(more, more[3:])
     task.next_run = whole(next_run, least=1)
     task.failed = _failures(whole(failures), more[2:], task.next_run)
     task.checkpoint, task.loan = text(checkpoint), whole(loan)
@@ -156,10 +172,20 @@
     return Incarnation(text(executor_id), birth(born[0]) if born else None).name
 
 
-def _suspicion(fields: list[Any]) -> Suspicion | None:
+def _suspicion(fields: list[Any], more: list[Any]) -> Suspicion | None:
+    """Return what a record says against a task.
+
+    Args:
+        fields: How many crashes there were, and what they count.
+        more: Their names, if it tells any: records of earlier versions do not.
+    """
     if len(fields) < 2 or fields[:2] == NO_CRASHES:
         return None
-    return Suspicion(whole(fields[0]), whole(fields[1]))
+    named = tuple(
+        Crash(_life(life), whole(run), whole(points))
+        for run, points, *life in map(rows, rows(more[0]) if more else ())
+    )
+    return Suspicion(whole(fields[0]), whole(fields[1]), named=named)
 
 
 def _failures(count: int, more: list[Any], next_run: int) -> Failures:
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
@@ -24,7 +25,6 @@
     MOST_CRASHES,
     SOON_POINTS,
     SOON_S,
-    Crash,
     one_more,
     unnamed,
     without,
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -12,9 +12,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from linkspan.jobs.crash import Crash
     from linkspan.jobs.records import Loan
 
 AT_ONCE_S = 0.5
@@ -56,22 +57,6 @@
 """Crashes under a task before which the platform does not let it be given up."""
 
 
-class Crash(NamedTuple):
-    """An executor that crashed under a task.
-
-    Attributes:
-        life: Name of the life that ended.
-        run: Number of the task's run that was there.
-        points: What it counts.
-        address: Where it was; empty where a former owner saw it.
-    """
-
-    life: str
-    run: int
-    points: int
-    address: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """What crashes say against a task.
@@ -116,7 +101,7 @@
 
 def as_lent(loan: Loan) -> Suspicion | None:
     """Return what a loan brings along, or brings back, of crashes under its task."""
-    return Suspicion(loan.crashes, loan.points) if loan.crashes else None
+    return Suspicion(loan.crashes, loan.points, named=loan.named) if loan.crashes else None
 
 
 def one_more(known: Suspicion | None, crash: Crash, version: int) -> Suspicion:
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from linkspan.events import Event
+from linkspan.jobs.crash import Crash
 from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.planning._trials import LAST_WAIT_S
-from linkspan.shard.suspicion import Crash, Suspicion, one_more
+from linkspan.shard.suspicion import Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
--- a/tests/shard/test_crashes_on_record.py
+++ b/tests/shard/test_crashes_on_record.py
@@ -6,12 +6,16 @@
 
 import pytest
 
-from linkspan.jobs.records import JobState
+from linkspan.jobs.crash import Crash
+from linkspan.jobs.record_codec import decode, encode
+from linkspan.jobs.records import JobState, Lent
 from linkspan.shard.core import ShardCore
+from linkspan.shard.failures import FailedRun, Failures
+from linkspan.shard.handover._loans import loan_of
 from linkspan.shard.recovery.progress import encode_run, restore_run
-from linkspan.shard.suspicion import Suspicion
+from linkspan.shard.suspicion import Suspicion, as_lent, one_more
 from tests.job_builders import step
-from tests.shard.builders import JOB, core_with, submitted
+from tests.shard.builders import JOB, add_executor, core_with, submitted
 
 
 def record(core: ShardCore) -> bytes:
@@ -69,3 +73,50 @@
     run = core.jobs[JOB].runs[0]
     restore_run(run, json.dumps([rows]).encode(), 0.0)
     assert [task.suspicion for task in run.tasks()] == [None, None]
+
+
+CUT_OFF = Crash("e9@1700000000009", 2, 3)
+FELL = Crash("e8", 1, 2)
+
+
+def test_the_next_owner_takes_back_a_crash_that_its_former_one_counted() -> None:
+    """Guards against a count that outlasts its owner, of an executor that was only cut off."""
+    core = core_with(step(2))
+    first, _ = core.jobs[JOB].runs[0].tasks()
+    first.next_run = 3
+    first.failed = Failures(frozenset([FailedRun(1, "e7")]))
+    core.suspect(first, Suspicion(2, 5, named=(FELL, CUT_OFF)))
+    heir = read_by_next_owner(record(core))
+    first, _ = heir.jobs[JOB].runs[0].tasks()
+    assert first.suspicion and first.suspicion.named == (FELL, CUT_OFF)
+    add_executor(heir, CUT_OFF.life)
+    assert first.suspicion == Suspicion(1, 2, version=1)
+    assert first.failed.named == {FailedRun(1, "e7")}
+
+
+def test_a_life_counts_once_over_owners_and_loans() -> None:
+    """Guards against one crash that is counted by each who hears of it."""
+    core = core_with(step(2))
+    first, second = core.jobs[JOB].runs[0].tasks()
+    second.lent, second.loan = 1, 4
+    core.suspect(second, Suspicion(2, 5, named=(FELL, CUT_OFF)))
+    assert second.name.index == 1 and first.suspicion is None
+    heir = read_by_next_owner(record(core))
+    _, second = heir.jobs[JOB].runs[0].tasks()
+    read = decode(*encode(Lent(JOB, 1, (loan_of(second),))))
+    assert isinstance(read, Lent)
+    lent = as_lent(read.loans[0])
+    assert lent == Suspicion(2, 5)
+    assert one_more(lent, CUT_OFF, 7) == Suspicion(2, 5)
+    assert one_more(lent, Crash("e7", 5, 2), 7) == Suspicion(3, 7, 7)
+
+
+def test_an_earlier_version_passes_over_the_names_of_crashes() -> None:
+    core = core_with(step(2))
+    first, second = core.jobs[JOB].runs[0].tasks()
+    first.next_run, second.lent, second.loan = 4, 1, 2
+    for task in (first, second):
+        core.suspect(task, Suspicion(2, 5, named=(FELL,)))
+    ((one, other),) = json.loads(record(core))
+    assert (one[5:7], other[3:5]) == ([2, 5], [2, 5])
+    assert one[7] == [], "no failed runs, as versions before read them"
