Let no crash give a task up whose run nobody knows to have been there

Callers saw a job shown as failed for four crashes under a task, all of whose runs had ended well or never begun: one executor at the most had crashed under it.

Cause: a start that gets no answer may never have come to its executor. If that falls, the crash was counted like any other, unless it was the fourth itself; so a later one made four. That it had been counted was kept at the attempt, so a run that turned out to be at the next life counted there, too.

Class: a count is kept where the fact is a set: which of its crashes is known to be one was lost.

Change: a crash says whether its run was heard of. Four that were give a task up; with some that were not it takes five, of which two were heard: the two starts that the platform bears after three crashes. Points give a task up only with two that were heard. A run counts once while it is unheard, and where it is heard of at another life it counts there alone. Record and loan tell which.

Ruled out: not to count such starts at all. What crashes its executor before the answer would then be started without a bound more often than now.

Evidence: the events of the case as a test of the core gave the task up at 4 crashes and 7 points before; a run at the next life was counted twice.

--- a/src/linkspan/jobs/crash.py
+++ b/src/linkspan/jobs/crash.py
@@ -12,10 +12,13 @@
         life: Name of the life that ended.
         run: Number of the task's run that was there.
         points: What it counts.
+        heard: Whether the run is known to have been there: its start was answered, or it is one
+            that a former owner had recorded.
         address: Where it was; empty where a former owner saw it.
     """
 
     life: str
     run: int
     points: int
+    heard: bool = True
     address: str = ""
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -61,7 +61,6 @@
         late_until: Steady time until which a start of it may be on its way that got no answer.
         ticket: Permission of the queue's placement policy; empty without one.
         starts: How often its start was sent.
-        counted: Whether a crash was counted under it, without an answer to its start.
         copy: Whether it runs beside an earlier attempt of its task.
         found: Whether it was found on record or at its executor: for how long it runs is not
             known then.
@@ -89,7 +88,6 @@
     late_until: float = NEVER
     ticket: str = ""
     starts: int = 1
-    counted: bool = False
     copy: bool = False
     found: bool = False
     apart: bool = False
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -125,6 +125,7 @@
                 executor.executor_id,
                 attempt.run,
                 points if attempt in named else LEAST_POINTS,
+                _heard(attempt),
                 executor.record.address,
             )
             self._count(attempt, worked_s(attempt, fell_at), crash)
@@ -170,24 +171,12 @@
         if worked >= CLEARED_S:
             self._books.suspect(task, None)
             return
-        if self._may_be_none(attempt):
+        if not crash.heard and not _counts_unheard(attempt):
             return
-        attempt.counted = True
         run = task.step.run
         self._books.touch(run)
         self._books.suspect(task, one_more(task.suspicion, crash, run.version))
 
-    def _may_be_none(self, attempt: Attempt) -> bool:
-        """Whether a crash is not counted, since its run may never have been there.
-
-        A start without an answer goes on to the next life, and would count there once more; and
-        it is not the one that convicts a task. A former owner's was recorded, answered or not.
-        """
-        if attempt.confirmed_at != NEVER or attempt.found:
-            return False
-        known = attempt.task.suspicion
-        return attempt.counted or (known is not None and known.crashes >= MOST_CRASHES - 1)
-
     def _accuse(self, attempt: Attempt, now: float, *, convicts: bool) -> None:
         """Give a task up that is convicted, unless a fall beside is found right after.
 
@@ -261,6 +250,24 @@
     return max(fell_at - began, 0.0)
 
 
+def _heard(attempt: Attempt) -> bool:
+    """Whether a run is known to have been there; a former owner's was recorded, answered or not."""
+    return attempt.confirmed_at != NEVER or attempt.found
+
+
+def _counts_unheard(attempt: Attempt) -> bool:
+    """Whether a crash counts whose run may never have been there.
+
+    A start without an answer goes on to the next life, and would count there once more; and it is
+    not the one that gives a task up, unless others like it had put that off.
+    """
+    known = attempt.task.suspicion
+    if known is None:
+        return True
+    unheard = known.crashes - known.heard
+    return not known.unheard_of(attempt.run) and (not known.last or unheard > 0)
+
+
 def _stands_out(attempt: Attempt, suspects: list[Attempt]) -> bool:
     """Whether no other task that was there is suspected as much as this one, or more."""
     others = [other for other in suspects if other is not attempt]
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -50,6 +50,9 @@
 """Crashes after which a task is given up whatever they count: one start after the third, and
 the platform bears two, of which an owner that is lost may leave one off the record."""
 
+MOST_WITH_UNHEARD = 5
+"""The same where of some nobody knows whether the run was there: both starts after the third."""
+
 CRASHES = "executors crash under one of its tasks"
 """Why a job failed of which a task was given up, for the log."""
 
@@ -82,6 +85,15 @@
         """Return the crash that was the end of a life, if it is among those known by name."""
         return next((crash for crash in self.named if crash.life == life), None)
 
+    def unheard_of(self, run: int) -> Crash | None:
+        """Return the crash that is counted for a run that may not have been there."""
+        return next((c for c in self.named if c.run == run and not c.heard), None)
+
+    @property
+    def heard(self) -> int:
+        """How many crashed under a run that is known to have been there."""
+        return self.crashes - sum(not crash.heard for crash in self.named)
+
     @property
     def apart(self) -> bool:
         """Whether the task is to be started apart from other suspects."""
@@ -90,13 +102,15 @@
     @property
     def last(self) -> bool:
         """Whether one more crash gives the task up, whatever it counts."""
-        return self.crashes >= MOST_CRASHES - 1
+        return self.heard >= MOST_CRASHES - 1 or self.crashes >= MOST_WITH_UNHEARD - 1
 
     @property
     def convicted(self) -> bool:
         """Whether the task is to be given up."""
-        named = self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
-        return named or self.crashes >= MOST_CRASHES
+        if self.heard < GIVE_UP_CRASHES:
+            return False
+        many = self.heard >= MOST_CRASHES or self.crashes >= MOST_WITH_UNHEARD
+        return many or self.points >= GIVE_UP_POINTS
 
 
 def as_lent(loan: Loan) -> Suspicion | None:
@@ -116,6 +130,10 @@
         return Suspicion(1, crash.points, version, (crash,))
     if known.crash_of(crash.life):
         return known
+    doubted = known.unheard_of(crash.run)
+    if doubted:
+        # The run was at another life, then.
+        return one_more(without(known, doubted.life, version), crash, version)
     total = known.points + crash.points
     if crash.points == LEAST_POINTS:
         # A crash that names nobody convicts nobody: others were there each time, too.
--- a/tests/shard/test_crashes_on_record.py
+++ b/tests/shard/test_crashes_on_record.py
@@ -111,6 +111,24 @@
     assert one_more(lent, Crash("e7", 5, 2), 7) == Suspicion(3, 7, 7)
 
 
+def test_the_next_owner_knows_which_run_nobody_knows_to_have_been_there() -> None:
+    """Guards against a task that one owner spared and the next, or a borrower, gives up."""
+    doubted = FELL._replace(heard=False)
+    core = core_with(step(2))
+    first, second = core.jobs[JOB].runs[0].tasks()
+    first.next_run, second.lent, second.loan = 6, 1, 2
+    for task in (first, second):
+        core.suspect(task, Suspicion(4, 7, named=(doubted, CUT_OFF)))
+    heir = read_by_next_owner(record(core))
+    assert heir.finished == []
+    _, second = heir.jobs[JOB].runs[0].tasks()
+    read = decode(*encode(Lent(JOB, 1, (loan_of(second),))))
+    assert isinstance(read, Lent)
+    lent = as_lent(read.loans[0])
+    assert lent and not lent.convicted
+    assert lent.last
+
+
 def test_an_earlier_version_passes_over_the_names_of_crashes() -> None:
     core = core_with(step(2))
     first, second = core.jobs[JOB].runs[0].tasks()
--- a/tests/shard/test_crashes_that_were_none.py
+++ b/tests/shard/test_crashes_that_were_none.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from linkspan.shard.core import ShardCore
-from linkspan.shard.messages import ExecutorReport
+from linkspan.shard.messages import ExecutorReport, RunningTask, StopOrder
 from linkspan.shard.task import Task
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started
@@ -24,6 +24,11 @@
     core.on_gone(name, gone, REPLACED)
 
 
+def empty(core: ShardCore, name: str, born: int, *, asked: float, now: float) -> None:
+    """Let a life answer that lists nothing."""
+    core.on_report(name, ExecutorReport(now, (), (), born=born), asked=asked, now=now)
+
+
 def recorded(core: ShardCore) -> None:
     """Take in that all is on record: suspects start only then."""
     core.jobs[JOB].runs[0].durable = float("inf")
@@ -44,6 +49,47 @@
     return order.run
 
 
+def crash_four_times_one_unanswered(core: ShardCore) -> None:
+    """Play four falls under a task, at the third of which nobody knows that its run was there.
+
+    The third start is on its way when its executor's next life answers; that takes a stop of it.
+    """
+    start_on(core, "life-1", 52.6)
+    fall(core, "life-1", 54.46, 55.92)
+    start_on(core, "life-12", 56.02)
+    fall(core, "life-12", 56.85, 57.01)
+    run = start_on(core, "life-16@1", 59.07, answered=False)
+    core.on_silent("life-16@1", 59.63)
+    empty(core, "life-16@1", 2, asked=59.63, now=59.64)
+    (unsure,) = only_task(core).attempts
+    assert (unsure.run, unsure.executor_id) == (run, "life-16@2")
+    unsure.late_until = 72.16
+    core.order_stop(unsure, 60.2)
+    stop = next(order for order in core.orders if isinstance(order, StopOrder))
+    core.on_stopped(stop, True, 60.3)
+    empty(core, "life-16@2", 2, asked=60.4, now=60.5)
+    assert only_task(core).attempts == []
+    core.on_gone("life-16@2", 60.6, REPLACED)
+    start_on(core, "life-17@1", 62.77)
+    core.on_silent("life-17@1", 64.13)
+    empty(core, "life-17@1", 2, asked=65.2, now=65.28)
+    core.tick(65.79)
+
+
+def test_a_start_that_nobody_knows_to_have_been_there_is_not_the_fourth_crash() -> None:
+    """Guards against a job given up at four crashes of which one was a start without an answer.
+
+    The job's tasks had all ended well; one executor at the most had crashed under this one.
+    """
+    core = core_with(step(1), executors=0)
+    crash_four_times_one_unanswered(core)
+    assert core.finished == []
+    start_on(core, "life-18", 70.0)
+    fall(core, "life-18", 70.1, 70.2)
+    core.tick(71.0)
+    assert [f.job_id for f in core.finished] == [JOB], "five starts are the most"
+
+
 def test_a_draining_entry_that_is_read_after_the_fall_takes_the_crash_back() -> None:
     """Guards against planned leaves that count as crashes where the store answers late."""
     core = core_with(step(1), executors=0)
@@ -70,3 +116,18 @@
     core.on_report("e0", ExecutorReport(41.2, (), ()), asked=41.1, now=41.2)
     assert only_task(core).suspicion is None
     assert core.falls == []
+
+
+def test_a_run_that_was_at_the_next_life_counts_there_alone() -> None:
+    """Guards against two crashes for a run whose start reached the second of two lives."""
+    core = core_with(step(1), executors=0)
+    start_on(core, "e0@1", 1.0, answered=False)
+    core.on_silent("e0@1", 1.5)
+    empty(core, "e0@1", 2, asked=1.6, now=1.61)
+    (run,) = only_task(core).attempts
+    row = RunningTask(run.task.name, run.run, "", 0, None)
+    core.on_report("e0@2", ExecutorReport(1.8, (row,), (), born=2), asked=1.7, now=1.8)
+    core.on_silent("e0@2", 1.9)
+    empty(core, "e0@2", 3, asked=2.0, now=2.1)
+    known = only_task(core).suspicion
+    assert known and [crash.life for crash in known.named] == ["e0@2"]
