Start no task between the crash that convicts it and its verdict

Callers lost one executor more than needed, with all that ran there, to a task that was as good as given up: the work that fell with it was suspected once more, and one job that ends well given up.

Cause: the task waited for half a second, the time of its verdict, and a plan that was made at that time came before the verdict.

Class: two things that are due at one time, in an order that nothing sets.

Change: a convicted task waits for its verdict itself, whenever that comes, and may start at once if the verdict is that a fall beside excuses it.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -192,13 +192,15 @@
             return
         if convicts or known.crashes > MOST_CRASHES:
             self._accused[task] = attempt, now + VERDICT_S
-            task.not_before = max(task.not_before, now + VERDICT_S)
+            # Until the verdict, however late that comes: a plan may be made right before it.
+            task.not_before = float("inf")
 
     def tick(self, now: float) -> None:
         """Give up the tasks whose time has come."""
         due = [task for task, (_, at) in self._accused.items() if at <= now]
         for task in due:
             attempt, _ = self._accused.pop(task)
+            task.not_before = now
             self._give_up(attempt)
 
     def _give_up(self, attempt: Attempt) -> None:
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -11,12 +11,13 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.planning._trials import LAST_WAIT_S
+from linkspan.shard.reports._crashes import VERDICT_S
 from linkspan.shard.suspicion import Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
 from tests.job_builders import step
-from tests.shard.builders import JOB, add_executor, core_with, place, plan, started
+from tests.shard.builders import JOB, add_executor, core_with, place, plan, report, started
 from tests.virtual_time import run_virtual
 
 
@@ -194,3 +195,43 @@
     assert plan(core, LAST_WAIT_S - 0.1) == []
     (order,) = plan(core, LAST_WAIT_S + 0.1)
     assert order.executor_id == "e1"
+
+
+def fall_under(core: ShardCore, task: Task, executor_id: str, began: float) -> None:
+    """Let an executor that answered up to then fall right after a run of a task began."""
+    report(core, executor_id, asked=began - 0.02, now=began - 0.01)
+    place_task(core, task, executor_id, began=began)
+    core.on_silent(executor_id, began + 0.01)
+    core.on_gone(executor_id, began + 0.1, "another incarnation answers")
+
+
+def test_a_task_does_not_start_between_the_crash_that_convicts_it_and_its_verdict() -> None:
+    """Guards against one more executor lost, with all work there, where a plan is made first.
+
+    The wait for the verdict was over at the moment at which that was due.
+    """
+    core = core_with(step(1), executors=3)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    core.jobs[JOB].runs[0].durable = float("inf")
+    for at, name in ((10.0, "e0"), (20.0, "e1")):
+        fall_under(core, task, name, at)
+    assert task.suspicion and task.suspicion.convicted
+    assert plan(core, 20.1 + VERDICT_S) == []
+    core.tick(20.1 + VERDICT_S)
+    assert [f.job_id for f in core.finished] == [JOB]
+
+
+def test_a_task_whose_last_crash_named_it_wrongly_starts_again() -> None:
+    """An executor that fell beside is found before the verdict."""
+    core = core_with(step(1), executors=3)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    core.jobs[JOB].runs[0].durable = float("inf")
+    for at, name in ((10.0, "e0"), (20.0, "e1")):
+        fall_under(core, task, name, at)
+    assert task.suspicion and task.suspicion.convicted
+    core.on_silent("e2", 20.05)
+    core.on_gone("e2", 20.2, "another incarnation answers")
+    add_executor(core, "e3")
+    core.tick(20.1 + VERDICT_S)
+    assert core.finished == []
+    assert plan(core, 20.1 + VERDICT_S)
