Let no verdict beat a task's end, and no run that had ended count as crashed under

Callers saw a job shown as failed whose tasks were all done.

Cause: between the crash that convicts a task and its verdict pass some hundred milliseconds in which a run of it elsewhere may be told to have ended well; the verdict did not ask. And an answer of an executor that waits for the records of a job that it names is read after another one is found at its address: it was passed over, with the ends in it, and those runs counted as crashed under.

Class: a decision that is put off is carried out on what was known when it was taken.

Change: the verdict asks whether the task is done. Ends that are told by a life that is over take back what its end counts under their runs; nothing else follows from them.

--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -7,6 +7,7 @@
 from linkspan.events import Event
 from linkspan.shard.attempt import NEVER, Attempt, Phase
 from linkspan.shard.messages import StopOrder
+from linkspan.shard.reports._successions import answering
 
 if TYPE_CHECKING:
     from linkspan.shard._books import ShardBooks
@@ -53,6 +54,7 @@
         """Take in an executor's report."""
         executor = self._successions.meet(executor_id, report, asked=asked, now=now)
         if executor is None:
+            self._crashes.on_ends(answering(executor_id, report), report.ended)
             return
         if report.clock_s < executor.reported_s:
             self._on_clock_behind(executor, asked, now)
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -36,6 +36,7 @@
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import EndedTask
     from linkspan.shard.task import Task
 
 FALLS_KEPT = 64
@@ -76,6 +77,14 @@
         """Take in that an executor is neither heard nor registered; it may only be cut off."""
         self._on_end(executor, now, "leases ended and no entry", sure=False)
 
+    def on_ends(self, life: str, ended: Iterable[EndedTask]) -> None:
+        """Take in ends that were told by a life that is over: those runs did not crash it."""
+        for end in ended:
+            task = self._books.find_task(end.task)
+            crash = task.suspicion.crash_of(life) if task and task.suspicion else None
+            if task and crash and crash.run == end.run:
+                self._take_back(task, life)
+
     def take_back(self, life: str, reason: str) -> None:
         """Take in that the end of a life was no crash: it speaks against nobody, and for nobody.
 
@@ -206,7 +215,8 @@
     def _give_up(self, attempt: Attempt) -> None:
         task = attempt.task
         job = task.step.run.job
-        if task.suspicion is None or not task.suspicion.convicted or job.closing:
+        known = task.suspicion
+        if task.done or known is None or not known.convicted or job.closing:
             return
         self._books.count("tasks_given_up")
         self._books.log_run(
@@ -214,8 +224,8 @@
             attempt.executor_id,
             task.name,
             attempt.run,
-            crashes=task.suspicion.crashes,
-            points=task.suspicion.points,
+            crashes=known.crashes,
+            points=known.points,
         )
         why = {"reason": CRASHES, "task": short_name(task.name), "run": attempt.run}
         self._books.decide(job, JobState.FAILED, **why)
--- a/tests/shard/test_crashes_that_were_none.py
+++ b/tests/shard/test_crashes_that_were_none.py
@@ -5,7 +5,9 @@
 from dataclasses import replace
 
 from linkspan.shard.core import ShardCore
-from linkspan.shard.messages import ExecutorReport, RunningTask, StopOrder
+from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, StopOrder
+from linkspan.shard.reports._crashes import VERDICT_S
+from linkspan.shard.suspicion import Suspicion
 from linkspan.shard.task import Task
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started
@@ -131,3 +133,40 @@
     empty(core, "e0@2", 3, asked=2.0, now=2.1)
     known = only_task(core).suspicion
     assert known and [crash.life for crash in known.named] == ["e0@2"]
+
+
+def test_a_task_that_is_done_before_its_verdict_is_not_given_up() -> None:
+    """Guards against a verdict that beats an end: a run elsewhere had ended well meanwhile."""
+    core = core_with(step(1), step(1), executors=0)
+    add_executor(core, "e0")
+    first, second = plan(core, 10.0)
+    started(core, first, 10.0)
+    core.on_start_unsent(second, 10.0)
+    task = core.find_task(first.task)
+    assert task
+    core.suspect(task, Suspicion(1, 4))
+    fall(core, "e0", 10.1, 10.2)
+    assert task.suspicion and task.suspicion.convicted
+    add_executor(core, "e2")
+    done = EndedTask(1, task.name, 2, EndKind.DONE, "")
+    core.on_report("e2", ExecutorReport(10.4, (), (done,)), asked=10.3, now=10.4)
+    core.tick(10.2 + VERDICT_S)
+    assert core.finished == []
+
+
+def test_runs_whose_ends_are_read_after_the_fall_had_not_crashed_it() -> None:
+    """Guards against crashes counted for runs that had ended.
+
+    The executor's last answer waits for the records of a job that it names. Meanwhile a start
+    finds another one at its address.
+    """
+    core = core_with(step(2), executors=0)
+    add_executor(core, "e0")
+    first, second = plan(core, 10.0)
+    for order in (first, second):
+        started(core, order, 10.0)
+    fall(core, "e0", 10.8, 10.9)
+    ended = EndedTask(1, first.task, first.run, EndKind.DONE, "")
+    core.on_report("e0", ExecutorReport(10.7, (), (ended,)), asked=10.6, now=11.0)
+    tasks = core.jobs[JOB].runs[0].tasks()
+    assert [task.suspicion is None for task in tasks] == [True, False]
