--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
@@ -24,8 +25,9 @@
     MOST_CRASHES,
     SOON_POINTS,
     SOON_S,
-    one_less,
     one_more,
+    unnamed,
+    without,
 )
 
 if TYPE_CHECKING:
@@ -34,6 +36,7 @@
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import EndedTask
     from linkspan.shard.task import Task
 
 FALLS_KEPT = 64
@@ -74,6 +77,38 @@
         """Take in that an executor is neither heard nor registered; it may only be cut off."""
         self._on_end(executor, now, "leases ended and no entry", sure=False)
 
+    def on_ends(self, life: str, ended: Iterable[EndedTask]) -> None:
+        """Take in ends that were told by a life that is over: those runs did not crash it."""
+        for end in ended:
+            task = self._books.find_task(end.task)
+            crash = task.suspicion.crash_of(life) if task and task.suspicion else None
+            if task and crash and crash.run == end.run:
+                self._take_back(task, life)
+
+    def take_back(self, life: str, reason: str) -> None:
+        """Take in that the end of a life was no crash: it speaks against nobody, and for nobody.
+
+        Args:
+            life: Name of the life.
+            reason: What tells so, for the log.
+        """
+        self._books.falls = [fall for fall in self._books.falls if fall.executor_id != life]
+        tasks = [t for t in self._books.suspects if t.suspicion and t.suspicion.crash_of(life)]
+        for task in tasks:
+            self._take_back(task, life)
+        if tasks:
+            self._books.count("crashes_taken_back")
+            names = [short_name(task.name) for task in tasks[:MOST_TOLD]]
+            self._books.log(
+                Event.CRASH_TAKEN_BACK, executor=life, reason=reason, runs=len(tasks), tasks=names
+            )
+
+    def _take_back(self, task: Task, life: str) -> None:
+        if task.suspicion:
+            run = task.step.run
+            self._books.touch(run)
+            self._books.suspect(task, without(task.suspicion, life, run.version))
+
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, sure: bool) -> None:
         attempts = list(executor.attempts.values()) or executor.lapsed
         fell_at = now if executor.silent_since is None else executor.silent_since
@@ -93,26 +128,29 @@
         untried = sum(not other.tried for other in beside)
         suspects = [a for a in attempts if a.task.suspect]
         named = [a for a in attempts if sure and not untried and _stands_out(a, suspects)]
+        before = {a.task for a in attempts if a.task.suspicion}
         for attempt in by_age:
             points = _points(attempt, worked_s(attempt, fell_at))
-            self._count(
-                attempt,
-                worked_s(attempt, fell_at),
-                points=points if attempt in named else LEAST_POINTS,
-                address=executor.record.address,
+            crash = Crash(
+                executor.executor_id,
+                attempt.run,
+                points if attempt in named else LEAST_POINTS,
+                _heard(attempt),
+                executor.record.address,
             )
-        fall.named.update((a.task, _points(a, worked_s(a, fell_at))) for a in named)
+            self._count(attempt, worked_s(attempt, fell_at), crash, alone=before <= {attempt.task})
+        fall.named.update(a.task for a in named)
         for attempt in by_age:
             self._accuse(attempt, now, convicts=untried < COMMON_FALLS)
 
     def _excuse(self, beside: Iterable[Fall]) -> None:
         """Take back what falls named, now that another one beside them was found."""
         for other in beside:
-            for task, points in other.named.items():
-                if task.suspicion and points > LEAST_POINTS:
-                    self._books.touch(task.step.run)
-                    version = task.step.run.version
-                    excused = one_less(task.suspicion, points - LEAST_POINTS, version)
+            for task in other.named:
+                if task.suspicion:
+                    run = task.step.run
+                    self._books.touch(run)
+                    excused = unnamed(task.suspicion, other.executor_id, run.version)
                     self._books.suspect(task, excused)
             other.named.clear()
 
@@ -129,14 +167,14 @@
             if _id(other) != _id(fall) and fall.may_be_one_with(other)
         ]
 
-    def _count(self, attempt: Attempt, worked: float, *, points: int, address: str) -> None:
+    def _count(self, attempt: Attempt, worked: float, crash: Crash, *, alone: bool) -> None:
         """Count a crash at a task that was there.
 
         Args:
             attempt: Its run.
             worked: For how long that was there, in seconds.
-            points: What it counts.
-            address: Where the executor was.
+            crash: The crash.
+            alone: Whether no other task was there under which an executor had crashed before.
         """
         task = attempt.task
         if task.done or task.step.run.job.closing:
@@ -144,24 +182,11 @@
         if worked >= CLEARED_S:
             self._books.suspect(task, None)
             return
-        if self._may_be_none(attempt):
+        if not crash.heard and not _counts_unheard(attempt):
             return
-        attempt.counted = True
         run = task.step.run
         self._books.touch(run)
-        known = one_more(task.suspicion, points, run.version, address=address)
-        self._books.suspect(task, known)
-
-    def _may_be_none(self, attempt: Attempt) -> bool:
-        """Whether a crash is not counted, since its run may never have been there.
-
-        A start without an answer goes on to the next life, and would count there once more; and
-        it is not the one that convicts a task. A former owner's was recorded, answered or not.
-        """
-        if attempt.confirmed_at != NEVER or attempt.found:
-            return False
-        known = attempt.task.suspicion
-        return attempt.counted or (known is not None and known.crashes >= MOST_CRASHES - 1)
+        self._books.suspect(task, one_more(task.suspicion, crash, run.version, alone=alone))
 
     def _accuse(self, attempt: Attempt, now: float, *, convicts: bool) -> None:
         """Give a task up that is convicted, unless a fall beside is found right after.
@@ -178,19 +203,22 @@
             return
         if convicts or known.crashes > MOST_CRASHES:
             self._accused[task] = attempt, now + VERDICT_S
-            task.not_before = max(task.not_before, now + VERDICT_S)
+            # Until the verdict, however late that comes: a plan may be made right before it.
+            task.not_before = float("inf")
 
     def tick(self, now: float) -> None:
         """Give up the tasks whose time has come."""
         due = [task for task, (_, at) in self._accused.items() if at <= now]
         for task in due:
             attempt, _ = self._accused.pop(task)
+            task.not_before = now
             self._give_up(attempt)
 
     def _give_up(self, attempt: Attempt) -> None:
         task = attempt.task
         job = task.step.run.job
-        if task.suspicion is None or not task.suspicion.convicted or job.closing:
+        known = task.suspicion
+        if task.done or known is None or not known.convicted or job.closing:
             return
         self._books.count("tasks_given_up")
         self._books.log_run(
@@ -198,8 +226,8 @@
             attempt.executor_id,
             task.name,
             attempt.run,
-            crashes=task.suspicion.crashes,
-            points=task.suspicion.points,
+            crashes=known.crashes,
+            points=known.points,
         )
         why = {"reason": CRASHES, "task": short_name(task.name), "run": attempt.run}
         self._books.decide(job, JobState.FAILED, **why)
@@ -236,6 +264,24 @@
     return max(fell_at - began, 0.0)
 
 
+def _heard(attempt: Attempt) -> bool:
+    """Whether a run is known to have been there; a former owner's was recorded, answered or not."""
+    return attempt.confirmed_at != NEVER or attempt.found
+
+
+def _counts_unheard(attempt: Attempt) -> bool:
+    """Whether a crash counts whose run may never have been there.
+
+    A start without an answer goes on to the next life, and would count there once more; and it is
+    not the one that gives a task up, unless others like it had put that off.
+    """
+    known = attempt.task.suspicion
+    if known is None:
+        return True
+    unheard = known.crashes - known.heard
+    return not known.unheard_of(attempt.run) and (not known.last or unheard > 0)
+
+
 def _stands_out(attempt: Attempt, suspects: list[Attempt]) -> bool:
     """Whether no other task that was there is suspected as much as this one, or more."""
     others = [other for other in suspects if other is not attempt]
@@ -271,7 +317,7 @@
     # Starts are answered, too, if not by whom.
     after = max([heard_at, *(a.confirmed_at for a in executor.attempts.values())])
     tried = any(attempt.apart for attempt in executor.attempts.values())
-    return Fall(executor.executor_id, executor.record.address, after, by, tried, {})
+    return Fall(executor.executor_id, executor.record.address, after, by, tried, set())
 
 
 def _told(attempt: Attempt, fell_at: float) -> list[float]:
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -4,6 +4,9 @@
 all; what was there for seconds, or fell with executors that have nothing in common with it,
 least. So a job that can be done is not given up for having been there, while the least that
 a crash counts bounds how many executors a task can take down, whatever the weighing says.
+
+A crash is the end of one life of an executor with a run of the task on it, and is known by the
+name of that life: what turns out to be none is taken back, and none counts twice.
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from linkspan.jobs.crash import Crash
     from linkspan.jobs.records import Loan
 
 AT_ONCE_S = 0.5
@@ -46,6 +50,9 @@
 """Crashes after which a task is given up whatever they count: one start after the third, and
 the platform bears two, of which an owner that is lost may leave one off the record."""
 
+MOST_WITH_UNHEARD = 5
+"""The same where of some nobody knows whether the run was there: both starts after the third."""
+
 CRASHES = "executors crash under one of its tasks"
 """Why a job failed of which a task was given up, for the log."""
 
@@ -61,13 +68,31 @@
         crashes: Executors that crashed under it.
         points: What these count.
         version: Version of its repetition's record from which on that holds them.
-        addresses: Where they were, as far as this owner saw.
+        named: Those of the crashes that are known by name, the oldest first.
     """
 
     crashes: int
     points: int
     version: int = 0
-    addresses: frozenset[str] = field(default=frozenset(), compare=False)
+    named: tuple[Crash, ...] = field(default=(), compare=False)
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Where executors crashed, as far as this owner saw."""
+        return frozenset(crash.address for crash in self.named)
+
+    def crash_of(self, life: str) -> Crash | None:
+        """Return the crash that was the end of a life, if it is among those known by name."""
+        return next((crash for crash in self.named if crash.life == life), None)
+
+    def unheard_of(self, run: int) -> Crash | None:
+        """Return the crash that is counted for a run that may not have been there."""
+        return next((c for c in self.named if c.run == run and not c.heard), None)
+
+    @property
+    def heard(self) -> int:
+        """How many crashed under a run that is known to have been there."""
+        return self.crashes - sum(not crash.heard for crash in self.named)
 
     @property
     def apart(self) -> bool:
@@ -77,45 +102,78 @@
     @property
     def last(self) -> bool:
         """Whether one more crash gives the task up, whatever it counts."""
-        return self.crashes >= MOST_CRASHES - 1
+        return self.heard >= MOST_CRASHES - 1 or self.crashes >= MOST_WITH_UNHEARD - 1
 
     @property
     def convicted(self) -> bool:
         """Whether the task is to be given up."""
-        named = self.crashes >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
-        return named or self.crashes >= MOST_CRASHES
+        if self.heard < GIVE_UP_CRASHES:
+            return False
+        many = self.heard >= MOST_CRASHES or self.crashes >= MOST_WITH_UNHEARD
+        return many or self.points >= GIVE_UP_POINTS
 
 
 def as_lent(loan: Loan) -> Suspicion | None:
     """Return what a loan brings along, or brings back, of crashes under its task."""
-    return Suspicion(loan.crashes, loan.points) if loan.crashes else None
+    return Suspicion(loan.crashes, loan.points, named=loan.named) if loan.crashes else None
 
 
-def one_more(known: Suspicion | None, points: int, version: int, *, address: str = "") -> Suspicion:
-    """Return what is known of a task after one more crash.
+def one_more(
+    known: Suspicion | None, crash: Crash, version: int, *, alone: bool = True
+) -> Suspicion:
+    """Return what is known of a task after a crash, which may be known already.
 
     Args:
         known: What was known before.
-        points: What the crash counts.
+        crash: The crash.
         version: Version of its repetition's record that will hold it.
-        address: Where the executor was.
+        alone: Whether no other task was there under which an executor had crashed before.
     """
     if known is None:
-        return Suspicion(1, points, version, frozenset((address,)))
-    total = known.points + points
-    if points == LEAST_POINTS:
-        # A crash that names nobody convicts nobody: others were there each time, too.
+        return Suspicion(1, crash.points, version, (crash,))
+    if known.crash_of(crash.life):
+        return known
+    doubted = known.unheard_of(crash.run)
+    if doubted:
+        # The run was at another life, then.
+        return one_more(without(known, doubted.life, version), crash, version, alone=alone)
+    total = known.points + crash.points
+    if crash.points == LEAST_POINTS or not alone:
+        # A crash that may be another's convicts nobody: others were there each time, too.
         total = min(total, GIVE_UP_POINTS - 1)
-    return Suspicion(known.crashes + 1, total, version, known.addresses | {address})
+    return Suspicion(known.crashes + 1, total, version, (*known.named, crash))
 
 
-def one_less(known: Suspicion, points: int, version: int) -> Suspicion:
+def unnamed(known: Suspicion, life: str, version: int) -> Suspicion:
     """Return what is known of a task once a crash that named it names nobody any more.
 
     Args:
         known: What was known before.
-        points: What it counted for that.
+        life: Name of the life that ended by the crash.
+        version: Version of its repetition's record that will hold it.
+    """
+    crash = known.crash_of(life)
+    if crash is None or crash.points == LEAST_POINTS:
+        return known
+    left = min(known.points - crash.points + LEAST_POINTS, GIVE_UP_POINTS - 1)
+    named = tuple(c._replace(points=LEAST_POINTS) if c is crash else c for c in known.named)
+    return replace(known, points=max(left, LEAST_POINTS), version=version, named=named)
+
+
+def without(known: Suspicion, life: str, version: int) -> Suspicion | None:
+    """Return what is known of a task once the end of a life turns out to be no crash.
+
+    Args:
+        known: What was known before.
+        life: Name of the life.
         version: Version of its repetition's record that will hold it.
     """
-    left = min(known.points - points, GIVE_UP_POINTS - 1)
-    return replace(known, points=max(left, LEAST_POINTS), version=version)
+    crash = known.crash_of(life)
+    if crash is None:
+        return known
+    if known.crashes == 1:
+        return None
+    crashes = known.crashes - 1
+    points = max(known.points - crash.points, LEAST_POINTS * min(crashes, MOST_CRASHES - 1))
+    named = tuple(other for other in known.named if other is not crash)
+    return Suspicion(crashes, min(points, GIVE_UP_POINTS - 1), version, named)
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -6,16 +6,18 @@
 from typing import Any
 
 from linkspan.events import Event
+from linkspan.jobs.crash import Crash
 from linkspan.shard.attempt import Attempt, Phase
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.planning._trials import LAST_WAIT_S
+from linkspan.shard.reports._crashes import VERDICT_S
 from linkspan.shard.suspicion import Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import day, states, submit
 from tests.job_builders import step
-from tests.shard.builders import JOB, add_executor, core_with, place, plan, started
+from tests.shard.builders import JOB, add_executor, core_with, place, plan, report, started
 from tests.virtual_time import run_virtual
 
 
@@ -106,11 +108,12 @@
 def test_a_crash_that_names_nobody_convicts_nobody_before_the_last() -> None:
     """Two tasks were there each time: one of them is innocent, and is tried apart once more."""
     known = None
-    for points in (3, 3, 2):
-        known = one_more(known, points, 0)
+    for run, points in enumerate((3, 3, 2)):
+        known = one_more(known, Crash(f"e{run}", run, points), 0)
         assert not known.convicted
-    assert one_more(known, 2, 0).convicted, "whatever they count, four crashes are the most"
-    assert one_more(Suspicion(2, 6), 3, 0).convicted, "it was named"
+    last = Crash("e3", 3, 2)
+    assert one_more(known, last, 0).convicted, "whatever they count, four crashes are the most"
+    assert one_more(Suspicion(2, 6), Crash("e2", 2, 3), 0).convicted, "it was named"
 
 
 def test_an_empty_executor_that_fell_beside_speaks_for_the_tasks_of_others() -> None:
@@ -187,8 +190,74 @@
     core = core_with(step(1, cpu=4_000))
     (task,) = core.jobs[JOB].runs[0].steps[0].tasks
     place(core, core.executors["e0"], cpu=8_000, standing=True)
-    core.suspect(task, Suspicion(3, 7, 0, frozenset(("e1:1",))))
+    core.suspect(task, Suspicion(3, 7, 0, (Crash("e1", 1, 2, address="e1:1"),)))
     core.jobs[JOB].runs[0].durable = float("inf")
     assert plan(core, LAST_WAIT_S - 0.1) == []
     (order,) = plan(core, LAST_WAIT_S + 0.1)
     assert order.executor_id == "e1"
+
+
+def fall_under(core: ShardCore, task: Task, executor_id: str, began: float) -> None:
+    """Let an executor that answered up to then fall right after a run of a task began."""
+    report(core, executor_id, asked=began - 0.02, now=began - 0.01)
+    place_task(core, task, executor_id, began=began)
+    core.on_silent(executor_id, began + 0.01)
+    core.on_gone(executor_id, began + 0.1, "another incarnation answers")
+
+
+def test_a_task_does_not_start_between_the_crash_that_convicts_it_and_its_verdict() -> None:
+    """Guards against one more executor lost, with all work there, where a plan is made first.
+
+    The wait for the verdict was over at the moment at which that was due.
+    """
+    core = core_with(step(1), executors=3)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    core.jobs[JOB].runs[0].durable = float("inf")
+    for at, name in ((10.0, "e0"), (20.0, "e1")):
+        fall_under(core, task, name, at)
+    assert task.suspicion and task.suspicion.convicted
+    assert plan(core, 20.1 + VERDICT_S) == []
+    core.tick(20.1 + VERDICT_S)
+    assert [f.job_id for f in core.finished] == [JOB]
+
+
+def test_a_task_whose_last_crash_named_it_wrongly_starts_again() -> None:
+    """An executor that fell beside is found before the verdict."""
+    core = core_with(step(1), executors=3)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    core.jobs[JOB].runs[0].durable = float("inf")
+    for at, name in ((10.0, "e0"), (20.0, "e1")):
+        fall_under(core, task, name, at)
+    assert task.suspicion and task.suspicion.convicted
+    core.on_silent("e2", 20.05)
+    core.on_gone("e2", 20.2, "another incarnation answers")
+    add_executor(core, "e3")
+    core.tick(20.1 + VERDICT_S)
+    assert core.finished == []
+    assert plan(core, 20.1 + VERDICT_S)
+
+
+def test_a_crash_convicts_no_task_beside_which_others_had_crashed_executors_before() -> None:
+    """Guards against a task given up at its third crash for what fell beside it.
+
+    It was suspected most there, and what had crashed the executor was at its second.
+    """
+    core = core_with(step(1), step(1), executors=2)
+    suspected, other = core.jobs[JOB].runs[0].tasks()
+    core.suspect(suspected, Suspicion(2, 7))
+    core.suspect(other, Suspicion(1, 2))
+    place_task(core, other, "e0", began=10.0)
+    fall_under(core, suspected, "e0", 10.0)
+    known = suspected.suspicion
+    assert known and (known.crashes, known.points, known.convicted) == (3, 7, False)
+    fall_under(core, suspected, "e1", 20.0)
+    assert suspected.suspicion and suspected.suspicion.convicted, "it was alone there"
+
+
+def test_a_crash_still_convicts_beside_work_that_no_executor_had_crashed_under() -> None:
+    core = core_with(step(1), step(1), executors=1)
+    suspected, other = core.jobs[JOB].runs[0].tasks()
+    core.suspect(suspected, Suspicion(1, 4))
+    place_task(core, other, "e0", began=10.0)
+    fall_under(core, suspected, "e0", 10.0)
+    assert suspected.suspicion and suspected.suspicion.convicted
