--- a/tests/fuzz/builders.py
+++ b/tests/fuzz/builders.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from linkspan.errors import LinkspanError
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.model.configuration import AdviceRule, QueueTerms
 from linkspan.shard.messages import EndKind, TaskName
@@ -262,7 +263,7 @@
 
 _NAMES = {
     named.__name__: named
-    for named in (Demand, TaskName, EndKind, JobSpec, StepSpec, QueueTerms, AdviceRule)
+    for named in (Demand, TaskName, EndKind, JobSpec, StepSpec, QueueTerms, AdviceRule, Crash)
 }
 
 
