Watch an executor by its state, so that one that is back at once is looked at

An executor that left the books and came back under its name within the pause of whoever watched it before had no watcher: the one of the state that had left still paused and counted as its own, and ended on finding another state. Its ends were not heard and its lease was not renewed until a watch of all was next begun. Class: what is known of an executor known by a name that outlives it, as in the lives under one id. Change: watchers are kept by state.

--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -90,7 +90,8 @@
         self._proof = context.proof
         self._changes = context.changes
         self._pacer = Pacer(self._core, self._core.colocation)
-        self._watchers: dict[str, asyncio.Task[None] | None] = {}
+        # By state and not by name: one that leaves the books may be back at once, under its name.
+        self._watchers: dict[ExecutorState, asyncio.Task[None] | None] = {}
         self._cancelled = False
         self._entered = 0
 
@@ -102,21 +103,22 @@
         if self._cancelled:
             return
         self._entered = self._core.entered
-        for executor_id, executor in self._core.executors.items():
-            watcher = self._watchers.get(executor_id)
+        for executor in list(self._watchers.keys() - set(self._core.executors.values())):
+            self._end_watch(self._watchers.pop(executor))
+        for executor in self._core.executors.values():
+            watcher = self._watchers.get(executor)
             if watcher is None or watcher.done():
-                self._watchers[executor_id] = self._scope.spawn(self._watch(executor))
-        for executor_id in self._watchers.keys() - self._core.executors.keys():
-            watcher = self._watchers.pop(executor_id)
-            if watcher:
-                watcher.cancel()
+                self._watchers[executor] = self._scope.spawn(self._watch(executor))
 
     def cancel(self) -> None:
         """Stop watching for good, without waiting for looks that are open."""
         self._cancelled = True
         for watcher in self._watchers.values():
-            if watcher:
-                watcher.cancel()
+            self._end_watch(watcher)
+
+    def _end_watch(self, watcher: asyncio.Task[None] | None) -> None:
+        if watcher:
+            watcher.cancel()
 
     async def look_once(self, executor: ExecutorState) -> None:
         """Ask an executor for its report now."""
