Give up a task whose executors crash before they answer its start, after five of them

A crash under a run that nobody knows to have been there may not convict, so that no job is given up for starts that came to nobody; nothing bounded how often that could happen. Class: a count that is not taken where its verdict is doubted, as with crashes beside others. Change: such crashes convict by their number, five, each of another run: the most that the platform bears. By their weight they convict as before only where two executors fell under runs that were there. The stand-in of executors answered a start though it had fallen in between; it does no more, in all plays.

--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -107,10 +107,9 @@
     @property
     def convicted(self) -> bool:
         """Whether the task is to be given up."""
-        if self.heard < GIVE_UP_CRASHES:
-            return False
-        many = self.heard >= MOST_CRASHES or self.crashes >= MOST_WITH_UNHEARD
-        return many or self.points >= GIVE_UP_POINTS
+        if self.heard >= MOST_CRASHES or self.crashes >= MOST_WITH_UNHEARD:
+            return True
+        return self.heard >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
 
 
 def as_lent(loan: Loan) -> Suspicion | None:
--- /dev/null
+++ b/tests/host/test_unanswered_crashes.py
@@ -0,0 +1,34 @@
+"""A task that crashes its executors before they answer its start is given up, too."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.hall_world import HallWorld
+from tests.host.crashing_day import GIVEN_UP_S, day, states, submit_crashing
+from tests.job_builders import step
+from tests.virtual_time import run_virtual
+
+
+async def _played(after_s: float, **fields: object) -> tuple[HallWorld, list[str]]:
+    world = await day(**fields)
+    spec = await submit_crashing(world, step(estimate_s=30.0), after_s=after_s)
+    await asyncio.sleep(GIVEN_UP_S)
+    return world, await states(world, [spec])
+
+
+@pytest.mark.parametrize("resets", [True, False])
+@pytest.mark.parametrize("lists_machines", [True, False])
+@pytest.mark.parametrize("after_s", [0.0001, 0.001])
+def test_a_task_whose_starts_are_never_answered_is_given_up(
+    after_s: float, *, resets: bool, lists_machines: bool
+) -> None:
+    """Guards against starts without end of a task that crashes its executor before it answers.
+
+    A run that nobody knows to have been there convicted no task, whatever it had crashed before.
+    """
+    world, shown = run_virtual(_played(after_s, resets=resets, lists_machines=lists_machines))
+    assert world.problems == []
+    assert shown == ["failed"]
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -235,6 +235,11 @@
         if outcome is StartOutcome.STARTED:
             self._world.judge_start_of_cancelled(order.task)
         await self._answer()
+        if not executor.alive:
+            # It fell before its answer was on its way.
+            if self._world.resets:
+                raise Unreachable("connection reset")
+            await self._no_answer()
         return StartAnswer(outcome, executor.clock)
 
     def _who_has(self, executor: MemoryExecutor) -> MemoryExecutor:
