--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -227,6 +227,7 @@
             task.name,
             attempt.run,
             crashes=known.crashes,
+            heard=known.heard,
             points=known.points,
         )
         why = {"reason": CRASHES, "task": short_name(task.name), "run": attempt.run}
