Look only at executors that may have enough room for a step that waits

Callers of a hall that waits for room saw orders come later, and owners spent most of their processor time on plans: each plan asked each executor for its reasons against each step that waits, some twenty times a second.

Cause: what was found for one kind of tasks spares only steps of exactly that size, and steps differ in size. Class: time of a plan that grows with waiting steps times executors. Change: a plan keeps three numbers an executor (memory, accelerators, cores that are free, or unused for best-effort work) and a step asks only those with enough. The numbers follow what the plan places and takes back. Reasons are asked for as before where the numbers are enough, so what is chosen is the same. Copies and moves choose among other executors and look at each, as before.

--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.planning._blocked import held_cores
+from linkspan.shard.planning._free_room import FreeRoom
 from linkspan.shard.planning._step_scores import StepScores
 from linkspan.shard.planning._trials import Trials
 from linkspan.shard.planning.placement import StepPlacement
@@ -32,6 +33,7 @@
     rooms: PlanRooms
     now: float
     _usable: list[ExecutorState] | None = None
+    _free: FreeRoom | None = None
     _full: set[TaskKind] = field(default_factory=set)
 
     def usable(self) -> list[ExecutorState]:
@@ -47,6 +49,17 @@
         """Let no other work of this plan go to an executor."""
         if executor in self.usable():
             self.usable().remove(executor)
+        self.free().drop(executor)
+
+    def free(self) -> FreeRoom:
+        """Return the room of the executors that may get new work.
+
+        It follows what steps are placed that choose among all of them: asked for first after the
+        moves of the plan, which place nothing, it is done with before its copies.
+        """
+        if self._free is None:
+            self._free = FreeRoom(self.usable(), self.rooms)
+        return self._free
 
     def trials(self) -> Trials:
         """Return what keeps suspects of crashes apart."""
@@ -63,5 +76,7 @@
         core = self.core
         scores = StepScores(step, core.health, core.colocation, self.rooms, self.now)
         if executors is None:
-            return StepPlacement(step, self.usable(), scores, self.rooms, self.now, self._full)
+            return StepPlacement(
+                step, self.usable(), scores, self.rooms, self.now, self._full, self.free()
+            )
         return StepPlacement(step, executors, scores, self.rooms, self.now)
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -9,11 +9,13 @@
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._plan_rooms import NONE_LEFT
 from linkspan.shard.colocation.pacing import STOP_BELOW
+from linkspan.shard.planning._free_room import ANY_CORES, RoomGroup
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand
     from linkspan.shard.colocation._plan_rooms import PlanRooms
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.planning._free_room import FreeRoom
     from linkspan.shard.planning._step_scores import StepScores
     from linkspan.shard.planning.urgency import Hope
     from linkspan.shard.step_run import StepRun
@@ -79,6 +81,7 @@
         now: Steady time.
         full: Kinds of tasks that no executor of the plan has room for; ``None`` if not
             all of them are to choose from.
+        free: Room of the plan's executors; ``None`` if not all of them are to choose from.
     """
 
     step: StepRun
@@ -87,6 +90,7 @@
     rooms: PlanRooms
     now: float
     full: set[TaskKind] | None = None
+    free: FreeRoom | None = None
     _on_executor: Counter[str] = field(default_factory=Counter)
     _scores: dict[tuple[bool, bool], dict[str, float]] = field(default_factory=dict)
 
@@ -122,7 +126,7 @@
         if self.full is not None and kind in self.full:
             return None
         scores = self._scores.setdefault((fill, starved), {})
-        for executor in self.executors:
+        for executor in self._roomy(starved):
             executor_id = executor.record.executor_id
             score = scores.get(executor_id)
             if score is None:
@@ -133,6 +137,18 @@
             self.full.add(kind)
         return best
 
+    def _roomy(self, starved: bool) -> list[ExecutorState]:
+        """Return the executors that may have room for a task: none of the others has."""
+        job = self.step.run.job
+        if self.free is None or job.advised:
+            return self.executors
+        spec = self.step.spec
+        cores: float = spec.demand.milli_cpu
+        if spec.best_effort:
+            cores = ANY_CORES if starved else cores * BEST_EFFORT_LEAST_SHARE
+        group = RoomGroup(job.service, spec.label, spec.best_effort)
+        return self.free.enough(group, spec.demand, cores)
+
     def forgive(self, task: Task) -> bool:
         """Let a task use executors again that it failed on, if no other had room for a while."""
         nowhere = all(e.executor_id in task.avoid for e in self.executors)
@@ -177,6 +193,8 @@
 
     def _changed(self, executor: ExecutorState) -> None:
         self.rooms.changed(executor)
+        if self.free is not None:
+            self.free.changed(executor)
         for scores in self._scores.values():
             scores.pop(executor.executor_id, None)
 
