Have the fuzz of records know crashes by name

Its check of declared types did not know the new type (a NameError in tests/fuzz/test_job_records.py), and its samples of loans and progress named no crash. Samples with names are added; none is taken out.

--- a/tests/fuzz/builders.py
+++ b/tests/fuzz/builders.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from linkspan.errors import LinkspanError
+from linkspan.jobs.crash import Crash
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.model.configuration import AdviceRule, QueueTerms
 from linkspan.shard.messages import EndKind, TaskName
@@ -121,6 +122,7 @@
     ("s:5c0e7a21d94b36f8:host-1", SUBMITTED),
     ("m:5c0e7a21d94b36f8", 2),
     ("l:5c0e7a21d94b36f8:1", [[0, 1, 1], [0, 2, 3]]),
+    ("l:5c0e7a21d94b36f8:1", [[0, 1, 1, 2, 5, [["i-7@1700000000123", 2, 3, 1], ["i-8", 3, 2, 0]]]]),
     ("r:5c0e7a21d94b36f8:1", [[0, 1, 1]]),
     ("c:5c0e7a21d94b36f8", 1),
     ("b:5c0e7a21d94b36f8", 1),
@@ -136,8 +138,8 @@
 ]
 ROSTER: list[Any] = [["e1", "s", "10.2.0.7:8200", "b", [8000, 32000, 1], ["k", "r"], "r", 5_000]]
 PROGRESS: list[Any] = [
-    [1, [3, 1, "c", [[2, "e1", 5_000]], 0, 1, 2, [[1, "e2", 4_000]]]],
-    [[-2, 1, 4]],
+    [1, [3, 1, "c", [[2, "e1", 5_000]], 0, 1, 2, [[1, "e2", 4_000]], [[1, 2, 1, "e2", 4_000]]]],
+    [[-2, 1, 4, 1, 2, [[1, 2, 0, "e3"]]]],
 ]
 """Progress of two tasks, one lent task behind them."""
 
@@ -262,7 +264,7 @@
 
 _NAMES = {
     named.__name__: named
-    for named in (Demand, TaskName, EndKind, JobSpec, StepSpec, QueueTerms, AdviceRule)
+    for named in (Crash, Demand, TaskName, EndKind, JobSpec, StepSpec, QueueTerms, AdviceRule)
 }
 
 
