--- a/tests/shard/test_facts_that_owners_forget.py
+++ b/tests/shard/test_facts_that_owners_forget.py
@@ -306,3 +306,23 @@
     run = core.jobs[JOB].runs[0]
     run.durable = run.version
     assert not core.executors["e0@1"].advance_acknowledged(10.8), "held until 14.0"
+
+
+def test_a_run_that_was_there_counts_at_the_life_that_it_was_at_and_no_other() -> None:
+    """Guards against two crashes for one: the run ended with its life, and goes on as an order.
+
+    An earlier start of it, which had no answer, may still come to the next life; none does.
+    """
+    core = core_with(step(1), executors=0)
+    add_executor(core, "e0@1")
+    (order,) = plan(core, 1.0)
+    core.on_start_unanswered(order, 2.0)
+    _empty(core, "e0@1", 1, asked=2.1)
+    (again,) = (o for o in core.orders if isinstance(o, StartOrder))
+    started(core, again, 2.2)
+    row = RunningTask(order.task, order.run, "", 0, None)
+    core.on_report("e0@1", ExecutorReport(2.3, (row,), (), born=1), asked=2.3, now=2.3)
+    for born in (2, 3, 4):
+        _empty(core, f"e0@{born - 1}", born, asked=2.0 + born)
+    known = only_task(core).suspicion
+    assert known and [crash.life for crash in known.named] == ["e0@1"]
