Take no run that an earlier version recorded at work for one that it had counted as failed

A row without names counts failed runs below its next one; one that it names as an attempt may be running and is none of these. Its failure, told later, passed for counted: a start beyond the limit.

--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -156,9 +156,11 @@
     next_run, failures, checkpoint, attempts, loan, *more = row
     task.suspicion = _suspicion(more, more[3:])
     task.next_run = whole(next_run, least=1)
-    task.failed = _failures(whole(failures), more[2:], task.next_run)
     task.checkpoint, task.loan = text(checkpoint), whole(loan)
     task.attempts += [_attempt(task, rows(fields), now) for fields in rows(attempts)]
+    # What may be running had not failed by then.
+    below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
+    task.failed = _failures(whole(failures), more[2:], below)
 
 
 def _attempt(task: Task, fields: list[Any], now: float) -> Attempt:
@@ -210,19 +212,19 @@
     return Suspicion(whole(fields[0]), whole(fields[1]), named=named)
 
 
-def _failures(count: int, more: list[Any], next_run: int) -> Failures:
+def _failures(count: int, more: list[Any], below: int) -> Failures:
     """Return the failed runs of a record.
 
     Args:
         count: How many there are.
         more: Their names, if it tells any: records of earlier versions do not.
-        next_run: Number of the task's next run when it was written.
+        below: Number that is above those of all runs that it counts.
     """
     names = frozenset(
         FailedRun(whole(number), _life(life))
         for number, *life in map(rows, rows(more[0]) if more else ())
     )
-    return Failures(names, max(count - len(names), 0), next_run)
+    return Failures(names, max(count - len(names), 0), below)
 
 
 def encode_roster(executors: Iterable[ExecutorRecord]) -> bytes:
