Count a run at the life that it was at, and at none after it

Callers saw a job shown as failed that no executor had run, or that one executor had fallen under: a run with another order on its way goes on at its executor's next life, and counted as one that was there when that life fell, too; a start that a former owner had recorded without an answer counted at each life of its executor. Class: what was known of one life, taken for known of the next. Change: a run that came over from a life before is known to be there once that life names it; until then it counts as one that nobody heard of, and not at all where a crash is counted for the same run. Starts of former owners that wait for other executors wait once each (a list grew with each report).

--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -45,7 +45,7 @@
         self._crashes = crashes
         self._presence = presence
         self._successions = successions
-        self._awaited: list[Attempt] = []
+        self._awaited: dict[Attempt, None] = {}
 
     def __repr__(self) -> str:
         return f"Adoption({self._books!r})"
@@ -88,7 +88,7 @@
 
     def tick(self, now: float) -> None:
         """Go on with starts of a former owner, once it is known that it began no run elsewhere."""
-        awaited, self._awaited = self._awaited, []
+        awaited, self._awaited = self._awaited, {}
         for attempt in awaited:
             self._on_former_start(attempt, now)
 
@@ -109,6 +109,7 @@
             executor.unknown_runs = True
             return
         attempt.listed = True
+        attempt.carried = False
         if attempt.sent_once and attempt.late_until != NEVER:
             # The only order for it was carried out.
             attempt.late_until = NEVER
@@ -207,4 +208,4 @@
             self._books.start_again(attempt, now)
         else:
             # Its sender may have given it up since, and begun a later run.
-            self._awaited.append(attempt)
+            self._awaited[attempt] = None
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -267,20 +267,21 @@
 
 def _heard(attempt: Attempt) -> bool:
     """Whether a run is known to have been there; a former owner's was recorded, answered or not."""
-    return attempt.confirmed_at != NEVER or attempt.found
+    return not attempt.carried and (attempt.confirmed_at != NEVER or attempt.found)
 
 
 def _counts_unheard(attempt: Attempt) -> bool:
     """Whether a crash counts whose run may never have been there.
 
-    A start without an answer goes on to the next life, and would count there once more; and it is
-    not the one that gives a task up, unless others like it had put that off.
+    A start without an answer, or with another order on its way, goes on to the next life, and
+    would count there once more; and it is not the one that gives a task up, unless others like it
+    had put that off.
     """
     known = attempt.task.suspicion
     if known is None:
         return True
     unheard = known.crashes - known.heard
-    return not known.unheard_of(attempt.run) and (not known.last or unheard > 0)
+    return not known.counts(attempt.run) and (not known.last or unheard > 0)
 
 
 def _stands_out(attempt: Attempt, suspects: list[Attempt]) -> bool:
--- a/src/linkspan/shard/reports/_successions.py
+++ b/src/linkspan/shard/reports/_successions.py
@@ -171,6 +171,7 @@
         former.remove(attempt)
         attempt.executor_id = executor.executor_id
         attempt.listed = False
+        attempt.carried = True
         attempt.pace_known = False
         attempt.stop_taken_at = None
         executor.add(attempt)
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -85,6 +85,10 @@
         """Return the crash that was the end of a life, if it is among those known by name."""
         return next((crash for crash in self.named if crash.life == life), None)
 
+    def counts(self, run: int) -> bool:
+        """Whether a crash is counted for a run, wherever that was."""
+        return any(crash.run == run for crash in self.named)
+
     def unheard_of(self, run: int) -> Crash | None:
         """Return the crash that is counted for a run that may not have been there."""
         return next((c for c in self.named if c.run == run and not c.heard), None)
