--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -9,7 +9,7 @@
 from linkspan.clock import steady
 from linkspan.errors import Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.attempt import Phase
-from linkspan.shard.messages import PaceOrder, StartOrder, StartOutcome, StopOrder
+from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
 from linkspan.shard.planning.planner import Planner
 
 if TYPE_CHECKING:
@@ -128,10 +128,6 @@
                     self._metrics.observe("executor_call", steady() - began, call="start")
                     self._metrics.count("starts", outcome=answer.outcome.name.lower())
                     self._core.on_started(order, answer, steady())
-                    if answer.outcome is StartOutcome.STARTED and not self._core.orders:
-                        # It takes what the plan gave it: nothing else can be planned now.
-                        self._changes.hand_out_records()
-                        return
                 elif isinstance(order, StopOrder):
                     taken = await call.stop(address, order)
                     self._core.on_stopped(order, taken, steady())
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -71,17 +71,6 @@
     return executor.acknowledged if fresh and executor.untold else 0
 
 
-def _planned_by(executor: ExecutorState) -> tuple[object, ...]:
-    """Return what of an executor a report may change that decides what is placed where."""
-    return (
-        executor.seen,
-        executor.silent_since,
-        executor.adopted,
-        executor.unknown_runs,
-        set(executor.attempts),
-    )
-
-
 class ExecutorWatch:
     """Keeps one look open at each executor and renews the leases there.
 
@@ -224,17 +213,12 @@
         report = await self._known_part(report, first=not self._core.adopted(name))
         now = steady()
         self._count_ends(name, report)
-        before = _planned_by(executor)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
-        figures = wait_s > 0 or now - executor.figures_at >= FIGURES_APART_S
-        if figures:
+        if wait_s or now - executor.figures_at >= FIGURES_APART_S:
             executor.figures_at = now
             self._pacer.on_report(executor, now, time.time())
         self._follow_lives()
-        if figures or self._core.orders or self._core.look_at or before != _planned_by(executor):
-            self._changes.news()
-        else:
-            self._changes.hand_out_records()
+        self._changes.news()
         return True
 
     async def _known_part(self, report: ExecutorReport, *, first: bool) -> ExecutorReport:
