Read terms behind which a later version tells more

A later version's row without a policy, and with more behind its place, made the whole acceptance unreadable: an accepted job that a host of this version would not run.

--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -118,8 +118,8 @@
 
 def _terms_from(row: list[Any]) -> QueueTerms:
     # Later versions may tell more behind it.
-    service, most, priority, stretch, target_s, *valid_s = row
-    advice = AdviceRule(number(valid_s[0])) if valid_s else None
+    service, most, priority, stretch, target_s, *more = row
+    advice = AdviceRule(number(more[0])) if more and more[0] is not None else None
     return QueueTerms(
         text(service), whole(most), whole(priority), number(stretch), number(target_s), advice
     )
