Show a start without an answer that gives a job up where owners change between falls

What callers see: a job shown as failed of which no run is known. What an owner now knows, that an attempt came over from a life before, is not on record, and the next one takes it for a run that was there. Not mended here.

--- a/tests/shard/test_facts_that_owners_forget.py
+++ b/tests/shard/test_facts_that_owners_forget.py
@@ -340,3 +340,22 @@
     read = decode(key, orjson.dumps(fields))
     assert isinstance(read, Submitted)
     assert read.terms == _accepted(3).terms
+
+
+def test_a_start_without_an_answer_gives_no_job_up_where_each_life_has_an_owner_of_its_own() -> (
+    None
+):
+    """Guards against a job shown as failed that no executor is known to have run: LOST.
+
+    That an attempt came over from a life before is not on record.
+    """
+    core = core_with(step(1), executors=0)
+    add_executor(core, "e0@1")
+    (order,) = plan(core, 29.0)
+    core.on_start_unanswered(order, 29.5)
+    for born in (2, 3, 4, 5, 6):
+        core = heir_of(core, as_it_was())
+        _empty(core, f"e0@{born - 1}", born - 1, asked=30.5)
+        _empty(core, f"e0@{born - 1}", born, asked=31.0)
+        core.tick(32.0)
+        assert core.finished == []
