Put on record that a run came over from a life before

With a change of owners before each fall of its executor, a start that nobody answered gave its job up: each next owner took it for a run that was there, on the word of the record. The record of an attempt says now, behind its starts, that it came over, and the next owner counts it as the one before did. Found by review; its test failed before.

--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -170,18 +170,21 @@
     if len(place) > 2:
         attempt.starts = whole(place[2], least=1)
         attempt.late_until = now + LATE_START_S
+    attempt.carried = len(place) > 3 and whole(place[3]) > 0
     return attempt
 
 
 def _place_fields(attempt: Attempt) -> list[str | int | None]:
     """Return what a record holds of where an attempt is, and of its starts on their way.
 
+    Of these it tells whether the run came over from a life before.
     These stand behind the birth, where earlier versions do not look.
     """
     if not attempt.recorded_starts:
         return [*_life_fields(attempt.executor_id)]
     life = Incarnation.of(attempt.executor_id)
-    return [life.executor_id, life.born, attempt.recorded_starts]
+    carried = [1] if attempt.carried else []
+    return [life.executor_id, life.born, attempt.recorded_starts, *carried]
 
 
 def _life_fields(name: str) -> list[str | int]:
