Lend no task that may not start yet

A task that was about to be given up, its verdict half a second away, was lent to another hall and started there: one executor more was lost to it, after its job had been decided. Class: a decision that is put off, and a part that does not know of it. Change: work that waits for its time (a verdict, a pause after a refusal) is handed over once that has come. Seen: tests/shard/test_rebalance.py fails without the change.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -103,7 +103,9 @@
     ) -> Handover | None:
         job = step.run.job
         wait_s = WAIT_S if step.spec.best_effort or step.spec.standing else SHORT_WAIT_S
-        pending = [t for t in step.tasks if t.pending and now - t.ready_since >= wait_s]
+        # One that may not start yet may not elsewhere, either: it may be about to be given up.
+        may = (t for t in step.tasks if t.pending and t.not_before <= now)
+        pending = [t for t in may if now - t.ready_since >= wait_s]
         if not pending or job.closing or job.handing_over:
             return None
         if not self._core.may_start(job, now):
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -66,6 +66,22 @@
     assert handover.tasks == ((0, 3),)
 
 
+def test_a_task_that_may_not_start_yet_is_not_lent() -> None:
+    """Guards against an executor more that is lost to a task whose verdict is pending.
+
+    The other hall started it while its own one was about to give it up.
+    """
+    core = core_with(step(1, standing=True, cpu=9_000))
+    assert plan(core, 0.1) == []
+    (task,) = core.jobs[JOB].runs[0].steps[0].tasks
+    task.not_before = float("inf")
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_able=lambda *_: 2)
+    core.jobs[JOB].begun = True
+    assert rebalancer.plan(FULL, 0.2 + WAIT_S) == []
+    task.not_before = 0.1
+    assert len(rebalancer.plan(FULL, 0.2 + WAIT_S)) == 1
+
+
 def test_a_loan_given_back_is_in_every_later_record() -> None:
     """A second record before the first was read left the first's loan out: its task was lost."""
     given = GivenBack()
