Put each start on record before it goes out

What callers saw: a task that must run once ran twice. Its owner was killed while the start was on its way and before any record; the next owner began the task anew, had its end forgotten, and the first order was carried out by the executor's next life. Cause: a start went out beside its record, some 70 to 130 ms ahead of it. Token, lease, run number and held end all miss such an order: each lives at the life before or on the record that was not written yet. Ruled out: holding the ends of what may have been begun without a record. It helps only where the next run is on the same executor, and each look lists them again. Change: a start waits for its record, at most 0.3 s where the store does not answer; such a start is as before. Records are written at once where starts wait, no more often than before. What the next owner does with a start on record is as it was: the same run again, at the same executor, or nowhere.

--- a/src/linkspan/shard/_changes.py
+++ b/src/linkspan/shard/_changes.py
@@ -18,6 +18,7 @@
     Attributes:
         wake: Set when a plan may find something to do.
         dirty: Set when progress or the roster is to be written.
+        starts: Set when starts wait for their record.
         advice: Set when tickets may be asked for.
         finish: Set when final records are to be written.
         roster: Ids of the executors that the durable roster names.
@@ -28,10 +29,12 @@
         self._core = core
         self.wake = asyncio.Event()
         self.dirty = asyncio.Event()
+        self.starts = asyncio.Event()
         self.finish = asyncio.Event()
         self.advice = asyncio.Event()
         self.roster: frozenset[str] = frozenset()
         self.holds = 0
+        self._stored = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"Changes({self._core!r})"
@@ -53,3 +56,12 @@
     def roster_changed(self) -> bool:
         """Whether the roster is to be written."""
         return self.holds != self._core.holds or self.roster != self._core.executors.keys()
+
+    def stored(self) -> None:
+        """Take in that records were written."""
+        self._stored.set()
+        self._stored = asyncio.Event()
+
+    async def next_stored(self) -> None:
+        """Wait until records were written the next time."""
+        await self._stored.wait()
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -16,6 +17,7 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.core import Order
     from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.reports._watch import ExecutorWatch
 
 PLAN_DELAY_S = 0.004
@@ -29,8 +31,9 @@
 executors takes milliseconds and each answer to its orders brings news, 70 plans a second were
 seen: so planning takes at most an eleventh of an owner's time, until the longest delay binds."""
 
-RECORDED_S = 0.02
-"""Time between looks whether a start is on record, which takes some 70 ms."""
+MOST_RECORD_WAIT_S = 0.3
+"""Longest time for which a start waits for its record: work goes on while the store is away. A
+start of a suspect waits for as long as it takes."""
 
 
 def gathering_s(took_s: float) -> float:
@@ -150,17 +153,26 @@
         self._changes.news()
 
     async def _recorded(self, order: StartOrder) -> None:
-        """Wait until a suspect's start is on record.
+        """Wait until a start is on record.
 
-        An owner that is lost before it writes would leave its next crash uncounted.
+        It may be carried out seconds after its owner is lost, by the executor's next life. The next
+        owner has to know where it went, and which crash comes of it.
         """
         task = self._core.find_task(order.task)
-        if task is None or task.suspicion is None:
+        if task is None:
             return
         run = task.step.run
         version = run.version
-        while run.durable < version and self._proof.may_act(steady()):
-            await asyncio.sleep(RECORDED_S)
+        limit_s = None if task.suspicion else MOST_RECORD_WAIT_S
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while run.durable < version and self._waits(run):
+                    self._changes.starts.set()
+                    await self._changes.next_stored()
+
+    def _waits(self, run: JobRun) -> bool:
+        """Whether a start of a repetition may still go out, and its record be written."""
+        return not run.job.closing and self._proof.may_act(steady())
 
     def _take_back(self, order: Order) -> None:
         """Take in that an order was surely not sent, or not to whom it was meant for."""
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from linkspan.clock import steady
 from linkspan.jobs.records import Begun, Dropped, Finished
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, key_of
 from linkspan.store.types import Record
 
@@ -17,7 +20,7 @@
     from linkspan.shard.job_run import JobRun
 
 FLUSH_S = 0.06
-"""Time for which changes of progress are gathered into one append."""
+"""Time for which changes of progress are gathered into one append, and the least between two."""
 
 BEGUN_S = 1.0
 """Time for which jobs that began are gathered; counts may be two seconds old."""
@@ -50,11 +53,23 @@
 
     async def flush_loop(self) -> None:
         """Write changes of progress for as long as the tenure lasts."""
+        changes = self._changes
+        flushed_at = NEVER
         while True:
-            await self._changes.dirty.wait()
-            await asyncio.sleep(FLUSH_S)
-            self._changes.dirty.clear()
+            await changes.dirty.wait()
+            await self._gather()
+            # Starts wait for it, but appends are no more frequent for that.
+            await asyncio.sleep(flushed_at + FLUSH_S - steady())
+            changes.dirty.clear()
+            changes.starts.clear()
             await self.flush()
+            flushed_at = steady()
+
+    async def _gather(self) -> None:
+        """Wait for more changes, unless a start waits for its record."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_S):
+                await self._changes.starts.wait()
 
     async def flush(self) -> None:
         """Write the progress and the roster that changed since the last time.
@@ -85,6 +100,7 @@
             # They wait until their crashes are on record.
             self._changes.wake.set()
         self._mark_durable(runs, versions, roster)
+        self._changes.stored()
 
     def _mark_durable(
         self, runs: list[JobRun], versions: list[int], roster: frozenset[str]
--- a/tests/host/test_orders_of_former_owners.py
+++ b/tests/host/test_orders_of_former_owners.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextvars import Context
+from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import pytest
@@ -39,6 +41,9 @@
 CLAIMED_S = 1.5
 """Time by which another host claims later then than one does that an owner handed on to."""
 
+LATE_BEFORE_S = 0.05
+"""Time before a kill in which all starts come late: less than a record took beside them."""
+
 FALLING = ("east-0:1", "east-1:1")
 
 
@@ -93,6 +98,61 @@
     )
 
 
+@dataclass(frozen=True)
+class Kill:
+    """How an owner is killed while its last starts are on their way.
+
+    Attributes:
+        at_s: When, from the time on at which the days above let orders be late.
+        falls_later_s: How much later than on those days executors fall.
+        load: Jobs that leave no room, so that tasks wait for some; or none in particular.
+    """
+
+    at_s: float
+    falls_later_s: float
+    load: dict[str, int]
+
+    @classmethod
+    def drawn(cls, seed: int) -> Kill:
+        """Return the one of a seed."""
+        random = Random(seed)
+        at_s = random.uniform(0.5, 1.4)
+        falls_later_s = random.choice((0.0, 0.4, 1.5))
+        return cls(at_s, falls_later_s, random.choice(({}, {"tasks": 8, "milli_cpu": 4000})))
+
+
+async def _killed(seed: int) -> RestartingDay:
+    """Play a day on which an owner is killed right after it sent starts that all come late."""
+    kill = Kill.drawn(seed)
+
+    def begin(world: HallWorld) -> None:
+        loop = asyncio.get_running_loop()
+
+        def end() -> None:
+            world.late_share = 0.0
+            name = world.owner()
+            if name:
+                world.kill_host(name)
+                loop.call_later(AWAY_S, world.start_host, name)
+
+        loop.call_later(kill.at_s - LATE_BEFORE_S, setattr, world, "late_share", 1.0)
+        loop.call_later(kill.at_s, end)
+        for after_s in FALLS_S:
+            for address in FALLING:
+                falls_at_s = after_s + kill.falls_later_s
+                loop.call_later(falls_at_s, world.restart_executor, address, context=Context())
+
+    restarts = Restarts(addresses=(), beside=begin, at_s=FALL_AT_S - LATE_FOR_S)
+    return await play(
+        restarts,
+        seed=seed,
+        late_most_s=LATE_MOST_S,
+        late_to_next_life=True,
+        entry_after_s=HEARTBEAT_S,
+        **kill.load,
+    )
+
+
 def _judge(day: RestartingDay) -> None:
     assert day.world.problems == []
     assert set(day.states) == {"succeeded"}
@@ -119,3 +179,9 @@
     waiting = {"tasks": 8, "milli_cpu": 4_000}
     played = _played(seed, _cut_from_store, (CUT_AT_S,), falls_later_s=CLAIMED_S, **waiting)
     _judge(run_virtual(played, limit_s=400.0))
+
+
+@pytest.mark.parametrize("seed", [25, 39, 41, 43, 57])
+def test_a_start_of_an_owner_that_is_killed_runs_nothing_twice(seed: int) -> None:
+    """Guards against starts that are on their way when their owner is killed, and on no record."""
+    _judge(run_virtual(_killed(seed), limit_s=400.0))
