Give no task up by crashes that may have been none

What callers saw: a job shown as failed though only one executor had fallen under its task (LOST). Its first run, 0.3 s long, ended as done in the moment in which its executor fell for 10 ms; nobody heard the end, and it counted as a crash with the most points, as the youngest run there. A second, real crash gave it up at 8 points. Cause: a verdict on a sum of doubts. That a run was there at its last look does not say that it was there at the fall; and a former owner's start on record counted as heard of, answered or not. Change: each crash says whether it is certain: the run was heard of, is not being stopped, and had half of its expected length left or more, by its begin or by its percent. Two lines hold whatever the points say: no verdict by fewer than two certain crashes, but at the fifth in all, and none later than that. Where executors at which the task was not fell twice within 30 s, points decide from the third certain crash on. Ruled out: fewer points for short runs: what crashes an executor at once is as young.

--- a/src/linkspan/jobs/crash.py
+++ b/src/linkspan/jobs/crash.py
@@ -4,6 +4,12 @@
 
 from typing import NamedTuple
 
+HEARD = 1
+"""What records hold of a crash whose run is known to have been there; 0 where it is not."""
+
+CERTAIN = 2
+"""The same where it was there at the fall for certain; to earlier versions it is the one above."""
+
 
 class Crash(NamedTuple):
     """An executor that crashed under a task.
@@ -15,6 +21,7 @@
         heard: Whether the run is known to have been there: its start was answered, or it is one
             that a former owner had recorded.
         address: Where it was; empty where a former owner saw it.
+        certain: Whether the run cannot have ended before the fall, unheard.
     """
 
     life: str
@@ -22,3 +29,15 @@
     points: int
     heard: bool = True
     address: str = ""
+    certain: bool = True
+
+    @property
+    def known(self) -> int:
+        """How surely its run was there, as records hold it."""
+        if not self.heard:
+            return 0
+        return CERTAIN if self.certain else HEARD
+
+    def as_known(self, known: int) -> Crash:
+        """Return the crash with what a record holds of how surely its run was there."""
+        return self._replace(heard=known >= HEARD, certain=known >= CERTAIN)
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -98,9 +98,7 @@
     named = task.suspicion.named if task.suspicion else ()
     if not named:
         return []
-    return [
-        [[crash.run, crash.points, int(crash.heard), *_life_fields(crash.life)] for crash in named]
-    ]
+    return [[[crash.run, crash.points, crash.known, *_life_fields(crash.life)] for crash in named]]
 
 
 def encode_moved(shard: int) -> bytes:
@@ -209,8 +207,8 @@
     if len(fields) < 2 or fields[:2] == NO_CRASHES:
         return None
     named = tuple(
-        Crash(_life(life), whole(run), whole(points), whole(heard) > 0)
-        for run, points, heard, *life in map(rows, rows(more[0]) if more else ())
+        Crash(_life(life), whole(run), whole(points)).as_known(whole(known))
+        for run, points, known, *life in map(rows, rows(more[0]) if more else ())
     )
     return Suspicion(whole(fields[0]), whole(fields[1]), named=named)
 
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -13,14 +13,16 @@
 from linkspan.jobs.crash import Crash
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
-from linkspan.shard.attempt import NEVER
+from linkspan.shard.attempt import FULL_PROGRESS, NEVER, Phase
 from linkspan.shard.incarnation import Incarnation
-from linkspan.shard.reports._falls import Fall
+from linkspan.shard.reports._falls import LATELY_S, OFTEN, Fall
 from linkspan.shard.suspicion import (
     AT_ONCE_POINTS,
     AT_ONCE_S,
     CLEARED_S,
     CRASHES,
+    LEAST_CERTAIN,
+    LEAST_CERTAIN_WHERE_OTHERS_FALL,
     LEAST_POINTS,
     MOST_CRASHES,
     SOON_POINTS,
@@ -37,6 +39,7 @@
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import EndedTask
+    from linkspan.shard.suspicion import Suspicion
     from linkspan.shard.task import Task
 
 FALLS_KEPT = 64
@@ -50,6 +53,9 @@
 """Time after a crash after which it convicts: of executors that fall at once the first is found
 some hundred milliseconds before the others."""
 
+LEAST_SHARE = 0.5
+"""Share of its expected length that a run takes at the least: a caller's guess is rough."""
+
 MOST_TOLD = 20
 """Tasks that a line on a crash names, those that began last first: what crashes an executor
 does so soon, and an executor of a wide step holds more than a line can."""
@@ -137,6 +143,7 @@
                 points if attempt in named else LEAST_POINTS,
                 _heard(attempt),
                 executor.record.address,
+                sure and _certain(attempt, fell_at),
             )
             self._count(attempt, worked_s(attempt, fell_at), crash, alone=before <= {attempt.task})
         fall.named.update(a.task for a in named)
@@ -199,7 +206,9 @@
         """
         task = attempt.task
         known = task.suspicion
-        if known is None or not known.convicted or task in self._accused:
+        if known is None or task in self._accused:
+            return
+        if not known.convicted_by(self._least_certain(known, now)):
             return
         if convicts or known.crashes > MOST_CRASHES:
             self._accused[task] = attempt, now + VERDICT_S
@@ -212,13 +221,24 @@
         for task in due:
             attempt, _ = self._accused.pop(task)
             task.not_before = now
-            self._give_up(attempt)
+            self._give_up(attempt, now)
+
+    def _least_certain(self, known: Suspicion, now: float) -> int:
+        """Return how many crashes of a task must be certain for what they count to decide."""
+        lives = {crash.life for crash in known.named}
+        others = sum(
+            not fall.tried and fall.executor_id not in lives and now - fall.by < LATELY_S
+            for fall in self._books.falls
+        )
+        return LEAST_CERTAIN_WHERE_OTHERS_FALL if others >= OFTEN else LEAST_CERTAIN
 
-    def _give_up(self, attempt: Attempt) -> None:
+    def _give_up(self, attempt: Attempt, now: float) -> None:
         task = attempt.task
         job = task.step.run.job
         known = task.suspicion
-        if task.done or known is None or not known.convicted or job.closing:
+        if task.done or known is None or job.closing:
+            return
+        if not known.convicted_by(self._least_certain(known, now)):
             return
         self._books.count("tasks_given_up")
         self._books.log_run(
@@ -228,6 +248,7 @@
             attempt.run,
             crashes=known.crashes,
             heard=known.heard,
+            certain=known.certain,
             points=known.points,
         )
         why = {"reason": CRASHES, "task": short_name(task.name), "run": attempt.run}
@@ -266,8 +287,26 @@
 
 
 def _heard(attempt: Attempt) -> bool:
-    """Whether a run is known to have been there; a former owner's was recorded, answered or not."""
-    return not attempt.carried and (attempt.confirmed_at != NEVER or attempt.found)
+    """Whether a run is known to have been there: its start was answered, by what is on record."""
+    if attempt.carried:
+        return False
+    return attempt.confirmed_at != NEVER or (attempt.found and attempt.late_until == NEVER)
+
+
+def _certain(attempt: Attempt, fell_at: float) -> bool:
+    """Whether a run cannot have ended between its last sign and the fall of its executor.
+
+    Args:
+        attempt: The run.
+        fell_at: Steady time by which the executor had fallen.
+    """
+    if not _heard(attempt) or attempt.phase is Phase.STOPPING:
+        return False
+    length_s = _length_s(attempt)
+    if not attempt.found and fell_at - attempt.placed_at < LEAST_SHARE * length_s:
+        return True
+    left_s = length_s * (1.0 - attempt.progress / FULL_PROGRESS) if attempt.progress else length_s
+    return fell_at - attempt.progress_at < LEAST_SHARE * left_s
 
 
 def _counts_unheard(attempt: Attempt) -> bool:
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -5,6 +5,9 @@
 least. So a job that can be done is not given up for having been there, while the least that
 a crash counts bounds how many executors a task can take down, whatever the weighing says.
 
+Two lines hold whatever the weighing says. No task is given up by less than two crashes that are
+certain: the run cannot have ended before the fall. And none is started after a fifth.
+
 A crash is the end of one life of an executor with a run of the task on it, and is known by the
 name of that life: what turns out to be none is taken back, and none counts twice.
 """
@@ -14,6 +17,8 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from linkspan.jobs.crash import CERTAIN
+
 if TYPE_CHECKING:
     from linkspan.jobs.crash import Crash
     from linkspan.jobs.records import Loan
@@ -50,14 +55,19 @@
 """Crashes after which a task is given up whatever they count: one start after the third, and
 the platform bears two, of which an owner that is lost may leave one off the record."""
 
-MOST_WITH_UNHEARD = 5
-"""The same where of some nobody knows whether the run was there: both starts after the third."""
+MOST_IN_ALL = 5
+"""The same where of some nobody knows whether the run was there: both starts after the third. That
+so many runs of one task were not there any more is less likely than that it crashes executors."""
 
 CRASHES = "executors crash under one of its tasks"
 """Why a job failed of which a task was given up, for the log."""
 
-GIVE_UP_CRASHES = 2
-"""Crashes under a task before which the platform does not let it be given up."""
+LEAST_CERTAIN = 2
+"""Crashes that are certain before which no task is given up: the platform does not allow that."""
+
+LEAST_CERTAIN_WHERE_OTHERS_FALL = 3
+"""The same where executors fall by themselves: the platform bears two starts after the third, and
+in such a hall two falls under short work come by chance."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +108,11 @@
         """How many crashed under a run that is known to have been there."""
         return self.crashes - sum(not crash.heard for crash in self.named)
 
+    @property
+    def certain(self) -> int:
+        """How many crashed under a run that cannot have ended before."""
+        return self.crashes - sum(crash.known < CERTAIN for crash in self.named)
+
     @property
     def apart(self) -> bool:
         """Whether the task is to be started apart from other suspects."""
@@ -106,14 +121,26 @@
     @property
     def last(self) -> bool:
         """Whether one more crash gives the task up, whatever it counts."""
-        return self.heard >= MOST_CRASHES - 1 or self.crashes >= MOST_WITH_UNHEARD - 1
+        return self.heard >= MOST_CRASHES - 1 or self.crashes >= MOST_IN_ALL - 1
 
     @property
     def convicted(self) -> bool:
-        """Whether the task is to be given up."""
-        if self.heard >= MOST_CRASHES or self.crashes >= MOST_WITH_UNHEARD:
+        """Whether the task is to be given up where executors do not fall by themselves."""
+        return self.convicted_by(LEAST_CERTAIN)
+
+    def convicted_by(self, least_certain: int) -> bool:
+        """Whether the task is to be given up.
+
+        Args:
+            least_certain: Crashes that must be certain for what they count to decide.
+        """
+        if self.crashes >= MOST_IN_ALL:
+            return True
+        if self.certain < LEAST_CERTAIN:
+            return False
+        if self.heard >= MOST_CRASHES:
             return True
-        return self.heard >= GIVE_UP_CRASHES and self.points >= GIVE_UP_POINTS
+        return self.certain >= least_certain and self.points >= GIVE_UP_POINTS
 
 
 def as_lent(loan: Loan) -> Suspicion | None:
