Put on record that a verdict waits or was not given

What callers saw: a job shown as failed by a next owner that its former owner went on with, as other executors had fallen beside. Cause: the record told how many crashes there were and what they count, and not what had been decided by them; the next owner, which knows of no falls beside, decided anew. Change: the record says whether a verdict is put off. A verdict that was given stands in the final record; an owner lost between costs one start, within the two that the platform bears. Records of earlier versions, which do not say it, are read as before. A task's row has a module of its own, and leaves out what holds nothing at its end.

--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -137,7 +137,7 @@
                 why = used_up(worst, failures, run.job.max_attempts)
                 self._books.decide(run.job, JobState.FAILED, **why)
             for task in step.tasks:
-                if task.suspicion and task.suspicion.convicted:
+                if task.suspicion and task.suspicion.due:
                     why = {"reason": CRASHES, "task": short_name(task.name)}
                     self._books.decide(run.job, JobState.FAILED, **why)
 
--- /dev/null
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -0,0 +1,175 @@
+"""A task's row in the record of its repetition.
+
+Rows grow behind: what earlier versions know stands first, and they pass over the rest. Fields
+that hold nothing are left out at the end, so that the rows of nearly all tasks are short.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from linkspan._typed import MOST_WHOLE, birth, rows, text, whole
+from linkspan.jobs.crash import Crash
+from linkspan.shard.attempt import Attempt, Phase
+from linkspan.shard.failures import FailedRun, Failures
+from linkspan.shard.incarnation import Incarnation
+from linkspan.shard.orders._orders import LATE_START_S
+from linkspan.shard.suspicion import Suspicion
+
+if TYPE_CHECKING:
+    from linkspan.shard.task import Task
+
+FIRST_FIELDS = 5
+"""Fields that each row of a task has that was started; those behind hold nothing for most."""
+
+FIRST_LENT_FIELDS = 3
+"""The same for a task that another shard looks after."""
+
+EMPTY: tuple[Any, ...] = (0, 0, [], [], 0)
+"""What the fields behind the first hold where there is nothing to tell."""
+
+EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0)
+"""The same for a task that another shard looks after."""
+
+
+def task_row(task: Task) -> Any:
+    """Return what a record holds of a task."""
+    if task.done:
+        return 1
+    if task.lent is not None:
+        return _lent_row(task)
+    attempts = [[a.run, *_place_fields(a)] for a in task.attempts]
+    if not attempts and task.next_run == 1 and not task.failures and not task.loan:
+        return 0
+    first = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
+    failed = [[failed.run, *life_fields(failed.life)] for failed in sorted(task.failed.named)]
+    crashes, points, named, put_off = _crash_fields(task.suspicion)
+    return [*first, *_without_last(EMPTY, crashes, points, failed, named, put_off)]
+
+
+def _lent_row(task: Task) -> list[Any]:
+    first = [-1 - (task.lent or 0), task.loan, task.next_run]
+    return [*first, *_without_last(EMPTY_LENT, *_crash_fields(task.suspicion))]
+
+
+def _without_last(empty: tuple[Any, ...], *fields: Any) -> list[Any]:
+    """Return fields but for those at the end that hold nothing.
+
+    Example:
+        >>> _without_last((0, [], 0), 7, [], 0)
+        [7]
+    """
+    kept = list(fields)
+    while kept and kept[-1] == empty[len(kept) - 1]:
+        kept.pop()
+    return kept
+
+
+def _crash_fields(known: Suspicion | None) -> tuple[int, int, list[Any], int]:
+    """Return what a record holds of crashes under a task, and of a verdict by them."""
+    if known is None:
+        return 0, 0, [], 0
+    named = [[c.run, c.points, c.known, *life_fields(c.life)] for c in known.named]
+    return known.crashes, known.points, named, int(known.put_off)
+
+
+def restore_task(task: Task, row: Any, now: float) -> None:
+    """Fill a new task from its row.
+
+    Raises:
+        TypeError, ValueError, IndexError: The row is none of a task.
+    """
+    if row == 0:
+        return
+    if row == 1:
+        task.done = True
+        return
+    # Later versions may tell more behind it.
+    if whole(rows(row)[0], least=-MOST_WHOLE) < 0:
+        _restore_lent(task, row)
+        return
+    next_run, failures, checkpoint, attempts, loan, *more = row
+    crashes, points, failed, named, put_off = _padded(EMPTY, more)
+    task.suspicion = _suspicion(crashes, points, named, put_off)
+    task.next_run = whole(next_run, least=1)
+    task.checkpoint, task.loan = text(checkpoint), whole(loan)
+    task.attempts += [_attempt(task, rows(fields), now) for fields in rows(attempts)]
+    # What may be running had not failed by then.
+    below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
+    task.failed = _failures(whole(failures), rows(failed), below)
+
+
+def _restore_lent(task: Task, row: list[Any]) -> None:
+    first, loan, next_run, *more = row
+    task.lent = -1 - first
+    task.loan, task.next_run = whole(loan), whole(next_run, least=1)
+    task.suspicion = _suspicion(*_padded(EMPTY_LENT, more))
+
+
+def _padded(empty: tuple[Any, ...], fields: list[Any]) -> list[Any]:
+    """Return fields with those at the end that were left out.
+
+    Example:
+        >>> _padded((0, [], 0), [7])
+        [7, [], 0]
+    """
+    return [*fields, *empty[len(fields) :]][: len(empty)]
+
+
+def _suspicion(crashes: Any, points: Any, named: Any, put_off: Any) -> Suspicion | None:
+    """Return what a record says against a task; records of earlier versions name no crash."""
+    if not (whole(crashes) and whole(points)):
+        return None
+    names = tuple(
+        Crash(life_of(life), whole(run), whole(counts)).as_known(whole(known))
+        for run, counts, known, *life in map(rows, rows(named))
+    )
+    return Suspicion(whole(crashes), whole(points), named=names, put_off=whole(put_off) > 0)
+
+
+def _failures(count: int, named: list[Any], below: int) -> Failures:
+    """Return the failed runs of a record.
+
+    Args:
+        count: How many there are.
+        named: Their names, if it tells any: records of earlier versions do not.
+        below: Number that is above those of all runs that it counts.
+    """
+    names = frozenset(FailedRun(whole(number), life_of(life)) for number, *life in map(rows, named))
+    return Failures(names, max(count - len(names), 0), below)
+
+
+def _attempt(task: Task, fields: list[Any], now: float) -> Attempt:
+    """Return an attempt of a record, which a start may be on its way for."""
+    number, *place = fields
+    attempt = Attempt(task, whole(number), life_of(place), Phase.INHERITED, now, found=True)
+    if len(place) > 2:
+        attempt.starts = whole(place[2], least=1)
+        attempt.late_until = now + LATE_START_S
+    attempt.carried = len(place) > 3 and whole(place[3]) > 0
+    return attempt
+
+
+def _place_fields(attempt: Attempt) -> list[str | int | None]:
+    """Return what a record holds of where an attempt is, and of its starts on their way.
+
+    Of these it tells whether the run came over from a life before.
+    These stand behind the birth, where earlier versions do not look.
+    """
+    if not attempt.recorded_starts:
+        return [*life_fields(attempt.executor_id)]
+    life = Incarnation.of(attempt.executor_id)
+    carried = [1] if attempt.carried else []
+    return [life.executor_id, life.born, attempt.recorded_starts, *carried]
+
+
+def life_fields(name: str) -> list[str | int]:
+    """Return what a record holds of a life: its id, where earlier versions read one, and birth."""
+    life = Incarnation.of(name)
+    return [life.executor_id] if life.born is None else [life.executor_id, life.born]
+
+
+def life_of(fields: list[Any]) -> str:
+    """Return the name of a life that a record holds; one without a birth is some life of its id."""
+    executor_id, *born = fields
+    return Incarnation(text(executor_id), birth(born[0]) if born else None).name
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
@@ -193,7 +194,8 @@
             return
         run = task.step.run
         self._books.touch(run)
-        self._books.suspect(task, one_more(task.suspicion, crash, run.version, alone=alone))
+        known = one_more(task.suspicion, crash, run.version, alone=alone)
+        self._books.suspect(task, replace(known, put_off=known.convicted))
 
     def _accuse(self, attempt: Attempt, now: float, *, convicts: bool) -> None:
         """Give a task up that is convicted, unless a fall beside is found right after.
--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -79,12 +79,15 @@
         points: What these count.
         version: Version of its repetition's record from which on that holds them.
         named: Those of the crashes that are known by name, the oldest first.
+        put_off: Whether a verdict by the last of them waits, or was not given as others fell
+            beside: a next owner, which knows of no such falls, waits for one crash more.
     """
 
     crashes: int
     points: int
     version: int = 0
     named: tuple[Crash, ...] = field(default=(), compare=False)
+    put_off: bool = field(default=False, compare=False)
 
     @property
     def addresses(self) -> frozenset[str]:
@@ -128,6 +131,11 @@
         """Whether the task is to be given up where executors do not fall by themselves."""
         return self.convicted_by(LEAST_CERTAIN)
 
+    @property
+    def due(self) -> bool:
+        """Whether who reads this on record is to give the task up."""
+        return self.crashes >= MOST_IN_ALL or (self.convicted and not self.put_off)
+
     def convicted_by(self, least_certain: int) -> bool:
         """Whether the task is to be given up.
 
