Put on record which run saved a task's work

What callers saw: work done twice. Cause: the record held the checkpoint and not whose it is. Change: it does.

--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -25,7 +25,7 @@
 FIRST_LENT_FIELDS = 3
 """The same for a task that another shard looks after."""
 
-EMPTY: tuple[Any, ...] = (0, 0, [], [], 0)
+EMPTY: tuple[Any, ...] = (0, 0, [], [], 0, 0)
 """What the fields behind the first hold where there is nothing to tell."""
 
 EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0)
@@ -44,7 +44,8 @@
     first = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
     failed = [[failed.run, *life_fields(failed.life)] for failed in sorted(task.failed.named)]
     crashes, points, named, put_off = _crash_fields(task.suspicion)
-    return [*first, *_without_last(EMPTY, crashes, points, failed, named, put_off)]
+    saved_by = task.saved_by if task.checkpoint else 0
+    return [*first, *_without_last(EMPTY, crashes, points, failed, named, put_off, saved_by)]
 
 
 def _lent_row(task: Task) -> list[Any]:
@@ -89,10 +90,10 @@
         _restore_lent(task, row)
         return
     next_run, failures, checkpoint, attempts, loan, *more = row
-    crashes, points, failed, named, put_off = _padded(EMPTY, more)
+    crashes, points, failed, named, put_off, saved_by = _padded(EMPTY, more)
     task.suspicion = _suspicion(crashes, points, named, put_off)
     task.next_run = whole(next_run, least=1)
-    task.checkpoint, task.loan = text(checkpoint), whole(loan)
+    task.checkpoint, task.saved_by, task.loan = text(checkpoint), whole(saved_by), whole(loan)
     task.attempts += [_attempt(task, rows(fields), now) for fields in rows(attempts)]
     # What may be running had not failed by then.
     below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
