Count a gang's failed run once on record, at the first member that names it

What callers saw: a gang's job shown as failed for one failed run of two that are allowed, while hosts of two versions take turns: an earlier one adds the counts of a gang's members up, and each member wrote the same run. Change: each failed run of a gang is in one member's count; names are written as before.

--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -17,6 +17,7 @@
 from linkspan.shard.suspicion import Suspicion
 
 if TYPE_CHECKING:
+    from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
 FIRST_FIELDS = 5
@@ -32,8 +33,30 @@
 """The same for a task that another shard looks after."""
 
 
-def task_row(task: Task) -> Any:
-    """Return what a record holds of a task."""
+def step_rows(step: StepRun) -> list[Any]:
+    """Return what a record holds of a step, a row a task.
+
+    A gang's members share the numbers of its runs. Earlier versions add up how many failed, so one
+    that several members name is counted at the first of them.
+    """
+    if not step.spec.gang:
+        return [_task_row(task, task.failures) for task in step.tasks]
+    counted: set[int] = set()
+    listed = []
+    for task in step.tasks:
+        runs = {failed.run for failed in task.failed.named}
+        listed.append(_task_row(task, len(runs - counted) + task.failed.unnamed))
+        counted |= runs
+    return listed
+
+
+def _task_row(task: Task, failures: int) -> Any:
+    """Return what a record holds of a task.
+
+    Args:
+        task: The task.
+        failures: How many of its failed runs are counted here.
+    """
     if task.done:
         return 1
     if task.lent is not None:
@@ -41,7 +64,7 @@
     attempts = [[a.run, *_place_fields(a)] for a in task.attempts]
     if not attempts and task.next_run == 1 and not task.failures and not task.loan:
         return 0
-    first = [task.next_run, task.failures, task.checkpoint, attempts, task.loan]
+    first = [task.next_run, failures, task.checkpoint, attempts, task.loan]
     failed = [[failed.run, *life_fields(failed.life)] for failed in sorted(task.failed.named)]
     crashes, points, named, put_off = _crash_fields(task.suspicion)
     saved_by = task.saved_by if task.checkpoint else 0
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -11,7 +11,7 @@
 from linkspan.jobs.spec import Demand
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
-from linkspan.shard.recovery._task_row import life_fields, life_of, restore_task, task_row
+from linkspan.shard.recovery._task_row import life_fields, life_of, restore_task, step_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,7 +52,7 @@
 
 def encode_run(run: JobRun) -> bytes:
     """Return a repetition's progress; an untouched task takes two bytes."""
-    return orjson.dumps([[task_row(task) for task in step.tasks] for step in run.steps])
+    return orjson.dumps([step_rows(step) for step in run.steps])
 
 
 def encode_moved(shard: int) -> bytes:
