Keep which ends of an executor are held over its leaving the books

What callers saw: a task that must run once ran twice, in a narrow case. An executor that was cut off for longer than its leases left the books, and with its state what is held of its ends; back in the same life it was told to forget an end 3.2 s before another order of that run could no longer come. Change: held ends of a life that leaves are kept by its name. Not mended: an owner lost while such an executor is off the books; the roster does not name it then.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -40,6 +40,11 @@
 looks and no orders is of no use to it."""
 
 
+MOST_KEPT_LIVES = 64
+"""Lives off the books of which something is kept: a hall has more executors only where hundreds of
+hosts are."""
+
+
 class ShardBooks:
     """State of one tenure of a shard, and the changes that keep its parts in step.
 
@@ -56,6 +61,7 @@
         tokens: Fencing tokens of the executors' lives.
         executors: Executors that are registered or may run something, by name.
         lives: The same by id: lives that share one, of which at most one goes on.
+        held: Ends that are held of lives that left the books, which may be back.
         entered: How many lives came or went, so that nobody need compare them all.
         adopting_ids: Inherited executors that have not answered yet.
         settled: How many of the others answered, are gone or outlived their lease.
@@ -97,6 +103,7 @@
         self.tokens = TenureTokens(token)
         self.executors: dict[str, ExecutorState] = {}
         self.lives: dict[str, dict[str, ExecutorState]] = {}
+        self.held: dict[str, set[int]] = {}
         self.entered = 0
         self.adopting_ids: set[str] = set()
         self.settled: Counter[str] = Counter()
@@ -147,6 +154,7 @@
         lives = self.lives.setdefault(Incarnation.of(name).executor_id, {})
         executor.token = self.tokens.of_next(lives.values())
         lives[name] = executor
+        executor.held |= self.held.pop(name, set())
         self.entered += 1
 
     def outdated(self, executor: ExecutorState) -> bool:
@@ -164,6 +172,7 @@
         executor = self.executors.pop(name, None)
         if executor:
             self.tokens.on_end(executor.token)
+            self._keep_held(executor)
         executor_id = Incarnation.of(name).executor_id
         lives = self.lives.get(executor_id, {})
         lives.pop(name, None)
@@ -171,6 +180,14 @@
             self.lives.pop(executor_id, None)
         self.entered += 1
 
+    def _keep_held(self, executor: ExecutorState) -> None:
+        """Keep which ends of a life are held: taken for lost, it may only be cut off."""
+        if not executor.held:
+            return
+        if len(self.held) >= MOST_KEPT_LIVES:
+            del self.held[next(iter(self.held))]
+        self.held[executor.executor_id] = executor.held
+
     def settle(self, executor_id: str, how: str) -> None:
         """Wait no longer for an inherited executor, and count why."""
         if executor_id in self.adopting_ids:
