Write the answer to a start down with what is written next

Its answer, a few ms later, made that record be written once more, for each start: two appends where one was before. Nobody waits for it: a next owner that does not know of the answer holds the run's end, as for a start without one. So it is written with what is written next, after half a second at the latest; runs of less are done by then. Appends come after 15 ms where starts wait, instead of 60 after the one before: it is what a start waits for. Ruled out: not to write it at all. Each end that a next owner takes over would be held for twelve seconds.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -76,6 +76,7 @@
         finished: Final records to write.
         begun: Jobs of which a first task was started, to be told.
         dirty: Repetitions whose records are to be written, by job and number.
+        pressing: Whether any of these records waits for more than an answer to a start.
         dropped: Keys of the records to remove.
         look_at: Executors to be asked at once.
         holds: How many ends were held back so far, so that nobody need compare them all.
@@ -118,6 +119,7 @@
         self.finished: list[Finished] = []
         self.begun: list[str] = []
         self.dirty: dict[tuple[str, int], JobRun] = {}
+        self.pressing = False
         self.dropped: list[bytes] = []
         self.look_at: set[str] = set()
         self.holds = 0
@@ -277,11 +279,17 @@
         if task.step.open:
             self.ready[task.step] = None
 
-    def touch(self, run: JobRun) -> None:
-        """Have the record of a repetition written again."""
+    def touch(self, run: JobRun, *, pressing: bool = True) -> None:
+        """Have the record of a repetition written again.
+
+        Args:
+            run: The repetition.
+            pressing: Whether to write it soon, and not with what is written next.
+        """
         run.version += 1
         if run.durable != float("inf"):
             self.dirty[(run.job.job_id, run.repetition)] = run
+            self.pressing |= pressing
 
     def is_dirty(self, run: JobRun) -> bool:
         """Whether the record of a repetition is to be written."""
--- a/src/linkspan/shard/_changes.py
+++ b/src/linkspan/shard/_changes.py
@@ -46,7 +46,7 @@
 
     def hand_out_records(self) -> None:
         """Wake the loops that write records, if there are any to write."""
-        if self._core.dirty or self._core.dropped or self.roster_changed():
+        if self._core.pressing or self._core.dropped or self.roster_changed():
             self.dirty.set()
         if self._core.finished:
             self.finish.set()
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -113,11 +113,14 @@
             self._books.close(attempt, now)
 
     def _record_answer(self, attempt: Attempt) -> None:
-        """Have the record of a run written again that tells of a start without an answer."""
+        """Have the record of a run written again that tells of a start without an answer.
+
+        Most short runs end before that presses, and then their record is written in any case.
+        """
         run = attempt.task.step.run
         if not self._books.is_dirty(run):
             # It was written between the start and its answer.
-            self._books.touch(run)
+            self._books.touch(run, pressing=False)
 
     def on_start_unanswered(self, order: StartOrder, now: float) -> None:
         """Take in that a start got no answer: it may be carried out later."""
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -20,7 +20,13 @@
     from linkspan.shard.job_run import JobRun
 
 FLUSH_S = 0.06
-"""Time for which changes of progress are gathered into one append, and the least between two."""
+"""Time for which changes of progress are gathered into one append."""
+
+START_FLUSH_S = 0.015
+"""Least time between two appends where starts wait: an append takes some 5 ms."""
+
+ANSWERS_S = 0.5
+"""Longest time for which the answer to a start waits to be put on record."""
 
 BEGUN_S = 1.0
 """Time for which jobs that began are gathered; counts may be two seconds old."""
@@ -58,8 +64,7 @@
         while True:
             await changes.dirty.wait()
             await self._gather()
-            # Starts wait for it, but appends are no more frequent for that.
-            await asyncio.sleep(flushed_at + FLUSH_S - steady())
+            await asyncio.sleep(flushed_at + START_FLUSH_S - steady())
             changes.dirty.clear()
             changes.starts.clear()
             await self.flush()
@@ -71,6 +76,13 @@
             async with asyncio.timeout(FLUSH_S):
                 await self._changes.starts.wait()
 
+    async def answers_loop(self) -> None:
+        """Have answers to starts written for as long as the tenure lasts."""
+        while True:
+            await asyncio.sleep(ANSWERS_S)
+            if self._core.dirty:
+                self._changes.dirty.set()
+
     async def flush(self) -> None:
         """Write the progress and the roster that changed since the last time.
 
@@ -80,6 +92,7 @@
         core = self._core
         runs = list(core.dirty.values())
         core.dirty.clear()
+        core.pressing = False
         dropped, core.dropped = core.dropped, []
         # A job whose final state is on its way is dropped once that is durable.
         runs = [run for run in runs if not run.job.closing]
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -188,6 +188,7 @@
                 scope.spawn(self._proof.watch_freeze())
                 scope.spawn(self._dispatcher.plan_loop())
                 scope.spawn(self._records.flush_loop())
+                scope.spawn(self._records.answers_loop())
                 scope.spawn(self._records.finish_loop())
                 scope.spawn(self._records.begun_loop())
                 scope.spawn(self._records.prune_loop())
