Hold to the newest limit of failed runs that anyone wrote down

What callers saw: a job shown as failed after one failed run of three that are allowed. Its queue's limit was raised and the queue then removed; the next owner took the limit of the acceptance. Or: an owner that had read an older configuration than the accepting host took its limit. Cause: limits have no version on record, and the last one that held is nowhere once the queue is gone. Change: an acceptance says which version told its terms; a record says, for tasks with failed runs, which limit they are counted against. The newer one holds; where it is not known which is newer, the larger one. A limit that is lowered decides at once, not at the next end. A row grows by some 6 bytes, for tasks with failed runs only.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -218,12 +218,19 @@
 
     def _start_write(self, spec: JobSpec, queue: Queue) -> asyncio.Future[int]:
         shard = self._choose_shard(spec, queue)
-        record = Submitted(spec, shard, time.time(), self._incarnation, queue.terms)
+        version = self._version_of(queue)
+        record = Submitted(spec, shard, time.time(), self._incarnation, queue.terms, version)
         write = self._book.write([record], patient=False)
         self._submitting[spec.job_id] = write
         write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
         return write
 
+    def _version_of(self, queue: Queue) -> int | None:
+        """Return the version of the configuration that a queue is of, if it still is in force."""
+        current = self._configuration.current
+        known = current and current.queues.get(queue.name) == queue
+        return current.version if current and known else None
+
     def _on_written(self, job_id: str, done: asyncio.Future[int]) -> None:
         """Know of an own record at once, so that the job is not written again.
 
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -107,6 +107,8 @@
         fields["schedule"] = asdict(spec.schedule)
     if record.terms:
         fields["terms"] = _terms_row(record.terms)
+    if record.version is not None:
+        fields["version"] = record.version
     return orjson.dumps(fields)
 
 
@@ -157,7 +159,9 @@
         _schedule_from(fields_of(schedule)) if schedule else None,
     )
     terms = _terms_from(rows(fields["terms"])) if "terms" in fields else None
-    return Submitted(spec, whole(fields["shard"]), number(fields["accepted"]), host, terms)
+    version = whole(fields["version"]) if "version" in fields else None
+    shard, accepted = whole(fields["shard"]), number(fields["accepted"])
+    return Submitted(spec, shard, accepted, host, terms, version)
 
 
 def _schedule_from(fields: dict[str, Any]) -> Schedule:
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -46,6 +46,7 @@
         host: Life of the accepting host's process, and which sending of its record this
             is: each writes a key of its own.
         terms: What it was accepted under; ``None`` in records of earlier versions.
+        version: Version of the configuration that tells these, as far as it is known.
     """
 
     spec: JobSpec
@@ -53,6 +54,7 @@
     accepted: float
     host: str
     terms: QueueTerms | None = None
+    version: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -67,7 +67,7 @@
         job = ShardJob(submitted, inherited=inherited, moved=moved, begun=begun)
         job.borrowed = borrowed is not None
         if submitted.terms:
-            job.take_terms(submitted.terms)
+            job.take_terms(submitted.terms, submitted.version)
         self._books.jobs[job.job_id] = job
         self.refresh_queue(job)
         unread: list[str] = []
@@ -86,6 +86,9 @@
             if borrowed is not None:
                 self._keep_only(run, borrowed, submitted.shard)
             self._books.open_steps(run, now)
+        if job.limit_version is None and job.max_attempts is not None and self._books.configuration:
+            # Whatever told it, a configuration that comes later is newer.
+            job.limit_version = self._books.configuration.version
         self._books.finish_if_done(job)
         if unread:
             raise RecordError("; ".join(unread))
@@ -158,18 +161,19 @@
 
         A job whose queue was removed keeps what it had.
         """
-        queue = self._books.configuration and self._books.configuration.queues.get(job.spec.queue)
-        if queue:
-            job.take_terms(queue.terms)
+        configuration = self._books.configuration
+        queue = configuration and configuration.queues.get(job.spec.queue)
+        if configuration and queue:
+            job.take_terms(queue.terms, configuration.version)
         refresh_outlook(job, self._books.lengths)
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self._books.configuration = configuration
         for job in self._books.jobs.values():
-            unknown = job.max_attempts is None
+            before = job.max_attempts
             self.refresh_queue(job)
-            if unknown and job.max_attempts is not None:
+            if job.max_attempts != before:
                 for run in job.runs.values():
                     self._fail_if_used_up(run)
 
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -26,7 +26,7 @@
 FIRST_LENT_FIELDS = 3
 """The same for a task that another shard looks after."""
 
-EMPTY: tuple[Any, ...] = (0, 0, [], [], 0, 0)
+EMPTY: tuple[Any, ...] = (0, 0, [], [], 0, 0, [])
 """What the fields behind the first hold where there is nothing to tell."""
 
 EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0)
@@ -68,7 +68,19 @@
     failed = [[failed.run, *life_fields(failed.life)] for failed in sorted(task.failed.named)]
     crashes, points, named, put_off = _crash_fields(task.suspicion)
     saved_by = task.saved_by if task.checkpoint else 0
-    return [*first, *_without_last(EMPTY, crashes, points, failed, named, put_off, saved_by)]
+    more = crashes, points, failed, named, put_off, saved_by, _limit_fields(task)
+    return [*first, *_without_last(EMPTY, *more)]
+
+
+def _limit_fields(task: Task) -> list[int]:
+    """Return the limit that failed runs of a task were counted against, and its version, if known.
+
+    Where the queue is gone, no configuration tells a next owner.
+    """
+    job = task.step.run.job
+    if not task.failures or job.max_attempts is None:
+        return []
+    return [job.max_attempts, *([] if job.limit_version is None else [job.limit_version])]
 
 
 def _lent_row(task: Task) -> list[Any]:
@@ -113,7 +125,10 @@
         _restore_lent(task, row)
         return
     next_run, failures, checkpoint, attempts, loan, *more = row
-    crashes, points, failed, named, put_off, saved_by = _padded(EMPTY, more)
+    crashes, points, failed, named, put_off, saved_by, limit = _padded(EMPTY, more)
+    if limit:
+        most, *version = rows(limit)
+        task.step.run.job.take_limit(whole(most), whole(version[0]) if version else None)
     task.suspicion = _suspicion(crashes, points, named, put_off)
     task.next_run = whole(next_run, least=1)
     task.checkpoint, task.saved_by, task.loan = text(checkpoint), whole(saved_by), whole(loan)
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -30,6 +30,7 @@
         borrowed: Whether it lives in another shard that lent some of its tasks.
         max_attempts: Failed runs of a task after which it has failed; ``None`` while its queue's
             limit is not known, which decides nothing.
+        limit_version: Version of the configuration that told this limit, as far as it is known.
         priority: Its queue's priority.
         stretch: Part of its objective, in times of its longest chain of steps.
         target_s: Time that its objective has beside that.
@@ -51,6 +52,7 @@
     moved: bool = False
     borrowed: bool = False
     max_attempts: int | None = None
+    limit_version: int | None = None
     priority: int = 0
     stretch: float = 1.0
     target_s: float = 0.0
@@ -77,9 +79,31 @@
         """The job's id."""
         return self.submitted.spec.job_id
 
-    def take_terms(self, terms: QueueTerms) -> None:
-        """Hold to what a queue says from now on."""
-        self.max_attempts = terms.max_attempts
+    def take_limit(self, most: int, version: int | None) -> None:
+        """Hold to a limit of failed runs, unless a newer one is known.
+
+        Where it is not known which is newer, the larger one holds: a job that has failed stays so.
+
+        Args:
+            most: The limit.
+            version: Version of the configuration that tells it; ``None`` if that is not known.
+        """
+        if self.max_attempts is None or self.limit_version is None:
+            self.max_attempts = max(most, self.max_attempts or 0)
+            self.limit_version = version
+        elif version is not None and version > self.limit_version:
+            self.max_attempts, self.limit_version = most, version
+
+    def take_terms(self, terms: QueueTerms, version: int | None) -> None:
+        """Hold to what a queue says from now on, unless something newer is known.
+
+        Args:
+            terms: What it says.
+            version: Version of the configuration that tells so; ``None`` if that is not known.
+        """
+        if version is not None and self.limit_version is not None and version < self.limit_version:
+            return
+        self.take_limit(terms.max_attempts, version)
         self.priority = terms.priority
         self.stretch = terms.stretch
         self.target_s = terms.target_s
