Know of a crash that was taken back while its task is lent

What callers saw: a standing task's crashes counted one that was none: its executor had left as planned, which was heard after the task was lent to another hall. The loan, which had been told of the crash, brought it back. Cause: what was taken back is known at home only, and forgotten there. Change: a lent task keeps the lives that were excused meanwhile, on record, too, and what a loan brings back of them does not count.

--- a/src/linkspan/shard/handover/_loans.py
+++ b/src/linkspan/shard/handover/_loans.py
@@ -6,13 +6,14 @@
 
 from linkspan.jobs.records import Loan
 from linkspan.shard.recovery.progress import key_of
-from linkspan.shard.suspicion import as_lent
+from linkspan.shard.suspicion import as_lent, without
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from linkspan.shard._books import ShardBooks
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.suspicion import Suspicion
     from linkspan.shard.task import Task
 
 
@@ -71,7 +72,7 @@
             if task.lent is not None and task.loan == loan.number:
                 task.given_back[task.lent] = loan.number
                 task.lent = None
-                self._books.suspect(task, as_lent(loan))
+                self._books.suspect(task, _brought_back(task, loan))
                 self._books.touch(run)
                 self._books.mark_ready(task, now)
 
@@ -97,6 +98,15 @@
                 self._books.advice.forget(step)
 
 
+def _brought_back(task: Task, loan: Loan) -> Suspicion | None:
+    """Return what a loan brings back of crashes, but for those that were none by now."""
+    known = as_lent(loan)
+    for life in task.excused:
+        known = known and without(known, life, known.version)
+    task.excused.clear()
+    return known
+
+
 def loan_of(task: Task) -> Loan:
     """Return a task's last loan, with the crashes under it: the count goes with the task."""
     known = task.suspicion
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -29,7 +29,7 @@
 EMPTY: tuple[Any, ...] = (0, 0, [], [], 0, 0, [])
 """What the fields behind the first hold where there is nothing to tell."""
 
-EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0)
+EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0, [])
 """The same for a task that another shard looks after."""
 
 
@@ -85,7 +85,8 @@
 
 def _lent_row(task: Task) -> list[Any]:
     first = [-1 - (task.lent or 0), task.loan, task.next_run]
-    return [*first, *_without_last(EMPTY_LENT, *_crash_fields(task.suspicion))]
+    excused = [life_fields(life) for life in sorted(task.excused)]
+    return [*first, *_without_last(EMPTY_LENT, *_crash_fields(task.suspicion), excused)]
 
 
 def _without_last(empty: tuple[Any, ...], *fields: Any) -> list[Any]:
@@ -142,7 +143,9 @@
     first, loan, next_run, *more = row
     task.lent = -1 - first
     task.loan, task.next_run = whole(loan), whole(next_run, least=1)
-    task.suspicion = _suspicion(*_padded(EMPTY_LENT, more))
+    *crashes, excused = _padded(EMPTY_LENT, more)
+    task.suspicion = _suspicion(*crashes)
+    task.excused = {life_of(rows(life)) for life in rows(excused)}
 
 
 def _padded(empty: tuple[Any, ...], fields: list[Any]) -> list[Any]:
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -114,6 +114,9 @@
         if task.suspicion:
             run = task.step.run
             self._books.touch(run)
+            if task.lent is not None:
+                # The loan was told of it, and brings it back.
+                task.excused.add(life)
             self._books.suspect(task, without(task.suspicion, life, run.version))
 
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, sure: bool) -> None:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -33,6 +33,7 @@
         attempts: Its attempts that may be running.
         avoid: Executors on which it failed or stood still.
         suspicion: What crashes of its executors say against it, ``None`` for nothing.
+        excused: Lives whose end turned out to be no crash while another shard looks after it.
         not_before: Steady time before which it is not started again.
         moves: Times that it was moved since a run took far longer than its like.
         refusals: Starts of it that executors refused in a row.
@@ -53,6 +54,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
     suspicion: Suspicion | None = None
+    excused: set[str] = field(default_factory=set)
     not_before: float = NEVER
     moves: int = 0
     refusals: int = 0
--- a/tests/shard/test_facts_that_owners_forget.py
+++ b/tests/shard/test_facts_that_owners_forget.py
@@ -208,6 +208,21 @@
     assert only_task(core).suspicion is None
 
 
+def test_a_next_owner_knows_which_crash_was_taken_back_while_its_task_is_lent() -> None:
+    """Guards against a planned leave that counts as a crash again once the task comes back.
+
+    The owner that took it back is lost before the loan is returned, which tells of it.
+    """
+    core = core_with(step(1, standing=True), executors=1)
+    _fall_under(core, "e0", 20.0)
+    core.give_away(JOB, 1, [(0, 0)])
+    ((lent,),) = core.loans(JOB).values()
+    core._crashes.take_back("e0", "it left as planned")
+    heir = heir_of(core, as_it_was())
+    heir.take_back(JOB, [lent], 30.0)
+    assert only_task(heir).suspicion is None
+
+
 # Failed runs and saved work
 
 
