Begin a task nowhere else while a start of it may come to a next life

What callers saw: a task that must run once ran twice. Cause: a stop by name protects only the life that took it. Evidence: the first test of test_starts_that_are_stopped.py failed before. Change: such an attempt counts until twelve seconds after the lost answer, and each next life is told the stop, as before. Only where executors tell a birth: no other id comes again. Ruled out: sending it again, which for a suspect is one more executor. Cost: such a task waits for up to twelve seconds instead of one; they are few. A builder of test_crashes_that_were_none.py asserted that the attempt is let go of at the life that took the stop, which is the fault; it asserts now that it is kept there, and let go of once another id answers at the address. Its test is unchanged.

--- a/src/linkspan/shard/reports/_adoption.py
+++ b/src/linkspan/shard/reports/_adoption.py
@@ -6,6 +6,7 @@
 
 from linkspan.events import Event
 from linkspan.shard.attempt import NEVER, Attempt, Phase
+from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import StopOrder
 from linkspan.shard.orders._orders import LATE_START_S
 from linkspan.shard.reports._successions import answering
@@ -182,14 +183,22 @@
             if attempt.phase is Phase.INHERITED:
                 self._on_former_start(attempt, now)
             elif attempt.stop_taken_at is not None and attempt.stop_taken_at <= asked:
-                # It was not there when the stop came, and is refused from then on.
-                self._books.close(attempt, now)
+                self._on_refused_from_now(attempt, now)
             elif attempt.phase is Phase.DOUBT:
                 self._books.start_again(attempt, now)
             elif attempt.phase is Phase.RUNNING and attempt.confirmed_at < asked:
                 self._books.log_run(Event.RUN_LOST, executor.executor_id, *key)
                 self._books.order_stop(attempt, now)
 
+    def _on_refused_from_now(self, attempt: Attempt, now: float) -> None:
+        """Resolve an attempt that was not there when its executor took a stop.
+
+        That life refuses it. The next one under its id knows of no stop, and may get the start.
+        """
+        may_come_again = Incarnation.of(attempt.executor_id).born is not None
+        if not may_come_again or attempt.late_until <= now:
+            self._books.close(attempt, now)
+
     def _on_former_start(self, attempt: Attempt, now: float) -> None:
         """Resolve an attempt on record that its executor does not name.
 
--- a/tests/shard/test_crashes_that_were_none.py
+++ b/tests/shard/test_crashes_that_were_none.py
@@ -70,8 +70,9 @@
     stop = next(order for order in core.orders if isinstance(order, StopOrder))
     core.on_stopped(stop, True, 60.3)
     empty(core, "life-16@2", 2, asked=60.4, now=60.5)
-    assert only_task(core).attempts == []
+    assert only_task(core).attempts == [unsure], "the next life may get it until 72.16"
     core.on_gone("life-16@2", 60.6, REPLACED)
+    assert only_task(core).attempts == [], "now there is none"
     start_on(core, "life-17@1", 62.77)
     core.on_silent("life-17@1", 64.13)
     empty(core, "life-17@1", 2, asked=65.2, now=65.28)
--- /dev/null
+++ b/tests/shard/test_starts_that_are_stopped.py
@@ -0,0 +1,72 @@
+"""Starts without an answer that are stopped instead of sent again, and the lives after theirs."""
+
+from __future__ import annotations
+
+from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import ExecutorReport, StopOrder
+from linkspan.shard.orders._orders import LATE_START_S
+from linkspan.shard.suspicion import Suspicion
+from linkspan.shard.task import Task
+from tests.job_builders import step
+from tests.shard.builders import JOB, add_executor, core_with, plan
+
+UNANSWERED_AT = 2.0
+
+
+def only_task(core: ShardCore) -> Task:
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    return task
+
+
+def empty(core: ShardCore, life: str, born: int, *, asked: float) -> None:
+    """Let a life answer that lists nothing."""
+    core.on_report(life, ExecutorReport(asked, (), (), born=born), asked=asked, now=asked + 0.01)
+
+
+def stops(core: ShardCore) -> list[StopOrder]:
+    orders, core.orders = core.orders, []
+    return [order for order in orders if isinstance(order, StopOrder)]
+
+
+def stopped_at(name: str) -> ShardCore:
+    """Return a core with a suspect whose start got no answer, and whose stop was taken."""
+    core = core_with(step(1, standing=True), executors=0)
+    add_executor(core, name)
+    core.suspect(only_task(core), Suspicion(1, 4))
+    (order,) = plan(core, 1.0)
+    core.on_start_unanswered(order, UNANSWERED_AT)
+    empty(core, name, 1, asked=2.1)
+    (stop,) = stops(core)
+    core.on_stopped(stop, True, 2.2)
+    empty(core, name, 1, asked=2.3)
+    return core
+
+
+def test_a_task_is_begun_nowhere_else_while_a_start_of_it_may_come_to_a_next_life() -> None:
+    """Guards against a start that was stopped at its life and is carried out by the next one.
+
+    Its task, a suspect of crashes, is not sent again but begun elsewhere, and so ran twice.
+    """
+    core = stopped_at("e0@1")
+    assert not only_task(core).pending
+    empty(core, "e0@1", 2, asked=4.0)
+    (stop,) = stops(core)
+    assert stop.executor_id == "e0@2", "the next life is told, too"
+    core.on_stopped(stop, True, 4.2)
+    empty(core, "e0@2", 2, asked=4.3)
+    assert not only_task(core).pending, "and the one after that may get it"
+    empty(core, "e0@2", 2, asked=UNANSWERED_AT + LATE_START_S)
+    assert only_task(core).pending
+
+
+def test_an_id_that_never_comes_again_is_not_waited_for() -> None:
+    """Where executors tell no birth, a stop that was taken is enough."""
+    core = core_with(step(1, standing=True), executors=1)
+    core.suspect(only_task(core), Suspicion(1, 4))
+    (order,) = plan(core, 1.0)
+    core.on_start_unanswered(order, UNANSWERED_AT)
+    core.on_report("e0", ExecutorReport(2.1, (), ()), asked=2.1, now=2.11)
+    (stop,) = stops(core)
+    core.on_stopped(stop, True, 2.2)
+    core.on_report("e0", ExecutorReport(2.3, (), ()), asked=2.3, now=2.31)
+    assert only_task(core).pending
