Send a suspect's start again while its executor's life goes on

Cause: any suspect was placed anew. But where the executor's life goes on, the start has not ended it: the same run can be sent again, as for other tasks, and is stopped and waited out only once that life has ended. The last test of test_starts_that_are_stopped.py failed before.

--- a/src/linkspan/shard/_books.py
+++ b/src/linkspan/shard/_books.py
@@ -363,8 +363,10 @@
     def _wants_again(self, attempt: Attempt, executor: ExecutorState) -> bool:
         """Whether a run is to begin where its start got no answer."""
         task, job = attempt.task, attempt.task.step.run.job
-        # A suspect is placed anew each time, apart from others.
-        if task.done or task.suspect or attempt.copy or job.closing:
+        if task.done or attempt.copy or job.closing:
+            return False
+        if task.suspect and attempt.carried:
+            # It may be what ended the life before: it is placed anew, apart from others.
             return False
         if attempt.found and (len(task.attempts) > 1 or job.advised):
             # On record, neither a copy is told from what it runs beside, nor a ticket.
--- a/tests/shard/test_starts_that_are_stopped.py
+++ b/tests/shard/test_starts_that_are_stopped.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from linkspan.shard.core import ShardCore
-from linkspan.shard.messages import ExecutorReport, StopOrder
+from linkspan.shard.messages import ExecutorReport, StartOrder, StopOrder
 from linkspan.shard.orders._orders import LATE_START_S
 from linkspan.shard.suspicion import Suspicion
 from linkspan.shard.task import Task
@@ -28,13 +30,17 @@
     return [order for order in orders if isinstance(order, StopOrder)]
 
 
+def drain(core: ShardCore, name: str) -> None:
+    core.executors[name].register(replace(core.executors[name].record, draining=True))
+
+
 def stopped_at(name: str) -> ShardCore:
-    """Return a core with a suspect whose start got no answer, and whose stop was taken."""
+    """Return a core with a start without an answer that was stopped, as its executor drains."""
     core = core_with(step(1, standing=True), executors=0)
     add_executor(core, name)
-    core.suspect(only_task(core), Suspicion(1, 4))
     (order,) = plan(core, 1.0)
     core.on_start_unanswered(order, UNANSWERED_AT)
+    drain(core, name)
     empty(core, name, 1, asked=2.1)
     (stop,) = stops(core)
     core.on_stopped(stop, True, 2.2)
@@ -45,7 +51,7 @@
 def test_a_task_is_begun_nowhere_else_while_a_start_of_it_may_come_to_a_next_life() -> None:
     """Guards against a start that was stopped at its life and is carried out by the next one.
 
-    Its task, a suspect of crashes, is not sent again but begun elsewhere, and so ran twice.
+    Its task was not sent again but begun elsewhere, and so ran twice.
     """
     core = stopped_at("e0@1")
     assert not only_task(core).pending
@@ -62,11 +68,29 @@
 def test_an_id_that_never_comes_again_is_not_waited_for() -> None:
     """Where executors tell no birth, a stop that was taken is enough."""
     core = core_with(step(1, standing=True), executors=1)
-    core.suspect(only_task(core), Suspicion(1, 4))
     (order,) = plan(core, 1.0)
     core.on_start_unanswered(order, UNANSWERED_AT)
+    drain(core, "e0")
     core.on_report("e0", ExecutorReport(2.1, (), ()), asked=2.1, now=2.11)
     (stop,) = stops(core)
     core.on_stopped(stop, True, 2.2)
     core.on_report("e0", ExecutorReport(2.3, (), ()), asked=2.3, now=2.31)
     assert only_task(core).pending
+
+
+def test_a_suspect_is_sent_again_while_the_life_goes_on_that_it_was_sent_to() -> None:
+    """Guards against a standing task that waits for twelve seconds after each answer that is lost.
+
+    Its executor lives, so the start has not ended it. After a fall it may have: it is stopped.
+    """
+    core = core_with(step(1, standing=True), executors=0)
+    add_executor(core, "e0@1")
+    core.suspect(only_task(core), Suspicion(1, 4))
+    (order,) = plan(core, 1.0)
+    core.on_start_unanswered(order, UNANSWERED_AT)
+    empty(core, "e0@1", 1, asked=2.1)
+    (again,) = core.orders
+    assert isinstance(again, StartOrder) and again.run == order.run
+    core.on_start_unanswered(again, 3.1)
+    empty(core, "e0@1", 2, asked=4.0)
+    assert stops(core)
