Show a job as over only once its held ends are on record

What callers saw: a task that must run once may run twice, where an owner is lost in the tenth of a second between a job's final record and the roster that tells which of its ends is held. Cause: two records, in either order. Once the job is over, only the roster keeps a next owner from having the end forgotten.

--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -135,7 +135,18 @@
             for finished in decided:
                 self._scope.spawn(self._record_finish(finished))
 
+    async def _record_holds(self) -> None:
+        """Wait until the roster tells of all ends that are held by now.
+
+        Once a job is over, nothing else keeps a next owner from having them forgotten.
+        """
+        holds = self._core.holds
+        while self._changes.holds < holds:
+            self._changes.dirty.set()
+            await self._changes.next_stored()
+
     async def _record_finish(self, finished: Finished) -> None:
+        await self._record_holds()
         entry = self._book.catalog.get(finished.job_id)
         records: list[JobRecord] = [
             Finished(finished.job_id, finished.state, finished.shard, time.time(), finished.queue)
