--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,10 +15,15 @@
 _FOUND: list[str] = []
 
 
-def _known_red() -> dict[str, str]:
+def _known_red() -> dict[str, list[str]]:
+    """Return what is listed of each test: one may have several entries, each in its own words."""
     lines = _LIST.read_text().splitlines() if _LIST.exists() else []
-    rows = [line.split("|", 1) for line in lines if line.strip() and not line.startswith("#")]
-    return {name.strip(): rest.strip() for name, rest in rows}
+    listed: dict[str, list[str]] = {}
+    for line in lines:
+        if line.strip() and not line.startswith("#"):
+            name, _, rest = line.partition("|")
+            listed.setdefault(name.strip(), []).append(rest.strip())
+    return listed
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
@@ -27,7 +32,7 @@
     if listed and len(listed) < len(items):
         config.hook.pytest_deselected(items=listed)
         items[:] = [item for item in items if item.nodeid not in red]
-        _FOUND.extend(f"{item.nodeid}: {red[item.nodeid]}" for item in listed)
+        _FOUND.extend(f"{item.nodeid}: {entry}" for item in listed for entry in red[item.nodeid])
 
 
 def pytest_sessionfinish(session: pytest.Session) -> None:
