Have no ends forgotten while a start is on its way that may have ended at a next life

What callers saw: a task that must run once ran twice. An executor told an end, fell within 30 ms and was back at once; a start that was on its way came to the next life and its run ended; the look that told the life before to forget its end came there, and the new end, which nobody had read, was forgotten. Its run was refused as an old one, and the task begun anew. Cause: ends are forgotten within 0.2 s of an answer, on the belief that no run of ours begins and ends so soon at a next life. Nothing looked whether a start was on its way. Change: an executor is told to forget ends only while no start to it waits for its answer, and none is on its way of a run that is expected to take less than 0.4 s. Ruled out: while any is on its way: for twelve seconds after each lost answer all ends would be listed again.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -353,9 +353,7 @@
 
     One that was there for longer may have ended before the fall, unheard.
     """
-    step = attempt.task.step
-    known_s = step.median_s if step.durations else step.spec.estimate_s
-    return float("inf") if step.spec.standing else known_s or float("inf")
+    return attempt.task.step.expected_s or float("inf")
 
 
 def _fall(executor: ExecutorState, by: float) -> Fall:
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -8,12 +8,14 @@
 
 from linkspan.clock import steady
 from linkspan.errors import Unreachable, WrongIncarnation
+from linkspan.shard.attempt import Phase
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.machines import MachineWatch
 from linkspan.shard.reports._successions import answering
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport
 
@@ -58,7 +60,10 @@
 ACKNOWLEDGE_WITHIN_S = 0.2
 """Time after an executor's report within which it may be told to forget ends. A later call may
 come to its next life, whose ends nobody has read; that one has begun, and ended, no run of ours
-so soon after the report of the one before."""
+so soon after the report of the one before, unless a start is on its way there."""
+
+ENDS_SOON_S = 0.4
+"""Expected length of a run below which it may begin and end within that time: guesses are rough."""
 
 
 def acknowledges(executor: ExecutorState, now: float) -> int:
@@ -68,7 +73,19 @@
     stand-still of this host or a claim an executor is asked first which life it is.
     """
     fresh = executor.silent_since is None and now - executor.answered_at <= ACKNOWLEDGE_WITHIN_S
-    return executor.acknowledged if fresh and executor.untold else 0
+    if not (fresh and executor.untold):
+        return 0
+    if any(_may_come_and_end(attempt, now) for attempt in executor.attempts.values()):
+        return 0
+    return executor.acknowledged
+
+
+def _may_come_and_end(attempt: Attempt, now: float) -> bool:
+    """Whether a start is on its way whose run may have ended where the next look comes to."""
+    if attempt.phase is Phase.STARTING:
+        return True
+    on_its_way = attempt.unanswered or attempt.late_until > now
+    return on_its_way and attempt.task.step.expected_s < ENDS_SOON_S
 
 
 class ExecutorWatch:
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -72,6 +72,13 @@
             self._median_s = sorted(self.durations)[self._median_of // 2]
         return self._median_s
 
+    @property
+    def expected_s(self) -> float:
+        """Time that a run of it is expected to take, in seconds; 0 where nothing tells."""
+        if self.spec.standing:
+            return float("inf")
+        return self.median_s if self.durations else self.spec.estimate_s
+
     @property
     def all_at_work(self) -> bool:
         """Whether each task of a standing step is at work, all of them in this shard.
