Play an unread job's run with an owner that the store does not answer

Since starts wait for their record, an owner that the store refuses starts nothing, and the play's start never came: three tests timed out in their set-up. The play's former owner has no answer of its records now; what is asserted is the same.

--- a/tests/host/test_partial_reports.py
+++ b/tests/host/test_partial_reports.py
@@ -60,6 +60,8 @@
         world.away.add((first, "owners"))
         await _until(lambda: _heard(world, second) == len(others))
         world.away.add((second, JOBS.topic))
+        # What it records is refused by now, and it would start nothing. So it has no answer.
+        world.away.add((first, "progress"))
         assert await world.submit(first, world.new_job(step(1, estimate_s=LONG_S))) == 200
         await _until(lambda: bool(world.executors[busy].running))
         world.cuts.discard((second, busy))
@@ -84,3 +86,24 @@
     async with asyncio.timeout(WAIT_S):
         while not happens():
             await asyncio.sleep(LOOK_S)
+
+
+def test_an_owner_that_the_store_refuses_starts_nothing() -> None:
+    """Guards against a start of an owner that is not aware of its successor."""
+
+    async def play() -> HallWorld:
+        world = PartWorld(lists_machines=False)
+        await world.begin()
+        first = world.owner()
+        assert first
+        second = next(name for name, _ in world.host_names() if name != first)
+        busy, *others = sorted(world.executors)
+        world.cuts = {(second, busy)} | {(first, address) for address in others}
+        world.away.add((first, "owners"))
+        await _until(lambda: _heard(world, second) == len(others))
+        assert await world.submit(first, world.new_job(step(1, estimate_s=LONG_S))) == 200
+        await asyncio.sleep(SETTLED_S)
+        assert not world.executors[busy].running
+        return world
+
+    assert run_virtual(play()).problems == []
