Split what a crash says against a run from the counting of crashes

How sure it is that a run was there, and what that counts, are functions of a run and a time: they are in reports/_crash_weights.py. No rule changes.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -14,20 +14,24 @@
 from linkspan.jobs.crash import Crash
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
-from linkspan.shard.attempt import FULL_PROGRESS, NEVER, Phase
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.incarnation import Incarnation
+from linkspan.shard.reports._crash_weights import (
+    counts_unheard,
+    is_certain,
+    points_of,
+    stands_out,
+    was_heard,
+    worked_s,
+)
 from linkspan.shard.reports._falls import LATELY_S, OFTEN, Fall
 from linkspan.shard.suspicion import (
-    AT_ONCE_POINTS,
-    AT_ONCE_S,
     CLEARED_S,
     CRASHES,
     LEAST_CERTAIN,
     LEAST_CERTAIN_WHERE_OTHERS_FALL,
     LEAST_POINTS,
     MOST_CRASHES,
-    SOON_POINTS,
-    SOON_S,
     one_more,
     unnamed,
     without,
@@ -54,9 +58,6 @@
 """Time after a crash after which it convicts: of executors that fall at once the first is found
 some hundred milliseconds before the others."""
 
-LEAST_SHARE = 0.5
-"""Share of its expected length that a run takes at the least: a caller's guess is rough."""
-
 MOST_TOLD = 20
 """Tasks that a line on a crash names, those that began last first: what crashes an executor
 does so soon, and an executor of a wide step holds more than a line can."""
@@ -137,19 +138,19 @@
         self._log(executor, by_age, fell_at, now, proof=proof, beside=len(beside))
         untried = sum(not other.tried for other in beside)
         suspects = [a for a in attempts if a.task.suspect]
-        named = [a for a in attempts if sure and not untried and _stands_out(a, suspects)]
+        named = [a for a in attempts if sure and not untried and stands_out(a, suspects)]
         before = {a.task for a in attempts if a.task.suspicion}
         for attempt in by_age:
-            points = _points(attempt, worked_s(attempt, fell_at))
+            worked = worked_s(attempt, fell_at)
             crash = Crash(
                 executor.executor_id,
                 attempt.run,
-                points if attempt in named else LEAST_POINTS,
-                _heard(attempt),
+                points_of(attempt, worked) if attempt in named else LEAST_POINTS,
+                was_heard(attempt),
                 executor.record.address,
-                sure and _certain(attempt, fell_at),
+                sure and is_certain(attempt, fell_at),
             )
-            self._count(attempt, worked_s(attempt, fell_at), crash, alone=before <= {attempt.task})
+            self._count(attempt, worked, crash, alone=before <= {attempt.task})
         fall.named.update(a.task for a in named)
         for attempt in by_age:
             self._accuse(attempt, now, convicts=untried < COMMON_FALLS)
@@ -193,7 +194,7 @@
         if worked >= CLEARED_S:
             self._books.suspect(task, None)
             return
-        if not crash.heard and not _counts_unheard(attempt):
+        if not crash.heard and not counts_unheard(attempt):
             return
         run = task.step.run
         self._books.touch(run)
@@ -282,80 +283,6 @@
         )
 
 
-def worked_s(attempt: Attempt, fell_at: float) -> float:
-    """Return how long a run was on its executor when that fell, in seconds.
-
-    A start that was not answered may have begun when it was ordered.
-    """
-    began = attempt.placed_at if attempt.confirmed_at == NEVER else attempt.confirmed_at
-    return max(fell_at - began, 0.0)
-
-
-def _heard(attempt: Attempt) -> bool:
-    """Whether a run is known to have been there: its start was answered, by what is on record."""
-    if attempt.carried:
-        return False
-    return attempt.confirmed_at != NEVER or (attempt.found and attempt.late_until == NEVER)
-
-
-def _certain(attempt: Attempt, fell_at: float) -> bool:
-    """Whether a run cannot have ended between its last sign and the fall of its executor.
-
-    Args:
-        attempt: The run.
-        fell_at: Steady time by which the executor had fallen.
-    """
-    if not _heard(attempt) or attempt.phase is Phase.STOPPING:
-        return False
-    length_s = _length_s(attempt)
-    if not attempt.found and fell_at - attempt.placed_at < LEAST_SHARE * length_s:
-        return True
-    left_s = length_s * (1.0 - attempt.progress / FULL_PROGRESS) if attempt.progress else length_s
-    return fell_at - attempt.progress_at < LEAST_SHARE * left_s
-
-
-def _counts_unheard(attempt: Attempt) -> bool:
-    """Whether a crash counts whose run may never have been there.
-
-    A start without an answer, or with another order on its way, goes on to the next life, and
-    would count there once more; and it is not the one that gives a task up, unless others like it
-    had put that off.
-    """
-    known = attempt.task.suspicion
-    if known is None:
-        return True
-    unheard = known.crashes - known.heard
-    return not known.counts(attempt.run) and (not known.last or unheard > 0)
-
-
-def _stands_out(attempt: Attempt, suspects: list[Attempt]) -> bool:
-    """Whether no other task that was there is suspected as much as this one, or more."""
-    others = [other for other in suspects if other is not attempt]
-    return all(_suspected(other) < _suspected(attempt) for other in others)
-
-
-def _suspected(attempt: Attempt) -> int:
-    return attempt.task.suspicion.points if attempt.task.suspicion else 0
-
-
-def _points(attempt: Attempt, worked: float) -> int:
-    """Return what a crash counts under a run that was there for some seconds."""
-    if attempt.confirmed_at == NEVER:
-        # It may have come to an executor that had fallen already, or never.
-        return LEAST_POINTS
-    if attempt.found or worked > min(SOON_S, _length_s(attempt)):
-        return LEAST_POINTS
-    return SOON_POINTS if worked > AT_ONCE_S else AT_ONCE_POINTS
-
-
-def _length_s(attempt: Attempt) -> float:
-    """Return how long a run is expected to take, in seconds.
-
-    One that was there for longer may have ended before the fall, unheard.
-    """
-    return attempt.task.step.expected_s or float("inf")
-
-
 def _fall(executor: ExecutorState, by: float) -> Fall:
     heard_at = executor.clock.heard_at if executor.clock else NEVER
     # Starts are answered, too, if not by whom.
