--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 
 # Processes for the tests that start none themselves; those that do run one after the other.
-WORKERS := 4
+WORKERS := 6
 
 .PHONY: run test setup bench bench-calm
 
