Append for starts at once only in halls that are not busy

Starts made an append possible each 20 ms, so twelve halls of the planned size would have made some 600 of the 800 that the store takes a second. Up to ten within a second may be quick; from then on 60 ms are gathered, as for other changes. Two constants that nothing used are gone.

--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,10 @@
 START_FLUSH_S = 0.015
 """Least time between two appends where starts wait: an append takes some 5 ms."""
 
+MOST_QUICK_FLUSHES = 10
+"""Appends within a second up to which they may follow each other that soon. The store takes some
+hundreds a second of all halls: busy ones gather starts for as long as other changes."""
+
 ANSWERS_S = 0.5
 """Longest time for which the answer to a start waits to be put on record."""
 
@@ -38,6 +43,23 @@
 """Time for which finished jobs are kept beyond what callers were promised."""
 
 
+def next_flush_at(flushes: deque[float], now: float) -> float:
+    """Return the steady time before which no append is to follow.
+
+    Args:
+        flushes: Steady times of the last appends, as many as may be quick within a second.
+        now: Steady time.
+
+    Example:
+        >>> next_flush_at(deque([0.0, 9.0], maxlen=2), 9.0)
+        9.015
+        >>> next_flush_at(deque([8.5, 9.0], maxlen=2), 9.0)
+        9.06
+    """
+    busy = len(flushes) == flushes.maxlen and now - flushes[0] < 1.0
+    return flushes[-1] + (FLUSH_S if busy else START_FLUSH_S)
+
+
 class RecordKeeper:
     """Writes what the core wants durable and removes what is past its time.
 
@@ -60,15 +82,15 @@
     async def flush_loop(self) -> None:
         """Write changes of progress for as long as the tenure lasts."""
         changes = self._changes
-        flushed_at = NEVER
+        flushes: deque[float] = deque([NEVER], maxlen=MOST_QUICK_FLUSHES)
         while True:
             await changes.dirty.wait()
             await self._gather()
-            await asyncio.sleep(flushed_at + START_FLUSH_S - steady())
+            await asyncio.sleep(next_flush_at(flushes, steady()) - steady())
             changes.dirty.clear()
             changes.starts.clear()
             await self.flush()
-            flushed_at = steady()
+            flushes.append(steady())
 
     async def _gather(self) -> None:
         """Wait for more changes, unless a start waits for its record."""
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -20,14 +20,8 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-FIRST_FIELDS = 5
-"""Fields that each row of a task has that was started; those behind hold nothing for most."""
-
-FIRST_LENT_FIELDS = 3
-"""The same for a task that another shard looks after."""
-
 EMPTY: tuple[Any, ...] = (0, 0, [], [], 0, 0, [])
-"""What the fields behind the first hold where there is nothing to tell."""
+"""What fields behind the first of a started task hold where there is nothing to tell."""
 
 EMPTY_LENT: tuple[Any, ...] = (0, 0, [], 0, [])
 """The same for a task that another shard looks after."""
