Count a crash under a former owner's start of which no answer is on record

By its lines: three crashes were counted; the owner was lost 2 s after the fourth start, whose answer was not on record yet; the next owner found the executor gone and did not count that, as a start without an answer is not to be the crash that gives a task up; the fifth was the fourth by its count, spared for three falls beside, and a sixth start went out. Cause: a rule for starts that may never have come, applied to those of a former owner, whose answer may only have been lost with it. Change: such a crash counts, as one that was not heard of: it gives nobody up, and the next one that is real does. The test with these events failed before. test_starts_without_an_answer_convict_nobody, for starts of the owner itself, is unchanged.

--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -57,13 +57,16 @@
 
     A start without an answer, or with another order on its way, goes on to the next life, and
     would count there once more; and it is not the one that gives a task up, unless others like it
-    had put that off.
+    had put that off. A former owner may have had the answer, and been lost before it was on record:
+    such a run counts, as no verdict comes by it.
     """
     known = attempt.task.suspicion
     if known is None:
         return True
     unheard = known.crashes - known.heard
-    return not known.counts(attempt.run) and (not known.last or unheard > 0)
+    if known.counts(attempt.run):
+        return False
+    return attempt.found or not known.last or unheard > 0
 
 
 def stands_out(attempt: Attempt, suspects: list[Attempt]) -> bool:
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -183,3 +183,21 @@
     heir.add_job(core.jobs[JOB].submitted, 30.0, inherited=True, begun=True, progress=progress)
     fall(heir, "e0", 31.0, 31.1)
     return known_of(heir)
+
+
+def test_a_crash_under_a_start_without_an_answer_counts_also_after_three() -> None:
+    """Guards against a sixth executor that a task takes down: BUDGET.
+
+    Three crashes were counted. The owner was lost right after the fourth start, of which the record
+    tells no answer; the next one did not count that crash, as it might have given the task up. The
+    fifth was the fourth by its count, and was spared for falls beside.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=1)
+    named = tuple(Crash(f"e{number}@1", number, 2) for number in (1, 2, 3))
+    only_task(core).next_run = 4
+    core.suspect(only_task(core), Suspicion(3, 7, named=named))
+    core.jobs[JOB].runs[0].durable = core.jobs[JOB].runs[0].version
+    (order,) = plan(core, 10.0)
+    known = known_after_fall(core)
+    assert (known.crashes, known.heard, known.convicted) == (4, 3, False)
+    assert one_more(known, Crash("e5@1", order.run + 16, 2), 0).convicted
