Have starts wait for their record also while the store is slow

By its lines the first start, while the store was slow, was on no record: the next owner found the job with no record and not begun, and nobody counted the crash under it. Cause: a start waited for 0.3 s. A slow store answers in 0.4 s, and an append may be under way before. Change: it waits for a second at most, and for 0.3 s where the last append was refused or not answered. A builder of test_orders_not_sent_yet.py gets a writer that is well; what it asserts is unchanged. Left: a start while the store does not answer, or whose process stands still right then, is on no record, and a crash under it is counted by nobody.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -31,9 +31,12 @@
 executors takes milliseconds and each answer to its orders brings news, 70 plans a second were
 seen: so planning takes at most an eleventh of an owner's time, until the longest delay binds."""
 
-MOST_RECORD_WAIT_S = 0.3
-"""Longest time for which a start waits for its record: work goes on while the store is away. A
-start of a suspect waits for as long as it takes."""
+MOST_RECORD_WAIT_S = 1.0
+"""Longest time for which a start waits for its record: a slow store answers in 0.4 s, and an append
+may be under way. A start of a suspect waits for as long as it takes."""
+
+MOST_AWAY_WAIT_S = 0.3
+"""The same while the store refuses or does not answer: work goes on while it is away."""
 
 
 def gathering_s(took_s: float) -> float:
@@ -60,6 +63,7 @@
         self._settings = context.settings
         self._calls = context.calls
         self._metrics = context.metrics
+        self._writer = context.writer
         self._scope = context.scope
         self._proof = context.proof
         self._changes = context.changes
@@ -163,13 +167,16 @@
             return
         run = task.step.run
         version = run.version
-        limit_s = None if task.suspicion else MOST_RECORD_WAIT_S
+        limit_s = None if task.suspicion else self._record_wait_s()
         with suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
                 while run.durable < version and self._waits(run):
                     self._changes.starts.set()
                     await self._changes.next_stored()
 
+    def _record_wait_s(self) -> float:
+        return MOST_RECORD_WAIT_S if self._writer.healthy else MOST_AWAY_WAIT_S
+
     def _waits(self, run: JobRun) -> bool:
         """Whether a start of a repetition may still go out, and its record be written."""
         return not run.job.closing and self._proof.may_act(steady())
--- a/tests/shard/test_orders_not_sent_yet.py
+++ b/tests/shard/test_orders_not_sent_yet.py
@@ -58,6 +58,7 @@
             settings=SimpleNamespace(bounds=Bounds(max_lease_s=LEASE_S)),
             calls=ExecutorCalls(lambda _token: cast(Any, self), self.core.outdated),
             metrics=SimpleNamespace(observe=_ignore, count=_ignore),
+            writer=SimpleNamespace(healthy=True),
             scope=SimpleNamespace(spawn=self.waiting.append),
             proof=self.proof,
             changes=Changes(self.core),
