Let runs that nobody heard of give no task up where executors fall by themselves

Cause: five crashes gave a task up whatever they were, the one verdict that needed no certain one. On an overloaded machine, where answers are lost and executors fall every other second, starts without an answer meet falls by chance. Change: five decide only if they were heard of, or two of them are certain, or nothing else fell twice within 30 s where the task was not. The last is what a task that crashes executors before they answer is found by; its tests are unchanged.

--- a/src/linkspan/shard/suspicion.py
+++ b/src/linkspan/shard/suspicion.py
@@ -6,7 +6,8 @@
 a crash counts bounds how many executors a task can take down, whatever the weighing says.
 
 Two lines hold whatever the weighing says. No task is given up by less than two crashes that are
-certain: the run cannot have ended before the fall. And none is started after a fifth.
+certain: the run cannot have ended before the fall. And none is started after a fifth whose run was
+heard of.
 
 A crash is the end of one life of an executor with a run of the task on it, and is known by the
 name of that life: what turns out to be none is taken back, and none counts twice.
@@ -56,8 +57,8 @@
 the platform bears two, of which an owner that is lost may leave one off the record."""
 
 MOST_IN_ALL = 5
-"""The same where of some nobody knows whether the run was there: both starts after the third. That
-so many runs of one task were not there any more is less likely than that it crashes executors."""
+"""The same where of some nobody knows whether the run was there, or still was: both starts after
+the third. Where executors do not fall by themselves, nothing else explains so many."""
 
 CRASHES = "executors crash under one of its tasks"
 """Why a job failed of which a task was given up, for the log."""
@@ -131,21 +132,28 @@
         """Whether the task is to be given up where executors do not fall by themselves."""
         return self.convicted_by(LEAST_CERTAIN)
 
+    @property
+    def beyond(self) -> bool:
+        """Whether the platform bears no further start, whatever was decided."""
+        known = self.certain >= LEAST_CERTAIN
+        return self.heard >= MOST_IN_ALL or (known and self.crashes >= MOST_IN_ALL)
+
     @property
     def due(self) -> bool:
         """Whether who reads this on record is to give the task up."""
-        return self.crashes >= MOST_IN_ALL or (self.convicted and not self.put_off)
+        return self.beyond or (self.convicted and not self.put_off)
 
     def convicted_by(self, least_certain: int) -> bool:
         """Whether the task is to be given up.
 
         Args:
-            least_certain: Crashes that must be certain for what they count to decide.
+            least_certain: Crashes that must be certain for what they count to decide. Where
+                executors fall by themselves, runs of which nobody heard do not decide at all.
         """
-        if self.crashes >= MOST_IN_ALL:
+        if self.beyond:
             return True
         if self.certain < LEAST_CERTAIN:
-            return False
+            return self.crashes >= MOST_IN_ALL and least_certain == LEAST_CERTAIN
         if self.heard >= MOST_CRASHES:
             return True
         return self.certain >= least_certain and self.points >= GIVE_UP_POINTS
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from linkspan.jobs.crash import Crash
 from linkspan.jobs.record_codec import decode, encode
 from linkspan.jobs.records import Lent, Loan
@@ -10,7 +12,7 @@
 from linkspan.shard.messages import ExecutorReport, RunningTask
 from linkspan.shard.recovery.progress import encode_run, restore_run
 from linkspan.shard.reports._crashes import VERDICT_S
-from linkspan.shard.suspicion import Suspicion, one_more
+from linkspan.shard.suspicion import LEAST_CERTAIN_WHERE_OTHERS_FALL, Suspicion, one_more
 from linkspan.shard.task import Task
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report, started
@@ -201,3 +203,18 @@
     known = known_after_fall(core)
     assert (known.crashes, known.heard, known.convicted) == (4, 3, False)
     assert one_more(known, Crash("e5@1", order.run + 16, 2), 0).convicted
+
+
+def test_where_executors_fall_by_themselves_runs_that_nobody_heard_of_give_no_task_up() -> None:
+    """Guards against a job given up at five crashes of which none was certain: LOST.
+
+    Executors fell every other second on a machine that was overloaded; two runs had been heard of,
+    and may have ended, three starts had no answer. All tasks of the job had ended well.
+    """
+    named = tuple(
+        Crash(f"e{number}@1", number, 2, heard=number < 3, certain=False) for number in range(1, 6)
+    )
+    known = Suspicion(5, 7, named=named)
+    assert known.convicted, "where nothing else falls, nothing else explains it"
+    assert not known.convicted_by(LEAST_CERTAIN_WHERE_OTHERS_FALL)
+    assert not replace(known, put_off=True).due
