--- a/tests/host/test_crashes_on_no_record.py
+++ b/tests/host/test_crashes_on_no_record.py
@@ -1,4 +1,4 @@
-"""A crash under a start that went out on no record, and falls beside the crash that is to be the last."""
+"""A crash under a start that is on no record, and falls beside the one that is to be the last."""
 
 from __future__ import annotations
 
