--- a/tests/host/test_orders_of_former_owners.py
+++ b/tests/host/test_orders_of_former_owners.py
@@ -82,14 +82,23 @@
         loop.call_later(LATE_FOR_S, setattr, world, "late_share", 0.0)
         for after_s in times_s:
             loop.call_later(after_s, lambda: tasks.append(asyncio.ensure_future(trouble(world))))
-        for after_s in FALLS_S:
-            for address in FALLING:
-                falls_at_s = after_s + falls_later_s
-                loop.call_later(falls_at_s, world.restart_executor, address, context=Context())
+        _let_fall(world, falls_later_s)
 
-    restarts = Restarts(addresses=(), beside=begin, at_s=FALL_AT_S - LATE_FOR_S)
+    return await _play_late(begin, seed, **fields)
+
+
+def _let_fall(world: HallWorld, later_s: float) -> None:
+    """Let executors fall in turn, each time two of them."""
+    loop = asyncio.get_running_loop()
+    for after_s in FALLS_S:
+        for address in FALLING:
+            loop.call_later(after_s + later_s, world.restart_executor, address, context=Context())
+
+
+async def _play_late(begin: Callable[[HallWorld], None], seed: int, **fields: Any) -> RestartingDay:
+    """Play a day on which orders come late to whoever has the id by then, from a begin on."""
     return await play(
-        restarts,
+        Restarts(addresses=(), beside=begin, at_s=FALL_AT_S - LATE_FOR_S),
         seed=seed,
         late_most_s=LATE_MOST_S,
         late_to_next_life=True,
@@ -137,20 +146,9 @@
 
         loop.call_later(kill.at_s - LATE_BEFORE_S, setattr, world, "late_share", 1.0)
         loop.call_later(kill.at_s, end)
-        for after_s in FALLS_S:
-            for address in FALLING:
-                falls_at_s = after_s + kill.falls_later_s
-                loop.call_later(falls_at_s, world.restart_executor, address, context=Context())
+        _let_fall(world, kill.falls_later_s)
 
-    restarts = Restarts(addresses=(), beside=begin, at_s=FALL_AT_S - LATE_FOR_S)
-    return await play(
-        restarts,
-        seed=seed,
-        late_most_s=LATE_MOST_S,
-        late_to_next_life=True,
-        entry_after_s=HEARTBEAT_S,
-        **kill.load,
-    )
+    return await _play_late(begin, seed, **kill.load)
 
 
 def _judge(day: RestartingDay) -> None:
--- a/tests/host/test_partial_reports.py
+++ b/tests/host/test_partial_reports.py
@@ -48,14 +48,7 @@
 @pytest.mark.parametrize("unread_s", [5.0, 12.0, 21.0])
 def test_a_run_of_an_unread_job_is_waited_for(unread_s: float) -> None:
     async def play() -> HallWorld:
-        world = PartWorld(lists_machines=False)
-        await world.begin()
-        first = world.owner()
-        assert first
-        second = next(name for name, _ in world.host_names() if name != first)
-        busy, *others = sorted(world.executors)
-        # One side of a cut has the first owner and an executor, the other one all else.
-        world.cuts = {(second, busy)} | {(first, address) for address in others}
+        world, first, second, busy, others = await _cut_in_two()
         world.call_s = {second: CALL_S}
         world.away.add((first, "owners"))
         await _until(lambda: _heard(world, second) == len(others))
@@ -76,6 +69,22 @@
     assert run_virtual(play()).problems == []
 
 
+async def _cut_in_two() -> tuple[PartWorld, str, str, str, list[str]]:
+    """Return a world that is cut, its owner and an executor on one side, all else on the other.
+
+    Returns:
+        The world, the owner, the other host, the executor beside the owner, and the others.
+    """
+    world = PartWorld(lists_machines=False)
+    await world.begin()
+    first = world.owner()
+    assert first
+    second = next(name for name, _ in world.host_names() if name != first)
+    busy, *others = sorted(world.executors)
+    world.cuts = {(second, busy)} | {(first, address) for address in others}
+    return world, first, second, busy, others
+
+
 def _heard(world: HallWorld, host: str) -> int:
     """Return how many executors an owner has heard of in full."""
     tenure = world.hosts[host].host.candidates[0].tenure
@@ -92,13 +101,7 @@
     """Guards against a start of an owner that is not aware of its successor."""
 
     async def play() -> HallWorld:
-        world = PartWorld(lists_machines=False)
-        await world.begin()
-        first = world.owner()
-        assert first
-        second = next(name for name, _ in world.host_names() if name != first)
-        busy, *others = sorted(world.executors)
-        world.cuts = {(second, busy)} | {(first, address) for address in others}
+        world, first, second, busy, others = await _cut_in_two()
         world.away.add((first, "owners"))
         await _until(lambda: _heard(world, second) == len(others))
         assert await world.submit(first, world.new_job(step(1, estimate_s=LONG_S))) == 200
