--- a/src/linkspan/jobs/crash.py
+++ b/src/linkspan/jobs/crash.py
@@ -18,8 +18,8 @@
         life: Name of the life that ended.
         run: Number of the task's run that was there.
         points: What it counts.
-        heard: Whether the run is known to have been there: its start was answered, or it is one
-            that a former owner had recorded.
+        heard: Whether the run is known to have been there: its start was answered, also to a
+            former owner that recorded this.
         address: Where it was; empty where a former owner saw it.
         certain: Whether the run cannot have ended before the fall, unheard.
     """
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -5,7 +5,8 @@
 
 - the executor lists its end, or refuses its start,
 - its start was surely never sent, or not yet handed out,
-- a stop of it was taken and a look asked for after that does not list it,
+- a stop of it was taken, a look asked for after that does not list it, and no start of it
+  can come to a next life any more,
 - it is known from a former owner's record alone, and the executor has answered our
   higher token without listing it, or lists a newer run of the task,
 - the executor's incarnation is proved gone, or that of its id which answers does not
