Take a standing run that was taken over for there until its executor falls

What callers could have seen: a standing task that crashes executors, started once or twice more than needed after changes of owners: none of the crashes under runs that were taken over was certain. Found in reading, not in a play. Cause: nothing seemed to be left of work without end that reports 100 percent, infinity times zero, which is no number. Change: a run of endless, or unknown, length is there until its executor falls. The test failed before.

--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -46,6 +46,8 @@
     if not was_heard(attempt) or attempt.phase is Phase.STOPPING:
         return False
     length_s = _length_s(attempt)
+    if length_s == float("inf"):
+        return True
     if not attempt.found and fell_at - attempt.placed_at < LEAST_SHARE * length_s:
         return True
     left_s = length_s * (1.0 - attempt.progress / FULL_PROGRESS) if attempt.progress else length_s
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -218,3 +218,17 @@
     assert known.convicted, "where nothing else falls, nothing else explains it"
     assert not known.convicted_by(LEAST_CERTAIN_WHERE_OTHERS_FALL)
     assert not replace(known, put_off=True).due
+
+
+def test_a_standing_run_that_was_taken_over_is_there_until_its_executor_falls() -> None:
+    """Guards against a standing task that crashes its executors and is certain at none of them.
+
+    It is at work, 100 percent of a length without end, of which nothing seemed to be left.
+    """
+    core = core_with(step(1, standing=True), executors=0)
+    run = run_on(core, "e0@1", 2.0)
+    run.found = True
+    row = RunningTask(run.task.name, run.run, "", 100, None)
+    core.on_report("e0@1", ExecutorReport(3.0, (row,), (), born=1), asked=3.0, now=3.0)
+    fall(core, "e0@1", 4.0, 4.1)
+    assert known_of(core).certain == 1
