Log planned ends of executors with the times that decided them

Cause of the gap: the branch that takes an end for a planned departure returned without a word. The new line 567 names the executor and its runs and gives the times that were compared: when the announced time to leave ends, how long ago its last report was applied and its request sent, and how long ago its entry vanished. The time of the request is kept for this line only.

No decision changes: tests/shard and tests/test_events.py pass as before.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -190,6 +190,12 @@
         "executor crashed; the line lists the tasks that ran there",
         "see OPERATIONS.md, a job whose tasks crash executors, if a task is listed repeatedly",
     )
+    EXECUTOR_LEFT = (
+        567,
+        logging.INFO,
+        "executor with runs left as planned; they count as no crash",
+        "see OPERATIONS.md, a job whose tasks crash executors, if its task crashes executors",
+    )
     CRASH_TAKEN_BACK = 566, logging.INFO, "crash of an executor retracted", "nothing"
     EXECUTOR_RESTARTED = (
         560,
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -64,6 +64,7 @@
         has_reported: Whether it has reported in this tenure.
         reported_s: Reading of its own clock in the newest applied report.
         reported_at: Steady time at which its newest report was applied.
+        asked_at: Steady time at which the request of its newest applied report was sent.
         answered_at: Steady time of the last answer that names this incarnation. A report is applied
             later, once the records of the jobs in it are read.
         usage_applied_at: Steady time at which usage figures of its runs were last applied.
@@ -100,6 +101,7 @@
     has_reported: bool = False
     reported_s: float = NEVER
     reported_at: float = NEVER
+    asked_at: float = NEVER
     answered_at: float = NEVER
     usage_applied_at: float = NEVER
     silent_since: float | None = None
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
@@ -147,6 +148,7 @@
         attempts = list(executor.attempts.values()) or executor.expired_attempts
         crashed_at = now if executor.silent_since is None else executor.silent_since
         if executor.left_as_planned:
+            self._log_planned_end(executor, attempts, now)
             return
         executor_crash = _executor_crash(executor, crashed_at)
         simultaneous = self._simultaneous_crashes(executor_crash)
@@ -304,6 +306,30 @@
         why = {"reason": GIVE_UP_REASON, "task": short_name(task.name), "run": attempt.run}
         self._state.decide(job, JobState.FAILED, **why)
 
+    def _log_planned_end(
+        self, executor: ExecutorState, attempts: list[Attempt], now: float
+    ) -> None:
+        """Log runs that a planned end counts no crash for, with the times that were compared."""
+        if not attempts:
+            return
+        observed_at = executor.clock.observed_at if executor.clock else NEVER
+        names = [_run_name(attempt) for attempt in attempts[:MAX_LOGGED_TASKS]]
+        self._state.log(
+            Event.EXECUTOR_LEFT,
+            executor=executor.executor_id,
+            address=executor.record.address,
+            draining=executor.draining,
+            remaining_s=_logged_time(executor.leaves_at - now),
+            answered_s=_logged_time(now - observed_at),
+            asked_s=_logged_time(now - executor.asked_at),
+            entry_missing_s=_logged_time(now - executor.entry_removed_at),
+            silent_s=_logged_time(
+                now - (now if executor.silent_since is None else executor.silent_since)
+            ),
+            runs=len(attempts),
+            tasks=names,
+        )
+
     def _log(
         self,
         executor: ExecutorState,
@@ -354,6 +380,11 @@
     return Incarnation.of(executor_crash.executor_id).executor_id
 
 
+def _logged_time(seconds: float) -> float | None:
+    """Return a time as logged, ``None`` if it is infinite because its event has not happened."""
+    return round(seconds, 3) if isfinite(seconds) else None
+
+
 def _run_name(attempt: Attempt) -> str:
     task = attempt.task.name
     return f"{task.job_id}.{task.repetition}.{task.step}.{task.index}/{attempt.run}"
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -68,6 +68,7 @@
         self._state.record_contact(executor, report.clock_s, now)
         executor.reported_s = report.clock_s
         executor.reported_at = now
+        executor.asked_at = max(executor.asked_at, asked)
         for end in report.ended:
             if end.number > executor.last_handled_end:
                 self._ends.on_end(executor, end, now)
