--- a/tests/shard/test_retracted_crashes.py
+++ b/tests/shard/test_retracted_crashes.py
@@ -12,51 +12,15 @@
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, StopOrder
 from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
-from linkspan.shard.task import Task
 from tests.job_builders import step
-from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan, report_ends
-
-REPLACED = "another incarnation answers"
-
-
-def only_task(core: ShardCore) -> Task:
-    (task,) = core.jobs[JOB].runs[0].tasks()
-    return task
-
-
-def crash_executor(core: ShardCore, name: str, silent: float, ended_at: float) -> None:
-    """Let an executor go silent, and another incarnation answer at its address."""
-    core.on_silent(name, silent)
-    core.on_incarnation_ended(name, ended_at, REPLACED)
-
-
-def report_nothing(
-    core: ShardCore, name: str, started_at_ms: int, *, asked: float, now: float
-) -> None:
-    """Let an incarnation report that it has no runs."""
-    core.on_report(
-        name, ExecutorReport(now, (), (), started_at_ms=started_at_ms), asked=asked, now=now
-    )
-
-
-def set_all_durable(core: ShardCore) -> None:
-    """Mark all progress as durable: tasks with a crash history start only then."""
-    core.jobs[JOB].runs[0].durable = float("inf")
-
-
-def start_on(core: ShardCore, name: str, now: float, *, answered: bool = True) -> int:
-    """Add an executor, have the task started there and return the run's number."""
-    add_executor(core, name)
-    report_ends(core, name, asked=now - 0.02, now=now - 0.01)
-    set_all_durable(core)
-    (order,) = plan(core, now)
-    assert order.executor_id == name
-    clock = core.executors[name].clock
-    assert clock
-    clock.grant(core.bounds.max_lease_s, now)
-    if answered:
-        confirm_start(core, order, now)
-    return order.run
+from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan
+from tests.shard.crash_builders import (
+    REPLACED,
+    crash_executor,
+    only_task,
+    report_nothing,
+    start_on,
+)
 
 
 def crash_four_times_one_unanswered(core: ShardCore) -> None:
