Take an executor for alive at the time at which its answer was made

Cause: the time at which a report was applied counted as a time at which the executor was alive. A busy host applies an answer seconds after it was made: the registry entry has vanished meanwhile, and the crash passes for a planned departure.

Change: LeaseClock keeps the latest time at which the executor was certainly alive: the time at which the request was sent, or later by what has passed on the executor's clock, which may only run slow. Planned departures, simultaneous crashes and the age of reported progress go by it.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -321,11 +321,19 @@
         if not dirty:
             self.dirty.pop((run.job.job_id, run.repetition), None)
 
-    def record_contact(self, executor: ExecutorState, clock_s: float, now: float) -> None:
+    def record_contact(
+        self, executor: ExecutorState, clock_s: float, now: float, *, asked: float
+    ) -> None:
         """Record that an executor reported, with the reading of its clock.
 
         Only reports identify the incarnation whose clock they show; other answers may come from
         the next incarnation.
+
+        Args:
+            executor: The executor.
+            clock_s: Reading of its clock.
+            now: Steady time at which the report is applied.
+            asked: Steady time at which the request was sent.
         """
         if executor.clock is None:
             # The report shows that the executor knows this tenure's token. Until then, a previous
@@ -333,7 +341,7 @@
             # lease to the previous incarnation.
             granted_s = clock_s + self._bounds.max_lease_s
             executor.clock = LeaseClock(clock_s, now, granted_s)
-        executor.clock.observe(clock_s, now)
+        executor.clock.observe(clock_s, now, asked=asked)
         if executor.silent_since is not None:
             self.log(
                 Event.EXECUTOR_BACK,
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -64,7 +64,6 @@
         has_reported: Whether it has reported in this tenure.
         reported_s: Reading of its own clock in the newest applied report.
         reported_at: Steady time at which its newest report was applied.
-        asked_at: Steady time at which the request of its newest applied report was sent.
         answered_at: Steady time of the last answer that names this incarnation. A report is applied
             later, once the records of the jobs in it are read.
         usage_applied_at: Steady time at which usage figures of its runs were last applied.
@@ -101,7 +100,6 @@
     has_reported: bool = False
     reported_s: float = NEVER
     reported_at: float = NEVER
-    asked_at: float = NEVER
     answered_at: float = NEVER
     usage_applied_at: float = NEVER
     silent_since: float | None = None
@@ -149,11 +147,15 @@
         """Whether it is about to leave."""
         return self.record.draining
 
+    @property
+    def alive_at(self) -> float:
+        """Steady time at which it was certainly alive, the latest known."""
+        return self.clock.alive_at if self.clock else NEVER
+
     @property
     def left_as_planned(self) -> bool:
-        """Whether its end is planned: it drains, or it reported after its entry had vanished."""
-        observed_at = self.clock.observed_at if self.clock else NEVER
-        return self.draining or observed_at > self.entry_removed_at
+        """Whether its end is planned: it drains, or it was alive after its entry had vanished."""
+        return self.draining or self.alive_at > self.entry_removed_at
 
     @property
     def reserved_cpu(self) -> int:
--- a/src/linkspan/shard/leases.py
+++ b/src/linkspan/shard/leases.py
@@ -20,17 +20,31 @@
         clock_s: Newest reading of the executor's clock.
         observed_at: Steady time of this host at which that reading arrived.
         granted_s: Latest end of a lease that any owner may have granted, on the executor's clock.
+        alive_at: Steady time of this host at which the executor was certainly alive, the latest
+            known. A busy host applies an answer long after it was made, so the time at which the
+            answer arrived proves nothing.
     """
 
     clock_s: float
     observed_at: float
     granted_s: float
-
-    def observe(self, clock_s: float, now: float) -> None:
-        """Record the clock reading of an answer; older readings, of late answers, are ignored."""
-        if clock_s >= self.clock_s:
-            self.clock_s = clock_s
-            self.observed_at = now
+    alive_at: float = float("-inf")
+
+    def observe(self, clock_s: float, now: float, *, asked: float) -> None:
+        """Record the clock reading of an answer; older readings, of late answers, are ignored.
+
+        Args:
+            clock_s: Reading of the executor's clock.
+            now: Steady time of this host at which the answer arrived.
+            asked: Steady time of this host at which the request was sent.
+        """
+        if clock_s < self.clock_s:
+            return
+        # Real time is at least as long as time on the executor's clock, which may only run slow.
+        since_previous_s = clock_s - self.clock_s
+        self.alive_at = min(max(asked, self.alive_at + since_previous_s), now)
+        self.clock_s = clock_s
+        self.observed_at = now
 
     def grant(self, lease_s: float, now: float) -> float:
         """Record a lease granted now and return its end on the executor's clock."""
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -312,7 +312,6 @@
         """Log runs that a planned end counts no crash for, with the times that were compared."""
         if not attempts:
             return
-        observed_at = executor.clock.observed_at if executor.clock else NEVER
         names = [_run_name(attempt) for attempt in attempts[:MAX_LOGGED_TASKS]]
         self._state.log(
             Event.EXECUTOR_LEFT,
@@ -320,8 +319,7 @@
             address=executor.record.address,
             draining=executor.draining,
             remaining_s=_logged_time(executor.leaves_at - now),
-            answered_s=_logged_time(now - observed_at),
-            asked_s=_logged_time(now - executor.asked_at),
+            alive_s=_logged_time(now - executor.alive_at),
             entry_missing_s=_logged_time(now - executor.entry_removed_at),
             silent_s=_logged_time(
                 now - (now if executor.silent_since is None else executor.silent_since)
@@ -354,14 +352,15 @@
 
 
 def _executor_crash(executor: ExecutorState, silent_since: float) -> ExecutorCrash:
-    observed_at = executor.clock.observed_at if executor.clock else NEVER
-    # Answers to starts count, too, although they do not name the incarnation.
-    last_answer_at = max([observed_at, *(a.confirmed_at for a in executor.attempts.values())])
+    # Answers to starts count, too, although they do not name the incarnation. It was alive when the
+    # start was sent; the answer may have been applied much later.
+    answered = (a.placed_at for a in executor.attempts.values() if a.confirmed_at != NEVER)
+    alive_at = max([executor.alive_at, *answered])
     had_isolated_task = any(attempt.isolated for attempt in executor.attempts.values())
     return ExecutorCrash(
         executor.executor_id,
         executor.record.address,
-        last_answer_at,
+        alive_at,
         silent_since,
         had_isolated_task,
         set(),
--- a/src/linkspan/shard/reports/_executor_crashes.py
+++ b/src/linkspan/shard/reports/_executor_crashes.py
@@ -28,7 +28,7 @@
     Attributes:
         executor_id: The executor's incarnation.
         address: The executor's address.
-        last_answer_at: Steady time of the executor's last answer.
+        alive_at: Steady time at which the executor was certainly alive, the latest known.
         silent_since: Steady time since when it has been silent.
         had_isolated_task: Whether an isolated task ran there, which explains the crash.
         blamed_tasks: Tasks that the crash counts against as its likely cause.
@@ -36,7 +36,7 @@
 
     executor_id: str
     address: str
-    last_answer_at: float
+    alive_at: float
     silent_since: float
     had_isolated_task: bool
     blamed_tasks: set[Task]
@@ -44,8 +44,8 @@
     def may_be_simultaneous_with(self, other: ExecutorCrash) -> bool:
         """Whether two executors may have crashed at the same time."""
         return (
-            self.last_answer_at <= other.silent_since + SIMULTANEOUS_CRASH_MARGIN_S
-            and other.last_answer_at <= self.silent_since + SIMULTANEOUS_CRASH_MARGIN_S
+            self.alive_at <= other.silent_since + SIMULTANEOUS_CRASH_MARGIN_S
+            and other.alive_at <= self.silent_since + SIMULTANEOUS_CRASH_MARGIN_S
         )
 
 
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -65,10 +65,9 @@
         if executor.clock is None:
             # The executor counted as lost, at this owner or a former one, but was only cut off.
             self._crashes.retract(executor.executor_id, "the executor answers again")
-        self._state.record_contact(executor, report.clock_s, now)
+        self._state.record_contact(executor, report.clock_s, now, asked=asked)
         executor.reported_s = report.clock_s
         executor.reported_at = now
-        executor.asked_at = max(executor.asked_at, asked)
         for end in report.ended:
             if end.number > executor.last_handled_end:
                 self._ends.on_end(executor, end, now)
@@ -125,7 +124,7 @@
             attempt.phase = Phase.RUNNING
         if row.progress > attempt.progress or attempt.progress_at == NEVER:
             attempt.progress = row.progress
-            attempt.progress_at = now
+            attempt.progress_at = executor.alive_at
         attempt.usage = row.usage
         if not attempt.speculative:
             attempt.task.save(row.run, row.checkpoint)
