Count the end of a draining executor before its announced time as a crash

Cause: whatever drains had left as planned. An executor that drains can crash, too.

Change: an owner that read the registration without the announcement before knows that the executor stays until the announced time, less 0.3 s for reading. An end before it counts as a crash, but as none that is certain, since reading may take longer: it is not one of the two certain crashes that giving up needs. A later entry with less time moves the time. An owner that finds the executor draining knows no such time, and counts nothing, as before.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -193,7 +193,7 @@
     EXECUTOR_LEFT = (
         567,
         logging.INFO,
-        "executor with runs left as planned; they count as no crash",
+        "executor with runs left; only an end before the announced time counts as a crash",
         "see OPERATIONS.md, a job whose tasks crash executors, if its task crashes executors",
     )
     CRASH_TAKEN_BACK = 566, logging.INFO, "crash of an executor retracted", "nothing"
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -75,6 +75,8 @@
         attempts: Attempts that may be running there, by task and run.
         quarantined_until: Steady time until which it gets no new work.
         leaves_at: Steady time at which it may leave, while it drains.
+        stays_until: Steady time before which it does not leave, while it drains; in the past if
+            this owner does not know when the drain was announced.
         unknown_runs: Whether it has, or may have, runs of jobs that this shard does not know and
             that take an unknown part of its capacity.
         missing_since: Steady time from which its registration counts as removed.
@@ -109,6 +111,7 @@
     attempts: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     quarantined_until: float = NEVER
     leaves_at: float = FOREVER
+    stays_until: float = NEVER
     unknown_runs: bool = False
     missing_since: float = FOREVER
     entry_removed_at: float = FOREVER
@@ -152,11 +155,6 @@
         """Steady time at which it was certainly alive, the latest known."""
         return self.clock.alive_at if self.clock else NEVER
 
-    @property
-    def left_as_planned(self) -> bool:
-        """Whether its end is planned: it drains, or it was alive after its entry had vanished."""
-        return self.draining or self.alive_at > self.entry_removed_at
-
     @property
     def reserved_cpu(self) -> int:
         """Thousandths of a core that are reserved by attempts that are not best-effort."""
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -36,6 +36,7 @@
     is_confirmed,
     time_on_executor_s,
 )
+from linkspan.shard.reports._departures import Departure, departure_of
 from linkspan.shard.reports._executor_crashes import (
     MIN_REPEATED_CRASHES,
     RECENT_CRASH_S,
@@ -147,8 +148,10 @@
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, ended: bool) -> None:
         attempts = list(executor.attempts.values()) or executor.expired_attempts
         crashed_at = now if executor.silent_since is None else executor.silent_since
-        if executor.left_as_planned:
-            self._log_planned_end(executor, attempts, now)
+        departure = departure_of(executor, crashed_at)
+        if departure is not Departure.NONE:
+            self._log_departure(executor, attempts, departure, now)
+        if departure.planned:
             return
         executor_crash = _executor_crash(executor, crashed_at)
         simultaneous = self._simultaneous_crashes(executor_crash)
@@ -166,9 +169,10 @@
         by_age = sorted(attempts, key=lambda a: time_on_executor_s(a, crashed_at))
         self._log(executor, by_age, crashed_at, now, proof=proof, simultaneous=len(simultaneous))
         unexplained = sum(not other.had_isolated_task for other in simultaneous)
+        certain = ended and departure is Departure.NONE
         suspects = [a for a in attempts if a.task.needs_isolation]
         blamed = [
-            a for a in attempts if ended and not unexplained and has_highest_score(a, suspects)
+            a for a in attempts if certain and not unexplained and has_highest_score(a, suspects)
         ]
         tasks_with_history = {a.task for a in attempts if a.task.crash_history}
         for attempt in by_age:
@@ -179,7 +183,7 @@
                 crash_score_of(attempt, elapsed_s) if attempt in blamed else MIN_CRASH_SCORE,
                 is_confirmed(attempt),
                 executor.record.address,
-                ended and is_certain(attempt, crashed_at),
+                certain and is_certain(attempt, crashed_at),
             )
             self._add_to_history(
                 attempt, elapsed_s, crash, alone=tasks_with_history <= {attempt.task}
@@ -306,10 +310,10 @@
         why = {"reason": GIVE_UP_REASON, "task": short_name(task.name), "run": attempt.run}
         self._state.decide(job, JobState.FAILED, **why)
 
-    def _log_planned_end(
-        self, executor: ExecutorState, attempts: list[Attempt], now: float
+    def _log_departure(
+        self, executor: ExecutorState, attempts: list[Attempt], departure: Departure, now: float
     ) -> None:
-        """Log runs that a planned end counts no crash for, with the times that were compared."""
+        """Log runs that were on an executor which left, with the times that were compared."""
         if not attempts:
             return
         names = [_run_name(attempt) for attempt in attempts[:MAX_LOGGED_TASKS]]
@@ -317,7 +321,7 @@
             Event.EXECUTOR_LEFT,
             executor=executor.executor_id,
             address=executor.record.address,
-            draining=executor.draining,
+            departure=departure.value,
             remaining_s=_logged_time(executor.leaves_at - now),
             alive_s=_logged_time(now - executor.alive_at),
             entry_missing_s=_logged_time(now - executor.entry_removed_at),
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.executor import FOREVER, ExecutorState
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.reports._restarts import uncertain_attempts
@@ -25,6 +26,10 @@
 """Delay added before an executor that a former owner used counts as missing when it has no registry
 entry: after an outage of the store, entries are back within about two seconds."""
 
+DRAIN_READ_DELAY_S = 0.3
+"""Usual limit of the delay with which a host that follows the registrations reads that an executor
+drains: the executor may leave earlier than computed by this delay."""
+
 
 class ExecutorLiveness:
     """Determines when everything that may run on an executor has certainly ended.
@@ -94,17 +99,15 @@
             if executor is None:
                 self._state.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
                 executor = self._add_executor(record)
+            observed = executor.listed and not executor.draining
             executor.register(record)
             if executor_id in missing:
                 # Keep the earliest time: an outage of the store moves the reported one.
                 executor.entry_removed_at = min(missing[executor_id], executor.entry_removed_at)
             else:
                 executor.entry_removed_at = FOREVER
-            if record.draining and executor.leaves_at == FOREVER:
-                self._state.log(
-                    Event.EXECUTOR_DRAINING, executor=executor_id, remaining_s=record.remaining_s
-                )
-                executor.leaves_at = now + record.remaining_s
+            if record.draining:
+                self._on_draining(executor, now, observed=observed)
         for executor_id, executor in list(self._state.executors.items()):
             if executor_id in listed:
                 continue
@@ -112,6 +115,24 @@
                 executor.missing_since = now if executor.listed else now + INHERITED_ENTRY_GRACE_S
             executor.listed = False
 
+    def _on_draining(self, executor: ExecutorState, now: float, *, observed: bool) -> None:
+        """Apply the announcement of a draining executor, or apply it again.
+
+        Args:
+            executor: The executor.
+            now: Steady time.
+            observed: Whether this owner had read a registration of it without an announcement.
+        """
+        remaining_s = executor.record.remaining_s
+        if executor.leaves_at == FOREVER:
+            self._state.log(
+                Event.EXECUTOR_DRAINING, executor=executor.executor_id, remaining_s=remaining_s
+            )
+        # The earliest time: the first announcement may have been read late.
+        executor.leaves_at = min(executor.leaves_at, now + remaining_s)
+        if observed or executor.stays_until != NEVER:
+            executor.stays_until = executor.leaves_at - DRAIN_READ_DELAY_S
+
     def on_incarnation_ended(
         self, executor_id: str, now: float, proof: str, *, since: float | None
     ) -> None:
--- /dev/null
+++ b/tests/shard/test_crashes_while_draining.py
@@ -0,0 +1,142 @@
+"""Tests executors that end while they drain, before or after the time that they announced.
+
+An executor that drains can crash, too. It is no proof of a crash that it ends early, so such a
+crash counts and is not certain.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from linkspan.shard.core import ShardCore
+from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from tests.job_builders import step
+from tests.shard.builders import core_with, report_ends
+from tests.shard.crash_builders import (
+    crash_at_once,
+    crash_executor,
+    crash_under_older_run,
+    only_task,
+    report_partially,
+    start_on,
+)
+
+REMAINING_S = 2.0
+"""Time that a draining executor announces to remain."""
+
+
+def _drain(core: ShardCore, name: str, at: float, *, remaining_s: float = REMAINING_S) -> float:
+    """Let an executor announce that it will leave, and return the steady time of its leave."""
+    records = [e.record for e in core.executors.values() if e.executor_id != name]
+    record = replace(core.executors[name].record, draining=True, remaining_s=remaining_s)
+    core.list_executors([*records, record], at)
+    return at + remaining_s
+
+
+def _crash_draining(core: ShardCore, name: str, at: float) -> None:
+    """Start the task on an executor that then drains, and crashes within 0.2 seconds."""
+    start_on(core, name, at)
+    _drain(core, name, at + 0.05)
+    crash_executor(core, name, at + 0.1, at + 0.2)
+
+
+@pytest.mark.parametrize("early_s", [0.6, 1.4])
+def test_a_draining_executor_that_ends_early_counts_as_crashed(early_s: float) -> None:
+    """Guards against a crash that counts for no task because its executor was draining."""
+    core = core_with(step(1), executors=0)
+    start_on(core, "e0", 1.0)
+    leaves_at = _drain(core, "e0", 1.3)
+    ended_at = leaves_at - early_s
+    report_partially(core, "e0", ended_at - 0.05)
+    crash_executor(core, "e0", ended_at, ended_at + 0.2)
+    history = only_task(core).crash_history
+    assert history and (history.crash_count, history.certain_count) == (1, 0)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.5, 3.0])
+def test_a_draining_executor_that_ends_as_announced_has_not_crashed(late_s: float) -> None:
+    """Guards against a planned departure that counts as a crash."""
+    core = core_with(step(1, estimate_s=30.0), executors=0)
+    start_on(core, "e0", 1.0)
+    ended_at = _drain(core, "e0", 1.3) + late_s
+    report_partially(core, "e0", ended_at - 0.05)
+    crash_executor(core, "e0", ended_at, ended_at + 0.2)
+    assert only_task(core).crash_history is None
+
+
+def test_an_executor_that_ends_just_before_its_announced_time_has_not_crashed() -> None:
+    """Guards against a planned departure that counts as a crash for a small error of its time."""
+    core = core_with(step(1, estimate_s=30.0), executors=0)
+    start_on(core, "e0", 1.0)
+    ended_at = _drain(core, "e0", 1.3) - 0.2
+    report_partially(core, "e0", ended_at - 0.05)
+    crash_executor(core, "e0", ended_at, ended_at + 0.2)
+    assert only_task(core).crash_history is None
+
+
+def test_a_later_entry_with_less_remaining_time_moves_the_announced_time() -> None:
+    """Guards against a planned departure that counts as a crash: its first entry was read late."""
+    core = core_with(step(1, estimate_s=30.0), executors=0)
+    start_on(core, "e0", 1.0)
+    _drain(core, "e0", 1.3)
+    ended_at = _drain(core, "e0", 1.5, remaining_s=0.8)
+    report_partially(core, "e0", ended_at - 0.05)
+    crash_executor(core, "e0", ended_at, ended_at + 0.2)
+    assert only_task(core).crash_history is None
+
+
+def test_a_draining_executor_found_ended_long_after_it_left_has_not_crashed() -> None:
+    """Guards against a planned departure that counts as a crash as it was silent before its end.
+
+    The executor ended as announced; the first unanswered call followed, and its end is found later.
+    """
+    core = core_with(step(1, estimate_s=30.0), executors=0)
+    start_on(core, "e0", 1.0)
+    leaves_at = _drain(core, "e0", 1.3)
+    report_partially(core, "e0", leaves_at - 0.1)
+    crash_executor(core, "e0", leaves_at + 0.05, leaves_at + 4.0)
+    assert only_task(core).crash_history is None
+
+
+def test_an_early_end_without_runs_counts_for_no_task() -> None:
+    """Guards against a crash counted for a task that was not on the executor."""
+    core = core_with(step(1), executors=0)
+    crash_at_once(core, "e0", 1.0)
+    start_on(core, "e1", 3.0)
+    start = only_task(core).attempts[0]
+    report_ends(core, "e1", asked=3.01, now=3.02)
+    core.close_attempt(start, 3.05)
+    _drain(core, "e1", 3.1)
+    crash_executor(core, "e1", 3.3, 3.4)
+    history = only_task(core).crash_history
+    assert history and history.crash_count == 1
+
+
+def test_a_crash_while_draining_is_not_one_of_the_two_certain_crashes() -> None:
+    """Guards against a job given up after a single certain crash.
+
+    An executor that is told to leave may be stopped before its announced time.
+    """
+    core = core_with(step(1), executors=0)
+    crash_at_once(core, "e0", 1.0)
+    for name, at in (("e1", 3.0), ("e2", 5.0)):
+        _crash_draining(core, name, at)
+        core.tick(at + 0.2 + GIVE_UP_DELAY_S)
+    assert core.finished == []
+
+
+def test_crashes_while_draining_count_towards_the_limit() -> None:
+    """Guards against a sixth start of a task under which five executors crashed.
+
+    Three crashes are certain, and two were on draining executors.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=0)
+    at = 1.0
+    for name, draining in (("e0", False), ("e1", True), ("e2", True), ("e3", False), ("e4", False)):
+        if not core.finished:
+            (_crash_draining if draining else crash_under_older_run)(core, name, at)
+            core.tick(at + 7.0)
+        at += 8.0
+    assert len(core.finished) == 1
