Keep the decision on a task in its crash history

What callers saw: a task that crashes executors was started while its owner had yet to decide, so one more executor crashed (BUDGET); or it was given up by a next owner, or in the other hall, though no executor had crashed since an owner had put that off.

Cause: what an owner has decided about a task stood in four places, and each way that a task takes lost some of it: a dictionary of pending decisions in one owner's memory, not_before = inf, which a refused start overwrote, give_up_deferred in progress records and not in delegations, and a history that retractions built anew without it. A start that was sent again, that waited for its record, or a handover that was planned before the crash was found, asked none of them.

Change: the history says whether a decision is pending, until when, and at how many crashes it was put off. Task.may_start is what plans, copies and handovers ask; starts sent again and starts that wait for their record ask decision_pending; a task whose decision is pending is not handed over. not_before is a retry delay only. Line 568 tells how each crash counts for a task under which several executors crashed, and the decision.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -196,6 +196,12 @@
         "executor with runs left; only an end before the announced time counts as a crash",
         "see OPERATIONS.md, a job whose tasks crash executors, if its task crashes executors",
     )
+    CRASH_WEIGHED = (
+        568,
+        logging.INFO,
+        "crash counted for a task under which several executors crashed",
+        "nothing; decision says whether the task is given up",
+    )
     CRASH_TAKEN_BACK = 566, logging.INFO, "crash of an executor retracted", "nothing"
     EXECUTOR_RESTARTED = (
         560,
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -224,6 +224,10 @@
     )
 
 
+EMPTY_CRASH_FIELDS: tuple[Any, ...] = (0, 0, [], 0)
+"""Empty values of the optional fields in the row of a delegation."""
+
+
 def _delegations_from(fields: Any) -> tuple[Delegation, ...]:
     return tuple(_delegation_from(parse_list(row)) for row in parse_list(fields))
 
@@ -231,34 +235,43 @@
 def _delegation_from(row: list[Any]) -> Delegation:
     """Parse a delegation.
 
-    Rows of earlier versions contain no crash history; those of later versions may append fields.
+    Rows of earlier versions contain no crash history, or do not say when giving up was put off;
+    those of later versions may append fields.
     """
-    step, index, number, crash_count, crash_score, *more = [*row, 0, 0][: max(len(row), 5)]
+    step, index, number, *crashes = row
+    crash_count, crash_score, listed, deferred_at, *_ = [
+        *crashes,
+        *EMPTY_CRASH_FIELDS[len(crashes) :],
+    ]
     identified = tuple(
         Crash(parse_text(incarnation), parse_int(run), parse_int(score)).with_certainty(
             parse_int(certainty)
         )
-        for incarnation, run, score, certainty, *_ in map(
-            parse_list, parse_list(more[0]) if more else ()
-        )
+        for incarnation, run, score, certainty, *_ in map(parse_list, parse_list(listed))
+    )
+    return Delegation(
+        parse_int(step),
+        parse_int(index),
+        parse_int(number),
+        parse_int(crash_count),
+        parse_int(crash_score),
+        identified,
+        parse_int(deferred_at),
     )
-    identity = parse_int(step), parse_int(index), parse_int(number)
-    return Delegation(*identity, parse_int(crash_count), parse_int(crash_score), identified)
 
 
 def _delegation_row(delegation: Delegation) -> list[Any]:
     """Return the fields of a delegation; the crash history is omitted if there is none."""
-    crashes = [delegation.crash_count, delegation.crash_score] if delegation.crash_count else []
+    identity = [delegation.step, delegation.index, delegation.number]
+    if not delegation.crash_count:
+        return identity
     identified = [
         [c.incarnation, c.run, c.score, c.certainty] for c in delegation.identified_crashes
     ]
-    return [
-        delegation.step,
-        delegation.index,
-        delegation.number,
-        *crashes,
-        *([identified] if identified else []),
-    ]
+    crashes = [delegation.crash_count, delegation.crash_score]
+    if delegation.deferred_at:
+        return [*identity, *crashes, identified, delegation.deferred_at]
+    return [*identity, *crashes, *([identified] if identified else [])]
 
 
 _KINDS_WITH_SHARD = frozenset(("l", "r"))
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -382,7 +382,7 @@
     def _should_resend_start(self, attempt: Attempt, executor: ExecutorState) -> bool:
         """Return whether a run should still begin on the executor that did not answer its start."""
         task, job = attempt.task, attempt.task.step.run.job
-        if task.done or attempt.speculative or job.closing:
+        if task.done or attempt.speculative or job.closing or task.decision_pending:
             return False
         if task.needs_isolation and attempt.carried_over:
             # The task may have crashed the previous incarnation: place it again, in isolation.
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -45,7 +45,6 @@
     from linkspan.model.settings import Bounds
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.job_run import JobRun
     from linkspan.shard.messages import (
         ExecutorRecord,
         ExecutorReport,
@@ -270,14 +269,15 @@
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
-    ) -> JobRun | None:
+    ) -> tuple[Task, ...]:
         """Stop managing pending tasks of a job, which another shard manages from now on.
 
         In the job's home shard, this delegates the tasks under their next delegation number. In
         another shard, it returns them to the home shard under the number they were delegated with.
 
         Returns:
-            The repetition of the tasks.
+            The tasks that were handed over; a task is kept while the owner decides whether to give
+            it up.
         """
         return self._delegations.hand_over_tasks(job_id, shard, tasks)
 
--- a/src/linkspan/shard/crash_history.py
+++ b/src/linkspan/shard/crash_history.py
@@ -87,16 +87,42 @@
         crash_score: Sum of the scores of these crashes, possibly capped.
         version: First version of the repetition's record that holds these crashes.
         identified_crashes: The crashes whose incarnation is known, the oldest first.
-        give_up_deferred: Whether the decision to give the task up after the last crash is pending,
-            or was not taken because other executors crashed at the same time. The next owner does
-            not know of those crashes and waits for one more crash of the task.
+        deferred_at: Number of crashes at which an owner put off giving the task up, as executors
+            crashed by themselves. It waits for one more crash of the task. 0 if none did.
+        give_up_due_at: Steady time at which this owner decides whether to give the task up;
+            ``None`` if no decision is pending. The task must not be started before the decision.
     """
 
     crash_count: int
     crash_score: int
     version: int = 0
     identified_crashes: tuple[Crash, ...] = field(default=(), compare=False)
-    give_up_deferred: bool = field(default=False, compare=False)
+    deferred_at: int = field(default=0, compare=False)
+    give_up_due_at: float | None = field(default=None, compare=False)
+
+    @property
+    def decision_pending(self) -> bool:
+        """Whether this owner has yet to decide whether to give the task up."""
+        return self.give_up_due_at is not None
+
+    @property
+    def deferred(self) -> bool:
+        """Whether an owner put off giving the task up, and no crash was found since."""
+        return self.crash_count <= self.deferred_at
+
+    @property
+    def recorded_deferral(self) -> int:
+        """Number of crashes at which giving up is deferred for the next owner.
+
+        The next owner does not know which executors crashed at the same time, so a pending
+        decision counts as deferred, too.
+        """
+        return self.crash_count if self.decision_pending else self.deferred_at
+
+    @property
+    def last_crash(self) -> Crash | None:
+        """The newest identified crash, ``None`` if there is none."""
+        return self.identified_crashes[-1] if self.identified_crashes else None
 
     @property
     def addresses(self) -> frozenset[str]:
@@ -157,7 +183,9 @@
     @property
     def must_give_up(self) -> bool:
         """Whether an owner that reads this history from a record must give the task up."""
-        return self.over_crash_limit or (self.should_give_up and not self.give_up_deferred)
+        if self.over_crash_limit:
+            return True
+        return self.should_give_up and not (self.deferred or self.decision_pending)
 
     def should_give_up_with(self, min_certain: int) -> bool:
         """Return whether to give the task up.
@@ -184,6 +212,7 @@
             delegation.crash_count,
             delegation.crash_score,
             identified_crashes=delegation.identified_crashes,
+            deferred_at=delegation.deferred_at,
         )
         if delegation.crash_count
         else None
@@ -215,8 +244,12 @@
     if crash.score == MIN_CRASH_SCORE or not alone:
         # A crash that another task may have caused never gives this task up by score.
         total = min(total, GIVE_UP_SCORE - 1)
-    return CrashHistory(
-        history.crash_count + 1, total, version, (*history.identified_crashes, crash)
+    return replace(
+        history,
+        crash_count=history.crash_count + 1,
+        crash_score=total,
+        version=version,
+        identified_crashes=(*history.identified_crashes, crash),
     )
 
 
@@ -264,4 +297,11 @@
         MIN_CRASH_SCORE * min(crash_count, MAX_CONFIRMED_CRASHES - 1),
     )
     remaining = tuple(other for other in history.identified_crashes if other is not crash)
-    return CrashHistory(crash_count, min(score, GIVE_UP_SCORE - 1), version, remaining)
+    return replace(
+        history,
+        crash_count=crash_count,
+        crash_score=min(score, GIVE_UP_SCORE - 1),
+        version=version,
+        identified_crashes=remaining,
+        deferred_at=min(history.deferred_at, crash_count),
+    )
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -13,7 +13,6 @@
 
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.crash_history import CrashHistory
-    from linkspan.shard.job_run import JobRun
     from linkspan.shard.task import Task
 
 
@@ -48,22 +47,26 @@
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
-    ) -> JobRun | None:
-        """Stop managing pending tasks of a job, and return their repetition.
+    ) -> tuple[Task, ...]:
+        """Stop managing tasks of a job, and return those that were handed over.
 
         A delegation of a task whose home is this shard gets the next number. A task that was
-        delegated to this shard is returned under the number of its delegation.
+        delegated to this shard is returned under the number of its delegation. A task is kept if
+        a crash was found since the handover was planned and its owner has yet to decide whether to
+        give it up.
         """
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job else None
         if job is None or run is None:
-            return None
-        for step, index in tasks:
-            task = run.steps[step].tasks[index]
+            return ()
+        planned = [run.steps[step].tasks[index] for step, index in tasks]
+        handed_over = tuple(task for task in planned if not task.decision_pending)
+        for task in handed_over:
             task.managed_by = shard
             task.delegation_number += 0 if job.delegated_here else 1
-        self._state.mark_dirty(run)
-        return run
+        if handed_over:
+            self._state.mark_dirty(run)
+        return handed_over
 
     def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> None:
         """Manage tasks again whose delegations were returned."""
@@ -118,8 +121,12 @@
     """Return a task's last delegation, including the task's crash history."""
     known = task.crash_history
     name = task.name.step, task.name.index, task.delegation_number
-    return (
-        Delegation(*name, known.crash_count, known.crash_score, known.identified_crashes)
-        if known
-        else Delegation(*name)
+    if known is None:
+        return Delegation(*name)
+    return Delegation(
+        *name,
+        known.crash_count,
+        known.crash_score,
+        known.identified_crashes,
+        known.recorded_deferral,
     )
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -23,7 +23,7 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.handover.rebalance import Handover
     from linkspan.shard.handover.summary import HallSummary
-    from linkspan.shard.job_run import JobRun
+    from linkspan.shard.task import Task
 
 REBALANCE_INTERVAL_S = 0.3
 """Time between searches for work that another hall could take."""
@@ -82,23 +82,25 @@
             await self.publish_move(job_id, shard)
             return
         job = self._core.jobs.get(job_id)
-        run = self._core.hand_over_tasks(job_id, shard, tasks)
-        if job is None or run is None:
+        if job is None:
             # The job ended in the meantime.
             return
+        handed_over = self._core.hand_over_tasks(job_id, shard, tasks)
+        if not handed_over:
+            job.handing_over = False
+            return
+        run = handed_over[0].step.run
         await self._writer.write([Record(encode_run(run), progress_key(run))])
         if job.delegated_here:
-            await self._job_registry.write([self._returned(job_id, run, tasks)])
+            await self._job_registry.write([self._returned(job_id, handed_over)])
         elif delegations := self._core.delegations(job_id).get(shard):
             await self._job_registry.write([Delegated(job_id, shard, delegations)])
         job.handing_over = False
 
-    def _returned(self, job_id: str, run: JobRun, tasks: tuple[tuple[int, int], ...]) -> Returned:
+    def _returned(self, job_id: str, tasks: tuple[Task, ...]) -> Returned:
         entry = self._job_registry.catalog.get(job_id)
         before = entry.returned_delegations.get(self._shard, ()) if entry else ()
-        delegations = tuple(
-            last_delegation_of(run.steps[step].tasks[index]) for step, index in tasks
-        )
+        delegations = tuple(map(last_delegation_of, tasks))
         self._returned_delegations.keep_only(self._core.jobs)
         return Returned(
             job_id, self._shard, self._returned_delegations.add(job_id, before, delegations)
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -109,9 +109,8 @@
             if step.spec.best_effort or step.spec.standing
             else SHORT_TASK_HANDOVER_WAIT_S
         )
-        # A task that may not start yet may not start elsewhere, either: the owner may be about to
-        # give the task up.
-        startable = (t for t in step.tasks if t.pending and t.not_before <= now)
+        # A task that may not start yet may not start elsewhere, either.
+        startable = (t for t in step.tasks if t.pending and t.may_start(now))
         pending = [t for t in startable if now - t.ready_since >= wait_s]
         if not pending or job.closing or job.handing_over:
             return None
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -119,8 +119,13 @@
         if not isinstance(order, StartOrder):
             return True
         attempt = executor.attempts.get((order.task, order.run))
-        # A start that is meanwhile counted at the next incarnation was certainly not sent.
-        return attempt is not None and attempt.phase is Phase.STARTING
+        # A start that is meanwhile counted at the next incarnation was certainly not sent. Crashes
+        # found since the plan may be enough to give the task up.
+        return (
+            attempt is not None
+            and attempt.phase is Phase.STARTING
+            and not attempt.task.decision_pending
+        )
 
     async def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -81,7 +81,6 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._pending_give_ups: dict[Task, tuple[Attempt, float]] = {}
 
     def __repr__(self) -> str:
         return f"CrashTracker({len(self._state.executor_crashes)} executor crashes)"
@@ -190,7 +189,9 @@
             )
         executor_crash.blamed_tasks.update(a.task for a in blamed)
         for attempt in by_age:
-            self._schedule_give_up(attempt, now, may_give_up=unexplained < MIN_SIMULTANEOUS_CRASHES)
+            self._schedule_give_up(
+                attempt.task, now, may_give_up=unexplained < MIN_SIMULTANEOUS_CRASHES
+            )
 
     def _clear_blame_of(self, simultaneous: Iterable[ExecutorCrash]) -> None:
         """Clear the blame from earlier crashes, now that a simultaneous crash was found."""
@@ -239,39 +240,55 @@
         run = task.step.run
         self._state.mark_dirty(run)
         history = add_crash(task.crash_history, crash, run.version, alone=alone)
-        self._state.set_crash_history(
-            task, replace(history, give_up_deferred=history.should_give_up)
-        )
+        self._state.set_crash_history(task, history)
 
-    def _schedule_give_up(self, attempt: Attempt, now: float, *, may_give_up: bool) -> None:
+    def _schedule_give_up(self, task: Task, now: float, *, may_give_up: bool) -> None:
         """Schedule giving up a task with too many crashes, unless a simultaneous crash is found.
 
         Args:
-            attempt: A run of the task that was on the crashed executor.
+            task: The task.
             now: Steady time.
             may_give_up: Whether this crash may be the task's last one. It may not if other
                 executors crashed at the same time without an isolated task. That spares a task
                 once, as the platform tolerates one more start.
         """
-        task = attempt.task
         history = task.crash_history
-        if history is None or task in self._pending_give_ups:
+        if history is None or history.decision_pending:
             return
-        if not history.should_give_up_with(self._min_certain_crashes(history, now)):
-            return
-        if may_give_up or history.crash_count > MAX_CONFIRMED_CRASHES:
-            self._pending_give_ups[task] = attempt, now + GIVE_UP_DELAY_S
-            # Block starts until the decision, however late it comes: a plan may be made right
-            # before it.
-            task.not_before = float("inf")
+        may_give_up = may_give_up or history.crash_count > MAX_CONFIRMED_CRASHES
+        if not history.should_give_up:
+            decision = "none"
+        elif may_give_up and self._should_give_up(history, now):
+            decision = "pending"
+            pending = replace(history, give_up_due_at=now + GIVE_UP_DELAY_S)
+            self._state.set_crash_history(task, pending)
+        else:
+            decision = "deferred"
+            self._defer(task, history)
+        if history.needs_isolation:
+            self._log_decision(task, history, decision, now)
 
     def tick(self, now: float) -> None:
-        """Give up the scheduled tasks whose delay has passed."""
-        due = [task for task, (_, at) in self._pending_give_ups.items() if at <= now]
-        for task in due:
-            attempt, _ = self._pending_give_ups.pop(task)
-            task.not_before = now
-            self._give_up(attempt, now)
+        """Take the decisions to give tasks up whose delay has passed."""
+        for task in list(self._state.tasks_with_crash_history):
+            history = task.crash_history
+            if history is None or history.give_up_due_at is None or history.give_up_due_at > now:
+                continue
+            history = replace(history, give_up_due_at=None)
+            self._state.set_crash_history(task, history)
+            if self._should_give_up(history, now):
+                self._give_up(task, history)
+            elif history.should_give_up:
+                self._defer(task, history)
+
+    def _should_give_up(self, history: CrashHistory, now: float) -> bool:
+        if history.deferred and not history.over_crash_limit:
+            return False
+        return history.should_give_up_with(self._min_certain_crashes(history, now))
+
+    def _defer(self, task: Task, history: CrashHistory) -> None:
+        """Put off giving a task up until one more executor crashes under it."""
+        self._state.set_crash_history(task, replace(history, deferred_at=history.crash_count))
 
     def _min_certain_crashes(self, history: CrashHistory, now: float) -> int:
         """Return how many of a task's crashes must be certain before the owner gives it up."""
@@ -288,28 +305,38 @@
             else MIN_CERTAIN_CRASHES
         )
 
-    def _give_up(self, attempt: Attempt, now: float) -> None:
-        task = attempt.task
+    def _give_up(self, task: Task, history: CrashHistory) -> None:
         job = task.step.run.job
-        history = task.crash_history
-        if task.done or history is None or job.closing:
-            return
-        if not history.should_give_up_with(self._min_certain_crashes(history, now)):
+        if task.done or job.closing:
             return
+        last = history.last_crash
+        executor_id, run = (last.incarnation, last.run) if last else ("", 0)
         self._state.count("tasks_given_up")
         self._state.log_run(
             Event.TASK_GIVEN_UP,
-            attempt.executor_id,
+            executor_id,
             task.name,
-            attempt.run,
-            crashes=history.crash_count,
-            heard=history.confirmed_count,
-            certain=history.certain_count,
-            points=history.crash_score,
+            run,
+            **_figures(history),
         )
-        why = {"reason": GIVE_UP_REASON, "task": short_name(task.name), "run": attempt.run}
+        why = {"reason": GIVE_UP_REASON, "task": short_name(task.name), "run": run}
         self._state.decide(job, JobState.FAILED, **why)
 
+    def _log_decision(self, task: Task, history: CrashHistory, decision: str, now: float) -> None:
+        """Log how a crash counts for a task under which several executors crashed."""
+        last = history.last_crash
+        self._state.log(
+            Event.CRASH_WEIGHED,
+            job=task.name.job_id,
+            task=short_name(task.name),
+            run=last.run if last else 0,
+            decision=decision,
+            **_figures(history),
+            certain_needed=self._min_certain_crashes(history, now),
+            certainty=last.certainty if last else 0,
+            executor=last.incarnation if last else "",
+        )
+
     def _log_departure(
         self, executor: ExecutorState, attempts: list[Attempt], departure: Departure, now: float
     ) -> None:
@@ -371,6 +398,16 @@
     )
 
 
+def _figures(history: CrashHistory) -> dict[str, int]:
+    """Return the log fields on a crash history."""
+    return {
+        "crashes": history.crash_count,
+        "heard": history.confirmed_count,
+        "certain": history.certain_count,
+        "points": history.crash_score,
+    }
+
+
 def _logged_figures(attempt: Attempt, crashed_at: float) -> list[float]:
     """Return how long a run was on its executor, and the task's earlier crash count and score."""
     history = attempt.task.crash_history
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -35,7 +35,7 @@
         crash_history: Crashes that count against it, ``None`` if there are none.
         retracted_crashes: Incarnations whose crash was retracted while another shard manages the
             task.
-        not_before: Steady time before which it is not started again.
+        not_before: Steady time before which it is not started again after a refused start.
         moves: Number of times it was moved because a run took far longer than comparable ones.
         refusals: Number of consecutive starts that executors refused.
         ready_since: Steady time since when it has been ready to start.
@@ -78,6 +78,23 @@
         """Whether this shard manages it and it needs an attempt."""
         return not self.done and not self.attempts and self.managed_by is None
 
+    def may_start(self, now: float) -> bool:
+        """Return whether it may be started, or delegated to a shard that may start it.
+
+        It may not while a refused start is not to be retried yet, and while its owner has yet to
+        decide whether to give it up.
+        """
+        history = self.crash_history
+        return self.not_before <= now and (history is None or not history.decision_pending)
+
+    @property
+    def decision_pending(self) -> bool:
+        """Whether its owner has yet to decide whether to give it up, until when it must not start.
+
+        A start could crash one more executor than the decision is about.
+        """
+        return self.crash_history is not None and self.crash_history.decision_pending
+
     @property
     def at_work(self) -> bool:
         """Whether a run of it reports full progress: for a standing task, that it is serving."""
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -232,7 +232,7 @@
     history = CrashHistory(5, 7, identified_crashes=identified)
     assert history.should_give_up, "in a stable hall only the task explains the crashes"
     assert not history.should_give_up_with(MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL)
-    assert not replace(history, give_up_deferred=True).must_give_up
+    assert not replace(history, deferred_at=history.crash_count).must_give_up
 
 
 def test_a_crash_under_a_recovered_standing_run_is_certain() -> None:
