Tell runs of two halls apart that have the same number

Cause: run numbers were taken for runs. A hall that a task is delegated to counts its own from 1, and a crash under its run 1 was taken for the crash under run 1 at home: not counted, or counted in place of it.

By test: four orders of events lose a crash, in both directions.

Change: a run is known by its number and its executor's id. A start reaches no other executor than incarnations of one id, so the rule that one start counts once over incarnations holds as before.

--- a/src/linkspan/shard/crash_history.py
+++ b/src/linkspan/shard/crash_history.py
@@ -20,6 +20,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.crash import CERTAIN
+from linkspan.shard.incarnation import Incarnation
 
 if TYPE_CHECKING:
     from linkspan.jobs.crash import Crash
@@ -135,13 +136,25 @@
             (crash for crash in self.identified_crashes if crash.incarnation == incarnation), None
         )
 
-    def counts_run(self, run: int) -> bool:
-        """Return whether a crash is counted for a run, on any executor."""
-        return any(crash.run == run for crash in self.identified_crashes)
+    def counts_run(self, run: int, incarnation: str) -> bool:
+        """Return whether a crash is counted for a run, at any incarnation of the executor's id."""
+        return any(_is_of_run(crash, run, incarnation) for crash in self.identified_crashes)
 
-    def unconfirmed_crash_of(self, run: int) -> Crash | None:
-        """Return the unconfirmed crash that is counted for a run, ``None`` if there is none."""
-        return next((c for c in self.identified_crashes if c.run == run and not c.confirmed), None)
+    def unconfirmed_crash_of(self, run: int, incarnation: str) -> Crash | None:
+        """Return the unconfirmed crash that is counted for a run, ``None`` if there is none.
+
+        Args:
+            run: Number of the run.
+            incarnation: Name of any incarnation of the executor's id.
+        """
+        return next(
+            (
+                crash
+                for crash in self.identified_crashes
+                if not crash.confirmed and _is_of_run(crash, run, incarnation)
+            ),
+            None,
+        )
 
     @property
     def confirmed_count(self) -> int:
@@ -205,6 +218,17 @@
         return self.certain_count >= min_certain and self.crash_score >= GIVE_UP_SCORE
 
 
+def _is_of_run(crash: Crash, run: int, incarnation: str) -> bool:
+    """Return whether a crash is counted for a run that was started on an executor.
+
+    Run numbers alone do not identify a run, as each hall that a task is delegated to counts its
+    own. A start reaches no other executor than incarnations of one id.
+    """
+    if crash.run != run:
+        return False
+    return Incarnation.of(crash.incarnation).executor_id == Incarnation.of(incarnation).executor_id
+
+
 def delegated_crash_history(delegation: Delegation) -> CrashHistory | None:
     """Return the crash history that a delegation carries, ``None`` if it counts no crashes."""
     return (
@@ -234,7 +258,7 @@
         return CrashHistory(1, crash.score, version, (crash,))
     if history.crash_of(crash.incarnation):
         return history
-    unconfirmed = history.unconfirmed_crash_of(crash.run)
+    unconfirmed = history.unconfirmed_crash_of(crash.run, crash.incarnation)
     if unconfirmed:
         # This crash shows that the run was not on the incarnation counted before.
         return add_crash(
--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -72,7 +72,7 @@
     if history is None:
         return True
     unconfirmed = history.crash_count - history.confirmed_count
-    if history.counts_run(attempt.run):
+    if history.counts_run(attempt.run, attempt.executor_id):
         return False
     return attempt.recovered or not history.at_crash_limit or unconfirmed > 0
 
