Keep crashes that one hall finds while another manages the task

What callers saw: a task that crashes executors may be started after five had crashed under it (BUDGET). Seen in tests only: a crash that the home hall found while the task was delegated was gone after its return; the same in the other hall after a return; a crash retracted there counted again at the next delegation.

Cause: the history existed twice while a task was delegated, and what came back replaced what was there. Only retractions at home were kept.

Change: a shard records what it finds and retracts while it does not manage the task (CrashChanges, on the task's row, behind what earlier versions read), and applies it by the crashes' names to the history that it receives, at a return as well as at a delegation. If crashes of both sides are enough together, the decision is taken then.

Left: the hall that manages the task hears of such a crash only when the task changes hands.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -265,7 +265,8 @@
         self, job_id: str, delegations: Iterable[Delegation], now: float
     ) -> None:
         """Apply all open delegations of a job's tasks to this shard."""
-        self._delegations.accept_delegations(job_id, delegations, now)
+        for task in self._delegations.accept_delegations(job_id, delegations, now):
+            self._crashes.on_histories_merged(task, now)
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -283,7 +284,8 @@
 
     def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> None:
         """Manage tasks again that another shard has returned."""
-        self._delegations.reclaim_tasks(job_id, returned, now)
+        for task in self._delegations.reclaim_tasks(job_id, returned, now):
+            self._crashes.on_histories_merged(task, now)
 
     def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks, by shard."""
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -5,14 +5,13 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Delegation
-from linkspan.shard.crash_history import delegated_crash_history, retract_crash
+from linkspan.shard.crash_changes import take_over_history
 from linkspan.shard.recovery.progress import progress_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from linkspan.shard._shard_state import ShardState
-    from linkspan.shard.crash_history import CrashHistory
     from linkspan.shard.task import Task
 
 
@@ -31,19 +30,27 @@
 
     def accept_delegations(
         self, job_id: str, delegations: Iterable[Delegation], now: float
-    ) -> None:
-        """Apply all open delegations of a job's tasks to this shard."""
+    ) -> list[Task]:
+        """Apply all open delegations of a job's tasks to this shard.
+
+        Returns:
+            Tasks for which this shard had found crashes that the delegation does not hold.
+        """
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job and job.delegated_here else None
         if run is None:
-            return
+            return []
+        merged = []
         for delegation in delegations:
             task = run.steps[delegation.step].tasks[delegation.index]
             if task.managed_by is not None and task.delegation_number < delegation.number:
                 task.managed_by = None
                 task.delegation_number = delegation.number
-                self._state.set_crash_history(task, delegated_crash_history(delegation))
+                if task.crash_changes and task.crash_changes.found:
+                    merged.append(task)
+                self._state.set_crash_history(task, take_over_history(task, delegation))
                 self._state.mark_ready(task, now)
+        return merged
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -68,20 +75,28 @@
             self._state.mark_dirty(run)
         return handed_over
 
-    def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> None:
-        """Manage tasks again whose delegations were returned."""
+    def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> list[Task]:
+        """Manage tasks again whose delegations were returned.
+
+        Returns:
+            Tasks for which this shard had found crashes that the returned delegation does not hold.
+        """
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job and not job.delegated_here else None
         if run is None:
-            return
+            return []
+        merged = []
         for delegation in returned:
             task = run.steps[delegation.step].tasks[delegation.index]
             if task.managed_by is not None and task.delegation_number == delegation.number:
                 task.returned_by[task.managed_by] = delegation.number
                 task.managed_by = None
-                self._state.set_crash_history(task, _returned_crash_history(task, delegation))
+                if task.crash_changes and task.crash_changes.found:
+                    merged.append(task)
+                self._state.set_crash_history(task, take_over_history(task, delegation))
                 self._state.mark_dirty(run)
                 self._state.mark_ready(task, now)
+        return merged
 
     def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks, by shard."""
@@ -108,15 +123,6 @@
                 self._state.advice.remove_step(step)
 
 
-def _returned_crash_history(task: Task, delegation: Delegation) -> CrashHistory | None:
-    """Return the crash history of a returned delegation without the crashes retracted since."""
-    known = delegated_crash_history(delegation)
-    for incarnation in task.retracted_crashes:
-        known = known and retract_crash(known, incarnation, known.version)
-    task.retracted_crashes.clear()
-    return known
-
-
 def last_delegation_of(task: Task) -> Delegation:
     """Return a task's last delegation, including the task's crash history."""
     known = task.crash_history
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -7,7 +7,8 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import attempts_exhausted_fields, short_name
-from linkspan.shard.crash_history import GIVE_UP_REASON, delegated_crash_history
+from linkspan.shard.crash_changes import take_over_history
+from linkspan.shard.crash_history import GIVE_UP_REASON
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._expected_durations import update_expected_durations
@@ -164,7 +165,7 @@
             elif task.delegation_number < delegation.number:
                 task.managed_by = None
                 task.delegation_number = delegation.number
-                self._state.set_crash_history(task, delegated_crash_history(delegation))
+                self._state.set_crash_history(task, take_over_history(task, delegation))
 
     def refresh_queue(self, job: ShardJob) -> None:
         """Apply the terms of a job's queue from the configuration in force.
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -11,6 +11,7 @@
 from linkspan._typed import MAX_EXACT_INT, parse_int, parse_list, parse_started_at_ms, parse_text
 from linkspan.jobs.crash import Crash
 from linkspan.shard.attempt import Attempt, Phase
+from linkspan.shard.crash_changes import CrashChanges
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.failures import FailedRun, Failures
 from linkspan.shard.incarnation import Incarnation
@@ -23,7 +24,7 @@
 EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [])
 """Empty values of the optional fields in the row of a started task."""
 
-EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [])
+EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [], [])
 """Empty values of the optional fields in the row of a task that another shard manages."""
 
 
@@ -82,11 +83,13 @@
 
 def _delegated_row(task: Task) -> list[Any]:
     first = [-1 - (task.managed_by or 0), task.delegation_number, task.next_run]
-    retracted = [incarnation_fields(incarnation) for incarnation in sorted(task.retracted_crashes)]
-    return [
-        *first,
-        *_without_empty_tail(EMPTY_DELEGATED_FIELDS, *_crash_fields(task.crash_history), retracted),
+    changes = task.crash_changes or CrashChanges()
+    changed = [
+        [incarnation_fields(incarnation) for incarnation in sorted(incarnations)]
+        for incarnations in (changes.retracted, changes.found)
     ]
+    crashes = _crash_fields(task.crash_history)
+    return [*first, *_without_empty_tail(EMPTY_DELEGATED_FIELDS, *crashes, *changed)]
 
 
 def _without_empty_tail(empty: tuple[Any, ...], *fields: Any) -> list[Any]:
@@ -154,11 +157,14 @@
     first, delegation, next_run, *more = row
     task.managed_by = -1 - first
     task.delegation_number, task.next_run = parse_int(delegation), parse_int(next_run, minimum=1)
-    *crashes, retracted = _padded(EMPTY_DELEGATED_FIELDS, more)
+    *crashes, retracted, found = _padded(EMPTY_DELEGATED_FIELDS, more)
     task.crash_history = _restore_crash_history(*crashes)
-    task.retracted_crashes = {
-        incarnation_name(parse_list(incarnation)) for incarnation in parse_list(retracted)
-    }
+    if retracted or found:
+        task.crash_changes = CrashChanges(_incarnation_names(found), _incarnation_names(retracted))
+
+
+def _incarnation_names(listed: Any) -> frozenset[str]:
+    return frozenset(incarnation_name(parse_list(fields)) for fields in parse_list(listed))
 
 
 def _padded(empty: tuple[Any, ...], fields: list[Any]) -> list[Any]:
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -16,6 +16,7 @@
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
+from linkspan.shard.crash_changes import CrashChanges
 from linkspan.shard.crash_history import (
     CLEARED_AFTER_S,
     GIVE_UP_REASON,
@@ -103,6 +104,10 @@
             if task and crash and crash.run == end.run:
                 self._retract(task, incarnation)
 
+    def on_histories_merged(self, task: Task, now: float) -> None:
+        """Handle crashes found by two shards, which may be enough together to give a task up."""
+        self._schedule_give_up(task, now, may_give_up=True)
+
     def retract(self, incarnation: str, reason: str) -> None:
         """Retract the crash of an incarnation that did not crash, so that it counts in no decision.
 
@@ -138,8 +143,8 @@
             run = task.step.run
             self._state.mark_dirty(run)
             if task.managed_by is not None:
-                # The delegation includes this crash and would restore it when the task is returned.
-                task.retracted_crashes.add(incarnation)
+                changes = task.crash_changes or CrashChanges()
+                task.crash_changes = changes.with_retracted(incarnation)
             self._state.set_crash_history(
                 task, retract_crash(task.crash_history, incarnation, run.version)
             )
@@ -239,6 +244,9 @@
             return
         run = task.step.run
         self._state.mark_dirty(run)
+        if task.managed_by is not None:
+            changes = task.crash_changes or CrashChanges()
+            task.crash_changes = changes.with_found(crash.incarnation)
         history = add_crash(task.crash_history, crash, run.version, alone=alone)
         self._state.set_crash_history(task, history)
 
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
+    from linkspan.shard.crash_changes import CrashChanges
     from linkspan.shard.crash_history import CrashHistory
     from linkspan.shard.messages import TaskName
     from linkspan.shard.step_run import StepRun
@@ -33,8 +34,8 @@
         attempts: Its attempts that may be running.
         avoided_executors: Executors on which it failed or got stuck.
         crash_history: Crashes that count against it, ``None`` if there are none.
-        retracted_crashes: Incarnations whose crash was retracted while another shard manages the
-            task.
+        crash_changes: Crashes found or retracted while another shard manages the task, ``None`` if
+            there are none.
         not_before: Steady time before which it is not started again after a refused start.
         moves: Number of times it was moved because a run took far longer than comparable ones.
         refusals: Number of consecutive starts that executors refused.
@@ -55,7 +56,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     avoided_executors: set[str] = field(default_factory=set)
     crash_history: CrashHistory | None = None
-    retracted_crashes: set[str] = field(default_factory=set)
+    crash_changes: CrashChanges | None = None
     not_before: float = NEVER
     moves: int = 0
     refusals: int = 0
