Count crashes that are found after the leases expired at a former owner

What callers saw: a task that crashes executors may be started after five had crashed under it (BUDGET). Seen in tests only.

Cause: when the leases at a silent executor expire, its runs leave the task's record, and only the owner's memory knows that they were there. If the owner is lost before the executor's fate is known, nobody counts the crash. An owner whom the executor never answered did not count it either, if the next incarnation answered.

Change: such attempts stay on the task's row, behind what earlier versions read, until the executor answers again or is known to have ended. The next owner assigns them to the executor as the former one had.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -19,7 +19,7 @@
 from linkspan.shard.reports.health import ExecutorHealth
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from linkspan.model.configuration import Configuration
     from linkspan.model.settings import Bounds
@@ -178,6 +178,7 @@
         """Remove an incarnation; the caller handles the attempts on it."""
         executor = self.executors.pop(name, None)
         if executor:
+            self.forget_expired_attempts(executor)
             self.tokens.on_incarnation_end(executor.token)
             self._remember_withheld_ends(executor)
         executor_id = Incarnation.of(name).executor_id
@@ -265,6 +266,27 @@
             self.mark_ready(task, now)
         self.mark_dirty(task.step.run)
 
+    def keep_expired_attempts(self, executor: ExecutorState, attempts: Iterable[Attempt]) -> None:
+        """Keep attempts of a silent executor whose leases have expired, until its fate is known.
+
+        They are recorded, so that a crash under them counts if the next owner finds it.
+        """
+        for attempt in attempts:
+            run = attempt.task.step.run
+            executor.expired_attempts.append(attempt)
+            run.expired_attempts.setdefault(attempt.task, []).append(attempt)
+            self.mark_dirty(run)
+
+    def forget_expired_attempts(self, executor: ExecutorState) -> None:
+        """Forget the expired attempts of an executor that has answered again or has ended."""
+        for attempt in executor.expired_attempts:
+            run = attempt.task.step.run
+            kept = [a for a in run.expired_attempts.pop(attempt.task, []) if a is not attempt]
+            if kept:
+                run.expired_attempts[attempt.task] = kept
+            self.mark_dirty(run, urgent=False)
+        executor.expired_attempts.clear()
+
     def set_crash_history(self, task: Task, crash_history: CrashHistory | None) -> None:
         """Set or clear a task's crash history."""
         task.crash_history = crash_history
@@ -349,7 +371,8 @@
                 silent_s=round(now - executor.silent_since, 2),
             )
             executor.silent_since = None
-            executor.expired_attempts.clear()
+        if executor.expired_attempts:
+            self.forget_expired_attempts(executor)
 
     def send_start(self, attempt: Attempt) -> None:
         """Queue a start order, even if one was sent before."""
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from linkspan.errors import RecordError
@@ -135,8 +136,21 @@
                 else:
                     # The roster does not name it, so the previous owner had proof of its end.
                     task.attempts.remove(attempt)
+        self._restore_expired_attempts(run)
         self._fail_if_attempts_exhausted(run)
 
+    def _restore_expired_attempts(self, run: JobRun) -> None:
+        """Assign recorded attempts whose leases have expired to their executors.
+
+        If the roster does not name an executor, the previous owner knew its fate.
+        """
+        recorded, run.expired_attempts = run.expired_attempts, {}
+        for attempt in chain.from_iterable(recorded.values()):
+            executor = self._state.recorded_incarnation(attempt.executor_id)
+            if executor:
+                attempt.executor_id = executor.executor_id
+                self._state.keep_expired_attempts(executor, (attempt,))
+
     def _fail_if_attempts_exhausted(self, run: JobRun) -> None:
         """Fail the job if a task has no attempts left or must be given up.
 
--- a/src/linkspan/shard/job_run.py
+++ b/src/linkspan/shard/job_run.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.shard_job import ShardJob
 
 INHERITED_RUN_GAP = 16
@@ -30,6 +31,8 @@
         version: Number of changes that its record must hold.
         durable: Version that the store holds; infinite once the job's final record is durable.
         released: Whether its due time has come.
+        expired_attempts: Attempts that were removed when the leases at their silent executor
+            expired, by task. It is not known yet whether the executor crashed under them.
     """
 
     job: ShardJob
@@ -38,6 +41,7 @@
     version: int = 0
     durable: float = 0
     released: bool = True
+    expired_attempts: dict[Task, list[Attempt]] = field(default_factory=dict)
 
     @property
     def done(self) -> bool:
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -21,10 +21,10 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [])
+EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [], [])
 """Empty values of the optional fields in the row of a started task."""
 
-EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [], [])
+EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [], [], [])
 """Empty values of the optional fields in the row of a task that another shard manages."""
 
 
@@ -66,10 +66,25 @@
     ]
     crashes, score, identified, deferred_at = _crash_fields(task.crash_history)
     saved_by = task.saved_by if task.checkpoint else 0
-    more = crashes, score, failed, identified, deferred_at, saved_by, _limit_fields(task)
+    more = (
+        crashes,
+        score,
+        failed,
+        identified,
+        deferred_at,
+        saved_by,
+        _limit_fields(task),
+        _expired(task),
+    )
     return [*first, *_without_empty_tail(EMPTY_FIELDS, *more)]
 
 
+def _expired(task: Task) -> list[Any]:
+    """Return the fields of a task's attempts whose leases have expired at a silent executor."""
+    expired = task.step.run.expired_attempts.get(task, ())
+    return [[attempt.run, *_attempt_fields(attempt)] for attempt in expired]
+
+
 def _limit_fields(task: Task) -> list[int]:
     """Return the attempt limit that failures were counted against, and its version, if known.
 
@@ -89,7 +104,8 @@
         for incarnations in (changes.retracted, changes.found)
     ]
     crashes = _crash_fields(task.crash_history)
-    return [*first, *_without_empty_tail(EMPTY_DELEGATED_FIELDS, *crashes, *changed)]
+    more = *crashes, *changed, _expired(task)
+    return [*first, *_without_empty_tail(EMPTY_DELEGATED_FIELDS, *more)]
 
 
 def _without_empty_tail(empty: tuple[Any, ...], *fields: Any) -> list[Any]:
@@ -129,10 +145,12 @@
         return
     # Later versions may append fields to the row.
     if parse_int(parse_list(row)[0], minimum=-MAX_EXACT_INT) < 0:
-        _restore_delegated(task, row)
+        _restore_delegated(task, row, now)
         return
     next_run, failures, checkpoint, attempts, delegation, *more = row
-    crashes, score, failed, identified, deferred_at, saved_by, limit = _padded(EMPTY_FIELDS, more)
+    crashes, score, failed, identified, deferred_at, saved_by, limit, expired = _padded(
+        EMPTY_FIELDS, more
+    )
     if limit:
         max_attempts, *version = parse_list(limit)
         task.step.run.job.apply_limit(
@@ -148,16 +166,24 @@
     task.attempts += [
         _restore_attempt(task, parse_list(fields), now) for fields in parse_list(attempts)
     ]
+    _restore_expired(task, expired, now)
     # Runs that may still be running had not failed when the record was written.
     below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
     task.failed = _restore_failures(parse_int(failures), parse_list(failed), below)
 
 
-def _restore_delegated(task: Task, row: list[Any]) -> None:
+def _restore_expired(task: Task, expired: Any, now: float) -> None:
+    attempts = [_restore_attempt(task, parse_list(fields), now) for fields in parse_list(expired)]
+    if attempts:
+        task.step.run.expired_attempts[task] = attempts
+
+
+def _restore_delegated(task: Task, row: list[Any], now: float) -> None:
     first, delegation, next_run, *more = row
     task.managed_by = -1 - first
     task.delegation_number, task.next_run = parse_int(delegation), parse_int(next_run, minimum=1)
-    *crashes, retracted, found = _padded(EMPTY_DELEGATED_FIELDS, more)
+    *crashes, retracted, found, expired = _padded(EMPTY_DELEGATED_FIELDS, more)
+    _restore_expired(task, expired, now)
     task.crash_history = _restore_crash_history(*crashes)
     if retracted or found:
         task.crash_changes = CrashChanges(_incarnation_names(found), _incarnation_names(retracted))
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -241,7 +241,7 @@
                 silent_s=round(now - (executor.silent_since or now), 2),
             )
             # A network cut looks like a crash until the incarnation is known to have ended.
-            executor.expired_attempts = list(executor.attempts.values())
+            self._state.keep_expired_attempts(executor, executor.attempts.values())
         if not executor.listed and not executor.is_placeholder:
             self._crashes.on_lost(executor, now)
         self._release(executor, now)
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -239,7 +239,8 @@
     A record without a start time may belong to the incarnation that now answers.
     """
     started_at_ms = Incarnation.of(previous.executor_id).started_at_ms
-    return started_at_ms is not None and (previous.clock is not None or bool(previous.attempts))
+    had_runs = bool(previous.attempts or previous.expired_attempts)
+    return started_at_ms is not None and (previous.clock is not None or had_runs)
 
 
 def _may_be_unlisted(attempt: Attempt, report: ExecutorReport, asked: float) -> bool:
