Send starts of tasks that may crash executors right after an answer

Where executors crash by themselves, crashes under starts without an answer give no task up, since such starts may have met executors that were down (LOST).

Change: the start of a task under which so many executors crashed that it is isolated is sent when the executor has answered within 0.25 s; it is polled for that, and not sent to one that is silent. If the executor then falls silent without an answer made after the start, that is a certain crash: few executors crash by themselves in so short a time, and a poll 0.1 s later tells a lost answer from it. An overloaded host waits for such an answer for 2 s, or 10 s where the next crash may decide, and sends the start without it then.

Why it works: the third, fourth and fifth start follow an answer, so two certain crashes are there at the fifth at the latest.

--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -45,6 +45,8 @@
         executor_id: Name of the incarnation that runs it.
         phase: Phase of its life cycle.
         placed_at: Steady time of the placement.
+        sent_at: Steady time at which its start was last sent.
+        follows_answer: Whether the executor had answered immediately before the start was sent.
         confirmed_at: Steady time at which the executor confirmed the run.
         pace: Ordered share of full speed, in percent.
         pace_confirmed: Whether the executor has confirmed the pace.
@@ -77,6 +79,8 @@
     executor_id: str
     phase: Phase
     placed_at: float
+    sent_at: float = NEVER
+    follows_answer: bool = False
     confirmed_at: float = NEVER
     pace: int = FULL_PACE
     pace_confirmed: bool = True
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -331,6 +331,10 @@
         """Return for how long the task of a start order had been ready, in seconds."""
         return self._orders.waiting_time_s(order, now)
 
+    def on_start_sent(self, order: StartOrder, now: float) -> None:
+        """Handle a start that is about to be sent."""
+        self._orders.on_start_sent(order, now)
+
     def on_started(self, order: StartOrder, answer: StartAnswer, now: float) -> None:
         """Handle an executor's answer to a start."""
         self._orders.on_started(order, answer, now)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -11,6 +11,7 @@
 from linkspan.errors import Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.attempt import Phase
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
+from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
 from linkspan.shard.planning.planner import Planner
 
 if TYPE_CHECKING:
@@ -41,6 +42,21 @@
 """The same limit while the store refuses or does not answer: work continues during a store
 outage."""
 
+MAX_ANSWER_WAIT_S = 2.0
+"""Limits how long the start of a task that may crash executors waits for an answer of its executor:
+on an overloaded host no answer is fresh enough."""
+
+MAX_ANSWER_WAIT_AT_LIMIT_S = 10.0
+"""The same limit for a task that the next crash may give up: without certain crashes it could not
+be given up, and would crash one more executor."""
+
+ANSWER_RETRY_S = 0.02
+"""Pause before an executor is polled again whose answer was not fresh enough."""
+
+START_CHECK_DELAY_S = 0.1
+"""Time after which the executor of an unanswered start is polled, if the task may crash executors:
+executors answer starts within milliseconds."""
+
 
 def plan_delay_s(duration_s: float) -> float:
     """Return how long to collect changes after a plan of a given duration, in seconds.
@@ -121,15 +137,14 @@
         attempt = executor.attempts.get((order.task, order.run))
         # A start that is meanwhile counted at the next incarnation was certainly not sent. Crashes
         # found since the plan may be enough to give the task up.
-        return (
-            attempt is not None
-            and attempt.phase is Phase.STARTING
-            and not attempt.task.decision_pending
-        )
+        if attempt is None or attempt.phase is not Phase.STARTING or attempt.task.decision_pending:
+            return False
+        return not (attempt.task.needs_isolation and executor.silent_since is not None)
 
     async def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
             await self._wait_for_record(order)
+            await self._wait_for_answer(order)
         executor = self._core.executors.get(order.executor_id)
         if executor is None or executor.clock is None or not self._may_send(order, executor):
             self._on_undelivered(order)
@@ -140,6 +155,9 @@
                 if isinstance(order, StartOrder):
                     until = executor.clock.grant(self._settings.bounds.max_lease_s, steady())
                     began = steady()
+                    self._core.on_start_sent(order, began)
+                    if self._may_crash_executor(order):
+                        self._scope.spawn(self._check_start(order))
                     answer = await call.start(address, order, until_s=until)
                     self._metrics.observe("executor_call", steady() - began, call="start")
                     self._metrics.count("starts", outcome=answer.outcome.name.lower())
@@ -187,6 +205,41 @@
                     self._changes.starts.set()
                     await self._changes.next_stored()
 
+    def _may_crash_executor(self, order: StartOrder) -> bool:
+        """Whether so many executors crashed under a start's task that it may be the cause."""
+        task = self._core.find_task(order.task)
+        return task is not None and task.needs_isolation
+
+    async def _wait_for_answer(self, order: StartOrder) -> None:
+        """Wait until a start of a task that may crash executors follows an answer of its executor.
+
+        A crash right after the start leaves no answer to it. Only an executor that had answered
+        immediately before is then known to have crashed at the start.
+        """
+        task = self._core.find_task(order.task)
+        if task is None or not self._may_crash_executor(order):
+            return
+        limit_s = MAX_ANSWER_WAIT_AT_LIMIT_S if task.at_crash_limit else MAX_ANSWER_WAIT_S
+        until = steady() + limit_s
+        while (executor := self._core.executors.get(order.executor_id)) and steady() < until:
+            answered = steady() - executor.alive_at <= MAX_ANSWER_AGE_S
+            if answered or executor.silent_since is not None or not self._may_send(order, executor):
+                return
+            await self._watch.poll_once(executor)
+            if steady() - executor.alive_at > MAX_ANSWER_AGE_S:
+                await asyncio.sleep(ANSWER_RETRY_S)
+
+    async def _check_start(self, order: StartOrder) -> None:
+        """Poll the executor of a start that is not answered soon.
+
+        An answer to the poll shows that the executor has not crashed at the start.
+        """
+        await asyncio.sleep(START_CHECK_DELAY_S)
+        executor = self._core.executors.get(order.executor_id)
+        attempt = executor.attempts.get((order.task, order.run)) if executor else None
+        if executor and attempt and attempt.start_unanswered:
+            await self._watch.poll_once(executor)
+
     def _max_record_wait_s(self) -> float:
         return MAX_RECORD_WAIT_S if self._writer.healthy else MAX_RECORD_WAIT_IN_OUTAGE_S
 
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -22,6 +22,10 @@
 """Delay before a start that was refused for lack of capacity is tried again. Within this time the
 executor's next report shows its free capacity."""
 
+MAX_ANSWER_AGE_S = 0.25
+"""Limits the age of an executor's last answer for a start to follow it immediately. In so short a
+time, few executors crash by themselves."""
+
 MAX_START_DELAY_S = 12.0
 """Limits how long after an unanswered start the executor may still carry it out."""
 
@@ -80,6 +84,15 @@
         task = self._state.find_task(order.task)
         return max(now - task.ready_since, 0.0) if task else 0.0
 
+    def on_start_sent(self, order: StartOrder, now: float) -> None:
+        """Handle a start that is about to be sent."""
+        attempt = self._state.find_attempt(order.task, order.run)
+        executor = self._state.executors.get(order.executor_id)
+        if attempt is None or executor is None:
+            return
+        attempt.sent_at = now
+        attempt.follows_answer = now - executor.alive_at <= MAX_ANSWER_AGE_S
+
     def on_started(self, order: StartOrder, answer: StartAnswer, now: float) -> None:
         """Apply an executor's answer to a start."""
         attempt = self._state.find_attempt(order.task, order.run)
--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
 
+MAX_TRANSIT_S = 0.05
+"""Usual limit of the time that an order takes to its executor, which answers polls meanwhile."""
+
 MIN_DURATION_SHARE = 0.5
 """Smallest share of its expected duration that a run is assumed to take: callers' estimates are
 rough."""
@@ -30,24 +33,49 @@
     return max(crashed_at - started_at, 0.0)
 
 
-def is_confirmed(attempt: Attempt) -> bool:
-    """Whether a run certainly started: this owner or the record knows that it was answered."""
+def crashed_at_start(attempt: Attempt, alive_at: float) -> bool:
+    """Whether an executor that had just answered went silent when it received the run's start.
+
+    It is far more likely that the start crashed the executor than that the executor crashed by
+    itself between its last answer and its answer to the start.
+
+    Args:
+        attempt: The run.
+        alive_at: Steady time at which the executor was certainly alive, the latest known.
+    """
+    if not attempt.follows_answer or attempt.carried_over or attempt.confirmed_at != NEVER:
+        return False
+    return alive_at <= attempt.sent_at + MAX_TRANSIT_S
+
+
+def is_confirmed(attempt: Attempt, alive_at: float) -> bool:
+    """Whether a run certainly started: this owner or the record knows that it was answered.
+
+    Args:
+        attempt: The run.
+        alive_at: Steady time at which its executor was certainly alive, the latest known.
+    """
     if attempt.carried_over:
         return False
+    if crashed_at_start(attempt, alive_at):
+        return True
     return attempt.confirmed_at != NEVER or (
         attempt.recovered and attempt.start_may_arrive_until == NEVER
     )
 
 
-def is_certain(attempt: Attempt, crashed_at: float) -> bool:
+def is_certain(attempt: Attempt, crashed_at: float, alive_at: float) -> bool:
     """Whether a run cannot have ended between its last report and its executor's crash.
 
     Args:
         attempt: The run.
         crashed_at: Steady time by which the executor had crashed.
+        alive_at: Steady time at which the executor was certainly alive, the latest known.
     """
-    if not is_confirmed(attempt) or attempt.phase is Phase.STOPPING:
+    if not is_confirmed(attempt, alive_at) or attempt.phase is Phase.STOPPING:
         return False
+    if crashed_at_start(attempt, alive_at):
+        return True
     expected_s = _expected_s(attempt)
     if expected_s == float("inf"):
         return True
@@ -87,8 +115,16 @@
     return attempt.task.crash_history.crash_score if attempt.task.crash_history else 0
 
 
-def crash_score_of(attempt: Attempt, elapsed_s: float) -> int:
-    """Return the score of a crash for a run that was there for some seconds."""
+def crash_score_of(attempt: Attempt, elapsed_s: float, alive_at: float) -> int:
+    """Return the score of a crash for a run that was there for some seconds.
+
+    Args:
+        attempt: The run.
+        elapsed_s: How long it had been there, in seconds.
+        alive_at: Steady time at which its executor was certainly alive, the latest known.
+    """
+    if crashed_at_start(attempt, alive_at):
+        return IMMEDIATE_CRASH_SCORE
     if attempt.confirmed_at == NEVER:
         # The start may have reached an executor that had crashed already, or none.
         return MIN_CRASH_SCORE
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -184,10 +184,12 @@
             crash = Crash(
                 executor.executor_id,
                 attempt.run,
-                crash_score_of(attempt, elapsed_s) if attempt in blamed else MIN_CRASH_SCORE,
-                is_confirmed(attempt),
+                crash_score_of(attempt, elapsed_s, executor.alive_at)
+                if attempt in blamed
+                else MIN_CRASH_SCORE,
+                is_confirmed(attempt, executor.alive_at),
                 executor.record.address,
-                certain and is_certain(attempt, crashed_at),
+                certain and is_certain(attempt, crashed_at, executor.alive_at),
             )
             self._add_to_history(
                 attempt, elapsed_s, crash, alone=tasks_with_history <= {attempt.task}
