Count the age of a run at a crash from the send of its start

Cause: the same as of late answers: a run's age at a crash was counted from the time at which the answer to its start was applied. A busy host applies it late, and an older run looks as if it had begun immediately before the crash, which scores highest. In the same way a crash that was found after leases had expired counted as one without an isolated task, since the expired attempts were not asked. Both speak against tasks and halls that have nothing to do with a crash.

Change: age from the send of the start, if this owner sent it once; expired attempts say whether an isolated task was there.

Measured: tests/shard, tests/host and tests/fuzz pass as before.

--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -25,11 +25,17 @@
 
 
 def time_on_executor_s(attempt: Attempt, crashed_at: float) -> float:
-    """Return how long a run was on its executor before the crash, in seconds.
+    """Return for how long a run may have been on its executor before the crash, in seconds.
 
-    An unanswered start may have begun as soon as it was ordered.
+    An unanswered start may have begun as soon as it was ordered. The answer to a start may have
+    been applied long after the run began.
     """
-    started_at = attempt.placed_at if attempt.confirmed_at == NEVER else attempt.confirmed_at
+    if attempt.confirmed_at == NEVER:
+        started_at = attempt.placed_at
+    elif attempt.sent_at != NEVER and attempt.sent_once:
+        started_at = attempt.sent_at
+    else:
+        started_at = attempt.confirmed_at
     return max(crashed_at - started_at, 0.0)
 
 
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -397,7 +397,8 @@
     # start was sent; the answer may have been applied much later.
     answered = (a.placed_at for a in executor.attempts.values() if a.confirmed_at != NEVER)
     alive_at = max([executor.alive_at, *answered])
-    had_isolated_task = any(attempt.isolated for attempt in executor.attempts.values())
+    attempts = (*executor.attempts.values(), *executor.expired_attempts)
+    had_isolated_task = any(attempt.isolated for attempt in attempts)
     return ExecutorCrash(
         executor.executor_id,
         executor.record.address,
