--- a/tests/shard/test_review_of_crash_evidence.py
+++ b/tests/shard/test_review_of_crash_evidence.py
@@ -13,7 +13,12 @@
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_changes import CrashChanges
-from linkspan.shard.crash_history import CLEARED_AFTER_S, CrashHistory
+from linkspan.shard.crash_history import (
+    CLEARED_AFTER_S,
+    CrashHistory,
+    add_crash,
+    retract_crash,
+)
 from linkspan.shard.handover._delegations import last_delegation_of
 from linkspan.shard.leases import CLOCK_DRIFT
 from linkspan.shard.messages import ExecutorReport, RunningTask, StartAnswer, StartOutcome
@@ -357,6 +362,23 @@
     assert len(core.finished) == 1
 
 
+def test_a_deferral_that_a_retraction_lowered_to_one_covers_no_second_crash() -> None:
+    """Guards against a record whose 1 is read as the 1 of an earlier version.
+
+    The task was deferred at two crashes, one of which was retracted. A second one then follows.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=0)
+    deferred = CrashHistory(2, 7, identified_crashes=_certain_crashes(2, score=4), deferred_at=2)
+    lowered = retract_crash(deferred, "f0", 0)
+    assert lowered and lowered.deferred_at == 1
+    again = add_crash(lowered, Crash("f2", 102, 4), 0)
+    task = only_task(core)
+    task.next_run = 103
+    core.set_crash_history(task, again)
+    restored = only_task(next_owner_of(core, 10.0)).crash_history
+    assert restored and not restored.deferred
+
+
 def test_crashes_merged_at_a_takeover_give_a_task_up() -> None:
     """Guards against a sixth start of a task under which five executors crashed.
 
@@ -484,6 +506,24 @@
     assert _counts(core) == (0, 0)
 
 
+def test_an_executor_whose_clock_stepped_back_leaves_as_planned() -> None:
+    """Guards against a planned departure that counts as a crash, as the clock was not trusted.
+
+    The executor announces at 4.9 that it will leave at 6.9. Its clock steps back at 5.0, so it
+    counts as silent. It answers polls until it leaves.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=0)
+    order = order_on(core, "e0", 1.0)
+    core.on_started(order, StartAnswer(StartOutcome.STARTED, 1.0), 1.0)
+    report_run(core, "e0", order, asked=4.8, made=4.85, now=4.86)
+    record = replace(core.executors["e0"].record, draining=True, remaining_s=2.0)
+    core.list_executors([record], 4.9)
+    for asked in (5.0, 5.5, 6.0, 6.5, 6.85):
+        report_run(core, "e0", order, asked=asked, made=asked - 3.0, now=asked + 0.01)
+    crash_executor(core, "e0", 6.95, 7.1)
+    assert _counts(core) == (0, 0)
+
+
 def test_idle_executors_that_leave_early_make_no_hall_unstable() -> None:
     """Guards against a third crash before a task is given up: two idle executors left early."""
     core = core_with(step(1, estimate_s=60.0), executors=0)
