--- a/tests/shard/test_review_of_crash_evidence.py
+++ b/tests/shard/test_review_of_crash_evidence.py
@@ -24,6 +24,7 @@
 from linkspan.shard.messages import ExecutorReport, RunningTask, StartAnswer, StartOutcome
 from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
 from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._watch import acknowledgeable_end
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report_ends
 from tests.shard.crash_builders import (
@@ -116,6 +117,22 @@
     assert core.executors["e0"].silent_since == 5.0
 
 
+def test_an_answer_that_is_read_late_allows_no_acknowledgement() -> None:
+    """Guards against ends of the next incarnation that are acknowledged and that nobody has read.
+
+    The answer was made at 1.05, and the busy host reads it at 3.0. The executor may have restarted
+    meanwhile, and the next incarnation may have started and ended a run.
+    """
+    core = core_with(step(1), executors=0)
+    add_executor(core, "e0")
+    executor = core.executors["e0"]
+    executor.acknowledged = 1
+    # As the watch does when its poll resumes.
+    executor.answered_at = 3.0
+    core.on_report("e0", ExecutorReport(1.05, (), ()), asked=1.0, now=3.0)
+    assert acknowledgeable_end(executor, 3.01) == 0
+
+
 def test_a_start_answer_that_is_applied_late_makes_no_run_young() -> None:
     """Guards against a job given up by score although both runs were five seconds old.
 
