Confirm runs that an owner finds in a report

A run that an owner found in a report counted as never confirmed, so a crash under it gave no task up (BUDGET).

Cause: the send of starts had put two fields in front of confirmed_at, and one caller passed the times by position.

Change: the time goes by keyword, and the fields stand last. test_review_of_crash_evidence.py: two tests failed before and pass.

--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -45,8 +45,6 @@
         executor_id: Name of the incarnation that runs it.
         phase: Phase of its life cycle.
         placed_at: Steady time of the placement.
-        sent_at: Steady time at which its start was last sent.
-        follows_answer: Whether the executor had answered immediately before the start was sent.
         confirmed_at: Steady time at which the executor confirmed the run.
         pace: Ordered share of full speed, in percent.
         pace_confirmed: Whether the executor has confirmed the pace.
@@ -72,6 +70,8 @@
         recovered: Whether it was found on record or in a report, so that its start time is unknown.
         isolated: Whether it was started away from other tasks with a crash history.
         moved: Whether it is stopped so that the task continues on another executor.
+        sent_at: Steady time at which its start was last sent.
+        follows_answer: Whether the executor had answered immediately before the start was sent.
     """
 
     task: Task
@@ -79,8 +79,6 @@
     executor_id: str
     phase: Phase
     placed_at: float
-    sent_at: float = NEVER
-    follows_answer: bool = False
     confirmed_at: float = NEVER
     pace: int = FULL_PACE
     pace_confirmed: bool = True
@@ -101,6 +99,8 @@
     recovered: bool = False
     isolated: bool = False
     moved: bool = False
+    sent_at: float = NEVER
+    follows_answer: bool = False
 
     @property
     def key(self) -> tuple[TaskName, int]:
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -143,7 +143,13 @@
             self._log_unwanted(executor, row)
             return None
         attempt = Attempt(
-            task, row.run, executor.executor_id, Phase.RUNNING, now, now, recovered=True
+            task,
+            row.run,
+            executor.executor_id,
+            Phase.RUNNING,
+            now,
+            confirmed_at=now,
+            recovered=True,
         )
         # The former owner may have throttled the run, and a second start that it sent may still
         # arrive.
