Count early ends of draining executors only beside other crashes

What callers could see: a job given up for five planned departures whose announcements a busy host read half a second late (LOST), or a hall taken for unstable since idle executors left.

Cause: an end before the announced time counted like a crash that is confirmed, against any task.

Change: such an end counts only for a task under which an executor crashed before, neither as confirmed nor as certain, and makes no hall unstable. An announcement that is read once the executor is silent sets no time before which it stays. Attempts whose leases have expired count beside others of the same executor.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -150,36 +150,32 @@
             )
 
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, ended: bool) -> None:
-        attempts = list(executor.attempts.values()) or executor.expired_attempts
+        attempts = [*executor.attempts.values(), *executor.expired_attempts]
         crashed_at = now if executor.silent_since is None else executor.silent_since
         departure = departure_of(executor, crashed_at)
         if departure is not Departure.NONE:
             self._log_departure(executor, attempts, departure, now)
         if departure.planned:
             return
+        early = departure is Departure.EARLY
         executor_crash = _executor_crash(executor, crashed_at)
         simultaneous = self._simultaneous_crashes(executor_crash)
-        # Idle executors are recorded, too: their crash speaks for the tasks on those that crashed
-        # simultaneously.
-        self._state.executor_crashes = [
-            *self._state.executor_crashes[1 - MAX_REMEMBERED_CRASHES :],
-            executor_crash,
-        ]
-        if not executor_crash.had_isolated_task:
-            self._clear_blame_of(simultaneous)
+        if not early:
+            self._remember(executor_crash, simultaneous)
         if not attempts:
             return
         self._state.count("crashes")
         by_age = sorted(attempts, key=lambda a: time_on_executor_s(a, crashed_at))
         self._log(executor, by_age, crashed_at, now, proof=proof, simultaneous=len(simultaneous))
         unexplained = sum(not other.had_isolated_task for other in simultaneous)
-        certain = ended and departure is Departure.NONE
         suspects = [a for a in attempts if a.task.needs_isolation]
-        blamed = [
-            a for a in attempts if certain and not unexplained and has_highest_score(a, suspects)
-        ]
+        may_blame = ended and not early and not unexplained
+        blamed = [a for a in attempts if may_blame and has_highest_score(a, suspects)]
         tasks_with_history = {a.task for a in attempts if a.task.crash_history}
         for attempt in by_age:
+            if early and not attempt.task.crash_history:
+                # The executor may have left as announced, which was read late.
+                continue
             elapsed_s = time_on_executor_s(attempt, crashed_at)
             crash = Crash(
                 executor.executor_id,
@@ -187,9 +183,9 @@
                 crash_score_of(attempt, elapsed_s, executor.alive_at)
                 if attempt in blamed
                 else MIN_CRASH_SCORE,
-                is_confirmed(attempt, executor.alive_at),
+                not early and is_confirmed(attempt, executor.alive_at),
                 executor.record.address,
-                certain and is_certain(attempt, crashed_at, executor.alive_at),
+                ended and not early and is_certain(attempt, crashed_at, executor.alive_at),
             )
             self._add_to_history(
                 attempt, elapsed_s, crash, alone=tasks_with_history <= {attempt.task}
@@ -200,6 +196,21 @@
                 attempt.task, now, may_give_up=unexplained < MIN_SIMULTANEOUS_CRASHES
             )
 
+    def _remember(
+        self, executor_crash: ExecutorCrash, simultaneous: Iterable[ExecutorCrash]
+    ) -> None:
+        """Remember a crash, which may show that simultaneous ones were not caused by a task.
+
+        Idle executors are remembered, too: their crash speaks for the tasks on those that crashed
+        simultaneously.
+        """
+        self._state.executor_crashes = [
+            *self._state.executor_crashes[1 - MAX_REMEMBERED_CRASHES :],
+            executor_crash,
+        ]
+        if not executor_crash.had_isolated_task:
+            self._clear_blame_of(simultaneous)
+
     def _clear_blame_of(self, simultaneous: Iterable[ExecutorCrash]) -> None:
         """Clear the blame from earlier crashes, now that a simultaneous crash was found."""
         for other in simultaneous:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -99,7 +99,8 @@
             if executor is None:
                 self._state.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
                 executor = self._add_executor(record)
-            observed = executor.listed and not executor.draining
+            answering = executor.silent_since is None
+            observed = executor.listed and answering and not executor.draining
             executor.register(record)
             if executor_id in missing:
                 # Keep the earliest time: an outage of the store moves the reported one.
@@ -121,7 +122,8 @@
         Args:
             executor: The executor.
             now: Steady time.
-            observed: Whether this owner had read a registration of it without an announcement.
+            observed: Whether this owner had read a registration of it without an announcement, and
+                the executor answers.
         """
         remaining_s = executor.record.remaining_s
         if executor.leaves_at == FOREVER:
