Go by the time of an answer in more decisions about crashes

A late answer ended the silence of an executor that had crashed since, so it got starts again. A run of another owner, found in a late report, made two crashes look apart. The age of an unanswered start counted from its plan, so waiting for its record cleared the task's crashes. A start that was not sent, or an executor that had answered another start since, passed for a crash at the start.

Change: a silence ends by an answer that was made after it began; answers to starts count from their send, for runs that this owner started; only a confirmed run clears a history; a start that was not sent follows no answer; acknowledgements go by alive_at. An executor whose clock steps back was alive when it was asked.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -364,6 +364,9 @@
             granted_s = clock_s + self._bounds.max_lease_s
             executor.clock = LeaseClock(clock_s, now, granted_s)
         executor.clock.observe(clock_s, now, asked=asked)
+        if executor.silent_since is not None and executor.alive_at < executor.silent_since:
+            # The answer was made before the executor went silent, and is applied late.
+            return
         if executor.silent_since is not None:
             self.log(
                 Event.EXECUTOR_BACK,
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -107,6 +107,14 @@
         """Key under which executors list the run: task name and run number."""
         return self.task.name, self.run
 
+    @property
+    def ordered_at(self) -> float:
+        """Steady time before which this owner had certainly not sent its last start.
+
+        It is before all other times if a previous owner started the run.
+        """
+        return NEVER if self.recovered else max(self.placed_at, self.sent_at)
+
     @property
     def start_unanswered(self) -> bool:
         """Whether this tenure sent a start that is unanswered and may still arrive.
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -64,8 +64,6 @@
         has_reported: Whether it has reported in this tenure.
         reported_s: Reading of its own clock in the newest applied report.
         reported_at: Steady time at which its newest report was applied.
-        answered_at: Steady time of the last answer that names this incarnation. A report is applied
-            later, once the records of the jobs in it are read.
         usage_applied_at: Steady time at which usage figures of its runs were last applied.
         silent_since: Steady time of the first unanswered call since its last answer; ``None`` while
             it answers.
@@ -102,7 +100,6 @@
     has_reported: bool = False
     reported_s: float = NEVER
     reported_at: float = NEVER
-    answered_at: float = NEVER
     usage_applied_at: float = NEVER
     silent_since: float | None = None
     last_handled_end: int = 0
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -164,6 +164,7 @@
         attempt = self._state.find_attempt(order.task, order.run)
         if attempt is None or attempt.phase is not Phase.STARTING:
             return
+        attempt.follows_answer = False
         if attempt.start_may_arrive_until > now:
             attempt.phase = Phase.DOUBT
         else:
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -152,7 +152,7 @@
     def _on_end(self, executor: ExecutorState, now: float, proof: str, *, ended: bool) -> None:
         attempts = [*executor.attempts.values(), *executor.expired_attempts]
         crashed_at = now if executor.silent_since is None else executor.silent_since
-        departure = departure_of(executor, crashed_at)
+        departure = departure_of(executor, max(crashed_at, executor.alive_at))
         if departure is not Departure.NONE:
             self._log_departure(executor, attempts, departure, now)
         if departure.planned:
@@ -172,6 +172,7 @@
         may_blame = ended and not early and not unexplained
         blamed = [a for a in attempts if may_blame and has_highest_score(a, suspects)]
         tasks_with_history = {a.task for a in attempts if a.task.crash_history}
+        alive_at = _alive_at(executor)
         for attempt in by_age:
             if early and not attempt.task.crash_history:
                 # The executor may have left as announced, which was read late.
@@ -180,15 +181,15 @@
             crash = Crash(
                 executor.executor_id,
                 attempt.run,
-                crash_score_of(attempt, elapsed_s, executor.alive_at)
+                crash_score_of(attempt, elapsed_s, alive_at)
                 if attempt in blamed
                 else MIN_CRASH_SCORE,
-                not early and is_confirmed(attempt, executor.alive_at),
+                not early and is_confirmed(attempt, alive_at),
                 executor.record.address,
-                ended and not early and is_certain(attempt, crashed_at, executor.alive_at),
+                ended and not early and is_certain(attempt, crashed_at, alive_at),
             )
             self._add_to_history(
-                attempt, elapsed_s, crash, alone=tasks_with_history <= {attempt.task}
+                attempt, crashed_at, crash, alone=tasks_with_history <= {attempt.task}
             )
         executor_crash.blamed_tasks.update(a.task for a in blamed)
         for attempt in by_age:
@@ -237,20 +238,20 @@
         ]
 
     def _add_to_history(
-        self, attempt: Attempt, elapsed_s: float, crash: Crash, *, alone: bool
+        self, attempt: Attempt, crashed_at: float, crash: Crash, *, alone: bool
     ) -> None:
         """Add a crash to the history of a task that was running at the time.
 
         Args:
             attempt: The task's run.
-            elapsed_s: How long the run had been on the executor, in seconds.
+            crashed_at: Steady time by which the executor had crashed.
             crash: The crash.
             alone: Whether no other task on the executor has a crash history.
         """
         task = attempt.task
         if task.done or task.step.run.job.closing:
             return
-        if elapsed_s >= CLEARED_AFTER_S:
+        if attempt.confirmed_at != NEVER and crashed_at - attempt.confirmed_at >= CLEARED_AFTER_S:
             self._state.set_crash_history(task, None)
             return
         if not crash.confirmed and not counts_unconfirmed(attempt):
@@ -403,17 +404,23 @@
         )
 
 
+def _alive_at(executor: ExecutorState) -> float:
+    """Return the latest steady time at which an executor was certainly alive.
+
+    Answers to starts count as well as reports, although they do not name the incarnation. The
+    executor was alive when such a start was sent; the answer may have been applied much later.
+    """
+    answered = (a.ordered_at for a in executor.attempts.values() if a.confirmed_at != NEVER)
+    return max([executor.alive_at, *answered])
+
+
 def _executor_crash(executor: ExecutorState, silent_since: float) -> ExecutorCrash:
-    # Answers to starts count, too, although they do not name the incarnation. It was alive when the
-    # start was sent; the answer may have been applied much later.
-    answered = (a.placed_at for a in executor.attempts.values() if a.confirmed_at != NEVER)
-    alive_at = max([executor.alive_at, *answered])
     attempts = (*executor.attempts.values(), *executor.expired_attempts)
     had_isolated_task = any(attempt.isolated for attempt in attempts)
     return ExecutorCrash(
         executor.executor_id,
         executor.record.address,
-        alive_at,
+        _alive_at(executor),
         silent_since,
         had_isolated_task,
         set(),
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -101,6 +101,8 @@
         if asked > executor.reported_at:
             # No later report overtook this one, so the clock went backwards. It cannot be trusted,
             # so the leases there must expire.
+            if executor.clock:
+                executor.clock.alive_at = max(executor.clock.alive_at, asked)
             self._liveness.on_silent(executor.executor_id, now, cause="its clock went backwards")
 
     def _on_running(self, executor: ExecutorState, row: RunningTask, now: float) -> None:
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -74,7 +74,7 @@
     The number is 0, which acknowledges nothing, also if there is nothing new. After a silence, a
     freeze of this host or a claim, the executor must first report which incarnation it is.
     """
-    fresh = executor.silent_since is None and now - executor.answered_at <= MAX_ACKNOWLEDGE_DELAY_S
+    fresh = executor.silent_since is None and now - executor.alive_at <= MAX_ACKNOWLEDGE_DELAY_S
     if not (fresh and executor.ack_pending):
         return 0
     if any(_may_start_and_end(attempt, now) for attempt in executor.attempts.values()):
@@ -236,7 +236,6 @@
             self._watch_new_incarnations()
             return False
         executor.ack_delivered = max(executor.ack_delivered, acknowledged)
-        executor.answered_at = steady()
         report = await self._without_unread_jobs(report, first=not self._core.has_reported(name))
         now = steady()
         self._count_ends(name, report)
--- a/tests/shard/test_incarnations.py
+++ b/tests/shard/test_incarnations.py
@@ -257,9 +257,10 @@
 
 
 def _set_answered(executor: ExecutorState, at: float) -> None:
-    """Set the time of an executor's last answer, with ends to acknowledge."""
+    """Set the time at which an executor made its last answer, with ends to acknowledge."""
+    assert executor.clock
     executor.acknowledged = 5
-    executor.answered_at = at
+    executor.clock.alive_at = at
 
 
 @pytest.mark.parametrize(
