Decide on crashes that a next owner merges

What callers could see: a sixth start of a task under which five executors had crashed (BUDGET). The next owner of a hall read the fifth crash from its record and the four others from a delegation, and decided nothing.

Change: the tracker of crashes takes over histories on every way: delegation, return and takeover, and decides if this shard had found some of the crashes. A merged crash raises no score to the limit, as it is not known whether another task may have caused it, and a merged deferral covers no later crash.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -88,8 +88,8 @@
         self._reconciler = ReportReconciler(
             self, EndHandler(self), self._liveness, self._restarts, self._crashes
         )
-        self._intake = JobIntake(self)
-        self._delegations = Delegations(self)
+        self._intake = JobIntake(self, self._crashes)
+        self._delegations = Delegations(self, self._crashes)
         self._orders = Orders(self)
 
     # Recovery
@@ -265,8 +265,7 @@
         self, job_id: str, delegations: Iterable[Delegation], now: float
     ) -> None:
         """Apply all open delegations of a job's tasks to this shard."""
-        for task in self._delegations.accept_delegations(job_id, delegations, now):
-            self._crashes.on_histories_merged(task, now)
+        self._delegations.accept_delegations(job_id, delegations, now)
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -284,8 +283,7 @@
 
     def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> None:
         """Manage tasks again that another shard has returned."""
-        for task in self._delegations.reclaim_tasks(job_id, returned, now):
-            self._crashes.on_histories_merged(task, now)
+        self._delegations.reclaim_tasks(job_id, returned, now)
 
     def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks, by shard."""
--- a/src/linkspan/shard/crash_changes.py
+++ b/src/linkspan/shard/crash_changes.py
@@ -50,11 +50,12 @@
             history = history and retract_crash(history, incarnation, history.version)
         for crash in own.identified_crashes if own else ():
             if own and crash.incarnation in self.found:
-                history = add_crash(history, crash, own.version)
+                # Whether another task may have caused the crash is not known any more.
+                history = add_crash(history, crash, own.version, alone=False)
         return history
 
 
-def take_over_history(task: Task, delegation: Delegation) -> CrashHistory | None:
+def merged_history(task: Task, delegation: Delegation) -> CrashHistory | None:
     """Return the crash history of a task that another shard hands over to this one.
 
     The changes that this shard made meanwhile are included, and end with that.
@@ -68,6 +69,6 @@
     return replace(
         history,
         version=max(history.version, own.version),
-        deferred_at=max(history.deferred_at, own.deferred_at),
+        deferred_at=min(max(history.deferred_at, own.deferred_at), history.crash_count),
         give_up_due_at=own.give_up_due_at,
     )
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Delegation
-from linkspan.shard.crash_changes import take_over_history
 from linkspan.shard.recovery.progress import progress_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from linkspan.shard._shard_state import ShardState
+    from linkspan.shard.reports._crashes import CrashTracker
     from linkspan.shard.task import Task
 
 
@@ -20,37 +20,31 @@
 
     Args:
         state: The shard's state.
+        crashes: Records crashes.
     """
 
-    def __init__(self, state: ShardState) -> None:
+    def __init__(self, state: ShardState, crashes: CrashTracker) -> None:
         self._state = state
+        self._crashes = crashes
 
     def __repr__(self) -> str:
         return f"Delegations({self._state!r})"
 
     def accept_delegations(
         self, job_id: str, delegations: Iterable[Delegation], now: float
-    ) -> list[Task]:
-        """Apply all open delegations of a job's tasks to this shard.
-
-        Returns:
-            Tasks for which this shard had found crashes that the delegation does not hold.
-        """
+    ) -> None:
+        """Apply all open delegations of a job's tasks to this shard."""
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job and job.delegated_here else None
         if run is None:
-            return []
-        merged = []
+            return
         for delegation in delegations:
             task = run.steps[delegation.step].tasks[delegation.index]
             if task.managed_by is not None and task.delegation_number < delegation.number:
                 task.managed_by = None
                 task.delegation_number = delegation.number
-                if task.crash_changes and task.crash_changes.found:
-                    merged.append(task)
-                self._state.set_crash_history(task, take_over_history(task, delegation))
+                self._crashes.take_over_history(task, delegation, now)
                 self._state.mark_ready(task, now)
-        return merged
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -75,28 +69,20 @@
             self._state.mark_dirty(run)
         return handed_over
 
-    def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> list[Task]:
-        """Manage tasks again whose delegations were returned.
-
-        Returns:
-            Tasks for which this shard had found crashes that the returned delegation does not hold.
-        """
+    def reclaim_tasks(self, job_id: str, returned: Iterable[Delegation], now: float) -> None:
+        """Manage tasks again whose delegations were returned."""
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job and not job.delegated_here else None
         if run is None:
-            return []
-        merged = []
+            return
         for delegation in returned:
             task = run.steps[delegation.step].tasks[delegation.index]
             if task.managed_by is not None and task.delegation_number == delegation.number:
                 task.returned_by[task.managed_by] = delegation.number
                 task.managed_by = None
-                if task.crash_changes and task.crash_changes.found:
-                    merged.append(task)
-                self._state.set_crash_history(task, take_over_history(task, delegation))
+                self._crashes.take_over_history(task, delegation, now)
                 self._state.mark_dirty(run)
                 self._state.mark_ready(task, now)
-        return merged
 
     def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks, by shard."""
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -8,7 +8,6 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import attempts_exhausted_fields, short_name
-from linkspan.shard.crash_changes import take_over_history
 from linkspan.shard.crash_history import GIVE_UP_REASON
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
@@ -23,6 +22,7 @@
     from linkspan.model.configuration import Configuration
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.reports._crashes import CrashTracker
 
 FIRST_RUN_WITHOUT_RECORD = 1_000_000
 """Number of the next run of a task whose record is not readable. It exceeds all run numbers that an
@@ -34,10 +34,12 @@
 
     Args:
         state: The shard's state.
+        crashes: Records crashes.
     """
 
-    def __init__(self, state: ShardState) -> None:
+    def __init__(self, state: ShardState, crashes: CrashTracker) -> None:
         self._state = state
+        self._crashes = crashes
 
     def __repr__(self) -> str:
         return f"JobIntake({self._state!r})"
@@ -88,7 +90,7 @@
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
             if delegated_here is not None:
-                self._keep_delegated_tasks(run, delegated_here, submitted.shard)
+                self._keep_delegated_tasks(run, delegated_here, submitted.shard, now)
             self._state.open_steps(run, now)
         if job.limit_version is None and job.max_attempts is not None and self._state.configuration:
             # The limit has no version. Any later configuration is newer than this limit, whichever
@@ -168,7 +170,7 @@
                     self._state.decide(run.job, JobState.FAILED, **why)
 
     def _keep_delegated_tasks(
-        self, run: JobRun, delegations: Iterable[Delegation], home: int
+        self, run: JobRun, delegations: Iterable[Delegation], home: int, now: float
     ) -> None:
         """Leave all tasks to the job's home shard, except those delegated to this shard."""
         by_task = {(delegation.step, delegation.index): delegation for delegation in delegations}
@@ -179,7 +181,7 @@
             elif task.delegation_number < delegation.number:
                 task.managed_by = None
                 task.delegation_number = delegation.number
-                self._state.set_crash_history(task, take_over_history(task, delegation))
+                self._crashes.take_over_history(task, delegation, now)
 
     def refresh_queue(self, job: ShardJob) -> None:
         """Apply the terms of a job's queue from the configuration in force.
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -16,7 +16,7 @@
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
-from linkspan.shard.crash_changes import CrashChanges
+from linkspan.shard.crash_changes import CrashChanges, merged_history
 from linkspan.shard.crash_history import (
     CLEARED_AFTER_S,
     GIVE_UP_REASON,
@@ -47,6 +47,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from linkspan.jobs.records import Delegation
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.crash_history import CrashHistory
@@ -104,9 +105,16 @@
             if task and crash and crash.run == end.run:
                 self._retract(task, incarnation)
 
-    def on_histories_merged(self, task: Task, now: float) -> None:
-        """Handle crashes found by two shards, which may be enough together to give a task up."""
-        self._schedule_give_up(task, now, may_give_up=True)
+    def take_over_history(self, task: Task, delegation: Delegation, now: float) -> None:
+        """Take over the crash history of a task that another shard hands over to this one.
+
+        Crashes that this shard found meanwhile may be enough, together with those of the other
+        shard, to give the task up.
+        """
+        found = task.crash_changes is not None and bool(task.crash_changes.found)
+        self._state.set_crash_history(task, merged_history(task, delegation))
+        if found:
+            self._schedule_give_up(task, now, may_give_up=True)
 
     def retract(self, incarnation: str, reason: str) -> None:
         """Retract the crash of an incarnation that did not crash, so that it counts in no decision.
