Record a deferral as a flag

Cause: the number of crashes at which giving up was put off went into the records; 1 meant "at the last crash" in those of earlier versions, and earlier versions read any number as that, also after further crashes.

Change: the record says whether the next owner waits for one more crash, as before.

--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -235,11 +235,11 @@
 def _delegation_from(row: list[Any]) -> Delegation:
     """Parse a delegation.
 
-    Rows of earlier versions contain no crash history, or do not say when giving up was put off;
+    Rows of earlier versions contain no crash history, or do not say whether giving up was put off;
     those of later versions may append fields.
     """
     step, index, number, *crashes = row
-    crash_count, crash_score, listed, deferred_at, *_ = [
+    crash_count, crash_score, listed, deferred, *_ = [
         *crashes,
         *EMPTY_CRASH_FIELDS[len(crashes) :],
     ]
@@ -256,7 +256,7 @@
         parse_int(crash_count),
         parse_int(crash_score),
         identified,
-        parse_int(deferred_at),
+        parse_int(deferred) > 0,
     )
 
 
@@ -269,8 +269,8 @@
         [c.incarnation, c.run, c.score, c.certainty] for c in delegation.identified_crashes
     ]
     crashes = [delegation.crash_count, delegation.crash_score]
-    if delegation.deferred_at:
-        return [*identity, *crashes, identified, delegation.deferred_at]
+    if delegation.give_up_deferred:
+        return [*identity, *crashes, identified, 1]
     return [*identity, *crashes, *([identified] if identified else [])]
 
 
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -79,8 +79,7 @@
         crash_count: Executors that had crashed under the task when it was delegated or returned.
         crash_score: Score of these crashes.
         identified_crashes: Those crashes whose executor incarnation is known.
-        deferred_at: Number of crashes at which an owner put off giving the task up until its next
-            crash, 0 if none did.
+        give_up_deferred: Whether an owner has put off giving the task up until its next crash.
     """
 
     step: int
@@ -89,7 +88,7 @@
     crash_count: int = field(default=0, compare=False)
     crash_score: int = field(default=0, compare=False)
     identified_crashes: tuple[Crash, ...] = field(default=(), compare=False)
-    deferred_at: int = field(default=0, compare=False)
+    give_up_deferred: bool = field(default=False, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -120,5 +120,5 @@
         known.crash_count,
         known.crash_score,
         known.identified_crashes,
-        known.recorded_deferral,
+        known.deferred_for_next_owner,
     )
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -64,14 +64,14 @@
         [failed.run, *incarnation_fields(failed.incarnation)]
         for failed in sorted(task.failed.identified_runs)
     ]
-    crashes, score, identified, deferred_at = _crash_fields(task.crash_history)
+    crashes, score, identified, deferred = _crash_fields(task.crash_history)
     saved_by = task.saved_by if task.checkpoint else 0
     more = (
         crashes,
         score,
         failed,
         identified,
-        deferred_at,
+        deferred,
         saved_by,
         _limit_fields(task),
         _expired(task),
@@ -122,14 +122,19 @@
 
 
 def _crash_fields(history: CrashHistory | None) -> tuple[int, int, list[Any], int]:
-    """Return the fields on a task's crashes and on the crash at which giving up was deferred."""
+    """Return the fields on a task's crashes and on whether giving it up was deferred."""
     if history is None:
         return 0, 0, [], 0
     identified = [
         [c.run, c.score, c.certainty, *incarnation_fields(c.incarnation)]
         for c in history.identified_crashes
     ]
-    return history.crash_count, history.crash_score, identified, history.recorded_deferral
+    return (
+        history.crash_count,
+        history.crash_score,
+        identified,
+        int(history.deferred_for_next_owner),
+    )
 
 
 def restore_task(task: Task, row: Any, now: float) -> None:
@@ -148,7 +153,7 @@
         _restore_delegated(task, row, now)
         return
     next_run, failures, checkpoint, attempts, delegation, *more = row
-    crashes, score, failed, identified, deferred_at, saved_by, limit, expired = _padded(
+    crashes, score, failed, identified, deferred, saved_by, limit, expired = _padded(
         EMPTY_FIELDS, more
     )
     if limit:
@@ -156,7 +161,7 @@
         task.step.run.job.apply_limit(
             parse_int(max_attempts), parse_int(version[0]) if version else None
         )
-    task.crash_history = _restore_crash_history(crashes, score, identified, deferred_at)
+    task.crash_history = _restore_crash_history(crashes, score, identified, deferred)
     task.next_run = parse_int(next_run, minimum=1)
     task.checkpoint, task.saved_by, task.delegation_number = (
         parse_text(checkpoint),
@@ -204,7 +209,7 @@
 
 
 def _restore_crash_history(
-    crashes: Any, score: Any, identified: Any, deferred_at: Any
+    crashes: Any, score: Any, identified: Any, deferred: Any
 ) -> CrashHistory | None:
     """Return a task's recorded crash history; earlier versions did not record single crashes."""
     if not (parse_int(crashes) and parse_int(score)):
@@ -215,13 +220,12 @@
         )
         for run, crash_score, certainty, *incarnation in map(parse_list, parse_list(identified))
     )
-    crash_count, recorded_deferral = parse_int(crashes), parse_int(deferred_at)
+    crash_count = parse_int(crashes)
     return CrashHistory(
         crash_count,
         parse_int(score),
         identified_crashes=identified_crashes,
-        # Earlier versions record 1 for a deferral at the last crash; none is possible at the first.
-        deferred_at=crash_count if recorded_deferral == 1 else recorded_deferral,
+        deferred_at=crash_count if parse_int(deferred) > 0 else 0,
     )
 
 
