Send no start before a crash found meanwhile is on record

What callers could see: one start too many (BUDGET) if the owner is lost: a crash that is found while a start waits for an answer of its executor was on no record when the start went out.

Change: a start is sent only if the task's crashes are on record, as it is planned only then.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -139,7 +139,10 @@
         # found since the plan may be enough to give the task up.
         if attempt is None or attempt.phase is not Phase.STARTING or attempt.task.decision_pending:
             return False
-        return not (attempt.task.needs_isolation and executor.silent_since is not None)
+        if attempt.task.needs_isolation and executor.silent_since is not None:
+            return False
+        # Crashes found since the plan must be on record before the start, as those before it.
+        return attempt.task.crash_history_durable
 
     async def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
