Call a task that may be started startable

Three things were called may_start: whether a job's former runs are settled, the same at the core, and whether a task may be started now. The last one is Task.startable. No behaviour changes; tests/shard pass as before.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -110,7 +110,7 @@
             else SHORT_TASK_HANDOVER_WAIT_S
         )
         # A task that may not start yet may not start elsewhere, either.
-        startable = (t for t in step.tasks if t.pending and t.may_start(now))
+        startable = (t for t in step.tasks if t.pending and t.startable(now))
         pending = [t for t in startable if now - t.ready_since >= wait_s]
         if not pending or job.closing or job.handing_over:
             return None
--- a/src/linkspan/shard/planning/_speculative_copies.py
+++ b/src/linkspan/shard/planning/_speculative_copies.py
@@ -38,7 +38,7 @@
         step = attempt.task.step
         if step.run.job.requires_ticket or len(attempt.task.attempts) > 1:
             return False
-        if attempt.task.crash_history or not attempt.task.may_start(self._now):
+        if attempt.task.crash_history or not attempt.task.startable(self._now):
             # A copy could crash a second executor, or a start was refused a moment ago.
             return False
         if len(step.durations) < 2 or step.run.job.closing:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -73,7 +73,7 @@
         return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
 
     def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
-        pending = [t for t in waiting if t.may_start(view.now)]
+        pending = [t for t in waiting if t.startable(view.now)]
         if self._core.tasks_with_crash_history:
             pending = [t for t in pending if t.crash_history_durable]
         if not pending:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -79,7 +79,7 @@
         """Whether this shard manages it and it needs an attempt."""
         return not self.done and not self.attempts and self.managed_by is None
 
-    def may_start(self, now: float) -> bool:
+    def startable(self, now: float) -> bool:
         """Return whether it may be started, or delegated to a shard that may start it.
 
         It may not while a refused start is not to be retried yet, and while its owner has yet to
