Give a task up at the fourth crash if its score suffices, in any hall

Cause: the limit of four confirmed crashes leaves one of the two starts that the platform tolerates for an owner that is lost. With two unconfirmed ones the limit is five, and leaves none.

Change: at the fourth crash a score of 8 with two certain ones decides in an unstable hall, too. Such a score takes two crashes that are blamed on the task alone; four crashes that are not blamed decide nothing, as before.

--- a/src/linkspan/shard/crash_history.py
+++ b/src/linkspan/shard/crash_history.py
@@ -59,7 +59,8 @@
 
 MAX_CONFIRMED_CRASHES = 4
 """Limits the confirmed crashes of a task, whatever their score: the task is given up at the fourth.
-The platform tolerates two starts after the third crash; this limit uses one of them, because an
+It is also given up at the fourth crash if its score suffices, although not all are confirmed. The
+platform tolerates two starts after the third crash; this limit uses one of them, because an
 owner that is lost may leave one start unrecorded."""
 
 MAX_CRASHES = 5
@@ -204,10 +205,10 @@
         """Return whether to give the task up.
 
         Args:
-            min_certain: Number of certain crashes required for a decision by score. If it exceeds
-                ``MIN_CERTAIN_CRASHES``, as in a hall whose executors crash by themselves, the total
-                number of crashes decides nothing while fewer than ``MIN_CERTAIN_CRASHES`` of them
-                are certain.
+            min_certain: Number of certain crashes required for a decision by score before the
+                fourth crash. If it exceeds ``MIN_CERTAIN_CRASHES``, as in a hall whose executors
+                crash by themselves, the total number of crashes decides nothing while fewer than
+                ``MIN_CERTAIN_CRASHES`` of them are certain.
         """
         if self.over_crash_limit:
             return True
@@ -215,7 +216,9 @@
             return self.crash_count >= MAX_CRASHES and min_certain == MIN_CERTAIN_CRASHES
         if self.confirmed_count >= MAX_CONFIRMED_CRASHES:
             return True
-        return self.certain_count >= min_certain and self.crash_score >= GIVE_UP_SCORE
+        if self.crash_score < GIVE_UP_SCORE:
+            return False
+        return self.certain_count >= min_certain or self.crash_count >= MAX_CONFIRMED_CRASHES
 
 
 def _is_of_run(crash: Crash, run: int, incarnation: str) -> bool:
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -247,3 +247,28 @@
     core.on_report("e0@1", ExecutorReport(3.0, (row,), (), started_at_ms=1), asked=3.0, now=3.0)
     crash_executor(core, "e0@1", 4.0, 4.1)
     assert crash_history_of(core).certain_count == 1
+
+
+def test_in_an_unstable_hall_four_crashes_with_two_certain_ones_decide_by_score() -> None:
+    """Guards against a sixth start of a task under which five executors crashed.
+
+    A crash under a start on no record is counted by no owner. The first two counted starts were
+    unanswered, the next two crashed their executors at once. Executors crash by themselves.
+    """
+    unconfirmed = tuple(Crash(f"e{number}@1", number, 2, confirmed=False) for number in (1, 2))
+    history = CrashHistory(2, 4, identified_crashes=unconfirmed)
+    history = add_crash(history, Crash("e3@1", 3, 4), 0)
+    assert not history.should_give_up_with(MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL)
+    history = add_crash(history, Crash("e4@1", 4, 4), 0)
+    assert (history.crash_count, history.confirmed_count, history.certain_count) == (4, 2, 2)
+    assert history.should_give_up_with(MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL)
+
+
+def test_in_an_unstable_hall_four_crashes_that_are_not_blamed_decide_nothing() -> None:
+    """Guards against a job given up for crashes with which its task had nothing to do."""
+    history = CrashHistory(1, 2, identified_crashes=(UNCERTAIN,))
+    for number in range(2, 5):
+        crash = Crash(f"e{number}@1", number, 2, certain=number > 2)
+        history = add_crash(history, crash._replace(confirmed=number > 2), 0)
+    assert history.certain_count == 2
+    assert not history.should_give_up_with(MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL)
