Spare no task for simultaneous crashes after three crashes of its own

What callers saw: a task that crashes its executors was started after five of them had crashed under it (BUDGET; the platform tolerates two starts after the third crash).

Cause: the first start goes out on no record, because the store does not answer its owner within 0.3 s. Owner and executor are lost together, so nobody counts that crash. The fourth counted crash is then the fifth one, and it spared the task because two other executors had crashed at the same time.

Fix: simultaneous crashes spare a task so that a failing rack or hall gives up none of the tasks there. A task with three certain crashes, each without a simultaneous crash of another executor, was not put there by a rack. It is given up at the fourth, as it would be without simultaneous crashes. The platform allows that from two crashes on. The crash under the start on no record stays uncounted, but no longer costs a start too many here.

A new test in tests/shard/test_crashes.py fails before in one of two cases (three own crashes) and passes; the other case (one of the three was simultaneous with another executor's) is spared before and after.

Weighed: a longer wait for the record while the store is out (each start would pay for it in an outage of up to 9 s), and a limit of three counted crashes (would give up innocent tasks without any rack failure).

Left: records hold no times of crashes, so an owner counts only crashes that it found itself. After a change of owners between the counted crashes the task is spared as before.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -64,6 +64,12 @@
 crash makes the owner give up no task: such crashes are caused by a failing rack or hall. A task
 that crashes executors does so alone once it is isolated."""
 
+MIN_LONE_CRASHES = 3
+"""Certain crashes of a task during which no other executor crashed without an isolated task, from
+which on simultaneous crashes no longer spare the task. No rack or hall failed at these crashes, and
+one more start may exceed what the platform tolerates: an owner that is lost may have left an
+earlier crash uncounted."""
+
 GIVE_UP_DELAY_S = 0.5
 """Delay between a crash and giving up a task for it: of executors that crash at the same time, the
 first is detected some hundred milliseconds before the others."""
@@ -280,12 +286,17 @@
             now: Steady time.
             may_give_up: Whether this crash may be the task's last one. It may not if other
                 executors crashed at the same time without an isolated task. That spares a task
-                once, as the platform tolerates one more start.
+                once, as the platform tolerates one more start, unless ``MIN_LONE_CRASHES`` of its
+                crashes were not simultaneous with others.
         """
         history = task.crash_history
         if history is None or history.decision_pending:
             return
-        may_give_up = may_give_up or history.crash_count > MAX_CONFIRMED_CRASHES
+        may_give_up = (
+            may_give_up
+            or history.crash_count > MAX_CONFIRMED_CRASHES
+            or self._lone_crash_count(history) >= MIN_LONE_CRASHES
+        )
         if not history.should_give_up:
             decision = "none"
         elif may_give_up and self._should_give_up(history, now):
@@ -298,6 +309,18 @@
         if history.needs_isolation:
             self._log_decision(task, history, decision, now)
 
+    def _lone_crash_count(self, history: CrashHistory) -> int:
+        """Return how many of a task's certain crashes were not simultaneous with others.
+
+        Only crashes that this owner found count, because records do not hold their times.
+        """
+        incarnations = {c.incarnation for c in history.identified_crashes if c.certain}
+        return sum(
+            all(other.had_isolated_task for other in self._simultaneous_crashes(executor_crash))
+            for executor_crash in self._state.executor_crashes
+            if executor_crash.executor_id in incarnations
+        )
+
     def tick(self, now: float) -> None:
         """Take the decisions to give tasks up whose delay has passed."""
         for task in list(self._state.tasks_with_crash_history):
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Any
 
+import pytest
+
 from linkspan.events import Event
 from linkspan.jobs.crash import Crash
 from linkspan.shard.attempt import Attempt, Phase
@@ -279,3 +281,37 @@
     place_task(core, other, "e0", began=10.0)
     crash_under_task(core, scored, "e0", 10.0)
     assert scored.crash_history and scored.crash_history.should_give_up
+
+
+def crash_late_under_task(
+    core: ShardCore, task: Task, executor_id: str, began: float, beside: tuple[str, ...] = ()
+) -> None:
+    """Let an executor crash four seconds after a run of a task began, alone or beside others."""
+    for name in (*beside, executor_id):
+        report_ends(core, name, asked=began - 0.02, now=began - 0.01)
+    place_task(core, task, executor_id, began=began)
+    for name in (*beside, executor_id):
+        core.on_silent(name, began + 4.0)
+    for name in (*beside, executor_id):
+        core.on_incarnation_ended(name, began + 4.1, "another incarnation answers")
+    core.tick(began + 4.1 + GIVE_UP_DELAY_S)
+
+
+@pytest.mark.parametrize(("beside_third", "given_up"), [((), True), (("e6",), False)])
+def test_simultaneous_crashes_spare_a_task_unless_three_crashes_were_its_own(
+    beside_third: tuple[str, ...], given_up: bool
+) -> None:
+    """Guards against a sixth crash of a task's executors, and against blame for a rack's failure.
+
+    Two other executors crash with the task's fourth one. That spares the task, except if no other
+    executor crashed at the same time as each of the three before.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=7)
+    (task,) = core.jobs[JOB].runs[0].tasks()
+    crash_late_under_task(core, task, "e0", 10.0)
+    crash_late_under_task(core, task, "e1", 20.0)
+    crash_late_under_task(core, task, "e2", 30.0, beside_third)
+    assert core.finished == []
+    crash_late_under_task(core, task, "e3", 40.0, ("e4", "e5"))
+    assert task.crash_history and task.crash_history.confirmed_count == 4
+    assert bool(core.finished) is given_up
