Claim a hall together with a reservation, so that a tenure has two tokens

A task could run twice: until an owner had read a renewal of its claim back, 0.6 s after the claim or seconds later if the store is out, an executor's next incarnation was told the token of the one before. An order that was on its way to that one was accepted there.

Cause: the tokens of a tenure are offsets of its own records in the log, and a claim was one record.

Fix: a claim is one conditional append of two records, a reservation and the claim. Their offsets plus 1 are the first two tokens, so the first one is one less than the claim's, and a next incarnation gets the second one. No other record can lie between them: the append is conditional and takes all or nothing. Each token of a tenure thus still lies above those of the tenures before it and below those of the ones after it.

Earlier versions read both records as claims by one process. The second does not change who the owner is or how long former owners may act, and renewals and releases carry the token that these versions derive from the second one. So neither version takes the other's tenure for silent.

Cost: one record of some 60 bytes more for each claim, none for renewals. A host that starts reads the last four ownership records, of which a claim is now two.

Left: before a renewal is read back, the second next incarnation under an id has the token of the first one. A host that knows an owner by its renewals alone logs the claim's token as former_token, one above the token that the owner logs for itself.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -13,6 +13,7 @@
 from linkspan.shard.ownership.ownership import (
     MAX_UNPROVED_S,
     RENEWAL_INTERVAL_S,
+    RESERVATION_NUMBER,
     Claim,
     Owner,
     OwnerAct,
@@ -186,7 +187,9 @@
         return now - self._follower.synced_at < limit
 
     async def _claim(self, group: asyncio.TaskGroup) -> None:
-        record = OwnerRecord(OwnerAct.CLAIM, self._host, self._incarnation)
+        identity = OwnerAct.CLAIM, self._host, self._incarnation
+        reservation = OwnerRecord(*identity, number=RESERVATION_NUMBER)
+        records = [Record(record.encode()) for record in (reservation, OwnerRecord(*identity))]
         silent_s = self._view.silent_for(steady())
         previous_owner = self._view.owner
         asked_at = steady()
@@ -199,9 +202,7 @@
             self._last_claim = Claim(
                 asked_at, now - asked_at + self._view.former_owners_remaining_s(now)
             )
-            appended = await self._store.append(
-                self._partition, [Record(record.encode())], at=self._follower.offset
-            )
+            appended = await self._store.append(self._partition, records, at=self._follower.offset)
         except (OffsetConflict, StoreRefused, StoreUnanswered):
             # Another host has claimed the shard, or the follower will read this claim back.
             return
@@ -234,7 +235,7 @@
     def _apply_renewal(self, record: OwnerRecord) -> None:
         """Extend the current tenure if a record is its renewal and no other claim precedes it."""
         owner = self._view.owner
-        if self._tenure and self._view.mine and owner and record.token == owner.token:
+        if self._tenure and self._view.mine and owner and record.token == self._view.claim_token:
             renewed_at = self._renewed_at.pop(record.number, float("-inf"))
             self._tenure.on_renewal_confirmed(renewed_at, token_limit=self._view.token_limit)
 
@@ -252,6 +253,10 @@
             self._end_tenure()
         if owner and self._view.mine and self._tenure is None and self._enabled.is_set():
             self._begin_tenure(owner)
+        if self._tenure:
+            # A claim raises the limit without a renewal; it proves the ownership as of its sending,
+            # which the tenure knows.
+            self._tenure.on_renewal_confirmed(float("-inf"), token_limit=self._view.token_limit)
 
     def _begin_tenure(self, owner: Owner) -> None:
         # Renewals are numbered per tenure, so that hosts that start later know the tenure's age.
@@ -299,6 +304,6 @@
         if self._tenure and self._renewals % RENEWALS_PER_SUMMARY == 0:
             summary = self._tenure.summary()
         record = OwnerRecord(
-            act, self._host, self._incarnation, owner.token, self._renewals, summary
+            act, self._host, self._incarnation, self._view.claim_token, self._renewals, summary
         )
         await self._store.append(self._partition, [Record(record.encode())])
--- a/src/linkspan/shard/ownership/_tokens.py
+++ b/src/linkspan/shard/ownership/_tokens.py
@@ -37,8 +37,9 @@
     def next_token(self, others: Iterable[ExecutorState]) -> int:
         """Return the token for an incarnation that was just found.
 
-        The token does not exceed the allowed limit: after a claim that was not renewed yet, the
-        next incarnation gets the same token as the previous one.
+        The token does not exceed the allowed limit. A claim allows two tokens and each renewal at
+        least one more, so that of several incarnations that end between two renewals the later ones
+        get the same token.
 
         Args:
             others: Other incarnations of the same id.
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -1,7 +1,8 @@
 """Ownership of a shard: the current owner by claims and renewals, and when to claim.
 
-The fencing token of a tenure follows from the offset of its claim. Claims are conditional appends,
-so each one follows everything its writer had read, and offsets only increase.
+The fencing tokens of a tenure follow from the offsets of its records. Claims are conditional
+appends, so each one follows everything its writer had read, and offsets only increase. A claim is
+appended together with a reservation, so that a tenure has two tokens from its claim on.
 """
 
 from __future__ import annotations
@@ -41,6 +42,10 @@
 up to 9 s."""
 
 
+RESERVATION_NUMBER = 1
+"""Number in the first of the two records of a claim. It reserves a fencing token for the tenure.
+Earlier versions, whose claims have no number, read both records as claims by the same process."""
+
 MAX_REMEMBERED_EFFECTS = 2_000
 """Interference effects that are kept for a hall, the newest: images change with the workload, and a
 host that does not own the hall must not keep the effects of weeks. Some 300 are known at a time."""
@@ -62,8 +67,9 @@
         act: Kind of the record.
         host: Name of the host that wrote it.
         incarnation: Incarnation of the host's process.
-        token: Token of the tenure that is renewed or released; 0 in claims.
-        number: Sequence number of the renewal within its tenure.
+        token: Claim token of the tenure that is renewed or released; 0 in claims.
+        number: Sequence number of the renewal within its tenure, or ``RESERVATION_NUMBER`` in the
+            first record of a claim.
         summary: State of the hall, in some renewals.
     """
 
@@ -116,7 +122,8 @@
     Attributes:
         host: Name of the host.
         incarnation: Incarnation of the host's process.
-        token: Fencing token: the claim's offset plus 1.
+        token: First fencing token: the offset plus 1 of the reservation, or of the claim if it was
+            written without one. Of an owner that is known by its renewals alone, the claim's.
     """
 
     host: str
@@ -153,7 +160,7 @@
         self._incarnation = incarnation
         self._home = home
         self._owner: Owner | None = None
-        self._newest_token = 0
+        self._claim_token = 0
         self._token_limit = 0
         self._claim_read = False
         self._has_gap = False
@@ -186,6 +193,11 @@
         """
         return self._token_limit
 
+    @property
+    def claim_token(self) -> int:
+        """Token that the owner's renewals and its release carry: its claim's offset plus 1."""
+        return self._claim_token
+
     @property
     def summary(self) -> HallSummary | None:
         """State of the hall as published by its owners; ``None`` before the first summary."""
@@ -202,24 +214,23 @@
         record = OwnerRecord.decode(entry.value)
         if record.act is OwnerAct.CLAIM:
             self._on_claim(record, now)
-            self._owner = Owner(record.host, record.incarnation, entry.offset + 1)
-            self._newest_token = self._owner.token
-            self._token_limit = self._owner.token
+            self._claim_token = self._token_limit = entry.offset + 1
+            self._owner = Owner(record.host, record.incarnation, self._first_token(entry, record))
             self._claim_read = True
             self._has_gap = False
             self._released = False
             self._last_record_at = now
-        elif record.act is OwnerAct.RENEW and record.token > self._newest_token:
+        elif record.act is OwnerAct.RENEW and record.token > self._claim_token:
             # The claim itself is beyond the log's retention, or was not read. A renewal of an
             # earlier tenure that arrives late does not identify the owner.
-            self._newest_token = record.token
+            self._claim_token = record.token
             self._former_owners_until = now + MAX_UNPROVED_S - _undisputed_s(record, entry.offset)
             self._owner = Owner(record.host, record.incarnation, record.token)
             self._claim_read = False
             self._has_gap = False
             self._released = False
             self._on_owner_record(record, now)
-        elif self._owner and record.token == self._owner.token:
+        elif self._owner and record.token == self._claim_token:
             self._on_owner_record(record, now)
             if self.mine and not self._has_gap:
                 self._token_limit = entry.offset + 1
@@ -228,6 +239,18 @@
                 self._released = True
         return record
 
+    def _first_token(self, entry: Entry, claim: OwnerRecord) -> int:
+        """Return the first fencing token of the tenure that a claim begins.
+
+        Processes of other versions write claims without a reservation, this process never does.
+        """
+        if claim.number == RESERVATION_NUMBER:
+            return entry.offset + 1
+        reserved = claim.incarnation == self._incarnation or self._owner == Owner(
+            claim.host, claim.incarnation, entry.offset
+        )
+        return entry.offset if reserved else entry.offset + 1
+
     def _on_claim(self, claim: OwnerRecord, now: float) -> None:
         """Record how long former owners, known or unknown, may still act after a claim."""
         if self._released:
--- a/tests/shard/test_tokens.py
+++ b/tests/shard/test_tokens.py
@@ -9,7 +9,14 @@
 from linkspan.errors import Fenced, Unreachable
 from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.ownership._tokens import TenureTokens
-from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord, OwnerView
+from linkspan.shard.ownership.ownership import (
+    OWNER_SILENCE_S,
+    RESERVATION_NUMBER,
+    Owner,
+    OwnerAct,
+    OwnerRecord,
+    OwnerView,
+)
 from linkspan.store.types import Entry
 from tests.job_builders import step
 from tests.shard.builders import add_executor, core_with
@@ -113,3 +120,43 @@
     view = _view()
     assert view.owner
     assert view.token_limit > view.owner.token
+
+
+def test_a_claim_and_its_reservation_give_a_tenure_two_tokens() -> None:
+    view = OwnerView("me", "me", home=True)
+    view.apply(_entry(3, OwnerAct.CLAIM, "me", number=RESERVATION_NUMBER), 0.0)
+    assert view.owner and (view.owner.token, view.token_limit) == (4, 4)
+    view.apply(_entry(4, OwnerAct.CLAIM, "me"), 0.0)
+    assert (view.owner.token, view.token_limit) == (4, 5)
+
+
+def test_no_two_tenures_have_a_token_in_common() -> None:
+    """The tokens of a tenure end below those of the next one, whatever the version of its owner."""
+    view = OwnerView("me", "me", home=True)
+    view.apply(_entry(0, OwnerAct.CLAIM, "me", number=RESERVATION_NUMBER), 0.0)
+    view.apply(_entry(1, OwnerAct.CLAIM, "me"), 0.0)
+    view.apply(_entry(2, OwnerAct.RENEW, "me", token=2, number=1), 0.6)
+    limit = view.token_limit
+    assert limit == 3
+    next_view = OwnerView("next", "next", home=True)
+    next_view.apply(_entry(3, OwnerAct.CLAIM, "next", number=RESERVATION_NUMBER), 3.0)
+    next_view.apply(_entry(4, OwnerAct.CLAIM, "next"), 3.0)
+    assert next_view.owner and limit < next_view.owner.token
+    earlier_version = OwnerView("earlier", "earlier", home=True)
+    earlier_version.apply(_entry(5, OwnerAct.CLAIM, "other"), 6.0)
+    assert earlier_version.owner and next_view.token_limit < earlier_version.owner.token
+
+
+def test_renewals_carry_the_token_that_earlier_versions_expect() -> None:
+    """Guards against a tenure that hosts of earlier versions take for silent.
+
+    They know no reservation and expect the offset of the last claim that they read plus 1.
+    """
+    view = OwnerView("other", "other", home=True)
+    view.apply(_entry(3, OwnerAct.CLAIM, "me", number=RESERVATION_NUMBER), 0.0)
+    view.apply(_entry(4, OwnerAct.CLAIM, "me"), 0.0)
+    assert view.owner == Owner("me", "me", 4), "the token of its orders"
+    own = _view()
+    assert own.claim_token == view.claim_token == 5
+    view.apply(_entry(5, OwnerAct.RENEW, "me", token=own.claim_token, number=1), OWNER_SILENCE_S)
+    assert not view.should_claim(OWNER_SILENCE_S)
