Give the decisions to give tasks up a module of their own

GiveUps holds the decisions, their delay and their log line; which crashes were simultaneous stands with the executor crashes. What simultaneous crashes say is asked only for a task that should be given up: a hall of a thousand runs would have asked it for each. No decision changes; tests/shard and tests/test_layers.py pass as before.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -7,28 +7,21 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from math import isfinite
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
 from linkspan.jobs.crash import Crash
-from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.crash_changes import CrashChanges, merged_history
 from linkspan.shard.crash_history import (
     CLEARED_AFTER_S,
-    GIVE_UP_REASON,
-    MAX_CONFIRMED_CRASHES,
-    MIN_CERTAIN_CRASHES,
-    MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL,
     MIN_CRASH_SCORE,
     add_crash,
     clear_blame,
     retract_crash,
 )
-from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.reports._crash_weights import (
     counts_unconfirmed,
     crash_score_of,
@@ -39,10 +32,12 @@
 )
 from linkspan.shard.reports._departures import Departure, departure_of
 from linkspan.shard.reports._executor_crashes import (
-    MIN_REPEATED_CRASHES,
-    RECENT_CRASH_S,
     ExecutorCrash,
+    crash_of,
+    last_alive_at,
+    simultaneous_crashes,
 )
+from linkspan.shard.reports._give_ups import GiveUps
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,7 +45,6 @@
     from linkspan.jobs.records import Delegation
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.attempt import Attempt
-    from linkspan.shard.crash_history import CrashHistory
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import EndedTask
     from linkspan.shard.task import Task
@@ -59,21 +53,6 @@
 """Executor crashes that are remembered, the newest. A hall has more executors only if it has
 hundreds of hosts."""
 
-MIN_SIMULTANEOUS_CRASHES = 2
-"""Other executors that crashed at the same time without running an isolated task, from which on a
-crash makes the owner give up no task: such crashes are caused by a failing rack or hall. A task
-that crashes executors does so alone once it is isolated."""
-
-MIN_LONE_CRASHES = 3
-"""Certain crashes of a task during which no other executor crashed without an isolated task, from
-which on simultaneous crashes no longer spare the task. No rack or hall failed at these crashes, and
-one more start may exceed what the platform tolerates: an owner that is lost may have left an
-earlier crash uncounted."""
-
-GIVE_UP_DELAY_S = 0.5
-"""Delay between a crash and giving up a task for it: of executors that crash at the same time, the
-first is detected some hundred milliseconds before the others."""
-
 MAX_LOGGED_TASKS = 20
 """Tasks that a log line on a crash lists, those started last first: a task that crashes its
 executor usually does so soon, and an executor of a wide step runs more tasks than fit into a
@@ -89,6 +68,7 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._give_ups = GiveUps(state)
 
     def __repr__(self) -> str:
         return f"CrashTracker({len(self._state.executor_crashes)} executor crashes)"
@@ -111,6 +91,10 @@
             if task and crash and crash.run == end.run:
                 self._retract(task, incarnation)
 
+    def tick(self, now: float) -> None:
+        """Take the decisions to give tasks up whose delay has passed."""
+        self._give_ups.tick(now)
+
     def take_over_history(self, task: Task, delegation: Delegation, now: float) -> None:
         """Take over the crash history of a task that another shard hands over to this one.
 
@@ -120,7 +104,7 @@
         found = task.crash_changes is not None and bool(task.crash_changes.found)
         self._state.set_crash_history(task, merged_history(task, delegation))
         if found:
-            self._schedule_give_up(task, now, may_give_up=True)
+            self._give_ups.consider(task, now)
 
     def retract(self, incarnation: str, reason: str) -> None:
         """Retract the crash of an incarnation that did not crash, so that it counts in no decision.
@@ -172,8 +156,8 @@
         if departure.planned:
             return
         early = departure is Departure.EARLY
-        executor_crash = _executor_crash(executor, crashed_at)
-        simultaneous = self._simultaneous_crashes(executor_crash)
+        executor_crash = crash_of(executor, crashed_at)
+        simultaneous = simultaneous_crashes(self._state, executor_crash)
         if not early:
             self._remember(executor_crash, simultaneous)
         if not attempts:
@@ -186,7 +170,7 @@
         may_blame = ended and not early and not unexplained
         blamed = [a for a in attempts if may_blame and has_highest_score(a, suspects)]
         tasks_with_history = {a.task for a in attempts if a.task.crash_history}
-        alive_at = _alive_at(executor)
+        alive_at = last_alive_at(executor)
         for attempt in by_age:
             if early and not attempt.task.crash_history:
                 # The executor may have left as announced, which was read late.
@@ -207,9 +191,7 @@
             )
         executor_crash.blamed_tasks.update(a.task for a in blamed)
         for attempt in by_age:
-            self._schedule_give_up(
-                attempt.task, now, may_give_up=unexplained < MIN_SIMULTANEOUS_CRASHES
-            )
+            self._give_ups.consider(attempt.task, now, simultaneous=unexplained)
 
     def _remember(
         self, executor_crash: ExecutorCrash, simultaneous: Iterable[ExecutorCrash]
@@ -237,20 +219,6 @@
                     self._state.set_crash_history(task, cleared)
             other.blamed_tasks.clear()
 
-    def _simultaneous_crashes(self, executor_crash: ExecutorCrash) -> list[ExecutorCrash]:
-        """Return the other executors that may have crashed at the same time."""
-        silent = (
-            _executor_crash(e, e.silent_since)
-            for e in self._state.executors.values()
-            if e.silent_since is not None
-        )
-        return [
-            other
-            for other in (*self._state.executor_crashes, *silent)
-            if _id_without_start_time(other) != _id_without_start_time(executor_crash)
-            and executor_crash.may_be_simultaneous_with(other)
-        ]
-
     def _add_to_history(
         self, attempt: Attempt, crashed_at: float, crash: Crash, *, alone: bool
     ) -> None:
@@ -278,118 +246,6 @@
         history = add_crash(task.crash_history, crash, run.version, alone=alone)
         self._state.set_crash_history(task, history)
 
-    def _schedule_give_up(self, task: Task, now: float, *, may_give_up: bool) -> None:
-        """Schedule giving up a task with too many crashes, unless a simultaneous crash is found.
-
-        Args:
-            task: The task.
-            now: Steady time.
-            may_give_up: Whether this crash may be the task's last one. It may not if other
-                executors crashed at the same time without an isolated task. That spares a task
-                once, as the platform tolerates one more start, unless ``MIN_LONE_CRASHES`` of its
-                crashes were not simultaneous with others.
-        """
-        history = task.crash_history
-        if history is None or history.decision_pending:
-            return
-        may_give_up = (
-            may_give_up
-            or history.crash_count > MAX_CONFIRMED_CRASHES
-            or self._lone_crash_count(history) >= MIN_LONE_CRASHES
-        )
-        if not history.should_give_up:
-            decision = "none"
-        elif may_give_up and self._should_give_up(history, now):
-            decision = "pending"
-            pending = replace(history, give_up_due_at=now + GIVE_UP_DELAY_S)
-            self._state.set_crash_history(task, pending)
-        else:
-            decision = "deferred"
-            self._defer(task, history)
-        if history.needs_isolation:
-            self._log_decision(task, history, decision, now)
-
-    def _lone_crash_count(self, history: CrashHistory) -> int:
-        """Return how many of a task's certain crashes were not simultaneous with others.
-
-        Only crashes that this owner found count, because records do not hold their times.
-        """
-        incarnations = {c.incarnation for c in history.identified_crashes if c.certain}
-        return sum(
-            all(other.had_isolated_task for other in self._simultaneous_crashes(executor_crash))
-            for executor_crash in self._state.executor_crashes
-            if executor_crash.executor_id in incarnations
-        )
-
-    def tick(self, now: float) -> None:
-        """Take the decisions to give tasks up whose delay has passed."""
-        for task in list(self._state.tasks_with_crash_history):
-            history = task.crash_history
-            if history is None or history.give_up_due_at is None or history.give_up_due_at > now:
-                continue
-            history = replace(history, give_up_due_at=None)
-            self._state.set_crash_history(task, history)
-            if self._should_give_up(history, now):
-                self._give_up(task, history)
-            elif history.should_give_up:
-                self._defer(task, history)
-
-    def _should_give_up(self, history: CrashHistory, now: float) -> bool:
-        if history.deferred and not history.over_crash_limit:
-            return False
-        return history.should_give_up_with(self._min_certain_crashes(history, now))
-
-    def _defer(self, task: Task, history: CrashHistory) -> None:
-        """Put off giving a task up until one more executor crashes under it."""
-        self._state.set_crash_history(task, replace(history, deferred_at=history.crash_count))
-
-    def _min_certain_crashes(self, history: CrashHistory, now: float) -> int:
-        """Return how many of a task's crashes must be certain before the owner gives it up."""
-        incarnations = {crash.incarnation for crash in history.identified_crashes}
-        others = sum(
-            not executor_crash.had_isolated_task
-            and executor_crash.executor_id not in incarnations
-            and now - executor_crash.silent_since < RECENT_CRASH_S
-            for executor_crash in self._state.executor_crashes
-        )
-        return (
-            MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL
-            if others >= MIN_REPEATED_CRASHES
-            else MIN_CERTAIN_CRASHES
-        )
-
-    def _give_up(self, task: Task, history: CrashHistory) -> None:
-        job = task.step.run.job
-        if task.done or job.closing:
-            return
-        last = history.last_crash
-        executor_id, run = (last.incarnation, last.run) if last else ("", 0)
-        self._state.count("tasks_given_up")
-        self._state.log_run(
-            Event.TASK_GIVEN_UP,
-            executor_id,
-            task.name,
-            run,
-            **_figures(history),
-        )
-        why = {"reason": GIVE_UP_REASON, "task": short_name(task.name), "run": run}
-        self._state.decide(job, JobState.FAILED, **why)
-
-    def _log_decision(self, task: Task, history: CrashHistory, decision: str, now: float) -> None:
-        """Log how a crash counts for a task under which several executors crashed."""
-        last = history.last_crash
-        self._state.log(
-            Event.CRASH_WEIGHED,
-            job=task.name.job_id,
-            task=short_name(task.name),
-            run=last.run if last else 0,
-            decision=decision,
-            **_figures(history),
-            certain_needed=self._min_certain_crashes(history, now),
-            certainty=last.certainty if last else 0,
-            executor=last.incarnation if last else "",
-        )
-
     def _log_departure(
         self, executor: ExecutorState, attempts: list[Attempt], departure: Departure, now: float
     ) -> None:
@@ -435,39 +291,6 @@
         )
 
 
-def _alive_at(executor: ExecutorState) -> float:
-    """Return the latest steady time at which an executor was certainly alive.
-
-    Answers to starts count as well as reports, although they do not name the incarnation. The
-    executor was alive when such a start was sent; the answer may have been applied much later.
-    """
-    answered = (a.ordered_at for a in executor.attempts.values() if a.confirmed_at != NEVER)
-    return max([executor.alive_at, *answered])
-
-
-def _executor_crash(executor: ExecutorState, silent_since: float) -> ExecutorCrash:
-    attempts = (*executor.attempts.values(), *executor.expired_attempts)
-    had_isolated_task = any(attempt.isolated for attempt in attempts)
-    return ExecutorCrash(
-        executor.executor_id,
-        executor.record.address,
-        _alive_at(executor),
-        silent_since,
-        had_isolated_task,
-        set(),
-    )
-
-
-def _figures(history: CrashHistory) -> dict[str, int]:
-    """Return the log fields on a crash history."""
-    return {
-        "crashes": history.crash_count,
-        "heard": history.confirmed_count,
-        "certain": history.certain_count,
-        "points": history.crash_score,
-    }
-
-
 def _logged_figures(attempt: Attempt, crashed_at: float) -> list[float]:
     """Return how long a run was on its executor, and the task's earlier crash count and score."""
     history = attempt.task.crash_history
@@ -475,11 +298,6 @@
     return [round(time_on_executor_s(attempt, crashed_at), 3), *earlier]
 
 
-def _id_without_start_time(executor_crash: ExecutorCrash) -> str:
-    """Return a crashed executor's id without start time; its incarnations never overlap."""
-    return Incarnation.of(executor_crash.executor_id).executor_id
-
-
 def _logged_time(seconds: float) -> float | None:
     """Return a time as logged, ``None`` if it is infinite because its event has not happened."""
     return round(seconds, 3) if isfinite(seconds) else None
--- a/tests/shard/test_certain_crashes.py
+++ b/tests/shard/test_certain_crashes.py
@@ -21,7 +21,7 @@
 )
 from linkspan.shard.messages import ExecutorReport, RunningTask
 from linkspan.shard.recovery.progress import encode_run, restore_run
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from linkspan.shard.task import Task
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan, report_ends
--- a/tests/shard/test_crashes.py
+++ b/tests/shard/test_crashes.py
@@ -14,7 +14,7 @@
 from linkspan.shard.crash_history import CrashHistory, add_crash
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.planning._isolation import MAX_AT_LIMIT_WAIT_S
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import crashing_world, states, submit
--- a/tests/shard/test_crashes_while_draining.py
+++ b/tests/shard/test_crashes_while_draining.py
@@ -12,7 +12,7 @@
 import pytest
 
 from linkspan.shard.core import ShardCore
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import core_with, report_ends
 from tests.shard.crash_builders import (
--- a/tests/shard/test_decisions_after_owner_change.py
+++ b/tests/shard/test_decisions_after_owner_change.py
@@ -21,7 +21,7 @@
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, StartOrder
 from linkspan.shard.recovery.progress import decode_roster, encode_roster, encode_run
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from linkspan.shard.task import Task
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import (
--- a/tests/shard/test_late_answers.py
+++ b/tests/shard/test_late_answers.py
@@ -12,7 +12,7 @@
 
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport, StartAnswer, StartOrder, StartOutcome
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import add_executor, confirm_start, core_with, plan, report_ends
 from tests.shard.crash_builders import (
--- a/tests/shard/test_pending_decisions.py
+++ b/tests/shard/test_pending_decisions.py
@@ -21,7 +21,7 @@
     StartOrder,
     StartOutcome,
 )
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan, report_ends
 from tests.shard.crash_builders import (
--- a/tests/shard/test_retracted_crashes.py
+++ b/tests/shard/test_retracted_crashes.py
@@ -11,7 +11,7 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport, RunningTask, StopOrder
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan
 from tests.shard.crash_builders import (
--- a/tests/shard/test_starts_after_answers.py
+++ b/tests/shard/test_starts_after_answers.py
@@ -13,7 +13,7 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import ExecutorReport, StartOrder
 from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
-from linkspan.shard.reports._crashes import GIVE_UP_DELAY_S
+from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import add_executor, core_with, report_ends
 from tests.shard.crash_builders import (
