Say in names and comments what a newcomer would ask

A parameter called observed says just_announced; line 567 says that an executor departed while runs were there; the limits on waits for an answer, the time of progress, deferrals and expired attempts say what they mean. No behaviour changes.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -193,7 +193,7 @@
     EXECUTOR_LEFT = (
         567,
         logging.INFO,
-        "executor with runs left; only an end before the announced time counts as a crash",
+        "executor departed while runs were there; departure says whether that was planned",
         "see OPERATIONS.md, a job whose tasks crash executors, if its task crashes executors",
     )
     CRASH_WEIGHED = (
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -51,8 +51,8 @@
         paced_at: Steady time of the last pace order.
         full_pace_s: Work done up to ``paced_at``, as seconds at full speed.
         progress: Reported share of the work that is done, in percent.
-        progress_at: Steady time by which the progress had last risen, as far as the time is known
-            at which its report was made.
+        progress_at: Steady time at which the executor was certainly alive when it reported that the
+            progress had last risen.
         usage: Usage in the executor's last report that had one (see ``RunningTask.usage``).
         over_target_since: Steady time since when a standing task exceeds its latency target.
         stop_sent_at: Steady time of the last stop order.
--- a/src/linkspan/shard/crash_history.py
+++ b/src/linkspan/shard/crash_history.py
@@ -89,8 +89,9 @@
         crash_score: Sum of the scores of these crashes, possibly capped.
         version: First version of the repetition's record that holds these crashes.
         identified_crashes: The crashes whose incarnation is known, the oldest first.
-        deferred_at: Number of crashes at which an owner put off giving the task up, as executors
-            crashed by themselves. It waits for one more crash of the task. 0 if none did.
+        deferred_at: Number of crashes at which an owner put off giving the task up, because other
+            executors crashed at the same time or crash by themselves. The task is given up after
+            one more crash at the earliest. 0 if no owner did.
         give_up_due_at: Steady time at which this owner decides whether to give the task up;
             ``None`` if no decision is pending. The task must not be started before the decision.
     """
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -90,7 +90,7 @@
         withheld_ends: Numbers of its withheld ends, including those that a previous owner withheld
             and this owner has not read.
         expired_attempts: Attempts that were removed when its leases expired, kept while it stays
-            silent.
+            silent. They are also kept by task in their ``JobRun``, whose record holds them.
     """
 
     record: ExecutorRecord
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -43,12 +43,12 @@
 outage."""
 
 MAX_ANSWER_WAIT_S = 2.0
-"""Limits how long the start of a task that may crash executors waits for an answer of its executor:
-on an overloaded host no answer is fresh enough."""
+"""Limits how long the start of a task that may crash executors waits for a fresh answer of its
+executor. On an overloaded host each answer is too old when it is applied."""
 
 MAX_ANSWER_WAIT_AT_LIMIT_S = 10.0
-"""The same limit for a task that the next crash may give up: without certain crashes it could not
-be given up, and would crash one more executor."""
+"""The same limit for a task that the next crash may give up. If that crash is not certain, the task
+is not given up and may crash one more executor."""
 
 ANSWER_RETRY_S = 0.02
 """Pause before an executor is polled again whose answer was not fresh enough."""
--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -17,7 +17,8 @@
     from linkspan.shard.attempt import Attempt
 
 MAX_TRANSIT_S = 0.05
-"""Usual limit of the time that an order takes to its executor, which answers polls meanwhile."""
+"""Limits the usual time from the send of a start to its arrival. An answer to a poll that was made
+within this time does not show that the start has arrived."""
 
 MIN_DURATION_SHARE = 0.5
 """Smallest share of its expected duration that a run is assumed to take: callers' estimates are
--- a/src/linkspan/shard/reports/_departures.py
+++ b/src/linkspan/shard/reports/_departures.py
@@ -10,7 +10,7 @@
 
 
 class Departure(Enum):
-    """How an executor's end relates to a planned departure."""
+    """Whether an executor that ended had departed, as planned or early."""
 
     NONE = "none"
     """No departure was planned: the executor crashed."""
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -100,7 +100,7 @@
                 self._state.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
                 executor = self._add_executor(record)
             answering = executor.silent_since is None
-            observed = executor.listed and answering and not executor.draining
+            just_announced = executor.listed and answering and not executor.draining
             executor.register(record)
             if executor_id in missing:
                 # Keep the earliest time: an outage of the store moves the reported one.
@@ -108,7 +108,7 @@
             else:
                 executor.entry_removed_at = FOREVER
             if record.draining:
-                self._on_draining(executor, now, observed=observed)
+                self._on_draining(executor, now, just_announced=just_announced)
         for executor_id, executor in list(self._state.executors.items()):
             if executor_id in listed:
                 continue
@@ -116,14 +116,14 @@
                 executor.missing_since = now if executor.listed else now + INHERITED_ENTRY_GRACE_S
             executor.listed = False
 
-    def _on_draining(self, executor: ExecutorState, now: float, *, observed: bool) -> None:
+    def _on_draining(self, executor: ExecutorState, now: float, *, just_announced: bool) -> None:
         """Apply the announcement of a draining executor, or apply it again.
 
         Args:
             executor: The executor.
             now: Steady time.
-            observed: Whether this owner had read a registration of it without an announcement, and
-                the executor answers.
+            just_announced: Whether this owner had read a registration of it without an
+                announcement, and the executor answers. Otherwise it may have announced long ago.
         """
         remaining_s = executor.record.remaining_s
         if executor.leaves_at == FOREVER:
@@ -132,7 +132,7 @@
             )
         # The earliest time: the first announcement may have been read late.
         executor.leaves_at = min(executor.leaves_at, now + remaining_s)
-        if observed or executor.stays_until != NEVER:
+        if just_announced or executor.stays_until != NEVER:
             executor.stays_until = executor.leaves_at - DRAIN_READ_DELAY_S
 
     def on_incarnation_ended(
