Take a silence for a crash at a start only if no other start is unanswered

Cause: a start that followed an answer, and after which the executor was silent, counted as certainly there. Six starts went to one executor within a moment, one of them of a task that crashes executors at once; the five others had not arrived, and each counted as certain. One of them followed an answer by chance: its task was no suspect, and nobody had kept it apart.

Change: only the start of a task that has to be isolated counts as following an answer, and its crash is certain only if no other start to the executor is unanswered. The plan keeps it so: an isolated start goes to an executor without an unanswered start if there is one, and other starts wait until it is answered (three seconds at most).

Three new tests in tests/shard/test_starts_after_answers.py fail before this change and pass; tests of the certain case use suspects now, as the rule is about them.

--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -71,7 +71,8 @@
         isolated: Whether it was started away from other tasks with a crash history.
         moved: Whether it is stopped so that the task continues on another executor.
         sent_at: Steady time at which its start was last sent.
-        follows_answer: Whether the executor had answered immediately before the start was sent.
+        follows_answer: Whether its task had to be isolated and the executor had answered
+            immediately before the start was sent.
     """
 
     task: Task
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -152,6 +152,11 @@
         """Steady time at which it was certainly alive, the latest known."""
         return self.clock.alive_at if self.clock else NEVER
 
+    @property
+    def has_unanswered_start(self) -> bool:
+        """Whether the start of one of its attempts is unanswered."""
+        return any(attempt.start_unanswered for attempt in self.attempts.values())
+
     @property
     def reserved_cpu(self) -> int:
         """Thousandths of a core that are reserved by attempts that are not best-effort."""
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -91,7 +91,8 @@
         if attempt is None or executor is None:
             return
         attempt.sent_at = now
-        attempt.follows_answer = now - executor.alive_at <= MAX_ANSWER_AGE_S
+        answered = now - executor.alive_at <= MAX_ANSWER_AGE_S
+        attempt.follows_answer = attempt.task.needs_isolation and answered
 
     def on_started(self, order: StartOrder, answer: StartAnswer, now: float) -> None:
         """Apply an executor's answer to a start."""
--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -60,7 +60,9 @@
             task.at_crash_limit and not task.step.spec.gang and waited < MAX_AT_LIMIT_WAIT_S
         )
         candidates = self._without_crashes(placement, task)
-        free = [e for e in candidates if e.executor_id not in running]
+        free = [
+            e for e in candidates if e.executor_id not in running and not e.has_unanswered_start
+        ]
         if free or must_be_alone or not overdue:
             return min(free, key=_used_cpu, default=None)
         return min(candidates, key=_used_cpu, default=None) or placement.choose(task)
@@ -80,13 +82,17 @@
         return [e for e in fitting if e.record.address not in crashed_at]
 
     def reserved(self) -> set[str]:
-        """Return the executors that take no other work, as the next crash there gives up a task."""
+        """Return the executors that take no other work for a while.
+
+        The next crash there may give up a task, or a start of an isolated task is unanswered. An
+        executor's silence shows that it crashed at a start only if there was no other.
+        """
         return {
             attempt.executor_id
             for task in self._core.tasks_with_crash_history
-            if task.at_crash_limit
             for attempt in task.attempts
             if self._now - attempt.placed_at < EARLY_CRASH_S
+            and (task.at_crash_limit or (task.needs_isolation and attempt.start_unanswered))
         }
 
     def running(self) -> set[str]:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -156,9 +156,10 @@
             attempt = self._start(placement, task, executor, pace=placement.pace(executor))
             attempt.isolated = isolated
             placed.append(attempt)
-            if task.at_crash_limit:
+            # No other start may be on its way to this executor until this one is answered.
+            if executor in placement.executors:
                 placement.executors.remove(executor)
-                view.reserve(executor)
+            view.reserve(executor)
         return placed
 
     def _place_starved(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
--- a/src/linkspan/shard/reports/_crash_weights.py
+++ b/src/linkspan/shard/reports/_crash_weights.py
@@ -55,33 +55,33 @@
     return alive_at <= attempt.sent_at + MAX_TRANSIT_S
 
 
-def is_confirmed(attempt: Attempt, alive_at: float) -> bool:
+def is_confirmed(attempt: Attempt, *, at_start: bool = False) -> bool:
     """Whether a run certainly started: this owner or the record knows that it was answered.
 
     Args:
         attempt: The run.
-        alive_at: Steady time at which its executor was certainly alive, the latest known.
+        at_start: Whether its executor certainly crashed at its start.
     """
     if attempt.carried_over:
         return False
-    if crashed_at_start(attempt, alive_at):
-        return True
-    return attempt.confirmed_at != NEVER or (
-        attempt.recovered and attempt.start_may_arrive_until == NEVER
+    return (
+        at_start
+        or attempt.confirmed_at != NEVER
+        or (attempt.recovered and attempt.start_may_arrive_until == NEVER)
     )
 
 
-def is_certain(attempt: Attempt, crashed_at: float, alive_at: float) -> bool:
+def is_certain(attempt: Attempt, crashed_at: float, *, at_start: bool = False) -> bool:
     """Whether a run cannot have ended between its last report and its executor's crash.
 
     Args:
         attempt: The run.
         crashed_at: Steady time by which the executor had crashed.
-        alive_at: Steady time at which the executor was certainly alive, the latest known.
+        at_start: Whether its executor certainly crashed at its start.
     """
-    if not is_confirmed(attempt, alive_at) or attempt.phase is Phase.STOPPING:
+    if not is_confirmed(attempt, at_start=at_start) or attempt.phase is Phase.STOPPING:
         return False
-    if crashed_at_start(attempt, alive_at):
+    if at_start:
         return True
     expected_s = _expected_s(attempt)
     if expected_s == float("inf"):
@@ -122,15 +122,15 @@
     return attempt.task.crash_history.crash_score if attempt.task.crash_history else 0
 
 
-def crash_score_of(attempt: Attempt, elapsed_s: float, alive_at: float) -> int:
+def crash_score_of(attempt: Attempt, elapsed_s: float, *, at_start: bool = False) -> int:
     """Return the score of a crash for a run that was there for some seconds.
 
     Args:
         attempt: The run.
         elapsed_s: How long it had been there, in seconds.
-        alive_at: Steady time at which its executor was certainly alive, the latest known.
+        at_start: Whether its executor certainly crashed at its start.
     """
-    if crashed_at_start(attempt, alive_at):
+    if at_start:
         return IMMEDIATE_CRASH_SCORE
     if attempt.confirmed_at == NEVER:
         # The start may have reached an executor that had crashed already, or none.
--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -25,6 +25,7 @@
 from linkspan.shard.reports._crash_weights import (
     counts_unconfirmed,
     crash_score_of,
+    crashed_at_start,
     has_highest_score,
     is_certain,
     is_confirmed,
@@ -170,21 +171,24 @@
         may_blame = ended and not early and not unexplained
         blamed = [a for a in attempts if may_blame and has_highest_score(a, suspects)]
         tasks_with_history = {a.task for a in attempts if a.task.crash_history}
+        # With several unanswered starts, it may have crashed before this one arrived.
+        only_start = sum(attempt.start_unanswered for attempt in attempts) == 1
         alive_at = last_alive_at(executor)
         for attempt in by_age:
             if early and not attempt.task.crash_history:
                 # The executor may have left as announced, which was read late.
                 continue
             elapsed_s = time_on_executor_s(attempt, crashed_at)
+            at_start = only_start and crashed_at_start(attempt, alive_at)
             crash = Crash(
                 executor.executor_id,
                 attempt.run,
-                crash_score_of(attempt, elapsed_s, alive_at)
+                crash_score_of(attempt, elapsed_s, at_start=at_start)
                 if attempt in blamed
                 else MIN_CRASH_SCORE,
-                not early and is_confirmed(attempt, alive_at),
+                not early and is_confirmed(attempt, at_start=at_start),
                 executor.record.address,
-                ended and not early and is_certain(attempt, crashed_at, alive_at),
+                ended and not early and is_certain(attempt, crashed_at, at_start=at_start),
             )
             self._add_to_history(
                 attempt, crashed_at, crash, alone=tasks_with_history <= {attempt.task}
--- a/tests/shard/test_starts_after_answers.py
+++ b/tests/shard/test_starts_after_answers.py
@@ -10,12 +10,21 @@
 
 import pytest
 
+from linkspan.jobs.crash import Crash
 from linkspan.shard.core import ShardCore
+from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.messages import ExecutorReport, StartOrder
 from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
 from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
-from tests.shard.builders import add_executor, core_with, report_ends
+from tests.shard.builders import (
+    JOB,
+    add_executor,
+    confirm_start,
+    core_with,
+    plan,
+    report_ends,
+)
 from tests.shard.crash_builders import (
     crash_executor,
     crash_idle_executors,
@@ -29,6 +38,17 @@
 """Age of an executor's last answer in :func:`order_on`."""
 
 
+def _step_of_suspects(count: int) -> ShardCore:
+    """Return a core with a step whose tasks are all to be isolated."""
+    core = core_with(step(count, estimate_s=60.0), executors=0)
+    crashes = tuple(Crash(f"f{number}", number, 2, confirmed=False) for number in (1, 2))
+    for task in core.jobs[JOB].runs[0].tasks():
+        task.next_run = 3
+        core.set_crash_history(task, CrashHistory(2, 4, identified_crashes=crashes))
+    set_all_durable(core)
+    return core
+
+
 def _send_start(core: ShardCore, name: str, now: float, *, answer_age_s: float) -> StartOrder:
     """Order a start of the task on a new executor and let it be sent after the last answer."""
     order = order_on(core, name, now)
@@ -53,14 +73,14 @@
     answer_age_s: float, certain: int
 ) -> None:
     """Guards against crashes that decide nothing because the executor never answered the start."""
-    core = core_with(step(1), executors=0)
+    core = _step_of_suspects(1)
     _crash_at_start(core, "e0", 1.0, answer_age_s=answer_age_s)
     assert _certainty(core) == (certain, certain)
 
 
 def test_an_executor_that_answers_after_the_start_has_not_crashed_at_it() -> None:
     """Guards against a job given up for starts that were lost, and crashes that came later."""
-    core = core_with(step(1), executors=0)
+    core = _step_of_suspects(1)
     order = _send_start(core, "e0", 1.0, answer_age_s=ANSWER_AGE_S)
     core.on_report("e0", ExecutorReport(1.11, (), ()), asked=1.1, now=1.12)
     core.on_start_unanswered(order, 2.0)
@@ -70,7 +90,7 @@
 
 def test_an_answer_made_after_the_start_and_applied_later_shows_the_same() -> None:
     """Guards against a job given up as the answer to a poll that waited was not considered."""
-    core = core_with(step(1), executors=0)
+    core = _step_of_suspects(1)
     order = _send_start(core, "e0", 1.0, answer_age_s=ANSWER_AGE_S)
     core.on_report("e0", ExecutorReport(1.4, (), ()), asked=0.97, now=1.8)
     core.on_start_unanswered(order, 2.0)
@@ -165,3 +185,48 @@
     stepped = _planned(crashes=0, answers=False)
     assert stepped.polled == []
     assert [order.executor_id for order in stepped.sent] == ["c"]
+
+
+def test_with_two_unanswered_starts_none_is_a_certain_crash() -> None:
+    """Guards against a job given up although its start had not arrived: another one crashed.
+
+    Two starts are on their way when the executor falls silent. It may have crashed at the first to
+    arrive.
+    """
+    core = _step_of_suspects(2)
+    add_executor(core, "e0")
+    report_ends(core, "e0", asked=0.97, now=0.98)
+    for task in core.jobs[JOB].runs[0].tasks():
+        core.place(task, core.executors["e0"], 1.0)
+    for order in core.orders:
+        assert isinstance(order, StartOrder)
+        core.on_start_sent(order, 1.0)
+        core.on_start_unanswered(order, 2.0)
+    crash_executor(core, "e0", 2.1, 2.5)
+    for task in core.jobs[JOB].runs[0].tasks():
+        assert task.crash_history
+        assert (task.crash_history.crash_count, task.crash_history.certain_count) == (3, 0)
+
+
+def test_a_start_that_follows_an_answer_by_chance_is_no_evidence() -> None:
+    """Guards against a job given up for starts that nobody kept apart from others."""
+    core = core_with(step(1), executors=0)
+    _crash_at_start(core, "e0", 1.0, answer_age_s=ANSWER_AGE_S)
+    assert _certainty(core) == (0, 0)
+
+
+def test_no_other_start_goes_to_an_executor_with_an_unanswered_start_of_a_suspect() -> None:
+    """Guards against a crash that cannot be told apart: another start came in between."""
+    core = core_with(step(2, estimate_s=60.0, max_per_executor=2), executors=1)
+    suspect, other = core.jobs[JOB].runs[0].tasks()
+    crashes = tuple(Crash(f"f{number}", number, 2, confirmed=False) for number in (1, 2))
+    core.set_crash_history(suspect, CrashHistory(2, 4, identified_crashes=crashes))
+    set_all_durable(core)
+    core.place(suspect, core.executors["e0"], 1.0)
+    (first,) = core.orders
+    core.orders = []
+    assert plan(core, 1.1) == [], "the other task waits"
+    assert isinstance(first, StartOrder)
+    confirm_start(core, first, 1.2)
+    (order,) = plan(core, 1.3)
+    assert order.task == other.name
