--- a/tests/shard/test_review_of_crash_evidence.py
+++ b/tests/shard/test_review_of_crash_evidence.py
@@ -459,6 +459,13 @@
     # The record that home would read if the other hall published the crash with the return.
     core.reclaim_tasks(JOB, [last_delegation_of(only_task(other))], now + 3.0)
     assert _counts(core)[0] == 1
+    at = now + 4.0
+    for name in ("e0", "e1", "e2", "e3"):
+        if not core.finished:
+            crash_under_older_run(core, name, at)
+            core.tick(at + 7.0)
+        at += 8.0
+    assert len(core.finished) == 1, "there is no sixth start"
 
 
 def test_a_merged_crash_that_another_task_may_have_caused_gives_no_task_up() -> None:
