Log why standing tasks have not been running, and export the longest wait

The logs could not tell why: a step that waits has one line 531, and a task that is left out before its placement has none.

- 569 names for each step the tasks that have not run for 3 s, by reason: unanswered or refused start, stop under way, handover, decision, record, former owner's executors, ownership, no executors, no capacity (with the reasons against each executor).
Repeated every 3 s, ten lines a second at the most.
- linkspan_standing_wait_seconds: the longest such wait of a hall.
- 531 says 'isolation' where there is room and the task has to be isolated (so far 'avoided'), and does not count the headroom against tasks that may use it. 550 names the tasks.
- Task.waiting_since replaces a field that nothing read: the end of the last confirmed run.
No decision reads it yet.

No logic changes.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -143,6 +143,12 @@
     JOB_TAKEN_IN = 526, logging.INFO, "shard starts to manage a job", "nothing"
     STEP_PLACED = 530, logging.INFO, "tasks placed on executors", "nothing"
     STEP_BLOCKED = 531, logging.INFO, "tasks wait for capacity", "nothing"
+    STANDING_WAITS = (
+        569,
+        logging.WARNING,
+        "standing tasks have not been running for seconds",
+        "see OPERATIONS.md, a standing task that does not run; the line has the reason",
+    )
     START_REFUSED = 532, logging.INFO, "executor refused a start", "read the reason"
     START_IN_DOUBT = (
         533,
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -1,10 +1,10 @@
-"""Counters and latency histograms of a host."""
+"""Counters, gauges and latency histograms of a host."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, cast
 
-from aioprometheus import Counter, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 if TYPE_CHECKING:
     from aioprometheus.histogram import Histogram as SeriesHistogram
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
         # The library looks up a series by its labels on each call, which takes 7 us. With these
         # caches, a count takes 1 us and an observation 5 us.
@@ -29,6 +30,8 @@
         self._series: dict[_Series, SeriesHistogram] = {}
         for name, doc in _COUNTERS.items():
             self._counters[name] = Counter(name, doc, registry=self._registry)
+        for name, doc in _GAUGES.items():
+            self._gauges[name] = Gauge(name, doc, registry=self._registry)
         for name, doc in _HISTOGRAMS.items():
             self._histograms[name] = Histogram(
                 name, doc, buckets=list(LATENCY_BUCKETS), registry=self._registry
@@ -45,6 +48,10 @@
             self._counts[key] = 0
         self._counts[key] += 1
 
+    def set_seconds(self, name: str, seconds: float, **labels: str) -> None:
+        """Set a gauge to a duration in seconds."""
+        self._gauges[f"linkspan_{name}_seconds"].set(labels, seconds)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         key = name, tuple(labels.items())
@@ -84,6 +91,10 @@
     "linkspan_tasks_given_up_total": "Tasks given up, as executors crash under them",
 }
 
+_GAUGES = {
+    "linkspan_standing_wait_seconds": "Longest time without a run of a standing task",
+}
+
 _HISTOGRAMS = {
     "linkspan_accept_seconds": "From a job's arrival to its answer",
     "linkspan_start_wait_seconds": "From a task's turn to its placement",
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -304,7 +304,8 @@
     def mark_ready(self, task: Task, now: float) -> None:
         """Mark a task as waiting for a start from now on."""
         task.ready_since = now
-        task.not_running_since = now
+        if task.waiting_since == NEVER:
+            task.waiting_since = now
         if task.step.open:
             self.ready[task.step] = None
 
@@ -440,7 +441,7 @@
             for task in step.tasks:
                 if task.ready_since == NEVER:
                     task.ready_since = now
-                    task.not_running_since = now
+                    task.waiting_since = now
 
     def decide(self, job: ShardJob, state: JobState, **why: object) -> None:
         """Decide the final state of a job; later decisions have no effect.
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -141,6 +141,12 @@
         """Number of starts to record for the next owner; 0 if no start may still arrive."""
         return self.starts if self.start_unanswered or self.start_may_arrive_until != NEVER else 0
 
+    def confirm(self, now: float) -> None:
+        """Record that the executor has confirmed the run."""
+        self.phase = Phase.RUNNING
+        self.confirmed_at = now
+        self.task.waiting_since = NEVER
+
     def full_pace_s_at(self, now: float) -> float:
         """Return the work done up to a steady time, as seconds at full speed."""
         since = max(self.placed_at, self.paced_at)
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -39,6 +39,9 @@
 """Minimum difference in best-effort load, as a share of a hall's capacity, for another hall to take
 over best-effort work."""
 
+MAX_LOGGED_TASKS = 20
+"""Limits the tasks that the log line on a handover names."""
+
 
 class Handover(NamedTuple):
     """Work to hand over to another shard.
@@ -195,6 +198,7 @@
             job=handover.job_id,
             to_shard=handover.shard,
             tasks="all" if handover.tasks is None else len(handover.tasks),
+            indexes=[index for _, index in (handover.tasks or ())[:MAX_LOGGED_TASKS]],
             waited_s=round(now - min(t.ready_since for t in step.tasks if t.pending), 2),
             shard=self._core.shard,
             token=self._core.token,
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -103,8 +103,7 @@
         if answer.outcome is StartOutcome.STARTED:
             attempt.task.refusals = 0
             if attempt.phase in (Phase.STARTING, Phase.DOUBT):
-                attempt.phase = Phase.RUNNING
-                attempt.confirmed_at = now
+                attempt.confirm(now)
                 attempt.carried_over = False
                 self._record_confirmation(attempt)
                 if attempt.pace < FULL_PACE:
--- a/src/linkspan/shard/planning/_blocked.py
+++ b/src/linkspan/shard/planning/_blocked.py
@@ -10,17 +10,20 @@
 
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning.placement import StepPlacement
+    from linkspan.shard.task import Task
 
 
-def blocked_fields(placement: StepPlacement, hall_cores: dict[str, int]) -> dict[str, Any]:
+def blocked_fields(
+    placement: StepPlacement, task: Task, hall_cores: dict[str, int]
+) -> dict[str, Any]:
     """Return the fields of a log line that explains why a step's tasks wait.
 
     Args:
         placement: The placement that found no executor for the step.
+        task: The first of these tasks.
         hall_cores: Cores of the hall by what holds them, from :func:`held_cores`.
     """
-    against = Counter(placement.reason_against(e) or "avoided" for e in placement.executors)
-    return {"against": dict(against), "held_cores": hall_cores}
+    return {"against": dict(placement.reasons_against(task)), "held_cores": hall_cores}
 
 
 def held_cores(executors: Iterable[ExecutorState]) -> dict[str, int]:
--- /dev/null
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -0,0 +1,201 @@
+"""Reports standing tasks that have not been running for seconds, and what each waits for."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from enum import Enum
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from linkspan.clock import steady
+from linkspan.events import Event
+from linkspan.shard.attempt import NEVER, Phase
+from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
+from linkspan.shard.planning._plan_view import PlanView
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
+
+CHECK_INTERVAL_S = 1.0
+"""Interval between checks."""
+
+MIN_REPORTED_WAIT_S = 3.0
+"""Time without a run after which a standing task is reported."""
+
+REPEAT_INTERVAL_S = 2.5
+"""Time after which an unchanged reason is reported again, at the next check."""
+
+MAX_LINES_PER_CHECK = 10
+"""Limits the lines of one check; the tasks that have waited longest come first."""
+
+MAX_LOGGED_TASKS = 20
+"""Limits the tasks that one line names."""
+
+
+class WaitReason(Enum):
+    """What a standing task without a confirmed run waits for."""
+
+    STOPPING = "its last run is being stopped"
+    START_UNANSWERED = "its start is unanswered"
+    STARTING = "its start is being sent"
+    REPORT = "the executor of its recorded run has not reported"
+    HANDOVER = "a handover of its job is being recorded"
+    OWNERSHIP = "this owner may not act"
+    INHERITED = "executors of a former owner have not reported"
+    REFUSED = "its last start was refused"
+    DECISION = "it may have to be given up"
+    RECORD = "its crashes are not on record"
+    NO_EXECUTORS = "no executor of its service takes work"
+    CAPACITY = "no executor can take it"
+
+
+_REASON_BY_PHASE = {
+    Phase.STOPPING: WaitReason.STOPPING,
+    Phase.DOUBT: WaitReason.START_UNANSWERED,
+    Phase.STARTING: WaitReason.STARTING,
+    Phase.INHERITED: WaitReason.REPORT,
+}
+
+
+class _Group(NamedTuple):
+    """Tasks of one step that wait for the same."""
+
+    step: StepRun
+    reason: WaitReason
+
+
+class StandingWaits:
+    """Logs why standing tasks that this shard manages have not been running, and for how long.
+
+    Args:
+        context: Components of the tenure.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        self._core = context.core
+        self._hall = context.hall
+        self._metrics = context.metrics
+        self._may_act = context.proof.may_act
+        self._reported_at: dict[_Group, float] = {}
+
+    def __repr__(self) -> str:
+        return f"StandingWaits({self._core!r})"
+
+    async def report_loop(self) -> None:
+        """Report until the tenure ends."""
+        try:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                self._report(steady(), time.time())
+        finally:
+            self._metrics.set_seconds("standing_wait", 0.0, hall=self._hall)
+
+    def _report(self, now: float, wall: float) -> None:
+        groups = waiting_groups(self._core, now, may_act=self._may_act(now))
+        longest_s = max((now - tasks[0].waiting_since for tasks in groups.values()), default=0.0)
+        self._metrics.set_seconds("standing_wait", round(longest_s, 1), hall=self._hall)
+        due_before = now - REPEAT_INTERVAL_S
+        self._reported_at = {g: at for g, at in self._reported_at.items() if g in groups}
+        due = [g for g in groups if self._reported_at.get(g, NEVER) <= due_before]
+        due.sort(key=lambda group: groups[group][0].waiting_since)
+        view = PlanView(self._core, BestEffortCapacity(self._core.interference, now, wall), now)
+        for group in due[:MAX_LINES_PER_CHECK]:
+            self._reported_at[group] = now
+            self._core.log(Event.STANDING_WAITS, **_fields(group, groups[group], view))
+
+
+def waiting_groups(core: ShardCore, now: float, *, may_act: bool) -> dict[_Group, list[Task]]:
+    """Return the standing tasks that have waited for a run for seconds, by step and reason.
+
+    The tasks of a group are ordered by the time that they have waited, the longest first.
+
+    Args:
+        core: The shard's state.
+        now: Steady time.
+        may_act: Whether the owner may send orders.
+    """
+    groups: dict[_Group, list[Task]] = {}
+    for task in _waiting_tasks(core, now):
+        reason = wait_reason(core, task, now, may_act=may_act)
+        groups.setdefault(_Group(task.step, reason), []).append(task)
+    for tasks in groups.values():
+        tasks.sort(key=lambda task: task.waiting_since)
+    return groups
+
+
+def _waiting_tasks(core: ShardCore, now: float) -> Iterator[Task]:
+    for job in core.jobs.values():
+        if job.closing or not job.spec.standing:
+            continue
+        for run in job.runs.values():
+            for step in run.steps:
+                if step.spec.standing and step.open:
+                    yield from (t for t in step.tasks if _has_waited(t, now))
+
+
+def _has_waited(task: Task, now: float) -> bool:
+    if task.done or task.managed_by is not None or task.waiting_since == NEVER:
+        return False
+    return now - task.waiting_since >= MIN_REPORTED_WAIT_S
+
+
+def wait_reason(core: ShardCore, task: Task, now: float, *, may_act: bool) -> WaitReason:
+    """Return what a standing task without a confirmed run waits for.
+
+    Args:
+        core: The shard's state.
+        task: The task; this shard manages it.
+        now: Steady time.
+        may_act: Whether the owner may send orders.
+    """
+    if not may_act:
+        return WaitReason.OWNERSHIP
+    for attempt in task.attempts:
+        if attempt.phase in _REASON_BY_PHASE:
+            return _REASON_BY_PHASE[attempt.phase]
+    job = task.step.run.job
+    if not core.may_start(job, now):
+        return WaitReason.INHERITED
+    if job.handing_over:
+        return WaitReason.HANDOVER
+    if task.decision_pending:
+        return WaitReason.DECISION
+    if not task.crash_history_durable:
+        return WaitReason.RECORD
+    if task.not_before > now:
+        return WaitReason.REFUSED
+    executors = core.executors.values()
+    usable = (e for e in executors if e.record.service == job.service and core.takes_work(e, now))
+    return WaitReason.CAPACITY if any(usable) else WaitReason.NO_EXECUTORS
+
+
+def _fields(group: _Group, tasks: list[Task], view: PlanView) -> dict[str, Any]:
+    step, reason = group
+    listed = tasks[:MAX_LOGGED_TASKS]
+    fields: dict[str, Any] = {
+        "job": step.run.job.job_id,
+        "step": f"{step.run.repetition}.{step.index}",
+        "reason": reason.value,
+        "waited_s": round(view.now - tasks[0].waiting_since, 1),
+        "tasks": len(tasks),
+        "here_s": {t.name.index: round(view.now - t.ready_since, 1) for t in listed},
+        "shard": view.core.shard,
+        "token": view.core.token,
+    }
+    executors = {t.name.index: a.executor_id for t in listed for a in t.attempts}
+    if executors:
+        fields["executors"] = executors
+    refusals = {t.name.index: t.refusals for t in listed if t.refusals}
+    if refusals:
+        fields["refusals"] = refusals
+    delegations = {t.name.index: t.delegation_number for t in listed if t.delegation_number}
+    if delegations:
+        fields["loans"] = delegations
+    if reason is WaitReason.CAPACITY:
+        fields["against"] = dict(view.placement(step).reasons_against(tasks[0]))
+    return fields
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -253,6 +253,21 @@
             )
         return None
 
+    def reasons_against(self, task: Task) -> Counter[str]:
+        """Return how many executors cannot take a task, by the reason.
+
+        ``isolation`` counts executors with capacity where a task with a crash history has to wait.
+        """
+        use_headroom = self._may_use_headroom(task)
+        reasons: Counter[str] = Counter()
+        for executor in self.executors:
+            reason = self.reason_against(executor, use_headroom=use_headroom)
+            if reason is None:
+                avoided = executor.executor_id in task.avoided_executors
+                reason = "avoided" if avoided else "isolation"
+            reasons[reason] += 1
+        return reasons
+
     def _may_use_headroom(self, task: Task) -> bool:
         """Whether a standing task may use the headroom for short ones."""
         return task.has_run_before or self.now - task.ready_since >= HEADROOM_WAIT_S
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -84,7 +84,7 @@
         if step.run.job.requires_ticket:
             self._require_tickets(placement)
             if not placement.executors:
-                self._log(placement, [], len(pending), view)
+                self._log(placement, [], pending, view)
                 return
         if step.spec.gang:
             placed = self._place_gang(placement, pending, view.isolated_placement())
@@ -98,7 +98,7 @@
             placed = self._place_each(placement, others)
             placed += self._place_isolated(placement, to_isolate, view)
             placed = placed or self._place_starved(placement, pending)
-        self._log(placement, placed, len(pending), view)
+        self._log(placement, placed, pending, view)
 
     def _require_tickets(self, placement: StepPlacement) -> None:
         """Limit a placement to executors with a valid ticket; request the missing tickets."""
@@ -217,7 +217,7 @@
             placement.on_unplaced(self._core.executors[attempt.executor_id])
 
     def _log(
-        self, placement: StepPlacement, placed: list[Attempt], pending: int, view: PlanView
+        self, placement: StepPlacement, placed: list[Attempt], pending: list[Task], view: PlanView
     ) -> None:
         step, now = placement.step, view.now
         job = step.run.job
@@ -228,7 +228,7 @@
                 step=f"{step.run.repetition}.{step.index}",
                 waited_s=round(now - placed[0].task.ready_since, 3),
                 runs={f"{a.task.name.index}/{a.run}": a.executor_id for a in placed},
-                left=pending - len(placed),
+                left=len(pending) - len(placed),
                 **start_reason(self._core, job, placed),
             )
             self._blocked_logged.discard(step)
@@ -238,8 +238,8 @@
                 Event.STEP_BLOCKED,
                 job=job.job_id,
                 step=f"{step.run.repetition}.{step.index}",
-                pending=pending,
+                pending=len(pending),
                 milli_cpu=step.spec.demand.milli_cpu,
                 memory_mb=step.spec.demand.memory_mb,
-                **blocked_fields(placement, view.held_cores()),
+                **blocked_fields(placement, pending[0], view.held_cores()),
             )
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -120,10 +120,8 @@
             self._state.mark_dirty(attempt.task.step.run)
         if attempt.phase is Phase.INHERITED:
             attempt.pace_confirmed = False
-        if attempt.phase is not Phase.STOPPING:
-            if attempt.phase is not Phase.RUNNING:
-                attempt.confirmed_at = now
-            attempt.phase = Phase.RUNNING
+        if attempt.phase not in (Phase.STOPPING, Phase.RUNNING):
+            attempt.confirm(now)
         if row.progress > attempt.progress or attempt.progress_at == NEVER:
             attempt.progress = row.progress
             attempt.progress_at = executor.alive_at
@@ -159,6 +157,7 @@
         attempt.start_may_arrive_until = now + MAX_START_DELAY_S
         task.next_run = max(task.next_run, row.run + 1)
         if self._is_wanted(task, row.run):
+            task.waiting_since = NEVER
             for inherited in list(task.attempts):
                 self._state.detach(inherited)
             self._state.attach(executor, attempt)
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -200,6 +200,7 @@
             # The run ended with the previous incarnation, and a start may still arrive at the next
             # one.
             attempt.phase = Phase.DOUBT
+            attempt.task.waiting_since = now
         elif attempt.phase is Phase.STOPPING:
             self._state.send_stop(attempt, now)
 
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -40,7 +40,8 @@
         moves: Number of times it was moved because a run took far longer than comparable ones.
         refusals: Number of consecutive starts that executors refused.
         ready_since: Steady time since when it has been ready to start.
-        not_running_since: Steady time since when a standing task has not been running.
+        waiting_since: Steady time since when it has been waiting for a run: since its last run
+            ended, in whichever hall, or since its step opened. ``NEVER`` while it runs.
     """
 
     name: TaskName
@@ -61,7 +62,7 @@
     moves: int = 0
     refusals: int = 0
     ready_since: float = NEVER
-    not_running_since: float = NEVER
+    waiting_since: float = NEVER
 
     def save(self, run: int, checkpoint: str) -> None:
         """Store a run's checkpoint, unless a later run has saved one."""
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -3,7 +3,8 @@
 The components share a context and have a module each: ``_recovery`` (state left by the previous
 owner), ``_feed`` (changes of jobs), ``_dispatch`` (plans and orders), ``_watch`` (polls of
 executors), ``_records`` (writes of records), ``_handovers`` (work for other halls),
-``_advice_requester`` (tickets of placement policies) and ``_proof`` (proof of ownership).
+``_advice_requester`` (tickets of placement policies), ``_standing_waits`` (why standing tasks do
+not run) and ``_proof`` (proof of ownership).
 ``_scope`` runs their loops, and ``_changes`` wakes them.
 """
 
@@ -28,6 +29,7 @@
 from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
 from linkspan.shard.ownership._scope import TaskScope
 from linkspan.shard.planning._advice_requester import AdviceRequester
+from linkspan.shard.planning._standing_waits import StandingWaits
 from linkspan.shard.recovery._records import RecordWriter
 from linkspan.shard.recovery._recovery import Recovery
 from linkspan.shard.reports._watch import ExecutorWatch
@@ -138,6 +140,7 @@
         self._dispatcher = Dispatcher(context, self._watch)
         self._handovers = Handovers(context, summary_of)
         self._advice_requester = AdviceRequester(context, policy)
+        self._standing_waits = StandingWaits(context)
         self._feed = JobFeed(context)
         self._recovery = Recovery(
             context, self._feed, self._handovers, self._watch, claim.former_owners_remaining_s
@@ -195,6 +198,7 @@
                 scope.spawn(self._handovers.rebalance_loop())
                 scope.spawn(self._watch.poll_machines_loop())
                 scope.spawn(self._advice_requester.run())
+                scope.spawn(self._standing_waits.report_loop())
                 scope.spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, ProducerGap, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
--- a/tests/host/test_metrics.py
+++ b/tests/host/test_metrics.py
@@ -33,6 +33,13 @@
     assert _values(metrics) == values
 
 
+def test_a_gauge_shows_its_last_value() -> None:
+    metrics = HostMetrics()
+    for seconds in (4.5, 0.0):
+        metrics.set_seconds("standing_wait", seconds, hall="east")
+        assert _values(metrics)['linkspan_standing_wait_seconds{hall="east"}'] == seconds
+
+
 def test_unknown_names_raise_at_once() -> None:
     metrics = HostMetrics()
     with pytest.raises(KeyError):
