Tests that fail: waits of a standing task that begin anew with each handover or refusal

Waits for isolation, at the crash limit, for starvation and for another executor are measured from ready_since, which each handover, each refused and each unsent start sets anew; and a task that is refused every 0.4 s is never seen by the rebalancer, as it may not start then.

A test of the headroom wait was not written: a task that was started or delegated once may use the headroom at once (has_run_before), so that wait cannot begin anew.

--- /dev/null
+++ b/tests/shard/test_waits_across_halls.py
@@ -0,0 +1,127 @@
+"""Tests that a wait that is to end does so, whichever halls and refused starts it goes through.
+
+A standing task counts as lost when it is away for 9 s with room for two of it. Each handover and
+each refused start began the waits for isolation, at the crash limit and for starvation anew, so
+that a task that went from hall to hall, or was refused again and again, never started.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from linkspan.shard.core import ShardCore
+from linkspan.shard.crash_history import CrashHistory
+from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
+from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.messages import StartOrder
+from linkspan.shard.planning._isolation import MAX_ISOLATION_WAIT_S
+from linkspan.shard.planning.placement import FAILED_EXECUTOR_AVOIDANCE_S
+from linkspan.shard.planning.planner import STARVATION_S
+from tests.job_builders import step
+from tests.shard.builders import add_executor, core_with, place_running, plan
+from tests.shard.crash_builders import only_task, set_all_durable
+from tests.shard.wait_builders import (
+    AT_LIMIT,
+    HANDOVER_S,
+    ISOLATED,
+    PLAN_INTERVAL_S,
+    STAY_S,
+    add_crash_prone_executor,
+    home_with,
+    other_hall,
+    refuse,
+    started_at,
+)
+
+SINCE = 1.0
+ROUND_S = STAY_S + HANDOVER_S + 2 * PLAN_INTERVAL_S
+
+MAX_AT_LIMIT_S = 6.0
+"""Longest wait of a task at its crash limit: 9 s without the time to find a crash and to answer."""
+
+EMPTY = HallSummary(capacity=8_000, free=8_000, free_by_executor=((8_000, 32_000),))
+
+
+def test_a_wait_for_isolation_ends_although_the_task_goes_from_hall_to_hall() -> None:
+    """Guards against a task that each hall keeps for less than the 2 s of this wait."""
+    halls = home_with(ISOLATED, since=SINCE), other_hall()
+    at = started_at(halls, SINCE, 20.0)
+    assert at is not None and at - SINCE <= MAX_ISOLATION_WAIT_S + ROUND_S
+
+
+def test_a_wait_at_the_crash_limit_ends_although_the_task_goes_from_hall_to_hall() -> None:
+    """Guards against a task at its crash limit that no hall keeps for as long as this wait."""
+    halls = home_with(AT_LIMIT, since=SINCE), other_hall()
+    at = started_at(halls, SINCE, 20.0)
+    assert at is not None and at - SINCE <= MAX_AT_LIMIT_S
+
+
+def test_a_wait_at_the_crash_limit_in_one_hall_ends_before_the_task_is_lost() -> None:
+    """Guards against a wait of 10 s for an executor that nothing speaks against otherwise."""
+    core = home_with(AT_LIMIT, since=SINCE)
+    now = SINCE
+    while not plan(core, now):
+        now += PLAN_INTERVAL_S
+        assert now - SINCE <= MAX_AT_LIMIT_S
+
+
+def _send_nothing(core: ShardCore, order: StartOrder, now: float) -> None:
+    core.on_start_unsent(order, now)
+
+
+@pytest.mark.parametrize("give_up", [refuse, _send_nothing], ids=["refused", "unsent"])
+@pytest.mark.parametrize(
+    ("history", "wait_s"),
+    [(ISOLATED, MAX_ISOLATION_WAIT_S), (AT_LIMIT, MAX_AT_LIMIT_S)],
+    ids=["isolation", "limit"],
+)
+def test_a_start_without_a_run_does_not_begin_a_wait_for_isolation_anew(
+    give_up: Callable[[ShardCore, StartOrder, float], None], history: CrashHistory, wait_s: float
+) -> None:
+    """Guards against a wait that ends never, as each refused or unsent start begins it anew."""
+    core = core_with(step(1, standing=True), executors=1)
+    core.set_crash_history(only_task(core), history)
+    set_all_durable(core)
+    (order,) = plan(core, wait_s - 0.6)
+    give_up(core, order, wait_s - 0.5)
+    place_running(core, core.executors["e0"], cpu=8_000)
+    add_crash_prone_executor(core)
+    assert plan(core, wait_s + 0.1)
+
+
+def test_a_refused_start_does_not_begin_the_wait_for_starvation_anew() -> None:
+    """Guards against best-effort work that tries again only each 1.5 s."""
+    core = core_with(step(1, best_effort=True, cpu=16_000), executors=1)
+    (order,) = plan(core, STARVATION_S + 0.1)
+    refuse(core, order, STARVATION_S + 0.2)
+    assert plan(core, STARVATION_S + 0.5)
+
+
+def test_a_refused_start_does_not_begin_the_avoidance_of_an_executor_anew() -> None:
+    """Guards against a task that avoids the only executor with room while others refuse it."""
+    core = core_with(step(1, cpu=5_000), executors=2)
+    only_task(core).avoided_executors.add("e0")
+    (order,) = plan(core, FAILED_EXECUTOR_AVOIDANCE_S - 0.1)
+    assert order.executor_id == "e1"
+    refuse(core, order, FAILED_EXECUTOR_AVOIDANCE_S - 0.05)
+    place_running(core, core.executors["e1"], cpu=8_000)
+    assert [o.executor_id for o in plan(core, FAILED_EXECUTOR_AVOIDANCE_S + 0.05)] == ["e0"]
+
+
+@pytest.mark.parametrize("delegated", [False, True])
+def test_a_task_that_is_refused_again_and_again_is_handed_over(*, delegated: bool) -> None:
+    """Guards against a task kept by a hall whose only executor refuses it every 0.4 s."""
+    core = core_with(step(1, standing=True), executors=0)
+    add_executor(core, "e0")
+    core.jobs[only_task(core).name.job_id].delegated_here = delegated
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_capable=lambda *_: 1)
+    now = 0.0
+    handovers: list[Handover] = []
+    while now < HANDOVER_WAIT_S + 3.0 and not handovers:
+        now += PLAN_INTERVAL_S
+        for order in plan(core, now):
+            refuse(core, order, now)
+        handovers = rebalancer.plan(summarize(core, now), now)
+    assert handovers
