--- /dev/null
+++ b/tests/shard/waiting_builders.py
@@ -0,0 +1,88 @@
+"""Two executors, the first of which does not run a task, and the time until the other one does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from linkspan.jobs.spec import StepSpec
+from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import ExecutorReport, StartAnswer, StartOrder, StartOutcome, StopOrder
+from linkspan.shard.planning.planner import Planner
+from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan
+
+FIRST = "a@1"
+"""The executor that does not run the task."""
+
+OTHER = "b@1"
+"""An empty executor that answers all the time."""
+
+UNANSWERED_AT = 2.0
+"""Steady time at which the first start counts as unanswered."""
+
+MAX_AWAY_S = 9.0
+"""Longest time for which a standing task may be away: it counts as lost if it has not run for 6 s,
+and then for 3 s more while there is capacity for two of it."""
+
+STEP_S = 0.1
+"""Time between two reports, and between two plans."""
+
+SIMULATED_S = 38.0
+"""Longest simulated time."""
+
+Events = Callable[[ShardCore, float], None]
+"""Applies what happens at one time to a core."""
+
+
+def report_nothing(core: ShardCore, name: str, started_at_ms: int, now: float) -> None:
+    """Apply a report of an incarnation that has no runs."""
+    report = ExecutorReport(now, (), (), started_at_ms=started_at_ms)
+    core.on_report(name, report, asked=now, now=now + 0.01)
+
+
+def core_with_unanswered_start(spec: StepSpec) -> ShardCore:
+    """Return a core whose job has one unanswered start, on the first of two executors."""
+    core = core_with(spec, executors=0)
+    add_executor(core, FIRST)
+    (order,) = plan(core, 1.0)
+    core.on_start_sent(order, UNANSWERED_AT - 1.0)
+    core.on_start_unanswered(order, UNANSWERED_AT)
+    add_executor(core, OTHER)
+    core.jobs[JOB].runs[0].durable = float("inf")
+    return core
+
+
+def started_elsewhere_after_s(core: ShardCore, events: Events) -> float:
+    """Return how long after :data:`UNANSWERED_AT` a task is started on the other executor.
+
+    Executors accept all stops, the first one refuses all starts for lack of capacity, and the other
+    one accepts them.
+
+    Args:
+        core: The core.
+        events: Applies what else happens, at the times of the simulation.
+    """
+    now = UNANSWERED_AT
+    while now < UNANSWERED_AT + SIMULATED_S:
+        now = round(now + STEP_S, 2)
+        report_nothing(core, OTHER, 1, now)
+        events(core, now)
+        core.tick(now)
+        if OTHER in _plan_and_answer(core, now):
+            break
+    return now - UNANSWERED_AT
+
+
+def _plan_and_answer(core: ShardCore, now: float) -> set[str]:
+    """Plan, answer all orders, and return the executors that accepted a start."""
+    Planner(core).plan(now, now)
+    orders, core.orders = core.orders, []
+    accepted = set()
+    for order in orders:
+        if isinstance(order, StopOrder):
+            core.on_stopped(order, True, now)
+        elif isinstance(order, StartOrder) and order.executor_id == OTHER:
+            accepted.add(order.executor_id)
+            confirm_start(core, order, now)
+        elif isinstance(order, StartOrder):
+            core.on_started(order, StartAnswer(StartOutcome.NO_ROOM, now), now)
+    return accepted
