Test that an owner change does not begin the wait for an unanswered start anew

A record holds how many starts of a run are unanswered, but not since when. So each next owner waits for its own 12 s, or until all leases of former owners have expired, for a start that its predecessor has waited for already.

--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -282,6 +282,39 @@
     assert seconds_until(runs_on_b, advance, since=10.6) <= MAX_AWAY_S
 
 
+def test_an_owner_change_does_not_begin_the_wait_for_an_unanswered_start_anew() -> None:
+    """Guards against a task that waits once more for the same lost start after each owner change.
+
+    Records do not hold since when the start may no longer arrive.
+    """
+
+    def seconds_away(*, owner_changes: bool) -> float:
+        core = core_with(step(1, standing=True), executors=0)
+        add_executor(core, "a@1000")
+        (order,) = plan(core, 1.0)
+        core.on_start_unanswered(order, 2.0)
+        core.on_silent("a@1000", 2.5)
+        core.on_incarnation_ended("a@1000", 3.0, "machine service no longer lists it", since=2.6)
+        owner = next_owner_of(core, 13.0) if owner_changes else core
+        add_executor(owner, "b@1000")
+        (task,) = tasks_of(owner, JOB)
+        task.step.run.durable = float("inf")
+
+        def advance(now: float) -> None:
+            owner.tick(now)
+            for name in ("a", "a@1000"):
+                owner.on_silent(name, now)
+            confirm(owner, plan(owner, now), now)
+
+        def runs_on_b() -> bool:
+            return any(a.executor_id == "b@1000" for a in task.attempts)
+
+        return 13.0 - 2.0 + seconds_until(runs_on_b, advance, since=13.0)
+
+    takeover_s = 3.0
+    assert seconds_away(owner_changes=True) <= seconds_away(owner_changes=False) + takeover_s
+
+
 # Tickets of placement policies
 
 
