Test a task that is delegated in vain to one hall after the other

A hall publishes its free cores, whether or not a task may use them. So a displaced task of a step with a spread limit goes to each such hall first, if that has more free cores than the hall with room for the task. Each keeps it for 1 s.

Not run: a slow store, which makes each longer.

--- a/tests/host/test_review_of_standing_waits.py
+++ b/tests/host/test_review_of_standing_waits.py
@@ -30,6 +30,12 @@
 HOME_HAS_ROOM_S = 3.0
 """Time after a crash at which the home hall has room again."""
 
+HALLS = 8
+"""Halls of a large deployment, two thirds of the planned ones."""
+
+SETTLED_S = 5.0
+"""Time in which tasks start, and in which each hall has published its room."""
+
 TASKS = 2
 """Tasks of the job, each on an executor of its own."""
 
@@ -63,8 +69,10 @@
     executor.advance()
 
 
-async def _seconds_until_all_run(world: HallWorld, job_id: str, *, since: float) -> float:
-    while len(_addresses(world, job_id)) < TASKS and world_time() - since < OBSERVED_S:
+async def _seconds_until_all_run(
+    world: HallWorld, job_id: str, tasks: int = TASKS, *, since: float
+) -> float:
+    while len(_addresses(world, job_id)) < tasks and world_time() - since < OBSERVED_S:
         await asyncio.sleep(0.1)
     return world_time() - since
 
@@ -121,3 +129,32 @@
         return await _seconds_until_all_run(world, job_id, since=lost_at)
 
     assert run_virtual(play()) <= MAX_AWAY_S
+
+
+def test_a_task_reaches_the_only_hall_with_room_for_it_in_time() -> None:
+    """Guards against a task that is delegated in vain to one hall after the other.
+
+    Each hall publishes free cores on executors at the step's spread limit, keeps the task for a
+    second and returns it. The hall with room for it publishes the fewest free cores.
+    """
+
+    async def play() -> float:
+        halls = tuple(f"hall{number}" for number in range(HALLS))
+        last = halls[-1]
+        world = HallWorld(halls=halls, hosts_per_hall=1, executors_per_hall=2)
+        await world.begin()
+        filling = world.new_job(step(2, standing=True, cpu=7_500, max_per_executor=1))
+        await world.submit(f"{last}-host-0", filling)
+        await asyncio.sleep(SETTLED_S)
+        spread = world.new_job(step(2 * HALLS - 2, standing=True, max_per_executor=1))
+        await world.submit(f"{halls[0]}-host-0", spread)
+        await asyncio.sleep(4 * SETTLED_S)
+        assert len(_addresses(world, spread.job_id)) == 2 * HALLS - 2
+        for number in range(2):
+            world.resize(f"{last}-{number}:1", 9_000)
+        await asyncio.sleep(SETTLED_S)
+        world.crash_executor(_addresses(world, spread.job_id)[0], back=False)
+        lost_at = world_time()
+        return await _seconds_until_all_run(world, spread.job_id, 2 * HALLS - 2, since=lost_at)
+
+    assert run_virtual(play()) <= MAX_AWAY_S
