Test a job that no hall takes as a whole, and the size of the record of returns

A job that has not begun moves to another hall as a whole or not at all. Where its home hall cannot run its tasks, it never starts if each other hall has room for some of them only, has fewer executors than a step with a spread limit has tasks, or has any reserved work that waits.

By reading, not run: the writer retries a record that the store does not accept for ever, and with it all later job records of the host; the job's handover never ends, so that none of its tasks starts.

--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -6,9 +6,17 @@
 
 from __future__ import annotations
 
-from linkspan.jobs.records import Delegation
+from dataclasses import replace
+
+import pytest
+
+from linkspan.jobs.crash import Crash
+from linkspan.jobs.record_codec import encode
+from linkspan.jobs.records import Delegation, Returned
+from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.core import ShardCore
-from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Rebalancer
+from linkspan.shard.handover._returned_delegations import ReturnedDelegations
+from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
 from linkspan.shard.handover.summary import HallSummary, summarize
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport
 from linkspan.shard.planning.advice import Advice
@@ -45,6 +53,11 @@
     capacity=40_000, free=40_000, free_by_executor=((20_000, 32_000), (20_000, 32_000))
 )
 
+ROOMY = HallSummary(capacity=128_000, free=100_000, free_by_executor=((12_500, 48_000),) * 8)
+
+MAX_RECORD_BYTES = 256 * 1024
+"""Size of the largest record that stores accept."""
+
 FULL = HallSummary(capacity=16_000, free_by_executor=((0, 0), (0, 0)))
 
 
@@ -140,6 +153,54 @@
     assert seconds_until_all_run(core, [task], since=1.0) <= MAX_AWAY_S
 
 
+@pytest.mark.parametrize(
+    ("spec", "hall"),
+    [
+        (step(17, standing=True, cpu=7_750), ROOMY),
+        (step(17, standing=True, cpu=1_000, max_per_executor=1, label="kind"), ROOMY),
+        (step(17, standing=True, cpu=1_000, label="kind"), replace(ROOMY, queued=1_000)),
+    ],
+    ids=["size", "spread limit", "other work waits"],
+)
+def test_a_job_starts_although_no_other_hall_takes_all_of_it(
+    spec: StepSpec, hall: HallSummary
+) -> None:
+    """Guards against a job of which nothing ever runs.
+
+    Its home hall has no executor that can run its tasks. It has not begun, so that it can only move
+    as a whole, and each other hall has room for some of its tasks only, or work that waits.
+    """
+    core = core_with(spec, executors=1)
+    core.executors["e0"].register(replace(core.executors["e0"].record, capacity=Demand(500, 100)))
+    rebalancer = Rebalancer(
+        core,
+        summaries=lambda: dict.fromkeys((1, 2, 3), hall),
+        count_capable=lambda *_: len(hall.free_by_executor),
+    )
+    found: list[Handover] = []
+
+    def advance(now: float) -> None:
+        confirm(core, plan(core, now), now)
+        found.extend(rebalancer.plan(FULL, now))
+
+    assert seconds_until(lambda: bool(found), advance, since=1.0) <= MAX_AWAY_S
+
+
+def test_the_record_of_returned_delegations_stays_small() -> None:
+    """Guards against a record that the store no longer accepts, so that no job record is written.
+
+    It lists each return of each task of a job. Here, 17 tasks with a crash history are each
+    returned every 2 s, for seven minutes.
+    """
+    returned = ReturnedDelegations()
+    crashes = tuple(Crash(f"life-{number}@1700001000000", number, 2) for number in range(3))
+    for number in range(1, 211):
+        tasks = [Delegation(0, index, number, 3, 6, crashes) for index in range(17)]
+        listed = returned.add(JOB, (), tasks)
+    _, value = encode(Returned(JOB, OTHER_SHARD, listed))
+    assert len(value) < MAX_RECORD_BYTES
+
+
 # Tasks that keep each other from starting
 
 
