Ignore lists of machines that omit an executor which has answered since

Callers could lose a standing task, or have it run twice: an executor that two lists of machines omitted counted as ended for good and was never used again by this owner, although it had answered after the lists were requested.

A proof of an end now counts for an executor that answers only if it has not answered since. An executor that is silent is ended as before: two tests of crashes found by the list of machines hold that.

--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -149,7 +149,7 @@
                 ``None`` if there can be none, because another id answers at the address.
         """
         executor = self._state.executors.get(executor_id)
-        if executor is None:
+        if executor is None or (since is not None and _has_answered_since(executor, since)):
             return
         uncertain = [] if since is None else uncertain_attempts(executor, since)
         if executor.is_placeholder and uncertain:
@@ -258,3 +258,11 @@
         for attempt in list(executor.attempts.values()):
             if attempt not in kept:
                 self._state.close_attempt(attempt, now)
+
+
+def _has_answered_since(executor: ExecutorState, since: float) -> bool:
+    """Whether an executor answers and did so after the proof of its end, which is then wrong.
+
+    A list of machines may be older than an executor's registration.
+    """
+    return executor.silent_since is None and executor.alive_at > since
