Let the failures of standing tasks count against their executor for 3 s

Callers saw standing tasks wait although executors had room: in a hall that runs standing tasks only, no run is ever done, so failures were never forgotten and each one after the first two jobs' quarantined the executor for 8 s. Of five tasks on an executor, one failure every 4 s kept it out of use for good.

A failure of a standing task counts as one in a row for 3 s now. An executor that fails what it runs fails the tasks of several jobs within that time; failures of other tasks count until a run succeeds, as before.

Effect on worth where executors fail part of their runs: not measured yet.

--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -192,8 +192,9 @@
 
     def _quarantine_if_failing(self, executor: ExecutorState, task: Task, now: float) -> None:
         """Record a failure and quarantine the executor if several jobs in a row failed there."""
-        job_id = task.name.job_id
-        until = self._state.health.record_failure(executor.executor_id, job_id, now)
+        until = self._state.health.record_failure(
+            executor.executor_id, task.name.job_id, now, standing=task.step.spec.standing
+        )
         if until is None:
             return
         executor.quarantined_until = max(executor.quarantined_until, until)
