Measure waits that must end from a task's last run, not from its last start that led to none

Cause: ready_since, from which the waits for isolation, at the crash limit, for the headroom, for another executor and for starvation were measured, was set anew by each refused or unsent start, so that none of them ended for a task that is refused again and again.

They are measured from waiting_since now. It begins anew only after a run: a confirmed one, one under which a counted crash was found, or one that a former owner had confirmed. ready_since is the time since when this hall could start the task; refused and unsent starts leave it. An isolated task looks for another executor first, before it forgets those that it avoids: its wait is not begun anew by a refusal as invalid any more.

Ruled out: the headroom wait cannot repeat (has_run_before is true after the first start or delegation). Each handover still begins the waits anew.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -263,6 +263,8 @@
         self.detach(attempt)
         task = attempt.task
         if task.pending:
+            if _may_have_run(attempt):
+                task.waiting_since = NEVER
             self.mark_ready(task, now)
         self.mark_dirty(task.step.run)
 
@@ -302,10 +304,20 @@
             del self.tasks_with_crash_history[task]
 
     def mark_ready(self, task: Task, now: float) -> None:
-        """Mark a task as waiting for a start from now on."""
-        task.ready_since = now
+        """Mark a task as waiting for a start, from now on if its last run has just ended.
+
+        A start that did not lead to a run does not begin the wait anew.
+        """
         if task.waiting_since == NEVER:
             task.waiting_since = now
+        task.ready_since = max(task.ready_since, task.waiting_since)
+        if task.step.open:
+            self.ready[task.step] = None
+
+    def mark_arrived(self, task: Task, now: float) -> None:
+        """Mark a task that another shard handed over as waiting for a start here from now on."""
+        task.waiting_since = now
+        task.ready_since = now
         if task.step.open:
             self.ready[task.step] = None
 
@@ -490,3 +502,16 @@
             return
         if all(run.durable == float("inf") for run in job.runs.values()):
             self.jobs.pop(job.job_id, None)
+
+
+def _may_have_run(attempt: Attempt) -> bool:
+    """Return whether the run of an attempt that is being closed may have lasted until now.
+
+    This owner did not confirm the run; otherwise its task does not count as waiting yet.
+    """
+    history = attempt.task.crash_history
+    if history and history.crash_of(attempt.executor_id):
+        return True
+    # A former owner that recorded no unanswered start had confirmed the run.
+    confirmed_before = attempt.recovered and attempt.start_may_arrive_until == NEVER
+    return confirmed_before and not attempt.carried_over
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -44,7 +44,7 @@
                 task.managed_by = None
                 task.delegation_number = delegation.number
                 self._crashes.take_over_history(task, delegation, now)
-                self._state.mark_ready(task, now)
+                self._state.mark_arrived(task, now)
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -82,7 +82,7 @@
                 task.managed_by = None
                 self._crashes.take_over_history(task, delegation, now)
                 self._state.mark_dirty(run)
-                self._state.mark_ready(task, now)
+                self._state.mark_arrived(task, now)
 
     def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks, by shard."""
--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -50,9 +50,14 @@
 
     def choose(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return the executor for a task with a crash history, ``None`` if the task has to wait."""
-        placement.clear_avoided(task)
+        executor = self._choose(placement, task)
+        if executor is None and placement.clear_avoided(task):
+            executor = self._choose(placement, task)
+        return executor
+
+    def _choose(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         running = self.running()
-        waited = self._now - task.ready_since
+        waited = self._now - task.waiting_since
         overdue = waited >= MAX_ISOLATION_WAIT_S
         if len(running) >= self._max_running and not overdue:
             return None
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -157,7 +157,7 @@
             Whether there were any to clear.
         """
         all_avoided = all(e.executor_id in task.avoided_executors for e in self.executors)
-        waited = self.now - task.ready_since
+        waited = self.now - task.waiting_since
         if not task.avoided_executors or not (all_avoided or waited >= FAILED_EXECUTOR_AVOIDANCE_S):
             return False
         task.avoided_executors.clear()
@@ -270,7 +270,7 @@
 
     def _may_use_headroom(self, task: Task) -> bool:
         """Whether a standing task may use the headroom for short ones."""
-        return task.has_run_before or self.now - task.ready_since >= HEADROOM_WAIT_S
+        return task.has_run_before or self.now - task.waiting_since >= HEADROOM_WAIT_S
 
     def _reason_against_best_effort(self, executor: ExecutorState, *, starved: bool) -> str | None:
         """Return why an executor cannot take one more best-effort task; ``None`` if it can."""
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -165,7 +165,7 @@
     def _place_starved(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
         """Start one best-effort task of a job that has had nothing running for long."""
         step = placement.step
-        waited = placement.now - min(task.ready_since for task in pending)
+        waited = placement.now - min(task.waiting_since for task in pending)
         if not step.spec.best_effort or waited < STARVATION_S:
             return []
         if any(True for _ in step.run.job.attempts()):
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -39,9 +39,11 @@
         not_before: Steady time before which it is not started again after a refused start.
         moves: Number of times it was moved because a run took far longer than comparable ones.
         refusals: Number of consecutive starts that executors refused.
-        ready_since: Steady time since when it has been ready to start.
+        ready_since: Steady time since when this shard could have started it: ``waiting_since``, or
+            the time at which the shard began to manage it, if that is later.
         waiting_since: Steady time since when it has been waiting for a run: since its last run
-            ended, in whichever hall, or since its step opened. ``NEVER`` while it runs.
+            ended, in whichever hall, or since its step opened. ``NEVER`` while it runs. Waits that
+            must end are measured from it, as handovers and refused starts do not change it.
     """
 
     name: TaskName
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -15,13 +15,21 @@
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
 from linkspan.shard.handover.summary import HallSummary, summarize
-from linkspan.shard.messages import StartOrder
+from linkspan.shard.messages import StartAnswer, StartOrder, StartOutcome
 from linkspan.shard.planning._isolation import MAX_ISOLATION_WAIT_S
 from linkspan.shard.planning.placement import FAILED_EXECUTOR_AVOIDANCE_S
 from linkspan.shard.planning.planner import STARVATION_S
 from tests.job_builders import step
 from tests.shard.builders import add_executor, core_with, place_running, plan
-from tests.shard.crash_builders import only_task, set_all_durable
+from tests.shard.crash_builders import (
+    REPLACED,
+    crash_executor,
+    next_owner_of,
+    only_task,
+    report_nothing,
+    set_all_durable,
+    start_on,
+)
 from tests.shard.wait_builders import (
     AT_LIMIT,
     HANDOVER_S,
@@ -125,3 +133,35 @@
             refuse(core, order, now)
         handovers = rebalancer.plan(summarize(core, now), now)
     assert handovers
+
+
+def test_a_crash_under_an_unanswered_start_begins_the_wait_for_isolation_anew() -> None:
+    """Guards against a task that crashes executors at its start and is no longer isolated then."""
+    core = core_with(step(1, standing=True), executors=0)
+    core.set_crash_history(only_task(core), ISOLATED)
+    crashed_at = MAX_ISOLATION_WAIT_S + 1.0
+    start_on(core, "e0@1", crashed_at - 0.2, answered=False)
+    crash_executor(core, "e0@1", crashed_at - 0.1, crashed_at)
+    report_nothing(core, "e0@2", 2, asked=crashed_at, now=crashed_at)
+    assert only_task(core).waiting_since >= crashed_at - 0.1
+
+
+def test_the_end_of_a_former_owners_run_begins_the_wait_anew() -> None:
+    """Guards against a task whose waits are over as soon as the run ends that it had inherited."""
+    core = core_with(step(1, standing=True), executors=0)
+    start_on(core, "e0@1", 1.0)
+    next_owner = next_owner_of(core, 2.0)
+    next_owner.on_silent("e0@1", 2.1)
+    next_owner.on_incarnation_ended("e0@1", 6.0, REPLACED)
+    assert only_task(next_owner).waiting_since == 6.0
+
+
+def test_a_task_that_has_waited_is_not_sent_again_to_the_executor_that_called_it_invalid() -> None:
+    """Guards against an isolated task that one executor refuses for ever while another has room."""
+    core = core_with(step(1, standing=True), executors=2)
+    core.set_crash_history(only_task(core), ISOLATED)
+    set_all_durable(core)
+    (first,) = plan(core, FAILED_EXECUTOR_AVOIDANCE_S + 1.0)
+    core.on_started(first, StartAnswer(StartOutcome.INVALID, 1.5), 1.5)
+    (second,) = plan(core, FAILED_EXECUTOR_AVOIDANCE_S + 1.5)
+    assert second.executor_id != first.executor_id
