Prefer other executors for a while after one refused a start for lack of capacity

Cause: a refusal delayed the next start of its task and changed nothing that the planner goes by.

Now each executor has its refusals, for all tasks that need as much: others that fit are preferred for 0.5 s, doubled with each refusal in a row up to 4 s, until its registered capacity changes or it accepts a start as large. No executor is excluded: where no other fits it is tried as before (test_refused_starts.py).

--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -8,6 +8,7 @@
 
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
+from linkspan.shard.refusals import RecentRefusals
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -91,6 +92,7 @@
             and this owner has not read.
         expired_attempts: Attempts that were removed when its leases expired, kept while it stays
             silent. They are also kept by task in their ``JobRun``, whose record holds them.
+        refusals: Starts that it refused for lack of capacity.
     """
 
     record: ExecutorRecord
@@ -119,6 +121,7 @@
     ack_delivered: int = 0
     token: int = 0
     withheld_ends: set[int] = field(default_factory=set)
+    refusals: RecentRefusals = field(default_factory=RecentRefusals)
 
     _best_effort: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _latency_targeted: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
@@ -205,6 +208,8 @@
 
     def register(self, record: ExecutorRecord) -> None:
         """Apply its present registration."""
+        if record.capacity != self.record.capacity:
+            self.refusals.clear()
         self.record = record
         self.listed = True
         self.missing_since = FOREVER
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -102,6 +102,7 @@
             return
         if answer.outcome is StartOutcome.STARTED:
             attempt.task.refusals = 0
+            executor.refusals.on_accepted(attempt.task.step.spec)
             if attempt.phase in (Phase.STARTING, Phase.DOUBT):
                 attempt.confirm(now)
                 attempt.carried_over = False
@@ -114,6 +115,8 @@
         self._state.log_run(
             Event.START_REFUSED, order.executor_id, order.task, order.run, reason=reason
         )
+        if answer.outcome is StartOutcome.NO_ROOM:
+            executor.refusals.on_refused(attempt.task.step.spec, now)
         if answer.outcome is StartOutcome.UNHEALTHY:
             executor.quarantined_until = max(
                 executor.quarantined_until, now + UNHEALTHY_QUARANTINE_S
--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -64,8 +64,20 @@
             e for e in candidates if e.executor_id not in running and not e.has_unanswered_start
         ]
         if free or must_be_alone or not overdue:
-            return min(free, key=_used_cpu, default=None)
-        return min(candidates, key=_used_cpu, default=None) or placement.choose(task)
+            return self._best(free, task)
+        return self._best(candidates, task) or placement.choose(task)
+
+    def _best(self, executors: list[ExecutorState], task: Task) -> ExecutorState | None:
+        """Return the executor with the least work among those that did not refuse such a task.
+
+        If all refused one recently, the executor with the least work of all is returned.
+        """
+        spec = task.step.spec
+        return min(
+            executors,
+            key=lambda e: (e.refusals.concern(spec, self._now), _used_cpu(e)),
+            default=None,
+        )
 
     def _without_crashes(self, placement: StepPlacement, task: Task) -> list[ExecutorState]:
         """Return the executors where a task fits, without addresses where executors crashed.
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -50,6 +50,10 @@
 """Weight of the share of full speed that a best-effort task would have to give up: above any
 difference in load."""
 
+REFUSAL_PENALTY = 100.0
+"""Added for an executor that recently refused such a task for lack of capacity: above all others
+together, as the start would probably be refused again."""
+
 
 @dataclass(frozen=True, slots=True)
 class StepScores:
@@ -84,6 +88,8 @@
             score += REMOTE_DATA_PENALTY
         if self.health.is_slow(executor.executor_id, self.now):
             score += SLOW_EXECUTOR_PENALTY
+        if executor.refusals.concern(spec, self.now):
+            score += REFUSAL_PENALTY
         if spec.standing:
             score += self._colocation_score(executor, capacity)
             if placed + 1 > max(spec.count * MAX_STEP_SHARE, 1):
--- a/tests/shard/test_refused_starts.py
+++ b/tests/shard/test_refused_starts.py
@@ -7,8 +7,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from linkspan.jobs.spec import Demand
 from linkspan.shard.core import ShardCore
 from linkspan.shard.messages import StartAnswer, StartOrder, StartOutcome
+from linkspan.shard.refusals import MAX_AVOIDANCE_S, RecentRefusals
 from tests.job_builders import step
 from tests.shard.builders import JOB, confirm_start, core_with, plan
 
@@ -69,3 +73,50 @@
     slow = job.runs[0].steps[0]
     slow.durations += [0.5, 0.5, 0.5]
     assert 4 <= starts_refused(core, 2.0, for_s=1.0) <= len(slow.tasks) * MAX_STARTS_IN_FIRST_SECOND
+
+
+LARGE = step(1, cpu=4_000)
+SMALL = step(1, cpu=500)
+
+
+def test_an_executor_is_avoided_longer_after_each_refusal_up_to_a_limit() -> None:
+    """Guards against a few starts each second at an executor that never has the capacity."""
+    refusals = RecentRefusals()
+    refusals.on_refused(LARGE, 1.0)
+    assert refusals.concern(LARGE, 1.4) and not refusals.concern(LARGE, 1.6)
+    refusals.on_refused(LARGE, 2.0)
+    assert refusals.concern(LARGE, 2.9) and not refusals.concern(LARGE, 3.1)
+    for _ in range(100):
+        refusals.on_refused(LARGE, 4.0)
+    assert not refusals.concern(LARGE, 4.0 + MAX_AVOIDANCE_S)
+
+
+def test_a_refusal_does_not_concern_smaller_tasks() -> None:
+    """Guards against an executor that stays empty as it refused one large task."""
+    refusals = RecentRefusals()
+    refusals.on_refused(LARGE, 1.0)
+    assert not refusals.concern(SMALL, 1.1)
+    refusals.on_accepted(SMALL)
+    assert refusals.concern(LARGE, 1.1), "a small task that fits says nothing of a large one"
+    refusals.on_accepted(LARGE)
+    assert not refusals.concern(LARGE, 1.1)
+
+
+def test_cores_that_a_best_effort_task_does_not_reserve_are_not_refused() -> None:
+    """Guards against other tasks that avoid an executor which lacks memory, not cores."""
+    refusals = RecentRefusals()
+    refusals.on_refused(step(1, cpu=8_000, best_effort=True), 1.0)
+    assert refusals.concern(SMALL, 1.1), "it takes as much memory"
+    assert not refusals.concern(replace(SMALL, demand=Demand(500, 50)), 1.1)
+
+
+def test_a_changed_capacity_clears_the_refusals() -> None:
+    """Guards against an executor that is avoided although it has grown."""
+    core = core_with(LARGE, executors=1)
+    (order,) = plan(core, 1.0)
+    refuse(core, order, 1.01)
+    executor = core.executors["e0"]
+    executor.register(executor.record)
+    assert executor.refusals.concern(LARGE, 1.1), "a heartbeat alone changes nothing"
+    executor.register(replace(executor.record, capacity=Demand(16_000, 32_000)))
+    assert not executor.refusals.concern(LARGE, 1.1)
