Place a step's restarts although one of its tasks that never ran fits nowhere

Callers saw a standing task wait for up to 3 s, or be handed over, beside room: a plan left a step at its first task that fitted nowhere, as tasks of a step are alike. Only a task that ran before may use the room that standing tasks leave to short ones, so a task that never ran kept the restarts behind it out.

Now the plan goes on with the tasks that may use more room.

--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -122,7 +122,7 @@
         best: ExecutorState | None = None
         best_score = NO_CAPACITY_SCORE
         avoid = task.avoided_executors
-        use_headroom = self._may_use_headroom(task)
+        use_headroom = self.may_use_headroom(task)
         kind = self._kind(use_headroom, starved)
         if self.unplaceable is not None and kind in self.unplaceable:
             return None
@@ -165,7 +165,7 @@
 
     def fitting_executors(self, task: Task) -> list[ExecutorState]:
         """Return the executors that have capacity for a task and that the task does not avoid."""
-        use_headroom = self._may_use_headroom(task)
+        use_headroom = self.may_use_headroom(task)
         return [
             e
             for e in self.executors
@@ -258,7 +258,7 @@
 
         ``isolation`` counts executors with capacity where a task with a crash history has to wait.
         """
-        use_headroom = self._may_use_headroom(task)
+        use_headroom = self.may_use_headroom(task)
         reasons: Counter[str] = Counter()
         for executor in self.executors:
             reason = self.reason_against(executor, use_headroom=use_headroom)
@@ -268,7 +268,7 @@
             reasons[reason] += 1
         return reasons
 
-    def _may_use_headroom(self, task: Task) -> bool:
+    def may_use_headroom(self, task: Task) -> bool:
         """Whether a standing task may use the headroom for short ones."""
         return task.has_run_before or self.now - task.waiting_since >= HEADROOM_WAIT_S
 
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -132,12 +132,17 @@
 
     def _place_each(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
         placed = []
+        # Apart from their use of the headroom, tasks of a step are identical: where one does not
+        # fit, none of the others does.
+        fitting_nowhere: set[bool] = set()
         for task in pending:
+            use_headroom = placement.may_use_headroom(task)
+            if use_headroom in fitting_nowhere and not task.avoided_executors:
+                continue
             executor = placement.choose(task) or self._choose_avoided(placement, task)
             if executor is None:
                 if not task.avoided_executors:
-                    # Tasks of a step are identical: none of the others fits either.
-                    break
+                    fitting_nowhere.add(use_headroom)
                 continue
             pace = placement.pace(executor)
             placed.append(self._start(placement, task, executor, pace=pace))
