Send no start to an executor that has gone silent since the plan

An unanswered start binds its task to the executor for 12 s, as it may still be carried out. Now such a start counts as not sent, and its task is placed elsewhere at once.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -139,7 +139,8 @@
         # found since the plan may be enough to give the task up.
         if attempt is None or attempt.phase is not Phase.STARTING or attempt.task.decision_pending:
             return False
-        if attempt.task.needs_isolation and executor.silent_since is not None:
+        if executor.silent_since is not None:
+            # An unanswered start would bind the task to this executor.
             return False
         # Crashes found since the plan must be on record before the start, as those before it.
         return attempt.task.crash_history_durable
