Test that a task's wait does not count time in which it ran in another hall

Task.waiting_since is set for all tasks when a hall first reads a job, and is kept while another hall manages the task. So a delegated or returned task seems to have waited for as long as it ran elsewhere: line 569 and the gauge report it at once, and a wait that ends after so many seconds would be over when it begins.

Measured: 49 s and 48 s where the task has waited for none.

--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -16,7 +16,12 @@
 from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._returned_delegations import ReturnedDelegations
-from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
+from linkspan.shard.handover.rebalance import (
+    HANDOVER_WAIT_S,
+    RETURN_DELAY_S,
+    Handover,
+    Rebalancer,
+)
 from linkspan.shard.handover.summary import HallSummary, summarize
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport
 from linkspan.shard.planning.advice import Advice
@@ -153,6 +158,34 @@
     assert seconds_until_all_run(core, [task], since=1.0) <= MAX_AWAY_S
 
 
+def test_a_delegated_task_has_not_waited_while_it_ran_in_its_home_hall() -> None:
+    """Guards against a wait that counts from when another hall first read the job.
+
+    The second task ran in its home hall until it was delegated. Log lines and the gauge show a wait
+    of seconds at once, and so would a rule that yields after a wait.
+    """
+    other = core_of_shard(OTHER_SHARD)
+    tasks = step(2, standing=True, cpu=9_000)
+    other.add_job(submitted_job(tasks), 1.0, delegated_here=[Delegation(0, 0, 1)])
+    other.accept_delegations(JOB, [Delegation(0, 1, 1)], 50.0)
+    assert 50.0 - tasks_of(other, JOB)[1].waiting_since < HANDOVER_WAIT_S
+
+
+def test_a_returned_task_has_not_waited_while_it_ran_in_the_other_hall() -> None:
+    """Guards against a wait that counts from the last run in the home hall.
+
+    The task ran in the other hall for most of that time.
+    """
+    home = core_with(step(1, standing=True), executors=1)
+    (order,) = plan(home, 1.0)
+    confirm_start(home, order, 1.0)
+    (task,) = tasks_of(home, JOB)
+    home.close_attempt(task.attempts[0], 2.0)
+    home.hand_over_tasks(JOB, OTHER_SHARD, [(0, 0)])
+    home.reclaim_tasks(JOB, [Delegation(0, 0, 1)], 50.0)
+    assert 50.0 - task.waiting_since < RETURN_DELAY_S
+
+
 @pytest.mark.parametrize(
     ("spec", "hall"),
     [
