--- a/tests/shard/test_review_of_owner_waits.py
+++ b/tests/shard/test_review_of_owner_waits.py
@@ -130,8 +130,10 @@
         core.on_report("e0", answer, asked=answered_at, now=steady())
         stepped.dispatcher._plan()
         planned_at = steady()
-        (sending,) = stepped.waiting
+        sending = stepped.waiting.pop()
         await sending
+        for check in stepped.waiting:
+            check.close()
         assert stepped.sent
         return steady() - planned_at
 
