Count no remaining time for an owner that released its shard

After a planned stop of an owner, the next one started no inherited work for 10 s more than necessary if an executor of the hall did not answer: it counted leases as if the former owner might still renew them. A standing task was away for 16.1 to 16.5 s (bound 9 s), also if only an idle executor was lost.

An owner that released its shard has stopped its orders before. Other former owners are counted as before, by the time until which each may act.

--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -316,7 +316,8 @@
         """
         others = max(self._former_owners_until - now, 0.0)
         if self._owner is None:
-            return MAX_UNPROVED_S
+            # An owner that released the shard sends no more orders.
+            return others if self._released else MAX_UNPROVED_S
         if self._owner.host == self._host:
             return others
         return max(MAX_UNPROVED_S - self.silent_for(now), others)
