Open the steps of delegated tasks in the other hall

A standing task of a step that depends on another one was never started by the hall that it was delegated to, and never returned: that hall does not know that the earlier tasks are done at home, so the step stayed closed there.

The home shard delegates only tasks of open steps, so a delegated task's step is open wherever its job is released.

--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -97,7 +97,13 @@
 
     @property
     def open(self) -> bool:
-        """Whether its repetition is released and all steps that it depends on are done."""
+        """Whether its repetition is released and all steps that it depends on are done.
+
+        The home shard delegates only tasks of open steps, and the other shard does not know which
+        tasks are done at home.
+        """
+        if self.run.job.delegated_here:
+            return self.run.released
         return self.run.released and all(
             self.run.steps[index].remaining_tasks == 0 for index in self.spec.depends_on
         )
