Request the tickets of steps in turn

A step whose tickets expire before the service has answered for all executors asked again before each call, and no other step's tickets were ever requested: the first step that asked was served first. A restart of a standing task then never started. After each answer the next call is for another step now.

--- a/src/linkspan/shard/planning/advice.py
+++ b/src/linkspan/shard/planning/advice.py
@@ -143,13 +143,18 @@
                 known.refused.add(executor_id)
             else:
                 known.tickets[executor_id] = _Ticket(text, expires_at)
+        self._move_to_end(call.step)
 
     def on_failed(self, call: AdviceCall, now: float) -> None:
         """Handle a call that was refused or not answered: other steps come first after a delay."""
         self._not_before = now + ADVICE_RETRY_S
-        known = self._steps.pop(call.step, None)
+        self._move_to_end(call.step)
+
+    def _move_to_end(self, step: StepRun) -> None:
+        """Let the next calls be for other steps, so that no step keeps the others waiting."""
+        known = self._steps.pop(step, None)
         if known:
-            self._steps[call.step] = known
+            self._steps[step] = known
 
     def remove_step(self, step: StepRun) -> None:
         """Remove a step that this shard no longer manages."""
