Carry the time that a task has waited over its delegations and returns

Cause: each handover set the moments anew from which the waits for isolation (2 s) and at the crash limit are measured. A hall keeps such a task for 0.6 to 1.2 s, so that none of these waits ended.

A delegation carries the seconds waited (waited_s), in both directions; the hall that takes the task counts them (accept_delegations, reclaim_tasks, and the first delegation of a job). A duration, since clocks of hosts differ; taken when the record is made, after the handover is durable. It is the last field of the row, rounded to 0.1 s and left out when 0; earlier versions skip it, and rows without it read as 0. The position was free for any later field so far, which a test asserted with a text there: it asserts the same one position later now, and the row without it.

No field in the progress record for the next owner: a wait of seconds begins anew once with each owner, and ends under any that lasts for it. Other callers of delegations() pass the time; their assertions are unchanged.

--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -224,7 +224,7 @@
     )
 
 
-EMPTY_CRASH_FIELDS: tuple[Any, ...] = (0, 0, [], 0)
+EMPTY_DELEGATION_FIELDS: tuple[Any, ...] = (0, 0, [], 0, 0)
 """Empty values of the optional fields in the row of a delegation."""
 
 
@@ -235,13 +235,13 @@
 def _delegation_from(row: list[Any]) -> Delegation:
     """Parse a delegation.
 
-    Rows of earlier versions contain no crash history, or do not say whether giving up was put off;
-    those of later versions may append fields.
+    Rows of earlier versions contain no crash history, do not say whether giving up was put off, or
+    how long the task has waited; those of later versions may append fields.
     """
-    step, index, number, *crashes = row
-    crash_count, crash_score, listed, deferred, *_ = [
-        *crashes,
-        *EMPTY_CRASH_FIELDS[len(crashes) :],
+    step, index, number, *more = row
+    crash_count, crash_score, listed, deferred, waited_s, *_ = [
+        *more,
+        *EMPTY_DELEGATION_FIELDS[len(more) :],
     ]
     identified = tuple(
         Crash(parse_text(incarnation), parse_int(run), parse_int(score)).with_certainty(
@@ -257,21 +257,25 @@
         parse_int(crash_score),
         identified,
         parse_int(deferred) > 0,
+        parse_number(waited_s),
     )
 
 
 def _delegation_row(delegation: Delegation) -> list[Any]:
-    """Return the fields of a delegation; the crash history is omitted if there is none."""
-    identity = [delegation.step, delegation.index, delegation.number]
-    if not delegation.crash_count:
-        return identity
+    """Return the fields of a delegation; empty ones at the end are omitted."""
     identified = [
         [c.incarnation, c.run, c.score, c.certainty] for c in delegation.identified_crashes
     ]
-    crashes = [delegation.crash_count, delegation.crash_score]
-    if delegation.give_up_deferred:
-        return [*identity, *crashes, identified, 1]
-    return [*identity, *crashes, *([identified] if identified else [])]
+    more: list[Any] = [
+        delegation.crash_count,
+        delegation.crash_score,
+        identified,
+        int(delegation.give_up_deferred),
+        round(delegation.waited_s, 1),
+    ]
+    while more and not more[-1]:
+        more.pop()
+    return [delegation.step, delegation.index, delegation.number, *more]
 
 
 _KINDS_WITH_SHARD = frozenset(("l", "r"))
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -70,7 +70,8 @@
     """One delegation of a standing task to another shard.
 
     The step, index and number identify a delegation. The crash history is carried along so that
-    the limit on crashes under a task holds across halls; it does not take part in comparisons.
+    the limit on crashes under a task holds across halls, and the time it has waited so that its
+    waits end in whichever hall. Neither takes part in comparisons.
 
     Attributes:
         step: Index of the step in the job.
@@ -80,6 +81,8 @@
         crash_score: Score of these crashes.
         identified_crashes: Those crashes whose executor incarnation is known.
         give_up_deferred: Whether an owner has put off giving the task up until its next crash.
+        waited_s: Seconds that the task had been waiting for a run when the record was written. A
+            duration, as the clocks of hosts differ.
     """
 
     step: int
@@ -89,6 +92,7 @@
     crash_score: int = field(default=0, compare=False)
     identified_crashes: tuple[Crash, ...] = field(default=(), compare=False)
     give_up_deferred: bool = field(default=False, compare=False)
+    waited_s: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -314,9 +314,15 @@
         if task.step.open:
             self.ready[task.step] = None
 
-    def mark_arrived(self, task: Task, now: float) -> None:
-        """Mark a task that another shard handed over as waiting for a start here from now on."""
-        task.waiting_since = now
+    def mark_arrived(self, task: Task, waited_s: float, now: float) -> None:
+        """Mark a task that another shard handed over as waiting for a start here from now on.
+
+        Args:
+            task: The task.
+            waited_s: Seconds that it has already been waiting for a run in other shards.
+            now: Steady time.
+        """
+        task.waiting_since = now - waited_s
         task.ready_since = now
         if task.step.open:
             self.ready[task.step] = None
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -285,9 +285,9 @@
         """Manage tasks again that another shard has returned."""
         self._delegations.reclaim_tasks(job_id, returned, now)
 
-    def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
-        """Return the open delegations of a job's tasks, by shard."""
-        return self._delegations.delegations(job_id)
+    def delegations(self, job_id: str, now: float) -> dict[int, tuple[Delegation, ...]]:
+        """Return the open delegations of a job's tasks at a steady time, by shard."""
+        return self._delegations.delegations(job_id, now)
 
     def remove_moved(self, job_id: str) -> None:
         """Remove a job that was moved to another shard."""
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.records import Delegation
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.recovery.progress import progress_key
 
 if TYPE_CHECKING:
@@ -44,7 +46,7 @@
                 task.managed_by = None
                 task.delegation_number = delegation.number
                 self._crashes.take_over_history(task, delegation, now)
-                self._state.mark_arrived(task, now)
+                self._state.mark_arrived(task, delegation.waited_s, now)
 
     def hand_over_tasks(
         self, job_id: str, shard: int, tasks: Iterable[tuple[int, int]]
@@ -82,10 +84,10 @@
                 task.managed_by = None
                 self._crashes.take_over_history(task, delegation, now)
                 self._state.mark_dirty(run)
-                self._state.mark_arrived(task, now)
+                self._state.mark_arrived(task, delegation.waited_s, now)
 
-    def delegations(self, job_id: str) -> dict[int, tuple[Delegation, ...]]:
-        """Return the open delegations of a job's tasks, by shard."""
+    def delegations(self, job_id: str, now: float) -> dict[int, tuple[Delegation, ...]]:
+        """Return the open delegations of a job's tasks at a steady time, by shard."""
         job = self._state.jobs.get(job_id)
         delegations: dict[int, tuple[Delegation, ...]] = {}
         for run in job.runs.values() if job else ():
@@ -93,7 +95,7 @@
                 if task.managed_by is not None and task.delegation_number:
                     delegations[task.managed_by] = (
                         *delegations.get(task.managed_by, ()),
-                        last_delegation_of(task),
+                        last_delegation_of(task, now),
                     )
         return delegations
 
@@ -109,16 +111,26 @@
                 self._state.advice.remove_step(step)
 
 
-def last_delegation_of(task: Task) -> Delegation:
-    """Return a task's last delegation, including the task's crash history."""
+def last_delegation_of(task: Task, now: float) -> Delegation:
+    """Return a task's last delegation, with the task's crash history and the time it has waited.
+
+    Args:
+        task: The task.
+        now: Steady time.
+    """
     known = task.crash_history
-    name = task.name.step, task.name.index, task.delegation_number
+    delegation = Delegation(
+        task.name.step,
+        task.name.index,
+        task.delegation_number,
+        waited_s=0.0 if task.waiting_since == NEVER else max(now - task.waiting_since, 0.0),
+    )
     if known is None:
-        return Delegation(*name)
-    return Delegation(
-        *name,
-        known.crash_count,
-        known.crash_score,
-        known.identified_crashes,
-        known.deferred_for_next_owner,
+        return delegation
+    return replace(
+        delegation,
+        crash_count=known.crash_count,
+        crash_score=known.crash_score,
+        identified_crashes=known.identified_crashes,
+        give_up_deferred=known.deferred_for_next_owner,
     )
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -93,14 +93,15 @@
         await self._writer.write([Record(encode_run(run), progress_key(run))])
         if job.delegated_here:
             await self._job_registry.write([self._returned(job_id, handed_over)])
-        elif delegations := self._core.delegations(job_id).get(shard):
+        elif delegations := self._core.delegations(job_id, steady()).get(shard):
             await self._job_registry.write([Delegated(job_id, shard, delegations)])
         job.handing_over = False
 
     def _returned(self, job_id: str, tasks: tuple[Task, ...]) -> Returned:
         entry = self._job_registry.catalog.get(job_id)
         before = entry.returned_delegations.get(self._shard, ()) if entry else ()
-        delegations = tuple(map(last_delegation_of, tasks))
+        now = steady()
+        delegations = tuple(last_delegation_of(task, now) for task in tasks)
         self._returned_delegations.keep_only(self._core.jobs)
         return Returned(
             job_id, self._shard, self._returned_delegations.add(job_id, before, delegations)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -182,6 +182,7 @@
                 task.managed_by = None
                 task.delegation_number = delegation.number
                 self._crashes.take_over_history(task, delegation, now)
+                self._state.mark_arrived(task, delegation.waited_s, now)
 
     def refresh_queue(self, job: ShardJob) -> None:
         """Apply the terms of a job's queue from the configuration in force.
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -199,7 +199,7 @@
         if entry.shard != self._shard:
             returned = {
                 delegation
-                for delegations in self._core.delegations(job_id).values()
+                for delegations in self._core.delegations(job_id, steady()).values()
                 for delegation in delegations
             }
             unpublished = returned & set(entry.open_delegations(self._shard))
@@ -210,6 +210,6 @@
                 )
             return
         self._feed.reclaim_tasks(job_id, entry, steady())
-        for shard, delegations in self._core.delegations(job_id).items():
+        for shard, delegations in self._core.delegations(job_id, steady()).items():
             if set(delegations) - set(entry.delegated.get(shard, ())):
                 self._job_registry.write([Delegated(job_id, shard, delegations)])
--- a/tests/shard/crash_builders.py
+++ b/tests/shard/crash_builders.py
@@ -217,10 +217,10 @@
     return Configuration(version, {queue.name: queue}, {"pool": Service("pool")})
 
 
-def delegate(core: ShardCore) -> Delegation:
+def delegate(core: ShardCore, now: float = 0.0) -> Delegation:
     """Delegate the only task to the other shard and return the delegation."""
     core.hand_over_tasks(JOB, OTHER_SHARD, [(0, 0)])
-    ((delegation,),) = core.delegations(JOB).values()
+    ((delegation,),) = core.delegations(JOB, now).values()
     return delegation
 
 
--- a/tests/shard/test_crashes_of_delegated_tasks.py
+++ b/tests/shard/test_crashes_of_delegated_tasks.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from linkspan.errors import RecordError
 from linkspan.jobs.crash import Crash
 from linkspan.jobs.record_codec import decode, encode
 from linkspan.jobs.records import Delegated, Delegation, Returned
@@ -51,7 +52,7 @@
 def _return(other: ShardCore) -> Delegation:
     """Let the other hall return the task, and return the delegation on record."""
     other.hand_over_tasks(JOB, HOME_SHARD, [(0, 0)])
-    return _recorded(last_delegation_of(only_task(other)), returned=True)
+    return _recorded(last_delegation_of(only_task(other), 0.0), returned=True)
 
 
 def _crash_count(core: ShardCore) -> int:
@@ -338,7 +339,8 @@
         ([0, 0, 3], 0),
         ([0, 0, 3, 2, 4], 2),
         ([0, 0, 3, 2, 4, crashes], 2),
-        ([0, 0, 3, 2, 4, crashes, 1, "a later field"], 2),
+        ([0, 0, 3, 2, 4, crashes, 1], 2),
+        ([0, 0, 3, 2, 4, crashes, 1, 2.5, "a later field"], 2),
     ):
         for kind in ("l", "r"):
             read = decode(f"{kind}:{JOB}:1".encode(), json.dumps([rows]).encode())
@@ -354,3 +356,27 @@
     (row,) = json.loads(value)
     assert row[:5] == [0, 0, 3, 2, 4]
     assert [crash[:4] for crash in row[5]] == [["e0", 1, 2, 2], ["e1", 2, 2, 0]]
+
+
+def test_a_delegation_carries_the_time_that_its_task_has_waited() -> None:
+    """Guards against a wait that begins anew, or a record that earlier versions cannot read.
+
+    They read the fields in front of it; most rows need no room for it.
+    """
+    for delegation, row in (
+        (Delegation(0, 0, 3), [0, 0, 3]),
+        (Delegation(0, 0, 3, waited_s=0.04), [0, 0, 3]),
+        (Delegation(0, 0, 3, waited_s=2.53), [0, 0, 3, 0, 0, [], 0, 2.5]),
+        (Delegation(0, 0, 3, 2, 4, waited_s=2.5), [0, 0, 3, 2, 4, [], 0, 2.5]),
+        (Delegation(0, 0, 3, 2, 4, give_up_deferred=True), [0, 0, 3, 2, 4, [], 1]),
+    ):
+        _, value = encode(Delegated(JOB, 1, (delegation,)))
+        assert json.loads(value) == [row]
+        assert _recorded(delegation).waited_s == pytest.approx(delegation.waited_s, abs=0.05)
+
+
+def test_a_record_with_an_impossible_wait_is_refused() -> None:
+    """Guards against a wait from before the host's start that a damaged record causes."""
+    for waited_s in (-1, "1", None):
+        with pytest.raises(RecordError):
+            decode(f"l:{JOB}:1".encode(), json.dumps([[0, 0, 3, 0, 0, [], 0, waited_s]]).encode())
--- a/tests/shard/test_crashes_on_record.py
+++ b/tests/shard/test_crashes_on_record.py
@@ -106,7 +106,7 @@
     assert second.name.index == 1 and first.crash_history is None
     next_owner = next_owner_from(recorded_progress(core))
     _, second = next_owner.jobs[JOB].runs[0].tasks()
-    read = decode(*encode(Delegated(JOB, 1, (last_delegation_of(second),))))
+    read = decode(*encode(Delegated(JOB, 1, (last_delegation_of(second, 10.0),))))
     assert isinstance(read, Delegated)
     delegated = delegated_crash_history(read.delegations[0])
     assert delegated == CrashHistory(2, 5)
@@ -127,7 +127,7 @@
     next_owner = next_owner_from(recorded_progress(core))
     assert next_owner.finished == []
     _, second = next_owner.jobs[JOB].runs[0].tasks()
-    read = decode(*encode(Delegated(JOB, 1, (last_delegation_of(second),))))
+    read = decode(*encode(Delegated(JOB, 1, (last_delegation_of(second, 10.0),))))
     assert isinstance(read, Delegated)
     delegated = delegated_crash_history(read.delegations[0])
     assert delegated and not delegated.should_give_up
--- a/tests/shard/test_decisions_after_owner_change.py
+++ b/tests/shard/test_decisions_after_owner_change.py
@@ -223,7 +223,7 @@
     crash = core.executor_crashes[-1]
     assert only_task(core).crash_history
     core.hand_over_tasks(JOB, 1, [(0, 0)])
-    ((delegation,),) = core.delegations(JOB).values()
+    ((delegation,),) = core.delegations(JOB, 20.0).values()
     core._crashes.retract(crash.executor_id, "it left as planned")
     assert only_task(core).crash_history is None
     core.reclaim_tasks(JOB, [delegation], 30.0)
@@ -239,7 +239,7 @@
     core = core_with(step(1, standing=True), executors=1)
     _crash_under_task(core, "e0", 20.0)
     core.hand_over_tasks(JOB, 1, [(0, 0)])
-    ((delegation,),) = core.delegations(JOB).values()
+    ((delegation,),) = core.delegations(JOB, 20.0).values()
     core._crashes.retract("e0", "it left as planned")
     next_owner = next_owner_of(core, unchanged_configuration())
     next_owner.reclaim_tasks(JOB, [delegation], 30.0)
--- a/tests/shard/test_pending_decisions.py
+++ b/tests/shard/test_pending_decisions.py
@@ -196,7 +196,7 @@
     assert handover.tasks
     core.hand_over_tasks(JOB, handover.shard, handover.tasks)
     assert _starts(core, now + 3.2) == []
-    for delegation in core.delegations(JOB).get(handover.shard, ()):
+    for delegation in core.delegations(JOB, now + 3.2).get(handover.shard, ()):
         assert _starts(other_hall_with(delegation, now + 3.2), now + 3.3) == []
 
 
--- a/tests/shard/test_review_of_crash_evidence.py
+++ b/tests/shard/test_review_of_crash_evidence.py
@@ -407,7 +407,7 @@
     start_on(other, "x0", 11.0)
     now = let_leases_expire(other, "x0", 11.3)
     other.hand_over_tasks(JOB, HOME_SHARD, [(0, 0)])
-    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other))], now + 1.0)
+    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other), now)], now + 1.0)
     other.on_incarnation_ended("x0", now + 2.0, REPLACED)
     assert _counts(other)[0] == 1
     crashes = _certain_crashes(4)
@@ -435,7 +435,7 @@
     other = other_hall_with(delegate(core), 10.0)
     retract_crash_of(core, record, 10.5)
     assert _counts(core) == (0, 0)
-    for delegations in core.delegations(JOB).values():
+    for delegations in core.delegations(JOB, 10.5).values():
         other.accept_delegations(JOB, delegations, 10.6)
     crash_at_once(other, "x0", 11.0)
     other.tick(11.2 + GIVE_UP_DELAY_S)
@@ -453,11 +453,11 @@
     start_on(other, "x0", 11.0)
     now = let_leases_expire(other, "x0", 11.3)
     other.hand_over_tasks(JOB, HOME_SHARD, [(0, 0)])
-    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other))], now + 1.0)
+    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other), now)], now + 1.0)
     other.on_incarnation_ended("x0", now + 2.0, REPLACED)
     assert _counts(other)[0] == 1
     # The record that home would read if the other hall published the crash with the return.
-    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other))], now + 3.0)
+    core.reclaim_tasks(JOB, [last_delegation_of(only_task(other), now)], now + 3.0)
     assert _counts(core)[0] == 1
     at = now + 4.0
     for name in ("e0", "e1", "e2", "e3"):
--- a/tests/shard/test_undecodable_progress.py
+++ b/tests/shard/test_undecodable_progress.py
@@ -40,6 +40,6 @@
 
 def test_tasks_delegated_to_other_shards_stay_there() -> None:
     core = core_with_undecodable_progress(delegated_elsewhere={1: (Delegation(0, 2, 4),)})
-    assert core.delegations("0b") == {1: (Delegation(0, 2, 4),)}
+    assert core.delegations("0b", 10.0) == {1: (Delegation(0, 2, 4),)}
     orders = [order for order in plan(core, 2.0) if order.task.job_id != JOB]
     assert sorted(order.task.index for order in orders) == [0, 1]
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -13,19 +13,30 @@
 
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
+from linkspan.shard.handover._delegations import last_delegation_of
 from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
 from linkspan.shard.handover.summary import HallSummary, summarize
-from linkspan.shard.messages import StartAnswer, StartOrder, StartOutcome
+from linkspan.shard.messages import EndedTask, EndKind, StartAnswer, StartOrder, StartOutcome
 from linkspan.shard.planning._isolation import MAX_ISOLATION_WAIT_S
 from linkspan.shard.planning.placement import FAILED_EXECUTOR_AVOIDANCE_S
 from linkspan.shard.planning.planner import STARVATION_S
 from tests.job_builders import step
-from tests.shard.builders import add_executor, core_with, place_running, plan
+from tests.shard.builders import (
+    JOB,
+    add_executor,
+    confirm_start,
+    core_with,
+    place_running,
+    plan,
+    report_ends,
+)
 from tests.shard.crash_builders import (
+    OTHER_SHARD,
     REPLACED,
     crash_executor,
     next_owner_of,
     only_task,
+    other_hall_with,
     report_nothing,
     set_all_durable,
     start_on,
@@ -37,6 +48,7 @@
     PLAN_INTERVAL_S,
     STAY_S,
     add_crash_prone_executor,
+    hand_over,
     home_with,
     other_hall,
     refuse,
@@ -165,3 +177,25 @@
     core.on_started(first, StartAnswer(StartOutcome.INVALID, 1.5), 1.5)
     (second,) = plan(core, FAILED_EXECUTOR_AVOIDANCE_S + 1.5)
     assert second.executor_id != first.executor_id
+
+
+def test_a_run_in_another_hall_begins_the_wait_anew_after_the_return() -> None:
+    """Guards against a task that is not isolated at home, as it waited there before it ran."""
+    home, other = home_with(ISOLATED, since=SINCE), other_hall()
+    hand_over(home, other, SINCE + 1.0)
+    (order,) = plan(other, SINCE + MAX_ISOLATION_WAIT_S)
+    confirm_start(other, order, 4.0)
+    end = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
+    report_ends(other, order.executor_id, end, asked=9.0, now=9.0)
+    hand_over(other, home, 9.5)
+    assert only_task(home).waiting_since == pytest.approx(9.0, abs=0.1)
+
+
+def test_a_wait_goes_on_at_the_next_owner_of_the_other_hall() -> None:
+    """Guards against a wait that begins anew where a new owner reads the delegation."""
+    home = home_with(ISOLATED, since=SINCE)
+    home.hand_over_tasks(JOB, OTHER_SHARD, [(0, 0)])
+    delegation = last_delegation_of(only_task(home), SINCE + 1.5)
+    other = other_hall_with(delegation, 10.0)
+    add_crash_prone_executor(other)
+    assert plan(other, 10.0 + MAX_ISOLATION_WAIT_S - 1.5)
--- a/tests/shard/wait_builders.py
+++ b/tests/shard/wait_builders.py
@@ -81,15 +81,15 @@
             return now
         if now - arrived >= STAY_S:
             arrived = now = round(now + HANDOVER_S, 2)
-            _hand_over(here, there, now)
+            hand_over(here, there, now)
             here, there = there, here
     return None
 
 
-def _hand_over(source: ShardCore, target: ShardCore, now: float) -> None:
+def hand_over(source: ShardCore, target: ShardCore, now: float) -> None:
     """Delegate or return the task, and let the other hall read the record of it."""
     source.hand_over_tasks(JOB, target.shard, [(0, 0)])
-    delegation = last_delegation_of(only_task(source))
+    delegation = last_delegation_of(only_task(source), now)
     if target.shard == HOME_SHARD:
         target.reclaim_tasks(JOB, [_recorded(Returned(JOB, OTHER_SHARD, (delegation,)))], now)
     else:
