Hand over a standing task that its hall's executors refuse again and again

Cause: the rebalancer left out tasks in the delay after a refused start. A start that is refused every 0.4 s is sent again at the first plan after each delay, so the task was never seen, at home or delegated.

It leaves out only tasks whose owner has yet to decide whether to give them up. A refused start is certain not to run: an attempt whose earlier start may still arrive is kept, and its task is not pending.

test_rebalance.py used the delay after a refusal to stand for a pending decision, which has a field of its own by now. It sets that field and asserts the same; it passes on the code before, too.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -112,9 +112,10 @@
             if step.spec.best_effort or step.spec.standing
             else SHORT_TASK_HANDOVER_WAIT_S
         )
-        # A task that may not start yet may not start elsewhere, either.
-        startable = (t for t in step.tasks if t.pending and t.startable(now))
-        pending = [t for t in startable if now - t.ready_since >= wait_s]
+        # A task that may have to be given up may not start elsewhere, either. The delay after a
+        # refused start, in contrast, is about this hall's executors.
+        undecided = (t for t in step.tasks if t.pending and not t.decision_pending)
+        pending = [t for t in undecided if now - t.ready_since >= wait_s]
         if not pending or job.closing or job.handing_over:
             return None
         if not self._core.may_start(job, now):
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -83,19 +83,19 @@
         return not self.done and not self.attempts and self.managed_by is None
 
     def startable(self, now: float) -> bool:
-        """Return whether it may be started, or delegated to a shard that may start it.
+        """Return whether it may be started by this shard.
 
         It may not while a refused start is not to be retried yet, and while its owner has yet to
         decide whether to give it up.
         """
-        history = self.crash_history
-        return self.not_before <= now and (history is None or not history.decision_pending)
+        return self.not_before <= now and not self.decision_pending
 
     @property
     def decision_pending(self) -> bool:
-        """Whether its owner has yet to decide whether to give it up, until when it must not start.
+        """Whether its owner has yet to decide whether to give it up.
 
-        A start could crash one more executor than the decision is about.
+        Until then it must not start, here or in another shard: it could crash one more executor
+        than the decision is about.
         """
         return self.crash_history is not None and self.crash_history.decision_pending
 
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from linkspan.jobs.records import Delegation
+from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.handover._returned_delegations import ReturnedDelegations
 from linkspan.shard.handover.rebalance import (
     HANDOVER_WAIT_S,
@@ -74,7 +75,7 @@
     assert handover.tasks == ((0, 3),)
 
 
-def test_a_task_that_may_not_start_yet_is_not_delegated() -> None:
+def test_a_task_that_may_be_given_up_is_not_delegated() -> None:
     """Guards against one more executor crashed by a task that is about to be given up.
 
     The other hall started the task while its home hall was about to give it up.
@@ -82,11 +83,11 @@
     core = core_with(step(1, standing=True, cpu=9_000))
     assert plan(core, 0.1) == []
     (task,) = core.jobs[JOB].runs[0].steps[0].tasks
-    task.not_before = float("inf")
+    core.set_crash_history(task, CrashHistory(2, 8, give_up_due_at=float("inf")))
     rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_capable=lambda *_: 2)
     core.jobs[JOB].begun = True
     assert rebalancer.plan(FULL, 0.2 + HANDOVER_WAIT_S) == []
-    task.not_before = 0.1
+    core.set_crash_history(task, CrashHistory(2, 8))
     assert len(rebalancer.plan(FULL, 0.2 + HANDOVER_WAIT_S)) == 1
 
 
