Let a standing task leave an executor that alone can no longer run it

One of the ways: a start without an answer binds its task to one executor for 12 s from the last try, more than the 9 s after which a standing task counts as lost. The wait guards against TWICE: the order may be carried out seconds late by the executor's next incarnation, which knows of no stop, and has seen no token until it is called.

Change: a standing task that has been away for 4.5 s abandons the start if its incarnation accepted a stop and then did not list the run, or has ended by proof and no next one has answered for 0.5 s of close polls. The id is then polled every 30 ms, calls overlapping, until the start can no longer arrive; also through the end of its incarnation. Batch work, silent executors without proof of their end, and runs that the next incarnation may have wait as before. A start sent twice or more without an answer is stopped instead of sent again once the task has been away for that long. The twelve seconds still count from the time-out: nothing shows that the platform's limit counts from the send.

Not tried: a next owner does not know of abandoned starts and polls their executors no closer than others.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -156,6 +156,12 @@
         "start got no response",
         "nothing; a report or a stop resolves it",
     )
+    START_ABANDONED = (
+        571,
+        logging.WARNING,
+        "unanswered start of a standing task abandoned; the task may start elsewhere",
+        "see OPERATIONS.md, a standing task that does not run",
+    )
     RUN_FAILED = 534, logging.INFO, "run failed", "see the job's limit of attempts"
     FAILURE_HEARD_AGAIN = (
         562,
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -61,6 +61,9 @@
             not prove that, as the start may have arrived at the next incarnation.
         carried_over: Whether the attempt was transferred from an earlier incarnation and its
             present one has not listed it.
+        answered_unlisted: Whether an earlier incarnation's start was answered but never listed, so
+            that the run may be at the present incarnation.
+        refused_for_good: Whether its incarnation accepted a stop and then did not list the run.
         start_may_arrive_until: Steady time until which an unanswered start of the run may still
             arrive.
         ticket: Permission of the queue's placement policy; empty without one.
@@ -93,6 +96,8 @@
     stop_taken_at: float | None = None
     listed: bool = False
     carried_over: bool = False
+    answered_unlisted: bool = False
+    refused_for_good: bool = False
     start_may_arrive_until: float = NEVER
     ticket: str = ""
     starts: int = 1
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -13,6 +13,9 @@
   list it and cannot receive it any more, or
 - every lease granted to its incarnation is certain to have expired.
 
+There is one exception: a standing task that has been away for seconds abandons an unanswered start
+that only an incarnation which has not answered yet could carry out (``_abandoned_starts``).
+
 A new owner starts inherited work only once each inherited executor has answered the owner's
 higher token, has ended, or has no unexpired lease (``ShardCore.may_start``).
 
@@ -31,8 +34,8 @@
 from linkspan.shard.handover._delegations import Delegations
 from linkspan.shard.intake._jobs import JobIntake
 from linkspan.shard.orders._orders import Orders
+from linkspan.shard.reports._abandoned_starts import AbandonedStarts
 from linkspan.shard.reports._crashes import CrashTracker
-from linkspan.shard.reports._ends import EndHandler
 from linkspan.shard.reports._liveness import ExecutorLiveness
 from linkspan.shard.reports._reconciliation import ReportReconciler
 from linkspan.shard.reports._restarts import RestartTracker
@@ -83,10 +86,11 @@
     ) -> None:
         super().__init__(shard, bounds, log=log, token=token, count=count)
         self._crashes = CrashTracker(self)
-        self._restarts = RestartTracker(self, self._crashes)
-        self._liveness = ExecutorLiveness(self, self._crashes, self._restarts)
+        self._abandoned = AbandonedStarts(self)
+        self._restarts = RestartTracker(self, self._crashes, self._abandoned)
+        self._liveness = ExecutorLiveness(self, self._crashes, self._restarts, self._abandoned)
         self._reconciler = ReportReconciler(
-            self, EndHandler(self), self._liveness, self._restarts, self._crashes
+            self, self._liveness, self._restarts, self._crashes, self._abandoned
         )
         self._intake = JobIntake(self, self._crashes)
         self._delegations = Delegations(self, self._crashes)
@@ -146,6 +150,13 @@
         """
         self._liveness.on_incarnation_ended(executor_id, now, proof, since=since)
 
+    def executors_to_poll_closely(self, now: float) -> list[ExecutorState]:
+        """Return the executors to poll now, as a next incarnation of theirs must be found soon.
+
+        They are recorded as polled.
+        """
+        return self._abandoned.executors_to_poll(now)
+
     def has_reported(self, executor_id: str) -> bool:
         """Return whether an incarnation has reported in this tenure."""
         executor = self.executors.get(executor_id)
@@ -362,6 +373,7 @@
         self._crashes.tick(now)
         self._reconciler.tick(now)
         self._orders.tick(now)
+        self._abandoned.tick(now)
 
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
         """Stop an attempt so that its task continues elsewhere."""
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -17,6 +17,7 @@
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.reports._abandoned_starts import AbandonedStarts
     from linkspan.shard.reports._crashes import CrashTracker
     from linkspan.shard.reports._restarts import RestartTracker
     from linkspan.shard.shard_job import ShardJob
@@ -38,10 +39,18 @@
         state: The shard's state.
         crashes: Records crashes.
         restarts: Tracks restarts, and the runs that an executor's next incarnation may have.
+        abandoned: Abandons starts that a next incarnation may carry out.
     """
 
-    def __init__(self, state: ShardState, crashes: CrashTracker, restarts: RestartTracker) -> None:
+    def __init__(
+        self,
+        state: ShardState,
+        crashes: CrashTracker,
+        restarts: RestartTracker,
+        abandoned: AbandonedStarts,
+    ) -> None:
         self._state = state
+        self._abandoned = abandoned
         self._crashes = crashes
         self._restarts = restarts
         self._inherited_leases_expire_at = float("-inf")
@@ -152,7 +161,9 @@
         if executor is None:
             return
         uncertain = [] if since is None else uncertain_attempts(executor, since)
-        if executor.is_placeholder and uncertain:
+        # An abandoned start may reach the next incarnation, which is therefore polled.
+        may_arrive = since is not None and self._abandoned.late_until(executor_id) > now
+        if executor.is_placeholder and (uncertain or may_arrive):
             self._release(executor, now, keep=uncertain)
             return
         self._state.log(
@@ -164,7 +175,7 @@
         )
         if not executor.is_placeholder:
             self._crashes.on_incarnation_ended(executor, now, proof)
-        if uncertain:
+        if uncertain or may_arrive:
             self._restarts.carry_over_to_next(executor, uncertain, now)
         # The registry entry may outlive the incarnation, so its name is remembered as ended.
         self._restarts.end(executor, now)
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -9,14 +9,15 @@
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import StopOrder
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
+from linkspan.shard.reports._ends import EndHandler
 from linkspan.shard.reports._restarts import reporting_incarnation
 
 if TYPE_CHECKING:
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport, RunningTask, TaskName
+    from linkspan.shard.reports._abandoned_starts import AbandonedStarts
     from linkspan.shard.reports._crashes import CrashTracker
-    from linkspan.shard.reports._ends import EndHandler
     from linkspan.shard.reports._liveness import ExecutorLiveness
     from linkspan.shard.reports._restarts import RestartTracker
     from linkspan.shard.task import Task
@@ -27,22 +28,23 @@
 
     Args:
         state: The shard's state.
-        ends: Applies reported ends.
         liveness: Determines which executors are alive.
         restarts: Determines which incarnation a report is from.
         crashes: Records crashes.
+        abandoned: Abandons starts that a next incarnation may carry out.
     """
 
     def __init__(
         self,
         state: ShardState,
-        ends: EndHandler,
         liveness: ExecutorLiveness,
         restarts: RestartTracker,
         crashes: CrashTracker,
+        abandoned: AbandonedStarts,
     ) -> None:
         self._state = state
-        self._ends = ends
+        self._abandoned = abandoned
+        self._ends = EndHandler(state)
         self._crashes = crashes
         self._liveness = liveness
         self._restarts = restarts
@@ -198,11 +200,18 @@
             elif attempt.stop_taken_at is not None and attempt.stop_taken_at <= asked:
                 self._on_refused(attempt, now)
             elif attempt.phase is Phase.DOUBT:
-                self._state.resend_or_stop(attempt, now)
+                self._on_doubtful(attempt, now)
             elif attempt.phase is Phase.RUNNING and attempt.confirmed_at < asked:
                 self._state.log_run(Event.RUN_LOST, executor.executor_id, *key)
                 self._state.order_stop(attempt, now)
 
+    def _on_doubtful(self, attempt: Attempt, now: float) -> None:
+        """Send an unanswered start again, or stop it."""
+        if self._abandoned.stops_waiting(attempt, now):
+            self._state.order_stop(attempt, now)
+        else:
+            self._state.resend_or_stop(attempt, now)
+
     def _on_refused(self, attempt: Attempt, now: float) -> None:
         """Resolve an attempt that was not running when its executor accepted a stop.
 
@@ -212,6 +221,9 @@
         may_restart = Incarnation.of(attempt.executor_id).started_at_ms is not None
         if not may_restart or attempt.start_may_arrive_until <= now:
             self._state.close_attempt(attempt, now)
+            return
+        attempt.refused_for_good = True
+        self._abandoned.on_bound(attempt, now)
 
     def _on_inherited_start(self, attempt: Attempt, now: float) -> None:
         """Resolve a recorded attempt of a former owner that its executor does not list.
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.messages import ExecutorReport
+    from linkspan.shard.reports._abandoned_starts import AbandonedStarts
     from linkspan.shard.reports._crashes import CrashTracker
 
 NEXT_INCARNATION_PROOF = "its next incarnation answers"
@@ -34,11 +35,15 @@
     Args:
         state: The shard's state.
         crashes: Records crashes.
+        abandoned: Abandons starts that a next incarnation may carry out.
     """
 
-    def __init__(self, state: ShardState, crashes: CrashTracker) -> None:
+    def __init__(
+        self, state: ShardState, crashes: CrashTracker, abandoned: AbandonedStarts
+    ) -> None:
         self._state = state
         self._crashes = crashes
+        self._abandoned = abandoned
         self._ended_at: dict[str, float] = {}
         self._ignored_reports = LogRateLimiter(MAX_IGNORED_REPORT_LINES_PER_S)
 
@@ -113,10 +118,13 @@
             placeholder = self._add_incarnation(executor, name, is_placeholder=True)
         expires_at = next_incarnation_lease_expiry(now, self._state.bounds.max_lease_s)
         placeholder.leases_expire_at = max(
-            expires_at, *(a.start_may_arrive_until for a in uncertain)
+            expires_at,
+            self._abandoned.late_until(name),
+            *(a.start_may_arrive_until for a in uncertain),
         )
         for attempt in uncertain:
             self._move_to_next(attempt, executor, placeholder, now)
+            self._abandoned.on_bound(attempt, now)
 
     def log_ignored_report(self, executor_id: str, reason: str, now: float) -> None:
         """Count and log a report that is ignored."""
@@ -191,6 +199,8 @@
         """Move an attempt to the next incarnation, which received no stop and no pace for it."""
         previous.remove(attempt)
         attempt.executor_id = executor.executor_id
+        attempt.answered_unlisted = attempt.confirmed_at != NEVER and not attempt.listed
+        attempt.refused_for_good = False
         attempt.listed = False
         attempt.carried_over = True
         attempt.pace_confirmed = False
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -57,6 +57,16 @@
 """Time between polls after a list omitted a silent executor: only a second list confirms that the
 machine is gone, and restarts of the runs there wait for it."""
 
+CLOSE_POLL_INTERVAL_S = 0.03
+"""Interval between close polls of an executor. Polls overlap: a poll of an executor that is down
+gets no answer for a second."""
+
+CLOSE_POLL_SPACING_S = 0.005
+"""Minimum time between any two close polls: after the crash of a whole hall hundreds of starts are
+unanswered."""
+
+CLOSE_POLL_CHECK_S = 0.1
+"""Time between checks whether an executor has to be polled closely."""
 
 MAX_ACKNOWLEDGE_DELAY_S = 0.2
 """Time after an executor's report within which its ends may be acknowledged. A later call may reach
@@ -143,6 +153,23 @@
         """Poll an executor for its report now."""
         await self._poll(executor, 0.0)
 
+    async def poll_closely_loop(self) -> None:
+        """Poll executors in quick succession to which an abandoned start may still arrive.
+
+        A next incarnation refuses that start from its first call on.
+        """
+        while True:
+            executors = self._core.executors_to_poll_closely(steady())
+            for executor in executors:
+                self._scope.spawn(self._poll_closely(executor))
+            spacing_s = len(executors) * CLOSE_POLL_SPACING_S
+            interval_s = max(CLOSE_POLL_INTERVAL_S, spacing_s) if executors else CLOSE_POLL_CHECK_S
+            await asyncio.sleep(interval_s)
+
+    async def _poll_closely(self, executor: ExecutorState) -> None:
+        # Unanswered polls are expected here; the executor's watch detects its silence.
+        await self._poll(executor, 0.0, detects_silence=False)
+
     async def poll_machines_loop(self) -> None:
         """Detect executors whose machine is gone, if the platform has a machine service."""
         tracker = MachineWatch()
@@ -200,7 +227,16 @@
             return PACED_POLL_WAIT_S
         return min(MAX_POLL_WAIT_S, self._settings.bounds.max_lease_s / MIN_POLLS_PER_LEASE)
 
-    async def _poll(self, executor: ExecutorState, wait_s: float) -> bool:
+    async def _poll(
+        self, executor: ExecutorState, wait_s: float, *, detects_silence: bool = True
+    ) -> bool:
+        """Poll an executor, and return whether it reported.
+
+        Args:
+            executor: The executor.
+            wait_s: Time for which it may wait for an end.
+            detects_silence: Whether the executor counts as silent without an answer.
+        """
         asked = steady()
         acknowledged = acknowledgeable_end(executor, asked)
         until = None
@@ -225,8 +261,9 @@
             self._changes.notify()
             return False
         except Unreachable as error:
-            self._core.on_silent(executor.executor_id, steady(), cause=str(error))
-            self._changes.notify()
+            if detects_silence:
+                self._core.on_silent(executor.executor_id, steady(), cause=str(error))
+                self._changes.notify()
             return False
         name = reporting_incarnation(executor.executor_id, report)
         if name != executor.executor_id:
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -197,6 +197,7 @@
                 scope.spawn(self._records.prune_loop())
                 scope.spawn(self._handovers.rebalance_loop())
                 scope.spawn(self._watch.poll_machines_loop())
+                scope.spawn(self._watch.poll_closely_loop())
                 scope.spawn(self._advice_requester.run())
                 scope.spawn(self._standing_waits.report_loop())
                 scope.spawn(self._tick_loop())
--- a/tests/shard/waiting_builders.py
+++ b/tests/shard/waiting_builders.py
@@ -67,6 +67,8 @@
         report_nothing(core, OTHER, 1, now)
         events(core, now)
         core.tick(now)
+        # Executors that are polled closely, and do not report above, do not answer.
+        core.executors_to_poll_closely(now)
         if OTHER in _plan_and_answer(core, now):
             break
     return now - UNANSWERED_AT
