Hold up only a job that moves as a whole while its handover is recorded

A standing task waited for as long as the store took no record if another task of its job was being handed over: the planner left the whole job out.

Only a move of the whole job does so now. A task that was started between the plan of a handover and its record is kept.

--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -55,15 +55,15 @@
 
         A delegation of a task whose home is this shard gets the next number. A task that was
         delegated to this shard is returned under the number of its delegation. A task is kept if
-        a crash was found since the handover was planned and its owner has yet to decide whether to
-        give it up.
+        it was started since the handover was planned, or if a crash was found since then and its
+        owner has yet to decide whether to give it up.
         """
         job = self._state.jobs.get(job_id)
         run = job.runs.get(0) if job else None
         if job is None or run is None:
             return ()
         planned = [run.steps[step].tasks[index] for step, index in tasks]
-        handed_over = tuple(task for task in planned if not task.decision_pending)
+        handed_over = tuple(t for t in planned if t.pending and not t.decision_pending)
         for task in handed_over:
             task.managed_by = shard
             task.delegation_number += 0 if job.delegated_here else 1
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -70,7 +70,9 @@
                 continue
             own = summarize(self._core, steady())
             for handover in self._rebalancer.plan(own, steady()):
-                self._core.jobs[handover.job_id].handing_over = True
+                job = self._core.jobs[handover.job_id]
+                job.handing_over = True
+                job.moving = handover.tasks is None
                 self._scope.spawn(self._hand_over(handover))
 
     async def _hand_over(self, handover: Handover) -> None:
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -107,7 +107,7 @@
             self.reclaim_tasks(job_id, entry, now)
         elif self._core.jobs[job_id].delegated_here:
             self._core.accept_delegations(job_id, entry.open_delegations(self._shard), now)
-        elif self._core.jobs[job_id].handing_over:
+        elif self._core.jobs[job_id].moving:
             self._on_moved_job(job_id, entry, now)
 
     def _on_moved_job(self, job_id: str, entry: JobEntry, now: float) -> None:
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -44,7 +44,7 @@
     START_UNANSWERED = "its start is unanswered"
     STARTING = "its start is being sent"
     REPORT = "the executor of its recorded run has not reported"
-    HANDOVER = "a handover of its job is being recorded"
+    HANDOVER = "the move of its job is being recorded"
     OWNERSHIP = "this owner may not act"
     INHERITED = "executors of a former owner have not reported"
     REFUSED = "its last start was refused"
@@ -161,7 +161,7 @@
     job = task.step.run.job
     if not core.may_start(job, now):
         return WaitReason.INHERITED
-    if job.handing_over:
+    if job.moving:
         return WaitReason.HANDOVER
     if task.decision_pending:
         return WaitReason.DECISION
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -68,7 +68,7 @@
             if not tasks:
                 del ready[step]
                 self._blocked_logged.discard(step)
-            elif not step.run.job.handing_over:
+            elif not step.run.job.moving:
                 waiting.append((step, tasks))
         return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
 
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -25,7 +25,8 @@
         runs: Its repetitions by number.
         begun: Whether a task was started.
         closing: Whether its final state is decided; nothing is started any more.
-        handing_over: Whether it is being moved to another shard.
+        handing_over: Whether a handover of the job, or of tasks of it, is being recorded.
+        moving: Whether the whole job is being moved to another shard.
         moved: Whether it was moved here from another shard.
         delegated_here: Whether its home is another shard, which has delegated tasks of it to this
             one.
@@ -51,6 +52,7 @@
     begun: bool = False
     closing: bool = False
     handing_over: bool = False
+    moving: bool = False
     moved: bool = False
     delegated_here: bool = False
     max_attempts: int | None = None
--- a/tests/shard/test_standing_wait_lines.py
+++ b/tests/shard/test_standing_wait_lines.py
@@ -57,9 +57,9 @@
     assert reason(core) is WaitReason.STOPPING
 
 
-def test_a_task_whose_job_is_being_handed_over() -> None:
+def test_a_task_whose_job_is_being_moved() -> None:
     core = standing_core()
-    core.jobs[JOB].handing_over = True
+    core.jobs[JOB].moving = True
     assert reason(core) is WaitReason.HANDOVER
 
 
