Delegate the tasks of a standing job that no hall takes as a whole

A job of standing tasks that could not begin at home never ran if no other hall had room for all of its tasks, as many executors as its spread limit asks for, or nothing else waiting: a job that has not begun moved as a whole or not at all.

After 2 s its tasks are delegated one by one, as those of a job that has begun. From its first delegation on it no longer moves as a whole.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -1,7 +1,7 @@
 """Finds work that waits for capacity in one hall and that another hall can take.
 
-A job of which nothing was started moves as a whole. Standing tasks of a job that has begun are
-delegated one by one: no step waits for their end, so the two halls need not coordinate. The record
+A job of which nothing was started moves as a whole. Standing tasks of a job that has begun, or that
+no hall takes as a whole, are delegated one by one: no step waits for their end, so the two halls need not coordinate. The record
 of a handover is first made durable under the owner's epoch and only then published, so exactly one
 shard manages each task.
 """
@@ -32,6 +32,10 @@
 """The same for short tasks with a reservation, whose objectives leave half a second in addition to
 the duration of the work."""
 
+WHOLE_MOVE_WAIT_S = 2.0
+"""Time for which a job with standing tasks that has not begun waits for a hall that can take all of
+them. After that its tasks are delegated one by one."""
+
 RETURN_DELAY_S = 1.0
 """Time for which a delegated task waits for capacity before it is returned."""
 
@@ -123,8 +127,10 @@
             return None
         if job.delegated_here:
             return self._return(job, step, pending, now)
-        if not job.begun and not job.moved:
-            return self._move(job, own, halls)
+        if not (job.begun or job.moved or job.has_delegations):
+            move = self._move(job, own, halls)
+            if move or now - min(t.ready_since for t in pending) < WHOLE_MOVE_WAIT_S:
+                return move
         if step.spec.standing and not step.spec.gang:
             return self._delegate(job, step, pending, halls)
         return None
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -83,6 +83,11 @@
         """The job's id."""
         return self.submitted.spec.job_id
 
+    @property
+    def has_delegations(self) -> bool:
+        """Whether a task of it was delegated to another shard."""
+        return any(task.delegation_number for run in self.runs.values() for task in run.tasks())
+
     def apply_limit(self, max_attempts: int, version: int | None) -> None:
         """Apply a limit of failed runs, unless a newer one is known.
 
