Offer no free capacity while executors of a former owner have to report

A standing task that was delegated to a hall with a new owner waited there for up to 17 s (bound 9 s): the owner published the capacity of the executors that answer, and as long as another one was silent it neither started the task nor returned it. New jobs waited as long.

--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -47,7 +47,8 @@
 
     Attributes:
         capacity: Thousandths of a core of all usable executors.
-        free: Thousandths of a core that are not reserved there.
+        free: Thousandths of a core that are not reserved there; 0 while a new owner waits for
+            executors to report, as it starts no new work until then.
         best_effort: Thousandths of a core that best-effort tasks there would use.
         waiting: Thousandths of a core that best-effort tasks wait for.
         queued: Thousandths of a core that other tasks wait for.
@@ -194,14 +195,16 @@
             spec = attempt.task.step.spec
             if spec.standing:
                 standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
+    # Work that arrives now starts only once the executors of a former owner have reported.
+    accepting = [] if core.awaiting_reports else usable
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(e.free_cpu for e in usable),
+        free=sum(e.free_cpu for e in accepting),
         best_effort=sum(e.best_effort_cpu for e in usable),
         waiting=_pending_cpu(core, best_effort=True),
         queued=_pending_cpu(core, best_effort=False),
         standing=standing,
-        free_by_executor=tuple((e.free_cpu, e.free_memory) for e in usable),
+        free_by_executor=tuple((e.free_cpu, e.free_memory) for e in accepting),
         kinds=group_by_kind(
             e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
         ),
