Count no run as waiting that an executor's next incarnation may have

Found by reading: a confirmed run that was carried over to an executor's next incarnation, and that this one lists, had its task counted as waiting for as long as it ran; the next unanswered start of the task would have been abandoned at once. The new test failed before (waiting since 2.5 while it runs).

--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -64,7 +64,7 @@
         """Handle an attempt whose start only a next incarnation could still carry out."""
         if not attempt.task.step.spec.standing:
             return
-        if attempt.task.waiting_since == NEVER:
+        if attempt.phase is not Phase.RUNNING and attempt.task.waiting_since == NEVER:
             attempt.task.waiting_since = now
         self._bound[attempt] = None
         self._abandon_if_due(attempt, now)
--- a/tests/shard/test_abandoned_starts.py
+++ b/tests/shard/test_abandoned_starts.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.core import ShardCore
+from linkspan.shard.messages import ExecutorReport, RunningTask
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.reports._abandoned_starts import MAX_BOUND_S, MIN_UNANSWERED_S
 from linkspan.shard.task import Task
@@ -117,3 +119,18 @@
     assert polled(core, 7.1) == {PLACEHOLDER}
     report_nothing(core, PLACEHOLDER, 2, 8.0)
     assert polled(core, 8.1) == {"a@2"}, "the incarnation after that has seen no token"
+
+
+def test_a_run_that_the_next_incarnation_lists_does_not_count_as_waiting() -> None:
+    """Guards against a task that counts as away for as long as it runs there."""
+    core = core_with(STANDING, executors=0)
+    add_executor(core, FIRST)
+    (order,) = plan(core, 1.0)
+    confirm_start(core, order, UNANSWERED_AT)
+    end_first(core, 2.5, since=UNANSWERED_AT - 0.1)
+    row = RunningTask(order.task, order.run, "", 100, None)
+    report = ExecutorReport(3.0, (row,), (), started_at_ms=2)
+    core.on_report(PLACEHOLDER, report, asked=3.0, now=3.01)
+    (attempt,) = only_task(core).attempts
+    assert attempt.listed
+    assert only_task(core).waiting_since == NEVER
