Abandon starts, too, that are unanswered only after their incarnation's end

Found by reading: a start whose answer was still awaited when the end of its incarnation was proved, as is usual with a machine list, was taken off the list of bound starts before it counted as unanswered, and bound its task for the full twelve seconds.

--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -110,6 +110,8 @@
         executor = self._state.executors.get(attempt.executor_id)
         if executor is None or executor.attempts.get(attempt.key) is not attempt:
             return True
+        if attempt.phase is Phase.STARTING:
+            return False
         return attempt.phase is Phase.RUNNING or attempt.start_may_arrive_until <= now
 
     def _abandon_if_due(self, attempt: Attempt, now: float) -> None:
--- a/tests/shard/test_abandoned_starts.py
+++ b/tests/shard/test_abandoned_starts.py
@@ -121,6 +121,18 @@
     assert polled(core, 8.1) == {"a@2"}, "the incarnation after that has seen no token"
 
 
+def test_a_start_that_is_unanswered_after_its_incarnation_ended_is_abandoned() -> None:
+    """Guards against a bound task whose start was still on its way when the end was proved."""
+    core = core_with(STANDING, executors=0)
+    add_executor(core, FIRST)
+    (order,) = plan(core, 1.0)
+    end_first(core, 1.5, since=1.4)
+    poll_in_vain(core, 1.6, UNANSWERED_AT)
+    core.on_start_unanswered(order, UNANSWERED_AT)
+    poll_in_vain(core, UNANSWERED_AT, MAX_BOUND_S + 1.0)
+    assert only_task(core).pending
+
+
 def test_a_run_that_the_next_incarnation_lists_does_not_count_as_waiting() -> None:
     """Guards against a task that counts as away for as long as it runs there."""
     core = core_with(STANDING, executors=0)
