Stop close polls when a shard is handed off

An owner that hands off its shard keeps only the polls that are open; close polls are new calls under its token. Found by reading; no test shows a call after it.

--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -158,7 +158,7 @@
 
         A next incarnation refuses that start from its first call on.
         """
-        while True:
+        while not self._cancelled:
             executors = self._core.executors_to_poll_closely(steady())
             for executor in executors:
                 self._scope.spawn(self._poll_closely(executor))
