Prefer other executors, too, after one left a start unanswered for good

Found by a test of: an executor that answers polls but no starts was chosen again each time its task had left it, while another executor was empty, as an unanswered start taught the planner nothing. Cause as of refusals; it is remembered with them, when the start is given up.

Two tests (standing and batch) failed before, with 38 s simulated, and pass: within 9 s, and within 12 s and five calls.

--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -92,7 +92,7 @@
             and this owner has not read.
         expired_attempts: Attempts that were removed when its leases expired, kept while it stays
             silent. They are also kept by task in their ``JobRun``, whose record holds them.
-        refusals: Starts that it refused for lack of capacity.
+        refusals: Starts that it refused for lack of capacity, or never answered.
     """
 
     record: ExecutorRecord
--- a/src/linkspan/shard/refusals.py
+++ b/src/linkspan/shard/refusals.py
@@ -1,4 +1,4 @@
-"""Remembers the starts that an executor refused for lack of capacity."""
+"""Remembers the starts that an executor refused for lack of capacity, or never answered."""
 
 from __future__ import annotations
 
@@ -23,8 +23,9 @@
 class RecentRefusals:
     """Refusals of one executor since it last accepted as large a start.
 
-    An executor may have less capacity than its registration and its reports show. A refusal is the
-    only evidence of that.
+    An executor may have less capacity than its registration and its reports show, or answer polls
+    but no orders. A refusal, or a start that was given up without an answer, is the only evidence
+    of that.
 
     Attributes:
         count: Number of refusals in a row.
@@ -37,7 +38,7 @@
     demand: Demand = field(default_factory=Demand)
 
     def on_refused(self, spec: StepSpec, now: float) -> None:
-        """Record that the start of a task of a step was refused."""
+        """Record that the start of a task of a step was refused, or given up without an answer."""
         demand = _reserved(spec)
         smaller = self.count == 0 or not self._covers_refused(demand)
         self.demand = demand if smaller else self.demand
--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -133,6 +133,7 @@
             refused=attempt.refused_for_good,
         )
         self._bound.pop(attempt, None)
+        executor.refusals.on_refused(attempt.task.step.spec, now)
         self._state.close_attempt(attempt, now)
 
     def _is_observed(self, executor: ExecutorState, now: float) -> bool:
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -220,6 +220,9 @@
         """
         may_restart = Incarnation.of(attempt.executor_id).started_at_ms is not None
         if not may_restart or attempt.start_may_arrive_until <= now:
+            executor = self._state.executors.get(attempt.executor_id)
+            if executor and attempt.start_unanswered:
+                executor.refusals.on_refused(attempt.task.step.spec, now)
             self._state.close_attempt(attempt, now)
             return
         attempt.refused_for_good = True
--- a/tests/shard/test_standing_waits.py
+++ b/tests/shard/test_standing_waits.py
@@ -13,12 +13,14 @@
 from linkspan.jobs.spec import StepSpec
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
+from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with
 from tests.shard.waiting_builders import (
     FIRST,
     MAX_AWAY_S,
     OTHER,
+    TIMEOUT_S,
     UNANSWERED_AT,
     Events,
     core_with_unanswered_start,
@@ -80,6 +82,20 @@
     assert started_elsewhere_after_s(core, first_restarts) <= MAX_AWAY_S
 
 
+@pytest.mark.parametrize(
+    ("spec", "max_away_s"),
+    [(STANDING, MAX_AWAY_S), (step(1, cpu=4_000), MAX_START_DELAY_S + 5 * TIMEOUT_S)],
+    ids=["standing", "batch"],
+)
+def test_an_executor_that_answers_polls_but_no_starts_does_not_keep_a_task_away(
+    spec: StepSpec, max_away_s: float
+) -> None:
+    """Guards against an executor that is chosen again after each start that it never answered."""
+    core = core_with_unanswered_start(spec)
+    away_s = started_elsewhere_after_s(core, first_answers, answers_starts=False)
+    assert away_s <= max_away_s
+
+
 def test_a_task_at_its_crash_limit_starts_on_an_empty_executor() -> None:
     """Guards against a task that waits for an executor of its own although there is one."""
     core = core_with(STANDING, executors=0)
--- a/tests/shard/waiting_builders.py
+++ b/tests/shard/waiting_builders.py
@@ -23,6 +23,9 @@
 """Longest time for which a standing task may be away: it counts as lost if it has not run for 6 s,
 and then for 3 s more while there is capacity for two of it."""
 
+TIMEOUT_S = 1.0
+"""Time after which a start counts as unanswered."""
+
 STEP_S = 0.1
 """Time between two reports, and between two plans."""
 
@@ -51,7 +54,9 @@
     return core
 
 
-def started_elsewhere_after_s(core: ShardCore, events: Events) -> float:
+def started_elsewhere_after_s(
+    core: ShardCore, events: Events, *, answers_starts: bool = True
+) -> float:
     """Return how long after :data:`UNANSWERED_AT` a task is started on the other executor.
 
     Executors accept all stops, the first one refuses all starts for lack of capacity, and the other
@@ -60,31 +65,46 @@
     Args:
         core: The core.
         events: Applies what else happens, at the times of the simulation.
+        answers_starts: Whether the first executor answers starts; if not, none arrives.
     """
     now = UNANSWERED_AT
+    unanswered: dict[float, StartOrder] = {}
     while now < UNANSWERED_AT + SIMULATED_S:
         now = round(now + STEP_S, 2)
         report_nothing(core, OTHER, 1, now)
         events(core, now)
+        if order := unanswered.pop(now, None):
+            core.on_start_unanswered(order, now)
         core.tick(now)
         # Executors that are polled closely, and do not report above, do not answer.
         core.executors_to_poll_closely(now)
-        if OTHER in _plan_and_answer(core, now):
+        accepted, received = _plan_and_answer(core, now)
+        if accepted:
             break
+        for order in received:
+            if answers_starts:
+                core.on_started(order, StartAnswer(StartOutcome.NO_ROOM, now), now)
+            else:
+                core.on_start_sent(order, now)
+                unanswered[round(now + TIMEOUT_S, 2)] = order
     return now - UNANSWERED_AT
 
 
-def _plan_and_answer(core: ShardCore, now: float) -> set[str]:
-    """Plan, answer all orders, and return the executors that accepted a start."""
+def _plan_and_answer(core: ShardCore, now: float) -> tuple[list[StartOrder], list[StartOrder]]:
+    """Plan, and answer all orders but starts at the first executor.
+
+    Returns:
+        The starts that the other executor accepted, and those that the first one received.
+    """
     Planner(core).plan(now, now)
     orders, core.orders = core.orders, []
-    accepted = set()
+    accepted, received = [], []
     for order in orders:
         if isinstance(order, StopOrder):
             core.on_stopped(order, True, now)
         elif isinstance(order, StartOrder) and order.executor_id == OTHER:
-            accepted.add(order.executor_id)
+            accepted.append(order)
             confirm_start(core, order, now)
         elif isinstance(order, StartOrder):
-            core.on_started(order, StartAnswer(StartOutcome.NO_ROOM, now), now)
-    return accepted
+            received.append(order)
+    return accepted, received
