Limit the open close polls of an executor to nine

A host opens at most twelve connections to an executor. Close polls of one that is down, 30 ms apart with a timeout of 1 s each, would have taken all of them, so that polls and orders waited for each other. They wait for 0.25 s now, and an executor counts as not being back after a second of them in place of half a second, as answers on a slow link take longer. Found by reading; the stand-ins of executors have no limit of connections, so no test shows it.

--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -18,9 +18,9 @@
 """Time without a run after which a standing task no longer waits for an unanswered start. The task
 counts as lost after 9 s, and a start elsewhere may be unanswered, too."""
 
-MIN_UNANSWERED_S = 0.5
+MIN_UNANSWERED_S = 1.0
 """Time for which an executor must have left close polls unanswered before it counts as not being
-back: executors answer within tens of milliseconds."""
+back: executors answer within tens of milliseconds, or a few tenths of a second on a slow link."""
 
 MAX_ANSWER_AGE_S = 0.25
 """Limits the age of an executor's last answer that shows that it has not restarted since."""
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -58,8 +58,11 @@
 machine is gone, and restarts of the runs there wait for it."""
 
 CLOSE_POLL_INTERVAL_S = 0.03
-"""Interval between close polls of an executor. Polls overlap: a poll of an executor that is down
-gets no answer for a second."""
+"""Interval between close polls of an executor. Polls of an executor that is down overlap."""
+
+CLOSE_POLL_LIMIT_S = 0.25
+"""Limits the time that a close poll waits for its answer, so that at most nine are open: a host
+opens twelve connections to an executor, and orders need some of them."""
 
 CLOSE_POLL_SPACING_S = 0.005
 """Minimum time between any two close polls: after the crash of a whole hall hundreds of starts are
@@ -167,8 +170,7 @@
             await asyncio.sleep(interval_s)
 
     async def _poll_closely(self, executor: ExecutorState) -> None:
-        # Unanswered polls are expected here; the executor's watch detects its silence.
-        await self._poll(executor, 0.0, detects_silence=False)
+        await self._poll(executor, 0.0, limit_s=CLOSE_POLL_LIMIT_S)
 
     async def poll_machines_loop(self) -> None:
         """Detect executors whose machine is gone, if the platform has a machine service."""
@@ -228,14 +230,15 @@
         return min(MAX_POLL_WAIT_S, self._settings.bounds.max_lease_s / MIN_POLLS_PER_LEASE)
 
     async def _poll(
-        self, executor: ExecutorState, wait_s: float, *, detects_silence: bool = True
+        self, executor: ExecutorState, wait_s: float, *, limit_s: float | None = None
     ) -> bool:
         """Poll an executor, and return whether it reported.
 
         Args:
             executor: The executor.
             wait_s: Time for which it may wait for an end.
-            detects_silence: Whether the executor counts as silent without an answer.
+            limit_s: Limits the time until the answer; an executor without an answer by then does
+                not count as silent. ``None`` for the usual limit of calls, after which it does.
         """
         asked = steady()
         acknowledged = acknowledgeable_end(executor, asked)
@@ -246,13 +249,16 @@
             until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
         try:
             with self._calls.to(executor) as call:
-                report = await call.renew(
-                    executor.record.address,
-                    executor.executor_id,
-                    acknowledged=acknowledged,
-                    until_s=until,
-                    wait_s=wait_s,
-                )
+                async with asyncio.timeout(limit_s):
+                    report = await call.renew(
+                        executor.record.address,
+                        executor.executor_id,
+                        acknowledged=acknowledged,
+                        until_s=until,
+                        wait_s=wait_s,
+                    )
+        except TimeoutError:
+            return False
         except WrongIncarnation:
             self._core.on_incarnation_ended(
                 executor.executor_id, steady(), "another incarnation answers"
@@ -261,7 +267,7 @@
             self._changes.notify()
             return False
         except Unreachable as error:
-            if detects_silence:
+            if limit_s is None:
                 self._core.on_silent(executor.executor_id, steady(), cause=str(error))
                 self._changes.notify()
             return False
