--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -18,9 +18,9 @@
 """Time without a run after which a standing task no longer waits for an unanswered start. The task
 counts as lost after 9 s, and a start elsewhere may be unanswered, too."""
 
-MIN_UNANSWERED_S = 0.5
+MIN_UNANSWERED_S = 1.0
 """Time for which an executor must have left close polls unanswered before it counts as not being
-back: executors answer within tens of milliseconds."""
+back: executors answer within tens of milliseconds, or a few tenths of a second on a slow link."""
 
 MAX_ANSWER_AGE_S = 0.25
 """Limits the age of an executor's last answer that shows that it has not restarted since."""
@@ -64,7 +64,7 @@
         """Handle an attempt whose start only a next incarnation could still carry out."""
         if not attempt.task.step.spec.standing:
             return
-        if attempt.task.waiting_since == NEVER:
+        if attempt.phase is not Phase.RUNNING and attempt.task.waiting_since == NEVER:
             attempt.task.waiting_since = now
         self._bound[attempt] = None
         self._abandon_if_due(attempt, now)
@@ -110,6 +110,8 @@
         executor = self._state.executors.get(attempt.executor_id)
         if executor is None or executor.attempts.get(attempt.key) is not attempt:
             return True
+        if attempt.phase is Phase.STARTING:
+            return False
         return attempt.phase is Phase.RUNNING or attempt.start_may_arrive_until <= now
 
     def _abandon_if_due(self, attempt: Attempt, now: float) -> None:
@@ -131,6 +133,7 @@
             refused=attempt.refused_for_good,
         )
         self._bound.pop(attempt, None)
+        executor.refusals.on_refused(attempt.task.step.spec, now)
         self._state.close_attempt(attempt, now)
 
     def _is_observed(self, executor: ExecutorState, now: float) -> bool:
