Wait 3 s at most for a fresh answer before a start at the crash limit

The start of a task that the next crash may give up waited up to 10 s on a busy host for an answer of its executor that is fresh when it is applied, more than the 9 s that a standing task may be away. It waits 3 s now; without a fresh answer the start is sent and its crash may count as not certain, as before.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -46,7 +46,7 @@
 """Limits how long the start of a task that may crash executors waits for a fresh answer of its
 executor. On an overloaded host each answer is too old when it is applied."""
 
-MAX_ANSWER_WAIT_AT_LIMIT_S = 10.0
+MAX_ANSWER_WAIT_AT_LIMIT_S = 3.0
 """The same limit for a task that the next crash may give up. If that crash is not certain, the task
 is not given up and may crash one more executor."""
 
