Let a task at its crash limit wait 4 s for an executor of its own

Cause: such a task waited up to 10 s (MAX_AT_LIMIT_WAIT_S) in one hall, more than the 9 s that a standing task may be away. 4 s leave 5 for finding the crash, a handover on the way, the record and the answer to the start.

Tests: failed before, pass now: five listed ones at the crash limit, of them one in virtual time (test_standing_tasks_between_halls.py[3]). tests/shard/test_crashes.py, tests/host/test_crashing_days.py, test_crashing_tasks.py and test_repeated_simultaneous_crashes.py pass.

--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -23,9 +23,10 @@
 an executor with another such task. Few tasks with a crash history cause crashes, and standing tasks
 that are away for longer are missed."""
 
-MAX_AT_LIMIT_WAIT_S = 10.0
+MAX_AT_LIMIT_WAIT_S = 4.0
 """Limits how long a task that the next crash gives up waits for an executor of its own: the only
-other executor may be full of long-running work."""
+other executor may be full of long-running work. A standing task counts as lost after 9 s; finding
+the crash, handovers and the answer to the start take their part of them."""
 
 
 class IsolatedPlacement:
