Play standing tasks under overlapping series of faults, as a property

No test asked for it under restarts of executors under their ids, late orders and shrunk capacity.

StandingFaultsDay extends StandingDay: four series of faults that overlap, of kinds that a decorator registers (restarts, late orders, both, replaced executors, departures announced late or never, shrunk capacity, capacity that shrinks and grows in turn, lost and frozen owners, owners lost during a handover, a slow and an absent store). No fault begins in the last 13 s. A standing task that has run, with capacity for two of it, must run within 8 s after the last fault, by the check of StandingDay, which is unchanged. Jobs that were given up are left out if the world counted two crashes under the task that the log names; otherwise that is a violation.

--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -57,6 +57,7 @@
         hosts_per_hall: Number of hosts of each hall.
         jobs_per_s: New jobs per second.
         troubles: Number of faults.
+        calm_s: Time after the traffic and all faults until the end, in seconds.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         hosts_per_hall: int = 2,
         jobs_per_s: float = 5.0,
         troubles: int = 7,
+        calm_s: float = CALM_S,
     ) -> None:
         self.world = HallWorld(
             halls=halls, hosts_per_hall=hosts_per_hall, seed=seed, failing_share=0.02
@@ -74,6 +76,7 @@
         self.random = Random(seed * 7919 + 1)
         self._jobs_per_s = jobs_per_s
         self._troubles = troubles
+        self._calm_s = calm_s
         self._standing = 0
         self.fault_log: list[str] = []
 
@@ -90,7 +93,7 @@
         world.store.calm()
         world.cuts.clear()
         self._start_missing()
-        await asyncio.sleep(CALM_S)
+        await asyncio.sleep(self._calm_s)
         await self._ask_for_all()
         return world
 
--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -52,10 +52,11 @@
 
     Args:
         seed: Seed of all random choices.
+        calm_s: Time after the traffic until the end, in seconds.
     """
 
-    def __init__(self, seed: int) -> None:
-        super().__init__(seed)
+    def __init__(self, seed: int, *, calm_s: float = CALM_S) -> None:
+        super().__init__(seed, calm_s=calm_s)
         self._checks_from = float("inf")
         self._not_running_since: dict[TaskName, float] = {}
         self._reported: set[TaskName] = set()
@@ -123,7 +124,7 @@
         running = {task for e in alive for task in e.running}
         for task in list(self.world.starts):
             spec = self.world.step_of(task)
-            if not spec.standing or task in running or not self._has_capacity(task, spec):
+            if task in running or not self._must_run(task, spec):
                 self._not_running_since.pop(task, None)
                 continue
             since = self._not_running_since.setdefault(task, now)
@@ -133,6 +134,9 @@
                     f"{now:.2f} LOST {task} does not run although there is capacity"
                 )
 
+    def _must_run(self, task: TaskName, spec: StepSpec) -> bool:
+        return spec.standing and self._has_capacity(task, spec)
+
     def _has_capacity(self, task: TaskName, spec: StepSpec) -> bool:
         slots = 0
         for executor in self.world.executors.values():
--- /dev/null
+++ b/tests/host/standing_faults_day.py
@@ -0,0 +1,108 @@
+"""A random scenario of overlapping series of faults, after which standing tasks must run again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from linkspan.jobs.spec import StepSpec
+from linkspan.shard.messages import TaskName
+from tests.host.restarting_troubles import MIN_CRASHES_TO_FAIL
+from tests.host.standing_day import CHECK_INTERVAL_S, MAX_IDLE_S, SETTLE_S, StandingDay
+from tests.host.standing_faults import STANDING_FAULTS
+
+SERIES_COUNT = 4
+"""Number of series of faults, which overlap."""
+
+MAX_FAULTS_PER_SERIES = 4
+"""Maximum number of faults in one series, one after the other."""
+
+LAST_SERIES_S = 8.0
+"""Latest start of a series, after the settling time."""
+
+LAST_FAULT_S = 13.0
+"""Latest start of a fault, after the settling time."""
+
+MAX_FAULT_S = 7.0
+"""Longest duration of a fault."""
+
+AFTER_FAULTS_S = 13.0
+"""Time at the end without faults."""
+
+CALM_S = SETTLE_S / 2 + LAST_FAULT_S + MAX_FAULT_S + AFTER_FAULTS_S
+"""Time from the end of the traffic to the end."""
+
+SOME_COUNTS = 1, 1, 2, 4
+"""Numbers of executors that one fault affects."""
+
+
+class StandingFaultsDay(StandingDay):
+    """A scenario of overlapping series of faults.
+
+    A job may be given up if executors crashed under one of its tasks often enough; its other tasks
+    need not run then.
+
+    Args:
+        seed: Seed of all random choices.
+        kinds: Names of the kinds of faults to inject; by default all.
+    """
+
+    def __init__(self, seed: int, kinds: tuple[str, ...] = ()) -> None:
+        super().__init__(seed, calm_s=CALM_S)
+        self._kinds = kinds or tuple(sorted(STANDING_FAULTS))
+        self._given_up: set[str] = set()
+        self._give_ups_read = 0
+        self.world.resets = self.random.random() < 0.5
+
+    def some_addresses(self) -> list[str]:
+        """Return the addresses of one, two or four running executors."""
+        alive = sorted(a for a, e in self.world.executors.items() if e.alive)
+        return self.random.sample(alive, min(self.random.choice(SOME_COUNTS), len(alive)))
+
+    def some_owner(self) -> str | None:
+        """Return the running owner of a random hall, or ``None`` if it has none."""
+        return self.world.owner(self.random.randrange(len(self.world.halls)))
+
+    async def _crash_executors(self) -> None:
+        await asyncio.sleep(SETTLE_S / 2)
+        loop = asyncio.get_running_loop()
+        last = loop.time() + LAST_FAULT_S
+        async with asyncio.TaskGroup() as group:
+            for _ in range(SERIES_COUNT):
+                group.create_task(self._series(self.random.uniform(0.0, LAST_SERIES_S), last))
+        self._checks_from = loop.time()
+
+    async def _series(self, delay_s: float, last: float) -> None:
+        """Inject some faults of one kind, one after the other."""
+        loop = asyncio.get_running_loop()
+        kind = self.random.choice(self._kinds)
+        count = self.random.randint(1, MAX_FAULTS_PER_SERIES)
+        await asyncio.sleep(delay_s)
+        for _ in range(count):
+            if loop.time() > last:
+                return
+            self.fault_log.append(f"{loop.time():.2f} {kind}")
+            await STANDING_FAULTS[kind](self)
+
+    def _check_standing(self, now: float) -> None:
+        self._read_give_ups(now)
+        super()._check_standing(now)
+
+    def _must_run(self, task: TaskName, spec: StepSpec) -> bool:
+        return task.job_id not in self._given_up and super()._must_run(task, spec)
+
+    def _read_give_ups(self, now: float) -> None:
+        """Record the jobs that were given up, and a violation where too few executors crashed."""
+        lines = self.world.log.named("TASK_GIVEN_UP")
+        for fields in lines[self._give_ups_read :]:
+            task = TaskName(fields["job"], *map(int, fields["task"].split(".")))
+            crashes = self.world.crashing.crashes_during_run[task]
+            if crashes >= MIN_CRASHES_TO_FAIL:
+                self._given_up.add(task.job_id)
+                continue
+            self.world.violations.append(
+                f"{now:.2f} LOST {task} is given up after {crashes} crashes under it"
+            )
+        self._give_ups_read = len(lines)
+
+
+assert MAX_IDLE_S + 2 * CHECK_INTERVAL_S < AFTER_FAULTS_S
