--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -1,9 +1,9 @@
 """Finds work that waits for capacity in one hall and that another hall can take.
 
 A job of which nothing was started moves as a whole. Standing tasks of a job that has begun, or that
-no hall takes as a whole, are delegated one by one: no step waits for their end, so the two halls need not coordinate. The record
-of a handover is first made durable under the owner's epoch and only then published, so exactly one
-shard manages each task.
+no hall takes as a whole, are delegated one by one: no step waits for their end, so the two halls
+need not coordinate. The record of a handover is first made durable under the owner's epoch and only
+then published, so exactly one shard manages each task.
 """
 
 from __future__ import annotations
