Record only the last return of each task

The record of a job's returned delegations listed each return for as long as the job lasted: 389 KB after 210 returns of 17 tasks with a crash history, more than the 256 KB that the store takes.

The record holds the last return of each task. Earlier ones need none: their home shard had read them when it delegated the task again.

--- a/src/linkspan/shard/handover/_returned_delegations.py
+++ b/src/linkspan/shard/handover/_returned_delegations.py
@@ -13,12 +13,13 @@
 class ReturnedDelegations:
     """Delegations that this shard returned, including those whose record is not read yet.
 
-    One record under one key contains all returned delegations of a job. A record that left some out
-    would hide them, and no shard would manage their tasks.
+    One record under one key contains the last returned delegation of each task of a job. A record
+    that left one out would hide it, and no shard would manage its task. Earlier ones of a task need
+    no record: its home shard had read them when it delegated the task again.
     """
 
     def __init__(self) -> None:
-        self._delegations: dict[str, dict[Delegation, None]] = {}
+        self._delegations: dict[str, dict[tuple[int, int], Delegation]] = {}
 
     def __repr__(self) -> str:
         return f"ReturnedDelegations({len(self._delegations)} jobs)"
@@ -26,7 +27,7 @@
     def add(
         self, job_id: str, recorded: Iterable[Delegation], delegations: Iterable[Delegation]
     ) -> tuple[Delegation, ...]:
-        """Return all returned delegations of a job, for its next record.
+        """Return the last returned delegations of a job, for its next record.
 
         Args:
             job_id: The job.
@@ -34,8 +35,12 @@
             delegations: Delegations that are returned now.
         """
         known = self._delegations.setdefault(job_id, {})
-        known.update(dict.fromkeys((*recorded, *delegations)))
-        return tuple(known)
+        for delegation in (*recorded, *delegations):
+            task = delegation.step, delegation.index
+            previous = known.get(task)
+            if previous is None or previous.number < delegation.number:
+                known[task] = delegation
+        return tuple(known.values())
 
     def keep_only(self, job_ids: Container[str]) -> None:
         """Remove the delegations of all other jobs."""
