Give a shard up that its host cannot act for because it freezes again and again

A host that stalled for 0.4 s every 0.9 s beside a slow store kept its shard and started nothing, for as long as this lasted: each freeze asks for a newer proof of ownership, and the proofs that arrived kept the tenure from ending.

After 6 s without a moment in which it may act, the tenure ends, unless the store gives no proof at all (an outage) or the host is stopping. Whoever claims next begins with a fresh proof.

--- a/src/linkspan/shard/ownership/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -16,6 +16,10 @@
 FREEZE_CHECK_INTERVAL_S = 0.05
 """Time between checks of the clock that detect a freeze of this process."""
 
+MAX_FROZEN_S = 6.0
+"""Limits how long an owner may not act because it freezes again before each proof. Another host, or
+a new claim of this one, then starts what waits."""
+
 
 class TenureLost(LinkspanError):
     """The tenure ends: another host owns the shard, or ownership could not be proved in time."""
@@ -40,6 +44,7 @@
         self._proof_required_since = float("-inf")
         self._last_check_at: float | None = None
         self._stopping = False
+        self._acting_at = self._claimed_at
 
     def __repr__(self) -> str:
         return f"OwnershipProof(shard={self._shard}, proved_at={self._proved_at:.2f})"
@@ -76,10 +81,18 @@
         """Check that the tenure's ownership was proved recently enough.
 
         Raises:
-            TenureLost: Orders are not allowed, and the last proof is too old.
+            TenureLost: Orders are not allowed, and the last proof is too old, or each proof is
+                followed by another freeze.
         """
-        if not self.may_act(now) and now - self._proved_at >= 2 * MAX_UNPROVED_S:
+        if self.may_act(now):
+            self._acting_at = now
+            return
+        unproved_s = now - self._proved_at
+        if unproved_s >= 2 * MAX_UNPROVED_S:
             raise TenureLost("ownership could not be proved in time")
+        frozen = unproved_s < MAX_UNPROVED_S and not self._stopping
+        if frozen and now - self._acting_at >= MAX_FROZEN_S:
+            raise TenureLost("this host froze again and again")
 
     async def watch_freeze(self) -> None:
         """Detect freezes of this process, during which another host may have claimed the shard."""
