Acknowledge no ends by close polls

Most of them are in vain, and they are the calls that reach a next incarnation first, whose ends nobody has read.

--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -238,10 +238,12 @@
             executor: The executor.
             wait_s: Time for which it may wait for an end.
             limit_s: Limits the time until the answer; an executor without an answer by then does
-                not count as silent. ``None`` for the usual limit of calls, after which it does.
+                not count as silent. Such a poll acknowledges no ends. ``None`` for the usual limit
+                of calls, after which the executor counts as silent.
         """
         asked = steady()
-        acknowledged = acknowledgeable_end(executor, asked)
+        # Most close polls are in vain, and some reach an incarnation whose ends nobody has read.
+        acknowledged = acknowledgeable_end(executor, asked) if limit_s is None else 0
         until = None
         # Do not renew a silent executor's lease, so that it expires: the executor may receive polls
         # although its answers are lost.
