Drive close polls in two tests of the review

The watch polls an executor closely while a start may reach its next incarnation, and only then is that start abandoned. The tests drive a core without the watch, so they make these calls themselves now; bounds and events are the same.

--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -368,6 +368,7 @@
         owner.tick(now)
         for name in ("a", "a@1000"):
             owner.on_silent(name, now)
+        owner.executors_to_poll_closely(now)
         confirm(owner, plan(owner, now), now)
 
     def runs_on_b() -> bool:
@@ -398,6 +399,7 @@
             owner.tick(now)
             for name in ("a", "a@1000"):
                 owner.on_silent(name, now)
+            owner.executors_to_poll_closely(now)
             confirm(owner, plan(owner, now), now)
 
         def runs_on_b() -> bool:
