Let stopped starts that their executor refuses reserve none of its capacity

Where executors refuse work beyond their capacity, such an attempt reserves nothing any more: it does not run at this incarnation, and the next one would refuse it if it did not fit. Where they do not, it does as before.

--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -64,6 +64,7 @@
         answered_unlisted: Whether an earlier incarnation's start was answered but never listed, so
             that the run may be at the present incarnation.
         refused_for_good: Whether its incarnation accepted a stop and then did not list the run.
+        reserves_capacity: Whether its executor counts its resources as used.
         start_may_arrive_until: Steady time until which an unanswered start of the run may still
             arrive.
         ticket: Permission of the queue's placement policy; empty without one.
@@ -98,6 +99,7 @@
     carried_over: bool = False
     answered_unlisted: bool = False
     refused_for_good: bool = False
+    reserves_capacity: bool = False
     start_may_arrive_until: float = NEVER
     ticket: str = ""
     starts: int = 1
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -221,6 +221,7 @@
             self.attempts[attempt.key] = attempt
             for index in self._indexes(attempt.task.step.spec):
                 index[attempt.key] = attempt
+            attempt.reserves_capacity = True
             self._add_usage(attempt, 1)
 
     def remove(self, attempt: Attempt) -> None:
@@ -228,6 +229,12 @@
         if self.attempts.pop(attempt.key, None):
             for index in self._indexes(attempt.task.step.spec):
                 index.pop(attempt.key, None)
+            self.release_capacity(attempt)
+
+    def release_capacity(self, attempt: Attempt) -> None:
+        """Release the resources of an attempt that certainly does not run there."""
+        if attempt.reserves_capacity:
+            attempt.reserves_capacity = False
             self._add_usage(attempt, -1)
 
     def _indexes(self, spec: StepSpec) -> Iterator[dict[tuple[TaskName, int], Attempt]]:
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -226,6 +226,10 @@
             self._state.close_attempt(attempt, now)
             return
         attempt.refused_for_good = True
+        executor = self._state.executors[attempt.executor_id]
+        if self._state.guards_room(executor.record.service):
+            # Should the next incarnation carry the start out, it refuses work beyond its capacity.
+            executor.release_capacity(attempt)
         self._abandoned.on_bound(attempt, now)
 
     def _on_inherited_start(self, attempt: Attempt, now: float) -> None:
