Reserve a quarter of a hall at most for tasks at their crash limit

Each task that the next crash gives up kept its executor out of all plans for 3 s. Where many tasks were at their limit, as after three restarts of a whole hall, they queued one after the other, and everything else waited behind them: 18 small tasks on three executors needed 18.1 s, 40 in three halls 46.0 s, a task without crashes behind four of them 12.4 s (bound 9 s). Neither limit on isolation ended that.

The newest such starts reserve the isolated share of the hall (a quarter, one executor at least) and never its last executor.

--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from linkspan.shard.crash_history import EARLY_CRASH_S
 from linkspan.shard.reports._executor_crashes import crash_prone_addresses
 
 if TYPE_CHECKING:
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning.placement import StepPlacement
@@ -44,6 +46,8 @@
     def __init__(self, core: ShardCore, usable: int, now: float) -> None:
         self._core = core
         self._max_running = max(int(MAX_ISOLATED_SHARE * usable), 1)
+        # One executor stays for other work.
+        self._max_reserved = min(self._max_running, max(usable - 1, 0))
         self._now = now
 
     def __repr__(self) -> str:
@@ -102,26 +106,34 @@
     def reserved(self) -> set[str]:
         """Return the executors that take no other work for a while.
 
-        The next crash there may give up a task, or a start of an isolated task is unanswered. An
-        executor's silence shows that it crashed at a start only if there was no other.
+        A start of an isolated task is unanswered there, or the next crash may give up a task. An
+        executor's silence shows that it crashed at a start only if there was no other. For tasks
+        at their crash limit no more than the isolated share of the hall is reserved, that of the
+        newest starts: otherwise many of them would keep all other work waiting.
         """
-        return {
-            attempt.executor_id
-            for task in self._core.tasks_with_crash_history
-            for attempt in task.attempts
-            if self._now - attempt.placed_at < EARLY_CRASH_S
-            and (task.at_crash_limit or (task.needs_isolation and attempt.start_unanswered))
-        }
+        recent = self._recent_isolated()
+        unanswered = {attempt.executor_id for attempt in recent if attempt.start_unanswered}
+        at_limit = sorted(
+            (attempt for attempt in recent if attempt.task.at_crash_limit),
+            key=lambda attempt: attempt.placed_at,
+            reverse=True,
+        )
+        newest = dict.fromkeys(attempt.executor_id for attempt in at_limit)
+        return unanswered | set(islice(newest, self._max_reserved))
 
     def running(self) -> set[str]:
         """Return the executors where an isolated run started within :data:`EARLY_CRASH_S`."""
-        return {
-            attempt.executor_id
+        return {attempt.executor_id for attempt in self._recent_isolated()}
+
+    def _recent_isolated(self) -> list[Attempt]:
+        """Return the attempts of isolated tasks placed within :data:`EARLY_CRASH_S`."""
+        return [
+            attempt
             for task in self._core.tasks_with_crash_history
             if task.needs_isolation
             for attempt in task.attempts
             if self._now - attempt.placed_at < EARLY_CRASH_S
-        }
+        ]
 
 
 def _used_cpu(executor: ExecutorState) -> int:
