Begin a task's waits anew at the end of a run that was never confirmed

A run whose start had no answer, and that ended before a report listed it, left the task's earlier wait as it was: its waits for isolation were over as soon as it ended, so that it could start beside other tasks that may crash executors.

--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -89,6 +89,8 @@
         task.next_run = max(task.next_run, end.run + 1)
         if attempt:
             self._state.detach(attempt)
+            # The run has lasted until now, even if no answer or report had confirmed it.
+            task.waiting_since = NEVER
         if not (attempt and attempt.speculative):
             task.save(end.run, end.checkpoint)
         if end.kind is EndKind.DONE:
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -199,3 +199,13 @@
     other = other_hall_with(delegation, 10.0)
     add_crash_prone_executor(other)
     assert plan(other, 10.0 + MAX_ISOLATION_WAIT_S - 1.5)
+
+
+def test_the_end_of_a_run_that_was_never_confirmed_begins_the_wait_anew() -> None:
+    """Guards against waits that are over as soon as a run ends that no report had listed."""
+    core = core_with(step(1, standing=True), executors=1)
+    (order,) = plan(core, 1.0)
+    core.on_start_unanswered(order, 2.0)
+    failed = EndedTask(1, order.task, order.run, EndKind.FAILED, "")
+    report_ends(core, "e0", failed, asked=7.0, now=7.0)
+    assert only_task(core).waiting_since == 7.0
