--- a/tests/bench/test_host_profile.py
+++ b/tests/bench/test_host_profile.py
@@ -27,7 +27,7 @@
 def _choose(placement: StepPlacement, task: Task, *, starved: bool = False) -> ExecutorState | None:
     """Choose like `StepPlacement.choose`, but evaluate every executor anew."""
     best, best_score = None, float("inf")
-    fill = placement._may_use_headroom(task)
+    fill = placement.may_use_headroom(task)
     for executor in placement.executors:
         if executor.executor_id in task.avoided_executors:
             continue
