--- a/tests/shard/test_review_of_owner_waits.py
+++ b/tests/shard/test_review_of_owner_waits.py
@@ -27,6 +27,9 @@
 STALL_S = 0.4
 """Time for which a busy process does nothing else, such as read a large configuration."""
 
+LONG_FREEZE_S = 7.0
+"""Duration of a freeze in which no proof arrives, shorter than proofs are valid for."""
+
 BUSY_INTERVAL_S = 0.9
 """Interval between two such times."""
 
@@ -80,6 +83,29 @@
     assert run_virtual(play()) <= MAX_AWAY_S
 
 
+def test_a_single_long_freeze_does_not_end_a_tenure() -> None:
+    """Guards against an owner that gives its shard up before a proof could arrive."""
+
+    async def play() -> None:
+        proof = OwnershipProof(0, steady(), freeze_s=0.3, log=cast(Any, EventRecorder()))
+        loop = virtual_loop()
+        loop.create_task(proof.watch_freeze())
+        await asyncio.sleep(0.2)
+        proof.check(steady())
+        loop.freeze("busy")
+        HOST.set("")
+        loop.call_later(LONG_FREEZE_S, loop.thaw, "busy")
+        HOST.set("busy")
+        await asyncio.sleep(0.1)
+        proof.check(steady())
+        assert not proof.may_act(steady())
+        proof.proved(steady())
+        assert proof.may_act(steady())
+
+    HOST.set("busy")
+    run_virtual(play())
+
+
 async def _renew(proof: OwnershipProof) -> None:
     loop = asyncio.get_running_loop()
     while True:
