Say each of the new things once, under one name

Read as a newcomer would, nothing changes in what the code does: - the 9 s that a standing task may be away stood in seven test modules under two names; it is tests.job_builders.MAX_AWAY_S; - wait_builders and waiting_builders differed by three letters; they are handover_builders and unavailable_executor by what they build; - MAX_ANSWER_AGE_S meant two things; the second is MAX_OBSERVED_AGE_S; - whether an unconfirmed run may have lasted is a property of the attempt; - the limit of tasks in one line stands in _reasons.py, and the reason of a job that moves is called MOVE, as its text says.

--- a/src/linkspan/shard/_reasons.py
+++ b/src/linkspan/shard/_reasons.py
@@ -13,6 +13,9 @@
     from linkspan.shard.shard_job import ShardJob
     from linkspan.shard.task import Task
 
+MAX_LOGGED_TASKS = 20
+"""Limits the tasks that one log line names."""
+
 ATTEMPTS_EXHAUSTED_REASON = "a task failed as often as its queue allows"
 """Logged reason for failing a job whose task has used all of its attempts."""
 
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -263,7 +263,7 @@
         self.detach(attempt)
         task = attempt.task
         if task.pending:
-            if _may_have_run(attempt):
+            if attempt.may_have_run:
                 task.waiting_since = NEVER
             self.mark_ready(task, now)
         self.mark_dirty(task.step.run)
@@ -508,16 +508,3 @@
             return
         if all(run.durable == float("inf") for run in job.runs.values()):
             self.jobs.pop(job.job_id, None)
-
-
-def _may_have_run(attempt: Attempt) -> bool:
-    """Return whether the run of an attempt that is being closed may have lasted until now.
-
-    This owner did not confirm the run; otherwise its task does not count as waiting yet.
-    """
-    history = attempt.task.crash_history
-    if history and history.crash_of(attempt.executor_id):
-        return True
-    # A former owner that recorded no unanswered start had confirmed the run.
-    confirmed_before = attempt.recovered and attempt.start_may_arrive_until == NEVER
-    return confirmed_before and not attempt.carried_over
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -148,6 +148,16 @@
         """Number of starts to record for the next owner; 0 if no start may still arrive."""
         return self.starts if self.start_unanswered or self.start_may_arrive_until != NEVER else 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a run that this owner has not confirmed may have lasted until now."""
+        history = self.task.crash_history
+        if history and history.crash_of(self.executor_id):
+            return True
+        # A former owner that recorded no unanswered start had confirmed the run.
+        confirmed_before = self.recovered and self.start_may_arrive_until == NEVER
+        return confirmed_before and not self.carried_over
+
     def confirm(self, now: float) -> None:
         """Record that the executor has confirmed the run."""
         self.phase = Phase.RUNNING
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from linkspan.events import Event
+from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.planning.placement import STANDING_HEADROOM
 
 if TYPE_CHECKING:
@@ -43,9 +44,6 @@
 """Minimum difference in best-effort load, as a share of a hall's capacity, for another hall to take
 over best-effort work."""
 
-MAX_LOGGED_TASKS = 20
-"""Limits the tasks that the log line on a handover names."""
-
 
 class Handover(NamedTuple):
     """Work to hand over to another shard.
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -9,6 +9,7 @@
 
 from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
@@ -33,9 +34,6 @@
 MAX_LINES_PER_CHECK = 10
 """Limits the lines of one check; the tasks that have waited longest come first."""
 
-MAX_LOGGED_TASKS = 20
-"""Limits the tasks that one line names."""
-
 
 class WaitReason(Enum):
     """What a standing task without a confirmed run waits for."""
@@ -44,7 +42,7 @@
     START_UNANSWERED = "its start is unanswered"
     STARTING = "its start is being sent"
     REPORT = "the executor of its recorded run has not reported"
-    HANDOVER = "the move of its job is being recorded"
+    MOVE = "the move of its job is being recorded"
     OWNERSHIP = "this owner may not act"
     INHERITED = "executors of a former owner have not reported"
     REFUSED = "its last start was refused"
@@ -162,7 +160,7 @@
     if not core.may_start(job, now):
         return WaitReason.INHERITED
     if job.moving:
-        return WaitReason.HANDOVER
+        return WaitReason.MOVE
     if task.decision_pending:
         return WaitReason.DECISION
     if not task.crash_history_durable:
--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -22,7 +22,7 @@
 """Time for which an executor must have left close polls unanswered before it counts as not being
 back: executors answer within tens of milliseconds, or a few tenths of a second on a slow link."""
 
-MAX_ANSWER_AGE_S = 0.25
+MAX_OBSERVED_AGE_S = 0.25
 """Limits the age of an executor's last answer that shows that it has not restarted since."""
 
 MAX_POLL_GAP_S = 0.2
@@ -138,7 +138,7 @@
 
     def _is_observed(self, executor: ExecutorState, now: float) -> bool:
         """Whether a restart of an executor would have been noticed."""
-        if now - executor.alive_at <= MAX_ANSWER_AGE_S:
+        if now - executor.alive_at <= MAX_OBSERVED_AGE_S:
             return True
         since = self._polled_since.get(executor.executor_id, now)
         polled = now - self._polled_at <= MAX_POLL_GAP_S and now - since >= MIN_UNANSWERED_S
--- a/tests/host/test_crash_limits_of_many_tasks.py
+++ b/tests/host/test_crash_limits_of_many_tasks.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from tests.host.restarts_of_all_executors import RestartsOfAllExecutors
+from tests.job_builders import MAX_AWAY_S
 from tests.virtual_time import run_virtual
 
-LOST_AFTER_S = 9.0
-"""Time without a run after which a standing task with capacity for two of it counts as lost: 6 s
-from its last run, and 3 s with capacity."""
-
 THREE_HALLS = "east", "west", "north"
 
 
@@ -21,7 +18,7 @@
     restarts = RestartsOfAllExecutors(
         ("east",), executors_per_hall=3, tasks=18, milli_cpu=200, restarts=3
     )
-    assert run_virtual(restarts.play()) <= LOST_AFTER_S
+    assert run_virtual(restarts.play()) <= MAX_AWAY_S
 
 
 def test_tasks_of_one_job_run_again_in_time_after_two_restarts_in_three_halls() -> None:
@@ -32,7 +29,7 @@
     restarts = RestartsOfAllExecutors(
         THREE_HALLS, executors_per_hall=7, tasks=17, milli_cpu=400, restarts=2
     )
-    assert run_virtual(restarts.play()) <= LOST_AFTER_S
+    assert run_virtual(restarts.play()) <= MAX_AWAY_S
 
 
 def test_many_tasks_at_their_crash_limit_run_again_in_time_in_three_halls() -> None:
@@ -40,7 +37,7 @@
     restarts = RestartsOfAllExecutors(
         THREE_HALLS, executors_per_hall=3, tasks=40, milli_cpu=400, restarts=3, run_between=False
     )
-    assert run_virtual(restarts.play()) <= LOST_AFTER_S
+    assert run_virtual(restarts.play()) <= MAX_AWAY_S
 
 
 def test_tasks_run_again_in_time_after_one_restart_in_three_halls() -> None:
@@ -48,4 +45,4 @@
     restarts = RestartsOfAllExecutors(
         THREE_HALLS, executors_per_hall=7, tasks=17, milli_cpu=400, restarts=1
     )
-    assert run_virtual(restarts.play()) <= LOST_AFTER_S
+    assert run_virtual(restarts.play()) <= MAX_AWAY_S
--- a/tests/host/test_review_of_standing_waits.py
+++ b/tests/host/test_review_of_standing_waits.py
@@ -10,8 +10,7 @@
 import pytest
 
 from tests.hall_world import HallWorld
-from tests.job_builders import step
-from tests.shard.standing_builders import MAX_AWAY_S
+from tests.job_builders import MAX_AWAY_S, step
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual, world_time
 
--- a/tests/host/test_standing_tasks_between_halls.py
+++ b/tests/host/test_standing_tasks_between_halls.py
@@ -12,14 +12,11 @@
 
 from tests.hall_world import HallWorld
 from tests.host.crashing_day import submit
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.virtual_time import run_virtual
 
 HALLS = ("east", "west", "north")
 
-MAX_AWAY_S = 9.0
-"""Time for which a standing task may not run although there is room for two of it."""
-
 
 async def _world_that_avoids_all_room() -> HallWorld:
     """Return a world whose halls have one executor each with room, which crashed repeatedly."""
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -10,6 +10,10 @@
 from linkspan.jobs.spec import Demand, JobSpec, Schedule, StepSpec
 from linkspan.model.configuration import Queue
 
+MAX_AWAY_S = 9.0
+"""Longest time for which a standing task may not run although there is room for two of it: 6 s from
+its last run, and 3 s more."""
+
 QUEUE = Queue("batch", "host.example", "/batch/", "pool", max_attempts=3, target_s=1.0)
 
 
--- a/tests/shard/standing_builders.py
+++ b/tests/shard/standing_builders.py
@@ -19,10 +19,6 @@
 from linkspan.shard.task import Task
 from tests.shard.builders import confirm_start, plan
 
-MAX_AWAY_S = 9.0
-"""Longest time for which a standing task may not run although there is room for two of it: 6 s
-from its last run, and 3 s more."""
-
 OBSERVED_S = 30.0
 """Time for which a test waits for a start."""
 
--- a/tests/shard/test_abandoned_starts.py
+++ b/tests/shard/test_abandoned_starts.py
@@ -11,11 +11,10 @@
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.reports._abandoned_starts import MAX_BOUND_S, MIN_UNANSWERED_S
 from linkspan.shard.task import Task
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan
-from tests.shard.waiting_builders import (
+from tests.shard.unavailable_executor import (
     FIRST,
-    MAX_AWAY_S,
     OTHER,
     STEP_S,
     UNANSWERED_AT,
--- a/tests/shard/test_capacity_of_stopped_starts.py
+++ b/tests/shard/test_capacity_of_stopped_starts.py
@@ -15,13 +15,9 @@
     TaskName,
 )
 from linkspan.shard.planning.planner import Planner
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan, submitted_job
 
-LOST_AFTER_S = 9.0
-"""Time without a run after which a standing task with capacity for two of it counts as lost: 6 s
-from its last run, and 3 s with capacity."""
-
 OTHER_JOB = "00000000000000bb"
 UNANSWERED_AT = 2.0
 STOPPED_AT = 2.1
@@ -80,7 +76,7 @@
     assert core.guards_room("pool")
     now = IDLE_SINCE
     started: list[StartOrder] = []
-    while not started and now < IDLE_SINCE + LOST_AFTER_S:
+    while not started and now < IDLE_SINCE + MAX_AWAY_S:
         now += STEP_S
         _report(core, "a@1", now)
         started = _plan_and_take_stops(core, now)
--- a/tests/shard/test_review_of_owner_waits.py
+++ b/tests/shard/test_review_of_owner_waits.py
@@ -18,9 +18,9 @@
 from linkspan.shard.reports._watch import ExecutorWatch
 from linkspan.store.types import Entry
 from tests.event_recorder import EventRecorder
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.builders import JOB, core_with
-from tests.shard.standing_builders import MAX_AWAY_S, OBSERVED_S, set_history_at_limit, tasks_of
+from tests.shard.standing_builders import OBSERVED_S, set_history_at_limit, tasks_of
 from tests.shard.stepped_dispatcher import SteppedDispatcher
 from tests.virtual_time import HOST, run_virtual, virtual_loop
 
--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -25,7 +25,7 @@
 from linkspan.shard.handover.summary import HallSummary, summarize
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport
 from linkspan.shard.planning.advice import Advice
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.builders import (
     JOB,
     add_executor,
@@ -38,7 +38,6 @@
 )
 from tests.shard.crash_builders import OTHER_SHARD, core_of_shard, next_owner_of, report_run
 from tests.shard.standing_builders import (
-    MAX_AWAY_S,
     OBSERVED_S,
     REBALANCE_INTERVAL_S,
     confirm,
--- a/tests/shard/test_standing_wait_lines.py
+++ b/tests/shard/test_standing_wait_lines.py
@@ -60,7 +60,7 @@
 def test_a_task_whose_job_is_being_moved() -> None:
     core = standing_core()
     core.jobs[JOB].moving = True
-    assert reason(core) is WaitReason.HANDOVER
+    assert reason(core) is WaitReason.MOVE
 
 
 def test_a_task_of_an_owner_that_may_not_act() -> None:
--- a/tests/shard/test_standing_waits.py
+++ b/tests/shard/test_standing_waits.py
@@ -14,11 +14,10 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.builders import JOB, add_executor, core_with
-from tests.shard.waiting_builders import (
+from tests.shard.unavailable_executor import (
     FIRST,
-    MAX_AWAY_S,
     OTHER,
     TIMEOUT_S,
     UNANSWERED_AT,
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -41,7 +41,7 @@
     set_all_durable,
     start_on,
 )
-from tests.shard.wait_builders import (
+from tests.shard.handover_builders import (
     AT_LIMIT,
     HANDOVER_S,
     ISOLATED,
--- a/tests/shard/test_waits_for_isolation.py
+++ b/tests/shard/test_waits_for_isolation.py
@@ -5,14 +5,10 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.messages import TaskName
-from tests.job_builders import step
+from tests.job_builders import MAX_AWAY_S, step
 from tests.shard.answering_executors import STEP_S, AnsweringExecutors
 from tests.shard.builders import JOB, add_executor, core_with, submitted_job
 
-LOST_AFTER_S = 9.0
-"""Time without a run after which a standing task with capacity for two of it counts as lost: 6 s
-from its last run, and 3 s with capacity."""
-
 OTHER_JOB = "00000000000000bb"
 READY_AT = 1.0
 
@@ -39,7 +35,7 @@
     """
     core = _core_with_tasks_at_their_crash_limit(20, executors=3)
     executors = AnsweringExecutors(core, READY_AT)
-    executors.run_until(READY_AT + LOST_AFTER_S - STEP_S)
+    executors.run_until(READY_AT + MAX_AWAY_S - STEP_S)
     waiting = [t.name.index for t in core.jobs[JOB].runs[0].tasks() if t.pending]
     assert waiting == []
 
@@ -49,5 +45,5 @@
     core = _core_with_tasks_at_their_crash_limit(4, executors=1)
     core.add_job(submitted_job(step(1, standing=True, cpu=200), job_id=OTHER_JOB), READY_AT)
     executors = AnsweringExecutors(core, READY_AT)
-    executors.run_until(READY_AT + LOST_AFTER_S - STEP_S)
+    executors.run_until(READY_AT + MAX_AWAY_S - STEP_S)
     assert TaskName(OTHER_JOB, 0, 0, 0) in executors.started_at
--- a/tests/shard/waiting_builders.py
+++ b/tests/shard/unavailable_executor.py
@@ -19,10 +19,6 @@
 UNANSWERED_AT = 2.0
 """Steady time at which the first start counts as unanswered."""
 
-MAX_AWAY_S = 9.0
-"""Longest time for which a standing task may be away: it counts as lost if it has not run for 6 s,
-and then for 3 s more while there is capacity for two of it."""
-
 TIMEOUT_S = 1.0
 """Time after which a start counts as unanswered."""
 
