Log polls that acknowledge ends and are answered late or not at all

What the log held could not tell whether a poll that acknowledges ends was open while its executor restarted: neither the poll's time nor the incarnation that answered it were written, and a poll that was cancelled left no line at all.

Event 572 says how long such a poll was open, who answered it, and how many starts went to its executor meanwhile, which is the state in which an end can be forgotten that nobody has read. What is acknowledgeable has a module of its own now; no decision changes. The two tests that import its function name the new module; their checks are as they were.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -162,6 +162,12 @@
         "unanswered start of a standing task abandoned; the task may start elsewhere",
         "see OPERATIONS.md, a standing task that does not run",
     )
+    ACKNOWLEDGEMENT_DELAYED = (
+        572,
+        logging.WARNING,
+        "poll that acknowledges ends answered late, by another incarnation, or not at all",
+        "see OPERATIONS.md, a task ran twice, if starts is above 0",
+    )
     RUN_FAILED = 534, logging.INFO, "run failed", "see the job's limit of attempts"
     FAILURE_HEARD_AGAIN = (
         562,
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -35,6 +35,7 @@
 from linkspan.shard.intake._jobs import JobIntake
 from linkspan.shard.orders._orders import Orders
 from linkspan.shard.reports._abandoned_starts import AbandonedStarts
+from linkspan.shard.reports._acknowledgements import Acknowledgements
 from linkspan.shard.reports._crashes import CrashTracker
 from linkspan.shard.reports._liveness import ExecutorLiveness
 from linkspan.shard.reports._reconciliation import ReportReconciler
@@ -85,6 +86,7 @@
         count: Callable[[str], None] = lambda _name: None,
     ) -> None:
         super().__init__(shard, bounds, log=log, token=token, count=count)
+        self._acknowledgements = Acknowledgements(self)
         self._crashes = CrashTracker(self)
         self._abandoned = AbandonedStarts(self)
         self._restarts = RestartTracker(self, self._crashes, self._abandoned)
@@ -96,6 +98,11 @@
         self._delegations = Delegations(self, self._crashes)
         self._orders = Orders(self)
 
+    @property
+    def acknowledgements(self) -> Acknowledgements:
+        """Polls that acknowledge ends."""
+        return self._acknowledgements
+
     # Recovery
 
     def inherit(self, roster: Iterable[ExecutorRecord], until: float, *, read: bool = True) -> None:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -93,6 +93,7 @@
         expired_attempts: Attempts that were removed when its leases expired, kept while it stays
             silent. They are also kept by task in their ``JobRun``, whose record holds them.
         refusals: Starts that it refused for lack of capacity, or never answered.
+        starts_sent: Number of starts that were sent to it in this tenure.
     """
 
     record: ExecutorRecord
@@ -122,6 +123,7 @@
     token: int = 0
     withheld_ends: set[int] = field(default_factory=set)
     refusals: RecentRefusals = field(default_factory=RecentRefusals)
+    starts_sent: int = 0
 
     _best_effort: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _latency_targeted: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -91,6 +91,7 @@
         if attempt is None or executor is None:
             return
         attempt.sent_at = now
+        executor.starts_sent += 1
         answered = now - executor.alive_at <= MAX_ANSWER_AGE_S
         attempt.follows_answer = attempt.task.needs_isolation and answered
 
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -7,15 +7,14 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
-from linkspan.errors import Unreachable, WrongIncarnation
-from linkspan.shard.attempt import Phase
+from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.machines import MachineWatch
+from linkspan.shard.reports._acknowledgements import acknowledgeable_end
 from linkspan.shard.reports._restarts import reporting_incarnation
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
-    from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import ExecutorReport
 
@@ -71,37 +70,6 @@
 CLOSE_POLL_CHECK_S = 0.1
 """Time between checks whether an executor has to be polled closely."""
 
-MAX_ACKNOWLEDGE_DELAY_S = 0.2
-"""Time after an executor's report within which its ends may be acknowledged. A later call may reach
-the next incarnation, whose ends nobody has read. That incarnation cannot have started and ended a
-run of this owner so soon after the previous one's report, unless a start may still arrive there."""
-
-SHORT_RUN_S = 0.4
-"""Expected duration below which a run may start and end within ``MAX_ACKNOWLEDGE_DELAY_S``:
-estimates are rough."""
-
-
-def acknowledgeable_end(executor: ExecutorState, now: float) -> int:
-    """Return the number up to which an executor's ends may be acknowledged now.
-
-    The number is 0, which acknowledges nothing, also if there is nothing new. After a silence, a
-    freeze of this host or a claim, the executor must first report which incarnation it is.
-    """
-    fresh = executor.silent_since is None and now - executor.alive_at <= MAX_ACKNOWLEDGE_DELAY_S
-    if not (fresh and executor.ack_pending):
-        return 0
-    if any(_may_start_and_end(attempt, now) for attempt in executor.attempts.values()):
-        return 0
-    return executor.acknowledged
-
-
-def _may_start_and_end(attempt: Attempt, now: float) -> bool:
-    """Whether a start may still arrive at the executor and its run may end before the next poll."""
-    if attempt.phase is Phase.STARTING:
-        return True
-    may_arrive = attempt.start_unanswered or attempt.start_may_arrive_until > now
-    return may_arrive and attempt.task.step.expected_s < SHORT_RUN_S
-
 
 class ExecutorWatch:
     """Keeps one poll open at each executor and renews the leases there.
@@ -244,21 +212,9 @@
         asked = steady()
         # Most close polls are in vain, and some reach an incarnation whose ends nobody has read.
         acknowledged = acknowledgeable_end(executor, asked) if limit_s is None else 0
-        until = None
-        # Do not renew a silent executor's lease, so that it expires: the executor may receive polls
-        # although its answers are lost.
-        if executor.clock and executor.silent_since is None and self._proof.may_act(asked):
-            until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
         try:
-            with self._calls.to(executor) as call:
-                async with asyncio.timeout(limit_s):
-                    report = await call.renew(
-                        executor.record.address,
-                        executor.executor_id,
-                        acknowledged=acknowledged,
-                        until_s=until,
-                        wait_s=wait_s,
-                    )
+            async with asyncio.timeout(limit_s):
+                report = await self._renew(executor, acknowledged, wait_s, asked)
         except TimeoutError:
             return False
         except WrongIncarnation:
@@ -292,6 +248,40 @@
         self._changes.notify()
         return True
 
+    async def _renew(
+        self, executor: ExecutorState, acknowledged: int, wait_s: float, asked: float
+    ) -> ExecutorReport:
+        """Call an executor for its report, and track the call if it acknowledges ends.
+
+        Raises:
+            Fenced, WrongIncarnation, Unreachable: As for :meth:`Executors.renew`.
+        """
+        until = None
+        # Do not renew a silent executor's lease, so that it expires: the executor may receive polls
+        # although its answers are lost.
+        if executor.clock and executor.silent_since is None and self._proof.may_act(asked):
+            until = executor.clock.grant(self._settings.bounds.max_lease_s, asked)
+        sent = self._core.acknowledgements.send(executor, acknowledged, asked)
+        try:
+            with self._calls.to(executor) as call:
+                report = await call.renew(
+                    executor.record.address,
+                    executor.executor_id,
+                    acknowledged=acknowledged,
+                    until_s=until,
+                    wait_s=wait_s,
+                )
+        except (Fenced, Unconnected, WrongIncarnation):
+            # The call was refused, so it is certainly not carried out later.
+            raise
+        except BaseException:
+            # Also where the poll is cancelled: the call may be on its way.
+            self._core.acknowledgements.on_unanswered(sent, steady())
+            raise
+        answered_by = reporting_incarnation(executor.executor_id, report)
+        self._core.acknowledgements.on_answered(sent, steady(), by=answered_by)
+        return report
+
     async def _without_unread_jobs(self, report: ExecutorReport, *, first: bool) -> ExecutorReport:
         """Return the part of a report on jobs whose records are read up to the report.
 
--- a/tests/shard/test_incarnations.py
+++ b/tests/shard/test_incarnations.py
@@ -36,7 +36,7 @@
     encode_run,
     restore_run,
 )
-from linkspan.shard.reports._watch import MAX_ACKNOWLEDGE_DELAY_S, acknowledgeable_end
+from linkspan.shard.reports._acknowledgements import MAX_ACKNOWLEDGE_DELAY_S, acknowledgeable_end
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, confirm_start, core_with, plan, submitted_job
 
--- a/tests/shard/test_review_of_crash_evidence.py
+++ b/tests/shard/test_review_of_crash_evidence.py
@@ -23,8 +23,8 @@
 from linkspan.shard.leases import CLOCK_DRIFT
 from linkspan.shard.messages import ExecutorReport, RunningTask, StartAnswer, StartOutcome
 from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
+from linkspan.shard.reports._acknowledgements import acknowledgeable_end
 from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
-from linkspan.shard.reports._watch import acknowledgeable_end
 from tests.job_builders import step
 from tests.shard.builders import JOB, add_executor, core_with, plan, report_ends
 from tests.shard.crash_builders import (
