Keep a late acknowledgement from discarding an end that nobody has read

Cause: a poll that acknowledges ends was judged when it was sent, and nothing bound what went out after it. While it is on its way its executor restarts under the same id; a start under the same id and token reaches the next incarnation first, begins and ends there as end 1; the poll, which says "up to 5", then discards that end. No report ever lists it, so the task is started again.

Change: an incarnation must not take a start and, after it, an acknowledging poll. Ends are acknowledged only to an incarnation that has reported since the last start was answered, and not while a start may still arrive; a start waits while such a poll is open; after one without an answer all calls carry the tenure's next token, so that whoever takes a start refuses the poll, also twelve seconds later; where the tenure has no higher token, the id gets no start until a renewal brings one or the poll has expired. A call that a raised token overtakes does not end the tenure.

--- a/src/linkspan/shard/_changes.py
+++ b/src/linkspan/shard/_changes.py
@@ -36,6 +36,7 @@
         self.roster: frozenset[str] = frozenset()
         self.withheld_count = 0
         self._stored = asyncio.Event()
+        self._acknowledgement_ended = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"Changes({self._core!r})"
@@ -69,3 +70,12 @@
     async def next_stored(self) -> None:
         """Wait until the next write of records completes."""
         await self._stored.wait()
+
+    def acknowledgement_ended(self) -> None:
+        """Wake all waiters of :meth:`next_acknowledgement_ended` after an acknowledging poll."""
+        self._acknowledgement_ended.set()
+        self._acknowledgement_ended = asyncio.Event()
+
+    async def next_acknowledgement_ended(self) -> None:
+        """Wait until the next acknowledging poll of any executor ends."""
+        await self._acknowledgement_ended.wait()
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -164,15 +164,15 @@
         executor.withheld_ends |= self.withheld_ends.pop(name, set())
         self.membership_changes += 1
 
-    def token_outdated(self, executor: ExecutorState) -> bool:
-        """Return whether another incarnation may have received a higher token than this one's.
+    def token_outdated(self, executor: ExecutorState, token: int) -> bool:
+        """Return whether an incarnation of an executor may have received a higher token than this.
 
         If not, a call that is refused for its token proves that there is a newer owner.
         """
         if self.executors.get(executor.executor_id) is not executor:
             return True
         incarnations = self.incarnations_by_id[Incarnation.of(executor.executor_id).executor_id]
-        return any(other.token > executor.token for other in incarnations.values())
+        return any(other.token > token for other in incarnations.values())
 
     def remove_executor(self, name: str) -> None:
         """Remove an incarnation; the caller handles the attempts on it."""
@@ -417,7 +417,7 @@
         executor = self.executors[attempt.executor_id]
         if not self._should_resend_start(attempt, executor):
             self.order_stop(attempt, now)
-        elif executor.rostered:
+        elif executor.rostered and now >= executor.no_starts_until:
             attempt.phase = Phase.STARTING
             attempt.starts += 1
             # The record tells the next owner that more than one start was sent.
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -381,6 +381,7 @@
         self._reconciler.tick(now)
         self._orders.tick(now)
         self._abandoned.tick(now)
+        self._acknowledgements.tick(now)
 
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
         """Stop an attempt so that its task continues elsewhere."""
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -94,6 +94,9 @@
             silent. They are also kept by task in their ``JobRun``, whose record holds them.
         refusals: Starts that it refused for lack of capacity, or never answered.
         starts_sent: Number of starts that were sent to it in this tenure.
+        start_answered_at: Steady time of the last answer to a start that was sent to it.
+        no_starts_until: Steady time until which it gets no starts, as an unanswered poll may still
+            acknowledge the ends of its next incarnation.
     """
 
     record: ExecutorRecord
@@ -124,6 +127,8 @@
     withheld_ends: set[int] = field(default_factory=set)
     refusals: RecentRefusals = field(default_factory=RecentRefusals)
     starts_sent: int = 0
+    start_answered_at: float = NEVER
+    no_starts_until: float = NEVER
 
     _best_effort: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _latency_targeted: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
@@ -272,7 +277,7 @@
             and self.has_reported
             and self.record.takes_new_work
             and self.silent_since is None
-            and now >= self.quarantined_until
+            and now >= max(self.quarantined_until, self.no_starts_until)
         )
 
     @property
--- a/src/linkspan/shard/orders/_calls.py
+++ b/src/linkspan/shard/orders/_calls.py
@@ -19,12 +19,12 @@
 
     Args:
         link: Returns a client that makes calls under a token.
-        token_outdated: Whether this tenure itself may have announced a higher token to the
-            executor's next incarnation.
+        token_outdated: Whether this tenure itself may have announced a higher token than the given
+            one to the executor or to its next incarnation.
     """
 
     def __init__(
-        self, link: Callable[[int], Executors], token_outdated: Callable[[ExecutorState], bool]
+        self, link: Callable[[int], Executors], token_outdated: Callable[[ExecutorState, int], bool]
     ) -> None:
         self._link = link
         self._token_outdated = token_outdated
@@ -38,14 +38,15 @@
 
         Raises:
             Fenced: A newer owner is active.
-            Unreachable: The next incarnation, which has received a higher token of this tenure,
-                refused the call.
+            Unreachable: The executor or its next incarnation, which has received a higher token of
+                this tenure, refused the call.
         """
+        token = executor.token
         try:
-            yield self._link(executor.token)
+            yield self._link(token)
         except Fenced as error:
-            if not self._token_outdated(executor):
+            if not self._token_outdated(executor, token):
                 raise
             raise Unreachable(
-                f"{executor.executor_id}: its next incarnation answers: {error}"
+                f"{executor.executor_id}: it has seen a higher token of this owner: {error}"
             ) from error
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -142,6 +142,8 @@
         if executor.silent_since is not None:
             # An unanswered start would bind the task to this executor.
             return False
+        if self._core.acknowledgements.prevents_starts(executor, steady()):
+            return False
         # Crashes found since the plan must be on record before the start, as those before it.
         return attempt.task.crash_history_durable
 
@@ -149,6 +151,7 @@
         if isinstance(order, StartOrder):
             await self._wait_for_record(order)
             await self._wait_for_answer(order)
+            await self._wait_for_acknowledgement(order)
         executor = self._core.executors.get(order.executor_id)
         if executor is None or executor.clock is None or not self._may_send(order, executor):
             self._on_undelivered(order)
@@ -233,6 +236,16 @@
             if steady() - executor.alive_at > MAX_ANSWER_AGE_S:
                 await asyncio.sleep(ANSWER_RETRY_S)
 
+    async def _wait_for_acknowledgement(self, order: StartOrder) -> None:
+        """Wait until no poll is open that acknowledges ends of a start's executor.
+
+        The executor's next incarnation could carry out the start, then the poll.
+        """
+        while (
+            executor := self._core.executors.get(order.executor_id)
+        ) and self._core.acknowledgements.is_open(executor):
+            await self._changes.next_acknowledgement_ended()
+
     async def _check_start(self, order: StartOrder) -> None:
         """Poll the executor of a start that is not answered soon.
 
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -97,6 +97,9 @@
 
     def on_started(self, order: StartOrder, answer: StartAnswer, now: float) -> None:
         """Apply an executor's answer to a start."""
+        called = self._state.executors.get(order.executor_id)
+        if called:
+            called.start_answered_at = now
         attempt = self._state.find_attempt(order.task, order.run)
         executor = self._state.executors.get(attempt.executor_id) if attempt else None
         if attempt is None or executor is None:
--- a/src/linkspan/shard/reports/_acknowledgements.py
+++ b/src/linkspan/shard/reports/_acknowledgements.py
@@ -1,4 +1,4 @@
-"""Decides when the ends that an executor reported may be acknowledged, and logs delayed polls."""
+"""Keeps acknowledgements from discarding ends that no report has listed."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.attempt import Phase
+from linkspan.shard.attempt import NEVER, Phase
+from linkspan.shard.executor import MAX_ENDS_BEHIND_WITHHELD
+from linkspan.shard.incarnation import Incarnation
+from linkspan.shard.orders._orders import MAX_START_DELAY_S
 
 if TYPE_CHECKING:
     from linkspan.shard._shard_state import ShardState
@@ -15,55 +18,85 @@
 
 MAX_ACKNOWLEDGE_DELAY_S = 0.2
 """Time after an executor's report within which its ends may be acknowledged. A later call may reach
-the next incarnation, whose ends nobody has read. That incarnation cannot have started and ended a
-run of this owner so soon after the previous one's report, unless a start may still arrive there."""
-
-SHORT_RUN_S = 0.4
-"""Expected duration below which a run may start and end within ``MAX_ACKNOWLEDGE_DELAY_S``:
-estimates are rough."""
+the next incarnation, which may have carried out starts of a former owner."""
 
 
 def acknowledgeable_end(executor: ExecutorState, now: float) -> int:
     """Return the number up to which an executor's ends may be acknowledged now.
 
     The number is 0, which acknowledges nothing, also if there is nothing new. After a silence, a
-    freeze of this host or a claim, the executor must first report which incarnation it is.
+    freeze of this host or a claim, the executor must first report which incarnation it is. The
+    same holds after a start was answered, as the next incarnation may have answered it.
     """
     fresh = executor.silent_since is None and now - executor.alive_at <= MAX_ACKNOWLEDGE_DELAY_S
-    if not (fresh and executor.ack_pending):
+    if not (fresh and executor.ack_pending) or executor.start_answered_at > executor.alive_at:
+        return 0
+    if any(attempt.phase is Phase.STARTING for attempt in executor.attempts.values()):
         return 0
-    if any(_may_start_and_end(attempt, now) for attempt in executor.attempts.values()):
+    many = executor.acknowledged - executor.ack_delivered > MAX_ENDS_BEHIND_WITHHELD
+    if not many and any(_may_arrive(attempt, now) for attempt in executor.attempts.values()):
         return 0
     return executor.acknowledged
 
 
-def _may_start_and_end(attempt: Attempt, now: float) -> bool:
-    """Whether a start may still arrive at the executor and its run may end before the next poll."""
-    if attempt.phase is Phase.STARTING:
-        return True
-    may_arrive = attempt.start_unanswered or attempt.start_may_arrive_until > now
-    return may_arrive and attempt.task.step.expected_s < SHORT_RUN_S
+def _may_arrive(attempt: Attempt, now: float) -> bool:
+    """Whether a start may still arrive and its task be done at the next incarnation."""
+    if attempt.task.step.spec.standing:
+        return False
+    return attempt.start_unanswered or attempt.start_may_arrive_until > now
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Acknowledgement:
     """A poll that acknowledges ends.
 
     Attributes:
         executor: The incarnation that was polled.
         number: Number of the last acknowledged end.
+        token: Fencing token of the poll.
         sent_at: Steady time at which the poll was sent.
         starts_before: Number of starts that had been sent to the incarnation before.
     """
 
     executor: ExecutorState
     number: int
+    token: int
     sent_at: float
     starts_before: int
 
+    @property
+    def executor_id(self) -> str:
+        """Id of the executor, which later incarnations may have, too."""
+        return Incarnation.of(self.executor.executor_id).executor_id
+
+
+@dataclass(frozen=True, slots=True)
+class UnansweredAcknowledgement:
+    """Acknowledging polls of an executor id that may still be carried out.
+
+    Attributes:
+        token: Their highest fencing token.
+        until: Steady time until which they may be carried out.
+    """
+
+    token: int
+    until: float
+
 
 class Acknowledgements:
-    """Tracks the polls that acknowledge ends until they are answered.
+    """Keeps starts and acknowledging polls apart that one incarnation could both carry out.
+
+    A poll that is delayed may be carried out by the executor's next incarnation, whose ends are
+    numbered from 1 again. It then discards ends that nobody has read, and their tasks would be
+    started again. So an incarnation must not take both an acknowledging poll and, before it, a
+    start:
+
+    - ends are acknowledged only once the incarnation has reported after the answers to all starts
+      (:func:`acknowledgeable_end`);
+    - a start waits while an acknowledging poll is open;
+    - after a poll without an answer, calls carry a higher fencing token. An incarnation that takes
+      a start refuses the poll from then on. Without a higher token there are no starts until the
+      poll can no longer be carried out.
 
     Args:
         state: The shard's state.
@@ -71,18 +104,27 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._open: dict[str, set[Acknowledgement]] = {}
+        self._unanswered: dict[str, UnansweredAcknowledgement] = {}
 
     def __repr__(self) -> str:
-        return f"Acknowledgements({self._state!r})"
+        return f"Acknowledgements({len(self._open)} open, {len(self._unanswered)} unanswered)"
 
     def send(self, executor: ExecutorState, number: int, now: float) -> Acknowledgement | None:
         """Record a poll that is about to be sent; ``None`` if it acknowledges nothing."""
         if not number:
             return None
-        return Acknowledgement(executor, number, now, executor.starts_sent)
+        sent = Acknowledgement(executor, number, executor.token, now, executor.starts_sent)
+        self._open.setdefault(sent.executor_id, set()).add(sent)
+        return sent
+
+    def on_refused(self, sent: Acknowledgement | None) -> None:
+        """Handle a poll that was certainly not carried out and never will be."""
+        self._close(sent)
 
     def on_answered(self, sent: Acknowledgement | None, now: float, *, by: str) -> None:
         """Handle an incarnation's answer to a poll."""
+        self._close(sent)
         if sent is None:
             return
         if by != sent.executor.executor_id or now - sent.sent_at > MAX_ACKNOWLEDGE_DELAY_S:
@@ -90,8 +132,50 @@
 
     def on_unanswered(self, sent: Acknowledgement | None, now: float) -> None:
         """Handle a poll without an answer, which may still be carried out."""
-        if sent is not None:
-            self._log(sent, now, by=None)
+        self._close(sent)
+        if sent is None:
+            return
+        before = self._unanswered.get(sent.executor_id)
+        token = max(sent.token, before.token) if before else sent.token
+        unanswered = UnansweredAcknowledgement(token, now + MAX_START_DELAY_S)
+        self._unanswered[sent.executor_id] = unanswered
+        self._raise_tokens(sent.executor_id, unanswered)
+        self._log(sent, now, by=None)
+
+    def is_open(self, executor: ExecutorState) -> bool:
+        """Return whether a start to an executor must wait for the answer to a poll."""
+        return Incarnation.of(executor.executor_id).executor_id in self._open
+
+    def prevents_starts(self, executor: ExecutorState, now: float) -> bool:
+        """Return whether a poll may be carried out by an incarnation that has taken a start."""
+        unanswered = self._unanswered.get(Incarnation.of(executor.executor_id).executor_id)
+        if unanswered is None:
+            return False
+        return executor.token <= unanswered.token and now < unanswered.until
+
+    def tick(self, now: float) -> None:
+        """Raise tokens that could not be raised before, and forget polls that have expired."""
+        for executor_id, unanswered in list(self._unanswered.items()):
+            if unanswered.until <= now:
+                del self._unanswered[executor_id]
+            else:
+                self._raise_tokens(executor_id, unanswered)
+
+    def _close(self, sent: Acknowledgement | None) -> None:
+        if sent is None:
+            return
+        polls = self._open.get(sent.executor_id, set())
+        polls.discard(sent)
+        if not polls:
+            self._open.pop(sent.executor_id, None)
+
+    def _raise_tokens(self, executor_id: str, unanswered: UnansweredAcknowledgement) -> None:
+        """Give an executor a higher token than its unanswered polls have, if there is one."""
+        for executor in self._state.incarnations_by_id.get(executor_id, {}).values():
+            if executor.token <= unanswered.token:
+                executor.token = self._state.tokens.next_token([executor])
+            raised = executor.token > unanswered.token
+            executor.no_starts_until = NEVER if raised else unanswered.until
 
     def _log(self, sent: Acknowledgement, now: float, *, by: str | None) -> None:
         self._state.log(
@@ -101,5 +185,6 @@
             number=sent.number,
             open_s=round(now - sent.sent_at, 3),
             starts=sent.executor.starts_sent - sent.starts_before,
-            token=sent.executor.token,
+            token=sent.token,
+            next_token=sent.executor.token,
         )
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -273,14 +273,19 @@
                 )
         except (Fenced, Unconnected, WrongIncarnation):
             # The call was refused, so it is certainly not carried out later.
+            self._core.acknowledgements.on_refused(sent)
             raise
         except BaseException:
             # Also where the poll is cancelled: the call may be on its way.
             self._core.acknowledgements.on_unanswered(sent, steady())
             raise
-        answered_by = reporting_incarnation(executor.executor_id, report)
-        self._core.acknowledgements.on_answered(sent, steady(), by=answered_by)
-        return report
+        else:
+            answered_by = reporting_incarnation(executor.executor_id, report)
+            self._core.acknowledgements.on_answered(sent, steady(), by=answered_by)
+            return report
+        finally:
+            if sent:
+                self._changes.acknowledgement_ended()
 
     async def _without_unread_jobs(self, report: ExecutorReport, *, first: bool) -> ExecutorReport:
         """Return the part of a report on jobs whose records are read up to the report.
--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -42,6 +42,10 @@
             incarnation that has the executor's id then, and not only by the addressed one.
         reduced_capacity_applies_after_s: Seconds after which starts are judged by a reduced
             capacity.
+        slow_poll_addresses: Executors that polls may reach late, as over a delayed link. Whichever
+            incarnation has the id then carries the poll out, also if its caller has given up or
+            has been killed.
+        max_poll_delay_s: Longest delay of such a poll.
     """
 
     seed: int = 0
@@ -57,10 +61,14 @@
     entry_after_s: float = 0.0
     late_to_next_incarnation: bool = False
     reduced_capacity_applies_after_s: float = CONTACT_S + HEARTBEAT_S
+    max_poll_delay_s: float = 0.0
 
     def __post_init__(self) -> None:
         super().__post_init__()
         self.random = Random(self.seed)
+        # Polls draw from a generator of their own, so that they do not change the other draws.
+        self.poll_random = Random(self.seed + 1)
+        self.slow_poll_addresses: set[str] = set()
         self.store = MemoryStore(self.seed)
         self.one_hall = OneHall(self.store)
         self.cuts: set[tuple[str, str]] = set()
@@ -295,5 +303,11 @@
             return 2.0 + (self.max_order_delay_s - 2.0) * self.random.random()
         return 0.0
 
+    def poll_late_by(self, address: str) -> float:
+        """Return how late a poll reaches an executor, in seconds."""
+        if address not in self.slow_poll_addresses:
+            return 0.0
+        return self.max_poll_delay_s * self.poll_random.random()
+
     def loses_answer(self) -> bool:
         return bool(self.lost_answer_share) and self.random.random() < self.lost_answer_share
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -291,12 +291,11 @@
         until_s: float | None,
         wait_s: float,
     ) -> ExecutorReport:
+        delay_s = self._world.poll_late_by(address)
+        if delay_s:
+            return await self._renew_late(delay_s, address, executor_id, acknowledged, until_s)
         executor = await self._reach(address, executor_id)
-        executor.fence(self._token)
-        executor.advance()
-        if until_s is not None:
-            limit = executor.clock + self._world.max_lease_s
-            executor.until = max(executor.until, min(until_s, limit))
+        self._extend_lease(executor, until_s)
         if wait_s and not [e for e in executor.ended if e.number > acknowledged]:
             try:
                 async with asyncio.timeout(wait_s):
@@ -314,6 +313,49 @@
         await self._answer()
         return report
 
+    def _extend_lease(self, executor: MemoryExecutor, until_s: float | None) -> None:
+        executor.fence(self._token)
+        executor.advance()
+        if until_s is not None:
+            limit = executor.clock + self._world.max_lease_s
+            executor.until = max(executor.until, min(until_s, limit))
+
+    async def _renew_late(
+        self,
+        delay_s: float,
+        address: str,
+        executor_id: str,
+        acknowledged: int,
+        until_s: float | None,
+    ) -> ExecutorReport:
+        """Have a poll carried out late, and wait for its answer until the usual timeout."""
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[ExecutorReport] = loop.create_future()
+
+        def carry_out() -> None:
+            executor = self._world.at(address)
+            own_id = Incarnation.of(executor_id).executor_id
+            if not executor or not executor.alive or executor.record.executor_id != own_id:
+                return
+            try:
+                self._extend_lease(executor, until_s)
+            except Fenced as error:
+                if not answer.done():
+                    answer.set_exception(error)
+                return
+            report = executor.report(acknowledged)
+            if not answer.done():
+                answer.set_result(report)
+
+        loop.call_later(delay_s, carry_out, context=Context())
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                report = await answer
+        except TimeoutError:
+            raise Unreachable("no answer") from None
+        await self._answer()
+        return report
+
     async def _reach(self, address: str, executor_id: str) -> MemoryExecutor:
         await asyncio.sleep(ANSWER_S / 2)
         executor = self._world.at(address)
