Let inherited work wait for the next incarnation of an executor that is gone

Cause: an owner that has lost the store starts a task without a record. Its executor restarts under its id while the start is on its way. The next owner finds no record and the first incarnation gone, takes the job for not begun and moves it whole, or starts it elsewhere; the start is carried out by the next incarnation, which has not seen the higher token. Starts on record were awaited there already, those on no record were not.

Later jobs do not wait. It works because the report shows that incarnation the higher token, with which it refuses the start, or lists the run that it has begun.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -65,6 +65,8 @@
         membership_changes: Number of incarnations added or removed so far; comparing two values
             shows cheaply whether the set of executors changed.
         awaiting_report_ids: Inherited executors that have not reported yet.
+        awaiting_next_ids: Next incarnations, which have not reported yet, of inherited executors
+            that ended before they reported.
         resolved_inherited: Number of the other inherited executors, by how each was resolved: it
             reported, ended, or its leases expired.
         jobs: Jobs that the shard manages, by id.
@@ -112,6 +114,7 @@
         self.withheld_ends: dict[str, set[int]] = {}
         self.membership_changes = 0
         self.awaiting_report_ids: set[str] = set()
+        self.awaiting_next_ids: set[str] = set()
         self.resolved_inherited: Counter[str] = Counter()
         self.jobs: dict[str, ShardJob] = {}
         self.departed_jobs: set[str] = set()
@@ -181,6 +184,7 @@
             self.forget_expired_attempts(executor)
             self.tokens.on_incarnation_end(executor.token)
             self._remember_withheld_ends(executor)
+        self.awaiting_next_ids.discard(name)
         executor_id = Incarnation.of(name).executor_id
         incarnations = self.incarnations_by_id.get(executor_id, {})
         incarnations.pop(name, None)
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -9,6 +9,7 @@
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.executor import FOREVER, ExecutorState
 from linkspan.shard.incarnation import Incarnation
+from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.reports._restarts import uncertain_attempts
 
 if TYPE_CHECKING:
@@ -87,7 +88,8 @@
             return True
         if not (self._roster_readable or self._has_expired(self._inherited_leases_expire_at, now)):
             return False
-        unanswered = map(self._state.executors.__getitem__, self._state.awaiting_report_ids)
+        awaited = self._state.awaiting_report_ids | self._state.awaiting_next_ids
+        unanswered = map(self._state.executors.__getitem__, awaited)
         return all(self._leases_expired(executor, now) for executor in unanswered)
 
     def list_executors(
@@ -163,6 +165,8 @@
         uncertain = [] if since is None else uncertain_attempts(executor, since)
         # An abandoned start may reach the next incarnation, which is therefore polled.
         may_arrive = since is not None and self._abandoned.late_until(executor_id) > now
+        former = since is not None and self._may_take_former_starts(executor, now)
+        may_arrive |= former
         if executor.is_placeholder and (uncertain or may_arrive):
             self._release(executor, now, keep=uncertain)
             return
@@ -177,10 +181,34 @@
             self._crashes.on_incarnation_ended(executor, now, proof)
         if uncertain or may_arrive:
             self._restarts.carry_over_to_next(executor, uncertain, now)
+        if former:
+            self._await_next(executor, now)
         # The registry entry may outlive the incarnation, so its name is remembered as ended.
         self._restarts.end(executor, now)
         self._release(executor, now)
 
+    def _may_take_former_starts(self, executor: ExecutorState, now: float) -> bool:
+        """Whether an executor's next incarnation may carry out unrecorded starts of former owners.
+
+        No incarnation of its id has answered this owner, so none has received its higher fencing
+        token. A former owner that lost the store sends starts without a record.
+        """
+        if executor.is_placeholder:
+            awaited = executor.executor_id in self._state.awaiting_next_ids
+            return awaited and not self._leases_expired(executor, now)
+        may_return = Incarnation.of(executor.executor_id).started_at_ms is not None
+        return may_return and executor.executor_id in self._state.awaiting_report_ids
+
+    def _await_next(self, executor: ExecutorState, now: float) -> None:
+        """Await the report of the next incarnation of an executor that never reported.
+
+        Jobs that arrive later do not wait for it, only those of the former owners.
+        """
+        placeholder = self._state.executors[Incarnation.of(executor.executor_id).executor_id]
+        leases_expire_at = max(placeholder.leases_expire_at, now + MAX_START_DELAY_S)
+        placeholder.leases_expire_at = leases_expire_at
+        self._state.awaiting_next_ids.add(placeholder.executor_id)
+
     def on_silent(self, executor_id: str, now: float, *, cause: str = "") -> None:
         """Handle a call to an executor that got no answer, or an answer that does not decode."""
         executor = self._state.executors.get(executor_id)
@@ -230,6 +258,7 @@
     def _is_awaited(self, executor: ExecutorState) -> bool:
         """Whether the shard waits for everything that may run on an executor to end."""
         awaited = executor.executor_id in self._state.awaiting_report_ids
+        awaited |= executor.executor_id in self._state.awaiting_next_ids
         return awaited or bool(executor.attempts) or not executor.listed
 
     def _leases_expired(self, executor: ExecutorState, now: float) -> bool:
