Keep the crash of a draining executor that its known announcement takes back

Cause: an announcement to leave that is read after an executor's end takes its crash back. The entry of an executor that crashed while it drained is listed for some seconds more, with the announcement that was known at its end already, so each such crash was taken back again.

The unit test shows the path.

Change: the owner remembers the announcement of an end that it counted as early, and only another announcement takes it back.

tests/shard/test_crashes_while_draining.py: one of the two new tests failed before, none after. The test of a crash that is taken back by a newer announcement passes before and after.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -32,6 +32,7 @@
     time_on_executor_s,
 )
 from linkspan.shard.reports._departures import Departure, departure_of
+from linkspan.shard.reports._early_ends import EarlyEnds
 from linkspan.shard.reports._executor_crashes import (
     ExecutorCrash,
     crash_of,
@@ -47,7 +48,7 @@
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.messages import EndedTask
+    from linkspan.shard.messages import EndedTask, ExecutorRecord
     from linkspan.shard.task import Task
 
 MAX_REMEMBERED_CRASHES = 64
@@ -70,6 +71,7 @@
     def __init__(self, state: ShardState) -> None:
         self._state = state
         self._give_ups = GiveUps(state)
+        self._early_ends = EarlyEnds()
 
     def __repr__(self) -> str:
         return f"CrashTracker({len(self._state.executor_crashes)} executor crashes)"
@@ -107,6 +109,14 @@
         if found:
             self._give_ups.consider(task, now)
 
+    def on_late_announcement(self, record: ExecutorRecord) -> None:
+        """Handle an announcement to leave that is read after the incarnation's end.
+
+        The announcement may have been known at the end, and the end have counted as early.
+        """
+        if not self._early_ends.has_seen(record):
+            self.retract(record.executor_id, "the executor left as planned")
+
     def retract(self, incarnation: str, reason: str) -> None:
         """Retract the crash of an incarnation that did not crash, so that it counts in no decision.
 
@@ -157,6 +167,8 @@
         if departure.planned:
             return
         early = departure is Departure.EARLY
+        if early:
+            self._early_ends.on_end(executor.record)
         executor_crash = crash_of(executor, crashed_at)
         simultaneous = simultaneous_crashes(self._state, executor_crash)
         if not early:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -232,7 +232,7 @@
         """
         for record in records:
             if record.draining and record.executor_id not in self._state.executors:
-                self._crashes.retract(record.executor_id, "the executor left as planned")
+                self._crashes.on_late_announcement(record)
 
     def _with_incarnation(self, record: ExecutorRecord) -> ExecutorRecord:
         """Return a registry entry under the name of the incarnation that it belongs to.
--- a/tests/shard/test_crashes_while_draining.py
+++ b/tests/shard/test_crashes_while_draining.py
@@ -14,7 +14,7 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.reports._give_ups import GIVE_UP_DELAY_S
 from tests.job_builders import step
-from tests.shard.builders import core_with, report_ends
+from tests.shard.builders import add_executor, core_with, report_ends
 from tests.shard.crash_builders import (
     crash_at_once,
     crash_executor,
@@ -43,6 +43,14 @@
     crash_executor(core, name, at + 0.1, at + 0.2)
 
 
+def _list_announced(core: ShardCore, name: str, remaining_s: float) -> None:
+    """List the entry of an executor that has ended, with its announcement."""
+    add_executor(core, "other")
+    other = core.executors["other"].record
+    ended = replace(other, executor_id=name, draining=True, remaining_s=remaining_s)
+    core.list_executors([other, ended], 4.0)
+
+
 @pytest.mark.parametrize("early_s", [0.6, 1.4])
 def test_a_draining_executor_that_ends_early_counts_as_crashed(early_s: float) -> None:
     """Guards against a crash that counts for no task because its executor was draining."""
@@ -150,3 +158,23 @@
             core.tick(at + 7.0)
         at += 8.0
     assert len(core.finished) == 1
+
+
+def test_an_announcement_that_was_known_takes_no_early_end_back() -> None:
+    """Guards against BUDGET: the entry of a crashed executor, listed again, retracted its crash."""
+    core = core_with(step(1), executors=0)
+    crash_at_once(core, "before", 0.5)
+    _crash_draining(core, "e0", 1.0)
+    _list_announced(core, "e0", REMAINING_S)
+    history = only_task(core).crash_history
+    assert history and history.crash_count == 2
+
+
+def test_a_shorter_announcement_that_is_read_later_takes_an_early_end_back() -> None:
+    """Guards against a planned departure that counts as a crash: its last entry was read late."""
+    core = core_with(step(1), executors=0)
+    crash_at_once(core, "before", 0.5)
+    _crash_draining(core, "e0", 1.0)
+    _list_announced(core, "e0", 0.1)
+    history = only_task(core).crash_history
+    assert history and history.crash_count == 1
