Count the first crash of a task whose executor was draining

Cause: a task crashes an executor that drains, before its announced time. Such an end may also be a departure whose announcement was read late, so it counted only for tasks under which an executor had crashed before. As a task's first crash it was forgotten, and the owner counted four at the platform's fifth.

Change: the owner remembers such ends and counts them, neither confirmed nor certain, from the task's next confirmed crash on. Ends of draining executors alone count for no task, as before.

tests/shard/test_crashes_while_draining.py: two of the three tests added here failed before, none after.

--- a/src/linkspan/shard/reports/_crashes.py
+++ b/src/linkspan/shard/reports/_crashes.py
@@ -97,6 +97,7 @@
     def tick(self, now: float) -> None:
         """Take the decisions to give tasks up whose delay has passed."""
         self._give_ups.tick(now)
+        self._early_ends.remove_finished_tasks()
 
     def take_over_history(self, task: Task, delegation: Delegation, now: float) -> None:
         """Take over the crash history of a task that another shard hands over to this one.
@@ -129,6 +130,7 @@
             for executor_crash in self._state.executor_crashes
             if executor_crash.executor_id != incarnation
         ]
+        self._early_ends.retract(incarnation)
         tasks = [
             t
             for t in self._state.tasks_with_crash_history
@@ -187,9 +189,6 @@
         only_start = sum(attempt.start_unanswered for attempt in attempts) == 1
         alive_at = last_alive_at(executor)
         for attempt in by_age:
-            if early and not attempt.task.crash_history:
-                # The executor may have left as announced, which was read late.
-                continue
             elapsed_s = time_on_executor_s(attempt, crashed_at)
             at_start = only_start and crashed_at_start(attempt, alive_at)
             crash = Crash(
@@ -202,6 +201,10 @@
                 executor.record.address,
                 ended and not early and is_certain(attempt, crashed_at, at_start=at_start),
             )
+            if early and not attempt.task.crash_history:
+                # The executor may have left as announced, which was read late.
+                self._early_ends.add(attempt.task, crash)
+                continue
             self._add_to_history(
                 attempt, crashed_at, crash, alone=tasks_with_history <= {attempt.task}
             )
@@ -250,6 +253,7 @@
         if task.done or task.step.run.job.closing:
             return
         if attempt.confirmed_at != NEVER and crashed_at - attempt.confirmed_at >= CLEARED_AFTER_S:
+            self._early_ends.pop(task)
             self._state.set_crash_history(task, None)
             return
         if not crash.confirmed and not counts_unconfirmed(attempt):
@@ -259,7 +263,11 @@
         if task.managed_by is not None:
             changes = task.crash_changes or CrashChanges()
             task.crash_changes = changes.with_found(crash.incarnation)
-        history = add_crash(task.crash_history, crash, run.version, alone=alone)
+        history = task.crash_history
+        if crash.confirmed:
+            for early_end in self._early_ends.pop(task):
+                history = add_crash(history, early_end, run.version, alone=False)
+        history = add_crash(history, crash, run.version, alone=alone)
         self._state.set_crash_history(task, history)
 
     def _log_departure(
--- a/tests/shard/crash_builders.py
+++ b/tests/shard/crash_builders.py
@@ -178,6 +178,24 @@
     return silent
 
 
+def let_crashes_reach_limit(core: ShardCore, at: float) -> float:
+    """Let four executors crash under older runs of a task, some together with other executors.
+
+    The first one crashes together with another one, and the last one together with two others.
+
+    Returns:
+        The steady time after the decision on the last crash.
+    """
+    crash_beside_others(core, "d0", at, ("idle-0",))
+    for name in ("d1", "d2"):
+        at += LATE_CRASH_S + 1.0
+        crash_under_older_run(core, name, at)
+    at += LATE_CRASH_S + 1.0
+    silent = crash_beside_others(core, "d3", at, ("idle-1", "idle-2"))
+    core.tick(silent + 2.0)
+    return silent + 2.0
+
+
 def defer_giving_up(core: ShardCore, at: float) -> float:
     """Let a task reach its limit at a crash at which other executors crashed, too.
 
@@ -191,17 +209,11 @@
     Returns:
         The steady time after the decision.
     """
-    crash_beside_others(core, "d0", at, ("idle-0",))
-    for name in ("d1", "d2"):
-        at += LATE_CRASH_S + 1.0
-        crash_under_older_run(core, name, at)
-    at += LATE_CRASH_S + 1.0
-    silent = crash_beside_others(core, "d3", at, ("idle-1", "idle-2"))
-    core.tick(silent + 2.0)
+    ended_at = let_crashes_reach_limit(core, at)
     history = only_task(core).crash_history
     assert history and history.crash_count == 4
     assert core.finished == [], "this owner keeps the job"
-    return silent + 2.0
+    return ended_at
 
 
 def core_of_shard(shard: int) -> ShardCore:
--- a/tests/shard/test_crashes_while_draining.py
+++ b/tests/shard/test_crashes_while_draining.py
@@ -2,7 +2,7 @@
 
 An executor that drains can crash, too. That it ends early is no proof of a crash, as the owner may
 have read the announcement late. Such an end therefore counts only for a task under which an
-executor has crashed before, and is not certain.
+executor has crashed before, or crashes later, and is not certain.
 """
 
 from __future__ import annotations
@@ -19,8 +19,10 @@
     crash_at_once,
     crash_executor,
     crash_under_older_run,
+    let_crashes_reach_limit,
     only_task,
     report_partially,
+    retract_crash_of,
     start_on,
 )
 
@@ -178,3 +180,36 @@
     _list_announced(core, "e0", 0.1)
     history = only_task(core).crash_history
     assert history and history.crash_count == 1
+
+
+def test_an_early_end_counts_once_an_executor_crashes_under_the_task() -> None:
+    """Guards against a sixth start of a task whose first executor crashed while it drained."""
+    core = core_with(step(1), executors=0)
+    _crash_draining(core, "e0", 1.0)
+    crash_at_once(core, "e1", 3.0)
+    history = only_task(core).crash_history
+    assert history and (history.crash_count, history.certain_count) == (2, 1)
+
+
+def test_an_early_end_whose_executor_left_as_planned_never_counts() -> None:
+    """Guards against a planned departure that counts as a crash once another executor crashes."""
+    core = core_with(step(1), executors=0)
+    start_on(core, "e0", 1.0)
+    record = core.executors["e0"].record
+    _drain(core, "e0", 1.05)
+    crash_executor(core, "e0", 1.1, 1.2)
+    retract_crash_of(core, record, 1.5)
+    crash_at_once(core, "e1", 3.0)
+    history = only_task(core).crash_history
+    assert history and history.crash_count == 1
+
+
+def test_a_task_is_not_started_a_sixth_time_after_a_first_crash_while_draining() -> None:
+    """Guards against BUDGET: others crashed at the same time, so that the fourth decided nothing.
+
+    The first executor crashes while it drains, the next four under older runs of the task.
+    """
+    core = core_with(step(1, estimate_s=60.0), executors=0)
+    _crash_draining(core, "e0", 1.0)
+    let_crashes_reach_limit(core, 3.0)
+    assert len(core.finished) == 1
