--- a/tests/host/late_poll_day.py
+++ b/tests/host/late_poll_day.py
@@ -22,6 +22,9 @@
 DOWN_S = 0.01
 """Time between a crash and the restart, shorter than the interval between two polls."""
 
+FREEZE_DURATIONS_S = (0.2, 4.0)
+"""Shortest and longest freeze of an owner."""
+
 SETTLED_S = 30.0
 """Time after the last job in which all work ends."""
 
@@ -59,12 +62,14 @@
         seed: Seed of all random choices.
         max_delay_s: Longest delay of a poll.
         kills_owners: Whether the owner is killed at some of the crashes.
+        freezes_owners: Whether the owner is frozen at some of the crashes.
         lost_answer_share: Share of the calls that are carried out and not answered.
     """
 
     seed: int
     max_delay_s: float = 0.8
     kills_owners: bool = False
+    freezes_owners: bool = False
     lost_answer_share: float = 0.0
 
     def __post_init__(self) -> None:
@@ -110,8 +115,8 @@
             await asyncio.sleep(random.uniform(0.1, 0.8))
             if random.random() < 0.7:
                 world.slow_poll_addresses = set()
-            if self.kills_owners and random.random() < 0.5:
-                self._kill_owner()
+            if (self.kills_owners or self.freezes_owners) and random.random() < 0.5:
+                self._disturb_owner()
             await asyncio.sleep(random.uniform(0.0, 0.1))
             for address in addresses:
                 if world.executors[address].alive:
@@ -121,9 +126,16 @@
             await asyncio.sleep(random.uniform(0.5, 1.5))
         world.slow_poll_addresses = set()
 
-    def _kill_owner(self) -> None:
+    def _disturb_owner(self) -> None:
         owner = self.world.owner()
-        if owner:
-            self.world.record_fault()
+        if owner is None:
+            return
+        self.world.record_fault()
+        if self.freezes_owners:
+            running = self.world.hosts[owner]
+            self.world.freeze_host(owner)
+            frozen_s = self.random.uniform(*FREEZE_DURATIONS_S)
+            asyncio.get_running_loop().call_later(frozen_s, self.world.thaw, running)
+        else:
             self.world.kill_host(owner)
             self.world.start_host(owner)
--- a/tests/host/test_late_acknowledgements.py
+++ b/tests/host/test_late_acknowledgements.py
@@ -43,6 +43,12 @@
     _check(LatePollDay(seed, max_delay_s=max_delay_s, kills_owners=True))
 
 
+@pytest.mark.parametrize("seed", (30, 33, 34))
+def test_a_late_poll_of_a_frozen_owner_discards_no_unread_end(seed: int) -> None:
+    """Guards against TWICE: a poll of an owner that was frozen with it on its way."""
+    _check(LatePollDay(seed, freezes_owners=True))
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_polls_without_answers_discard_no_unread_end(seed: int) -> None:
     """Guards against TWICE: polls were carried out, and their answers were lost."""
