Ask one predicate whether starts may be sent to an executor

Cause: whether an executor may get new work was answered in two places, the planner's usable executors and the resending of unanswered starts, each from the executor's record. A hall that is evacuated needs one more condition, and it must hold in both. Change: ShardState.admits_starts answers it; takes_work, which placement, offloading, copies, moves, summaries and reports of standing waits use, asks it, and so does the resending. ExecutorState.usable no longer includes it: its callers outside of takes_work are tests of other conditions.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -233,13 +233,21 @@
             return None
         return next(iter(self.incarnations_by_id.get(name, {}).values()), None)
 
+    def admits_starts(self, executor: ExecutorState) -> bool:
+        """Return whether starts may be sent to an executor, whether or not it answers now.
+
+        Every decision to send a start asks this: the first start of a run, a start sent again, and
+        each of them once more right before it is sent.
+        """
+        return executor.record.takes_new_work
+
     def takes_work(self, executor: ExecutorState, now: float) -> bool:
-        """Return whether an executor may get new work.
+        """Return whether an executor may get new work now.
 
         An executor that accepts work beyond its capacity gets none while it has runs that are
         unknown to this owner, as it could become overloaded.
         """
-        if not executor.usable(now):
+        if not (self.admits_starts(executor) and executor.usable(now)):
             return False
         return not executor.unknown_runs or self.guards_room(executor.record.service)
 
@@ -439,7 +447,7 @@
         if attempt.recovered and (len(task.attempts) > 1 or job.requires_ticket):
             # Records neither distinguish a speculative copy from the original nor hold a ticket.
             return False
-        suits = executor.record.takes_new_work and executor.record.service == job.service
+        suits = self.admits_starts(executor) and executor.record.service == job.service
         return suits and attempt.starts < MAX_UNANSWERED_STARTS
 
     def order_stop(self, attempt: Attempt, now: float) -> None:
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -270,12 +270,11 @@
         self._used_gpus += sign * step.demand.gpus
 
     def usable(self, now: float) -> bool:
-        """Return whether it may get new work."""
+        """Return whether it is known to work and answers, so that it could take new work."""
         return (
             self.listed
             and self.rostered
             and self.has_reported
-            and self.record.takes_new_work
             and self.silent_since is None
             and now >= max(self.quarantined_until, self.no_starts_until)
         )
