Follow the operator's records in one place

Cause: ConfigurationWatch owned the reader of the operator's partition and skipped every other key there, so that a second kind of record of the operator had no place. Change: shard/operator holds a follower of the partition (OperatorRecords) and the configuration it delivers (ConfigurationWatch). The adapter describes the partition, its keys and decoders in one value (OperatorFormat).

--- a/bench/first_read.py
+++ b/bench/first_read.py
@@ -18,14 +18,14 @@
 
 from linkspan.events import EventLog
 from linkspan.jobs.job_registry import JOBS, JobRegistry
-from linkspan.platform.records import configuration_from_wire, executor_from_wire
+from linkspan.platform.records import OPERATOR_FORMAT, executor_from_wire
 from linkspan.platform.store import (
-    CONFIG_KEY,
     CONFIG_RECORDS,
     EXECUTOR_RECORDS,
     StoreClient,
 )
-from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
+from linkspan.shard.operator.records import OperatorRecords
+from linkspan.shard.registry import ExecutorRegistry
 
 MAX_FIRST_READ_S = 30.0
 """Limits the time for the first read."""
@@ -66,10 +66,8 @@
         store = StoreClient(session, address)
         job_registry = JobRegistry(store, "bench", log)
         executor_registry = ExecutorRegistry(store, EXECUTOR_RECORDS, executor_from_wire, log)
-        configuration = ConfigurationWatch(
-            store, CONFIG_RECORDS, CONFIG_KEY, configuration_from_wire, log
-        )
-        followers = [job_registry.follower, executor_registry.follower, configuration.follower]
+        operator = OperatorRecords(store, OPERATOR_FORMAT, log)
+        followers = [job_registry.follower, executor_registry.follower, operator.follower]
         follower_tasks = [asyncio.create_task(follower.run()) for follower in followers]
         started_at = time.monotonic()
         queries = [asyncio.create_task(_query_job(job_registry)) for _ in range(callers)]
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -21,14 +21,9 @@
 from linkspan.platform.jobs import JsonCallerFormat
 from linkspan.platform.machines import MachineClient
 from linkspan.platform.readiness import READINESS_PATH
-from linkspan.platform.records import configuration_from_wire, executor_from_wire
+from linkspan.platform.records import OPERATOR_FORMAT, executor_from_wire
 from linkspan.platform.settings import read_settings
-from linkspan.platform.store import (
-    CONFIG_KEY,
-    CONFIG_RECORDS,
-    EXECUTOR_RECORDS,
-    StoreClient,
-)
+from linkspan.platform.store import EXECUTOR_RECORDS, StoreClient
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -174,9 +169,7 @@
         machines=MachineClient(session, settings.machines) if settings.machines else None,
         policy=AdviceClient(session, settings.advice) if settings.advice else None,
         caller_format=JsonCallerFormat(),
-        configuration_records=CONFIG_RECORDS,
-        configuration_key=CONFIG_KEY,
+        operator_format=OPERATOR_FORMAT,
         executor_records=EXECUTOR_RECORDS,
-        decode_configuration=configuration_from_wire,
         decode_executor=executor_from_wire,
     )
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -26,7 +26,7 @@
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
-    from linkspan.shard.registry import ConfigurationWatch
+    from linkspan.shard.operator.configuration import ConfigurationWatch
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -14,7 +14,8 @@
 from linkspan.host.front import Front
 from linkspan.host.shards import ShardChooser
 from linkspan.jobs.job_registry import JobRegistry
-from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
+from linkspan.shard.operator.records import OperatorRecords
+from linkspan.shard.registry import ExecutorRegistry
 from linkspan.store.metered import MeteredStore
 
 if TYPE_CHECKING:
@@ -23,11 +24,11 @@
     from linkspan.events import EventLog
     from linkspan.host.front import CallerFormat
     from linkspan.metrics import HostMetrics
-    from linkspan.model.configuration import Configuration
     from linkspan.model.settings import HostSettings
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
     from linkspan.shard.messages import ExecutorRecord
+    from linkspan.shard.operator.records import OperatorFormat
     from linkspan.shard.ownership.ownership import Claim, Owner
     from linkspan.shard.planning.advice import PolicyService
     from linkspan.shard.tenure import Executors, Tenure
@@ -70,10 +71,8 @@
         machines: Client of the machine service, ``None`` if there is none.
         policy: Client of the placement policy service, ``None`` if there is none.
         caller_format: Format of the requests and responses of callers.
-        configuration_records: Partition that the operator writes the configuration to.
-        configuration_key: Key of the configuration in that partition.
+        operator_format: Partition, keys and decoders of the operator's records.
         executor_records: Partition in which executors register.
-        decode_configuration: Decodes a configuration record.
         decode_executor: Decodes a registration of an executor.
     """
 
@@ -82,10 +81,8 @@
     machines: MachineService | None
     policy: PolicyService | None
     caller_format: CallerFormat
-    configuration_records: Partition
-    configuration_key: bytes
+    operator_format: OperatorFormat
     executor_records: Partition
-    decode_configuration: Callable[[bytes], Configuration]
     decode_executor: Callable[[str, bytes], ExecutorRecord]
 
 
@@ -128,13 +125,8 @@
             log,
             serves=self._serves,
         )
-        self.configuration = ConfigurationWatch(
-            adapter.store,
-            adapter.configuration_records,
-            adapter.configuration_key,
-            adapter.decode_configuration,
-            log,
-        )
+        self._operator_records = OperatorRecords(adapter.store, adapter.operator_format, log)
+        self.configuration = self._operator_records.configuration
         self.candidates = [
             Candidate(
                 adapter.store,
@@ -189,7 +181,7 @@
             ExceptionGroup: A task failed.
         """
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.configuration.follower.run())
+            group.create_task(self._operator_records.follower.run())
             group.create_task(self.job_registry.follower.run())
             group.create_task(self.job_registry.writer.run())
             group.create_task(self.executor_registry.follower.run())
--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -18,8 +18,10 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
+from linkspan.platform.store import CONFIG_KEY, CONFIG_RECORDS
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
+from linkspan.shard.operator.records import OperatorFormat
 
 _IS_DRAINING = {"ready": False, "draining": True}
 """Whether an executor drains, by the ``state`` of its record."""
@@ -71,6 +73,10 @@
     )
 
 
+OPERATOR_FORMAT = OperatorFormat(CONFIG_RECORDS, CONFIG_KEY, configuration_from_wire)
+"""Partition, keys and decoders of the operator's records."""
+
+
 def executor_from_wire(executor_id: str, value: bytes) -> ExecutorRecord:
     """Return the executor that its own record describes.
 
--- a/src/linkspan/shard/_context.py
+++ b/src/linkspan/shard/_context.py
@@ -20,10 +20,11 @@
         StartOrder,
         StopOrder,
     )
+    from linkspan.shard.operator.configuration import ConfigurationWatch
     from linkspan.shard.orders._calls import ExecutorCalls
     from linkspan.shard.ownership._proof import OwnershipProof
     from linkspan.shard.ownership._scope import TaskScope
-    from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
+    from linkspan.shard.registry import ExecutorRegistry
     from linkspan.store.types import Partition, Store
     from linkspan.store.writer import GroupWriter
 
--- /dev/null
+++ b/src/linkspan/shard/operator/records.py
@@ -0,0 +1,73 @@
+"""Follows the records that the operator writes to the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from linkspan.shard._health_log import health_logger
+from linkspan.shard.operator.configuration import ConfigurationWatch
+from linkspan.store.follower import Follower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from linkspan.events import EventLog
+    from linkspan.model.configuration import Configuration
+    from linkspan.store.types import Entry, Partition, Store
+
+READ_WAIT_S = 1.1
+"""Longest time for which a read waits for a new record. A slow store may accept a record while a
+waiting read is on its way, and then does not answer that read early. A configuration must be in
+force within two seconds."""
+
+
+@dataclass(frozen=True)
+class OperatorFormat:
+    """Partition, keys and decoders of the operator's records.
+
+    Attributes:
+        partition: Partition that the operator writes.
+        configuration_key: Key of the configuration.
+        decode_configuration: Decodes the configuration.
+    """
+
+    partition: Partition
+    configuration_key: bytes
+    decode_configuration: Callable[[bytes], Configuration]
+
+
+class OperatorRecords:
+    """Follower of the operator's records.
+
+    Args:
+        store: The platform's store.
+        form: Partition, keys and decoders of the records.
+        log: Event log.
+
+    Attributes:
+        configuration: The configuration in force.
+        follower: Reads the partition.
+    """
+
+    def __init__(self, store: Store, form: OperatorFormat, log: EventLog) -> None:
+        self.configuration = ConfigurationWatch(
+            form.configuration_key, form.decode_configuration, log
+        )
+        self.follower = Follower(
+            store,
+            form.partition,
+            on_entries=self._on_entries,
+            on_reset=self._on_reset,
+            on_health=health_logger(log, form.partition),
+        )
+        self.follower.wait_s = READ_WAIT_S
+
+    def __repr__(self) -> str:
+        return f"OperatorRecords({self.configuration!r})"
+
+    def _on_reset(self, entries: Sequence[Entry], _end: int) -> None:
+        self._on_entries(sorted(entries))
+
+    def _on_entries(self, entries: Sequence[Entry]) -> None:
+        self.configuration.apply(entries)
--- a/src/linkspan/shard/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -1,4 +1,4 @@
-"""Follows the executors' registrations and the operator's configuration in the store."""
+"""Follows the executors' registrations in the store."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from linkspan.clock import steady
 from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
+from linkspan.shard._health_log import health_logger
 from linkspan.store.follower import Follower
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Sequence
 
     from linkspan.events import EventLog
-    from linkspan.model.configuration import Configuration
     from linkspan.shard.messages import ExecutorRecord
     from linkspan.store.types import Entry, Partition, Store
 
@@ -27,21 +27,6 @@
 EXPIRY_CHECK_INTERVAL_S = 0.1
 """Interval between checks for entries that have been missing for the grace time."""
 
-CONFIGURATION_READ_WAIT_S = 1.1
-"""Longest time for which a read waits for a new configuration. A slow store may accept a record
-while a waiting read is on its way, and then does not answer that read early. A configuration must
-be in force within two seconds."""
-
-
-def health_logger(log: EventLog, partition: Partition) -> Callable[[bool], None]:
-    """Return a function that logs whether reads of a partition began to fail or recovered."""
-
-    def log_health(healthy: bool) -> None:
-        event = Event.STORE_BACK if healthy else Event.STORE_DOWN
-        log.write(event, partition=partition.topic)
-
-    return log_health
-
 
 class ExecutorRegistry:
     """The registered executors, by id.
@@ -192,79 +177,3 @@
             return
         self._records[executor_id] = replace(known, confirmed=False)
         self._missing_since.setdefault(executor_id, steady())
-
-
-class ConfigurationWatch:
-    """Source of the newest configuration that the operator has published.
-
-    Args:
-        store: The platform's store.
-        partition: Partition of the configuration.
-        key: Key of the configuration.
-        decode: Decodes the configuration.
-        log: Event log.
-
-    Attributes:
-        follower: Reads the partition.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        partition: Partition,
-        key: bytes,
-        decode: Callable[[bytes], Configuration],
-        log: EventLog,
-    ) -> None:
-        self._key = key
-        self._decode = decode
-        self._log = log
-        self._current: Configuration | None = None
-        self._listeners: list[Callable[[Configuration], None]] = []
-        self.follower = Follower(
-            store,
-            partition,
-            on_entries=self._on_entries,
-            on_reset=self._on_reset,
-            on_health=health_logger(log, partition),
-        )
-        self.follower.wait_s = CONFIGURATION_READ_WAIT_S
-
-    def __repr__(self) -> str:
-        return f"ConfigurationWatch({self._current and self._current.version})"
-
-    @property
-    def current(self) -> Configuration | None:
-        """The configuration in force, ``None`` before the first."""
-        return self._current
-
-    def subscribe(self, listener: Callable[[Configuration], None]) -> Callable[[], None]:
-        """Call a listener with each new configuration; return a function that unsubscribes it."""
-        self._listeners.append(listener)
-        return lambda: self._listeners.remove(listener)
-
-    def _on_reset(self, entries: Sequence[Entry], _end: int) -> None:
-        self._on_entries(sorted(entries))
-
-    def _on_entries(self, entries: Iterable[Entry]) -> None:
-        newest = [entry for entry in entries if entry.key == self._key and entry.value]
-        if newest:
-            self._activate(newest[-1])
-
-    def _activate(self, entry: Entry) -> None:
-        try:
-            configuration = self._decode(entry.value)
-        except RecordError as error:
-            self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
-            return
-        if self._current and configuration.version <= self._current.version:
-            return
-        self._current = configuration
-        self._log.write(
-            Event.CONFIG_IN_FORCE,
-            version=configuration.version,
-            queues=len(configuration.queues),
-            offset=entry.offset,
-        )
-        for listener in list(self._listeners):
-            listener(configuration)
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -47,9 +47,10 @@
     from linkspan.shard._context import Executors
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
+    from linkspan.shard.operator.configuration import ConfigurationWatch
     from linkspan.shard.ownership.ownership import Claim, Owner
     from linkspan.shard.planning.advice import PolicyService
-    from linkspan.shard.registry import ConfigurationWatch, ExecutorRegistry
+    from linkspan.shard.registry import ExecutorRegistry
     from linkspan.store.types import Store
 
 __all__ = ["Executors", "Tenure", "TenureLost"]
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -17,6 +17,7 @@
 from linkspan.platform.jobs import JsonCallerFormat
 from linkspan.platform.records import executor_from_wire
 from linkspan.shard._context import Executors
+from linkspan.shard.operator.records import OperatorFormat
 from linkspan.shard.planning.advice import PolicyService
 from linkspan.store.types import Partition, Store
 from tests.event_recorder import EventRecorder
@@ -90,10 +91,10 @@
             machines=self if self.lists_machines else None,
             policy=self.policy,
             caller_format=JsonCallerFormat(),
-            configuration_records=CONFIGURATION,
-            configuration_key=b"config",
+            operator_format=OperatorFormat(
+                CONFIGURATION, b"config", lambda _value: self.configuration
+            ),
             executor_records=EXECUTORS,
-            decode_configuration=lambda _value: self.configuration,
             decode_executor=executor_from_wire,
         )
         host = Host(
