Start nothing in a hall that the operator evacuates

Cause: the record by which an operator evacuates a hall was not read; its key was skipped. Change: EvacuationWatch keeps the evacuations in force, from the same reads as the configuration. The shard's owner has its hall's evacuation in its state, and the one predicate about starts (admits_starts) asks for it: placement, copies, moves, resent starts, inherited starts, delegated tasks and, once more, right before a start is sent. A new owner reads the operator's records before it starts anything. Reports, leases, paces and stops go on. Reasons, events 573 to 576 and a gauge say so.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -109,6 +109,20 @@
     WORKER_SILENT = 431, logging.WARNING, "worker does not respond", "check the worker"
     HALL_LOST = 432, logging.WARNING, "queue of an unreachable hall taken over", "check the hall"
     LEAD_CHANGED = 440, logging.INFO, "placement taken over or handed off", "nothing"
+    EVACUATION_IN_FORCE = (
+        573,
+        logging.INFO,
+        "evacuation of a hall in force; nothing more is started there",
+        "see OPERATIONS.md, evacuating a hall",
+    )
+    EVACUATION_ENDED = 574, logging.INFO, "evacuation of a hall withdrawn", "nothing"
+    HALL_EVACUATED = (
+        575,
+        logging.INFO,
+        "owner starts nothing more in its evacuated hall",
+        "see OPERATIONS.md, evacuating a hall; the counts say what is left there",
+    )
+    HALL_REOPENED = 576, logging.INFO, "owner starts work in its hall again", "nothing"
     OWNER_CLAIMED = 500, logging.INFO, "shard claimed with a new fencing token", "nothing"
     OWNER_RECOVERED = 501, logging.INFO, "shard's state read after a claim", "nothing"
     OWNER_LOST = 502, logging.WARNING, "shard given up", "nothing; another host owns it"
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -125,8 +125,10 @@
             log,
             serves=self._serves,
         )
-        self._operator_records = OperatorRecords(adapter.store, adapter.operator_format, log)
-        self.configuration = self._operator_records.configuration
+        self.operator_records = OperatorRecords(
+            adapter.store, adapter.operator_format, settings.halls, log
+        )
+        self.configuration = self.operator_records.configuration
         self.candidates = [
             Candidate(
                 adapter.store,
@@ -145,7 +147,11 @@
             self.job_registry,
             self.configuration,
             adapter.caller_format,
-            choose_shard=ShardChooser(settings, self._summary_of).choose,
+            choose_shard=ShardChooser(
+                settings,
+                self._summary_of,
+                evacuated=lambda hall: self.operator_records.evacuations.of(hall) is not None,
+            ).choose,
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
             log=log,
@@ -155,6 +161,7 @@
         self.executor_registry.pause()
         self.executor_registry.on_change = self._on_executors
         self.configuration.subscribe(lambda _configuration: self._on_executors())
+        self.operator_records.evacuations.subscribe(self._on_evacuations)
 
     def __repr__(self) -> str:
         return f"Host({self._settings.name!r})"
@@ -181,7 +188,7 @@
             ExceptionGroup: A task failed.
         """
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._operator_records.follower.run())
+            group.create_task(self.operator_records.follower.run())
             group.create_task(self.job_registry.follower.run())
             group.create_task(self.job_registry.writer.run())
             group.create_task(self.executor_registry.follower.run())
@@ -233,7 +240,7 @@
             policy=self._adapter.policy,
             job_registry=self.job_registry,
             executor_registry=self.executor_registry,
-            configuration=self.configuration,
+            operator_records=self.operator_records,
             shard=shard,
             summary_of=self._summary_of,
             log=self._log,
@@ -289,6 +296,13 @@
             if candidate.tenure:
                 candidate.tenure.adopt(summary)
 
+    def _on_evacuations(self, halls: frozenset[str]) -> None:
+        evacuated = len(self.operator_records.evacuations.current)
+        self._metrics.set_count("evacuated_halls", evacuated)
+        for candidate, hall in zip(self.candidates, self._settings.halls, strict=True):
+            if hall in halls:
+                candidate.share_summary()
+
     def _on_executors(self) -> None:
         for candidate in self.candidates:
             if candidate.tenure:
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -52,6 +52,10 @@
         """Set a gauge to a duration in seconds."""
         self._gauges[f"linkspan_{name}_seconds"].set(labels, seconds)
 
+    def set_count(self, name: str, count: int, **labels: str) -> None:
+        """Set a gauge whose name ends with the unit that it counts."""
+        self._gauges[f"linkspan_{name}"].set(labels, count)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         key = name, tuple(labels.items())
@@ -92,6 +96,7 @@
 }
 
 _GAUGES = {
+    "linkspan_evacuated_halls": "Halls whose evacuation is in force",
     "linkspan_standing_wait_seconds": "Longest time without a run of a standing task",
 }
 
--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -18,7 +18,7 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
-from linkspan.platform.store import CONFIG_KEY, CONFIG_RECORDS
+from linkspan.platform.store import CONFIG_KEY, CONFIG_RECORDS, EVACUATION_KEY_PREFIX
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.operator.records import OperatorFormat
@@ -73,7 +73,19 @@
     )
 
 
-OPERATOR_FORMAT = OperatorFormat(CONFIG_RECORDS, CONFIG_KEY, configuration_from_wire)
+def evacuated_hall_from_wire(key: bytes) -> str | None:
+    """Return the hall whose evacuation a key of the operator stands for, ``None`` for others.
+
+    The record under the key says nothing more.
+    """
+    if not key.startswith(EVACUATION_KEY_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_KEY_PREFIX).decode(errors="replace")
+
+
+OPERATOR_FORMAT = OperatorFormat(
+    CONFIG_RECORDS, CONFIG_KEY, configuration_from_wire, evacuated_hall_from_wire
+)
 """Partition, keys and decoders of the operator's records."""
 
 
--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -30,7 +30,7 @@
     from linkspan.store.types import Producer, Record
 
 CONFIG_RECORDS = Partition("op", keyed=True)
-"""Partition that the operator writes: the configuration and maintenance waves."""
+"""Partition that the operator writes: the configuration, evacuations and maintenance waves."""
 
 EXECUTOR_RECORDS = Partition("servers", keyed=True)
 """Partition in which each executor registers itself under its id."""
@@ -38,6 +38,9 @@
 CONFIG_KEY = b"config"
 """Key of the configuration among the operator's records."""
 
+EVACUATION_KEY_PREFIX = b"evacuate/"
+"""Prefix of the keys of evacuations among the operator's records; the rest names the hall."""
+
 _RECORD_LENGTH = Struct(">I")
 _PAGE_HEADER = Struct(">QQ")
 
--- a/src/linkspan/shard/_context.py
+++ b/src/linkspan/shard/_context.py
@@ -20,7 +20,7 @@
         StartOrder,
         StopOrder,
     )
-    from linkspan.shard.operator.configuration import ConfigurationWatch
+    from linkspan.shard.operator.records import OperatorRecords
     from linkspan.shard.orders._calls import ExecutorCalls
     from linkspan.shard.ownership._proof import OwnershipProof
     from linkspan.shard.ownership._scope import TaskScope
@@ -101,7 +101,7 @@
         machines: Client of the machine service, ``None`` where the platform has none.
         job_registry: All jobs known to this host.
         executor_registry: The registered executors.
-        configuration: Source of the configuration in force.
+        operator_records: Source of the configuration and the evacuations in force.
         log: Event log.
         metrics: The host's metrics.
         core: The shard's state and decisions.
@@ -120,7 +120,7 @@
     machines: MachineService | None
     job_registry: JobRegistry
     executor_registry: ExecutorRegistry
-    configuration: ConfigurationWatch
+    operator_records: OperatorRecords
     log: EventLog
     metrics: HostMetrics
     core: ShardCore
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -22,6 +22,7 @@
     from collections.abc import Callable, Iterable
 
     from linkspan.model.configuration import Configuration
+    from linkspan.model.evacuation import Evacuation
     from linkspan.model.settings import Bounds
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.crash_history import CrashHistory
@@ -77,6 +78,7 @@
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
         configuration: The configuration in force, ``None`` before the first.
+        evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
         orders: Orders to send, in order.
         finished: Final records to write.
         begun: Jobs whose first task was started, to be announced.
@@ -123,6 +125,7 @@
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
         self.configuration: Configuration | None = None
+        self.evacuation: Evacuation | None = None
         self.orders: list[Order] = []
         self.finished: list[Finished] = []
         self.begun: list[str] = []
@@ -239,7 +242,7 @@
         Every decision to send a start asks this: the first start of a run, a start sent again, and
         each of them once more right before it is sent.
         """
-        return executor.record.takes_new_work
+        return self.evacuation is None and executor.record.takes_new_work
 
     def takes_work(self, executor: ExecutorState, now: float) -> bool:
         """Return whether an executor may get new work now.
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -29,6 +29,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from linkspan.events import Event
 from linkspan.shard._shard_state import Order, ShardState
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.handover._delegations import Delegations
@@ -46,6 +47,7 @@
 
     from linkspan.jobs.records import Delegation, Submitted
     from linkspan.model.configuration import Configuration
+    from linkspan.model.evacuation import Evacuation
     from linkspan.model.settings import Bounds
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
@@ -265,6 +267,28 @@
         """Apply a new configuration to all jobs."""
         self._intake.configure(configuration)
 
+    def evacuate(self, evacuation: Evacuation | None, now: float) -> None:
+        """Apply the evacuation of the hall that is in force, or ``None`` after its end.
+
+        What runs in the hall goes on; only starts depend on it, by :meth:`admits_starts`.
+        """
+        former, self.evacuation = self.evacuation, evacuation
+        if evacuation == former:
+            return
+        attempts = [a for e in self.executors.values() for a in e.attempts.values()]
+        counts = {
+            "running": len(attempts),
+            "waiting": sum(len(step.pending()) for step in self.ready),
+            "shard": self.shard,
+            "token": self.token,
+        }
+        if former:
+            lasted_s = round(now - former.read_at, 2)
+            self.log(Event.HALL_REOPENED, offset=former.offset, lasted_s=lasted_s, **counts)
+        if evacuation:
+            fields = evacuation.log_fields(now)
+            self.log(Event.HALL_EVACUATED, **fields, **counts)
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job, unless its final state is already decided."""
         self._intake.cancel_job(job_id)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -139,6 +139,8 @@
         # found since the plan may be enough to give the task up.
         if attempt is None or attempt.phase is not Phase.STARTING or attempt.task.decision_pending:
             return False
+        if not self._core.admits_starts(executor):
+            return False
         if executor.silent_since is not None:
             # An unanswered start would bind the task to this executor.
             return False
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -48,6 +48,7 @@
     REFUSED = "its last start was refused"
     DECISION = "it may have to be given up"
     RECORD = "its crashes are not on record"
+    EVACUATED = "its hall is evacuated"
     NO_EXECUTORS = "no executor of its service takes work"
     CAPACITY = "no executor can take it"
 
@@ -167,6 +168,8 @@
         return WaitReason.RECORD
     if task.not_before > now:
         return WaitReason.REFUSED
+    if core.evacuation:
+        return WaitReason.EVACUATED
     executors = core.executors.values()
     usable = (e for e in executors if e.record.service == job.service and core.takes_work(e, now))
     return WaitReason.CAPACITY if any(usable) else WaitReason.NO_EXECUTORS
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -38,6 +38,7 @@
     def __init__(self, core: ShardCore) -> None:
         self._core = core
         self._blocked_logged: set[StepRun] = set()
+        self._evacuation = core.evacuation
 
     def __repr__(self) -> str:
         return f"Planner({self._core!r})"
@@ -51,6 +52,7 @@
         """
         core = self._core
         view = PlanView(core, BestEffortCapacity(core.interference, now, wall), now)
+        self._track_evacuation()
         core.release_due(wall, now)
         core.remove_finished_tasks()
         Moves(view).add_orders()
@@ -59,6 +61,12 @@
                 self._place_step(step, waiting, view)
         SpeculativeCopies(view).add_orders()
 
+    def _track_evacuation(self) -> None:
+        """Log again why steps wait after an evacuation has begun or ended."""
+        if self._core.evacuation != self._evacuation:
+            self._evacuation = self._core.evacuation
+            self._blocked_logged.clear()
+
     def _steps_by_urgency(self, wall: float) -> list[tuple[StepRun, list[Task]]]:
         """Return the steps with pending tasks by urgency, each with these tasks."""
         ready = self._core.ready
@@ -80,6 +88,8 @@
             return
         placement = view.placement(step)
         if not placement.executors:
+            if self._core.evacuation:
+                self._log_blocked(step, pending, against={"hall is evacuated": len(pending)})
             return
         if step.run.job.requires_ticket:
             self._require_tickets(placement)
@@ -238,13 +248,20 @@
             )
             self._blocked_logged.discard(step)
         elif step not in self._blocked_logged:
-            self._blocked_logged.add(step)
-            self._core.log(
-                Event.STEP_BLOCKED,
-                job=job.job_id,
-                step=f"{step.run.repetition}.{step.index}",
-                pending=len(pending),
-                milli_cpu=step.spec.demand.milli_cpu,
-                memory_mb=step.spec.demand.memory_mb,
-                **blocked_fields(placement, pending[0], view.held_cores()),
-            )
+            fields = blocked_fields(placement, pending[0], view.held_cores())
+            self._log_blocked(step, pending, **fields)
+
+    def _log_blocked(self, step: StepRun, pending: list[Task], **why: object) -> None:
+        """Log, once until its next start, why a step's tasks wait."""
+        if step in self._blocked_logged:
+            return
+        self._blocked_logged.add(step)
+        self._core.log(
+            Event.STEP_BLOCKED,
+            job=step.run.job.job_id,
+            step=f"{step.run.repetition}.{step.index}",
+            pending=len(pending),
+            milli_cpu=step.spec.demand.milli_cpu,
+            memory_mb=step.spec.demand.memory_mb,
+            **why,
+        )
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -54,7 +54,7 @@
         self._partition = context.partition
         self._job_registry = context.job_registry
         self._executor_registry = context.executor_registry
-        self._configuration = context.configuration
+        self._operator_records = context.operator_records
         self._log = context.log
         self._metrics = context.metrics
         self._writer = context.writer
@@ -84,13 +84,17 @@
         """
         await self._retry_until_answered(self._fence_former)
         records = await self._read_progress()
-        await self._retry_until_answered(self._executor_registry.follower.sync)
+        await asyncio.gather(
+            self._retry_until_answered(self._operator_records.follower.sync),
+            self._retry_until_answered(self._executor_registry.follower.sync),
+        )
         # Synchronized last, so that no job is added from an outdated view of the jobs.
         await self._retry_until_answered(self._job_registry.follower.sync)
         now = steady()
         core = self._core
-        if self._configuration.current:
-            core.configure(self._configuration.current)
+        if configuration := self._operator_records.configuration.current:
+            core.configure(configuration)
+        core.evacuate(self._operator_records.evacuations.of(self._hall), now)
         leases_expire_at = inherited_lease_expiry(
             self._proof.claimed_at,
             self._former_owners_remaining_s,
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -47,7 +47,7 @@
     from linkspan.shard._context import Executors
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.machines import MachineService
-    from linkspan.shard.operator.configuration import ConfigurationWatch
+    from linkspan.shard.operator.records import OperatorRecords
     from linkspan.shard.ownership.ownership import Claim, Owner
     from linkspan.shard.planning.advice import PolicyService
     from linkspan.shard.registry import ExecutorRegistry
@@ -72,7 +72,7 @@
         policy: Client of the placement policies' service, ``None`` where the platform has none.
         job_registry: All jobs known to this host.
         executor_registry: The registered executors.
-        configuration: Source of the configuration in force.
+        operator_records: Source of the configuration and the evacuations in force.
         shard: Number of the shard.
         summary_of: Returns the summary that the owner of a shard last published.
         log: Event log.
@@ -91,7 +91,7 @@
         policy: PolicyService | None,
         job_registry: JobRegistry,
         executor_registry: ExecutorRegistry,
-        configuration: ConfigurationWatch,
+        operator_records: OperatorRecords,
         shard: int,
         summary_of: Callable[[int], HallSummary | None],
         log: EventLog,
@@ -105,7 +105,7 @@
         self._shard = shard
         self._job_registry = job_registry
         self._executor_registry = executor_registry
-        self._configuration = configuration
+        self._operator_records = operator_records
         self._log = log
         self._core = core
         self._writer = GroupWriter(store, partition, name="owner", epoch=owner.token)
@@ -127,7 +127,7 @@
             machines=machines,
             job_registry=job_registry,
             executor_registry=executor_registry,
-            configuration=configuration,
+            operator_records=operator_records,
             log=log,
             metrics=metrics,
             core=core,
@@ -182,7 +182,8 @@
         scope = self._scope
         unsubscribers = [
             self._job_registry.subscribe(self._on_job),
-            self._configuration.subscribe(self._on_configuration),
+            self._operator_records.configuration.subscribe(self._on_configuration),
+            self._operator_records.evacuations.subscribe(self._on_evacuations),
         ]
         try:
             async with asyncio.TaskGroup() as group:
@@ -249,6 +250,11 @@
         self._core.configure(configuration)
         self._changes.notify()
 
+    def _on_evacuations(self, halls: frozenset[str]) -> None:
+        if self._recovery.done and self._hall in halls:
+            self._core.evacuate(self._operator_records.evacuations.of(self._hall), steady())
+            self._changes.notify()
+
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -15,18 +15,20 @@
 from linkspan.model.configuration import Configuration, Service
 from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 from linkspan.platform.jobs import JsonCallerFormat
-from linkspan.platform.records import executor_from_wire
+from linkspan.platform.records import evacuated_hall_from_wire, executor_from_wire
 from linkspan.shard._context import Executors
+from linkspan.shard.messages import TaskName
 from linkspan.shard.operator.records import OperatorFormat
 from linkspan.shard.planning.advice import PolicyService
 from linkspan.store.types import Partition, Store
+from tests.evacuations import Evacuations
 from tests.event_recorder import EventRecorder
 from tests.hall_callers import HallCallers
 from tests.hall_executors import EXECUTORS, HallExecutors
 from tests.running_host import RunningHost
-from tests.standins.memory_executor import ExecutorLink
+from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import StoreLink
-from tests.virtual_time import HOST, virtual_loop
+from tests.virtual_time import HOST, virtual_loop, world_time
 
 CONFIGURATION = Partition("operator", keyed=True)
 
@@ -45,6 +47,7 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.log = EventRecorder()
+        self.evacuations = Evacuations(self)
 
     @property
     def problems(self) -> list[str]:
@@ -67,6 +70,7 @@
                 self.add_executor(hall, f"{hall}-{index}:1")
         self._beats = asyncio.create_task(self.beat())
         self._checks = asyncio.create_task(self.check_cancelled())
+        self._samples = asyncio.create_task(self.evacuations.sample_faults())
         for name, _ in self.host_names():
             self.start_host(name)
         await asyncio.sleep(2.0)
@@ -76,6 +80,22 @@
         version = str(self.configuration.version).encode()
         self.store.put(CONFIGURATION, b"config", version)
 
+    def evacuate(self, hall: str, value: bytes = b"{}") -> None:
+        """Write the operator's record that evacuates a hall."""
+        self.store.put(CONFIGURATION, f"evacuate/{hall}".encode(), value)
+        self.evacuations.begin(hall)
+
+    def reopen(self, hall: str) -> None:
+        """Withdraw the evacuation of a hall."""
+        self.store.put(CONFIGURATION, f"evacuate/{hall}".encode(), b"")
+        self.evacuations.end(hall)
+
+    def judge_prompt_start(self, executor: MemoryExecutor, task: TaskName) -> None:
+        """Judge a start that was carried out without delay."""
+        super().judge_prompt_start(executor, task)
+        broken = self.evacuations.on_start(executor)
+        self.violations += [f"{world_time():.2f} {line} of {task}" for line in broken]
+
     def host_names(self) -> list[tuple[str, str]]:
         return [(f"{h}-host-{i}", h) for h in self.halls for i in range(self.hosts_per_hall)]
 
@@ -92,7 +112,10 @@
             policy=self.policy,
             caller_format=JsonCallerFormat(),
             operator_format=OperatorFormat(
-                CONFIGURATION, b"config", lambda _value: self.configuration
+                CONFIGURATION,
+                b"config",
+                lambda _value: self.configuration,
+                evacuated_hall_from_wire,
             ),
             executor_records=EXECUTORS,
             decode_executor=executor_from_wire,
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -108,7 +108,7 @@
                 self.violations.append(f"{now:.2f} ORDER {task}")
         self.violations += [f"{now:.2f} {line}" for line in self.budget.on_start(task)]
 
-    def judge_start_of_cancelled(self, task: TaskName) -> None:
+    def judge_prompt_start(self, _executor: MemoryExecutor, task: TaskName) -> None:
         """Judge a start that was carried out without delay, in case its job was cancelled."""
         now = world_time()
         if now > self._cancel_counts_from(task.job_id) + CANCEL_S:
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -235,7 +235,7 @@
             await self._no_answer()
         outcome = executor.start(order, until_s, self._token)
         if outcome is StartOutcome.STARTED:
-            self._world.judge_start_of_cancelled(order.task)
+            self._world.judge_prompt_start(executor, order.task)
         await self._answer()
         if not executor.alive:
             # The executor crashed before it sent its answer.
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -49,6 +49,7 @@
     Attributes:
         refusing: Hosts whose calls are refused.
         silent: Hosts whose calls are neither carried out nor answered.
+        silent_topics: Topics of which a host's reads are not answered, by host.
         read_duration_s: Duration of answers to reads in seconds, by host and topic.
         lost_answer_share: Probability that an append is carried out but not answered.
         late: Whether appends without an answer are carried out seconds later.
@@ -61,6 +62,7 @@
         self.random = Random(seed)
         self.refusing: set[str] = set()
         self.silent: set[str] = set()
+        self.silent_topics: defaultdict[str, set[str]] = defaultdict(set)
         self.read_duration_s: dict[tuple[str, str], float] = {}
         self.lost_answer_share = 0.0
         self.late = False
@@ -186,7 +188,7 @@
         raise StoreUnanswered("answer lost")
 
     async def read(self, partition: Partition, start: int, *, wait_s: float = 0.0) -> Page:
-        await self._reach()
+        await self._reach(reads=partition.topic)
         log = self._store.log(partition)
         if start < log.first:
             raise LogGap(log.first)
@@ -199,7 +201,7 @@
                 page = Page((), log.end)
                 await self._send_answer(partition)
                 return page
-            await self._reach()
+            await self._reach(reads=partition.topic)
         page = Page(tuple(log.entries[start : start + self.read_records]), log.end)
         await self._send_answer(partition)
         return page
@@ -230,7 +232,7 @@
     ) -> KeyPage:
         delays = self._store.page_delays[self._host, partition]
         await asyncio.sleep(delays.pop(0) if delays else 0.0)
-        await self._reach()
+        await self._reach(reads=partition.topic)
         log = self._store.log(partition)
         newest = {entry.key: entry for entry in log.entries if entry.key > (after or b"")}
         rows = sorted((e for e in newest.values() if e.value), key=lambda e: e.key)
@@ -242,10 +244,10 @@
         duration_s = self._store.read_duration_s.get((self._host, partition.topic), 0.0)
         await asyncio.sleep(max(ANSWER_S / 2, duration_s))
 
-    async def _reach(self) -> None:
+    async def _reach(self, *, reads: str = "") -> None:
         await asyncio.sleep(ANSWER_S / 2)
         if self._host in self._store.refusing:
             raise StoreRefused(503)
-        if self._host in self._store.silent:
+        if self._host in self._store.silent or reads in self._store.silent_topics[self._host]:
             await asyncio.sleep(TIMEOUT_S)
             raise StoreUnanswered("silence")
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -60,6 +60,10 @@
         """Return the total duration of a host's suspensions that ended."""
         return self._suspended_s[host]
 
+    def is_frozen(self, host: str) -> bool:
+        """Return whether a host is frozen or suspended."""
+        return host in self._frozen
+
     def freeze(self, host: str) -> None:
         """Defer all callbacks of a host, as when its process is stopped."""
         self._frozen.add(host)
