Send the work of an evacuated hall elsewhere, and take it back at once

Cause: with nothing started there, an evacuated hall still got its share of new jobs, and those that waited in it waited out the delays of a hall that may free capacity by itself. Change: hosts choose another hall for new jobs unless only the evacuated one can run them; its owner hands over jobs that have not begun, delegates standing tasks and returns delegated ones without delay, to the least loaded hall even if none has room; no hall gives work to an evacuated one. Owners publish their summary at once when an evacuation begins or ends, and other hosts read it 0.3 s later. The chooser compares runnable steps and steps with data as two numbers in place of one weighted sum.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -47,6 +47,9 @@
 name the owner, and one of them includes the summary of the hall. The records of a day take
 megabytes, which all hosts would request at once when they start together."""
 
+SUMMARY_READ_DELAY_S = 0.3
+"""Time from a change that every owner publishes at once, in seconds, until other hosts read it."""
+
 CRASH_PAUSE_S = 1.0
 """Pause after a tenure failed, in seconds, so that a persistent error causes no busy loop."""
 
@@ -117,6 +120,7 @@
         self._renewals = 0
         self._last_claim = Claim(float("-inf"), MAX_UNPROVED_S)
         self._enabled = asyncio.Event()
+        self._summary_outdated = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"Candidate(shard={self._shard}, {self._view!r})"
@@ -140,6 +144,10 @@
         """Allow claims, once this host has read the configuration and the jobs."""
         self._enabled.set()
 
+    def share_summary(self) -> None:
+        """Publish the hall's summary at once as its owner; as another host, read it soon."""
+        self._summary_outdated.set()
+
     async def run(self) -> None:
         """Follow the ownership and claim the shard when it is due, until cancelled."""
         try:
@@ -147,6 +155,7 @@
                 group.create_task(self._follower.run())
                 group.create_task(self._claim_loop(group))
                 group.create_task(self._renew_loop())
+                group.create_task(self._share_summary_loop())
         finally:
             # Without the follower, the tenure would not learn of a newer owner and would keep
             # sending orders.
@@ -286,23 +295,33 @@
     async def _renew_loop(self) -> None:
         while True:
             await asyncio.sleep(RENEWAL_INTERVAL_S)
-            if self._tenure is None:
-                continue
-            self._renewed_at[self._renewals + 1] = steady()
-            try:
-                await self._append(OwnerAct.RENEW)
-            except (StoreRefused, StoreUnanswered):
-                # The tenure itself limits how long it continues without a confirmed renewal.
+            if self._tenure is not None:
+                with_summary = (self._renewals + 1) % RENEWALS_PER_SUMMARY == 0
+                await self._renew(with_summary=with_summary)
+
+    async def _share_summary_loop(self) -> None:
+        while True:
+            await self._summary_outdated.wait()
+            self._summary_outdated.clear()
+            if self._tenure is not None:
+                await self._renew(with_summary=True)
                 continue
+            await asyncio.sleep(SUMMARY_READ_DELAY_S)
+            with suppress(StoreRefused, StoreUnanswered):
+                await self._follower.sync()
+
+    async def _renew(self, *, with_summary: bool) -> None:
+        self._renewed_at[self._renewals + 1] = steady()
+        # The tenure itself limits how long it continues without a confirmed renewal.
+        with suppress(StoreRefused, StoreUnanswered):
+            await self._append(OwnerAct.RENEW, with_summary=with_summary)
 
-    async def _append(self, act: OwnerAct) -> None:
+    async def _append(self, act: OwnerAct, *, with_summary: bool = False) -> None:
         owner = self._view.owner
         if owner is None or not self._view.mine:
             return
         self._renewals += 1
-        summary = None
-        if self._tenure and self._renewals % RENEWALS_PER_SUMMARY == 0:
-            summary = self._tenure.summary()
+        summary = self._tenure.summary() if self._tenure and with_summary else None
         record = OwnerRecord(
             act, self._host, self._incarnation, self._view.claim_token, self._renewals, summary
         )
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -35,10 +35,6 @@
 """Score bonus of this host's hall, whose callers still reach it when the hall is cut off."""
 
 
-RUNNABLE_STEP_SCORE = 100
-"""Score of a step that a hall can run, relative to 1 for having the step's data in the rack."""
-
-
 class _Kind(Enum):
     """Kind of work, which determines how the hall of a job is chosen."""
 
@@ -47,6 +43,18 @@
     BEST_EFFORT = "best effort"
 
 
+class _Eligibility(NamedTuple):
+    """How much of a job a hall can run; the greater, the better.
+
+    Attributes:
+        runnable: Number of the job's steps that its executors can run.
+        with_data: Number of these steps whose data is in one of its racks.
+    """
+
+    runnable: int
+    with_data: int
+
+
 class _Choice(NamedTuple):
     """A recent choice that the summaries may not include yet.
 
@@ -73,14 +81,18 @@
     Args:
         settings: Settings of the host.
         summary_of: Returns the last summary that the owner of a shard published, ``None`` if none.
+        evacuated: Returns whether a hall is evacuated.
     """
 
     def __init__(
         self,
         settings: HostSettings,
         summary_of: Callable[[int], HallSummary | None],
+        *,
+        evacuated: Callable[[str], bool] = lambda _hall: False,
     ) -> None:
         self._settings = settings
+        self._evacuated = evacuated
         self._summary_of = summary_of
         self._choices: deque[_Choice] = deque()
 
@@ -114,24 +126,35 @@
         return shards[0]
 
     def _eligible_shards(self, spec: JobSpec, queue: Queue) -> list[int]:
-        """Return the shards whose executors can run most of the job, this host's hall first."""
+        """Return the shards whose executors can run most of the job, this host's hall first.
+
+        An evacuated hall is among them only if its executors can run more steps than all others.
+        """
         home = self._settings.shard
         shards = [home, *(s for s in range(len(self._settings.halls)) if s != home)]
-        scores = {shard: self._eligibility(spec, queue.service, shard) for shard in shards}
-        best = max(scores.values())
-        return [shard for shard in shards if scores[shard] == best]
+        found = {shard: self._eligibility(spec, queue.service, shard) for shard in shards}
+        runnable = max(eligibility.runnable for eligibility in found.values())
+        takes_work = [s for s in shards if not self._evacuated(self._settings.halls[s])]
+        if any(found[shard].runnable == runnable for shard in takes_work):
+            shards = takes_work
+        best = max(found[shard] for shard in shards)
+        return [shard for shard in shards if found[shard] == best]
 
-    def _eligibility(self, spec: JobSpec, service: str, shard: int) -> int:
-        """Return a score of how many steps a hall can run and for how many it has the data.
+    def _eligibility(self, spec: JobSpec, service: str, shard: int) -> _Eligibility:
+        """Return how many steps of a job a hall can run and for how many it has the data.
 
         A hall without a summary counts as able to run all steps: its owner hands over jobs that
         the hall cannot run.
         """
         summary = self._summary_of(shard)
         if summary is None or summary.kinds is None:
-            return RUNNABLE_STEP_SCORE * len(spec.steps)
+            return _Eligibility(len(spec.steps), 0)
         kinds = [kind for kind in summary.kinds if kind.service == service]
-        return sum(_step_eligibility(step, kinds) for step in spec.steps)
+        suitable = [[kind for kind in kinds if can_run(step, kind)] for step in spec.steps]
+        return _Eligibility(
+            sum(bool(found) for found in suitable),
+            sum(map(_has_data, spec.steps, suitable)),
+        )
 
     def _standing_score(self, spec: JobSpec, shard: int) -> float:
         local = self._local_bonus(shard)
@@ -203,7 +226,5 @@
     )
 
 
-def _step_eligibility(step: StepSpec, kinds: list[ExecutorKind]) -> int:
-    suitable = [kind for kind in kinds if can_run(step, kind)]
-    has_data = any(step.data_rack in kind.labels for kind in suitable) if step.data_rack else False
-    return (RUNNABLE_STEP_SCORE if suitable else 0) + has_data
+def _has_data(step: StepSpec, kinds: list[ExecutorKind]) -> bool:
+    return bool(step.data_rack) and any(step.data_rack in kind.labels for kind in kinds)
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -46,6 +46,7 @@
         self._log = context.log
         self._settings = context.settings
         self._job_registry = context.job_registry
+        self._evacuations = context.operator_records.evacuations
         self._writer = context.writer
         self._scope = context.scope
         self._proof = context.proof
@@ -131,10 +132,13 @@
         )
 
     def _other_summaries(self) -> dict[int, HallSummary]:
+        """Return the summaries of the other halls that may get work."""
         return {
             shard: summary
-            for shard in range(len(self._settings.halls))
-            if shard != self._shard and (summary := self._summary_of(shard)) is not None
+            for shard, hall in enumerate(self._settings.halls)
+            if shard != self._shard
+            and self._evacuations.of(hall) is None
+            and (summary := self._summary_of(shard)) is not None
         }
 
     def _count_capable(self, shard: int, step: StepSpec, service: str) -> int:
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -109,11 +109,7 @@
         self, step: StepRun, own: HallSummary, halls: dict[int, HallSummary], now: float
     ) -> Handover | None:
         job = step.run.job
-        wait_s = (
-            HANDOVER_WAIT_S
-            if step.spec.best_effort or step.spec.standing
-            else SHORT_TASK_HANDOVER_WAIT_S
-        )
+        wait_s = self._wait_s(step.spec)
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
         undecided = (t for t in step.tasks if t.pending and not t.decision_pending)
@@ -127,17 +123,30 @@
             return self._return(job, step, pending, now)
         if not (job.begun or job.moved or job.has_delegations):
             move = self._move(job, own, halls)
-            if move or now - min(t.ready_since for t in pending) < WHOLE_MOVE_WAIT_S:
+            if move or now - min(t.ready_since for t in pending) < self._whole_move_wait_s():
                 return move
         if step.spec.standing and not step.spec.gang:
             return self._delegate(job, step, pending, halls)
         return None
 
+    def _wait_s(self, step: StepSpec) -> float:
+        """Return how long a step's tasks wait for capacity in this hall before a handover."""
+        if self._core.evacuation:
+            return 0.0
+        if step.best_effort or step.standing:
+            return HANDOVER_WAIT_S
+        return SHORT_TASK_HANDOVER_WAIT_S
+
+    def _whole_move_wait_s(self) -> float:
+        """Return how long a job that has not begun waits for a hall that takes all of it."""
+        return 0.0 if self._core.evacuation else WHOLE_MOVE_WAIT_S
+
     def _return(
         self, job: ShardJob, step: StepRun, pending: list[Task], now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        overdue = [task for task in pending if now - task.ready_since >= RETURN_DELAY_S]
+        delay_s = 0.0 if self._core.evacuation else RETURN_DELAY_S
+        overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if not overdue:
             return None
         tasks = tuple((step.index, task.name.index) for task in overdue)
@@ -147,25 +156,51 @@
         self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary]
     ) -> Handover | None:
         steps = job.spec.steps
-        need = max(step.count * step.demand.milli_cpu for step in steps)
-        best_effort = any(step.best_effort for step in steps)
-        standing = job.spec.standing
-        for shard, hall in sorted(halls.items(), key=lambda item: -_free_cpu(item[1])):
-            if not all(self._can_run_all(shard, step, job) for step in steps):
-                continue
-            if best_effort:
-                if _load(hall) + need / max(hall.capacity, 1) + MIN_LOAD_DIFFERENCE > _load(own):
-                    continue
+        capable = [s for s in halls if all(self._can_run_all(s, step, job) for step in steps)]
+        capable.sort(key=lambda shard: -_free_cpu(halls[shard]))
+        if any(step.best_effort for step in steps):
+            return self._move_best_effort(job, own, halls, capable)
+        return self._move_reserved(job, halls, capable)
+
+    def _move_best_effort(
+        self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary], capable: list[int]
+    ) -> Handover | None:
+        """Return the move of a job to a hall with less best-effort work.
+
+        Any hall will do for a job in an evacuated hall, the one with the least such work first.
+        """
+        need = _widest_cpu(job)
+        if self._core.evacuation:
+            capable.sort(key=lambda shard: _load(halls[shard]))
+        for shard in capable:
+            hall = halls[shard]
+            load = _load(hall) + need / max(hall.capacity, 1)
+            if self._core.evacuation or load + MIN_LOAD_DIFFERENCE <= _load(own):
                 halls[shard] = replace(hall, waiting=hall.waiting + need)
-            else:
-                if hall.queued or _free_cpu(hall, standing=standing) < need:
-                    continue
-                if not all(hall.slots(step.demand) >= _min_slots(step) for step in steps):
-                    continue
-                halls[shard] = replace(hall, free=hall.free - need)
-            return Handover(job.job_id, shard, None)
+                return Handover(job.job_id, shard, None)
         return None
 
+    def _move_reserved(
+        self, job: ShardJob, halls: dict[int, HallSummary], capable: list[int]
+    ) -> Handover | None:
+        """Return the move of a job to a hall that has capacity for it now.
+
+        If none has, a short job in an evacuated hall moves to the hall with the shortest queue.
+        """
+        need = _widest_cpu(job)
+        for shard in capable:
+            hall = halls[shard]
+            if hall.queued or _free_cpu(hall, standing=job.spec.standing) < need:
+                continue
+            if all(hall.slots(step.demand) >= _min_slots(step) for step in job.spec.steps):
+                halls[shard] = replace(hall, free=hall.free - need)
+                return Handover(job.job_id, shard, None)
+        if not (self._core.evacuation and capable) or job.spec.standing:
+            return None
+        shard = min(capable, key=lambda shard: halls[shard].queued)
+        halls[shard] = replace(halls[shard], queued=halls[shard].queued + need)
+        return Handover(job.job_id, shard, None)
+
     def _can_run_all(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
         capable = self._count_capable(shard, step, job.service)
         return capable * (step.max_per_executor or step.count) >= step.count
@@ -211,6 +246,11 @@
         )
 
 
+def _widest_cpu(job: ShardJob) -> int:
+    """Return the thousandths of a core that all tasks of a job's widest step take together."""
+    return max(step.count * step.demand.milli_cpu for step in job.spec.steps)
+
+
 def _free_cpu(hall: HallSummary, *, standing: bool = False) -> int:
     headroom = STANDING_HEADROOM * hall.capacity if standing else 0.0
     return int(hall.free - headroom)
