--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,7 @@
 """Fault soak of the host daemon.
 
-    python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2]
-    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2
+    python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --evacuates]
+    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates]
     python -m soak regressions --jobs 2
 
 Sizes that are not given depend on the seed. The exit code is 1 if there was a violation; the logs
@@ -55,7 +55,8 @@
         seed: Seed of all random choices.
         seconds: Time during which faults start.
         keep_logs: Folder in which logs are kept even without a violation.
-        sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``.
+        sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``,
+            ``evacuates``.
     """
     plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
@@ -64,10 +65,17 @@
 
 
 def series(
-    first: int, *, count: int = 50, seconds: float = 20.0, jobs: int = 2, keep_logs: str = LOGS
+    first: int,
+    *,
+    count: int = 50,
+    seconds: float = 20.0,
+    jobs: int = 2,
+    keep_logs: str = LOGS,
+    evacuates: bool = False,
 ) -> None:
     """Play consecutive seeds, several at a time, each in a separate process."""
-    _play_seeds(range(first, first + count), seconds, jobs, keep_logs)
+    seeds = range(first, first + count)
+    _play_seeds(seeds, seconds, jobs, keep_logs, evacuates=evacuates)
 
 
 def regressions(*, jobs: int = 2, keep_logs: str = LOGS) -> None:
@@ -75,9 +83,11 @@
     _play_seeds(REGRESSIONS, REGRESSION_S, jobs, keep_logs)
 
 
-def _play_seeds(seeds: Iterable[int], seconds: float, jobs: int, keep_logs: str) -> None:
+def _play_seeds(
+    seeds: Iterable[int], seconds: float, jobs: int, keep_logs: str, *, evacuates: bool = False
+) -> None:
     seeds = list(seeds)
-    broken = asyncio.run(run_all(seeds, seconds, jobs, keep_logs))
+    broken = asyncio.run(run_all(seeds, seconds, jobs, keep_logs, evacuates=evacuates))
     kept = len(seeds) - len(broken)
     print(f"{len(seeds)} seeds, {seconds:g} s each, {jobs} at a time: {kept} kept all")
     if broken:
@@ -85,12 +95,15 @@
     sys.exit(1 if broken else 0)
 
 
-async def run_all(seeds: list[int], seconds: float, jobs: int, keep_logs: str) -> list[int]:
+async def run_all(
+    seeds: list[int], seconds: float, jobs: int, keep_logs: str, *, evacuates: bool = False
+) -> list[int]:
     """Play seeds, several at a time, and return those with a violation."""
     free = asyncio.Semaphore(jobs)
 
     async def play(seed: int) -> int | None:
         flags = [f"--seed={seed}", f"--seconds={seconds}", f"--keep_logs={keep_logs}"]
+        flags += ["--evacuates"] if evacuates else []
         async with free:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "soak", "run", *flags
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -36,6 +36,7 @@
         executors: Number of executors.
         halls: Number of halls.
         jobs_per_s: Rate of submitted jobs.
+        evacuates: Whether halls are evacuated beside the faults.
     """
 
     seed: int
@@ -44,6 +45,7 @@
     executors: int
     halls: int
     jobs_per_s: float
+    evacuates: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -56,17 +56,22 @@
         done_at: When each task was first done.
         run_done_at: When each run was done.
         started_at: When runs of each job started.
+        started_in_hall: When runs started in each hall.
         lease_expired_at: When the lease of each executor was last expired, by incarnation.
     """
 
     done_at: dict[TaskName, float] = field(default_factory=dict)
     run_done_at: dict[tuple[str, TaskName, int], float] = field(default_factory=dict)
     started_at: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    started_in_hall: defaultdict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     lease_expired_at: dict[str, float] = field(default_factory=dict)
 
     def judge_start(self, executor: MemoryExecutor, order: StartOrder) -> None:
         """Record a start and check it; a job that was never registered has no steps to check."""
         self.started_at[order.task.job_id].append(executor.now)
+        self.started_in_hall[executor.record.hall].append(executor.now)
         super().judge_start(executor, order)
 
     def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
@@ -159,6 +164,7 @@
                 broken=world.violations,
                 done_at={task_to_wire(task): at for task, at in world.done_at.items()},
                 started_at=dict(world.started_at),
+                started_in_hall=dict(world.started_in_hall),
                 running=[task_to_wire(task) for e in alive for task in e.running],
                 failed={task_to_wire(task): count for task, count in world.failed.items()},
                 listed_ends=sum(len(executor.ended) for executor in alive),
@@ -181,6 +187,7 @@
         failed: Number of acknowledged failed ends, by task.
         listed_ends: Number of ends that executors report and no owner has acknowledged.
         crashes: Number of executors that crashed while a task ran there, by task.
+        started_in_hall: Steady times at which runs started in each hall.
     """
 
     broken: list[str]
@@ -190,6 +197,7 @@
     failed: dict[str, int]
     listed_ends: int
     crashes: dict[str, int] = field(default_factory=dict)
+    started_in_hall: dict[str, list[float]] = field(default_factory=dict)
 
 
 async def main(seed: int, executors: int, store_control: str) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 
 from soak.callers import Callers, SubmitOutcome
 from soak.deployment import Plan
+from soak.evacuations import EVACUATION_FAULTS, check_evacuation
 from soak.faults import CAPACITY_FAULTS, RESTART_FAULTS, SERIES_COUNT, run_series
 from soak.judge import (
     await_configuration,
@@ -120,6 +121,11 @@
         series = [run_series(world, n, until, self._log_fault) for n in range(SERIES_COUNT)]
         series.append(run_series(world, SERIES_COUNT, until, self._log_fault, CAPACITY_FAULTS))
         series.append(run_series(world, SERIES_COUNT + 1, until, self._log_fault, RESTART_FAULTS))
+        if self._plan.evacuates:
+            evacuations = run_series(
+                world, SERIES_COUNT + 2, until, self._log_fault, EVACUATION_FAULTS
+            )
+            series.append(evacuations)
         try:
             await asyncio.gather(*series)
         finally:
@@ -149,6 +155,8 @@
             await callers.submit(job, Random(job.id))
             if job.outcomes != [SubmitOutcome.ACCEPTED]:
                 outcome.violations.append(f"UNSERVED {job.id} in calm times: {job.outcomes}")
+        if self._plan.evacuates:
+            outcome.violations += await check_evacuation(world, callers)
         await world.configure(extra_routes=1)
         outcome.violations += await await_configuration(world, callers)
         standing = [
--- a/soak/world.py
+++ b/soak/world.py
@@ -148,6 +148,14 @@
         value = configuration(self.version, extra_routes, guards_room=guards_room)
         await self.store.send_command("put", {"topic": "op", "key": "config", "value": value})
 
+    async def evacuate(self, hall: str) -> None:
+        """Publish the operator's record that evacuates a hall."""
+        await self.store.send_command("put", _evacuation(hall, "{}"))
+
+    async def reopen(self, hall: str) -> None:
+        """Withdraw the evacuation of a hall."""
+        await self.store.send_command("put", _evacuation(hall, ""))
+
     async def stop(self, host: HostProcess) -> None:
         """Stop a host as planned; a host that exceeds its grace time is a violation."""
         if not await host.stop(GRACE_S) and host.disrupted_at < time.monotonic() - 2 * GRACE_S:
@@ -183,6 +191,8 @@
         await self.store.send_command("server", {"status": None, "delay_s": 0.0})
         await self.store.send_command("store", {"lost_answer_share": 0.0, "late": False})
         await self.store.send_command("turn_away", {"refusing": [], "silent": []})
+        for hall in set(self._executor_halls.values()):
+            await self.reopen(hall)
         await self.executors.send_command("world", dict.fromkeys(EXECUTOR_SHARES, 0.0))
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
@@ -191,5 +201,9 @@
         return Observed(**await self.executors.send_command("observed"))
 
 
+def _evacuation(hall: str, value: str) -> dict[str, str]:
+    return {"topic": "op", "key": f"evacuate/{hall}", "value": value}
+
+
 EXECUTOR_SHARES = ("failing_share", "late_share", "lost_answer_share")
 """Attributes with the fraction of runs that fail, of late orders and of lost responses."""
