--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -67,8 +67,8 @@
     """Evacuate a hall in calm times and return what breaks a promise.
 
     Nothing may start there after the platform's limit, jobs are served by the other halls, and all
-    halls serve jobs after the evacuation. Batch jobs that have begun do not leave an evacuated hall,
-    so they end first.
+    halls serve jobs after the evacuation. Batch jobs that have begun stay in an evacuated hall, so
+    they end first.
     """
     violations = await settle(world, callers)
     hall = world.plan.hall(world.plan.seed % world.plan.halls)
--- a/tests/soak/test_evacuations.py
+++ b/tests/soak/test_evacuations.py
@@ -6,13 +6,14 @@
 
 from soak.__main__ import run_all
 from soak.results import keep_failed_runs
+
 from tests.soak.test_runs import FAILED_RUNS_FOLDER
 
 SEEDS = [64002, 64003]
 """Seeds that never failed, with two halls and with three."""
 
 FAULTS_S = 8.0
-"""Time during which faults start: with the checks after it a run takes three quarters of a minute."""
+"""Time during which faults start. With the checks after it a run takes 45 s."""
 
 
 async def test_seeds_keep_all_promises_beside_evacuations(tmp_path: Path) -> None:
