Probe idle connections of the host's own calls

Cause: a connection may go silent for good without a reset. Each call has a timeout, so one call fails for each pooled connection; aiohttp hands them out in turn, and up to twelve to one peer can be idle (each failure costs its timeout of 1 s and a backoff). Nothing but a failed call found them. Change: sockets of the host's calls have the kernel's keepalive probes: an idle connection to the store, an executor or a service that went silent is closed after 7 s, before it fails a call. The probes of callers' connections use the same module; their times are unchanged. Not measured: a silent kernel, which a test on the loopback address cannot play.

--- a/src/linkspan/host/connections.py
+++ b/src/linkspan/host/connections.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from linkspan.host.keepalive import Keepalive, enable_keepalive
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -29,18 +30,8 @@
 SWEEP_INTERVAL_S = 1.0
 """Interval between checks of all connections, in seconds."""
 
-KEEPALIVE_IDLE_S = 15
-"""Time without a packet after which the kernel sends a keepalive probe, in seconds."""
-
-KEEPALIVE_INTERVAL_S = 5
-"""Interval between keepalive probes, in seconds."""
-
-MAX_KEEPALIVE_PROBES = 3
-"""Limits unanswered keepalive probes, after which the connection is closed."""
-
-MAX_UNACKNOWLEDGED_MS = 1_000 * (KEEPALIVE_IDLE_S + MAX_KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S)
-"""Limits the time that sent data may stay unacknowledged, after which the kernel closes the
-connection, in milliseconds."""
+CALLER_KEEPALIVE = Keepalive(idle_s=15, interval_s=5, max_probes=3)
+"""Closes the connection of a caller that has vanished."""
 
 
 class CallerConnection(RequestHandler):
@@ -77,7 +68,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable keepalive probes, so that the kernel detects a vanished peer."""
         super().connection_made(transport)
-        _enable_keepalive(transport.get_extra_info("socket"))
+        enable_keepalive(transport.get_extra_info("socket"), CALLER_KEEPALIVE)
 
     def data_received(self, data: bytes) -> None:
         """Record the start of a request, or reset the connection if it is closing.
@@ -196,13 +187,3 @@
     def _drop(self, connection: CallerConnection, reason: str) -> None:
         connection.drop()
         self._on_drop(reason)
-
-
-def _enable_keepalive(connection: socket.socket) -> None:
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS),
-    ):
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -13,6 +13,7 @@
 
 from linkspan.errors import SettingsError, format_error
 from linkspan.events import Event, EventLog
+from linkspan.host.client_sockets import open_call_socket
 from linkspan.host.host import Adapter, Host
 from linkspan.host.listener import Listener
 from linkspan.metrics import HostMetrics
@@ -81,7 +82,10 @@
             loop.add_signal_handler(name, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=MAX_CONNECTIONS_PER_PEER, keepalive_timeout=KEEP_ALIVE_S
+            limit=0,
+            limit_per_host=MAX_CONNECTIONS_PER_PEER,
+            keepalive_timeout=KEEP_ALIVE_S,
+            socket_factory=open_call_socket,
         )
         session = aiohttp.ClientSession(
             connector=connector,
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -67,8 +67,12 @@
 
     def silence(self) -> None:
         """Silence the open connections for good. New connections work."""
+        self.silence_open("there", "back")
+
+    def silence_open(self, *directions: str) -> None:
+        """Silence some directions of the open connections for good. New connections work."""
         for connection in self._open:
-            connection.silent = {"there", "back"}
+            connection.silent.update(directions)
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
