--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -10,7 +10,6 @@
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation.interference import InterferenceEstimator
-from linkspan.shard.colocation.room_demand import RoomDemand
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
@@ -76,7 +75,6 @@
             still arrive.
         health: Statistics of the executors' failures and speed.
         interference: Estimates of how much colocated tasks slow each other.
-        room_demand: How urgently best-effort work needs room.
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
         configuration: The configuration in force, ``None`` before the first.
@@ -124,7 +122,6 @@
         self.departed_jobs: set[str] = set()
         self.health = ExecutorHealth()
         self.interference = InterferenceEstimator()
-        self.room_demand = RoomDemand()
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
         self.configuration: Configuration | None = None
--- a/src/linkspan/shard/colocation/_best_effort_capacity.py
+++ b/src/linkspan/shard/colocation/_best_effort_capacity.py
@@ -8,7 +8,6 @@
 from linkspan.shard.planning.urgency import Timeliness, timeliness_of
 
 if TYPE_CHECKING:
-    from linkspan.shard._shard_state import ShardState
     from linkspan.shard.colocation.interference import InterferenceEstimator
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.step_run import StepRun
@@ -29,16 +28,12 @@
 
     Args:
         interference: Estimated interference between pairs of images.
-        max_pressure: Limit of the pressure on a standing task.
         now: Steady time.
         wall: Time of day, in seconds since 1970, for urgency.
     """
 
-    def __init__(
-        self, interference: InterferenceEstimator, max_pressure: float, now: float, wall: float
-    ) -> None:
+    def __init__(self, interference: InterferenceEstimator, now: float, wall: float) -> None:
         self._interference = interference
-        self._max_pressure = max_pressure
         self._now = now
         self._wall = wall
         self._pressure_budgets: dict[tuple[str, Timeliness], PressureBudget] = {}
@@ -80,7 +75,7 @@
                 a for a in executor.all_best_effort() if self.timeliness(a.task.step) <= timeliness
             )
             budget = self._pressure_budgets[key] = PressureBudget(
-                executor, self._interference, self._now, best_effort, limit=self._max_pressure
+                executor, self._interference, self._now, best_effort
             )
         return budget
 
@@ -96,15 +91,3 @@
     """Return thousandths of a core that reserved and best-effort tasks leave unused."""
     used = STANDING_USE_SHARE * executor.reserved_cpu + executor.paced_cpu
     return executor.record.capacity.milli_cpu - used
-
-
-def best_effort_capacity(core: ShardState, now: float, wall: float) -> BestEffortCapacity:
-    """Return the capacity for best-effort work in a shard, within the present limits.
-
-    Args:
-        core: The shard's state.
-        now: Steady time.
-        wall: Time of day, in seconds since 1970, for urgency.
-    """
-    max_pressure = core.room_demand.limits(now).placement
-    return BestEffortCapacity(core.interference, max_pressure, now, wall)
--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -14,6 +14,15 @@
     from linkspan.shard.colocation.interference import InterferenceEstimator
     from linkspan.shard.executor import ExecutorState
 
+MAX_PLACEMENT_PRESSURE = 0.805
+"""Limits the pressure on a standing task up to which colocated best-effort tasks are placed and
+their pace is raised. The latency target is reached at 0.83, and loads are predicted to about
+0.04."""
+
+MAX_KEPT_PACE_PRESSURE = 0.83
+"""Limits the pressure up to which best-effort tasks keep their current pace: just under the latency
+target, so that prediction errors slow nothing down."""
+
 MAX_NEGLIGIBLE_PRESSURE = 0.02
 """Limits the estimated pressure of a task that is never slowed down: less than the noise of one
 measurement."""
@@ -37,7 +46,7 @@
         now: float,
         best_effort: Iterable[Attempt] = (),
         *,
-        limit: float,
+        limit: float = MAX_PLACEMENT_PRESSURE,
     ) -> None:
         self._executor = executor
         self._interference = interference
--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -6,14 +6,13 @@
 
 from linkspan.events import Event
 from linkspan.shard.attempt import FULL_PACE
-from linkspan.shard.colocation._pressure_budget import PressureBudget
+from linkspan.shard.colocation._pressure_budget import MAX_KEPT_PACE_PRESSURE, PressureBudget
 from linkspan.shard.colocation.interference import latency_ratio
 from linkspan.shard.planning.urgency import urgency
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.colocation.interference import InterferenceEstimator
-    from linkspan.shard.colocation.room_demand import PressureLimits
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
 
@@ -77,14 +76,13 @@
         if not best_effort or now - last < MEASUREMENT_PERIOD_S:
             return
         by_urgency = sorted(best_effort, key=lambda a: urgency(a.task.step, wall))
-        limits = self._core.room_demand.limits(now)
         present = PressureBudget(
-            executor, self._interference, now, best_effort, limit=limits.kept_pace
+            executor, self._interference, now, best_effort, limit=MAX_KEPT_PACE_PRESSURE
         )
         if present.is_exceeded or any(a.over_target_since is not None for a in standing):
-            self._reallocate(executor, standing, by_urgency, limits, now)
+            self._reallocate(executor, standing, by_urgency, now)
         else:
-            self._raise_paces(executor, by_urgency, limits, now)
+            self._raise_paces(executor, by_urgency, now)
 
     def _track_over_target(self, attempt: Attempt, best_effort_count: int, now: float) -> None:
         """Track since when a standing task is over its target; log the duration at the end."""
@@ -110,13 +108,12 @@
         executor: ExecutorState,
         standing: list[Attempt],
         by_urgency: list[Attempt],
-        limits: PressureLimits,
         now: float,
     ) -> None:
         """Reallocate the pressure that the standing tasks tolerate, the most urgent task first."""
         worst = max(standing, key=lambda a: latency_ratio(a) or 0.0, default=None)
         factor = _over_target_factor(standing, now)
-        remaining = PressureBudget(executor, self._interference, now, limit=limits.placement)
+        remaining = PressureBudget(executor, self._interference, now)
         for attempt in by_urgency:
             spec = attempt.task.step.spec
             share = remaining.share(spec)
@@ -125,17 +122,9 @@
             self._set_pace(executor, attempt, int(100 * share), worst, now)
             remaining.add(spec, attempt.pace / 100)
 
-    def _raise_paces(
-        self,
-        executor: ExecutorState,
-        by_urgency: list[Attempt],
-        limits: PressureLimits,
-        now: float,
-    ) -> None:
+    def _raise_paces(self, executor: ExecutorState, by_urgency: list[Attempt], now: float) -> None:
         """Allocate the pressure left over at the current paces, the most urgent task first."""
-        remaining = PressureBudget(
-            executor, self._interference, now, by_urgency, limit=limits.placement
-        )
+        remaining = PressureBudget(executor, self._interference, now, by_urgency)
         for attempt in by_urgency:
             if attempt.pace >= FULL_PACE and attempt.pace_confirmed:
                 continue
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -11,7 +11,7 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.attempt import NEVER, Phase
-from linkspan.shard.colocation._best_effort_capacity import best_effort_capacity
+from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
 
 if TYPE_CHECKING:
@@ -102,7 +102,7 @@
         self._reported_at = {g: at for g, at in self._reported_at.items() if g in groups}
         due = [g for g in groups if self._reported_at.get(g, NEVER) <= due_before]
         due.sort(key=lambda group: groups[group][0].waiting_since)
-        view = PlanView(self._core, best_effort_capacity(self._core, now, wall), now)
+        view = PlanView(self._core, BestEffortCapacity(self._core.interference, now, wall), now)
         for group in due[:MAX_LINES_PER_CHECK]:
             self._reported_at[group] = now
             self._core.log(Event.STANDING_WAITS, **_fields(group, groups[group], view))
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -7,12 +7,12 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import start_reason
 from linkspan.shard.attempt import FULL_PACE
-from linkspan.shard.colocation._best_effort_capacity import best_effort_capacity
+from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._blocked import blocked_fields
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
-from linkspan.shard.planning.urgency import Timeliness, urgency
+from linkspan.shard.planning.urgency import urgency
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -51,18 +51,15 @@
             wall: Time of day, in seconds since 1970, for due times and urgency.
         """
         core = self._core
-        view = PlanView(core, best_effort_capacity(core, now, wall), now)
+        view = PlanView(core, BestEffortCapacity(core.interference, now, wall), now)
         self._track_evacuation()
         core.release_due(wall, now)
         core.remove_finished_tasks()
         Moves(view).add_orders()
-        steps = self._steps_by_urgency(wall)
-        for step, waiting in steps:
+        for step, waiting in self._steps_by_urgency(wall):
             if core.may_start(step.run.job, now):
                 self._place_step(step, waiting, view)
         SpeculativeCopies(view).add_orders()
-        waits = any(_needs_room(step, waiting, view) for step, waiting in steps)
-        core.room_demand.update(waits=waits, now=now)
 
     def _track_evacuation(self) -> None:
         """Log again why steps wait after an evacuation has begun or ended."""
@@ -268,12 +265,3 @@
             memory_mb=step.spec.demand.memory_mb,
             **why,
         )
-
-
-def _needs_room(step: StepRun, waiting: list[Task], view: PlanView) -> bool:
-    """Return whether a best-effort step waits for room and could still be in time."""
-    if not step.spec.best_effort:
-        return False
-    if view.best_effort_capacity.timeliness(step) is not Timeliness.IN_TIME:
-        return False
-    return any(task.pending for task in waiting)
