--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -10,6 +10,7 @@
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation.interference import InterferenceEstimator
+from linkspan.shard.executor import UnusableReason
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
@@ -250,9 +251,17 @@
         An executor that accepts work beyond its capacity gets none while it has runs that are
         unknown to this owner, as it could become overloaded.
         """
-        if not (self.admits_starts(executor) and executor.usable(now)):
-            return False
-        return not executor.unknown_runs or self.guards_room(executor.record.service)
+        return self.reason_unusable(executor, now) is None
+
+    def reason_unusable(self, executor: ExecutorState, now: float) -> UnusableReason | None:
+        """Return why an executor gets no new work now, ``None`` if it may get some."""
+        if not self.admits_starts(executor):
+            return UnusableReason.ADMITS_NONE
+        reason = executor.reason_unusable(now)
+        if reason is None and executor.unknown_runs:
+            guarded = self.guards_room(executor.record.service)
+            return None if guarded else UnusableReason.UNKNOWN_RUNS
+        return reason
 
     def guards_room(self, service: str) -> bool:
         """Return whether executors of a service refuse work that exceeds their capacity."""
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.jobs.spec import Demand
@@ -30,6 +31,19 @@
 ends and none of the later ones."""
 
 
+class UnusableReason(Enum):
+    """Why an executor gets no new work."""
+
+    ADMITS_NONE = "draining, unconfirmed or in an evacuated hall"
+    UNLISTED = "not registered"
+    UNROSTERED = "not on the durable roster"
+    UNREPORTED = "has not reported"
+    SILENT = "silent"
+    QUARANTINED = "quarantined"
+    POLL_UNANSWERED = "an unanswered poll may acknowledge ends of its next incarnation"
+    UNKNOWN_RUNS = "has runs of unknown jobs"
+
+
 class UnackedEnd(NamedTuple):
     """A handled end of a run that is not acknowledged yet.
 
@@ -136,6 +150,7 @@
     _copyable: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _reserved_cpu: int = 0
     _best_effort_cpu: int = 0
+    _best_effort_memory_mb: int = 0
     _used_memory_mb: int = 0
     _used_gpus: int = 0
 
@@ -194,6 +209,11 @@
         """Megabytes of memory that no attempt uses."""
         return self.record.capacity.memory_mb - self._used_memory_mb
 
+    @property
+    def best_effort_memory(self) -> int:
+        """Megabytes of memory that best-effort attempts use."""
+        return self._best_effort_memory_mb
+
     @property
     def over_capacity(self) -> bool:
         """Whether its attempts exceed its capacity."""
@@ -264,6 +284,7 @@
         step = attempt.task.step.spec
         if step.best_effort:
             self._best_effort_cpu += sign * step.demand.milli_cpu
+            self._best_effort_memory_mb += sign * step.demand.memory_mb
         else:
             self._reserved_cpu += sign * step.demand.milli_cpu
         self._used_memory_mb += sign * step.demand.memory_mb
@@ -271,13 +292,21 @@
 
     def usable(self, now: float) -> bool:
         """Return whether it is known to work and answers, so that it could take new work."""
-        return (
-            self.listed
-            and self.rostered
-            and self.has_reported
-            and self.silent_since is None
-            and now >= max(self.quarantined_until, self.no_starts_until)
-        )
+        return self.reason_unusable(now) is None
+
+    def reason_unusable(self, now: float) -> UnusableReason | None:
+        """Return why it could take no new work at a steady time, ``None`` if it could."""
+        if not self.listed:
+            return UnusableReason.UNLISTED
+        if not self.rostered:
+            return UnusableReason.UNROSTERED
+        if not self.has_reported:
+            return UnusableReason.UNREPORTED
+        if self.silent_since is not None:
+            return UnusableReason.SILENT
+        if now < self.quarantined_until:
+            return UnusableReason.QUARANTINED
+        return UnusableReason.POLL_UNANSWERED if now < self.no_starts_until else None
 
     @property
     def ack_pending(self) -> bool:
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -55,7 +55,7 @@
         self._returned_delegations = ReturnedDelegations()
         self._rebalancer = Rebalancer(
             self._core,
-            summaries=self._other_summaries,
+            summaries=self.other_summaries,
             count_capable=self._count_capable,
             evidence=MoveEvidence(context).fields,
         )
@@ -131,7 +131,7 @@
             offset=offset,
         )
 
-    def _other_summaries(self) -> dict[int, HallSummary]:
+    def other_summaries(self) -> dict[int, HallSummary]:
         """Return the summaries of the other halls that may get work."""
         return {
             shard: summary
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -13,12 +14,14 @@
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
+from linkspan.shard.planning.placement import STANDING_HEADROOM
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from linkspan.shard._context import TenureContext
     from linkspan.shard.core import ShardCore
+    from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
@@ -61,7 +64,7 @@
 }
 
 
-class _Group(NamedTuple):
+class WaitingGroup(NamedTuple):
     """Tasks of one step that wait for the same."""
 
     step: StepRun
@@ -73,14 +76,18 @@
 
     Args:
         context: Components of the tenure.
+        summaries: Returns the last summaries of the other halls that may get work.
     """
 
-    def __init__(self, context: TenureContext) -> None:
+    def __init__(
+        self, context: TenureContext, summaries: Callable[[], dict[int, HallSummary]]
+    ) -> None:
         self._core = context.core
+        self._summaries = summaries
         self._hall = context.hall
         self._metrics = context.metrics
         self._may_act = context.proof.may_act
-        self._reported_at: dict[_Group, float] = {}
+        self._reported_at: dict[WaitingGroup, float] = {}
 
     def __repr__(self) -> str:
         return f"StandingWaits({self._core!r})"
@@ -105,10 +112,11 @@
         view = PlanView(self._core, BestEffortCapacity(self._core.interference, now, wall), now)
         for group in due[:MAX_LINES_PER_CHECK]:
             self._reported_at[group] = now
-            self._core.log(Event.STANDING_WAITS, **_fields(group, groups[group], view))
+            fields = waiting_fields(group, groups[group], view, self._summaries())
+            self._core.log(Event.STANDING_WAITS, **fields)
 
 
-def waiting_groups(core: ShardCore, now: float, *, may_act: bool) -> dict[_Group, list[Task]]:
+def waiting_groups(core: ShardCore, now: float, *, may_act: bool) -> dict[WaitingGroup, list[Task]]:
     """Return the standing tasks that have waited for a run for seconds, by step and reason.
 
     The tasks of a group are ordered by the time that they have waited, the longest first.
@@ -118,10 +126,10 @@
         now: Steady time.
         may_act: Whether the owner may send orders.
     """
-    groups: dict[_Group, list[Task]] = {}
+    groups: dict[WaitingGroup, list[Task]] = {}
     for task in _waiting_tasks(core, now):
         reason = wait_reason(core, task, now, may_act=may_act)
-        groups.setdefault(_Group(task.step, reason), []).append(task)
+        groups.setdefault(WaitingGroup(task.step, reason), []).append(task)
     for tasks in groups.values():
         tasks.sort(key=lambda task: task.waiting_since)
     return groups
@@ -175,7 +183,17 @@
     return WaitReason.CAPACITY if any(usable) else WaitReason.NO_EXECUTORS
 
 
-def _fields(group: _Group, tasks: list[Task], view: PlanView) -> dict[str, Any]:
+def waiting_fields(
+    group: WaitingGroup, tasks: list[Task], view: PlanView, summaries: dict[int, HallSummary]
+) -> dict[str, Any]:
+    """Return the log fields of tasks that wait for the same.
+
+    Args:
+        group: Their step and what they wait for.
+        tasks: The tasks, the longest wait first.
+        view: The shard's state.
+        summaries: Last summaries of the other halls that may get work, by shard.
+    """
     step, reason = group
     listed = tasks[:MAX_LOGGED_TASKS]
     fields: dict[str, Any] = {
@@ -197,6 +215,44 @@
     delegations = {t.name.index: t.delegation_number for t in listed if t.delegation_number}
     if delegations:
         fields["loans"] = delegations
+    if reason in (WaitReason.CAPACITY, WaitReason.NO_EXECUTORS):
+        fields["unusable"] = _unusable_executors(view, step.run.job.service)
     if reason is WaitReason.CAPACITY:
-        fields["against"] = dict(view.placement(step).reasons_against(tasks[0]))
+        fields |= _capacity_fields(tasks[0], view, summaries)
     return fields
+
+
+def _unusable_executors(view: PlanView, service: str) -> dict[str, int]:
+    """Return how many executors of a service get no new work, by the reason."""
+    executors = (e for e in view.core.executors.values() if e.record.service == service)
+    reasons = Counter(view.core.reason_unusable(e, view.now) for e in executors)
+    return {reason.value: count for reason, count in reasons.items() if reason}
+
+
+def _capacity_fields(
+    task: Task, view: PlanView, summaries: dict[int, HallSummary]
+) -> dict[str, Any]:
+    """Return what keeps a task from the executors of this hall, and the room of other halls.
+
+    ``elsewhere`` gives, for each other hall, for how many such tasks its last summary has room, and
+    for how many beside the headroom for short work. ``best_effort_memory`` counts the executors
+    whose memory would suffice without their best-effort runs.
+    """
+    demand = task.step.spec.demand
+    placement = view.placement(task.step)
+    return {
+        "against": dict(placement.reasons_against(task)),
+        "elsewhere": {
+            shard: (hall.slots(demand), hall.slots(demand, headroom=_headroom(hall)))
+            for shard, hall in summaries.items()
+        },
+        "best_effort_memory": sum(
+            e.free_memory < demand.memory_mb <= e.free_memory + e.best_effort_memory
+            for e in placement.executors
+        ),
+    }
+
+
+def _headroom(hall: HallSummary) -> float:
+    """Return the average headroom of a hall's executors, in thousandths of a core."""
+    return STANDING_HEADROOM * hall.capacity / max(len(hall.free_by_executor), 1)
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -141,7 +141,7 @@
         self._dispatcher = Dispatcher(context, self._watch)
         self._handovers = Handovers(context, summary_of)
         self._advice_requester = AdviceRequester(context, policy)
-        self._standing_waits = StandingWaits(context)
+        self._standing_waits = StandingWaits(context, self._handovers.other_summaries)
         self._feed = JobFeed(context)
         self._recovery = Recovery(
             context, self._feed, self._handovers, self._watch, claim.former_owners_remaining_s
--- a/tests/shard/test_standing_wait_lines.py
+++ b/tests/shard/test_standing_wait_lines.py
@@ -6,19 +6,25 @@
 from typing import Any
 
 from linkspan.events import Event
+from linkspan.jobs.spec import Demand, StepSpec
+from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
+from linkspan.shard.executor import UnusableReason
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import StartAnswer, StartOutcome
+from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._standing_waits import (
     MIN_REPORTED_WAIT_S,
     WaitReason,
     wait_reason,
+    waiting_fields,
     waiting_groups,
 )
 from linkspan.shard.task import Task
 from tests.hall_world import HallWorld
 from tests.job_builders import step
-from tests.shard.builders import JOB, confirm_start, core_with, plan
+from tests.shard.builders import JOB, confirm_start, core_with, plan, submitted_job
 from tests.virtual_time import run_virtual
 
 LATER = 10.0
@@ -157,3 +163,45 @@
     assert {line["waited_s"] // 1 for line in lines} == {3.0, 6.0}
     assert lines[0]["against"] == {"cores": 1}
     assert list(lines[0]["here_s"]) == [2]
+    assert lines[0]["elsewhere"] == {}
+    assert lines[0]["best_effort_memory"] == 0
+    assert lines[0]["unusable"] == {}
+
+
+def _view(core: ShardCore) -> PlanView:
+    return PlanView(core, BestEffortCapacity(core.interference, LATER, LATER), LATER)
+
+
+def _waiting_line(core: ShardCore, summaries: dict[int, HallSummary]) -> dict[str, Any]:
+    ((group, tasks),) = waiting_groups(core, LATER, may_act=True).items()
+    return waiting_fields(group, tasks, _view(core), summaries)
+
+
+def test_the_line_of_a_waiting_task_tells_the_room_of_other_halls() -> None:
+    """Guards against a line that can't show that only the headroom is left in other halls."""
+    core = core_with(step(1, standing=True, cpu=9_000), executors=1)
+    headroom_only = HallSummary(capacity=32_000, free=9_500, free_by_executor=((9_500, 32_000),))
+    line = _waiting_line(core, {1: headroom_only})
+    assert line["elsewhere"] == {1: (1, 0)}
+
+
+def test_the_line_of_a_waiting_task_tells_memory_held_by_best_effort_work() -> None:
+    """Guards against a line that can't show that best-effort work holds the memory."""
+    best_effort = StepSpec(1, Demand(1_000, 30_000), best_effort=True, image="a")
+    core = core_with(best_effort, executors=1)
+    (order,) = plan(core, 0.1)
+    confirm_start(core, order, 0.1)
+    standing = StepSpec(1, Demand(1_000, 9_728), standing=True)
+    core.add_job(submitted_job(standing, job_id="00000000000000bb"), 0.2)
+    assert plan(core, 0.3) == []
+    line = _waiting_line(core, {})
+    assert line["against"] == {"memory": 1}
+    assert line["best_effort_memory"] == 1
+
+
+def test_the_line_of_a_waiting_task_tells_why_executors_take_no_work() -> None:
+    core = standing_core()
+    core.executors["e0"].no_starts_until = LATER + 1.0
+    line = _waiting_line(core, {})
+    assert line["reason"] == WaitReason.NO_EXECUTORS.value
+    assert line["unusable"] == {UnusableReason.POLL_UNANSWERED.value: 1}
