--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -8,6 +8,7 @@
 
 from linkspan.clock import steady
 from linkspan.shard.messages import can_run
+from linkspan.shard.planning.task_need import TaskNeed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -106,22 +107,23 @@
             return shards[0]
         kind = _kind_of(spec)
         if kind is _Kind.SHORT:
-            chosen = self._first_with_capacity(spec, shards)
+            chosen = self._first_with_capacity(spec, queue.service, shards)
         else:
             score = self._standing_score if kind is _Kind.STANDING else self._best_effort_score
             chosen = max(shards, key=lambda shard: score(spec, shard))
         self._choices.append(_Choice(steady(), chosen, _milli_cpu(_widest(spec)), kind))
         return chosen
 
-    def _first_with_capacity(self, spec: JobSpec, shards: list[int]) -> int:
+    def _first_with_capacity(self, spec: JobSpec, service: str, shards: list[int]) -> int:
         """Return the first shard with capacity for the job's widest step, or the first of all."""
         widest = _widest(spec)
+        need = TaskNeed.of(widest, service, use_headroom=False)
         for shard in shards:
             summary = self._usable_summary(shard)
             if summary is None:
                 continue
             free = summary.free - summary.queued - self._recently_chosen_cpu(shard, _Kind.SHORT)
-            if summary.slots(widest.demand) >= widest.count and free >= _milli_cpu(widest):
+            if summary.slots(need) >= widest.count and free >= _milli_cpu(widest):
                 return shard
         return shards[0]
 
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -167,6 +167,11 @@
         """Whether it represents the next incarnation of an executor, which has not answered yet."""
         return self.record.is_placeholder
 
+    @property
+    def total_cpu(self) -> int:
+        """Thousandths of a core that it has."""
+        return self.record.capacity.milli_cpu
+
     @property
     def draining(self) -> bool:
         """Whether it is about to leave."""
@@ -294,6 +299,10 @@
         """Return whether it is known to work and answers, so that it could take new work."""
         return self.reason_unusable(now) is None
 
+    def runs(self, service: str, label: str) -> bool:
+        """Return whether it runs tasks of a service that require a label; empty for none."""
+        return self.record.runs(service, label)
+
     def reason_unusable(self, now: float) -> UnusableReason | None:
         """Return why it could take no new work at a steady time, ``None`` if it could."""
         if not self.listed:
--- /dev/null
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -0,0 +1,82 @@
+"""Room that another hall has for work, by its last summary."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from linkspan.shard.handover.summary import HallSummary
+    from linkspan.shard.planning.task_need import TaskNeed
+
+MAX_TAKEN_S = 3.0
+"""Time for which work that was handed over counts as taking room of a hall whose summary stays the
+same: about two summaries. After that the hall has shown that it does not take the work."""
+
+
+class HallRoom:
+    """Room that a hall's last summary tells, less what was handed over to the hall since.
+
+    Args:
+        summary: The summary.
+        now: Steady time.
+    """
+
+    def __init__(self, summary: HallSummary, now: float) -> None:
+        self._summary = summary
+        self._read_at = now
+        self._rooms = list(summary.rooms())
+        self._free_cpu = summary.free
+        self._best_effort_cpu = summary.best_effort + summary.waiting
+        self._queued_cpu = summary.queued
+
+    def __repr__(self) -> str:
+        return f"HallRoom({self._free_cpu} of {self._summary.capacity} free)"
+
+    @property
+    def free_cpu(self) -> int:
+        """Thousandths of a core that are not reserved."""
+        return self._free_cpu
+
+    @property
+    def queued_cpu(self) -> int:
+        """Thousandths of a core that work with a reservation waits for."""
+        return self._queued_cpu
+
+    @property
+    def best_effort_load(self) -> float:
+        """Cores that best-effort work uses or waits for, as a share of all cores."""
+        return self._best_effort_cpu / max(self._summary.capacity, 1)
+
+    def current(self, summary: HallSummary, now: float) -> bool:
+        """Return whether this still tells the room of a hall with the given last summary."""
+        return now - self._read_at < MAX_TAKEN_S and summary == self._summary
+
+    def load_with(self, milli_cpu: int) -> float:
+        """Return the best-effort load with more best-effort work."""
+        return self.best_effort_load + milli_cpu / max(self._summary.capacity, 1)
+
+    def free_beside(self, need: TaskNeed) -> int:
+        """Return the free thousandths of a core that tasks of a need may use, on all executors."""
+        return int(self._free_cpu - need.headroom * self._summary.capacity)
+
+    def slots(self, need: TaskNeed) -> int:
+        """Return for how many tasks the hall has room now."""
+        return sum(map(need.slots, self._rooms))
+
+    def take(self, need: TaskNeed, count: int) -> None:
+        """Count tasks as taking room, on the executors with the most room for them first."""
+        self._free_cpu -= count * need.demand.milli_cpu
+        for index in sorted(range(len(self._rooms)), key=lambda i: -need.slots(self._rooms[i])):
+            taken = min(need.slots(self._rooms[index]), count)
+            if taken < 1:
+                return
+            self._rooms[index] = self._rooms[index].without(need.demand, taken)
+            count -= taken
+
+    def queue(self, milli_cpu: int) -> None:
+        """Count work with a reservation as waiting there."""
+        self._queued_cpu += milli_cpu
+
+    def add_best_effort(self, milli_cpu: int) -> None:
+        """Count best-effort work as waiting there."""
+        self._best_effort_cpu += milli_cpu
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
-from linkspan.shard.planning.placement import STANDING_HEADROOM
+from linkspan.shard.handover._hall_room import HallRoom
+from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,6 +82,7 @@
         self._summaries = summaries
         self._count_capable = count_capable
         self._evidence = evidence
+        self._rooms: dict[int, HallRoom] = {}
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
@@ -93,20 +94,33 @@
             own: Summary of this hall.
             now: Steady time.
         """
-        halls = self._summaries()
+        halls = self._rooms = self._current_rooms(now)
+        own_room = HallRoom(own, now)
         found: dict[str, Handover] = {}
         for step in list(self._core.ready):
             if step.run.job.job_id in found:
                 # Only one handover of a job at a time: two could give the job to two halls.
                 continue
-            handover = self._for_step(step, own, halls, now)
+            handover = self._for_step(step, own_room, halls, now)
             if handover:
                 found[handover.job_id] = handover
                 self._log(handover, step, now)
         return list(found.values())
 
+    def _current_rooms(self, now: float) -> dict[int, HallRoom]:
+        """Return the room of the other halls.
+
+        Until a hall publishes another summary, what was handed over to it stays counted.
+        """
+        rooms = {}
+        for shard, summary in self._summaries().items():
+            known = self._rooms.get(shard)
+            current = known is not None and known.current(summary, now)
+            rooms[shard] = known if known and current else HallRoom(summary, now)
+        return rooms
+
     def _for_step(
-        self, step: StepRun, own: HallSummary, halls: dict[int, HallSummary], now: float
+        self, step: StepRun, own: HallRoom, halls: dict[int, HallRoom], now: float
     ) -> Handover | None:
         job = step.run.job
         wait_s = self._wait_s(step.spec)
@@ -122,11 +136,11 @@
         if job.delegated_here:
             return self._return(job, step, pending, now)
         if not (job.begun or job.moved or job.has_delegations):
-            move = self._move(job, own, halls)
+            move = self._move(job, own, halls, now)
             if move or now - min(t.ready_since for t in pending) < self._whole_move_wait_s():
                 return move
         if step.spec.standing and not step.spec.gang:
-            return self._delegate(job, step, pending, halls)
+            return self._delegate(job, step, pending, halls, now)
         return None
 
     def _wait_s(self, step: StepSpec) -> float:
@@ -153,52 +167,54 @@
         return Handover(job.job_id, job.submitted.shard, tasks)
 
     def _move(
-        self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary]
+        self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], now: float
     ) -> Handover | None:
         steps = job.spec.steps
         capable = [s for s in halls if all(self._can_run_all(s, step, job) for step in steps)]
-        capable.sort(key=lambda shard: -_free_cpu(halls[shard]))
+        capable.sort(key=lambda shard: -halls[shard].free_cpu)
         if any(step.best_effort for step in steps):
             return self._move_best_effort(job, own, halls, capable)
-        return self._move_reserved(job, halls, capable)
+        return self._move_reserved(job, halls, capable, now)
 
     def _move_best_effort(
-        self, job: ShardJob, own: HallSummary, halls: dict[int, HallSummary], capable: list[int]
+        self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], capable: list[int]
     ) -> Handover | None:
         """Return the move of a job to a hall with less best-effort work.
 
         Any hall will do for a job in an evacuated hall, the one with the least such work first.
         """
-        need = _widest_cpu(job)
+        milli_cpu = _milli_cpu(_widest(job))
         if self._core.evacuation:
-            capable.sort(key=lambda shard: _load(halls[shard]))
+            capable.sort(key=lambda shard: halls[shard].best_effort_load)
+        limit = own.best_effort_load - MIN_LOAD_DIFFERENCE
         for shard in capable:
             hall = halls[shard]
-            load = _load(hall) + need / max(hall.capacity, 1)
-            if self._core.evacuation or load + MIN_LOAD_DIFFERENCE <= _load(own):
-                halls[shard] = replace(hall, waiting=hall.waiting + need)
+            if self._core.evacuation or hall.load_with(milli_cpu) <= limit:
+                hall.add_best_effort(milli_cpu)
                 return Handover(job.job_id, shard, None)
         return None
 
     def _move_reserved(
-        self, job: ShardJob, halls: dict[int, HallSummary], capable: list[int]
+        self, job: ShardJob, halls: dict[int, HallRoom], capable: list[int], now: float
     ) -> Handover | None:
         """Return the move of a job to a hall that has capacity for it now.
 
         If none has, a short job in an evacuated hall moves to the hall with the shortest queue.
         """
-        need = _widest_cpu(job)
+        widest = _widest(job)
+        milli_cpu = _milli_cpu(widest)
+        needs = {step: _need_of_job(job, step, now) for step in job.spec.steps}
         for shard in capable:
             hall = halls[shard]
-            if hall.queued or _free_cpu(hall, standing=job.spec.standing) < need:
+            if hall.queued_cpu or hall.free_beside(needs[widest]) < milli_cpu:
                 continue
-            if all(hall.slots(step.demand) >= _min_slots(step) for step in job.spec.steps):
-                halls[shard] = replace(hall, free=hall.free - need)
+            if all(hall.slots(need) >= _min_slots(step) for step, need in needs.items()):
+                hall.take(needs[widest], widest.count)
                 return Handover(job.job_id, shard, None)
         if not (self._core.evacuation and capable) or job.spec.standing:
             return None
-        shard = min(capable, key=lambda shard: halls[shard].queued)
-        halls[shard] = replace(halls[shard], queued=halls[shard].queued + need)
+        shard = min(capable, key=lambda shard: halls[shard].queued_cpu)
+        halls[shard].queue(milli_cpu)
         return Handover(job.job_id, shard, None)
 
     def _can_run_all(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
@@ -210,27 +226,36 @@
         job: ShardJob,
         step: StepRun,
         pending: list[Task],
-        halls: dict[int, HallSummary],
+        halls: dict[int, HallRoom],
+        now: float,
     ) -> Handover | None:
-        spec = step.spec
-        # Only tasks that have run before may use the headroom for short work.
-        pending = [task for task in pending if task.has_run_before] or pending
-        for shard in _halls_by_preference(halls, pending[0]):
+        """Return the delegation of tasks to a hall that has room for them now.
+
+        Tasks that may use the headroom come first: other halls may have no other room.
+        """
+        eager = [task for task in pending if may_use_headroom(task, now)]
+        tasks = eager or pending
+        need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
+        for shard in _halls_by_preference(halls, tasks[0]):
             hall = halls[shard]
-            if not self._count_capable(shard, spec, job.service):
-                continue
-            executor_cpu = hall.capacity / max(len(hall.free_by_executor), 1)
-            headroom = 0.0 if pending[0].has_run_before else STANDING_HEADROOM * executor_cpu
-            slots = hall.slots(spec.demand, headroom=headroom)
+            slots = min(hall.slots(need), self._spread_limit(shard, step))
             if slots < 1:
                 continue
-            delegated = pending[:slots]
-            # At most one handover to a hall until the hall publishes its next summary.
-            halls[shard] = replace(hall, free=0, free_by_executor=())
-            tasks = tuple((step.index, task.name.index) for task in delegated)
-            return Handover(job.job_id, shard, tasks)
+            delegated = tasks[:slots]
+            hall.take(need, len(delegated))
+            names = tuple((step.index, task.name.index) for task in delegated)
+            return Handover(job.job_id, shard, names)
         return None
 
+    def _spread_limit(self, shard: int, step: StepRun) -> int:
+        """Return how many more of a step's tasks a hall could run beside those it manages."""
+        spec = step.spec
+        capable = self._count_capable(shard, spec, step.run.job.service)
+        if not capable or not spec.max_per_executor:
+            return spec.count if capable else 0
+        there = sum(task.managed_by == shard for task in step.tasks)
+        return capable * spec.max_per_executor - there
+
     def _log(self, handover: Handover, step: StepRun, now: float) -> None:
         moves_job = handover.tasks is None
         self._core.log(
@@ -246,32 +271,32 @@
         )
 
 
-def _widest_cpu(job: ShardJob) -> int:
-    """Return the thousandths of a core that all tasks of a job's widest step take together."""
-    return max(step.count * step.demand.milli_cpu for step in job.spec.steps)
+def _widest(job: ShardJob) -> StepSpec:
+    """Return the step of a job whose tasks together take the most cores."""
+    return max(job.spec.steps, key=_milli_cpu)
+
 
+def _milli_cpu(step: StepSpec) -> int:
+    """Return the thousandths of a core that all tasks of a step take together."""
+    return step.count * step.demand.milli_cpu
 
-def _free_cpu(hall: HallSummary, *, standing: bool = False) -> int:
-    headroom = STANDING_HEADROOM * hall.capacity if standing else 0.0
-    return int(hall.free - headroom)
 
+def _need_of_job(job: ShardJob, step: StepSpec, now: float) -> TaskNeed:
+    """Return the need of the tasks of a step of a job that has not begun."""
+    waiting = (task for run in job.runs.values() for task in run.tasks() if task.pending)
+    use_headroom = any(may_use_headroom(task, now) for task in waiting)
+    return TaskNeed.of(step, job.service, use_headroom=use_headroom)
 
-def _halls_by_preference(halls: dict[int, HallSummary], task: Task) -> list[int]:
+
+def _halls_by_preference(halls: dict[int, HallRoom], task: Task) -> list[int]:
     """Return the halls to delegate a task to, best first.
 
     A hall's published capacity includes capacity that the step may not use, because of its spread
-    limit or label. So a hall that returned the task comes after halls that did not, or that did so
-    earlier.
+    limit. So a hall that returned the task comes after halls that did not, or that did so earlier.
     """
-    return sorted(
-        halls, key=lambda shard: (task.returned_by.get(shard, 0), -_free_cpu(halls[shard]))
-    )
+    return sorted(halls, key=lambda shard: (task.returned_by.get(shard, 0), -halls[shard].free_cpu))
 
 
 def _min_slots(step: StepSpec) -> int:
     """Return for how many tasks of a step there must be capacity, as a job moves only once."""
     return step.count if step.gang else 1
-
-
-def _load(hall: HallSummary) -> float:
-    return (hall.best_effort + hall.waiting) / max(hall.capacity, 1)
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import chain, repeat
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import orjson
@@ -18,11 +19,18 @@
 )
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
+from linkspan.shard.handover.executor_room import ExecutorRoom
 from linkspan.shard.messages import ExecutorKind, can_run, group_by_kind
+from linkspan.shard.planning._isolation import executors_for_new_work
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import ShardCore
+    from linkspan.shard.executor import ExecutorState
+    from linkspan.shard.messages import KindKey
+    from linkspan.shard.planning.task_need import TaskNeed
 
 
 class PairEffect(NamedTuple):
@@ -55,7 +63,9 @@
         standing: Thousandths of a core held by standing tasks, by image.
         effects: Learnt effects: in a record those published with it, in a host's view all known
             ones.
-        free_by_executor: Free thousandths of a core and free megabytes of each executor.
+        free_by_executor: Free thousandths of a core, free megabytes and, where there are any, free
+            accelerators of each executor that takes new work, ordered by kind.
+        rows_by_kind: How many of these executors each of ``kinds`` has; empty if not published.
         kinds: Kinds of its executors, including those that take no new work at present, but without
             those that leave; ``None`` if not published.
         former_capacities: Service and former size of executors with reduced capacity, which comes
@@ -69,27 +79,37 @@
     queued: int = 0
     standing: dict[str, int] = field(default_factory=dict)
     effects: tuple[PairEffect, ...] = ()
-    free_by_executor: tuple[tuple[int, int], ...] = ()
+    free_by_executor: tuple[tuple[int, ...], ...] = ()
     kinds: tuple[ExecutorKind, ...] | None = None
     former_capacities: tuple[tuple[str, Demand], ...] = ()
+    rows_by_kind: tuple[int, ...] = ()
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
         kinds = self.kinds or ()
         return sum(k.count for k in kinds if k.service == service and can_run(step, k))
 
-    def slots(self, demand: Demand, *, headroom: float = 0.0) -> int:
-        """Return how many more tasks fit now.
+    def rooms(self) -> Iterator[ExecutorRoom]:
+        """Iterate over the free resources of the executors that take new work."""
+        for row, kind in zip(self.free_by_executor, self._kinds_of_rows(), strict=True):
+            total_cpu = kind.capacity.milli_cpu if kind else self._mean_cpu
+            free_cpu, free_memory, *gpus = row
+            yield ExecutorRoom(total_cpu, free_cpu, free_memory, sum(gpus), kind)
 
-        Args:
-            demand: Resources that one task takes.
-            headroom: Thousandths of a core that must stay free on each executor.
-        """
-        cpu, memory = max(demand.milli_cpu, 1), max(demand.memory_mb, 1)
-        return sum(
-            max(min(int(free_cpu - headroom) // cpu, free_memory // memory), 0)
-            for free_cpu, free_memory in self.free_by_executor
-        )
+    def slots(self, need: TaskNeed) -> int:
+        """Return for how many tasks the hall has room now."""
+        return sum(map(need.slots, self.rooms()))
+
+    @property
+    def _mean_cpu(self) -> int:
+        return self.capacity // max(len(self.free_by_executor), 1)
+
+    def _kinds_of_rows(self) -> Iterable[ExecutorKind | None]:
+        """Return the kind of each row of ``free_by_executor``, ``None`` where it is unknown."""
+        counts = self.rows_by_kind
+        if self.kinds is None or sum(counts) != len(self.free_by_executor):
+            return repeat(None, len(self.free_by_executor))
+        return chain.from_iterable(map(repeat, self.kinds, counts))
 
     def encode(self) -> list[object]:
         """Return the fields for a record."""
@@ -104,6 +124,7 @@
             self.queued,
             None if self.kinds is None else [_kind_row(kind) for kind in self.kinds],
             [[service, _size_row(size)] for service, size in self.former_capacities],
+            self.rows_by_kind,
         ]
 
     @classmethod
@@ -121,6 +142,7 @@
             queued = rest[0] if rest else 0
             kinds = rest[1] if len(rest) > 1 else None
             former_capacities = rest[2] if len(rest) > 2 else ()
+            rows_by_kind = rest[3] if len(rest) > 3 else ()
             return cls(
                 parse_int(capacity),
                 _signed(free),
@@ -137,6 +159,7 @@
                 if kinds is None
                 else tuple(_kind(parse_list(row)) for row in parse_list(kinds)),
                 tuple(_former_capacity(parse_list(row)) for row in parse_list(former_capacities)),
+                tuple(parse_int(count) for count in parse_list(rows_by_kind)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
@@ -157,9 +180,9 @@
     )
 
 
-def _room(row: list[Any]) -> tuple[int, int]:
-    cpu, memory, *_ = row
-    return _signed(cpu), _signed(memory)
+def _room(row: list[Any]) -> tuple[int, ...]:
+    cpu, memory, *gpus = row
+    return _signed(cpu), _signed(memory), *(_signed(count) for count in gpus[:1])
 
 
 def _kind_row(kind: ExecutorKind) -> list[object]:
@@ -196,7 +219,13 @@
             if spec.standing:
                 standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
     # Work that arrives now starts only once the executors of a former owner have reported.
-    accepting = [] if core.awaiting_reports else usable
+    accepting = [] if core.awaiting_reports else executors_for_new_work(core, now)
+    kinds = group_by_kind(
+        e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
+    )
+    by_kind: dict[KindKey, list[tuple[int, ...]]] = {kind.key: [] for kind in kinds}
+    for executor in accepting:
+        by_kind[executor.record.kind].append(_row(executor))
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
         free=sum(e.free_cpu for e in accepting),
@@ -204,14 +233,19 @@
         waiting=_pending_cpu(core, best_effort=True),
         queued=_pending_cpu(core, best_effort=False),
         standing=standing,
-        free_by_executor=tuple((e.free_cpu, e.free_memory) for e in accepting),
-        kinds=group_by_kind(
-            e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
-        ),
+        free_by_executor=tuple(chain.from_iterable(by_kind.values())),
+        kinds=kinds,
         former_capacities=_former_capacities(core),
+        rows_by_kind=tuple(len(rows) for rows in by_kind.values()),
     )
 
 
+def _row(executor: ExecutorState) -> tuple[int, ...]:
+    """Return the row of an executor, without accelerators where it has none."""
+    gpus = (executor.free_gpus,) if executor.record.capacity.gpus else ()
+    return executor.free_cpu, executor.free_memory, *gpus
+
+
 def _former_capacities(core: ShardCore) -> tuple[tuple[str, Demand], ...]:
     """Return the former sizes of executors whose capacity is reduced."""
     shrunk = (
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -30,6 +30,20 @@
     index: int  # type: ignore[assignment]
 
 
+class KindKey(NamedTuple):
+    """Properties by which executors are grouped.
+
+    Attributes:
+        service: Service whose tasks they run.
+        capacity: Total capacity of each executor.
+        labels: Their labels.
+    """
+
+    service: str
+    capacity: Demand
+    labels: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutorRecord:
     """Registration of an executor.
@@ -70,6 +84,15 @@
         """Whether new work may be started there."""
         return self.confirmed and not self.draining
 
+    @property
+    def kind(self) -> KindKey:
+        """Properties by which executors are grouped."""
+        return KindKey(self.service, self.capacity, self.labels)
+
+    def runs(self, service: str, label: str) -> bool:
+        """Return whether it runs tasks of a service that require a label; empty for none."""
+        return self.service == service and (not label or label in self.labels)
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorKind:
@@ -87,11 +110,20 @@
     labels: frozenset[str]
     count: int
 
+    @property
+    def key(self) -> KindKey:
+        """Properties by which executors are grouped."""
+        return KindKey(self.service, self.capacity, self.labels)
+
+    def runs(self, service: str, label: str) -> bool:
+        """Return whether they run tasks of a service that require a label; empty for none."""
+        return self.service == service and (not label or label in self.labels)
+
 
 def group_by_kind(executors: Iterable[ExecutorRecord]) -> tuple[ExecutorKind, ...]:
     """Group executors by service, capacity and labels."""
-    counts = Counter((e.service, e.capacity, e.labels) for e in executors)
-    return tuple(ExecutorKind(*kind, count) for kind, count in counts.items())
+    counts = Counter(executor.kind for executor in executors)
+    return tuple(ExecutorKind(*key, count) for key, count in counts.items())
 
 
 def can_run(step: StepSpec, executor: ExecutorRecord | ExecutorKind) -> bool:
--- a/src/linkspan/shard/planning/_isolation.py
+++ b/src/linkspan/shard/planning/_isolation.py
@@ -139,3 +139,10 @@
 def _used_cpu(executor: ExecutorState) -> int:
     """Return the thousandths of a core of all work that a crash of an executor would lose."""
     return executor.reserved_cpu + executor.best_effort_cpu
+
+
+def executors_for_new_work(core: ShardCore, now: float) -> list[ExecutorState]:
+    """Return the executors that may get new work, without those reserved for isolated tasks."""
+    usable = [e for e in core.executors.values() if e.clock and core.takes_work(e, now)]
+    reserved = IsolatedPlacement(core, len(usable), now).reserved()
+    return [e for e in usable if e.executor_id not in reserved]
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -7,7 +7,7 @@
 
 from linkspan.shard.planning._blocked import held_cores
 from linkspan.shard.planning._free_capacity import FreeCapacity
-from linkspan.shard.planning._isolation import IsolatedPlacement
+from linkspan.shard.planning._isolation import IsolatedPlacement, executors_for_new_work
 from linkspan.shard.planning._step_scores import StepScores
 from linkspan.shard.planning.placement import StepPlacement
 
@@ -42,10 +42,7 @@
         Only :meth:`reserve` takes executors out of it.
         """
         if self._usable is None:
-            executors = self.core.executors.values()
-            usable = [e for e in executors if e.clock and self.core.takes_work(e, self.now)]
-            reserved = IsolatedPlacement(self.core, len(usable), self.now).reserved()
-            self._usable = [e for e in usable if e.executor_id not in reserved]
+            self._usable = executors_for_new_work(self.core, self.now)
         return self._usable
 
     def reserve(self, executor: ExecutorState) -> None:
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -14,7 +14,7 @@
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
-from linkspan.shard.planning.placement import STANDING_HEADROOM
+from linkspan.shard.planning.task_need import TaskNeed
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -238,21 +238,18 @@
     for how many beside the headroom for short work. ``best_effort_memory`` counts the executors
     whose memory would suffice without their best-effort runs.
     """
-    demand = task.step.spec.demand
+    spec = task.step.spec
+    demand = spec.demand
+    service = task.step.run.job.service
+    needs = [TaskNeed.of(spec, service, use_headroom=use) for use in (True, False)]
     placement = view.placement(task.step)
     return {
         "against": dict(placement.reasons_against(task)),
         "elsewhere": {
-            shard: (hall.slots(demand), hall.slots(demand, headroom=_headroom(hall)))
-            for shard, hall in summaries.items()
+            shard: tuple(hall.slots(need) for need in needs) for shard, hall in summaries.items()
         },
         "best_effort_memory": sum(
             e.free_memory < demand.memory_mb <= e.free_memory + e.best_effort_memory
             for e in placement.executors
         ),
     }
-
-
-def _headroom(hall: HallSummary) -> float:
-    """Return the average headroom of a hall's executors, in thousandths of a core."""
-    return STANDING_HEADROOM * hall.capacity / max(len(hall.free_by_executor), 1)
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -10,6 +10,7 @@
 from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU
 from linkspan.shard.colocation.pacing import MIN_PACE_PERCENT
 from linkspan.shard.planning._free_capacity import ANY_MILLI_CPU, ExecutorGroup
+from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand
@@ -25,14 +26,6 @@
 """Minimum share of its demand that a best-effort task must find unused. Below it tasks only slow
 each other down."""
 
-STANDING_HEADROOM = 0.1
-"""Share of each executor that standing tasks leave to short ones, which earn four times as much per
-core. Short tasks use 5 percent of the cores on average and arrive in bursts."""
-
-HEADROOM_WAIT_S = 3.0
-"""Time after which a standing task may use the headroom, too: running, the task is then worth more
-than the headroom is to short tasks."""
-
 MIN_START_SHARE = 1.0
 """Minimum share of full speed at which a best-effort task is started. Fewer tasks at full speed end
 in time more often than more tasks at a part of it: batch jobs of a calm day earned 0.35 with a
@@ -93,16 +86,17 @@
     unplaceable: set[TaskKind] | None = None
     free_capacity: FreeCapacity | None = None
     _on_executor: Counter[str] = field(default_factory=Counter)
+    _needs: dict[bool, TaskNeed] = field(default_factory=dict)
     _scores: dict[tuple[bool, bool], dict[str, float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         spec = self.step.spec
         service = self.step.run.job.service
-        self.executors = [
-            e
-            for e in self.executors
-            if e.record.service == service and (not spec.label or spec.label in e.record.labels)
-        ]
+        self._needs = {
+            use_headroom: TaskNeed.of(spec, service, use_headroom=use_headroom)
+            for use_headroom in (False, True)
+        }
+        self.executors = [e for e in self.executors if self._needs[True].matches(e)]
         if not (spec.max_per_executor or spec.standing):
             return
         for task in self.step.tasks:
@@ -233,24 +227,12 @@
             use_headroom: Whether a standing task may use the headroom for short ones.
             starved: Whether pressure on standing tasks is ignored.
         """
-        spec = self.step.spec
-        demand = spec.demand
-        if demand.memory_mb > executor.free_memory:
-            return "memory"
-        if demand.gpus > executor.free_gpus:
-            return "accelerators"
-        max_tasks = spec.max_per_executor
-        if max_tasks and self._on_executor[executor.executor_id] >= max_tasks:
-            return "spread limit"
-        if spec.best_effort:
+        placed = self._on_executor[executor.executor_id]
+        obstacle = self._needs[use_headroom].obstacle(executor, placed=placed)
+        if obstacle is not None:
+            return obstacle.value
+        if self.step.spec.best_effort:
             return self._reason_against_best_effort(executor, starved=starved)
-        if demand.milli_cpu > executor.free_cpu:
-            return "cores"
-        if spec.standing and not use_headroom:
-            headroom = STANDING_HEADROOM * executor.record.capacity.milli_cpu
-            return (
-                "kept for short work" if demand.milli_cpu + headroom > executor.free_cpu else None
-            )
         return None
 
     def reasons_against(self, task: Task) -> Counter[str]:
@@ -270,7 +252,7 @@
 
     def may_use_headroom(self, task: Task) -> bool:
         """Whether a standing task may use the headroom for short ones."""
-        return task.has_run_before or self.now - task.waiting_since >= HEADROOM_WAIT_S
+        return may_use_headroom(task, self.now)
 
     def _reason_against_best_effort(self, executor: ExecutorState, *, starved: bool) -> str | None:
         """Return why an executor cannot take one more best-effort task; ``None`` if it can."""
--- /dev/null
+++ b/src/linkspan/shard/planning/task_need.py
@@ -0,0 +1,142 @@
+"""What a task may use now: the one rule on whether an executor has room for it.
+
+The hall's own placement asks it of executors that it manages; handovers and the choice of a hall
+ask it of the rooms that other halls publish.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from linkspan.jobs.spec import Demand, StepSpec
+    from linkspan.shard.task import Task
+
+STANDING_HEADROOM = 0.1
+"""Share of each executor that standing tasks leave to short ones, which earn four times as much per
+core. Short tasks use 5 percent of the cores on average and arrive in bursts."""
+
+HEADROOM_WAIT_S = 3.0
+"""Time after which a standing task may use the headroom, too: running, the task is then worth more
+than the headroom is to short tasks."""
+
+
+class Obstacle(Enum):
+    """Why an executor has no room for a task."""
+
+    MEMORY = "memory"
+    ACCELERATORS = "accelerators"
+    SPREAD = "spread limit"
+    CORES = "cores"
+    HEADROOM = "kept for short work"
+
+
+class Room(Protocol):
+    """Free resources of one executor."""
+
+    @property
+    def total_cpu(self) -> int:
+        """Thousandths of a core that the executor has."""
+
+    @property
+    def free_cpu(self) -> int:
+        """Thousandths of a core that are not reserved."""
+
+    @property
+    def free_memory(self) -> int:
+        """Megabytes of memory that no attempt uses."""
+
+    @property
+    def free_gpus(self) -> int:
+        """Accelerators that no attempt uses."""
+
+    def runs(self, service: str, label: str) -> bool:
+        """Return whether the executor runs tasks of a service that require a label."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskNeed:
+    """What one task of a step needs of an executor now.
+
+    Attributes:
+        service: Service whose executors run the task.
+        label: Label that the executor must have; empty for any executor.
+        demand: Resources that the task takes.
+        headroom: Share of the executor's cores that must stay free beside the task.
+        max_per_executor: Maximum tasks of the step on one executor; 0 for no limit.
+        reserves_cpu: Whether the task reserves its cores. Best-effort tasks use those that others
+            leave unused, which only the executor's own hall knows.
+    """
+
+    service: str
+    label: str
+    demand: Demand
+    headroom: float
+    max_per_executor: int
+    reserves_cpu: bool
+
+    @classmethod
+    def of(cls, spec: StepSpec, service: str, *, use_headroom: bool) -> TaskNeed:
+        """Return the need of a step's tasks.
+
+        Args:
+            spec: The step.
+            service: Service whose executors run it.
+            use_headroom: Whether a standing task may use the headroom for short ones.
+        """
+        headroom = STANDING_HEADROOM if spec.standing and not use_headroom else 0.0
+        return cls(
+            service,
+            spec.label,
+            spec.demand,
+            headroom,
+            spec.max_per_executor,
+            reserves_cpu=not spec.best_effort,
+        )
+
+    def matches(self, room: Room) -> bool:
+        """Return whether an executor runs such tasks at all."""
+        return room.runs(self.service, self.label)
+
+    def obstacle(self, room: Room, *, placed: int = 0) -> Obstacle | None:
+        """Return why a matching executor has no room for one more task, ``None`` if it has.
+
+        Args:
+            room: Free resources of the executor.
+            placed: Number of the step's tasks that are there.
+        """
+        demand = self.demand
+        if demand.memory_mb > room.free_memory:
+            return Obstacle.MEMORY
+        if demand.gpus > room.free_gpus:
+            return Obstacle.ACCELERATORS
+        if self.max_per_executor and placed >= self.max_per_executor:
+            return Obstacle.SPREAD
+        if not self.reserves_cpu:
+            return None
+        if demand.milli_cpu > room.free_cpu:
+            return Obstacle.CORES
+        kept = self.headroom * room.total_cpu
+        return Obstacle.HEADROOM if demand.milli_cpu + kept > room.free_cpu else None
+
+    def slots(self, room: Room) -> int:
+        """Return for how many tasks an executor without others of the step has room now."""
+        if not self.matches(room) or self.obstacle(room) is not None:
+            return 0
+        demand = self.demand
+        limits = [self.max_per_executor] if self.max_per_executor else []
+        if demand.memory_mb:
+            limits.append(room.free_memory // demand.memory_mb)
+        if demand.gpus:
+            limits.append(room.free_gpus // demand.gpus)
+        if self.reserves_cpu and demand.milli_cpu:
+            kept = self.headroom * room.total_cpu
+            limits.append(int((room.free_cpu - kept) // demand.milli_cpu))
+        return min(limits, default=1)
+
+
+def may_use_headroom(task: Task, now: float) -> bool:
+    """Return whether a standing task may use the headroom for short ones at a steady time."""
+    return task.has_run_before or now - task.waiting_since >= HEADROOM_WAIT_S
--- a/tests/shard/test_evacuated_halls.py
+++ b/tests/shard/test_evacuated_halls.py
@@ -31,6 +31,7 @@
 )
 from linkspan.shard.planning._standing_waits import WaitReason, wait_reason
 from linkspan.shard.planning.planner import Planner
+from linkspan.shard.planning.task_need import TaskNeed
 from tests.job_builders import step
 from tests.shard.builders import (
     JOB,
@@ -219,7 +220,7 @@
 def test_an_evacuated_hall_publishes_no_room() -> None:
     core = core_with(step(1, cpu=1_000))
     before = summarize(core, 1.0)
-    assert before.free > 0 and before.slots(step(1).demand) > 0
+    assert before.free > 0 and before.slots(TaskNeed.of(step(1), "pool", use_headroom=False)) > 0
     core.evacuate(EVACUATION, 1.0)
     summary = summarize(core, 1.0)
     assert (summary.capacity, summary.free, summary.free_by_executor) == (0, 0, ())
