--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -5,23 +5,24 @@
 import asyncio
 import math
 import re
-import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from linkspan.clock import steady
-from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
+from linkspan.errors import ProducerFenced, StoreRefused
 from linkspan.events import Event
-from linkspan.host._oversized import oversized_step
+from linkspan.host._responses import json_response, unavailable
+from linkspan.host._submissions import Submissions
 from linkspan.host.caller_waits import MIN_WAIT_S, CallerWaits
 from linkspan.jobs.job_registry import MAX_REFRESH_WAIT_S
-from linkspan.jobs.records import Cancelled, JobState, Submitted
+from linkspan.jobs.records import Cancelled
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from linkspan.events import EventLog
+    from linkspan.host.caller_format import CallerFormat
     from linkspan.jobs.job_registry import JobRegistry
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.metrics import HostMetrics
@@ -30,19 +31,10 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
-RETRY_AFTER_S = 1
-"""Time after which a refused caller may retry, in seconds. Outages of the store last seconds.
-If only this host has lost the store, the balancer has removed it by then."""
-
-OVERSIZED_RETRY_AFTER_S = 60
-"""Time after which a caller may retry a job that no executor is large enough for, in seconds:
-adding a larger executor takes a minute or more."""
-
 MAX_BODY_DRAIN_S = 1.0
 """Limits the time for which a drain waits for the rest of a request body, in seconds. The largest
 body accepted by default (262,144 bytes) takes 0.42 s over a link of 5 Mbit/s."""
 
-
 READ_WAIT_SHARE = 0.5
 """Share of the caller's timeout that a request may wait for the job records to be read. In the
 remaining time the caller can ask another host, which may have read them."""
@@ -55,25 +47,6 @@
 job must be visible on every host within this time."""
 
 
-class CallerFormat(Protocol):
-    """Format of the requests and responses of callers."""
-
-    timeout_header: str
-
-    def job(self, job_id: str, queue: str, body: bytes) -> JobSpec:
-        """Parse the body of a submission.
-
-        Raises:
-            InvalidInput: The body is not a valid job.
-        """
-
-    def state(self, state: JobState) -> bytes:
-        """Return the response body for the state of a job."""
-
-    def waiting(self, count: int) -> bytes:
-        """Return the response body for the number of waiting jobs of a queue."""
-
-
 class Front:
     """Handler of the requests of callers.
 
@@ -103,15 +76,23 @@
         self._job_registry = job_registry
         self._configuration = configuration
         self._form = form
-        self._choose_shard = choose_shard
-        self._capacities = capacities
         self._incarnation = incarnation
         self._log = log
         self._metrics = metrics
-        self._submitting: dict[str, asyncio.Future[int]] = {}
         self._in_flight = 0
         self._body_reads: list[float] = []
         self._waits = CallerWaits()
+        self._submissions = Submissions(
+            job_registry,
+            configuration,
+            form,
+            self._waits,
+            choose_shard=choose_shard,
+            capacities=capacities,
+            incarnation=incarnation,
+            log=log,
+            metrics=metrics,
+        )
 
     def __repr__(self) -> str:
         return f"Front({self._incarnation!r}, in_flight={self._in_flight})"
@@ -141,15 +122,15 @@
     async def _respond(self, request: web.BaseRequest) -> web.Response:
         configuration = self._configuration.current
         if configuration is None:
-            return _unavailable("no configuration yet")
+            return unavailable("no configuration yet")
         queue = configuration.find(_host_name(request), request.path)
         if queue is None:
-            return _json(404, b'{"error":"no such queue"}')
+            return json_response(404, b'{"error":"no such queue"}')
         job_id = request.path[len(queue.prefix) :]
         if request.method == "GET" and not job_id:
             return await self.count(queue, self._deadline(request, queue))
         if not _JOB_ID.fullmatch(job_id):
-            return _json(404, b'{"error":"a job id is 16 hex digits"}')
+            return json_response(404, b'{"error":"a job id is 16 hex digits"}')
         deadline = self._deadline(request, queue)
         if request.method == "POST":
             body = await self._read_body(request, deadline)
@@ -160,7 +141,7 @@
             return await self.show(job_id, deadline)
         if request.method == "DELETE":
             return await self.cancel(job_id, deadline)
-        return _json(405, b'{"error":"use GET, POST or DELETE"}')
+        return json_response(405, b'{"error":"use GET, POST or DELETE"}')
 
     async def _read_body(self, request: web.BaseRequest, deadline: float) -> bytes | None:
         """Return the body of a request, ``None`` if it is incomplete at a steady time.
@@ -178,7 +159,7 @@
             self._body_reads.remove(started_at)
 
     def _refuse_incomplete(self, job_id: str, queue: Queue) -> web.Response:
-        response = self._refuse(job_id, queue, "request did not arrive whole")
+        response = self._submissions.refuse(job_id, queue, "request did not arrive whole")
         response.force_close()
         return response
 
@@ -190,101 +171,8 @@
         )
 
     async def submit(self, queue: Queue, job_id: str, body: bytes, deadline: float) -> web.Response:
-        """Store a job and answer once it is durable, or refuse it.
-
-        A refused job will not run. After a timeout the outcome is unknown.
-
-        Args:
-            queue: Queue of the job.
-            job_id: Id that the caller chose.
-            body: Body of the request.
-            deadline: Steady time by which to answer.
-        """
-        if self._job_registry.knows(job_id):
-            self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
-            return _json(200, b"{}")
-        try:
-            spec = self._form.job(job_id, queue.name, body)
-        except InvalidInput as error:
-            return _json(400, b'{"error":"invalid job"}', reason=str(error))
-        write = self._submitting.get(job_id)
-        if write is None:
-            if not self._job_registry.follower.ready:
-                # Another host may already have accepted the job for another hall.
-                return self._refuse(job_id, queue, "job records not read yet")
-            if not self._job_registry.accepts_writes:
-                return self._refuse(job_id, queue, "store is away")
-            oversized = oversized_step(spec, self._capacities(queue.service))
-            if oversized is not None:
-                return self._refuse_oversized(job_id, queue, oversized)
-            write = self._start_write(spec, queue)
-        return await self._await_write(write, job_id, queue, deadline)
-
-    def _start_write(self, spec: JobSpec, queue: Queue) -> asyncio.Future[int]:
-        shard = self._choose_shard(spec, queue)
-        version = self._configuration_version(queue)
-        record = Submitted(spec, shard, time.time(), self._incarnation, queue.terms, version)
-        write = self._job_registry.write([record], retry_refused=False)
-        self._submitting[spec.job_id] = write
-        write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
-        return write
-
-    def _configuration_version(self, queue: Queue) -> int | None:
-        """Return the version of the current configuration, ``None`` if the queue has changed."""
-        current = self._configuration.current
-        unchanged = current and current.queues.get(queue.name) == queue
-        return current.version if current and unchanged else None
-
-    def _on_written(self, job_id: str, done: asyncio.Future[int]) -> None:
-        """Remember a written job at once, so that this host does not write it again.
-
-        A second submission under the same key would hide the first one, which may name another
-        shard, from hosts that start later.
-        """
-        self._submitting.pop(job_id, None)
-        if not done.cancelled() and done.exception() is None:
-            self._job_registry.note_accepted(job_id, done.result())
-
-    async def _await_write(
-        self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
-    ) -> web.Response:
-        started_at = steady()
-        try:
-            async with self._waits.until(deadline):
-                offset = await asyncio.shield(write)
-        except StoreRefused as error:
-            return self._refuse(job_id, queue, f"store refused with {error.status}")
-        except ProducerFenced:
-            return self._refuse(job_id, queue, "this host's writer was replaced")
-        except TimeoutError:
-            self._log.write(
-                Event.JOB_IN_DOUBT,
-                job=job_id,
-                queue=queue.name,
-                waited_s=round(steady() - started_at, 3),
-            )
-            return _json(504, b'{"error":"not known yet whether the job is kept"}')
-        self._metrics.observe("accept", steady() - started_at)
-        self._log.write(
-            Event.JOB_ACCEPTED,
-            job=job_id,
-            queue=queue.name,
-            offset=offset,
-            waited_s=round(steady() - started_at, 3),
-            version=self._configuration.current and self._configuration.current.version,
-        )
-        return _json(200, b"{}")
-
-    def _refuse(self, job_id: str, queue: Queue, reason: str) -> web.Response:
-        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
-        return _unavailable(reason)
-
-    def _refuse_oversized(self, job_id: str, queue: Queue, step: int) -> web.Response:
-        reason = f"tasks of step {step} are larger than any executor of the service"
-        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
-        response = _json(429, b'{"error":"not taken, it will not run"}', reason=reason)
-        response.headers["Retry-After"] = str(OVERSIZED_RETRY_AFTER_S)
-        return response
+        """Store a job and answer once it is durable, or refuse it."""
+        return await self._submissions.submit(queue, job_id, body, deadline)
 
     async def show(self, job_id: str, deadline: float = math.inf) -> web.Response:
         """Respond with the state of a job.
@@ -295,31 +183,35 @@
         """
         entry, fresh = await self._job_registry.look_up(job_id, timeout_s=_read_wait_s(deadline))
         if entry:
-            return _json(200, self._form.state(entry.state))
+            return json_response(200, self._form.state(entry.state))
         if not fresh:
             self._log.write(Event.JOB_ASKED, job=job_id, state="not known, records not read")
-            return _unavailable("job records not read to their end")
+            return unavailable("job records not read to their end")
         self._log.write(Event.JOB_ASKED, job=job_id, state="no such job")
-        return _json(410, b'{"error":"no such job"}')
+        return json_response(410, b'{"error":"no such job"}')
 
     async def cancel(self, job_id: str, deadline: float) -> web.Response:
         """Cancel a job and answer once the cancellation is durable."""
         entry, fresh = await self._job_registry.look_up(job_id, timeout_s=_read_wait_s(deadline))
         if entry is None:
-            return _json(410, b"{}") if fresh else _unavailable("job records not read to their end")
+            return (
+                json_response(410, b"{}")
+                if fresh
+                else unavailable("job records not read to their end")
+            )
         if entry.state.final:
-            return _json(200, b"{}")
+            return json_response(200, b"{}")
         write = self._job_registry.write([Cancelled(job_id)])
         try:
             async with self._waits.until(max(deadline, steady() + MIN_WAIT_S)):
                 await asyncio.shield(write)
         except TimeoutError:
             self._log.write(Event.JOB_IN_DOUBT, job=job_id, call="cancel")
-            return _json(504, b'{"error":"not known yet whether the job is cancelled"}')
+            return json_response(504, b'{"error":"not known yet whether the job is cancelled"}')
         except (StoreRefused, ProducerFenced):
-            return _unavailable("store is away")
+            return unavailable("store is away")
         self._log.write(Event.JOB_CANCEL, job=job_id)
-        return _json(200, b"{}")
+        return json_response(200, b"{}")
 
     async def count(self, queue: Queue, deadline: float = math.inf) -> web.Response:
         """Respond with the number of waiting jobs of a queue.
@@ -330,8 +222,10 @@
         """
         await self._job_registry.refresh(timeout_s=min(_read_wait_s(deadline), MAX_REFRESH_WAIT_S))
         if steady() - self._job_registry.follower.synced_at > MAX_COUNT_AGE_S:
-            return _unavailable("job records not read lately")
-        return _json(200, self._form.waiting(self._job_registry.catalog.waiting(queue.name)))
+            return unavailable("job records not read lately")
+        return json_response(
+            200, self._form.waiting(self._job_registry.catalog.waiting(queue.name))
+        )
 
 
 def _read_wait_s(deadline: float) -> float:
@@ -344,14 +238,3 @@
     """Return the ``Host`` header without the port."""
     name, _, port = (request.headers.get("Host") or "").rpartition(":")
     return name if name and port.isdecimal() else f"{name}:{port}" if name else port
-
-
-def _json(status: int, body: bytes, *, reason: str | None = None) -> web.Response:
-    headers = {"X-Reason": reason.encode("ascii", "replace").decode()[:200]} if reason else None
-    return web.Response(status=status, body=body, content_type="application/json", headers=headers)
-
-
-def _unavailable(reason: str) -> web.Response:
-    response = _json(503, b'{"error":"not taken, it will not run"}', reason=reason)
-    response.headers["Retry-After"] = str(RETRY_AFTER_S)
-    return response
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -22,7 +22,7 @@
     from collections.abc import Awaitable, Callable
 
     from linkspan.events import EventLog
-    from linkspan.host.front import CallerFormat
+    from linkspan.host.caller_format import CallerFormat
     from linkspan.metrics import HostMetrics
     from linkspan.model.settings import HostSettings
     from linkspan.shard.handover.summary import HallSummary
