--- a/tests/host/owner_waits.py
+++ b/tests/host/owner_waits.py
@@ -4,8 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
+from linkspan.shard.ownership.ownership import Owner
 from linkspan.store.types import Partition
+from tests.hall_world import HallWorld
+from tests.job_builders import step
 
 OWNERS = Partition("owners", 0)
 """Ownership records of the first hall."""
@@ -34,3 +38,52 @@
     async with asyncio.timeout(limit_s):
         while not condition():
             await asyncio.sleep(check_interval_s)
+
+
+class Succession(NamedTuple):
+    """Two owners of a shard in a row.
+
+    Attributes:
+        first: Host that owned the shard first and was killed.
+        first_owner: Its tenure.
+        second: Host that owns the shard now and runs a long task.
+    """
+
+    first: str
+    first_owner: Owner
+    second: str
+
+
+async def kill_first_owner(world: HallWorld, *, limit_s: float) -> Succession:
+    """Kill the first owner of a begun world, and give its successor a long task.
+
+    Args:
+        world: The world.
+        limit_s: Longest time until the next owner has claimed the shard.
+
+    Raises:
+        TimeoutError: No other host claimed the shard in time.
+    """
+    first = world.owner()
+    assert first
+    first_owner = world.hosts[first].host.candidates[0].view.owner
+    assert first_owner and first_owner.token == 1
+    second = next(name for name, _ in world.host_names() if name != first)
+    world.kill_host(first)
+    await until(lambda: world.owner() == second, limit_s=limit_s)
+    assert await world.submit(second, world.new_job(step(1, estimate_s=LONG_S))) == 200
+    await asyncio.sleep(BEGUN_S)
+    return Succession(first, first_owner, second)
+
+
+def cut_off_owner(world: HallWorld, succession: Succession) -> None:
+    """Partition the network: the owner and its task's executor on one side, the rest on the other.
+
+    Args:
+        world: The world.
+        succession: The owners; the second one loses the store.
+    """
+    first, second = succession.first, succession.second
+    for address, executor in world.executors.items():
+        world.cuts.add((first if executor.running else second, address))
+    world.store.silent.add(second)
--- a/tests/host/test_late_renewal.py
+++ b/tests/host/test_late_renewal.py
@@ -21,8 +21,13 @@
 from linkspan.host.candidate import MAX_PAST_RECORDS
 from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord
 from tests.hall_world import HallWorld
-from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S, OWNERS, until
-from tests.job_builders import step
+from tests.host.owner_waits import (
+    OUTLIVED_S,
+    OWNERS,
+    cut_off_owner,
+    kill_first_owner,
+    until,
+)
 from tests.virtual_time import run_virtual
 
 WAIT_S = 5.0
@@ -34,27 +39,18 @@
     async def play() -> HallWorld:
         world = HallWorld(lists_machines=False)
         await world.begin()
-        first = world.owner()
-        assert first
-        token, earlier_owner = 1, world.hosts[first].host.candidates[0].view.owner
-        assert earlier_owner and earlier_owner.token == token
-        second = next(name for name, _ in world.host_names() if name != first)
-        world.kill_host(first)
-        await until(lambda: world.owner() == second, limit_s=WAIT_S)
-        assert await world.submit(second, world.new_job(step(1, estimate_s=LONG_S))) == 200
-        await asyncio.sleep(BEGUN_S)
+        succession = await kill_first_owner(world, limit_s=WAIT_S)
+        first, earlier_owner = succession.first, succession.first_owner
         if late:
-            record = OwnerRecord(OwnerAct.RENEW, first, earlier_owner.incarnation, token, 99)
+            record = OwnerRecord(
+                OwnerAct.RENEW, first, earlier_owner.incarnation, earlier_owner.token, 99
+            )
             world.store.put(OWNERS, b"", record.encode())
         end = world.store.log(OWNERS).end
         await until(
             lambda: world.store.log(OWNERS).end == end + MAX_PAST_RECORDS - 1, limit_s=WAIT_S
         )
-        # Partition the network: the owner and its task's executor on one side, the rest on
-        # the other.
-        for address, executor in world.executors.items():
-            world.cuts.add((first if executor.running else second, address))
-        world.store.silent.add(second)
+        cut_off_owner(world, succession)
         world.start_host(first)
         await asyncio.sleep(OUTLIVED_S)
         return world
