--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -13,6 +13,7 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._hall_room import HallRoom
+from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
@@ -40,10 +41,6 @@
 RETURN_DELAY_S = 1.0
 """Time for which a delegated task waits for capacity before it is returned."""
 
-MIN_LOAD_DIFFERENCE = 0.15
-"""Minimum difference in best-effort load, as a share of a hall's capacity, for another hall to take
-over best-effort work."""
-
 
 class Handover(NamedTuple):
     """Work to hand over to another shard.
@@ -82,6 +79,7 @@
         self._summaries = summaries
         self._count_capable = count_capable
         self._evidence = evidence
+        self._whole_moves = WholeMoves(core, count_capable)
         self._rooms: dict[int, HallRoom] = {}
 
     def __repr__(self) -> str:
@@ -136,9 +134,11 @@
         if job.delegated_here:
             return self._return(job, step, pending, now)
         if not (job.begun or job.moved or job.has_delegations):
-            move = self._move(job, own, halls, now)
-            if move or now - min(t.ready_since for t in pending) < self._whole_move_wait_s():
-                return move
+            shard = self._whole_moves.choose(step, own, halls, now)
+            if shard is not None:
+                return Handover(job.job_id, shard, None)
+            if now - min(t.ready_since for t in pending) < self._whole_move_wait_s():
+                return None
         if step.spec.standing and not step.spec.gang:
             return self._delegate(job, step, pending, halls, now)
         return None
@@ -166,61 +166,6 @@
         tasks = tuple((step.index, task.name.index) for task in overdue)
         return Handover(job.job_id, job.submitted.shard, tasks)
 
-    def _move(
-        self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], now: float
-    ) -> Handover | None:
-        steps = job.spec.steps
-        capable = [s for s in halls if all(self._can_run_all(s, step, job) for step in steps)]
-        capable.sort(key=lambda shard: -halls[shard].free_cpu)
-        if any(step.best_effort for step in steps):
-            return self._move_best_effort(job, own, halls, capable)
-        return self._move_reserved(job, halls, capable, now)
-
-    def _move_best_effort(
-        self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], capable: list[int]
-    ) -> Handover | None:
-        """Return the move of a job to a hall with less best-effort work.
-
-        Any hall will do for a job in an evacuated hall, the one with the least such work first.
-        """
-        milli_cpu = _milli_cpu(_widest(job))
-        if self._core.evacuation:
-            capable.sort(key=lambda shard: halls[shard].best_effort_load)
-        limit = own.best_effort_load - MIN_LOAD_DIFFERENCE
-        for shard in capable:
-            hall = halls[shard]
-            if self._core.evacuation or hall.load_with(milli_cpu) <= limit:
-                hall.add_best_effort(milli_cpu)
-                return Handover(job.job_id, shard, None)
-        return None
-
-    def _move_reserved(
-        self, job: ShardJob, halls: dict[int, HallRoom], capable: list[int], now: float
-    ) -> Handover | None:
-        """Return the move of a job to a hall that has capacity for it now.
-
-        If none has, a short job in an evacuated hall moves to the hall with the shortest queue.
-        """
-        widest = _widest(job)
-        milli_cpu = _milli_cpu(widest)
-        needs = {step: _need_of_job(job, step, now) for step in job.spec.steps}
-        for shard in capable:
-            hall = halls[shard]
-            if hall.queued_cpu or hall.free_beside(needs[widest]) < milli_cpu:
-                continue
-            if all(hall.slots(need) >= _min_slots(step) for step, need in needs.items()):
-                hall.take(needs[widest], widest.count)
-                return Handover(job.job_id, shard, None)
-        if not (self._core.evacuation and capable) or job.spec.standing:
-            return None
-        shard = min(capable, key=lambda shard: halls[shard].queued_cpu)
-        halls[shard].queue(milli_cpu)
-        return Handover(job.job_id, shard, None)
-
-    def _can_run_all(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
-        capable = self._count_capable(shard, step, job.service)
-        return capable * (step.max_per_executor or step.count) >= step.count
-
     def _delegate(
         self,
         job: ShardJob,
@@ -271,23 +216,6 @@
         )
 
 
-def _widest(job: ShardJob) -> StepSpec:
-    """Return the step of a job whose tasks together take the most cores."""
-    return max(job.spec.steps, key=_milli_cpu)
-
-
-def _milli_cpu(step: StepSpec) -> int:
-    """Return the thousandths of a core that all tasks of a step take together."""
-    return step.count * step.demand.milli_cpu
-
-
-def _need_of_job(job: ShardJob, step: StepSpec, now: float) -> TaskNeed:
-    """Return the need of the tasks of a step of a job that has not begun."""
-    waiting = (task for run in job.runs.values() for task in run.tasks() if task.pending)
-    use_headroom = any(may_use_headroom(task, now) for task in waiting)
-    return TaskNeed.of(step, job.service, use_headroom=use_headroom)
-
-
 def _halls_by_preference(halls: dict[int, HallRoom], task: Task) -> list[int]:
     """Return the halls to delegate a task to, best first.
 
@@ -295,8 +223,3 @@
     limit. So a hall that returned the task comes after halls that did not, or that did so earlier.
     """
     return sorted(halls, key=lambda shard: (task.returned_by.get(shard, 0), -halls[shard].free_cpu))
-
-
-def _min_slots(step: StepSpec) -> int:
-    """Return for how many tasks of a step there must be capacity, as a job moves only once."""
-    return step.count if step.gang else 1
