--- a/src/linkspan/shard/handover/_whole_moves.py
+++ b/src/linkspan/shard/handover/_whole_moves.py
@@ -19,6 +19,10 @@
 """Minimum difference in best-effort load, as a share of a hall's capacity, for another hall to take
 over best-effort work."""
 
+QUEUE_PRECEDENCE_S = 1.0
+"""Time for which work that waits in another hall comes before a job that could move there. What
+still waits beside room can't use that room: its spread limit, label or size is against it."""
+
 
 class WholeMoves:
     """Chooses halls for whole jobs.
@@ -76,7 +80,7 @@
     def _reserved(
         self, step: StepRun, halls: dict[int, HallRoom], capable: list[int], now: float
     ) -> int | None:
-        """Return a hall that has capacity for the job now.
+        """Return a hall that has capacity for the job now, one without a queue first.
 
         If none has, a short job in an evacuated hall moves to the hall with the shortest queue.
         """
@@ -84,9 +88,12 @@
         widest = _widest(job)
         milli_cpu = _milli_cpu(widest)
         needs = {spec: _need_of_job(job, spec, now) for spec in job.spec.steps}
+        capable.sort(key=lambda shard: halls[shard].queued_cpu > 0)
         for shard in capable:
             hall = halls[shard]
-            if hall.queued_cpu or hall.free_beside(needs[widest]) < milli_cpu:
+            if hall.queued_cpu and _waited_s(step, now) < QUEUE_PRECEDENCE_S:
+                break
+            if hall.free_beside(needs[widest]) < milli_cpu:
                 continue
             if all(hall.slots(need) >= _min_slots(spec) for spec, need in needs.items()):
                 hall.take(needs[widest], widest.count)
@@ -119,6 +126,11 @@
     return TaskNeed.of(step, job.service, use_headroom=use_headroom)
 
 
+def _waited_s(step: StepRun, now: float) -> float:
+    """Return for how long a task of a step has been waiting for a run, in seconds."""
+    return max(now - task.waiting_since for task in step.tasks if task.pending)
+
+
 def _min_slots(step: StepSpec) -> int:
     """Return for how many tasks of a step there must be capacity, as a job moves only once."""
     return step.count if step.gang else 1
