--- a/src/linkspan/shard/handover/_whole_moves.py
+++ b/src/linkspan/shard/handover/_whole_moves.py
@@ -23,6 +23,10 @@
 """Time for which work that waits in another hall comes before a job that could move there. What
 still waits beside room can't use that room: its spread limit, label or size is against it."""
 
+WHOLE_STEP_WAIT_S = 1.0
+"""Time for which a job waits for a hall with room for all tasks of its widest step. After that a
+hall with room for some of the tasks that wait is better: the others run after them there."""
+
 
 class WholeMoves:
     """Chooses halls for whole jobs.
@@ -57,7 +61,12 @@
         capable.sort(key=lambda shard: -halls[shard].free_cpu)
         if any(other.best_effort for other in steps):
             return self._best_effort(job, own, halls, capable)
-        return self._reserved(step, halls, capable, now)
+        shard = self._with_room_for_all(step, halls, capable, now)
+        if shard is None and self._takes_a_part(step, now):
+            shard = self._with_room_for_some(step, halls, now)
+        if shard is None and self._core.evacuation and not job.spec.standing:
+            shard = self._with_shortest_queue(job, halls)
+        return shard
 
     def _best_effort(
         self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], capable: list[int]
@@ -77,19 +86,15 @@
                 return shard
         return None
 
-    def _reserved(
+    def _with_room_for_all(
         self, step: StepRun, halls: dict[int, HallRoom], capable: list[int], now: float
     ) -> int | None:
-        """Return a hall that has capacity for the job now, one without a queue first.
-
-        If none has, a short job in an evacuated hall moves to the hall with the shortest queue.
-        """
+        """Return a hall that has room for the job's widest step now, one without a queue first."""
         job = step.run.job
         widest = _widest(job)
         milli_cpu = _milli_cpu(widest)
         needs = {spec: _need_of_job(job, spec, now) for spec in job.spec.steps}
-        capable.sort(key=lambda shard: halls[shard].queued_cpu > 0)
-        for shard in capable:
+        for shard in sorted(capable, key=lambda shard: halls[shard].queued_cpu > 0):
             hall = halls[shard]
             if hall.queued_cpu and _waited_s(step, now) < QUEUE_PRECEDENCE_S:
                 break
@@ -98,12 +103,54 @@
             if all(hall.slots(need) >= _min_slots(spec) for spec, need in needs.items()):
                 hall.take(needs[widest], widest.count)
                 return shard
-        if not (self._core.evacuation and capable) or job.spec.standing:
+        return None
+
+    def _takes_a_part(self, step: StepRun, now: float) -> bool:
+        """Return whether room for some tasks of a step is enough.
+
+        Standing tasks need it less: they are delegated one by one.
+        """
+        if step.spec.standing and not step.spec.gang:
+            return False
+        return bool(self._core.evacuation) or _waited_s(step, now) >= WHOLE_STEP_WAIT_S
+
+    def _with_room_for_some(
+        self, step: StepRun, halls: dict[int, HallRoom], now: float
+    ) -> int | None:
+        """Return the hall with room now for the most tasks of a step, for a gang all of them.
+
+        Among equals, the one with the shortest queue.
+        """
+        job = step.run.job
+        need = _need_of_job(job, step.spec, now)
+        slots = {shard: halls[shard].slots(need) for shard in self._capable_in_parts(job, halls)}
+
+        def preference(shard: int) -> tuple[int, int]:
+            return min(slots[shard], step.spec.count), -halls[shard].queued_cpu
+
+        best = max(slots, key=preference, default=None)
+        if best is None or slots[best] < _min_slots(step.spec):
             return None
-        shard = min(capable, key=lambda shard: halls[shard].queued_cpu)
-        halls[shard].queue(milli_cpu)
+        halls[best].take(need, step.spec.count)
+        return best
+
+    def _with_shortest_queue(self, job: ShardJob, halls: dict[int, HallRoom]) -> int | None:
+        """Return the hall with the shortest queue, for a job that must leave this hall."""
+        capable = self._capable_in_parts(job, halls)
+        shard = min(capable, key=lambda shard: halls[shard].queued_cpu, default=None)
+        if shard is not None:
+            halls[shard].queue(_milli_cpu(_widest(job)))
         return shard
 
+    def _capable_in_parts(self, job: ShardJob, halls: dict[int, HallRoom]) -> list[int]:
+        """Return the halls that could run each step if they were empty, but for a gang in parts."""
+        return [s for s in halls if all(self._can_run(s, step, job) for step in job.spec.steps)]
+
+    def _can_run(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
+        if step.gang:
+            return self._can_run_all(shard, step, job)
+        return self._count_capable(shard, step, job.service) > 0
+
     def _can_run_all(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
         capable = self._count_capable(shard, step, job.service)
         return capable * (step.max_per_executor or step.count) >= step.count
--- a/tests/host/test_short_work_between_halls.py
+++ b/tests/host/test_short_work_between_halls.py
@@ -66,3 +66,37 @@
         return await _idle_s(world, step(1, cpu=1_000))
 
     assert run_virtual(play()) <= MAX_IDLE_S
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        pytest.param((step(6 * EXECUTORS, cpu=2_000),), id="wider-than-any-hall"),
+        pytest.param((step(2 * EXECUTORS, max_per_executor=1),), id="spread-wider-than-any-hall"),
+        pytest.param(
+            (step(1), step(6 * EXECUTORS, cpu=2_000, depends_on=(0,))), id="later-step-is-wide"
+        ),
+        pytest.param(
+            (step(1), step(6 * EXECUTORS, cpu=2_000, standing=True, depends_on=(0,))),
+            id="later-step-is-standing-and-wide",
+        ),
+        pytest.param(
+            (step(1), step(EXECUTORS, cpu=8_000, gang=True, depends_on=(0,))),
+            id="later-step-is-a-gang",
+        ),
+    ],
+)
+def test_a_job_begins_in_another_hall_that_has_room_for_a_part_of_it(
+    steps: tuple[StepSpec, ...],
+) -> None:
+    """Guards against jobs that wait until one hall has room for all of a step at once."""
+
+    async def play() -> float:
+        world = await _world("east", "west", "north")
+        for shard in (1, 2):
+            beside = world.new_job(step(EXECUTORS, cpu=2_000, estimate_s=LONG_S))
+            accept_in(world, beside, shard=shard)
+        await asyncio.sleep(SETTLE_S)
+        return await _idle_s(world, *steps)
+
+    assert run_virtual(play()) <= MAX_IDLE_S
--- a/tests/shard/test_work_of_evacuated_halls.py
+++ b/tests/shard/test_work_of_evacuated_halls.py
@@ -67,6 +67,18 @@
     assert handover.shard == 2
 
 
+def test_a_job_that_no_hall_can_run_at_once_leaves_an_evacuated_hall() -> None:
+    """Guards against a job that waits for the end of the evacuation, as its spread limit is narrow.
+
+    The other hall runs its tasks one after the other.
+    """
+    core = core_with(step(4, max_per_executor=1))
+    core.evacuate(EVACUATION, 0.0)
+    for hall in (EMPTY, FULL):
+        (handover,) = rebalancer(core, {1: hall}).plan(summarize(core, SOON_S), SOON_S)
+        assert (handover.shard, handover.tasks) == (1, None)
+
+
 def test_work_that_no_other_hall_can_run_waits() -> None:
     core = core_with(step(2), step(1, standing=True))
     core.evacuate(EVACUATION, 0.0)
