--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from enum import Enum
+from math import ceil
 from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.clock import steady
@@ -75,8 +76,9 @@
 class ShardChooser:
     """Chooser of the hall for each new job.
 
-    Short jobs stay in this host's hall while it has free capacity. Standing jobs gather by image,
-    so that each hall has some kind of best-effort work without interference. Best-effort jobs go
+    Short jobs stay in this host's hall while it has free capacity. Standing jobs go where most of
+    their tasks have room, and then gather by image, so that each hall has some kind of best-effort
+    work without interference. Best-effort jobs go
     where they cause the least interference and wait the least.
 
     Args:
@@ -109,8 +111,7 @@
         if kind is _Kind.SHORT:
             chosen = self._first_with_capacity(spec, queue.service, shards)
         else:
-            score = self._standing_score if kind is _Kind.STANDING else self._best_effort_score
-            chosen = max(shards, key=lambda shard: score(spec, shard))
+            chosen = max(shards, key=lambda shard: self._preference(spec, queue.service, shard))
         self._choices.append(_Choice(steady(), chosen, _milli_cpu(_widest(spec)), kind))
         return chosen
 
@@ -158,6 +159,32 @@
             sum(map(_has_data, spec.steps, suitable)),
         )
 
+    def _preference(self, spec: JobSpec, service: str, shard: int) -> tuple[float, ...]:
+        """Return how suitable a hall is for a standing or best-effort job."""
+        if not spec.standing:
+            return (self._best_effort_score(spec, shard),)
+        count = _widest(spec).count
+        at_once = self._fitting_tasks(spec, service, shard, use_headroom=False)
+        later = at_once
+        if at_once < count:
+            later = self._fitting_tasks(spec, service, shard, use_headroom=True)
+        return at_once, later, self._standing_score(spec, shard)
+
+    def _fitting_tasks(self, spec: JobSpec, service: str, shard: int, *, use_headroom: bool) -> int:
+        """Return for how many tasks of a standing job's widest step a hall has room now.
+
+        Free cores may be spread over executors with too little for one task each.
+        """
+        summary = self._usable_summary(shard)
+        if summary is None:
+            return 0
+        widest = _widest(spec)
+        need = TaskNeed.of(widest, service, use_headroom=use_headroom)
+        chosen_cpu = self._recently_chosen_cpu(shard, _Kind.STANDING)
+        chosen = ceil(chosen_cpu / max(widest.demand.milli_cpu, 1))
+        slots = summary.slots(need, enough=widest.count + chosen)
+        return min(max(slots - chosen, 0), widest.count)
+
     def _standing_score(self, spec: JobSpec, shard: int) -> float:
         local = self._local_bonus(shard)
         summary = self._usable_summary(shard)
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -96,9 +96,19 @@
             free_cpu, free_memory, *gpus = row
             yield ExecutorRoom(total_cpu, free_cpu, free_memory, sum(gpus), kind)
 
-    def slots(self, need: TaskNeed) -> int:
-        """Return for how many tasks the hall has room now."""
-        return sum(map(need.slots, self.rooms()))
+    def slots(self, need: TaskNeed, *, enough: int = MAX_EXACT_INT) -> int:
+        """Return for how many tasks the hall has room now.
+
+        Args:
+            need: Need of the tasks.
+            enough: Number of tasks from which on the rest of the hall is not looked at.
+        """
+        found = 0
+        for room in self.rooms():
+            found += need.slots(room)
+            if found >= enough:
+                break
+        return found
 
     @property
     def _mean_cpu(self) -> int:
