--- a/src/linkspan/shard/ownership/_tokens.py
+++ b/src/linkspan/shard/ownership/_tokens.py
@@ -34,6 +34,10 @@
         """Raise the limit up to which tokens are below those of any later tenure."""
         self._token_limit = max(self._token_limit, limit)
 
+    def has_higher(self, token: int) -> bool:
+        """Return whether this tenure may use a higher token than the given one now."""
+        return token < max(self._token_limit, self._highest_token)
+
     def next_token(self, others: Iterable[ExecutorState]) -> int:
         """Return the token for an incarnation that was just found.
 
--- a/src/linkspan/shard/reports/_acknowledgements.py
+++ b/src/linkspan/shard/reports/_acknowledgements.py
@@ -33,12 +33,18 @@
         return 0
     if any(attempt.phase is Phase.STARTING for attempt in executor.attempts.values()):
         return 0
-    many = executor.acknowledged - executor.ack_delivered > MAX_ENDS_BEHIND_WITHHELD
-    if not many and any(_may_arrive(attempt, now) for attempt in executor.attempts.values()):
+    if not _must_acknowledge(executor) and any(
+        _may_arrive(attempt, now) for attempt in executor.attempts.values()
+    ):
         return 0
     return executor.acknowledged
 
 
+def _must_acknowledge(executor: ExecutorState) -> bool:
+    """Whether so many ends are unacknowledged that the executor may soon omit later ones."""
+    return executor.acknowledged - executor.ack_delivered > MAX_ENDS_BEHIND_WITHHELD
+
+
 def _may_arrive(attempt: Attempt, now: float) -> bool:
     """Whether a start may still arrive and its task be done at the next incarnation."""
     if attempt.task.step.spec.standing:
@@ -96,7 +102,7 @@
     - a start waits while an acknowledging poll is open;
     - after a poll without an answer, calls carry a higher fencing token. An incarnation that takes
       a start refuses the poll from then on. Without a higher token there are no starts until the
-      poll can no longer be carried out.
+      poll can no longer be carried out, so polls acknowledge nothing then if they can do so.
 
     Args:
         state: The shard's state.
@@ -110,6 +116,20 @@
     def __repr__(self) -> str:
         return f"Acknowledgements({len(self._open)} open, {len(self._unanswered)} unanswered)"
 
+    def acknowledgeable_end(self, executor: ExecutorState, now: float) -> int:
+        """Return the number up to which a poll of an executor acknowledges ends now, 0 for none."""
+        return 0 if self.lacks_token(executor) else acknowledgeable_end(executor, now)
+
+    def lacks_token(self, executor: ExecutorState) -> bool:
+        """Return whether acknowledgements to an executor wait for a higher token.
+
+        Without one, the loss of the answer would keep the executor from all starts for seconds,
+        while a delayed acknowledgement is harmless until the executor omits ends.
+        """
+        if self._state.tokens.has_higher(executor.token):
+            return False
+        return executor.ack_pending and not _must_acknowledge(executor)
+
     def send(self, executor: ExecutorState, number: int, now: float) -> Acknowledgement | None:
         """Record a poll that is about to be sent; ``None`` if it acknowledges nothing."""
         if not number:
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -10,7 +10,6 @@
 from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.machines import MachineWatch
-from linkspan.shard.reports._acknowledgements import acknowledgeable_end
 from linkspan.shard.reports._restarts import reporting_incarnation
 
 if TYPE_CHECKING:
@@ -211,7 +210,9 @@
         """
         asked = steady()
         # Most close polls are in vain, and some reach an incarnation whose ends nobody has read.
-        acknowledged = acknowledgeable_end(executor, asked) if limit_s is None else 0
+        acknowledged = 0
+        if limit_s is None:
+            acknowledged = self._core.acknowledgements.acknowledgeable_end(executor, asked)
         try:
             async with asyncio.timeout(limit_s):
                 report = await self._renew(executor, acknowledged, wait_s, asked)
@@ -314,11 +315,17 @@
                 self._metrics.count("ends", how=end.kind.value)
 
     async def _wait_for_acknowledgements(self, executor: ExecutorState) -> None:
-        """Wait until ends are durable, so that the next poll does not list them again."""
+        """Wait until ends may be acknowledged, so that the next poll does not list them again."""
         await asyncio.sleep(END_BATCH_S)
         executor.advance_acknowledged(steady())
         waited = END_BATCH_S
-        while executor.unacked and waited < MAX_BACKOFF_S and not executor.withholds_end(steady()):
+        while self._awaits_acknowledgement(executor) and waited < MAX_BACKOFF_S:
             await asyncio.sleep(END_BATCH_S / 2)
             waited += END_BATCH_S / 2
             executor.advance_acknowledged(steady())
+
+    def _awaits_acknowledgement(self, executor: ExecutorState) -> bool:
+        """Whether ends wait for their record, or acknowledgements for a higher fencing token."""
+        if executor.unacked:
+            return not executor.withholds_end(steady())
+        return self._core.acknowledgements.lacks_token(executor)
--- a/tests/shard/test_acknowledgements.py
+++ b/tests/shard/test_acknowledgements.py
@@ -9,7 +9,7 @@
 from linkspan.errors import Fenced, Unreachable
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.core import ShardCore
-from linkspan.shard.executor import ExecutorState
+from linkspan.shard.executor import MAX_ENDS_BEHIND_WITHHELD, ExecutorState
 from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.reports._acknowledgements import acknowledgeable_end
@@ -119,6 +119,26 @@
     assert not core.acknowledgements.prevents_starts(core.executors[SECOND], 1.3)
 
 
+def test_no_end_is_acknowledged_without_a_higher_token_for_the_starts_after_it() -> None:
+    """Guards against LOST: the loss of the answer would keep the executor from all starts."""
+    core = _core(tokens=0)
+    executor = core.executors[FIRST]
+    report_ends(core, FIRST, asked=0.08, now=0.09)
+    _set_pending(executor)
+    assert core.acknowledgements.acknowledgeable_end(executor, 0.1) == 0
+    core.tokens.raise_limit(9)
+    assert core.acknowledgements.acknowledgeable_end(executor, 0.1) == 5
+
+
+def test_ends_that_later_ones_would_be_omitted_for_need_no_higher_token() -> None:
+    """Guards against an executor that lists no new ends, as too many are unacknowledged."""
+    core = _core(tokens=0)
+    executor = core.executors[FIRST]
+    report_ends(core, FIRST, asked=0.08, now=0.09)
+    executor.acknowledged = MAX_ENDS_BEHIND_WITHHELD + 1
+    assert core.acknowledgements.acknowledgeable_end(executor, 0.1) == executor.acknowledged
+
+
 def test_a_refused_poll_delays_nothing() -> None:
     core = _core(tokens=0)
     sent = core.acknowledgements.send(core.executors[FIRST], 5, 0.05)
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -189,6 +189,10 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def fail(self, task: TaskName) -> None:
+        """End the run of a task as failed now."""
+        self._finish(self.running[task], EndKind.FAILED)
+
     def _end_alone(self, run: _Run) -> None:
         if not self.world.assembled(run.task, run.run):
             self._finish(run, EndKind.ALONE)
