--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -163,6 +163,18 @@
         "standing tasks have not been running for seconds",
         "see OPERATIONS.md, a standing task that does not run; the line has the reason",
     )
+    RUNS_UNLISTED = (
+        579,
+        logging.WARNING,
+        "standing runs believed in have not been in a report of their executor for seconds",
+        "see OPERATIONS.md, a standing task that does not run",
+    )
+    TASKS_UNMANAGED = (
+        580,
+        logging.WARNING,
+        "standing tasks may be managed by no hall, by the records of their handovers",
+        "see OPERATIONS.md, a standing task that does not run",
+    )
     START_REFUSED = 532, logging.INFO, "executor refused a start", "read the reason"
     START_IN_DOUBT = (
         533,
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -89,6 +89,8 @@
     def __init__(self) -> None:
         self._jobs: dict[str, JobEntry] = {}
         self._waiting: dict[str, set[str]] = {}
+        # Standing jobs are few: a check of their handovers need not go through all jobs.
+        self._standing: dict[str, JobEntry] = {}
 
     def __repr__(self) -> str:
         return f"JobCatalog({len(self._jobs)} jobs)"
@@ -108,6 +110,12 @@
             if entry.known and (entry.shard == shard or shard in entry.delegated):
                 yield job_id, entry
 
+    def standing_jobs_of_shard(self, shard: int) -> Iterator[tuple[str, JobEntry]]:
+        """Iterate over the unfinished jobs with standing tasks, as :meth:`jobs_of_shard`."""
+        for job_id, entry in self._standing.items():
+            if not entry.finished and (entry.shard == shard or shard in entry.delegated):
+                yield job_id, entry
+
     def apply(self, offset: int, record: JobRecord) -> str:
         """Apply a record and return the id of its job."""
         if isinstance(record, Submitted):
@@ -156,6 +164,8 @@
         if entry.submitted is None or offset < entry.offset:
             entry.submitted = record
             entry.offset = offset
+            if record.spec.standing:
+                self._standing[job_id] = entry
         self._update_waiting(job_id, entry)
 
     def _apply_tombstone(self, record: Tombstone) -> None:
@@ -185,6 +195,7 @@
 
     def _remove(self, job_id: str) -> None:
         entry = self._jobs.pop(job_id, None)
+        self._standing.pop(job_id, None)
         if entry and entry.submitted:
             self._waiting.get(entry.submitted.spec.queue, set()).discard(job_id)
 
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -59,6 +59,7 @@
         stop_taken_at: Steady time at which the executor accepted a stop, ``None`` if it did not.
         listed: Whether a report of its incarnation has listed the run. An answer to the start does
             not prove that, as the start may have arrived at the next incarnation.
+        listed_at: Steady time at which a report that lists the run was last applied.
         carried_over: Whether the attempt was transferred from an earlier incarnation and its
             present one has not listed it.
         answered_unlisted: Whether an earlier incarnation's start was answered but never listed, so
@@ -96,6 +97,7 @@
     stop_sent_at: float = NEVER
     stop_taken_at: float | None = None
     listed: bool = False
+    listed_at: float = NEVER
     carried_over: bool = False
     answered_unlisted: bool = False
     refused_for_good: bool = False
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -115,6 +115,7 @@
             executor.unknown_runs = True
             return
         attempt.listed = True
+        attempt.listed_at = now
         attempt.carried_over = False
         if attempt.sent_once and attempt.start_may_arrive_until != NEVER:
             # The only start sent for the run has arrived.
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -4,7 +4,8 @@
 owner), ``_feed`` (changes of jobs), ``_dispatch`` (plans and orders), ``_watch`` (polls of
 executors), ``_records`` (writes of records), ``_handovers`` (work for other halls),
 ``_advice_requester`` (tickets of placement policies), ``_standing_waits`` (why standing tasks do
-not run) and ``_proof`` (proof of ownership).
+not run), ``_unlisted_runs`` (runs that no report lists), ``_unmanaged_tasks`` (tasks between two
+halls) and ``_proof`` (proof of ownership).
 ``_scope`` runs their loops, and ``_changes`` wakes them.
 """
 
@@ -22,6 +23,7 @@
 from linkspan.shard.colocation._effect_selector import EffectSelector
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._handovers import Handovers
+from linkspan.shard.handover._unmanaged_tasks import UnmanagedTasks
 from linkspan.shard.handover.summary import summarize
 from linkspan.shard.intake._feed import JobFeed
 from linkspan.shard.orders._calls import ExecutorCalls
@@ -32,6 +34,7 @@
 from linkspan.shard.planning._standing_waits import StandingWaits
 from linkspan.shard.recovery._records import RecordWriter
 from linkspan.shard.recovery._recovery import Recovery
+from linkspan.shard.reports._unlisted_runs import UnlistedRuns
 from linkspan.shard.reports._watch import ExecutorWatch
 from linkspan.store.types import Partition
 from linkspan.store.writer import GroupWriter
@@ -142,6 +145,8 @@
         self._handovers = Handovers(context, summary_of)
         self._advice_requester = AdviceRequester(context, policy)
         self._standing_waits = StandingWaits(context, self._handovers.other_summaries)
+        self._unlisted_runs = UnlistedRuns(context)
+        self._unmanaged_tasks = UnmanagedTasks(context)
         self._feed = JobFeed(context)
         self._recovery = Recovery(
             context, self._feed, self._handovers, self._watch, claim.former_owners_remaining_s
@@ -202,6 +207,8 @@
                 scope.spawn(self._watch.poll_closely_loop())
                 scope.spawn(self._advice_requester.run())
                 scope.spawn(self._standing_waits.report_loop())
+                scope.spawn(self._unlisted_runs.report_loop())
+                scope.spawn(self._unmanaged_tasks.report_loop())
                 scope.spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, ProducerGap, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
