--- /dev/null
+++ b/tests/host/never_run_day.py
@@ -0,0 +1,125 @@
+"""A random scenario of standing jobs of all widths and sizes, judged from their acceptance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Set
+
+from linkspan.jobs.spec import Demand, JobSpec, StepSpec
+from tests.hall_world import HallWorld
+from tests.host.overlapping_day import OverlappingDay
+from tests.host.standing_faults_day import StandingFaultsDay
+from tests.host.standing_judge import StandingJudge
+from tests.job_builders import MAX_AWAY_S
+
+CALM = "calm"
+"""The kind that injects no fault."""
+
+CALM_FAULT_S = 1.0
+"""Duration of a fault of this kind."""
+
+ALL_HALLS = (
+    "east",
+    "west",
+    "north",
+    "south",
+    "northeast",
+    "northwest",
+    "southeast",
+    "southwest",
+    "upper",
+    "lower",
+    "inner",
+    "outer",
+)
+"""Names of the halls, of which a scenario has the first ones."""
+
+EXECUTORS_PER_HALL = 6
+
+MAX_STANDING_LOAD = 0.6
+"""Share of all cores that the standing jobs need before no more of them are submitted."""
+
+STANDING_JOB_SHARE = 0.35
+"""Share of the jobs that have standing tasks until then."""
+
+WIDTHS = 1, 3, 6, 11, 17
+"""Numbers of tasks of a standing job."""
+
+SIZES = (
+    Demand(1_940, 2_400),
+    Demand(1_200, 9_000),
+    Demand(2_600, 700),
+    Demand(4_200, 5_000),
+    Demand(6_800, 12_000),
+    Demand(7_700, 3_000),
+)
+"""Demands of a standing task: parts of an executor in cores, memory or both."""
+
+SPREADS = 0, 0, 1, 2
+"""Maximum numbers of tasks of a step on one executor; 0 is no limit."""
+
+CANCELLED_SHARE = 0.3
+"""Share of the standing jobs that their callers cancel."""
+
+CANCEL_RANGE_S = 2.0, 30.0
+"""Range of times from the acceptance to the cancellation."""
+
+
+class NeverRunDay(StandingFaultsDay):
+    """A scenario in which standing tasks are wide, large or both, and some never ran.
+
+    Some jobs are accepted for a random hall, as by a host with an outdated view of the halls, and
+    some are cancelled and leave room.
+
+    Args:
+        seed: Seed of all random choices.
+        kinds: Names of the kinds of faults to inject, of which ``CALM`` injects none; by default
+            all but that.
+        hall_count: Number of halls.
+    """
+
+    def __init__(self, seed: int, kinds: tuple[str, ...] = (), *, hall_count: int = 4) -> None:
+        super().__init__(seed, kinds)
+        self.world = HallWorld(
+            halls=ALL_HALLS[:hall_count],
+            hosts_per_hall=2,
+            executors_per_hall=EXECUTORS_PER_HALL,
+            seed=seed,
+            failing_share=0.02,
+        )
+        self.world.resets = self.random.random() < 0.5
+        self._judge = StandingJudge(MAX_AWAY_S)
+        self._standing_cpu = 0
+        self._cancelled: set[str] = set()
+
+    def _job(self) -> JobSpec:
+        random, world = self.random, self.world
+        all_cpu = len(world.halls) * world.executors_per_hall * world.milli_cpu
+        is_full = self._standing_cpu > MAX_STANDING_LOAD * all_cpu
+        if is_full or random.random() >= STANDING_JOB_SHARE:
+            return OverlappingDay._job(self)
+        count, demand = random.choice(WIDTHS), random.choice(SIZES)
+        self._standing_cpu += count * demand.milli_cpu
+        self._standing += 1
+        spread = random.choice(SPREADS)
+        return world.new_job(StepSpec(count, demand, 1.0, standing=True, max_per_executor=spread))
+
+    async def _caller(self, spec: JobSpec) -> None:
+        await super()._caller(spec)
+        if not spec.standing or self.random.random() >= CANCELLED_SHARE:
+            return
+        await self.last(*CANCEL_RANGE_S)
+        if spec.job_id not in self.world.accepted or not self.world.hosts:
+            return
+        # Whatever the answer: the host may have recorded the cancellation.
+        self._cancelled.add(spec.job_id)
+        await self.world.cancel(self.random.choice(sorted(self.world.hosts)), spec.job_id)
+
+    async def _inject(self, kind: str) -> None:
+        if kind == CALM:
+            await asyncio.sleep(CALM_FAULT_S)
+            return
+        await super()._inject(kind)
+
+    def _excused(self) -> Set[str]:
+        return super()._excused() | self._cancelled
--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections.abc import Set
 from contextlib import suppress
 
 from linkspan.jobs.job_registry import JOBS
 from linkspan.jobs.record_codec import encode
 from linkspan.jobs.records import Submitted
-from linkspan.jobs.spec import JobSpec, StepSpec
-from linkspan.shard.messages import TaskName
+from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld
 from tests.host.overlapping_day import CALM_S, OverlappingDay
+from tests.host.standing_judge import StandingJudge
 from tests.job_builders import step
 
 STANDING_SHARE = 0.3
@@ -43,12 +43,9 @@
 other halls in vain first, each of which keeps it for two seconds, and a takeover may be in
 progress."""
 
-MIN_FREE_SLOTS = 2
-"""Number of tasks for which there must be capacity before a task that does not run is reported."""
-
 
 class StandingDay(OverlappingDay):
-    """A scenario in which every standing task that has run must keep running.
+    """A scenario in which every task of an accepted standing job must run, also if it never ran.
 
     Args:
         seed: Seed of all random choices.
@@ -58,8 +55,7 @@
     def __init__(self, seed: int, *, calm_s: float = CALM_S) -> None:
         super().__init__(seed, calm_s=calm_s)
         self._checks_from = float("inf")
-        self._not_running_since: dict[TaskName, float] = {}
-        self._reported: set[TaskName] = set()
+        self._judge = StandingJudge(MAX_IDLE_S)
 
     async def play(self) -> HallWorld:
         """Run the scenario and return its world, with the violations it found."""
@@ -120,32 +116,11 @@
                 self._check_standing(now)
 
     def _check_standing(self, now: float) -> None:
-        alive = [e for e in self.world.executors.values() if e.alive]
-        running = {task for e in alive for task in e.running}
-        for task in list(self.world.starts):
-            spec = self.world.step_of(task)
-            if task in running or not self._must_run(task, spec):
-                self._not_running_since.pop(task, None)
-                continue
-            since = self._not_running_since.setdefault(task, now)
-            if now - since > MAX_IDLE_S and task not in self._reported:
-                self._reported.add(task)
-                self.world.violations.append(
-                    f"{now:.2f} LOST {task} does not run although there is capacity"
-                )
-
-    def _must_run(self, task: TaskName, spec: StepSpec) -> bool:
-        return spec.standing and self._has_capacity(task, spec)
-
-    def _has_capacity(self, task: TaskName, spec: StepSpec) -> bool:
-        slots = 0
-        for executor in self.world.executors.values():
-            if not executor.alive:
-                continue
-            running_per_step = Counter((t.job_id, t.step) for t in executor.running)
-            spread = spec.max_per_executor - running_per_step[task.job_id, task.step]
-            slots += max(min(executor.free().milli_cpu // spec.demand.milli_cpu, spread), 0)
-        return slots >= MIN_FREE_SLOTS
+        self.world.violations += self._judge.check(self.world, now, self._excused())
+
+    def _excused(self) -> Set[str]:
+        """Return the ids of accepted jobs whose tasks need not run."""
+        return frozenset()
 
 
 assert SETTLE_S / 2 + CRASH_COUNT * REPLACEMENT_DELAY_S + MAX_IDLE_S < CALM_S - CHECK_INTERVAL_S
--- a/tests/host/standing_faults_day.py
+++ b/tests/host/standing_faults_day.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Set
 
-from linkspan.jobs.spec import StepSpec
 from linkspan.shard.messages import TaskName
 from tests.host.restarting_troubles import MIN_CRASHES_TO_FAIL
 from tests.host.standing_day import CHECK_INTERVAL_S, MAX_IDLE_S, SETTLE_S, StandingDay
@@ -81,14 +81,18 @@
             if loop.time() > last:
                 return
             self.fault_log.append(f"{loop.time():.2f} {kind}")
-            await STANDING_FAULTS[kind](self)
+            await self._inject(kind)
+
+    async def _inject(self, kind: str) -> None:
+        """Inject one fault, and return after its end."""
+        await STANDING_FAULTS[kind](self)
 
     def _check_standing(self, now: float) -> None:
         self._read_give_ups(now)
         super()._check_standing(now)
 
-    def _must_run(self, task: TaskName, spec: StepSpec) -> bool:
-        return task.job_id not in self._given_up and super()._must_run(task, spec)
+    def _excused(self) -> Set[str]:
+        return self._given_up
 
     def _read_give_ups(self, now: float) -> None:
         """Record the jobs that were given up, and a violation where too few executors crashed."""
--- /dev/null
+++ b/tests/host/test_never_run_days.py
@@ -0,0 +1,25 @@
+"""Every task of an accepted standing job runs where there is room for it, also if it never ran."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.host.never_run_day import CALM, NeverRunDay
+from tests.virtual_time import run_virtual
+
+LIMIT_S = 600.0
+"""Longest duration of a scenario, in virtual seconds."""
+
+
+@pytest.mark.parametrize("seed", [1, 109, 126, 134])
+def test_accepted_standing_tasks_run_without_faults(seed: int) -> None:
+    """Guards against large tasks that never start as other halls keep room for short work."""
+    day = NeverRunDay(seed, (CALM,))
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
+
+
+@pytest.mark.parametrize("seed", [200])
+def test_accepted_standing_tasks_run_after_faults_of_all_kinds(seed: int) -> None:
+    """Guards against tasks of any width and size that never start after overlapping faults."""
+    day = NeverRunDay(seed)
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == [], day.fault_log
