--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -124,7 +124,7 @@
         wait_s = self._wait_s(step.spec)
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
-        undecided = (t for t in step.tasks if t.pending and not t.decision_pending)
+        undecided = (t for t in step.pending() if not t.decision_pending)
         pending = [t for t in undecided if now - t.ready_since >= wait_s]
         if not pending or job.closing or job.handing_over:
             return None
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -45,11 +45,12 @@
     """Return a step's urgency.
 
     Standing tasks that have run before come first, then steps by priority, then jobs that can still
-    meet their objective. Among equals the job with the least remaining work comes first: when
-    capacity is scarce, more jobs end in time than in the order of their slack, and jobs that have
-    begun are finished. With learnt durations this order earns about 3 percent more of what is owed;
-    with callers' estimates alone it gains nothing. Jobs that are too late to be of use are ordered
-    by age, so that none waits forever.
+    meet their objective. Among steps with such tasks the longest wait comes first: each of them
+    counts as missed after a fixed time, however old its job is. Among other equals the job with the
+    least remaining work comes first: when capacity is scarce, more jobs end in time than in the
+    order of their slack, and jobs that have begun are finished. With learnt durations this order
+    earns about 3 percent more of what is owed; with callers' estimates alone it gains nothing. Jobs
+    that are too late to be of use are ordered by age, so that none waits forever.
 
     Progress that runs report counts for timeliness and remaining work. Otherwise a nearly finished
     step would count as not begun, be rated late, and lose its pace to new work, which costs batch
@@ -62,12 +63,15 @@
     job = step.run.job
     age, remaining_s = _times(step, wall)
     slack = job.objective_s - age - remaining_s
-    restart = step.spec.standing and any(t.pending and t.next_run > 1 for t in step.tasks)
     timeliness = _timeliness(step, age + remaining_s, slack)
     if step.spec.standing:
-        return Urgency(not restart, job.priority, timeliness, slack)
+        restarts = (t.waiting_since for t in step.tasks if t.pending and t.next_run > 1)
+        longest_since = min(restarts, default=None)
+        rank = slack if longest_since is None else longest_since
+        not_restart = longest_since is None
+        return Urgency(not_restart, job.priority, timeliness, rank)
     rank = -age if timeliness is Timeliness.NONE else step.run.remaining_work
-    return Urgency(not restart, job.priority, timeliness, rank)
+    return Urgency(not_restart=True, priority=job.priority, timeliness=timeliness, rank=rank)
 
 
 def timeliness_of(step: StepRun, wall: float) -> Timeliness:
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from linkspan.shard.failures import gang_failures
@@ -92,8 +93,11 @@
         return all(task.at_work for task in self.tasks)
 
     def pending(self) -> list[Task]:
-        """Return the tasks that need an attempt."""
-        return [t for t in self.tasks if not (t.done or t.attempts) and t.managed_by is None]
+        """Return the tasks that need an attempt; of standing tasks, the longest waits first."""
+        tasks = [t for t in self.tasks if not (t.done or t.attempts) and t.managed_by is None]
+        if self.spec.standing:
+            tasks.sort(key=attrgetter("waiting_since"))
+        return tasks
 
     @property
     def open(self) -> bool:
