--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from linkspan.shard.handover.executor_room import ExecutorRoom
     from linkspan.shard.handover.summary import HallSummary
     from linkspan.shard.planning.task_need import TaskNeed
 
@@ -13,9 +15,27 @@
 same: about two summaries. After that the hall has shown that it does not take the work."""
 
 
+@dataclass(slots=True)
+class _Slots:
+    """For how many tasks of one need the executors of a hall have room.
+
+    Attributes:
+        by_room: Number of tasks on each executor.
+        total: Number of tasks on all of them.
+        changes_seen: How many changes of the hall's rooms are included.
+    """
+
+    by_room: list[int]
+    total: int
+    changes_seen: int
+
+
 class HallRoom:
     """Room that a hall's last summary tells, less what was handed over to the hall since.
 
+    Many tasks that wait have the same need: what was found for a need is kept, as a hall has
+    hundreds of executors.
+
     Args:
         summary: The summary.
         now: Steady time.
@@ -24,7 +44,9 @@
     def __init__(self, summary: HallSummary, now: float) -> None:
         self._summary = summary
         self._read_at = now
-        self._rooms = list(summary.rooms())
+        self._rooms: list[ExecutorRoom] | None = None
+        self._changed: list[int] = []
+        self._slots: dict[TaskNeed, _Slots] = {}
         self._free_cpu = summary.free
         self._best_effort_cpu = summary.best_effort + summary.waiting
         self._queued_cpu = summary.queued
@@ -61,16 +83,19 @@
 
     def slots(self, need: TaskNeed) -> int:
         """Return for how many tasks the hall has room now."""
-        return sum(map(need.slots, self._rooms))
+        return self._slots_of(need).total
 
     def take(self, need: TaskNeed, count: int) -> None:
         """Count tasks as taking room, on the executors with the most room for them first."""
         self._free_cpu -= count * need.demand.milli_cpu
-        for index in sorted(range(len(self._rooms)), key=lambda i: -need.slots(self._rooms[i])):
-            taken = min(need.slots(self._rooms[index]), count)
+        by_room = self._slots_of(need).by_room
+        for index in sorted(range(len(by_room)), key=by_room.__getitem__, reverse=True):
+            taken = min(by_room[index], count)
             if taken < 1:
                 return
-            self._rooms[index] = self._rooms[index].without(need.demand, taken)
+            rooms = self._all_rooms()
+            rooms[index] = rooms[index].without(need.demand, taken)
+            self._changed.append(index)
             count -= taken
 
     def queue(self, milli_cpu: int) -> None:
@@ -80,3 +105,22 @@
     def add_best_effort(self, milli_cpu: int) -> None:
         """Count best-effort work as waiting there."""
         self._best_effort_cpu += milli_cpu
+
+    def _all_rooms(self) -> list[ExecutorRoom]:
+        if self._rooms is None:
+            self._rooms = list(self._summary.rooms())
+        return self._rooms
+
+    def _slots_of(self, need: TaskNeed) -> _Slots:
+        """Return the slots for a need, with all changes of the rooms included."""
+        rooms = self._all_rooms()
+        known = self._slots.get(need)
+        if known is None:
+            by_room = [need.slots(room) for room in rooms]
+            known = self._slots[need] = _Slots(by_room, sum(by_room), len(self._changed))
+        for index in set(self._changed[known.changes_seen :]):
+            slots = need.slots(rooms[index])
+            known.total += slots - known.by_room[index]
+            known.by_room[index] = slots
+        known.changes_seen = len(self._changed)
+        return known
--- a/src/linkspan/shard/handover/_whole_moves.py
+++ b/src/linkspan/shard/handover/_whole_moves.py
@@ -7,11 +7,12 @@
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.core import ShardCore
     from linkspan.shard.handover._hall_room import HallRoom
+    from linkspan.shard.handover._other_halls import OtherHalls
     from linkspan.shard.shard_job import ShardJob
     from linkspan.shard.step_run import StepRun
 
@@ -44,63 +45,65 @@
     def __repr__(self) -> str:
         return f"WholeMoves({self._core!r})"
 
-    def choose(
-        self, step: StepRun, own: HallRoom, halls: dict[int, HallRoom], now: float
-    ) -> int | None:
+    def choose(self, step: StepRun, own: HallRoom, halls: OtherHalls, now: float) -> int | None:
         """Return the shard that a step's job moves to, and count the job as taking room there.
 
         Args:
             step: The step that waits for room.
             own: Room of this hall.
-            halls: Room of the other halls, by shard.
+            halls: Room of the other halls.
             now: Steady time.
         """
         job = step.run.job
-        steps = job.spec.steps
-        capable = [s for s in halls if all(self._can_run_all(s, other, job) for other in steps)]
-        capable.sort(key=lambda shard: -halls[shard].free_cpu)
-        if any(other.best_effort for other in steps):
-            return self._best_effort(job, own, halls, capable)
-        shard = self._with_room_for_all(step, halls, capable, now)
+        if any(spec.best_effort for spec in job.spec.steps):
+            return self._best_effort(job, own, halls.rooms)
+        need = _need_of_job(job, step.spec, now)
+        with_room = halls.with_room_for(need)
+        shard = self._with_room_for_all(step, halls.rooms, with_room, now)
         if shard is None and self._takes_a_part(step, now):
-            shard = self._with_room_for_some(step, halls, now)
+            shard = self._with_room_for_some(step, need, halls.rooms, with_room)
         if shard is None and self._core.evacuation and not job.spec.standing:
-            shard = self._with_shortest_queue(job, halls)
+            shard = self._with_shortest_queue(job, halls.rooms)
         return shard
 
     def _best_effort(
-        self, job: ShardJob, own: HallRoom, halls: dict[int, HallRoom], capable: list[int]
+        self, job: ShardJob, own: HallRoom, halls: Mapping[int, HallRoom]
     ) -> int | None:
         """Return a hall with less best-effort work.
 
         Any hall will do for a job in an evacuated hall, the one with the least such work first.
         """
         milli_cpu = _milli_cpu(_widest(job))
-        if self._core.evacuation:
-            capable.sort(key=lambda shard: halls[shard].best_effort_load)
         limit = own.best_effort_load - MIN_LOAD_DIFFERENCE
-        for shard in capable:
+        evacuated = bool(self._core.evacuation)
+
+        def preference(shard: int) -> float:
+            return halls[shard].best_effort_load if evacuated else -halls[shard].free_cpu
+
+        for shard in sorted(halls, key=preference):
             hall = halls[shard]
-            if self._core.evacuation or hall.load_with(milli_cpu) <= limit:
+            takes_it = evacuated or hall.load_with(milli_cpu) <= limit
+            if takes_it and self._can_run_all_steps(shard, job):
                 hall.add_best_effort(milli_cpu)
                 return shard
         return None
 
     def _with_room_for_all(
-        self, step: StepRun, halls: dict[int, HallRoom], capable: list[int], now: float
+        self, step: StepRun, halls: Mapping[int, HallRoom], with_room: list[int], now: float
     ) -> int | None:
         """Return a hall that has room for the job's widest step now, one without a queue first."""
         job = step.run.job
         widest = _widest(job)
         milli_cpu = _milli_cpu(widest)
-        needs = {spec: _need_of_job(job, spec, now) for spec in job.spec.steps}
-        for shard in sorted(capable, key=lambda shard: halls[shard].queued_cpu > 0):
+        needs = {spec: _need_of_job(job, spec, now) for spec in job.spec.steps} if with_room else {}
+        for shard in sorted(with_room, key=lambda shard: halls[shard].queued_cpu > 0):
             hall = halls[shard]
             if hall.queued_cpu and _waited_s(step, now) < QUEUE_PRECEDENCE_S:
                 break
             if hall.free_beside(needs[widest]) < milli_cpu:
                 continue
-            if all(hall.slots(need) >= _min_slots(spec) for spec, need in needs.items()):
+            has_room = all(hall.slots(need) >= _min_slots(spec) for spec, need in needs.items())
+            if has_room and self._can_run_all_steps(shard, job):
                 hall.take(needs[widest], widest.count)
                 return shard
         return None
@@ -115,36 +118,45 @@
         return bool(self._core.evacuation) or _waited_s(step, now) >= WHOLE_STEP_WAIT_S
 
     def _with_room_for_some(
-        self, step: StepRun, halls: dict[int, HallRoom], now: float
+        self,
+        step: StepRun,
+        need: TaskNeed,
+        halls: Mapping[int, HallRoom],
+        with_room: list[int],
     ) -> int | None:
         """Return the hall with room now for the most tasks of a step, for a gang all of them.
 
         Among equals, the one with the shortest queue.
         """
+        count = step.spec.count
         job = step.run.job
-        need = _need_of_job(job, step.spec, now)
-        slots = {shard: halls[shard].slots(need) for shard in self._capable_in_parts(job, halls)}
 
         def preference(shard: int) -> tuple[int, int]:
-            return min(slots[shard], step.spec.count), -halls[shard].queued_cpu
+            return -min(halls[shard].slots(need), count), halls[shard].queued_cpu
 
-        best = max(slots, key=preference, default=None)
-        if best is None or slots[best] < _min_slots(step.spec):
-            return None
-        halls[best].take(need, step.spec.count)
-        return best
+        for shard in sorted(with_room, key=preference):
+            if halls[shard].slots(need) < _min_slots(step.spec):
+                break
+            if self._can_run_each_step(shard, job):
+                halls[shard].take(need, count)
+                return shard
+        return None
 
-    def _with_shortest_queue(self, job: ShardJob, halls: dict[int, HallRoom]) -> int | None:
+    def _with_shortest_queue(self, job: ShardJob, halls: Mapping[int, HallRoom]) -> int | None:
         """Return the hall with the shortest queue, for a job that must leave this hall."""
-        capable = self._capable_in_parts(job, halls)
-        shard = min(capable, key=lambda shard: halls[shard].queued_cpu, default=None)
-        if shard is not None:
-            halls[shard].queue(_milli_cpu(_widest(job)))
-        return shard
+        for shard in sorted(halls, key=lambda shard: halls[shard].queued_cpu):
+            if self._can_run_each_step(shard, job):
+                halls[shard].queue(_milli_cpu(_widest(job)))
+                return shard
+        return None
+
+    def _can_run_all_steps(self, shard: int, job: ShardJob) -> bool:
+        """Return whether a hall could run each step at once if it were empty."""
+        return all(self._can_run_all(shard, step, job) for step in job.spec.steps)
 
-    def _capable_in_parts(self, job: ShardJob, halls: dict[int, HallRoom]) -> list[int]:
-        """Return the halls that could run each step if they were empty, but for a gang in parts."""
-        return [s for s in halls if all(self._can_run(s, step, job) for step in job.spec.steps)]
+    def _can_run_each_step(self, shard: int, job: ShardJob) -> bool:
+        """Return whether a hall could run each step if it were empty, but for a gang in parts."""
+        return all(self._can_run(shard, step, job) for step in job.spec.steps)
 
     def _can_run(self, shard: int, step: StepSpec, job: ShardJob) -> bool:
         if step.gang:
@@ -169,7 +181,7 @@
 def _need_of_job(job: ShardJob, step: StepSpec, now: float) -> TaskNeed:
     """Return the need of the tasks of a step of a job that has not begun."""
     waiting = (task for run in job.runs.values() for task in run.tasks() if task.pending)
-    use_headroom = any(may_use_headroom(task, now) for task in waiting)
+    use_headroom = step.standing and any(may_use_headroom(task, now) for task in waiting)
     return TaskNeed.of(step, job.service, use_headroom=use_headroom)
 
 
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -13,6 +13,7 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._hall_room import HallRoom
+from linkspan.shard.handover._other_halls import OtherHalls
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -80,7 +81,7 @@
         self._count_capable = count_capable
         self._evidence = evidence
         self._whole_moves = WholeMoves(core, count_capable)
-        self._rooms: dict[int, HallRoom] = {}
+        self._halls = OtherHalls()
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
@@ -92,7 +93,8 @@
             own: Summary of this hall.
             now: Steady time.
         """
-        halls = self._rooms = self._current_rooms(now)
+        halls = self._halls
+        halls.read(self._summaries(), now)
         own_room = HallRoom(own, now)
         found: dict[str, Handover] = {}
         for step in list(self._core.ready):
@@ -105,20 +107,8 @@
                 self._log(handover, step, now)
         return list(found.values())
 
-    def _current_rooms(self, now: float) -> dict[int, HallRoom]:
-        """Return the room of the other halls.
-
-        Until a hall publishes another summary, what was handed over to it stays counted.
-        """
-        rooms = {}
-        for shard, summary in self._summaries().items():
-            known = self._rooms.get(shard)
-            current = known is not None and known.current(summary, now)
-            rooms[shard] = known if known and current else HallRoom(summary, now)
-        return rooms
-
     def _for_step(
-        self, step: StepRun, own: HallRoom, halls: dict[int, HallRoom], now: float
+        self, step: StepRun, own: HallRoom, halls: OtherHalls, now: float
     ) -> Handover | None:
         job = step.run.job
         wait_s = self._wait_s(step.spec)
@@ -171,7 +161,7 @@
         job: ShardJob,
         step: StepRun,
         pending: list[Task],
-        halls: dict[int, HallRoom],
+        halls: OtherHalls,
         now: float,
     ) -> Handover | None:
         """Return the delegation of tasks to a hall that has room for them now.
@@ -181,8 +171,8 @@
         eager = [task for task in pending if may_use_headroom(task, now)]
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
-        for shard in _halls_by_preference(halls, tasks[0]):
-            hall = halls[shard]
+        for shard in _by_preference(halls.with_room_for(need), tasks[0]):
+            hall = halls.rooms[shard]
             slots = min(hall.slots(need), self._spread_limit(shard, step))
             if slots < 1:
                 continue
@@ -216,10 +206,10 @@
         )
 
 
-def _halls_by_preference(halls: dict[int, HallRoom], task: Task) -> list[int]:
-    """Return the halls to delegate a task to, best first.
+def _by_preference(halls: list[int], task: Task) -> list[int]:
+    """Return halls in the order in which to delegate a task to them.
 
     A hall's published capacity includes capacity that the step may not use, because of its spread
     limit. So a hall that returned the task comes after halls that did not, or that did so earlier.
     """
-    return sorted(halls, key=lambda shard: (task.returned_by.get(shard, 0), -halls[shard].free_cpu))
+    return sorted(halls, key=lambda shard: task.returned_by.get(shard, 0))
