--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -57,6 +57,20 @@
     tasks: tuple[tuple[int, int], ...] | None
 
 
+class _StepSlots(NamedTuple):
+    """For how many more tasks of a step a hall has room.
+
+    A summary doesn't tell which of the executors with room run tasks of the step.
+
+    Attributes:
+        certain: Number if all of the step's tasks there run on executors with room.
+        possible: Number if none of them does.
+    """
+
+    certain: int
+    possible: int
+
+
 class Rebalancer:
     """Finds work to hand over to other halls.
 
@@ -171,25 +185,35 @@
         eager = [task for task in pending if may_use_headroom(task, now)]
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
-        for shard in _by_preference(halls.with_room_for(need), tasks[0]):
-            hall = halls.rooms[shard]
-            slots = min(hall.slots(need), self._spread_limit(shard, step))
-            if slots < 1:
+        with_room = halls.with_room_for(need)
+        slots = {
+            shard: self._slots(shard, step, halls.rooms[shard].slots(need)) for shard in with_room
+        }
+        for shard in _by_preference(with_room, tasks[0], slots):
+            count = slots[shard].certain or slots[shard].possible
+            if count < 1:
                 continue
-            delegated = tasks[:slots]
-            hall.take(need, len(delegated))
+            delegated = tasks[:count]
+            halls.rooms[shard].take(need, len(delegated))
             names = tuple((step.index, task.name.index) for task in delegated)
             return Handover(job.job_id, shard, names)
         return None
 
-    def _spread_limit(self, shard: int, step: StepRun) -> int:
-        """Return how many more of a step's tasks a hall could run beside those it manages."""
+    def _slots(self, shard: int, step: StepRun, slots: int) -> _StepSlots:
+        """Return for how many more of a step's tasks a hall has room beside those it manages.
+
+        Args:
+            shard: The hall's shard.
+            step: The step.
+            slots: Number of tasks for which it would have room without those.
+        """
         spec = step.spec
         capable = self._count_capable(shard, spec, step.run.job.service)
         if not capable or not spec.max_per_executor:
-            return spec.count if capable else 0
+            return _StepSlots(slots, slots) if capable else _StepSlots(0, 0)
         there = sum(task.managed_by == shard for task in step.tasks)
-        return capable * spec.max_per_executor - there
+        limit = capable * spec.max_per_executor - there
+        return _StepSlots(max(slots - there, 0), min(slots, limit))
 
     def _log(self, handover: Handover, step: StepRun, now: float) -> None:
         moves_job = handover.tasks is None
@@ -206,10 +230,10 @@
         )
 
 
-def _by_preference(halls: list[int], task: Task) -> list[int]:
+def _by_preference(halls: list[int], task: Task, slots: dict[int, _StepSlots]) -> list[int]:
     """Return halls in the order in which to delegate a task to them.
 
-    A hall's published capacity includes capacity that the step may not use, because of its spread
-    limit. So a hall that returned the task comes after halls that did not, or that did so earlier.
+    A hall that returned the task comes after halls that did not, or that did so earlier. Then come
+    first those whose room is certainly not on executors at the step's spread limit.
     """
-    return sorted(halls, key=lambda shard: task.returned_by.get(shard, 0))
+    return sorted(halls, key=lambda s: (task.returned_by.get(s, 0), not slots[s].certain))
