--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -14,6 +14,7 @@
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._hall_room import HallRoom
 from linkspan.shard.handover._other_halls import OtherHalls
+from linkspan.shard.handover._spread_limit import has_room_only_at_spread_limit
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -43,6 +44,19 @@
 """Time for which a delegated task waits for capacity before it is returned."""
 
 
+HOPELESS_RETURN_DELAY_S = 0.15
+"""The same where only executors at the step's spread limit have room. It is long enough for the
+hall's owner to try."""
+
+ARRIVED_HANDOVER_WAIT_S = 0.15
+"""Time for which a task that has already waited in another hall waits in this one. Home had no room
+when it delegated the task, so it only has to try again."""
+
+MAX_FAST_SEARCH_S = 9.0
+"""Time for which a waiting task is handed on that fast. After that no hall seems to have room, and
+each handover writes records."""
+
+
 class Handover(NamedTuple):
     """Work to hand over to another shard.
 
@@ -129,7 +143,7 @@
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
         undecided = (t for t in step.tasks if t.pending and not t.decision_pending)
-        pending = [t for t in undecided if now - t.ready_since >= wait_s]
+        pending = [t for t in undecided if now - t.ready_since >= _own_wait_s(t, wait_s, now)]
         if not pending or job.closing or job.handing_over:
             return None
         if not self._core.may_start(job, now):
@@ -163,13 +177,19 @@
         self, job: ShardJob, step: StepRun, pending: list[Task], now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        delay_s = 0.0 if self._core.evacuation else RETURN_DELAY_S
+        delay_s = self._return_delay_s(step, now)
         overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if not overdue:
             return None
         tasks = tuple((step.index, task.name.index) for task in overdue)
         return Handover(job.job_id, job.submitted.shard, tasks)
 
+    def _return_delay_s(self, step: StepRun, now: float) -> float:
+        if self._core.evacuation:
+            return 0.0
+        hopeless = has_room_only_at_spread_limit(self._core, step, now)
+        return HOPELESS_RETURN_DELAY_S if hopeless else RETURN_DELAY_S
+
     def _delegate(
         self,
         job: ShardJob,
@@ -230,6 +250,14 @@
         )
 
 
+def _own_wait_s(task: Task, wait_s: float, now: float) -> float:
+    """Return how long a task waits in this hall, less if it has already waited in another one."""
+    has_waited_elsewhere = task.ready_since > task.waiting_since
+    if has_waited_elsewhere and now - task.waiting_since < MAX_FAST_SEARCH_S:
+        return min(wait_s, ARRIVED_HANDOVER_WAIT_S)
+    return wait_s
+
+
 def _by_preference(halls: list[int], task: Task, slots: dict[int, _StepSlots]) -> list[int]:
     """Return halls in the order in which to delegate a task to them.
 
