--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -13,6 +13,8 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._hall_room import HallRoom
+from linkspan.shard.handover._other_halls import OtherHalls
+from linkspan.shard.handover._spread_limit import has_room_only_at_spread_limit
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -42,6 +44,19 @@
 """Time for which a delegated task waits for capacity before it is returned."""
 
 
+HOPELESS_RETURN_DELAY_S = 0.15
+"""The same where only executors at the step's spread limit have room. It is long enough for the
+hall's owner to try."""
+
+ARRIVED_HANDOVER_WAIT_S = 0.15
+"""Time for which a task that has already waited in another hall waits in this one. Home had no room
+when it delegated the task, so it only has to try again."""
+
+MAX_FAST_SEARCH_S = 9.0
+"""Time for which a waiting task is handed on that fast. After that no hall seems to have room, and
+each handover writes records."""
+
+
 class Handover(NamedTuple):
     """Work to hand over to another shard.
 
@@ -56,6 +71,20 @@
     tasks: tuple[tuple[int, int], ...] | None
 
 
+class _StepSlots(NamedTuple):
+    """For how many more tasks of a step a hall has room.
+
+    A summary doesn't tell which of the executors with room run tasks of the step.
+
+    Attributes:
+        certain: Number if all of the step's tasks there run on executors with room.
+        possible: Number if none of them does.
+    """
+
+    certain: int
+    possible: int
+
+
 class Rebalancer:
     """Finds work to hand over to other halls.
 
@@ -80,7 +109,7 @@
         self._count_capable = count_capable
         self._evidence = evidence
         self._whole_moves = WholeMoves(core, count_capable)
-        self._rooms: dict[int, HallRoom] = {}
+        self._halls = OtherHalls()
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
@@ -92,7 +121,8 @@
             own: Summary of this hall.
             now: Steady time.
         """
-        halls = self._rooms = self._current_rooms(now)
+        halls = self._halls
+        halls.read(self._summaries(), now)
         own_room = HallRoom(own, now)
         found: dict[str, Handover] = {}
         for step in list(self._core.ready):
@@ -105,27 +135,15 @@
                 self._log(handover, step, now)
         return list(found.values())
 
-    def _current_rooms(self, now: float) -> dict[int, HallRoom]:
-        """Return the room of the other halls.
-
-        Until a hall publishes another summary, what was handed over to it stays counted.
-        """
-        rooms = {}
-        for shard, summary in self._summaries().items():
-            known = self._rooms.get(shard)
-            current = known is not None and known.current(summary, now)
-            rooms[shard] = known if known and current else HallRoom(summary, now)
-        return rooms
-
     def _for_step(
-        self, step: StepRun, own: HallRoom, halls: dict[int, HallRoom], now: float
+        self, step: StepRun, own: HallRoom, halls: OtherHalls, now: float
     ) -> Handover | None:
         job = step.run.job
         wait_s = self._wait_s(step.spec)
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
         undecided = (t for t in step.pending() if not t.decision_pending)
-        pending = [t for t in undecided if now - t.ready_since >= wait_s]
+        pending = [t for t in undecided if now - t.ready_since >= _own_wait_s(t, wait_s, now)]
         if not pending or job.closing or job.handing_over:
             return None
         if not self._core.may_start(job, now):
@@ -159,19 +177,25 @@
         self, job: ShardJob, step: StepRun, pending: list[Task], now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        delay_s = 0.0 if self._core.evacuation else RETURN_DELAY_S
+        delay_s = self._return_delay_s(step, now)
         overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if not overdue:
             return None
         tasks = tuple((step.index, task.name.index) for task in overdue)
         return Handover(job.job_id, job.submitted.shard, tasks)
 
+    def _return_delay_s(self, step: StepRun, now: float) -> float:
+        if self._core.evacuation:
+            return 0.0
+        hopeless = has_room_only_at_spread_limit(self._core, step, now)
+        return HOPELESS_RETURN_DELAY_S if hopeless else RETURN_DELAY_S
+
     def _delegate(
         self,
         job: ShardJob,
         step: StepRun,
         pending: list[Task],
-        halls: dict[int, HallRoom],
+        halls: OtherHalls,
         now: float,
     ) -> Handover | None:
         """Return the delegation of tasks to a hall that has room for them now.
@@ -181,25 +205,35 @@
         eager = [task for task in pending if may_use_headroom(task, now)]
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
-        for shard in _halls_by_preference(halls, tasks[0]):
-            hall = halls[shard]
-            slots = min(hall.slots(need), self._spread_limit(shard, step))
-            if slots < 1:
+        with_room = halls.with_room_for(need)
+        slots = {
+            shard: self._slots(shard, step, halls.rooms[shard].slots(need)) for shard in with_room
+        }
+        for shard in _by_preference(with_room, tasks[0], slots):
+            count = slots[shard].certain or slots[shard].possible
+            if count < 1:
                 continue
-            delegated = tasks[:slots]
-            hall.take(need, len(delegated))
+            delegated = tasks[:count]
+            halls.rooms[shard].take(need, len(delegated))
             names = tuple((step.index, task.name.index) for task in delegated)
             return Handover(job.job_id, shard, names)
         return None
 
-    def _spread_limit(self, shard: int, step: StepRun) -> int:
-        """Return how many more of a step's tasks a hall could run beside those it manages."""
+    def _slots(self, shard: int, step: StepRun, slots: int) -> _StepSlots:
+        """Return for how many more of a step's tasks a hall has room beside those it manages.
+
+        Args:
+            shard: The hall's shard.
+            step: The step.
+            slots: Number of tasks for which it would have room without those.
+        """
         spec = step.spec
         capable = self._count_capable(shard, spec, step.run.job.service)
         if not capable or not spec.max_per_executor:
-            return spec.count if capable else 0
+            return _StepSlots(slots, slots) if capable else _StepSlots(0, 0)
         there = sum(task.managed_by == shard for task in step.tasks)
-        return capable * spec.max_per_executor - there
+        limit = capable * spec.max_per_executor - there
+        return _StepSlots(max(slots - there, 0), min(slots, limit))
 
     def _log(self, handover: Handover, step: StepRun, now: float) -> None:
         moves_job = handover.tasks is None
@@ -216,10 +250,18 @@
         )
 
 
-def _halls_by_preference(halls: dict[int, HallRoom], task: Task) -> list[int]:
-    """Return the halls to delegate a task to, best first.
+def _own_wait_s(task: Task, wait_s: float, now: float) -> float:
+    """Return how long a task waits in this hall, less if it has already waited in another one."""
+    has_waited_elsewhere = task.ready_since > task.waiting_since
+    if has_waited_elsewhere and now - task.waiting_since < MAX_FAST_SEARCH_S:
+        return min(wait_s, ARRIVED_HANDOVER_WAIT_S)
+    return wait_s
+
+
+def _by_preference(halls: list[int], task: Task, slots: dict[int, _StepSlots]) -> list[int]:
+    """Return halls in the order in which to delegate a task to them.
 
-    A hall's published capacity includes capacity that the step may not use, because of its spread
-    limit. So a hall that returned the task comes after halls that did not, or that did so earlier.
+    A hall that returned the task comes after halls that did not, or that did so earlier. Then come
+    first those whose room is certainly not on executors at the step's spread limit.
     """
-    return sorted(halls, key=lambda shard: (task.returned_by.get(shard, 0), -halls[shard].free_cpu))
+    return sorted(halls, key=lambda s: (task.returned_by.get(s, 0), not slots[s].certain))
