--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -218,6 +218,7 @@
         progress: dict[int, bytes] | None = None,
         delegated_here: Iterable[Delegation] | None = None,
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
+        returned: Iterable[Delegation] = (),
     ) -> None:
         """Add an accepted job.
 
@@ -232,6 +233,8 @@
                 job's home shard.
             delegated_elsewhere: Published delegations of the job's tasks to other shards, used if
                 the job's own record of them is not readable.
+            returned: Delegations of the job's tasks that other shards have returned. Without a
+                readable record, later ones are numbered above them.
 
         Raises:
             RecordError: A progress record does not match the job. The job is added without it.
@@ -245,6 +248,7 @@
             progress=progress,
             delegated_here=delegated_here,
             delegated_elsewhere=delegated_elsewhere,
+            returned=returned,
         )
 
     def release_due(self, wall: float, now: float) -> None:
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from itertools import islice
+from itertools import chain, islice
 from typing import TYPE_CHECKING, Any
 
 from linkspan.clock import steady
@@ -94,6 +94,7 @@
                 delegated_elsewhere={
                     s: entry.open_delegations(s) for s in entry.delegated if s != self._shard
                 },
+                returned=tuple(chain.from_iterable(entry.returned_delegations.values())),
             )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -55,6 +55,7 @@
         progress: dict[int, bytes] | None = None,
         delegated_here: Iterable[Delegation] | None = None,
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
+        returned: Iterable[Delegation] = (),
     ) -> None:
         """Add an accepted job; see :meth:`ShardCore.add_job` for the arguments.
 
@@ -86,6 +87,8 @@
                     run = job.runs[repetition] = self._new_run_without_record(
                         job, repetition, delegated_elsewhere or {}
                     )
+                    if delegated_here is None:
+                        _number_above(run, returned)
             elif inherited:
                 for task in run.tasks():
                     task.next_run = INHERITED_RUN_GAP
@@ -238,3 +241,14 @@
     def drop_progress(self, job_id: str, repetitions: Iterable[int]) -> None:
         """Request the removal of progress records of a finished or unknown job."""
         self._state.dropped += [RunKey(job_id, number).encode() for number in repetitions]
+
+
+def _number_above(run: JobRun, returned: Iterable[Delegation]) -> None:
+    """Number the next delegations of a repetition's tasks above all that were returned.
+
+    A delegation with the number of an earlier one would count as returned.
+    """
+    for delegation in returned:
+        task = run.task(TaskName(run.job.job_id, run.repetition, delegation.step, delegation.index))
+        if task:
+            task.delegation_number = max(task.delegation_number, delegation.number)
--- a/tests/shard/test_undecodable_progress.py
+++ b/tests/shard/test_undecodable_progress.py
@@ -43,3 +43,19 @@
     assert core.delegations("0b", 10.0) == {1: (Delegation(0, 2, 4),)}
     orders = [order for order in plan(core, 2.0) if order.task.job_id != JOB]
     assert sorted(order.task.index for order in orders) == [0, 1]
+
+
+def test_later_delegations_are_numbered_above_returned_ones() -> None:
+    """Guards against TWICE: a delegation with an earlier one's number counts as returned."""
+    core = core_with_undecodable_progress(returned=(Delegation(0, 1, 3), Delegation(0, 1, 2)))
+    (task,) = core.hand_over_tasks("0b", 1, ((0, 1),))
+    assert task.delegation_number == 4
+
+
+def test_a_task_that_is_delegated_here_again_is_managed_here() -> None:
+    """Guards against LOST: a delegation is taken only if its number is above the task's."""
+    core = core_with_undecodable_progress(
+        delegated_here=(Delegation(0, 1, 3),), returned=(Delegation(0, 1, 4),)
+    )
+    task = core.find_task(TaskName("0b", 0, 0, 1))
+    assert task and task.managed_by is None
