--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -63,10 +63,19 @@
         return source.shard if source else None
 
     def open_delegations(self, shard: int) -> tuple[Delegation, ...]:
-        """Return the delegations to a shard that the shard has not returned."""
-        returned = set(self.returned_delegations.get(shard, ()))
+        """Return the delegations to a shard that the shard has not returned.
+
+        Earlier delegations of a task than a returned one were returned, too. Their record may not
+        have been read, as a later one has its key.
+        """
+        returned: dict[tuple[int, int], int] = {}
+        for delegation in self.returned_delegations.get(shard, ()):
+            task = delegation.step, delegation.index
+            returned[task] = max(returned.get(task, 0), delegation.number)
         return tuple(
-            delegation for delegation in self.delegated.get(shard, ()) if delegation not in returned
+            delegation
+            for delegation in self.delegated.get(shard, ())
+            if delegation.number > returned.get((delegation.step, delegation.index), 0)
         )
 
     @property
