--- a/tests/host/test_never_run_days.py
+++ b/tests/host/test_never_run_days.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.host.best_effort_memory_day import BestEffortMemoryDay
 from tests.host.never_run_day import CALM, NeverRunDay
 from tests.virtual_time import run_virtual
 
@@ -23,3 +24,12 @@
     """Guards against tasks of any width and size that never start after overlapping faults."""
     day = NeverRunDay(seed)
     assert run_virtual(day.play(), limit_s=LIMIT_S).problems == [], day.fault_log
+
+
+@pytest.mark.parametrize("seed", [3000])
+def test_accepted_standing_tasks_run_beside_best_effort_work_that_holds_the_memory(
+    seed: int,
+) -> None:
+    """Guards against tasks that never start as best-effort work takes what memory is given back."""
+    day = BestEffortMemoryDay(seed, (CALM,))
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
