--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -123,6 +123,18 @@
         "see OPERATIONS.md, evacuating a hall; the counts say what is left there",
     )
     HALL_REOPENED = 576, logging.INFO, "owner starts work in its hall again", "nothing"
+    SET_ASIDE = (
+        577,
+        logging.INFO,
+        "executor's memory or accelerators set aside for a waiting task",
+        "nothing; 537 names the runs that are stopped for it",
+    )
+    SET_ASIDE_ENDED = (
+        578,
+        logging.INFO,
+        "executor's memory or accelerators no longer set aside",
+        "if the task did not fit in time, see what holds the executor's memory",
+    )
     OWNER_CLAIMED = 500, logging.INFO, "shard claimed with a new fencing token", "nothing"
     OWNER_RECOVERED = 501, logging.INFO, "shard's state read after a claim", "nothing"
     OWNER_LOST = 502, logging.WARNING, "shard given up", "nothing; another host owns it"
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -17,6 +17,7 @@
 from linkspan.shard.ownership._tokens import TenureTokens
 from linkspan.shard.planning.advice import AdviceCache
 from linkspan.shard.planning.durations import DurationEstimator
+from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.reports.health import ExecutorHealth
 
 if TYPE_CHECKING:
@@ -78,6 +79,7 @@
         interference: Estimates of how much colocated tasks slow each other.
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
+        set_asides: Resources of executors that are set aside for waiting tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
         orders: Orders to send, in order.
@@ -125,6 +127,7 @@
         self.interference = InterferenceEstimator()
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
+        self.set_asides = SetAsides()
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
         self.orders: list[Order] = []
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -30,6 +30,7 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import KindKey
+    from linkspan.shard.planning.set_asides import SetAsides
     from linkspan.shard.planning.task_need import TaskNeed
 
 
@@ -55,8 +56,8 @@
 
     Attributes:
         capacity: Thousandths of a core of all usable executors.
-        free: Thousandths of a core that are not reserved there; 0 while a new owner waits for
-            executors to report, as it starts no new work until then.
+        free: Thousandths of a core that are neither reserved nor set aside there; 0 while a new
+            owner waits for executors to report, as it starts no new work until then.
         best_effort: Thousandths of a core that best-effort tasks there would use.
         waiting: Thousandths of a core that best-effort tasks wait for.
         queued: Thousandths of a core that other tasks wait for.
@@ -64,7 +65,8 @@
         effects: Learnt effects: in a record those published with it, in a host's view all known
             ones.
         free_by_executor: Free thousandths of a core, free megabytes and, where there are any, free
-            accelerators of each executor that takes new work, ordered by kind.
+            accelerators of each executor that takes new work, without what is set aside, ordered by
+            kind.
         rows_by_kind: How many of these executors each of ``kinds`` has; empty if not published.
         kinds: Kinds of its executors, including those that take no new work at present, but without
             those that leave; ``None`` if not published.
@@ -225,10 +227,10 @@
     )
     by_kind: dict[KindKey, list[tuple[int, ...]]] = {kind.key: [] for kind in kinds}
     for executor in accepting:
-        by_kind[executor.record.kind].append(_row(executor))
+        by_kind[executor.record.kind].append(_row(executor, core.set_asides))
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(e.free_cpu for e in accepting),
+        free=sum(row[0] for rows in by_kind.values() for row in rows),
         best_effort=sum(e.best_effort_cpu for e in usable),
         waiting=_pending_cpu(core, best_effort=True),
         queued=_pending_cpu(core, best_effort=False),
@@ -240,10 +242,11 @@
     )
 
 
-def _row(executor: ExecutorState) -> tuple[int, ...]:
+def _row(executor: ExecutorState, set_asides: SetAsides) -> tuple[int, ...]:
     """Return the row of an executor, without accelerators where it has none."""
-    gpus = (executor.free_gpus,) if executor.record.capacity.gpus else ()
-    return executor.free_cpu, executor.free_memory, *gpus
+    held = set_asides.held(executor.executor_id)
+    gpus = (executor.free_gpus - held.gpus,) if executor.record.capacity.gpus else ()
+    return executor.free_cpu - held.milli_cpu, executor.free_memory - held.memory_mb, *gpus
 
 
 def _former_capacities(core: ShardCore) -> tuple[tuple[str, Demand], ...]:
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -27,11 +27,14 @@
         core: The shard's state.
         best_effort_capacity: Pressure that standing tasks tolerate from best-effort ones.
         now: Steady time of the plan.
+        unserved: Steps with resources set aside for them that this plan has not served yet; they
+            are less urgent than the step that it serves.
     """
 
     core: ShardCore
     best_effort_capacity: BestEffortCapacity
     now: float
+    unserved: set[StepRun] = field(default_factory=set)
     _usable: list[ExecutorState] | None = None
     _free_capacity: FreeCapacity | None = None
     _unplaceable: set[TaskKind] = field(default_factory=set)
@@ -86,5 +89,14 @@
                 self.now,
                 self._unplaceable,
                 self.free_capacity(),
+                set_asides=core.set_asides,
+                less_urgent=self.unserved,
             )
-        return StepPlacement(step, executors, scores, self.best_effort_capacity, self.now)
+        return StepPlacement(
+            step,
+            executors,
+            scores,
+            self.best_effort_capacity,
+            self.now,
+            set_asides=core.set_asides,
+        )
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -10,14 +10,18 @@
 from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU
 from linkspan.shard.colocation.pacing import MIN_PACE_PERCENT
 from linkspan.shard.planning._free_capacity import ANY_MILLI_CPU, ExecutorGroup
+from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from linkspan.jobs.spec import Demand
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._free_capacity import FreeCapacity
     from linkspan.shard.planning._step_scores import StepScores
+    from linkspan.shard.planning.task_need import Obstacle, Room
     from linkspan.shard.planning.urgency import Timeliness
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -76,6 +80,8 @@
             ``executors`` are only some of the usable ones.
         free_capacity: Free capacity of the usable executors; ``None`` if ``executors`` are only
             some of them.
+        set_asides: What is set aside of executors for waiting tasks.
+        less_urgent: Steps that are known to be less urgent than this one.
     """
 
     step: StepRun
@@ -85,6 +91,8 @@
     now: float
     unplaceable: set[TaskKind] | None = None
     free_capacity: FreeCapacity | None = None
+    set_asides: SetAsides = field(default_factory=SetAsides)
+    less_urgent: Collection[StepRun] = ()
     _on_executor: Counter[str] = field(default_factory=Counter)
     _needs: dict[bool, TaskNeed] = field(default_factory=dict)
     _scores: dict[tuple[bool, bool], dict[str, float]] = field(default_factory=dict)
@@ -172,11 +180,14 @@
 
         Placements of a plan only reduce free capacity, so a kind that did not fit does not fit
         later in the same plan. Returns ``None`` for gangs, whose members may be unplaced again, and
-        for steps with a spread limit or tickets, whose restrictions apply to one step only.
+        for steps with a spread limit, tickets or resources set aside for them, whose restrictions
+        apply to one step only.
         """
         spec = self.step.spec
         if spec.gang or spec.max_per_executor or self.step.run.job.requires_ticket:
             return None
+        if self.step in self.set_asides.steps:
+            return None
         best_effort = (
             (spec.image, self.best_effort_capacity.timeliness(self.step))
             if spec.best_effort
@@ -208,7 +219,7 @@
     def _score(self, executor: ExecutorState, use_headroom: bool, starved: bool) -> float:
         if self.reason_against(executor, use_headroom=use_headroom, starved=starved) is not None:
             return NO_CAPACITY_SCORE
-        return self.scores.score(executor, placed=self._on_executor[executor.executor_id])
+        return self.score(executor)
 
     def pace(self, executor: ExecutorState) -> int:
         """Return the pace in percent at which a task of the step starts on an executor."""
@@ -228,7 +239,8 @@
             starved: Whether pressure on standing tasks is ignored.
         """
         placed = self._on_executor[executor.executor_id]
-        obstacle = self._needs[use_headroom].obstacle(executor, placed=placed)
+        set_aside = self.set_asides.held_against(self.step, executor.executor_id, self.less_urgent)
+        obstacle = self._needs[use_headroom].obstacle(executor, placed=placed, set_aside=set_aside)
         if obstacle is not None:
             return obstacle.value
         if self.step.spec.best_effort:
@@ -250,6 +262,24 @@
             reasons[reason] += 1
         return reasons
 
+    def score(self, executor: ExecutorState) -> float:
+        """Return the score of an executor for one more task, whether or not it has capacity."""
+        return self.scores.score(executor, placed=self._on_executor[executor.executor_id])
+
+    def obstacle_in(
+        self, executor: ExecutorState, room: Room, task: Task, *, more_placed: int
+    ) -> Obstacle | None:
+        """Return why a task would not fit on an executor whose free resources have changed.
+
+        Args:
+            executor: The executor.
+            room: Its free resources after the change.
+            task: The task.
+            more_placed: Number of further tasks of the step that are there then.
+        """
+        placed = self._on_executor[executor.executor_id] + more_placed
+        return self._needs[self.may_use_headroom(task)].obstacle(room, placed=placed)
+
     def may_use_headroom(self, task: Task) -> bool:
         """Whether a standing task may use the headroom for short ones."""
         return may_use_headroom(task, self.now)
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -11,6 +11,7 @@
 from linkspan.shard.planning._blocked import blocked_fields
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
+from linkspan.shard.planning._setting_aside import SettingAside
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
 from linkspan.shard.planning.urgency import urgency
 
@@ -39,6 +40,7 @@
         self._core = core
         self._blocked_logged: set[StepRun] = set()
         self._evacuation = core.evacuation
+        self._setting_aside = SettingAside(core)
 
     def __repr__(self) -> str:
         return f"Planner({self._core!r})"
@@ -56,7 +58,10 @@
         core.release_due(wall, now)
         core.remove_finished_tasks()
         Moves(view).add_orders()
-        for step, waiting in self._steps_by_urgency(wall):
+        steps = self._steps_by_urgency(wall)
+        self._setting_aside.begin(view, wall)
+        for step, waiting in steps:
+            view.unserved.discard(step)
             if core.may_start(step.run.job, now):
                 self._place_step(step, waiting, view)
         SpeculativeCopies(view).add_orders()
@@ -109,6 +114,20 @@
             placed += self._place_isolated(placement, to_isolate, view)
             placed = placed or self._place_starved(placement, pending)
         self._log(placement, placed, pending, view)
+        self._set_aside(placement, placed, pending, view)
+
+    def _set_aside(
+        self, placement: StepPlacement, placed: list[Attempt], pending: list[Task], view: PlanView
+    ) -> None:
+        """Set resources aside for the tasks with a reservation that were not placed."""
+        if placement.step.spec.best_effort:
+            return
+        if placed:
+            executor_ids = (attempt.executor_id for attempt in placed)
+            self._setting_aside.on_placed(placement.step, executor_ids, view.now)
+        waiting = [task for task in pending if not task.attempts] if placed else pending
+        if waiting:
+            self._setting_aside.serve(placement, waiting, view)
 
     def _require_tickets(self, placement: StepPlacement) -> None:
         """Limit a placement to executors with a valid ticket; request the missing tickets."""
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from linkspan.shard.planning.set_asides import NOTHING
+
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand, StepSpec
     from linkspan.shard.task import Task
@@ -31,6 +33,7 @@
     SPREAD = "spread limit"
     CORES = "cores"
     HEADROOM = "kept for short work"
+    SET_ASIDE = "set aside for waiting work"
 
 
 class Room(Protocol):
@@ -100,13 +103,38 @@
         """Return whether an executor runs such tasks at all."""
         return room.runs(self.service, self.label)
 
-    def obstacle(self, room: Room, *, placed: int = 0) -> Obstacle | None:
+    def obstacle(
+        self, room: Room, *, placed: int = 0, set_aside: Demand = NOTHING
+    ) -> Obstacle | None:
         """Return why a matching executor has no room for one more task, ``None`` if it has.
 
         Args:
             room: Free resources of the executor.
             placed: Number of the step's tasks that are there.
+            set_aside: What is set aside there for other tasks.
         """
+        obstacle = self._obstacle(room, placed)
+        if obstacle is None and not self._fits_beside(room, set_aside):
+            return Obstacle.SET_ASIDE
+        return obstacle
+
+    def _fits_beside(self, room: Room, set_aside: Demand) -> bool:
+        """Return whether a task that fits also does beside what is set aside for others.
+
+        A task that needs none of a resource does not take it from others.
+        """
+        if set_aside is NOTHING:
+            return True
+        demand = self.demand
+        if demand.memory_mb and demand.memory_mb > room.free_memory - set_aside.memory_mb:
+            return False
+        if demand.gpus and demand.gpus > room.free_gpus - set_aside.gpus:
+            return False
+        if not self.reserves_cpu or not demand.milli_cpu:
+            return True
+        return demand.milli_cpu <= room.free_cpu - set_aside.milli_cpu
+
+    def _obstacle(self, room: Room, placed: int) -> Obstacle | None:
         demand = self.demand
         if demand.memory_mb > room.free_memory:
             return Obstacle.MEMORY
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -81,6 +81,17 @@
     return _timeliness(step, age + remaining_s, step.run.job.objective_s - age - remaining_s)
 
 
+def slack_s(step: StepRun, wall: float) -> float:
+    """Return the seconds that a step may still wait for its job to meet its objective.
+
+    Args:
+        step: The step.
+        wall: Time of day, in seconds since 1970.
+    """
+    age, remaining_s = _times(step, wall)
+    return step.run.job.objective_s - age - remaining_s
+
+
 def _times(step: StepRun, wall: float) -> tuple[float, float]:
     """Return the seconds since a step's repetition was due, and the seconds that it still needs."""
     job = step.run.job
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -38,6 +38,7 @@
             there are none.
         not_before: Steady time before which it is not started again after a refused start.
         moves: Number of times it was moved because a run took far longer than comparable ones.
+        preemptions: Number of times it was stopped in favour of work with a reservation.
         refusals: Number of consecutive starts that executors refused.
         ready_since: Steady time since when this shard could have started it: ``waiting_since``, or
             the time at which the shard began to manage it, if that is later.
@@ -62,6 +63,7 @@
     crash_changes: CrashChanges | None = None
     not_before: float = NEVER
     moves: int = 0
+    preemptions: int = 0
     refusals: int = 0
     ready_since: float = NEVER
     waiting_since: float = NEVER
