--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -41,8 +41,12 @@
 them. After that its tasks are delegated one by one."""
 
 RETURN_DELAY_S = 1.0
-"""Time for which a delegated task waits for capacity before it is returned."""
+"""Time for which a delegated task waits for capacity before it is returned, if another hall has
+room for it."""
 
+FULL_HALLS_RETURN_DELAY_S = 4.0
+"""The same if no other hall has room: home would only let it wait, too. Here it comes before the
+tasks that have waited less, and half of a standing task's nine seconds remain for a second hall."""
 
 HOPELESS_RETURN_DELAY_S = 0.15
 """The same where only executors at the step's spread limit have room. It is long enough for the
@@ -150,7 +154,7 @@
             # A former owner may have started tasks here, which must not start elsewhere, too.
             return None
         if job.delegated_here:
-            return self._return(job, step, pending, now)
+            return self._return(job, step, pending, halls, now)
         if not (job.begun or job.moved or job.has_delegations):
             shard = self._whole_moves.choose(step, own, halls, now)
             if shard is not None:
@@ -174,21 +178,24 @@
         return 0.0 if self._core.evacuation else WHOLE_MOVE_WAIT_S
 
     def _return(
-        self, job: ShardJob, step: StepRun, pending: list[Task], now: float
+        self, job: ShardJob, step: StepRun, pending: list[Task], halls: OtherHalls, now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        delay_s = self._return_delay_s(step, now)
+        delay_s = self._return_delay_s(step, halls, now)
         overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if not overdue:
             return None
         tasks = tuple((step.index, task.name.index) for task in overdue)
         return Handover(job.job_id, job.submitted.shard, tasks)
 
-    def _return_delay_s(self, step: StepRun, now: float) -> float:
+    def _return_delay_s(self, step: StepRun, halls: OtherHalls, now: float) -> float:
+        """Return how long a step's delegated tasks wait in this hall before they are returned."""
         if self._core.evacuation:
             return 0.0
-        hopeless = has_room_only_at_spread_limit(self._core, step, now)
-        return HOPELESS_RETURN_DELAY_S if hopeless else RETURN_DELAY_S
+        if has_room_only_at_spread_limit(self._core, step, now):
+            return HOPELESS_RETURN_DELAY_S
+        need = TaskNeed.of(step.spec, step.run.job.service, use_headroom=True)
+        return RETURN_DELAY_S if halls.with_room_for(need) else FULL_HALLS_RETURN_DELAY_S
 
     def _delegate(
         self,
