--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -245,8 +245,19 @@
 def _row(executor: ExecutorState, set_asides: SetAsides) -> tuple[int, ...]:
     """Return the row of an executor, without accelerators where it has none."""
     held = set_asides.held(executor.executor_id)
-    gpus = (executor.free_gpus - held.gpus,) if executor.record.capacity.gpus else ()
-    return executor.free_cpu - held.milli_cpu, executor.free_memory - held.memory_mb, *gpus
+    free_cpu = _beside(executor.free_cpu, held.milli_cpu)
+    free_memory = _beside(executor.free_memory, held.memory_mb)
+    if not executor.record.capacity.gpus:
+        return free_cpu, free_memory
+    return free_cpu, free_memory, _beside(executor.free_gpus, held.gpus)
+
+
+def _beside(free: int, held: int) -> int:
+    """Return what is free beside what is set aside, of which some is not free yet.
+
+    It is below 0 only if more is in use than the executor has.
+    """
+    return max(free - held, min(free, 0))
 
 
 def _former_capacities(core: ShardCore) -> tuple[tuple[str, Demand], ...]:
--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
@@ -11,10 +10,10 @@
 from linkspan.shard.planning._preemption import (
     NEVER_ENDS,
     STOP_S,
-    Preemption,
     cheapest_preemption,
     covered_in_s,
 )
+from linkspan.shard.planning._set_aside_candidates import Candidate, find_candidate, shortage_of
 from linkspan.shard.planning.set_asides import SetAside, SetAsideEnd
 from linkspan.shard.planning.urgency import slack_s
 
@@ -22,7 +21,6 @@
     from collections.abc import Iterable
 
     from linkspan.shard.core import ShardCore
-    from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._plan_view import PlanView
     from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.step_run import StepRun
@@ -51,55 +49,21 @@
 MIN_STANDING_PREEMPTION_WAIT_S = 0.8
 """The same for standing tasks, which other halls take after 0.5 s."""
 
-SEARCH_INTERVAL_S = 0.25
-"""Time between searches for the same step. A search looks at all runs of all executors."""
+MIN_SET_ASIDES = 16
+"""Number of tasks for which resources may be set aside at a time in any hall; in a large one it is
+the number of executors that the share allows. Other tasks come later, the most urgent first."""
 
-MAX_SEARCHES_PER_PLAN = 2
-"""Limits the searches of one plan, as many steps may wait in an overloaded hall."""
+CHECK_INTERVAL_S = 0.1
+"""Time between two looks at the same step. A look reads the runs of executors."""
+
+MAX_SEARCHES_PER_PLAN = 1
+"""Limits the searches of one plan. A search reads the runs of all executors, and many steps may
+wait in an overloaded hall."""
 
 PREEMPTION_REASON = "frees memory or accelerators for work with a reservation"
 """Logged reason of stops."""
 
 
-@dataclass(frozen=True, slots=True)
-class _FreedRoom:
-    """Free resources of an executor once runs that may end have ended."""
-
-    total_cpu: int
-    free_cpu: int
-    free_memory: int
-    free_gpus: int
-    executor: ExecutorState
-
-    def runs(self, service: str, label: str) -> bool:
-        return self.executor.runs(service, label)
-
-
-@dataclass(frozen=True, slots=True)
-class _Candidate:
-    """An executor on which a waiting task could fit.
-
-    Attributes:
-        executor: The executor.
-        covered_in_s: Seconds until it is expected to fit without a stop.
-        preemption: Stops after which it fits; ``None`` if there are none.
-        score: Score of the executor for the step, lower is better.
-    """
-
-    executor: ExecutorState
-    covered_in_s: float
-    preemption: Preemption | None
-    score: float
-
-    def rank(self, patience_s: float) -> tuple[int, float, float]:
-        """Return the sort key, the best executor lowest."""
-        if self.covered_in_s <= patience_s:
-            return 0, self.covered_in_s, self.score
-        if self.preemption is not None:
-            return 1, self.preemption.loss, self.score
-        return 2, self.covered_in_s, self.score
-
-
 class SettingAside:
     """Sets resources aside for waiting tasks, and stops best-effort runs if a wait gets too long.
 
@@ -114,7 +78,7 @@
     def __init__(self, core: ShardCore) -> None:
         self._core = core
         self._set_asides = core.set_asides
-        self._search_at: dict[StepRun, float] = {}
+        self._check_at: dict[StepRun, float] = {}
         self._expired: dict[StepRun, set[str]] = {}
         self._searches = 0
         self._wall = 0.0
@@ -131,8 +95,8 @@
         """
         self._wall = wall
         self._searches = 0
-        if self._search_at:
-            self._search_at = {s: at for s, at in self._search_at.items() if at > view.now}
+        if self._check_at:
+            self._check_at = {s: at for s, at in self._check_at.items() if at > view.now}
         if self._expired:
             self._expired = {s: ids for s, ids in self._expired.items() if s in self._core.ready}
         if not self._set_asides:
@@ -170,98 +134,75 @@
             view: The plan's view of the shard.
         """
         step, now = placement.step, view.now
+        if self._check_at.get(step, NEVER) > now:
+            return
         missing = len(waiting) - len(self._set_asides.of(step))
-        if missing > 0 and self._may_search(step, now):
+        if missing > 0 and self._searches < MAX_SEARCHES_PER_PLAN:
             self._search(placement, waiting, missing, view)
-        self._preempt(placement, waiting, view)
-
-    def _may_search(self, step: StepRun, now: float) -> bool:
-        if self._searches >= MAX_SEARCHES_PER_PLAN or self._search_at.get(step, NEVER) > now:
-            return False
-        self._searches += 1
-        self._search_at[step] = now + SEARCH_INTERVAL_S
-        return True
+        if step in self._set_asides.steps:
+            self._check_at[step] = now + CHECK_INTERVAL_S
+            self._preempt(placement, waiting, view)
 
     def _search(
         self, placement: StepPlacement, waiting: list[Task], missing: int, view: PlanView
     ) -> None:
-        step, task = placement.step, waiting[0]
+        """Set resources aside for up to ``missing`` tasks of a step, for a gang all or none."""
+        step = placement.step
+        missing = self._allowed(step, missing, view)
+        if missing <= 0:
+            return
+        self._searches += 1
+        self._check_at[step] = view.now + CHECK_INTERVAL_S
         patience_s = self._patience_s(step, waiting, view.now)
-        excluded = task.avoided_executors | self._expired.get(step, set())
-        candidates: dict[str, _Candidate] = {}
-        for executor in placement.executors:
-            if executor.executor_id in excluded:
-                continue
-            candidate = self._candidate(placement, executor, task)
-            if candidate:
-                candidates[executor.executor_id] = candidate
-        begun: list[tuple[SetAside, _Candidate]] = []
-        for _ in range(missing):
-            allowed = [c for c in candidates.values() if self._may_set_aside(c, step, view)]
-            if not allowed:
-                break
-            best = min(allowed, key=lambda c: c.rank(patience_s))
-            executor_id = best.executor.executor_id
-            set_aside = SetAside(step, executor_id, view.now)
+        candidates = self._candidates(placement, waiting[0], view)
+        begun: list[tuple[SetAside, Candidate]] = []
+        while candidates and len(begun) < missing:
+            best = min(candidates.values(), key=lambda c: c.rank(patience_s))
+            executor = best.executor
+            set_aside = SetAside(step, executor.executor_id, view.now)
             self._set_asides.add(set_aside)
             begun.append((set_aside, best))
-            again = self._candidate(placement, best.executor, task)
+            again = find_candidate(self._set_asides, placement, executor, waiting[0])
             if again:
-                candidates[executor_id] = again
+                candidates[executor.executor_id] = again
             else:
-                del candidates[executor_id]
+                del candidates[executor.executor_id]
+            candidates = {i: c for i, c in candidates.items() if self._may_use(i, step, view)}
         if step.spec.gang and len(begun) < missing:
-            # The members start together or not at all.
             for set_aside, _ in begun:
                 self._set_asides.remove(set_aside)
             return
         for _, chosen in begun:
             self._log_begin(chosen, step, patience_s, view.now)
 
-    def _may_set_aside(self, candidate: _Candidate, step: StepRun, view: PlanView) -> bool:
-        """Whether resources of an executor may be set aside without exceeding the hall's share."""
-        held = self._set_asides.executor_ids
-        if candidate.executor.executor_id in held:
-            return True
+    def _allowed(self, step: StepRun, missing: int, view: PlanView) -> int:
+        """Return for how many of a step's tasks resources may be set aside now."""
         if step.spec.gang:
-            return not any(s.spec.gang for s in self._set_asides.steps if s is not step)
-        return len(held) < max(int(MAX_SET_ASIDE_SHARE * len(view.usable())), 1)
+            others = (other for other in self._set_asides.steps if other is not step)
+            return 0 if any(other.spec.gang for other in others) else missing
+        most = max(_max_executors(view), MIN_SET_ASIDES)
+        return min(missing, most - len(self._set_asides))
 
-    def _candidate(
-        self, placement: StepPlacement, executor: ExecutorState, task: Task
-    ) -> _Candidate | None:
-        """Return an executor where a task lacks only memory or accelerators that get free.
+    def _may_use(self, executor_id: str, step: StepRun, view: PlanView) -> bool:
+        """Whether resources of an executor may be set aside without exceeding the hall's share."""
+        held = self._set_asides.executor_ids
+        return step.spec.gang or executor_id in held or len(held) < _max_executors(view)
 
-        For a gang, executors that lack nothing count, too.
-        """
-        demand = task.step.spec.demand
-        held = self._set_asides.held(executor.executor_id)
-        shortage = _shortage(executor, held, demand)
-        if shortage is None and not task.step.spec.gang:
-            return None
-        ending = [a for a in executor.attempts.values() if not a.task.step.spec.standing]
-        memory_mb = sum(a.task.step.spec.demand.memory_mb for a in ending)
-        gpus = sum(a.task.step.spec.demand.gpus for a in ending)
-        room = _FreedRoom(
-            executor.total_cpu,
-            executor.free_cpu - held.milli_cpu,
-            executor.free_memory + memory_mb - held.memory_mb,
-            executor.free_gpus + gpus - held.gpus,
-            executor,
-        )
-        mine = self._set_asides.of(task.step)
-        more_placed = sum(s.executor_id == executor.executor_id for s in mine)
-        if placement.obstacle_in(executor, room, task, more_placed=more_placed) is not None:
-            return None
-        score = placement.score(executor)
-        if shortage is None:
-            # Other members of the gang have to wait for room.
-            return _Candidate(executor, 0.0, None, score)
-        covered = covered_in_s(executor, shortage, placement.now)
-        preemption = cheapest_preemption(executor, shortage, placement.now)
-        if covered == NEVER_ENDS and preemption is None:
-            return None
-        return _Candidate(executor, covered, preemption, score)
+    def _candidates(
+        self, placement: StepPlacement, task: Task, view: PlanView
+    ) -> dict[str, Candidate]:
+        """Return the executors on which a task could fit, by name."""
+        step = placement.step
+        excluded = task.avoided_executors | self._expired.get(step, set())
+        candidates = {}
+        for executor in placement.executors:
+            executor_id = executor.executor_id
+            if executor_id in excluded or not self._may_use(executor_id, step, view):
+                continue
+            candidate = find_candidate(self._set_asides, placement, executor, task)
+            if candidate:
+                candidates[executor_id] = candidate
+        return candidates
 
     def _preempt(self, placement: StepPlacement, waiting: list[Task], view: PlanView) -> None:
         """Stop best-effort runs where the resources set aside for a step get free too late."""
@@ -276,7 +217,7 @@
         for executor_id in {s.executor_id: None for s in mine}:
             executor = self._core.executors[executor_id]
             held = self._set_asides.held(executor_id)
-            shortage = _shortage(executor, held, Demand())
+            shortage = shortage_of(executor, held, Demand())
             if shortage is None or covered_in_s(executor, shortage, now) <= patience_s:
                 continue
             preemption = cheapest_preemption(executor, shortage, now)
@@ -312,7 +253,7 @@
             token=self._core.token,
         )
 
-    def _log_begin(self, chosen: _Candidate, step: StepRun, patience_s: float, now: float) -> None:
+    def _log_begin(self, chosen: Candidate, step: StepRun, patience_s: float, now: float) -> None:
         executor, demand = chosen.executor, step.spec.demand
         self._core.log(
             Event.SET_ASIDE,
@@ -331,20 +272,10 @@
         )
 
 
-def _fields(step: StepRun) -> dict[str, str]:
-    return {"job": step.run.job.job_id, "step": f"{step.run.repetition}.{step.index}"}
-
+def _max_executors(view: PlanView) -> int:
+    """Return the number of executors of which resources may be set aside at a time."""
+    return max(int(MAX_SET_ASIDE_SHARE * len(view.usable())), 1)
 
-def _shortage(executor: ExecutorState, held: Demand, demand: Demand) -> Demand | None:
-    """Return the memory and accelerators that an executor lacks; ``None`` if it lacks neither.
 
-    Args:
-        executor: The executor.
-        held: What is set aside there.
-        demand: What a further task takes.
-    """
-    memory_mb = held.memory_mb + demand.memory_mb - executor.free_memory
-    gpus = held.gpus + demand.gpus - executor.free_gpus
-    if memory_mb <= 0 and gpus <= 0:
-        return None
-    return Demand(0, max(memory_mb, 0), max(gpus, 0))
+def _fields(step: StepRun) -> dict[str, str]:
+    return {"job": step.run.job.job_id, "step": f"{step.run.repetition}.{step.index}"}
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -126,10 +126,16 @@
         avoid = task.avoided_executors
         use_headroom = self.may_use_headroom(task)
         kind = self._kind(use_headroom, starved)
+        candidates: list[ExecutorState]
         if self.unplaceable is not None and kind in self.unplaceable:
+            # Another step of this kind may not use what is set aside for this one.
+            candidates = self._set_aside_for_step()
+        else:
+            candidates = self._candidates(starved)
+        if not candidates:
             return None
         scores = self._scores.setdefault((use_headroom, starved), {})
-        for executor in self._candidates(starved):
+        for executor in candidates:
             executor_id = executor.record.executor_id
             score = scores.get(executor_id)
             if score is None:
@@ -140,6 +146,11 @@
             self.unplaceable.add(kind)
         return best
 
+    def _set_aside_for_step(self) -> list[ExecutorState]:
+        """Return the executors of which resources are set aside for the step."""
+        mine = {s.executor_id for s in self.set_asides.of(self.step)}
+        return [e for e in self.executors if e.executor_id in mine] if mine else []
+
     def _candidates(self, starved: bool) -> list[ExecutorState]:
         """Return the executors that may have capacity for a task; no other executor has."""
         job = self.step.run.job
@@ -180,14 +191,11 @@
 
         Placements of a plan only reduce free capacity, so a kind that did not fit does not fit
         later in the same plan. Returns ``None`` for gangs, whose members may be unplaced again, and
-        for steps with a spread limit, tickets or resources set aside for them, whose restrictions
-        apply to one step only.
+        for steps with a spread limit or tickets, whose restrictions apply to one step only.
         """
         spec = self.step.spec
         if spec.gang or spec.max_per_executor or self.step.run.job.requires_ticket:
             return None
-        if self.step in self.set_asides.steps:
-            return None
         best_effort = (
             (spec.image, self.best_effort_capacity.timeliness(self.step))
             if spec.best_effort
--- a/src/linkspan/shard/planning/set_asides.py
+++ b/src/linkspan/shard/planning/set_asides.py
@@ -53,8 +53,8 @@
     def __repr__(self) -> str:
         return f"SetAsides({len(self._by_step)} steps, {len(self._by_executor)} executors)"
 
-    def __bool__(self) -> bool:
-        return bool(self._by_step)
+    def __len__(self) -> int:
+        return sum(map(len, self._by_step.values()))
 
     @property
     def steps(self) -> Collection[StepRun]:
