--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -83,6 +83,8 @@
 
     def slots(self, need: TaskNeed) -> int:
         """Return for how many tasks the hall has room now."""
+        if need.preempts and not self._summary.best_effort_memory:
+            return 0
         return self._slots_of(need).total
 
     def take(self, need: TaskNeed, count: int) -> None:
--- a/src/linkspan/shard/handover/executor_room.py
+++ b/src/linkspan/shard/handover/executor_room.py
@@ -20,6 +20,8 @@
         free_memory: Megabytes of memory that no attempt uses.
         free_gpus: Accelerators that no attempt uses.
         kind: Kind of the executor, ``None`` if its hall does not publish it.
+        best_effort_memory: Megabytes of memory that best-effort attempts use and that are not set
+            aside.
     """
 
     total_cpu: int
@@ -27,6 +29,7 @@
     free_memory: int
     free_gpus: int = 0
     kind: ExecutorKind | None = None
+    best_effort_memory: int = 0
 
     def runs(self, service: str, label: str) -> bool:
         """Return whether it runs tasks of a service that require a label.
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -48,6 +48,10 @@
 """The same if no other hall has room: home would only let it wait, too. Here it comes before the
 tasks that have waited less, and half of a standing task's nine seconds remain for a second hall."""
 
+PREEMPTION_ELSEWHERE_WAIT_S = 2.0
+"""Time after which a standing task goes to a hall that has to stop best-effort runs for it. At home
+that takes 0.8 s and a stop."""
+
 HOPELESS_RETURN_DELAY_S = 0.15
 """The same where only executors at the step's spread limit have room. It is long enough for the
 hall's owner to try."""
@@ -213,6 +217,9 @@
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
         with_room = halls.with_room_for(need)
+        if not with_room and now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S:
+            need = need.preempting()
+            with_room = halls.with_room_for(need)
         slots = {
             shard: self._slots(shard, step, halls.rooms[shard].slots(need)) for shard in with_room
         }
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -34,6 +34,14 @@
     from linkspan.shard.planning.task_need import TaskNeed
 
 
+MIN_PUBLISHED_MILLI_CPU = 1_000
+"""Free thousandths of a core from which on the memory of best-effort runs is published: without
+cores it is of no use to work with a reservation."""
+
+MAX_PUBLISHED_BEST_EFFORT = 32
+"""Limits the executors of which it is published, as each takes ten bytes of the record."""
+
+
 class PairEffect(NamedTuple):
     """A learnt effect of best-effort work on a standing task.
 
@@ -68,6 +76,8 @@
             accelerators of each executor that takes new work, without what is set aside, ordered by
             kind.
         rows_by_kind: How many of these executors each of ``kinds`` has; empty if not published.
+        best_effort_memory: Index of an executor's row and megabytes of memory that best-effort runs
+            there would give back for other work; of some executors, those with the most free cores.
         kinds: Kinds of its executors, including those that take no new work at present, but without
             those that leave; ``None`` if not published.
         former_capacities: Service and former size of executors with reduced capacity, which comes
@@ -85,6 +95,7 @@
     kinds: tuple[ExecutorKind, ...] | None = None
     former_capacities: tuple[tuple[str, Demand], ...] = ()
     rows_by_kind: tuple[int, ...] = ()
+    best_effort_memory: tuple[tuple[int, int], ...] = ()
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -93,10 +104,14 @@
 
     def rooms(self) -> Iterator[ExecutorRoom]:
         """Iterate over the free resources of the executors that take new work."""
-        for row, kind in zip(self.free_by_executor, self._kinds_of_rows(), strict=True):
+        best_effort = dict(self.best_effort_memory)
+        rows = zip(self.free_by_executor, self._kinds_of_rows(), strict=True)
+        for index, (row, kind) in enumerate(rows):
             total_cpu = kind.capacity.milli_cpu if kind else self._mean_cpu
             free_cpu, free_memory, *gpus = row
-            yield ExecutorRoom(total_cpu, free_cpu, free_memory, sum(gpus), kind)
+            yield ExecutorRoom(
+                total_cpu, free_cpu, free_memory, sum(gpus), kind, best_effort.get(index, 0)
+            )
 
     def slots(self, need: TaskNeed, *, enough: int = MAX_EXACT_INT) -> int:
         """Return for how many tasks the hall has room now.
@@ -137,6 +152,7 @@
             None if self.kinds is None else [_kind_row(kind) for kind in self.kinds],
             [[service, _size_row(size)] for service, size in self.former_capacities],
             self.rows_by_kind,
+            self.best_effort_memory,
         ]
 
     @classmethod
@@ -155,6 +171,7 @@
             kinds = rest[1] if len(rest) > 1 else None
             former_capacities = rest[2] if len(rest) > 2 else ()
             rows_by_kind = rest[3] if len(rest) > 3 else ()
+            best_effort_memory = rest[4] if len(rest) > 4 else ()
             return cls(
                 parse_int(capacity),
                 _signed(free),
@@ -172,6 +189,7 @@
                 else tuple(_kind(parse_list(row)) for row in parse_list(kinds)),
                 tuple(_former_capacity(parse_list(row)) for row in parse_list(former_capacities)),
                 tuple(parse_int(count) for count in parse_list(rows_by_kind)),
+                tuple(_indexed(parse_list(row)) for row in parse_list(best_effort_memory)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
@@ -197,6 +215,11 @@
     return _signed(cpu), _signed(memory), *(_signed(count) for count in gpus[:1])
 
 
+def _indexed(row: list[Any]) -> tuple[int, int]:
+    index, amount, *_ = row
+    return parse_int(index), parse_int(amount)
+
+
 def _kind_row(kind: ExecutorKind) -> list[object]:
     return [kind.service, _size_row(kind.capacity), sorted(kind.labels), kind.count]
 
@@ -235,23 +258,40 @@
     kinds = group_by_kind(
         e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
     )
-    by_kind: dict[KindKey, list[tuple[int, ...]]] = {kind.key: [] for kind in kinds}
+    by_kind: dict[KindKey, list[ExecutorState]] = {kind.key: [] for kind in kinds}
     for executor in accepting:
-        by_kind[executor.record.kind].append(_row(executor, core.set_asides))
+        by_kind[executor.record.kind].append(executor)
+    ordered = list(chain.from_iterable(by_kind.values()))
+    rows = tuple(_row(executor, core.set_asides) for executor in ordered)
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(row[0] for rows in by_kind.values() for row in rows),
+        free=sum(row[0] for row in rows),
         best_effort=sum(e.best_effort_cpu for e in usable),
         waiting=_pending_cpu(core, best_effort=True),
         queued=_pending_cpu(core, best_effort=False),
         standing=standing,
-        free_by_executor=tuple(chain.from_iterable(by_kind.values())),
+        free_by_executor=rows,
         kinds=kinds,
         former_capacities=_former_capacities(core),
-        rows_by_kind=tuple(len(rows) for rows in by_kind.values()),
+        rows_by_kind=tuple(map(len, by_kind.values())),
+        best_effort_memory=_best_effort_memory(ordered, core.set_asides),
     )
 
 
+def _best_effort_memory(
+    executors: list[ExecutorState], set_asides: SetAsides
+) -> tuple[tuple[int, int], ...]:
+    """Return the memory that best-effort runs would give back, by index of the executor."""
+    found = []
+    for index, executor in enumerate(executors):
+        missing = set_asides.held(executor.executor_id).memory_mb - executor.free_memory
+        memory_mb = executor.best_effort_memory - max(missing, 0)
+        if memory_mb > 0 and executor.free_cpu >= MIN_PUBLISHED_MILLI_CPU:
+            found.append((index, memory_mb))
+    found.sort(key=lambda entry: -executors[entry[0]].free_cpu)
+    return tuple(found[:MAX_PUBLISHED_BEST_EFFORT])
+
+
 def _row(executor: ExecutorState, set_asides: SetAsides) -> tuple[int, ...]:
     """Return the row of an executor, without accelerators where it has none."""
     held = set_asides.held(executor.executor_id)
--- a/src/linkspan/shard/planning/_set_aside_candidates.py
+++ b/src/linkspan/shard/planning/_set_aside_candidates.py
@@ -29,6 +29,7 @@
     free_memory: int
     free_gpus: int
     executor: ExecutorState
+    best_effort_memory: int = 0
 
     def runs(self, service: str, label: str) -> bool:
         return self.executor.runs(service, label)
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -51,6 +51,10 @@
     def free_memory(self) -> int:
         """Megabytes of memory that no attempt uses."""
 
+    @property
+    def best_effort_memory(self) -> int:
+        """Megabytes of memory that best-effort attempts use and that are not set aside."""
+
     @property
     def free_gpus(self) -> int:
         """Accelerators that no attempt uses."""
@@ -71,6 +75,8 @@
         max_per_executor: Maximum tasks of the step on one executor; 0 for no limit.
         reserves_cpu: Whether the task reserves its cores. Best-effort tasks use those that others
             leave unused, which only the executor's own hall knows.
+        preempts: Whether memory of best-effort runs counts as free, as these runs are stopped for
+            the task.
     """
 
     service: str
@@ -79,6 +85,7 @@
     headroom: float
     max_per_executor: int
     reserves_cpu: bool
+    preempts: bool = False
 
     @classmethod
     def of(cls, spec: StepSpec, service: str, *, use_headroom: bool) -> TaskNeed:
@@ -99,6 +106,10 @@
             reserves_cpu=not spec.best_effort,
         )
 
+    def preempting(self) -> TaskNeed:
+        """Return the need of such tasks if best-effort runs are stopped for them."""
+        return replace(self, preempts=self.reserves_cpu)
+
     def matches(self, room: Room) -> bool:
         """Return whether an executor runs such tasks at all."""
         return room.runs(self.service, self.label)
@@ -136,7 +147,7 @@
 
     def _obstacle(self, room: Room, placed: int) -> Obstacle | None:
         demand = self.demand
-        if demand.memory_mb > room.free_memory:
+        if demand.memory_mb > self._memory(room):
             return Obstacle.MEMORY
         if demand.gpus > room.free_gpus:
             return Obstacle.ACCELERATORS
@@ -149,6 +160,10 @@
         kept = self.headroom * room.total_cpu
         return Obstacle.HEADROOM if demand.milli_cpu + kept > room.free_cpu else None
 
+    def _memory(self, room: Room) -> int:
+        """Return the megabytes of memory that count as free."""
+        return room.free_memory + (room.best_effort_memory if self.preempts else 0)
+
     def slots(self, room: Room) -> int:
         """Return for how many tasks an executor without others of the step has room now."""
         if not self.matches(room) or self.obstacle(room) is not None:
@@ -156,7 +171,7 @@
         demand = self.demand
         limits = [self.max_per_executor] if self.max_per_executor else []
         if demand.memory_mb:
-            limits.append(room.free_memory // demand.memory_mb)
+            limits.append(self._memory(room) // demand.memory_mb)
         if demand.gpus:
             limits.append(room.free_gpus // demand.gpus)
         if self.reserves_cpu and demand.milli_cpu:
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -135,5 +135,6 @@
     assert HallSummary.decode(fields[:-1]) == replace(EMPTY, queued=7)
     assert HallSummary.decode(fields[:-2]) == replace(EMPTY, queued=7)
     assert HallSummary.decode(fields[:-3]) == replace(EMPTY, queued=7)
-    assert HallSummary.decode(fields[:-4]) == EMPTY
+    assert HallSummary.decode(fields[:-4]) == replace(EMPTY, queued=7)
+    assert HallSummary.decode(fields[:-5]) == EMPTY
     assert HallSummary.decode([*fields, "more"]).queued == 7
