--- a/tests/host/never_run_day.py
+++ b/tests/host/never_run_day.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Set
+from collections.abc import Iterator, Set
+from contextlib import contextmanager
+from math import inf
 
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from tests.hall_world import HallWorld
@@ -11,6 +13,7 @@
 from tests.host.standing_faults_day import StandingFaultsDay
 from tests.host.standing_judge import StandingJudge
 from tests.job_builders import MAX_AWAY_S
+from tests.virtual_time import world_time
 
 CALM = "calm"
 """The kind that injects no fault."""
@@ -64,6 +67,22 @@
 CANCEL_RANGE_S = 2.0, 30.0
 """Range of times from the acceptance to the cancellation."""
 
+EXECUTOR_FAULTS = frozenset(
+    (
+        "crash_executor",
+        "drain",
+        "drain_executors",
+        "late",
+        "late_orders",
+        "replace",
+        "restart",
+        "restart_late",
+        "shrink",
+        "shrink_and_grow",
+    )
+)
+"""Faults that leave hosts and store alone, so that cancelled work must still end in time."""
+
 
 class NeverRunDay(StandingFaultsDay):
     """A scenario in which standing tasks are wide, large or both, and some never ran.
@@ -91,6 +110,7 @@
         self._judge = StandingJudge(MAX_AWAY_S)
         self._standing_cpu = 0
         self._cancelled: set[str] = set()
+        self._open_faults = 0
 
     def _job(self) -> JobSpec:
         random, world = self.random, self.world
@@ -115,11 +135,30 @@
         self._cancelled.add(spec.job_id)
         await self.world.cancel(self.random.choice(sorted(self.world.hosts)), spec.job_id)
 
+    async def _cause(self, name: str) -> None:
+        with self._recorded(name):
+            await super()._cause(name)
+
     async def _inject(self, kind: str) -> None:
         if kind == CALM:
             await asyncio.sleep(CALM_FAULT_S)
             return
-        await super()._inject(kind)
+        with self._recorded(kind):
+            await super()._inject(kind)
+
+    @contextmanager
+    def _recorded(self, fault: str) -> Iterator[None]:
+        """Tell the judge of cancelled work of a fault of hosts or the store while it lasts."""
+        if fault in EXECUTOR_FAULTS:
+            yield
+            return
+        self._open_faults += 1
+        self.world.faulty_until = inf
+        try:
+            yield
+        finally:
+            self._open_faults -= 1
+            self.world.faulty_until = inf if self._open_faults else world_time()
 
     def _excused(self) -> Set[str]:
         return super()._excused() | self._cancelled
--- a/tests/host/overlapping_day.py
+++ b/tests/host/overlapping_day.py
@@ -112,6 +112,10 @@
         name = self.random.choice(sorted(TROUBLES))
         await asyncio.sleep(at)
         self.fault_log.append(f"{asyncio.get_running_loop().time():.2f} {name}")
+        await self._cause(name)
+
+    async def _cause(self, name: str) -> None:
+        """Cause one fault, and return after its end."""
         await TROUBLES[name](self)
 
     async def _traffic(self, group: asyncio.TaskGroup) -> None:
