--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -215,10 +215,15 @@
             return
         patience_s = self._patience_s(step, waiting, now)
         for executor_id in {s.executor_id: None for s in mine}:
+            since = min(s.since for s in mine if s.executor_id == executor_id)
             executor = self._core.executors[executor_id]
             held = self._set_asides.held(executor_id)
             shortage = shortage_of(executor, held, Demand())
-            if shortage is None or covered_in_s(executor, shortage, now) <= patience_s:
+            if shortage is None:
+                continue
+            # Runs that were to end by now outlast their estimates, and may do so for long.
+            in_time = covered_in_s(executor, shortage, now) <= patience_s
+            if in_time and now - since < MAX_SHORT_WAIT_S:
                 continue
             preemption = cheapest_preemption(executor, shortage, now)
             for attempt in preemption.runs if preemption else ():
