--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -168,6 +168,9 @@
             else:
                 del candidates[executor.executor_id]
             candidates = {i: c for i, c in candidates.items() if self._may_use(i, step, view)}
+        if len(begun) < missing:
+            # Executors that were given up are tried again once the others are not enough.
+            self._expired.pop(step, None)
         if step.spec.gang and len(begun) < missing:
             for set_aside, _ in begun:
                 self._set_asides.remove(set_aside)
