--- a/tests/host/test_review_of_memory_in_another_hall.py
+++ b/tests/host/test_review_of_memory_in_another_hall.py
@@ -24,6 +24,14 @@
 
 WAITING = {
     "short": (StepSpec(3, Demand(7_750, 9_728), 20.0), MAX_SHORT_WAIT_S),
+    "wide standing": (
+        StepSpec(8, Demand(7_750, 9_728), 1.0, standing=True),
+        MAX_AWAY_S,
+    ),
+    "wide standing, at most one each": (
+        StepSpec(4, Demand(7_750, 9_728), 1.0, standing=True, max_per_executor=1),
+        MAX_AWAY_S,
+    ),
     "standing gang": (
         StepSpec(2, Demand(7_750, 9_728), 1.0, standing=True, gang=True),
         MAX_AWAY_S,
