--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -22,6 +22,7 @@
 from linkspan.shard.handover.executor_room import ExecutorRoom
 from linkspan.shard.messages import ExecutorKind, can_run, group_by_kind
 from linkspan.shard.planning._isolation import executors_for_new_work
+from linkspan.shard.planning._preemption import stoppable_memory
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -285,7 +286,7 @@
     found = []
     for index, executor in enumerate(executors):
         missing = set_asides.held(executor.executor_id).memory_mb - executor.free_memory
-        memory_mb = executor.best_effort_memory - max(missing, 0)
+        memory_mb = stoppable_memory(executor) - max(missing, 0)
         if memory_mb > 0 and executor.free_cpu >= MIN_PUBLISHED_MILLI_CPU:
             found.append((index, memory_mb))
     found.sort(key=lambda entry: -executors[entry[0]].free_cpu)
--- a/src/linkspan/shard/planning/_preemption.py
+++ b/src/linkspan/shard/planning/_preemption.py
@@ -82,14 +82,28 @@
     return Preemption(stops, sum(_loss(run, now) for run in stops))
 
 
+def stoppable_memory(executor: ExecutorState) -> int:
+    """Return the megabytes of memory of best-effort runs that are stopped if other work needs it.
+
+    Includes runs that are being started or stopped.
+    """
+    runs = executor.all_best_effort()
+    return sum(a.task.step.spec.demand.memory_mb for a in runs if _is_of_stoppable_step(a))
+
+
 def _may_stop(attempt: Attempt) -> bool:
-    """Whether a best-effort run may be stopped in favour of work with a reservation.
+    """Whether a best-effort run may be stopped in favour of work with a reservation now."""
+    return attempt.phase is Phase.RUNNING and _is_of_stoppable_step(attempt)
+
+
+def _is_of_stoppable_step(attempt: Attempt) -> bool:
+    """Whether runs of a step are ever stopped in favour of work with a reservation.
 
     The stop of one task of a gang loses the work of all, and the placement policy of a queue may
     refuse a ticket for any other executor.
     """
     step = attempt.task.step
-    if attempt.phase is not Phase.RUNNING or step.spec.gang or step.spec.standing:
+    if step.spec.gang or step.spec.standing:
         return False
     return not (step.run.job.requires_ticket or step.run.job.closing)
 
