--- a/src/linkspan/shard/handover/_whole_moves.py
+++ b/src/linkspan/shard/handover/_whole_moves.py
@@ -61,7 +61,9 @@
         with_room = halls.with_room_for(need)
         shard = self._with_room_for_all(step, halls.rooms, with_room, now)
         if shard is None and self._takes_a_part(step, now):
-            shard = self._with_room_for_some(step, need, halls.rooms, with_room)
+            shard = self._with_room_for_some(step, need, halls)
+            if shard is None:
+                shard = self._with_room_for_some(step, need.preempting(), halls)
         if shard is None and self._core.evacuation and not job.spec.standing:
             shard = self._with_shortest_queue(job, halls.rooms)
         return shard
@@ -117,13 +119,7 @@
             return False
         return bool(self._core.evacuation) or _waited_s(step, now) >= WHOLE_STEP_WAIT_S
 
-    def _with_room_for_some(
-        self,
-        step: StepRun,
-        need: TaskNeed,
-        halls: Mapping[int, HallRoom],
-        with_room: list[int],
-    ) -> int | None:
+    def _with_room_for_some(self, step: StepRun, need: TaskNeed, halls: OtherHalls) -> int | None:
         """Return the hall with room now for the most tasks of a step, for a gang all of them.
 
         Among equals, the one with the shortest queue.
@@ -132,13 +128,15 @@
         job = step.run.job
 
         def preference(shard: int) -> tuple[int, int]:
-            return -min(halls[shard].slots(need), count), halls[shard].queued_cpu
+            room = halls.rooms[shard]
+            return -min(room.slots(need), count), room.queued_cpu
 
-        for shard in sorted(with_room, key=preference):
-            if halls[shard].slots(need) < _min_slots(step.spec):
+        for shard in sorted(halls.with_room_for(need), key=preference):
+            room = halls.rooms[shard]
+            if room.slots(need) < _min_slots(step.spec):
                 break
             if self._can_run_each_step(shard, job):
-                halls[shard].take(need, count)
+                room.take(need, count)
                 return shard
         return None
 
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -216,21 +216,43 @@
         eager = [task for task in pending if may_use_headroom(task, now)]
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
+        handover = self._delegate_for(need, step, tasks, halls)
+        if not handover and now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S:
+            handover = self._delegate_for(need.preempting(), step, tasks, halls)
+        return handover or self._delegate_for(need, step, tasks, halls, again=True)
+
+    def _delegate_for(
+        self,
+        need: TaskNeed,
+        step: StepRun,
+        tasks: list[Task],
+        halls: OtherHalls,
+        *,
+        again: bool = False,
+    ) -> Handover | None:
+        """Return the delegation of tasks to a hall that has room for their need.
+
+        Args:
+            need: The need.
+            step: The step.
+            tasks: The tasks.
+            halls: Room of the other halls.
+            again: Whether a hall may be asked again that returned the first task, if its room may
+                be on executors at the step's spread limit.
+        """
         with_room = halls.with_room_for(need)
-        if not with_room and now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S:
-            need = need.preempting()
-            with_room = halls.with_room_for(need)
         slots = {
             shard: self._slots(shard, step, halls.rooms[shard].slots(need)) for shard in with_room
         }
         for shard in _by_preference(with_room, tasks[0], slots):
-            count = slots[shard].certain or slots[shard].possible
+            may_try = again or shard not in tasks[0].returned_by
+            count = slots[shard].certain or (slots[shard].possible if may_try else 0)
             if count < 1:
                 continue
             delegated = tasks[:count]
             halls.rooms[shard].take(need, len(delegated))
             names = tuple((step.index, task.name.index) for task in delegated)
-            return Handover(job.job_id, shard, names)
+            return Handover(step.run.job.job_id, shard, names)
         return None
 
     def _slots(self, shard: int, step: StepRun, slots: int) -> _StepSlots:
--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -151,10 +151,11 @@
         missing = self._allowed(step, missing, view)
         if missing <= 0:
             return
-        self._searches += 1
         self._check_at[step] = view.now + CHECK_INTERVAL_S
         patience_s = self._patience_s(step, waiting, view.now)
         candidates = self._candidates(placement, waiting[0], view)
+        # Steps that lack cores must not use up the searches of those that lack memory only.
+        self._searches += bool(candidates)
         begun: list[tuple[SetAside, Candidate]] = []
         while candidates and len(begun) < missing:
             best = min(candidates.values(), key=lambda c: c.rank(patience_s))
