--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -216,23 +216,31 @@
         eager = [task for task in pending if may_use_headroom(task, now)]
         tasks = eager or pending
         need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
-        with_room = halls.with_room_for(need)
-        if not with_room and now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S:
-            need = need.preempting()
-            with_room = halls.with_room_for(need)
-        slots = {
-            shard: self._slots(shard, step, halls.rooms[shard].slots(need)) for shard in with_room
-        }
-        for shard in _by_preference(with_room, tasks[0], slots):
+        slots = self._slots_by_hall(step, need, halls)
+        overdue = now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S
+        if overdue and not any(hall.certain for hall in slots.values()):
+            stopping = self._slots_by_hall(step, need.preempting(), halls)
+            slots |= {shard: hall for shard, hall in stopping.items() if shard not in slots}
+        for shard in _by_preference(tasks[0], slots):
             count = slots[shard].certain or slots[shard].possible
             if count < 1:
                 continue
             delegated = tasks[:count]
-            halls.rooms[shard].take(need, len(delegated))
+            room = halls.rooms[shard]
+            room.take(need if room.slots(need) else need.preempting(), len(delegated))
             names = tuple((step.index, task.name.index) for task in delegated)
             return Handover(job.job_id, shard, names)
         return None
 
+    def _slots_by_hall(
+        self, step: StepRun, need: TaskNeed, halls: OtherHalls
+    ) -> dict[int, _StepSlots]:
+        """Return the slots for more of a step's tasks of the halls with room for such tasks."""
+        return {
+            shard: self._slots(shard, step, halls.rooms[shard].slots(need))
+            for shard in halls.with_room_for(need)
+        }
+
     def _slots(self, shard: int, step: StepRun, slots: int) -> _StepSlots:
         """Return for how many more of a step's tasks a hall has room beside those it manages.
 
@@ -272,10 +280,10 @@
     return wait_s
 
 
-def _by_preference(halls: list[int], task: Task, slots: dict[int, _StepSlots]) -> list[int]:
+def _by_preference(task: Task, slots: dict[int, _StepSlots]) -> list[int]:
     """Return halls in the order in which to delegate a task to them.
 
     A hall that returned the task comes after halls that did not, or that did so earlier. Then come
     first those whose room is certainly not on executors at the step's spread limit.
     """
-    return sorted(halls, key=lambda s: (task.returned_by.get(s, 0), not slots[s].certain))
+    return sorted(slots, key=lambda s: (task.returned_by.get(s, 0), not slots[s].certain))
