--- a/src/linkspan/shard/handover/_whole_moves.py
+++ b/src/linkspan/shard/handover/_whole_moves.py
@@ -62,6 +62,11 @@
         shard = self._with_room_for_all(step, halls.rooms, with_room, now)
         if shard is None and self._takes_a_part(step, now):
             shard = self._with_room_for_some(step, need, halls.rooms, with_room)
+            if shard is None and step not in self._core.set_asides.steps:
+                # Here nothing can be stopped for it.
+                need = need.preempting()
+                with_room = halls.with_room_for(need)
+                shard = self._with_room_for_some(step, need, halls.rooms, with_room)
         if shard is None and self._core.evacuation and not job.spec.standing:
             shard = self._with_shortest_queue(job, halls.rooms)
         return shard
