--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -81,6 +81,8 @@
         self._check_at: dict[StepRun, float] = {}
         self._expired: dict[StepRun, set[str]] = {}
         self._searches = 0
+        # Steps for which nothing was found since all waiting steps had a search.
+        self._fruitless: set[StepRun] = set()
         self._wall = 0.0
 
     def __repr__(self) -> str:
@@ -94,6 +96,8 @@
             wall: Time of day, in seconds since 1970.
         """
         self._wall = wall
+        if not self._searches:
+            self._fruitless.clear()
         self._searches = 0
         if self._check_at:
             self._check_at = {s: at for s, at in self._check_at.items() if at > view.now}
@@ -137,7 +141,8 @@
         if self._check_at.get(step, NEVER) > now:
             return
         missing = len(waiting) - len(self._set_asides.of(step))
-        if missing > 0 and self._searches < MAX_SEARCHES_PER_PLAN:
+        may_search = self._searches < MAX_SEARCHES_PER_PLAN and step not in self._fruitless
+        if missing > 0 and may_search:
             self._search(placement, waiting, missing, view)
         if step in self._set_asides.steps:
             self._check_at[step] = now + CHECK_INTERVAL_S
@@ -168,6 +173,8 @@
             else:
                 del candidates[executor.executor_id]
             candidates = {i: c for i, c in candidates.items() if self._may_use(i, step, view)}
+        if not begun or (step.spec.gang and len(begun) < missing):
+            self._fruitless.add(step)
         if len(begun) < missing:
             # Executors that were given up are tried again once the others are not enough.
             self._expired.pop(step, None)
