--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -13,18 +13,16 @@
 from linkspan.errors import ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._responses import json_response, unavailable
-from linkspan.host._submissions import Submissions
-from linkspan.host.caller_waits import MIN_WAIT_S, CallerWaits
+from linkspan.host.caller_waits import MIN_WAIT_S
 from linkspan.jobs.job_registry import MAX_REFRESH_WAIT_S
 from linkspan.jobs.records import Cancelled
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
-
     from linkspan.events import EventLog
+    from linkspan.host._submissions import Submissions
     from linkspan.host.caller_format import CallerFormat
+    from linkspan.host.caller_waits import CallerWaits
     from linkspan.jobs.job_registry import JobRegistry
-    from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
     from linkspan.shard.operator.configuration import ConfigurationWatch
@@ -54,9 +52,8 @@
         job_registry: Registry of all jobs.
         configuration: Watch that provides the configuration in force.
         form: Format of request and response bodies.
-        choose_shard: Returns the shard for a new job.
-        capacities: Returns the known capacities of a service's executors.
-        incarnation: Incarnation of this process, part of the keys of its records.
+        submissions: Accepts jobs.
+        waits: Waits of requests, which the submissions share.
         log: Event log.
         metrics: Metrics of the host.
     """
@@ -66,36 +63,24 @@
         job_registry: JobRegistry,
         configuration: ConfigurationWatch,
         form: CallerFormat,
+        submissions: Submissions,
+        waits: CallerWaits,
         *,
-        choose_shard: Callable[[JobSpec, Queue], int],
-        capacities: Callable[[str], Collection[Demand]],
-        incarnation: str,
         log: EventLog,
         metrics: HostMetrics,
     ) -> None:
         self._job_registry = job_registry
         self._configuration = configuration
         self._form = form
-        self._incarnation = incarnation
+        self._submissions = submissions
+        self._waits = waits
         self._log = log
         self._metrics = metrics
         self._in_flight = 0
         self._body_reads: list[float] = []
-        self._waits = CallerWaits()
-        self._submissions = Submissions(
-            job_registry,
-            configuration,
-            form,
-            self._waits,
-            choose_shard=choose_shard,
-            capacities=capacities,
-            incarnation=incarnation,
-            log=log,
-            metrics=metrics,
-        )
 
     def __repr__(self) -> str:
-        return f"Front({self._incarnation!r}, in_flight={self._in_flight})"
+        return f"Front({self._submissions!r}, in_flight={self._in_flight})"
 
     @property
     def in_flight(self) -> int:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -9,6 +9,8 @@
 from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.host._claim_delay import ClaimDelay
+from linkspan.host._submissions import Submissions
+from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.candidate import Candidate
 from linkspan.host.executor_capacities import ExecutorCapacities
 from linkspan.host.front import Front
@@ -143,10 +145,12 @@
             )
             for shard in range(len(settings.halls))
         ]
-        self.front = Front(
+        waits = CallerWaits()
+        submissions = Submissions(
             self.job_registry,
             self.configuration,
             adapter.caller_format,
+            waits,
             choose_shard=ShardChooser(
                 settings,
                 self._summary_of,
@@ -157,6 +161,15 @@
             log=log,
             metrics=metrics,
         )
+        self.front = Front(
+            self.job_registry,
+            self.configuration,
+            adapter.caller_format,
+            submissions,
+            waits,
+            log=log,
+            metrics=metrics,
+        )
         self.executor_registry.follower.pause_s = OWNER_EXECUTORS_PAUSE_S
         self.executor_registry.pause()
         self.executor_registry.on_change = self._on_executors
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -10,7 +10,6 @@
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation.interference import InterferenceEstimator
-from linkspan.shard.executor import UnusableReason
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
@@ -19,6 +18,7 @@
 from linkspan.shard.planning.durations import DurationEstimator
 from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.reports.health import ExecutorHealth
+from linkspan.shard.unusable_reason import UnusableReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -4,21 +4,21 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.refusals import RecentRefusals
+from linkspan.shard.unusable_reason import UnusableReason
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.attempt import Attempt
-    from linkspan.shard.job_run import JobRun
     from linkspan.shard.leases import LeaseClock
     from linkspan.shard.messages import ExecutorRecord, TaskName
+    from linkspan.shard.unacked_end import UnackedEnd
 
 
 FOREVER = float("inf")
@@ -31,42 +31,6 @@
 ends and none of the later ones."""
 
 
-class UnusableReason(Enum):
-    """Why an executor gets no new work."""
-
-    ADMITS_NONE = "draining, unconfirmed or in an evacuated hall"
-    UNLISTED = "not registered"
-    UNROSTERED = "not on the durable roster"
-    UNREPORTED = "has not reported"
-    SILENT = "silent"
-    QUARANTINED = "quarantined"
-    POLL_UNANSWERED = "an unanswered poll may acknowledge ends of its next incarnation"
-    UNKNOWN_RUNS = "has runs of unknown jobs"
-
-
-class UnackedEnd(NamedTuple):
-    """A handled end of a run that is not acknowledged yet.
-
-    Attributes:
-        number: Number of the end at the executor.
-        run: The repetition whose record must hold the end, ``None`` if no record needs it.
-        version: First version of that record that holds the end.
-        withheld_until: Steady time until which a start of the run may still arrive. The executor's
-            next incarnation could carry it out, and a run must not begin again once its end is
-            acknowledged.
-    """
-
-    number: int
-    run: JobRun | None
-    version: int
-    withheld_until: float = NEVER
-
-    @property
-    def durable(self) -> bool:
-        """Whether the end is on record where necessary, so that it may be acknowledged."""
-        return self.run is None or self.run.durable >= self.version
-
-
 @dataclass(slots=True, eq=False)
 class ExecutorState:
     """State of one incarnation of an executor.
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -9,7 +9,6 @@
 from linkspan.shard._log_rate_limiter import LogRateLimiter
 from linkspan.shard._reasons import attempts_exhausted_fields
 from linkspan.shard.attempt import NEVER
-from linkspan.shard.executor import UnackedEnd
 from linkspan.shard.failures import FailedRun
 from linkspan.shard.job_run import INHERITED_RUN_GAP
 from linkspan.shard.messages import EndKind
@@ -19,6 +18,7 @@
     record_duration,
     update_expected_durations,
 )
+from linkspan.shard.unacked_end import UnackedEnd
 
 if TYPE_CHECKING:
     from linkspan.shard._shard_state import ShardState
--- a/tests/shard/test_core.py
+++ b/tests/shard/test_core.py
@@ -11,7 +11,7 @@
 from linkspan.shard._shard_state import MAX_UNANSWERED_STARTS
 from linkspan.shard.colocation.pacing import Pacer
 from linkspan.shard.core import ShardCore
-from linkspan.shard.executor import MAX_ENDS_BEHIND_WITHHELD, UnackedEnd
+from linkspan.shard.executor import MAX_ENDS_BEHIND_WITHHELD
 from linkspan.shard.messages import (
     EndedTask,
     EndKind,
@@ -27,6 +27,7 @@
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.planning.placement import FAILED_EXECUTOR_AVOIDANCE_S
 from linkspan.shard.recovery.progress import encode_run
+from linkspan.shard.unacked_end import UnackedEnd
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import (
     JOB,
--- a/tests/shard/test_standing_wait_lines.py
+++ b/tests/shard/test_standing_wait_lines.py
@@ -10,7 +10,6 @@
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.core import ShardCore
 from linkspan.shard.crash_history import CrashHistory
-from linkspan.shard.executor import UnusableReason
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import StartAnswer, StartOutcome
 from linkspan.shard.planning._plan_view import PlanView
@@ -22,6 +21,7 @@
     waiting_groups,
 )
 from linkspan.shard.task import Task
+from linkspan.shard.unusable_reason import UnusableReason
 from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.shard.builders import JOB, confirm_start, core_with, plan, submitted_job
