--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -14,7 +14,7 @@
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._hall_room import HallRoom
 from linkspan.shard.handover._other_halls import OtherHalls
-from linkspan.shard.handover._spread_limit import has_room_only_at_spread_limit
+from linkspan.shard.handover._spread_limit import SpreadLimits
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -118,6 +118,7 @@
         self._evidence = evidence
         self._whole_moves = WholeMoves(core, count_capable)
         self._halls = OtherHalls()
+        self._spread_limits = SpreadLimits(core, 0.0)
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
@@ -131,6 +132,7 @@
         """
         halls = self._halls
         halls.read(self._summaries(), now)
+        self._spread_limits = SpreadLimits(self._core, now)
         own_room = HallRoom(own, now)
         found: dict[str, Handover] = {}
         for step in list(self._core.ready):
@@ -185,18 +187,18 @@
         self, job: ShardJob, step: StepRun, pending: list[Task], halls: OtherHalls, now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        delay_s = self._return_delay_s(step, halls, now)
+        delay_s = self._return_delay_s(step, halls)
         overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if not overdue:
             return None
         tasks = tuple((step.index, task.name.index) for task in overdue)
         return Handover(job.job_id, job.submitted.shard, tasks)
 
-    def _return_delay_s(self, step: StepRun, halls: OtherHalls, now: float) -> float:
+    def _return_delay_s(self, step: StepRun, halls: OtherHalls) -> float:
         """Return how long a step's delegated tasks wait in this hall before they are returned."""
         if self._core.evacuation:
             return 0.0
-        if has_room_only_at_spread_limit(self._core, step, now):
+        if self._spread_limits.keep_out(step):
             return HOPELESS_RETURN_DELAY_S
         need = TaskNeed.of(step.spec, step.run.job.service, use_headroom=True)
         return RETURN_DELAY_S if halls.with_room_for(need) else FULL_HALLS_RETURN_DELAY_S
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -38,6 +38,7 @@
     _usable: list[ExecutorState] | None = None
     _free_capacity: FreeCapacity | None = None
     _unplaceable: set[TaskKind] = field(default_factory=set)
+    _matching: dict[tuple[str, str], list[ExecutorState]] = field(default_factory=dict)
 
     def usable(self) -> list[ExecutorState]:
         """Return the executors that may get new work, a list that stays the same during a plan.
@@ -52,6 +53,7 @@
         """Exclude an executor from all further placements of this plan."""
         if executor in self.usable():
             self.usable().remove(executor)
+            self._matching.clear()
         self.free_capacity().remove(executor)
 
     def free_capacity(self) -> FreeCapacity:
@@ -64,6 +66,17 @@
             self._free_capacity = FreeCapacity(self.usable(), self.best_effort_capacity)
         return self._free_capacity
 
+    def _matching_executors(self, step: StepRun) -> list[ExecutorState]:
+        """Return the usable executors that run a step's tasks, in a list of its own.
+
+        Hundreds of steps with the same few services and labels may wait.
+        """
+        key = step.run.job.service, step.spec.label
+        found = self._matching.get(key)
+        if found is None:
+            found = self._matching[key] = [e for e in self.usable() if e.record.runs(*key)]
+        return found.copy()
+
     def isolated_placement(self) -> IsolatedPlacement:
         """Return the placement of tasks with a crash history."""
         return IsolatedPlacement(self.core, len(self.usable()), self.now)
@@ -83,7 +96,7 @@
         if executors is None:
             return StepPlacement(
                 step,
-                self.usable(),
+                self._matching_executors(step),
                 scores,
                 self.best_effort_capacity,
                 self.now,
@@ -92,9 +105,10 @@
                 set_asides=core.set_asides,
                 less_urgent=self.unserved,
             )
+        service, label = step.run.job.service, step.spec.label
         return StepPlacement(
             step,
-            executors,
+            [e for e in executors if e.record.runs(service, label)],
             scores,
             self.best_effort_capacity,
             self.now,
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -72,7 +72,7 @@
 
     Args:
         step: The step.
-        executors: Executors that may get new work.
+        executors: Executors that may get new work and that run the step's tasks.
         scores: Scores of the executors for the step.
         best_effort_capacity: Pressure that standing tasks tolerate from best-effort ones.
         now: Steady time.
@@ -104,7 +104,6 @@
             use_headroom: TaskNeed.of(spec, service, use_headroom=use_headroom)
             for use_headroom in (False, True)
         }
-        self.executors = [e for e in self.executors if self._needs[True].matches(e)]
         if not (spec.max_per_executor or spec.standing):
             return
         for task in self.step.tasks:
