--- a/src/linkspan/shard/handover/_unmanaged_tasks.py
+++ b/src/linkspan/shard/handover/_unmanaged_tasks.py
@@ -84,7 +84,7 @@
             self._metrics.set_count("unmanaged_tasks", 0, hall=self._hall)
 
     def report(self, now: float) -> None:
-        """Set the gauge and log the tasks that have been in no hall's hands for seconds."""
+        """Set the gauge and log the tasks that have been managed by no hall for seconds."""
         groups = unmanaged_groups(self._core, self._catalog)
         self._since = {group: self._since.get(group, now) for group in groups}
         overdue = [g for g, since in self._since.items() if now - since >= MIN_UNMANAGED_S]
--- a/src/linkspan/shard/handover/executor_room.py
+++ b/src/linkspan/shard/handover/executor_room.py
@@ -20,8 +20,8 @@
         free_memory: Megabytes of memory that no attempt uses.
         free_gpus: Accelerators that no attempt uses.
         kind: Kind of the executor, ``None`` if its hall does not publish it.
-        best_effort_memory: Megabytes of memory that best-effort attempts use and that are not set
-            aside.
+        best_effort_memory: Megabytes of memory that best-effort attempts use and would give back,
+            without what is set aside.
     """
 
     total_cpu: int
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -52,7 +52,7 @@
 """Time after which a standing task goes to a hall that has to stop best-effort runs for it. At home
 that takes 0.8 s and a stop."""
 
-HOPELESS_RETURN_DELAY_S = 0.15
+SPREAD_LIMIT_RETURN_DELAY_S = 0.15
 """The same where only executors at the step's spread limit have room. It is long enough for the
 hall's owner to try."""
 
@@ -199,7 +199,7 @@
         if self._core.evacuation:
             return 0.0
         if self._spread_limits.keep_out(step):
-            return HOPELESS_RETURN_DELAY_S
+            return SPREAD_LIMIT_RETURN_DELAY_S
         need = TaskNeed.of(step.spec, step.run.job.service, use_headroom=True)
         return RETURN_DELAY_S if halls.with_room_for(need) else FULL_HALLS_RETURN_DELAY_S
 
@@ -215,9 +215,9 @@
 
         Tasks that may use the headroom come first: other halls may have no other room.
         """
-        eager = [task for task in pending if may_use_headroom(task, now)]
-        tasks = eager or pending
-        need = TaskNeed.of(step.spec, job.service, use_headroom=bool(eager))
+        in_headroom = [task for task in pending if may_use_headroom(task, now)]
+        tasks = in_headroom or pending
+        need = TaskNeed.of(step.spec, job.service, use_headroom=bool(in_headroom))
         slots = self._slots_by_hall(step, need, halls)
         overdue = now - tasks[0].waiting_since >= PREEMPTION_ELSEWHERE_WAIT_S
         if overdue and not any(hall.certain for hall in slots.values()):
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -53,7 +53,7 @@
 
     @property
     def best_effort_memory(self) -> int:
-        """Megabytes of memory that best-effort attempts use and that are not set aside."""
+        """Megabytes of memory that best-effort attempts use."""
 
     @property
     def free_gpus(self) -> int:
--- a/tests/host/test_unmanaged_tasks.py
+++ b/tests/host/test_unmanaged_tasks.py
@@ -14,7 +14,7 @@
 from tests.virtual_time import run_virtual
 
 REPORTED_S = 7.0
-"""Time within which a task that stays in no hall's hands is named."""
+"""Time within which a task that stays managed by no hall is named."""
 
 
 async def _world() -> tuple[HallWorld, str]:
