--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -147,6 +147,7 @@
         cpu: int = 32_000,
         memory_mb: int = 128_000,
         guards: bool = True,
+        same_ids: bool = False,
     ) -> None:
         self._record = record
         self._zones = zones
@@ -155,6 +156,7 @@
         self._room = {"cpu": cpu, "memory_mb": memory_mb, "guards": guards}
         self._random = random.Random()
         self._folder = Path(tempfile.mkdtemp(prefix="linkspan-review-"))
+        self._same_ids = same_ids
         self.started_at = time.monotonic()
         self.store = Store()
         self.executors: list[Executor] = []
@@ -255,7 +257,17 @@
         loop = asyncio.get_running_loop()
         loop.call_later(ENTRY_SILENCE_S, self.store.put, "keyed.servers", executor.name, b"")
 
-    async def _add_executor(self, name: str, zone: str, *, address: str = "") -> None:
+    async def restart(self, executor: Executor, down_s: float) -> Executor:
+        """Crash an executor, which says nothing for a while and then starts under its id."""
+        self.note(f"{executor.name}: crashes, dark")
+        executor.crash(dark=True)
+        await asyncio.sleep(down_s)
+        executor.leave_address()
+        self.executors.remove(executor)
+        self.note(f"{executor.name}: starts again under its id")
+        return await self._add_executor(executor.name, executor.zone, address=executor.address)
+
+    async def _add_executor(self, name: str, zone: str, *, address: str = "") -> Executor:
         executor = Executor(
             name,
             zone,
@@ -266,10 +278,12 @@
             BOUNDS["holdMaxMs"] / 1000,
             HEARTBEAT_S,
             address=address,
+            born_ms=int(time.time() * 1000) if self._same_ids else None,
             **self._room,
         )
         await executor.open()
         self.executors.append(executor)
+        return executor
 
     def _new_host(self, name: str, zone: str, ip: str, store: str, machines: str) -> Host:
         front, ready = f"{ip}:{free_port(ip)}", f"{ip}:{free_port(ip)}"
--- a/review/standins/executors.py
+++ b/review/standins/executors.py
@@ -45,12 +45,13 @@
 class Step:
     """What an executor has to know of a step: room, and how long a task works.
 
-    ``work_s`` is infinite for tasks that last.
+    ``work_s`` is infinite for tasks that last; ``failing_runs`` fail by their own fault.
     """
 
     cpu: int
     memory_mb: int
     work_s: float
+    failing_runs: tuple[int, ...] = ()
 
 
 @dataclass
@@ -61,6 +62,8 @@
         steps: Returns the step of a task's name; ``None`` if no client sent it.
         on_event: Called with what happens: a word, this executor, the task, the run.
         busy: Whether it answers 503 to each start, having done nothing.
+        born_ms: Unix millisecond of its start, which it tells if it may start again under its id.
+        take_late: Decides whether a start gets no answer; the case has it carried out later.
     """
 
     name: str
@@ -88,6 +91,8 @@
     used_mb: int = 0
     alive: bool = True
     busy: bool = False
+    born_ms: int | None = None
+    take_late: Callable[[Executor, dict[str, Any]], bool] = lambda _executor, _body: False
     _server: Server | None = None
     _born: float = field(default_factory=time.monotonic)
     _ended_event: asyncio.Event = field(default_factory=asyncio.Event)
@@ -106,17 +111,25 @@
         for loop in (self._heartbeats(), self._expire()):
             self._tasks.add(asyncio.get_running_loop().create_task(loop))
 
-    def crash(self) -> None:
-        """End at once: its port resets, and all that runs here is gone."""
+    def crash(self, *, dark: bool = False) -> None:
+        """End at once: its port resets, or says nothing, and all that runs here is gone."""
         self.alive = False
         for task in self._tasks:
             task.cancel()
         if self._server:
-            self._server.crash()
+            if dark:
+                self._server.go_dark()
+            else:
+                self._server.crash()
         for run in self.running.values():
             self.on_event("gone with its executor", self, run.task, run.run)
         self.running.clear()
 
+    def leave_address(self) -> None:
+        """Free the address of a dark executor for the next one there."""
+        if self._server:
+            self._server.stop_listening()
+
     async def _heartbeats(self) -> None:
         sequence = 0
         while True:
@@ -134,6 +147,8 @@
                 "clockMs": int(self.clock_s * 1000),
                 "callSeq": sequence,
             }
+            if self.born_ms is not None:
+                entry["born"] = self.born_ms
             self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
             await asyncio.sleep(self.heartbeat_s)
 
@@ -147,7 +162,7 @@
             for run in list(self.running.values()):
                 self._end(run, "lapsed")
 
-    async def handle(self, request: Request) -> Response:
+    async def handle(self, request: Request) -> Response | None:
         """Carry out one call."""
         self.calls += 1
         if request.headers.get("linkspan-target-instance", self.name) != self.name:
@@ -162,7 +177,7 @@
         if self.busy and name == "run-start":
             return self._answer({}, 503)
         if name == "run-start":
-            return self._start(body)
+            return None if self.take_late(self, body) else self.start(body)
         if name == "run-stop":
             return self._stop(body)
         if name == "hold":
@@ -177,7 +192,11 @@
             limit = self.clock_s + self.hold_max_s
             self.until_s = max(self.until_s, min(until_ms / 1000, limit))
 
-    def _start(self, body: dict[str, Any]) -> Response:
+    def start(self, body: dict[str, Any]) -> Response:
+        """Carry out a start, now or late, unless a higher fencing token was seen."""
+        if body.get("fencingToken", 0) < self.token:
+            return self._answer({"reason": "fence"}, 409)
+        self.token = body.get("fencingToken", 0)
         task, run = body["task"], body["run"]
         step = self.steps(task)
         if step is None:
@@ -208,7 +227,8 @@
 
     def _done(self, run: Run) -> None:
         if not run.stopping:
-            self._end(run, "done")
+            step = self.steps(run.task)
+            self._end(run, "failed" if step and run.run in step.failing_runs else "done")
 
     def _stop(self, body: dict[str, Any]) -> Response:
         task, number = body["task"], body["run"]
@@ -249,12 +269,13 @@
         listed = self.ended[:LISTED_ENDS]
         for end in listed:
             end.listed_at = end.listed_at or time.monotonic()
-        return self._answer(
-            {
-                "running": [[r.task, r.run, r.checkpoint, 100] for r in self.running.values()],
-                "ended": [[e.number, e.task, e.run, e.how, ""] for e in listed],
-            }
-        )
+        fields: dict[str, Any] = {
+            "running": [[r.task, r.run, r.checkpoint, 100] for r in self.running.values()],
+            "ended": [[e.number, e.task, e.run, e.how, ""] for e in listed],
+        }
+        if self.born_ms is not None:
+            fields["born"] = self.born_ms
+        return self._answer(fields)
 
     def _note(self, last_seen: int) -> None:
         """Forget the ends that were taken note of."""
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -121,12 +121,28 @@
 
     def crash(self) -> None:
         """Stop listening and reset all connections."""
+        self.stop_listening()
+        for transport in list(self._transports):
+            transport.abort()
+
+    def go_dark(self) -> None:
+        """Say nothing more: neither on the connections that are open nor on new ones."""
+        self._handler = _never_answer
+        for task in list(self._tasks):
+            task.cancel()
+        for transport in list(self._transports):
+            transport.pause_reading()
+
+    def stop_listening(self) -> None:
+        """Take no new connections; requests that are being answered are given up."""
         if self._server:
             self._server.close()
         for task in list(self._tasks):
             task.cancel()
-        for transport in list(self._transports):
-            transport.abort()
+
+
+async def _never_answer(_request: Request) -> None:
+    return None
 
 
 class Answer(NamedTuple):
