Name work of any kind that waits beside room in another hall (581)

581 and linkspan_staying_tasks name the tasks that have waited for 3 s while another hall's last summary has room for them, with the reason for which the last search for other halls left them there. The search now answers with that reason in place of nothing; what it hands over is unchanged.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -175,6 +175,12 @@
         "standing tasks have not been running for seconds",
         "see OPERATIONS.md, a standing task that does not run; the line has the reason",
     )
+    WORK_STAYS = (
+        581,
+        logging.WARNING,
+        "tasks have waited for seconds beside room in another hall",
+        "see OPERATIONS.md, work that stays in its hall; the line has the reason",
+    )
     RUNS_UNLISTED = (
         579,
         logging.WARNING,
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -99,6 +99,7 @@
     "linkspan_evacuated_halls": "Halls whose evacuation is in force",
     "linkspan_standing_wait_seconds": "Longest time without a run of a standing task",
     "linkspan_standing_unlisted_seconds": "Longest time a standing run was in no report",
+    "linkspan_staying_tasks": "Tasks that have waited for seconds beside room in another hall",
     "linkspan_unmanaged_tasks": "Standing tasks that no hall may manage, by the records",
 }
 
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -63,6 +63,11 @@
     def __repr__(self) -> str:
         return f"Handovers(shard={self._shard})"
 
+    @property
+    def rebalancer(self) -> Rebalancer:
+        """Finds work that another hall could take."""
+        return self._rebalancer
+
     async def rebalance_loop(self) -> None:
         """Find work that another hall could take, and hand it over."""
         while True:
--- /dev/null
+++ b/src/linkspan/shard/handover/_staying_work.py
@@ -0,0 +1,144 @@
+"""Reports tasks of any kind that have waited for seconds while another hall has room for them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from linkspan.clock import steady
+from linkspan.events import Event
+from linkspan.shard._reasons import MAX_LOGGED_TASKS
+from linkspan.shard.attempt import NEVER
+from linkspan.shard.planning.task_need import TaskNeed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from linkspan.shard._context import TenureContext
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.handover._stay_reason import StayReason
+    from linkspan.shard.handover.summary import HallSummary
+    from linkspan.shard.step_run import StepRun
+    from linkspan.shard.task import Task
+
+CHECK_INTERVAL_S = 1.0
+"""Interval between checks."""
+
+MIN_REPORTED_WAIT_S = 3.0
+"""Time without a run after which a waiting task is reported."""
+
+REPEAT_INTERVAL_S = 2.5
+"""Time after which a step is reported again, at the next check."""
+
+MAX_LINES_PER_CHECK = 10
+"""Limits the lines of one check; the tasks that have waited longest come first."""
+
+
+class StayingTasks(NamedTuple):
+    """Tasks of one step that have waited for seconds beside room in other halls.
+
+    Attributes:
+        tasks: The tasks, the longest wait first.
+        slots: For how many such tasks the last summary of each hall with room has room, by shard.
+    """
+
+    tasks: list[Task]
+    slots: dict[int, int]
+
+
+class StayingWork:
+    """Logs which work waits beside room in another hall, and why it was not handed over.
+
+    Args:
+        context: Components of the tenure.
+        stay_reason: Returns why the last search for other halls left a step's tasks here.
+        summaries: Returns the last summaries of the other halls that may get work.
+    """
+
+    def __init__(
+        self,
+        context: TenureContext,
+        stay_reason: Callable[[StepRun], StayReason],
+        summaries: Callable[[], dict[int, HallSummary]],
+    ) -> None:
+        self._core = context.core
+        self._hall = context.hall
+        self._metrics = context.metrics
+        self._stay_reason = stay_reason
+        self._summaries = summaries
+        self._reported_at: dict[StepRun, float] = {}
+
+    def __repr__(self) -> str:
+        return f"StayingWork({self._core!r})"
+
+    async def report_loop(self) -> None:
+        """Report until the tenure ends."""
+        try:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                self.report(steady())
+        finally:
+            self._metrics.set_count("staying_tasks", 0, hall=self._hall)
+
+    def report(self, now: float) -> None:
+        """Set the gauge and log the steps whose tasks have waited for seconds beside room."""
+        staying = staying_tasks(self._core, self._summaries(), now)
+        count = sum(len(tasks) for tasks, _ in staying.values())
+        self._metrics.set_count("staying_tasks", count, hall=self._hall)
+        due_before = now - REPEAT_INTERVAL_S
+        self._reported_at = {s: at for s, at in self._reported_at.items() if s in staying}
+        due = [s for s in staying if self._reported_at.get(s, NEVER) <= due_before]
+        due.sort(key=lambda step: staying[step].tasks[0].waiting_since)
+        for step in due[:MAX_LINES_PER_CHECK]:
+            self._reported_at[step] = now
+            self._core.log(Event.WORK_STAYS, **self._fields(step, staying[step], now))
+
+    def _fields(self, step: StepRun, staying: StayingTasks, now: float) -> dict[str, Any]:
+        tasks, slots = staying
+        job = step.run.job
+        return {
+            "job": job.job_id,
+            "step": f"{step.run.repetition}.{step.index}",
+            "reason": self._stay_reason(step).value,
+            "waited_s": round(now - tasks[0].waiting_since, 1),
+            "tasks": len(tasks),
+            "indexes": [task.name.index for task in tasks[:MAX_LOGGED_TASKS]],
+            "elsewhere": slots,
+            "begun": job.begun,
+            "moved": job.moved,
+            "borrowed": job.delegated_here,
+            "shard": self._core.shard,
+            "token": self._core.token,
+        }
+
+
+def staying_tasks(
+    core: ShardCore, summaries: Mapping[int, HallSummary], now: float
+) -> dict[StepRun, StayingTasks]:
+    """Return the tasks that have waited for seconds and for which another hall has room, by step.
+
+    A gang counts only if one hall has room for all of it.
+
+    Args:
+        core: The shard's state.
+        summaries: Last summaries of the other halls that may get work, by shard.
+        now: Steady time.
+    """
+    found: dict[StepRun, StayingTasks] = {}
+    slots_by_need: dict[TaskNeed, dict[int, int]] = {}
+    for step in core.ready:
+        job = step.run.job
+        if job.closing:
+            continue
+        waiting = [t for t in step.pending() if now - t.waiting_since >= MIN_REPORTED_WAIT_S]
+        if not waiting:
+            continue
+        need = TaskNeed.of(step.spec, job.service, use_headroom=True)
+        if need not in slots_by_need:
+            slots_by_need[need] = {s: hall.slots(need) for s, hall in summaries.items()}
+        least = len(step.tasks) if step.spec.gang else 1
+        slots = {shard: count for shard, count in slots_by_need[need].items() if count >= least}
+        if slots:
+            waiting.sort(key=lambda task: task.waiting_since)
+            found[step] = StayingTasks(waiting, slots)
+    return found
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -15,6 +15,7 @@
 from linkspan.shard.handover._hall_room import HallRoom
 from linkspan.shard.handover._other_halls import OtherHalls
 from linkspan.shard.handover._spread_limit import SpreadLimits
+from linkspan.shard.handover._stay_reason import StayReason
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -119,10 +120,15 @@
         self._whole_moves = WholeMoves(core, count_capable)
         self._halls = OtherHalls()
         self._spread_limits = SpreadLimits(core, 0.0)
+        self._stay_reasons: dict[StepRun, StayReason] = {}
 
     def __repr__(self) -> str:
         return f"Rebalancer({self._core!r})"
 
+    def stay_reason(self, step: StepRun) -> StayReason:
+        """Return why the last search for other halls left a step's waiting tasks here."""
+        return self._stay_reasons.get(step, StayReason.UNDECIDED)
+
     def plan(self, own: HallSummary, now: float) -> list[Handover]:
         """Return the handovers to make now.
 
@@ -135,41 +141,49 @@
         self._spread_limits = SpreadLimits(self._core, now)
         own_room = HallRoom(own, now)
         found: dict[str, Handover] = {}
+        self._stay_reasons = {}
         for step in list(self._core.ready):
             if step.run.job.job_id in found:
                 # Only one handover of a job at a time: two could give the job to two halls.
+                self._stay_reasons[step] = StayReason.RECORDING
                 continue
             handover = self._for_step(step, own_room, halls, now)
-            if handover:
-                found[handover.job_id] = handover
-                self._log(handover, step, now)
+            if isinstance(handover, StayReason):
+                self._stay_reasons[step] = handover
+                continue
+            found[handover.job_id] = handover
+            self._log(handover, step, now)
         return list(found.values())
 
     def _for_step(
         self, step: StepRun, own: HallRoom, halls: OtherHalls, now: float
-    ) -> Handover | None:
+    ) -> Handover | StayReason:
         job = step.run.job
         wait_s = self._wait_s(step.spec)
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
-        undecided = (t for t in step.pending() if not t.decision_pending)
+        undecided = [t for t in step.pending() if not t.decision_pending]
         pending = [t for t in undecided if now - t.ready_since >= _own_wait_s(t, wait_s, now)]
-        if not pending or job.closing or job.handing_over:
-            return None
+        if not pending:
+            return StayReason.TOO_SOON if undecided else StayReason.DECISION
+        if job.closing or job.handing_over:
+            return StayReason.RECORDING
         if not self._core.may_start(job, now):
             # A former owner may have started tasks here, which must not start elsewhere, too.
-            return None
+            return StayReason.INHERITED
         if job.delegated_here:
-            return self._return(job, step, pending, halls, now)
+            return self._return(job, step, pending, halls, now) or StayReason.RETURN_DELAY
         if not (job.begun or job.moved or job.has_delegations):
             shard = self._whole_moves.choose(step, own, halls, now)
             if shard is not None:
                 return Handover(job.job_id, shard, None)
             if now - min(t.ready_since for t in pending) < self._whole_move_wait_s():
-                return None
+                return StayReason.TOO_SOON
         if step.spec.standing and not step.spec.gang:
-            return self._delegate(job, step, pending, halls, now)
-        return None
+            return self._delegate(job, step, pending, halls, now) or StayReason.NO_ROOM
+        if job.moved:
+            return StayReason.MOVED
+        return StayReason.BEGUN if job.begun else StayReason.NO_ROOM
 
     def _wait_s(self, step: StepSpec) -> float:
         """Return how long a step's tasks wait for capacity in this hall before a handover."""
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -23,6 +23,7 @@
 from linkspan.shard.colocation._effect_selector import EffectSelector
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._handovers import Handovers
+from linkspan.shard.handover._staying_work import StayingWork
 from linkspan.shard.handover._unmanaged_tasks import UnmanagedTasks
 from linkspan.shard.handover.summary import summarize
 from linkspan.shard.intake._feed import JobFeed
@@ -145,6 +146,9 @@
         self._handovers = Handovers(context, summary_of)
         self._advice_requester = AdviceRequester(context, policy)
         self._standing_waits = StandingWaits(context, self._handovers.other_summaries)
+        self._staying_work = StayingWork(
+            context, self._handovers.rebalancer.stay_reason, self._handovers.other_summaries
+        )
         self._unlisted_runs = UnlistedRuns(context)
         self._unmanaged_tasks = UnmanagedTasks(context)
         self._feed = JobFeed(context)
@@ -207,6 +211,7 @@
                 scope.spawn(self._watch.poll_closely_loop())
                 scope.spawn(self._advice_requester.run())
                 scope.spawn(self._standing_waits.report_loop())
+                scope.spawn(self._staying_work.report_loop())
                 scope.spawn(self._unlisted_runs.report_loop())
                 scope.spawn(self._unmanaged_tasks.report_loop())
                 scope.spawn(self._tick_loop())
