Send idle best-effort work only to halls that are half idle

Best-effort tasks of a job that has had nothing running for 2 s went to any hall with memory for them.

They now go only to a hall of which half of the cores are neither reserved nor wanted by best-effort work, which is where the platform counts such a wait as lost.

--- a/src/linkspan/shard/handover/_delegation_halls.py
+++ b/src/linkspan/shard/handover/_delegation_halls.py
@@ -24,8 +24,8 @@
 over tasks of a job that has begun: this hall has lost most of its executors."""
 
 IDLE_JOB_WAIT_S = 2.0
-"""Time after which best-effort tasks of a job that has nothing running go to any hall with room for
-them. The platform counts work as lost that waits for three seconds while there is capacity."""
+"""Time after which best-effort tasks of a job that has nothing running go to a hall that is half
+idle. The platform counts work as lost that waits for three seconds while there is capacity."""
 
 MAX_TASKS_PER_HANDOVER = 400
 """Limits the tasks of one delegation, so that what a hall has to record at once stays small."""
@@ -140,13 +140,14 @@
         slots = self._slots_by_hall(step, need, halls)
         milli_cpu = step.spec.demand.milli_cpu
         idle = not any(True for _ in step.run.job.attempts())
-        anywhere = idle and now - pending[0].waiting_since >= IDLE_JOB_WAIT_S
+        starved = idle and now - pending[0].waiting_since >= IDLE_JOB_WAIT_S
         limit = own.best_effort_load - MIN_LOAD_DIFFERENCE
         for shard in sorted(slots, key=lambda shard: halls.rooms[shard].best_effort_load):
             count = min(slots[shard].possible, MAX_BEST_EFFORT_TASKS)
             chosen = pending[: min(count, _remaining_delegations(step, shard))]
             room = halls.rooms[shard]
-            if chosen and (anywhere or room.load_with(milli_cpu * len(chosen)) <= limit):
+            lightly_loaded = room.load_with(milli_cpu * len(chosen)) <= limit
+            if chosen and (lightly_loaded or (starved and room.half_idle)):
                 room.add_best_effort(milli_cpu * len(chosen))
                 return Choice(shard, chosen)
         return None
--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -69,6 +69,11 @@
         """Cores that best-effort work uses or waits for, as a share of all cores."""
         return self._best_effort_cpu / max(self._summary.capacity, 1)
 
+    @property
+    def half_idle(self) -> bool:
+        """Whether half of the cores are neither reserved nor wanted by best-effort work."""
+        return self._free_cpu - self._best_effort_cpu >= self._summary.capacity / 2
+
     def current(self, summary: HallSummary, now: float) -> bool:
         """Return whether this still tells the room of a hall with the given last summary."""
         return now - self._read_at < MAX_TAKEN_S and summary == self._summary
