--- a/src/linkspan/shard/handover/_staying_work.py
+++ b/src/linkspan/shard/handover/_staying_work.py
@@ -8,7 +8,7 @@
 from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
-from linkspan.shard.attempt import NEVER
+from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.planning.task_need import TaskNeed
 
 if TYPE_CHECKING:
@@ -30,9 +30,6 @@
 REPEAT_INTERVAL_S = 2.5
 """Time after which a step is reported again, at the next check."""
 
-MAX_LINES_PER_CHECK = 10
-"""Limits the lines of one check; the tasks that have waited longest come first."""
-
 
 class StayingTasks(NamedTuple):
     """Tasks of one step that have waited for seconds beside room in other halls.
@@ -66,7 +63,7 @@
         self._metrics = context.metrics
         self._stay_reason = stay_reason
         self._summaries = summaries
-        self._reported_at: dict[StepRun, float] = {}
+        self._lines: RepeatedLines[StepRun] = RepeatedLines(REPEAT_INTERVAL_S)
 
     def __repr__(self) -> str:
         return f"StayingWork({self._core!r})"
@@ -85,12 +82,8 @@
         staying = staying_tasks(self._core, self._summaries(), now)
         count = sum(len(tasks) for tasks, _ in staying.values())
         self._metrics.set_count("staying_tasks", count, hall=self._hall)
-        due_before = now - REPEAT_INTERVAL_S
-        self._reported_at = {s: at for s, at in self._reported_at.items() if s in staying}
-        due = [s for s in staying if self._reported_at.get(s, NEVER) <= due_before]
-        due.sort(key=lambda step: staying[step].tasks[0].waiting_since)
-        for step in due[:MAX_LINES_PER_CHECK]:
-            self._reported_at[step] = now
+        waited_s = {step: now - tasks[0].waiting_since for step, (tasks, _) in staying.items()}
+        for step in self._lines.due(waited_s, now):
             self._core.log(Event.WORK_STAYS, **self._fields(step, staying[step], now))
 
     def _fields(self, step: StepRun, staying: StayingTasks, now: float) -> dict[str, Any]:
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -11,6 +11,7 @@
 from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
+from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
@@ -34,9 +35,6 @@
 REPEAT_INTERVAL_S = 2.5
 """Time after which an unchanged reason is reported again, at the next check."""
 
-MAX_LINES_PER_CHECK = 10
-"""Limits the lines of one check; the tasks that have waited longest come first."""
-
 
 class WaitReason(Enum):
     """What a standing task without a confirmed run waits for."""
@@ -87,7 +85,7 @@
         self._hall = context.hall
         self._metrics = context.metrics
         self._may_act = context.proof.may_act
-        self._reported_at: dict[WaitingGroup, float] = {}
+        self._lines: RepeatedLines[WaitingGroup] = RepeatedLines(REPEAT_INTERVAL_S)
 
     def __repr__(self) -> str:
         return f"StandingWaits({self._core!r})"
@@ -103,15 +101,11 @@
 
     def _report(self, now: float, wall: float) -> None:
         groups = waiting_groups(self._core, now, may_act=self._may_act(now))
-        longest_s = max((now - tasks[0].waiting_since for tasks in groups.values()), default=0.0)
+        waited_s = {group: now - tasks[0].waiting_since for group, tasks in groups.items()}
+        longest_s = max(waited_s.values(), default=0.0)
         self._metrics.set_seconds("standing_wait", round(longest_s, 1), hall=self._hall)
-        due_before = now - REPEAT_INTERVAL_S
-        self._reported_at = {g: at for g, at in self._reported_at.items() if g in groups}
-        due = [g for g in groups if self._reported_at.get(g, NEVER) <= due_before]
-        due.sort(key=lambda group: groups[group][0].waiting_since)
         view = PlanView(self._core, BestEffortCapacity(self._core.interference, now, wall), now)
-        for group in due[:MAX_LINES_PER_CHECK]:
-            self._reported_at[group] = now
+        for group in self._lines.due(waited_s, now):
             fields = waiting_fields(group, groups[group], view, self._summaries())
             self._core.log(Event.STANDING_WAITS, **fields)
 
--- a/src/linkspan/shard/reports/_unlisted_runs.py
+++ b/src/linkspan/shard/reports/_unlisted_runs.py
@@ -8,6 +8,7 @@
 from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.shard._reasons import MAX_LOGGED_TASKS, short_name
+from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.attempt import NEVER
 
 if TYPE_CHECKING:
@@ -24,9 +25,6 @@
 REPEAT_INTERVAL_S = 3.5
 """Time after which an executor is reported again, at the next check."""
 
-MAX_LINES_PER_CHECK = 10
-"""Limits the lines of one check; the longest times come first."""
-
 
 class UnlistedRuns:
     """Compares the standing runs that this shard believes in with the executors' reports.
@@ -41,7 +39,7 @@
         self._core = context.core
         self._hall = context.hall
         self._metrics = context.metrics
-        self._reported_at: dict[str, float] = {}
+        self._lines: RepeatedLines[str] = RepeatedLines(REPEAT_INTERVAL_S)
 
     def __repr__(self) -> str:
         return f"UnlistedRuns({self._core!r})"
@@ -62,12 +60,7 @@
             "standing_unlisted", round(max(longest_s.values(), default=0.0), 1), hall=self._hall
         )
         overdue = {name: s for name, s in longest_s.items() if s >= MIN_UNLISTED_S}
-        self._reported_at = {n: at for n, at in self._reported_at.items() if n in overdue}
-        due_before = now - REPEAT_INTERVAL_S
-        due = [n for n in overdue if self._reported_at.get(n, NEVER) <= due_before]
-        due.sort(key=lambda name: -overdue[name])
-        for name in due[:MAX_LINES_PER_CHECK]:
-            self._reported_at[name] = now
+        for name in self._lines.due(overdue, now):
             fields = unlisted_fields(self._core.executors[name], now)
             self._core.log(
                 Event.RUNS_UNLISTED, shard=self._core.shard, token=self._core.token, **fields
