Keep returned delegations of several repetitions apart

Three tasks of repetition 0 were returned to home, and home never managed them again; line 580 named them, "handed over to this hall, which does not manage it", in the hall they came from.

Cause: the record of returns keeps the last return of each task, by step and index. Since repetitions other than the first are delegated, two tasks share these, and the return of one hid that of the other. They are known by repetition too now.

--- a/src/linkspan/shard/handover/_returned_delegations.py
+++ b/src/linkspan/shard/handover/_returned_delegations.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
-    from linkspan.jobs.records import Delegation
+    from linkspan.jobs.records import Delegation, TaskIndex
 
 
 class ReturnedDelegations:
@@ -19,7 +19,7 @@
     """
 
     def __init__(self) -> None:
-        self._delegations: dict[str, dict[tuple[int, int], Delegation]] = {}
+        self._delegations: dict[str, dict[TaskIndex, Delegation]] = {}
 
     def __repr__(self) -> str:
         return f"ReturnedDelegations({len(self._delegations)} jobs)"
@@ -36,7 +36,7 @@
         """
         known = self._delegations.setdefault(job_id, {})
         for delegation in (*recorded, *delegations):
-            task = delegation.step, delegation.index
+            task = delegation.task_index
             previous = known.get(task)
             if previous is None or previous.number < delegation.number:
                 known[task] = delegation
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -147,7 +147,13 @@
         fields["moved_at"] = entry.moved[1]
     if delegations:
         fields["loans"] = {
-            f"{delegation.step}.{delegation.index}": delegation.number
+            _task_field(delegation): delegation.number
             for delegation in islice(delegations, MAX_LOGGED_DELEGATIONS)
         }
     return fields
+
+
+def _task_field(delegation: Delegation) -> str:
+    """Return a delegated task's name within its job, without the repetition if it is the first."""
+    name = f"{delegation.step}.{delegation.index}"
+    return f"{delegation.repetition}.{name}" if delegation.repetition else name
--- a/tests/host/test_lost_hall_days.py
+++ b/tests/host/test_lost_hall_days.py
@@ -7,8 +7,9 @@
 from tests.host.lost_hall_day import WAYS, LostHallDay
 from tests.virtual_time import run_virtual
 
-SEEDS = (1, 9)
-"""Seeds that lost jobs before work of a job that has begun could leave its hall."""
+SEEDS = (1, 9, 1002)
+"""Seeds that lost jobs: two before work of a job that has begun could leave its hall, the last one
+as the return of one repetition hid that of another."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -103,6 +103,14 @@
     assert returned.add(JOB, [Delegation(0, 1, 1)], []) == (Delegation(0, 1, 1),)
 
 
+def test_a_returned_task_hides_no_task_of_another_repetition() -> None:
+    """Guards against a task of a scheduled job that no hall manages after its return."""
+    first, second = Delegation(0, 1, 1), Delegation(0, 1, 1, repetition=1)
+    returned = ReturnedDelegations()
+    assert returned.add(JOB, (), [first]) == (first,)
+    assert returned.add(JOB, (), [second]) == (first, second)
+
+
 def test_a_short_job_moves_soon_even_to_a_hall_where_best_effort_work_waits() -> None:
     """Guards against a short job that stays at home as every hall has waiting best-effort work."""
     core = core_with(step(1, cpu=9_000))
