Lose the executors of whole halls in the soak

The soak crashed and replaced executors within seconds, wherever they were, so it never took a hall away from work that had begun there.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,7 @@
 """Fault soak of the host daemon.
 
-    python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --evacuates]
-    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates]
+    python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --loses_halls]
+    python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates] [--loses_halls]
     python -m soak regressions --jobs 2
 
 Sizes that are not given depend on the seed. The exit code is 1 if there was a violation; the logs
@@ -13,7 +13,7 @@
 import asyncio
 import shutil
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -56,7 +56,7 @@
         seconds: Time during which faults start.
         keep_logs: Folder in which logs are kept even without a violation.
         sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``,
-            ``evacuates``.
+            ``evacuates``, ``loses_halls``.
     """
     plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
@@ -72,10 +72,12 @@
     jobs: int = 2,
     keep_logs: str = LOGS,
     evacuates: bool = False,
+    loses_halls: bool = False,
 ) -> None:
     """Play consecutive seeds, several at a time, each in a separate process."""
     seeds = range(first, first + count)
-    _play_seeds(seeds, seconds, jobs, keep_logs, evacuates=evacuates)
+    flags = {"--evacuates": evacuates, "--loses_halls": loses_halls}
+    _play_seeds(seeds, seconds, jobs, keep_logs, [flag for flag, on in flags.items() if on])
 
 
 def regressions(*, jobs: int = 2, keep_logs: str = LOGS) -> None:
@@ -84,10 +86,10 @@
 
 
 def _play_seeds(
-    seeds: Iterable[int], seconds: float, jobs: int, keep_logs: str, *, evacuates: bool = False
+    seeds: Iterable[int], seconds: float, jobs: int, keep_logs: str, flags: Sequence[str] = ()
 ) -> None:
     seeds = list(seeds)
-    broken = asyncio.run(run_all(seeds, seconds, jobs, keep_logs, evacuates=evacuates))
+    broken = asyncio.run(run_all(seeds, seconds, jobs, keep_logs, flags))
     kept = len(seeds) - len(broken)
     print(f"{len(seeds)} seeds, {seconds:g} s each, {jobs} at a time: {kept} kept all")
     if broken:
@@ -96,17 +98,24 @@
 
 
 async def run_all(
-    seeds: list[int], seconds: float, jobs: int, keep_logs: str, *, evacuates: bool = False
+    seeds: list[int], seconds: float, jobs: int, keep_logs: str, flags: Sequence[str] = ()
 ) -> list[int]:
-    """Play seeds, several at a time, and return those with a violation."""
+    """Play seeds, several at a time, and return those with a violation.
+
+    Args:
+        seeds: The seeds.
+        seconds: Time during which faults start.
+        jobs: Number of seeds to play at a time.
+        keep_logs: Folder for the logs of runs with a violation.
+        flags: Further arguments of each run.
+    """
     free = asyncio.Semaphore(jobs)
 
     async def play(seed: int) -> int | None:
-        flags = [f"--seed={seed}", f"--seconds={seconds}", f"--keep_logs={keep_logs}"]
-        flags += ["--evacuates"] if evacuates else []
+        plan = [f"--seed={seed}", f"--seconds={seconds}", f"--keep_logs={keep_logs}"]
         async with free:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "soak", "run", *flags
+                sys.executable, "-m", "soak", "run", *plan, *flags
             )
             return seed if await process.wait() else None
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -37,6 +37,7 @@
         halls: Number of halls.
         jobs_per_s: Rate of submitted jobs.
         evacuates: Whether halls are evacuated beside the faults.
+        loses_halls: Whether halls lose their executors beside the faults.
     """
 
     seed: int
@@ -46,6 +47,7 @@
     halls: int
     jobs_per_s: float
     evacuates: bool = False
+    loses_halls: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak.deployment import Plan
 from soak.evacuations import EVACUATION_FAULTS, check_evacuation
 from soak.faults import CAPACITY_FAULTS, RESTART_FAULTS, SERIES_COUNT, run_series
+from soak.hall_losses import HALL_LOSS_FAULTS
 from soak.judge import (
     await_configuration,
     count_other_given_up_jobs,
@@ -126,6 +127,9 @@
                 world, SERIES_COUNT + 2, until, self._log_fault, EVACUATION_FAULTS
             )
             series.append(evacuations)
+        if self._plan.loses_halls:
+            losses = run_series(world, SERIES_COUNT + 3, until, self._log_fault, HALL_LOSS_FAULTS)
+            series.append(losses)
         try:
             await asyncio.gather(*series)
         finally:
--- a/soak/world.py
+++ b/soak/world.py
@@ -119,6 +119,10 @@
         self._executor_halls[address] = self.plan.hall(number)
         await self.replace_executor(address)
 
+    def executor_addresses_of(self, hall: str) -> list[str]:
+        """Return the addresses of the executors of a hall."""
+        return [address for address, of in self._executor_halls.items() if of == hall]
+
     async def replace_executor(self, address: str) -> None:
         """Start a new executor at an address."""
         location = {
