Sum a job's remaining work once a plan, and count held cores once an order

Each waiting step summed the work left over all steps of its job, so a plan took the square of the steps. Urgencies keeps the sum for the length of a plan; the order of the steps is the same. Line 531 counted what holds the cores of the hall anew for each waiting step: once after each order does.

The test counts the sums: 40 before, 1 after.

What else takes the owner's time was not traced.

The docstring of the order loses the figures of its tuning.

--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -8,7 +8,7 @@
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._pressure_budget import MAX_KEPT_PACE_PRESSURE, PressureBudget
 from linkspan.shard.colocation.interference import latency_ratio
-from linkspan.shard.planning.urgency import urgency
+from linkspan.shard.planning.urgency import Urgencies
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -75,7 +75,8 @@
         last = self._changed_at.get(executor.executor_id, float("-inf"))
         if not best_effort or now - last < MEASUREMENT_PERIOD_S:
             return
-        by_urgency = sorted(best_effort, key=lambda a: urgency(a.task.step, wall))
+        urgencies = Urgencies(wall)
+        by_urgency = sorted(best_effort, key=lambda a: urgencies.of(a.task.step))
         present = PressureBudget(
             executor, self._interference, now, best_effort, limit=MAX_KEPT_PACE_PRESSURE
         )
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -39,6 +39,8 @@
     _free_capacity: FreeCapacity | None = None
     _unplaceable: set[TaskKind] = field(default_factory=set)
     _matching: dict[tuple[str, str], list[ExecutorState]] = field(default_factory=dict)
+    _held_cores: dict[str, int] = field(default_factory=dict)
+    _held_cores_orders: int = -1
 
     def usable(self) -> list[ExecutorState]:
         """Return the executors that may get new work, a list that stays the same during a plan.
@@ -82,8 +84,11 @@
         return IsolatedPlacement(self.core, len(self.usable()), self.now)
 
     def held_cores(self) -> dict[str, int]:
-        """Return the hall's cores by what holds them."""
-        return held_cores(self.usable())
+        """Return the hall's cores by what holds them, counted again only after another order."""
+        if self._held_cores_orders != len(self.core.orders):
+            self._held_cores_orders = len(self.core.orders)
+            self._held_cores = held_cores(self.usable())
+        return self._held_cores
 
     def placement(
         self, step: StepRun, executors: list[ExecutorState] | None = None
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -13,7 +13,7 @@
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._setting_aside import SettingAside
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
-from linkspan.shard.planning.urgency import urgency
+from linkspan.shard.planning.urgency import Urgencies
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -83,7 +83,8 @@
                 self._blocked_logged.discard(step)
             elif not step.run.job.moving:
                 waiting.append((step, tasks))
-        return sorted(waiting, key=lambda entry: urgency(entry[0], wall))
+        urgencies = Urgencies(wall)
+        return sorted(waiting, key=lambda entry: urgencies.of(entry[0]))
 
     def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
         pending = [t for t in waiting if t.startable(view.now)]
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.step_run import StepRun
 
 MAX_USEFUL_AGE_FACTOR = 3.0
@@ -41,37 +42,54 @@
     rank: float
 
 
-def urgency(step: StepRun, wall: float) -> Urgency:
-    """Return a step's urgency.
+class Urgencies:
+    """Urgencies of steps at one time of day.
 
-    Standing tasks that have run before come first, then steps by priority, then jobs that can still
-    meet their objective. Among steps with such tasks the longest wait comes first: each of them
-    counts as missed after a fixed time, however old its job is. Among other equals the job with the
-    least remaining work comes first: when capacity is scarce, more jobs end in time than in the
-    order of their slack, and jobs that have begun are finished. With learnt durations this order
-    earns about 3 percent more of what is owed; with callers' estimates alone it gains nothing. Jobs
-    that are too late to be of use are ordered by age, so that none waits forever.
-
-    Progress that runs report counts for timeliness and remaining work. Otherwise a nearly finished
-    step would count as not begun, be rated late, and lose its pace to new work, which costs batch
-    jobs 2 to 3 percent of what is owed to them.
+    The remaining work of a repetition is summed once, however many of its steps wait: a job may
+    have thousands of them.
 
     Args:
-        step: The step.
         wall: Time of day, in seconds since 1970.
     """
-    job = step.run.job
-    age, remaining_s = _times(step, wall)
-    slack = job.objective_s - age - remaining_s
-    timeliness = _timeliness(step, age + remaining_s, slack)
-    if step.spec.standing:
-        restarts = (t.waiting_since for t in step.tasks if t.pending and t.next_run > 1)
-        longest_since = min(restarts, default=None)
-        rank = slack if longest_since is None else longest_since
-        not_restart = longest_since is None
-        return Urgency(not_restart, job.priority, timeliness, rank)
-    rank = -age if timeliness is Timeliness.NONE else step.run.remaining_work
-    return Urgency(not_restart=True, priority=job.priority, timeliness=timeliness, rank=rank)
+
+    def __init__(self, wall: float) -> None:
+        self._wall = wall
+        self._remaining_work: dict[JobRun, float] = {}
+
+    def __repr__(self) -> str:
+        return f"Urgencies({self._wall})"
+
+    def of(self, step: StepRun) -> Urgency:
+        """Return a step's urgency.
+
+        Standing tasks that have run before come first, then steps by priority, then jobs that can
+        still meet their objective. Among steps with such tasks the longest wait comes first: each
+        of them counts as missed after a fixed time, however old its job is. Among other equals the
+        job with the least remaining work comes first: when capacity is scarce, more jobs end in
+        time than in the order of their slack, and jobs that have begun are finished. Jobs that are
+        too late to be of use are ordered by age, so that none waits forever.
+
+        Progress that runs report counts for timeliness and remaining work. Otherwise a nearly
+        finished step would count as not begun, be rated late, and lose its pace to new work.
+        """
+        run = step.run
+        job = run.job
+        age, remaining_s = _times(step, self._wall)
+        slack = job.objective_s - age - remaining_s
+        timeliness = _timeliness(step, age + remaining_s, slack)
+        if step.spec.standing:
+            restarts = (t.waiting_since for t in step.tasks if t.pending and t.next_run > 1)
+            longest_since = min(restarts, default=None)
+            rank = slack if longest_since is None else longest_since
+            not_restart = longest_since is None
+            return Urgency(not_restart, job.priority, timeliness, rank)
+        rank = -age if timeliness is Timeliness.NONE else self._work_left(run)
+        return Urgency(not_restart=True, priority=job.priority, timeliness=timeliness, rank=rank)
+
+    def _work_left(self, run: JobRun) -> float:
+        if run not in self._remaining_work:
+            self._remaining_work[run] = run.remaining_work
+        return self._remaining_work[run]
 
 
 def timeliness_of(step: StepRun, wall: float) -> Timeliness:
--- a/tests/shard/test_durations.py
+++ b/tests/shard/test_durations.py
@@ -13,7 +13,7 @@
 from linkspan.shard.messages import EndedTask, EndKind
 from linkspan.shard.planning._expected_durations import update_expected_durations
 from linkspan.shard.planning.durations import DurationEstimator
-from linkspan.shard.planning.urgency import Timeliness, urgency
+from linkspan.shard.planning.urgency import Timeliness, Urgencies
 from tests.job_builders import QUEUE, step
 from tests.shard.builders import (
     JOB,
@@ -76,11 +76,11 @@
     core = core_with(step(1, estimate_s=1.0))
     waiting = core.jobs[JOB].runs[0].steps[0]
     late_s = QUEUE.target_s + 0.5
-    assert urgency(waiting, late_s).timeliness is not Timeliness.IN_TIME
+    assert Urgencies(late_s).of(waiting).timeliness is not Timeliness.IN_TIME
     for _ in range(50):
         core.durations.learn(QUEUE.name, 1.0, 5.0)
     update_expected_durations(core.jobs[JOB], core.durations)
-    assert urgency(waiting, late_s).timeliness is Timeliness.IN_TIME
+    assert Urgencies(late_s).of(waiting).timeliness is Timeliness.IN_TIME
 
 
 def test_ended_steps_are_learned_from_and_count_with_their_measured_duration() -> None:
@@ -100,11 +100,11 @@
     core = core_with(step(4, cpu=2_000), executors=0)
     core.add_job(submitted_job(step(2, cpu=2_000), job_id=OTHER), 0.0)
     large, small = (core.jobs[name].runs[0] for name in (JOB, OTHER))
-    assert urgency(small.steps[0], 0.1) < urgency(large.steps[0], 0.1)
+    assert Urgencies(0.1).of(small.steps[0]) < Urgencies(0.1).of(large.steps[0])
     for task in large.steps[0].tasks[:3]:
         task.done = True
         large.steps[0].remaining_tasks -= 1
-    assert urgency(large.steps[0], 0.1) < urgency(small.steps[0], 0.1)
+    assert Urgencies(0.1).of(large.steps[0]) < Urgencies(0.1).of(small.steps[0])
 
 
 def test_jobs_that_cannot_be_in_time_are_ordered_by_age() -> None:
@@ -112,8 +112,8 @@
     core = core_with(step(9, cpu=8_000), executors=0)
     core.add_job(submitted_job(step(1), job_id=OTHER, accepted=5.0), 5.0)
     old, new = (core.jobs[name].runs[0].steps[0] for name in (JOB, OTHER))
-    assert urgency(new, 60.0).timeliness is Timeliness.NONE
-    assert urgency(old, 60.0) < urgency(new, 60.0)
+    assert Urgencies(60.0).of(new).timeliness is Timeliness.NONE
+    assert Urgencies(60.0).of(old) < Urgencies(60.0).of(new)
 
 
 def test_the_duration_of_a_slowed_run_is_measured_at_full_speed() -> None:
@@ -140,9 +140,9 @@
     confirm_start(core, order, 0.2)
     running = core.jobs[JOB].runs[0].steps[0]
     late_s = core.jobs[JOB].objective_s - 0.5
-    assert urgency(running, late_s).timeliness is not Timeliness.IN_TIME
+    assert Urgencies(late_s).of(running).timeliness is not Timeliness.IN_TIME
     running.tasks[0].attempts[0].progress = 95
-    assert urgency(running, late_s).timeliness is Timeliness.IN_TIME
+    assert Urgencies(late_s).of(running).timeliness is Timeliness.IN_TIME
 
 
 def test_a_half_finished_step_goes_before_less_work_that_is_not_started() -> None:
@@ -151,7 +151,7 @@
         confirm_start(core, order, 0.2)
     core.add_job(submitted_job(step(3, cpu=1_000, estimate_s=2.0), job_id=OTHER), 0.3)
     started_step, unstarted_step = (core.jobs[job].runs[0].steps[0] for job in (JOB, OTHER))
-    assert urgency(started_step, 0.5).rank > urgency(unstarted_step, 0.5).rank
+    assert Urgencies(0.5).of(started_step).rank > Urgencies(0.5).of(unstarted_step).rank
     for task in started_step.tasks:
         task.attempts[0].progress = 50
-    assert urgency(started_step, 0.5).rank < urgency(unstarted_step, 0.5).rank
+    assert Urgencies(0.5).of(started_step).rank < Urgencies(0.5).of(unstarted_step).rank
--- a/tests/shard/test_remaining_work.py
+++ b/tests/shard/test_remaining_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,6 +11,8 @@
 from linkspan.shard.attempt import FULL_PROGRESS, Attempt, Phase
 from linkspan.shard.job_run import JobRun, new_run
 from linkspan.shard.shard_job import ShardJob
+from tests.job_builders import step
+from tests.shard.builders import JOB, core_with, plan
 
 WIDTH = 160
 """Tasks of the widest step observed; the average is 39."""
@@ -41,3 +44,21 @@
     lengths = run.job.expected_durations_s
     open_work = sum(left) * 2_000 * lengths[0] if run.steps[0].remaining_tasks else 0.0
     assert abs(run.remaining_work - open_work - 3 * 1_000 * lengths[1]) < 1e-6
+
+
+def test_a_plan_sums_the_remaining_work_of_a_job_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an owner that stands still for seconds, as a job has thousands of steps."""
+    core = core_with(*(step(2, cpu=8_000) for _ in range(40)))
+    sums = 0
+    remaining_work = JobRun.remaining_work.fget
+    assert remaining_work
+
+    def count(run: JobRun) -> float:
+        nonlocal sums
+        sums += 1
+        return float(remaining_work(run))
+
+    monkeypatch.setattr(JobRun, "remaining_work", property(count))
+    assert len(plan(core, 0.1)) == 2
+    assert len(core.ready) == len(core.jobs[JOB].runs[0].steps)
+    assert sums == 1
