Mark tasks as done by other halls' records where these are read

ShardState had two methods that mark a task as done, of which one belongs to the records of other halls: it is in Delegations now. The open delegations of a job are collected in lists; each of thousands copied those before it. Tests unchanged.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -424,13 +424,6 @@
             for attempt in task.attempts:
                 self.order_stop(attempt, now)
 
-    def complete_here(self, task: Task, now: float) -> None:
-        """Record that a task is done by another shard's record, and stop its runs here."""
-        task.done = True
-        task.step.remaining_tasks -= 1
-        for attempt in task.attempts:
-            self.order_stop(attempt, now)
-
     def announce_done(self, task: Task) -> None:
         """Request a record, for other shards, that a task is done."""
         tasks = self.completed.setdefault(task.name.job_id, {})
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -112,8 +112,7 @@
         if not found:
             return
         for task in found:
-            task.managed_by = None
-            self._state.complete_here(task, now)
+            self._complete(task, now)
         for run in {task.step.run: None for task in found}:
             self._state.mark_dirty(run)
             self._state.open_steps(run, now)
@@ -127,18 +126,23 @@
         )
         self._state.finish_if_done(job)
 
+    def _complete(self, task: Task, now: float) -> None:
+        """Mark a task as done, and stop its runs here, those of a gang's members, too."""
+        task.done = True
+        task.managed_by = None
+        task.step.remaining_tasks -= 1
+        for attempt in task.attempts:
+            self._state.order_stop(attempt, now)
+
     def delegations(self, job_id: str, now: float) -> dict[int, tuple[Delegation, ...]]:
         """Return the open delegations of a job's tasks at a steady time, by shard."""
         job = self._state.jobs.get(job_id)
-        delegations: dict[int, tuple[Delegation, ...]] = {}
+        found: dict[int, list[Delegation]] = {}
         for run in job.runs.values() if job else ():
             for task in run.tasks():
                 if task.managed_by is not None and task.delegation_number and not task.done:
-                    delegations[task.managed_by] = (
-                        *delegations.get(task.managed_by, ()),
-                        last_delegation_of(task, now),
-                    )
-        return delegations
+                    found.setdefault(task.managed_by, []).append(last_delegation_of(task, now))
+        return {shard: tuple(delegations) for shard, delegations in found.items()}
 
     def remove_moved(self, job_id: str) -> None:
         """Remove a job that was moved to another shard."""
