Publish fields for backlogs and speeds in a hall's summary

Owners and hosts of other halls know only free room and the cores that wait. Decisions under load need what is ahead of a job and how fast it drains, and the next owner of a hall needs the speeds of its executors. Both fields are empty for now, so a record grows by six bytes and nothing decides differently.

--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -19,6 +19,8 @@
 )
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
+from linkspan.shard.executor_speed import ExecutorSpeed
+from linkspan.shard.handover.backlog import Backlog
 from linkspan.shard.handover.executor_room import ExecutorRoom
 from linkspan.shard.messages import ExecutorKind, can_run, group_by_kind
 from linkspan.shard.planning._isolation import executors_for_new_work
@@ -83,6 +85,8 @@
             those that leave; ``None`` if not published.
         former_capacities: Service and former size of executors with reduced capacity, which comes
             back.
+        backlogs: Work that waits there, by queue and size of its tasks; empty if not published.
+        speeds: Speeds of executors that differ from the ordinary one, for the hall's next owner.
     """
 
     capacity: int = 0
@@ -97,6 +101,8 @@
     former_capacities: tuple[tuple[str, Demand], ...] = ()
     rows_by_kind: tuple[int, ...] = ()
     best_effort_memory: tuple[tuple[int, int], ...] = ()
+    backlogs: tuple[Backlog, ...] = ()
+    speeds: tuple[ExecutorSpeed, ...] = ()
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -154,6 +160,8 @@
             [[service, _size_row(size)] for service, size in self.former_capacities],
             self.rows_by_kind,
             self.best_effort_memory,
+            [backlog.encode() for backlog in self.backlogs],
+            [speed.encode() for speed in self.speeds],
         ]
 
     @classmethod
@@ -173,6 +181,8 @@
             former_capacities = rest[2] if len(rest) > 2 else ()
             rows_by_kind = rest[3] if len(rest) > 3 else ()
             best_effort_memory = rest[4] if len(rest) > 4 else ()
+            backlogs = rest[5] if len(rest) > 5 else ()
+            speeds = rest[6] if len(rest) > 6 else ()
             return cls(
                 parse_int(capacity),
                 _signed(free),
@@ -191,6 +201,8 @@
                 tuple(_former_capacity(parse_list(row)) for row in parse_list(former_capacities)),
                 tuple(parse_int(count) for count in parse_list(rows_by_kind)),
                 tuple(_indexed(parse_list(row)) for row in parse_list(best_effort_memory)),
+                tuple(Backlog.decode(parse_list(row)) for row in parse_list(backlogs)),
+                tuple(ExecutorSpeed.decode(parse_list(row)) for row in parse_list(speeds)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
--- /dev/null
+++ b/tests/shard/test_summary_records.py
@@ -0,0 +1,37 @@
+"""Tests that what a hall publishes about its load arrives at other hosts."""
+
+from __future__ import annotations
+
+import pytest
+
+from linkspan.errors import RecordError
+from linkspan.shard.executor_speed import ExecutorSpeed
+from linkspan.shard.handover.backlog import Backlog
+from linkspan.shard.handover.summary import HallSummary
+
+BACKLOG = Backlog("short", 4_000, 96_000, 12_500.5)
+SPEED = ExecutorSpeed("executor-1", 6.7, 4.5)
+
+
+def test_backlogs_and_speeds_are_read_as_published() -> None:
+    """Guards against a field that one side writes and the other reads in another place."""
+    summary = HallSummary(capacity=1, backlogs=(BACKLOG,), speeds=(SPEED,))
+    assert HallSummary.decode(summary.encode()) == summary
+
+
+def test_rows_of_a_later_version_are_read() -> None:
+    """Guards against a renewal that is skipped because a later version appends to a row."""
+    fields = HallSummary(capacity=1).encode()
+    fields[-2:] = [[[*BACKLOG.encode(), "more"]], [[*SPEED.encode(), "more"]]]
+    assert HallSummary.decode(fields) == HallSummary(
+        capacity=1, backlogs=(BACKLOG,), speeds=(SPEED,)
+    )
+
+
+@pytest.mark.parametrize("row", [["short", 4_000, -1, 1.0], ["short"], ["short", 1, 1, None], 7])
+def test_a_malformed_backlog_is_an_error_of_the_record(row: object) -> None:
+    """Guards against an error other than the one by which readers skip a record."""
+    fields = HallSummary(capacity=1).encode()
+    fields[-2] = [row]
+    with pytest.raises(RecordError):
+        HallSummary.decode(fields)
