Publish what waits in a hall and how fast it drains

Cause: other hosts know of a hall's waiting work only its cores, not how long it will take, so nothing can tell a job that can't be of use any more.

Change: each summary holds a backlog for each queue and size of task (powers of two of cores): expected work that waits, the work completed a second, the jobs and the mean duration of their tasks. The rate is an exponential average over 8 s, of completions while such tasks wait. It is unknown (0) until they have waited 4 s and one duration, after 2 s in which none waits, and when none is completed for 4 s and one duration: until then it tells of arrivals, or of a fault. A new owner therefore begins without rates.

Weighed: jobs that are too late to be of use don't count, as new ones go before them. Two fields more than agreed (jobs, duration_s), at the end of the row: without them a small job would be judged by the work of larger ones, which go after it, and by its caller's estimate alone. At most 32 rows are published.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -12,6 +12,7 @@
 from linkspan.shard.colocation.interference import InterferenceEstimator
 from linkspan.shard.leases import LeaseClock
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
+from linkspan.shard.planning._drain_rates import DrainRates
 from linkspan.shard.planning.advice import AdviceCache
 from linkspan.shard.planning.durations import DurationEstimator
 from linkspan.shard.planning.set_asides import SetAsides
@@ -63,6 +64,7 @@
         interference: Estimates of how much colocated tasks slow each other.
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
+        drain_rates: Rates at which waiting work drains.
         set_asides: Resources of executors that are set aside for waiting tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
@@ -105,6 +107,7 @@
         self.interference = InterferenceEstimator()
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
+        self.drain_rates = DrainRates()
         self.set_asides = SetAsides()
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -74,7 +75,7 @@
             await asyncio.sleep(REBALANCE_INTERVAL_S)
             if not self._proof.may_act(steady()):
                 continue
-            own = summarize(self._core, steady())
+            own = summarize(self._core, steady(), wall=time.time())
             for handover in self._rebalancer.plan(own, steady()):
                 job = self._core.jobs[handover.job_id]
                 job.handing_over = True
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -20,6 +20,7 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
 from linkspan.shard.executor_speed import ExecutorSpeed
+from linkspan.shard.handover._backlogs import backlogs_of, waiting_steps
 from linkspan.shard.handover.backlog import Backlog
 from linkspan.shard.handover.executor_room import ExecutorRoom
 from linkspan.shard.messages import ExecutorKind, can_run, group_by_kind
@@ -257,8 +258,14 @@
     return Demand(milli_cpu, memory_mb, gpus)
 
 
-def summarize(core: ShardCore, now: float) -> HallSummary:
-    """Return the summary of a shard's hall."""
+def summarize(core: ShardCore, now: float, *, wall: float = 0.0) -> HallSummary:
+    """Return the summary of a shard's hall.
+
+    Args:
+        core: State of the shard, whose drain rates learn from it which work waits.
+        now: Steady time.
+        wall: Time of day, in seconds since 1970; without it no waiting work counts as too late.
+    """
     usable = [e for e in core.executors.values() if core.takes_work(e, now)]
     standing: dict[str, int] = {}
     for executor in usable:
@@ -276,18 +283,20 @@
         by_kind[executor.record.kind].append(executor)
     ordered = list(chain.from_iterable(by_kind.values()))
     rows = tuple(_row(executor, core.set_asides) for executor in ordered)
+    waiting = waiting_steps(core)
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
         free=sum(row[0] for row in rows),
         best_effort=sum(e.best_effort_cpu for e in usable),
-        waiting=_pending_cpu(core, best_effort=True),
-        queued=_pending_cpu(core, best_effort=False),
+        waiting=sum(cpu for step, cpu in waiting if step.spec.best_effort),
+        queued=sum(cpu for step, cpu in waiting if not step.spec.best_effort),
         standing=standing,
         free_by_executor=rows,
         kinds=kinds,
         former_capacities=_former_capacities(core),
         rows_by_kind=tuple(map(len, by_kind.values())),
         best_effort_memory=_best_effort_memory(ordered, core.set_asides),
+        backlogs=backlogs_of(waiting, core.drain_rates, now, wall),
     )
 
 
@@ -329,11 +338,3 @@
         e for e in core.executors.values() if e.listed and e.largest_capacity != e.record.capacity
     )
     return tuple({(e.record.service, e.largest_capacity): None for e in shrunk})
-
-
-def _pending_cpu(core: ShardCore, *, best_effort: bool) -> int:
-    return sum(
-        step.spec.demand.milli_cpu * sum(task.pending for task in step.tasks)
-        for step in core.ready
-        if step.spec.best_effort == best_effort
-    )
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -110,6 +110,7 @@
         self._state.health.record_success(executor.executor_id)
         if task.done:
             return
+        self._state.drain_rates.record_done(task, attempt, now)
         if attempt and attempt.confirmed_at > 0 and not attempt.recovered:
             # The start of a recovered run was not observed: the measured remainder would make
             # similar runs look like stragglers.
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -251,7 +252,8 @@
     def summary(self) -> HallSummary:
         """Return the hall's state to publish to other hosts, with selected interference effects."""
         effects = self._effect_selector.select(self._core.interference.effects())
-        return replace(summarize(self._core, steady()), effects=effects)
+        summary = summarize(self._core, steady(), wall=time.time())
+        return replace(summary, effects=effects)
 
     def adopt(self, summary: HallSummary) -> None:
         """Add the interference effects that the owner of another hall has published."""
--- a/tests/shard/test_summary_records.py
+++ b/tests/shard/test_summary_records.py
@@ -9,7 +9,7 @@
 from linkspan.shard.handover.backlog import Backlog
 from linkspan.shard.handover.summary import HallSummary
 
-BACKLOG = Backlog("short", 4_000, 96_000, 12_500.5)
+BACKLOG = Backlog("short", 4_000, 96_000, 12_500.5, 6, 1.25)
 SPEED = ExecutorSpeed("executor-1", 6.7, 4.5)
 
 
@@ -28,7 +28,9 @@
     )
 
 
-@pytest.mark.parametrize("row", [["short", 4_000, -1, 1.0], ["short"], ["short", 1, 1, None], 7])
+@pytest.mark.parametrize(
+    "row", [["short", 4_000, -1, 1.0, 0, 0.0], ["short"], ["short", 1, 1, None, 0, 0.0], 7]
+)
 def test_a_malformed_backlog_is_an_error_of_the_record(row: object) -> None:
     """Guards against an error other than the one by which readers skip a record."""
     fields = HallSummary(capacity=1).encode()
