--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -92,6 +92,7 @@
     "linkspan_crashes_taken_back_total": "Crashes counted under tasks that turned out to be none",
     "linkspan_restarts_total": "Executors found to have started again under their id",
     "linkspan_reports_passed_over_total": "Reports of executors that nothing was concluded from",
+    "linkspan_runs_yielded_total": "Best-effort runs slowed down in favour of a run that started",
     "linkspan_tasks_given_up_total": "Tasks given up, as executors crash under them",
 }
 
