Let gangs return to executors that failed them if no other has room

Cause: tasks stop avoiding the executors that failed them once none other has had capacity for 0.4 s, but only where they are placed one by one. Members of a gang kept avoiding them, so that a gang as large as the executors of a small hall waited for ever after some failures.

Change: members of a gang return under the same rule.

--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -232,7 +232,7 @@
             executor = (
                 isolation.choose(placement, task)
                 if task.needs_isolation
-                else placement.choose(task)
+                else placement.choose(task) or self._choose_avoided(placement, task)
             )
             if executor is None:
                 self._undo_gang(placement, placed, orders)
