Start tasks that have failed before equal ones

Cause: a task that failed waited among its equals by the remaining work of its job, behind first runs of other jobs, although its siblings were a run ahead of it and its job would end with it.

Change: among steps of equal priority and timeliness, waiting best-effort tasks that have failed come first, apart from the other tasks of their step, and the pacer serves their runs first. Before its last allowed run a task avoids the executors that failed it for 1 s in place of 0.4 s: one that fails all tasks is quarantined by then.

Checked: a job that can't be done is decided with the report that brings its last end, and its other runs are stopped with the next tick, for single tasks, gangs, and tasks delegated to another hall.

Weighed: second runs that take the cores of equal runs. Left out: which job has nothing to lose needs the critical path of each.

--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -74,7 +74,10 @@
         if not best_effort or now - last < MEASUREMENT_PERIOD_S:
             return
         urgencies = Urgencies(wall)
-        by_urgency = sorted(best_effort, key=lambda a: urgencies.of(a.task.step))
+        by_urgency = sorted(
+            best_effort,
+            key=lambda a: urgencies.of(a.task.step, failed_before=a.task.failures > 0),
+        )
         present = PressureBudget(
             executor, self._interference, now, best_effort, limit=MAX_KEPT_PACE_PRESSURE
         )
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -56,7 +56,7 @@
         task.delegation_number = delegation.number
         task.next_run = max(task.next_run, delegation.next_run)
         task.save(delegation.saved_by, delegation.checkpoint)
-        task.failed = task.failed.merged_with(_failures_of(delegation))
+        task.set_failed(task.failed.merged_with(_failures_of(delegation)))
         self._crashes.take_over_history(task, delegation, now)
         self._state.mark_arrived(task, delegation.waited_s, now)
         self._state.fail_if_exhausted(task)
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -9,6 +9,7 @@
 from linkspan.shard.attempt import FULL_PACE, MIN_PACE_PERCENT
 from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU, remaining_cpu
 from linkspan.shard.planning._free_capacity import ANY_MILLI_CPU, ExecutorGroup
+from linkspan.shard.planning._second_runs import is_last_run
 from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
@@ -43,6 +44,10 @@
 """Added to the score of an executor where runs have to give way to the task: above any difference
 in load, so that none gives way while there is room."""
 
+LAST_RUN_AVOIDANCE_S = 1.0
+"""The same for a task whose job fails with its next failure: by then two jobs have failed on an
+executor that fails all tasks, and it is quarantined."""
+
 NO_CAPACITY_SCORE = float("inf")
 """Score of an executor without capacity."""
 
@@ -177,7 +182,8 @@
         """
         all_avoided = all(e.executor_id in task.avoided_executors for e in self.executors)
         waited = self.now - task.waiting_since
-        if not task.avoided_executors or not (all_avoided or waited >= FAILED_EXECUTOR_AVOIDANCE_S):
+        limit_s = LAST_RUN_AVOIDANCE_S if is_last_run(task) else FAILED_EXECUTOR_AVOIDANCE_S
+        if not task.avoided_executors or not (all_avoided or waited >= limit_s):
             return False
         task.avoided_executors.clear()
         return True
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -12,6 +12,7 @@
 from linkspan.shard.planning._giving_way import GivingWay
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
+from linkspan.shard.planning._second_runs import split_by_failures
 from linkspan.shard.planning._setting_aside import SettingAside
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
 from linkspan.shard.planning.urgency import Urgencies
@@ -21,6 +22,7 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._isolation import IsolatedPlacement
+    from linkspan.shard.planning._second_runs import WaitingTasks
     from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -61,7 +63,7 @@
         Moves(view).add_orders()
         steps = self._steps_by_urgency(wall)
         self._setting_aside.begin(view, wall)
-        for step, waiting in steps:
+        for step, waiting, _ in steps:
             view.unserved.discard(step)
             if core.may_start(step.run.job, now):
                 self._place_step(step, waiting, view)
@@ -74,19 +76,19 @@
             self._evacuation = self._core.evacuation
             self._blocked_logged.clear()
 
-    def _steps_by_urgency(self, wall: float) -> list[tuple[StepRun, list[Task]]]:
-        """Return the steps with pending tasks by urgency, each with these tasks."""
+    def _steps_by_urgency(self, wall: float) -> list[WaitingTasks]:
+        """Return the pending tasks by urgency, those of a step together unless some have failed."""
         ready = self._core.ready
-        waiting = []
+        waiting: list[WaitingTasks] = []
         for step in list(ready):
             tasks = [] if step.run.job.closing else step.pending()
             if not tasks:
                 del ready[step]
                 self._blocked_logged.discard(step)
             elif not step.run.job.moving:
-                waiting.append((step, tasks))
+                waiting += split_by_failures(step, tasks)
         urgencies = Urgencies(wall)
-        return sorted(waiting, key=lambda entry: urgencies.of(entry[0]))
+        return sorted(waiting, key=lambda w: urgencies.of(w.step, failed_before=w.failed_before))
 
     def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
         pending = [t for t in waiting if t.startable(view.now)]
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -53,12 +53,14 @@
         not_restart: Whether the step is not a restart of a standing task.
         priority: Priority of the step's queue.
         timeliness: Whether its job can still be in time.
+        first_run: Whether the tasks have not failed before.
         rank: Order among steps that are equal otherwise.
     """
 
     not_restart: bool
     priority: int
     timeliness: Timeliness
+    first_run: bool
     rank: float
 
 
@@ -79,18 +81,24 @@
     def __repr__(self) -> str:
         return f"Urgencies({self._wall})"
 
-    def of(self, step: StepRun) -> Urgency:
+    def of(self, step: StepRun, *, failed_before: bool = False) -> Urgency:
         """Return a step's urgency.
 
         Standing tasks that have run before come first, then steps by priority, then jobs that can
         still meet their objective. Among steps with such tasks the longest wait comes first: each
-        of them counts as missed after a fixed time, however old its job is. Among other equals the
-        job with the least remaining work comes first: when capacity is scarce, more jobs end in
-        time than in the order of their slack, and jobs that have begun are finished. Jobs that are
+        of them counts as missed after a fixed time, however old its job is. Among other equals
+        tasks that have failed come first: their siblings are ahead of them, so that the job ends
+        with them, and a job that can't be done is found out sooner. Then the job with the least
+        remaining work comes first: when capacity is scarce, more jobs end in time than in the order
+        of their slack, and jobs that have begun are finished. Jobs that are
         too late to be of use are ordered by age, so that none waits forever.
 
         Progress that runs report counts for timeliness and remaining work. Otherwise a nearly
         finished step would count as not begun, be rated late, and lose its pace to new work.
+
+        Args:
+            step: The step.
+            failed_before: Whether the urgency is that of tasks of the step that have failed.
         """
         run = step.run
         job = run.job
@@ -102,9 +110,9 @@
             longest_since = min(restarts, default=None)
             rank = slack if longest_since is None else longest_since
             not_restart = longest_since is None
-            return Urgency(not_restart, job.priority, timeliness, rank)
+            return Urgency(not_restart, job.priority, timeliness, True, rank)
         rank = -age if timeliness is Timeliness.NONE else self._work_left(run)
-        return Urgency(not_restart=True, priority=job.priority, timeliness=timeliness, rank=rank)
+        return Urgency(True, job.priority, timeliness, not failed_before, rank)
 
     def _work_left(self, run: JobRun) -> float:
         if run not in self._remaining_work:
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -198,7 +198,7 @@
     _restore_expired(task, expired, now)
     # Runs that may still be running had not failed when the record was written.
     below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
-    task.failed = _restore_failures(parse_int(failures), parse_list(failed), below)
+    task.set_failed(_restore_failures(parse_int(failures), parse_list(failed), below))
 
 
 def _restore_expired(task: Task, expired: Any, now: float) -> None:
@@ -215,7 +215,7 @@
         EMPTY_DELEGATED_FIELDS, more
     )
     _restore_expired(task, expired, now)
-    task.failed = _restore_failures(parse_int(failures), parse_list(failed), task.next_run)
+    task.set_failed(_restore_failures(parse_int(failures), parse_list(failed), task.next_run))
     task.checkpoint, task.saved_by = parse_text(checkpoint), parse_int(saved_by)
     task.crash_history = _restore_crash_history(*crashes)
     if retracted or found:
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -25,6 +25,7 @@
         tasks: Its tasks.
         remaining_tasks: Number of tasks that are not done.
         durations: Durations at full speed of tasks that are done, in seconds.
+        has_failures: Whether a run of one of its tasks has failed.
     """
 
     run: JobRun
@@ -33,6 +34,7 @@
     tasks: list[Task] = field(default_factory=list)
     remaining_tasks: int = 0
     durations: list[float] = field(default_factory=list)
+    has_failures: bool = False
     _median_s: float = 0.0
     _median_count: int = 0
 
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -75,6 +75,11 @@
             self.checkpoint = checkpoint
             self.saved_by = run
 
+    def set_failed(self, failed: Failures) -> None:
+        """Set its failed runs."""
+        self.failed = failed
+        self.step.has_failures = self.step.has_failures or failed.count > 0
+
     @property
     def failures(self) -> int:
         """Number of its failed runs."""
