Learn the speed of executors from progress and ends, and hand it on

Cause: an executor counted as slow for six seconds after runs of 2.5 times the median of their siblings, by a moving average that one run of seven times the length sets alone; the mark came with the ends of slow runs, thus late, outlived the slow stretch, and was lost with the owner.

Now ExecutorSpeeds holds a slowdown for each incarnation, the weighted median of a vote of each run there: its progress on the executor's clock, or its duration, over its own earlier rate, its siblings' or what its queue's runs usually take. Placement adds a score by the slowdown in place of the mark, one run at a time shows the recovery, and the hall's summary hands the speeds on. Events 590, two counters.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -295,6 +295,12 @@
         "task given up because executors crash under it",
         "have the caller check what the task runs; 558 lists the executors",
     )
+    EXECUTOR_SPEED = (
+        590,
+        logging.INFO,
+        "executor turned slow, or has recovered",
+        "see OPERATIONS.md, slow executors, if it is always the same one",
+    )
     EXECUTOR_SILENT = 543, logging.WARNING, "executor does not respond", "check the executor"
     EXECUTOR_BACK = 544, logging.INFO, "executor responds again", "nothing"
     EXECUTOR_DISTRUSTED = (
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -15,6 +15,7 @@
 from linkspan.shard.planning.advice import AdviceCache
 from linkspan.shard.planning.durations import DurationEstimator
 from linkspan.shard.planning.set_asides import SetAsides
+from linkspan.shard.reports._speed_evidence import SpeedEvidence
 from linkspan.shard.reports.health import ExecutorHealth
 from linkspan.shard.task import index_of
 from linkspan.shard.unusable_reason import UnusableReason
@@ -60,6 +61,7 @@
         departed_jobs: Jobs that finished here or moved to another shard; older records of them may
             still arrive.
         health: Statistics of the executors' failures and speed.
+        speed_evidence: Passes what runs show about the speed of their executors to ``health``.
         interference: Estimates of how much colocated tasks slow each other.
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
@@ -102,6 +104,7 @@
         self.jobs: dict[str, ShardJob] = {}
         self.departed_jobs: set[str] = set()
         self.health = ExecutorHealth()
+        self.speed_evidence = SpeedEvidence(self)
         self.interference = InterferenceEstimator()
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from linkspan.shard.messages import TaskName
+    from linkspan.shard.progress_rate import ProgressRate
     from linkspan.shard.task import Task
 
 NEVER = float("-inf")
@@ -53,6 +54,7 @@
         progress: Reported share of the work that is done, in percent.
         progress_at: Steady time at which the executor was certainly alive when it reported that the
             progress had last risen.
+        rate: Rate at which the progress rises, ``None`` before it is measured.
         usage: Usage in the executor's last report that had one (see ``RunningTask.usage``).
         over_target_since: Steady time since when a standing task exceeds its latency target.
         stop_sent_at: Steady time of the last stop order.
@@ -92,6 +94,7 @@
     full_pace_s: float = 0.0
     progress: int = 0
     progress_at: float = NEVER
+    rate: ProgressRate | None = None
     usage: float | None = None
     over_target_since: float | None = None
     stop_sent_at: float = NEVER
--- a/src/linkspan/shard/planning/_expected_durations.py
+++ b/src/linkspan/shard/planning/_expected_durations.py
@@ -42,5 +42,5 @@
     job = step.run.job
     duration_s = max(step.durations)
     job.measured_durations_s[step.index] = duration_s
-    durations.learn(job.spec.queue, step.spec.estimate_s, duration_s)
+    durations.learn(job.spec.queue, step.spec.estimate_s, duration_s, run_s=step.median_s)
     update_expected_durations(job, durations)
--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -111,6 +111,7 @@
         return self._view.placement(step, self._view.usable()).choose(attempt.task) is not None
 
     def _move_stragglers(self) -> None:
+        self._core.speed_evidence.forget(self._now)
         for executor in self._core.executors.values():
             if executor.silent_since is not None or executor.draining:
                 continue
@@ -119,9 +120,7 @@
                     task = attempt.task
                     task.moves += 1
                     task.avoided_executors.add(executor.executor_id)
-                    self._core.health.record_duration_ratio(
-                        executor.executor_id, STRAGGLER_FACTOR * 2, self._now
-                    )
+                    self._core.speed_evidence.on_overdue(attempt, self._now)
                     self._core.stop(attempt, self._now, reason="runs far longer than its siblings")
 
     def _is_straggler(self, attempt: Attempt) -> bool:
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import log2
 from typing import TYPE_CHECKING
 
+from linkspan.shard.reports.executor_speeds import ORDINARY
+
 if TYPE_CHECKING:
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
     from linkspan.shard.colocation.interference import InterferenceEstimator
@@ -12,12 +15,20 @@
     from linkspan.shard.reports.health import ExecutorHealth
     from linkspan.shard.step_run import StepRun
 
-SLOW_EXECUTOR_PENALTY = 2.0
-"""Added for an executor that was found slow: above any difference in load."""
+SLOWDOWN_WEIGHT = 2.0
+"""Added for each doubling of a run's duration on a slow executor: above any difference in load."""
 
 REMOTE_DATA_PENALTY = 1.0
 """Added for an executor away from the step's data: above any difference in load, below slowness."""
 
+PROTECTED_PROBE_AFTER_S = 1.0
+"""Time without a run to judge a slow executor by after which one may be started there that loses
+little: one that saves checkpoints, or that a copy can overtake."""
+
+PROBE_AFTER_S = 2.0
+"""Time after which any finite task may be started there, one at a time. Slow stretches last five to
+eight seconds, so that an executor is idle for a small part of one after its recovery."""
+
 STANDING_LOAD_WEIGHT = 0.3
 """Weight of an executor's load for standing tasks: load decides only between executors with similar
 colocated tasks."""
@@ -86,8 +97,7 @@
         score = STANDING_LOAD_WEIGHT * load if spec.standing else load
         if spec.data_rack and spec.data_rack not in executor.record.labels:
             score += REMOTE_DATA_PENALTY
-        if self.health.is_slow(executor.executor_id, self.now):
-            score += SLOW_EXECUTOR_PENALTY
+        score += self._slowness_score(executor)
         if executor.refusals.concern(spec, self.now):
             score += REFUSAL_PENALTY
         if spec.standing:
@@ -102,6 +112,25 @@
             )
         return score
 
+    def _slowness_score(self, executor: ExecutorState) -> float:
+        """Return the part of the score for the longer duration on a slow executor.
+
+        It is 0 for a task that may show whether the executor has recovered.
+        """
+        slowdown = self.health.speeds.slowdown(executor.executor_id)
+        if slowdown <= ORDINARY or self._may_probe(executor):
+            return 0.0
+        return SLOWDOWN_WEIGHT * log2(slowdown)
+
+    def _may_probe(self, executor: ExecutorState) -> bool:
+        spec = self.step.spec
+        if spec.standing or spec.gang:
+            return False
+        after_s = PROTECTED_PROBE_AFTER_S if spec.checkpoints or spec.speculative else PROBE_AFTER_S
+        if self.health.speeds.unjudged_s(executor.executor_id, self.now) < after_s:
+            return False
+        return all(attempt.task.step.spec.standing for attempt in executor.attempts.values())
+
     def _colocation_score(self, executor: ExecutorState, capacity: int) -> float:
         """Return the part of the score that stems from colocated standing tasks."""
         other_step_cpu = other_image_cpu = 0
--- a/src/linkspan/shard/planning/durations.py
+++ b/src/linkspan/shard/planning/durations.py
@@ -73,22 +73,28 @@
 
     def __init__(self) -> None:
         self._fits: dict[str, _Fit] = {}
+        self._run_fits: dict[str, _Fit] = {}
         self.learnt = 0
 
     def __repr__(self) -> str:
         return f"DurationEstimator({len(self._fits)} queues)"
 
-    def learn(self, queue: str, estimate_s: float, duration_s: float) -> None:
+    def learn(
+        self, queue: str, estimate_s: float, duration_s: float, *, run_s: float | None = None
+    ) -> None:
         """Learn from the duration of a step.
 
         Args:
             queue: Queue of the step's job.
             estimate_s: The caller's estimate for one of its tasks, in seconds.
             duration_s: Duration of the longest of its tasks, in seconds.
+            run_s: Median duration of its tasks, in seconds; ``None`` if it is unknown.
         """
         self.learnt += 1
         estimate = _log(estimate_s)
         self._fits.setdefault(queue, _Fit()).add(estimate, _log(duration_s) - estimate)
+        if run_s is not None:
+            self._run_fits.setdefault(queue, _Fit()).add(estimate, _log(run_s) - estimate)
 
     def expected_s(self, queue: str, estimate_s: float) -> float:
         """Return the expected duration of a step, in seconds.
@@ -108,6 +114,18 @@
         estimate = _log(estimate_s)
         return exp(estimate + fit.ratio_at(estimate))
 
+    def expected_run_s(self, queue: str, estimate_s: float) -> float | None:
+        """Return the expected duration of a typical run, ``None`` before enough is learnt.
+
+        The longest task of a step, by which :meth:`expected_s` goes, takes longer than a typical
+        one; where a few tasks take many times as long as their siblings, several times as long.
+        """
+        fit = self._run_fits.get(queue)
+        if fit is None or fit.count < ESTIMATE_WEIGHT_STEPS:
+            return None
+        estimate = _log(estimate_s)
+        return exp(estimate + fit.ratio_at(estimate))
+
 
 def _log(seconds: float) -> float:
     return log(min(max(seconds, MIN_DURATION_S), MAX_DURATION_S))
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -113,7 +113,9 @@
         if attempt and attempt.confirmed_at > 0 and not attempt.recovered:
             # The start of a recovered run was not observed: the measured remainder would make
             # similar runs look like stragglers.
-            self._record_task_duration(executor, task, attempt.full_pace_s_at(now), now)
+            duration_s = attempt.full_pace_s_at(now)
+            task.step.durations.append(duration_s)
+            self._state.speed_evidence.on_done(attempt, duration_s, now)
         for member in task.step.tasks if task.step.spec.gang else (task,):
             self._state.mark_done(member, now)
         run = task.step.run
@@ -130,19 +132,6 @@
             for job in self._state.jobs.values():
                 update_expected_durations(job, estimator)
 
-    def _record_task_duration(
-        self, executor: ExecutorState, task: Task, duration_s: float, now: float
-    ) -> None:
-        step = task.step
-        step.durations.append(duration_s)
-        if step.spec.best_effort or step.spec.checkpoints or len(step.durations) < 3:
-            return
-        median_s = step.median_s
-        if median_s > 0:
-            self._state.health.record_duration_ratio(
-                executor.executor_id, duration_s / median_s, now
-            )
-
     def _on_failed(self, executor: ExecutorState, task: Task, end: EndedTask, now: float) -> None:
         job = task.step.run.job
         if task.done or job.closing:
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -67,7 +67,9 @@
         if executor.clock is None:
             # The executor counted as lost, at this owner or a former one, but was only cut off.
             self._crashes.retract(executor.executor_id, "the executor answers again")
+        unpolled_s = asked - executor.reported_at
         self._state.record_contact(executor, report.clock_s, now, asked=asked)
+        self._state.speed_evidence.on_report(max(unpolled_s, now - executor.alive_at))
         executor.reported_s = report.clock_s
         executor.reported_at = now
         for end in report.ended:
@@ -78,6 +80,7 @@
         for row in report.running:
             listed.add((row.task, row.run))
             self._on_running(executor, row, now)
+        self._state.speed_evidence.judge(executor.executor_id, now)
         if not report.is_complete:
             # A run that a partial report omits may have ended, so no run counts as missing yet.
             return
@@ -129,6 +132,7 @@
             attempt.progress = row.progress
             attempt.progress_at = executor.alive_at
         attempt.usage = row.usage
+        self._state.speed_evidence.on_listed(executor, attempt, row, now)
         if not attempt.speculative:
             attempt.task.save(row.run, row.checkpoint)
 
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -6,6 +6,7 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.failures import gang_failures
 
 if TYPE_CHECKING:
@@ -14,6 +15,15 @@
     from linkspan.shard.task import Task
 
 
+MIN_COMPARED_RUNS = 3
+"""Runs of a step whose durations must be known for their median to be typical, not counting further
+runs on one executor: with two of them, one that is long by itself or on a slow executor would
+decide."""
+
+TYPICAL_KEPT_S = 0.25
+"""Time for which a computed typical duration is used again: each report asks for it, once a run."""
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One step of one repetition of a job.
@@ -35,6 +45,9 @@
     durations: list[float] = field(default_factory=list)
     _median_s: float = 0.0
     _median_count: int = 0
+    _typical_s: float | None = None
+    _typical_at: float = NEVER
+    _typical_count: int = 0
 
     @property
     def failures(self) -> int:
@@ -74,6 +87,32 @@
             self._median_s = sorted(self.durations)[self._median_count // 2]
         return self._median_s
 
+    def typical_s(self, now: float, *, again: bool = False) -> float | None:
+        """Return the median duration of its runs at full pace, ``None`` if too few are known.
+
+        Runs that are not done count with the duration that their progress predicts.
+
+        Args:
+            now: Steady time.
+            again: Whether to look again if too few were known a moment ago.
+        """
+        kept = now - self._typical_at < TYPICAL_KEPT_S
+        changed = self._typical_count != len(self.durations)
+        if kept and not changed and (self._typical_s is not None or not again):
+            return self._typical_s
+        self._typical_at = now
+        self._typical_count = len(self.durations)
+        found = list(self.durations)
+        executors = set()
+        for task in self.tasks:
+            for attempt in task.attempts:
+                if attempt.rate and attempt.rate.full_duration_s:
+                    found.append(attempt.rate.full_duration_s)
+                    executors.add(attempt.executor_id)
+        enough = len(self.durations) + len(executors) >= MIN_COMPARED_RUNS
+        self._typical_s = sorted(found)[(len(found) - 1) // 2] if enough else None
+        return self._typical_s
+
     @property
     def expected_s(self) -> float:
         """Expected duration of one of its runs, in seconds; 0 if there is no estimate."""
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -251,11 +251,18 @@
     def summary(self) -> HallSummary:
         """Return the hall's state to publish to other hosts, with selected interference effects."""
         effects = self._effect_selector.select(self._core.interference.effects())
-        return replace(summarize(self._core, steady()), effects=effects)
+        speeds = self._core.health.speeds.published()
+        return replace(summarize(self._core, steady()), effects=effects, speeds=speeds)
 
     def adopt(self, summary: HallSummary) -> None:
-        """Add the interference effects that the owner of another hall has published."""
+        """Add what the owner of another hall, or the former owner of this one, has published.
+
+        Speeds are taken over only before this owner judges by the hall's own reports: later
+        summaries of the hall are its own.
+        """
         self._core.interference.adopt(summary.effects, steady())
+        if not self._recovery.done:
+            self._core.health.speeds.adopt(summary.speeds, steady())
 
     def _on_job(self, job_id: str) -> None:
         if self._recovery.done:
