Move and copy runs by their expected end

Cause: a run beyond three times the median of its siblings was stopped and begun again, up to twice, whatever its progress. A task that is seven times as long by itself lost all its work twice; a run on a slow executor waited as long before it left.

Now a forecast compares the end of a run where it is, by its progress and its executor's slowdown, with that of a new run elsewhere. Runs leave a slow executor for a gain of half a second if another one has room, best-effort runs too; on an executor that another run has shown to be ordinary, a run that progresses stays and gets no copy. Without progress, or where no other run shows the executor's speed, the former bounds hold. The functions moved from _moves.py to _stragglers.py.

--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -8,30 +8,13 @@
 from linkspan.shard.colocation.pacing import MOVE_BELOW_PACE_PERCENT
 from linkspan.shard.planning._offloading import Offloading
 from linkspan.shard.planning._plan_stage import PlanStage
+from linkspan.shard.planning._stragglers import Stragglers
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.step_run import StepRun
 
-STRAGGLER_FACTOR = 3.0
-"""Multiple of the median of its siblings after which a run counts as a straggler. Tasks of one step
-differ by a third at most on a healthy executor."""
-
-STRAGGLER_SLACK_S = 0.5
-"""Added to that bound for short tasks: about the cost of a stop and a new start."""
-
-ESTIMATE_STRAGGLER_FACTOR = 5.0
-"""Multiple of the caller's estimate after which a run counts as a straggler while fewer than two of
-its siblings have ended. Estimates are wrong by a factor of two to three."""
-
-ESTIMATE_STRAGGLER_SLACK_S = 2.0
-"""Added to the bound from the estimate."""
-
-MAX_STRAGGLER_MOVES = 2
-"""Limits how often a straggling task is moved. Each move loses the work so far, and a task that is
-slow on a third executor, too, is slow by itself."""
-
 MIN_REMAINING_WORK_S = 1.5
 """Minimum of remaining work for which an interfering best-effort run is moved: a move costs about a
 second of work."""
@@ -60,7 +43,7 @@
         self._move_off_draining()
         self._move_off_unregistered()
         Offloading(self._view).add_orders()
-        self._move_stragglers()
+        Stragglers(self._view).add_orders()
         self._move_interfering()
 
     def _move_off_draining(self) -> None:
@@ -110,33 +93,6 @@
             return False
         return self._view.placement(step, self._view.usable()).choose(attempt.task) is not None
 
-    def _move_stragglers(self) -> None:
-        self._core.speed_evidence.forget(self._now)
-        for executor in self._core.executors.values():
-            if executor.silent_since is not None or executor.draining:
-                continue
-            for attempt in executor.duration_checked():
-                if self._is_straggler(attempt):
-                    task = attempt.task
-                    task.moves += 1
-                    task.avoided_executors.add(executor.executor_id)
-                    self._core.speed_evidence.on_overdue(attempt, self._now)
-                    self._core.stop(attempt, self._now, reason="runs far longer than its siblings")
-
-    def _is_straggler(self, attempt: Attempt) -> bool:
-        step = attempt.task.step
-        spec = step.spec
-        if attempt.task.moves >= MAX_STRAGGLER_MOVES:
-            # Counts moves, as avoided executors are cleared when no other one has capacity.
-            return False
-        duration_s = self._now - max(attempt.placed_at, attempt.confirmed_at)
-        if duration_s <= STRAGGLER_SLACK_S:
-            # Fast path for most runs: both bounds below are at least this long.
-            return False
-        if len(step.durations) >= 2:
-            return duration_s > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
-        return duration_s > ESTIMATE_STRAGGLER_FACTOR * spec.estimate_s + ESTIMATE_STRAGGLER_SLACK_S
-
     def _move_interfering(self) -> None:
         """Move best-effort runs with a reduced pace to executors where they interfere less."""
         for executor in list(self._core.executors.values()):
--- a/src/linkspan/shard/planning/_speculative_copies.py
+++ b/src/linkspan/shard/planning/_speculative_copies.py
@@ -7,6 +7,8 @@
 from linkspan.events import Event
 from linkspan.shard._reasons import start_reason
 from linkspan.shard.planning._plan_stage import PlanStage
+from linkspan.shard.planning._run_forecast import forecast
+from linkspan.shard.reports.executor_speeds import ORDINARY
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -41,16 +43,25 @@
         if attempt.task.crash_history or not attempt.task.startable(self._now):
             # A copy could crash a second executor, or a start was refused a moment ago.
             return False
-        if len(step.durations) < 2 or step.run.job.closing:
-            return False
-        if (
-            self._now - attempt.placed_at
-            <= COPY_DURATION_FACTOR * step.median_s + COPY_DURATION_SLACK_S
-        ):
+        if step.run.job.closing or not self._takes_long(attempt):
             return False
         copied = sum(len(task.attempts) > 1 for task in step.tasks)
         return copied < max(MAX_COPIED_SHARE * step.spec.count, 1)
 
+    def _takes_long(self, attempt: Attempt) -> bool:
+        """Whether a copy is expected to end sooner, or the run takes longer than its siblings."""
+        speeds = self._core.health.speeds
+        durations = attempt.task.step.durations
+        overdue = len(durations) >= 2 and (
+            self._now - attempt.placed_at
+            > COPY_DURATION_FACTOR * attempt.task.step.median_s + COPY_DURATION_SLACK_S
+        )
+        if not overdue and speeds.slowdown(attempt.executor_id) <= ORDINARY:
+            # Fast path for most runs.
+            return False
+        expected = forecast(attempt, speeds, stop_s=self._core.bounds.stop_s, now=self._now)
+        return overdue if expected is None else expected.copied_s < expected.here_s
+
     def _copy(self, attempt: Attempt, present: ExecutorState) -> None:
         others = [e for e in self._view.usable() if e is not present]
         executor = self._view.placement(attempt.task.step, others).choose(attempt.task)
