Leave runs on slow executors to their copies where copies are allowed

Cause: moves come before copies in a plan, so a run of a speculative step was stopped on a slow executor and lost its work, though a copy beside it loses none. Now only runs of steps that save checkpoints or fill, or may have no copies, are moved early. Test: test_runs_that_may_have_copies_get_them_on_a_slow_executor.

--- a/src/linkspan/shard/planning/_stragglers.py
+++ b/src/linkspan/shard/planning/_stragglers.py
@@ -132,4 +132,8 @@
     if len(attempt.task.attempts) > 1 or step.run.job.requires_ticket:
         # A copy runs already, or the policy may refuse a ticket for the other executor.
         return False
-    return not (step.spec.standing or step.spec.gang)
+    spec = step.spec
+    if spec.speculative and not (spec.best_effort or spec.checkpoints):
+        # A copy costs none of the work so far.
+        return False
+    return not (spec.standing or spec.gang)
--- a/tests/shard/test_moves_by_expected_end.py
+++ b/tests/shard/test_moves_by_expected_end.py
@@ -74,6 +74,17 @@
     assert run.done
 
 
+def test_runs_that_may_have_copies_get_them_on_a_slow_executor() -> None:
+    """A copy loses none of the work; it begins before its siblings have shown their duration."""
+    work = step(12, estimate_s=4.0, speculative=True)
+    hall = SteppedHall(work, executors=6, length_s=lambda _name: 4.0)
+    hall.play(1.5)
+    hall.slowdowns["e0"] = SLOWDOWN
+    hall.play(1.5 + LEAVES_WITHIN_S + 0.25)
+    assert hall.named(Event.RUN_MOVED) == []
+    assert {fields["beside"] for _, fields in hall.named(Event.RUN_COPIED)} == {"e0"}
+
+
 def test_a_run_that_is_nearly_done_stays_on_a_slow_executor() -> None:
     """It would lose all of its work, and ends there sooner than a new run elsewhere."""
     hall = SteppedHall(step(12, estimate_s=4.0), executors=6, length_s=lambda _name: 4.0)
