--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -252,12 +252,19 @@
     def summary(self) -> HallSummary:
         """Return the hall's state to publish to other hosts, with selected interference effects."""
         effects = self._effect_selector.select(self._core.interference.effects())
+        speeds = self._core.health.speeds.published()
         summary = summarize(self._core, steady(), wall=time.time())
-        return replace(summary, effects=effects)
+        return replace(summary, effects=effects, speeds=speeds)
 
     def adopt(self, summary: HallSummary) -> None:
-        """Add the interference effects that the owner of another hall has published."""
+        """Add what the owner of another hall, or the former owner of this one, has published.
+
+        Speeds are taken over only before this owner judges by the hall's own reports: later
+        summaries of the hall are its own.
+        """
         self._core.interference.adopt(summary.effects, steady())
+        if not self._recovery.done:
+            self._core.health.speeds.adopt(summary.speeds, steady())
 
     def _on_job(self, job_id: str) -> None:
         if self._recovery.done:
