--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -233,7 +233,6 @@
     )
     RUN_ENDED = 535, logging.INFO, "run ended before its task was done", "read how"
     RUN_LOST = 536, logging.WARNING, "executor no longer lists a run", "nothing; it is run again"
-    RUNS_YIELDED = 590, logging.INFO, "best-effort runs give way to a started run", "nothing"
     RUN_MOVED = 537, logging.INFO, "run stopped to continue elsewhere", "read the reason"
     UNKNOWN_RUN_STOPPED = 538, logging.WARNING, "run of no known task stopped", "nothing"
     PACE_SET = 539, logging.INFO, "pace of best-effort runs changed", "nothing"
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -92,7 +92,6 @@
     "linkspan_crashes_taken_back_total": "Crashes counted under tasks that turned out to be none",
     "linkspan_restarts_total": "Executors found to have started again under their id",
     "linkspan_reports_passed_over_total": "Reports of executors that nothing was concluded from",
-    "linkspan_runs_yielded_total": "Best-effort runs slowed down in favour of a run that started",
     "linkspan_executors_found_slow_total": "Executors found to run their tasks slowly",
     "linkspan_executors_found_recovered_total": "Slow executors found to have recovered",
     "linkspan_slow_runs_moved_total": "Runs stopped on slow executors to continue elsewhere",
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -17,9 +17,6 @@
 FULL_PACE = 100
 """Pace in percent at which each run starts."""
 
-MIN_PACE_PERCENT = 10
-"""Minimum pace in percent: a task that would get less pauses instead."""
-
 FULL_PROGRESS = 100
 """Progress in percent of a run that is done, or of a standing task that is serving."""
 
@@ -52,8 +49,6 @@
         confirmed_at: Steady time at which the executor confirmed the run.
         pace: Ordered share of full speed, in percent.
         pace_confirmed: Whether the executor has confirmed the pace.
-        yielded: Whether it was slowed down in favour of a run with precedence and has not been at
-            full speed since. Another owner does not know, and sets its pace anew.
         paced_at: Steady time of the last pace order.
         full_pace_s: Work done up to ``paced_at``, as seconds at full speed.
         progress: Reported share of the work that is done, in percent.
@@ -95,7 +90,6 @@
     confirmed_at: float = NEVER
     pace: int = FULL_PACE
     pace_confirmed: bool = True
-    yielded: bool = False
     paced_at: float = NEVER
     full_pace_s: float = 0.0
     progress: int = 0
@@ -186,4 +180,3 @@
         self.paced_at = now
         self.pace = percent
         self.pace_confirmed = True
-        self.yielded = self.yielded and percent < FULL_PACE
--- a/src/linkspan/shard/colocation/_best_effort_capacity.py
+++ b/src/linkspan/shard/colocation/_best_effort_capacity.py
@@ -4,10 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._pressure_budget import PressureBudget
-from linkspan.shard.planning._yielding import may_yield
-from linkspan.shard.planning.urgency import Precedence, Timeliness, timeliness_of
+from linkspan.shard.planning.urgency import Timeliness, timeliness_of
 
 if TYPE_CHECKING:
     from linkspan.shard.colocation.interference import InterferenceEstimator
@@ -40,8 +38,7 @@
         self._wall = wall
         self._pressure_budgets: dict[tuple[str, Timeliness], PressureBudget] = {}
         self._timeliness: dict[StepRun, Timeliness] = {}
-        self._precedences: dict[StepRun, Precedence] = {}
-        self._unused: dict[str, dict[Precedence, float]] = {}
+        self._unused: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"BestEffortCapacity({len(self._pressure_budgets)})"
@@ -56,45 +53,18 @@
             self._pressure_budgets.pop((executor.executor_id, timeliness), None)
         self._unused.pop(executor.executor_id, None)
 
-    def unused_cpu(self, executor: ExecutorState, precedence: Precedence) -> float:
+    def unused_cpu(self, executor: ExecutorState) -> float:
         """Return thousandths of a core that best-effort tasks would find unused on an executor.
 
-        Runs that yield to the tasks are not counted. Runs that gave way to others are counted at
-        full speed, so that they continue before another run of their kind starts.
-
         Returns :data:`NO_UNUSED_CPU` where a standing task is over its target: a new run starts at
         full speed, even if the colocated best-effort runs have been slowed down.
-
-        Args:
-            executor: The executor.
-            precedence: Precedence of the tasks' step.
         """
-        by_precedence = self._unused.setdefault(executor.record.executor_id, {})
-        unused = by_precedence.get(precedence)
+        unused = self._unused.get(executor.record.executor_id)
         if unused is None:
-            unused = by_precedence[precedence] = self._unused_cpu(executor, precedence)
+            unused = NO_UNUSED_CPU if executor.over_latency_target else remaining_cpu(executor)
+            self._unused[executor.record.executor_id] = unused
         return unused
 
-    def _unused_cpu(self, executor: ExecutorState, precedence: Precedence) -> float:
-        if executor.over_latency_target:
-            return NO_UNUSED_CPU
-        unused = executor.record.capacity.milli_cpu - STANDING_USE_SHARE * executor.reserved_cpu
-        for attempt in executor.all_best_effort():
-            step = attempt.task.step
-            if may_yield(attempt) and self.precedence(step).yields_to(precedence):
-                continue
-            pace = FULL_PACE if attempt.yielded else attempt.pace
-            unused -= step.spec.demand.milli_cpu * pace / FULL_PACE
-        return unused
-
-    def precedence(self, step: StepRun) -> Precedence:
-        """Return a step's precedence, which no placement of a plan changes."""
-        precedence = self._precedences.get(step)
-        if precedence is None:
-            precedence = Precedence(step.run.job.priority, self.timeliness(step))
-            self._precedences[step] = precedence
-        return precedence
-
     def _pressure_budget(self, executor: ExecutorState, step: StepRun) -> PressureBudget:
         """Return the pressure that standing tasks there still tolerate from a step's tasks."""
         timeliness = self.timeliness(step)
--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -5,8 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.attempt import FULL_PACE, MIN_PACE_PERCENT
-from linkspan.shard.colocation._core_limits import CoreLimits
+from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._pressure_budget import MAX_KEPT_PACE_PRESSURE, PressureBudget
 from linkspan.shard.colocation.interference import latency_ratio
 from linkspan.shard.planning.urgency import Urgencies
@@ -28,6 +27,9 @@
 SLOW_ALL_FACTOR = 0.5
 """Factor on the pace of all colocated best-effort tasks when all are slowed down."""
 
+MIN_PACE_PERCENT = 10
+"""Minimum pace in percent: a task that would get less pauses instead."""
+
 MIN_PACE_CHANGE_PERCENT = 10
 """Minimum change of pace in percent that justifies an order."""
 
@@ -82,9 +84,9 @@
             executor, self._interference, now, best_effort, limit=MAX_KEPT_PACE_PRESSURE
         )
         if present.is_exceeded or any(a.over_target_since is not None for a in standing):
-            self._reallocate(executor, standing, by_urgency, now, wall)
+            self._reallocate(executor, standing, by_urgency, now)
         else:
-            self._raise_paces(executor, by_urgency, now, wall)
+            self._raise_paces(executor, by_urgency, now)
 
     def _track_over_target(self, attempt: Attempt, best_effort_count: int, now: float) -> None:
         """Track since when a standing task is over its target; log the duration at the end."""
@@ -111,32 +113,27 @@
         standing: list[Attempt],
         by_urgency: list[Attempt],
         now: float,
-        wall: float,
     ) -> None:
         """Reallocate the pressure that the standing tasks tolerate, the most urgent task first."""
         worst = max(standing, key=lambda a: latency_ratio(a) or 0.0, default=None)
         factor = _over_target_factor(standing, now)
         remaining = PressureBudget(executor, self._interference, now)
-        limits = CoreLimits(executor, wall)
         for attempt in by_urgency:
             spec = attempt.task.step.spec
-            share = min(remaining.share(spec), limits.share(attempt))
+            share = remaining.share(spec)
             if factor < 1.0:
                 share = min(share, factor * attempt.pace / 100)
             self._set_pace(executor, attempt, int(100 * share), worst, now)
             remaining.add(spec, attempt.pace / 100)
 
-    def _raise_paces(
-        self, executor: ExecutorState, by_urgency: list[Attempt], now: float, wall: float
-    ) -> None:
+    def _raise_paces(self, executor: ExecutorState, by_urgency: list[Attempt], now: float) -> None:
         """Allocate the pressure left over at the current paces, the most urgent task first."""
         remaining = PressureBudget(executor, self._interference, now, by_urgency)
-        limits = CoreLimits(executor, wall)
         for attempt in by_urgency:
             if attempt.pace >= FULL_PACE and attempt.pace_confirmed:
                 continue
             spec, pace = attempt.task.step.spec, attempt.pace
-            increase = min(remaining.share(spec), limits.share(attempt) - pace / 100)
+            increase = min(remaining.share(spec), 1.0 - pace / 100)
             self._set_pace(executor, attempt, pace + int(100 * increase), None, now)
             remaining.add(spec, (attempt.pace - pace) / 100)
 
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -334,14 +334,9 @@
         return [a for a in self._copyable.values() if a.phase is Phase.RUNNING]
 
     def paced_below(self, below: int) -> list[Attempt]:
-        """Return running best-effort attempts whose pace is below a limit in percent.
-
-        Runs that gave way to others get their cores back here.
-        """
+        """Return running best-effort attempts whose pace is below a limit in percent."""
         if not self._best_effort:
             return []
         return [
-            a
-            for a in self._best_effort.values()
-            if a.pace < below and a.phase is Phase.RUNNING and not a.yielded
+            a for a in self._best_effort.values() if a.pace < below and a.phase is Phase.RUNNING
         ]
--- a/src/linkspan/shard/planning/_free_capacity.py
+++ b/src/linkspan/shard/planning/_free_capacity.py
@@ -13,7 +13,6 @@
     from linkspan.jobs.spec import Demand
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.planning.urgency import Precedence
 
 ANY_MILLI_CPU = math.nextafter(NO_UNUSED_CPU, 0.0)
 """Lower bound of free thousandths of a core that excludes only :data:`NO_UNUSED_CPU`."""
@@ -25,13 +24,12 @@
     Attributes:
         service: Service that the executors belong to.
         label: Label that they carry, empty if none is required.
-        best_effort: Precedence of best-effort steps, for which reserved but unused cores count as
-            free; ``None`` for others.
+        best_effort: Whether reserved but unused cores count as free.
     """
 
     service: str
     label: str
-    best_effort: Precedence | None
+    best_effort: bool
 
 
 class FreeCapacity:
@@ -101,8 +99,8 @@
         self, executor: ExecutorState, group: ExecutorGroup
     ) -> tuple[ExecutorState, int, int, float]:
         free_cpu = (
-            executor.free_cpu
-            if group.best_effort is None
-            else self._best_effort_capacity.unused_cpu(executor, group.best_effort)
+            self._best_effort_capacity.unused_cpu(executor)
+            if group.best_effort
+            else executor.free_cpu
         )
         return executor, executor.free_memory, executor.free_gpus, free_cpu
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from linkspan.shard.attempt import FULL_PACE, MIN_PACE_PERCENT
-from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU, remaining_cpu
+from linkspan.shard.attempt import FULL_PACE
+from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU
+from linkspan.shard.colocation.pacing import MIN_PACE_PERCENT
 from linkspan.shard.planning._free_capacity import ANY_MILLI_CPU, ExecutorGroup
 from linkspan.shard.planning._second_runs import is_last_run
 from linkspan.shard.planning.set_asides import SetAsides
@@ -22,7 +23,7 @@
     from linkspan.shard.planning._free_capacity import FreeCapacity
     from linkspan.shard.planning._step_scores import StepScores
     from linkspan.shard.planning.task_need import Obstacle, Room
-    from linkspan.shard.planning.urgency import Precedence
+    from linkspan.shard.planning.urgency import Timeliness
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
@@ -40,10 +41,6 @@
 duration of a short task. One task in fifty fails by its own fault wherever it runs, and an executor
 that fails all tasks is quarantined after two jobs."""
 
-YIELD_PENALTY = 50.0
-"""Added to the score of an executor where runs have to give way to the task: above any difference
-in load, so that none gives way while there is room."""
-
 LAST_RUN_AVOIDANCE_S = 1.0
 """The same for a task whose job fails with its next failure: by then two jobs have failed on an
 executor that fails all tasks, and it is quarantined."""
@@ -60,7 +57,7 @@
         label: Required label, empty if there is none.
         demand: Resources that one task takes.
         standing: Whether the tasks are standing ones.
-        best_effort: Image and precedence of best-effort tasks, ``None`` for others.
+        best_effort: Image and timeliness of best-effort tasks, ``None`` for others.
         use_headroom: Whether a standing task may use the headroom for short ones.
         starved: Whether pressure on standing tasks is ignored.
     """
@@ -69,7 +66,7 @@
     label: str
     demand: Demand
     standing: bool
-    best_effort: tuple[str, Precedence] | None
+    best_effort: tuple[str, Timeliness] | None
     use_headroom: bool
     starved: bool
 
@@ -167,11 +164,7 @@
         milli_cpu: float = spec.demand.milli_cpu
         if spec.best_effort:
             milli_cpu = ANY_MILLI_CPU if starved else milli_cpu * MIN_BEST_EFFORT_SHARE
-        group = ExecutorGroup(
-            job.service,
-            spec.label,
-            self.best_effort_capacity.precedence(self.step) if spec.best_effort else None,
-        )
+        group = ExecutorGroup(job.service, spec.label, spec.best_effort)
         return self.free_capacity.with_capacity(group, spec.demand, milli_cpu)
 
     def clear_avoided(self, task: Task) -> bool:
@@ -209,7 +202,7 @@
         if spec.gang or spec.max_per_executor or self.step.run.job.requires_ticket:
             return None
         best_effort = (
-            (spec.image, self.best_effort_capacity.precedence(self.step))
+            (spec.image, self.best_effort_capacity.timeliness(self.step))
             if spec.best_effort
             else None
         )
@@ -239,15 +232,7 @@
     def _score(self, executor: ExecutorState, use_headroom: bool, starved: bool) -> float:
         if self.reason_against(executor, use_headroom=use_headroom, starved=starved) is not None:
             return NO_CAPACITY_SCORE
-        return self.score(executor) + self._yield_penalty(executor)
-
-    def _yield_penalty(self, executor: ExecutorState) -> float:
-        """Return what is added to the score of an executor where runs have to give way."""
-        spec = self.step.spec
-        if not spec.best_effort:
-            return 0.0
-        unused = remaining_cpu(executor)
-        return 0.0 if unused >= spec.demand.milli_cpu * MIN_BEST_EFFORT_SHARE else YIELD_PENALTY
+        return self.score(executor)
 
     def pace(self, executor: ExecutorState) -> int:
         """Return the pace in percent at which a task of the step starts on an executor."""
@@ -314,9 +299,7 @@
 
     def _reason_against_best_effort(self, executor: ExecutorState, *, starved: bool) -> str | None:
         """Return why an executor cannot take one more best-effort task; ``None`` if it can."""
-        unused = self.best_effort_capacity.unused_cpu(
-            executor, self.best_effort_capacity.precedence(self.step)
-        )
+        unused = self.best_effort_capacity.unused_cpu(executor)
         if unused == NO_UNUSED_CPU:
             return "latency over target"
         if starved:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -9,7 +9,6 @@
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._blocked import blocked_fields
-from linkspan.shard.planning._giving_way import GivingWay
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._second_runs import split_by_failures
@@ -67,7 +66,6 @@
             view.unserved.discard(step)
             if core.may_start(step.run.job, now):
                 self._place_step(step, waiting, view)
-        GivingWay(view).add_orders()
         SpeculativeCopies(view).add_orders()
 
     def _track_evacuation(self) -> None:
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -26,26 +26,6 @@
     NONE = 2
 
 
-class Precedence(NamedTuple):
-    """What decides which of two best-effort steps uses the cores of an executor.
-
-    Attributes:
-        priority: Priority of the step's queue.
-        timeliness: Whether its job can still be in time.
-    """
-
-    priority: int
-    timeliness: Timeliness
-
-    def yields_to(self, other: Precedence) -> bool:
-        """Return whether runs of this step give way to starts of another one.
-
-        Timeliness alone decides within a queue and between queues of one priority. Work of a queue
-        with precedence never gives way.
-        """
-        return self.timeliness > other.timeliness and self.priority >= other.priority
-
-
 class Urgency(NamedTuple):
     """Sort key of steps, the most urgent lowest.
 
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -30,8 +30,7 @@
 
 PACED_POLL_WAIT_S = 0.5
 """Maximum poll wait at executors that run best-effort tasks together with standing ones: the time
-that one latency figure of a standing task covers. The same applies where a run has given way to
-others, which gets faster with a report."""
+that one latency figure of a standing task covers."""
 
 MIN_FIGURES_INTERVAL_S = 0.25
 """Minimum time between two figures of an executor that count, except from polls that waited. A
@@ -193,10 +192,7 @@
             # A poll that acknowledges ends may reach the next incarnation. If the poll waited
             # there, it would acknowledge ends that nobody has read.
             return 0.0
-        best_effort = executor.best_effort()
-        if best_effort and (
-            executor.latency_targeted() or any(attempt.yielded for attempt in best_effort)
-        ):
+        if executor.best_effort() and executor.latency_targeted():
             return PACED_POLL_WAIT_S
         return min(MAX_POLL_WAIT_S, self._settings.bounds.max_lease_s / MIN_POLLS_PER_LEASE)
 
--- a/tests/bench/test_host_profile.py
+++ b/tests/bench/test_host_profile.py
@@ -11,11 +11,12 @@
 from bench._busy_hall import BusyHall
 
 from linkspan.shard.colocation._best_effort_capacity import (
+    NO_UNUSED_CPU,
     BestEffortCapacity,
+    remaining_cpu,
 )
 from linkspan.shard.executor import ExecutorState
 from linkspan.shard.planning.placement import StepPlacement
-from linkspan.shard.planning.urgency import Precedence
 from linkspan.shard.task import Task
 from tests.virtual_time import run_virtual
 
@@ -39,8 +40,8 @@
     return best
 
 
-def _unused(capacity: BestEffortCapacity, executor: ExecutorState, precedence: Precedence) -> float:
-    return capacity._unused_cpu(executor, precedence)
+def _unused(_capacity: BestEffortCapacity, executor: ExecutorState) -> float:
+    return NO_UNUSED_CPU if executor.over_latency_target else remaining_cpu(executor)
 
 
 def _run_traffic() -> tuple[int, str]:
--- a/tests/shard/test_steps_that_fit_nowhere.py
+++ b/tests/shard/test_steps_that_fit_nowhere.py
@@ -44,9 +44,7 @@
     """Return a core with waiting steps of different sizes and executors without free capacity."""
     core = core_with(executors=EXECUTORS)
     for executor in core.executors.values():
-        running = place_running(core, executor, cpu=7_000, best_effort=best_effort)
-        # A run that is no longer of use would give way to the waiting steps.
-        running.task.step.run.job.objective_s = 60.0
+        place_running(core, executor, cpu=7_000, best_effort=best_effort)
     for number in range(STEPS):
         wide = step(3, cpu=4_000 + 10 * number, best_effort=best_effort, estimate_s=60.0)
         core.add_job(submitted_job(wide, job_id=f"{number:016x}"), 0.0)
