--- a/tests/shard/builders.py
+++ b/tests/shard/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from linkspan.events import Event
@@ -55,6 +55,18 @@
     report_ends(core, name, asked=0.0, now=0.01)
 
 
+def add_executors(core: ShardCore, sizes: Mapping[str, int]) -> None:
+    """Register executors with the given thousandths of a core, as :func:`add_executor` does."""
+    records = [
+        ExecutorRecord(name, "pool", f"{name}:1", "east", Demand(cpu, 8 * cpu), frozenset(), "r")
+        for name, cpu in sizes.items()
+    ]
+    core.list_executors(records, 0.0)
+    for record in records:
+        core.executors[record.executor_id].rostered = True
+        report_ends(core, record.executor_id, asked=0.0, now=0.01)
+
+
 def submitted_job(*steps: StepSpec, job_id: str = JOB, accepted: float = 0.0) -> Submitted:
     return Submitted(JobSpec(job_id, QUEUE.name, "text", steps), 0, accepted, "host")
 
