Search for slowed runs' better executors only when due

Each plan searched all executors for each slowed best-effort run, and built its reasons and scores anew. The search is a module of its own now: after a change of pace and once in half a second (the time that a measurement covers), at most 16 a plan, those not searched for longest first. Placements among some executors preselect by free capacity, as placements among all do.

Weighed: a revision of each executor's room in place of the interval. Reports of some executor arrive between any two plans of a busy hall, so that it would save next to nothing.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,9 +1,9 @@
 """Measures what a shard's owner decides with when far more work waits than fits.
 
-Run as ``python -m bench.overload``. A hall's executors are full of standing tasks and of best-effort
-runs, many of them slowed down, and a burst of steps waits for them. The table has the milliseconds
-of processor time of a plan and of a report at the pacer, and counts that do not depend on the
-machine. The digest of the orders shows whether two trees make the same decisions.
+Run as ``python -m bench.overload``. A hall's executors are full of standing tasks and of
+best-effort runs, many of them slowed down, and a burst of steps waits for them. The table has the
+milliseconds of processor time of a plan and of a report at the pacer, and counts that do not depend
+on the machine. The digest of the orders shows whether two trees make the same decisions.
 """
 
 from __future__ import annotations
--- a/src/linkspan/shard/planning/_moves.py
+++ b/src/linkspan/shard/planning/_moves.py
@@ -5,13 +5,11 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.attempt import Phase
-from linkspan.shard.colocation.pacing import MOVE_BELOW_PACE_PERCENT
 from linkspan.shard.planning._offloading import Offloading
 from linkspan.shard.planning._plan_stage import PlanStage
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
-    from linkspan.shard.executor import ExecutorState
     from linkspan.shard.step_run import StepRun
 
 STRAGGLER_FACTOR = 3.0
@@ -32,14 +30,6 @@
 """Limits how often a straggling task is moved. Each move loses the work so far, and a task that is
 slow on a third executor, too, is slow by itself."""
 
-MIN_REMAINING_WORK_S = 1.5
-"""Minimum of remaining work for which an interfering best-effort run is moved: a move costs about a
-second of work."""
-
-MAX_INTERFERENCE_RATIO = 0.4
-"""Limits the interference on the new executor, as a share of the interference on the present
-one."""
-
 DRAIN_MARGIN_S = 1.5
 """Time before a draining executor may leave at which its runs are moved: a stop takes 0.9 s, and
 its answer must arrive, too."""
@@ -61,7 +51,6 @@
         self._move_off_unregistered()
         Offloading(self._view).add_orders()
         self._move_stragglers()
-        self._move_interfering()
 
     def _move_off_draining(self) -> None:
         for executor in self._core.executors.values():
@@ -137,29 +126,3 @@
         if len(step.durations) >= 2:
             return duration_s > STRAGGLER_FACTOR * step.median_s + STRAGGLER_SLACK_S
         return duration_s > ESTIMATE_STRAGGLER_FACTOR * spec.estimate_s + ESTIMATE_STRAGGLER_SLACK_S
-
-    def _move_interfering(self) -> None:
-        """Move best-effort runs with a reduced pace to executors where they interfere less."""
-        for executor in list(self._core.executors.values()):
-            for attempt in executor.paced_below(MOVE_BELOW_PACE_PERCENT):
-                if self._interferes_less_elsewhere(attempt, executor):
-                    self._core.stop(
-                        attempt, self._now, reason="interferes with standing tasks here"
-                    )
-
-    def _interferes_less_elsewhere(self, attempt: Attempt, executor: ExecutorState) -> bool:
-        step = attempt.task.step
-        spec = step.spec
-        remaining_work_s = spec.estimate_s * (1 - attempt.progress / 100)
-        if not spec.checkpoints or spec.gang or remaining_work_s < MIN_REMAINING_WORK_S:
-            return False
-        if step.run.job.requires_ticket:
-            # The policy may refuse a ticket for the other executor; the task would then wait.
-            return False
-        others = [e for e in self._view.usable() if e is not executor]
-        best = self._view.placement(step, others).choose(attempt.task)
-        if best is None:
-            return False
-        interference, image, cpu = self._core.interference, spec.image, spec.demand.milli_cpu
-        present = interference.worst_added(executor, image, cpu)
-        return interference.worst_added(best, image, cpu) < MAX_INTERFERENCE_RATIO * present
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -61,8 +61,9 @@
     def free_capacity(self) -> FreeCapacity:
         """Return the free capacity of the executors that may get new work.
 
-        Only placements that choose among all usable executors update it. It is therefore created
-        after the plan's moves, which place nothing, and is not used by the plan's copies.
+        Only placements that choose among all usable executors update it. The plan's moves place
+        nothing. Its copies may see more capacity than is free, which preselects a few executors
+        too many.
         """
         if self._free_capacity is None:
             self._free_capacity = FreeCapacity(self.usable(), self.best_effort_capacity)
@@ -117,5 +118,6 @@
             scores,
             self.best_effort_capacity,
             self.now,
+            free_capacity=self.free_capacity(),
             set_asides=core.set_asides,
         )
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -78,8 +78,8 @@
         now: Steady time.
         unplaceable: Kinds of tasks that no usable executor has capacity for; ``None`` if
             ``executors`` are only some of the usable ones.
-        free_capacity: Free capacity of the usable executors; ``None`` if ``executors`` are only
-            some of them.
+        free_capacity: Free capacity of the usable executors, or more than that; ``None`` if it is
+            unknown.
         set_asides: What is set aside of executors for waiting tasks.
         less_urgent: Steps that are known to be less urgent than this one.
     """
@@ -160,7 +160,11 @@
         if spec.best_effort:
             milli_cpu = ANY_MILLI_CPU if starved else milli_cpu * MIN_BEST_EFFORT_SHARE
         group = ExecutorGroup(job.service, spec.label, spec.best_effort)
-        return self.free_capacity.with_capacity(group, spec.demand, milli_cpu)
+        found = self.free_capacity.with_capacity(group, spec.demand, milli_cpu)
+        if not found or self.unplaceable is not None:
+            return found
+        given = {executor.executor_id for executor in self.executors}
+        return [executor for executor in found if executor.executor_id in given]
 
     def clear_avoided(self, task: Task) -> bool:
         """Clear the executors that a task avoids if no other had capacity for a while.
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -9,6 +9,7 @@
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._blocked import blocked_fields
+from linkspan.shard.planning._interference_moves import InterferenceMoves
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._setting_aside import SettingAside
@@ -41,6 +42,7 @@
         self._blocked_logged: set[StepRun] = set()
         self._evacuation = core.evacuation
         self._setting_aside = SettingAside(core)
+        self._interference_moves = InterferenceMoves()
 
     def __repr__(self) -> str:
         return f"Planner({self._core!r})"
@@ -58,6 +60,7 @@
         core.release_due(wall, now)
         core.remove_finished_tasks()
         Moves(view).add_orders()
+        self._interference_moves.add_orders(view)
         steps = self._steps_by_urgency(wall)
         self._setting_aside.begin(view, wall)
         for step, waiting in steps:
