Drop steps that fit nowhere by comparing numbers, and bound a plan

Each plan built a placement for each waiting step and searched its executors: waiting work times executors. A kind of task that fits nowhere during a plan now covers all that take more of it, whatever their sizes; a waiting step of such a kind is dropped before a placement is built. Best-effort steps preselect executors by the processor time that leaves a task at full speed there. Whether a job has a run is found once a plan, not for each of its steps (their square).

A plan ends after steps have started for which 2,000 executors are scored (8 steps at least); the next one follows at once, so that answers and reports come in between. Lines that explain a wait are bounded in the same way. Expected durations of all jobs are updated for at most 8 jobs for each ended step on average, those of a job with thousands of steps at 64 of its ends.

What is decided changes only in these bounds: starts above them come a plan later, estimates reach halls with more than 64 jobs later.

--- a/src/linkspan/shard/colocation/_best_effort_capacity.py
+++ b/src/linkspan/shard/colocation/_best_effort_capacity.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.shard.colocation._pressure_budget import PressureBudget
+from linkspan.shard.colocation.interference import scaled_cores
 from linkspan.shard.planning.urgency import Timeliness, timeliness_of
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
         self._pressure_budgets: dict[tuple[str, Timeliness], PressureBudget] = {}
         self._timeliness: dict[StepRun, Timeliness] = {}
         self._unused: dict[str, float] = {}
+        self._worst_effect: dict[tuple[str, str], float] = {}
 
     def __repr__(self) -> str:
         return f"BestEffortCapacity({len(self._pressure_budgets)})"
@@ -47,6 +49,22 @@
         """Return the share of full speed at which an executor can run one more task of a step."""
         return self._pressure_budget(executor, step).share(step.spec)
 
+    def may_run_at_full_speed(self, executor: ExecutorState, step: StepRun) -> bool:
+        """Return whether :meth:`share` may be 1; if not, it is certainly less."""
+        limit = self._pressure_budget(executor, step).max_full_speed_cpu(step.spec.image)
+        return step.spec.demand.milli_cpu <= limit
+
+    def worst_added(self, executor: ExecutorState, image: str, milli_cpu: float) -> float:
+        """Return the maximum pressure that best-effort work would add to a standing task there.
+
+        Placements of a plan do not change it, as their runs are not confirmed yet.
+        """
+        key = executor.record.executor_id, image
+        worst = self._worst_effect.get(key)
+        if worst is None:
+            worst = self._worst_effect[key] = self._interference.worst_effect(executor, image)
+        return worst * scaled_cores(executor, milli_cpu)
+
     def changed(self, executor: ExecutorState) -> None:
         """Discard cached values of an executor after a placement there was made or undone."""
         for timeliness in Timeliness:
@@ -79,6 +97,10 @@
             )
         return budget
 
+    def timeliness_if_best_effort(self, step: StepRun) -> Timeliness | None:
+        """Return a best-effort step's timeliness, ``None`` for others."""
+        return self.timeliness(step) if step.spec.best_effort else None
+
     def timeliness(self, step: StepRun) -> Timeliness:
         """Return a step's timeliness, which no placement of a plan changes."""
         timeliness = self._timeliness.get(step)
--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -28,6 +28,10 @@
 measurement."""
 
 
+ROUNDING_FACTOR = 1.0 + 1e-9
+"""Factor on a limit that is computed in another order than the shares that it stands for."""
+
+
 class PressureBudget:
     """Pressure that the standing tasks of one executor still tolerate from best-effort tasks.
 
@@ -51,6 +55,7 @@
         self._executor = executor
         self._interference = interference
         self._remaining: dict[str, float] = {}
+        self._max_full_speed_cpu: dict[str, float] = {}
         for attempt in executor.latency_targeted():
             image = attempt.task.step.spec.image
             remaining = limit - interference.load(attempt, now)
@@ -76,8 +81,29 @@
                 share = min(share, max(remaining, 0.0) / added)
         return share
 
+    def max_full_speed_cpu(self, image: str) -> float:
+        """Return the thousandths of a core above which a task has a :meth:`share` of less than 1.
+
+        Args:
+            image: The task's image.
+        """
+        limit = self._max_full_speed_cpu.get(image)
+        if limit is None:
+            limit = self._max_full_speed_cpu[image] = self._compute_max_full_speed_cpu(image)
+        return limit
+
+    def _compute_max_full_speed_cpu(self, image: str) -> float:
+        limit = float("inf")
+        cores_of_one = scaled_cores(self._executor, 1.0)
+        for standing, remaining in self._remaining.items():
+            added = self._interference.effect(standing, image) * cores_of_one
+            if added > 0.0:
+                limit = min(limit, max(remaining, MAX_NEGLIGIBLE_PRESSURE) / added)
+        return limit * ROUNDING_FACTOR
+
     def add(self, spec: StepSpec, share: float) -> None:
         """Add the pressure of a task that runs at a share of full speed."""
+        self._max_full_speed_cpu.clear()
         cores = share * scaled_cores(self._executor, spec.demand.milli_cpu)
         for image in self._remaining:
             self._remaining[image] -= self._interference.effect(image, spec.image) * cores
--- a/src/linkspan/shard/colocation/interference.py
+++ b/src/linkspan/shard/colocation/interference.py
@@ -167,9 +167,12 @@
 
     def worst_added(self, executor: ExecutorState, image: str, milli_cpu: float) -> float:
         """Return the maximum pressure that best-effort work would add to a standing task there."""
-        cores = scaled_cores(executor, milli_cpu)
+        return self.worst_effect(executor, image) * scaled_cores(executor, milli_cpu)
+
+    def worst_effect(self, executor: ExecutorState, image: str) -> float:
+        """Return the maximum pressure that one scaled core adds to a standing task there."""
         images = {a.task.step.spec.image for a in executor.latency_targeted()}
-        return max((self.effect(standing, image) * cores for standing in images), default=0.0)
+        return max((self.effect(standing, image) for standing in images), default=0.0)
 
     def effects(self) -> tuple[PairEffect, ...]:
         """Return the learnt effects that are certain enough to publish."""
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -108,6 +108,8 @@
         if self._proof.may_act(now):
             self._planner.plan(now, time.time())
             self._send_orders()
+            if self._planner.left_over:
+                self._changes.wake.set()
         self._changes.notify_writers()
 
     def _send_orders(self) -> None:
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -9,13 +9,13 @@
 from linkspan.shard.planning._free_capacity import FreeCapacity
 from linkspan.shard.planning._isolation import IsolatedPlacement, executors_for_new_work
 from linkspan.shard.planning._step_scores import StepScores
+from linkspan.shard.planning._task_kind import UnplaceableKinds
 from linkspan.shard.planning.placement import StepPlacement
 
 if TYPE_CHECKING:
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
-    from linkspan.shard.planning.placement import TaskKind
     from linkspan.shard.step_run import StepRun
 
 
@@ -29,15 +29,16 @@
         now: Steady time of the plan.
         unserved: Steps with resources set aside for them that this plan has not served yet; they
             are less urgent than the step that it serves.
+        unplaceable: Kinds of tasks that no usable executor has capacity for.
     """
 
     core: ShardCore
     best_effort_capacity: BestEffortCapacity
     now: float
     unserved: set[StepRun] = field(default_factory=set)
+    unplaceable: UnplaceableKinds = field(default_factory=UnplaceableKinds)
     _usable: list[ExecutorState] | None = None
     _free_capacity: FreeCapacity | None = None
-    _unplaceable: set[TaskKind] = field(default_factory=set)
     _matching: dict[tuple[str, str], list[ExecutorState]] = field(default_factory=dict)
     _held_cores: dict[str, int] = field(default_factory=dict)
     _held_cores_orders: int = -1
@@ -106,7 +107,7 @@
                 scores,
                 self.best_effort_capacity,
                 self.now,
-                self._unplaceable,
+                self.unplaceable,
                 self.free_capacity(),
                 set_asides=core.set_asides,
                 less_urgent=self.unserved,
--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -129,6 +129,14 @@
                 self._end(set_aside, SetAsideEnd.STARTED, now)
         self._keep(step, len(step.pending()), now)
 
+    def is_idle(self, step: StepRun, now: float) -> bool:
+        """Return whether :meth:`serve` would certainly do nothing for a step now."""
+        if step in self._set_asides.steps:
+            return False
+        if self._check_at.get(step, NEVER) > now:
+            return True
+        return self._searches >= MAX_SEARCHES_PER_PLAN or step in self._fruitless
+
     def serve(self, placement: StepPlacement, waiting: list[Task], view: PlanView) -> None:
         """Set resources aside for tasks of a step that were not placed, and stop runs if need be.
 
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -95,7 +95,9 @@
             if placed + 1 > max(spec.count * MAX_STEP_SHARE, 1):
                 score += OVER_STEP_SHARE_PENALTY
         if spec.best_effort:
-            added = self.interference.worst_added(executor, spec.image, spec.demand.milli_cpu)
+            added = self.best_effort_capacity.worst_added(
+                executor, spec.image, spec.demand.milli_cpu
+            )
             score += INTERFERENCE_WEIGHT * added
             score += REDUCED_PACE_WEIGHT * (
                 1.0 - self.best_effort_capacity.share(executor, self.step)
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -4,25 +4,25 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from linkspan.shard.attempt import FULL_PACE
 from linkspan.shard.colocation._best_effort_capacity import NO_UNUSED_CPU
 from linkspan.shard.colocation.pacing import MIN_PACE_PERCENT
 from linkspan.shard.planning._free_capacity import ANY_MILLI_CPU, ExecutorGroup
+from linkspan.shard.planning._task_kind import has_kind, kind_of
 from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.planning.task_need import TaskNeed, may_use_headroom
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from linkspan.jobs.spec import Demand
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._free_capacity import FreeCapacity
     from linkspan.shard.planning._step_scores import StepScores
+    from linkspan.shard.planning._task_kind import TaskKind, UnplaceableKinds
     from linkspan.shard.planning.task_need import Obstacle, Room
-    from linkspan.shard.planning.urgency import Timeliness
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
@@ -44,28 +44,6 @@
 """Score of an executor without capacity."""
 
 
-class TaskKind(NamedTuple):
-    """Properties that decide which executors have capacity for a task.
-
-    Attributes:
-        service: Service whose executors run the tasks.
-        label: Required label, empty if there is none.
-        demand: Resources that one task takes.
-        standing: Whether the tasks are standing ones.
-        best_effort: Image and timeliness of best-effort tasks, ``None`` for others.
-        use_headroom: Whether a standing task may use the headroom for short ones.
-        starved: Whether pressure on standing tasks is ignored.
-    """
-
-    service: str
-    label: str
-    demand: Demand
-    standing: bool
-    best_effort: tuple[str, Timeliness] | None
-    use_headroom: bool
-    starved: bool
-
-
 @dataclass
 class StepPlacement:
     """Chooses executors for the pending tasks of one step.
@@ -89,7 +67,7 @@
     scores: StepScores
     best_effort_capacity: BestEffortCapacity
     now: float
-    unplaceable: set[TaskKind] | None = None
+    unplaceable: UnplaceableKinds | None = None
     free_capacity: FreeCapacity | None = None
     set_asides: SetAsides = field(default_factory=SetAsides)
     less_urgent: Collection[StepRun] = ()
@@ -126,7 +104,7 @@
         use_headroom = self.may_use_headroom(task)
         kind = self._kind(use_headroom, starved)
         candidates: list[ExecutorState]
-        if self.unplaceable is not None and kind in self.unplaceable:
+        if kind is not None and self.unplaceable is not None and kind in self.unplaceable:
             # Another step of this kind may not use what is set aside for this one.
             candidates = self._set_aside_for_step()
         else:
@@ -161,6 +139,9 @@
             milli_cpu = ANY_MILLI_CPU if starved else milli_cpu * MIN_BEST_EFFORT_SHARE
         group = ExecutorGroup(job.service, spec.label, spec.best_effort)
         found = self.free_capacity.with_capacity(group, spec.demand, milli_cpu)
+        if spec.best_effort and not starved:
+            capacity, step = self.best_effort_capacity, self.step
+            found = [e for e in found if capacity.may_run_at_full_speed(e, step)]
         if not found or self.unplaceable is not None:
             return found
         given = {executor.executor_id for executor in self.executors}
@@ -190,23 +171,14 @@
         ]
 
     def _kind(self, use_headroom: bool, starved: bool) -> TaskKind | None:
-        """Return the properties that decide which executors have capacity for the next task.
-
-        Placements of a plan only reduce free capacity, so a kind that did not fit does not fit
-        later in the same plan. Returns ``None`` for gangs, whose members may be unplaced again, and
-        for steps with a spread limit or tickets, whose restrictions apply to one step only.
-        """
-        spec = self.step.spec
-        if spec.gang or spec.max_per_executor or self.step.run.job.requires_ticket:
+        """Return the kind of the next task, ``None`` if others of its kind may fit elsewhere."""
+        if not has_kind(self.step):
             return None
-        best_effort = (
-            (spec.image, self.best_effort_capacity.timeliness(self.step))
-            if spec.best_effort
-            else None
-        )
-        service = self.step.run.job.service
-        return TaskKind(
-            service, spec.label, spec.demand, spec.standing, best_effort, use_headroom, starved
+        return kind_of(
+            self.step,
+            self.best_effort_capacity.timeliness_if_best_effort(self.step),
+            use_headroom=use_headroom,
+            starved=starved,
         )
 
     def on_placed(self, executor: ExecutorState) -> None:
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -14,6 +14,7 @@
 from linkspan.shard.planning._plan_view import PlanView
 from linkspan.shard.planning._setting_aside import SettingAside
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
+from linkspan.shard.planning._waiting_steps import WaitingSteps
 from linkspan.shard.planning.urgency import Urgencies
 
 if TYPE_CHECKING:
@@ -25,9 +26,13 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-STARVATION_S = 1.5
-"""Time after which a job with nothing running starts one task on any executor with enough memory.
-The platform counts work as lost that waits for three seconds while there is capacity."""
+MAX_LOOKS_PER_PLAN = 2_000
+"""Limits the executors that a plan scores for steps that start, so that answers and reports are
+handled in between: a score takes about ten microseconds. As many are examined to explain why steps
+wait; further steps are explained in the next plans."""
+
+MIN_STEPS_PER_PLAN = 8
+"""Steps that start in a plan, and that are explained in it, whatever the number of executors."""
 
 
 class Planner:
@@ -44,9 +49,17 @@
         self._setting_aside = SettingAside(core)
         self._interference_moves = InterferenceMoves()
 
+        self._explanations_left = 0
+        self._left_over = False
+
     def __repr__(self) -> str:
         return f"Planner({self._core!r})"
 
+    @property
+    def left_over(self) -> bool:
+        """Whether the last plan left steps to the next one, which must follow at once."""
+        return self._left_over
+
     def plan(self, now: float, wall: float) -> None:
         """Add the orders that are due now to the core.
 
@@ -63,11 +76,24 @@
         self._interference_moves.add_orders(view)
         steps = self._steps_by_urgency(wall)
         self._setting_aside.begin(view, wall)
+        self._place_steps(steps, view)
+        SpeculativeCopies(view).add_orders()
+
+    def _place_steps(self, steps: list[tuple[StepRun, list[Task]]], view: PlanView) -> None:
+        """Place tasks of the steps in their order, until enough of them have started."""
+        waiting_steps = WaitingSteps(view, self._setting_aside)
+        remaining = max(MAX_LOOKS_PER_PLAN // max(len(view.usable()), 1), MIN_STEPS_PER_PLAN)
+        self._explanations_left = remaining
+        self._left_over = False
         for step, waiting in steps:
+            if not remaining:
+                self._left_over = True
+                return
             view.unserved.discard(step)
-            if core.may_start(step.run.job, now):
-                self._place_step(step, waiting, view)
-        SpeculativeCopies(view).add_orders()
+            orders = len(self._core.orders)
+            if self._core.may_start(step.run.job, view.now):
+                self._place_step(step, waiting, view, waiting_steps)
+            remaining -= len(self._core.orders) > orders
 
     def _track_evacuation(self) -> None:
         """Log again why steps wait after an evacuation has begun or ended."""
@@ -89,12 +115,21 @@
         urgencies = Urgencies(wall)
         return sorted(waiting, key=lambda entry: urgencies.of(entry[0]))
 
-    def _place_step(self, step: StepRun, waiting: list[Task], view: PlanView) -> None:
+    def _place_step(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        view: PlanView,
+        waiting_steps: WaitingSteps,
+    ) -> None:
         pending = [t for t in waiting if t.startable(view.now)]
         if self._core.tasks_with_crash_history:
             pending = [t for t in pending if t.crash_history_durable]
         if not pending:
             return
+        explained = step in self._blocked_logged or not self._explanations_left
+        if explained and waiting_steps.changes_nothing(step, pending):
+            return
         placement = view.placement(step)
         if not placement.executors:
             if self._core.evacuation:
@@ -116,7 +151,10 @@
             others = [t for t in pending if not t.needs_isolation] if to_isolate else pending
             placed = self._place_each(placement, others)
             placed += self._place_isolated(placement, to_isolate, view)
-            placed = placed or self._place_starved(placement, pending)
+            if not placed and waiting_steps.is_starved(step, pending):
+                placed = self._place_starved(placement, pending[0])
+        if placed:
+            waiting_steps.on_placed(step.run.job)
         self._log(placement, placed, pending, view)
         self._set_aside(placement, placed, pending, view)
 
@@ -200,19 +238,12 @@
             view.reserve(executor)
         return placed
 
-    def _place_starved(self, placement: StepPlacement, pending: list[Task]) -> list[Attempt]:
-        """Start one best-effort task of a job that has had nothing running for long."""
-        step = placement.step
-        waited = placement.now - min(task.waiting_since for task in pending)
-        if not step.spec.best_effort or waited < STARVATION_S:
-            return []
-        if any(True for _ in step.run.job.attempts()):
-            return []
-        executor = placement.choose(pending[0], starved=True)
+    def _place_starved(self, placement: StepPlacement, task: Task) -> list[Attempt]:
+        """Start a best-effort task of a job that has had nothing running for long."""
+        executor = placement.choose(task, starved=True)
         if executor is None:
             return []
-        pace = placement.pace(executor)
-        return [self._start(placement, pending[0], executor, pace=pace)]
+        return [self._start(placement, task, executor, pace=placement.pace(executor))]
 
     def _choose_avoided(self, placement: StepPlacement, task: Task) -> ExecutorState | None:
         """Return an avoided executor if no other one exists or had capacity for a while."""
@@ -270,7 +301,8 @@
                 **start_reason(self._core, job, placed),
             )
             self._blocked_logged.discard(step)
-        elif step not in self._blocked_logged:
+        elif step not in self._blocked_logged and self._explanations_left:
+            self._explanations_left -= 1
             fields = blocked_fields(placement, pending[0], view.held_cores())
             self._log_blocked(step, pending, **fields)
 
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -14,7 +14,7 @@
 from linkspan.shard.messages import EndKind
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from linkspan.shard.planning._expected_durations import (
-    UPDATE_INTERVAL_STEPS,
+    DurationUpdates,
     record_duration,
     update_expected_durations,
 )
@@ -42,6 +42,7 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._duration_updates = DurationUpdates()
         self._unknown_ends = LogRateLimiter(MAX_UNKNOWN_LINES_PER_S)
 
     def __repr__(self) -> str:
@@ -126,7 +127,7 @@
     def _record_step_duration(self, step: StepRun) -> None:
         estimator = self._state.durations
         record_duration(step, estimator)
-        if estimator.learnt % UPDATE_INTERVAL_STEPS == 0:
+        if self._duration_updates.are_due(estimator.learnt, len(self._state.jobs)):
             for job in self._state.jobs.values():
                 update_expected_durations(job, estimator)
 
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -18,8 +18,8 @@
 from linkspan.shard.handover.summary import HallSummary, summarize
 from linkspan.shard.messages import EndedTask, EndKind, StartAnswer, StartOrder, StartOutcome
 from linkspan.shard.planning._isolation import MAX_ISOLATION_WAIT_S
+from linkspan.shard.planning._waiting_steps import STARVATION_S
 from linkspan.shard.planning.placement import FAILED_EXECUTOR_AVOIDANCE_S
-from linkspan.shard.planning.planner import STARVATION_S
 from tests.job_builders import step
 from tests.shard.builders import (
     JOB,
