--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -56,6 +56,7 @@
         self._interference = interference
         self._remaining: dict[str, float] = {}
         self._max_full_speed_cpu: dict[str, float] = {}
+        self._shares: dict[tuple[str, int], float] = {}
         for attempt in executor.latency_targeted():
             image = attempt.task.step.spec.image
             remaining = limit - interference.load(attempt, now)
@@ -73,6 +74,13 @@
 
     def share(self, spec: StepSpec) -> float:
         """Return the share of full speed at which one more task may run, 0 to 1."""
+        key = spec.image, spec.demand.milli_cpu
+        share = self._shares.get(key)
+        if share is None:
+            share = self._shares[key] = self._compute_share(spec)
+        return share
+
+    def _compute_share(self, spec: StepSpec) -> float:
         cores = scaled_cores(self._executor, spec.demand.milli_cpu)
         share = 1.0
         for image, remaining in self._remaining.items():
@@ -104,6 +112,7 @@
     def add(self, spec: StepSpec, share: float) -> None:
         """Add the pressure of a task that runs at a share of full speed."""
         self._max_full_speed_cpu.clear()
+        self._shares.clear()
         cores = share * scaled_cores(self._executor, spec.demand.milli_cpu)
         for image in self._remaining:
             self._remaining[image] -= self._interference.effect(image, spec.image) * cores
--- a/src/linkspan/shard/planning/_interference_moves.py
+++ b/src/linkspan/shard/planning/_interference_moves.py
@@ -25,8 +25,11 @@
 tolerates changes with its measurements."""
 
 MAX_SEARCHES_PER_PLAN = 16
-"""Limits the searches of one plan, each over all executors. With most of a hall's runs slowed,
-starts wait for the plan; a run that is looked at a few plans later loses little."""
+"""Limits the searches of one plan. With most of a hall's runs slowed, starts wait for the plan; a
+run that is looked at a few plans later loses little."""
+
+MAX_LOOKS_PER_PLAN = 1_000
+"""Limits the executors that these searches look at, in halls with more than sixty."""
 
 
 class _SlowedRun(NamedTuple):
@@ -70,9 +73,12 @@
         ]
         self._searched_at = {r.attempt: r.searched_at for r in slowed if r.searched_at != NEVER}
         due = [r for r in slowed if _is_due(r, view.now) and _is_movable(r.attempt)]
-        if len(due) > MAX_SEARCHES_PER_PLAN:
+        if not due:
+            return
+        limit = min(MAX_LOOKS_PER_PLAN // max(len(view.usable()), 1) + 1, MAX_SEARCHES_PER_PLAN)
+        if len(due) > limit:
             due.sort(key=lambda run: run.searched_at)
-        for run in due[:MAX_SEARCHES_PER_PLAN]:
+        for run in due[:limit]:
             self._searched_at[run.attempt] = view.now
             if _interferes_less_elsewhere(run, view):
                 view.core.stop(run.attempt, view.now, reason="interferes with standing tasks here")
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -110,6 +110,7 @@
         else:
             candidates = self._candidates(starved)
         if not candidates:
+            self._note_unplaceable(kind)
             return None
         scores = self._scores.setdefault((use_headroom, starved), {})
         for executor in candidates:
@@ -119,10 +120,14 @@
                 score = scores[executor_id] = self._score(executor, use_headroom, starved)
             if score < best_score and executor_id not in avoid:
                 best, best_score = executor, score
-        if best is None and not avoid and kind and self.unplaceable is not None:
-            self.unplaceable.add(kind)
+        if best is None and not avoid:
+            self._note_unplaceable(kind)
         return best
 
+    def _note_unplaceable(self, kind: TaskKind | None) -> None:
+        if kind is not None and self.unplaceable is not None and kind not in self.unplaceable:
+            self.unplaceable.add(kind)
+
     def _set_aside_for_step(self) -> list[ExecutorState]:
         """Return the executors of which resources are set aside for the step."""
         mine = {s.executor_id for s in self.set_asides.of(self.step)}
