--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -28,6 +28,10 @@
 measurement."""
 
 
+ROUNDING_FACTOR = 1.0 + 1e-9
+"""Factor on a limit that is computed in another order than the shares that it stands for."""
+
+
 class PressureBudget:
     """Pressure that the standing tasks of one executor still tolerate from best-effort tasks.
 
@@ -51,6 +55,8 @@
         self._executor = executor
         self._interference = interference
         self._remaining: dict[str, float] = {}
+        self._max_full_speed_cpu: dict[str, float] = {}
+        self._shares: dict[tuple[str, int], float] = {}
         for attempt in executor.latency_targeted():
             image = attempt.task.step.spec.image
             remaining = limit - interference.load(attempt, now)
@@ -68,6 +74,13 @@
 
     def share(self, spec: StepSpec) -> float:
         """Return the share of full speed at which one more task may run, 0 to 1."""
+        key = spec.image, spec.demand.milli_cpu
+        share = self._shares.get(key)
+        if share is None:
+            share = self._shares[key] = self._compute_share(spec)
+        return share
+
+    def _compute_share(self, spec: StepSpec) -> float:
         cores = scaled_cores(self._executor, spec.demand.milli_cpu)
         share = 1.0
         for image, remaining in self._remaining.items():
@@ -76,8 +89,30 @@
                 share = min(share, max(remaining, 0.0) / added)
         return share
 
+    def max_full_speed_cpu(self, image: str) -> float:
+        """Return the thousandths of a core above which a task has a :meth:`share` of less than 1.
+
+        Args:
+            image: The task's image.
+        """
+        limit = self._max_full_speed_cpu.get(image)
+        if limit is None:
+            limit = self._max_full_speed_cpu[image] = self._compute_max_full_speed_cpu(image)
+        return limit
+
+    def _compute_max_full_speed_cpu(self, image: str) -> float:
+        limit = float("inf")
+        cores_of_one = scaled_cores(self._executor, 1.0)
+        for standing, remaining in self._remaining.items():
+            added = self._interference.effect(standing, image) * cores_of_one
+            if added > 0.0:
+                limit = min(limit, max(remaining, MAX_NEGLIGIBLE_PRESSURE) / added)
+        return limit * ROUNDING_FACTOR
+
     def add(self, spec: StepSpec, share: float) -> None:
         """Add the pressure of a task that runs at a share of full speed."""
+        self._max_full_speed_cpu.clear()
+        self._shares.clear()
         cores = share * scaled_cores(self._executor, spec.demand.milli_cpu)
         for image in self._remaining:
             self._remaining[image] -= self._interference.effect(image, spec.image) * cores
