Let a report's cost at the pacer follow what runs on that executor

Each report sorted all best-effort runs of its executor by urgency, with the remaining work of all tasks of each run's job, and built two pressure budgets. Urgencies are kept for 0.25 s over all executors now, only slowed runs are sorted where paces can only rise, and one budget serves both limits.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -156,9 +156,9 @@
         for number in range(self.executors * steps_each):
             cpu = random.randrange(1_000, 6_000, 250)
             if number % 2:
-                self._add(step(random.randint(1, 4), cpu=cpu, estimate_s=0.4))
+                self.add(step(random.randint(1, 4), cpu=cpu, estimate_s=0.4))
             else:
-                self._add(self._best_effort(random.randint(2, 8), cpu))
+                self.add(self._best_effort(random.randint(2, 8), cpu))
 
     def run(self, plans: int, now: float) -> float:
         """Make plans with reports and ends between them; return the steady time after them."""
@@ -171,7 +171,8 @@
             now += PLAN_INTERVAL_S
         return now
 
-    def _add(self, spec: Any) -> None:
+    def add(self, spec: Any) -> None:
+        """Add a job of one step."""
         self._jobs += 1
         self.core.add_job(submitted_job(spec, job_id=f"{self._jobs:016x}"), 0.0)
 
@@ -205,7 +206,7 @@
                 free -= cpu
 
     def _start(self, spec: Any, executor: ExecutorState) -> Attempt:
-        self._add(spec)
+        self.add(spec)
         task = next(reversed(self.core.jobs.values())).runs[0].steps[0].tasks[0]
         attempt = self.core.place(task, executor, 0.0)
         attempt.confirm(0.0)
--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING
 
 from linkspan.shard.colocation.interference import scaled_cores
@@ -109,6 +110,14 @@
                 limit = min(limit, max(remaining, MAX_NEGLIGIBLE_PRESSURE) / added)
         return limit * ROUNDING_FACTOR
 
+    def lowered(self, pressure: float) -> PressureBudget:
+        """Return the budget under a limit that is lower by a pressure."""
+        lowered = copy(self)
+        lowered._remaining = {image: r - pressure for image, r in self._remaining.items()}
+        lowered._max_full_speed_cpu = {}
+        lowered._shares = {}
+        return lowered
+
     def add(self, spec: StepSpec, share: float) -> None:
         """Add the pressure of a task that runs at a share of full speed."""
         self._max_full_speed_cpu.clear()
--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -6,9 +6,13 @@
 
 from linkspan.events import Event
 from linkspan.shard.attempt import FULL_PACE
-from linkspan.shard.colocation._pressure_budget import MAX_KEPT_PACE_PRESSURE, PressureBudget
+from linkspan.shard.colocation._pressure_budget import (
+    MAX_KEPT_PACE_PRESSURE,
+    MAX_PLACEMENT_PRESSURE,
+    PressureBudget,
+)
+from linkspan.shard.colocation._recent_urgencies import RecentUrgencies
 from linkspan.shard.colocation.interference import latency_ratio
-from linkspan.shard.planning.urgency import Urgencies
 
 if TYPE_CHECKING:
     from linkspan.shard.attempt import Attempt
@@ -55,6 +59,7 @@
         self._core = core
         self._interference = interference
         self._changed_at: dict[str, float] = {}
+        self._urgencies = RecentUrgencies()
 
     def __repr__(self) -> str:
         return f"Pacer({self._core!r})"
@@ -75,15 +80,20 @@
         last = self._changed_at.get(executor.executor_id, float("-inf"))
         if not best_effort or now - last < MEASUREMENT_PERIOD_S:
             return
-        urgencies = Urgencies(wall)
-        by_urgency = sorted(best_effort, key=lambda a: urgencies.of(a.task.step))
+        self._urgencies.begin(wall)
         present = PressureBudget(
             executor, self._interference, now, best_effort, limit=MAX_KEPT_PACE_PRESSURE
         )
         if present.is_exceeded or any(a.over_target_since is not None for a in standing):
-            self._reallocate(executor, standing, by_urgency, now)
-        else:
-            self._raise_paces(executor, by_urgency, now)
+            self._reallocate(executor, standing, self._by_urgency(best_effort), now)
+            return
+        slowed = [a for a in best_effort if a.pace < FULL_PACE or not a.pace_confirmed]
+        if slowed:
+            remaining = present.lowered(MAX_KEPT_PACE_PRESSURE - MAX_PLACEMENT_PRESSURE)
+            self._raise_paces(executor, self._by_urgency(slowed), remaining, now)
+
+    def _by_urgency(self, attempts: list[Attempt]) -> list[Attempt]:
+        return sorted(attempts, key=lambda attempt: self._urgencies.of(attempt.task.step))
 
     def _track_over_target(self, attempt: Attempt, best_effort_count: int, now: float) -> None:
         """Track since when a standing task is over its target; log the duration at the end."""
@@ -123,12 +133,15 @@
             self._set_pace(executor, attempt, int(100 * share), worst, now)
             remaining.add(spec, attempt.pace / 100)
 
-    def _raise_paces(self, executor: ExecutorState, by_urgency: list[Attempt], now: float) -> None:
+    def _raise_paces(
+        self,
+        executor: ExecutorState,
+        by_urgency: list[Attempt],
+        remaining: PressureBudget,
+        now: float,
+    ) -> None:
         """Allocate the pressure left over at the current paces, the most urgent task first."""
-        remaining = PressureBudget(executor, self._interference, now, by_urgency)
         for attempt in by_urgency:
-            if attempt.pace >= FULL_PACE and attempt.pace_confirmed:
-                continue
             spec, pace = attempt.task.step.spec, attempt.pace
             increase = min(remaining.share(spec), 1.0 - pace / 100)
             self._set_pace(executor, attempt, pace + int(100 * increase), None, now)
