Measure a resumed run's progress only once its work is under way

Cause: a run that resumes from a checkpoint restores it first, for up to 0.6 s without progress. Several such runs at once, as after a crash or a takeover, would mark their executor slow. Runs whose start this owner has not seen, and resumed ones, are now measured from the first rise on. Test: test_a_run_that_restores_its_checkpoint_is_not_slow.

--- a/src/linkspan/shard/progress_rate.py
+++ b/src/linkspan/shard/progress_rate.py
@@ -31,6 +31,8 @@
         clock_s: Reading of the executor's clock at the start of the present window.
         percent: Progress at that time, in percent.
         pace: Ordered pace in the present window, in percent.
+        under_way: Whether the work is known to have begun: a run that resumes from a checkpoint
+            restores it first.
         percent_per_s: Rate of the last whole window at full pace, in percent per second; ``None``
             before the end of the first one.
         rose: Whether the reported progress rose within that window.
@@ -44,6 +46,7 @@
     clock_s: float
     percent: int
     pace: int = FULL_PACE
+    under_way: bool = True
     percent_per_s: float | None = None
     rose: bool = False
     measured_at: float = NEVER
@@ -66,6 +69,10 @@
         if pace != self.pace or clock_s < self.clock_s or percent < self.percent or pace <= 0:
             self._begin(clock_s, percent, pace)
             return False
+        if not self.under_way:
+            self.under_way = percent > self.percent
+            self._begin(clock_s, percent, pace)
+            return False
         window_s = clock_s - self.clock_s
         share_s = min(MIN_WINDOW_SHARE * expected_s, MAX_MIN_WINDOW_S)
         if window_s < max(MIN_WINDOW_S, share_s):
--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -77,11 +77,12 @@
         clock_s = executor.reported_s
         rate = attempt.rate
         if rate is None:
-            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace)
+            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace, under_way=False)
             return
         if row.progress > rate.percent:
             self._progress_seen = True
-        if clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace:
+        in_window = clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace
+        if in_window and rate.under_way:
             # Fast path for reports in quick succession.
             return
         expected_s, weight = self._expected(attempt, now)
--- a/tests/shard/test_executor_speeds.py
+++ b/tests/shard/test_executor_speeds.py
@@ -230,6 +230,15 @@
     assert hall.named(Event.EXECUTOR_SPEED) == []
 
 
+def test_a_run_that_restores_its_checkpoint_is_not_slow() -> None:
+    """Restoring takes up to 0.6 s, in which the progress does not rise."""
+    rate = ProgressRate(1.0, 40, under_way=False)
+    assert not rate.observe(1.6, 40, 100, 1.6, expected_s=2.0)
+    assert not rate.observe(1.8, 50, 100, 1.8, expected_s=2.0)
+    assert rate.observe(2.3, 75, 100, 2.3, expected_s=2.0)
+    assert rate.full_duration_s == pytest.approx(2.0)
+
+
 def test_a_changed_pace_is_not_a_changed_speed() -> None:
     """A best-effort run at a quarter of its pace progresses at a quarter of its speed."""
     rate = ProgressRate(1.0, 0)
