Judge by progress only where it rises between two reports

Now a window lasts until the progress has risen, and the start of a run counts as its beginning only where progress has been seen to rise between reports. Executors that do not are judged by ends, and their runs by the former bounds.

--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -110,7 +110,7 @@
             if attempt.phase in (Phase.STARTING, Phase.DOUBT):
                 attempt.confirm(now)
                 attempt.carried_over = False
-                self._state.speed_evidence.on_started(attempt, answer.clock_s)
+                self._state.speed_evidence.on_started(executor, attempt, answer.clock_s)
                 self._record_confirmation(attempt)
                 if attempt.pace < FULL_PACE:
                     # Every run starts at full speed.
--- a/src/linkspan/shard/planning/_run_forecast.py
+++ b/src/linkspan/shard/planning/_run_forecast.py
@@ -26,10 +26,6 @@
 START_S = 0.2
 """Time from the end of a stopped run to the start of the next one: a report and a plan."""
 
-MAX_LENGTH_RATIO = 16.0
-"""Duration over that of its siblings, on an executor of ordinary speed, from which on a run counts
-as stuck rather than as long: long tasks take seven times as long."""
-
 
 class RunForecast(NamedTuple):
     """When a run is expected to end.
@@ -70,8 +66,6 @@
     if rate is None or rate.full_duration_s is None or now - rate.measured_at > MAX_RATE_AGE_S:
         return None
     length_s = rate.full_duration_s / slowdown
-    if not rate.rose and _is_stuck(attempt, length_s):
-        return None
     remaining_s = length_s * (1.0 - rate.percent_at(now) / FULL_PROGRESS)
     saved = attempt.task.step.spec.checkpoints
     return RunForecast(
@@ -87,9 +81,3 @@
     if remaining_s <= done_slowly_s:
         return remaining_s * slowdown
     return SLOW_LASTS_S + remaining_s - done_slowly_s
-
-
-def _is_stuck(attempt: Attempt, length_s: float) -> bool:
-    """Whether a run whose progress did not rise in the last window is more than just long."""
-    expected_s = attempt.task.step.expected_s
-    return expected_s > 0 and length_s > MAX_LENGTH_RATIO * expected_s
--- a/src/linkspan/shard/progress_rate.py
+++ b/src/linkspan/shard/progress_rate.py
@@ -16,9 +16,6 @@
 MAX_MIN_WINDOW_S = 1.0
 """Limits that length, so that a change of speed shows within about a second."""
 
-MIN_RISE_PERCENT = 0.5
-"""Assumed rise within a window in which the reported progress did not rise: half the rounding."""
-
 
 @dataclass(slots=True)
 class ProgressRate:
@@ -35,7 +32,6 @@
             restores it first.
         percent_per_s: Rate of the last whole window at full pace, in percent per second; ``None``
             before the end of the first one.
-        rose: Whether the reported progress rose within that window.
         measured_at: Steady time of the end of that window.
         ordinary_s: Duration of the whole run on an executor of ordinary speed, as measured;
             ``None`` as long as it is unknown.
@@ -48,7 +44,6 @@
     pace: int = FULL_PACE
     under_way: bool = True
     percent_per_s: float | None = None
-    rose: bool = False
     measured_at: float = NEVER
     ordinary_s: float | None = None
     doubted_at: float = NEVER
@@ -75,11 +70,12 @@
             return False
         window_s = clock_s - self.clock_s
         share_s = min(MIN_WINDOW_SHARE * expected_s, MAX_MIN_WINDOW_S)
-        if window_s < max(MIN_WINDOW_S, share_s):
-            return False
         rise = percent - self.percent
-        self.rose = rise > 0
-        self.percent_per_s = max(rise, MIN_RISE_PERCENT) / window_s * FULL_PACE / pace
+        if window_s < max(MIN_WINDOW_S, share_s) or not rise:
+            # Some executors report the same progress all the time. A slow run shows one percent at
+            # some time, and the window lasts until then.
+            return False
+        self.percent_per_s = rise / window_s * FULL_PACE / pace
         self.measured_at = now
         self._begin(clock_s, percent, pace)
         return True
--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.attempt import FULL_PACE, FULL_PROGRESS, NEVER, Phase
+from linkspan.shard.attempt import FULL_PACE, NEVER, Phase
 from linkspan.shard.progress_rate import MIN_WINDOW_S, ProgressRate
 from linkspan.shard.reports.executor_speeds import ORDINARY, SLOW_FROM
 
@@ -46,8 +46,8 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._progress_seen = False
         self._ends_are_late = False
+        self._fine_services: set[str] = set()
 
     def __repr__(self) -> str:
         return f"SpeedEvidence({self._state!r})"
@@ -60,12 +60,15 @@
         """
         self._ends_are_late = delay_s > MAX_END_DELAY_S
 
-    def on_started(self, attempt: Attempt, clock_s: float | None) -> None:
+    def on_started(self, executor: ExecutorState, attempt: Attempt, clock_s: float | None) -> None:
         """Note when a run began, on its executor's clock.
 
-        The progress of a run that resumes from a checkpoint is unknown until it is reported.
+        Some executors report the same progress all the time. Only where the progress of a run has
+        risen from one report to another, progress is measured from the start on. The progress of a
+        run that resumes from a checkpoint is unknown until it is reported.
         """
-        if clock_s is not None and not attempt.task.checkpoint and _is_measured(attempt):
+        fine = executor.record.service in self._fine_services
+        if fine and clock_s is not None and not attempt.task.checkpoint and _is_measured(attempt):
             attempt.rate = ProgressRate(clock_s, 0)
 
     def on_listed(
@@ -77,10 +80,12 @@
         clock_s = executor.reported_s
         rate = attempt.rate
         if rate is None:
-            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace, under_way=False)
+            # A run that resumes from a checkpoint restores it first.
+            under_way = not (attempt.recovered or attempt.task.checkpoint)
+            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace, under_way=under_way)
             return
-        if row.progress > rate.percent:
-            self._progress_seen = True
+        if rate.percent and row.progress > rate.percent:
+            self._fine_services.add(executor.record.service)
         in_window = clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace
         if in_window and rate.under_way:
             # Fast path for reports in quick succession.
@@ -151,9 +156,6 @@
     def _shows_speed(self, executor: ExecutorState, attempt: Attempt, row: RunningTask) -> bool:
         """Whether a run's progress shows the speed of its executor, rather than anything else."""
         spec = attempt.task.step.spec
-        if not self._progress_seen or row.progress >= FULL_PROGRESS:
-            # Some executors report no progress at all.
-            return False
         if spec.data_rack and spec.data_rack not in executor.record.labels:
             return False
         if not spec.best_effort:
--- a/tests/shard/stepped_hall.py
+++ b/tests/shard/stepped_hall.py
@@ -49,7 +49,7 @@
         self.events: list[tuple[float, Event, dict[str, object]]] = []
         self.starts: list[tuple[float, StartOrder]] = []
         self.core: ShardCore = core_with(*steps, executors=executors, log=self._log)
-        self.reports_progress = True
+        self.constant_percent: int | None = None
         self.cut_off: set[str] = set()
         self._length_s = length_s
         self._worked_s: dict[tuple[TaskName, int], float] = {}
@@ -126,7 +126,8 @@
             elif done >= 1.0:
                 ended.append((name, run, EndKind.DONE, ""))
             else:
-                percent = int(100 * done) if self.reports_progress else 0
+                constant = self.constant_percent
+                percent = int(100 * done) if constant is None else constant
                 cpu = float(attempt.task.step.spec.demand.milli_cpu)
                 running.append(RunningTask(name, run, "", percent, cpu))
         ends = []
--- a/tests/shard/test_executor_speeds.py
+++ b/tests/shard/test_executor_speeds.py
@@ -167,13 +167,24 @@
 
 def test_executors_that_report_no_progress_are_judged_by_ends_alone() -> None:
     hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 2.0)
-    hall.reports_progress = False
+    hall.constant_percent = 0
     for number in range(20):
         hall.add_job(job_id(number), step(4))
         hall.play(hall.now + 0.5)
     assert hall.named(Event.EXECUTOR_SPEED) == []
 
 
+def test_executors_that_always_report_the_same_progress_are_judged_by_ends_alone() -> None:
+    """Guards against runs that seem to stand still, on all executors."""
+    hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 3.0)
+    hall.constant_percent = 50
+    for number in range(20):
+        hall.add_job(job_id(number), step(4, estimate_s=3.0))
+        hall.play(hall.now + 0.5)
+    assert hall.named(Event.EXECUTOR_SPEED) == []
+    assert hall.named(Event.RUN_MOVED) == []
+
+
 def test_a_new_owner_starts_from_the_speeds_that_the_former_one_published() -> None:
     """The former owner is lost in the middle of a slow stretch, as runs have left the executor."""
     hall = SteppedHall(step(6, estimate_s=2.0), executors=3, length_s=lambda _name: 2.0)
--- a/tests/shard/test_moves_by_expected_end.py
+++ b/tests/shard/test_moves_by_expected_end.py
@@ -53,7 +53,7 @@
 def test_a_run_without_reported_progress_is_moved_after_three_times_its_siblings() -> None:
     """Nothing tells a long task from a slow executor then; the bound is as before."""
     hall = SteppedHall(step(8, estimate_s=1.0), executors=4, length_s=one_long_task)
-    hall.reports_progress = False
+    hall.constant_percent = 0
     hall.play(6.0)
     ((at, _),) = hall.named(Event.RUN_MOVED)
     assert 4.0 <= at <= 5.5
