Leave runs with an uncertain start out of the speed of their executor

Cause: durations count from the placement on. A start that is a second on its way makes a short run look three times as long, and two of them would mark the executor slow. Runs confirmed more than 0.3 s after their placement now say nothing. Test: test_runs_whose_starts_were_delayed_mark_no_executor.

--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -28,9 +28,10 @@
 """Share of its demand that a best-effort run must use for its progress to show the speed of its
 executor: with less, other work has taken the cores."""
 
-MAX_END_DELAY_S = 0.3
-"""Longest time for which ends may have waited for their report to show how long the runs took.
-After a few lost polls all short runs of an executor would seem to have taken seconds."""
+MAX_UNCERTAINTY_S = 0.3
+"""Longest time by which the start or the end of a run may be uncertain for its duration to count.
+After a few lost polls all short runs of an executor would seem to have taken seconds, and so would
+runs whose starts were delayed on their way."""
 
 MAX_RATE_AGE_S = 1.0
 """Age up to which a run's rate of progress stands for its speed at its end; the whole duration of
@@ -58,7 +59,7 @@
         Args:
             delay_s: Time without a poll before the report and from its answer on, in seconds.
         """
-        self._ends_are_late = delay_s > MAX_END_DELAY_S
+        self._ends_are_late = delay_s > MAX_UNCERTAINTY_S
 
     def on_started(self, executor: ExecutorState, attempt: Attempt, clock_s: float | None) -> None:
         """Note when a run began, on its executor's clock.
@@ -109,6 +110,8 @@
         if spec.checkpoints and attempt.run > 1:
             # It may have resumed from a checkpoint, so that it is only a part of the work.
             return
+        if attempt.confirmed_at - attempt.placed_at > MAX_UNCERTAINTY_S:
+            return
         if attempt.rate and now - attempt.rate.measured_at <= MAX_RATE_AGE_S:
             return
         expected_s, weight = self._expected(attempt, now)
--- a/tests/shard/stepped_hall.py
+++ b/tests/shard/stepped_hall.py
@@ -51,10 +51,12 @@
         self.core: ShardCore = core_with(*steps, executors=executors, log=self._log)
         self.constant_percent: int | None = None
         self.cut_off: set[str] = set()
+        self.start_delay_s = 0.0
         self._length_s = length_s
         self._worked_s: dict[tuple[TaskName, int], float] = {}
         self._saved_s: dict[TaskName, float] = {}
         self._ends = 0
+        self._delayed: list[tuple[float, StartOrder]] = []
 
     def _log(self, event: Event, **fields: object) -> None:
         self.events.append((self.now, event, fields))
@@ -81,6 +83,7 @@
                 elif isinstance(order, StopOrder):
                     self.core.on_stopped(order, True, self.now)
             self.now += STEP_S
+            self._send_delayed()
 
     def lose_owner(self) -> None:
         """Let another owner take over, with the records and the published speeds of this one."""
@@ -102,6 +105,18 @@
         return len(self.core.executors[executor_id].attempts)
 
     def _start(self, order: StartOrder) -> None:
+        if self.start_delay_s:
+            self._delayed.append((self.now + self.start_delay_s, order))
+            return
+        self._begin(order)
+
+    def _send_delayed(self) -> None:
+        due = [order for at, order in self._delayed if at <= self.now]
+        self._delayed = [(at, order) for at, order in self._delayed if at > self.now]
+        for order in due:
+            self._begin(order)
+
+    def _begin(self, order: StartOrder) -> None:
         self.starts.append((self.now, order))
         self._worked_s[(order.task, order.run)] = (
             self._saved_s.get(order.task, 0.0) if order.checkpoint else 0.0
@@ -111,12 +126,15 @@
     def _work(self, executor: ExecutorState) -> None:
         share = STEP_S / self.slowdowns.get(executor.executor_id, 1.0)
         for key in executor.attempts:
-            self._worked_s[key] += share
+            if key in self._worked_s:
+                self._worked_s[key] += share
 
     def _report(self, executor: ExecutorState) -> None:
         running, ended = [], []
         for attempt in executor.attempts.values():
             name, run = attempt.key
+            if attempt.key not in self._worked_s:
+                continue
             saves = attempt.task.step.spec.checkpoints
             done = self._worked_s[attempt.key] / self._length_s(name)
             if attempt.phase is Phase.STOPPING:
--- a/tests/shard/test_executor_speeds.py
+++ b/tests/shard/test_executor_speeds.py
@@ -250,6 +250,16 @@
     assert rate.full_duration_s == pytest.approx(2.0)
 
 
+def test_runs_whose_starts_were_delayed_mark_no_executor() -> None:
+    """Starts take a second on their way, so that short runs seem to take three times as long."""
+    hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 0.5)
+    for number in range(20):
+        hall.start_delay_s = 1.0 if number in (8, 9) else 0.0
+        hall.add_job(job_id(number), step(8, estimate_s=0.5))
+        hall.play(hall.now + 0.5)
+    assert hall.named(Event.EXECUTOR_SPEED) == []
+
+
 def test_a_changed_pace_is_not_a_changed_speed() -> None:
     """A best-effort run at a quarter of its pace progresses at a quarter of its speed."""
     rate = ProgressRate(1.0, 0)
