--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.events import Event
-from linkspan.shard.attempt import FULL_PACE, FULL_PROGRESS, NEVER, Phase
+from linkspan.shard.attempt import FULL_PACE, NEVER, Phase
 from linkspan.shard.progress_rate import MIN_WINDOW_S, ProgressRate
 from linkspan.shard.reports.executor_speeds import ORDINARY, SLOW_FROM
 
@@ -28,9 +28,10 @@
 """Share of its demand that a best-effort run must use for its progress to show the speed of its
 executor: with less, other work has taken the cores."""
 
-MAX_END_DELAY_S = 0.3
-"""Longest time for which ends may have waited for their report to show how long the runs took.
-After a few lost polls all short runs of an executor would seem to have taken seconds."""
+MAX_UNCERTAINTY_S = 0.3
+"""Longest time by which the start or the end of a run may be uncertain for its duration to count.
+After a few lost polls all short runs of an executor would seem to have taken seconds, and so would
+runs whose starts were delayed on their way."""
 
 MAX_RATE_AGE_S = 1.0
 """Age up to which a run's rate of progress stands for its speed at its end; the whole duration of
@@ -46,8 +47,8 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._progress_seen = False
         self._ends_are_late = False
+        self._fine_services: set[str] = set()
 
     def __repr__(self) -> str:
         return f"SpeedEvidence({self._state!r})"
@@ -58,14 +59,17 @@
         Args:
             delay_s: Time without a poll before the report and from its answer on, in seconds.
         """
-        self._ends_are_late = delay_s > MAX_END_DELAY_S
+        self._ends_are_late = delay_s > MAX_UNCERTAINTY_S
 
-    def on_started(self, attempt: Attempt, clock_s: float | None) -> None:
+    def on_started(self, executor: ExecutorState, attempt: Attempt, clock_s: float | None) -> None:
         """Note when a run began, on its executor's clock.
 
-        The progress of a run that resumes from a checkpoint is unknown until it is reported.
+        Some executors report the same progress all the time. Only where the progress of a run has
+        risen from one report to another, progress is measured from the start on. The progress of a
+        run that resumes from a checkpoint is unknown until it is reported.
         """
-        if clock_s is not None and not attempt.task.checkpoint and _is_measured(attempt):
+        fine = executor.record.service in self._fine_services
+        if fine and clock_s is not None and not attempt.task.checkpoint and _is_measured(attempt):
             attempt.rate = ProgressRate(clock_s, 0)
 
     def on_listed(
@@ -77,11 +81,14 @@
         clock_s = executor.reported_s
         rate = attempt.rate
         if rate is None:
-            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace)
+            # A run that resumes from a checkpoint restores it first.
+            under_way = not (attempt.recovered or attempt.task.checkpoint)
+            attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace, under_way=under_way)
             return
-        if row.progress > rate.percent:
-            self._progress_seen = True
-        if clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace:
+        if rate.percent and row.progress > rate.percent:
+            self._fine_services.add(executor.record.service)
+        in_window = clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace
+        if in_window and rate.under_way:
             # Fast path for reports in quick succession.
             return
         expected_s, weight = self._expected(attempt, now)
@@ -103,6 +110,8 @@
         if spec.checkpoints and attempt.run > 1:
             # It may have resumed from a checkpoint, so that it is only a part of the work.
             return
+        if attempt.confirmed_at - attempt.placed_at > MAX_UNCERTAINTY_S:
+            return
         if attempt.rate and now - attempt.rate.measured_at <= MAX_RATE_AGE_S:
             return
         expected_s, weight = self._expected(attempt, now)
@@ -150,9 +159,6 @@
     def _shows_speed(self, executor: ExecutorState, attempt: Attempt, row: RunningTask) -> bool:
         """Whether a run's progress shows the speed of its executor, rather than anything else."""
         spec = attempt.task.step.spec
-        if not self._progress_seen or row.progress >= FULL_PROGRESS:
-            # Some executors report no progress at all.
-            return False
         if spec.data_rack and spec.data_rack not in executor.record.labels:
             return False
         if not spec.best_effort:
--- a/tests/shard/test_executor_speeds.py
+++ b/tests/shard/test_executor_speeds.py
@@ -167,13 +167,24 @@
 
 def test_executors_that_report_no_progress_are_judged_by_ends_alone() -> None:
     hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 2.0)
-    hall.reports_progress = False
+    hall.constant_percent = 0
     for number in range(20):
         hall.add_job(job_id(number), step(4))
         hall.play(hall.now + 0.5)
     assert hall.named(Event.EXECUTOR_SPEED) == []
 
 
+def test_executors_that_always_report_the_same_progress_are_judged_by_ends_alone() -> None:
+    """Guards against runs that seem to stand still, on all executors."""
+    hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 3.0)
+    hall.constant_percent = 50
+    for number in range(20):
+        hall.add_job(job_id(number), step(4, estimate_s=3.0))
+        hall.play(hall.now + 0.5)
+    assert hall.named(Event.EXECUTOR_SPEED) == []
+    assert hall.named(Event.RUN_MOVED) == []
+
+
 def test_a_new_owner_starts_from_the_speeds_that_the_former_one_published() -> None:
     """The former owner is lost in the middle of a slow stretch, as runs have left the executor."""
     hall = SteppedHall(step(6, estimate_s=2.0), executors=3, length_s=lambda _name: 2.0)
@@ -230,6 +241,25 @@
     assert hall.named(Event.EXECUTOR_SPEED) == []
 
 
+def test_a_run_that_restores_its_checkpoint_is_not_slow() -> None:
+    """Restoring takes up to 0.6 s, in which the progress does not rise."""
+    rate = ProgressRate(1.0, 40, under_way=False)
+    assert not rate.observe(1.6, 40, 100, 1.6, expected_s=2.0)
+    assert not rate.observe(1.8, 50, 100, 1.8, expected_s=2.0)
+    assert rate.observe(2.3, 75, 100, 2.3, expected_s=2.0)
+    assert rate.full_duration_s == pytest.approx(2.0)
+
+
+def test_runs_whose_starts_were_delayed_mark_no_executor() -> None:
+    """Starts take a second on their way, so that short runs seem to take three times as long."""
+    hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 0.5)
+    for number in range(20):
+        hall.start_delay_s = 1.0 if number in (8, 9) else 0.0
+        hall.add_job(job_id(number), step(8, estimate_s=0.5))
+        hall.play(hall.now + 0.5)
+    assert hall.named(Event.EXECUTOR_SPEED) == []
+
+
 def test_a_changed_pace_is_not_a_changed_speed() -> None:
     """A best-effort run at a quarter of its pace progresses at a quarter of its speed."""
     rate = ProgressRate(1.0, 0)
