Merge a hall's learnt effects once for each summary

Cause: each look at a hall's last summary built a new one with up to 2,000 learnt effects; a choice of a hall looks at each summary several times. Change: the merged summary is built when the record is read, and stays the same object until the next one, by which readers tell a new summary from the last.

--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -200,10 +200,11 @@
 
     @property
     def summary(self) -> HallSummary | None:
-        """State of the hall as published by its owners; ``None`` before the first summary."""
-        if self._summary is None:
-            return None
-        return replace(self._summary, effects=tuple(self._effects.values()))
+        """State of the hall as published by its owners; ``None`` before the first summary.
+
+        It is the same object until an owner publishes another one.
+        """
+        return self._summary
 
     def apply(self, entry: Entry, now: float) -> OwnerRecord:
         """Apply an ownership record.
@@ -274,13 +275,13 @@
 
         Other known effects are kept: they belong to pairs of images, whoever owns the hall.
         """
-        self._summary = summary
         for effect in summary.effects:
             pair = effect.standing, effect.image
             self._effects.pop(pair, None)
             self._effects[pair] = effect
         while len(self._effects) > MAX_REMEMBERED_EFFECTS:
             del self._effects[next(iter(self._effects))]
+        self._summary = replace(summary, effects=tuple(self._effects.values()))
 
     def on_tenure_ended(self) -> None:
         """Record that this process no longer acts as the owner."""
