Refuse jobs that no hall could finish while they are of use

Cause: each job that fits some executor was accepted, also in a flood that the halls can't work off; its caller learns nothing until its time is over.

Change: a host that gets a new job estimates its wait in each hall that could get it, by the backlogs that the halls publish. It answers 503 if the wait is twice what would leave the job of any use in all of them, and none has a place for a task of its first steps. What is not known counts as hope: no summary of the present owner, one older than 6 s, an evacuated hall, an unknown rate. Before the refusal the host reads the job records to their end, so that a first try elsewhere is found; without that read, or within 10 s after its calls for job records failed, it accepts. Retry-After says when the job would be done by its objective. Callers are spread over half of that time by a hash of the job's id, also those refused while the store is away.

Weighed: waiting work that is too late doesn't count, as new jobs go before it; so the wait exceeds twice the time of use only if more than three times as much arrives as can be done.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -167,6 +167,12 @@
     JOB_ASKED = 524, logging.DEBUG, "job's state returned", "nothing"
     JOB_DECIDED = 525, logging.INFO, "job's final state decided", "if it failed, read the reason"
     JOB_TAKEN_IN = 526, logging.INFO, "shard starts to manage a job", "nothing"
+    JOB_HOPELESS = (
+        527,
+        logging.WARNING,
+        "job refused, as it could no longer be of use when done; it never runs",
+        "see OPERATIONS.md, jobs refused in time",
+    )
     STEP_PLACED = 530, logging.INFO, "tasks placed on executors", "nothing"
     STEP_BLOCKED = 531, logging.INFO, "tasks wait for capacity", "nothing"
     STANDING_WAITS = (
--- /dev/null
+++ b/src/linkspan/host/_refusal_cause.py
@@ -0,0 +1,17 @@
+"""Causes for which a host refuses jobs."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class RefusalCause(Enum):
+    """Cause of a refusal, as callers and operators read it."""
+
+    RECORDS_NOT_READ = "job records not read yet"
+    STORE_AWAY = "store is away"
+    STORE_REFUSED = "store refused"
+    WRITER_REPLACED = "this host's writer was replaced"
+    INCOMPLETE = "request did not arrive whole"
+    OVERSIZED = "larger than any executor of the service"
+    HOPELESS = "it could no longer be of use when done"
--- a/src/linkspan/host/_responses.py
+++ b/src/linkspan/host/_responses.py
@@ -25,10 +25,15 @@
     return web.Response(status=status, body=body, content_type="application/json", headers=headers)
 
 
-def unavailable(reason: str) -> web.Response:
-    """Return the refusal of a request that this host can't serve now."""
+def unavailable(reason: str, *, retry_after_s: int = RETRY_AFTER_S) -> web.Response:
+    """Return the refusal of a request that this host can't serve now.
+
+    Args:
+        reason: Reason for the refusal.
+        retry_after_s: Time after which the caller may retry, in seconds.
+    """
     response = json_response(503, b'{"error":"not taken, it will not run"}', reason=reason)
-    response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    response.headers["Retry-After"] = str(retry_after_s)
     return response
 
 
--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -10,7 +10,10 @@
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
 from linkspan.events import Event
 from linkspan.host._oversized import oversized_step
-from linkspan.host._responses import json_response, oversized, unavailable
+from linkspan.host._refusal_cause import RefusalCause
+from linkspan.host._responses import RETRY_AFTER_S, json_response, oversized, unavailable
+from linkspan.host.caller_waits import MIN_WAIT_S
+from linkspan.host.retry_times import retry_after_s
 from linkspan.jobs.records import Submitted
 
 if TYPE_CHECKING:
@@ -19,14 +22,24 @@
     from aiohttp import web
 
     from linkspan.events import EventLog
+    from linkspan.host.admission import Admission
     from linkspan.host.caller_format import CallerFormat
     from linkspan.host.caller_waits import CallerWaits
+    from linkspan.host.job_outlook import JobOutlook
     from linkspan.jobs.job_registry import JobRegistry
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
     from linkspan.shard.operator.configuration import ConfigurationWatch
 
+FRESH_READ_WAIT_S = 0.25
+"""Limits the read of the job records before a refusal for the load, in seconds. A healthy store
+takes 0.02 s, and a refusal is to come at once."""
+
+LATE_WRITE_S = 10.0
+"""Time after a failure of this host's calls for job records in which no job is refused for the
+load, in seconds. Submissions that got no answer elsewhere may be carried out seconds later."""
+
 
 class Submissions:
     """Submissions of jobs to this host.
@@ -37,6 +50,7 @@
         form: Format of request bodies.
         waits: Waits of requests.
         choose_shard: Returns the shard for a new job.
+        admission: Decides which jobs to refuse for the load.
         capacities: Returns the known capacities of a service's executors.
         incarnation: Incarnation of this process, part of the keys of its records.
         log: Event log.
@@ -51,6 +65,7 @@
         waits: CallerWaits,
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
+        admission: Admission,
         capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
         log: EventLog,
@@ -61,6 +76,7 @@
         self._form = form
         self._waits = waits
         self._choose_shard = choose_shard
+        self._admission = admission
         self._capacities = capacities
         self._incarnation = incarnation
         self._log = log
@@ -82,25 +98,59 @@
             deadline: Steady time by which to answer.
         """
         if self._job_registry.knows(job_id):
-            self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
-            return json_response(200, b"{}")
+            return self._respond_known(job_id, queue)
         try:
             spec = self._form.job(job_id, queue.name, body)
         except InvalidInput as error:
             return json_response(400, b'{"error":"invalid job"}', reason=str(error))
-        write = self._submitting.get(job_id)
-        if write is None:
-            if not self._job_registry.follower.ready:
-                # Another host may already have accepted the job for another hall.
-                return self.refuse(job_id, queue, "job records not read yet")
-            if not self._job_registry.accepts_writes:
-                return self.refuse(job_id, queue, "store is away")
-            step = oversized_step(spec, self._capacities(queue.service))
-            if step is not None:
-                return self._refuse_oversized(job_id, queue, step)
-            write = self._start_write(spec, queue)
+        if job_id not in self._submitting:
+            refusal = self._reason_to_refuse(spec, queue, deadline)
+            if refusal:
+                return refusal
+            outlook = self._admission.reason_to_refuse(spec, queue, self._priorities())
+            if outlook and await self._certainly_new(job_id, deadline):
+                return self._refuse_hopeless(job_id, queue, outlook, deadline)
+            # The read may have found the job, or another try of it has begun meanwhile.
+            if self._job_registry.knows(job_id):
+                return self._respond_known(job_id, queue)
+        write = self._submitting.get(job_id) or self._start_write(spec, queue)
         return await self._await_write(write, job_id, queue, deadline)
 
+    def _respond_known(self, job_id: str, queue: Queue) -> web.Response:
+        self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
+        return json_response(200, b"{}")
+
+    def _reason_to_refuse(
+        self, spec: JobSpec, queue: Queue, deadline: float
+    ) -> web.Response | None:
+        """Return the refusal of a job that cannot be stored or run, ``None`` if it can be."""
+        if not self._job_registry.follower.ready:
+            # Another host may already have accepted the job for another hall.
+            return self.refuse(spec.job_id, queue, RefusalCause.RECORDS_NOT_READ, deadline)
+        if not self._job_registry.accepts_writes:
+            return self.refuse(spec.job_id, queue, RefusalCause.STORE_AWAY, deadline)
+        step = oversized_step(spec, self._capacities(queue.service))
+        return None if step is None else self._refuse_oversized(spec.job_id, queue, step)
+
+    def _priorities(self) -> dict[str, int]:
+        """Return the priorities of all queues."""
+        configuration = self._configuration.current
+        queues = configuration.queues if configuration else {}
+        return {name: queue.priority for name, queue in queues.items()}
+
+    async def _certainly_new(self, job_id: str, deadline: float) -> bool:
+        """Return whether no earlier try of a job was stored, by all that can be known in time.
+
+        Only then is its refusal true. An earlier try may have gone to another host and got no
+        answer, so that its record is found only by reading up to the present end.
+        """
+        now = steady()
+        if now - self._job_registry.disturbed_at < LATE_WRITE_S:
+            return False
+        wait_s = max(min(FRESH_READ_WAIT_S, (deadline - now) / 2), MIN_WAIT_S)
+        fresh = await self._job_registry.refresh(max_age_s=0.0, timeout_s=wait_s)
+        return fresh and not (self._job_registry.knows(job_id) or job_id in self._submitting)
+
     def _start_write(self, spec: JobSpec, queue: Queue) -> asyncio.Future[int]:
         shard = self._choose_shard(spec, queue)
         version = self._configuration_version(queue)
@@ -134,9 +184,11 @@
             async with self._waits.until(deadline):
                 offset = await asyncio.shield(write)
         except StoreRefused as error:
-            return self.refuse(job_id, queue, f"store refused with {error.status}")
+            return self.refuse(
+                job_id, queue, RefusalCause.STORE_REFUSED, deadline, f" with {error.status}"
+            )
         except ProducerFenced:
-            return self.refuse(job_id, queue, "this host's writer was replaced")
+            return self.refuse(job_id, queue, RefusalCause.WRITER_REPLACED, deadline)
         except TimeoutError:
             self._log.write(
                 Event.JOB_IN_DOUBT,
@@ -156,12 +208,49 @@
         )
         return json_response(200, b"{}")
 
-    def refuse(self, job_id: str, queue: Queue, reason: str) -> web.Response:
-        """Log and return the refusal of a job, which then never runs."""
+    def refuse(
+        self, job_id: str, queue: Queue, cause: RefusalCause, deadline: float, details: str = ""
+    ) -> web.Response:
+        """Log and return the refusal of a job, which then never runs.
+
+        Args:
+            job_id: The job.
+            queue: Its queue.
+            cause: Cause of the refusal.
+            deadline: Steady time until which the caller waits.
+            details: Added to the cause.
+        """
+        reason = cause.value + details
+        self._count_refusal(queue, cause)
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
-        return unavailable(reason)
+        delay_s = retry_after_s(job_id, RETRY_AFTER_S, deadline - steady())
+        return unavailable(reason, retry_after_s=delay_s)
+
+    def _refuse_hopeless(
+        self, job_id: str, queue: Queue, outlook: JobOutlook, deadline: float
+    ) -> web.Response:
+        delay_s = retry_after_s(job_id, outlook.fits_after_s, deadline - steady())
+        reason = RefusalCause.HOPELESS.value
+        self._count_refusal(queue, RefusalCause.HOPELESS)
+        self._log.write(
+            Event.JOB_HOPELESS,
+            job=job_id,
+            queue=queue.name,
+            reason=reason,
+            best_hall=outlook.hall,
+            ahead_s=round(outlook.wait_s, 2),
+            path_s=round(outlook.path_s, 2),
+            objective_s=round(outlook.objective_s, 2),
+            summary_age_s=round(outlook.age_s, 2),
+            retry_after_s=delay_s,
+        )
+        return unavailable(reason, retry_after_s=delay_s)
 
     def _refuse_oversized(self, job_id: str, queue: Queue, step: int) -> web.Response:
-        reason = f"tasks of step {step} are larger than any executor of the service"
+        reason = f"tasks of step {step} are {RefusalCause.OVERSIZED.value}"
+        self._count_refusal(queue, RefusalCause.OVERSIZED)
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return oversized(reason)
+
+    def _count_refusal(self, queue: Queue, cause: RefusalCause) -> None:
+        self._metrics.count("refusals", queue=queue.name, cause=cause.value)
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -118,6 +118,8 @@
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewed_at: dict[int, float] = {}
         self._renewals = 0
+        self._summary_token = 0
+        self._summary_written_after = float("-inf")
         self._last_claim = Claim(float("-inf"), MAX_UNPROVED_S)
         self._enabled = asyncio.Event()
         self._summary_outdated = asyncio.Event()
@@ -140,6 +142,16 @@
         """Steady time of the store's last answer to a read of the ownership."""
         return self._follower.last_response_at
 
+    def summary_age_s(self, now: float) -> float:
+        """Return an upper bound of the age of the present owner's last summary, in seconds.
+
+        It is infinite if there is none, or if it may have been written at any time before this host
+        began to read.
+        """
+        if self._view.owner is None or self._summary_token != self._view.claim_token:
+            return float("inf")
+        return now - self._summary_written_after
+
     def enable(self) -> None:
         """Allow claims, once this host has read the configuration and the jobs."""
         self._enabled.set()
@@ -238,9 +250,16 @@
                 continue
             self._apply_renewal(record)
             if record.summary:
+                self._date_summary(record)
                 self._on_summary(self._shard, record.summary)
         self._update_tenure()
 
+    def _date_summary(self, record: OwnerRecord) -> None:
+        """Record that a summary was written after the end of the read before this one."""
+        if record.token == self._view.claim_token:
+            self._summary_token = record.token
+            self._summary_written_after = self._follower.synced_at
+
     def _apply_renewal(self, record: OwnerRecord) -> None:
         """Extend the current tenure if a record is its renewal and no other claim precedes it."""
         owner = self._view.owner
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -12,6 +12,7 @@
 from linkspan.clock import steady
 from linkspan.errors import ProducerFenced, StoreRefused
 from linkspan.events import Event
+from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._responses import json_response, unavailable
 from linkspan.host.caller_waits import MIN_WAIT_S
 from linkspan.jobs.job_registry import MAX_REFRESH_WAIT_S
@@ -120,7 +121,7 @@
         if request.method == "POST":
             body = await self._read_body(request, deadline)
             if body is None:
-                return self._refuse_incomplete(job_id, queue)
+                return self._refuse_incomplete(job_id, queue, deadline)
             return await self.submit(queue, job_id, body, deadline)
         if request.method == "GET":
             return await self.show(job_id, deadline)
@@ -143,8 +144,8 @@
         finally:
             self._body_reads.remove(started_at)
 
-    def _refuse_incomplete(self, job_id: str, queue: Queue) -> web.Response:
-        response = self._submissions.refuse(job_id, queue, "request did not arrive whole")
+    def _refuse_incomplete(self, job_id: str, queue: Queue, deadline: float) -> web.Response:
+        response = self._submissions.refuse(job_id, queue, RefusalCause.INCOMPLETE, deadline)
         response.force_close()
         return response
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -10,10 +10,12 @@
 from linkspan.events import Event
 from linkspan.host._claim_delay import ClaimDelay
 from linkspan.host._submissions import Submissions
+from linkspan.host.admission import Admission
 from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.candidate import Candidate
 from linkspan.host.executor_capacities import ExecutorCapacities
 from linkspan.host.front import Front
+from linkspan.host.job_outlook import HallLoad
 from linkspan.host.shards import ShardChooser
 from linkspan.jobs.job_registry import JobRegistry
 from linkspan.shard.operator.records import OperatorRecords
@@ -146,16 +148,14 @@
             for shard in range(len(settings.halls))
         ]
         waits = CallerWaits()
+        self._shard_chooser = ShardChooser(settings, self._summary_of, evacuated=self._is_evacuated)
         submissions = Submissions(
             self.job_registry,
             self.configuration,
             adapter.caller_format,
             waits,
-            choose_shard=ShardChooser(
-                settings,
-                self._summary_of,
-                evacuated=lambda hall: self.operator_records.evacuations.of(hall) is not None,
-            ).choose,
+            choose_shard=self._shard_chooser.choose,
+            admission=Admission(self._hall_loads, self._shard_chooser.eligible_shards),
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
             log=log,
@@ -276,6 +276,19 @@
     def _summary_of(self, shard: int) -> HallSummary | None:
         return self.candidates[shard].view.summary
 
+    def _is_evacuated(self, hall: str) -> bool:
+        return self.operator_records.evacuations.of(hall) is not None
+
+    def _hall_loads(self) -> list[HallLoad]:
+        """Return the loads of all halls, by number of the shard."""
+        now = steady()
+        return [
+            HallLoad(
+                hall, candidate.view.summary, candidate.summary_age_s(now), self._is_evacuated(hall)
+            )
+            for hall, candidate in zip(self._settings.halls, self.candidates, strict=True)
+        ]
+
     async def _adjust_loop(self) -> None:
         """Adjust read intervals to whether this host owns a shard, and enable claims.
 
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -127,6 +127,10 @@
                 return shard
         return shards[0]
 
+    def eligible_shards(self, spec: JobSpec, queue: Queue) -> list[int]:
+        """Return the shards among which a new job's is chosen."""
+        return self._eligible_shards(spec, queue)
+
     def _eligible_shards(self, spec: JobSpec, queue: Queue) -> list[int]:
         """Return the shards whose executors can run most of the job, this host's hall first.
 
--- a/src/linkspan/jobs/job_registry.py
+++ b/src/linkspan/jobs/job_registry.py
@@ -50,6 +50,7 @@
         self._listeners: list[Callable[[str], None]] = []
         self._changed: dict[str, None] = {}
         self._unread_submissions: dict[str, int] = {}
+        self._disturbed_at = float("-inf")
         self.catalog = JobCatalog()
         self.follower = Follower(
             store,
@@ -78,6 +79,11 @@
         """Whether the last append succeeded, or the store has answered since it failed."""
         return self.writer.healthy or self.follower.last_response_at > self.writer.failed_at
 
+    @property
+    def disturbed_at(self) -> float:
+        """Steady time at which this host's calls last began or ceased to fail."""
+        return self._disturbed_at
+
     def subscribe(self, listener: Callable[[str], None]) -> Callable[[], None]:
         """Call a listener with the id of each changed job; return a function that unsubscribes."""
         self._listeners.append(listener)
@@ -200,6 +206,7 @@
         self._log.write(Event.PRODUCER_RENUMBERED, partition=JOBS.topic, epoch=epoch)
 
     def _on_health(self, healthy: bool) -> None:
+        self._disturbed_at = steady()
         event = Event.STORE_BACK if healthy else Event.STORE_DOWN
         self._log.write(event, partition=JOBS.topic)
 
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -82,6 +82,7 @@
 
 _COUNTERS = {
     "linkspan_calls_total": "Callers' requests by kind and status",
+    "linkspan_refusals_total": "Jobs refused, by queue and cause",
     "linkspan_store_calls_total": "Calls to the store by call and outcome",
     "linkspan_executor_calls_total": "Calls to executors by call and outcome",
     "linkspan_starts_total": "Runs started, by outcome",
--- a/src/linkspan/report/reader.py
+++ b/src/linkspan/report/reader.py
@@ -165,6 +165,7 @@
 
 _HANDLERS: dict[Event | None, Callable[[LogReader, dict[str, Any], float], None]] = {
     Event.JOB_REFUSED: LogReader._on_refused,
+    Event.JOB_HOPELESS: LogReader._on_refused,
     Event.JOB_ACCEPTED: LogReader._on_accepted,
     Event.STEP_BLOCKED: LogReader._on_blocked,
     Event.STEP_PLACED: LogReader._on_placed,
--- a/src/linkspan/shard/handover/_backlogs.py
+++ b/src/linkspan/shard/handover/_backlogs.py
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """Waiting tasks of one class.
+    """Waiting tasks of one class whose jobs can still be of use.
 
     Attributes:
         milli_cpu: Thousandths of a core that they take together.
@@ -86,25 +86,26 @@
     by_class: defaultdict[WorkClass, _Waiting] = defaultdict(_Waiting)
     for step, milli_cpu in waiting:
         spec = step.spec
-        if spec.standing or timeliness_of(step, wall) is Timeliness.NONE:
+        if spec.standing:
             continue
-        work_class = WorkClass.of(step.run.job.spec.queue, spec.demand.milli_cpu)
-        by_class[work_class].add(step, milli_cpu)
+        useful = by_class[WorkClass.of(step.run.job.spec.queue, spec.demand.milli_cpu)]
+        if timeliness_of(step, wall) is not Timeliness.NONE:
+            useful.add(step, milli_cpu)
     drain_rates.observe(by_class, now)
-    found = [_backlog(c, w, drain_rates, now) for c, w in by_class.items()]
+    found = [_backlog(c, w, drain_rates, now) for c, w in by_class.items() if w.work_by_run]
     found.sort(key=lambda backlog: -backlog.work)
     return tuple(found[:MAX_BACKLOGS])
 
 
 def _backlog(
-    work_class: WorkClass, waiting: _Waiting, drain_rates: DrainRates, now: float
+    work_class: WorkClass, useful: _Waiting, drain_rates: DrainRates, now: float
 ) -> Backlog:
-    work = waiting.work()
-    duration_s = work / max(waiting.milli_cpu, 1)
+    work = useful.work()
+    duration_s = work / max(useful.milli_cpu, 1)
     return Backlog(
         *work_class,
         work=int(work),
         rate=drain_rates.of(work_class, duration_s, now),
-        jobs=len(waiting.work_by_run),
+        jobs=len(useful.work_by_run),
         duration_s=duration_s,
     )
