Let the tests of late ends and delayed starts fail without their guard

Cause: both passed with the guard taken out, as all siblings were delayed alike, or as the runs were moved before their ends were read. Now each delays one executor alone; taken out, both fail.

--- a/tests/shard/stepped_hall.py
+++ b/tests/shard/stepped_hall.py
@@ -51,7 +51,7 @@
         self.core: ShardCore = core_with(*steps, executors=executors, log=self._log)
         self.constant_percent: int | None = None
         self.cut_off: set[str] = set()
-        self.start_delay_s = 0.0
+        self.start_delays_s: dict[str, float] = {}
         self._length_s = length_s
         self._worked_s: dict[tuple[TaskName, int], float] = {}
         self._saved_s: dict[TaskName, float] = {}
@@ -105,8 +105,8 @@
         return len(self.core.executors[executor_id].attempts)
 
     def _start(self, order: StartOrder) -> None:
-        if self.start_delay_s:
-            self._delayed.append((self.now + self.start_delay_s, order))
+        if delay_s := self.start_delays_s.get(order.executor_id):
+            self._delayed.append((self.now + delay_s, order))
             return
         self._begin(order)
 
--- a/tests/shard/test_executor_speeds.py
+++ b/tests/shard/test_executor_speeds.py
@@ -230,14 +230,18 @@
 
 
 def test_ends_that_waited_for_a_poll_mark_no_executor() -> None:
-    """The link to an executor is down for three seconds, in which its short runs have ended."""
+    """The link to an executor is down for two seconds, in which its short runs end."""
     hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 0.5)
-    for number in range(12):
-        hall.add_job(job_id(number), step(8))
-        if number == 8:
-            hall.cut_off = {"e1"}
-        hall.play(hall.now + 0.5 if number != 8 else hall.now + 3.0)
-        hall.cut_off = set()
+    for number in range(8):
+        hall.add_job(job_id(number), step(8, estimate_s=0.5))
+        hall.play(hall.now + 0.5)
+    hall.play(hall.now + 1.0)
+    hall.add_job(job_id(8), step(8, estimate_s=0.5))
+    hall.play(hall.now + 0.25)
+    hall.cut_off = {"e1"}
+    hall.play(hall.now + 1.75)
+    hall.cut_off = set()
+    hall.play(hall.now + 1.0)
     assert hall.named(Event.EXECUTOR_SPEED) == []
 
 
@@ -251,10 +255,10 @@
 
 
 def test_runs_whose_starts_were_delayed_mark_no_executor() -> None:
-    """Starts take a second on their way, so that short runs seem to take three times as long."""
+    """They take a second to an executor, where short runs seem to take three times as long."""
     hall = SteppedHall(step(8), executors=4, length_s=lambda _name: 0.5)
     for number in range(20):
-        hall.start_delay_s = 1.0 if number in (8, 9) else 0.0
+        hall.start_delays_s = {"e1": 1.0} if number in (8, 9) else {}
         hall.add_job(job_id(number), step(8, estimate_s=0.5))
         hall.play(hall.now + 0.5)
     assert hall.named(Event.EXECUTOR_SPEED) == []
