--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -104,7 +104,7 @@
         except InvalidInput as error:
             return json_response(400, b'{"error":"invalid job"}', reason=str(error))
         if job_id not in self._submitting:
-            refusal = self._reason_to_refuse(spec, queue, deadline)
+            refusal = self._refusal_of(spec, queue, deadline)
             if refusal:
                 return refusal
             outlook = self._admission.reason_to_refuse(spec, queue, self._priorities())
@@ -120,9 +120,7 @@
         self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
         return json_response(200, b"{}")
 
-    def _reason_to_refuse(
-        self, spec: JobSpec, queue: Queue, deadline: float
-    ) -> web.Response | None:
+    def _refusal_of(self, spec: JobSpec, queue: Queue, deadline: float) -> web.Response | None:
         """Return the refusal of a job that cannot be stored or run, ``None`` if it can be."""
         if not self._job_registry.follower.ready:
             # Another host may already have accepted the job for another hall.
