--- a/src/linkspan/shard/colocation/_best_effort_capacity.py
+++ b/src/linkspan/shard/colocation/_best_effort_capacity.py
@@ -65,11 +65,23 @@
             worst = self._worst_effect[key] = self._interference.worst_effect(executor, image)
         return worst * scaled_cores(executor, milli_cpu)
 
-    def changed(self, executor: ExecutorState) -> None:
-        """Discard cached values of an executor after a placement there was made or undone."""
-        for timeliness in Timeliness:
-            self._pressure_budgets.pop((executor.executor_id, timeliness), None)
+    def changed(self, executor: ExecutorState, step: StepRun) -> None:
+        """Discard cached values of an executor after a placement there was made or undone.
+
+        Placements do not change the standing tasks that count for pressure, as their runs are not
+        confirmed yet, and work of lower timeliness is not counted for work of higher timeliness.
+
+        Args:
+            executor: The executor.
+            step: The step of which a task was placed.
+        """
         self._unused.pop(executor.executor_id, None)
+        if not step.spec.best_effort:
+            return
+        placed = self.timeliness(step)
+        for timeliness in Timeliness:
+            if timeliness >= placed:
+                self._pressure_budgets.pop((executor.executor_id, timeliness), None)
 
     def unused_cpu(self, executor: ExecutorState) -> float:
         """Return thousandths of a core that best-effort tasks would find unused on an executor.
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -198,7 +198,7 @@
         self._update(executor)
 
     def _update(self, executor: ExecutorState) -> None:
-        self.best_effort_capacity.changed(executor)
+        self.best_effort_capacity.changed(executor, self.step)
         if self.free_capacity is not None:
             self.free_capacity.update(executor)
         for scores in self._scores.values():
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -133,6 +133,8 @@
         """
         if self.done:
             return 0.0
+        if len(self.attempts) == 1:
+            return 1.0 - self.attempts[0].progress / FULL_PROGRESS
         return 1.0 - max((a.progress for a in self.attempts), default=0) / FULL_PROGRESS
 
     @property
