Drop steps of known kinds before their urgency is computed

The kinds that fitted nowhere in the last plan are checked again at the beginning of the next one, each by one of its steps; steps of a kind that still fits nowhere get neither an urgency nor a placement. Nothing is remembered that time or a report could have made untrue.

--- a/src/linkspan/shard/planning/_task_kind.py
+++ b/src/linkspan/shard/planning/_task_kind.py
@@ -73,7 +73,8 @@
     """
 
     def __init__(self) -> None:
-        self._smallest: dict[tuple[object, ...], list[Demand]] = {}
+        # For each smallest demand, a step with such tasks.
+        self._smallest: dict[tuple[object, ...], dict[Demand, StepRun]] = {}
 
     def __repr__(self) -> str:
         return f"UnplaceableKinds({self._smallest})"
@@ -82,11 +83,20 @@
         smallest = self._smallest.get(kind[:-1])
         return smallest is not None and any(_covers(kind.demand, small) for small in smallest)
 
-    def add(self, kind: TaskKind) -> None:
-        """Add a kind that fits nowhere."""
-        smallest = self._smallest.setdefault(kind[:-1], [])
-        smallest[:] = [small for small in smallest if not _covers(small, kind.demand)]
-        smallest.append(kind.demand)
+    def add(self, kind: TaskKind, step: StepRun) -> None:
+        """Add a kind that fits nowhere, with a step whose tasks are of it."""
+        smallest = self._smallest.setdefault(kind[:-1], {})
+        for covered in [small for small in smallest if _covers(small, kind.demand)]:
+            del smallest[covered]
+        smallest[kind.demand] = step
+
+    def examples(self) -> list[tuple[TaskKind, StepRun]]:
+        """Return the smallest kinds, each with a step whose tasks are of it."""
+        return [
+            (TaskKind._make((*key, demand)), step)
+            for key, smallest in self._smallest.items()
+            for demand, step in smallest.items()
+        ]
 
 
 def _covers(demand: Demand, other: Demand) -> bool:
--- a/src/linkspan/shard/planning/_waiting_steps.py
+++ b/src/linkspan/shard/planning/_waiting_steps.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from linkspan.shard.planning._plan_view import PlanView
     from linkspan.shard.planning._setting_aside import SettingAside
+    from linkspan.shard.planning._task_kind import TaskKind
     from linkspan.shard.shard_job import ShardJob
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -38,6 +39,23 @@
     def __repr__(self) -> str:
         return f"WaitingSteps({len(self._at_work)} jobs)"
 
+    def recall(self, examples: list[tuple[TaskKind, StepRun]]) -> None:
+        """Note the kinds of an earlier plan that fit nowhere now either.
+
+        All steps that they cover are then dropped before their urgency is computed.
+
+        Args:
+            examples: These kinds, each with a step whose tasks are of it.
+        """
+        view = self._view
+        for kind, step in examples:
+            if step not in view.core.ready or not has_kind(step):
+                continue
+            options = {"use_headroom": kind.use_headroom, "starved": kind.starved}
+            if not view.placement(step).has_room(**options):
+                timeliness = view.best_effort_capacity.timeliness_if_best_effort(step)
+                view.unplaceable.add(kind_of(step, timeliness, **options), step)
+
     def has_run(self, job: ShardJob) -> bool:
         """Return whether a task of a job has an attempt."""
         at_work = self._at_work.get(job)
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -126,7 +126,19 @@
 
     def _note_unplaceable(self, kind: TaskKind | None) -> None:
         if kind is not None and self.unplaceable is not None and kind not in self.unplaceable:
-            self.unplaceable.add(kind)
+            self.unplaceable.add(kind, self.step)
+
+    def has_room(self, *, use_headroom: bool, starved: bool) -> bool:
+        """Return whether an executor has capacity for a task of the step.
+
+        Args:
+            use_headroom: Whether a standing task may use the headroom for short ones.
+            starved: Whether pressure on standing tasks is ignored.
+        """
+        return any(
+            self.reason_against(e, use_headroom=use_headroom, starved=starved) is None
+            for e in self._candidates(starved)
+        )
 
     def _set_aside_for_step(self) -> list[ExecutorState]:
         """Return the executors of which resources are set aside for the step."""
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -22,6 +22,7 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._isolation import IsolatedPlacement
+    from linkspan.shard.planning._task_kind import TaskKind
     from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -50,6 +51,7 @@
         self._interference_moves = InterferenceMoves()
 
         self._explanations_left = 0
+        self._unplaceable: list[tuple[TaskKind, StepRun]] = []
         self._left_over = False
 
     def __repr__(self) -> str:
@@ -74,26 +76,30 @@
         core.remove_finished_tasks()
         Moves(view).add_orders()
         self._interference_moves.add_orders(view)
-        steps = self._steps_by_urgency(wall)
+        waiting = self._waiting()
         self._setting_aside.begin(view, wall)
-        self._place_steps(steps, view)
+        self._place_steps(waiting, view, wall)
         SpeculativeCopies(view).add_orders()
 
-    def _place_steps(self, steps: list[tuple[StepRun, list[Task]]], view: PlanView) -> None:
-        """Place tasks of the steps in their order, until enough of them have started."""
+    def _place_steps(
+        self, waiting: list[tuple[StepRun, list[Task]]], view: PlanView, wall: float
+    ) -> None:
+        """Place tasks of the steps by urgency, until enough of them have started."""
         waiting_steps = WaitingSteps(view, self._setting_aside)
+        waiting_steps.recall(self._unplaceable)
         remaining = max(MAX_LOOKS_PER_PLAN // max(len(view.usable()), 1), MIN_STEPS_PER_PLAN)
         self._explanations_left = remaining
         self._left_over = False
-        for step, waiting in steps:
+        for step, pending in self._by_urgency(waiting, waiting_steps, view.now, wall):
             if not remaining:
                 self._left_over = True
-                return
+                break
             view.unserved.discard(step)
             orders = len(self._core.orders)
             if self._core.may_start(step.run.job, view.now):
-                self._place_step(step, waiting, view, waiting_steps)
+                self._place_step(step, pending, view, waiting_steps)
             remaining -= len(self._core.orders) > orders
+        self._unplaceable = view.unplaceable.examples()
 
     def _track_evacuation(self) -> None:
         """Log again why steps wait after an evacuation has begun or ended."""
@@ -101,8 +107,8 @@
             self._evacuation = self._core.evacuation
             self._blocked_logged.clear()
 
-    def _steps_by_urgency(self, wall: float) -> list[tuple[StepRun, list[Task]]]:
-        """Return the steps with pending tasks by urgency, each with these tasks."""
+    def _waiting(self) -> list[tuple[StepRun, list[Task]]]:
+        """Return the steps with pending tasks, each with these tasks."""
         ready = self._core.ready
         waiting = []
         for step in list(ready):
@@ -112,21 +118,36 @@
                 self._blocked_logged.discard(step)
             elif not step.run.job.moving:
                 waiting.append((step, tasks))
-        urgencies = Urgencies(wall)
-        return sorted(waiting, key=lambda entry: urgencies.of(entry[0]))
+        return waiting
 
-    def _place_step(
+    def _by_urgency(
         self,
-        step: StepRun,
-        waiting: list[Task],
-        view: PlanView,
+        waiting: list[tuple[StepRun, list[Task]]],
         waiting_steps: WaitingSteps,
-    ) -> None:
-        pending = [t for t in waiting if t.startable(view.now)]
+        now: float,
+        wall: float,
+    ) -> list[tuple[StepRun, list[Task]]]:
+        """Return the steps that may start tasks by urgency, each with the tasks that may start."""
+        steps = []
+        for step, tasks in waiting:
+            pending = self._startable(tasks, now)
+            if not pending:
+                continue
+            if step in self._blocked_logged and waiting_steps.changes_nothing(step, pending):
+                continue
+            steps.append((step, pending))
+        urgencies = Urgencies(wall)
+        return sorted(steps, key=lambda entry: urgencies.of(entry[0]))
+
+    def _startable(self, tasks: list[Task], now: float) -> list[Task]:
+        startable = [t for t in tasks if t.startable(now)]
         if self._core.tasks_with_crash_history:
-            pending = [t for t in pending if t.crash_history_durable]
-        if not pending:
-            return
+            return [t for t in startable if t.crash_history_durable]
+        return startable
+
+    def _place_step(
+        self, step: StepRun, pending: list[Task], view: PlanView, waiting_steps: WaitingSteps
+    ) -> None:
         explained = step in self._blocked_logged or not self._explanations_left
         if explained and waiting_steps.changes_nothing(step, pending):
             return
