--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -12,7 +12,7 @@
 from linkspan.shard.planning._interference_moves import InterferenceMoves
 from linkspan.shard.planning._moves import Moves
 from linkspan.shard.planning._plan_view import PlanView
-from linkspan.shard.planning._second_runs import split_by_failures
+from linkspan.shard.planning._second_runs import WaitingTasks, split_by_failures
 from linkspan.shard.planning._setting_aside import SettingAside
 from linkspan.shard.planning._speculative_copies import SpeculativeCopies
 from linkspan.shard.planning._waiting_steps import WaitingSteps
@@ -23,7 +23,7 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.planning._isolation import IsolatedPlacement
-    from linkspan.shard.planning._second_runs import WaitingTasks
+    from linkspan.shard.planning._task_kind import TaskKind
     from linkspan.shard.planning.placement import StepPlacement
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
@@ -52,6 +52,7 @@
         self._interference_moves = InterferenceMoves()
 
         self._explanations_left = 0
+        self._unplaceable: list[tuple[TaskKind, StepRun]] = []
         self._left_over = False
 
     def __repr__(self) -> str:
@@ -76,26 +77,28 @@
         core.remove_finished_tasks()
         Moves(view).add_orders()
         self._interference_moves.add_orders(view)
-        steps = self._steps_by_urgency(wall)
+        waiting = self._waiting()
         self._setting_aside.begin(view, wall)
-        self._place_steps(steps, view)
+        self._place_steps(waiting, view, wall)
         SpeculativeCopies(view).add_orders()
 
-    def _place_steps(self, steps: list[WaitingTasks], view: PlanView) -> None:
-        """Place tasks of the steps in their order, until enough of them have started."""
+    def _place_steps(self, waiting: list[WaitingTasks], view: PlanView, wall: float) -> None:
+        """Place waiting tasks by urgency, until enough steps have started some."""
         waiting_steps = WaitingSteps(view, self._setting_aside)
+        waiting_steps.recall(self._unplaceable)
         remaining = max(MAX_LOOKS_PER_PLAN // max(len(view.usable()), 1), MIN_STEPS_PER_PLAN)
         self._explanations_left = remaining
         self._left_over = False
-        for step, waiting, _ in steps:
+        for step, pending, _ in self._by_urgency(waiting, waiting_steps, view.now, wall):
             if not remaining:
                 self._left_over = True
-                return
+                break
             view.unserved.discard(step)
             orders = len(self._core.orders)
             if self._core.may_start(step.run.job, view.now):
-                self._place_step(step, waiting, view, waiting_steps)
+                self._place_step(step, pending, view, waiting_steps)
             remaining -= len(self._core.orders) > orders
+        self._unplaceable = view.unplaceable.examples()
 
     def _track_evacuation(self) -> None:
         """Log again why steps wait after an evacuation has begun or ended."""
@@ -103,8 +106,8 @@
             self._evacuation = self._core.evacuation
             self._blocked_logged.clear()
 
-    def _steps_by_urgency(self, wall: float) -> list[WaitingTasks]:
-        """Return the pending tasks by urgency, those of a step together unless some have failed."""
+    def _waiting(self) -> list[WaitingTasks]:
+        """Return the pending tasks, those of a step together unless some have failed."""
         ready = self._core.ready
         waiting: list[WaitingTasks] = []
         for step in list(ready):
@@ -114,21 +117,36 @@
                 self._blocked_logged.discard(step)
             elif not step.run.job.moving:
                 waiting += split_by_failures(step, tasks)
-        urgencies = Urgencies(wall)
-        return sorted(waiting, key=lambda w: urgencies.of(w.step, failed_before=w.failed_before))
+        return waiting
 
-    def _place_step(
+    def _by_urgency(
         self,
-        step: StepRun,
-        waiting: list[Task],
-        view: PlanView,
+        waiting: list[WaitingTasks],
         waiting_steps: WaitingSteps,
-    ) -> None:
-        pending = [t for t in waiting if t.startable(view.now)]
+        now: float,
+        wall: float,
+    ) -> list[WaitingTasks]:
+        """Return the tasks that may start now by urgency, without those that fit nowhere."""
+        found = []
+        for step, tasks, failed_before in waiting:
+            pending = self._startable(tasks, now)
+            if not pending:
+                continue
+            if step in self._blocked_logged and waiting_steps.changes_nothing(step, pending):
+                continue
+            found.append(WaitingTasks(step, pending, failed_before))
+        urgencies = Urgencies(wall)
+        return sorted(found, key=lambda w: urgencies.of(w.step, failed_before=w.failed_before))
+
+    def _startable(self, tasks: list[Task], now: float) -> list[Task]:
+        startable = [t for t in tasks if t.startable(now)]
         if self._core.tasks_with_crash_history:
-            pending = [t for t in pending if t.crash_history_durable]
-        if not pending:
-            return
+            return [t for t in startable if t.crash_history_durable]
+        return startable
+
+    def _place_step(
+        self, step: StepRun, pending: list[Task], view: PlanView, waiting_steps: WaitingSteps
+    ) -> None:
         explained = step in self._blocked_logged or not self._explanations_left
         if explained and waiting_steps.changes_nothing(step, pending):
             return
