--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -126,12 +127,16 @@
         self.jobs: list[Job] = []
         self.violations: list[str] = []
 
-    async def send_jobs(self, per_s: float) -> None:
-        """Submit jobs until cancelled, each by a separate caller."""
+    async def send_jobs(self, per_s: Callable[[], float]) -> None:
+        """Submit jobs until cancelled, each by a separate caller.
+
+        Args:
+            per_s: Returns the present rate, in jobs per second.
+        """
         async with asyncio.TaskGroup() as group:
             while True:
                 group.create_task(self._run_caller(self.draw_job()))
-                await asyncio.sleep(self._random.expovariate(per_s))
+                await asyncio.sleep(self._random.expovariate(per_s()))
 
     async def send_crashing_jobs(self, draw: Random) -> None:
         """Submit jobs whose first task crashes its executors, until cancelled."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -38,6 +38,7 @@
         jobs_per_s: Rate of submitted jobs.
         evacuates: Whether halls are evacuated beside the faults.
         loses_halls: Whether halls lose their executors beside the faults.
+        overloads: Whether bursts come and executors turn slow beside the faults.
     """
 
     seed: int
@@ -48,6 +49,7 @@
     jobs_per_s: float
     evacuates: bool = False
     loses_halls: bool = False
+    overloads: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
     settle,
     unexpected_errors,
 )
+from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
 from soak.world import World
 
@@ -110,7 +111,11 @@
     async def _cause_faults(self, world: World, callers: Callers) -> None:
         until = time.monotonic() + self._plan.seconds
         hosts = list(world.hosts.values())
-        background = [asyncio.create_task(callers.send_jobs(self._plan.jobs_per_s))]
+        background = [
+            asyncio.create_task(
+                callers.send_jobs(lambda: self._plan.jobs_per_s * world.rate_factor)
+            )
+        ]
         crashing = callers.send_crashing_jobs(Random(f"{self._plan.seed} crashing"))
         background.append(asyncio.create_task(crashing))
         background.append(asyncio.create_task(self._watch(world)))
@@ -130,6 +135,9 @@
         if self._plan.loses_halls:
             losses = run_series(world, SERIES_COUNT + 3, until, self._log_fault, HALL_LOSS_FAULTS)
             series.append(losses)
+        if self._plan.overloads:
+            overloads = run_series(world, SERIES_COUNT + 4, until, self._log_fault, OVERLOAD_FAULTS)
+            series.append(overloads)
         try:
             await asyncio.gather(*series)
         finally:
--- a/soak/world.py
+++ b/soak/world.py
@@ -42,6 +42,7 @@
         executor_links: Proxy in front of each executor, by the address that it registers.
         callers_at: Address of each proxy in ``callers``, by name of the host.
         violations: Violations by the host processes themselves.
+        rate_factor: Factor on the rate at which callers submit jobs.
     """
 
     def __init__(self, plan: Plan, folder: Path) -> None:
@@ -58,6 +59,7 @@
         self.violations: list[str] = []
         self.version = 0
         self.extra_routes = 0
+        self.rate_factor = 1.0
 
     @property
     def executor_addresses(self) -> list[str]:
--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -46,6 +46,7 @@
             incarnation has the id then carries the poll out, also if its caller has given up or
             has been killed.
         max_poll_delay_s: Longest delay of such a poll.
+        slowdowns: Factors by which runs take longer that start on an executor, by its address.
     """
 
     seed: int = 0
@@ -69,6 +70,7 @@
         # Polls draw from a generator of their own, so that they do not change the other draws.
         self.poll_random = Random(self.seed + 1)
         self.slow_poll_addresses: set[str] = set()
+        self.slowdowns: dict[str, float] = {}
         self.store = MemoryStore(self.seed)
         self.one_hall = OneHall(self.store)
         self.cuts: set[tuple[str, str]] = set()
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -133,7 +133,8 @@
                 return StartOutcome.NO_ROOM
             self.world.violations.append(f"{self.now:.2f} LIMIT {order.task} overfills")
         self.world.judge_start(self, order)
-        duration_s = self.world.running_time(order.task)
+        slowdown = self.world.slowdowns.get(self.record.address, 1.0)
+        duration_s = slowdown * self.world.running_time(order.task)
         run = _Run(order.task, order.run, order.payload, self.now, self.now + duration_s, False)
         run.fails = self.world.fails(order.task, order.run)
         self.running[order.task] = run
