Search for memory to set aside only where memory is short

A plan makes one search, for the most urgent step that waits; in a hall short of cores it went to steps that lack neither memory nor accelerators anywhere, for which a search finds nothing, and steps that lack some waited for their turn. Such steps are passed over now, and dropped before their urgency is computed like others.

--- a/src/linkspan/shard/planning/_setting_aside.py
+++ b/src/linkspan/shard/planning/_setting_aside.py
@@ -84,6 +84,9 @@
         # Steps for which nothing was found since all waiting steps had a search.
         self._fruitless: set[StepRun] = set()
         self._wall = 0.0
+        # What is free, and not set aside, on each usable executor at the beginning of the plan.
+        self._least_free_memory_mb = 0
+        self._least_free_gpus = 0
 
     def __repr__(self) -> str:
         return f"SettingAside({self._set_asides!r})"
@@ -103,6 +106,12 @@
             self._check_at = {s: at for s, at in self._check_at.items() if at > view.now}
         if self._expired:
             self._expired = {s: ids for s, ids in self._expired.items() if s in self._core.ready}
+        self._end_outdated(view)
+        free = [(e, self._set_asides.held(e.executor_id)) for e in view.usable()]
+        self._least_free_memory_mb = min((e.free_memory - h.memory_mb for e, h in free), default=0)
+        self._least_free_gpus = min((e.free_gpus - h.gpus for e, h in free), default=0)
+
+    def _end_outdated(self, view: PlanView) -> None:
         if not self._set_asides:
             return
         usable = {e.executor_id for e in view.usable()}
@@ -135,7 +144,17 @@
             return False
         if self._check_at.get(step, NEVER) > now:
             return True
-        return self._searches >= MAX_SEARCHES_PER_PLAN or step in self._fruitless
+        return self._searches >= MAX_SEARCHES_PER_PLAN or not self._may_find(step)
+
+    def _may_find(self, step: StepRun) -> bool:
+        """Whether a search for a step may find an executor.
+
+        It finds none where a task lacks nothing but cores, except for the members of a gang.
+        """
+        spec = step.spec
+        lacks_memory = spec.demand.memory_mb > self._least_free_memory_mb
+        lacks = lacks_memory or spec.demand.gpus > self._least_free_gpus
+        return (spec.gang or lacks) and step not in self._fruitless
 
     def serve(self, placement: StepPlacement, waiting: list[Task], view: PlanView) -> None:
         """Set resources aside for tasks of a step that were not placed, and stop runs if need be.
@@ -149,7 +168,7 @@
         if self._check_at.get(step, NEVER) > now:
             return
         missing = len(waiting) - len(self._set_asides.of(step))
-        may_search = self._searches < MAX_SEARCHES_PER_PLAN and step not in self._fruitless
+        may_search = self._searches < MAX_SEARCHES_PER_PLAN and self._may_find(step)
         if missing > 0 and may_search:
             self._search(placement, waiting, missing, view)
         if step in self._set_asides.steps:
