--- a/tests/bench/test_overload.py
+++ b/tests/bench/test_overload.py
@@ -129,3 +129,25 @@
     bounded, full = started
     assert bounded
     assert full[: len(bounded)] == bounded
+
+
+def test_an_owner_change_amid_bounded_plans_leaves_no_work_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next owner knows nothing of what a plan has left over."""
+    monkeypatch.setattr(planner, "MAX_LOOKS_PER_PLAN", 0)
+    hall = OverloadedHall(12)
+    hall.add_burst()
+    hall.planner.plan(1.0, 1.0)
+    assert hall.planner.left_over
+    next_owner = planner.Planner(hall.core)
+    plans = 0
+    while next_owner.left_over or not plans:
+        next_owner.plan(1.0, 1.0)
+        plans += 1
+    bounded = {o.task for o in hall.core.orders if isinstance(o, StartOrder)}
+    monkeypatch.setattr(planner, "MAX_LOOKS_PER_PLAN", 1_000_000)
+    full = OverloadedHall(12)
+    full.add_burst()
+    full.planner.plan(1.0, 1.0)
+    assert bounded == {o.task for o in full.core.orders if isinstance(o, StartOrder)}
