--- a/src/linkspan/shard/planning/_run_forecast.py
+++ b/src/linkspan/shard/planning/_run_forecast.py
@@ -12,8 +12,8 @@
     from linkspan.shard.reports.executor_speeds import ExecutorSpeeds
 
 SLOW_LASTS_S = 3.0
-"""Time for which a slow executor is expected to stay slow. Slow stretches last five to eight
-seconds and are found within one, so that half of the rest is three."""
+"""Time for which a slow executor is expected to stay slow, in seconds: other work on its
+machine, or a throttled processor, passes within several."""
 
 MAX_RATE_AGE_S = 3.0
 """Age up to which a measured rate of progress is used: reports follow each other within two
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -26,8 +26,8 @@
 little: one that saves checkpoints, or that a copy can overtake."""
 
 PROBE_AFTER_S = 2.0
-"""Time after which any finite task may be started there, one at a time. Slow stretches last five to
-eight seconds, so that an executor is idle for a small part of one after its recovery."""
+"""Time after which any finite task may be started there, one at a time: an executor that has
+recovered is idle for no longer."""
 
 STANDING_LOAD_WEIGHT = 0.3
 """Weight of an executor's load for standing tasks: load decides only between executors with similar
--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -172,9 +172,9 @@
         """Learn a run's own duration at ordinary speed, with which it is compared from then on.
 
         A run that takes long is not compared with others once it is known to be long by itself:
-        its executor still counts as ordinary, and another run has shown so since. Long runs are a
-        fifth of those that run at a time where three percent of the tasks take seven times as long,
-        so that two of them at once on one executor are not rare.
+        its executor still counts as ordinary, and another run has shown so since. Few long
+        tasks make up a large part of the runs at a time, so that two of them at once on one
+        executor are not rare.
         """
         speeds = self._state.health.speeds
         if rate.ordinary_s is not None or speeds.slowdown(attempt.executor_id) > ORDINARY:
--- a/src/linkspan/shard/reports/executor_speeds.py
+++ b/src/linkspan/shard/reports/executor_speeds.py
@@ -32,8 +32,8 @@
 shows that it has recovered, as no run of ordinary speed is possible on a slow one."""
 
 HALF_LIFE_S = 1.0
-"""Time after which what a run says has half of its weight: slow stretches last five to eight
-seconds, and a change must show within about a second."""
+"""Time after which what a run says has half of its weight: a change must show
+within about a second, while other runs there still tell of before."""
 
 MAX_VOTE_AGE_S = 2.0
 """Age from which on what a run says is left out: the longest time between two reports."""
