Take back the choice of halls by expected wait

That a hall's learnt effects are merged once for each summary stays, as does the public list of eligible halls, which admission asks. docs/design/hard-load.md says what was tried.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -156,7 +156,6 @@
         "check the store",
     )
     JOB_ACCEPTED = 520, logging.INFO, "job accepted and durable", "nothing"
-    JOB_SENT = 590, logging.INFO, "job accepted for another hall", "see OPERATIONS.md, balancing"
     JOB_REFUSED = 521, logging.WARNING, "job refused; it never runs", "read the reason"
     JOB_IN_DOUBT = (
         522,
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -27,7 +27,6 @@
 
     from linkspan.events import EventLog
     from linkspan.host.caller_format import CallerFormat
-    from linkspan.host.shards import SentJob
     from linkspan.metrics import HostMetrics
     from linkspan.model.settings import HostSettings
     from linkspan.shard.handover.summary import HallSummary
@@ -149,13 +148,7 @@
             for shard in range(len(settings.halls))
         ]
         waits = CallerWaits()
-        self._shard_chooser = ShardChooser(
-            settings,
-            self._summary_of,
-            evacuated=self._is_evacuated,
-            incarnation=incarnation,
-            on_sent=self._on_sent,
-        )
+        self._shard_chooser = ShardChooser(settings, self._summary_of, evacuated=self._is_evacuated)
         submissions = Submissions(
             self.job_registry,
             self.configuration,
@@ -182,7 +175,6 @@
         self.executor_registry.on_change = self._on_executors
         self.configuration.subscribe(lambda _configuration: self._on_executors())
         self.operator_records.evacuations.subscribe(self._on_evacuations)
-        self.job_registry.subscribe(self._on_job)
 
     def __repr__(self) -> str:
         return f"Host({self._settings.name!r})"
@@ -326,31 +318,10 @@
     def _on_summary(self, shard: int, summary: HallSummary) -> None:
         """Apply the summary of a hall to the known capacities and this host's tenures."""
         self._executor_capacities.add_summary(shard, summary)
-        self._shard_chooser.on_summary(shard)
         for candidate in self.candidates:
             if candidate.tenure:
                 candidate.tenure.adopt(summary)
 
-    def _on_job(self, job_id: str) -> None:
-        """Count a job that another host has accepted as work of its hall."""
-        entry = self.job_registry.catalog.get(job_id)
-        if entry and entry.submitted and not entry.finished:
-            self._shard_chooser.on_job_read(entry.submitted)
-
-    def _on_sent(self, sent: SentJob) -> None:
-        """Log and count a job that is accepted for another hall than this host's."""
-        self._metrics.count("jobs_sent", reason=sent.reason.value)
-        home, there = sent.home, sent.there
-        self._log.write(
-            Event.JOB_SENT,
-            job=sent.job_id,
-            to_shard=sent.shard,
-            reason=sent.reason.value,
-            wait_s=home and round(home.wait_s, 2),
-            there_s=there and round(there.wait_s, 2),
-            age_s=there and round(there.age_s, 1),
-        )
-
     def _on_evacuations(self, halls: frozenset[str]) -> None:
         evacuated = len(self.operator_records.evacuations.current)
         self._metrics.set_count("evacuated_halls", evacuated)
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -87,7 +87,6 @@
     "linkspan_executor_calls_total": "Calls to executors by call and outcome",
     "linkspan_starts_total": "Runs started, by outcome",
     "linkspan_ends_total": "Runs ended, by how",
-    "linkspan_jobs_sent_total": "Jobs accepted for another hall than the host's, by reason",
     "linkspan_claims_total": "Shards claimed",
     "linkspan_failures_heard_again_total": "Ends of failed runs that were counted before",
     "linkspan_crashes_total": "Executors that crashed with work on them",
