--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -97,9 +97,7 @@
     ) -> StepPlacement:
         """Return a step's placement among the given executors, or among all usable ones."""
         core = self.core
-        scores = StepScores(
-            step, core.health, core.interference, self.best_effort_capacity, self.now
-        )
+        scores = StepScores(step, core.health, self.best_effort_capacity, self.now)
         if executors is None:
             return StepPlacement(
                 step,
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
-    from linkspan.shard.colocation.interference import InterferenceEstimator
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.reports.health import ExecutorHealth
     from linkspan.shard.step_run import StepRun
@@ -73,14 +72,12 @@
     Attributes:
         step: The step.
         health: Health of the executors.
-        interference: Estimated interference between pairs of images.
         best_effort_capacity: Pressure that standing tasks tolerate from best-effort ones.
         now: Steady time.
     """
 
     step: StepRun
     health: ExecutorHealth
-    interference: InterferenceEstimator
     best_effort_capacity: BestEffortCapacity
     now: float
 
