Count a run's progress since the last report from that report on

Cause: after a change of pace the rise was counted from the end of the last whole window beside the progress of a later report, so that a run seemed further than it is for up to 3 s, and stayed on a slow executor. Found by reading. tests/shard/test_progress_rates.py fails without it (35 for 30).

--- a/src/linkspan/shard/progress_rate.py
+++ b/src/linkspan/shard/progress_rate.py
@@ -37,6 +37,7 @@
             ``None`` as long as it is unknown.
         doubted_at: Steady time at which it was first measured to be slow while its executor counted
             as ordinary.
+        begun_at: Steady time at which the report at the start of the present window was applied.
     """
 
     clock_s: float
@@ -47,6 +48,7 @@
     measured_at: float = NEVER
     ordinary_s: float | None = None
     doubted_at: float = NEVER
+    begun_at: float = NEVER
 
     def observe(
         self, clock_s: float, percent: int, pace: int, now: float, *, expected_s: float
@@ -62,11 +64,11 @@
                 it is unknown.
         """
         if pace != self.pace or clock_s < self.clock_s or percent < self.percent or pace <= 0:
-            self._begin(clock_s, percent, pace)
+            self._begin(clock_s, percent, pace, now)
             return False
         if not self.under_way:
             self.under_way = percent > self.percent
-            self._begin(clock_s, percent, pace)
+            self._begin(clock_s, percent, pace, now)
             return False
         window_s = clock_s - self.clock_s
         share_s = min(MIN_WINDOW_SHARE * expected_s, MAX_MIN_WINDOW_S)
@@ -77,13 +79,14 @@
             return False
         self.percent_per_s = rise / window_s * FULL_PACE / pace
         self.measured_at = now
-        self._begin(clock_s, percent, pace)
+        self._begin(clock_s, percent, pace, now)
         return True
 
-    def _begin(self, clock_s: float, percent: int, pace: int) -> None:
+    def _begin(self, clock_s: float, percent: int, pace: int, now: float) -> None:
         self.clock_s = clock_s
         self.percent = percent
         self.pace = pace
+        self.begun_at = now
 
     @property
     def full_duration_s(self) -> float | None:
@@ -94,5 +97,5 @@
         """Return the progress that the run has probably made by a steady time, in percent."""
         if self.percent_per_s is None:
             return float(self.percent)
-        rise = self.percent_per_s * self.pace / FULL_PACE * (now - self.measured_at)
+        rise = self.percent_per_s * self.pace / FULL_PACE * (now - self.begun_at)
         return min(self.percent + max(rise, 0.0), FULL_PROGRESS)
