--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -266,7 +266,7 @@
         # Includes the tenure's own hall: a new owner continues from the previous owner's summary.
         for other in range(len(self._settings.halls)):
             if summary := self._summary_of(other):
-                tenure.adopt(summary)
+                tenure.adopt(summary, former=other == shard)
         return tenure
 
     def _serves(self, service: str) -> bool:
--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -98,7 +98,7 @@
             # The rate of this run may be the last one that was missing.
             expected_s, weight = self._expected(attempt, now, again=True)
         full_s = rate.full_duration_s
-        if full_s and expected_s and self._shows_speed(executor, attempt, row):
+        if full_s and expected_s and self._shows_speed(attempt, row):
             self._vote(attempt, full_s / expected_s, weight, now)
             self._set_ordinary(attempt, rate, full_s, full_s / expected_s, now)
 
@@ -107,6 +107,8 @@
         spec = attempt.task.step.spec
         if self._ends_are_late or spec.best_effort or not _is_measured(attempt):
             return
+        if self._is_away_from_data(attempt):
+            return
         if spec.checkpoints and attempt.run > 1:
             # It may have resumed from a checkpoint, so that it is only a part of the work.
             return
@@ -123,6 +125,8 @@
 
         Only the time up to the last report that lists the run counts: it may have ended since.
         """
+        if self._is_away_from_data(attempt):
+            return
         ran_s = attempt.listed_at - max(attempt.placed_at, attempt.confirmed_at)
         expected_s, weight = self._expected(attempt, now)
         if expected_s > 0 and ran_s >= SLOW_FROM * expected_s:
@@ -156,10 +160,16 @@
             runs=change.runs,
         )
 
-    def _shows_speed(self, executor: ExecutorState, attempt: Attempt, row: RunningTask) -> bool:
+    def _is_away_from_data(self, attempt: Attempt) -> bool:
+        """Whether a run takes longer because its executor is not in the rack of its data."""
+        rack = attempt.task.step.spec.data_rack
+        executor = self._state.executors.get(attempt.executor_id)
+        return bool(rack) and (executor is None or rack not in executor.record.labels)
+
+    def _shows_speed(self, attempt: Attempt, row: RunningTask) -> bool:
         """Whether a run's progress shows the speed of its executor, rather than anything else."""
         spec = attempt.task.step.spec
-        if spec.data_rack and spec.data_rack not in executor.record.labels:
+        if self._is_away_from_data(attempt):
             return False
         if not spec.best_effort:
             return True
--- a/src/linkspan/shard/reports/executor_speeds.py
+++ b/src/linkspan/shard/reports/executor_speeds.py
@@ -188,6 +188,9 @@
             for executor_id in self.slow_executors()
             if now - self._records[executor_id].judged_at > FORGET_AFTER_S
         ]
+        for executor_id in found:
+            # None of them is compared any more.
+            self._records[executor_id].votes.clear()
         changes = [self._set(executor_id, ORDINARY) for executor_id in found]
         for executor_id in found:
             del self._records[executor_id]
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -256,14 +256,16 @@
         summary = summarize(self._core, steady(), wall=time.time())
         return replace(summary, effects=effects, speeds=speeds)
 
-    def adopt(self, summary: HallSummary) -> None:
+    def adopt(self, summary: HallSummary, *, former: bool = False) -> None:
         """Add what the owner of another hall, or the former owner of this one, has published.
 
-        Speeds are taken over only before this owner judges by the hall's own reports: later
-        summaries of the hall are its own.
+        Args:
+            summary: The published summary.
+            former: Whether it is the last one of this hall's former owner, whose speeds are then
+                taken over. Later summaries of the hall are this owner's own.
         """
         self._core.interference.adopt(summary.effects, steady())
-        if not self._recovery.done:
+        if former:
             self._core.health.speeds.adopt(summary.speeds, steady())
 
     def _on_job(self, job_id: str) -> None:
