--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -33,8 +33,8 @@
     from linkspan.shard.operator.configuration import ConfigurationWatch
 
 FRESH_READ_WAIT_S = 0.25
-"""Limits the read of the job records before a refusal for the load, in seconds. A healthy store
-takes 0.02 s, and a refusal is to come at once."""
+"""Limits the read of the job records before a refusal for the load, in seconds. A refusal
+is to come at once."""
 
 LATE_WRITE_S = 10.0
 """Time after a failure of this host's calls for job records in which no job is refused for the
--- a/src/linkspan/host/admission.py
+++ b/src/linkspan/host/admission.py
@@ -54,7 +54,7 @@
 def best_hopeless_outlook(
     halls: Iterable[HallLoad], spec: JobSpec, queue: Queue, priorities: Mapping[str, int]
 ) -> JobOutlook | None:
-    """Return the outlook of a job where it would fit first, ``None`` if a hall gives it hope.
+    """Return the outlook of a job where it would fit first, ``None`` if a hall may do it in time.
 
     Args:
         halls: Loads of the halls that could get the job.
--- a/src/linkspan/host/job_outlook.py
+++ b/src/linkspan/host/job_outlook.py
@@ -26,7 +26,7 @@
 the time in which it is of use, so beyond this factor fewer than one in three jobs can be."""
 
 MIN_SPARE_S = 1.0
-"""Wait that is never held against a job, in seconds: summaries are about that old."""
+"""Least time that a job is taken to have left, in seconds: summaries are about that old."""
 
 MIN_FIT_DELAY_S = 1.0
 """Least time after which a refused job would fit, in seconds: callers are told whole seconds."""
--- a/src/linkspan/shard/planning/_drain_rates.py
+++ b/src/linkspan/shard/planning/_drain_rates.py
@@ -23,11 +23,11 @@
 the duration of its tasks: those that started before ended at the rate of arrival, not of the
 hall."""
 
-MAX_LULL_S = 2.0
+MAX_IDLE_S = 2.0
 """Time without waiting tasks after which a rate is forgotten, in seconds: while nothing waits it
 tells of the arrivals, not of what the hall can complete."""
 
-MAX_DRY_S = 4.0
+MAX_WITHOUT_END_S = 4.0
 """Time without a completed task after which a rate is unknown, in seconds, on top of the duration
 of the tasks: the hall is then cut off from its executors, or serves other work only, and nobody can
 tell when it goes on."""
@@ -79,7 +79,7 @@
         for work_class in waiting:
             rate = self._rates.setdefault(work_class, _Rate(now, now, now))
             rate.waited_at = now
-        limit = now - MAX_LULL_S
+        limit = now - MAX_IDLE_S
         for work_class in [c for c, rate in self._rates.items() if rate.waited_at < limit]:
             del self._rates[work_class]
 
@@ -114,6 +114,6 @@
         rate = self._rates.get(work_class)
         if rate is None or now - rate.since < MIN_OBSERVED_S + duration_s:
             return 0.0
-        if now - rate.updated_at > MAX_DRY_S + duration_s:
+        if now - rate.updated_at > MAX_WITHOUT_END_S + duration_s:
             return 0.0
         return rate.per_second(now)
--- a/src/linkspan/shard/planning/_interference_moves.py
+++ b/src/linkspan/shard/planning/_interference_moves.py
@@ -28,8 +28,8 @@
 """Limits the searches of one plan. With most of a hall's runs slowed, starts wait for the plan; a
 run that is looked at a few plans later loses little."""
 
-MAX_LOOKS_PER_PLAN = 1_000
-"""Limits the executors that these searches look at, in halls with more than sixty."""
+MAX_EXAMINED_PER_PLAN = 1_000
+"""Limits the executors that these searches examine, in halls with more than sixty."""
 
 
 class _SlowedRun(NamedTuple):
@@ -75,7 +75,7 @@
         due = [r for r in slowed if _is_due(r, view.now) and _is_movable(r.attempt)]
         if not due:
             return
-        limit = min(MAX_LOOKS_PER_PLAN // max(len(view.usable()), 1) + 1, MAX_SEARCHES_PER_PLAN)
+        limit = min(MAX_EXAMINED_PER_PLAN // max(len(view.usable()), 1) + 1, MAX_SEARCHES_PER_PLAN)
         if len(due) > limit:
             due.sort(key=lambda run: run.searched_at)
         for run in due[:limit]:
--- a/src/linkspan/shard/planning/_plan_view.py
+++ b/src/linkspan/shard/planning/_plan_view.py
@@ -62,9 +62,8 @@
     def free_capacity(self) -> FreeCapacity:
         """Return the free capacity of the executors that may get new work.
 
-        Only placements that choose among all usable executors update it. The plan's moves place
-        nothing. Its copies may see more capacity than is free, which preselects a few executors
-        too many.
+        Placements update it, except those of speculative copies. A copy may therefore be compared
+        with an executor that an earlier copy has filled; the full check excludes it.
         """
         if self._free_capacity is None:
             self._free_capacity = FreeCapacity(self.usable(), self.best_effort_capacity)
--- a/src/linkspan/shard/planning/_run_forecast.py
+++ b/src/linkspan/shard/planning/_run_forecast.py
@@ -19,7 +19,7 @@
 """Age up to which a measured rate of progress is used: reports follow each other within two
 seconds, and a window may span two of them."""
 
-MAX_VOUCHED_AGE_S = 2.0
+MAX_SHOWN_AGE_S = 2.0
 """Age up to which another run shows that an executor has ordinary speed: the longest time between
 two reports."""
 
@@ -59,8 +59,8 @@
     """
     name, rate = attempt.executor_id, attempt.rate
     slowdown = speeds.slowdown(name)
-    if slowdown <= ORDINARY and not speeds.is_vouched_for(
-        name, attempt.key, now - MAX_VOUCHED_AGE_S
+    if slowdown <= ORDINARY and not speeds.is_shown_ordinary(
+        name, attempt.key, now - MAX_SHOWN_AGE_S
     ):
         return None
     if rate is None or rate.full_duration_s is None or now - rate.measured_at > MAX_RATE_AGE_S:
--- a/src/linkspan/shard/planning/_speculative_copies.py
+++ b/src/linkspan/shard/planning/_speculative_copies.py
@@ -43,13 +43,13 @@
         if attempt.task.crash_history or not attempt.task.startable(self._now):
             # A copy could crash a second executor, or a start was refused a moment ago.
             return False
-        if step.run.job.closing or not self._takes_long(attempt):
+        if step.run.job.closing or not self._is_worth_a_copy(attempt):
             return False
         copied = sum(len(task.attempts) > 1 for task in step.tasks)
         return copied < max(MAX_COPIED_SHARE * step.spec.count, 1)
 
-    def _takes_long(self, attempt: Attempt) -> bool:
-        """Whether a copy is expected to end sooner, or the run takes longer than its siblings."""
+    def _is_worth_a_copy(self, attempt: Attempt) -> bool:
+        """Whether a copy is expected to end sooner or, without a forecast, the run is overdue."""
         speeds = self._core.health.speeds
         durations = attempt.task.step.durations
         overdue = len(durations) >= 2 and (
--- a/src/linkspan/shard/planning/_stragglers.py
+++ b/src/linkspan/shard/planning/_stragglers.py
@@ -37,7 +37,7 @@
 
 MAX_SEARCHES_PER_PLAN = 8
 """Limits the runs for which a plan looks for an executor with room, as each search asks all
-executors. The other runs follow in the next plans, a tenth of a second apart."""
+executors. The other runs follow once these have moved or ended."""
 
 
 class Stragglers(PlanStage):
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -165,6 +165,7 @@
             capacity, step = self.best_effort_capacity, self.step
             found = [e for e in found if capacity.may_run_at_full_speed(e, step)]
         if not found or self.unplaceable is not None:
+            # The placement chooses among all usable executors.
             return found
         given = {executor.executor_id for executor in self.executors}
         return [executor for executor in found if executor.executor_id in given]
@@ -194,7 +195,7 @@
         ]
 
     def _kind(self, use_headroom: bool, starved: bool) -> TaskKind | None:
-        """Return the kind of the next task, ``None`` if others of its kind may fit elsewhere."""
+        """Return the kind of the next task, ``None`` if it does not decide where the task fits."""
         if not has_kind(self.step):
             return None
         return kind_of(
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -50,7 +50,6 @@
         self._evacuation = core.evacuation
         self._setting_aside = SettingAside(core)
         self._interference_moves = InterferenceMoves()
-
         self._explanations_left = 0
         self._unplaceable: list[tuple[TaskKind, StepRun]] = []
         self._left_over = False
@@ -147,8 +146,8 @@
     def _place_step(
         self, step: StepRun, pending: list[Task], view: PlanView, waiting_steps: WaitingSteps
     ) -> None:
-        explained = step in self._blocked_logged or not self._explanations_left
-        if explained and waiting_steps.changes_nothing(step, pending):
+        needs_no_line = step in self._blocked_logged or not self._explanations_left
+        if needs_no_line and waiting_steps.changes_nothing(step, pending):
             return
         placement = view.placement(step)
         if not placement.executors:
--- a/src/linkspan/shard/reports/_speed_evidence.py
+++ b/src/linkspan/shard/reports/_speed_evidence.py
@@ -33,7 +33,7 @@
 After a few lost polls all short runs of an executor would seem to have taken seconds, and so would
 runs whose starts were delayed on their way."""
 
-MAX_RATE_AGE_S = 1.0
+MAX_RATE_AGE_AT_END_S = 1.0
 """Age up to which a run's rate of progress stands for its speed at its end; the whole duration of
 the run would include times before a change of speed."""
 
@@ -48,7 +48,7 @@
     def __init__(self, state: ShardState) -> None:
         self._state = state
         self._ends_are_late = False
-        self._fine_services: set[str] = set()
+        self._services_with_progress: set[str] = set()
 
     def __repr__(self) -> str:
         return f"SpeedEvidence({self._state!r})"
@@ -68,8 +68,13 @@
         risen from one report to another, progress is measured from the start on. The progress of a
         run that resumes from a checkpoint is unknown until it is reported.
         """
-        fine = executor.record.service in self._fine_services
-        if fine and clock_s is not None and not attempt.task.checkpoint and _is_measured(attempt):
+        reports_progress = executor.record.service in self._services_with_progress
+        if (
+            reports_progress
+            and clock_s is not None
+            and not attempt.task.checkpoint
+            and _is_measured(attempt)
+        ):
             attempt.rate = ProgressRate(clock_s, 0)
 
     def on_listed(
@@ -86,7 +91,7 @@
             attempt.rate = ProgressRate(clock_s, row.progress, attempt.pace, under_way=under_way)
             return
         if rate.percent and row.progress > rate.percent:
-            self._fine_services.add(executor.record.service)
+            self._services_with_progress.add(executor.record.service)
         in_window = clock_s - rate.clock_s < MIN_WINDOW_S and attempt.pace == rate.pace
         if in_window and rate.under_way:
             # Fast path for reports in quick succession.
@@ -114,7 +119,7 @@
             return
         if attempt.confirmed_at - attempt.placed_at > MAX_UNCERTAINTY_S:
             return
-        if attempt.rate and now - attempt.rate.measured_at <= MAX_RATE_AGE_S:
+        if attempt.rate and now - attempt.rate.measured_at <= MAX_RATE_AGE_AT_END_S:
             return
         expected_s, weight = self._expected(attempt, now)
         if expected_s > 0:
@@ -193,7 +198,7 @@
             rate.ordinary_s = full_s
         elif rate.doubted_at == NEVER:
             rate.doubted_at = now
-        elif speeds.is_vouched_for(attempt.executor_id, attempt.key, rate.doubted_at):
+        elif speeds.is_shown_ordinary(attempt.executor_id, attempt.key, rate.doubted_at):
             rate.ordinary_s = full_s
 
     def _expected(
--- a/src/linkspan/shard/reports/executor_speeds.py
+++ b/src/linkspan/shard/reports/executor_speeds.py
@@ -17,11 +17,11 @@
 """Slowdown of an executor of ordinary speed."""
 
 SLOW_FROM = 2.0
-"""Slowdown from which on it counts; below it is taken as ordinary. Tasks of a step differ by a
-third, and executors that turn slow do so by a factor of four or more."""
+"""Slowdown from which on it counts; below it is taken as ordinary. Tasks of one
+step differ by less."""
 
 MAX_SLOWDOWN = 16.0
-"""Limits what one run says, twice the slowdown of the slowest executors."""
+"""Limits the ratio of one run, so that an odd report does not decide."""
 
 ORDINARY_WEIGHT_RUNS = 1.5
 """Weight of the assumption that an executor has ordinary speed: more than one run, as a task may be
@@ -39,12 +39,11 @@
 """Age from which on what a run says is left out: the longest time between two reports."""
 
 FORGET_AFTER_S = 8.0
-"""Time without any run to judge by after which an executor counts as ordinary again: the longest
-slow stretch."""
+"""Time without any run to judge by after which an executor counts as ordinary again: it
+may have recovered, and nothing else would show it."""
 
 MAX_PUBLISHED = 32
-"""Limits the executors in a hall's summary, each of about 40 bytes: 7 percent of the executors of
-the largest hall are half of it."""
+"""Limits the executors in a hall's summary, as each takes about 40 bytes of the record."""
 
 
 _LOG_SLOW_FROM = log(SLOW_FROM)
@@ -67,7 +66,7 @@
 
 
 class _Vote(NamedTuple):
-    """What one run says about its executor.
+    """Comparison of one run with similar ones.
 
     Attributes:
         log_ratio: Logarithm of the run's duration over that of comparable runs.
@@ -127,7 +126,7 @@
         record = self._records.get(executor_id)
         return now - record.judged_at if record else float("inf")
 
-    def is_vouched_for(self, executor_id: str, run: Hashable, since: float) -> bool:
+    def is_shown_ordinary(self, executor_id: str, run: Hashable, since: float) -> bool:
         """Return whether another run has shown that an executor has ordinary speed.
 
         Otherwise a run that takes long may be long by itself, or be on a slow executor.
--- a/src/linkspan/shard/step_run.py
+++ b/src/linkspan/shard/step_run.py
@@ -16,9 +16,8 @@
 
 
 MIN_COMPARED_RUNS = 3
-"""Runs of a step whose durations must be known for their median to be typical, not counting further
-runs on one executor: with two of them, one that is long by itself or on a slow executor would
-decide."""
+"""Runs of a step whose durations must be known before their median counts as typical. Several
+unfinished runs on one executor count as one: it may be slow."""
 
 TYPICAL_KEPT_S = 0.25
 """Time for which a computed typical duration is used again: each report asks for it, once a run."""
--- a/tests/shard/test_backlogs.py
+++ b/tests/shard/test_backlogs.py
@@ -8,7 +8,7 @@
 from linkspan.shard.handover._backlogs import MAX_BACKLOGS
 from linkspan.shard.handover.backlog import Backlog, WorkClass
 from linkspan.shard.handover.summary import HallSummary
-from linkspan.shard.planning._drain_rates import MAX_LULL_S, MIN_OBSERVED_S
+from linkspan.shard.planning._drain_rates import MAX_IDLE_S, MIN_OBSERVED_S
 from tests.job_builders import QUEUE, step
 from tests.shard.backlog_builders import DrainingHall, add_waiting_job, backlogs
 from tests.shard.builders import JOB, core_with
@@ -67,7 +67,7 @@
     hall = DrainingHall(core, duration_s=1.0)
     hall.drain(12.0)
     assert backlogs(core, hall.now) == ()
-    later = hall.now + MAX_LULL_S + 0.1
+    later = hall.now + MAX_IDLE_S + 0.1
     assert backlogs(core, later) == ()
     add_waiting_job(core, 1, step(100))
     (backlog,) = backlogs(core, later)
@@ -145,4 +145,4 @@
     hall.drain(20.0)
     next_owner = full_hall()
     assert [b.rate for b in backlogs(next_owner, hall.now)] == [0.0]
-    assert [b.rate for b in backlogs(next_owner, hall.now + MAX_LULL_S)] == [0.0]
+    assert [b.rate for b in backlogs(next_owner, hall.now + MAX_IDLE_S)] == [0.0]
