Tell which work starts while a step waits for room, and which pieces are free (584)

Lines 531 say what speaks against executors at one moment, once a step. They tell neither what started while a step waited, nor whether a piece of its size could become free at all, so that what is accepted, the order of starts and the lack of pieces look alike.

584 names steps with a reservation that have waited for 1 s: starts meanwhile by kind of work, those of smaller tasks apart; executors with room, and those that would have the cores beside standing tasks alone; the largest free piece and all free cores. Gauges of the largest free piece and of the tasks of each size that fit, a histogram of waits by kind and size. Nothing is decided by them.

Cost: one look a second at the waiting steps and, for ten lines at most, at the executors; a counter a start.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -175,6 +175,12 @@
     )
     STEP_PLACED = 530, logging.INFO, "tasks placed on executors", "nothing"
     STEP_BLOCKED = 531, logging.INFO, "tasks wait for capacity", "nothing"
+    STEP_PASSED_OVER = (
+        584,
+        logging.INFO,
+        "tasks with a reservation wait for room while other tasks start",
+        "see OPERATIONS.md, short work that waits for cores",
+    )
     STANDING_WAITS = (
         569,
         logging.WARNING,
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -103,6 +103,8 @@
     "linkspan_evacuated_halls": "Halls whose evacuation is in force",
     "linkspan_standing_wait_seconds": "Longest time without a run of a standing task",
     "linkspan_standing_unlisted_seconds": "Longest time a standing run was in no report",
+    "linkspan_largest_free_cores": "Most cores of one executor that no task reserves, whole ones",
+    "linkspan_free_slots": "Tasks of so many cores each that fit beside all reservations",
     "linkspan_staying_tasks": "Tasks that have waited for seconds beside room in another hall",
     "linkspan_unmanaged_tasks": "Standing tasks that no hall may manage, by the records",
 }
@@ -110,6 +112,7 @@
 _HISTOGRAMS = {
     "linkspan_accept_seconds": "From a job's arrival to its answer",
     "linkspan_start_wait_seconds": "From a task's turn to its placement",
+    "linkspan_wait_by_size_seconds": "The same, by kind of work and cores of a task",
     "linkspan_store_call_seconds": "Time of a store call, waits left out",
     "linkspan_executor_call_seconds": "Time of an executor call, waits left out",
     "linkspan_advice_seconds": "Time of a call to the placement policies' service",
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -16,6 +16,7 @@
 from linkspan.shard.planning.advice import AdviceCache
 from linkspan.shard.planning.durations import DurationEstimator
 from linkspan.shard.planning.set_asides import SetAsides
+from linkspan.shard.planning.start_counts import StartCounts
 from linkspan.shard.reports._speed_evidence import SpeedEvidence
 from linkspan.shard.reports.health import ExecutorHealth
 from linkspan.shard.task import index_of
@@ -67,6 +68,7 @@
         advice: Tickets of the queues' placement policies.
         durations: Estimates of step durations.
         drain_rates: Rates at which waiting work drains.
+        start_counts: Starts that were ordered, by kind of work and size of task.
         set_asides: Resources of executors that are set aside for waiting tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
@@ -111,6 +113,7 @@
         self.advice = AdviceCache()
         self.durations = DurationEstimator()
         self.drain_rates = DrainRates()
+        self.start_counts = StartCounts()
         self.set_asides = SetAsides()
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -113,6 +113,7 @@
     _duration_checked: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _copyable: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _reserved_cpu: int = 0
+    _standing_cpu: int = 0
     _best_effort_cpu: int = 0
     _best_effort_memory_mb: int = 0
     _used_memory_mb: int = 0
@@ -156,6 +157,11 @@
         """Thousandths of a core that are reserved by attempts that are not best-effort."""
         return self._reserved_cpu
 
+    @property
+    def standing_cpu(self) -> int:
+        """Thousandths of a core that are reserved by attempts of standing tasks."""
+        return self._standing_cpu
+
     @property
     def best_effort_cpu(self) -> int:
         """Thousandths of a core that best-effort attempts demand at full speed."""
@@ -256,6 +262,8 @@
             self._best_effort_memory_mb += sign * step.demand.memory_mb
         else:
             self._reserved_cpu += sign * step.demand.milli_cpu
+        if step.standing and not step.best_effort:
+            self._standing_cpu += sign * step.demand.milli_cpu
         self._used_memory_mb += sign * step.demand.memory_mb
         self._used_gpus += sign * step.demand.gpus
 
--- a/src/linkspan/shard/handover/backlog.py
+++ b/src/linkspan/shard/handover/backlog.py
@@ -31,11 +31,17 @@
             >>> WorkClass.of("short", 4_750)
             WorkClass(queue='short', milli_cpu=8000)
         """
-        return cls(queue, _size_class(milli_cpu))
+        return cls(queue, size_class(milli_cpu))
 
 
 @lru_cache(maxsize=1_024)
-def _size_class(milli_cpu: int) -> int:
+def size_class(milli_cpu: int) -> int:
+    """Return the smallest power of two times ``MIN_SIZE_MILLI_CPU`` that covers a size.
+
+    Example:
+        >>> size_class(4_750), size_class(200)
+        (8000, 1000)
+    """
     doublings = (max(milli_cpu - 1, 0) // MIN_SIZE_MILLI_CPU).bit_length()
     return MIN_SIZE_MILLI_CPU << doublings
 
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -10,9 +10,11 @@
 from linkspan.clock import steady
 from linkspan.errors import Unconnected, Unreachable, WrongIncarnation
 from linkspan.shard.attempt import Phase
+from linkspan.shard.handover.backlog import size_class
 from linkspan.shard.messages import PaceOrder, StartOrder, StopOrder
 from linkspan.shard.orders._orders import MAX_ANSWER_AGE_S
 from linkspan.shard.planning.planner import Planner
+from linkspan.shard.planning.start_counts import WorkKind
 
 if TYPE_CHECKING:
     from linkspan.shard._context import TenureContext
@@ -117,7 +119,7 @@
         orders, core.orders = core.orders, []
         for order in orders:
             if isinstance(order, StartOrder):
-                self._metrics.observe("start_wait", core.waiting_time_s(order, steady()))
+                self._observe_wait(order)
         for order in orders:
             self._scope.spawn(self._send(order))
         to_poll, core.executors_to_poll = core.executors_to_poll, set()
@@ -126,6 +128,16 @@
             if executor:
                 self._scope.spawn(self._watch.poll_once(executor))
 
+    def _observe_wait(self, order: StartOrder) -> None:
+        waited_s = self._core.waiting_time_s(order, steady())
+        self._metrics.observe("start_wait", waited_s)
+        task = self._core.find_task(order.task)
+        if task is None:
+            return
+        spec = task.step.spec
+        cores = str(size_class(spec.demand.milli_cpu) // 1000)
+        self._metrics.observe("wait_by_size", waited_s, work=WorkKind.of(spec).value, cores=cores)
+
     def _may_send(self, order: Order, executor: ExecutorState) -> bool:
         """Whether an order is still valid.
 
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -61,6 +61,7 @@
     ) -> Attempt:
         """Order the start of a task on an executor."""
         run_number = task.next_run if run is None else run
+        self._state.start_counts.add(task)
         attempt = Attempt(
             task, run_number, executor.executor_id, Phase.STARTING, now, speculative=speculative
         )
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -4,8 +4,9 @@
 owner), ``_feed`` (changes of jobs), ``_dispatch`` (plans and orders), ``_watch`` (polls of
 executors), ``_records`` (writes of records), ``_handovers`` (work for other halls),
 ``_advice_requester`` (tickets of placement policies), ``_standing_waits`` (why standing tasks do
-not run), ``_unlisted_runs`` (runs that no report lists), ``_unmanaged_tasks`` (tasks between two
-halls) and ``_proof`` (proof of ownership).
+not run), ``_passed_over`` (steps that wait while other work starts), ``_unlisted_runs`` (runs that
+no report lists), ``_unmanaged_tasks`` (tasks between two halls) and ``_proof`` (proof of
+ownership).
 ``_scope`` runs their loops, and ``_changes`` wakes them.
 """
 
@@ -34,6 +35,7 @@
 from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
 from linkspan.shard.ownership._scope import TaskScope
 from linkspan.shard.planning._advice_requester import AdviceRequester
+from linkspan.shard.planning._passed_over import PassedOver
 from linkspan.shard.planning._standing_waits import StandingWaits
 from linkspan.shard.recovery._records import RecordWriter
 from linkspan.shard.recovery._recovery import Recovery
@@ -152,6 +154,7 @@
         self._staying_work = StayingWork(
             context, self._handovers.rebalancer.stay_reason, self._handovers.other_summaries
         )
+        self._passed_over = PassedOver(context)
         self._unlisted_runs = UnlistedRuns(context)
         self._unmanaged_tasks = UnmanagedTasks(context)
         self._feed = JobFeed(context)
@@ -216,6 +219,7 @@
                 scope.spawn(self._advice_requester.run())
                 scope.spawn(self._standing_waits.report_loop())
                 scope.spawn(self._staying_work.report_loop())
+                scope.spawn(self._passed_over.report_loop())
                 scope.spawn(self._unlisted_runs.report_loop())
                 scope.spawn(self._unmanaged_tasks.report_loop())
                 scope.spawn(self._tick_loop())
