Refuse standing jobs at once that find no room beside short work

Cause: standing work was accepted whatever room there was. Standing tasks end only when their caller cancels them, so what is accepted beyond room waits, uses what is kept for short work after 3 s (it is lost after 9 s beside any room), and takes each piece that becomes free for good. Class of fault: admission without regard to capacity, with a promise (at work within 9 s) that then has to be paid from what another class was promised.

Change: a host refuses a standing job (503, line 528, Retry-After by what ended lately) of which less than half of the tasks have room beside the headroom in the halls that could get it, by their summaries less what all hosts accepted since, by the job records, and less what others store at this moment, by rate. Whatever is unknown is accepted.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -173,6 +173,12 @@
         "job refused, as it could no longer be of use when done; it never runs",
         "see OPERATIONS.md, jobs refused in time",
     )
+    STANDING_REFUSED = (
+        528,
+        logging.WARNING,
+        "standing job refused, as no hall has room for it beside short work; it never runs",
+        "see OPERATIONS.md, standing jobs without room",
+    )
     STEP_PLACED = 530, logging.INFO, "tasks placed on executors", "nothing"
     STEP_BLOCKED = 531, logging.INFO, "tasks wait for capacity", "nothing"
     STEP_PASSED_OVER = (
--- a/src/linkspan/host/_refusal_cause.py
+++ b/src/linkspan/host/_refusal_cause.py
@@ -14,4 +14,5 @@
     WRITER_REPLACED = "this host's writer was replaced"
     INCOMPLETE = "request did not arrive whole"
     OVERSIZED = "larger than any executor of the service"
+    NO_ROOM = "no hall has room for a standing task of it beside short work"
     HOPELESS = "it could no longer be of use when done"
--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -26,6 +26,8 @@
     from linkspan.host.caller_format import CallerFormat
     from linkspan.host.caller_waits import CallerWaits
     from linkspan.host.job_outlook import JobOutlook
+    from linkspan.host.standing_admission import StandingShortage
+    from linkspan.host.standing_reservations import StandingReservations
     from linkspan.jobs.job_registry import JobRegistry
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.metrics import HostMetrics
@@ -51,6 +53,7 @@
         waits: Waits of requests.
         choose_shard: Returns the shard for a new job.
         admission: Decides which jobs to refuse for the load.
+        reservations: What standing jobs have reserved lately.
         capacities: Returns the known capacities of a service's executors.
         incarnation: Incarnation of this process, part of the keys of its records.
         log: Event log.
@@ -66,6 +69,7 @@
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
         admission: Admission,
+        reservations: StandingReservations,
         capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
         log: EventLog,
@@ -77,6 +81,7 @@
         self._waits = waits
         self._choose_shard = choose_shard
         self._admission = admission
+        self._reservations = reservations
         self._capacities = capacities
         self._incarnation = incarnation
         self._log = log
@@ -107,9 +112,9 @@
             refusal = self._refusal_of(spec, queue, deadline)
             if refusal:
                 return refusal
-            outlook = self._admission.reason_to_refuse(spec, queue, self._priorities())
-            if outlook and await self._certainly_new(job_id, deadline):
-                return self._refuse_hopeless(job_id, queue, outlook, deadline)
+            refusal = await self._refusal_for_load(spec, queue, deadline)
+            if refusal:
+                return refusal
             # The read may have found the job, or another try of it has begun meanwhile.
             if self._job_registry.knows(job_id):
                 return self._respond_known(job_id, queue)
@@ -130,6 +135,24 @@
         step = oversized_step(spec, self._capacities(queue.service))
         return None if step is None else self._refuse_oversized(spec.job_id, queue, step)
 
+    async def _refusal_for_load(
+        self, spec: JobSpec, queue: Queue, deadline: float
+    ) -> web.Response | None:
+        """Return the refusal of a job that no hall could serve, ``None`` to accept it."""
+        if spec.standing and not spec.schedule:
+            # The read also tells which standing jobs other hosts have accepted meanwhile.
+            began = steady()
+            new = await self._certainly_new(spec.job_id, deadline)
+            self._reservations.on_read(steady() - began)
+            shortage = self._admission.standing_shortage(spec, queue) if new else None
+            if shortage is None:
+                return None
+            return self._refuse_standing(spec.job_id, queue, shortage, deadline)
+        outlook = self._admission.reason_to_refuse(spec, queue, self._priorities())
+        if outlook and await self._certainly_new(spec.job_id, deadline):
+            return self._refuse_hopeless(spec.job_id, queue, outlook, deadline)
+        return None
+
     def _priorities(self) -> dict[str, int]:
         """Return the priorities of all queues."""
         configuration = self._configuration.current
@@ -156,6 +179,7 @@
         write = self._job_registry.write([record], retry_refused=False)
         self._submitting[spec.job_id] = write
         write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
+        self._reservations.on_accept(record)
         return write
 
     def _configuration_version(self, queue: Queue) -> int | None:
@@ -173,6 +197,8 @@
         self._submitting.pop(job_id, None)
         if not done.cancelled() and done.exception() is None:
             self._job_registry.note_accepted(job_id, done.result())
+        elif not done.cancelled() and isinstance(done.exception(), StoreRefused):
+            self._reservations.on_not_stored(job_id)
 
     async def _await_write(
         self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
@@ -196,6 +222,7 @@
             )
             return json_response(504, b'{"error":"not known yet whether the job is kept"}')
         self._metrics.observe("accept", steady() - started_at)
+        self._reservations.on_stored(steady() - started_at)
         self._log.write(
             Event.JOB_ACCEPTED,
             job=job_id,
@@ -244,6 +271,27 @@
         )
         return unavailable(reason, retry_after_s=delay_s)
 
+    def _refuse_standing(
+        self, job_id: str, queue: Queue, shortage: StandingShortage, deadline: float
+    ) -> web.Response:
+        fits_after_s = self._admission.fits_after_s(shortage, queue)
+        delay_s = retry_after_s(job_id, fits_after_s, deadline - steady())
+        reason = RefusalCause.NO_ROOM.value
+        self._count_refusal(queue, RefusalCause.NO_ROOM)
+        self._log.write(
+            Event.STANDING_REFUSED,
+            job=job_id,
+            queue=queue.name,
+            reason=reason,
+            milli_cpu=shortage.demand.milli_cpu,
+            memory_mb=shortage.demand.memory_mb,
+            tasks=shortage.tasks,
+            room=shortage.room,
+            fits_after_s=round(fits_after_s, 1),
+            retry_after_s=delay_s,
+        )
+        return unavailable(reason, retry_after_s=delay_s)
+
     def _refuse_oversized(self, job_id: str, queue: Queue, step: int) -> web.Response:
         reason = f"tasks of step {step} are {RefusalCause.OVERSIZED.value}"
         self._count_refusal(queue, RefusalCause.OVERSIZED)
--- a/src/linkspan/host/admission.py
+++ b/src/linkspan/host/admission.py
@@ -1,17 +1,30 @@
-"""Decides which new jobs to refuse, as they could no longer be of use when they are done."""
+"""Decides which new jobs to refuse: those that would be of no use when done, or find no room."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from linkspan.host.job_outlook import HallLoad, JobOutlook, has_room, outlook_in
+from linkspan.clock import steady
+from linkspan.host.job_outlook import (
+    MAX_FIT_DELAY_S,
+    MIN_FIT_DELAY_S,
+    HallLoad,
+    JobOutlook,
+    has_room,
+    outlook_in,
+)
+from linkspan.host.standing_admission import StandingHall, StandingShortage, shortage_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from linkspan.host.standing_reservations import StandingReservations
     from linkspan.jobs.spec import JobSpec
     from linkspan.model.configuration import Queue
 
+TAKE_IN_S = 0.3
+"""Time from a job's record until a summary of its hall may include it, in seconds."""
+
 
 class Admission:
     """Decides on the admission of new jobs by the load of the halls that could get them.
@@ -19,15 +32,18 @@
     Args:
         loads: Returns the loads of all halls, by number of the shard.
         eligible: Returns the shards that could get a job.
+        reservations: What standing jobs have reserved and given back lately.
     """
 
     def __init__(
         self,
         loads: Callable[[], list[HallLoad]],
         eligible: Callable[[JobSpec, Queue], list[int]],
+        reservations: StandingReservations,
     ) -> None:
         self._loads = loads
         self._eligible = eligible
+        self._reservations = reservations
 
     def __repr__(self) -> str:
         return f"Admission({self._loads()!r})"
@@ -50,6 +66,32 @@
         halls = [loads[shard] for shard in self._eligible(spec, queue)]
         return best_hopeless_outlook(halls, spec, queue, priorities)
 
+    def standing_shortage(self, spec: JobSpec, queue: Queue) -> StandingShortage | None:
+        """Return why a standing job finds no room in the halls, ``None`` to accept it.
+
+        Args:
+            spec: The job.
+            queue: The job's queue.
+        """
+        now = steady()
+        loads = self._loads()
+        halls = []
+        for shard in self._eligible(spec, queue):
+            since = now - loads[shard].age_s - TAKE_IN_S
+            accepted = self._reservations.accepted_since(shard, queue.service, since)
+            halls.append(StandingHall(loads[shard], accepted))
+        return shortage_of(spec, queue.service, halls)
+
+    def fits_after_s(self, shortage: StandingShortage, queue: Queue) -> float:
+        """Return the seconds after which a refused standing job is expected to fit.
+
+        Args:
+            shortage: Why it was refused.
+            queue: The job's queue.
+        """
+        wait_s = self._reservations.wait_s(queue.service, shortage.missing)
+        return min(max(wait_s, MIN_FIT_DELAY_S), MAX_FIT_DELAY_S)
+
 
 def best_hopeless_outlook(
     halls: Iterable[HallLoad], spec: JobSpec, queue: Queue, priorities: Mapping[str, int]
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -17,6 +17,7 @@
 from linkspan.host.front import Front
 from linkspan.host.job_outlook import HallLoad
 from linkspan.host.shards import ShardChooser
+from linkspan.host.standing_reservations import StandingReservations
 from linkspan.jobs.job_registry import JobRegistry
 from linkspan.shard.operator.records import OperatorRecords
 from linkspan.shard.registry import ExecutorRegistry
@@ -149,13 +150,18 @@
         ]
         waits = CallerWaits()
         self._shard_chooser = ShardChooser(settings, self._summary_of, evacuated=self._is_evacuated)
+        reservations = StandingReservations(self.job_registry.catalog)
+        self.job_registry.subscribe(reservations.on_job)
         submissions = Submissions(
             self.job_registry,
             self.configuration,
             adapter.caller_format,
             waits,
             choose_shard=self._shard_chooser.choose,
-            admission=Admission(self._hall_loads, self._shard_chooser.eligible_shards),
+            admission=Admission(
+                self._hall_loads, self._shard_chooser.eligible_shards, reservations
+            ),
+            reservations=reservations,
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
             log=log,
--- /dev/null
+++ b/src/linkspan/host/standing_admission.py
@@ -0,0 +1,124 @@
+"""Decides whether a new standing job finds room beside what halls keep for short work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import ceil
+from typing import TYPE_CHECKING, NamedTuple
+
+from linkspan.jobs.spec import Demand
+from linkspan.shard.planning.task_need import TaskNeed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from linkspan.host.job_outlook import HallLoad
+    from linkspan.jobs.spec import JobSpec, StepSpec
+
+MIN_SHARE_WITH_ROOM = 0.5
+"""Least share of a step's tasks that must have room. With all of them, wide jobs would hardly be
+accepted; with one, most tasks would wait, and take what is kept for short work."""
+
+PACKED_SHARE = 0.95
+"""Share of the resources with room that tasks of several sizes fill, the rest being too small for
+the next one."""
+
+
+@dataclass(frozen=True, slots=True)
+class StandingHall:
+    """A hall that could get a standing job.
+
+    Attributes:
+        load: Its load as far as the host knows it.
+        accepted: What jobs reserve that were accepted for it since the summary.
+    """
+
+    load: HallLoad
+    accepted: Demand
+
+
+@dataclass(frozen=True, slots=True)
+class StandingShortage:
+    """Why a standing job does not fit.
+
+    Attributes:
+        demand: What a task of it reserves.
+        tasks: Number of tasks that need room.
+        room: For how many of them each hall has room, by name of the hall.
+        missing: What has to get free for the others.
+    """
+
+    demand: Demand
+    tasks: int
+    room: dict[str, int]
+    missing: Demand
+
+
+def shortage_of(
+    spec: JobSpec, service: str, halls: Iterable[StandingHall]
+) -> StandingShortage | None:
+    """Return why the halls have no room for a standing job, ``None`` if they have or may have.
+
+    A part of a step's tasks needs room, in all halls together; the others begin as room gets free.
+    The tasks of a gang need it in one hall. What is kept for short work is no room. A hall of which
+    nothing is known may have room.
+
+    Args:
+        spec: The job.
+        service: Service whose executors run it.
+        halls: Halls that could get it.
+    """
+    known = list(halls)
+    if not known or not all(_is_known(hall.load) for hall in known):
+        return None
+    for step in spec.steps:
+        if not step.standing or step.best_effort or step.depends_on:
+            continue
+        rooms = {hall.load.hall: _room(hall, step, service) for hall in known}
+        tasks = step.count if step.gang else ceil(MIN_SHARE_WITH_ROOM * step.count)
+        room = max(rooms.values()) if step.gang else sum(rooms.values())
+        if room < tasks:
+            missing = Demand().plus(step.demand, tasks - room)
+            return StandingShortage(step.demand, tasks, rooms, missing)
+    return None
+
+
+def _is_known(load: HallLoad) -> bool:
+    """Return whether a hall's room is known; a new owner publishes no executors at first."""
+    summary = load.usable_summary
+    return summary is not None and bool(summary.free_by_executor)
+
+
+class _Usable(NamedTuple):
+    """Room of a hall by its summary.
+
+    Attributes:
+        slots: Number of tasks that have room.
+        free: Resources of the executors with room that such tasks may use.
+    """
+
+    slots: int
+    free: Demand
+
+
+def _room(hall: StandingHall, step: StepSpec, service: str) -> int:
+    """Return for how many tasks of a step a hall has room beside the jobs accepted lately."""
+    usable = _usable(hall, step, service)
+    left = usable.free.plus(hall.accepted, -1.0 / PACKED_SHARE)
+    return max(min(usable.slots, step.demand.fitting_into(left)), 0)
+
+
+def _usable(hall: StandingHall, step: StepSpec, service: str) -> _Usable:
+    summary = hall.load.usable_summary
+    rooms = list(summary.rooms()) if summary else []
+    need = TaskNeed.of(step, service, use_headroom=False)
+    # Tasks that not even an empty executor has beside its headroom would be refused for ever.
+    use_headroom = not any(need.fits_when_empty(room) for room in rooms)
+    need = TaskNeed.of(step, service, use_headroom=use_headroom).preempting()
+    slots, free = 0, Demand()
+    for room in rooms:
+        count = need.slots(room)
+        if count:
+            slots += count
+            free = free.plus(need.usable(room))
+    return _Usable(slots, free)
--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -40,6 +40,34 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    @property
+    def amounts(self) -> tuple[int, int, int]:
+        """The amounts of the resources, in the order of the attributes."""
+        return self.milli_cpu, self.memory_mb, self.gpus
+
+    def plus(self, other: Demand, times: float = 1) -> Demand:
+        """Return the sum of this demand and a multiple of another one, in whole amounts.
+
+        Example:
+            >>> Demand(2_000, 100).plus(Demand(500, 50), -2)
+            Demand(milli_cpu=1000, memory_mb=0, gpus=0)
+        """
+        return Demand(
+            int(self.milli_cpu + times * other.milli_cpu),
+            int(self.memory_mb + times * other.memory_mb),
+            int(self.gpus + times * other.gpus),
+        )
+
+    def fitting_into(self, free: Demand) -> int:
+        """Return how often this demand fits into free resources, negative if more than all is used.
+
+        Example:
+            >>> Demand(2_000, 100).fitting_into(Demand(9_000, 250))
+            2
+        """
+        limits = [f // own for own, f in zip(self.amounts, free.amounts, strict=True) if own]
+        return min(limits, default=1)
+
     def union(self, other: Demand) -> Demand:
         """Return the smallest demand that covers both this demand and another one.
 
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -10,10 +10,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from linkspan.jobs.spec import Demand
 from linkspan.shard.planning.set_asides import NOTHING
 
 if TYPE_CHECKING:
-    from linkspan.jobs.spec import Demand, StepSpec
+    from linkspan.jobs.spec import StepSpec
     from linkspan.shard.task import Task
 
 STANDING_HEADROOM = 0.1
@@ -179,6 +180,16 @@
             limits.append(int((room.free_cpu - kept) // demand.milli_cpu))
         return min(limits, default=1)
 
+    def fits_when_empty(self, room: Room) -> bool:
+        """Return whether a task would fit on an executor without any other, by its cores."""
+        kept = self.headroom * room.total_cpu
+        return self.matches(room) and self.demand.milli_cpu + kept <= room.total_cpu
+
+    def usable(self, room: Room) -> Demand:
+        """Return the free resources of an executor that such tasks may use."""
+        free_cpu = int(room.free_cpu - self.headroom * room.total_cpu)
+        return Demand(max(free_cpu, 0), max(self._memory(room), 0), max(room.free_gpus, 0))
+
 
 def may_use_headroom(task: Task, now: float) -> bool:
     """Return whether a standing task may use the headroom for short ones at a steady time."""
--- a/tests/host/admission_builders.py
+++ b/tests/host/admission_builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -13,6 +14,8 @@
 from linkspan.host.admission import Admission
 from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.job_outlook import HallLoad, JobOutlook
+from linkspan.host.standing_reservations import StandingReservations
+from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JobRegistry
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.metrics import HostMetrics
@@ -68,11 +71,18 @@
     return HallLoad(hall, replace(FULL, backlogs=backlogs), age_s, evacuated)
 
 
+def admission_by(
+    loads: Callable[[], list[HallLoad]], eligible: Callable[[JobSpec, Queue], list[int]]
+) -> Admission:
+    """Return the admission by some loads where no standing job was accepted lately."""
+    return Admission(loads, eligible, StandingReservations(JobCatalog()))
+
+
 class HopelessHalls(Admission):
     """Admission by halls that have no hope for any job."""
 
     def __init__(self) -> None:
-        super().__init__(list, lambda _spec, _queue: [])
+        super().__init__(list, lambda _spec, _queue: [], StandingReservations(JobCatalog()))
 
     def reason_to_refuse(self, *_args: object) -> JobOutlook:
         return HOPELESS
@@ -97,6 +107,7 @@
             CallerWaits(),
             choose_shard=lambda _spec, _queue: 0,
             admission=admission,
+            reservations=StandingReservations(self.job_registry.catalog),
             capacities=lambda _service: (),
             incarnation=f"life-{name}",
             log=self.log,  # type: ignore[arg-type]
--- a/tests/host/test_job_outlook.py
+++ b/tests/host/test_job_outlook.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linkspan.host.admission import Admission, best_hopeless_outlook
+from linkspan.host.admission import best_hopeless_outlook
 from linkspan.host.job_outlook import (
     HOPELESS_MARGIN,
     MAX_SUMMARY_AGE_S,
@@ -23,7 +23,16 @@
 from linkspan.jobs.spec import JobSpec, Schedule
 from linkspan.model.configuration import Queue
 from linkspan.shard.handover.backlog import Backlog
-from tests.host.admission_builders import BATCH, FULL, PRIORITIES, SHORT, backlog, job, load
+from tests.host.admission_builders import (
+    BATCH,
+    FULL,
+    PRIORITIES,
+    SHORT,
+    admission_by,
+    backlog,
+    job,
+    load,
+)
 from tests.job_builders import step
 
 SPARE_S = 5.0
@@ -154,7 +163,7 @@
 
 def test_standing_and_scheduled_jobs_are_accepted() -> None:
     """They are not done at any time, or not due yet."""
-    admission = Admission(lambda: [load(backlog(LONG_S))], lambda _spec, _queue: [0])
+    admission = admission_by(lambda: [load(backlog(LONG_S))], lambda _spec, _queue: [0])
     assert admission.reason_to_refuse(job(), SHORT, PRIORITIES)
     standing = job(step(1, standing=True))
     scheduled = replace(job(), schedule=Schedule(3, 0.0, 10.0))
@@ -165,7 +174,7 @@
 def test_only_halls_that_could_get_the_job_count() -> None:
     loads = [load(backlog(LONG_S)), load()]
     for shard, expected in ((0, True), (1, False)):
-        admission = Admission(lambda: loads, lambda _spec, _queue, shard=shard: [shard])
+        admission = admission_by(lambda: loads, lambda _spec, _queue, shard=shard: [shard])
         assert bool(admission.reason_to_refuse(job(), SHORT, PRIORITIES)) is expected
 
 
@@ -176,7 +185,7 @@
         raise AssertionError
 
     loads = [load(), load(backlog(LONG_S, queue=BATCH)), load(backlog(9.0)._replace(rate=0.0))]
-    assert Admission(lambda: loads, fail).reason_to_refuse(job(), SHORT, PRIORITIES) is None
+    assert admission_by(lambda: loads, fail).reason_to_refuse(job(), SHORT, PRIORITIES) is None
 
 
 FIGURES = st.floats(0.0, 1e9) | st.just(0.0)
--- a/tests/host/test_true_refusals.py
+++ b/tests/host/test_true_refusals.py
@@ -8,6 +8,8 @@
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._submissions import LATE_WRITE_S
 from linkspan.host.admission import Admission
+from linkspan.host.standing_reservations import StandingReservations
+from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JOBS
 from tests.host.admission_builders import HopelessHalls, SubmittingHost, job
 from tests.job_builders import step
@@ -21,7 +23,7 @@
     """Admission by halls without load."""
 
     def __init__(self) -> None:
-        super().__init__(list, lambda _spec, _queue: [])
+        super().__init__(list, lambda _spec, _queue: [], StandingReservations(JobCatalog()))
 
 
 def play(
--- a/tests/shard/test_standing_wait_lines.py
+++ b/tests/shard/test_standing_wait_lines.py
@@ -22,6 +22,7 @@
 )
 from linkspan.shard.task import Task
 from linkspan.shard.unusable_reason import UnusableReason
+from tests.accepted_jobs import accept_in
 from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.shard.builders import JOB, confirm_start, core_with, plan, submitted_job
@@ -151,7 +152,7 @@
     world = HallWorld(executors_per_hall=1)
     await world.begin()
     spec = world.new_job(step(3, standing=True, cpu=4_000))
-    assert await world.submit("east-host-0", spec) == 200
+    accept_in(world, spec)
     await asyncio.sleep(8.0)
     return world
 
