Keep what is left to short work in pieces of half an executor

Cause: a tenth of each executor was left to short work: 6.4 cores of 64, smaller than most tasks it was left for. What is kept has to be in pieces of the sizes that are asked for. Same class in memory: nothing was left of it at all.

Change: half of one executor in five is kept, of its cores and its memory, and nothing of the others: a tenth in all, as before. The owner chooses those with the most room beside standing tasks, so that a new owner finds the same ones and a piece that a standing task breaks up is replaced. Pieces are published, so that hosts and other halls apply the same rule. Short tasks that run in a piece count as using it; before, the tenth was kept free beside them. Standing tasks that may use the headroom (restarts at once, others after 3 s) take other room first.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -15,6 +15,7 @@
 from linkspan.shard.planning._drain_rates import DrainRates
 from linkspan.shard.planning.advice import AdviceCache
 from linkspan.shard.planning.durations import DurationEstimator
+from linkspan.shard.planning.headroom import Headroom
 from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.planning.start_counts import StartCounts
 from linkspan.shard.reports._speed_evidence import SpeedEvidence
@@ -70,6 +71,7 @@
         drain_rates: Rates at which waiting work drains.
         start_counts: Starts that were ordered, by kind of work and size of task.
         set_asides: Resources of executors that are set aside for waiting tasks.
+        headroom: Chooses what is kept of executors for short tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
         orders: Orders to send, in order.
@@ -115,6 +117,7 @@
         self.drain_rates = DrainRates()
         self.start_counts = StartCounts()
         self.set_asides = SetAsides()
+        self.headroom = Headroom(self)
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
         self.orders: list[Order] = []
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -8,6 +8,7 @@
 
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
+from linkspan.shard.planning.task_need import default_headroom
 from linkspan.shard.refusals import RecentRefusals
 from linkspan.shard.unusable_reason import UnusableReason
 
@@ -75,6 +76,7 @@
         start_answered_at: Steady time of the last answer to a start that was sent to it.
         no_starts_until: Steady time until which it gets no starts, as an unanswered poll may still
             acknowledge the ends of its next incarnation.
+        kept: Resources that are kept for short tasks; ``None`` before that is decided.
     """
 
     record: ExecutorRecord
@@ -107,17 +109,18 @@
     starts_sent: int = 0
     start_answered_at: float = NEVER
     no_starts_until: float = NEVER
+    kept: Demand | None = None
 
     _best_effort: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _latency_targeted: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _duration_checked: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _copyable: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _reserved_cpu: int = 0
-    _standing_cpu: int = 0
     _best_effort_cpu: int = 0
     _best_effort_memory_mb: int = 0
     _used_memory_mb: int = 0
     _used_gpus: int = 0
+    _standing: Demand = field(default_factory=Demand)
 
     def __post_init__(self) -> None:
         self.largest_capacity = self.record.capacity
@@ -158,9 +161,19 @@
         return self._reserved_cpu
 
     @property
-    def standing_cpu(self) -> int:
-        """Thousandths of a core that are reserved by attempts of standing tasks."""
-        return self._standing_cpu
+    def standing(self) -> Demand:
+        """Resources of attempts of standing tasks with a reservation."""
+        return self._standing
+
+    @property
+    def headroom(self) -> Demand:
+        """Free resources that standing tasks leave to short ones: what these don't use of it."""
+        kept = self.kept
+        if kept is None:
+            return default_headroom(self.total_cpu)
+        short_cpu = self._reserved_cpu - self._standing.milli_cpu
+        short_memory = self._used_memory_mb - self._best_effort_memory_mb - self._standing.memory_mb
+        return Demand(max(kept.milli_cpu - short_cpu, 0), max(kept.memory_mb - short_memory, 0))
 
     @property
     def best_effort_cpu(self) -> int:
@@ -262,8 +275,8 @@
             self._best_effort_memory_mb += sign * step.demand.memory_mb
         else:
             self._reserved_cpu += sign * step.demand.milli_cpu
-        if step.standing and not step.best_effort:
-            self._standing_cpu += sign * step.demand.milli_cpu
+            if step.standing:
+                self._standing = self._standing.plus(step.demand, sign)
         self._used_memory_mb += sign * step.demand.memory_mb
         self._used_gpus += sign * step.demand.gpus
 
--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -84,7 +84,9 @@
 
     def free_beside(self, need: TaskNeed) -> int:
         """Return the free thousandths of a core that tasks of a need may use, on all executors."""
-        return int(self._free_cpu - need.headroom * self._summary.capacity)
+        if not need.leaves_headroom:
+            return self._free_cpu
+        return self._free_cpu - sum(room.headroom.milli_cpu for room in self._all_rooms())
 
     def slots(self, need: TaskNeed) -> int:
         """Return for how many tasks the hall has room now."""
--- a/src/linkspan/shard/handover/executor_room.py
+++ b/src/linkspan/shard/handover/executor_room.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from linkspan.shard.planning.task_need import default_headroom
+
 if TYPE_CHECKING:
     from linkspan.jobs.spec import Demand
     from linkspan.shard.messages import ExecutorKind
@@ -22,6 +24,8 @@
         kind: Kind of the executor, ``None`` if its hall does not publish it.
         best_effort_memory: Megabytes of memory that best-effort attempts use and would give back,
             without what is set aside.
+        kept: Free resources that standing tasks leave to short ones, ``None`` if its hall does not
+            publish them.
     """
 
     total_cpu: int
@@ -30,6 +34,12 @@
     free_gpus: int = 0
     kind: ExecutorKind | None = None
     best_effort_memory: int = 0
+    kept: Demand | None = None
+
+    @property
+    def headroom(self) -> Demand:
+        """Free resources that standing tasks leave to short ones."""
+        return default_headroom(self.total_cpu) if self.kept is None else self.kept
 
     def runs(self, service: str, label: str) -> bool:
         """Return whether it runs tasks of a service that require a label.
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -26,6 +26,7 @@
 from linkspan.shard.messages import ExecutorKind, can_run, group_by_kind
 from linkspan.shard.planning._isolation import executors_for_new_work
 from linkspan.shard.planning._preemption import stoppable_memory
+from linkspan.shard.planning.set_asides import NOTHING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -88,6 +89,8 @@
             back.
         backlogs: Work that waits there, by queue and size of its tasks; empty if not published.
         speeds: Speeds of executors that differ from the ordinary one, for the hall's next owner.
+        headroom: Index of an executor's row, thousandths of a core and megabytes of memory there
+            that standing tasks leave to short ones; ``None`` if not published.
     """
 
     capacity: int = 0
@@ -104,6 +107,7 @@
     best_effort_memory: tuple[tuple[int, int], ...] = ()
     backlogs: tuple[Backlog, ...] = ()
     speeds: tuple[ExecutorSpeed, ...] = ()
+    headroom: tuple[tuple[int, int, int], ...] | None = None
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -113,12 +117,19 @@
     def rooms(self) -> Iterator[ExecutorRoom]:
         """Iterate over the free resources of the executors that take new work."""
         best_effort = dict(self.best_effort_memory)
+        kept = {index: Demand(cpu, memory) for index, cpu, memory in self.headroom or ()}
         rows = zip(self.free_by_executor, self._kinds_of_rows(), strict=True)
         for index, (row, kind) in enumerate(rows):
             total_cpu = kind.capacity.milli_cpu if kind else self._mean_cpu
             free_cpu, free_memory, *gpus = row
             yield ExecutorRoom(
-                total_cpu, free_cpu, free_memory, sum(gpus), kind, best_effort.get(index, 0)
+                total_cpu,
+                free_cpu,
+                free_memory,
+                sum(gpus),
+                kind,
+                best_effort.get(index, 0),
+                None if self.headroom is None else kept.get(index, NOTHING),
             )
 
     def slots(self, need: TaskNeed, *, enough: int = MAX_EXACT_INT) -> int:
@@ -163,6 +174,7 @@
             self.best_effort_memory,
             [backlog.encode() for backlog in self.backlogs],
             [speed.encode() for speed in self.speeds],
+            self.headroom,
         ]
 
     @classmethod
@@ -184,6 +196,7 @@
             best_effort_memory = rest[4] if len(rest) > 4 else ()
             backlogs = rest[5] if len(rest) > 5 else ()
             speeds = rest[6] if len(rest) > 6 else ()
+            headroom = rest[7] if len(rest) > 7 else None
             return cls(
                 parse_int(capacity),
                 _signed(free),
@@ -204,6 +217,9 @@
                 tuple(_indexed(parse_list(row)) for row in parse_list(best_effort_memory)),
                 tuple(Backlog.decode(parse_list(row)) for row in parse_list(backlogs)),
                 tuple(ExecutorSpeed.decode(parse_list(row)) for row in parse_list(speeds)),
+                None
+                if headroom is None
+                else tuple(_headroom(parse_list(row)) for row in parse_list(headroom)),
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
@@ -234,6 +250,11 @@
     return parse_int(index), parse_int(amount)
 
 
+def _headroom(row: list[Any]) -> tuple[int, int, int]:
+    index, milli_cpu, memory_mb, *_ = row
+    return parse_int(index), parse_int(milli_cpu), parse_int(memory_mb)
+
+
 def _kind_row(kind: ExecutorKind) -> list[object]:
     return [kind.service, _size_row(kind.capacity), sorted(kind.labels), kind.count]
 
@@ -266,6 +287,7 @@
         now: Steady time.
         wall: Time of day, in seconds since 1970; without it no waiting work counts as too late.
     """
+    core.headroom.update(now)
     usable = [e for e in core.executors.values() if core.takes_work(e, now)]
     standing: dict[str, int] = {}
     for executor in usable:
@@ -297,9 +319,16 @@
         rows_by_kind=tuple(map(len, by_kind.values())),
         best_effort_memory=_best_effort_memory(ordered, core.set_asides),
         backlogs=backlogs_of(waiting, core.drain_rates, now, wall),
+        headroom=_headroom_rows(ordered),
     )
 
 
+def _headroom_rows(executors: list[ExecutorState]) -> tuple[tuple[int, int, int], ...]:
+    """Return what standing tasks leave to short ones, by index of the executor."""
+    rows = ((index, e.headroom) for index, e in enumerate(executors))
+    return tuple((i, kept.milli_cpu, kept.memory_mb) for i, kept in rows if kept != NOTHING)
+
+
 def _best_effort_memory(
     executors: list[ExecutorState], set_asides: SetAsides
 ) -> tuple[tuple[int, int], ...]:
--- a/src/linkspan/shard/planning/_passed_over.py
+++ b/src/linkspan/shard/planning/_passed_over.py
@@ -177,4 +177,4 @@
 
 def _fits_beside_standing(executor: ExecutorState, milli_cpu: int) -> bool:
     """Return whether a task would fit on an executor if only standing tasks reserved cores."""
-    return executor.total_cpu - executor.standing_cpu >= milli_cpu
+    return executor.total_cpu - executor.standing.milli_cpu >= milli_cpu
--- a/src/linkspan/shard/planning/_set_aside_candidates.py
+++ b/src/linkspan/shard/planning/_set_aside_candidates.py
@@ -31,6 +31,10 @@
     executor: ExecutorState
     best_effort_memory: int = 0
 
+    @property
+    def headroom(self) -> Demand:
+        return self.executor.headroom
+
     def runs(self, service: str, label: str) -> bool:
         return self.executor.runs(service, label)
 
--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -53,6 +53,10 @@
 OVER_STEP_SHARE_PENALTY = 2.0
 """Added above that share: more than any difference in load."""
 
+HEADROOM_PENALTY = 1.5
+"""Added for a standing task that would take a part of the headroom for short ones: more than any
+difference in load and colocated tasks."""
+
 INTERFERENCE_WEIGHT = 3.0
 """Weight of the pressure that a best-effort task adds to a standing task on the same executor."""
 
@@ -101,6 +105,8 @@
             score += self._colocation_score(executor, capacity)
             if placed + 1 > max(spec.count * MAX_STEP_SHARE, 1):
                 score += OVER_STEP_SHARE_PENALTY
+            if spec.demand.milli_cpu + executor.headroom.milli_cpu > executor.free_cpu:
+                score += HEADROOM_PENALTY
         if spec.best_effort:
             added = self.best_effort_capacity.worst_added(
                 executor, spec.image, spec.demand.milli_cpu
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -74,6 +74,7 @@
         self._track_evacuation()
         core.release_due(wall, now)
         core.remove_finished_tasks()
+        core.headroom.update(now)
         Moves(view).add_orders()
         self._interference_moves.add_orders(view)
         waiting = self._waiting()
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -17,9 +17,9 @@
     from linkspan.jobs.spec import StepSpec
     from linkspan.shard.task import Task
 
-STANDING_HEADROOM = 0.1
-"""Share of each executor that standing tasks leave to short ones, which earn four times as much per
-core. Short tasks use 5 percent of the cores on average and arrive in bursts."""
+DEFAULT_HEADROOM_SHARE = 0.1
+"""Share of each executor's cores that standing tasks leave to short ones where its hall has not
+decided on pieces, or publishes none."""
 
 HEADROOM_WAIT_S = 3.0
 """Time after which a standing task may use the headroom, too: running, the task is then worth more
@@ -60,6 +60,10 @@
     def free_gpus(self) -> int:
         """Accelerators that no attempt uses."""
 
+    @property
+    def headroom(self) -> Demand:
+        """Free resources that standing tasks leave to short ones."""
+
     def runs(self, service: str, label: str) -> bool:
         """Return whether the executor runs tasks of a service that require a label."""
 
@@ -72,7 +76,7 @@
         service: Service whose executors run the task.
         label: Label that the executor must have; empty for any executor.
         demand: Resources that the task takes.
-        headroom: Share of the executor's cores that must stay free beside the task.
+        leaves_headroom: Whether the headroom for short tasks must stay free beside the task.
         max_per_executor: Maximum tasks of the step on one executor; 0 for no limit.
         reserves_cpu: Whether the task reserves its cores. Best-effort tasks use those that others
             leave unused, which only the executor's own hall knows.
@@ -83,7 +87,7 @@
     service: str
     label: str
     demand: Demand
-    headroom: float
+    leaves_headroom: bool
     max_per_executor: int
     reserves_cpu: bool
     preempts: bool = False
@@ -97,12 +101,11 @@
             service: Service whose executors run it.
             use_headroom: Whether a standing task may use the headroom for short ones.
         """
-        headroom = STANDING_HEADROOM if spec.standing and not use_headroom else 0.0
         return cls(
             service,
             spec.label,
             spec.demand,
-            headroom,
+            spec.standing and not use_headroom,
             spec.max_per_executor,
             reserves_cpu=not spec.best_effort,
         )
@@ -158,8 +161,21 @@
             return None
         if demand.milli_cpu > room.free_cpu:
             return Obstacle.CORES
-        kept = self.headroom * room.total_cpu
-        return Obstacle.HEADROOM if demand.milli_cpu + kept > room.free_cpu else None
+        if self.leaves_headroom and not self._fits_beside_headroom(room):
+            return Obstacle.HEADROOM
+        return None
+
+    def _fits_beside_headroom(self, room: Room) -> bool:
+        """Return whether a task that fits leaves the headroom free.
+
+        Best-effort runs give their memory back to short tasks.
+        """
+        demand, headroom = self.demand, room.headroom
+        if demand.milli_cpu + headroom.milli_cpu > room.free_cpu:
+            return False
+        if not demand.memory_mb:
+            return True
+        return demand.memory_mb + headroom.memory_mb <= room.free_memory + room.best_effort_memory
 
     def _memory(self, room: Room) -> int:
         """Return the megabytes of memory that count as free."""
@@ -175,20 +191,33 @@
             limits.append(self._memory(room) // demand.memory_mb)
         if demand.gpus:
             limits.append(room.free_gpus // demand.gpus)
+        headroom = room.headroom if self.leaves_headroom else NOTHING
         if self.reserves_cpu and demand.milli_cpu:
-            kept = self.headroom * room.total_cpu
-            limits.append(int((room.free_cpu - kept) // demand.milli_cpu))
+            limits.append((room.free_cpu - headroom.milli_cpu) // demand.milli_cpu)
+        if headroom.memory_mb and demand.memory_mb:
+            memory_mb = room.free_memory + room.best_effort_memory - headroom.memory_mb
+            limits.append(memory_mb // demand.memory_mb)
         return min(limits, default=1)
 
-    def fits_when_empty(self, room: Room) -> bool:
-        """Return whether a task would fit on an executor without any other, by its cores."""
-        kept = self.headroom * room.total_cpu
-        return self.matches(room) and self.demand.milli_cpu + kept <= room.total_cpu
-
     def usable(self, room: Room) -> Demand:
         """Return the free resources of an executor that such tasks may use."""
-        free_cpu = int(room.free_cpu - self.headroom * room.total_cpu)
-        return Demand(max(free_cpu, 0), max(self._memory(room), 0), max(room.free_gpus, 0))
+        free_memory = self._memory(room)
+        if not self.leaves_headroom:
+            return Demand(max(room.free_cpu, 0), max(free_memory, 0), max(room.free_gpus, 0))
+        kept = room.headroom
+        beside = room.free_memory + room.best_effort_memory - kept.memory_mb
+        free_memory = min(free_memory, beside) if kept.memory_mb else free_memory
+        free_cpu = room.free_cpu - kept.milli_cpu
+        return Demand(max(free_cpu, 0), max(free_memory, 0), max(room.free_gpus, 0))
+
+
+def default_headroom(total_cpu: int) -> Demand:
+    """Return the headroom of an executor of which its hall has not decided any.
+
+    Args:
+        total_cpu: Thousandths of a core that the executor has.
+    """
+    return Demand(int(DEFAULT_HEADROOM_SHARE * total_cpu))
 
 
 def may_use_headroom(task: Task, now: float) -> bool:
