--- a/src/linkspan/shard/handover/_staying_work.py
+++ b/src/linkspan/shard/handover/_staying_work.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._periodic_report import PeriodicReport
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.planning.task_need import TaskNeed
@@ -21,9 +20,6 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-CHECK_INTERVAL_S = 1.0
-"""Interval between checks."""
-
 MIN_REPORTED_WAIT_S = 3.0
 """Time without a run after which a waiting task is reported."""
 
@@ -43,7 +39,7 @@
     slots: dict[int, int]
 
 
-class StayingWork:
+class StayingWork(PeriodicReport):
     """Logs which work waits beside room in another hall, and why it was not handed over.
 
     Args:
@@ -58,25 +54,11 @@
         stay_reason: Callable[[StepRun], StayReason],
         summaries: Callable[[], dict[int, HallSummary]],
     ) -> None:
-        self._core = context.core
-        self._hall = context.hall
-        self._metrics = context.metrics
+        super().__init__(context)
         self._stay_reason = stay_reason
         self._summaries = summaries
         self._lines: RepeatedLines[StepRun] = RepeatedLines(REPEAT_INTERVAL_S)
 
-    def __repr__(self) -> str:
-        return f"StayingWork({self._core!r})"
-
-    async def report_loop(self) -> None:
-        """Report until the tenure ends."""
-        try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                self.report(steady())
-        finally:
-            self._metrics.set_count("staying_tasks", 0, hall=self._hall)
-
     def report(self, now: float) -> None:
         """Set the gauge and log the steps whose tasks have waited for seconds beside room."""
         staying = staying_tasks(self._core, self._summaries(), now)
@@ -86,6 +68,10 @@
         for step in self._lines.due(waited_s, now):
             self._core.log(Event.WORK_STAYS, **self._fields(step, staying[step], now))
 
+    def clear(self) -> None:
+        """Set the gauge to nothing."""
+        self._metrics.set_count("staying_tasks", 0, hall=self._hall)
+
     def _fields(self, step: StepRun, staying: StayingTasks, now: float) -> dict[str, Any]:
         tasks, slots = staying
         job = step.run.job
--- a/src/linkspan/shard/handover/_unmanaged_tasks.py
+++ b/src/linkspan/shard/handover/_unmanaged_tasks.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._periodic_report import PeriodicReport
 from linkspan.shard._reasons import MAX_LOGGED_TASKS, short_name
 from linkspan.shard.task import index_of
 
@@ -54,7 +53,7 @@
     number: int
 
 
-class UnmanagedTasks:
+class UnmanagedTasks(PeriodicReport):
     """Compares handovers on record with the tasks that this shard manages.
 
     The hall that hands a task over and the one that gets it both compare, so that a task between
@@ -65,24 +64,10 @@
     """
 
     def __init__(self, context: TenureContext) -> None:
-        self._core = context.core
-        self._hall = context.hall
+        super().__init__(context, interval_s=CHECK_INTERVAL_S)
         self._catalog = context.job_registry.catalog
-        self._metrics = context.metrics
         self._since: dict[UnmanagedGroup, float] = {}
 
-    def __repr__(self) -> str:
-        return f"UnmanagedTasks({self._core!r})"
-
-    async def report_loop(self) -> None:
-        """Report until the tenure ends."""
-        try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                self.report(steady())
-        finally:
-            self._metrics.set_count("unmanaged_tasks", 0, hall=self._hall)
-
     def report(self, now: float) -> None:
         """Set the gauge and log the tasks that have been managed by no hall for seconds."""
         groups = unmanaged_groups(self._core, self._catalog)
@@ -103,6 +88,10 @@
                 token=self._core.token,
             )
 
+    def clear(self) -> None:
+        """Set the gauge to nothing."""
+        self._metrics.set_count("unmanaged_tasks", 0, hall=self._hall)
+
 
 def unmanaged_groups(core: ShardCore, catalog: JobCatalog) -> dict[UnmanagedGroup, list[str]]:
     """Return the tasks that may be managed by no hall, by job and reason.
--- a/src/linkspan/shard/planning/_passed_over.py
+++ b/src/linkspan/shard/planning/_passed_over.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._periodic_report import PeriodicReport
 from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.handover.backlog import MIN_SIZE_MILLI_CPU, size_class
 from linkspan.shard.planning.start_counts import WorkKind
@@ -22,9 +21,6 @@
     from linkspan.shard.planning.start_counts import StartClass
     from linkspan.shard.step_run import StepRun
 
-CHECK_INTERVAL_S = 1.0
-"""Interval between checks."""
-
 MIN_REPORTED_WAIT_S = 1.0
 """Time for which a task must have waited for a step to be reported: longer than most short tasks
 take, so that others of their size have ended meanwhile."""
@@ -45,7 +41,7 @@
     counts: Counter[StartClass]
 
 
-class PassedOver:
+class PassedOver(PeriodicReport):
     """Logs which steps with a reservation wait while other work starts, and sets gauges of room.
 
     Args:
@@ -53,25 +49,11 @@
     """
 
     def __init__(self, context: TenureContext) -> None:
-        self._core = context.core
-        self._hall = context.hall
-        self._metrics = context.metrics
+        super().__init__(context)
         self._begins: dict[StepRun, _WaitBegin] = {}
         self._lines: RepeatedLines[StepRun] = RepeatedLines(REPEAT_INTERVAL_S)
         self._sizes: set[int] = set()
 
-    def __repr__(self) -> str:
-        return f"PassedOver({self._core!r})"
-
-    async def report_loop(self) -> None:
-        """Report until the tenure ends."""
-        try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                self.report(steady())
-        finally:
-            self._set_gauges([])
-
     def report(self, now: float) -> None:
         """Set the gauges, and log the steps that wait while other work starts."""
         usable = [e for e in self._core.executors.values() if self._core.takes_work(e, now)]
@@ -88,6 +70,10 @@
             waited = round(waited_s[step], 1)
             self._core.log(Event.STEP_PASSED_OVER, **fields, waited_s=waited, started_in_s=since_s)
 
+    def clear(self) -> None:
+        """Set the gauges to no room."""
+        self._set_gauges([])
+
     def _set_gauges(self, executors: list[ExecutorState]) -> None:
         largest = max((e.free_cpu for e in executors), default=0)
         self._metrics.set_count("largest_free_cores", largest // 1000, hall=self._hall)
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._periodic_report import PeriodicReport
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.attempt import NEVER, Phase
@@ -26,9 +25,6 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-CHECK_INTERVAL_S = 1.0
-"""Interval between checks."""
-
 MIN_REPORTED_WAIT_S = 3.0
 """Time without a run after which a standing task is reported."""
 
@@ -69,7 +65,7 @@
     reason: WaitReason
 
 
-class StandingWaits:
+class StandingWaits(PeriodicReport):
     """Logs why standing tasks that this shard manages have not been running, and for how long.
 
     Args:
@@ -80,35 +76,28 @@
     def __init__(
         self, context: TenureContext, summaries: Callable[[], dict[int, HallSummary]]
     ) -> None:
-        self._core = context.core
+        super().__init__(context)
         self._summaries = summaries
-        self._hall = context.hall
-        self._metrics = context.metrics
         self._may_act = context.proof.may_act
         self._lines: RepeatedLines[WaitingGroup] = RepeatedLines(REPEAT_INTERVAL_S)
 
-    def __repr__(self) -> str:
-        return f"StandingWaits({self._core!r})"
-
-    async def report_loop(self) -> None:
-        """Report until the tenure ends."""
-        try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                self._report(steady(), time.time())
-        finally:
-            self._metrics.set_seconds("standing_wait", 0.0, hall=self._hall)
-
-    def _report(self, now: float, wall: float) -> None:
+    def report(self, now: float) -> None:
+        """Set the gauge and log the standing tasks that have waited for seconds."""
         groups = waiting_groups(self._core, now, may_act=self._may_act(now))
         waited_s = {group: now - tasks[0].waiting_since for group, tasks in groups.items()}
         longest_s = max(waited_s.values(), default=0.0)
         self._metrics.set_seconds("standing_wait", round(longest_s, 1), hall=self._hall)
-        view = PlanView(self._core, BestEffortCapacity(self._core.interference, now, wall), now)
+        view = PlanView(
+            self._core, BestEffortCapacity(self._core.interference, now, time.time()), now
+        )
         for group in self._lines.due(waited_s, now):
             fields = waiting_fields(group, groups[group], view, self._summaries())
             self._core.log(Event.STANDING_WAITS, **fields)
 
+    def clear(self) -> None:
+        """Set the gauge to nothing."""
+        self._metrics.set_seconds("standing_wait", 0.0, hall=self._hall)
+
 
 def waiting_groups(core: ShardCore, now: float, *, may_act: bool) -> dict[WaitingGroup, list[Task]]:
     """Return the standing tasks that have waited for a run for seconds, by step and reason.
--- a/src/linkspan/shard/reports/_unlisted_runs.py
+++ b/src/linkspan/shard/reports/_unlisted_runs.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
-from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.shard._periodic_report import PeriodicReport
 from linkspan.shard._reasons import MAX_LOGGED_TASKS, short_name
 from linkspan.shard._repeated_lines import RepeatedLines
 from linkspan.shard.attempt import NEVER
@@ -16,9 +15,6 @@
     from linkspan.shard.core import ShardCore
     from linkspan.shard.executor import ExecutorState
 
-CHECK_INTERVAL_S = 1.0
-"""Interval between checks."""
-
 MIN_UNLISTED_S = 4.0
 """Time since its last listing after which a run is reported: a poll may be held for 2 s."""
 
@@ -26,7 +22,7 @@
 """Time after which an executor is reported again, at the next check."""
 
 
-class UnlistedRuns:
+class UnlistedRuns(PeriodicReport):
     """Compares the standing runs that this shard believes in with the executors' reports.
 
     A task whose run is believed in does not wait for one, so no other line names it.
@@ -36,23 +32,9 @@
     """
 
     def __init__(self, context: TenureContext) -> None:
-        self._core = context.core
-        self._hall = context.hall
-        self._metrics = context.metrics
+        super().__init__(context)
         self._lines: RepeatedLines[str] = RepeatedLines(REPEAT_INTERVAL_S)
 
-    def __repr__(self) -> str:
-        return f"UnlistedRuns({self._core!r})"
-
-    async def report_loop(self) -> None:
-        """Report until the tenure ends."""
-        try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                self.report(steady())
-        finally:
-            self._metrics.set_seconds("standing_unlisted", 0.0, hall=self._hall)
-
     def report(self, now: float) -> None:
         """Set the gauge and log the executors whose runs have not been listed for seconds."""
         longest_s = longest_unlisted_s(self._core, now)
@@ -66,6 +48,10 @@
                 Event.RUNS_UNLISTED, shard=self._core.shard, token=self._core.token, **fields
             )
 
+    def clear(self) -> None:
+        """Set the gauge to nothing."""
+        self._metrics.set_seconds("standing_unlisted", 0.0, hall=self._hall)
+
 
 def longest_unlisted_s(core: ShardCore, now: float) -> dict[str, float]:
     """Return for how long a standing run has not been listed at most, by executor.
