--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -58,6 +58,16 @@
             int(self.gpus + times * other.gpus),
         )
 
+    def without(self, other: Demand) -> Demand:
+        """Return what is left of this demand beside another one, of each resource 0 at least.
+
+        Example:
+            >>> Demand(2_000, 100).without(Demand(500, 300))
+            Demand(milli_cpu=1500, memory_mb=0, gpus=0)
+        """
+        left = self.plus(other, -1)
+        return Demand(max(left.milli_cpu, 0), max(left.memory_mb, 0), max(left.gpus, 0))
+
     def fitting_into(self, free: Demand) -> int:
         """Return how often this demand fits into free resources, negative if more than all is used.
 
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -8,6 +8,7 @@
 
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
+from linkspan.shard.executor_usage import ExecutorUsage
 from linkspan.shard.planning.task_need import default_headroom
 from linkspan.shard.refusals import RecentRefusals
 from linkspan.shard.unusable_reason import UnusableReason
@@ -115,12 +116,7 @@
     _latency_targeted: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _duration_checked: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
     _copyable: dict[tuple[TaskName, int], Attempt] = field(default_factory=dict)
-    _reserved_cpu: int = 0
-    _best_effort_cpu: int = 0
-    _best_effort_memory_mb: int = 0
-    _used_memory_mb: int = 0
-    _used_gpus: int = 0
-    _standing: Demand = field(default_factory=Demand)
+    _usage: ExecutorUsage = field(default_factory=ExecutorUsage)
 
     def __post_init__(self) -> None:
         self.largest_capacity = self.record.capacity
@@ -158,27 +154,24 @@
     @property
     def reserved_cpu(self) -> int:
         """Thousandths of a core that are reserved by attempts that are not best-effort."""
-        return self._reserved_cpu
+        return self._usage.reserved_cpu
 
     @property
     def standing(self) -> Demand:
         """Resources of attempts of standing tasks with a reservation."""
-        return self._standing
+        return self._usage.standing
 
     @property
     def headroom(self) -> Demand:
         """Free resources that standing tasks leave to short ones: what these don't use of it."""
-        kept = self.kept
-        if kept is None:
+        if self.kept is None:
             return default_headroom(self.total_cpu)
-        short_cpu = self._reserved_cpu - self._standing.milli_cpu
-        short_memory = self._used_memory_mb - self._best_effort_memory_mb - self._standing.memory_mb
-        return Demand(max(kept.milli_cpu - short_cpu, 0), max(kept.memory_mb - short_memory, 0))
+        return self.kept.without(self._usage.short)
 
     @property
     def best_effort_cpu(self) -> int:
         """Thousandths of a core that best-effort attempts demand at full speed."""
-        return self._best_effort_cpu
+        return self._usage.best_effort.milli_cpu
 
     @property
     def paced_cpu(self) -> float:
@@ -190,17 +183,17 @@
     @property
     def free_cpu(self) -> int:
         """Thousandths of a core that are not reserved."""
-        return self.record.capacity.milli_cpu - self._reserved_cpu
+        return self.record.capacity.milli_cpu - self._usage.reserved_cpu
 
     @property
     def free_memory(self) -> int:
         """Megabytes of memory that no attempt uses."""
-        return self.record.capacity.memory_mb - self._used_memory_mb
+        return self.record.capacity.memory_mb - self._usage.memory_mb
 
     @property
     def best_effort_memory(self) -> int:
         """Megabytes of memory that best-effort attempts use."""
-        return self._best_effort_memory_mb
+        return self._usage.best_effort.memory_mb
 
     @property
     def over_capacity(self) -> bool:
@@ -210,7 +203,7 @@
     @property
     def free_gpus(self) -> int:
         """Accelerators that no attempt uses."""
-        return self.record.capacity.gpus - self._used_gpus
+        return self.record.capacity.gpus - self._usage.gpus
 
     @property
     def roster_record(self) -> ExecutorRecord:
@@ -237,7 +230,7 @@
             for index in self._indexes(attempt.task.step.spec):
                 index[attempt.key] = attempt
             attempt.reserves_capacity = True
-            self._add_usage(attempt, 1)
+            self._usage.add(attempt.task.step.spec, 1)
 
     def remove(self, attempt: Attempt) -> None:
         """Remove an attempt, with its resources."""
@@ -250,7 +243,7 @@
         """Release the resources of an attempt that certainly does not run there."""
         if attempt.reserves_capacity:
             attempt.reserves_capacity = False
-            self._add_usage(attempt, -1)
+            self._usage.add(attempt.task.step.spec, -1)
 
     def _indexes(self, spec: StepSpec) -> Iterator[dict[tuple[TaskName, int], Attempt]]:
         """Iterate over the indexes that hold the attempts of a step.
@@ -268,18 +261,6 @@
             # speculative copy of it as well.
             yield self._copyable
 
-    def _add_usage(self, attempt: Attempt, sign: int) -> None:
-        step = attempt.task.step.spec
-        if step.best_effort:
-            self._best_effort_cpu += sign * step.demand.milli_cpu
-            self._best_effort_memory_mb += sign * step.demand.memory_mb
-        else:
-            self._reserved_cpu += sign * step.demand.milli_cpu
-            if step.standing:
-                self._standing = self._standing.plus(step.demand, sign)
-        self._used_memory_mb += sign * step.demand.memory_mb
-        self._used_gpus += sign * step.demand.gpus
-
     def usable(self, now: float) -> bool:
         """Return whether it is known to work and answers, so that it could take new work."""
         return self.reason_unusable(now) is None
