--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -5,6 +5,8 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+from linkspan.shard.planning.task_need import HEADROOM_WAIT_S
+
 if TYPE_CHECKING:
     from linkspan.shard.job_run import JobRun
     from linkspan.shard.step_run import StepRun
@@ -26,6 +28,14 @@
     NONE = 2
 
 
+class Turn(IntEnum):
+    """Whose turn it is among steps of equal timeliness, which their ranks do not compare."""
+
+    OVERDUE_STANDING = 0
+    FINITE = 1
+    NEW_STANDING = 2
+
+
 class Urgency(NamedTuple):
     """Sort key of steps, the most urgent lowest.
 
@@ -33,6 +43,7 @@
         not_restart: Whether the step is not a restart of a standing task.
         priority: Priority of the step's queue.
         timeliness: Whether its job can still be in time.
+        turn: Standing tasks that never ran come behind those that end, for a while.
         first_run: Whether the tasks have not failed before.
         rank: Order among steps that are equal otherwise.
     """
@@ -40,6 +51,7 @@
     not_restart: bool
     priority: int
     timeliness: Timeliness
+    turn: Turn
     first_run: bool
     rank: float
 
@@ -66,7 +78,9 @@
 
         Standing tasks that have run before come first, then steps by priority, then jobs that can
         still meet their objective. Among steps with such tasks the longest wait comes first: each
-        of them counts as missed after a fixed time, however old its job is. Among other equals
+        of them counts as missed after a fixed time, however old its job is. Standing tasks that
+        never ran come behind tasks that end and are of use, as these give their room back within
+        moments, and before them once their job is overdue. Among other equals
         tasks that have failed come first: their siblings are ahead of them, so that the job ends
         with them, and a job that can't be done is found out sooner. Then the job with the least
         remaining work comes first: when capacity is scarce, more jobs end in time than in the order
@@ -88,11 +102,14 @@
         if step.spec.standing:
             restarts = (t.waiting_since for t in step.tasks if t.pending and t.next_run > 1)
             longest_since = min(restarts, default=None)
-            rank = slack if longest_since is None else longest_since
-            not_restart = longest_since is None
-            return Urgency(not_restart, job.priority, timeliness, True, rank)
+            if longest_since is not None:
+                return Urgency(False, job.priority, timeliness, Turn.FINITE, True, longest_since)
+            overdue = age >= HEADROOM_WAIT_S
+            timeliness = Timeliness.IN_TIME if overdue else Timeliness.LATE
+            turn = Turn.OVERDUE_STANDING if overdue else Turn.NEW_STANDING
+            return Urgency(True, job.priority, timeliness, turn, True, slack)
         rank = -age if timeliness is Timeliness.NONE else self._work_left(run)
-        return Urgency(True, job.priority, timeliness, not failed_before, rank)
+        return Urgency(True, job.priority, timeliness, Turn.FINITE, not failed_before, rank)
 
     def _work_left(self, run: JobRun) -> float:
         if run not in self._remaining_work:
