--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -17,6 +17,7 @@
 from linkspan.shard.planning.durations import DurationEstimator
 from linkspan.shard.planning.headroom import Headroom
 from linkspan.shard.planning.set_asides import SetAsides
+from linkspan.shard.planning.short_demand import ShortDemand
 from linkspan.shard.planning.start_counts import StartCounts
 from linkspan.shard.reports._speed_evidence import SpeedEvidence
 from linkspan.shard.reports.health import ExecutorHealth
@@ -71,6 +72,7 @@
         drain_rates: Rates at which waiting work drains.
         start_counts: Starts that were ordered, by kind of work and size of task.
         set_asides: Resources of executors that are set aside for waiting tasks.
+        short_demand: What short work asks for.
         headroom: Chooses what is kept of executors for short tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
@@ -117,6 +119,7 @@
         self.drain_rates = DrainRates()
         self.start_counts = StartCounts()
         self.set_asides = SetAsides()
+        self.short_demand = ShortDemand()
         self.headroom = Headroom(self)
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
@@ -416,10 +419,12 @@
             if not step.remaining_tasks or not step.open:
                 continue
             self.ready[step] = None
-            for task in step.tasks:
-                if task.ready_since == NEVER:
-                    task.ready_since = now
-                    task.waiting_since = now
+            new = [task for task in step.tasks if task.ready_since == NEVER]
+            for task in new:
+                task.ready_since = now
+                task.waiting_since = now
+            if new and not run.job.inherited:
+                self.short_demand.observe(step, len(new), now)
 
     def mark_done(self, task: Task, now: float) -> None:
         """Record that a task is done, and stop its other runs.
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -89,8 +89,9 @@
             back.
         backlogs: Work that waits there, by queue and size of its tasks; empty if not published.
         speeds: Speeds of executors that differ from the ordinary one, for the hall's next owner.
-        headroom: Index of an executor's row, thousandths of a core and megabytes of memory there
-            that standing tasks leave to short ones; ``None`` if not published.
+        headroom: Index of an executor's row, thousandths of a core, megabytes of memory and, where
+            there are any, accelerators there that standing tasks leave to short ones; ``None`` if
+            not published.
     """
 
     capacity: int = 0
@@ -107,7 +108,7 @@
     best_effort_memory: tuple[tuple[int, int], ...] = ()
     backlogs: tuple[Backlog, ...] = ()
     speeds: tuple[ExecutorSpeed, ...] = ()
-    headroom: tuple[tuple[int, int, int], ...] | None = None
+    headroom: tuple[tuple[int, ...], ...] | None = None
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -117,7 +118,7 @@
     def rooms(self) -> Iterator[ExecutorRoom]:
         """Iterate over the free resources of the executors that take new work."""
         best_effort = dict(self.best_effort_memory)
-        kept = {index: Demand(cpu, memory) for index, cpu, memory in self.headroom or ()}
+        kept = {index: Demand(*amounts) for index, *amounts in self.headroom or ()}
         rows = zip(self.free_by_executor, self._kinds_of_rows(), strict=True)
         for index, (row, kind) in enumerate(rows):
             total_cpu = kind.capacity.milli_cpu if kind else self._mean_cpu
@@ -250,9 +251,9 @@
     return parse_int(index), parse_int(amount)
 
 
-def _headroom(row: list[Any]) -> tuple[int, int, int]:
-    index, milli_cpu, memory_mb, *_ = row
-    return parse_int(index), parse_int(milli_cpu), parse_int(memory_mb)
+def _headroom(row: list[Any]) -> tuple[int, ...]:
+    index, milli_cpu, memory_mb, *gpus = row
+    return parse_int(index), parse_int(milli_cpu), parse_int(memory_mb), *map(parse_int, gpus[:1])
 
 
 def _kind_row(kind: ExecutorKind) -> list[object]:
@@ -323,10 +324,15 @@
     )
 
 
-def _headroom_rows(executors: list[ExecutorState]) -> tuple[tuple[int, int, int], ...]:
+def _headroom_rows(executors: list[ExecutorState]) -> tuple[tuple[int, ...], ...]:
     """Return what standing tasks leave to short ones, by index of the executor."""
     rows = ((index, e.headroom) for index, e in enumerate(executors))
-    return tuple((i, kept.milli_cpu, kept.memory_mb) for i, kept in rows if kept != NOTHING)
+    return tuple((i, *_without_zero(kept.amounts)) for i, kept in rows if kept != NOTHING)
+
+
+def _without_zero(amounts: tuple[int, int, int]) -> tuple[int, ...]:
+    """Return the amounts of resources, without accelerators where there are none."""
+    return amounts if amounts[-1] else amounts[:-1]
 
 
 def _best_effort_memory(
--- a/src/linkspan/shard/planning/headroom.py
+++ b/src/linkspan/shard/planning/headroom.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
+from math import ceil
 from typing import TYPE_CHECKING
 
 from linkspan.jobs.spec import Demand
@@ -10,24 +12,57 @@
 from linkspan.shard.planning.set_asides import NOTHING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
 
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.messages import KindKey
 
-HEADROOM_SHARE = 0.1
-"""Share of a service's cores and memory that standing tasks leave to short ones, which earn four
-times as much per core. Short tasks use 5 percent of the cores on average and arrive in bursts."""
+FIRST_SHARE = 0.1
+"""Share of a service's cores and memory that standing tasks leave to short ones until their demand
+is known. These use 5 percent on average and arrive in bursts."""
+
+BURST_FACTOR = 2.0
+"""Multiple of what short tasks use on average that is left to them, as they arrive in bursts."""
+
+MAX_SHARE = 0.2
+"""Limits the share: beyond it standing tasks lose more than short ones, which earn four times as
+much per core, gain."""
+
+GROWTH_S = 30.0
+"""Time constant with which the share follows a demand that has grown, in seconds."""
+
+DECLINE_S = 600.0
+"""The same for a demand that has fallen: callers of short work pause, while standing tasks keep
+what they get for long."""
 
 PIECE_SHARE = 0.5
-"""Share of an executor that is kept where any of it is: a tenth of each executor would be as much
-in all, but smaller than most tasks."""
+"""Share of an executor that is kept where any of it is, or what the largest short task takes if
+that is more. A tenth of each executor would be as much in all, but smaller than most tasks."""
 
 UPDATE_INTERVAL_S = 0.25
 """Interval between choices of the executors. A choice sorts all of them."""
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What is kept of the executors of a service.
+
+    Attributes:
+        share: Share of the cores of all executors.
+        piece_milli_cpu: Thousandths of a core that a piece has at least.
+        gpus: Whether pieces include accelerators.
+    """
+
+    share: float = FIRST_SHARE
+    piece_milli_cpu: int = 0
+    gpus: bool = False
+
+    def piece_share(self, total_cpu: int) -> float:
+        """Return the share of an executor that is kept where any of it is."""
+        return min(max(PIECE_SHARE, self.piece_milli_cpu / max(total_cpu, 1)), 1.0)
+
+
 class Headroom:
     """Chooses the executors of which a piece is kept for short tasks.
 
@@ -41,10 +76,11 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._update_at = NEVER
+        self._kept: dict[str, Kept] = {}
+        self._updated_at = NEVER
 
     def __repr__(self) -> str:
-        return f"Headroom({self._state!r})"
+        return f"Headroom({self._kept})"
 
     def update(self, now: float) -> None:
         """Choose the executors again if that is due.
@@ -52,60 +88,82 @@
         Args:
             now: Steady time.
         """
-        if now < self._update_at:
+        elapsed_s = now - self._updated_at
+        if elapsed_s < UPDATE_INTERVAL_S:
             return
-        self._update_at = now + UPDATE_INTERVAL_S
-        executors = self._state.executors.values()
-        taking = [e for e in executors if self._state.takes_work(e, now)]
-        shares = piece_shares(taking)
-        for executor in executors:
-            executor.kept = None
-        for executor in taking:
-            share = shares.get(executor.executor_id, 0.0)
-            executor.kept = piece_of(executor.record.capacity, share)
+        self._updated_at = now
+        by_service: defaultdict[str, list[ExecutorState]] = defaultdict(list)
+        for executor in self._state.executors.values():
+            if self._state.takes_work(executor, now):
+                by_service[executor.record.service].append(executor)
+            else:
+                executor.kept = None
+        for service, executors in by_service.items():
+            kept = self._follow(service, executors, elapsed_s, now)
+            shares = piece_shares(executors, kept)
+            for executor in executors:
+                share = shares.get(executor.executor_id, 0.0)
+                executor.kept = _piece(executor.record.capacity, share, gpus=kept.gpus)
+
+    def _follow(
+        self, service: str, executors: list[ExecutorState], elapsed_s: float, now: float
+    ) -> Kept:
+        """Return what is kept of a service's executors now, which follows its short demand."""
+        demand = self._state.short_demand
+        mean = demand.mean(service, now)
+        share = self._kept.get(service, Kept()).share
+        wanted = min(BURST_FACTOR * _used_share(mean, executors), MAX_SHARE)
+        constant_s = GROWTH_S if wanted > share else DECLINE_S
+        share += (wanted - share) * min(elapsed_s / constant_s, 1.0) if service in self._kept else 0
+        largest = demand.largest(service)
+        kept = self._kept[service] = Kept(share, largest.milli_cpu, largest.gpus > 0)
+        return kept
+
+
+def _used_share(mean: Demand, executors: list[ExecutorState]) -> float:
+    """Return the largest share of a resource of some executors that a demand uses."""
+    total = Demand()
+    for executor in executors:
+        total = total.plus(executor.record.capacity)
+    pairs = zip(mean.amounts, total.amounts, strict=True)
+    return max((used / own for used, own in pairs if own), default=0.0)
 
 
-def piece_of(capacity: Demand, share: float) -> Demand:
-    """Return a share of an executor's cores and memory."""
-    return Demand(int(share * capacity.milli_cpu), int(share * capacity.memory_mb))
+def _piece(capacity: Demand, share: float, *, gpus: bool) -> Demand:
+    """Return a share of an executor's resources."""
+    kept_gpus = ceil(share * capacity.gpus) if gpus else 0
+    return Demand(int(share * capacity.milli_cpu), int(share * capacity.memory_mb), kept_gpus)
 
 
-def piece_shares(executors: Iterable[ExecutorState]) -> dict[str, float]:
+def piece_shares(executors: Iterable[ExecutorState], kept: Kept) -> dict[str, float]:
     """Return the share of each executor that is kept for short tasks, by its name.
 
     Executors of which nothing is kept are left out. The pieces are spread over kinds of executors
     in proportion to their cores, as short tasks may need one kind.
 
     Args:
-        executors: Executors that take work.
+        executors: Executors of one service that take work.
+        kept: What is kept of them.
     """
-    by_service: defaultdict[str, list[ExecutorState]] = defaultdict(list)
-    for executor in executors:
-        by_service[executor.record.service].append(executor)
     shares: dict[str, float] = {}
-    for of_service in by_service.values():
-        shares.update(_shares_of_service(of_service))
-    return shares
-
-
-def _shares_of_service(executors: list[ExecutorState]) -> Iterator[tuple[str, float]]:
     wanted = 0.0
     left: list[ExecutorState] = []
     for of_kind in _by_kind(executors):
-        wanted += HEADROOM_SHARE * sum(e.total_cpu for e in of_kind)
+        wanted += kept.share * sum(e.total_cpu for e in of_kind)
         for executor in sorted(of_kind, key=_preference):
-            piece = PIECE_SHARE * executor.total_cpu
-            if wanted < piece:
+            share = kept.piece_share(executor.total_cpu)
+            if wanted < share * executor.total_cpu:
                 left.append(executor)
                 continue
-            wanted -= piece
-            yield executor.executor_id, PIECE_SHARE
+            wanted -= share * executor.total_cpu
+            shares[executor.executor_id] = share
     last = min(left, key=_preference, default=None)
     if last is not None and wanted > 0 and last.total_cpu:
-        yield last.executor_id, min(wanted / last.total_cpu, PIECE_SHARE)
+        shares[last.executor_id] = min(wanted / last.total_cpu, 1.0)
+    return shares
 
 
-def _by_kind(executors: list[ExecutorState]) -> list[list[ExecutorState]]:
+def _by_kind(executors: Iterable[ExecutorState]) -> list[list[ExecutorState]]:
     by_kind: defaultdict[KindKey, list[ExecutorState]] = defaultdict(list)
     for executor in executors:
         by_kind[executor.record.kind].append(executor)
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -173,6 +173,8 @@
         demand, headroom = self.demand, room.headroom
         if demand.milli_cpu + headroom.milli_cpu > room.free_cpu:
             return False
+        if demand.gpus and demand.gpus + headroom.gpus > room.free_gpus:
+            return False
         if not demand.memory_mb:
             return True
         return demand.memory_mb + headroom.memory_mb <= room.free_memory + room.best_effort_memory
@@ -189,9 +191,9 @@
         limits = [self.max_per_executor] if self.max_per_executor else []
         if demand.memory_mb:
             limits.append(self._memory(room) // demand.memory_mb)
-        if demand.gpus:
-            limits.append(room.free_gpus // demand.gpus)
         headroom = room.headroom if self.leaves_headroom else NOTHING
+        if demand.gpus:
+            limits.append((room.free_gpus - headroom.gpus) // demand.gpus)
         if self.reserves_cpu and demand.milli_cpu:
             limits.append((room.free_cpu - headroom.milli_cpu) // demand.milli_cpu)
         if headroom.memory_mb and demand.memory_mb:
@@ -201,14 +203,14 @@
 
     def usable(self, room: Room) -> Demand:
         """Return the free resources of an executor that such tasks may use."""
+        headroom = room.headroom if self.leaves_headroom else NOTHING
         free_memory = self._memory(room)
-        if not self.leaves_headroom:
-            return Demand(max(room.free_cpu, 0), max(free_memory, 0), max(room.free_gpus, 0))
-        kept = room.headroom
-        beside = room.free_memory + room.best_effort_memory - kept.memory_mb
-        free_memory = min(free_memory, beside) if kept.memory_mb else free_memory
-        free_cpu = room.free_cpu - kept.milli_cpu
-        return Demand(max(free_cpu, 0), max(free_memory, 0), max(room.free_gpus, 0))
+        if headroom.memory_mb:
+            beside = room.free_memory + room.best_effort_memory - headroom.memory_mb
+            free_memory = min(free_memory, beside)
+        free_cpu = room.free_cpu - headroom.milli_cpu
+        free_gpus = room.free_gpus - headroom.gpus
+        return Demand(max(free_cpu, 0), max(free_memory, 0), max(free_gpus, 0))
 
 
 def default_headroom(total_cpu: int) -> Demand:
--- a/tests/shard/test_headroom.py
+++ b/tests/shard/test_headroom.py
@@ -14,10 +14,17 @@
 from linkspan.shard.executor import ExecutorState
 from linkspan.shard.handover.summary import HallSummary, summarize
 from linkspan.shard.messages import ExecutorRecord
-from linkspan.shard.planning.headroom import HEADROOM_SHARE, PIECE_SHARE, piece_shares
+from linkspan.shard.planning.headroom import (
+    DECLINE_S,
+    FIRST_SHARE,
+    MAX_SHARE,
+    PIECE_SHARE,
+    Kept,
+    piece_shares,
+)
 from linkspan.shard.planning.task_need import HEADROOM_WAIT_S, TaskNeed
 from tests.job_builders import step
-from tests.shard.builders import JOB, add_executors, core_with, plan, submitted_job
+from tests.shard.builders import JOB, add_executors, core_with, plan, report_ends, submitted_job
 
 CORES = 64_000
 SHORT, MORE = "00000000000000c1", "00000000000000c2"
@@ -55,8 +62,8 @@
 @pytest.mark.parametrize("count", [1, 2, 3, 7, 10, 82])
 def test_a_tenth_of_the_cores_is_kept_in_pieces_of_half_an_executor(count: int) -> None:
     """Guards against a headroom that is smaller on each executor than the tasks it is for."""
-    shares = piece_shares(_states(*[(CORES, "a")] * count))
-    assert sum(shares.values()) == pytest.approx(HEADROOM_SHARE * count)
+    shares = piece_shares(_states(*[(CORES, "a")] * count), Kept())
+    assert sum(shares.values()) == pytest.approx(FIRST_SHARE * count)
     assert sum(share != PIECE_SHARE for share in shares.values()) <= 1
     assert max(shares.values()) <= PIECE_SHARE
 
@@ -64,7 +71,7 @@
 def test_pieces_are_spread_over_kinds_of_executors() -> None:
     """Guards against short tasks that need one kind, of which nothing is kept."""
     kinds = [(CORES, "a")] * 20 + [(2 * CORES, "b")] * 10 + [(CORES, "c")] * 10
-    shares = piece_shares(_states(*kinds))
+    shares = piece_shares(_states(*kinds), Kept())
     by_label = {
         label: sum(shares.get(f"e{i:02}", 0.0) for i, (_, own) in enumerate(kinds) if own == label)
         for label in "abc"
@@ -162,3 +169,84 @@
     fields = summarize(_hall(executors=2), 1.0).encode()
     rooms = HallSummary.decode(fields[:-1]).rooms()
     assert [room.headroom for room in rooms] == [Demand(6_400), Demand(6_400)]
+
+
+def _kept_share(core: ShardCore) -> float:
+    total = sum(e.total_cpu for e in core.executors.values())
+    return sum(e.kept.milli_cpu for e in core.executors.values() if e.kept) / total
+
+
+def _play(core: ShardCore, seconds: int, *steps: StepSpec, from_s: int = 0) -> None:
+    """Let jobs of the steps arrive each second, whose tasks end a second later."""
+    for second in range(from_s, from_s + seconds):
+        now = float(second)
+        for index, spec in enumerate(steps):
+            job_id = f"{second:08x}{index:08x}"
+            core.add_job(submitted_job(spec, job_id=job_id, accepted=now), now)
+        for quarter in range(4):
+            plan(core, now + 0.25 * quarter)
+        for job in core.jobs.values():
+            for attempt in list(job.attempts()):
+                core.close_attempt(attempt, now + 0.9)
+                core.mark_done(attempt.task, now + 0.9)
+
+
+def test_more_is_kept_where_short_work_asks_for_more() -> None:
+    """Guards against a headroom that is the same whatever comes: it is full in a busy hall."""
+    core = _hall(executors=10)
+    _play(core, 90, step(5, cpu=10_000, estimate_s=1.0))
+    # 50 of 640 cores on average, twice that in bursts.
+    assert _kept_share(core) == pytest.approx(2 * 50 / 640, rel=0.15)
+    _play(core, 90, step(20, cpu=10_000, estimate_s=1.0), from_s=90)
+    assert _kept_share(core) == pytest.approx(MAX_SHARE, rel=0.1)
+
+
+def test_less_is_kept_after_a_while_where_no_short_work_comes() -> None:
+    """Guards against standing jobs that are refused for short work that nobody hands in."""
+    core = _hall(executors=10)
+    _play(core, 60)
+    assert _kept_share(core) > 0.85 * FIRST_SHARE
+    _play(core, int(4 * DECLINE_S), from_s=60)
+    assert _kept_share(core) < 0.05 * FIRST_SHARE
+
+
+def test_batch_and_standing_work_are_no_short_demand() -> None:
+    """Guards against batch work with a reservation of none that grows what is kept for short."""
+    core = _hall(executors=10)
+    standing = step(2, cpu=1_000, standing=True)
+    _play(core, 60, step(40, cpu=10_000, best_effort=True), standing)
+    assert _kept_share(core) <= FIRST_SHARE
+
+
+def test_pieces_are_as_large_as_the_largest_short_task() -> None:
+    """Guards against pieces that are smaller than what short work asks for."""
+    core = _hall(executors=20)
+    _play(core, 2, step(1, cpu=48_000))
+    assert {e.kept.milli_cpu for e in core.executors.values() if e.kept} >= {48_000}
+
+
+def test_accelerators_are_kept_where_short_tasks_use_them() -> None:
+    """Guards against accelerators that standing tasks hold all of, or that nobody may use."""
+    core = core_with(executors=0)
+    for index in range(10):
+        _add_with_gpus(core, f"e{index}")
+    plan(core, 0.1)
+    assert {e.headroom.gpus for e in core.executors.values()} == {0}
+    _play(core, 2, StepSpec(2, Demand(1_000, 100, 1), 1.0))
+    kept = [e.headroom.gpus for e in core.executors.values() if e.headroom.milli_cpu]
+    assert kept == [2] * len(kept)
+    standing = StepSpec(40, Demand(1_000, 100, 1), standing=True)
+    core.add_job(submitted_job(standing, job_id=MORE), 3.0)
+    plan(core, 3.1)
+    assert sum(e.free_gpus for e in core.executors.values()) >= sum(kept)
+    rooms = HallSummary.decode(summarize(core, 3.2).encode()).rooms()
+    assert sum(room.headroom.gpus for room in rooms) == sum(kept)
+
+
+def _add_with_gpus(core: ShardCore, name: str) -> None:
+    """Register an executor of 64 cores and 4 accelerators."""
+    capacity = Demand(CORES, 4 * CORES, 4)
+    record = ExecutorRecord(name, "pool", f"{name}:1", "east", capacity, frozenset(), "r")
+    core.list_executors([e.record for e in core.executors.values()] + [record], 0.0)
+    core.executors[name].rostered = True
+    report_ends(core, name, asked=0.0, now=0.01)
