--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -13,7 +13,7 @@
 from linkspan.shard.handover._evidence import MoveEvidence
 from linkspan.shard.handover._returned_delegations import ReturnedDelegations
 from linkspan.shard.handover.rebalance import Rebalancer
-from linkspan.shard.handover.summary import summarize
+from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.recovery.progress import RunKey, encode_moved, encode_run, progress_key
 from linkspan.store.types import Record
 
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -28,7 +28,7 @@
 from linkspan.shard.handover._handovers import Handovers
 from linkspan.shard.handover._staying_work import StayingWork
 from linkspan.shard.handover._unmanaged_tasks import UnmanagedTasks
-from linkspan.shard.handover.summary import summarize
+from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.intake._feed import JobFeed
 from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.orders._dispatch import Dispatcher
--- a/tests/host/overloaded_hall.py
+++ b/tests/host/overloaded_hall.py
@@ -8,7 +8,8 @@
 from linkspan.jobs.spec import JobSpec
 from linkspan.model.configuration import Configuration, Service
 from linkspan.shard.core import ShardCore
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder
 from tests.host.admission_builders import BATCH, PRIORITIES, SHORT
 from tests.shard.builders import confirm_start, core_with, plan, report_ends
--- a/tests/shard/backlog_builders.py
+++ b/tests/shard/backlog_builders.py
@@ -6,7 +6,7 @@
 from linkspan.jobs.spec import JobSpec, StepSpec
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.backlog import Backlog
-from linkspan.shard.handover.summary import summarize
+from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder
 from tests.job_builders import QUEUE
 from tests.shard.builders import confirm_start, plan, report_ends
--- a/tests/shard/test_evacuated_halls.py
+++ b/tests/shard/test_evacuated_halls.py
@@ -18,7 +18,7 @@
 from linkspan.model.settings import Bounds
 from linkspan.shard.attempt import Phase
 from linkspan.shard.core import ShardCore
-from linkspan.shard.handover.summary import summarize
+from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.messages import (
     EndedTask,
     EndKind,
--- a/tests/shard/test_headroom.py
+++ b/tests/shard/test_headroom.py
@@ -12,7 +12,8 @@
 from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.core import ShardCore
 from linkspan.shard.executor import ExecutorState
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.planning.headroom import (
     DECLINE_S,
--- a/tests/shard/test_inherited_leases.py
+++ b/tests/shard/test_inherited_leases.py
@@ -13,7 +13,8 @@
 from linkspan.jobs.spec import Demand
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.rebalance import Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import (
     EndedTask,
     EndKind,
--- a/tests/shard/test_review_of_set_asides.py
+++ b/tests/shard/test_review_of_set_asides.py
@@ -6,7 +6,8 @@
 
 from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.handover.rebalance import Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.planning._setting_aside import CHECK_INTERVAL_S, MAX_SET_ASIDE_S
 from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan
--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -22,7 +22,8 @@
     Handover,
     Rebalancer,
 )
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport
 from linkspan.shard.planning.advice import Advice
 from tests.job_builders import MAX_AWAY_S, step
--- a/tests/shard/test_set_asides.py
+++ b/tests/shard/test_set_asides.py
@@ -7,7 +7,7 @@
 import pytest
 
 from linkspan.jobs.spec import Demand, StepSpec
-from linkspan.shard.handover.summary import summarize
+from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.messages import EndKind
 from linkspan.shard.planning._setting_aside import MAX_SET_ASIDE_S, MAX_SET_ASIDE_SHARE
 from linkspan.shard.planning.set_asides import SetAsideEnd
--- a/tests/shard/test_summary_records.py
+++ b/tests/shard/test_summary_records.py
@@ -25,10 +25,10 @@
     fields[-3:] = [
         [[*BACKLOG.encode(), "more"]],
         [[*SPEED.encode(), "more"]],
-        [[1, 4_000, 16_000, "more"]],
+        [[1, 4_000, 16_000, 2, "more"]],
     ]
     assert HallSummary.decode(fields) == HallSummary(
-        capacity=1, backlogs=(BACKLOG,), speeds=(SPEED,), headroom=((1, 4_000, 16_000),)
+        capacity=1, backlogs=(BACKLOG,), speeds=(SPEED,), headroom=((1, 4_000, 16_000, 2),)
     )
 
 
--- a/tests/shard/test_task_need.py
+++ b/tests/shard/test_task_need.py
@@ -12,7 +12,8 @@
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.executor_room import ExecutorRoom
 from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, RETURN_DELAY_S, Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorKind
 from linkspan.shard.planning.task_need import HEADROOM_WAIT_S, Obstacle, TaskNeed
 from tests.job_builders import step
--- a/tests/shard/test_unrecorded_starts_at_next_incarnations.py
+++ b/tests/shard/test_unrecorded_starts_at_next_incarnations.py
@@ -10,7 +10,8 @@
 from linkspan.jobs.spec import Demand
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.rebalance import Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorRecord, ExecutorReport
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
 from tests.job_builders import step
--- a/tests/shard/test_waits_across_halls.py
+++ b/tests/shard/test_waits_across_halls.py
@@ -15,7 +15,8 @@
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.handover._delegations import last_delegation_of
 from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, StartAnswer, StartOrder, StartOutcome
 from linkspan.shard.planning._isolation import MAX_ISOLATION_WAIT_S
 from linkspan.shard.planning._waiting_steps import STARVATION_S
--- a/tests/shard/test_work_of_evacuated_halls.py
+++ b/tests/shard/test_work_of_evacuated_halls.py
@@ -8,7 +8,8 @@
 from linkspan.model.evacuation import Evacuation
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover.rebalance import Rebalancer
-from linkspan.shard.handover.summary import HallSummary, summarize
+from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.handover.summary import HallSummary
 from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan, submitted_job
 from tests.shard.test_rebalance import EMPTY, FULL
