--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -11,9 +11,8 @@
 from linkspan.events import Event
 from linkspan.host._oversized import oversized_step
 from linkspan.host._refusal_cause import RefusalCause
-from linkspan.host._responses import RETRY_AFTER_S, json_response, oversized, unavailable
+from linkspan.host._responses import json_response
 from linkspan.host.caller_waits import MIN_WAIT_S
-from linkspan.host.retry_times import retry_after_s
 from linkspan.jobs.records import Submitted
 
 if TYPE_CHECKING:
@@ -25,8 +24,7 @@
     from linkspan.host.admission import Admission
     from linkspan.host.caller_format import CallerFormat
     from linkspan.host.caller_waits import CallerWaits
-    from linkspan.host.job_outlook import JobOutlook
-    from linkspan.host.standing_admission import StandingShortage
+    from linkspan.host.refusals import Refusals
     from linkspan.host.standing_reservations import StandingReservations
     from linkspan.jobs.job_registry import JobRegistry
     from linkspan.jobs.spec import Demand, JobSpec
@@ -54,6 +52,7 @@
         choose_shard: Returns the shard for a new job.
         admission: Decides which jobs to refuse for the load.
         reservations: What standing jobs have reserved lately.
+        refusals: Refuses jobs.
         capacities: Returns the known capacities of a service's executors.
         incarnation: Incarnation of this process, part of the keys of its records.
         log: Event log.
@@ -70,6 +69,7 @@
         choose_shard: Callable[[JobSpec, Queue], int],
         admission: Admission,
         reservations: StandingReservations,
+        refusals: Refusals,
         capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
         log: EventLog,
@@ -82,6 +82,7 @@
         self._choose_shard = choose_shard
         self._admission = admission
         self._reservations = reservations
+        self._refusals = refusals
         self._capacities = capacities
         self._incarnation = incarnation
         self._log = log
@@ -129,11 +130,13 @@
         """Return the refusal of a job that cannot be stored or run, ``None`` if it can be."""
         if not self._job_registry.follower.ready:
             # Another host may already have accepted the job for another hall.
-            return self.refuse(spec.job_id, queue, RefusalCause.RECORDS_NOT_READ, deadline)
+            return self._refusals.refuse(
+                spec.job_id, queue, RefusalCause.RECORDS_NOT_READ, deadline
+            )
         if not self._job_registry.accepts_writes:
-            return self.refuse(spec.job_id, queue, RefusalCause.STORE_AWAY, deadline)
+            return self._refusals.refuse(spec.job_id, queue, RefusalCause.STORE_AWAY, deadline)
         step = oversized_step(spec, self._capacities(queue.service))
-        return None if step is None else self._refuse_oversized(spec.job_id, queue, step)
+        return None if step is None else self._refusals.refuse_oversized(spec.job_id, queue, step)
 
     async def _refusal_for_load(
         self, spec: JobSpec, queue: Queue, deadline: float
@@ -147,10 +150,13 @@
             shortage = self._admission.standing_shortage(spec, queue) if new else None
             if shortage is None:
                 return None
-            return self._refuse_standing(spec.job_id, queue, shortage, deadline)
+            fits_after_s = self._admission.fits_after_s(shortage, queue)
+            return self._refusals.refuse_standing(
+                spec.job_id, queue, shortage, fits_after_s, deadline
+            )
         outlook = self._admission.reason_to_refuse(spec, queue, self._priorities())
         if outlook and await self._certainly_new(spec.job_id, deadline):
-            return self._refuse_hopeless(spec.job_id, queue, outlook, deadline)
+            return self._refusals.refuse_hopeless(spec.job_id, queue, outlook, deadline)
         return None
 
     def _priorities(self) -> dict[str, int]:
@@ -208,11 +214,11 @@
             async with self._waits.until(deadline):
                 offset = await asyncio.shield(write)
         except StoreRefused as error:
-            return self.refuse(
+            return self._refusals.refuse(
                 job_id, queue, RefusalCause.STORE_REFUSED, deadline, f" with {error.status}"
             )
         except ProducerFenced:
-            return self.refuse(job_id, queue, RefusalCause.WRITER_REPLACED, deadline)
+            return self._refusals.refuse(job_id, queue, RefusalCause.WRITER_REPLACED, deadline)
         except TimeoutError:
             self._log.write(
                 Event.JOB_IN_DOUBT,
@@ -232,71 +238,3 @@
             version=self._configuration.current and self._configuration.current.version,
         )
         return json_response(200, b"{}")
-
-    def refuse(
-        self, job_id: str, queue: Queue, cause: RefusalCause, deadline: float, details: str = ""
-    ) -> web.Response:
-        """Log and return the refusal of a job, which then never runs.
-
-        Args:
-            job_id: The job.
-            queue: Its queue.
-            cause: Cause of the refusal.
-            deadline: Steady time until which the caller waits.
-            details: Added to the cause.
-        """
-        reason = cause.value + details
-        self._count_refusal(queue, cause)
-        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
-        delay_s = retry_after_s(job_id, RETRY_AFTER_S, deadline - steady())
-        return unavailable(reason, retry_after_s=delay_s)
-
-    def _refuse_hopeless(
-        self, job_id: str, queue: Queue, outlook: JobOutlook, deadline: float
-    ) -> web.Response:
-        delay_s = retry_after_s(job_id, outlook.fits_after_s, deadline - steady())
-        reason = RefusalCause.HOPELESS.value
-        self._count_refusal(queue, RefusalCause.HOPELESS)
-        self._log.write(
-            Event.JOB_HOPELESS,
-            job=job_id,
-            queue=queue.name,
-            reason=reason,
-            best_hall=outlook.hall,
-            ahead_s=round(outlook.wait_s, 2),
-            path_s=round(outlook.path_s, 2),
-            objective_s=round(outlook.objective_s, 2),
-            summary_age_s=round(outlook.age_s, 2),
-            retry_after_s=delay_s,
-        )
-        return unavailable(reason, retry_after_s=delay_s)
-
-    def _refuse_standing(
-        self, job_id: str, queue: Queue, shortage: StandingShortage, deadline: float
-    ) -> web.Response:
-        fits_after_s = self._admission.fits_after_s(shortage, queue)
-        delay_s = retry_after_s(job_id, fits_after_s, deadline - steady())
-        reason = RefusalCause.NO_ROOM.value
-        self._count_refusal(queue, RefusalCause.NO_ROOM)
-        self._log.write(
-            Event.STANDING_REFUSED,
-            job=job_id,
-            queue=queue.name,
-            reason=reason,
-            milli_cpu=shortage.demand.milli_cpu,
-            memory_mb=shortage.demand.memory_mb,
-            tasks=shortage.tasks,
-            room=shortage.room,
-            fits_after_s=round(fits_after_s, 1),
-            retry_after_s=delay_s,
-        )
-        return unavailable(reason, retry_after_s=delay_s)
-
-    def _refuse_oversized(self, job_id: str, queue: Queue, step: int) -> web.Response:
-        reason = f"tasks of step {step} are {RefusalCause.OVERSIZED.value}"
-        self._count_refusal(queue, RefusalCause.OVERSIZED)
-        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
-        return oversized(reason)
-
-    def _count_refusal(self, queue: Queue, cause: RefusalCause) -> None:
-        self._metrics.count("refusals", queue=queue.name, cause=cause.value)
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -23,6 +23,7 @@
     from linkspan.host._submissions import Submissions
     from linkspan.host.caller_format import CallerFormat
     from linkspan.host.caller_waits import CallerWaits
+    from linkspan.host.refusals import Refusals
     from linkspan.jobs.job_registry import JobRegistry
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
@@ -55,6 +56,7 @@
         form: Format of request and response bodies.
         submissions: Accepts jobs.
         waits: Waits of requests, which the submissions share.
+        refusals: Refuses jobs.
         log: Event log.
         metrics: Metrics of the host.
     """
@@ -67,6 +69,7 @@
         submissions: Submissions,
         waits: CallerWaits,
         *,
+        refusals: Refusals,
         log: EventLog,
         metrics: HostMetrics,
     ) -> None:
@@ -74,6 +77,7 @@
         self._configuration = configuration
         self._form = form
         self._submissions = submissions
+        self._refusals = refusals
         self._waits = waits
         self._log = log
         self._metrics = metrics
@@ -145,7 +149,7 @@
             self._body_reads.remove(started_at)
 
     def _refuse_incomplete(self, job_id: str, queue: Queue, deadline: float) -> web.Response:
-        response = self._submissions.refuse(job_id, queue, RefusalCause.INCOMPLETE, deadline)
+        response = self._refusals.refuse(job_id, queue, RefusalCause.INCOMPLETE, deadline)
         response.force_close()
         return response
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -16,6 +16,7 @@
 from linkspan.host.executor_capacities import ExecutorCapacities
 from linkspan.host.front import Front
 from linkspan.host.job_outlook import HallLoad
+from linkspan.host.refusals import Refusals
 from linkspan.host.shards import ShardChooser
 from linkspan.host.standing_reservations import StandingReservations
 from linkspan.jobs.job_registry import JobRegistry
@@ -152,6 +153,7 @@
         self._shard_chooser = ShardChooser(settings, self._summary_of, evacuated=self._is_evacuated)
         reservations = StandingReservations(self.job_registry.catalog)
         self.job_registry.subscribe(reservations.on_job)
+        refusals = Refusals(log, metrics)
         submissions = Submissions(
             self.job_registry,
             self.configuration,
@@ -162,6 +164,7 @@
                 self._hall_loads, self._shard_chooser.eligible_shards, reservations
             ),
             reservations=reservations,
+            refusals=refusals,
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
             log=log,
@@ -173,6 +176,7 @@
             adapter.caller_format,
             submissions,
             waits,
+            refusals=refusals,
             log=log,
             metrics=metrics,
         )
--- a/tests/host/admission_builders.py
+++ b/tests/host/admission_builders.py
@@ -14,6 +14,7 @@
 from linkspan.host.admission import Admission
 from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.job_outlook import HallLoad, JobOutlook
+from linkspan.host.refusals import Refusals
 from linkspan.host.standing_reservations import StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JobRegistry
@@ -108,6 +109,7 @@
             choose_shard=lambda _spec, _queue: 0,
             admission=admission,
             reservations=StandingReservations(self.job_registry.catalog),
+            refusals=Refusals(self.log, HostMetrics()),  # type: ignore[arg-type]
             capacities=lambda _service: (),
             incarnation=f"life-{name}",
             log=self.log,  # type: ignore[arg-type]
