--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -150,9 +150,14 @@
             for shard in range(len(settings.halls))
         ]
         waits = CallerWaits()
-        self._shard_chooser = ShardChooser(settings, self._summary_of, evacuated=self._is_evacuated)
         reservations = StandingReservations(self.job_registry.catalog)
         self.job_registry.subscribe(reservations.on_job)
+        self._shard_chooser = ShardChooser(
+            settings,
+            self._summary_of,
+            evacuated=self._is_evacuated,
+            accepted_elsewhere=reservations.accepted_elsewhere,
+        )
         refusals = Refusals(log, metrics)
         submissions = Submissions(
             self.job_registry,
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -84,6 +84,8 @@
         settings: Settings of the host.
         summary_of: Returns the last summary that the owner of a shard published, ``None`` if none.
         evacuated: Returns whether a hall is evacuated.
+        accepted_elsewhere: Returns the thousandths of a core that standing jobs reserve which other
+            hosts accepted for a shard lately, by shard and service.
     """
 
     def __init__(
@@ -92,9 +94,11 @@
         summary_of: Callable[[int], HallSummary | None],
         *,
         evacuated: Callable[[str], bool] = lambda _hall: False,
+        accepted_elsewhere: Callable[[int, str], int] = lambda _shard, _service: 0,
     ) -> None:
         self._settings = settings
         self._evacuated = evacuated
+        self._accepted_elsewhere = accepted_elsewhere
         self._summary_of = summary_of
         self._choices: deque[_Choice] = deque()
 
@@ -167,7 +171,7 @@
         later = at_once
         if at_once < count:
             later = self._fitting_tasks(spec, service, shard, use_headroom=True)
-        return at_once, later, self._standing_score(spec, shard)
+        return at_once, later, self._standing_score(spec, service, shard)
 
     def _fitting_tasks(self, spec: JobSpec, service: str, shard: int, *, use_headroom: bool) -> int:
         """Return for how many tasks of a standing job's widest step a hall has room now.
@@ -179,17 +183,17 @@
             return 0
         widest = _widest(spec)
         need = TaskNeed.of(widest, service, use_headroom=use_headroom)
-        chosen_cpu = self._recently_chosen_cpu(shard, _Kind.STANDING)
+        chosen_cpu = self._standing_cpu_lately(service, shard)
         chosen = ceil(chosen_cpu / max(widest.demand.milli_cpu, 1))
         slots = summary.slots(need, enough=widest.count + chosen)
         return min(max(slots - chosen, 0), widest.count)
 
-    def _standing_score(self, spec: JobSpec, shard: int) -> float:
+    def _standing_score(self, spec: JobSpec, service: str, shard: int) -> float:
         local = self._local_bonus(shard)
         summary = self._usable_summary(shard)
         if summary is None:
             return local
-        needed = _milli_cpu(_widest(spec)) + self._recently_chosen_cpu(shard, _Kind.STANDING)
+        needed = _milli_cpu(_widest(spec)) + self._standing_cpu_lately(service, shard)
         free = (summary.free - needed) / summary.capacity
         images = {step.image for step in spec.steps}
         total = sum(summary.standing.values())
@@ -210,6 +214,11 @@
         )
         return local - interference - WAITING_WEIGHT * busy / summary.capacity
 
+    def _standing_cpu_lately(self, service: str, shard: int) -> int:
+        """Return the CPU demand of standing jobs that all hosts accepted for a shard lately."""
+        own = self._recently_chosen_cpu(shard, _Kind.STANDING)
+        return own + self._accepted_elsewhere(shard, service)
+
     def _usable_summary(self, shard: int) -> HallSummary | None:
         """Return the summary of a hall, ``None`` if missing or without usable executors."""
         summary = self._summary_of(shard)
--- a/src/linkspan/host/standing_reservations.py
+++ b/src/linkspan/host/standing_reservations.py
@@ -17,6 +17,10 @@
 """Time for which an accepted job is remembered, in seconds: longer than any summary that is used
 is old."""
 
+ELSEWHERE_S = 2.5
+"""Time for which a job that another host accepted counts on top of its hall's summary, in seconds:
+the summary may be that old and not include it yet."""
+
 BURST_WINDOW_S = 0.2
 """Time over which the rate of accepted jobs is taken, in seconds, to estimate how many other hosts
 are storing now."""
@@ -43,18 +47,24 @@
         shard: Shard that it was accepted for.
         service: Service whose executors run it; empty if its record does not tell.
         demand: Resources of all its tasks together.
+        own: Whether this host accepted it.
     """
 
     at: float
     shard: int
     service: str
     demand: Demand
+    own: bool
 
     @classmethod
-    def of(cls, submitted: Submitted) -> _Reservation:
+    def of(cls, submitted: Submitted, *, own: bool = False) -> _Reservation:
         """Return what a submitted job reserves, heard of now."""
         service = submitted.terms.service if submitted.terms else ""
-        return cls(steady(), submitted.shard, service, reserved_by(submitted.spec))
+        return cls(steady(), submitted.shard, service, reserved_by(submitted.spec), own)
+
+    def counts_for(self, shard: int, service: str) -> bool:
+        """Return whether it may take resources of a service's executors of a shard."""
+        return self.shard == shard and self.service in (service, "")
 
 
 class StandingReservations:
@@ -79,7 +89,7 @@
     def on_accept(self, submitted: Submitted) -> None:
         """Note a job that this host is about to store."""
         if submitted.spec.standing:
-            self._accepted[submitted.spec.job_id] = _Reservation.of(submitted)
+            self._accepted[submitted.spec.job_id] = _Reservation.of(submitted, own=True)
 
     def on_stored(self, took_s: float) -> None:
         """Note for how long this host's last record of a job was written, in seconds."""
@@ -124,7 +134,7 @@
         _forget(self._accepted, now - RECENT_S)
         read = being_stored = Demand()
         for job in self._accepted.values():
-            if job.shard != shard or job.service not in (service, "") or job.at < since:
+            if job.at < since or not job.counts_for(shard, service):
                 continue
             read = read.plus(job.demand)
             if job.at >= now - BURST_WINDOW_S:
@@ -132,6 +142,20 @@
         unread_s = min(max(self._write_s + self._read_s, MIN_UNREAD_S), MAX_UNREAD_S)
         return read.plus(being_stored, unread_s / BURST_WINDOW_S)
 
+    def accepted_elsewhere(self, shard: int, service: str) -> int:
+        """Return the thousandths of a core of jobs that other hosts accepted for a shard lately.
+
+        Args:
+            shard: The shard.
+            service: Service whose executors run the jobs.
+        """
+        since = steady() - ELSEWHERE_S
+        return sum(
+            job.demand.milli_cpu
+            for job in self._accepted.values()
+            if job.at >= since and not job.own and job.counts_for(shard, service)
+        )
+
     def wait_s(self, service: str, missing: Demand) -> float:
         """Return the seconds until standing jobs are expected to give some resources back.
 
--- a/tests/host/test_choice_by_fit.py
+++ b/tests/host/test_choice_by_fit.py
@@ -60,3 +60,16 @@
     """Guards against a change of the choice on days on which halls have room."""
     assert _choose((_hall(*[20_000] * 8), _hall(*[30_000] * 8)), LARGE) == [1]
     assert _choose((_hall(*[30_000] * 8), _hall(*[20_000] * 8)), LARGE) == [0]
+
+
+def test_jobs_that_other_hosts_accepted_take_the_room_of_a_hall() -> None:
+    """Guards against hosts that all send jobs to the hall that had most room a second ago."""
+    halls = (_hall(*[32_000] * 4), _hall(*[32_000] * 3))
+    spec = JobSpec("00000000000000aa", QUEUE.name, "text", (LARGE,))
+    for elsewhere, expected in (({}, 0), ({0: 124_000}, 1), ({0: 124_000, 1: 93_000}, 0)):
+        chooser = ShardChooser(
+            SETTINGS,
+            dict(enumerate(halls)).get,
+            accepted_elsewhere=lambda shard, _service, known=elsewhere: known.get(shard, 0),
+        )
+        assert chooser.choose(spec, QUEUE) == expected
