Tell what shows that a job has begun (529), and what a count was made from (585)

The hypotheses differ in what an owner knew when it announced a job as begun, in how old the view was that a host counted in, and in which records that view held. No line told either.

529 for each job that is announced: runs that executors confirmed, starts without an answer, refused ones, tasks that are done. 585 for each count that is answered: queue, number, age and offset of the view. Nothing is decided by them.

Cost: a line a job, written with the announcement once a second; a line a count.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -179,6 +179,13 @@
         "standing job refused, as no hall has room for it beside short work; it never runs",
         "see OPERATIONS.md, standing jobs without room",
     )
+    JOB_BEGUN = (
+        529,
+        logging.INFO,
+        "job announced as begun: it no longer counts as waiting",
+        "nothing; the line says what shows it",
+    )
+    WAITING_COUNTED = 585, logging.INFO, "number of a queue's waiting jobs returned", "nothing"
     STEP_PLACED = 530, logging.INFO, "tasks placed on executors", "nothing"
     STEP_BLOCKED = 531, logging.INFO, "tasks wait for capacity", "nothing"
     STEP_PASSED_OVER = (
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -211,11 +211,19 @@
             deadline: Steady time by which to answer.
         """
         await self._job_registry.refresh(timeout_s=min(_read_wait_s(deadline), MAX_REFRESH_WAIT_S))
-        if steady() - self._job_registry.follower.synced_at > MAX_COUNT_AGE_S:
+        follower = self._job_registry.follower
+        age_s = steady() - follower.synced_at
+        if age_s > MAX_COUNT_AGE_S:
             return unavailable("job records not read lately")
-        return json_response(
-            200, self._form.waiting(self._job_registry.catalog.waiting(queue.name))
+        waiting = self._job_registry.catalog.waiting(queue.name)
+        self._log.write(
+            Event.WAITING_COUNTED,
+            queue=queue.name,
+            waiting=waiting,
+            view_age_s=round(age_s, 3),
+            offset=follower.offset,
         )
+        return json_response(200, self._form.waiting(waiting))
 
 
 def _read_wait_s(deadline: float) -> float:
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
+from linkspan.events import Event
 from linkspan.jobs.records import Begun, Finished, Tombstone
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, progress_key
@@ -19,6 +20,7 @@
     from linkspan.jobs.records import JobRecord
     from linkspan.shard._context import TenureContext
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.shard_job import ShardJob
 
 FLUSH_INTERVAL_S = 0.06
 """Time for which changes of progress are collected into one append."""
@@ -204,9 +206,26 @@
                 for job_id in begun
                 if job_id in self._core.jobs and not self._core.jobs[job_id].closing
             ]
+            for record in records:
+                self._log_begun(self._core.jobs[record.job_id])
             if records:
                 await self._job_registry.write(records)
 
+    def _log_begun(self, job: ShardJob) -> None:
+        """Log what shows that a job has begun."""
+        attempts = list(job.attempts())
+        self._core.log(
+            Event.JOB_BEGUN,
+            job=job.job_id,
+            queue=job.spec.queue,
+            confirmed=sum(attempt.confirmed_at > NEVER for attempt in attempts),
+            unanswered=sum(attempt.start_unanswered for attempt in attempts),
+            refused=sum(task.refusals for run in job.runs.values() for task in run.tasks()),
+            done=sum(task.done for run in job.runs.values() for task in run.tasks()),
+            shard=self._shard,
+            token=self._core.token,
+        )
+
     async def prune_loop(self) -> None:
         """Remove the final records that have expired."""
         while True:
