Announce a job as begun once a task has begun

What callers saw: while executors refused or lost all starts, hosts said that no job of the queue waited (0 of 20) and that each was running.

Cause: Orders.place marked a job as begun when a start was planned, as it must not move to another hall as a whole from then on; the announcement followed within a second, and a refusal, a missing answer or a start that was never sent took nothing back. A next owner did the same for each job with a progress record, which is written before the first start. Class: an intention published as a fact.

Change: two facts in place of one. start_ordered is set when a start is planned and keeps the job from moving as a whole; begun is set by an accepted start, a run in a report, an end, or a progress record that holds one of these. A job of which a start was ordered and none is known to have begun has a record of its own under the key of the announcement, so that a next owner without a progress record does not move it, either; earlier versions read it as begun, as before. It costs a record only where a first start is unanswered or refused for up to a second; all others have one record, as before.

--- a/bench/colocation/hall.py
+++ b/bench/colocation/hall.py
@@ -270,6 +270,7 @@
         self._planner.plan(now, now)
         self._make_durable()
         orders, self.core.orders = self.core.orders, []
+        self.core.start_ordered.clear()
         self.core.begun.clear()
         for order in orders:
             executor = self.executors[order.executor_id]
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -16,6 +16,7 @@
     JobState,
     Moved,
     Returned,
+    StartOrdered,
     Submitted,
     TaskIndex,
     Tombstone,
@@ -39,7 +40,8 @@
             while another shard manages them.
         completed_parts: Parts of these records.
         writer_ids: Writers of the job's submissions, see :attr:`Submitted.writer_id`.
-        begun: Whether a task of the job was started.
+        start_ordered: Whether a start of a task of the job may have been sent.
+        begun: Whether a task of the job has begun.
         cancelled: Whether a caller cancelled the job.
         finished: Record of the final state, ``None`` until the job is finished.
     """
@@ -52,6 +54,7 @@
     completed: set[TaskIndex] = field(default_factory=set)
     completed_parts: set[str] = field(default_factory=set)
     writer_ids: tuple[str, ...] = ()
+    start_ordered: bool = False
     begun: bool = False
     cancelled: bool = False
     finished: Finished | None = None
@@ -162,8 +165,10 @@
             entry.completed_parts.add(record.part)
         elif isinstance(record, Cancelled):
             entry.cancelled = True
+        elif isinstance(record, StartOrdered):
+            entry.start_ordered = True
         elif isinstance(record, Begun):
-            entry.begun = True
+            entry.start_ordered = entry.begun = True
         elif entry.finished is None:
             entry.finished = record
         self._update_waiting(record.job_id, entry)
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -26,6 +26,7 @@
     JobState,
     Moved,
     Returned,
+    StartOrdered,
     Submitted,
     TaskIndex,
     Tombstone,
@@ -51,8 +52,9 @@
         return f"d:{record.job_id}:{record.part}".encode(), orjson.dumps(rows)
     if isinstance(record, Cancelled):
         return f"c:{record.job_id}".encode(), b"1"
-    if isinstance(record, Begun):
-        return f"b:{record.job_id}".encode(), b"1"
+    if isinstance(record, StartOrdered | Begun):
+        # Earlier versions read both as begun, so that they don't move the job, either.
+        return f"b:{record.job_id}".encode(), b"1" if isinstance(record, Begun) else b"0"
     if isinstance(record, Finished):
         fields = [record.state.value, record.shard, record.at, record.queue]
         return f"f:{record.job_id}".encode(), orjson.dumps(fields)
@@ -324,6 +326,6 @@
     "r": lambda job_id, shard, fields: Returned(job_id, int(shard), _delegations_from(fields)),
     "d": _completed_from,
     "c": lambda job_id, _part, _fields: Cancelled(job_id),
-    "b": lambda job_id, _part, _fields: Begun(job_id),
+    "b": lambda job_id, _part, begun: Begun(job_id) if begun else StartOrdered(job_id),
     "f": _finished_from,
 }
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -182,9 +182,16 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class StartOrdered:
+    """A start of a task of a job may have been sent; :class:`Begun` replaces the record."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Begun:
-    """The first task of a job was started."""
+    """The first task of a job has begun."""
 
     job_id: str
 
@@ -225,5 +232,14 @@
 
 
 JobRecord = (
-    Submitted | Moved | Delegated | Returned | Completed | Cancelled | Begun | Finished | Tombstone
+    Submitted
+    | Moved
+    | Delegated
+    | Returned
+    | Completed
+    | Cancelled
+    | StartOrdered
+    | Begun
+    | Finished
+    | Tombstone
 )
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -78,7 +78,8 @@
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
         orders: Orders to send, in order.
         finished: Final records to write.
-        begun: Jobs whose first task was started, to be announced.
+        start_ordered: Jobs of which a first start was ordered, to be recorded for next owners.
+        begun: Jobs whose first task has begun, to be announced.
         completed: Tasks that are done and that other shards have to hear of, by job.
         dirty: Repetitions whose records must be written, by job and number.
         write_urgent: Whether a record in ``dirty`` must be written soon; answers to starts
@@ -125,6 +126,7 @@
         self.evacuation: Evacuation | None = None
         self.orders: list[Order] = []
         self.finished: list[Finished] = []
+        self.start_ordered: list[str] = []
         self.begun: list[str] = []
         self.completed: dict[str, dict[TaskIndex, None]] = {}
         self.dirty: dict[tuple[str, int], JobRun] = {}
@@ -307,24 +309,34 @@
         """Return whether the record of a repetition must be written."""
         return (run.job.job_id, run.repetition) in self.dirty
 
-    def mark_begun(self, job: ShardJob) -> None:
-        """Request the announcement, once per job, that a task of the job was started."""
-        if not job.begun:
-            job.begun = True
-            self.begun.append(job.job_id)
+    def mark_start_ordered(self, job: ShardJob) -> None:
+        """Record that a start of a task of the job may be sent from now on.
+
+        The job can't move as a whole any more. It still waits: the start may be refused, or lost.
+        """
+        if not job.start_ordered:
+            job.start_ordered = True
+            self.start_ordered.append(job.job_id)
 
-    def unmark_begun(self, run: JobRun, *, dirty: bool) -> None:
-        """Revert :meth:`mark_begun` before the start is announced or recorded.
+    def unmark_start_ordered(self, run: JobRun, *, dirty: bool) -> None:
+        """Revert :meth:`mark_start_ordered` before the start is sent or recorded.
 
         Args:
             run: The repetition of the task.
             dirty: Whether the repetition's record must be written for another reason.
         """
-        run.job.begun = False
-        self.begun.remove(run.job.job_id)
+        run.job.start_ordered = False
+        self.start_ordered.remove(run.job.job_id)
         if not dirty:
             self.dirty.pop((run.job.job_id, run.repetition), None)
 
+    def mark_begun(self, job: ShardJob) -> None:
+        """Request the announcement, once per job, that a task of the job has begun."""
+        job.start_ordered = True
+        if not job.begun:
+            job.begun = True
+            self.begun.append(job.job_id)
+
     def record_contact(
         self, executor: ExecutorState, clock_s: float, now: float, *, asked: float
     ) -> None:
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -214,6 +214,7 @@
         *,
         inherited: bool = False,
         moved: bool = False,
+        start_ordered: bool = False,
         begun: bool = False,
         progress: dict[int, bytes] | None = None,
         delegated_here: Iterable[Delegation] | None = None,
@@ -228,7 +229,8 @@
             now: Steady time.
             inherited: Whether a previous owner may have started tasks of the job.
             moved: Whether the job was moved here from another shard.
-            begun: Whether a record shows that a task of the job was started.
+            start_ordered: Whether a record shows that a start of a task may have been sent.
+            begun: Whether a record shows that a task of the job has begun.
             progress: Progress records of the job's repetitions, by number.
             delegated_here: Delegations of the job's tasks to this shard; ``None`` if this is the
                 job's home shard.
@@ -246,6 +248,7 @@
             now,
             inherited=inherited,
             moved=moved,
+            start_ordered=start_ordered,
             begun=begun,
             progress=progress,
             delegated_here=delegated_here,
--- a/src/linkspan/shard/handover/_evidence.py
+++ b/src/linkspan/shard/handover/_evidence.py
@@ -43,5 +43,6 @@
             "run_version": run.version,
             "run_durable": run.durable,
             "told_begun": entry.begun if entry else None,
+            "told_ordered": entry.start_ordered if entry else None,
             "view_age_s": round(now - self._job_registry.follower.synced_at, 3),
         }
--- a/src/linkspan/shard/handover/_staying_work.py
+++ b/src/linkspan/shard/handover/_staying_work.py
@@ -84,6 +84,7 @@
             "indexes": [task.name.index for task in tasks[:MAX_LOGGED_TASKS]],
             "elsewhere": slots,
             "begun": job.begun,
+            "start_ordered": job.start_ordered,
             "moved": job.moved,
             "borrowed": job.delegated_here,
             "shard": self._core.shard,
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -1,10 +1,10 @@
 """Finds work that waits for capacity in one hall and that another hall can take.
 
-A job of which nothing was started moves as a whole. Tasks of a job that has begun or moved, or that
-no hall takes as a whole, are delegated to other halls, members of a gang together. The home hall
-keeps the job and its steps; the hall that manages a task announces that it is done. The record of a
-handover is first made durable under the owner's epoch and only then published, so exactly one shard
-manages each task.
+A job of which no start was ordered moves as a whole. Tasks of other jobs, of a job that has moved,
+or that no hall takes as a whole, are delegated to other halls, members of a gang together. The home
+hall keeps the job and its steps; the hall that manages a task announces that it is done. The record
+of a handover is first made durable under the owner's epoch and only then published, so exactly one
+shard manages each task.
 """
 
 from __future__ import annotations
@@ -169,7 +169,7 @@
             return StayReason.INHERITED
         if job.delegated_here:
             return self._return(step, pending, halls, now) or StayReason.RETURN_DELAY
-        if not (job.begun or job.moved or job.has_delegations):
+        if not (job.start_ordered or job.moved or job.has_delegations):
             shard = self._whole_moves.choose(step, own, halls, now)
             if shard is not None:
                 return Handover(job.job_id, shard, None)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -8,6 +8,7 @@
 from linkspan.errors import RecordError
 from linkspan.jobs.records import JobState
 from linkspan.shard._reasons import short_name
+from linkspan.shard.attempt import NEVER
 from linkspan.shard.crash_history import GIVE_UP_REASON
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
@@ -24,6 +25,7 @@
     from linkspan.shard._shard_state import ShardState
     from linkspan.shard.handover._delegations import Delegations
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.task import Task
 
 FIRST_RUN_WITHOUT_RECORD = 1_000_000
 """Number of the next run of a task whose record is not readable. It exceeds all run numbers that an
@@ -52,6 +54,7 @@
         *,
         inherited: bool = False,
         moved: bool = False,
+        start_ordered: bool = False,
         begun: bool = False,
         progress: dict[int, bytes] | None = None,
         delegated_here: Iterable[Delegation] | None = None,
@@ -70,8 +73,9 @@
         if job_id in self._state.departed_jobs and delegated_here is None:
             # Only a delegation can be newer than the job's departure; any other change is older.
             return
-        # The record of the job's begin may be durable while its progress is not.
+        # The record of the job's start may be durable while its progress is not.
         job = ShardJob(submitted, inherited=inherited, moved=moved, begun=begun)
+        job.start_ordered = start_ordered or begun
         job.delegated_here = delegated_here is not None
         if submitted.terms:
             job.apply_terms(submitted.terms, submitted.version)
@@ -117,7 +121,7 @@
         """
         run = new_run(job, repetition)
         run.released = job.spec.schedule is None
-        self._state.mark_begun(job)
+        self._state.mark_start_ordered(job)
         for task in run.tasks():
             task.next_run = FIRST_RUN_WITHOUT_RECORD
         for shard, delegations in delegated.items():
@@ -130,7 +134,9 @@
 
     def _restore(self, run: JobRun, value: bytes, now: float) -> None:
         restore_run(run, value, now)
-        self._state.mark_begun(run.job)
+        self._state.mark_start_ordered(run.job)
+        if any(_has_begun(task) for task in run.tasks()):
+            self._state.mark_begun(run.job)
         for task in run.tasks():
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
@@ -239,6 +245,14 @@
         self._state.dropped += [RunKey(job_id, number).encode() for number in repetitions]
 
 
+def _has_begun(task: Task) -> bool:
+    """Return whether a restored task has certainly begun, by what a former owner recorded."""
+    if task.done or task.failures or task.checkpoint:
+        return True
+    # A run without a start that may still arrive had been confirmed.
+    return any(attempt.start_may_arrive_until == NEVER for attempt in task.attempts)
+
+
 def _number_above(run: JobRun, returned: Iterable[Delegation]) -> None:
     """Number the next delegations of a repetition's tasks above all that were returned.
 
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -70,8 +70,7 @@
         task.next_run = run_number + 1
         self._state.attach(executor, attempt)
         self._state.mark_dirty(task.step.run)
-        job = task.step.run.job
-        self._state.mark_begun(job)
+        self._state.mark_start_ordered(task.step.run.job)
         self._state.send_start(attempt)
         return attempt
 
@@ -108,6 +107,7 @@
         if answer.outcome is StartOutcome.STARTED:
             attempt.task.refusals = 0
             executor.refusals.on_accepted(attempt.task.step.spec)
+            self._state.mark_begun(attempt.task.step.run.job)
             if attempt.phase in (Phase.STARTING, Phase.DOUBT):
                 attempt.confirm(now)
                 attempt.carried_over = False
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -277,7 +277,7 @@
         run = max(task.next_run for task in pending)
         checkpoint = max((task.checkpoint for task in pending), key=len)
         job_run = placement.step.run
-        begun, dirty = job_run.job.begun, self._core.is_dirty(job_run)
+        ordered, dirty = job_run.job.start_ordered, self._core.is_dirty(job_run)
         placed: list[Attempt] = []
         orders = len(self._core.orders)
         for task in pending:
@@ -288,9 +288,9 @@
             )
             if executor is None:
                 self._undo_gang(placement, placed, orders)
-                if placed and not begun:
-                    # A job that has begun can no longer move to another hall.
-                    self._core.unmark_begun(job_run, dirty=dirty)
+                if placed and not ordered:
+                    # A job of which a start was ordered can't move to another hall.
+                    self._core.unmark_start_ordered(job_run, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
             isolated = task.needs_isolation and executor.executor_id not in isolation.running()
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -10,12 +10,14 @@
 
 from linkspan.clock import steady
 from linkspan.events import Event
-from linkspan.jobs.records import Begun, Finished, Tombstone
+from linkspan.jobs.records import Begun, Finished, StartOrdered, Tombstone
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, progress_key
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from linkspan.jobs.catalog import JobEntry
     from linkspan.jobs.records import JobRecord
     from linkspan.shard._context import TenureContext
@@ -38,7 +40,7 @@
 """Longest time before the answer to a start is recorded."""
 
 BEGUN_BATCH_S = 1.0
-"""Time for which job starts are collected into one write; published counts may be two seconds
+"""Time for which begins of jobs are collected into one write; published counts may be two seconds
 old."""
 
 PRUNE_INTERVAL_S = 15.0
@@ -197,20 +199,23 @@
         self._changes.notify()
 
     async def record_started_jobs_loop(self) -> None:
-        """Record which jobs have started."""
+        """Record which jobs have begun, and of which others a start was ordered."""
         while True:
             await asyncio.sleep(BEGUN_BATCH_S)
-            begun, self._core.begun = self._core.begun, []
-            records = [
-                Begun(job_id)
-                for job_id in begun
-                if job_id in self._core.jobs and not self._core.jobs[job_id].closing
-            ]
-            for record in records:
-                self._log_begun(self._core.jobs[record.job_id])
+            begun, self._core.begun = self._open_jobs(self._core.begun), []
+            ordered, self._core.start_ordered = self._open_jobs(self._core.start_ordered), []
+            for job in begun:
+                self._log_begun(job)
+            records: list[JobRecord] = [Begun(job.job_id) for job in begun]
+            records += [StartOrdered(job.job_id) for job in ordered if not job.begun]
             if records:
                 await self._job_registry.write(records)
 
+    def _open_jobs(self, job_ids: Iterable[str]) -> list[ShardJob]:
+        """Return those of some jobs that this shard manages and whose end is not decided."""
+        jobs = (self._core.jobs.get(job_id) for job_id in job_ids)
+        return [job for job in jobs if job and not job.closing]
+
     def _log_begun(self, job: ShardJob) -> None:
         """Log what shows that a job has begun."""
         attempts = list(job.attempts())
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -117,6 +117,7 @@
         if attempt is None:
             executor.unknown_runs = True
             return
+        self._state.mark_begun(attempt.task.step.run.job)
         attempt.listed = True
         attempt.listed_at = now
         attempt.carried_over = False
@@ -168,7 +169,6 @@
             for inherited in list(task.attempts):
                 self._state.detach(inherited)
             self._state.attach(executor, attempt)
-            self._state.mark_begun(task.step.run.job)
         else:
             self._log_unwanted(executor, row)
             self._state.attach(executor, attempt)
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -26,7 +26,9 @@
         submitted: Its submission.
         inherited: Whether a previous owner may have started tasks of it.
         runs: Its repetitions by number.
-        begun: Whether a task was started.
+        start_ordered: Whether a start of a task may have been sent, so that the job can't move to
+            another shard as a whole any more.
+        begun: Whether a task is known to have begun, by an answer, a report or a record.
         closing: Whether its final state is decided; nothing is started any more.
         handing_over: Whether a handover of the job, or of tasks of it, is being recorded.
         moving: Whether the whole job is being moved to another shard.
@@ -54,6 +56,7 @@
     submitted: Submitted
     inherited: bool = False
     runs: dict[int, JobRun] = field(default_factory=dict)
+    start_ordered: bool = False
     begun: bool = False
     closing: bool = False
     handing_over: bool = False
--- a/src/linkspan/trace/_starts.py
+++ b/src/linkspan/trace/_starts.py
@@ -22,7 +22,16 @@
 }
 """Kinds of lines with the outcome of a run, and the field with details of the outcome."""
 
-_ORIGIN_FIELDS = ("offset", "accepted_by", "records", "adopting", "begun", "moved_at", "loans")
+_ORIGIN_FIELDS = (
+    "offset",
+    "accepted_by",
+    "records",
+    "adopting",
+    "begun",
+    "ordered",
+    "moved_at",
+    "loans",
+)
 """Fields of a ``job_taken_in`` line that describe from where the owner got the job."""
 
 
--- a/tests/jobs/test_records.py
+++ b/tests/jobs/test_records.py
@@ -25,6 +25,7 @@
     JobState,
     Moved,
     Returned,
+    StartOrdered,
     Submitted,
     Tombstone,
 )
@@ -62,6 +63,7 @@
     st.builds(Delegated, ids, shards, delegations),
     st.builds(Returned, ids, shards, delegations),
     st.builds(Cancelled, ids),
+    st.builds(StartOrdered, ids),
     st.builds(Begun, ids),
     st.builds(Finished, ids, st.sampled_from(JobState), shards, st.floats(0, 2e9), st.just("q")),
     st.builds(Tombstone, st.sampled_from("cbmf"), ids),
@@ -103,6 +105,21 @@
     assert catalog.waiting("q") == 0
 
 
+def test_a_job_of_which_only_a_start_was_ordered_waits() -> None:
+    """Guards against jobs that count as begun while executors refuse or lose all their starts."""
+    catalog = JobCatalog()
+    spec = JobSpec("0a", "q", "", (StepSpec(1),))
+    catalog.apply(0, Submitted(spec, 0, 0.0, "h1"))
+    catalog.apply(1, StartOrdered("0a"))
+    entry = catalog.get("0a")
+    assert entry and entry.state is JobState.QUEUED and entry.start_ordered
+    assert catalog.waiting("q") == 1
+    catalog.apply(2, Begun("0a"))
+    catalog.apply(3, StartOrdered("0a"))
+    assert entry.state is JobState.RUNNING
+    assert catalog.waiting("q") == 0
+
+
 def test_an_end_is_final_and_a_late_submission_changes_nothing() -> None:
     catalog = JobCatalog()
     spec = JobSpec("0a", "q", "", (StepSpec(1),))
--- a/tests/shard/test_passed_over.py
+++ b/tests/shard/test_passed_over.py
@@ -30,7 +30,7 @@
 def test_the_line_tells_what_started_while_a_step_waited() -> None:
     """Guards against short work that waits beside free cores with no line that tells why."""
     core = _full_hall()
-    assert core.jobs[JOB].begun
+    assert core.jobs[JOB].start_ordered
     core.add_job(submitted_job(step(2, cpu=4_000), job_id=WIDE), 1.0)
     core.add_job(submitted_job(step(3, cpu=1_000), job_id=SMALL), 1.0)
     plan(core, 1.1)
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -15,7 +15,7 @@
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, TaskName
 from tests.job_builders import step
-from tests.shard.builders import JOB, core_with, plan, report_ends
+from tests.shard.builders import JOB, core_with, plan, report_ends, submitted_job
 
 EMPTY = HallSummary(
     capacity=40_000, free=40_000, free_by_executor=((20_000, 32_000), (20_000, 32_000))
@@ -136,6 +136,20 @@
     assert core.begun == [JOB]
 
 
+def test_a_job_of_which_a_former_owner_ordered_a_start_does_not_move_as_a_whole() -> None:
+    """Guards against a job that moves while a lost start of it may still be carried out."""
+    other = "00000000000000bb"
+    core = core_with(step(1))
+    plan(core, 0.05)
+    waiting = submitted_job(step(1, cpu=9_000), job_id=other)
+    core.add_job(waiting, 0.0, inherited=True, start_ordered=True)
+    assert plan(core, 0.1) == []
+    rebalancer = Rebalancer(core, summaries=lambda: {1: EMPTY}, count_capable=lambda *_: 2)
+    found = rebalancer.plan(FULL, 0.2 + 10 * HANDOVER_WAIT_S)
+    assert [(handover.job_id, handover.tasks) for handover in found] == [(other, ((0, 0),))]
+    assert not core.jobs[other].begun
+
+
 def test_a_summary_of_another_version_is_read() -> None:
     """A renewal that does not decode is skipped, and its owner then counts as silent."""
     fields = replace(EMPTY, queued=7).encode()
--- a/tests/shard/test_undecodable_progress.py
+++ b/tests/shard/test_undecodable_progress.py
@@ -1,4 +1,4 @@
-"""Tests a job whose progress record does not decode: it counts as begun and raises an error."""
+"""Tests a job whose progress record does not decode: it does not move, and raises an error."""
 
 from __future__ import annotations
 
@@ -24,7 +24,8 @@
 
 def test_runs_are_numbered_above_all_earlier_runs() -> None:
     core = core_with_undecodable_progress()
-    assert core.jobs["0b"].begun
+    assert core.jobs["0b"].start_ordered
+    assert not core.jobs["0b"].begun
     orders = [order for order in plan(core, 2.0) if order.task.job_id != JOB]
     assert sorted(order.task.index for order in orders) == [0, 1, 2]
     assert min(order.run for order in orders) >= 1_000_000
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -58,6 +58,9 @@
         slow_clock: Rate of its clock.
         started_at_ms: Start time in milliseconds since 1970.
         clock_ahead_s: Offset of its clock from the time since the world's start.
+        refuses_with: Outcome of all starts, of which it then carries out none; ``None`` if it is
+            sound.
+        drops_starts: Whether it answers no start and carries out none.
         lease_expired_at: Expiry time of the last lease that had expired when a later order arrived.
     """
 
@@ -77,6 +80,8 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     previous_capacities: list[tuple[Demand, float]] = field(default_factory=list)
     lease_expired_at: float = float("-inf")
+    refuses_with: StartOutcome | None = None
+    drops_starts: bool = False
 
     @property
     def now(self) -> float:
@@ -120,6 +125,8 @@
         self.until = max(self.until, min(until_s, self.clock + self.world.max_lease_s))
         if until_s <= self.clock:
             return StartOutcome.LATE
+        if self.refuses_with:
+            return self.refuses_with
         present = self.running.get(order.task)
         if present and present.run == order.run:
             return StartOutcome.STARTED
@@ -233,6 +240,8 @@
 
     async def start(self, address: str, order: StartOrder, *, until_s: float) -> StartAnswer:
         executor = await self._reach(address, order.executor_id)
+        if executor.drops_starts:
+            await self._no_answer()
         delay = self._world.late_by()
         if delay:
             loop = asyncio.get_running_loop()
