Exchange requests with executors in a module of its own

Code is moved, nothing else changes.

tests/gateway, tests/test_layers.py and tests/process/test_requests.py pass as they were (50 tests), so do formatter, linter and types.

--- a/src/linkspan/gateway/proxy.py
+++ b/src/linkspan/gateway/proxy.py
@@ -7,26 +7,16 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-import aiohttp
 from aiohttp import web
-from yarl import URL
 
 from linkspan.errors import InvalidInput, LogUnavailable
 from linkspan.events import Event
-from linkspan.gateway.request_terms import (
-    DEADLINE_HEADER,
-    RequestTerms,
-    forwarded_headers,
-    request_terms,
-)
+from linkspan.gateway.request_terms import request_terms
+from linkspan.gateway.upstream import NOT_SENT_HEADER, Call, Upstream, UpstreamError
 from linkspan.routing.pool import Refused
 from linkspan.runtime.operator_app import problem
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from multidict import CIMultiDict
-
     from linkspan.gateway.claimer import Claimer
     from linkspan.gateway.router import Router
     from linkspan.peer.messages import Heartbeat
@@ -34,64 +24,14 @@
     from linkspan.routing.pool import ServicePool
     from linkspan.runtime.node import Node
 
-MAX_BUFFERED_BYTES = 1_048_576
-"""Limits the size of answers that are buffered until complete; longer ones are streamed."""
-
-CHUNK_BYTES = 65_536
-"""Maximum size of the chunks in which answers are streamed."""
-
 FORWARDED_HEADER = "Linkspan-Forwarded"
 """Marks a request from a gateway of another hall; such a request is not forwarded again."""
 
-NOT_SENT_HEADER = "Linkspan-Not-Sent"
-"""Marks an answer of the gateway to a request of which no byte was sent to an executor."""
-
 MAX_REMOTE_SILENCE_S = 120.0
 """Limits the age of the last heartbeat of a gateway to which requests are forwarded.
 
 Gateways of other halls send heartbeats rarely."""
 
-MAX_STREAM_IDLE_S = 60.0
-"""Limits the time between two reads from an executor's connection."""
-
-_NOT_SENT_ERRORS = (aiohttp.ClientConnectorError,)
-"""Errors that occur before any byte of the request is sent."""
-
-
-class UpstreamError(Exception):
-    """An executor or remote gateway did not return a complete answer.
-
-    Args:
-        sent: Whether a byte of the request may have been received.
-        reason: Name of the underlying error; part of the answer to the caller.
-    """
-
-    def __init__(self, *, sent: bool, reason: str) -> None:
-        super().__init__(reason)
-        self.sent = sent
-
-
-class Call(NamedTuple):
-    """A caller's request while the gateway handles it.
-
-    Attributes:
-        request: The HTTP request.
-        pool: Pool of the requested service.
-        terms: Terms from the request's headers.
-        body: Complete body of the request; empty if the request is streamed.
-        deadline: Monotonic time of the request's deadline, in seconds.
-    """
-
-    request: web.Request
-    pool: ServicePool
-    terms: RequestTerms
-    body: bytes
-    deadline: float
-
-    def remaining_s(self) -> float:
-        """Return the seconds until the deadline, at least 0."""
-        return max(0.0, self.deadline - time.monotonic())
-
 
 class DispatchResult(NamedTuple):
     """Result of dispatching a request.
@@ -118,19 +58,14 @@
         self._node = node
         self._router = router
         self._claimer = claimer
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0, keepalive_timeout=15)
-        self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
-        )
-        # aiohttp would otherwise retry idempotent requests itself, outside the retry budget.
-        self._session._retry_connection = False
+        self._upstream = Upstream()
 
     def __repr__(self) -> str:
         return f"Proxy({self._router!r})"
 
     async def close(self) -> None:
         """Close the connections to executors."""
-        await self._session.close()
+        await self._upstream.close()
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer a caller's request."""
@@ -189,7 +124,9 @@
         self._node.events.write(Event.FORWARDED, service=service, hall=remote.hall, to=remote.name)
         base = f"http://{remote.callers}/services/{service}"
         try:
-            return await self._exchange(call, base, {FORWARDED_HEADER: self._node.settings.hall})
+            return await self._upstream.exchange(
+                call, base, {FORWARDED_HEADER: self._node.settings.hall}
+            )
         except UpstreamError as error:
             return self._failure_response(error, call, sent=error.sent)
 
@@ -291,7 +228,7 @@
         executor = pool.executors[name]
         outcome = "dropped"
         try:
-            answer = await self._exchange(call, f"http://{executor.address}", {})
+            answer = await self._upstream.exchange(call, f"http://{executor.address}", {})
             outcome = "failed" if answer.status in (502, 503) else "answered"
             self._log_routed(pool, name, answer.status, started_at)
             return answer
@@ -323,75 +260,3 @@
             in_flight=pool.in_flight,
             queued=pool.queued,
         )
-
-    async def _exchange(
-        self, call: Call, base: str, extra_headers: Mapping[str, str]
-    ) -> web.StreamResponse:
-        """Send the request to the server at ``base`` and return the answer.
-
-        Raises:
-            UpstreamError: No complete answer was received.
-        """
-        request, terms, remaining_s = call.request, call.terms, call.remaining_s()
-        headers = forwarded_headers(request.headers)
-        headers[DEADLINE_HEADER] = str(max(1, int(remaining_s * 1000)))
-        headers.update(extra_headers)
-        url = URL(base + _raw_tail(request), encoded=True)
-        timeout = aiohttp.ClientTimeout(
-            total=None if terms.stream else max(remaining_s, 0.001),
-            sock_read=MAX_STREAM_IDLE_S,
-            connect=1.0,
-        )
-        try:
-            async with self._session.request(
-                request.method,
-                url,
-                headers=headers,
-                data=request.content if terms.stream else call.body,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as upstream:
-                return await self._return_answer(request, upstream, terms)
-        except _NOT_SENT_ERRORS as error:
-            raise UpstreamError(sent=False, reason=f"{error.__class__.__name__}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise UpstreamError(sent=True, reason=f"{error.__class__.__name__}") from error
-
-    async def _return_answer(
-        self, request: web.Request, upstream: aiohttp.ClientResponse, terms: RequestTerms
-    ) -> web.StreamResponse:
-        length = upstream.content_length
-        headers = forwarded_headers(upstream.headers)
-        headers.popall(NOT_SENT_HEADER, None)
-        if not terms.stream and length is not None and length <= MAX_BUFFERED_BYTES:
-            body = await upstream.read()
-            return web.Response(status=upstream.status, headers=headers, body=body)
-        return await self._stream_answer(request, upstream, headers)
-
-    async def _stream_answer(
-        self, request: web.Request, upstream: aiohttp.ClientResponse, headers: CIMultiDict[str]
-    ) -> web.StreamResponse:
-        """Stream the answer to the caller; abort the connection if the answer breaks off.
-
-        Reading from the executor keeps pace with the caller.
-        """
-        answer = web.StreamResponse(status=upstream.status, headers=headers)
-        await answer.prepare(request)
-        try:
-            async for chunk in upstream.content.iter_chunked(CHUNK_BYTES):
-                await answer.write(chunk)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            if request.transport is not None:
-                request.transport.abort()
-            return answer
-        except asyncio.CancelledError:
-            upstream.close()
-            raise
-        await answer.write_eof()
-        return answer
-
-
-def _raw_tail(request: web.Request) -> str:
-    """Return path and query after the service name, without decoding them."""
-    path, separator, query = request.raw_path.partition("?")
-    return "/" + path.split("/", 3)[3] + separator + query
