Watch workers in a class apart from the scheduler's decisions

tests/scheduler (with the state machine of a hall) and tests/test_layers.py pass as they were (18 tests), tests/process/test_halls.py, tests/process/test_jobs.py and tests/bench/test_bounds.py too (22 tests, real processes).

--- a/src/linkspan/scheduler/core.py
+++ b/src/linkspan/scheduler/core.py
@@ -27,16 +27,16 @@
     Submitted,
 )
 from linkspan.ledger.run_keys import worker_of
-from linkspan.model.job import AttemptId, TaskId
+from linkspan.model.job import AttemptId
 from linkspan.scheduler.caller_requests import CallerRequests
 from linkspan.scheduler.hall_peers import HallPeers
 from linkspan.scheduler.lease_expiry import LeaseExpiryProof
 from linkspan.scheduler.outbox import Outbox
 from linkspan.scheduler.services import service_changes
 from linkspan.scheduler.timing import Timing
+from linkspan.scheduler.watched_workers import WatchedWorkers
 from linkspan.scheduler.worker_decisions import worker_decisions
 from linkspan.scheduler.worker_orders import WorkerOrders
-from linkspan.scheduler.worker_view import WorkerView
 from linkspan.services.messages import ExchangeRequest, WorkerReport
 
 if TYPE_CHECKING:
@@ -45,6 +45,7 @@
     from linkspan.ledger.ledger import Ledger
     from linkspan.model.job import JobSpec
     from linkspan.placement.placer import Placer
+    from linkspan.scheduler.worker_view import WorkerView
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,10 +65,10 @@
     """One scheduler of a hall.
 
     All schedulers of a hall apply the same log to their ledgers. Rendezvous hashing
-    over the live schedulers assigns each worker a scheduler that exchanges messages
-    with it, and the hall a leader that places tasks. Two schedulers may both act as
-    leader for a time: the order of the log decides between their records, and
-    workers handle repeated orders idempotently.
+    over the live schedulers assigns each worker a scheduler (:class:`WatchedWorkers`),
+    and the hall a leader that places tasks. Two schedulers may both act as leader for
+    a time: the order of the log decides between their records, and workers handle
+    repeated orders idempotently.
 
     Args:
         name: This scheduler's name, which no earlier scheduler has used.
@@ -93,16 +94,12 @@
         self.timing = timing or Timing()
         self.outbox = Outbox(name, self.timing.append_timeout_s)
         self.proof = LeaseExpiryProof(name, self.timing)
-        self.workers: dict[str, WorkerView] = {}
+        self._workers = WatchedWorkers(name, self.timing, small_hall=small_hall)
         self.tail_read = float("-inf")
-        self._small_hall = small_hall
         self.leaving: frozenset[str] = frozenset()
         self.services: Mapping[str, JobSpec] = {}
         self._requests = CallerRequests(self.timing.resend_s)
         self._recall_reasons: dict[AttemptId, str] = {}
-        self._watched_names: set[str] = set()
-        self._assigned_among: frozenset[str] = frozenset()
-        self._assigned: list[WorkerView] = []
         self._last_pass = (float("-inf"), -1)
         self._peers = HallPeers(name, self.timing)
         self._tail_read_started = float("-inf")
@@ -111,7 +108,7 @@
         self._note_proof_offsets_of_ledger(0.0)
 
     def __repr__(self) -> str:
-        return f"SchedulerCore({self.name!r}, {self.ledger!r}, workers={len(self.workers)})"
+        return f"SchedulerCore({self.name!r}, {self.ledger!r}, workers={len(self._workers)})"
 
     @property
     def has_joined(self) -> bool:
@@ -163,7 +160,7 @@
             self.outbox.on_record(record)
             self._note_proof_offset(offset, record, now)
             self._report_ends_to_placer(record, results, ended, now)
-            self._schedule_exchanges(record)
+            self._workers.schedule_exchanges(record, self.ledger)
             if on_record is not None:
                 on_record(offset, record, results)
             if record.writer == self.name:
@@ -250,31 +247,15 @@
             report: The report.
             started: Local time in seconds when the exchange started.
         """
-        view = self.workers.get(report.spec.name)
+        view = self._workers.get(report.spec.name)
         if view is None:
             return
         view.apply_report(report, started)
         self.placer.observe(report, self.ledger, started)
 
     def watch_workers(self, names: Iterable[str], now: float) -> None:
-        """Set the workers to watch to those on the platform's list.
-
-        A worker that left the list but still has attempts stays watched: the list
-        lags, so absence from it does not prove that the worker stopped.
-        """
-        wanted = set(names)
-        wanted |= {
-            worker_entry.spec.name
-            for worker_entry in self.ledger.workers.values()
-            if worker_entry.tasks
-        }
-        for name in sorted(wanted - self.workers.keys()):
-            self.workers[name] = WorkerView(name, now)
-        for name in self.workers.keys() - wanted:
-            del self.workers[name]
-        if wanted != self._watched_names:
-            self._watched_names = wanted
-            self._assigned_among = frozenset()
+        """Set the workers to watch to those on the platform's list, and those with attempts."""
+        self._workers.watch(names, self.ledger, now)
 
     def submit(self, spec: JobSpec, now: float) -> None:
         """Submit a job; the ledger decides whether it is accepted."""
@@ -299,7 +280,7 @@
         self._join()
         self.outbox.add(self._requests.pending(self.ledger, now))
         assigned = self._assigned_workers(now)
-        due = [view for view in assigned if self._start_exchange_if_due(view, now)]
+        due = [view for view in assigned if self._workers.start_exchange_if_due(view, now)]
         for view in assigned:
             if view.needs_check:
                 view.needs_check = False
@@ -338,57 +319,8 @@
         self.outbox.add([Left(self.name)])
 
     def _assigned_workers(self, now: float) -> list[WorkerView]:
-        """Return the workers assigned to this scheduler; recomputed when the assignment changes."""
-        live = frozenset(self.live_schedulers(now))
-        if live != self._assigned_among:
-            self._assigned_among = live
-            before = {view.name for view in self._assigned}
-            self._assigned = [
-                v for v in self.workers.values() if self._scheduler_of(v.name, live) == self.name
-            ]
-            for view in self._assigned:
-                if view.name not in before:
-                    view.watched_since = now
-                    view.next_exchange = 0.0
-        return self._assigned
-
-    def _scheduler_of(self, worker: str, live: Iterable[str]) -> str:
-        """Return the scheduler that exchanges messages with a worker."""
-        is_small = len(self.workers) <= self._small_hall
-        return rendezvous("lead" if is_small else worker, live)
-
-    def _start_exchange_if_due(self, view: WorkerView, now: float) -> bool:
-        if now >= view.next_exchange:
-            view.last_exchange = now
-            view.next_exchange = now + self.timing.exchange_s
-            view.needs_check = True
-            return True
-        return False
-
-    def _schedule_exchanges(self, record: Record) -> None:
-        """Schedule early exchanges with the workers that the record has new orders for."""
-        for decision in record.decisions:
-            if isinstance(decision, Placed):
-                self._schedule_exchange(decision.worker)
-            elif isinstance(decision, Recalled) and worker_of(self.ledger, decision.attempt):
-                self._schedule_exchange(worker_of(self.ledger, decision.attempt))
-            elif isinstance(decision, Cancelled):
-                self._schedule_job_exchanges(decision.job_id)
-
-    def _schedule_job_exchanges(self, job_id: str) -> None:
-        number = self.ledger.job_numbers.get(job_id)
-        if number is None:
-            return
-        for index, state in enumerate(self.ledger.jobs[number].states):
-            if state == TaskState.PLACED:
-                self._schedule_exchange(self.ledger.placements[TaskId(number, index)].worker)
-
-    def _schedule_exchange(self, worker: int) -> None:
-        worker_entry = self.ledger.workers.get(worker)
-        view = self.workers.get(worker_entry.spec.name) if worker_entry is not None else None
-        if view is not None:
-            soon = view.last_exchange + self.timing.min_exchange_interval_s
-            view.next_exchange = min(view.next_exchange, soon)
+        """Return the workers assigned to this scheduler."""
+        return self._workers.assigned(frozenset(self.live_schedulers(now)), now)
 
     def _chosen_recalls(self) -> Iterator[Decision]:
         """Yield recalls of the attempts that the placer chose to move from their workers."""
@@ -413,7 +345,7 @@
         for task in sorted(self.ledger.recalled):
             placement = self.ledger.placements[task]
             name = self.ledger.workers[placement.worker].spec.name
-            if self._scheduler_of(name, self.live_schedulers(now)) != self.name:
+            if self._workers.scheduler_of(name, self.live_schedulers(now)) != self.name:
                 continue
             if now >= self.proof.expires_at(self.ledger, placement.recalled):
                 yield Lapsed(self.ledger.attempt_of(task))
@@ -463,7 +395,7 @@
         fit = [
             number
             for name, number in self.ledger.worker_numbers.items()
-            if name in self.workers and name not in unfit
+            if name in self._workers and name not in unfit
         ]
         yield from self.placer.resizes(self.ledger)
         pending = list(self.outbox.placements())
