Say which failure each test of the ledger, the pool and takeovers guards against

31 tests of three files told it by their name and the module's docstring only. Tests with drawn examples stay as they were, since their examples come from their source. No statement of a test changes.

tests/ledger, tests/routing and tests/scheduler/test_takeover.py pass (46 tests).

--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -40,6 +40,7 @@
 
 
 def test_same_id_is_one_job_other_content_a_conflict() -> None:
+    """Guards against a job that is submitted twice and runs twice, or replaces another one."""
     built = LedgerBuilder().with_job(job("a"))
     assert built.apply(Submitted(job("a"))) == [ApplyResult.DUPLICATE]
     assert built.apply(Submitted(job("a", count=2))) == [ApplyResult.CONFLICT]
@@ -47,6 +48,7 @@
 
 
 def test_same_id_after_the_end_is_still_one_job() -> None:
+    """Guards against a finished job that runs again, as its submission was sent again."""
     built = _placed()
     built.apply(Ended(A1, Outcome.SUCCEEDED))
     assert built.apply(Submitted(job())) == [ApplyResult.DUPLICATE]
@@ -54,6 +56,7 @@
 
 
 def test_placement_names_the_exact_attempt() -> None:
+    """Guards against a repeated or late placement that starts a task once more."""
     built = _placed()
     assert built.apply(Placed(A1, 1)) == [ApplyResult.WRONG_STATE]
     assert built.apply(Placed(A2, 1)) == [ApplyResult.WRONG_STATE]
@@ -62,6 +65,7 @@
 
 
 def test_placement_must_fit_the_free_capacity() -> None:
+    """Guards against a worker that is given more than it can hold."""
     built = LedgerBuilder().with_worker(worker(cores=3)).with_job(job(count=5))
     results = built.apply(*(Placed(AttemptId(1, n, 1), 1) for n in range(5)))
     assert results == [ApplyResult.APPLIED] * 3 + [ApplyResult.NO_ROOM] * 2
@@ -69,6 +73,7 @@
 
 
 def test_resized_job_reserves_its_new_size_for_later_placements() -> None:
+    """Guards against an attempt that gives back more or less than it reserved."""
     built = LedgerBuilder().with_worker().with_job(job(count=2))
     built.apply(Placed(A1, 1), Resized(1, Resources(3_000, 1_000)), Placed(AttemptId(1, 1, 1), 1))
     assert built.ledger.workers[1].used == Resources(4_000, 2_000)
@@ -77,6 +82,7 @@
 
 
 def test_late_record_is_ignored() -> None:
+    """Guards against a record that takes effect after what it could conflict with was forgotten."""
     built = LedgerBuilder().with_worker()
     for _ in range(MAX_READ_LAG_OFFSETS):
         built.apply()
@@ -84,12 +90,14 @@
 
 
 def test_cancel_before_submission_refuses_the_job() -> None:
+    """Guards against a cancelled job that runs, as its submission came late."""
     built = LedgerBuilder()
     built.apply(Cancelled("job"))
     assert built.apply(Submitted(job())) == [ApplyResult.CANCELLED]
 
 
 def test_cancelled_queued_tasks_are_not_run() -> None:
+    """Guards against a task that counts as "not run" although it was placed."""
     built = LedgerBuilder().with_worker().with_job(job(count=3))
     built.apply(Placed(A1, 1))
     built.apply(Cancelled("job"))
@@ -99,6 +107,7 @@
 
 
 def test_failed_task_is_retried_a_bounded_number_of_times() -> None:
+    """Guards against a task that fails and is retried for ever."""
     built = LedgerBuilder().with_worker().with_job()
     for attempt in range(1, MAX_FAILURES + 1):
         built.apply(Placed(AttemptId(1, 0, attempt), 1))
@@ -107,6 +116,7 @@
 
 
 def test_watcher_restarts_only_after_its_end() -> None:
+    """Guards against two instances of a watcher at once."""
     built = LedgerBuilder().with_worker().with_job(watcher())
     built.apply(Placed(A1, 1))
     assert built.apply(Placed(A2, 1)) == [ApplyResult.WRONG_STATE]
@@ -115,6 +125,7 @@
 
 
 def test_evicted_attempt_resumes_once_from_its_checkpoint() -> None:
+    """Guards against an eviction that is reported twice and costs progress."""
     built = _placed()
     assert built.apply(Evicted(A1, "half", True)) == [ApplyResult.APPLIED]
     assert built.apply(Evicted(A1, "less", True)) == [ApplyResult.WRONG_STATE]
@@ -126,6 +137,7 @@
 
 
 def test_recalled_attempt_is_replaced_only_after_its_proven_end() -> None:
+    """Guards against a task that runs twice, as its lease had not expired."""
     built = _placed()
     assert built.apply(Lapsed(A1)) == [ApplyResult.WRONG_STATE]
     assert built.apply(Recalled(A1)) == [ApplyResult.APPLIED]
@@ -135,18 +147,21 @@
 
 
 def test_non_repeatable_task_with_an_unproven_end_counts_as_lost() -> None:
+    """Guards against work that must not be repeated and is."""
     built = _placed(repeatable=False)
     built.apply(Recalled(A1), Lapsed(A1))
     assert built.ledger.finished["job"].counts.lost == 1
 
 
 def test_never_started_attempt_may_be_placed_again() -> None:
+    """Guards against work that counts as lost although it never began."""
     built = _placed(repeatable=False)
     built.apply(Evicted(A1, "", False))
     assert built.ledger.jobs[1].states[0] == TaskState.QUEUED
 
 
 def test_new_incarnation_of_a_worker_proves_the_end_of_its_attempts() -> None:
+    """Guards against attempts that hold a worker on which they no longer run."""
     built = _placed()
     assert built.apply(WorkerSeen(worker(incarnation=2))) == [ApplyResult.APPLIED]
     assert built.ledger.placements == {}
@@ -225,6 +240,7 @@
 
 
 def test_recovery_from_a_gap_waits_for_a_whole_snapshot() -> None:
+    """Guards against a ledger that is restored from a part of a snapshot."""
     built = LedgerBuilder().with_worker().with_job(job(count=3))
     (part,) = snapshot_parts(built.ledger)
     half = len(part.body) // 2
@@ -247,6 +263,7 @@
 
 
 def test_recovery_ignores_a_snapshot_whose_following_records_are_trimmed() -> None:
+    """Guards against a restored ledger that lacks the records after its snapshot."""
     (part,) = snapshot_parts(LedgerBuilder().with_worker().ledger)
     recovery = Recovery("rennes-a", first=5)
     recovery.feed([(5, Record("s", 0, 1, (part,)))])
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -102,6 +102,7 @@
 
 
 def test_request_to_a_full_queue_is_refused_at_once() -> None:
+    """Guards against a queue without a limit, whose requests miss their deadlines."""
     pool = _pool(queue=1)
     results = [pool.arrive(n, 10.0, 0.0) for n in range(10)]
     assert [type(r) for r in results] == [Assigned] * 8 + [Queued, Refused]
@@ -109,6 +110,7 @@
 
 
 def test_deadline_that_the_drain_rate_cannot_meet_is_refused_at_once() -> None:
+    """Guards against a request that waits in vain and learns so at its deadline."""
     pool = _pool(queue=100)
     for n in range(8):
         pool.arrive(n, 10.0, 0.0)
@@ -170,12 +172,14 @@
 
 
 def test_pool_without_executors_refuses_with_that_reason() -> None:
+    """Guards against a request that waits where nothing can serve it."""
     pool = _pool()
     pool.set_executors({}, frozenset())
     assert pool.arrive(1, 1.0, 0.0) == Refused(1, Refusal.NO_EXECUTOR, 1)
 
 
 def test_failing_executors_are_excluded_but_never_most_of_them() -> None:
+    """Guards against a service without executors after failures that were not theirs."""
     pool = _pool()
     for name in ("e1", "e2", "e3"):
         for _ in range(5):
@@ -185,6 +189,7 @@
 
 
 def test_breaker_opens_probes_and_closes() -> None:
+    """Guards against an executor that is excluded for good, or used while it fails."""
     breaker = Breaker(failure_threshold=2, initial_backoff_s=1.0)
     assert [breaker.record_failure(0.0), breaker.record_failure(0.0)] == [False, True]
     assert [breaker.allows(0.5), breaker.allows(1.0)] == [False, True]
@@ -197,6 +202,7 @@
 
 
 def test_retries_in_a_full_outage_stay_within_a_tenth_of_the_requests() -> None:
+    """Guards against retries that multiply the load in an outage."""
     budget = RetryBudget()
     extra = 0
     for _ in range(10_000):
@@ -206,6 +212,7 @@
 
 
 def test_drain_rate_ignores_answers_outside_its_window() -> None:
+    """Guards against an old rate that admits more requests than are served now."""
     rate = DrainRate(window_s=5.0)
     for n in range(11):
         rate.record(n * 0.1)
@@ -214,16 +221,19 @@
 
 
 def test_unknown_picker_error_lists_the_known_pickers() -> None:
+    """Guards against an operator who is not told which names are valid."""
     with pytest.raises(InvalidInput, match="least_loaded"):
         PICKERS.make("magic")
 
 
 def test_shortest_wait_avoids_a_slow_executor() -> None:
+    """Guards against a slow executor that gets requests since it is idle."""
     slow, fast = Candidate("slow", 0, 3, 0.3), Candidate("fast", 1, 3, 0.1)
     assert PICKERS.make("shortest_wait").pick([slow, fast], random.Random(1)) == fast
 
 
 def test_first_claim_wins_and_late_claims_are_ignored() -> None:
+    """Guards against a request that two gateways send, as both hold its claim."""
     register = ClaimRegister()
     first, second = Claim("k", "g1", 1, 0), Claim("k", "g2", 1, 0)
     register.apply(0, encode_claims([first]))
@@ -235,6 +245,7 @@
 
 
 def test_a_claimed_key_is_released_by_its_holder_only() -> None:
+    """Guards against a claim that another gateway's release ends."""
     register = ClaimRegister()
     first, second = Claim("k", "g1", 1, 0), Claim("k", "g2", 7, 0)
     register.apply(0, encode_claims([first]))
--- a/tests/scheduler/test_takeover.py
+++ b/tests/scheduler/test_takeover.py
@@ -67,6 +67,7 @@
 
 
 def test_moved_tasks_resume_from_their_checkpoints() -> None:
+    """Guards against moved tasks that begin anew, or reuse an attempt's number."""
     lost, own = LedgerBuilder("lost").with_worker(), LedgerBuilder("own").with_worker()
     lost.with_job(job("a", count=3), job("s", priority=Priority.SERVICE))
     lost.apply(Placed(AttemptId(1, 0, 1), 1), Placed(AttemptId(1, 1, 1), 1))
@@ -84,6 +85,7 @@
 
 
 def test_earlier_cancellation_applies_to_a_job_taken_over() -> None:
+    """Guards against a cancelled job that runs in the hall that takes it over."""
     lost, own = LedgerBuilder("lost"), LedgerBuilder("own")
     lost.with_job(job("a", count=2))
     lost.apply(*handovers(lost.ledger, "own"))
@@ -93,4 +95,5 @@
 
 
 def test_one_hall_takes_over_a_lost_one() -> None:
+    """Guards against two halls that both take over, as they list the halls in another order."""
     assert takeover_hall("lost", ["a", "b"]) == takeover_hall("lost", ["b", "a"])
