--- a/src/linkspan/scheduler/daemon.py
+++ b/src/linkspan/scheduler/daemon.py
@@ -8,16 +8,13 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
-from linkspan.errors import LogGap, LogUnavailable, RecordError, Unreachable
+from linkspan.errors import LogUnavailable, Unreachable
 from linkspan.events import Event
-from linkspan.ledger.codec import decode, encode
-from linkspan.ledger.ledger import ApplyResult, Ledger
-from linkspan.ledger.records import Lapsed, Placed, Recalled, Record, Submitted, WorkerSeen
-from linkspan.ledger.snapshot import Recovery
+from linkspan.ledger.codec import encode
+from linkspan.ledger.ledger import Ledger
 from linkspan.peer.messages import Answer, Heartbeat
 from linkspan.placement.placer import rules_of
 from linkspan.placement.placers import DEFAULT_PLACER, PLACERS
-from linkspan.runtime.log_tail import LogTail
 from linkspan.runtime.node import Node, split_address
 from linkspan.runtime.operator_app import json_response, listen, make_operator_app
 from linkspan.scheduler.append_budget import AppendBudget
@@ -25,6 +22,7 @@
 from linkspan.scheduler.history import History
 from linkspan.scheduler.job_answers import cancel_answer, submit_answer
 from linkspan.scheduler.job_requests import JobRequestHandlers
+from linkspan.scheduler.ledger_tail import LedgerTail
 from linkspan.scheduler.messages import (
     AppendFinished,
     CancelRequested,
@@ -39,6 +37,7 @@
 from linkspan.scheduler.services import wanted_services
 from linkspan.scheduler.snapshots import Snapshots, ledger_stream
 from linkspan.scheduler.status import status_of
+from linkspan.scheduler.step_log import StepLog
 from linkspan.scheduler.takeover_task import TakeoverTask
 from linkspan.scheduler.timing import Timing
 from linkspan.services.http import HttpWorkers
@@ -49,7 +48,8 @@
     from aiohttp import web
 
     from linkspan.config.store import ConfigState
-    from linkspan.placement.placer import Obstacle, PassResult
+    from linkspan.ledger.ledger import ApplyResult
+    from linkspan.ledger.records import Record
     from linkspan.services.messages import ExchangeRequest
     from linkspan.services.ports import Host, WorkerPort
     from linkspan.settings import SchedulerSettings
@@ -81,12 +81,11 @@
         self._core: SchedulerCore | None = None
         self._budget = AppendBudget(settings.appends_per_s)
         self._history = History()
+        self._step_log = StepLog(self._node)
         self._worker_addresses: dict[str, str] = {}
         self._in_exchange: set[str] = set()
         self._waiting: list[tuple[Callable[[Ledger], Answer | None], asyncio.Future[Answer]]] = []
         self._snapshots = Snapshots(self._node, settings)
-        self._was_leader = False
-        self._logged_obstacles: dict[int, Obstacle] = {}
 
     def __repr__(self) -> str:
         return f"SchedulerDaemon({self._node.name!r}, {self._core!r})"
@@ -107,7 +106,8 @@
         app.router.add_get("/status", self._status)
         runner, operators = await listen(app, *split_address(self._settings.operator_listen))
         node.events.write(Event.LISTENING, peer=node.address, operator=operators)
-        node.spawn(self._tail_ledger())
+        tail = LedgerTail(node.log, node.events, self._settings.hall, self._inbox.put_nowait)
+        node.spawn(tail.run())
         node.spawn(self._run_core(self._core))
         takeover = TakeoverTask(
             node,
@@ -176,7 +176,7 @@
             on_record=self._note_record,
         )
         for decision, result in own:
-            self._log_result(decision, result)
+            self._step_log.on_decision(decision, result)
 
     @_handle.register
     def _(self, message: LedgerRecovered, core: SchedulerCore) -> None:
@@ -270,31 +270,6 @@
 
     # Input of the core.
 
-    async def _tail_ledger(self) -> None:
-        tail = LogTail(self._node.log, self._node.events, ledger_stream(self._settings.hall))
-        start = 0
-        recovery: Recovery | None = None
-        while True:
-            try:
-                page = await tail.read(start)
-            except LogGap as gap:
-                self._node.events.write(Event.LOG_GAP, first=gap.first)
-                recovery = Recovery(self._settings.hall, gap.first)
-                start = gap.first
-                continue
-            if page is None:
-                continue
-            entries = tuple((entry.offset, _decode_or_none(entry.body)) for entry in page.entries)
-            start = entries[-1][0] + 1 if entries else start
-            if recovery is None:
-                self._inbox.put_nowait(PageRead(entries, page.end, tail.read_started_at))
-                continue
-            recovery.feed((offset, record) for offset, record in entries if record is not None)
-            if recovery.ledger is not None:
-                recovery.ledger.skip(start - 1)
-                self._inbox.put_nowait(LedgerRecovered(recovery.ledger))
-                recovery = None
-
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         if heartbeat.role == "scheduler" and heartbeat.hall == self._settings.hall:
             self._inbox.put_nowait(HeartbeatReceived(heartbeat))
@@ -338,60 +313,8 @@
             self._history.note_record(offset, record, results, self._core.ledger)
 
     def _log_step(self, core: SchedulerCore, now: float) -> None:
-        metrics = self._node.metrics
-        metrics.tail_age.set({}, max(0.0, now - core.tail_read))
-        leads = core.leads(now)
-        if leads != self._was_leader:
-            self._was_leader = leads
-            self._node.events.write(Event.LEAD_CHANGED, leads=leads)
-        for attempt, reason in core.take_recall_reasons().items():
-            self._node.events.write(Event.EVICTION, attempt=str(attempt), reason=reason)
+        self._step_log.on_step(core, now)
         result = self._placer.take_result()
-        if result is None:
-            return
-        self._history.note_pass(result)
-        self._log_obstacles(core, result)
-        for line in result.placed:
-            entry = core.ledger.jobs[line.task.job]
-            self._node.events.write(
-                Event.PLACED,
-                job=entry.spec.job_id,
-                task=line.task.index,
-                worker=core.ledger.workers[line.worker].spec.name,
-                cost=round(line.cost, 4),
-                candidates=line.candidates,
-                placer=self._placer_name,
-            )
-
-    def _log_obstacles(self, core: SchedulerCore, result: PassResult) -> None:
-        """Log why jobs wait, once per change of the reason."""
-        for number, obstacle in result.obstacles.items():
-            if self._logged_obstacles.get(number) is not obstacle:
-                job_id = core.ledger.jobs[number].spec.job_id
-                self._node.events.write(Event.NOT_PLACED, job=job_id, reason=obstacle.value)
-        self._logged_obstacles = dict(result.obstacles)
-
-    def _log_result(self, decision: Any, result: ApplyResult) -> None:
-        kind = type(decision).__name__
-        self._node.metrics.decisions.inc({"kind": kind, "verdict": result.name.lower()})
-        if result not in (ApplyResult.APPLIED, ApplyResult.DUPLICATE):
-            self._node.events.write(
-                Event.DECISION_IGNORED, decision=repr(decision), reason=result.value
-            )
-        elif not isinstance(decision, (Placed, Submitted)):
-            event = _EVENT_OF_DECISION.get(type(decision), Event.DECIDED)
-            self._node.events.write(event, decision=repr(decision))
-
-
-_EVENT_OF_DECISION: dict[type, Event] = {
-    Recalled: Event.RECALLED,
-    Lapsed: Event.LAPSED,
-    WorkerSeen: Event.WORKER_SEEN,
-}
-
-
-def _decode_or_none(body: bytes) -> Record | None:
-    try:
-        return decode(body)
-    except RecordError:
-        return None
+        if result is not None:
+            self._history.note_pass(result)
+            self._step_log.on_pass(core, result, self._placer_name)
