--- a/src/linkspan/ledger/snapshot.py
+++ b/src/linkspan/ledger/snapshot.py
@@ -18,8 +18,9 @@
     worker_from_json,
     worker_to_json,
 )
+from linkspan.ledger.entries import Finished, Handover, Placement, WorkerEntry
 from linkspan.ledger.job_entry import JobCounts, JobEntry
-from linkspan.ledger.ledger import Finished, Handover, Ledger, Placement, WorkerEntry
+from linkspan.ledger.ledger import Ledger
 from linkspan.ledger.records import Record, SnapshotPart
 from linkspan.model.job import TaskId
 from linkspan.model.resources import Resources
--- a/src/linkspan/scheduler/core.py
+++ b/src/linkspan/scheduler/core.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING
 
 from linkspan._rendezvous import rendezvous
+from linkspan.ledger.entries import ApplyResult
 from linkspan.ledger.job_entry import TaskState
-from linkspan.ledger.ledger import ApplyResult
 from linkspan.ledger.records import (
     Cancelled,
     Decision,
--- a/src/linkspan/scheduler/daemon.py
+++ b/src/linkspan/scheduler/daemon.py
@@ -48,7 +48,7 @@
     from aiohttp import web
 
     from linkspan.config.store import ConfigState
-    from linkspan.ledger.ledger import ApplyResult
+    from linkspan.ledger.entries import ApplyResult
     from linkspan.ledger.records import Record
     from linkspan.services.messages import ExchangeRequest
     from linkspan.services.ports import Host, WorkerPort
--- a/src/linkspan/scheduler/history.py
+++ b/src/linkspan/scheduler/history.py
@@ -16,7 +16,8 @@
 )
 
 if TYPE_CHECKING:
-    from linkspan.ledger.ledger import ApplyResult, Ledger
+    from linkspan.ledger.entries import ApplyResult
+    from linkspan.ledger.ledger import Ledger
     from linkspan.ledger.records import Decision, Record
     from linkspan.placement.placer import PassResult
 
--- a/src/linkspan/scheduler/step_log.py
+++ b/src/linkspan/scheduler/step_log.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from linkspan.events import Event
-from linkspan.ledger.ledger import ApplyResult
+from linkspan.ledger.entries import ApplyResult
 from linkspan.ledger.records import Lapsed, Placed, Recalled, Submitted, WorkerSeen
 
 if TYPE_CHECKING:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from linkspan.ledger.ledger import ApplyResult, Ledger
+from linkspan.ledger.entries import ApplyResult
+from linkspan.ledger.ledger import Ledger
 from linkspan.ledger.records import Decision, Record, Submitted, WorkerSeen
 from linkspan.model.job import JobSpec, Priority
 from linkspan.model.resources import Resources
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -9,8 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from linkspan.ledger.entries import ApplyResult
 from linkspan.ledger.job_entry import JobCounts, TaskState
-from linkspan.ledger.ledger import MAX_FAILURES, MAX_READ_LAG_OFFSETS, ApplyResult, Ledger
+from linkspan.ledger.ledger import MAX_FAILURES, MAX_READ_LAG_OFFSETS, Ledger
 from linkspan.ledger.records import (
     Cancelled,
     Ended,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -15,8 +15,9 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from linkspan.config.store import ConfigState, ConfigStore
+from linkspan.ledger.entries import ApplyResult, WorkerEntry
 from linkspan.ledger.job_entry import TaskState
-from linkspan.ledger.ledger import ApplyResult, Ledger, WorkerEntry
+from linkspan.ledger.ledger import Ledger
 from linkspan.model.resources import Resources
 from linkspan.routing.shares import ShareTable, slot_owners
 from linkspan.scheduler.core import SchedulerCore
--- a/tests/scheduler/test_takeover.py
+++ b/tests/scheduler/test_takeover.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from linkspan.ledger.entries import ApplyResult
 from linkspan.ledger.job_entry import JobCounts
-from linkspan.ledger.ledger import ApplyResult
 from linkspan.ledger.records import Cancelled, Ended, Evicted, Outcome, Placed, Submitted
 from linkspan.model.job import AttemptId, Priority
 from linkspan.scheduler.takeover import handovers, takeover_hall, takeovers
