--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -10,14 +10,12 @@
 from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, format_error
 from linkspan.events import Event
 from linkspan.shard.ownership._proof import TenureLost
+from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
 from linkspan.shard.ownership.ownership import (
     MAX_UNPROVED_S,
     RENEWAL_INTERVAL_S,
-    RESERVATION_NUMBER,
     Claim,
     Owner,
-    OwnerAct,
-    OwnerRecord,
     OwnerView,
 )
 from linkspan.store.follower import Follower
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -8,16 +8,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import orjson
-
-from linkspan._typed import parse_int, parse_list, parse_text
-from linkspan.errors import RecordError
-from linkspan.shard.handover.summary import HallSummary, PairEffect
+from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
 
 if TYPE_CHECKING:
+    from linkspan.shard.handover.summary import HallSummary, PairEffect
     from linkspan.store.types import Entry
 
 RENEWAL_INTERVAL_S = 0.6
@@ -41,80 +37,11 @@
 """Time for which an owner continues without having proved its ownership. Outages of the store last
 up to 9 s."""
 
-
-RESERVATION_NUMBER = 1
-"""Number in the first of the two records of a claim. It reserves a fencing token for the tenure.
-Earlier versions, whose claims have no number, read both records as claims by the same process."""
-
 MAX_REMEMBERED_EFFECTS = 2_000
 """Interference effects that are kept for a hall, the newest: images change with the workload, and a
 host that does not own the hall must not keep the effects of weeks. Some 300 are known at a time."""
 
 
-class OwnerAct(Enum):
-    """Kind of an ownership record."""
-
-    CLAIM = "claim"
-    RENEW = "renew"
-    RELEASE = "release"
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerRecord:
-    """A record of ownership.
-
-    Attributes:
-        act: Kind of the record.
-        host: Name of the host that wrote it.
-        incarnation: Incarnation of the host's process.
-        token: Claim token of the tenure that is renewed or released; 0 in claims.
-        number: Sequence number of the renewal within its tenure, or ``RESERVATION_NUMBER`` in the
-            first record of a claim.
-        summary: State of the hall, in some renewals.
-    """
-
-    act: OwnerAct
-    host: str
-    incarnation: str
-    token: int = 0
-    number: int = 0
-    summary: HallSummary | None = None
-
-    def encode(self) -> bytes:
-        """Return the record as bytes."""
-        fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
-        fields.append(self.number)
-        if self.summary:
-            fields.append(self.summary.encode())
-        return orjson.dumps(fields)
-
-    @classmethod
-    def decode(cls, value: bytes) -> OwnerRecord:
-        """Return the record that bytes hold.
-
-        Raises:
-            RecordError: The bytes are not a valid ownership record.
-        """
-        try:
-            act, host, incarnation, token, number, *rest = parse_list(orjson.loads(value))
-            identity = OwnerAct(parse_text(act)), parse_text(host), parse_text(incarnation)
-            return cls(*identity, parse_int(token), parse_int(number), _summary(rest))
-        except (ValueError, TypeError) as error:
-            raise RecordError(f"invalid ownership record: {error!r}; record ignored") from error
-
-
-def _summary(rest: list[Any]) -> HallSummary | None:
-    """Return the summary in a renewal, or ``None`` if its format is unknown.
-
-    The renewal itself stays valid. Otherwise hosts of two versions would claim a shard from each
-    other.
-    """
-    try:
-        return HallSummary.decode(parse_list(rest[0])) if rest else None
-    except (RecordError, TypeError):
-        return None
-
-
 @dataclass(frozen=True, slots=True)
 class Owner:
     """A tenure of a shard.
--- a/tests/fuzz/test_shard_records.py
+++ b/tests/fuzz/test_shard_records.py
@@ -9,7 +9,7 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec, StepSpec
 from linkspan.shard.job_run import JobRun, new_run
-from linkspan.shard.ownership.ownership import OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerRecord
 from linkspan.shard.recovery.progress import decode_roster, moved_to, parse_key, restore_run
 from linkspan.shard.shard_job import ShardJob
 from tests.fuzz import builders
--- a/tests/host/test_claims_read_late.py
+++ b/tests/host/test_claims_read_late.py
@@ -10,7 +10,8 @@
 import asyncio
 import time
 
-from linkspan.shard.ownership.ownership import MAX_UNPROVED_S, OwnerAct, OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import MAX_UNPROVED_S
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
 from tests.virtual_time import run_virtual
--- a/tests/host/test_late_renewal.py
+++ b/tests/host/test_late_renewal.py
@@ -19,7 +19,7 @@
 import pytest
 
 from linkspan.host.candidate import MAX_PAST_RECORDS
-from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from tests.hall_world import HallWorld
 from tests.host.owner_waits import (
     OUTLIVED_S,
--- a/tests/host/test_late_renewal_before_a_claim.py
+++ b/tests/host/test_late_renewal_before_a_claim.py
@@ -20,7 +20,8 @@
 import pytest
 
 from linkspan.host.candidate import MAX_PAST_RECORDS
-from linkspan.shard.ownership.ownership import MAX_UNPROVED_S, OwnerAct, OwnerRecord, OwnerView
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import MAX_UNPROVED_S, OwnerView
 from linkspan.store.types import Entry
 from tests.hall_world import HallWorld
 from tests.host.owner_waits import (
--- a/tests/host/test_renewals_by_tenure.py
+++ b/tests/host/test_renewals_by_tenure.py
@@ -10,7 +10,8 @@
 from linkspan.host._claim_delay import ClaimDelay
 from linkspan.host.candidate import Candidate
 from linkspan.shard.ownership._proof import TenureLost
-from linkspan.shard.ownership.ownership import Claim, Owner, OwnerAct, OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import Claim, Owner
 from linkspan.shard.tenure import Tenure
 from linkspan.store.types import Appended, Partition, Producer, Record
 from tests.event_recorder import EventRecorder
--- a/tests/host/test_tokens_before_a_renewal.py
+++ b/tests/host/test_tokens_before_a_renewal.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from linkspan.shard.ownership.ownership import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from tests.hall_world import HallWorld
 from tests.host.owner_waits import OWNERS, until
 from tests.virtual_time import run_virtual
--- a/tests/shard/test_ownership.py
+++ b/tests/shard/test_ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from linkspan.shard.ownership.ownership import (
     MAX_UNPROVED_S,
     OWNER_SILENCE_S,
@@ -9,8 +10,6 @@
     REMOTE_OWNER_SILENCE_S,
     RENEWAL_INTERVAL_S,
     Owner,
-    OwnerAct,
-    OwnerRecord,
     OwnerView,
 )
 from linkspan.store.types import Entry
--- a/tests/shard/test_published_effects.py
+++ b/tests/shard/test_published_effects.py
@@ -10,12 +10,8 @@
     EffectSelector,
 )
 from linkspan.shard.handover.summary import HallSummary, PairEffect
-from linkspan.shard.ownership.ownership import (
-    MAX_REMEMBERED_EFFECTS,
-    OwnerAct,
-    OwnerRecord,
-    OwnerView,
-)
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import MAX_REMEMBERED_EFFECTS, OwnerView
 from linkspan.store.types import Entry
 
 STANDING_IMAGES = 16
--- a/tests/shard/test_review_of_owner_waits.py
+++ b/tests/shard/test_review_of_owner_waits.py
@@ -9,12 +9,8 @@
 from linkspan.clock import steady
 from linkspan.shard.messages import ExecutorReport
 from linkspan.shard.ownership._proof import OwnershipProof, TenureLost
-from linkspan.shard.ownership.ownership import (
-    RENEWAL_INTERVAL_S,
-    OwnerAct,
-    OwnerRecord,
-    OwnerView,
-)
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import RENEWAL_INTERVAL_S, OwnerView
 from linkspan.shard.reports._watch import ExecutorWatch
 from linkspan.store.types import Entry
 from tests.event_recorder import EventRecorder
--- a/tests/shard/test_tokens.py
+++ b/tests/shard/test_tokens.py
@@ -9,14 +9,8 @@
 from linkspan.errors import Fenced, Unreachable
 from linkspan.shard.orders._calls import ExecutorCalls
 from linkspan.shard.ownership._tokens import TenureTokens
-from linkspan.shard.ownership.ownership import (
-    OWNER_SILENCE_S,
-    RESERVATION_NUMBER,
-    Owner,
-    OwnerAct,
-    OwnerRecord,
-    OwnerView,
-)
+from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
+from linkspan.shard.ownership.ownership import OWNER_SILENCE_S, Owner, OwnerView
 from linkspan.store.types import Entry
 from tests.job_builders import step
 from tests.shard.builders import add_executor, core_with
