Keep another hall's announcement that a job has begun

Halls that run tasks of one job write their job records under one key. A hall that had ordered a start, and did not know that a task had begun in another hall, wrote that record over the other hall's announcement. Hosts that started later read the newest record only: they counted the job as waiting and told callers that it was queued, though it was shown as running before.

Change: no record of an ordered start for a job that the job records show as begun. A write of the other hall within the same moment can still be replaced; the count is then one too high on hosts that start later, never too low.

Tests: test_waiting_count_views.py, the first test failed before (a host that started later counted 1, not 0). The others passed before, and guard what nothing did: counts from views up to 3 s old, which hold every job that must be counted, and none after that (silent and refusing store); queues that are removed, come back, change their prefix or are new, also over a change of owner.

--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -207,7 +207,7 @@
             for job in begun:
                 self._log_begun(job)
             records: list[JobRecord] = [Begun(job.job_id) for job in begun]
-            records += [StartOrdered(job.job_id) for job in ordered if not job.begun]
+            records += [StartOrdered(job.job_id) for job in ordered if not self._has_begun(job)]
             if records:
                 await self._job_registry.write(records)
 
@@ -216,6 +216,14 @@
         jobs = (self._core.jobs.get(job_id) for job_id in job_ids)
         return [job for job in jobs if job and not job.closing]
 
+    def _has_begun(self, job: ShardJob) -> bool:
+        """Return whether a task of a job has begun, here or in another hall.
+
+        Another hall that runs tasks of the job announces it under the key of this shard's records.
+        """
+        entry = self._job_registry.catalog.get(job.job_id)
+        return job.begun or (entry is not None and entry.begun)
+
     def _log_begun(self, job: ShardJob) -> None:
         """Log what shows that a job has begun."""
         attempts = list(job.attempts())
