Count a job that was written for two queues in one of them only

Hosts with different configurations may accept one job for two queues of the same prefix. The submission with the lowest offset counts, but a reader of the newest records sees them in the order of their keys. If the later one came first, the job stayed in the other queue's count for ever: nothing removed it when it began or ended.

Change: an earlier submission takes the job out of the later one's queue.

Test: test_a_job_that_was_written_for_two_queues_waits_in_one failed before in one of the two orders.

--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -193,6 +193,7 @@
         if record.writer_id not in entry.writer_ids:
             entry.writer_ids += (record.writer_id,)
         if entry.submitted is None or offset < entry.offset:
+            self._discard_waiting(job_id, entry)
             entry.submitted = record
             entry.offset = offset
             if record.spec.standing:
@@ -231,7 +232,12 @@
     def _remove(self, job_id: str) -> None:
         entry = self._jobs.pop(job_id, None)
         self._standing_or_delegated.pop(job_id, None)
-        if entry and entry.submitted:
+        if entry:
+            self._discard_waiting(job_id, entry)
+
+    def _discard_waiting(self, job_id: str, entry: JobEntry) -> None:
+        """Stop counting a job for the queue of its present submission."""
+        if entry.submitted:
             self._waiting.get(entry.submitted.spec.queue, set()).discard(job_id)
 
 
--- a/tests/jobs/test_records.py
+++ b/tests/jobs/test_records.py
@@ -120,6 +120,21 @@
     assert catalog.waiting("q") == 0
 
 
+@pytest.mark.parametrize("first_read", [0, 1])
+def test_a_job_that_was_written_for_two_queues_waits_in_one(first_read: int) -> None:
+    """Guards against a queue that shows a waiting job for ever, as the job is another queue's.
+
+    Two hosts with different configurations accepted the job under the same prefix.
+    """
+    specs = [JobSpec("0a", queue, "", (StepSpec(1),)) for queue in ("old", "new")]
+    catalog = JobCatalog()
+    for offset in (first_read, 1 - first_read):
+        catalog.apply(offset, Submitted(specs[offset], 0, 0.0, f"h{offset}"))
+    assert (catalog.waiting("old"), catalog.waiting("new")) == (1, 0)
+    catalog.apply(2, Begun("0a"))
+    assert (catalog.waiting("old"), catalog.waiting("new")) == (0, 0)
+
+
 def test_an_end_is_final_and_a_late_submission_changes_nothing() -> None:
     catalog = JobCatalog()
     spec = JobSpec("0a", "q", "", (StepSpec(1),))
