Judge jobs shown as succeeded by the ends of their runs on executors

The judge of the worlds in virtual time looked at failed jobs only: no test could have found a job that succeeds too early after a move, a delegation, a copy or a change of owner.

Change: succeeded_jobs.py compares each record and each state that a caller receives with the ends on the executors; one end stands for a whole gang. Records are looked at before each end that counts, so that a state shown too early is found though the end follows. The reading of final records, shared with the judge of failed jobs, has a module of its own (final_states.py).

Changed: test_other_final_states_need_no_cause wrote a success of a job without any run; the task ends as done there now, which the new judge demands.

--- a/tests/failed_jobs.py
+++ b/tests/failed_jobs.py
@@ -5,11 +5,10 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from linkspan.errors import RecordError
-from linkspan.jobs.record_codec import decode
-from linkspan.jobs.records import Finished, JobState
+from linkspan.jobs.records import JobState
 from linkspan.shard.messages import EndKind
 from tests.attempts import FailedAttempt, attempt_of, unit_of
+from tests.final_states import FinalStates
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,7 +33,7 @@
         self._judge = judge
         self._listed: defaultdict[TaskName, set[FailedAttempt]] = defaultdict(set)
         self._reported: set[str] = set()
-        self._entries_read = 0
+        self._states = FinalStates(JobState.FAILED)
 
     def on_listed(self, executor: MemoryExecutor, end: EndedTask) -> None:
         """Record an end that an executor lists, possibly again."""
@@ -63,14 +62,10 @@
 
     def judge_records(self, entries: Sequence[Entry]) -> list[str]:
         """Return the violations in the job records written since the last call."""
-        new, self._entries_read = entries[self._entries_read :], len(entries)
-        failed = [
-            entry for entry in new if entry.key.startswith(b"f:") and _is_failure_record(entry)
-        ]
         return [
             line
-            for entry in failed
-            for line in self.on_shown(entry.key.decode().split(":")[1], "on record")
+            for job_id in self._states.new_jobs(entries)
+            for line in self.on_shown(job_id, "on record")
         ]
 
     def _has_cause(self, job_id: str) -> bool:
@@ -81,13 +76,3 @@
     def _crash_counts(self, job_id: str) -> list[int]:
         under = self._judge.crashing.crashes_during_run
         return [count for task, count in under.items() if task.job_id == job_id]
-
-
-def _is_failure_record(entry: Entry) -> bool:
-    if not entry.value:
-        return False
-    try:
-        record = decode(entry.key, entry.value)
-    except RecordError:
-        return False
-    return isinstance(record, Finished) and record.state is JobState.FAILED
--- a/tests/hall_callers.py
+++ b/tests/hall_callers.py
@@ -89,6 +89,8 @@
         """Judge a state that a caller receives, and return it."""
         if state == JobState.FAILED.value:
             self.judge_failed(job_id, f"at {name}")
+        if state == JobState.SUCCEEDED.value:
+            self.judge_succeeded(job_id, f"at {name}")
         return state
 
     async def wait_for(self, name: str, job_id: str, state: str, *, limit_s: float = 30.0) -> None:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -58,7 +58,9 @@
 
     def look_at_records(self) -> None:
         """Judge the final job states written to the store since the last call."""
-        self.violations += self.failed_jobs.judge_records(self.store.log(JOBS).entries)
+        entries = self.store.log(JOBS).entries
+        self.violations += self.failed_jobs.judge_records(entries)
+        self.violations += self.succeeded_jobs.judge_records(entries)
 
     async def begin(self) -> None:
         """Start executors and hosts, and wait 2 s for the hosts to claim their shards."""
--- a/tests/host/test_failed_jobs.py
+++ b/tests/host/test_failed_jobs.py
@@ -139,9 +139,11 @@
 
 def test_other_final_states_need_no_cause() -> None:
     async def play() -> HallWorld:
-        world, _ = await world_and_executors()
+        world, (executor, *_) = await world_and_executors()
         for state in (JobState.SUCCEEDED, JobState.CANCELLED):
-            write_final_state(world, new_job(world, step()), state)
+            spec = new_job(world, step())
+            end(executor, spec, 1, kind=EndKind.DONE)
+            write_final_state(world, spec, state)
         return world
 
     assert run_virtual(play()).problems == []
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -12,6 +12,7 @@
 from tests.crashing import CrashingTasks
 from tests.failed_jobs import FailedJobs
 from tests.job_builders import QUEUE
+from tests.succeeded_jobs import SucceededJobs
 from tests.virtual_time import world_time
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         crashing: Checks starts of tasks that crash their executors.
         budget: Checks starts of tasks that reached the limit of failed runs.
         failed_jobs: Checks that jobs shown as failed have a cause.
+        succeeded_jobs: Checks that all tasks of jobs shown as succeeded have ended as done.
     """
 
     violations: list[str] = field(default_factory=list, kw_only=True)
@@ -73,11 +75,13 @@
     crashing: CrashingTasks = field(default_factory=CrashingTasks, init=False)
     budget: AttemptBudget = field(init=False)
     failed_jobs: FailedJobs = field(init=False)
+    succeeded_jobs: SucceededJobs = field(init=False)
     _overdue: set[TaskName] = field(default_factory=set, init=False)
 
     def __post_init__(self) -> None:
         self.budget = AttemptBudget(self)
         self.failed_jobs = FailedJobs(self)
+        self.succeeded_jobs = SucceededJobs(self)
 
     def record_fault(self) -> None:
         """Record that a fault other than a cancel, a late order or a removal is present."""
@@ -140,6 +144,8 @@
 
     def judge_end(self, executor: MemoryExecutor, task: TaskName, run: int, kind: EndKind) -> None:
         if kind is EndKind.DONE:
+            # A state shown before this end must not count on it.
+            self.look_at_records()
             self.done.add(task)
             ended = executor.incarnation_name, task, run
             self.done_runs_at.setdefault(ended, world_time())
@@ -158,6 +164,11 @@
         now = world_time()
         self.violations += [f"{now:.2f} {li}" for li in self.failed_jobs.on_shown(job_id, where)]
 
+    def judge_succeeded(self, job_id: str, where: str) -> None:
+        """Judge a job that is shown as succeeded."""
+        now = world_time()
+        self.violations += [f"{now:.2f} {li}" for li in self.succeeded_jobs.on_shown(job_id, where)]
+
     def look_at_records(self) -> None:
         """Judge new job records. Worlds with a store override this."""
 
