Check pace in the order of scores, and stop at the first executor that fits

Cause: a choice for a best-effort task computed what the standing tasks of each executor tolerate, though only the best of them is used. Since pieces are kept for short work, standing tasks are denser on the other executors, more best-effort runs are slowed, and a search for each of them pays this for all executors.

Change: the scores, which do not need it, come first; executors are checked for full speed in their order, until one takes the task. A score at full speed is the whole score wherever a task may start, so the decisions are the same.

--- a/src/linkspan/shard/planning/_step_scores.py
+++ b/src/linkspan/shard/planning/_step_scores.py
@@ -85,12 +85,15 @@
     best_effort_capacity: BestEffortCapacity
     now: float
 
-    def score(self, executor: ExecutorState, *, placed: int) -> float:
+    def score(self, executor: ExecutorState, *, placed: int, at_full_speed: bool = False) -> float:
         """Return an executor's score for one more task of the step; lower is better.
 
         Args:
             executor: The executor.
             placed: Number of the step's tasks there; used for standing tasks only.
+            at_full_speed: Whether a best-effort task is taken to run at full speed there. The
+                pressure that standing tasks tolerate is then not computed, which costs more than
+                all the rest. Elsewhere the score would be higher.
         """
         spec = self.step.spec
         capacity = max(executor.record.capacity.milli_cpu, 1)
@@ -112,9 +115,9 @@
                 executor, spec.image, spec.demand.milli_cpu
             )
             score += INTERFERENCE_WEIGHT * added
-            score += REDUCED_PACE_WEIGHT * (
-                1.0 - self.best_effort_capacity.share(executor, self.step)
-            )
+            if not at_full_speed:
+                share = self.best_effort_capacity.share(executor, self.step)
+                score += REDUCED_PACE_WEIGHT * (1.0 - share)
         return score
 
     def _slowness_score(self, executor: ExecutorState) -> float:
--- a/src/linkspan/shard/planning/placement.py
+++ b/src/linkspan/shard/planning/placement.py
@@ -79,6 +79,9 @@
     _on_executor: Counter[str] = field(default_factory=Counter)
     _needs: dict[bool, TaskNeed] = field(default_factory=dict)
     _scores: dict[tuple[bool, bool], dict[str, float]] = field(default_factory=dict)
+    # Of best-effort tasks: scores by executor, and whether it takes one at full speed.
+    _scores_at_full_speed: dict[str, float] = field(default_factory=dict)
+    _takes_at_full_speed: dict[str, bool] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         spec = self.step.spec
@@ -101,10 +104,6 @@
             starved: Whether nothing of the task's job has been running for long. The task then goes
                 where it adds the least pressure, and the pacer limits its interference there.
         """
-        # Tasks of a step are identical, and a placement changes only its own executor. So each
-        # executor is scored once per step, and again after each placement on it.
-        best: ExecutorState | None = None
-        best_score = NO_CAPACITY_SCORE
         avoid = task.avoided_executors
         use_headroom = self.may_use_headroom(task)
         kind = self._kind(use_headroom, starved)
@@ -114,9 +113,25 @@
             candidates = self._set_aside_for_step()
         else:
             candidates = self._candidates(starved)
-        if not candidates:
+        if self.step.spec.best_effort and not starved:
+            best = self._best_at_full_speed(candidates, avoid)
+        else:
+            best = self._best(candidates, avoid, use_headroom, starved)
+        if best is None and (not avoid or not self._any_may_have_capacity(candidates, starved)):
             self._note_unplaceable(kind)
-            return None
+        return best
+
+    def _best(
+        self,
+        candidates: list[ExecutorState],
+        avoid: Collection[str],
+        use_headroom: bool,
+        starved: bool,
+    ) -> ExecutorState | None:
+        # Tasks of a step are identical, and a placement changes only its own executor. So each
+        # executor is scored once per step, and again after each placement on it.
+        best: ExecutorState | None = None
+        best_score = NO_CAPACITY_SCORE
         scores = self._scores.setdefault((use_headroom, starved), {})
         for executor in candidates:
             executor_id = executor.record.executor_id
@@ -125,10 +140,49 @@
                 score = scores[executor_id] = self._score(executor, use_headroom, starved)
             if score < best_score and executor_id not in avoid:
                 best, best_score = executor, score
-        if best is None and not avoid:
-            self._note_unplaceable(kind)
         return best
 
+    def _best_at_full_speed(
+        self, candidates: list[ExecutorState], avoid: Collection[str]
+    ) -> ExecutorState | None:
+        """Return the best executor that runs a best-effort task at full speed.
+
+        Whether one does takes most of the time of a choice, so executors are checked in the order
+        of their scores, until one does.
+        """
+        scores = self._scores_at_full_speed
+        for executor in candidates:
+            executor_id = executor.record.executor_id
+            if executor_id not in scores:
+                placed = self._on_executor[executor_id]
+                scores[executor_id] = self.scores.score(executor, placed=placed, at_full_speed=True)
+        possible = [
+            e
+            for e in candidates
+            if self._takes_at_full_speed.get(e.record.executor_id, True)
+            and e.record.executor_id not in avoid
+        ]
+        possible.sort(key=lambda e: scores[e.record.executor_id])
+        return next((e for e in possible if self._takes_one_at_full_speed(e)), None)
+
+    def _takes_one_at_full_speed(self, executor: ExecutorState) -> bool:
+        executor_id = executor.record.executor_id
+        takes_one = self._takes_at_full_speed.get(executor_id)
+        if takes_one is None:
+            takes_one = self._may_have_capacity(executor, starved=False)
+            takes_one = takes_one and self.reason_against(executor) is None
+            self._takes_at_full_speed[executor_id] = takes_one
+        return takes_one
+
+    def _may_have_capacity(self, executor: ExecutorState, *, starved: bool) -> bool:
+        """Return whether an executor may run a task at the pace that it starts at."""
+        if starved or not self.step.spec.best_effort:
+            return True
+        return self.best_effort_capacity.may_run_at_full_speed(executor, self.step)
+
+    def _any_may_have_capacity(self, executors: list[ExecutorState], starved: bool) -> bool:
+        return any(self._may_have_capacity(e, starved=starved) for e in executors)
+
     def _note_unplaceable(self, kind: TaskKind | None) -> None:
         if kind is not None and self.unplaceable is not None and kind not in self.unplaceable:
             self.unplaceable.add(kind, self.step)
@@ -141,7 +195,8 @@
             starved: Whether pressure on standing tasks is ignored.
         """
         return any(
-            self.reason_against(e, use_headroom=use_headroom, starved=starved) is None
+            self._may_have_capacity(e, starved=starved)
+            and self.reason_against(e, use_headroom=use_headroom, starved=starved) is None
             for e in self._candidates(starved)
         )
 
@@ -151,7 +206,7 @@
         return [e for e in self.executors if e.executor_id in mine] if mine else []
 
     def _candidates(self, starved: bool) -> list[ExecutorState]:
-        """Return the executors that may have capacity for a task; no other executor has."""
+        """Return the executors with the memory and cores for a task; no other has capacity."""
         job = self.step.run.job
         if self.free_capacity is None or job.requires_ticket:
             return self.executors
@@ -161,9 +216,6 @@
             milli_cpu = ANY_MILLI_CPU if starved else milli_cpu * MIN_BEST_EFFORT_SHARE
         group = ExecutorGroup(job.service, spec.label, spec.best_effort)
         found = self.free_capacity.with_capacity(group, spec.demand, milli_cpu)
-        if spec.best_effort and not starved:
-            capacity, step = self.best_effort_capacity, self.step
-            found = [e for e in found if capacity.may_run_at_full_speed(e, step)]
         if not found or self.unplaceable is not None:
             # The placement chooses among all usable executors.
             return found
@@ -222,6 +274,8 @@
             self.free_capacity.update(executor)
         for scores in self._scores.values():
             scores.pop(executor.executor_id, None)
+        self._scores_at_full_speed.pop(executor.executor_id, None)
+        self._takes_at_full_speed.pop(executor.executor_id, None)
 
     def _score(self, executor: ExecutorState, use_headroom: bool, starved: bool) -> float:
         if self.reason_against(executor, use_headroom=use_headroom, starved=starved) is not None:
