Sum up what best-effort runs give back for published executors only

Cause: each summary of a hall, 4 a second, summed the best-effort runs of each executor, though it publishes 32 of them.

Change: executors come in the order of their free cores, and the sums are made until 32 are found. The published rows are the same.

--- a/src/linkspan/shard/handover/summarize.py
+++ b/src/linkspan/shard/handover/summarize.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from itertools import chain
+from itertools import chain, islice
 from typing import TYPE_CHECKING
 
 from linkspan.shard.handover._backlogs import backlogs_of, waiting_steps
@@ -86,14 +86,19 @@
     executors: list[ExecutorState], set_asides: SetAsides
 ) -> tuple[tuple[int, int], ...]:
     """Return the memory that best-effort runs would give back, by index of the executor."""
-    found = []
-    for index, executor in enumerate(executors):
-        missing = set_asides.held(executor.executor_id).memory_mb - executor.free_memory
-        memory_mb = stoppable_memory(executor) - max(missing, 0)
-        if memory_mb > 0 and executor.free_cpu >= MIN_PUBLISHED_MILLI_CPU:
-            found.append((index, memory_mb))
-    found.sort(key=lambda entry: -executors[entry[0]].free_cpu)
-    return tuple(found[:MAX_PUBLISHED_BEST_EFFORT])
+    with_cores = [
+        (index, e) for index, e in enumerate(executors) if e.free_cpu >= MIN_PUBLISHED_MILLI_CPU
+    ]
+    # The sums over an executor's runs are made for those with the most free cores only.
+    with_cores.sort(key=lambda entry: -entry[1].free_cpu)
+    amounts = ((index, _memory_given_back(e, set_asides)) for index, e in with_cores)
+    found = ((index, memory_mb) for index, memory_mb in amounts if memory_mb > 0)
+    return tuple(islice(found, MAX_PUBLISHED_BEST_EFFORT))
+
+
+def _memory_given_back(executor: ExecutorState, set_asides: SetAsides) -> int:
+    missing = set_asides.held(executor.executor_id).memory_mb - executor.free_memory
+    return stoppable_memory(executor) - max(missing, 0)
 
 
 def _row(executor: ExecutorState, set_asides: SetAsides) -> tuple[int, ...]:
