Compute nothing where no piece of an executor is kept

Cause: each look at an executor for a standing task computed what short tasks leave of its piece, two new sums, though most executors keep none; before it was one product.

Change: such executors share one constant, which needs no sum.

--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -9,6 +9,7 @@
 from linkspan.jobs.spec import Demand
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.executor_usage import ExecutorUsage
+from linkspan.shard.planning.set_asides import NOTHING
 from linkspan.shard.planning.task_need import default_headroom
 from linkspan.shard.refusals import RecentRefusals
 from linkspan.shard.unusable_reason import UnusableReason
@@ -166,6 +167,9 @@
         """Free resources that standing tasks leave to short ones: what these don't use of it."""
         if self.kept is None:
             return default_headroom(self.total_cpu)
+        # Nothing is kept of most executors, and each look at one for a standing task asks for it.
+        if self.kept is NOTHING:
+            return NOTHING
         return self.kept.without(self._usage.short)
 
     @property
--- a/src/linkspan/shard/planning/headroom.py
+++ b/src/linkspan/shard/planning/headroom.py
@@ -131,6 +131,8 @@
 
 def _piece(capacity: Demand, share: float, *, gpus: bool) -> Demand:
     """Return a share of an executor's resources."""
+    if not share:
+        return NOTHING
     kept_gpus = ceil(share * capacity.gpus) if gpus else 0
     return Demand(int(share * capacity.milli_cpu), int(share * capacity.memory_mb), kept_gpus)
 
