Rank each executor once where pieces for short work are chosen

Cause: four times a second all executors of which no piece is kept, nine in ten of them, were ranked a second time to find the best.

Change: within a kind they are in order already, so only the first of each kind is compared. The pieces are the same.

--- a/src/linkspan/shard/planning/headroom.py
+++ b/src/linkspan/shard/planning/headroom.py
@@ -149,17 +149,20 @@
     """
     shares: dict[str, float] = {}
     wanted = 0.0
-    left: list[ExecutorState] = []
+    first_left: list[ExecutorState] = []
     for of_kind in _by_kind(executors):
         wanted += kept.share * sum(e.total_cpu for e in of_kind)
+        left: ExecutorState | None = None
         for executor in sorted(of_kind, key=_preference):
             share = kept.piece_share(executor.total_cpu)
             if wanted < share * executor.total_cpu:
-                left.append(executor)
+                left = left or executor
                 continue
             wanted -= share * executor.total_cpu
             shares[executor.executor_id] = share
-    last = min(left, key=_preference, default=None)
+        if left is not None:
+            first_left.append(left)
+    last = min(first_left, key=_preference, default=None)
     if last is not None and wanted > 0 and last.total_cpu:
         shares[last.executor_id] = min(wanted / last.total_cpu, 1.0)
     return shares
