Read the rows of executors in a summary with one check a number

Change: whole numbers within their bounds are taken at once, and rows without accelerators are not sliced. What is refused stays refused.

--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -211,8 +211,11 @@
             raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
 
 
-def _signed(value: object) -> int:
+def _signed(value: Any) -> int:
     # Without a guard of capacity, more may be reserved than an executor has.
+    # Every host reads some of each executor of all halls, so the common case is checked first.
+    if type(value) is int and -MAX_EXACT_INT <= value <= MAX_EXACT_INT:
+        return value
     return parse_int(value, minimum=-MAX_EXACT_INT)
 
 
@@ -227,6 +230,8 @@
 
 
 def _room(row: list[Any]) -> tuple[int, ...]:
+    if len(row) == 2:
+        return _signed(row[0]), _signed(row[1])
     cpu, memory, *gpus = row
     return _signed(cpu), _signed(memory), *(_signed(count) for count in gpus[:1])
 
--- a/tests/shard/test_summary_records.py
+++ b/tests/shard/test_summary_records.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import pytest
 
+from linkspan._typed import MAX_EXACT_INT, parse_int
 from linkspan.errors import RecordError
 from linkspan.shard.executor_speed import ExecutorSpeed
+from linkspan.shard.handover import summary as summary_module
 from linkspan.shard.handover.backlog import Backlog
 from linkspan.shard.handover.summary import HallSummary
 
@@ -41,3 +45,37 @@
     fields[-3] = [row]
     with pytest.raises(RecordError):
         HallSummary.decode(fields)
+
+
+ROOMS = [
+    ([4_000, 16_000], (4_000, 16_000)),
+    ([-1, -MAX_EXACT_INT], (-1, -MAX_EXACT_INT)),
+    ([1.9, -2.5, 3.0], (1, -2, 3)),
+    ([1, 2, 3, "more"], (1, 2, 3)),
+    ([1], None),
+    ([1, True], None),
+    ([1, "2"], None),
+    ([1, MAX_EXACT_INT + 1], None),
+    ([-MAX_EXACT_INT - 1, 1], None),
+]
+
+
+@pytest.mark.parametrize(("row", "room"), ROOMS)
+def test_rows_of_executors_are_read_or_refused(row: list[object], room: object) -> None:
+    """Guards against a quick check of rows that takes what the full one refuses."""
+    fields = HallSummary(capacity=1, free_by_executor=((1, 1), (1, 1))).encode()
+    fields[6] = [[1, 1], row]
+    if room is not None:
+        assert HallSummary.decode(fields).free_by_executor == ((1, 1), room)
+        return
+    with pytest.raises(RecordError):
+        HallSummary.decode(fields)
+
+
+def test_whole_numbers_of_rows_need_no_second_check() -> None:
+    """Guards against a cost of each summary at each host that is twice what it must be."""
+    rows = tuple((cpu, 16_000) for cpu in range(100))
+    fields = HallSummary(capacity=1, free_by_executor=rows).encode()
+    with patch.object(summary_module, "parse_int", wraps=parse_int) as checks:
+        assert HallSummary.decode(fields).free_by_executor == rows
+    assert checks.call_count <= 10
