Choose executors for the piece that is kept, not for half of one without accelerators

What is kept of an executor is half of it, or what the largest short task takes, and its accelerators where short work uses them. The choice of executors compared the room beside standing tasks up to half of the cores and memory only. So a piece of 48 of 64 cores was kept where a standing task held 30, beside nine empty executors, and accelerators where standing tasks held all of them: short tasks of that size found nothing.

Change: the room is compared up to the piece that is kept, and by accelerators where they are kept. It costs nothing more where they are not.

Tests: both new ones in test_headroom.py failed before. The plain computation in test_cost_of_pieces.py passes the kept piece on; its counts are unchanged.

--- a/src/linkspan/shard/planning/headroom.py
+++ b/src/linkspan/shard/planning/headroom.py
@@ -153,7 +153,7 @@
     for of_kind in _by_kind(executors):
         wanted += kept.share * sum(e.total_cpu for e in of_kind)
         left: ExecutorState | None = None
-        for executor in sorted(of_kind, key=_preference):
+        for executor in sorted(of_kind, key=lambda e: _preference(e, kept)):
             share = kept.piece_share(executor.total_cpu)
             if wanted < share * executor.total_cpu:
                 left = left or executor
@@ -162,7 +162,7 @@
             shares[executor.executor_id] = share
         if left is not None:
             first_left.append(left)
-    last = min(first_left, key=_preference, default=None)
+    last = min(first_left, key=lambda e: _preference(e, kept), default=None)
     if last is not None and wanted > 0 and last.total_cpu:
         shares[last.executor_id] = min(wanted / last.total_cpu, 1.0)
     return shares
@@ -175,18 +175,23 @@
     return sorted(by_kind.values(), key=lambda of_kind: min(e.executor_id for e in of_kind))
 
 
-def _preference(executor: ExecutorState) -> tuple[float, bool, str]:
+def _preference(executor: ExecutorState, kept: Kept) -> tuple[float, bool, str]:
     """Return the sort key of executors, those of which a piece is kept first lowest.
 
     Among those with room for a piece beside their standing tasks, the ones that keep one stay.
     """
     keeps = executor.kept is not None and executor.kept != NOTHING
-    return -min(_share_beside_standing(executor), PIECE_SHARE), not keeps, executor.executor_id
+    room = min(_share_beside_standing(executor, kept), kept.piece_share(executor.total_cpu))
+    return -room, not keeps, executor.executor_id
 
 
-def _share_beside_standing(executor: ExecutorState) -> float:
+def _share_beside_standing(executor: ExecutorState, kept: Kept) -> float:
     """Return the share of an executor that its standing tasks leave, of what they leave least."""
-    capacity = executor.record.capacity
-    cpu = 1.0 - executor.standing.milli_cpu / max(capacity.milli_cpu, 1)
-    memory = 1.0 - executor.standing.memory_mb / max(capacity.memory_mb, 1)
-    return min(cpu, memory)
+    capacity, standing = executor.record.capacity, executor.standing
+    shares = [
+        1.0 - standing.milli_cpu / max(capacity.milli_cpu, 1),
+        1.0 - standing.memory_mb / max(capacity.memory_mb, 1),
+    ]
+    if kept.gpus and capacity.gpus:
+        shares.append(1.0 - standing.gpus / capacity.gpus)
+    return min(shares)
--- a/tests/shard/test_cost_of_pieces.py
+++ b/tests/shard/test_cost_of_pieces.py
@@ -33,7 +33,7 @@
     wanted, left = 0.0, []
     for of_kind in headroom._by_kind(executors):
         wanted += kept.share * sum(e.total_cpu for e in of_kind)
-        for executor in sorted(of_kind, key=headroom._preference):
+        for executor in sorted(of_kind, key=lambda e: headroom._preference(e, kept)):
             share = kept.piece_share(executor.total_cpu)
             if wanted < share * executor.total_cpu:
                 left.append(executor)
@@ -41,7 +41,7 @@
             wanted -= share * executor.total_cpu
             shares[executor.executor_id] = share
     if left and wanted > 0:
-        last = min(left, key=headroom._preference)
+        last = min(left, key=lambda e: headroom._preference(e, kept))
         shares[last.executor_id] = min(wanted / last.total_cpu, 1.0)
     return shares
 
--- a/tests/shard/test_headroom.py
+++ b/tests/shard/test_headroom.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 
@@ -69,6 +70,32 @@
     assert max(shares.values()) <= PIECE_SHARE
 
 
+def _holding_standing(core: ShardCore) -> set[str]:
+    """Return the executors on which standing tasks start."""
+    return {order.executor_id for order in plan(core, 0.1)}
+
+
+def test_a_piece_larger_than_half_an_executor_is_kept_where_there_is_room_for_it() -> None:
+    """Guards against a piece of which standing tasks hold a part, beside empty executors."""
+    core = _hall(step(1, cpu=30_000, standing=True))
+    (holding,) = _holding_standing(core)
+    shares = piece_shares(core.executors.values(), Kept(FIRST_SHARE, piece_milli_cpu=48_000))
+    assert max(shares.values()) == pytest.approx(0.75)
+    assert holding not in shares
+
+
+def test_accelerators_are_kept_where_standing_tasks_leave_some() -> None:
+    """Guards against pieces whose accelerators all belong to standing tasks."""
+    spec = replace(step(2, standing=True, max_per_executor=1), demand=Demand(1_000, 100, 4))
+    core = _hall(spec)
+    for executor in core.executors.values():
+        executor.record = replace(executor.record, capacity=Demand(CORES, 32_000, 4))
+    holding = _holding_standing(core)
+    shares = piece_shares(core.executors.values(), Kept(FIRST_SHARE, gpus=True))
+    assert len(holding) == len(shares) == 2
+    assert holding.isdisjoint(shares)
+
+
 def test_pieces_are_spread_over_kinds_of_executors() -> None:
     """Guards against short tasks that need one kind, of which nothing is kept."""
     kinds = [(CORES, "a")] * 20 + [(2 * CORES, "b")] * 10 + [(CORES, "c")] * 10
