Tell where the cores of each hall are when a standing job is refused (528)

The line 528 had for how many tasks each hall has room, and nothing from which one could tell a full hall from one that keeps room for short work that does not come (hypotheses 2 and 3 of docs/incidents/standing-work-under-its-floor.md).

It now has, for each hall that could get the job: its cores, those that standing tasks hold, those that are free, of these the ones kept for short work, what was accepted since the summary, and the age of the summary. A hall without a usable summary leads to no refusal, so it needs no field. No new message: all is in the summaries. Cost: some 90 bytes a hall in the line of a refusal.

--- a/src/linkspan/host/refusals.py
+++ b/src/linkspan/host/refusals.py
@@ -117,6 +117,7 @@
             memory_mb=shortage.demand.memory_mb,
             tasks=shortage.tasks,
             room=shortage.room,
+            halls={hall: cores._asdict() for hall, cores in shortage.cores.items()},
             fits_after_s=round(fits_after_s, 1),
         )
 
--- a/src/linkspan/host/standing_admission.py
+++ b/src/linkspan/host/standing_admission.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.jobs.spec import Demand
+from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.planning.task_need import TaskNeed
 
 if TYPE_CHECKING:
@@ -38,6 +39,26 @@
     accepted: Demand
 
 
+class HallCores(NamedTuple):
+    """Where the cores of a hall are when a standing job is refused, in thousandths of a core.
+
+    Attributes:
+        capacity: Cores of all usable executors.
+        standing: Cores that standing tasks hold.
+        free: Cores that nothing holds and nothing is set aside for.
+        kept: Free cores that standing tasks leave to short ones.
+        accepted: Cores that jobs reserve that were accepted since the summary.
+        age_s: Upper bound of the age of the summary, in seconds.
+    """
+
+    capacity: int
+    standing: int
+    free: int
+    kept: int
+    accepted: int
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StandingShortage:
     """Why a standing job does not fit.
@@ -47,12 +68,14 @@
         tasks: Number of tasks that need room.
         room: For how many of them each hall has room, by name of the hall.
         missing: What has to get free for the others.
+        cores: Where the cores of each hall are, by name of the hall.
     """
 
     demand: Demand
     tasks: int
     room: dict[str, int]
     missing: Demand
+    cores: dict[str, HallCores]
 
 
 def shortage_of(
@@ -80,10 +103,23 @@
         room = max(rooms.values()) if step.gang else sum(rooms.values())
         if room < tasks:
             missing = Demand().plus(step.demand, tasks - room)
-            return StandingShortage(step.demand, tasks, rooms, missing)
+            cores = {hall.load.hall: _cores(hall) for hall in known}
+            return StandingShortage(step.demand, tasks, rooms, missing, cores)
     return None
 
 
+def _cores(hall: StandingHall) -> HallCores:
+    summary = hall.load.usable_summary or HallSummary()
+    return HallCores(
+        summary.capacity,
+        sum(summary.standing.values()),
+        summary.free,
+        sum(min(room.headroom.milli_cpu, max(room.free_cpu, 0)) for room in summary.rooms()),
+        hall.accepted.milli_cpu,
+        round(hall.load.age_s, 2),
+    )
+
+
 def _is_known(load: HallLoad) -> bool:
     """Return whether a hall's room is known; a new owner publishes no executors at first."""
     summary = load.usable_summary
--- a/tests/host/test_standing_admission.py
+++ b/tests/host/test_standing_admission.py
@@ -11,7 +11,12 @@
 import pytest
 
 from linkspan.host.job_outlook import MAX_SUMMARY_AGE_S, HallLoad
-from linkspan.host.standing_admission import StandingHall, StandingShortage, shortage_of
+from linkspan.host.standing_admission import (
+    HallCores,
+    StandingHall,
+    StandingShortage,
+    shortage_of,
+)
 from linkspan.host.standing_reservations import RELEASE_WINDOW_S, StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.records import Begun, Cancelled, Submitted
@@ -58,6 +63,14 @@
     assert shortage.missing == Demand(3_000, 100)
 
 
+def test_a_refusal_tells_what_is_kept_and_what_is_free() -> None:
+    """Guards against lines that do not tell full halls from ones that keep room nobody uses."""
+    hall = _hall((700, 32_000, 2), (4_000, 32_000, 2), accepted=Demand(3_000, 100))
+    shortage = _shortage(step(4, cpu=3_000, standing=True), hall)
+    assert shortage is not None
+    assert shortage.cores == {"east": HallCores(16_000, 0, 0, 1_500, 3_000, 0.0)}
+
+
 def test_what_is_kept_for_short_work_is_no_room() -> None:
     """Guards against standing jobs that are accepted into the headroom for short work."""
     spec = step(1, cpu=3_000, standing=True)
