Give up what is kept for short work as fast as standing jobs would give it back

It now falls by four times the time in which ended standing jobs give back what is kept, 30 s at least, 600 s at most. Where no standing job ends nothing changes.

Cost: three additions for each end of a standing task.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -18,6 +18,7 @@
 from linkspan.shard.planning.headroom import Headroom
 from linkspan.shard.planning.set_asides import SetAsides
 from linkspan.shard.planning.short_demand import ShortDemand
+from linkspan.shard.planning.standing_ends import StandingEnds
 from linkspan.shard.planning.start_counts import StartCounts
 from linkspan.shard.reports._speed_evidence import SpeedEvidence
 from linkspan.shard.reports.health import ExecutorHealth
@@ -73,6 +74,7 @@
         start_counts: Starts that were ordered, by kind of work and size of task.
         set_asides: Resources of executors that are set aside for waiting tasks.
         short_demand: What short work asks for.
+        standing_ends: What standing tasks of ended jobs give back.
         headroom: Chooses what is kept of executors for short tasks.
         configuration: The configuration in force, ``None`` before the first.
         evacuation: The evacuation of the hall that is in force, ``None`` if there is none.
@@ -120,6 +122,7 @@
         self.start_counts = StartCounts()
         self.set_asides = SetAsides()
         self.short_demand = ShortDemand()
+        self.standing_ends = StandingEnds()
         self.headroom = Headroom(self)
         self.configuration: Configuration | None = None
         self.evacuation: Evacuation | None = None
--- a/src/linkspan/shard/planning/headroom.py
+++ b/src/linkspan/shard/planning/headroom.py
@@ -32,9 +32,13 @@
 GROWTH_S = 30.0
 """Time constant with which the share follows a demand that has grown, in seconds."""
 
-DECLINE_S = 600.0
-"""The same for a demand that has fallen: callers of short work pause, while standing tasks keep
-what they get for long."""
+MAX_DECLINE_S = 600.0
+"""Limits the time constant for a demand that has fallen, in seconds, where standing jobs do not
+end. It is never below ``GROWTH_S``."""
+
+RETURN_FACTOR = 4.0
+"""Multiple of the time in which standing tasks that end give back what is kept, after which a part
+of it that is not asked for is given up: short tasks earn four times as much per core."""
 
 PIECE_SHARE = 0.5
 """Share of an executor that is kept where any of it is, or what the largest short task takes if
@@ -113,12 +117,28 @@
         mean = demand.mean(service, now)
         share = self._kept.get(service, Kept()).share
         wanted = min(BURST_FACTOR * _used_share(mean, executors), MAX_SHARE)
-        constant_s = GROWTH_S if wanted > share else DECLINE_S
+        constant_s = GROWTH_S
+        if wanted < share:
+            constant_s = self._decline_s(share, service, executors, now)
         share += (wanted - share) * min(elapsed_s / constant_s, 1.0) if service in self._kept else 0
         largest = demand.largest(service)
         kept = self._kept[service] = Kept(share, largest.milli_cpu, largest.gpus > 0)
         return kept
 
+    def _decline_s(
+        self, share: float, service: str, executors: list[ExecutorState], now: float
+    ) -> float:
+        """Return the time constant with which a share falls that is not asked for, in seconds.
+
+        What standing tasks get they keep until their jobs end. The sooner these give it back, the
+        less is lost if short work comes again.
+        """
+        ended = self._state.standing_ends.each_second(service, now)
+        ended_share = _used_share(ended, executors)
+        if share >= ended_share * MAX_DECLINE_S / RETURN_FACTOR:
+            return MAX_DECLINE_S
+        return max(RETURN_FACTOR * share / ended_share, GROWTH_S)
+
 
 def _used_share(mean: Demand, executors: list[ExecutorState]) -> float:
     """Return the largest share of a resource of some executors that a demand uses."""
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -90,6 +90,7 @@
         task.next_run = max(task.next_run, end.run + 1)
         if attempt:
             self._state.detach(attempt)
+            self._state.standing_ends.observe(task.step, now)
             # The run has lasted until now, even if no answer or report had confirmed it.
             task.waiting_since = NEVER
         if not (attempt and attempt.speculative):
--- a/tests/shard/test_headroom.py
+++ b/tests/shard/test_headroom.py
@@ -14,10 +14,10 @@
 from linkspan.shard.executor import ExecutorState
 from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.handover.summary import HallSummary
-from linkspan.shard.messages import ExecutorRecord
+from linkspan.shard.messages import EndedTask, EndKind, ExecutorRecord
 from linkspan.shard.planning.headroom import (
-    DECLINE_S,
     FIRST_SHARE,
+    MAX_DECLINE_S,
     MAX_SHARE,
     PIECE_SHARE,
     Kept,
@@ -25,7 +25,15 @@
 )
 from linkspan.shard.planning.task_need import HEADROOM_WAIT_S, TaskNeed
 from tests.job_builders import step
-from tests.shard.builders import JOB, add_executors, core_with, plan, report_ends, submitted_job
+from tests.shard.builders import (
+    JOB,
+    add_executors,
+    confirm_start,
+    core_with,
+    plan,
+    report_ends,
+    submitted_job,
+)
 
 CORES = 64_000
 SHORT, MORE = "00000000000000c1", "00000000000000c2"
@@ -207,10 +215,29 @@
     core = _hall(executors=10)
     _play(core, 60)
     assert _kept_share(core) > 0.85 * FIRST_SHARE
-    _play(core, int(4 * DECLINE_S), from_s=60)
+    _play(core, int(4 * MAX_DECLINE_S), from_s=60)
     assert _kept_share(core) < 0.05 * FIRST_SHARE
 
 
+def test_less_is_kept_soon_where_standing_jobs_end_often() -> None:
+    """Guards against room that is kept for minutes though standing jobs would give it back soon.
+
+    Each second a standing job of 16 of 640 cores ends: what is kept would be back in 4 s.
+    """
+    core = _hall(executors=10)
+    standing = step(1, cpu=16_000, standing=True)
+    for second in range(90):
+        job_id = f"{second:016x}"
+        core.add_job(submitted_job(standing, job_id=job_id, accepted=second), float(second))
+        (order,) = plan(core, second + 0.1)
+        confirm_start(core, order, second + 0.2)
+        core.cancel_job(job_id)
+        end = EndedTask(second + 1, order.task, order.run, EndKind.STOPPED, "")
+        report_ends(core, order.executor_id, end, asked=second + 0.3, now=second + 0.4)
+    plan(core, 91.0)
+    assert _kept_share(core) < 0.1 * FIRST_SHARE
+
+
 def test_batch_and_standing_work_are_no_short_demand() -> None:
     """Guards against batch work with a reservation of none that grows what is kept for short."""
     core = _hall(executors=10)
