--- a/tests/host/test_standing_admission.py
+++ b/tests/host/test_standing_admission.py
@@ -11,10 +11,15 @@
 import pytest
 
 from linkspan.host.job_outlook import MAX_SUMMARY_AGE_S, HallLoad
-from linkspan.host.standing_admission import StandingHall, StandingShortage, shortage_of
+from linkspan.host.standing_admission import (
+    HallCores,
+    StandingHall,
+    StandingShortage,
+    shortage_of,
+)
 from linkspan.host.standing_reservations import RELEASE_WINDOW_S, StandingReservations
 from linkspan.jobs.catalog import JobCatalog
-from linkspan.jobs.records import Begun, Cancelled, Submitted
+from linkspan.jobs.records import Begun, Cancelled, Finished, JobState, Submitted, Tombstone
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorKind
@@ -58,6 +63,14 @@
     assert shortage.missing == Demand(3_000, 100)
 
 
+def test_a_refusal_tells_what_is_kept_and_what_is_free() -> None:
+    """Guards against lines that do not tell full halls from ones that keep room nobody uses."""
+    hall = _hall((700, 32_000, 2), (4_000, 32_000, 2), accepted=Demand(3_000, 100))
+    shortage = _shortage(step(4, cpu=3_000, standing=True), hall)
+    assert shortage is not None
+    assert shortage.cores == {"east": HallCores(16_000, 0, 0, 1_500, 3_000, 0.0)}
+
+
 def test_what_is_kept_for_short_work_is_no_room() -> None:
     """Guards against standing jobs that are accepted into the headroom for short work."""
     spec = step(1, cpu=3_000, standing=True)
@@ -187,6 +200,33 @@
     assert run_virtual(play()) == pytest.approx([60.0, 20.0, 20.0, 60.0])
 
 
+@pytest.mark.parametrize("removed", ["nothing", "submission", "all"])
+def test_an_end_counts_where_it_is_read_with_the_removal_of_the_jobs_records(removed: str) -> None:
+    """Guards against hosts that read seldom, see no job end and tell all callers the longest time.
+
+    Owners read each record at once; other hosts read all records of an end together.
+    """
+
+    async def play() -> float:
+        catalog = JobCatalog()
+        known = StandingReservations(catalog)
+        job_id = f"{1:016x}"
+        for offset, record in enumerate((_submitted(1), Begun(job_id))):
+            catalog.apply(offset, record)
+        known.on_job(job_id)
+        await asyncio.sleep(10.0)
+        catalog.apply(2, Cancelled(job_id))
+        catalog.apply(3, Finished(job_id, JobState.CANCELLED, 0, 0.0, SHORT.name))
+        kinds = {"nothing": "", "submission": "s", "all": "sf"}[removed]
+        for offset, kind in enumerate(kinds, 4):
+            catalog.apply(offset, Tombstone(kind, job_id, ""))
+        known.on_job(job_id)
+        known.on_job(job_id)
+        return known.wait_s("pool", Demand(12_000, 100))
+
+    assert run_virtual(play()) == pytest.approx(20.0)
+
+
 class _FillingCallers(HallWorld):
     """Callers that hand in more standing jobs than the executors can hold, at all hosts at once."""
 
