--- a/tests/host/test_standing_work_in_shrinking_halls.py
+++ b/tests/host/test_standing_work_in_shrinking_halls.py
@@ -9,9 +9,9 @@
 from tests.host.shrinking_halls_day import STANDING_STAY_S, ShrinkingHallsDay
 from tests.virtual_time import run_virtual
 
-MAX_BESIDE_ROOM_S = 1.5 * STANDING_STAY_S
-"""Longest time for which a caller may be refused beside room for all of its job, in seconds: what
-is kept is given up about as fast as standing jobs would give it back."""
+MAX_BESIDE_ROOM_S = STANDING_STAY_S
+"""Longest time for which a caller may be refused beside room for all of its job, in seconds: room
+that short work does not use is not kept for longer than a standing job stays (admission.md)."""
 
 MIN_STANDING_SHARE = 0.8
 """Of the room beside short work: tasks of 8 cores leave up to an eighth of an executor of 64."""
