Soak: a state that cannot be read is a violation, on open connections too

Cause: a response without a state raised an error in a caller and ended the run without a verdict, and responses on persistent connections were not read.

Change: Callers.note_state reads each state, also those that persistent callers get; an unreadable one breaks MIXED, and a job that is shown as succeeded there counts for the check against its last end.

Measured: tests/soak/test_judge.py; the new test cannot run on the previous code, where an unreadable state was an exception.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,7 @@
 from linkspan.platform.executors import task_to_wire
 from linkspan.platform.jobs import TIMEOUT_HEADER
 from linkspan.shard.messages import TaskName
+from soak.answers import read_state
 from soak.processes import StandIn
 
 CALLER_TIMEOUT_S = 3.0
@@ -219,11 +220,19 @@
     async def ask(self, job: Job, host: str) -> str | None:
         """Query a job's state and return it, or ``None`` without a valid response."""
         requested_at = time.monotonic()
-        status, fields = await self.call("GET", host, job.id)
+        status, body = await self.call("GET", host, job.id)
         self._check_not_lost(job, host, "GET", status, requested_at)
         if status != 200:
             return None
-        state = job.last_state = str(fields["state"])
+        return self.note_state(job, host, body)
+
+    def note_state(self, job: Job, host: str, body: bytes) -> str | None:
+        """Record the state in a response and return it; a state must be readable."""
+        state = read_state(body)
+        if state is None:
+            self.violations.append(f"MIXED {job.id}: {host} shows no state: {body[:100]!r}")
+            return None
+        job.last_state = state
         if state == "succeeded" and job.succeeded_at is None:
             job.succeeded_at = time.monotonic()
         return state
@@ -255,19 +264,21 @@
 
     async def call(
         self, method: str, host: str, path: str, *, prefix: str = QUEUE.prefix, **body: Any
-    ) -> tuple[int, dict[str, Any]]:
-        """Call a host; return status 0 if nothing was sent and -1 without a complete response."""
+    ) -> tuple[int, bytes]:
+        """Call a host and return the status and body of its response.
+
+        The status is 0 if nothing was sent and -1 without a complete response.
+        """
         headers = {"Host": QUEUE.host, TIMEOUT_HEADER: str(int(CALLER_TIMEOUT_S * 1000))}
         url = f"http://{self._hosts[host]}{prefix}{path}"
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S + 0.2):
                 async with self._session.request(method, url, headers=headers, **body) as response:
-                    fields = await response.json() if response.status == 200 else {}
-                    return response.status, fields
+                    return response.status, await response.read()
         except aiohttp.ClientConnectorError:
-            return 0, {}
+            return 0, b""
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return -1, {}
+            return -1, b""
 
     def _host(self, draw: Random) -> str:
         return draw.choice(list(self._hosts))
--- a/soak/persistent_callers.py
+++ b/soak/persistent_callers.py
@@ -9,7 +9,7 @@
 
 from tests.job_builders import QUEUE
 
-from soak.callers import CALLER_TIMEOUT_S, Callers
+from soak.callers import CALLER_TIMEOUT_S, Callers, Job
 from soak.deployment import CALLERS_PORT, version_prefix
 from soak.processes import HostProcess
 from soak.world import VERSION_STEP, World
@@ -90,11 +90,13 @@
             version = self._choose_version()
             sent = time.monotonic()
             head = b""
+            job = None if version else self._choose_job()
+            path = version_prefix(version) if version else QUEUE.prefix + (job.id if job else "")
             try:
-                writer.write(self._request(version_prefix(version) if version else self._path()))
+                writer.write(self._request(path))
                 async with asyncio.timeout(MAX_WAIT_S):
                     head = await reader.readuntil(b"\r\n\r\n")
-                    await reader.readexactly(_length(head))
+                    body = await reader.readexactly(_length(head))
             except asyncio.IncompleteReadError as error:
                 self._check_cut(sent, response_began=bool(head or error.partial))
                 return
@@ -107,6 +109,8 @@
             self._stats.answered += 1
             if version and b" 200 " in head[:20]:
                 self._check_version(version)
+            if job and b" 200 " in head[:20]:
+                self._callers.note_state(job, self._host.name, body)
             if b"connection: close" in head.lower():
                 return
             await asyncio.sleep(self._random.choice((0.0, 0.02, 0.1, 0.4)))
@@ -123,10 +127,11 @@
             self._stats.violations.append(line)
         self._version = max(self._version, version)
 
-    def _path(self) -> str:
+    def _choose_job(self) -> Job | None:
+        """Return the job to request, or ``None`` to request the number of waiting jobs."""
         jobs = [job for job in self._callers.jobs[-50:] if job.accepted_at]
         with_id = jobs and self._random.random() < 0.8
-        return QUEUE.prefix + (self._random.choice(jobs).id if with_id else "")
+        return self._random.choice(jobs) if with_id else None
 
     def _request(self, path: str) -> bytes:
         lines = (
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -187,3 +187,19 @@
     assert count_other_given_up_jobs(callers, _seen()) == 1
     failed = {callers.jobs[0].tasks[0]: QUEUE.max_attempts}
     assert count_other_given_up_jobs(callers, _seen(failed=failed)) == 0
+
+
+@pytest.mark.parametrize(
+    ("body", "broken"),
+    [
+        (b'{"state":"queued"}', []),
+        (b'{"state":"waits"}', ["MIXED"]),
+        (b'{"state":["queued"]}', ["MIXED"]),
+        (b'{"sta', ["MIXED"]),
+        (b"", ["MIXED"]),
+    ],
+)
+def test_a_state_that_cannot_be_read_is_a_violation(body: bytes, broken: list[str]) -> None:
+    callers = Callers(Random(0), {}, SimpleNamespace(), SimpleNamespace())  # type: ignore[arg-type]
+    callers.note_state(Job(SPEC), "host-0", body)
+    assert [line.split()[0] for line in callers.violations] == broken
