Soak: hosts count the jobs that wait, while executors refuse starts

Cause: nobody compared the number of waiting jobs that hosts give with what executors had started (docs/incidents/waiting-jobs-that-count-as-begun.md), and the soak had no executors that are up and start nothing.

Change: in each run WaitingWatch asks hosts for the number twice a second: of the jobs accepted 5 s before, not cancelled and with no started task, a host must count half (MIXED); it also asks for a job that nobody submitted. Generators of their own: other runs draw what they drew.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -39,6 +39,7 @@
         evacuates: Whether halls are evacuated beside the faults.
         loses_halls: Whether halls lose their executors beside the faults.
         overloads: Whether bursts come and executors turn slow beside the faults.
+        refuses_starts: Whether executors refuse starts beside the faults.
     """
 
     seed: int
@@ -50,6 +51,7 @@
     evacuates: bool = False
     loses_halls: bool = False
     overloads: bool = False
+    refuses_starts: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -11,13 +11,13 @@
 import aiohttp
 from tests.hall_executors import EXECUTORS, HallExecutors
 from tests.job_builders import QUEUE
-from tests.standins.executor_http import ExecutorFront
 from tests.standins.memory_executor import MemoryExecutor
 
 from linkspan.platform.executors import task_to_wire
 from linkspan.platform.jobs import job_from_wire
 from linkspan.shard.messages import EndedTask, EndKind, StartOrder, TaskName
 from linkspan.store.types import Partition
+from soak.refusing_front import RefusingFront
 from soak.standin import listen, serve
 
 SHRUNK_CAPACITY_GRACE_S = 12.0
@@ -105,7 +105,7 @@
 class ExecutorControl:
     """Commands that the parent process sends to the executors."""
 
-    def __init__(self, world: ExecutorWorld, front: ExecutorFront) -> None:
+    def __init__(self, world: ExecutorWorld, front: RefusingFront) -> None:
         self._world = world
         self._front = front
 
@@ -142,6 +142,16 @@
         if self._world.executors[command["address"]].alive:
             self._world.resize(command["address"], command["milli_cpu"])
 
+    def refuse(self, command: dict[str, Any]) -> None:
+        """Let an executor carry out no start; without ``answers``, end that again."""
+        self._front.refusing.pop(command["address"], None)
+        if "answers" in command:
+            self._front.refusing[command["address"]] = command["answers"]
+
+    def begun(self, job_ids: list[str]) -> list[str]:
+        """Return those of some jobs of which a task has started."""
+        return [job_id for job_id in job_ids if job_id in self._world.started_at]
+
     def drain(self, command: dict[str, str]) -> None:
         """Register an executor as draining."""
         executor = self._world.executors[command["address"]]
@@ -206,7 +216,7 @@
     registrations = Registrations(store_control)
     world.store = registrations  # type: ignore[assignment]
     writing = asyncio.create_task(registrations.run())
-    front = ExecutorFront(world)
+    front = RefusingFront(world)
     front.on_order = world.record_lease_expiry
     addresses = {}
     for number in range(executors):
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,8 @@
 )
 from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
+from soak.refused_starts import REFUSAL_FAULTS
+from soak.waiting_watch import WaitingWatch
 from soak.world import World
 
 START_LIMIT_S = 60.0
@@ -50,6 +52,7 @@
         starts: Number of runs that executors started.
         crashing: Number of accepted jobs with a task that crashes its executors.
         given_up: Number of other jobs that were given up because executors crashed under them.
+        counts: Number of checked numbers of waiting jobs, while jobs waited.
         questions: Number of responses on persistent connections.
         closed: Number of requests on a connection that was just being closed.
         settled_s: Time from the last fault until complete recovery.
@@ -63,6 +66,7 @@
     starts: int = 0
     crashing: int = 0
     given_up: int = 0
+    counts: int = 0
     questions: int = 0
     closed: int = 0
     settled_s: float = 0.0
@@ -74,8 +78,9 @@
             f"seed {self.plan.seed}: {verdict}; {self.plan.hosts} hosts, "
             f"{self.plan.executors} executors, {self.jobs} jobs, {self.accepted} accepted, "
             f"{self.starts} starts, {self.crashing} that crash executors, {self.given_up} others "
-            f"given up, {self.questions} questions, {self.closed} met a closing "
-            f"connection, settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
+            f"given up, {self.counts} counts of waiting jobs, {self.questions} questions, "
+            f"{self.closed} met a closing connection, "
+            f"settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
         )
 
 
@@ -102,13 +107,16 @@
             await world.await_ready(START_LIMIT_S)
             random = Random(f"{self._plan.seed} callers")
             callers = Callers(random, world.callers_at, world.executors, world.session)
-            await self._cause_faults(world, callers)
+            watch = WaitingWatch(world, callers, self._log_fault)
+            await self._cause_faults(world, callers, watch)
+            self._outcome.counts = watch.checked
+            self._outcome.violations += watch.violations
             await self._check_recovery(world, callers)
         self._outcome.violations += unexpected_errors(self._folder)
         self._outcome.seconds = time.monotonic() - self._started_at
         return self._outcome
 
-    async def _cause_faults(self, world: World, callers: Callers) -> None:
+    async def _cause_faults(self, world: World, callers: Callers, watch: WaitingWatch) -> None:
         until = time.monotonic() + self._plan.seconds
         hosts = list(world.hosts.values())
         background = [
@@ -119,6 +127,7 @@
         crashing = callers.send_crashing_jobs(Random(f"{self._plan.seed} crashing"))
         background.append(asyncio.create_task(crashing))
         background.append(asyncio.create_task(self._watch(world)))
+        background.append(asyncio.create_task(watch.run()))
         for number in range(min(PERSISTENT_CALLERS_PER_HOST * len(hosts), MAX_PERSISTENT_CALLERS)):
             host = hosts[number % len(hosts)]
             random = Random(f"{self._plan.seed} keeper {number}")
@@ -138,6 +147,9 @@
         if self._plan.overloads:
             overloads = run_series(world, SERIES_COUNT + 4, until, self._log_fault, OVERLOAD_FAULTS)
             series.append(overloads)
+        if self._plan.refuses_starts:
+            refusals = run_series(world, SERIES_COUNT + 5, until, self._log_fault, REFUSAL_FAULTS)
+            series.append(refusals)
         try:
             await asyncio.gather(*series)
         finally:
