--- a/soak/run.py
+++ b/soak/run.py
@@ -22,7 +22,7 @@
 )
 from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
-from soak.refused_starts import REFUSAL_FAULTS
+from soak.refused_starts import REFUSAL_FAULTS, check_refusal
 from soak.waiting_watch import WaitingWatch
 from soak.world import World
 
@@ -109,9 +109,7 @@
             callers = Callers(random, world.callers_at, world.executors, world.session)
             watch = WaitingWatch(world, callers, self._log_fault)
             await self._cause_faults(world, callers, watch)
-            self._outcome.counts = watch.checked
-            self._outcome.violations += watch.violations
-            await self._check_recovery(world, callers)
+            await self._check_recovery(world, callers, watch)
         self._outcome.violations += unexpected_errors(self._folder)
         self._outcome.seconds = time.monotonic() - self._started_at
         return self._outcome
@@ -167,7 +165,7 @@
                 self._logged_violations += 1
                 self._log_fault(f"BROKEN {line}")
 
-    async def _check_recovery(self, world: World, callers: Callers) -> None:
+    async def _check_recovery(self, world: World, callers: Callers, watch: WaitingWatch) -> None:
         calm_from = time.monotonic()
         self._log_fault("calm begins")
         await world.clear_faults()
@@ -181,6 +179,8 @@
                 outcome.violations.append(f"UNSERVED {job.id} in calm times: {job.outcomes}")
         if self._plan.evacuates:
             outcome.violations += await check_evacuation(world, callers)
+        if self._plan.refuses_starts:
+            outcome.violations += await check_refusal(world, callers, watch)
         await world.configure(extra_routes=1)
         outcome.violations += await await_configuration(world, callers)
         standing = [
@@ -192,10 +192,11 @@
         outcome.violations += await settle(world, callers)
         observed = await world.observed()
         outcome.violations += judge(callers, observed, calm_from)
-        outcome.violations += world.violations + self._stats.violations
+        outcome.violations += world.violations + self._stats.violations + watch.violations
         outcome.violations += [
             f"ENDED {end}" for h in world.hosts.values() for end in h.unexpected_exits
         ]
+        outcome.counts = watch.checked
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
         outcome.crashing = sum(1 for job in callers.jobs if job.accepted_at and job.crash_after_s)
--- a/soak/waiting_watch.py
+++ b/soak/waiting_watch.py
@@ -55,9 +55,13 @@
             await asyncio.sleep(INTERVAL_S)
             names = sorted(self._world.hosts)
             names = self._random.sample(names, min(MAX_HOSTS_PER_ROUND, len(names)))
-            await asyncio.gather(*map(self._check_count, names))
+            await self.check_counts(names)
             await self._check_unknown_job(names[0])
 
+    async def check_counts(self, hosts: list[str]) -> None:
+        """Ask hosts for the number of waiting jobs and check what they answer."""
+        await asyncio.gather(*map(self._check_count, hosts))
+
     async def _check_count(self, host: str) -> None:
         asked_at = time.monotonic()
         status, body = await self._callers.call("GET", host, "")
