Soak: signals and configurations in series of their own, and connections used to their end

Cause: the series of all faults draw a signal once in a while, so that stops, kills, reloads and configurations rarely met in a run of 8 s; no host was killed while it drained or started by intent; and each caller left a connection as soon as the host announced its end, so nobody used it until the process was gone.

A request after the announcement may remain unanswered, a response that began may not be cut. Generators of their own: all other runs draw what they drew.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,7 @@
 
     python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --loses_halls]
     python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates] [--loses_halls]
-        [--overloads] [--refuses_starts]
+        [--overloads] [--refuses_starts] [--signals]
     python -m soak regressions --jobs 2
 
 Sizes that are not given depend on the seed. The exit code is 1 if there was a violation; the logs
@@ -57,7 +57,7 @@
         seconds: Time during which faults start.
         keep_logs: Folder in which logs are kept even without a violation.
         sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``,
-            ``evacuates``, ``loses_halls``, ``overloads``, ``refuses_starts``.
+            ``evacuates``, ``loses_halls``, ``overloads``, ``refuses_starts``, ``signals``.
     """
     plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
@@ -76,6 +76,7 @@
     loses_halls: bool = False,
     overloads: bool = False,
     refuses_starts: bool = False,
+    signals: bool = False,
 ) -> None:
     """Play consecutive seeds, several at a time, each in a separate process."""
     seeds = range(first, first + count)
@@ -84,6 +85,7 @@
         "--loses_halls": loses_halls,
         "--overloads": overloads,
         "--refuses_starts": refuses_starts,
+        "--signals": signals,
     }
     _play_seeds(seeds, seconds, jobs, keep_logs, [flag for flag, on in flags.items() if on])
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -40,6 +40,8 @@
         loses_halls: Whether halls lose their executors beside the faults.
         overloads: Whether bursts come and executors turn slow beside the faults.
         refuses_starts: Whether executors refuse starts beside the faults.
+        signals: Whether signals, restarts and configurations come in series of their own, and
+            callers go on with connections that hosts are closing.
     """
 
     seed: int
@@ -52,6 +54,7 @@
     loses_halls: bool = False
     overloads: bool = False
     refuses_starts: bool = False
+    signals: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/persistent_callers.py
+++ b/soak/persistent_callers.py
@@ -53,6 +53,8 @@
         world: World whose configuration versions are requested.
         callers: Callers whose jobs are requested.
         stats: Statistics to update.
+        goes_on: Whether it goes on with a connection that the host has announced to close, until
+            the connection ends. Such a request may remain unanswered.
     """
 
     def __init__(
@@ -62,6 +64,8 @@
         world: World,
         callers: Callers,
         stats: ConnectionStats,
+        *,
+        goes_on: bool = False,
     ) -> None:
         self._random = random
         self._host = host
@@ -69,6 +73,8 @@
         self._callers = callers
         self._version = 0
         self._stats = stats
+        self._goes_on = goes_on
+        self._closing = False
 
     async def run(self) -> None:
         """Connect and use the connection until it is closed, repeatedly, until cancelled."""
@@ -86,6 +92,7 @@
     async def _use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A connection belongs to one incarnation of the host.
         self._version = 0
+        self._closing = False
         while not reader.at_eof():
             version = self._choose_version()
             sent = time.monotonic()
@@ -111,7 +118,8 @@
                 self._check_version(version)
             if job and b" 200 " in head[:20]:
                 self._callers.note_state(job, self._host.name, body)
-            if b"connection: close" in head.lower():
+            self._closing = b"connection: close" in head.lower()
+            if self._closing and not self._goes_on:
                 return
             await asyncio.sleep(self._random.choice((0.0, 0.02, 0.1, 0.4)))
 
@@ -145,7 +153,8 @@
         elapsed_s = time.monotonic() - sent
         if self._host.disrupted_at > sent - DISRUPTION_S:
             return
-        if unread or (not response_began and elapsed_s <= CLOSING_SLACK_S):
+        announced = self._closing and not response_began
+        if unread or announced or (not response_began and elapsed_s <= CLOSING_SLACK_S):
             self._stats.closed += 1
             return
         part = "in its response" if response_began else "without a response"
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
 from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
 from soak.refused_starts import REFUSAL_FAULTS, check_refusal
+from soak.signals import SIGNAL_SERIES
 from soak.waiting_watch import WaitingWatch
 from soak.world import World
 
@@ -131,6 +132,10 @@
             random = Random(f"{self._plan.seed} keeper {number}")
             caller = PersistentCaller(random, host, world, callers, self._stats)
             background.append(asyncio.create_task(caller.run()))
+        for host in hosts[:MAX_PERSISTENT_CALLERS] if self._plan.signals else ():
+            random = Random(f"{self._plan.seed} goes on {host.name}")
+            caller = PersistentCaller(random, host, world, callers, self._stats, goes_on=True)
+            background.append(asyncio.create_task(caller.run()))
         series = [run_series(world, n, until, self._log_fault) for n in range(SERIES_COUNT)]
         series.append(run_series(world, SERIES_COUNT, until, self._log_fault, CAPACITY_FAULTS))
         series.append(run_series(world, SERIES_COUNT + 1, until, self._log_fault, RESTART_FAULTS))
@@ -148,6 +153,9 @@
         if self._plan.refuses_starts:
             refusals = run_series(world, SERIES_COUNT + 5, until, self._log_fault, REFUSAL_FAULTS)
             series.append(refusals)
+        if self._plan.signals:
+            for number, faults in enumerate(SIGNAL_SERIES, SERIES_COUNT + 6):
+                series.append(run_series(world, number, until, self._log_fault, faults))
         try:
             await asyncio.gather(*series)
         finally:
