--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,7 @@
 
     python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --loses_halls]
     python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates] [--loses_halls]
-        [--overloads] [--refuses_starts] [--signals]
+        [--overloads] [--refuses_starts] [--signals] [--hosts 200 --executors 60 --halls 3]
     python -m soak regressions --jobs 2
 
 Sizes that are not given depend on the seed. The exit code is 1 if there was a violation; the logs
@@ -77,8 +77,24 @@
     overloads: bool = False,
     refuses_starts: bool = False,
     signals: bool = False,
+    **sizes: float,
 ) -> None:
-    """Play consecutive seeds, several at a time, each in a separate process."""
+    """Play consecutive seeds, several at a time, each in a separate process.
+
+    Args:
+        first: The first seed.
+        count: Number of seeds.
+        seconds: Time during which faults start.
+        jobs: Number of seeds to play at a time.
+        keep_logs: Folder for the logs.
+        evacuates: Whether halls are evacuated.
+        loses_halls: Whether halls lose their executors.
+        overloads: Whether bursts come and executors turn slow.
+        refuses_starts: Whether executors refuse starts.
+        signals: Whether signals and configurations come in series of their own.
+        sizes: Sizes of all runs in place of those of the seeds: ``hosts``, ``executors``,
+            ``halls``, ``jobs_per_s``.
+    """
     seeds = range(first, first + count)
     flags = {
         "--evacuates": evacuates,
@@ -87,7 +103,9 @@
         "--refuses_starts": refuses_starts,
         "--signals": signals,
     }
-    _play_seeds(seeds, seconds, jobs, keep_logs, [flag for flag, on in flags.items() if on])
+    arguments = [flag for flag, on in flags.items() if on]
+    arguments += [f"--{name}={value}" for name, value in sizes.items()]
+    _play_seeds(seeds, seconds, jobs, keep_logs, arguments)
 
 
 def regressions(*, jobs: int = 2, keep_logs: str = LOGS) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,7 +28,9 @@
 from soak.world import World
 
 START_LIMIT_S = 60.0
-"""Longest time until all hosts are ready. A host takes 2 s on an idle machine."""
+START_LIMIT_PER_HOST_S = 2.0
+"""Longest time until all hosts are ready: in all, and more for each host. A host takes 2 s of a
+core on an idle machine."""
 
 PERSISTENT_CALLERS_PER_HOST = 3
 MAX_PERSISTENT_CALLERS = 60
@@ -105,7 +107,7 @@
         """Play the run to its end and return the outcome."""
         self._folder.mkdir(parents=True, exist_ok=True)
         async with World(self._plan, self._folder) as world:
-            await world.await_ready(START_LIMIT_S)
+            await world.await_ready(START_LIMIT_S + START_LIMIT_PER_HOST_S * self._plan.hosts)
             random = Random(f"{self._plan.seed} callers")
             callers = Callers(random, world.callers_at, world.executors, world.session)
             watch = WaitingWatch(world, callers, self._log_fault)
