--- a/soak/world.py
+++ b/soak/world.py
@@ -24,6 +24,13 @@
 
 READINESS_TIMEOUT_S = 1.0
 
+MAX_STARTING_HOSTS = 25
+"""Maximum number of hosts that start at a time. While more of them take the processor, their calls
+time out and are sent again, until the proxies have no files left."""
+
+GROUP_START_LIMIT_S = 60.0
+"""Longest time until these are ready."""
+
 VERSION_STEP = 3
 """Increment of the configuration version, as versions increase but need not be consecutive."""
 
@@ -99,7 +106,15 @@
             await self._add_executor(number)
         for number, name in enumerate(names):
             await self._add_host(number, name)
-        await asyncio.gather(*(host.start() for host in self.hosts.values()))
+        await self._start_hosts(list(self.hosts.values()))
+
+    async def _start_hosts(self, hosts: list[HostProcess]) -> None:
+        """Start hosts, a group after the other, and wait for all groups but the last."""
+        while hosts:
+            group, hosts = hosts[:MAX_STARTING_HOSTS], hosts[MAX_STARTING_HOSTS:]
+            await asyncio.gather(*(host.start() for host in group))
+            if hosts:
+                await self.await_ready(GROUP_START_LIMIT_S, group)
 
     async def _start_stand_in(self, module: str, *arguments: str) -> StandIn:
         stand_in = StandIn(module, self._folder / f"{module}.log", self.session)
@@ -177,14 +192,14 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
-    async def await_ready(self, limit_s: float) -> None:
-        """Wait until all hosts are ready.
+    async def await_ready(self, limit_s: float, hosts: list[HostProcess] | None = None) -> None:
+        """Wait until some hosts are ready, by default all.
 
         Raises:
             TimeoutError: A host is not ready within ``limit_s`` seconds.
         """
         async with asyncio.timeout(limit_s):
-            for host in self.hosts.values():
+            for host in hosts or self.hosts.values():
                 while not await self.ready(host):
                     await asyncio.sleep(0.1)
 
