--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -39,6 +39,9 @@
         evacuates: Whether halls are evacuated beside the faults.
         loses_halls: Whether halls lose their executors beside the faults.
         overloads: Whether bursts come and executors turn slow beside the faults.
+        refuses_starts: Whether executors refuse starts beside the faults.
+        signals: Whether signals, restarts and configurations come in series of their own, and
+            callers go on with connections that hosts are closing.
     """
 
     seed: int
@@ -50,6 +53,8 @@
     evacuates: bool = False
     loses_halls: bool = False
     overloads: bool = False
+    refuses_starts: bool = False
+    signals: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/persistent_callers.py
+++ b/soak/persistent_callers.py
@@ -9,7 +9,7 @@
 
 from tests.job_builders import QUEUE
 
-from soak.callers import CALLER_TIMEOUT_S, Callers
+from soak.callers import CALLER_TIMEOUT_S, Callers, Job
 from soak.deployment import CALLERS_PORT, version_prefix
 from soak.processes import HostProcess
 from soak.world import VERSION_STEP, World
@@ -53,6 +53,8 @@
         world: World whose configuration versions are requested.
         callers: Callers whose jobs are requested.
         stats: Statistics to update.
+        goes_on: Whether it goes on with a connection that the host has announced to close, until
+            the connection ends. Such a request may remain unanswered.
     """
 
     def __init__(
@@ -62,6 +64,8 @@
         world: World,
         callers: Callers,
         stats: ConnectionStats,
+        *,
+        goes_on: bool = False,
     ) -> None:
         self._random = random
         self._host = host
@@ -69,6 +73,8 @@
         self._callers = callers
         self._version = 0
         self._stats = stats
+        self._goes_on = goes_on
+        self._closing = False
 
     async def run(self) -> None:
         """Connect and use the connection until it is closed, repeatedly, until cancelled."""
@@ -86,15 +92,18 @@
     async def _use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A connection belongs to one incarnation of the host.
         self._version = 0
+        self._closing = False
         while not reader.at_eof():
             version = self._choose_version()
             sent = time.monotonic()
             head = b""
+            job = None if version else self._choose_job()
+            path = version_prefix(version) if version else QUEUE.prefix + (job.id if job else "")
             try:
-                writer.write(self._request(version_prefix(version) if version else self._path()))
+                writer.write(self._request(path))
                 async with asyncio.timeout(MAX_WAIT_S):
                     head = await reader.readuntil(b"\r\n\r\n")
-                    await reader.readexactly(_length(head))
+                    body = await reader.readexactly(_length(head))
             except asyncio.IncompleteReadError as error:
                 self._check_cut(sent, response_began=bool(head or error.partial))
                 return
@@ -107,7 +116,10 @@
             self._stats.answered += 1
             if version and b" 200 " in head[:20]:
                 self._check_version(version)
-            if b"connection: close" in head.lower():
+            if job and b" 200 " in head[:20]:
+                self._callers.note_state(job, self._host.name, body)
+            self._closing = b"connection: close" in head.lower()
+            if self._closing and not self._goes_on:
                 return
             await asyncio.sleep(self._random.choice((0.0, 0.02, 0.1, 0.4)))
 
@@ -123,10 +135,11 @@
             self._stats.violations.append(line)
         self._version = max(self._version, version)
 
-    def _path(self) -> str:
+    def _choose_job(self) -> Job | None:
+        """Return the job to request, or ``None`` to request the number of waiting jobs."""
         jobs = [job for job in self._callers.jobs[-50:] if job.accepted_at]
         with_id = jobs and self._random.random() < 0.8
-        return QUEUE.prefix + (self._random.choice(jobs).id if with_id else "")
+        return self._random.choice(jobs) if with_id else None
 
     def _request(self, path: str) -> bytes:
         lines = (
@@ -140,7 +153,8 @@
         elapsed_s = time.monotonic() - sent
         if self._host.disrupted_at > sent - DISRUPTION_S:
             return
-        if unread or (not response_began and elapsed_s <= CLOSING_SLACK_S):
+        announced = self._closing and not response_began
+        if unread or announced or (not response_began and elapsed_s <= CLOSING_SLACK_S):
             self._stats.closed += 1
             return
         part = "in its response" if response_began else "without a response"
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,10 +22,15 @@
 )
 from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
+from soak.refused_starts import REFUSAL_FAULTS, check_refusal
+from soak.signals import SIGNAL_SERIES
+from soak.waiting_watch import WaitingWatch
 from soak.world import World
 
 START_LIMIT_S = 60.0
-"""Longest time until all hosts are ready. A host takes 2 s on an idle machine."""
+START_LIMIT_PER_HOST_S = 2.0
+"""Longest time until all hosts are ready: in all, and more for each host. A host takes 2 s of a
+core on an idle machine."""
 
 PERSISTENT_CALLERS_PER_HOST = 3
 MAX_PERSISTENT_CALLERS = 60
@@ -50,6 +55,7 @@
         starts: Number of runs that executors started.
         crashing: Number of accepted jobs with a task that crashes its executors.
         given_up: Number of other jobs that were given up because executors crashed under them.
+        counts: Number of checked numbers of waiting jobs, while jobs waited.
         questions: Number of responses on persistent connections.
         closed: Number of requests on a connection that was just being closed.
         settled_s: Time from the last fault until complete recovery.
@@ -63,6 +69,7 @@
     starts: int = 0
     crashing: int = 0
     given_up: int = 0
+    counts: int = 0
     questions: int = 0
     closed: int = 0
     settled_s: float = 0.0
@@ -74,8 +81,9 @@
             f"seed {self.plan.seed}: {verdict}; {self.plan.hosts} hosts, "
             f"{self.plan.executors} executors, {self.jobs} jobs, {self.accepted} accepted, "
             f"{self.starts} starts, {self.crashing} that crash executors, {self.given_up} others "
-            f"given up, {self.questions} questions, {self.closed} met a closing "
-            f"connection, settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
+            f"given up, {self.counts} counts of waiting jobs, {self.questions} questions, "
+            f"{self.closed} met a closing connection, "
+            f"settled in {self.settled_s:.1f} s, {self.seconds:.0f} s in all"
         )
 
 
@@ -99,16 +107,17 @@
         """Play the run to its end and return the outcome."""
         self._folder.mkdir(parents=True, exist_ok=True)
         async with World(self._plan, self._folder) as world:
-            await world.await_ready(START_LIMIT_S)
+            await world.await_ready(START_LIMIT_S + START_LIMIT_PER_HOST_S * self._plan.hosts)
             random = Random(f"{self._plan.seed} callers")
             callers = Callers(random, world.callers_at, world.executors, world.session)
-            await self._cause_faults(world, callers)
-            await self._check_recovery(world, callers)
+            watch = WaitingWatch(world, callers, self._log_fault)
+            await self._cause_faults(world, callers, watch)
+            await self._check_recovery(world, callers, watch)
         self._outcome.violations += unexpected_errors(self._folder)
         self._outcome.seconds = time.monotonic() - self._started_at
         return self._outcome
 
-    async def _cause_faults(self, world: World, callers: Callers) -> None:
+    async def _cause_faults(self, world: World, callers: Callers, watch: WaitingWatch) -> None:
         until = time.monotonic() + self._plan.seconds
         hosts = list(world.hosts.values())
         background = [
@@ -119,11 +128,16 @@
         crashing = callers.send_crashing_jobs(Random(f"{self._plan.seed} crashing"))
         background.append(asyncio.create_task(crashing))
         background.append(asyncio.create_task(self._watch(world)))
+        background.append(asyncio.create_task(watch.run()))
         for number in range(min(PERSISTENT_CALLERS_PER_HOST * len(hosts), MAX_PERSISTENT_CALLERS)):
             host = hosts[number % len(hosts)]
             random = Random(f"{self._plan.seed} keeper {number}")
             caller = PersistentCaller(random, host, world, callers, self._stats)
             background.append(asyncio.create_task(caller.run()))
+        for host in hosts[:MAX_PERSISTENT_CALLERS] if self._plan.signals else ():
+            random = Random(f"{self._plan.seed} goes on {host.name}")
+            caller = PersistentCaller(random, host, world, callers, self._stats, goes_on=True)
+            background.append(asyncio.create_task(caller.run()))
         series = [run_series(world, n, until, self._log_fault) for n in range(SERIES_COUNT)]
         series.append(run_series(world, SERIES_COUNT, until, self._log_fault, CAPACITY_FAULTS))
         series.append(run_series(world, SERIES_COUNT + 1, until, self._log_fault, RESTART_FAULTS))
@@ -138,6 +152,12 @@
         if self._plan.overloads:
             overloads = run_series(world, SERIES_COUNT + 4, until, self._log_fault, OVERLOAD_FAULTS)
             series.append(overloads)
+        if self._plan.refuses_starts:
+            refusals = run_series(world, SERIES_COUNT + 5, until, self._log_fault, REFUSAL_FAULTS)
+            series.append(refusals)
+        if self._plan.signals:
+            for number, faults in enumerate(SIGNAL_SERIES, SERIES_COUNT + 6):
+                series.append(run_series(world, number, until, self._log_fault, faults))
         try:
             await asyncio.gather(*series)
         finally:
@@ -155,7 +175,7 @@
                 self._logged_violations += 1
                 self._log_fault(f"BROKEN {line}")
 
-    async def _check_recovery(self, world: World, callers: Callers) -> None:
+    async def _check_recovery(self, world: World, callers: Callers, watch: WaitingWatch) -> None:
         calm_from = time.monotonic()
         self._log_fault("calm begins")
         await world.clear_faults()
@@ -169,6 +189,8 @@
                 outcome.violations.append(f"UNSERVED {job.id} in calm times: {job.outcomes}")
         if self._plan.evacuates:
             outcome.violations += await check_evacuation(world, callers)
+        if self._plan.refuses_starts:
+            outcome.violations += await check_refusal(world, callers, watch)
         await world.configure(extra_routes=1)
         outcome.violations += await await_configuration(world, callers)
         standing = [
@@ -180,10 +202,11 @@
         outcome.violations += await settle(world, callers)
         observed = await world.observed()
         outcome.violations += judge(callers, observed, calm_from)
-        outcome.violations += world.violations + self._stats.violations
+        outcome.violations += world.violations + self._stats.violations + watch.violations
         outcome.violations += [
             f"ENDED {end}" for h in world.hosts.values() for end in h.unexpected_exits
         ]
+        outcome.counts = watch.checked
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
         outcome.crashing = sum(1 for job in callers.jobs if job.accepted_at and job.crash_after_s)
