Accept standing tasks that need the accelerators kept of each executor

A task that not even an empty executor could hold beside what is kept for short work counts as if that were room, or it would be refused for ever. The comparison had cores and memory only, but accelerators are kept, too, where short work uses them: a standing task that needs all accelerators of an executor was told to come back after 60 s, each time.

Change: accelerators are compared as well. Test: failed before (refused).

--- a/src/linkspan/host/standing_admission.py
+++ b/src/linkspan/host/standing_admission.py
@@ -166,5 +166,9 @@
     kept, demand = room.headroom, need.demand
     if not need.matches(room) or demand.milli_cpu + kept.milli_cpu > room.total_cpu:
         return False
-    memory_mb = room.kind.capacity.memory_mb if room.kind else demand.memory_mb + kept.memory_mb
-    return demand.memory_mb + kept.memory_mb <= memory_mb
+    if room.kind is None:
+        return True
+    capacity = room.kind.capacity
+    if demand.gpus + kept.gpus > capacity.gpus:
+        return False
+    return demand.memory_mb + kept.memory_mb <= capacity.memory_mb
--- a/tests/host/test_standing_admission.py
+++ b/tests/host/test_standing_admission.py
@@ -85,6 +85,16 @@
     assert _shortage(spec, _hall((7_800, 32_000, 2))) is not None
 
 
+def test_a_task_that_needs_the_accelerators_kept_of_each_executor_is_accepted() -> None:
+    """Guards against tasks with accelerators that would be refused for ever."""
+    spec = StepSpec(1, Demand(1_000, 100, 2), standing=True)
+    hall = _hall(EMPTY)
+    summary = hall.load.summary
+    assert summary
+    keeps_one = replace(summary, headroom=((0, 4_000, 16_000, 1),))
+    assert _shortage(spec, replace(hall, load=replace(hall.load, summary=keeps_one))) is None
+
+
 @pytest.mark.parametrize(
     ("demand", "free"),
     [
