Learn no duration from a run of which more than one start was sent

A duration counts from the planned start; a run of 0.5 s whose first start was lost for 4 s was learnt as 4.5 s, the longest of its step, and with it by the queue: admission, copies and urgency use it.

Change: which of several starts began the run isn't known, so its duration is left out, as that of a recovered run. The limit that speeds use (0.3 s between plan and answer) would leave out all runs while records are slow.

--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -113,9 +113,9 @@
         if task.done:
             return
         self._state.drain_rates.record_done(task, attempt, now)
-        if attempt and attempt.confirmed_at > 0 and not attempt.recovered:
-            # The start of a recovered run was not observed: the measured remainder would make
-            # similar runs look like stragglers.
+        if attempt and attempt.confirmed_at > 0 and attempt.sent_once:
+            # When a recovered run began was not observed, nor which of several starts began a run:
+            # the wrong duration would make similar runs look like stragglers, or long ones.
             duration_s = attempt.full_pace_s_at(now)
             task.step.durations.append(duration_s)
             self._state.speed_evidence.on_done(attempt, duration_s, now)
