Abort all connections of the tests' proxies at their end, also silent ones

Cause: a proxy forgot a connection as soon as one direction had ended, and left a silent direction's stream open; a slow link closed none. The garbage collector closed these streams after their event loop, inside whichever test ran then, and pytest formatted the error.

Change: proxies remember their streams, weakly where there are many, and abort those that are left.

--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from weakref import WeakSet
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
@@ -40,6 +41,7 @@
     def __init__(self, target: str) -> None:
         self._host, _, self._port = target.rpartition(":")
         self._open: set[_Connection] = set()
+        self._writers: WeakSet[asyncio.StreamWriter] = WeakSet()
         self._tasks: set[asyncio.Task[None]] = set()
         self.delay_s = 0.0
         self.cut: frozenset[str] = frozenset()
@@ -81,9 +83,13 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for writer in self._writers:
+            # Those of which one direction is silent are not among the open ones any more.
+            writer.transport.abort()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted += 1
+        self._writers.add(writer)
         try:
             server_reader, server_writer = await asyncio.open_connection(
                 self._host, int(self._port)
@@ -91,6 +97,7 @@
         except OSError:
             writer.transport.abort()
             return
+        self._writers.add(server_writer)
         connection = _Connection([writer, server_writer])
         self._open.add(connection)
         for direction, source, sink in (
--- a/tests/standins/slow_link.py
+++ b/tests/standins/slow_link.py
@@ -24,6 +24,7 @@
         self._bandwidth = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._resets_at: set[int] = set()
+        self._writers: list[asyncio.StreamWriter] = []
         self.passed = 0
 
     def reset_at(self, passed: int) -> None:
@@ -42,9 +43,13 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            for writer in self._writers:
+                writer.transport.abort()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
         other_reader, other_writer = await asyncio.open_connection(self._host, int(self._port))
+        self._writers.append(other_writer)
         for direction in (
             _forward(reader, other_writer),
             self._forward_slowly(other_reader, writer),
