--- a/tests/host/test_first_read.py
+++ b/tests/host/test_first_read.py
@@ -21,6 +21,7 @@
 from linkspan.jobs.record_codec import encode
 from linkspan.jobs.records import Finished, JobState, Submitted, Tombstone
 from linkspan.jobs.spec import JobSpec
+from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.standins.memory_store import MAX_PAGE_KEYS
@@ -82,7 +83,10 @@
     world.specs[spec.job_id] = spec
     world.store.put(JOBS, *encode(Submitted(spec, shard, 0.0, "life-x")))
     for _ in range(MAX_PAGE_KEYS):
-        world.store.put(JOBS, *encode(_finished(world.new_job(step(1)))))
+        finished = world.new_job(step(1))
+        world.specs[finished.job_id] = finished
+        world.done.add(TaskName(finished.job_id, 0, 0, 0))
+        world.store.put(JOBS, *encode(_finished(finished)))
     await asyncio.sleep(0.05)
     return spec
 
