Refuse deeply nested records without ending the host

Cause: the checks of decoded values put the text of the refused value into their error. repr of a value nested that deeply raises RecursionError, which no reader handles. JSON decoders follow up to 1,024 levels; the fuzzed inputs had 3,000 levels or two.

Change: excerpt() gives the text of a value for errors, two levels deep and 60 characters long, in all checks of decoded values.

--- a/src/linkspan/_fields.py
+++ b/src/linkspan/_fields.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from linkspan._typed import excerpt
 from linkspan.errors import InvalidInput
 
 
@@ -53,9 +54,7 @@
         InvalidInput: The value is not such a number.
     """
     if isinstance(value, bool) or not isinstance(value, int) or not minimum <= value <= maximum:
-        raise InvalidInput(
-            path, f"{value!r:.40}", f"give a whole number from {minimum} to {maximum}"
-        )
+        raise InvalidInput(path, excerpt(value), f"give a whole number from {minimum} to {maximum}")
     return value
 
 
--- a/src/linkspan/_typed.py
+++ b/src/linkspan/_typed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from reprlib import Repr
 from typing import Any
 
 MAX_EXACT_INT = 2**53
@@ -12,6 +13,25 @@
 """Largest finite number."""
 
 
+_MAX_EXCERPT_LENGTH = 60
+"""Limits the text of a value in an error message, in characters."""
+
+_excerpts = Repr()
+# ``repr`` of a value that is nested as deeply as JSON decoders follow exceeds the recursion limit.
+_excerpts.maxlevel = 2
+_excerpts.maxstring = _MAX_EXCERPT_LENGTH
+
+
+def excerpt(value: Any) -> str:
+    """Return a short text of a decoded value for an error message, however deeply it is nested.
+
+    Example:
+        >>> excerpt([[["deep"]], 7])
+        '[[[...]], 7]'
+    """
+    return _excerpts.repr(value)[:_MAX_EXCERPT_LENGTH]
+
+
 def parse_text(value: Any) -> str:
     """Return a value that must be a text.
 
@@ -20,7 +40,7 @@
         ValueError: The text cannot be encoded as UTF-8.
     """
     if not isinstance(value, str):
-        raise TypeError(f"{value!r:.60} is not a text")
+        raise TypeError(f"{excerpt(value)} is not a text")
     if not value.isascii():
         value.encode()
     return value
@@ -49,7 +69,7 @@
         ValueError: The number is out of bounds.
     """
     if value is not None and type(value) is not int:
-        raise TypeError(f"{value!r:.60} is not a start time in milliseconds")
+        raise TypeError(f"{excerpt(value)} is not a start time in milliseconds")
     return None if value is None else parse_int(value)
 
 
@@ -61,10 +81,10 @@
         ValueError: The number is out of bounds.
     """
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r:.60} is not a number")
+        raise TypeError(f"{excerpt(value)} is not a number")
     # The negated comparison also rejects NaN.
     if not minimum <= value <= maximum:
-        raise ValueError(f"{value!r:.60} is out of bounds")
+        raise ValueError(f"{excerpt(value)} is out of bounds")
     return value
 
 
@@ -79,7 +99,7 @@
     if value is None:
         return []
     if not isinstance(value, list | tuple):
-        raise TypeError(f"{value!r:.60} is not a list")
+        raise TypeError(f"{excerpt(value)} is not a list")
     return list(value)
 
 
@@ -92,5 +112,5 @@
     if value is None:
         return {}
     if not isinstance(value, dict):
-        raise TypeError(f"{value!r:.60} is not an object")
+        raise TypeError(f"{excerpt(value)} is not an object")
     return value
--- a/src/linkspan/gateway/job_request.py
+++ b/src/linkspan/gateway/job_request.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from linkspan._fields import as_number, as_text, check_known_fields, parse_json_object
+from linkspan._typed import excerpt
 from linkspan.config.document import parse_labels, parse_resources
 from linkspan.errors import InvalidInput, LinkspanError, SelectorSyntaxError
 from linkspan.model.job import JobSpec, Priority
@@ -74,7 +75,7 @@
 def _parse_bool(fields: Mapping[str, Any], key: str, default: bool) -> bool:
     value = fields.get(key, default)
     if not isinstance(value, bool):
-        raise InvalidInput(key, f"{value!r:.40}", "give true or false")
+        raise InvalidInput(key, excerpt(value), "give true or false")
     return value
 
 
@@ -82,5 +83,5 @@
     value = fields.get("priority", "batch")
     found = _PRIORITIES.get(value) if isinstance(value, str) else None
     if found is None:
-        raise InvalidInput("priority", f"{value!r:.40}", f"give one of {sorted(_PRIORITIES)}")
+        raise InvalidInput("priority", excerpt(value), f"give one of {sorted(_PRIORITIES)}")
     return found
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -11,7 +11,14 @@
 
 import orjson
 
-from linkspan._typed import parse_int, parse_list, parse_number, parse_object, parse_text
+from linkspan._typed import (
+    excerpt,
+    parse_int,
+    parse_list,
+    parse_number,
+    parse_object,
+    parse_text,
+)
 from linkspan.errors import RecordError
 from linkspan.jobs.crash import Crash
 from linkspan.jobs.failed_run import FailedRun
@@ -186,7 +193,7 @@
 
 def _parse_bool(value: Any) -> bool:
     if not isinstance(value, bool):
-        raise TypeError(f"{value!r:.60} is not a boolean")
+        raise TypeError(f"{excerpt(value)} is not a boolean")
     return value
 
 
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -6,11 +6,10 @@
 from itertools import chain, repeat
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import orjson
-
 from linkspan._typed import (
     MAX_EXACT_INT,
     MAX_FLOAT,
+    excerpt,
     parse_int,
     parse_list,
     parse_number,
@@ -208,7 +207,7 @@
                 else tuple(_headroom(parse_list(row)) for row in parse_list(headroom)),
             )
         except (ValueError, TypeError) as error:
-            raise RecordError(f"hall summary {orjson.dumps(fields)!r:.60}: {error!r}") from error
+            raise RecordError(f"hall summary {excerpt(fields)}: {error!r}") from error
 
 
 def _signed(value: Any) -> int:
--- a/tests/fuzz/builders.py
+++ b/tests/fuzz/builders.py
@@ -153,6 +153,10 @@
 DEPTH = 3_000
 """Levels of nesting, more than any decoder follows."""
 
+NESTED_LEVELS = (100, 300, 990, 1_010, 1_023)
+"""Levels of nesting that JSON decoders follow: up to 1,023. Encoders follow 254 levels, and
+``repr`` about as many as decoders."""
+
 _ODD: list[Any] = [
     None,
     True,
@@ -266,6 +270,15 @@
     )
 
 
+def with_nested_parts(sample: Any, levels: int) -> Iterator[bytes]:
+    """Yield encoded samples, in each of which one part is replaced by nested lists or objects."""
+    nested = b"[" * levels + b"]" * levels, b'{"a":' * levels + b"1" + b"}" * levels
+    for path in _places(sample):
+        text = json.dumps(_damaged(sample, path, "replace", "PART")).encode()
+        for part in nested:
+            yield text.replace(b'"PART"', part)
+
+
 _NAMES = {
     record_type.__name__: record_type
     for record_type in (
--- a/tests/host/test_entries_of_other_writers.py
+++ b/tests/host/test_entries_of_other_writers.py
@@ -12,12 +12,18 @@
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
 
+NESTED = b"[" * 1_000 + b"]" * 1_000
+"""As deep as JSON decoders follow, and deeper than ``repr`` does."""
+
 FOREIGN_ENTRIES = {
     "bytes": lambda _world, _executor: b"\xff\xfe\x00",
     "cut": lambda world, executor: entry(world, executor)[:40],
     "unknown state": lambda world, executor: entry(world, executor, state="retired"),
     "number as state": lambda world, executor: entry(world, executor, state=7),
     "unknown service": lambda world, executor: entry(world, executor, service="other"),
+    "nested": lambda world, executor: entry(world, executor, labels="PART").replace(
+        b'"PART"', NESTED
+    ),
     "no capacity": lambda world, executor: entry(world, executor, capacity=None),
 }
 """Values that another writer may put in place of an executor's entry."""
