Tell calls that were certainly not sent from unanswered ones

Cause: only an error of the connection itself counted as proof that nothing was sent. Everything else counted as a start that may arrive, which binds its task for 12 s, or as an append that the store may still carry out.

Change: a connector records for each call whether it got a connection. Without one no byte was sent, and the call fails with Unconnected or StoreRefused. Such starts are planned anew at once.

--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -17,6 +17,7 @@
 from linkspan.host.host import Adapter, Host
 from linkspan.host.listener import Listener
 from linkspan.metrics import HostMetrics
+from linkspan.platform._transmission import RecordingConnector
 from linkspan.platform.advice import AdviceClient
 from linkspan.platform.executors import ExecutorClient
 from linkspan.platform.jobs import JsonCallerFormat
@@ -81,7 +82,7 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        connector = aiohttp.TCPConnector(
+        connector = RecordingConnector(
             limit=0,
             limit_per_host=MAX_CONNECTIONS_PER_PEER,
             keepalive_timeout=KEEP_ALIVE_S,
--- a/src/linkspan/platform/executors.py
+++ b/src/linkspan/platform/executors.py
@@ -10,6 +10,7 @@
 
 from linkspan._typed import parse_int, parse_list, parse_number, parse_started_at_ms, parse_text
 from linkspan.errors import Fenced, Unconnected, Unreachable, WrongIncarnation
+from linkspan.platform._transmission import recorded_transmission
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import (
     EndedTask,
@@ -139,20 +140,16 @@
             "Linkspan-Target-Instance": Incarnation.of(executor_id).executor_id,
         }
         url = f"http://{address}/api/{name}"
-        try:
-            async with asyncio.timeout(self._timeout_s + wait_s):
-                data = orjson.dumps(body)
-                async with self._session.post(url, data=data, headers=headers) as response:
-                    status = response.status
-                    fields = orjson.loads(await response.read() or b"{}")
-        except aiohttp.ClientConnectorError as error:
-            raise Unconnected(
-                f"executor at {address}: {error!r}; the call will be retried"
-            ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise Unreachable(
-                f"executor at {address}: {error!r}; the call will be retried"
-            ) from error
+        with recorded_transmission() as transmission:
+            try:
+                async with asyncio.timeout(self._timeout_s + wait_s):
+                    data = orjson.dumps(body)
+                    async with self._session.post(url, data=data, headers=headers) as response:
+                        status = response.status
+                        fields = orjson.loads(await response.read() or b"{}")
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+                kind = Unconnected if transmission.failed_unsent(error) else Unreachable
+                raise kind(f"executor at {address}: {error!r}; the call will be retried") from error
         if status == 421:
             raise WrongIncarnation(
                 f"{executor_id} no longer runs at {address}; use its next incarnation"
--- a/src/linkspan/platform/store.py
+++ b/src/linkspan/platform/store.py
@@ -21,6 +21,7 @@
     StoreRefused,
     StoreUnanswered,
 )
+from linkspan.platform._transmission import recorded_transmission
 from linkspan.store.bounds import IDLE_TIMEOUT_S, MAX_READ_BYTES, MAX_RESPONSE_S
 from linkspan.store.types import Appended, Entry, KeyPage, Page, Partition
 
@@ -144,17 +145,19 @@
     async def _call(
         self, method: str, path: str, body: bytes | None = None, *, wait_s: float = 0.0
     ) -> tuple[int, bytes]:
-        try:
-            async with (
-                asyncio.timeout(self._max_response_s + wait_s),
-                asyncio.timeout(self._timeout_s + wait_s) as idle,
-                self._session.request(method, self._base + path, data=body) as response,
-            ):
-                return response.status, await self._read_body(response, idle)
-        except aiohttp.ClientConnectorError as error:
-            raise StoreRefused(0) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise StoreUnanswered(f"store: {error!r}; the call may still take effect") from error
+        with recorded_transmission() as transmission:
+            try:
+                async with (
+                    asyncio.timeout(self._max_response_s + wait_s),
+                    asyncio.timeout(self._timeout_s + wait_s) as idle,
+                    self._session.request(method, self._base + path, data=body) as response,
+                ):
+                    return response.status, await self._read_body(response, idle)
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                if transmission.failed_unsent(error):
+                    raise StoreRefused(0) from error
+                text = f"store: {error!r}; the call may still take effect"
+                raise StoreUnanswered(text) from error
 
     async def _read_body(self, response: aiohttp.ClientResponse, idle: asyncio.Timeout) -> bytes:
         loop = asyncio.get_running_loop()
