--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,8 @@
 
     python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --loses_halls]
     python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates] [--loses_halls]
-        [--overloads] [--refuses_starts] [--signals] [--hosts 200 --executors 60 --halls 3]
+        [--overloads] [--refuses_starts] [--signals] [--odd_entries]
+        [--hosts 200 --executors 60 --halls 3]
     python -m soak regressions --jobs 2
 
 Sizes that are not given depend on the seed. The exit code is 1 if there was a violation; the logs
@@ -57,7 +58,8 @@
         seconds: Time during which faults start.
         keep_logs: Folder in which logs are kept even without a violation.
         sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``,
-            ``evacuates``, ``loses_halls``, ``overloads``, ``refuses_starts``, ``signals``.
+            ``evacuates``, ``loses_halls``, ``overloads``, ``refuses_starts``, ``signals``,
+            ``odd_entries``.
     """
     plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
@@ -77,6 +79,7 @@
     overloads: bool = False,
     refuses_starts: bool = False,
     signals: bool = False,
+    odd_entries: bool = False,
     **sizes: float,
 ) -> None:
     """Play consecutive seeds, several at a time, each in a separate process.
@@ -92,6 +95,7 @@
         overloads: Whether bursts come and executors turn slow.
         refuses_starts: Whether executors refuse starts.
         signals: Whether signals and configurations come in series of their own.
+        odd_entries: Whether another writer overwrites the entries of executors.
         sizes: Sizes of all runs in place of those of the seeds: ``hosts``, ``executors``,
             ``halls``, ``jobs_per_s``.
     """
@@ -102,6 +106,7 @@
         "--overloads": overloads,
         "--refuses_starts": refuses_starts,
         "--signals": signals,
+        "--odd_entries": odd_entries,
     }
     arguments = [flag for flag, on in flags.items() if on]
     arguments += [f"--{name}={value}" for name, value in sizes.items()]
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -42,6 +42,7 @@
         refuses_starts: Whether executors refuse starts beside the faults.
         signals: Whether signals, restarts and configurations come in series of their own, and
             callers go on with connections that hosts are closing.
+        odd_entries: Whether another writer overwrites the entries of executors.
     """
 
     seed: int
@@ -55,6 +56,7 @@
     overloads: bool = False
     refuses_starts: bool = False
     signals: bool = False
+    odd_entries: bool = False
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
--- a/soak/executors.py
+++ b/soak/executors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 from collections import defaultdict
 from dataclasses import asdict, dataclass, field
@@ -26,6 +27,12 @@
 one more heartbeat."""
 
 
+NESTED_MARK = "nested"
+"""Value of an overwritten entry's field that stands for deeply nested lists."""
+
+_NESTED = "[" * 1_000 + "]" * 1_000
+
+
 class Registrations:
     """Replaces the store of the world; forwards its entries to the store's process in order."""
 
@@ -158,6 +165,22 @@
         if executor.alive:
             self._world.register(executor, draining=True)
 
+    def overwrite(self, command: dict[str, Any]) -> None:
+        """Put an entry with changed fields in the place of a running executor's."""
+        executor = self._world.executors[command["address"]]
+        if not executor.alive:
+            return
+        fields = {"born": executor.started_at_ms, **command["changes"]}
+        entry = json.dumps(self._world.entry_fields(executor.record, **fields))
+        entry = entry.replace(json.dumps(NESTED_MARK), _NESTED)
+        self._world.enter(executor.record.executor_id, entry.encode())
+
+    def register(self, command: dict[str, str]) -> None:
+        """Let a running executor write its own entry."""
+        executor = self._world.executors[command["address"]]
+        if executor.alive:
+            self._world.register(executor)
+
     def world(self, values: dict[str, Any]) -> None:
         """Set attributes of the world: ``failing_share``, ``late_share``, ..."""
         for name, value in values.items():
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
     settle,
     unexpected_errors,
 )
+from soak.odd_entries import ODD_ENTRY_FAULTS
 from soak.overloads import OVERLOAD_FAULTS
 from soak.persistent_callers import ConnectionStats, PersistentCaller
 from soak.refused_starts import REFUSAL_FAULTS, check_refusal
@@ -158,6 +159,10 @@
         if self._plan.signals:
             for number, faults in enumerate(SIGNAL_SERIES, SERIES_COUNT + 6):
                 series.append(run_series(world, number, until, self._log_fault, faults))
+        if self._plan.odd_entries:
+            number = SERIES_COUNT + 6 + len(SIGNAL_SERIES)
+            odd = run_series(world, number, until, self._log_fault, ODD_ENTRY_FAULTS)
+            series.append(odd)
         try:
             await asyncio.gather(*series)
         finally:
--- a/tests/soak/test_runs_with_flags.py
+++ b/tests/soak/test_runs_with_flags.py
@@ -10,9 +10,10 @@
 
 from tests.soak.test_runs import FAILED_RUNS_FOLDER
 
-SEEDS = {"--refuses_starts": [86110, 86111], "--signals": [86701]}
+SEEDS = {"--refuses_starts": [86110, 86111], "--signals": [86701], "--odd_entries": [89001]}
 """Seeds by flag. Executors answer 503 to starts in one run in calm times, and do not answer in the
-next one. The seed with series of signals never failed."""
+next one. The seed with series of signals never failed; with odd entries, hosts ended by
+themselves."""
 
 FAULTS_S = 8.0
 """Time during which faults start. With the checks after it a run takes a minute."""
@@ -30,8 +31,9 @@
 ) -> None:
     """Guards against jobs that count as begun although no executor started any of their tasks.
 
-    And against requests that are cut while stops, kills, reloads and changes overlap. The runs go
-    side by side, as most of their time is spent waiting.
+    And against requests that are cut while stops, kills, reloads and changes overlap, and against
+    hosts that end on an odd entry of an executor. The runs go side by side, as most of their time
+    is spent waiting.
     """
     reports = await asyncio.gather(*(_play(flag, tmp_path / flag.strip("-")) for flag in SEEDS))
     assert reports == [""] * len(SEEDS)
