Tell how long standing tasks are away beside room

A standing task counts as lost when it has been away for 6 s and there was room for two of it for the last 3 s.

linkspan_standing_wait_beside_room_seconds{hall} is the longest time for which there has been room for two tasks of a step, over all halls and without a break, from when one of them had been away for 3 s: 3 s there are the rule. Line 569 has the same as beside_room_s.

--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -102,6 +102,7 @@
 _GAUGES = {
     "linkspan_evacuated_halls": "Halls whose evacuation is in force",
     "linkspan_standing_wait_seconds": "Longest time without a run of a standing task",
+    "linkspan_standing_wait_beside_room_seconds": "Longest time beside room of such a task",
     "linkspan_standing_unlisted_seconds": "Longest time a standing run was in no report",
     "linkspan_largest_free_cores": "Most cores of one executor that no task reserves, whole ones",
     "linkspan_free_slots": "Tasks of so many cores each that fit beside all reservations",
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -14,6 +14,7 @@
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation._best_effort_capacity import BestEffortCapacity
 from linkspan.shard.planning._plan_view import PlanView
+from linkspan.shard.planning._waits_beside_room import WaitsBesideRoom
 from linkspan.shard.planning.task_need import TaskNeed
 
 if TYPE_CHECKING:
@@ -79,24 +80,41 @@
         super().__init__(context)
         self._summaries = summaries
         self._may_act = context.proof.may_act
+        self._beside_room = WaitsBesideRoom(context.core)
         self._lines: RepeatedLines[WaitingGroup] = RepeatedLines(REPEAT_INTERVAL_S)
 
     def report(self, now: float) -> None:
-        """Set the gauge and log the standing tasks that have waited for seconds."""
+        """Set the gauges and log the standing tasks that have waited for seconds."""
         groups = waiting_groups(self._core, now, may_act=self._may_act(now))
         waited_s = {group: now - tasks[0].waiting_since for group, tasks in groups.items()}
         longest_s = max(waited_s.values(), default=0.0)
         self._metrics.set_seconds("standing_wait", round(longest_s, 1), hall=self._hall)
+        summaries = self._summaries()
+        beside_room_s = self._beside_room.look(_reported_since(groups), summaries, now)
+        longest_s = max(beside_room_s.values(), default=0.0)
+        self._metrics.set_seconds("standing_wait_beside_room", round(longest_s, 1), hall=self._hall)
         view = PlanView(
             self._core, BestEffortCapacity(self._core.interference, now, time.time()), now
         )
         for group in self._lines.due(waited_s, now):
-            fields = waiting_fields(group, groups[group], view, self._summaries())
+            fields = waiting_fields(group, groups[group], view, summaries)
+            if group.step in beside_room_s:
+                fields["beside_room_s"] = round(beside_room_s[group.step], 1)
             self._core.log(Event.STANDING_WAITS, **fields)
 
     def clear(self) -> None:
-        """Set the gauge to nothing."""
+        """Set the gauges to nothing."""
         self._metrics.set_seconds("standing_wait", 0.0, hall=self._hall)
+        self._metrics.set_seconds("standing_wait_beside_room", 0.0, hall=self._hall)
+
+
+def _reported_since(groups: dict[WaitingGroup, list[Task]]) -> dict[StepRun, float]:
+    """Return since when the task of each step that has waited longest has been reported."""
+    since: dict[StepRun, float] = {}
+    for group, tasks in groups.items():
+        reported_since = tasks[0].waiting_since + MIN_REPORTED_WAIT_S
+        since[group.step] = min(since.get(group.step, reported_since), reported_since)
+    return since
 
 
 def waiting_groups(core: ShardCore, now: float, *, may_act: bool) -> dict[WaitingGroup, list[Task]]:
