--- a/tests/host/full_hall_day.py
+++ b/tests/host/full_hall_day.py
@@ -20,6 +20,8 @@
 from linkspan.model.configuration import Queue
 from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld
+from tests.host.disruptions import Disruptions
+from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
 from tests.job_builders import MAX_AWAY_S, step
 from tests.virtual_time import run_virtual, world_time
 
@@ -63,6 +65,7 @@
         standing_share: Shares of all cores at which standing tasks were at work, by second.
         refused: Number of standing jobs that were refused.
         never_begun: Number of accepted standing jobs of which nothing ever ran.
+        rule: Checks the users' rule for standing tasks.
     """
 
     seed: int
@@ -84,6 +87,7 @@
         self._cores = len(self.halls) * EXECUTORS_PER_HALL * EXECUTOR_CORES
         self._standing: list[str] = []
         self._away_since: dict[TaskName, float] = {}
+        self.rule = StandingRule(Disruptions())
 
     def useful_share(self, cores: int | None = None) -> float:
         """Return the share of the short jobs that were done while of use, of all or one size."""
@@ -102,6 +106,7 @@
         async with asyncio.TaskGroup() as group:
             short = group.create_task(self._short_jobs(group))
             others = [self._later_standing_jobs(), self._end_standing_jobs(), self._sample()]
+            others.append(self._judge_rule())
             background = [group.create_task(other) for other in others]
             await short
             for task in background:
@@ -182,6 +187,12 @@
             self.standing_share.append(held / 1_000 / self._cores)
             self._check_standing(running)
 
+    async def _judge_rule(self) -> None:
+        while True:
+            await asyncio.sleep(RULE_INTERVAL_S)
+            excused = self.world.accepted.difference(self._standing)
+            self.world.violations += self.rule.check(self.world, world_time(), excused)
+
     def _check_standing(self, running: set[TaskName]) -> None:
         """Record a violation for each accepted standing task that stays away beside room."""
         now = world_time()
--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -11,8 +11,10 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld
+from tests.host.disruptions import Disruptions
 from tests.host.overlapping_day import CALM_S, OverlappingDay
 from tests.host.standing_judge import StandingJudge
+from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
 from tests.job_builders import step
 
 STANDING_SHARE = 0.3
@@ -47,6 +49,10 @@
 class StandingDay(OverlappingDay):
     """A scenario in which every task of an accepted standing job must run, also if it never ran.
 
+    Attributes:
+        disruptions: Times of the injected faults.
+        rule: Checks the users' rule for standing tasks, at all times.
+
     Args:
         seed: Seed of all random choices.
         calm_s: Time after the traffic until the end, in seconds.
@@ -56,16 +62,19 @@
         super().__init__(seed, calm_s=calm_s)
         self._checks_from = float("inf")
         self._judge = StandingJudge(MAX_IDLE_S)
+        self.disruptions = Disruptions()
+        self.rule = StandingRule(self.disruptions)
 
     async def play(self) -> HallWorld:
         """Run the scenario and return its world, with the violations it found."""
-        monitor = asyncio.create_task(self._monitor())
+        monitors = [asyncio.create_task(self._monitor()), asyncio.create_task(self._judge_rule())]
         try:
             return await super().play()
         finally:
-            monitor.cancel()
-            with suppress(asyncio.CancelledError):
-                await monitor
+            for monitor in monitors:
+                monitor.cancel()
+                with suppress(asyncio.CancelledError):
+                    await monitor
 
     def _job(self) -> JobSpec:
         random = self.random
@@ -94,6 +103,10 @@
         super()._start_missing()
         self._crashes = asyncio.create_task(self._crash_executors())
 
+    async def _cause(self, name: str) -> None:
+        with self.disruptions.lasting():
+            await super()._cause(name)
+
     async def _crash_executors(self) -> None:
         await asyncio.sleep(SETTLE_S / 2)
         for _ in range(CRASH_COUNT):
@@ -115,6 +128,14 @@
             if now >= self._checks_from:
                 self._check_standing(now)
 
+    async def _judge_rule(self) -> None:
+        while True:
+            await asyncio.sleep(RULE_INTERVAL_S)
+            self._check_rule(asyncio.get_running_loop().time())
+
+    def _check_rule(self, now: float) -> None:
+        self.world.violations += self.rule.check(self.world, now, self._excused())
+
     def _check_standing(self, now: float) -> None:
         self.world.violations += self._judge.check(self.world, now, self._excused())
 
--- a/tests/host/standing_faults_day.py
+++ b/tests/host/standing_faults_day.py
@@ -85,12 +85,17 @@
 
     async def _inject(self, kind: str) -> None:
         """Inject one fault, and return after its end."""
-        await STANDING_FAULTS[kind](self)
+        with self.disruptions.lasting():
+            await STANDING_FAULTS[kind](self)
 
     def _check_standing(self, now: float) -> None:
         self._read_give_ups(now)
         super()._check_standing(now)
 
+    def _check_rule(self, now: float) -> None:
+        self._read_give_ups(now)
+        super()._check_rule(now)
+
     def _excused(self) -> Set[str]:
         return self._given_up
 
