Count what a job has waited before it moves to another hall

What callers saw: a standing task was away for more than 6 s beside room for two of it, with nothing disturbed. Three full halls, room for two in another hall than the task's: at work 4.3 to 6.25 s after the room was there.

Cause: a job that moves as a whole began its wait anew in the next hall, as only delegations carry what a task has waited. So a standing task waited for the headroom (3 s) in each hall: 3.0 s at home, 3.1 s beside a free piece in the second one (STANDING_WAITS said 3.1 s where 6.1 s had passed). It needs no race; the order of the direction with a rival is one case of it.

Change: each host keeps when it first read of a job that waits for its first start, by its own clock, and a job that has moved goes on waiting from then.

Cost: a time for each job that waits for its first start.

--- a/src/linkspan/jobs/job_registry.py
+++ b/src/linkspan/jobs/job_registry.py
@@ -8,6 +8,7 @@
 from linkspan.clock import steady
 from linkspan.errors import InvalidInput, RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
+from linkspan.jobs._first_reads import FirstReads
 from linkspan.jobs.catalog import JobCatalog, JobEntry
 from linkspan.jobs.record_codec import decode, encode, retry_key
 from linkspan.jobs.records import JobRecord, Submitted
@@ -52,6 +53,7 @@
         self._unread_submissions: dict[str, int] = {}
         self._disturbed_at = float("-inf")
         self.catalog = JobCatalog()
+        self._first_reads = FirstReads(self.catalog.get)
         self.follower = Follower(
             store,
             JOBS,
@@ -100,6 +102,15 @@
         """Whether a job was accepted, by any host as far as read or by this host just now."""
         return job_id in self._unread_submissions or self.catalog.get(job_id) is not None
 
+    def waited_s(self, job_id: str, now: float) -> float:
+        """Return for how long a job has waited for its first start, as far as this host knows.
+
+        Args:
+            job_id: The job.
+            now: Steady time.
+        """
+        return self._first_reads.waited_s(job_id, now)
+
     def note_accepted(self, job_id: str, offset: int) -> None:
         """Remember a job that this host wrote until its record is read back.
 
@@ -164,6 +175,7 @@
                 self._changed[job_id] = None
         stored = (job_id for job_id in job_of_key.values() if job_id)
         forgotten = self.catalog.retain(stored, before=end)
+        self._first_reads.forget_removed()
         self._log.write(
             Event.RECORDS_LISTED,
             partition=JOBS.topic,
@@ -193,10 +205,12 @@
             record = decode(entry.key, entry.value)
             if isinstance(record, Submitted):
                 check_job(record.spec)
-            return self.catalog.apply(entry.offset, record)
+            job_id = self.catalog.apply(entry.offset, record)
         except (RecordError, InvalidInput) as error:
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             return None
+        self._first_reads.on_record(job_id, steady())
+        return job_id
 
     def _notify(self, job_id: str) -> None:
         for listener in list(self._listeners):
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -98,6 +98,7 @@
                 },
                 returned=tuple(chain.from_iterable(entry.returned_delegations.values())),
                 completed=tuple(entry.completed),
+                waited_s=self._waited_s(job_id, entry, now),
             )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
@@ -105,6 +106,12 @@
             self._core.cancel_job(job_id)
         self._announce_done(job_id, entry)
 
+    def _waited_s(self, job_id: str, entry: JobEntry, now: float) -> float:
+        """Return for how long a job that has moved has waited, in seconds; 0 for any other."""
+        if entry.moved is None or entry.start_ordered:
+            return 0.0
+        return self._job_registry.waited_s(job_id, now)
+
     def _announce_done(self, job_id: str, entry: JobEntry) -> None:
         """Announce ends that a former owner found and may not have announced to other shards."""
         job = self._core.jobs.get(job_id)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -61,6 +61,7 @@
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
         completed: Iterable[TaskIndex] = (),
+        waited_s: float = 0.0,
     ) -> None:
         """Add an accepted job; see :meth:`ShardCore.add_job` for the arguments.
 
@@ -101,6 +102,8 @@
             if delegated_here is not None:
                 self._keep_delegated_tasks(run, delegated_here, submitted.shard, now)
             self._state.open_steps(run, now)
+            if waited_s and job.spec.schedule is None:
+                self._continue_waits(run, waited_s, now)
         self._delegations.complete_tasks(job_id, completed, now)
         if job.limit_version is None and job.max_attempts is not None and self._state.configuration:
             # The limit has no version. Any later configuration is newer than this limit, whichever
@@ -110,6 +113,18 @@
         if errors:
             raise RecordError("; ".join(errors))
 
+    def _continue_waits(self, run: JobRun, waited_s: float, now: float) -> None:
+        """Count what standing tasks have waited in another shard before their job moved here.
+
+        Each wait that has to end began anew with the move otherwise, such as that for the headroom.
+        """
+        for step in run.steps:
+            if not step.spec.standing or step.spec.depends_on:
+                continue
+            for task in step.tasks:
+                if task.pending:
+                    self._state.mark_arrived(task, waited_s, now)
+
     def _new_run_without_record(
         self, job: ShardJob, repetition: int, delegated: Mapping[int, Iterable[Delegation]]
     ) -> JobRun:
--- /dev/null
+++ b/tests/host/test_waits_beside_room.py
@@ -0,0 +1,31 @@
+"""Standing tasks that wait in full halls use room in another one in time, whatever their way there.
+
+A standing task counts as lost when it has been away for 6 s and had room for two of it for the last
+3 s, in whichever halls: the sum of all waits on its way has to stay below that.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.host.full_halls import NORTH, WEST, Change, Wait, wait_of_job
+
+
+def _assert_in_time(wait: Wait) -> None:
+    assert wait.world.problems == []
+    assert wait.broken_at_s is None, wait
+
+
+# Guards against a job that moves as a whole and waits for the headroom in each hall anew.
+@pytest.mark.parametrize("freed_s", [1.0, 2.0, 2.6, 2.9, 4.0])
+def test_a_job_that_moves_to_room_beside_the_headroom_uses_it_in_time(freed_s: float) -> None:
+    _assert_in_time(wait_of_job(Change(freed_s, NORTH, 2)))
+
+
+# Guards against the same where two jobs move to room for one, and other room comes free then.
+@pytest.mark.parametrize("freed_s", [3.15, 3.6, 4.2])
+@pytest.mark.parametrize("taken_s", [2.9, 3.02, 3.1])
+def test_a_job_whose_room_is_taken_uses_other_room_in_time(taken_s: float, freed_s: float) -> None:
+    room_in_west = Change(1.0, WEST, 2)
+    taken = Change(taken_s, WEST, -2)
+    _assert_in_time(wait_of_job(room_in_west, taken, Change(freed_s, NORTH, 2)))
