Give the command line's commands a package, one module for each kind

For a reader, cli.py was five things in one file: the start of daemons, the commands of operators, those about jobs, an HTTP client, and the printing of tables. Only the commands for log files had a module of their own, beside it.

tests/test_layers.py: the package takes the row of the module that moved into it, so the same imports are forbidden as before. tests/test_trace.py imports LogCommands from its new place.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,7 +23,7 @@
     ("events", "settings", "trace", "selectors", "services", "store", "_fields", "_registry"),
     ("jobs", "config", "ledger", "report"),
     ("shard", "peer", "placement", "routing"),
-    ("host", "platform", "runtime", "_log_commands"),
+    ("host", "platform", "runtime", "commands"),
     ("host.daemon", "scheduler"),
     ("host._run", "gateway"),
     ("host.__main__", "cli"),
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from linkspan._log_commands import LogCommands
+from linkspan.commands.log_commands import LogCommands
 from linkspan.trace import repeated_starts, summary, trace
 
 
