Don't send a task back to a hall by a summary from before its return

What callers saw: nothing yet. A task that a hall had returned for want of room went back to the same hall 0.3 s later, by the summary that it had been sent there by, and was returned once more: two records and 0.6 s each time.

Cause: a hall that returned a task came after all others, but was still chosen where no other had room, whatever the age of its summary.

Change: for the task's last return, a hall counts only by a summary that was first seen after the task came back, or is still the same 3 s later.

Evidence: the new test in tests/shard/test_rebalance.py fails before.

--- a/src/linkspan/shard/handover/_delegation_halls.py
+++ b/src/linkspan/shard/handover/_delegation_halls.py
@@ -120,7 +120,7 @@
         for shard in _by_preference(tasks[0], slots):
             count = slots[shard].certain or slots[shard].possible
             count = min(count, _remaining_delegations(step, shard))
-            if count < least:
+            if count < least or _has_just_returned(tasks[0], shard, halls.rooms[shard]):
                 continue
             chosen = tasks[: max(least, min(count, MAX_TASKS_PER_HANDOVER))]
             room = halls.rooms[shard]
@@ -182,6 +182,17 @@
 """Slots of a hall that can't run a step."""
 
 
+def _has_just_returned(task: Task, shard: int, room: HallRoom) -> bool:
+    """Return whether a hall's last summary may be older than its return of a task.
+
+    Such a summary tells of the room that the hall could not give the task.
+    """
+    last_returned = task.returned_by.get(shard, 0)
+    if not last_returned or last_returned < task.delegation_number:
+        return False
+    return room.read_at <= task.ready_since
+
+
 def _remaining_delegations(step: StepRun, shard: int) -> int:
     """Return how many more tasks of a step's job may be delegated to a hall now."""
     there = sum(task.managed_by == shard and not task.done for task in step.run.tasks())
--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -54,6 +54,11 @@
     def __repr__(self) -> str:
         return f"HallRoom({self._free_cpu} of {self._summary.capacity} free)"
 
+    @property
+    def read_at(self) -> float:
+        """Steady time at which the summary was first seen, or was seen to stay the same."""
+        return self._read_at
+
     @property
     def free_cpu(self) -> int:
         """Thousandths of a core that are not reserved."""
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -75,6 +75,20 @@
     assert handover.tasks == ((0, 3),)
 
 
+def test_a_returned_task_does_not_go_back_by_a_summary_from_before_its_return() -> None:
+    """Guards against a task that goes to and fro while its home reads of the full hall late."""
+    core = core_with(step(1, standing=True, cpu=9_000))
+    summaries = {1: EMPTY}
+    rebalancer = Rebalancer(core, summaries=lambda: summaries, count_capable=lambda *_: 2)
+    assert plan(core, 0.1) == []
+    rebalancer.plan(FULL, 0.2)
+    core.hand_over_tasks(JOB, 1, [(0, 0)])
+    core.reclaim_tasks(JOB, [Delegation(0, 0, 1, waited_s=1.0)], 1.0)
+    assert rebalancer.plan(FULL, 1.0 + HANDOVER_WAIT_S) == []
+    summaries[1] = replace(EMPTY, free=39_000)
+    assert [h.tasks for h in rebalancer.plan(FULL, 1.1 + HANDOVER_WAIT_S)] == [((0, 0),)]
+
+
 def test_a_task_that_may_be_given_up_is_not_delegated() -> None:
     """Guards against one more executor crashed by a task that is about to be given up.
 
