Let the waits of standing tasks survive a change of owner

Cause: since when a task waits was known to its owner only. Each next owner counted from its takeover, and with it the waits before a handover, before a return, before work elsewhere is stopped and before an unanswered start is abandoned. In a hall that a task was delegated to, the next owner counted the wait at home, but not that in the hall.

Why the fix works: acceptance is on record, so a task without any start waits from then. The row of a standing task that waits after a start has one more field, the time of day since when, in tenths of a second. Times derived from the time of day are neither in the future nor over an hour ago; leases and times until which a start may arrive do not use them.

A hall that gets a standing task marks its record, which the start writes anyway.

--- a/src/linkspan/clock.py
+++ b/src/linkspan/clock.py
@@ -17,3 +17,11 @@
 def steady() -> float:
     """Return the steady time in seconds since an arbitrary start that all local processes share."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall_offset_s() -> float:
+    """Return the time of day, in seconds since 1970, minus the steady time.
+
+    It changes when the time of day is set.
+    """
+    return time.time() - steady()
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -221,6 +221,7 @@
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
         completed: Iterable[TaskIndex] = (),
+        wall_offset_s: float = 0.0,
     ) -> None:
         """Add an accepted job.
 
@@ -239,6 +240,7 @@
             returned: Delegations of the job's tasks that other shards have returned. Without a
                 readable record, later ones are numbered above them.
             completed: Tasks that are done by the records of other shards.
+            wall_offset_s: Time of day minus steady time at this host, in seconds.
 
         Raises:
             RecordError: A progress record does not match the job. The job is added without it.
@@ -255,6 +257,7 @@
             delegated_elsewhere=delegated_elsewhere,
             returned=returned,
             completed=completed,
+            wall_offset_s=wall_offset_s,
         )
 
     def release_due(self, wall: float, now: float) -> None:
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -59,6 +59,9 @@
         task.set_failed(task.failed.merged_with(_failures_of(delegation)))
         self._crashes.take_over_history(task, delegation, now)
         self._state.mark_arrived(task, delegation.waited_s, now)
+        if task.step.spec.standing:
+            # The record tells the next owner since when the task has been waiting.
+            self._state.mark_dirty(task.step.run, urgent=False)
         self._state.fail_if_exhausted(task)
 
     def hand_over_tasks(
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from linkspan.clock import steady
+from linkspan.clock import steady, wall_offset_s
 from linkspan.events import Event
 from linkspan.jobs.records import Delegated, Moved, Returned
 from linkspan.shard.handover._delegations import last_delegation_of
@@ -99,7 +99,8 @@
             job.handing_over = False
             return
         run = handed_over[0].step.run
-        await self._writer.write([Record(encode_run(run), progress_key(run))])
+        progress = encode_run(run, wall_offset_s())
+        await self._writer.write([Record(progress, progress_key(run))])
         if job.delegated_here:
             await self._job_registry.write([self._returned(job_id, handed_over)])
         elif delegations := self._core.delegations(job_id, steady()).get(shard):
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -5,7 +5,7 @@
 from itertools import chain, islice
 from typing import TYPE_CHECKING, Any
 
-from linkspan.clock import steady
+from linkspan.clock import steady, wall_offset_s
 from linkspan.errors import RecordError
 from linkspan.events import Event
 
@@ -98,6 +98,7 @@
                 },
                 returned=tuple(chain.from_iterable(entry.returned_delegations.values())),
                 completed=tuple(entry.completed),
+                wall_offset_s=wall_offset_s(),
             )
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -13,6 +13,7 @@
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._expected_durations import update_expected_durations
+from linkspan.shard.recovery._recorded_wait import wait_since_acceptance
 from linkspan.shard.recovery.progress import RunKey, progress_key, restore_run
 from linkspan.shard.shard_job import ShardJob
 from linkspan.shard.task import index_of
@@ -61,6 +62,7 @@
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
         completed: Iterable[TaskIndex] = (),
+        wall_offset_s: float = 0.0,
     ) -> None:
         """Add an accepted job; see :meth:`ShardCore.add_job` for the arguments.
 
@@ -85,9 +87,11 @@
         for repetition in range(job.spec.repetitions):
             run = job.runs[repetition] = new_run(job, repetition)
             run.released = job.spec.schedule is None
+            if delegated_here is None and (inherited or moved):
+                wait_since_acceptance(run, now, wall_offset_s, arrives=not inherited)
             if progress and repetition in progress:
                 try:
-                    self._restore(run, progress[repetition], now)
+                    self._restore(run, progress[repetition], now, wall_offset_s)
                 except RecordError as error:
                     errors.append(str(error))
                     run = job.runs[repetition] = self._new_run_without_record(
@@ -132,8 +136,8 @@
         self._state.mark_dirty(run)
         return run
 
-    def _restore(self, run: JobRun, value: bytes, now: float) -> None:
-        restore_run(run, value, now)
+    def _restore(self, run: JobRun, value: bytes, now: float, wall_offset_s: float) -> None:
+        restore_run(run, value, now, wall_offset_s)
         self._state.mark_start_ordered(run.job)
         if any(_has_begun(task) for task in run.tasks()):
             self._state.mark_begun(run.job)
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from linkspan.clock import steady
+from linkspan.clock import steady, wall_offset_s
 from linkspan.events import Event
 from linkspan.jobs.records import Begun, Finished, StartOrdered, Tombstone
 from linkspan.shard.attempt import NEVER
@@ -131,7 +131,8 @@
         # Tombstones come first: a job that moved away may have returned with delegated tasks since,
         # and its new record must follow them.
         records = [Record(b"", key) for key in dropped]
-        records += [Record(encode_run(run), progress_key(run)) for run in runs]
+        offset_s = wall_offset_s()
+        records += [Record(encode_run(run, offset_s), progress_key(run)) for run in runs]
         roster, withheld_count = frozenset(core.executors), core.withheld_count
         if self._changes.roster_changed():
             roster_value = encode_roster(e.roster_record for e in core.executors.values())
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -10,54 +10,61 @@
 
 from linkspan._typed import MAX_EXACT_INT, parse_int, parse_list, parse_started_at_ms, parse_text
 from linkspan.jobs.crash import Crash
-from linkspan.shard.attempt import Attempt, Phase
+from linkspan.shard.attempt import NEVER, Attempt, Phase
 from linkspan.shard.crash_changes import CrashChanges
 from linkspan.shard.crash_history import CrashHistory
 from linkspan.shard.failures import FailedRun, Failures
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
+from linkspan.shard.recovery._recorded_wait import restore_wait, wait_fields
 
 if TYPE_CHECKING:
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [], [])
+EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [], [], [])
 """Empty values of the optional fields in the row of a started task."""
 
 EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [], [], [], 0, [], "", 0)
 """Empty values of the optional fields in the row of a task that another shard manages."""
 
 
-def step_rows(step: StepRun) -> list[Any]:
+def step_rows(step: StepRun, wall_offset_s: float) -> list[Any]:
     """Return the rows of a step's tasks, one row per task.
 
     Members of a gang share the run numbers. Earlier versions add up the failure counts of all
     members, so a failed run that several members list is counted only at the first of them.
+
+    Args:
+        step: The step.
+        wall_offset_s: Time of day minus steady time, in seconds.
     """
     if not step.spec.gang:
-        return [_task_row(task, task.failures) for task in step.tasks]
+        return [_task_row(task, task.failures, wall_offset_s) for task in step.tasks]
     counted: set[int] = set()
     listed = []
     for task in step.tasks:
         runs = {failed.run for failed in task.failed.identified_runs}
-        listed.append(_task_row(task, len(runs - counted) + task.failed.unidentified))
+        failures = len(runs - counted) + task.failed.unidentified
+        listed.append(_task_row(task, failures, wall_offset_s))
         counted |= runs
     return listed
 
 
-def _task_row(task: Task, failures: int) -> Any:
+def _task_row(task: Task, failures: int, wall_offset_s: float) -> Any:
     """Return the row of a task.
 
     Args:
         task: The task.
         failures: How many of its failed runs are counted in this row.
+        wall_offset_s: Time of day minus steady time, in seconds.
     """
     if task.done:
         return 1
     if task.managed_by is not None:
         return 0 if _is_untouched(task) else _delegated_row(task, failures)
     attempts = [[a.run, *_attempt_fields(a)] for a in task.attempts]
-    if not attempts and task.next_run == 1 and not task.failures and not task.delegation_number:
+    if not attempts and _is_new(task):
         return 0
     first = [task.next_run, failures, task.checkpoint, attempts, task.delegation_number]
     failed = _failed_fields(task)
@@ -72,10 +79,22 @@
         saved_by,
         _limit_fields(task),
         _expired(task),
+        wait_fields(task, wall_offset_s),
     )
     return [*first, *_without_empty_tail(EMPTY_FIELDS, *more)]
 
 
+def _is_new(task: Task) -> bool:
+    """Whether a task of this shard without attempts never had one.
+
+    The next owner knows since when it waits, unless its step opened after others were done.
+    """
+    if task.next_run > 1 or task.failures or task.delegation_number:
+        return False
+    opened_later = task.step.spec.standing and task.step.spec.depends_on
+    return not opened_later or task.waiting_since == NEVER
+
+
 def _is_untouched(task: Task) -> bool:
     """Whether a task belongs to another shard, which has never delegated it to this one.
 
@@ -161,9 +180,15 @@
     )
 
 
-def restore_task(task: Task, row: Any, now: float) -> None:
+def restore_task(task: Task, row: Any, now: float, wall_offset_s: float) -> None:
     """Restore a new task from its row.
 
+    Args:
+        task: The task.
+        row: The row.
+        now: Steady time.
+        wall_offset_s: Time of day minus steady time at this host, in seconds.
+
     Raises:
         TypeError, ValueError, IndexError: The row is not a valid task row.
     """
@@ -177,7 +202,7 @@
         _restore_delegated(task, row, now)
         return
     next_run, failures, checkpoint, attempts, delegation, *more = row
-    crashes, score, failed, identified, deferred, saved_by, limit, expired = _padded(
+    crashes, score, failed, identified, deferred, saved_by, limit, expired, wait = _padded(
         EMPTY_FIELDS, more
     )
     if limit:
@@ -196,6 +221,7 @@
         _restore_attempt(task, parse_list(fields), now) for fields in parse_list(attempts)
     ]
     _restore_expired(task, expired, now)
+    restore_wait(task, wait, now, wall_offset_s)
     # Runs that may still be running had not failed when the record was written.
     below = min([task.next_run, *(attempt.run for attempt in task.attempts)])
     task.set_failed(_restore_failures(parse_int(failures), parse_list(failed), below))
@@ -218,6 +244,9 @@
     task.set_failed(_restore_failures(parse_int(failures), parse_list(failed), task.next_run))
     task.checkpoint, task.saved_by = parse_text(checkpoint), parse_int(saved_by)
     task.crash_history = _restore_crash_history(*crashes)
+    if task.next_run > 1:
+        # It ran here before, and may run in the other shard.
+        restore_wait(task, [], now, 0.0)
     if retracted or found:
         task.crash_changes = CrashChanges(_incarnation_names(found), _incarnation_names(retracted))
 
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -55,9 +55,14 @@
     return RunKey(job_id, int(repetition))
 
 
-def encode_run(run: JobRun) -> bytes:
-    """Return a repetition's progress record; an untouched task takes two bytes."""
-    return orjson.dumps([step_rows(step) for step in run.steps])
+def encode_run(run: JobRun, wall_offset_s: float = 0.0) -> bytes:
+    """Return a repetition's progress record; an untouched task takes two bytes.
+
+    Args:
+        run: The repetition.
+        wall_offset_s: Time of day minus steady time, in seconds.
+    """
+    return orjson.dumps([step_rows(step, wall_offset_s) for step in run.steps])
 
 
 def encode_moved(shard: int) -> bytes:
@@ -79,18 +84,24 @@
         raise RecordError(f"invalid progress record {value!r:.60}: {error!r}") from error
 
 
-def restore_run(run: JobRun, value: bytes, now: float) -> None:
+def restore_run(run: JobRun, value: bytes, now: float, wall_offset_s: float = 0.0) -> None:
     """Restore a new repetition from its progress record.
 
     Attempts are restored as inherited: only their executor knows their state.
 
+    Args:
+        run: The repetition.
+        value: The record.
+        now: Steady time.
+        wall_offset_s: Time of day minus steady time at this host, in seconds.
+
     Raises:
         RecordError: The bytes are not a progress record of this job.
     """
     try:
         for step, listed in zip(run.steps, parse_list(orjson.loads(value)), strict=True):
             for task, row in zip(step.tasks, parse_list(listed), strict=True):
-                restore_task(task, row, now)
+                restore_task(task, row, now, wall_offset_s)
             step.remaining_tasks = sum(not task.done for task in step.tasks)
     except (ValueError, TypeError, IndexError) as error:
         raise RecordError(f"invalid progress of job {run.job.job_id}: {error!r}") from error
