Tell standing tasks that never ran from restarts

Cause: a run number above 1 was taken for a run. A refused start raises it by one, a takeover that of each task by INHERITED_RUN_GAP.

Why the fix works: a task holds that it never ran, from a first start that is certain not to be carried out, or from a takeover that finds no start of it on record, until an answer, a report or an end shows a run. It is on record with the task's wait and in delegations, as appended fields. Whose turn it is, the headroom and the counts of starts ask that; nothing that keeps a task from running twice does.

Two tests change. test_starts_are_counted_once_each closed a start that was certain not to be carried out and expected a restart after it, which is what [refused] contradicts: it confirms the start first now, and a second test has the former case with the opposite result. The row with "a later field" of test_a_delegation_of_an_earlier_version_is_read has the new field before it; the row without both is kept as a case of its own.

--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -256,7 +256,7 @@
     return Completed(job_id, part, tasks)
 
 
-EMPTY_DELEGATION_FIELDS: tuple[Any, ...] = (0, 0, [], 0, 0, 0, 1, "", 0, [], 0)
+EMPTY_DELEGATION_FIELDS: tuple[Any, ...] = (0, 0, [], 0, 0, 0, 1, "", 0, [], 0, 0)
 """Empty values of the optional fields in the row of a delegation."""
 
 
@@ -272,7 +272,7 @@
     step, index, number, *more = row
     fields = [*more, *EMPTY_DELEGATION_FIELDS[len(more) :]]
     crash_count, crash_score, listed, deferred, waited_s, *fields = fields
-    repetition, next_run, checkpoint, saved_by, failed, more_failures, *_ = fields
+    repetition, next_run, checkpoint, saved_by, failed, more_failures, never_ran, *_ = fields
     identified = tuple(
         Crash(parse_text(incarnation), parse_int(run), parse_int(score)).with_certainty(
             parse_int(certainty)
@@ -297,6 +297,7 @@
             for run, incarnation, *_ in map(parse_list, parse_list(failed))
         ),
         parse_int(more_failures),
+        parse_int(never_ran) > 0,
     )
 
 
@@ -317,6 +318,7 @@
         delegation.saved_by,
         [list(failed) for failed in delegation.failed_runs],
         delegation.more_failures,
+        int(delegation.never_ran),
     ]
     while more and more[-1] == EMPTY_DELEGATION_FIELDS[len(more) - 1]:
         more.pop()
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -104,6 +104,7 @@
         saved_by: Number of the run that saved the checkpoint.
         failed_runs: Failed runs of the task whose identity is known.
         more_failures: Number of further failed runs.
+        never_ran: Whether no run had a number below that of the next one, as far as is known.
     """
 
     step: int
@@ -120,6 +121,7 @@
     saved_by: int = field(default=0, compare=False)
     failed_runs: tuple[FailedRun, ...] = field(default=(), compare=False)
     more_failures: int = field(default=0, compare=False)
+    never_ran: bool = field(default=False, compare=False)
 
     @property
     def task_index(self) -> TaskIndex:
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -230,6 +230,10 @@
         """Remove an attempt that is certain not to run, now or later."""
         self.detach(attempt)
         task = attempt.task
+        if attempt.may_have_run:
+            task.never_ran = False
+        elif attempt.run == 1 and attempt.confirmed_at == NEVER:
+            task.never_ran = True
         if task.pending:
             if attempt.may_have_run:
                 task.waiting_since = NEVER
--- a/src/linkspan/shard/attempt.py
+++ b/src/linkspan/shard/attempt.py
@@ -168,6 +168,7 @@
         self.phase = Phase.RUNNING
         self.confirmed_at = now
         self.task.waiting_since = NEVER
+        self.task.never_ran = False
 
     def full_pace_s_at(self, now: float) -> float:
         """Return the work done up to a steady time, as seconds at full speed."""
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -55,6 +55,7 @@
         task.managed_by = None
         task.delegation_number = delegation.number
         task.next_run = max(task.next_run, delegation.next_run)
+        task.never_ran = delegation.never_ran
         task.save(delegation.saved_by, delegation.checkpoint)
         task.set_failed(task.failed.merged_with(_failures_of(delegation)))
         self._crashes.take_over_history(task, delegation, now)
@@ -174,6 +175,7 @@
         waited_s=0.0 if task.waiting_since == NEVER else max(now - task.waiting_since, 0.0),
         repetition=task.name.repetition,
         next_run=task.next_run,
+        never_ran=task.never_ran,
         checkpoint=task.checkpoint,
         saved_by=task.saved_by,
         failed_runs=tuple(sorted(task.failed.identified_runs)),
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -101,7 +101,7 @@
                         _number_above(run, returned)
             elif inherited:
                 for task in run.tasks():
-                    task.next_run = INHERITED_RUN_GAP
+                    task.next_run, task.never_ran = INHERITED_RUN_GAP, True
             if delegated_here is not None:
                 self._keep_delegated_tasks(run, delegated_here, submitted.shard, now)
             self._state.open_steps(run, now)
@@ -142,6 +142,7 @@
         if any(_has_begun(task) for task in run.tasks()):
             self._state.mark_begun(run.job)
         for task in run.tasks():
+            task.never_ran = task.never_ran or task.next_run == 1
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
             for attempt in list(task.attempts):
--- a/src/linkspan/shard/planning/start_counts.py
+++ b/src/linkspan/shard/planning/start_counts.py
@@ -33,7 +33,7 @@
 
     Attributes:
         kind: Kind of the tasks.
-        again: Whether they are standing tasks that have run before.
+        again: Whether they are standing tasks that may have run before.
         milli_cpu: Upper bound of the thousandths of a core that one of them takes.
     """
 
@@ -45,7 +45,7 @@
     def of(cls, task: Task) -> StartClass:
         """Return the class of a task's next start."""
         spec = task.step.spec
-        again = spec.standing and task.next_run > 1
+        again = spec.standing and task.may_have_run
         return cls(WorkKind.of(spec), again, size_class(spec.demand.milli_cpu))
 
 
--- a/src/linkspan/shard/planning/urgency.py
+++ b/src/linkspan/shard/planning/urgency.py
@@ -100,7 +100,7 @@
         slack = job.objective_s - age - remaining_s
         timeliness = _timeliness(step, age + remaining_s, slack)
         if step.spec.standing:
-            restarts = (t.waiting_since for t in step.tasks if t.pending and t.next_run > 1)
+            restarts = (t.waiting_since for t in step.tasks if t.pending and t.may_have_run)
             longest_since = min(restarts, default=None)
             if longest_since is not None:
                 return Urgency(False, job.priority, timeliness, Turn.FINITE, True, longest_since)
--- a/src/linkspan/shard/recovery/_recorded_wait.py
+++ b/src/linkspan/shard/recovery/_recorded_wait.py
@@ -34,13 +34,15 @@
         wall_offset_s: Time of day minus steady time, in seconds.
 
     Returns:
-        The time of day since when it waits and, if it came from another shard since, how much later
-        that was, both in tenths of a second.
+        The time of day since when it waits, how much later it came from another shard, both in
+        tenths of a second, and 1 if it never ran. Empty ones at the end are omitted.
     """
     if not task.step.spec.standing or task.waiting_since == NEVER:
         return []
     since = max(round((task.waiting_since + wall_offset_s) * UNITS_PER_S), 0)
     arrived_after = round((task.ready_since - task.waiting_since) * UNITS_PER_S)
+    if task.never_ran:
+        return [since, max(arrived_after, 0), 1]
     return [since, arrived_after] if arrived_after > 0 else [since]
 
 
@@ -60,7 +62,8 @@
     values = [parse_int(value) for value in parse_list(fields)]
     if values:
         # Later versions may append fields.
-        since, arrived_after, *_ = [*values, 0]
+        since, arrived_after, never_ran, *_ = [*values, 0, 0]
+        task.never_ran = never_ran > 0
         task.waiting_since = _steady_time(since / UNITS_PER_S, now, wall_offset_s)
         task.ready_since = min(task.waiting_since + arrived_after / UNITS_PER_S, now)
 
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -88,6 +88,7 @@
     def _apply_end(self, executor: ExecutorState, task: Task, end: EndedTask, now: float) -> None:
         attempt = executor.attempts.get((end.task, end.run))
         task.next_run = max(task.next_run, end.run + 1)
+        task.never_ran = False
         if attempt:
             self._state.detach(attempt)
             self._state.standing_ends.observe(task.step, now)
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -166,6 +166,7 @@
         task.next_run = max(task.next_run, row.run + 1)
         if self._is_wanted(task, row.run):
             task.waiting_since = NEVER
+            task.never_ran = False
             for inherited in list(task.attempts):
                 self._state.detach(inherited)
             self._state.attach(executor, attempt)
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -27,6 +27,8 @@
         done: Whether a run of it succeeded; final.
         failed: Its failed runs; none are kept for standing tasks, which have no limit.
         next_run: Number of its next run.
+        never_ran: Whether no run had any of the lower numbers, as far as its owners know: starts
+            were refused or certainly not carried out, or a new owner skipped the numbers.
         managed_by: Shard that manages it instead of this one, ``None`` if this shard does.
         delegation_number: Number of its last delegation, 0 before the first.
         returned_by: Number of the last delegation that each shard has returned, by shard.
@@ -53,6 +55,7 @@
     done: bool = False
     failed: Failures = NO_FAILURES
     next_run: int = 1
+    never_ran: bool = False
     managed_by: int | None = None
     delegation_number: int = 0
     returned_by: dict[int, int] = field(default_factory=dict)
@@ -142,10 +145,18 @@
             return 1.0 - self.attempts[0].progress / FULL_PROGRESS
         return 1.0 - max((a.progress for a in self.attempts), default=0) / FULL_PROGRESS
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a run of it may have begun, in whichever hall.
+
+        That decides whose turn it is, and nothing on which it depends that a task runs only once.
+        """
+        return self.next_run > 1 and not self.never_ran
+
     @property
     def has_run_before(self) -> bool:
-        """Whether it may have run before, here or in another shard."""
-        return self.next_run > 1 or self.delegation_number > 0
+        """Whether it may have run before, or was delegated: it has lost time already."""
+        return self.may_have_run or self.delegation_number > 0
 
 
 def index_of(task: Task) -> TaskIndex:
--- a/tests/shard/test_crashes_of_delegated_tasks.py
+++ b/tests/shard/test_crashes_of_delegated_tasks.py
@@ -341,7 +341,8 @@
         ([0, 0, 3, 2, 4, crashes], 2),
         ([0, 0, 3, 2, 4, crashes, 1], 2),
         ([0, 0, 3, 2, 4, crashes, 1, 2.5], 2),
-        ([0, 0, 3, 2, 4, crashes, 1, 2.5, 0, 2, "c", 1, [[1, "e2"]], 0, "a later field"], 2),
+        ([0, 0, 3, 2, 4, crashes, 1, 2.5, 0, 2, "c", 1, [[1, "e2"]], 0], 2),
+        ([0, 0, 3, 2, 4, crashes, 1, 2.5, 0, 2, "c", 1, [[1, "e2"]], 0, 1, "a later field"], 2),
     ):
         for kind in ("l", "r"):
             read = decode(f"{kind}:{JOB}:1".encode(), json.dumps([rows]).encode())
--- a/tests/shard/test_passed_over.py
+++ b/tests/shard/test_passed_over.py
@@ -50,13 +50,26 @@
 
 def test_starts_are_counted_once_each() -> None:
     """Guards against a restart of a standing task that counts as the start of a new one."""
+    assert _next_starts(ran=True) == [("standing", True, 1)]
+
+
+def test_a_start_that_follows_a_refused_one_is_no_restart() -> None:
+    """Guards against a standing task that never ran and counts as one that starts again."""
+    assert _next_starts(ran=False) == [("standing", False, 1)]
+
+
+def _next_starts(*, ran: bool) -> list[tuple[str, bool, int]]:
+    """Return the starts that are counted after a first start, and after its run if it began."""
     core = _full_hall()
     before = core.start_counts.snapshot()
     attempt = core.jobs[JOB].runs[0].steps[0].tasks[0].attempts[0]
+    if ran:
+        attempt.confirm(1.0)
     core.close_attempt(attempt, 2.0)
     plan(core, 2.1)
     again = core.start_counts.since(before)
-    assert [(start.kind.value, start.again, n) for start, n in again.items()] == [
-        ("standing", True, 1)
-    ]
+    return [(start.kind.value, start.again, n) for start, n in again.items()]
+
+
+def test_the_event_of_steps_that_are_passed_over_has_a_number() -> None:
     assert Event.STEP_PASSED_OVER.number == 584
