--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -55,10 +55,14 @@
         task.managed_by = None
         task.delegation_number = delegation.number
         task.next_run = max(task.next_run, delegation.next_run)
+        task.never_ran = delegation.never_ran
         task.save(delegation.saved_by, delegation.checkpoint)
         task.set_failed(task.failed.merged_with(_failures_of(delegation)))
         self._crashes.take_over_history(task, delegation, now)
         self._state.mark_arrived(task, delegation.waited_s, now)
+        if task.step.spec.standing:
+            # The record tells the next owner since when the task has been waiting.
+            self._state.mark_dirty(task.step.run, urgent=False)
         self._state.fail_if_exhausted(task)
 
     def hand_over_tasks(
@@ -171,6 +175,7 @@
         waited_s=0.0 if task.waiting_since == NEVER else max(now - task.waiting_since, 0.0),
         repetition=task.name.repetition,
         next_run=task.next_run,
+        never_ran=task.never_ran,
         checkpoint=task.checkpoint,
         saved_by=task.saved_by,
         failed_runs=tuple(sorted(task.failed.identified_runs)),
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -13,6 +13,7 @@
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._expected_durations import update_expected_durations
+from linkspan.shard.recovery._recorded_wait import wait_since_acceptance
 from linkspan.shard.recovery.progress import RunKey, progress_key, restore_run
 from linkspan.shard.shard_job import ShardJob
 from linkspan.shard.task import index_of
@@ -61,7 +62,7 @@
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
         completed: Iterable[TaskIndex] = (),
-        waited_s: float = 0.0,
+        wall_offset_s: float = 0.0,
     ) -> None:
         """Add an accepted job; see :meth:`ShardCore.add_job` for the arguments.
 
@@ -86,9 +87,11 @@
         for repetition in range(job.spec.repetitions):
             run = job.runs[repetition] = new_run(job, repetition)
             run.released = job.spec.schedule is None
+            if delegated_here is None and (inherited or moved):
+                wait_since_acceptance(run, now, wall_offset_s, arrives=not inherited)
             if progress and repetition in progress:
                 try:
-                    self._restore(run, progress[repetition], now)
+                    self._restore(run, progress[repetition], now, wall_offset_s)
                 except RecordError as error:
                     errors.append(str(error))
                     run = job.runs[repetition] = self._new_run_without_record(
@@ -98,12 +101,10 @@
                         _number_above(run, returned)
             elif inherited:
                 for task in run.tasks():
-                    task.next_run = INHERITED_RUN_GAP
+                    task.next_run, task.never_ran = INHERITED_RUN_GAP, True
             if delegated_here is not None:
                 self._keep_delegated_tasks(run, delegated_here, submitted.shard, now)
             self._state.open_steps(run, now)
-            if waited_s and job.spec.schedule is None:
-                self._continue_waits(run, waited_s, now)
         self._delegations.complete_tasks(job_id, completed, now)
         if job.limit_version is None and job.max_attempts is not None and self._state.configuration:
             # The limit has no version. Any later configuration is newer than this limit, whichever
@@ -113,18 +114,6 @@
         if errors:
             raise RecordError("; ".join(errors))
 
-    def _continue_waits(self, run: JobRun, waited_s: float, now: float) -> None:
-        """Count what standing tasks have waited in another shard before their job moved here.
-
-        Each wait that has to end began anew with the move otherwise, such as that for the headroom.
-        """
-        for step in run.steps:
-            if not step.spec.standing or step.spec.depends_on:
-                continue
-            for task in step.tasks:
-                if task.pending:
-                    self._state.mark_arrived(task, waited_s, now)
-
     def _new_run_without_record(
         self, job: ShardJob, repetition: int, delegated: Mapping[int, Iterable[Delegation]]
     ) -> JobRun:
@@ -147,12 +136,13 @@
         self._state.mark_dirty(run)
         return run
 
-    def _restore(self, run: JobRun, value: bytes, now: float) -> None:
-        restore_run(run, value, now)
+    def _restore(self, run: JobRun, value: bytes, now: float, wall_offset_s: float) -> None:
+        restore_run(run, value, now, wall_offset_s)
         self._state.mark_start_ordered(run.job)
         if any(_has_begun(task) for task in run.tasks()):
             self._state.mark_begun(run.job)
         for task in run.tasks():
+            task.never_ran = task.never_ran or task.next_run == 1
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
             for attempt in list(task.attempts):
