Accept only addresses, ids and capacities that an executor can have

A capacity of 2^53 made the summary of its hall unreadable to all other halls, which then lend it nothing and ask it for nothing.

Cause: the decoder took any text with a colon and decimal digits for an address: ports 0, 65536 and of thirty digits, Arabic digits, two ports, host names, user info. Capacities were bounded at 2^53 each, so a sum of two was beyond what the decoder of summaries accepts. Empty ids, or ids with control characters, cannot be sent in the header that names the executor of a call.

Evidence: 34 cases of tests/fuzz/test_entries.py and tests/host/test_entries_of_other_writers.py fail before, and the test of the summary with " is out of bounds".

Change: an address is an IPv4 address, or an IPv6 address in brackets, and a port from 1 to 65535 in ASCII digits; a capacity is at most 10^9 of each resource; an id is 1 to 200 printable ASCII characters. Other entries are skipped as before, and their executors get no new work.

The simulated executors have names for addresses. Their entries now hold a number derived from the name, and the world's decoder gives the name back.

Measured: all pass, with the rest of tests/fuzz and tests/platform.

--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address, IPv6Address
 from typing import Any
 
 import orjson
 
 from linkspan._typed import (
     MAX_FLOAT,
+    excerpt,
     parse_int,
     parse_list,
     parse_number,
@@ -23,6 +25,15 @@
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.operator.records import OperatorFormat
 
+MAX_CAPACITY = 10**9
+"""Largest capacity of an executor: a million cores, or a petabyte of memory. Sums over all halls
+stay exact numbers, which every reader of a summary accepts."""
+
+MAX_ID_LENGTH = 200
+"""Limits the length of an executor id, in characters; each call carries it in a header."""
+
+MAX_PORT = 65_535
+
 _IS_DRAINING = {"ready": False, "draining": True}
 """Whether an executor drains, by the ``state`` of its record."""
 
@@ -119,11 +130,18 @@
 
 def _parse_incarnation(executor_id: str, fields: dict[str, Any]) -> Incarnation:
     incarnation = Incarnation(executor_id, parse_started_at_ms(fields.get("born")))
-    if Incarnation.of(incarnation.name) != incarnation:
-        raise ValueError(f"{executor_id!r:.60} is not a valid executor id")
+    if Incarnation.of(incarnation.name) != incarnation or not _fits_header(executor_id):
+        raise ValueError(f"{excerpt(executor_id)} is not a valid executor id")
     return incarnation
 
 
+def _fits_header(executor_id: str) -> bool:
+    """Return whether an id can be sent in the header that names the executor of a call."""
+    if not 0 < len(executor_id) <= MAX_ID_LENGTH:
+        return False
+    return executor_id.isascii() and executor_id.isprintable() and " " not in executor_id
+
+
 def _check_unused_fields(fields: dict[str, Any]) -> None:
     """Check the fields that executors always write but no decision uses.
 
@@ -142,11 +160,29 @@
 
 
 def _parse_address(value: Any) -> str:
-    """Return an address in the form ``ip:port``."""
+    """Return an address in the form ``ip:port``, with an IPv6 address in brackets.
+
+    A start to any other text could not be sent, or would be sent to whatever a name stands for.
+    """
     ip, _, port = parse_text(value).rpartition(":")
-    if not ip or not port.isdecimal() or any(character.isspace() for character in ip):
-        raise ValueError(f"{value!r:.60} is not an address")
-    return parse_text(value)
+    if not _is_port(port):
+        raise ValueError(f"{excerpt(value)} has no valid port")
+    if ip.startswith("[") and ip.endswith("]"):
+        ipv6 = IPv6Address(ip[1:-1])
+        if ipv6.scope_id or ipv6.is_unspecified or ipv6.is_multicast:
+            raise ValueError(f"{excerpt(value)} is not the address of one executor")
+        return f"[{ipv6}]:{port}"
+    ipv4 = IPv4Address(ip)
+    if ipv4.is_unspecified or ipv4.is_multicast:
+        raise ValueError(f"{excerpt(value)} is not the address of one executor")
+    return f"{ipv4}:{port}"
+
+
+def _is_port(text: str) -> bool:
+    """Return whether a text is a port number from 1 on, in ASCII digits without leading zeros."""
+    if len(text) > len(str(MAX_PORT)) or not (text.isascii() and text.isdecimal()):
+        return False
+    return str(int(text)) == text and 1 <= int(text) <= MAX_PORT
 
 
 def _parse_required_list(value: Any) -> list[Any]:
@@ -158,7 +194,10 @@
 def _parse_capacity(value: Any) -> Demand:
     fields = parse_object(value)
     # "cpu" counts thousandths of a core.
-    return Demand(parse_int(fields["cpu"]), parse_int(fields["memMb"]), parse_int(fields["gpu"]))
+    amounts = [parse_int(fields[name]) for name in ("cpu", "memMb", "gpu")]
+    if max(amounts) > MAX_CAPACITY:
+        raise ValueError(f"{excerpt(amounts)} is no capacity of one executor")
+    return Demand(*amounts)
 
 
 def demand_from_wire(fields: dict[str, Any]) -> Demand:
--- a/tests/fuzz/test_entries.py
+++ b/tests/fuzz/test_entries.py
@@ -39,6 +39,7 @@
     (COUNTS + SIZES, [MISSING, None, "7", True, -1, [7], {}]),
     (LISTS, [MISSING, None, "kind-a", 7, {}, ["kind-a", 7], [None]]),
     (OBJECTS, [MISSING, None, "8000", 7, [8000, 32000, 1]]),
+    (SIZES, [10**9 + 1, 2**53, 2**70, 1e300]),
 ]
 """Paths of the required fields of an entry, and values that are not of their type."""
 
@@ -64,7 +65,14 @@
 
 
 @pytest.mark.parametrize(
-    "address", ["", "10.2.0.7", "10.2.0.7:", ":8200", "10.2.0.7:port", "a b:1"]
+    "address",
+    [
+        *("", "10.2.0.7", "10.2.0.7:", ":8200", "10.2.0.7:port", "a b:1"),
+        *(f"10.2.0.7:{port}" for port in (0, -1, "+1", "08200", 65_536, 70_000, "9" * 30)),
+        *("10.2.0.7:٨٢٠٠", "10.2.0.7:8200:8201", "10.2.0.7:8200/x", "10.2.0.7 :8200"),
+        *("some-host:8200", "u:p@10.2.0.7:8200", "10.2.0:8200", "10.2.0.256:8200"),
+        *("0.0.0.0:8200", "224.0.0.1:8200", "::1:8200", "[10.2.0.7]:8200", "[fe80::1%x]:8200"),
+    ],
 )
 def test_an_entry_without_a_valid_address_is_refused(address: str) -> None:
     entry = json.dumps({**builders.EXECUTOR, "address": address}).encode()
@@ -72,6 +80,20 @@
         executor_from_wire("e1", entry)
 
 
+@pytest.mark.parametrize("address", ["10.2.0.7:1", "10.2.0.7:65535", "[2001:db8::7]:8200"])
+def test_an_ip_address_with_a_port_is_accepted(address: str) -> None:
+    entry = json.dumps({**builders.EXECUTOR, "address": address}).encode()
+    assert executor_from_wire("e1", entry).address == address
+
+
+@pytest.mark.parametrize(
+    "executor_id", ["", " ", "e 1", "e1\n", "e\r\nx: 1", "\x00", "é", "e" * 201]
+)
+def test_an_entry_under_an_id_that_no_header_can_hold_is_refused(executor_id: str) -> None:
+    with pytest.raises(RecordError):
+        executor_from_wire(executor_id, json.dumps(builders.EXECUTOR).encode())
+
+
 def test_an_entry_with_fields_of_a_later_version_is_decoded() -> None:
     entry = json.dumps({**builders.EXECUTOR, "fieldOfLater": {"x": 1}}).encode()
     assert executor_from_wire("e1", entry).service == "pool"
--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -18,6 +18,7 @@
 from tests.standins.memory_executor import MemoryExecutor
 from tests.standins.memory_store import MemoryStore
 from tests.virtual_time import world_time
+from tests.wire_addresses import wire_address
 
 EXECUTORS = Partition("executors", keyed=True)
 HEARTBEAT_S = 1.5
@@ -136,7 +137,7 @@
         """Return the fields of an executor's entry."""
         fields: dict[str, object] = {
             "service": record.service,
-            "address": record.address,
+            "address": wire_address(record.address),
             "zone": record.hall,
             "version": "v1",
             "slots": 8,
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -15,7 +15,7 @@
 from linkspan.model.configuration import Configuration, Service
 from linkspan.model.settings import Bounds, HostSettings, StoreLimits
 from linkspan.platform.jobs import JsonCallerFormat
-from linkspan.platform.records import evacuated_hall_from_wire, executor_from_wire
+from linkspan.platform.records import evacuated_hall_from_wire
 from linkspan.shard._context import Executors
 from linkspan.shard.messages import TaskName
 from linkspan.shard.operator.records import OperatorFormat
@@ -29,6 +29,7 @@
 from tests.standins.memory_executor import ExecutorLink, MemoryExecutor
 from tests.standins.memory_store import StoreLink
 from tests.virtual_time import HOST, virtual_loop, world_time
+from tests.wire_addresses import decode_executor
 
 CONFIGURATION = Partition("operator", keyed=True)
 
@@ -120,7 +121,7 @@
                 evacuated_hall_from_wire,
             ),
             executor_records=EXECUTORS,
-            decode_executor=executor_from_wire,
+            decode_executor=decode_executor,
         )
         host = Host(
             settings,
--- a/tests/host/test_entries_of_other_writers.py
+++ b/tests/host/test_entries_of_other_writers.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 
+import orjson
 import pytest
 
+from linkspan.shard.handover.summary import HallSummary
 from tests.hall_world import HallWorld
 from tests.host.short_work import assert_each_began_once, begin, run_short, running_count
 from tests.standins.memory_executor import MemoryExecutor
@@ -25,6 +27,11 @@
         b'"PART"', NESTED
     ),
     "no capacity": lambda world, executor: entry(world, executor, capacity=None),
+    "too much capacity": lambda world, executor: entry(
+        world, executor, capacity={"cpu": 2**53, "memMb": 2**53, "gpu": 0}
+    ),
+    "port out of range": lambda world, executor: entry(world, executor, address="10.0.0.1:70000"),
+    "host name": lambda world, executor: entry(world, executor, address="some-host:80"),
 }
 """Values that another writer may put in place of an executor's entry."""
 
@@ -107,6 +114,24 @@
     assert [len(world.starts[task]) for task in standing] == [1] * 3
 
 
+# Guards against a hall that gets no work from others, as nobody can read its summary.
+def test_a_capacity_too_large_leaves_the_summary_of_its_hall_readable() -> None:
+    async def play() -> HallWorld:
+        world = HallWorld()
+        await world.begin()
+        executor = next(iter(world.executors.values()))
+        value = FOREIGN_ENTRIES["too much capacity"](world, executor)
+        world.enter(executor.record.executor_id, value)
+        await asyncio.sleep(1.0)
+        tenure = world.hosts[str(world.owner())].host.candidates[0].tenure
+        assert tenure
+        published = orjson.loads(orjson.dumps(tenure.summary().encode()))
+        assert HallSummary.decode(published).capacity == 2 * world.milli_cpu
+        return world
+
+    assert run_virtual(play()).problems == []
+
+
 def test_a_key_that_is_not_text_is_ignored_and_the_other_entries_are_valid() -> None:
     async def play() -> HallWorld:
         world = HallWorld(executors_per_hall=0)
