Put only executors on the roster that have answered

What callers saw: standing tasks of a job are away for 20 s with room for all of them, where their owner ends within milliseconds of the acceptance and one entry names an executor that nobody has ever reached. The entry may be another writer's, or that of an executor which ended before its first answer.

Cause: the roster named all executors of an entry. It is the list of those on which a former owner may have started work, so the next owner starts nothing of the inherited jobs until each of them has reported or the longest lease has expired. An executor that has never answered cannot have got a start.

Change: an executor joins the roster with its first answer. Starts need both, as before. Inherited executors stay on it until they are resolved, and so do placeholders of next incarnations. The record's form is the same.

--- a/src/linkspan/shard/_changes.py
+++ b/src/linkspan/shard/_changes.py
@@ -63,7 +63,7 @@
         """Return whether the roster differs from its durable copy."""
         return (
             self.withheld_count != self._core.withheld_count
-            or self.roster != self._core.executors.keys()
+            or self.roster != self._core.roster_names
         )
 
     def stored(self) -> None:
--- a/src/linkspan/shard/_executor_table.py
+++ b/src/linkspan/shard/_executor_table.py
@@ -26,6 +26,8 @@
         tokens: Fencing tokens of the executors' incarnations.
         executors: Executors that are registered or may have runs, by name of the incarnation.
         incarnations_by_id: The same executors by id; at most one incarnation of an id is alive.
+        roster_names: Executors to be named on the roster: all but those known from their
+            registration alone, which cannot have received a start.
         withheld_ends: Withheld ends of removed incarnations, which may come back.
         membership_changes: Number of incarnations added or removed so far; comparing two values
             shows cheaply whether the set of executors changed.
@@ -40,6 +42,7 @@
         self.tokens = TenureTokens(token)
         self.executors: dict[str, ExecutorState] = {}
         self.incarnations_by_id: dict[str, dict[str, ExecutorState]] = {}
+        self.roster_names: set[str] = set()
         self.withheld_ends: dict[str, set[int]] = {}
         self.membership_changes = 0
         self.awaiting_report_ids: set[str] = set()
@@ -56,6 +59,12 @@
         executor.withheld_ends |= self.withheld_ends.pop(name, set())
         self.membership_changes += 1
 
+    def confirm_address(self, executor: ExecutorState) -> None:
+        """Record that an incarnation has answered at its address, so that it may get starts."""
+        executor.address_confirmed = True
+        if executor.executor_id in self.executors:
+            self.roster_names.add(executor.executor_id)
+
     def token_outdated(self, executor: ExecutorState, token: int) -> bool:
         """Return whether an incarnation of an executor may have received a higher token than this.
 
@@ -73,6 +82,7 @@
             self.tokens.on_incarnation_end(executor.token)
             self._remember_withheld_ends(executor)
         self.awaiting_next_ids.discard(name)
+        self.roster_names.discard(name)
         executor_id = Incarnation.of(name).executor_id
         incarnations = self.incarnations_by_id.get(executor_id, {})
         incarnations.pop(name, None)
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -360,6 +360,7 @@
             # lease to the previous incarnation.
             granted_s = clock_s + self._bounds.max_lease_s
             executor.clock = LeaseClock(clock_s, now, granted_s)
+            self.confirm_address(executor)
         executor.clock.observe(clock_s, now, asked=asked)
         if executor.silent_since is not None and executor.alive_at < executor.silent_since:
             # The answer was made before the executor went silent, and is applied late.
--- a/src/linkspan/shard/executor.py
+++ b/src/linkspan/shard/executor.py
@@ -41,6 +41,8 @@
     Attributes:
         record: Its registration.
         clock: Its clock and granted leases; ``None`` before its first report.
+        address_confirmed: Whether it has answered at its address, to this owner or a former one.
+            Until then the address is only what its registration says.
         listed: Whether it is registered at present.
         rostered: Whether the durable roster names it, which is a condition for starts.
         has_reported: Whether it has reported in this tenure.
@@ -83,6 +85,7 @@
 
     record: ExecutorRecord
     clock: LeaseClock | None = None
+    address_confirmed: bool = False
     listed: bool = True
     rostered: bool = False
     has_reported: bool = False
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -132,9 +132,10 @@
         # and its new record must follow them.
         records = [Record(b"", key) for key in dropped]
         records += [Record(encode_run(run), progress_key(run)) for run in runs]
-        roster, withheld_count = frozenset(core.executors), core.withheld_count
+        roster, withheld_count = frozenset(core.roster_names), core.withheld_count
         if self._changes.roster_changed():
-            roster_value = encode_roster(e.roster_record for e in core.executors.values())
+            executors = (e for name, e in core.executors.items() if name in roster)
+            roster_value = encode_roster(e.roster_record for e in executors)
             records.append(Record(roster_value, ROSTER_KEY))
         if not records:
             return
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -149,7 +149,7 @@
         core = self._core
         try:
             core.inherit(decode_roster(roster) if roster else (), leases_expire_at)
-            self._changes.roster = frozenset(core.executors)
+            self._changes.roster = frozenset(core.roster_names)
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
             core.inherit(
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -73,6 +73,8 @@
         for record in roster:
             executor = self._add_executor(record)
             executor.rostered = read
+            executor.address_confirmed = read
+            self._state.roster_names.add(record.executor_id)
             executor.listed = False
             executor.withheld_ends.update(record.withheld_ends)
             self._state.awaiting_report_ids.add(record.executor_id)
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -145,6 +145,11 @@
         executor.listed = False
         self._ended_at.pop(name, None)
         self._state.add_executor(executor)
+        if is_placeholder:
+            executor.address_confirmed = known.address_confirmed
+            self._state.roster_names.add(name)
+        else:
+            self._state.confirm_address(executor)
         return executor
 
     def _end_previous(
