Keep the address at which an executor has answered

What callers saw: one entry over that of a known executor, with the address of another one, starts its standing tasks a second time while they run (TWICE).

Cause: an entry's address replaced the one at which the executor had answered. All calls went there: silence lets the leases expire, and 421, the answer of another executor, counted as proof that the known incarnation had ended.

Change: an incarnation keeps its address for as long as it runs, so once it has answered there, to this owner or by the roster to a former one, an entry with another address is a claim. It is not applied, and line 597 says so. The executor gets no new work meanwhile and, if it does not rewrite its entry within 2.5 s, its standing tasks move one by one, as with an entry that does not decode. 421 ends only who has answered at the address; for others it is silence. Answers to a poll count only if the address is still the same.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -281,6 +281,12 @@
     LATENCY_OVER = 554, logging.INFO, "standing task was over its latency target", "see 539"
     CALLER_DROPPED = 565, logging.INFO, "connection closed because its caller was silent", "nothing"
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
+    ENTRY_CONTRADICTED = (
+        597,
+        logging.INFO,
+        "registry entry names another incarnation or address than the known executor of its id",
+        "nothing after a restart; if it recurs, check who writes this entry",
+    )
     EXECUTOR_DRAINING = 541, logging.INFO, "executor is draining", "nothing"
     EXECUTOR_GONE = 542, logging.WARNING, "executor's incarnation has ended", "nothing"
     EXECUTOR_CRASHED = (
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -159,6 +159,16 @@
         """
         self._liveness.on_incarnation_ended(executor_id, now, proof, since=since)
 
+    def on_other_answered(self, executor_id: str, address: str, now: float) -> None:
+        """Handle the answer that another executor id runs at the address of a call.
+
+        Args:
+            executor_id: The incarnation that was called.
+            address: The address to which the call was sent.
+            now: Steady time.
+        """
+        self._liveness.on_other_answered(executor_id, address, now)
+
     def executors_to_poll_closely(self, now: float) -> list[ExecutorState]:
         """Return the executors to poll now, as a next incarnation of theirs must be found soon.
 
@@ -421,6 +431,7 @@
 
     def tick(self, now: float) -> None:
         """Apply rules that depend on time, such as resending stops and removing finished jobs."""
+        self._liveness.tick(now)
         self._crashes.tick(now)
         self._reconciler.tick(now)
         self._orders.tick(now)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -194,9 +194,7 @@
             # The addressed incarnation ended before the order arrived, so the run was not there
             # when that incarnation crashed.
             self._on_undelivered(order)
-            self._core.on_incarnation_ended(
-                order.executor_id, steady(), "another incarnation answers"
-            )
+            self._core.on_other_answered(order.executor_id, address, steady())
         except Unconnected as error:
             self._count_unreachable(order)
             self._core.on_silent(order.executor_id, steady(), cause=str(error))
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -10,6 +10,7 @@
 from linkspan.shard.executor import FOREVER, ExecutorState
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.orders._orders import MAX_START_DELAY_S
+from linkspan.shard.reports._entry_claims import EntryClaims
 from linkspan.shard.reports._restarts import uncertain_attempts
 
 if TYPE_CHECKING:
@@ -24,9 +25,10 @@
     from linkspan.shard.shard_job import ShardJob
 
 
-INHERITED_ENTRY_GRACE_S = 2.5
-"""Delay added before an executor that a former owner used counts as missing when it has no registry
-entry: after an outage of the store, entries are back within about two seconds."""
+ENTRY_GRACE_S = 2.5
+"""Delay added before an executor counts as missing that a former owner used and whose registry
+entry is not there, or whose entry another writer has replaced. After an outage of the store entries
+are back within about two seconds, and an executor rewrites its own entry at its next heartbeat."""
 
 DRAIN_READ_DELAY_S = 0.3
 """Usual limit of the delay with which a host that follows the registrations reads that an executor
@@ -54,6 +56,7 @@
         self._abandoned = abandoned
         self._crashes = crashes
         self._restarts = restarts
+        self._claims = EntryClaims(state)
         self._inherited_leases_expire_at = float("-inf")
         self._roster_readable = True
 
@@ -106,29 +109,53 @@
         """
         resolved = [self._with_incarnation(record) for record in records]
         self._retract_planned_ends(resolved)
-        listed = {r.executor_id: r for r in resolved if not self._restarts.has_ended(r.executor_id)}
-        for executor_id, record in listed.items():
-            executor = self._state.executors.get(executor_id)
-            if executor is None:
-                self._state.log(Event.EXECUTOR_SEEN, executor=executor_id, address=record.address)
-                executor = self._add_executor(record)
-            answering = executor.silent_since is None
-            just_announced = executor.listed and answering and not executor.draining
-            executor.register(record)
-            if executor_id in missing:
-                # Keep the earliest time: an outage of the store moves the reported one.
-                executor.entry_removed_at = min(missing[executor_id], executor.entry_removed_at)
-            else:
-                executor.entry_removed_at = FOREVER
-            if record.draining:
-                self._on_draining(executor, now, just_announced=just_announced)
-        for executor_id, executor in list(self._state.executors.items()):
-            if executor_id in listed:
+        self._claims.begin()
+        listed = {r.executor_id for r in resolved if self._register(r, now, missing)}
+        self._claims.end()
+        replaced_ids = {Incarnation.of(r.executor_id).executor_id for r in resolved}
+        for name, executor in list(self._state.executors.items()):
+            if name in listed:
                 continue
             if executor.missing_since == FOREVER:
-                executor.missing_since = now if executor.listed else now + INHERITED_ENTRY_GRACE_S
+                restored_soon = Incarnation.of(name).executor_id in replaced_ids
+                at_once = executor.listed and not restored_soon
+                executor.missing_since = now if at_once else now + ENTRY_GRACE_S
             executor.listed = False
 
+    def tick(self, now: float) -> None:
+        """Apply the entries that were claims when they were read and are none any more."""
+        for record in self._claims.records:
+            if self._register(self._with_incarnation(record), now, {}):
+                self._claims.remove(record)
+
+    def _register(self, record: ExecutorRecord, now: float, missing: Mapping[str, float]) -> bool:
+        """Apply a registry entry, and return whether it was applied.
+
+        It is not if its incarnation has ended, or while it contradicts what the executor of its id
+        has shown.
+        """
+        name = record.executor_id
+        if self._restarts.has_ended(name):
+            return False
+        if self._claims.contradicts(record):
+            self._claims.add(record)
+            return False
+        executor = self._state.executors.get(name)
+        if executor is None:
+            self._state.log(Event.EXECUTOR_SEEN, executor=name, address=record.address)
+            self._claims.log(record)
+            executor = self._add_executor(record)
+        answering = executor.silent_since is None
+        just_announced = executor.listed and answering and not executor.draining
+        executor.register(record)
+        # Keep the earliest time: an outage of the store moves the reported one.
+        executor.entry_removed_at = (
+            min(missing[name], executor.entry_removed_at) if name in missing else FOREVER
+        )
+        if record.draining:
+            self._on_draining(executor, now, just_announced=just_announced)
+        return True
+
     def _on_draining(self, executor: ExecutorState, now: float, *, just_announced: bool) -> None:
         """Apply the announcement of a draining executor, or apply it again.
 
@@ -189,6 +216,25 @@
         self._restarts.end(executor, now)
         self._release(executor, now)
 
+    def on_other_answered(self, executor_id: str, address: str, now: float) -> None:
+        """Handle the answer that another executor id runs at the address of a call.
+
+        An incarnation that has answered there before has ended. For others the answer shows only
+        that their registration names a wrong address, or that they ended before they answered.
+
+        Args:
+            executor_id: The incarnation that was called.
+            address: The address to which the call was sent.
+            now: Steady time.
+        """
+        executor = self._state.executors.get(executor_id)
+        if executor is None or executor.record.address != address:
+            return
+        if executor.address_confirmed:
+            self.on_incarnation_ended(executor_id, now, "another incarnation answers", since=None)
+        else:
+            self.on_silent(executor_id, now, cause=f"another executor answers at {address}")
+
     def _may_take_former_starts(self, executor: ExecutorState, now: float) -> bool:
         """Whether an executor's next incarnation may carry out unrecorded starts of former owners.
 
--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -158,7 +158,7 @@
                 self._core.on_incarnation_ended(
                     executor_id, steady(), "machine service no longer lists it", since=since
                 )
-                self._watch_new_incarnations()
+                self.watch_new_incarnations()
                 self._changes.notify()
 
     def _rostered(self) -> set[str]:
@@ -180,7 +180,7 @@
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, MAX_BACKOFF_S)
 
-    def _watch_new_incarnations(self) -> None:
+    def watch_new_incarnations(self) -> None:
         """Watch incarnations that were just found, and stop watching those that have ended."""
         if self._membership_seen != self._core.membership_changes:
             self.watch_all()
@@ -209,6 +209,7 @@
                 of calls, after which the executor counts as silent.
         """
         asked = steady()
+        address = executor.record.address
         # Most close polls are in vain, and some reach an incarnation whose ends nobody has read.
         acknowledged = 0
         if limit_s is None:
@@ -219,10 +220,8 @@
         except TimeoutError:
             return False
         except WrongIncarnation:
-            self._core.on_incarnation_ended(
-                executor.executor_id, steady(), "another incarnation answers"
-            )
-            self._watch_new_incarnations()
+            self._core.on_other_answered(executor.executor_id, address, steady())
+            self.watch_new_incarnations()
             self._changes.notify()
             return False
         except Unreachable as error:
@@ -230,12 +229,15 @@
                 self._core.on_silent(executor.executor_id, steady(), cause=str(error))
                 self._changes.notify()
             return False
+        if executor.record.address != address:
+            # The registration was replaced meanwhile; who is at the new address is not known yet.
+            return False
         name = reporting_incarnation(executor.executor_id, report)
         if name != executor.executor_id:
             # The new incarnation has not yet seen its own fencing token and must be polled under
             # it.
             self._core.on_incarnation_found(executor.executor_id, name, asked=asked, now=steady())
-            self._watch_new_incarnations()
+            self.watch_new_incarnations()
             return False
         executor.ack_delivered = max(executor.ack_delivered, acknowledged)
         report = await self._without_unread_jobs(report, first=not self._core.has_reported(name))
@@ -245,7 +247,7 @@
         if wait_s or now - executor.usage_applied_at >= MIN_FIGURES_INTERVAL_S:
             executor.usage_applied_at = now
             self._pacer.on_report(executor, now, time.time())
-        self._watch_new_incarnations()
+        self.watch_new_incarnations()
         self._changes.notify()
         return True
 
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -290,6 +290,7 @@
             await asyncio.sleep(TICK_S)
             now = steady()
             self._core.tick(now)
+            self._watch.watch_new_incarnations()
             self._proof.check(now)
             if self._core.ready or self._core.orders or self._core.jobs:
                 self._changes.wake.set()
--- /dev/null
+++ b/tests/host/test_entries_over_known_executors.py
@@ -0,0 +1,33 @@
+"""One entry that contradicts a known executor keeps no task away and runs none twice."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.host.entry_claims_play import ADDRESS_CLAIMS, ClaimPlay
+from tests.virtual_time import run_virtual
+
+MAX_AWAY_S = 6.0
+"""Time after its last run from which on a standing task with room for it counts as lost."""
+
+every_order = pytest.mark.parametrize(
+    ("before_job", "owner_ends", "rewritten"),
+    [(b, o, r) for b in (False, True) for o in (False, True) for r in (False, True)],
+)
+
+
+# Guards against calls that go to a claimed address, and ends that an answer there seems to prove.
+@every_order
+@pytest.mark.parametrize("kind", ADDRESS_CLAIMS)
+def test_a_claimed_address_keeps_no_task_away_and_runs_none_twice(
+    kind: str, before_job: bool, owner_ends: bool, rewritten: bool
+) -> None:
+    play = ClaimPlay(
+        ADDRESS_CLAIMS[kind],
+        before_job=before_job,
+        owner_ends=owner_ends,
+        rewritten=rewritten,
+    )
+    run_virtual(play.play())
+    assert play.world.problems == []
+    assert play.away_s <= MAX_AWAY_S
