Ask who is at an address before a claimed start time counts

Cause: the entry made a second incarnation of the same id at the same address, which was called under a higher token, so that late orders of the first one are refused there. The executor itself answered that call, and from then on refused its owner's calls under the lower token. The owner took the refusal for a newer owner and ended, or, where it knew of its own higher token, took the executor for silent until the longest lease had expired. Also, the known incarnation counted as unregistered at once, and its tasks moved.

Evidence: 8 of 32 cases of the second test in tests/host/test_entries_over_known_executors.py fail before: four with 11.75 s, four with owners that end; and two in tests/shard/test_entry_claims.py.

Change: such an entry adds no incarnation of its own. The known one is polled at once; whichever is there answers with its start time, and a next incarnation is then found as after any restart. At another address the claimed one is called beside the known one, and ends it only by its own answer. A known one that answers a call to the claimed one is called under that call's token from then on.

--- a/src/linkspan/shard/reports/_entry_claims.py
+++ b/src/linkspan/shard/reports/_entry_claims.py
@@ -17,7 +17,11 @@
     """Entries that are not applied while an executor that is there says otherwise.
 
     Anyone may write an entry. An incarnation keeps its address for as long as it runs, so an entry
-    with another one is not applied once it has answered.
+    with another one is not applied once it has answered. An entry that names another incarnation at
+    the address of a known one is no reason for calls of its own: whichever incarnation is there
+    answers those to the known one, and the higher token of the other's calls would make it refuse
+    those under its own. At another address it is polled beside the known one, and nothing but its
+    own answer says anything about that.
 
     Args:
         state: The shard's state.
@@ -47,9 +51,9 @@
     def contradicts(self, record: ExecutorRecord) -> bool:
         """Return whether an entry must not be applied, for what its executor has shown."""
         known = self._state.executors.get(record.executor_id)
-        if known is None:
-            return False
-        return known.address_confirmed and known.record.address != record.address
+        if known:
+            return known.address_confirmed and known.record.address != record.address
+        return any(e.record.address == record.address for e in self._incarnations(record))
 
     def add(self, record: ExecutorRecord) -> None:
         """Add a claim. The known incarnations are polled at once, as the next one may answer."""
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -105,7 +105,11 @@
             )
             return
         known = self._state.executors.get(executor_id)
-        if known and name not in self._state.executors:
+        found = self._state.executors.get(name)
+        if known and found:
+            # It has seen the token of this call and refuses calls under a lower one.
+            found.token = max(found.token, known.token)
+        elif known:
             self._add_incarnation(known, name)
 
     def carry_over_to_next(
--- a/tests/host/entry_claims_play.py
+++ b/tests/host/entry_claims_play.py
@@ -40,6 +40,17 @@
 """What an entry says of an executor that has another address."""
 
 
+LATER = 2**52
+
+START_TIME_CLAIMS: dict[str, Claim] = {
+    "later": lambda _world: {"born": LATER},
+    "earlier": lambda _world: {"born": 1_000},
+    "later, nobody answers": lambda _world: {"born": LATER, "address": NOBODY},
+    "later, another executor": lambda world: {"born": LATER, "address": _other(world)},
+}
+"""What an entry says of an executor that started at another time, in part at another address."""
+
+
 class ClaimPlay:
     """Eight standing tasks, and one entry of another writer while they run or before.
 
--- a/tests/host/test_entries_over_known_executors.py
+++ b/tests/host/test_entries_over_known_executors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.host.entry_claims_play import ADDRESS_CLAIMS, ClaimPlay
+from tests.host.entry_claims_play import ADDRESS_CLAIMS, START_TIME_CLAIMS, ClaimPlay
 from tests.virtual_time import run_virtual
 
 MAX_AWAY_S = 6.0
@@ -31,3 +31,24 @@
     run_virtual(play.play())
     assert play.world.problems == []
     assert play.away_s <= MAX_AWAY_S
+
+
+# Guards against executors that refuse their owner, as they have seen the token of a next
+# incarnation that there never was, and against owners that end over it.
+@every_order
+@pytest.mark.parametrize("kind", START_TIME_CLAIMS)
+def test_a_claimed_start_time_keeps_no_task_away_and_ends_no_owner(
+    kind: str, before_job: bool, owner_ends: bool, rewritten: bool
+) -> None:
+    play = ClaimPlay(
+        START_TIME_CLAIMS[kind],
+        before_job=before_job,
+        owner_ends=owner_ends,
+        rewritten=rewritten,
+    )
+    run_virtual(play.play())
+    assert play.world.problems == []
+    assert play.away_s <= MAX_AWAY_S
+    assert play.world.log.named("OWNER_LOST") == []
+    if rewritten:
+        assert play.world.log.named("RUN_MOVED") == []
