Apply no entry at once that moves a running executor to another hall

What callers saw: one entry that names another hall for a known executor, and an owner ends 0.3 s later: the two halls change their owners 26 times in 25 s, for as long as the entry stands. No task was away for longer than 0.5 s in these plays, but each owner that ends has its work to take over.

Cause: the owners of both halls call the executor. It keeps the highest token that it has seen and refuses lower ones; an owner takes that for a newer owner of its own hall, ends, claims again, and then has the higher token.

Change: an incarnation keeps its hall, service and labels. An entry that gives it others is disputed: the executor gets no new work, as with an entry that does not decode, and the new place counts once the entry has stood for 15 s. And an id under which nobody has answered in this tenure or on the roster is no proof of a newer owner when it refuses a token.

--- a/src/linkspan/shard/_executor_table.py
+++ b/src/linkspan/shard/_executor_table.py
@@ -66,14 +66,16 @@
             self.roster_names.add(executor.executor_id)
 
     def token_outdated(self, executor: ExecutorState, token: int) -> bool:
-        """Return whether an incarnation of an executor may have received a higher token than this.
+        """Return whether an executor may refuse a token although no newer owner is there.
 
-        If not, a call that is refused for its token proves that there is a newer owner.
+        Another incarnation of it may have received a higher token of this tenure. An id under which
+        nobody has answered here may be another hall's, as only its registration says otherwise.
         """
         if self.executors.get(executor.executor_id) is not executor:
             return True
         incarnations = self.incarnations_by_id[Incarnation.of(executor.executor_id).executor_id]
-        return any(other.token > token for other in incarnations.values())
+        has_answered = any(other.address_confirmed for other in incarnations.values())
+        return not has_answered or any(other.token > token for other in incarnations.values())
 
     def remove_executor(self, name: str) -> None:
         """Remove an incarnation; the caller handles the attempts on it."""
--- a/src/linkspan/shard/messages.py
+++ b/src/linkspan/shard/messages.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from linkspan.jobs.spec import Demand, StepSpec
+from linkspan.shard.incarnation import Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -93,6 +94,19 @@
         """Return whether it runs tasks of a service that require a label; empty for none."""
         return self.service == service and (not label or label in self.labels)
 
+    def is_same_incarnation(self, other: ExecutorRecord) -> bool:
+        """Return whether a registration of the same id is of the same incarnation.
+
+        One without a start time is of whichever incarnation is there.
+        """
+        names = {self.executor_id, other.executor_id}
+        return len({Incarnation.of(name).started_at_ms for name in names} - {None}) < 2
+
+    def has_same_place(self, other: ExecutorRecord) -> bool:
+        """Return whether a registration has the same service, hall and labels."""
+        place = (self.service, self.hall, self.labels, self.rack)
+        return place == (other.service, other.hall, other.labels, other.rack)
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorKind:
--- a/src/linkspan/shard/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -9,6 +9,7 @@
 from linkspan.clock import steady
 from linkspan.errors import RecordError, StoreRefused, StoreUnanswered
 from linkspan.events import Event
+from linkspan.shard._entry_disputes import EntryDisputes
 from linkspan.shard._health_log import health_logger
 from linkspan.store.follower import Follower
 
@@ -24,6 +25,11 @@
 during an outage of the store are back within about two seconds after the outage, and an executor
 whose entry was replaced by another writer restores it within this time, too."""
 
+DISPUTE_S = 15.0
+"""Time for which an entry must have stood that gives an incarnation another service, hall or
+labels. The executor restores its own entry long before. Otherwise the hall that knew it has moved
+its work away by then."""
+
 EXPIRY_CHECK_INTERVAL_S = 0.1
 """Interval between checks for entries that have been missing for the grace time."""
 
@@ -58,6 +64,7 @@
         self._serves = serves
         self._records: dict[str, ExecutorRecord] = {}
         self._missing_since: dict[str, float] = {}
+        self._disputes = EntryDisputes()
         self._store_available = True
         self._following = asyncio.Event()
         self._following.set()
@@ -80,6 +87,7 @@
         self.follower.pause()
         self._records.clear()
         self._missing_since.clear()
+        self._disputes.clear()
 
     def resume(self) -> None:
         """Follow registrations again, for a shard that needs them."""
@@ -102,7 +110,7 @@
         while True:
             await self._following.wait()
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            if self._expired_ids():
+            if self._expired_ids() or self._disputes.settled(steady() - DISPUTE_S):
                 await self._expire()
 
     def _expired_ids(self) -> list[str]:
@@ -123,7 +131,10 @@
         for executor_id in expired:
             del self._missing_since[executor_id]
             self._records.pop(executor_id, None)
-        if expired:
+        settled = self._disputes.settled(steady() - DISPUTE_S)
+        for executor_id in settled:
+            self._records[executor_id] = self._disputes.remove(executor_id)
+        if expired or settled:
             self.on_change()
 
     def _on_read_health(self, healthy: bool) -> None:
@@ -156,6 +167,7 @@
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             return
         if not entry.value:
+            self._disputes.discard(executor_id)
             self._missing_since.setdefault(executor_id, steady())
             return
         try:
@@ -164,11 +176,14 @@
             self._log.write(Event.RECORD_SKIPPED, offset=entry.offset, error=str(error))
             self._mark_unconfirmed(executor_id)
             return
+        if self._disputes.disputes(executor_id, record, self._records.get(executor_id)):
+            self._mark_unconfirmed(executor_id)
+            return
         self._records[executor_id] = record
         self._missing_since.pop(executor_id, None)
 
     def _mark_unconfirmed(self, executor_id: str) -> None:
-        """Mark an executor whose newest entry is invalid.
+        """Mark an executor whose newest entry is invalid or disputed.
 
         Its runs continue, as for a missing entry, but it gets no new work from now on.
         """
--- a/tests/host/entry_claims_play.py
+++ b/tests/host/entry_claims_play.py
@@ -51,6 +51,15 @@
 """What an entry says of an executor that started at another time, in part at another address."""
 
 
+PLACE_CLAIMS: dict[str, Claim] = {
+    "another hall": lambda _world: {"zone": "west"},
+    "no hall of this deployment": lambda _world: {"zone": "north"},
+    "another service": lambda _world: {"service": "other"},
+    "other labels": lambda _world: {"labels": ["other-kind", "other-rack"]},
+}
+"""What an entry says of an executor that is in another hall, service or rack."""
+
+
 class ClaimPlay:
     """Eight standing tasks, and one entry of another writer while they run or before.
 
--- a/tests/host/test_entries_of_other_writers.py
+++ b/tests/host/test_entries_of_other_writers.py
@@ -62,7 +62,7 @@
     assert run_virtual(play()).problems == []
 
 
-@pytest.mark.parametrize("kind", [kind for kind in FOREIGN_ENTRIES if kind != "unknown service"])
+@pytest.mark.parametrize("kind", FOREIGN_ENTRIES)
 def test_a_foreign_entry_that_is_soon_overwritten_ends_no_run(kind: str) -> None:
     async def play() -> HallWorld:
         world = HallWorld(executors_per_hall=4)
--- a/tests/host/test_entries_over_known_executors.py
+++ b/tests/host/test_entries_over_known_executors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.host.entry_claims_play import ADDRESS_CLAIMS, START_TIME_CLAIMS, ClaimPlay
+from tests.host.entry_claims_play import ADDRESS_CLAIMS, PLACE_CLAIMS, START_TIME_CLAIMS, ClaimPlay
 from tests.virtual_time import run_virtual
 
 MAX_AWAY_S = 6.0
@@ -52,3 +52,20 @@
     assert play.world.log.named("OWNER_LOST") == []
     if rewritten:
         assert play.world.log.named("RUN_MOVED") == []
+
+
+# Guards against owners of two halls that both call an executor and end each other over it.
+@every_order
+@pytest.mark.parametrize("kind", PLACE_CLAIMS)
+def test_a_claimed_place_keeps_no_task_away_and_ends_no_owner(
+    kind: str, before_job: bool, owner_ends: bool, rewritten: bool
+) -> None:
+    play = ClaimPlay(
+        PLACE_CLAIMS[kind], before_job=before_job, owner_ends=owner_ends, rewritten=rewritten
+    )
+    run_virtual(play.play())
+    assert play.world.problems == []
+    assert play.away_s <= MAX_AWAY_S
+    assert play.world.log.named("OWNER_LOST") == []
+    if rewritten and not owner_ends:
+        assert play.world.log.named("RUN_MOVED") == []
--- a/tests/shard/test_tokens.py
+++ b/tests/shard/test_tokens.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -106,6 +107,20 @@
         raise Fenced("a newer owner is at work")
 
 
+# Guards against an owner that ends over another hall's executor, which an entry puts in its own.
+def test_an_executor_that_never_answered_proves_no_newer_owner() -> None:
+    core = core_with(step(1), executors=0)
+    add_executor(core, FIRST)
+    first = core.executors[FIRST].record
+    core.list_executors([first, replace(first, executor_id="e1@1", address="other:1")], 1.0)
+    calls = ExecutorCalls(lambda token: cast(Any, token), core.token_outdated)
+    with pytest.raises(Unreachable), calls.to(core.executors["e1@1"]):
+        raise Fenced("the owner of its hall has a higher token")
+    core.inherit([replace(first, executor_id="e2@1")], until=20.0)
+    with pytest.raises(Fenced), calls.to(core.executors["e2@1"]):
+        raise Fenced("a newer owner is at work")
+
+
 def test_a_tenure_has_a_higher_token_for_a_next_life_from_its_claim_on() -> None:
     """Guards against an order that also runs at a next incarnation in a tenure's first 0.6 s.
 
