Stand-in: no call is sent to an address without an executor

The client fails with Unconnected where it gets no connection, also after a time-out (tests/platform/test_unsent_calls.py shows it over sockets). The executors in virtual time said Unreachable for an address at which no executor has ever been, as if the call could have arrived. It now says Unconnected, after the same time. No other case changes: executors that ended or are cut off answer as before.

--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -373,11 +373,14 @@
     async def _reach(self, address: str, executor_id: str) -> MemoryExecutor:
         await asyncio.sleep(ANSWER_S / 2)
         executor = self._world.at(address)
-        if self._world.resets and executor and not executor.alive:
+        if executor is None:
+            # No connection is established where there has never been an executor.
+            await asyncio.sleep(TIMEOUT_S)
+            raise Unconnected("no connection")
+        if self._world.resets and not executor.alive:
             raise Unconnected("connection refused")
-        if executor is None or not executor.alive or self._world.is_cut(self._host, executor):
+        if not executor.alive or self._world.is_cut(self._host, executor):
             await self._no_answer()
-        assert executor
         if executor.record.executor_id != Incarnation.of(executor_id).executor_id:
             raise WrongIncarnation(executor_id)
         return executor
