Judge a late first run by the delegations its job had when it was finished

By its trace the case is allowed: a task was delegated (record 218), its start was sent at 1015.83 s beside late orders, its job was cancelled at 1016.15 s, whose end removed the record of the delegation (228), and the start arrived at 1016.83 s. The judge read the delegations as they were then: none. The run was stopped as it must be (UNKNOWN_RUN_STOPPED at 1017.75 s).

The removal of a delegation's record no longer counts once its job is finished; it only tidies up then.

--- a/tests/one_hall.py
+++ b/tests/one_hall.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -11,10 +11,11 @@
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JOBS, JobRegistry
 from linkspan.jobs.record_codec import decode
-from linkspan.jobs.records import TaskIndex
+from linkspan.jobs.records import TaskIndex, Tombstone
 from linkspan.store.types import Entry
 
 if TYPE_CHECKING:
+    from linkspan.jobs.records import JobRecord
     from linkspan.shard.messages import StartOrder, TaskName
     from tests.standins.memory_executor import MemoryExecutor
     from tests.standins.memory_store import MemoryStore
@@ -84,9 +85,20 @@
     def _read(self) -> None:
         """Read the records that were written since the last call."""
         entries = self._store.log(JOBS).entries
-        _fold(self._in_order, entries[self._entries_read :])
+        new = entries[self._entries_read :]
+        _fold(self._in_order, new, passes_over=self._ends_a_finished_delegation)
         self._entries_read = len(entries)
 
+    def _ends_a_finished_delegation(self, record: JobRecord) -> bool:
+        """Return whether a record only tidies up: the delegation of a job that is finished.
+
+        A start that was sent before the job's end may arrive after it.
+        """
+        if not isinstance(record, Tombstone) or record.kind != "l":
+            return False
+        entry = self._in_order.get(record.job_id)
+        return entry is not None and entry.finished is not None
+
     def _differences(self, name: str, view: JobCatalog) -> list[str]:
         lines = []
         for job_id in self._jobs():
@@ -104,8 +116,15 @@
         return sorted({key.decode().split(":")[1] for key in keys if key.startswith(b"s:")})
 
 
-def _fold(catalog: JobCatalog, entries: Iterable[Entry]) -> None:
+def _fold(
+    catalog: JobCatalog,
+    entries: Iterable[Entry],
+    *,
+    passes_over: Callable[[JobRecord], bool] = lambda _record: False,
+) -> None:
     for entry in entries:
         # Hosts pass over records that can't be decoded, too.
         with suppress(RecordError):
-            catalog.apply(entry.offset, decode(entry.key, entry.value))
+            record = decode(entry.key, entry.value)
+            if not passes_over(record):
+                catalog.apply(entry.offset, record)
