--- a/tests/host/full_hall_day.py
+++ b/tests/host/full_hall_day.py
@@ -12,6 +12,7 @@
 import asyncio
 import sys
 from collections import defaultdict
+from collections.abc import Set
 from dataclasses import dataclass, field
 from random import Random
 from statistics import fmean
@@ -20,8 +21,7 @@
 from linkspan.model.configuration import Queue
 from linkspan.shard.messages import TaskName
 from tests.hall_world import HallWorld
-from tests.host.disruptions import Disruptions
-from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
+from tests.host.standing_checks import StandingChecks
 from tests.job_builders import MAX_AWAY_S, step
 from tests.virtual_time import run_virtual, world_time
 
@@ -61,15 +61,19 @@
     Attributes:
         seed: Seed of all draws.
         halls: Names of the halls.
+        standing_interval_s: Time between later standing jobs, in seconds.
+        standing_end_interval_s: Time between ends of standing jobs, in seconds.
         took_s: Times that short jobs took, by cores of a task; infinite if they were not done.
         standing_share: Shares of all cores at which standing tasks were at work, by second.
         refused: Number of standing jobs that were refused.
         never_begun: Number of accepted standing jobs of which nothing ever ran.
-        rule: Checks the users' rule for standing tasks.
+        checks: Checks of standing tasks that hold at all times.
     """
 
     seed: int
     halls: tuple[str, ...] = ("east",)
+    standing_interval_s: float = STANDING_INTERVAL_S
+    standing_end_interval_s: float = STANDING_END_INTERVAL_S
     took_s: defaultdict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
     standing_share: list[float] = field(default_factory=list)
     refused: int = 0
@@ -87,7 +91,7 @@
         self._cores = len(self.halls) * EXECUTORS_PER_HALL * EXECUTOR_CORES
         self._standing: list[str] = []
         self._away_since: dict[TaskName, float] = {}
-        self.rule = StandingRule(Disruptions())
+        self.checks = StandingChecks(self.world, self._excused)
 
     def useful_share(self, cores: int | None = None) -> float:
         """Return the share of the short jobs that were done while of use, of all or one size."""
@@ -106,7 +110,6 @@
         async with asyncio.TaskGroup() as group:
             short = group.create_task(self._short_jobs(group))
             others = [self._later_standing_jobs(), self._end_standing_jobs(), self._sample()]
-            others.append(self._judge_rule())
             background = [group.create_task(other) for other in others]
             await short
             for task in background:
@@ -142,13 +145,13 @@
 
     async def _later_standing_jobs(self) -> None:
         while True:
-            await asyncio.sleep(STANDING_INTERVAL_S)
+            await asyncio.sleep(self.standing_interval_s)
             await self._submit_standing(self._standing_job(), 0.0)
 
     async def _end_standing_jobs(self) -> None:
         running = list(self._standing)
         while running:
-            await asyncio.sleep(STANDING_END_INTERVAL_S)
+            await asyncio.sleep(self.standing_end_interval_s)
             job_id = running.pop(self.random.randrange(len(running)))
             self._standing.remove(job_id)
             await self.world.cancel(self._host(), job_id)
@@ -187,11 +190,8 @@
             self.standing_share.append(held / 1_000 / self._cores)
             self._check_standing(running)
 
-    async def _judge_rule(self) -> None:
-        while True:
-            await asyncio.sleep(RULE_INTERVAL_S)
-            excused = self.world.accepted.difference(self._standing)
-            self.world.violations += self.rule.check(self.world, world_time(), excused)
+    def _excused(self) -> Set[str]:
+        return self.world.accepted.difference(self._standing)
 
     def _check_standing(self, running: set[TaskName]) -> None:
         """Record a violation for each accepted standing task that stays away beside room."""
--- a/tests/host/managed_day.py
+++ b/tests/host/managed_day.py
@@ -9,7 +9,6 @@
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
 from tests.host.standing_faults_day import StandingFaultsDay
-from tests.managed_tasks import ManagedTasks
 
 KINDS = "kill_owner", "kill_owner_in_handover", "replace", "shrink"
 """Kinds of faults that hand tasks over and change owners."""
@@ -32,12 +31,11 @@
         self, seed: int, kinds: tuple[str, ...] = KINDS, *, unreadable: bool = False
     ) -> None:
         super().__init__(seed, kinds)
-        self.managed = ManagedTasks(self.world)
         self._unreadable = unreadable
 
     async def play(self) -> HallWorld:
         """Run the scenario and return its world, with the violations it found."""
-        watch = asyncio.create_task(self.managed.watch())
+        watch = asyncio.create_task(self.checks.managed.watch())
         spoil = asyncio.create_task(self._spoil_records())
         try:
             return await super().play()
--- a/tests/host/never_run_day.py
+++ b/tests/host/never_run_day.py
@@ -10,6 +10,7 @@
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from tests.hall_world import HallWorld
 from tests.host.overlapping_day import OverlappingDay
+from tests.host.standing_checks import StandingChecks
 from tests.host.standing_faults_day import StandingFaultsDay
 from tests.host.standing_judge import StandingJudge
 from tests.job_builders import MAX_AWAY_S
@@ -108,6 +109,7 @@
         )
         self.world.resets = self.random.random() < 0.5
         self._judge = StandingJudge(MAX_AWAY_S)
+        self.checks = StandingChecks(self.world, self._excused)
         self._standing_cpu = 0
         self._cancelled: set[str] = set()
         self._open_faults = 0
--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -11,10 +11,9 @@
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld
-from tests.host.disruptions import Disruptions
 from tests.host.overlapping_day import CALM_S, OverlappingDay
+from tests.host.standing_checks import StandingChecks
 from tests.host.standing_judge import StandingJudge
-from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
 from tests.job_builders import step
 
 STANDING_SHARE = 0.3
@@ -50,8 +49,7 @@
     """A scenario in which every task of an accepted standing job must run, also if it never ran.
 
     Attributes:
-        disruptions: Times of the injected faults.
-        rule: Checks the users' rule for standing tasks, at all times.
+        checks: Checks of standing tasks that hold at all times.
 
     Args:
         seed: Seed of all random choices.
@@ -62,19 +60,17 @@
         super().__init__(seed, calm_s=calm_s)
         self._checks_from = float("inf")
         self._judge = StandingJudge(MAX_IDLE_S)
-        self.disruptions = Disruptions()
-        self.rule = StandingRule(self.disruptions)
+        self.checks = StandingChecks(self.world, self._excused)
 
     async def play(self) -> HallWorld:
         """Run the scenario and return its world, with the violations it found."""
-        monitors = [asyncio.create_task(self._monitor()), asyncio.create_task(self._judge_rule())]
+        monitor = asyncio.create_task(self._monitor())
         try:
             return await super().play()
         finally:
-            for monitor in monitors:
-                monitor.cancel()
-                with suppress(asyncio.CancelledError):
-                    await monitor
+            monitor.cancel()
+            with suppress(asyncio.CancelledError):
+                await monitor
 
     def _job(self) -> JobSpec:
         random = self.random
@@ -104,7 +100,7 @@
         self._crashes = asyncio.create_task(self._crash_executors())
 
     async def _cause(self, name: str) -> None:
-        with self.disruptions.lasting():
+        with self.checks.disruptions.lasting():
             await super()._cause(name)
 
     async def _crash_executors(self) -> None:
@@ -128,14 +124,6 @@
             if now >= self._checks_from:
                 self._check_standing(now)
 
-    async def _judge_rule(self) -> None:
-        while True:
-            await asyncio.sleep(RULE_INTERVAL_S)
-            self._check_rule(asyncio.get_running_loop().time())
-
-    def _check_rule(self, now: float) -> None:
-        self.world.violations += self.rule.check(self.world, now, self._excused())
-
     def _check_standing(self, now: float) -> None:
         self.world.violations += self._judge.check(self.world, now, self._excused())
 
--- a/tests/host/standing_faults_day.py
+++ b/tests/host/standing_faults_day.py
@@ -9,6 +9,7 @@
 from tests.host.restarting_troubles import MIN_CRASHES_TO_FAIL
 from tests.host.standing_day import CHECK_INTERVAL_S, MAX_IDLE_S, SETTLE_S, StandingDay
 from tests.host.standing_faults import STANDING_FAULTS
+from tests.virtual_time import world_time
 
 SERIES_COUNT = 4
 """Number of series of faults, which overlap."""
@@ -50,7 +51,7 @@
         super().__init__(seed, calm_s=CALM_S)
         self._kinds = kinds or tuple(sorted(STANDING_FAULTS))
         self._given_up: set[str] = set()
-        self._give_ups_read = 0
+        self._lines_read = 0
         self.world.resets = self.random.random() < 0.5
 
     def some_addresses(self) -> list[str]:
@@ -85,33 +86,28 @@
 
     async def _inject(self, kind: str) -> None:
         """Inject one fault, and return after its end."""
-        with self.disruptions.lasting():
+        with self.checks.disruptions.lasting():
             await STANDING_FAULTS[kind](self)
 
-    def _check_standing(self, now: float) -> None:
-        self._read_give_ups(now)
-        super()._check_standing(now)
-
-    def _check_rule(self, now: float) -> None:
-        self._read_give_ups(now)
-        super()._check_rule(now)
-
     def _excused(self) -> Set[str]:
+        self._read_give_ups()
         return self._given_up
 
-    def _read_give_ups(self, now: float) -> None:
+    def _read_give_ups(self) -> None:
         """Record the jobs that were given up, and a violation where too few executors crashed."""
-        lines = self.world.log.named("TASK_GIVEN_UP")
-        for fields in lines[self._give_ups_read :]:
+        lines = self.world.log.lines
+        for _, event, fields in lines[self._lines_read :]:
+            if event != "TASK_GIVEN_UP":
+                continue
             task = TaskName(fields["job"], *map(int, fields["task"].split(".")))
             crashes = self.world.crashing.crashes_during_run[task]
             if crashes >= MIN_CRASHES_TO_FAIL:
                 self._given_up.add(task.job_id)
                 continue
             self.world.violations.append(
-                f"{now:.2f} LOST {task} is given up after {crashes} crashes under it"
+                f"{world_time():.2f} LOST {task} is given up after {crashes} crashes under it"
             )
-        self._give_ups_read = len(lines)
+        self._lines_read = len(lines)
 
 
 assert MAX_IDLE_S + 2 * CHECK_INTERVAL_S < AFTER_FAULTS_S
--- a/tests/host/standing_rule.py
+++ b/tests/host/standing_rule.py
@@ -21,9 +21,6 @@
 MIN_CALM_S = MAX_BESIDE_ROOM_S + 4.0
 """Time without a fault before a task is reported: the time beside room, and 4 s before it."""
 
-RULE_INTERVAL_S = 0.1
-"""Interval between checks: short against these times, so that no break of the room is missed."""
-
 
 class StandingRule:
     """Reports standing tasks that were away for 6 s and had room for two of them for the last 3 s.
--- a/tests/host/test_standing_rule.py
+++ b/tests/host/test_standing_rule.py
@@ -10,8 +10,9 @@
 from linkspan.shard.messages import StartOrder, TaskName
 from tests.hall_world import HallWorld
 from tests.host.disruptions import Disruptions
-from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
+from tests.host.standing_rule import StandingRule
 from tests.job_builders import step
+from tests.run_judge import CANCEL_CHECK_S
 from tests.virtual_time import run_virtual, world_time
 
 FULL, ROOM, FAULT, DOWN, RUNS, EXCUSED = "full", "room", "fault", "down", "runs", "excused"
@@ -43,9 +44,9 @@
             executor.start(order, world_time() + duration_s, 1)
         excused = {spec.job_id} if kind == EXCUSED else set()
         with disruptions.lasting() if kind == FAULT else nullcontext():
-            for _ in range(round(duration_s / RULE_INTERVAL_S)):
+            for _ in range(round(duration_s / CANCEL_CHECK_S)):
                 lines += rule.check(world, world_time(), excused)
-                await asyncio.sleep(RULE_INTERVAL_S)
+                await asyncio.sleep(CANCEL_CHECK_S)
         executor.running.clear()
     return lines
 
--- a/tests/managed_tasks.py
+++ b/tests/managed_tasks.py
@@ -47,11 +47,11 @@
         """Check for ever, and add violations to those of the world."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._check()
+            self.check()
 
     def wrong(self) -> dict[TaskName, int]:
         """Return by how many halls each task is managed that exactly one should manage."""
-        cores = self._cores()
+        cores = self.cores()
         managing = Counter(task for core in cores.values() for task in _managed_tasks(core))
         expected = {
             TaskName(job_id, 0, index, number)
@@ -68,9 +68,10 @@
         store = self._world.store
         if store.refusing or store.silent or store.lost_answer_share or store.read_duration_s:
             return False
-        return len(self._cores()) == len(self._world.halls)
+        return len(self.cores()) == len(self._world.halls)
 
-    def _check(self) -> None:
+    def check(self) -> None:
+        """Add a violation to those of the world for each task that is wrong for too long, once."""
         now = world_time()
         wrong = self.wrong() if self.all_halls_act else {}
         self._wrong_since = {task: self._wrong_since.get(task, now) for task in wrong}
@@ -82,7 +83,7 @@
                     f"{now:.2f} MANAGED {task} is managed by {wrong[task]} halls"
                 )
 
-    def _cores(self) -> dict[int, ShardCore]:
+    def cores(self) -> dict[int, ShardCore]:
         """Return the state of each hall's newest owner, if it has recovered the hall, by shard."""
         self._read_recoveries()
         cores: dict[int, ShardCore] = {}
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -49,6 +50,8 @@
         done_runs_at: Time at which a run ended as done, by executor incarnation, task and run
             number: a new owner that knows of no run may use the same number on another executor.
         failed: Number of acknowledged failed runs of each task.
+        watches: Further checks, called at the interval of the search for cancelled work: timers of
+            their own would change the order of events, and so the scenario of a seed.
         starts: Times at which runs of each task started.
         executors: Executors by address.
         one_hall: Checks the hall of first runs.
@@ -70,6 +73,7 @@
     starts: defaultdict[TaskName, list[float]] = field(
         default_factory=lambda: defaultdict(list), init=False
     )
+    watches: list[Callable[[], None]] = field(default_factory=list, init=False)
     executors: dict[str, MemoryExecutor] = field(default_factory=dict, init=False)
     one_hall: OneHall = field(init=False)
     crashing: CrashingTasks = field(default_factory=CrashingTasks, init=False)
@@ -119,7 +123,7 @@
             self.violations.append(f"{now:.2f} UNASKED {task} was started after its cancel")
 
     async def check_cancelled(self) -> None:
-        """Find tasks that continue to run after their job was cancelled."""
+        """Find tasks that continue to run after their job was cancelled, and call the watches."""
         while True:
             await asyncio.sleep(CANCEL_CHECK_S)
             now = world_time()
@@ -132,6 +136,8 @@
                     ):
                         self._overdue.add(run.task)
                         self.violations.append(f"{now:.2f} UNASKED {run.task} runs on")
+            for watch in self.watches:
+                watch()
 
     def _must_end_by(self, task: TaskName, began: float) -> float:
         """Return the time by which a task must have ended; its start may have arrived late."""
