Move the placer's decisions out of the scheduler's core

For a reader, scheduler/core.py mixed two jobs: the order of a scheduler's step, and the dealings with the placer (when a pass is due, its placements and recalls with their reasons, which ends it hears of), whose state and methods stood apart in five places of the file. Decisions about workers had a module of their own already, worker_decisions.py.

The workers that may get new work are still looked at only when the ledger has a job, before the pass's first decision.

No test changed.

--- a/src/linkspan/scheduler/core.py
+++ b/src/linkspan/scheduler/core.py
@@ -15,23 +15,20 @@
 from linkspan.ledger.records import (
     Cancelled,
     Decision,
-    Ended,
     Expelled,
     Joined,
     Lapsed,
     Left,
-    Outcome,
-    Placed,
     Recalled,
     Record,
     Submitted,
 )
-from linkspan.ledger.run_keys import worker_of
 from linkspan.model.job import AttemptId
 from linkspan.scheduler.caller_requests import CallerRequests
 from linkspan.scheduler.hall_peers import HallPeers
 from linkspan.scheduler.lease_expiry import LeaseExpiryProof
 from linkspan.scheduler.outbox import Outbox
+from linkspan.scheduler.placer_decisions import PlacerDecisions, ended_runs
 from linkspan.scheduler.services import service_changes
 from linkspan.scheduler.timing import Timing
 from linkspan.scheduler.watched_workers import WatchedWorkers
@@ -90,8 +87,8 @@
     ) -> None:
         self.name = name
         self.ledger = ledger
-        self.placer = placer
         self.timing = timing or Timing()
+        self._placer_decisions = PlacerDecisions(placer, self.timing)
         self.outbox = Outbox(name, self.timing.append_timeout_s)
         self.proof = LeaseExpiryProof(name, self.timing)
         self._workers = WatchedWorkers(name, self.timing, small_hall=small_hall)
@@ -99,8 +96,6 @@
         self.leaving: frozenset[str] = frozenset()
         self.services: Mapping[str, JobSpec] = {}
         self._requests = CallerRequests(self.timing.resend_s)
-        self._recall_reasons: dict[AttemptId, str] = {}
-        self._last_pass = (float("-inf"), -1)
         self._peers = HallPeers(name, self.timing)
         self._tail_read_started = float("-inf")
         self._append_in_flight = False
@@ -110,6 +105,15 @@
     def __repr__(self) -> str:
         return f"SchedulerCore({self.name!r}, {self.ledger!r}, workers={len(self._workers)})"
 
+    @property
+    def placer(self) -> Placer:
+        """The placement policy; a new one counts from the next step on."""
+        return self._placer_decisions.placer
+
+    @placer.setter
+    def placer(self, placer: Placer) -> None:
+        self._placer_decisions.placer = placer
+
     @property
     def has_joined(self) -> bool:
         """Whether the ledger lists this scheduler among those that renew leases."""
@@ -155,11 +159,11 @@
             if record is None:
                 self.ledger.skip(offset)
                 continue
-            ended = self._ended_attempts(record)
+            ended = ended_runs(self.ledger, record)
             results = self.ledger.apply(offset, record)
             self.outbox.on_record(record)
             self._note_proof_offset(offset, record, now)
-            self._report_ends_to_placer(record, results, ended, now)
+            self._placer_decisions.report_ends(record, results, ended, self.ledger, now)
             self._workers.schedule_exchanges(record, self.ledger)
             if on_record is not None:
                 on_record(offset, record, results)
@@ -171,30 +175,6 @@
             self._tail_read_started = max(self._tail_read_started, started)
         return own
 
-    def _ended_attempts(self, record: Record) -> dict[AttemptId, tuple[str, str]]:
-        """Return the kind and the worker of each attempt whose end the record reports."""
-        ended: dict[AttemptId, tuple[str, str]] = {}
-        for decision in record.decisions:
-            if isinstance(decision, Ended) and (number := worker_of(self.ledger, decision.attempt)):
-                kind = self.ledger.jobs[decision.attempt.job].spec.kind
-                ended[decision.attempt] = (kind, self.ledger.workers[number].spec.name)
-        return ended
-
-    def _report_ends_to_placer(
-        self,
-        record: Record,
-        results: list[ApplyResult],
-        ended: dict[AttemptId, tuple[str, str]],
-        now: float,
-    ) -> None:
-        for decision, result in zip(record.decisions, results, strict=True):
-            if not isinstance(decision, Ended) or result is not ApplyResult.APPLIED:
-                continue
-            if decision.attempt in ended:
-                kind, worker = ended[decision.attempt]
-                failed = decision.outcome is Outcome.FAILED
-                self.placer.note_end(kind, worker, failed=failed, ledger=self.ledger, now=now)
-
     def _note_proof_offset(self, offset: int, record: Record, now: float) -> None:
         if any(isinstance(d, (Recalled, Expelled)) for d in record.decisions):
             self.proof.note_offset(offset, now)
@@ -287,12 +267,15 @@
                 self.outbox.add(self._worker_decisions(view, now))
         if self.has_joined:
             self.outbox.add(self._expired_leases(now))
-            self.outbox.add(self._chosen_recalls())
+            self.outbox.add(self._placer_decisions.recalls(self.ledger))
         if self.leads(now) and now - self.tail_read <= self.timing.append_timeout_s:
             self.outbox.add(self._peers.expulsions(self.ledger, self.proof, now))
             self.outbox.add(service_changes(self.ledger, self.services))
-            if self._is_time_to_place(now):
-                self.outbox.add(self._place(now))
+            if self._placer_decisions.is_pass_due(self.ledger, now):
+                fit = self._fit_workers(now) if self.ledger.jobs else []
+                self.outbox.add(
+                    self._placer_decisions.placements(self.ledger, fit, self.outbox, now)
+                )
         exchanges = {view.name: self._orders(view, now) for view in due}
         return Step(self._next_record(now) if may_append else None, exchanges)
 
@@ -322,18 +305,6 @@
         """Return the workers assigned to this scheduler."""
         return self._workers.assigned(frozenset(self.live_schedulers(now)), now)
 
-    def _chosen_recalls(self) -> Iterator[Decision]:
-        """Yield recalls of the attempts that the placer chose to move from their workers."""
-        for attempt, reason in self.placer.take_recalls().items():
-            if worker_of(self.ledger, attempt):
-                self._recall_reasons[attempt] = reason
-                yield Recalled(attempt)
-
-    def take_recall_reasons(self) -> dict[AttemptId, str]:
-        """Return and clear the placer's reasons for its recalls, by attempt, for the log."""
-        reasons, self._recall_reasons = self._recall_reasons, {}
-        return reasons
-
     def _expired_leases(self, now: float) -> Iterator[Decision]:
         """Yield expiry records for recalled attempts whose leases have certainly expired.
 
@@ -374,33 +345,18 @@
         )
         return orders.build(self.placer)
 
-    # Placement.
-
-    def _is_time_to_place(self, now: float) -> bool:
-        """Return whether a placement pass is due.
-
-        Without new records a pass seldom finds a placement, so that passes are rarer.
-        """
-        passed_at, offset = self._last_pass
-        has_new_records = offset != self.ledger.next_offset
-        return now - passed_at >= (
-            self.timing.min_pass_interval_s if has_new_records else self.timing.exchange_s
-        )
-
-    def _place(self, now: float) -> Iterator[Decision]:
-        self._last_pass = (now, self.ledger.next_offset)
-        if not self.ledger.jobs:
-            return
+    def _fit_workers(self, now: float) -> list[int]:
+        """Return the numbers of the workers that may get new work."""
         unfit = self.unfit(now) | self.leaving | self._peers.reported_unfit(now)
-        fit = [
+        return [
             number
             for name, number in self.ledger.worker_numbers.items()
             if name in self._workers and name not in unfit
         ]
-        yield from self.placer.resizes(self.ledger)
-        pending = list(self.outbox.placements())
-        for task, worker in self.placer.place(self.ledger, fit, pending, now):
-            yield Placed(AttemptId(*task, self.ledger.attempt_of(task).attempt + 1), worker)
+
+    def take_recall_reasons(self) -> dict[AttemptId, str]:
+        """Return and clear the placer's reasons for its recalls, by attempt, for the log."""
+        return self._placer_decisions.take_recall_reasons()
 
     def queued(self) -> int:
         """Return the number of tasks that wait for placement."""
