Move the claim of a shard out of the candidate

For a reader, host/candidate.py held the life of a tenure, its renewals and the claim of a shard in one class. The claim had state of its own, a method of 43 lines that built records, read, decided, wrote and logged, and took a task group that it never used.

host/_shard_claim.py has it now, as ShardClaim: is_due, make and last. What is read, written and logged, and in which order, is the same.

Evidence: with -n 2 21 files of tests/host about owners, claims, renewals, takeovers and planned stops, tests/test_layers.py and the doctests of src/linkspan/host passed (138). No test changed. All of tests/host takes longer than nine minutes on this machine today and was not run for this commit.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
-from linkspan.errors import OffsetConflict, RecordError, StoreRefused, StoreUnanswered, format_error
+from linkspan.errors import RecordError, StoreRefused, StoreUnanswered, format_error
 from linkspan.events import Event
+from linkspan.host._shard_claim import ShardClaim
 from linkspan.shard.ownership._proof import TenureLost
-from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from linkspan.shard.ownership.ownership import (
-    MAX_UNPROVED_S,
     RENEWAL_INTERVAL_S,
     Claim,
     Owner,
@@ -98,7 +98,6 @@
         self._home = home
         self._make_tenure = make_tenure
         self._log = log
-        self._claim_delay = claim_delay
         self._on_summary = on_summary
         self._view = OwnerView(host, incarnation, home=home)
         self._partition = Partition("owners", shard)
@@ -112,13 +111,23 @@
             max_past_records=MAX_PAST_RECORDS,
         )
         self._follower.wait_s = HOME_READ_WAIT_S if home else 0.0
+        self._claim = ShardClaim(
+            store,
+            self._partition,
+            host=host,
+            incarnation=incarnation,
+            view=self._view,
+            follower=self._follower,
+            delay=claim_delay,
+            max_view_age_s=2 * (HOME_READ_WAIT_S if home else REMOTE_READ_PAUSE_S),
+            log=log,
+        )
         self._tenure: Tenure | None = None
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewed_at: dict[int, float] = {}
         self._renewals = 0
         self._summary_token = 0
         self._summary_written_after = float("-inf")
-        self._last_claim = Claim(float("-inf"), MAX_UNPROVED_S)
         self._enabled = asyncio.Event()
         self._summary_outdated = asyncio.Event()
 
@@ -163,7 +172,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._follower.run())
-                group.create_task(self._claim_loop(group))
+                group.create_task(self._claim_loop())
                 group.create_task(self._renew_loop())
                 group.create_task(self._share_summary_loop())
         finally:
@@ -186,58 +195,15 @@
             self._log.write(Event.OWNER_HANDED_ON, shard=self._shard)
         self._end_tenure()
 
-    async def _claim_loop(self, group: asyncio.TaskGroup) -> None:
+    async def _claim_loop(self) -> None:
         await self._enabled.wait()
         while True:
-            if self._follower.ready and self._enabled.is_set():
-                now = steady()
-                if self._should_claim(now) and self._view_is_fresh(now):
-                    await self._claim(group)
+            if self._follower.ready and self._enabled.is_set() and self._claim.is_due(steady()):
+                await self._claim.make()
             await asyncio.sleep(
                 CLAIM_CHECK_INTERVAL_S if self._home else REMOTE_CLAIM_CHECK_INTERVAL_S
             )
 
-    def _should_claim(self, now: float) -> bool:
-        return self._view.should_claim(now, delay_s=self._claim_delay.delay_s)
-
-    def _view_is_fresh(self, now: float) -> bool:
-        # With a stale view, a silence may be due to the store rather than the owner.
-        limit = 2 * HOME_READ_WAIT_S if self._home else 2 * REMOTE_READ_PAUSE_S
-        return now - self._follower.synced_at < limit
-
-    async def _claim(self, group: asyncio.TaskGroup) -> None:
-        identity = OwnerAct.CLAIM, self._host, self._incarnation
-        reservation = OwnerRecord(*identity, number=RESERVATION_NUMBER)
-        records = [Record(record.encode()) for record in (reservation, OwnerRecord(*identity))]
-        silent_s = self._view.silent_for(steady())
-        previous_owner = self._view.owner
-        asked_at = steady()
-        try:
-            await self._follower.sync()
-            now = steady()
-            if not self._should_claim(now):
-                return
-            # Counts from before the call: an earlier unanswered claim may succeed meanwhile.
-            self._last_claim = Claim(
-                asked_at, now - asked_at + self._view.former_owners_remaining_s(now)
-            )
-            appended = await self._store.append(self._partition, records, at=self._follower.offset)
-        except (OffsetConflict, StoreRefused, StoreUnanswered):
-            # Another host has claimed the shard, or the follower will read this claim back.
-            return
-        self._log.write(
-            Event.OWNER_CLAIMED,
-            shard=self._shard,
-            token=appended.offset + 1,
-            former=previous_owner.host if previous_owner else None,
-            silent_s=round(silent_s, 2),
-            former_token=previous_owner.token if previous_owner else None,
-            former_acts_s=round(self._last_claim.former_owners_remaining_s, 2),
-        )
-        # The claim takes effect once it is read back, and other halls' ownership is read seldom.
-        with suppress(StoreRefused, StoreUnanswered):
-            await self._follower.sync()
-
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         now = steady()
         for entry in entries:
@@ -287,7 +253,7 @@
     def _begin_tenure(self, owner: Owner) -> None:
         # Renewals are numbered per tenure, so that hosts that start later know the tenure's age.
         self._renewals = 0
-        self._tenure = self._make_tenure(owner, self._shard, self._last_claim)
+        self._tenure = self._make_tenure(owner, self._shard, self._claim.last)
         self._tenure_task = asyncio.create_task(self._run_tenure(self._tenure))
 
     async def _run_tenure(self, tenure: Tenure) -> None:
