Write scenarios of successive owners once

For a reader, test_late_renewal.py and test_late_renewal_before_a_claim.py held the same record of a late renewal, the same wait and the same limit, and test_first_lease.py and test_leases_of_earlier_owners.py began with the same seven lines. What differs between two scenarios was hard to see.

tests/host/owner_waits.py has start_long_task, apply_late_renewal and wait_for_past_records now; kill_first_owner knows its limit, which both callers gave as 5 s. Names, parameters and assertions of the tests stay.

Evidence: with -n 2 the four test files, three others that use the module and tests/test_layers.py passed (34). Trial on scratch copies with a broken OwnerView (late renewals count, former owners are not waited for): the same 9 cases of these four files fail before and after.

--- a/tests/host/owner_waits.py
+++ b/tests/host/owner_waits.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from linkspan.host.candidate import MAX_PAST_RECORDS
+from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from linkspan.shard.ownership.ownership import Owner
 from linkspan.store.types import Partition
 from tests.hall_world import HallWorld
@@ -23,6 +25,9 @@
 LONG_S = 100.0
 """Duration of a task that outlasts a scenario."""
 
+SUCCESSION_LIMIT_S = 5.0
+"""Longest time until the next owner has claimed the shard, or has renewed a few times."""
+
 _CHECK_INTERVAL_S = 0.01
 """Interval between checks of a condition."""
 
@@ -40,6 +45,21 @@
             await asyncio.sleep(check_interval_s)
 
 
+async def start_long_task(world: HallWorld) -> tuple[str, str]:
+    """Begin a world and run a task that outlasts it.
+
+    Returns:
+        The owner, to which the task was submitted, and the other host.
+    """
+    await world.begin()
+    first = world.owner()
+    assert first
+    second = next(name for name, _ in world.host_names() if name != first)
+    assert await world.submit(first, world.new_job(step(1, estimate_s=LONG_S))) == 200
+    await asyncio.sleep(BEGUN_S)
+    return first, second
+
+
 class Succession(NamedTuple):
     """Two owners of a shard in a row.
 
@@ -54,12 +74,11 @@
     second: str
 
 
-async def kill_first_owner(world: HallWorld, *, limit_s: float) -> Succession:
+async def kill_first_owner(world: HallWorld) -> Succession:
     """Kill the first owner of a begun world, and give its successor a long task.
 
     Args:
         world: The world.
-        limit_s: Longest time until the next owner has claimed the shard.
 
     Raises:
         TimeoutError: No other host claimed the shard in time.
@@ -70,7 +89,7 @@
     assert first_owner and first_owner.token == 1
     second = next(name for name, _ in world.host_names() if name != first)
     world.kill_host(first)
-    await until(lambda: world.owner() == second, limit_s=limit_s)
+    await until(lambda: world.owner() == second, limit_s=SUCCESSION_LIMIT_S)
     assert await world.submit(second, world.new_job(step(1, estimate_s=LONG_S))) == 200
     await asyncio.sleep(BEGUN_S)
     return Succession(first, first_owner, second)
@@ -87,3 +106,26 @@
     for address, executor in world.executors.items():
         world.cuts.add((first if executor.running else second, address))
     world.store.silent.add(second)
+
+
+def apply_late_renewal(world: HallWorld, succession: Succession) -> None:
+    """Append a renewal by the first owner that the store applies long after its tenure."""
+    owner = succession.first_owner
+    record = OwnerRecord(OwnerAct.RENEW, succession.first, owner.incarnation, owner.token, 99)
+    world.store.put(OWNERS, b"", record.encode())
+
+
+async def wait_for_past_records(world: HallWorld, end: int) -> None:
+    """Wait until an ownership record is the oldest one that a host reads when it starts.
+
+    Args:
+        world: The world.
+        end: Offset after this record.
+
+    Raises:
+        TimeoutError: The owner did not write them in time.
+    """
+    await until(
+        lambda: world.store.log(OWNERS).end == end + MAX_PAST_RECORDS - 1,
+        limit_s=SUCCESSION_LIMIT_S,
+    )
--- a/tests/host/test_first_lease.py
+++ b/tests/host/test_first_lease.py
@@ -17,8 +17,7 @@
 import pytest
 
 from tests.hall_world import HallWorld
-from tests.host.owner_waits import BEGUN_S, LONG_S, until
-from tests.job_builders import step
+from tests.host.owner_waits import start_long_task, until
 from tests.standins.memory_executor import MemoryExecutor
 from tests.virtual_time import run_virtual
 
@@ -85,13 +84,7 @@
 async def _start_task() -> tuple[HallWorld, str, str, MemoryExecutor]:
     """Return a hall, its owner, its other host and the executor that runs a task."""
     world = HallWorld(lists_machines=False)
-    await world.begin()
-    first = world.owner()
-    assert first
-    second = next(name for name, _ in world.host_names() if name != first)
-    spec = world.new_job(step(1, estimate_s=LONG_S))
-    assert await world.submit(first, spec) == 200
-    await asyncio.sleep(BEGUN_S)
+    first, second = await start_long_task(world)
     (busy,) = (e for e in world.executors.values() if e.running)
     return world, first, second, busy
 
--- a/tests/host/test_late_renewal.py
+++ b/tests/host/test_late_renewal.py
@@ -18,40 +18,30 @@
 
 import pytest
 
-from linkspan.host.candidate import MAX_PAST_RECORDS
-from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from tests.hall_world import HallWorld
 from tests.host.owner_waits import (
     OUTLIVED_S,
     OWNERS,
+    apply_late_renewal,
     cut_off_owner,
     kill_first_owner,
-    until,
+    wait_for_past_records,
 )
 from tests.virtual_time import run_virtual
 
-WAIT_S = 5.0
-"""Longest time until the next owner has claimed the shard, or has renewed a few times."""
-
 
 @pytest.mark.parametrize("late", [True, False])
 def test_a_late_renewal_hides_no_owner(late: bool) -> None:
     async def play() -> HallWorld:
         world = HallWorld(lists_machines=False)
         await world.begin()
-        succession = await kill_first_owner(world, limit_s=WAIT_S)
-        first, earlier_owner = succession.first, succession.first_owner
+        succession = await kill_first_owner(world)
         if late:
-            record = OwnerRecord(
-                OwnerAct.RENEW, first, earlier_owner.incarnation, earlier_owner.token, 99
-            )
-            world.store.put(OWNERS, b"", record.encode())
+            apply_late_renewal(world, succession)
         end = world.store.log(OWNERS).end
-        await until(
-            lambda: world.store.log(OWNERS).end == end + MAX_PAST_RECORDS - 1, limit_s=WAIT_S
-        )
+        await wait_for_past_records(world, end)
         cut_off_owner(world, succession)
-        world.start_host(first)
+        world.start_host(succession.first)
         await asyncio.sleep(OUTLIVED_S)
         return world
 
--- a/tests/host/test_late_renewal_before_a_claim.py
+++ b/tests/host/test_late_renewal_before_a_claim.py
@@ -19,7 +19,6 @@
 
 import pytest
 
-from linkspan.host.candidate import MAX_PAST_RECORDS
 from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
 from linkspan.shard.ownership.ownership import MAX_UNPROVED_S, OwnerView
 from linkspan.store.types import Entry
@@ -27,37 +26,29 @@
 from tests.host.owner_waits import (
     OUTLIVED_S,
     OWNERS,
+    apply_late_renewal,
     cut_off_owner,
     kill_first_owner,
-    until,
+    wait_for_past_records,
 )
 from tests.virtual_time import run_virtual
 
-WAIT_S = 5.0
-"""Longest time until the next owner has claimed the shard, or has renewed a few times."""
-
 
 @pytest.mark.parametrize("late", [True, False])
 def test_an_owner_between_two_incarnations_of_a_host_is_waited_for(late: bool) -> None:
     async def play() -> HallWorld:
         world = HallWorld(lists_machines=False)
         await world.begin()
-        succession = await kill_first_owner(world, limit_s=WAIT_S)
-        first, earlier_owner = succession.first, succession.first_owner
+        succession = await kill_first_owner(world)
         cut_off_owner(world, succession)
         if late:
-            record = OwnerRecord(
-                OwnerAct.RENEW, first, earlier_owner.incarnation, earlier_owner.token, 99
-            )
-            world.store.put(OWNERS, b"", record.encode())
+            apply_late_renewal(world, succession)
         end = world.store.log(OWNERS).end
-        world.start_host(first)
+        world.start_host(succession.first)
         # The claim by its second incarnation, and enough renewals that no older record is read.
-        await until(
-            lambda: world.store.log(OWNERS).end == end + MAX_PAST_RECORDS - 1, limit_s=WAIT_S
-        )
-        world.kill_host(first)
-        world.start_host(first)
+        await wait_for_past_records(world, end)
+        world.kill_host(succession.first)
+        world.start_host(succession.first)
         await asyncio.sleep(OUTLIVED_S)
         return world
 
--- a/tests/host/test_leases_of_earlier_owners.py
+++ b/tests/host/test_leases_of_earlier_owners.py
@@ -23,7 +23,7 @@
 from linkspan.jobs.record_codec import encode
 from linkspan.jobs.records import Submitted
 from tests.hall_world import HallWorld
-from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S
+from tests.host.owner_waits import BEGUN_S, LONG_S, OUTLIVED_S, start_long_task
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
 
@@ -43,13 +43,7 @@
 
     async def play() -> HallWorld:
         world = HallWorld(lists_machines=False)
-        await world.begin()
-        first = world.owner()
-        assert first
-        second = next(name for name, _ in world.host_names() if name != first)
-        spec = world.new_job(step(1, estimate_s=LONG_S))
-        assert await world.submit(first, spec) == 200
-        await asyncio.sleep(BEGUN_S)
+        first, second = await start_long_task(world)
         # Cuts the first owner and that executor off from the other host and executors.
         for address, executor in world.executors.items():
             world.cuts.add((second if executor.running else first, address))
