--- a/tests/host/standing_day.py
+++ b/tests/host/standing_day.py
@@ -6,13 +6,11 @@
 from collections.abc import Set
 from contextlib import suppress
 
-from linkspan.jobs.job_registry import JOBS
-from linkspan.jobs.record_codec import encode
-from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from tests.hall_world import HallWorld
 from tests.host.disruptions import Disruptions
-from tests.host.overlapping_day import CALM_S, OverlappingDay
+from tests.host.misplacing_day import MisplacingDay
+from tests.host.overlapping_day import CALM_S
 from tests.host.standing_judge import StandingJudge
 from tests.host.standing_rule import RULE_INTERVAL_S, StandingRule
 from tests.job_builders import step
@@ -24,10 +22,6 @@
 """Maximum number of jobs with standing tasks: with these sizes they take about nine tenths of the
 cores."""
 
-MISPLACED_SHARE = 0.6
-"""Share of these jobs that are accepted for a random hall, as by a host with an outdated view of
-the halls' capacity; full halls move them away."""
-
 CRASH_COUNT = 5
 """Number of executors that crash one after the other after the random faults."""
 
@@ -46,7 +40,7 @@
 progress."""
 
 
-class StandingDay(OverlappingDay):
+class StandingDay(MisplacingDay):
     """A scenario in which every task of an accepted standing job must run, also if it never ran.
 
     Attributes:
@@ -58,6 +52,8 @@
         calm_s: Time after the traffic until the end, in seconds.
     """
 
+    misplaced_share = 0.6
+
     def __init__(self, seed: int, *, calm_s: float = CALM_S) -> None:
         super().__init__(seed, calm_s=calm_s)
         self._checks_from = float("inf")
@@ -89,16 +85,6 @@
         )
         return self.world.new_job(tasks)
 
-    async def _caller(self, spec: JobSpec) -> None:
-        if not spec.standing or self.random.random() >= MISPLACED_SHARE:
-            await super()._caller(spec)
-            return
-        world = self.world
-        world.specs[spec.job_id] = spec
-        hall = self.random.randrange(len(world.halls))
-        world.store.put(JOBS, *encode(Submitted(spec, hall, 0.0, "life-x")))
-        world.accepted.add(spec.job_id)
-
     def _start_missing(self) -> None:
         super()._start_missing()
         self._crashes = asyncio.create_task(self._crash_executors())
@@ -118,9 +104,6 @@
             self.world.add_executor(hall, address)
         self._checks_from = asyncio.get_running_loop().time()
 
-    async def _ask_for_all(self) -> None:
-        """Skip the check of all jobs: in full halls not all of them end in time."""
-
     async def _monitor(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/tests/host/wide_day.py
+++ b/tests/host/wide_day.py
@@ -5,11 +5,8 @@
 import asyncio
 from contextlib import suppress
 
-from linkspan.jobs.job_registry import JOBS
-from linkspan.jobs.record_codec import encode
-from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
-from tests.host.overlapping_day import OverlappingDay
+from tests.host.misplacing_day import MisplacingDay
 from tests.job_builders import step
 from tests.wide_world import WideWorld
 
@@ -22,9 +19,6 @@
 MAX_STANDING_JOBS = 4
 """Number of jobs of 14 standing tasks: they take up to two thirds of the cores."""
 
-MISPLACED_SHARE = 0.5
-"""Share of these jobs accepted for a random hall, as by a host with outdated summaries."""
-
 BLACKOUTS = 5
 """Number of groups of executors that some hosts do not reach, or whose answers they miss."""
 
@@ -36,7 +30,7 @@
 """Longest wait for the first report to a new owner."""
 
 
-class WideDay(OverlappingDay):
+class WideDay(MisplacingDay):
     """Traffic of one seed in halls that are full, and faults in one pattern.
 
     Answers of the store are lost; hosts are cut off from it, freeze or are killed, consecutive
@@ -51,6 +45,8 @@
         troubles: Number of faults of any kind that begin in addition to the pattern.
     """
 
+    misplaced_share = 0.5
+
     def __init__(
         self,
         seed: int,
@@ -111,19 +107,6 @@
             return world.new_job(first, later)
         return world.new_job(first)
 
-    async def _caller(self, spec: JobSpec) -> None:
-        if not spec.standing or self.random.random() >= MISPLACED_SHARE:
-            await super()._caller(spec)
-            return
-        world = self.world
-        world.specs[spec.job_id] = spec
-        hall = self.random.randrange(len(world.halls))
-        world.store.put(JOBS, *encode(Submitted(spec, hall, 0.0, "life-x")))
-        world.accepted.add(spec.job_id)
-
-    async def _ask_for_all(self) -> None:
-        """Skip the check that all jobs end: in full halls not all of them end in time."""
-
     async def _pattern(self) -> None:
         """Lose answers, cut off a host, freeze another, and restart the rest."""
         world, random = self.world, self.random
