Give what serves callers its shared dependencies once

For a reader, Front and Submissions each named the same seven dependencies in a docstring, a parameter list and assignments, in different orders, and the host passed them twice, in a constructor of 100 lines.

host/_caller_context.py holds them as CallerContext, as TenureContext does for a tenure. The host makes its candidates and its front in functions of their own.

Of the tests only the builder in admission_builders.py changed, for the new parameter.

--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -20,17 +20,11 @@
 
     from aiohttp import web
 
-    from linkspan.events import EventLog
+    from linkspan.host._caller_context import CallerContext
     from linkspan.host.admission import Admission
-    from linkspan.host.caller_format import CallerFormat
-    from linkspan.host.caller_waits import CallerWaits
-    from linkspan.host.refusals import Refusals
     from linkspan.host.standing_reservations import StandingReservations
-    from linkspan.jobs.job_registry import JobRegistry
     from linkspan.jobs.spec import Demand, JobSpec
-    from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
-    from linkspan.shard.operator.configuration import ConfigurationWatch
 
 FRESH_READ_WAIT_S = 0.25
 """Limits the read of the job records before a refusal for the load, in seconds. A refusal
@@ -45,48 +39,36 @@
     """Submissions of jobs to this host.
 
     Args:
-        job_registry: Registry of all jobs.
-        configuration: Watch that provides the configuration in force.
-        form: Format of request bodies.
-        waits: Waits of requests.
+        context: Dependencies shared by the components that serve callers.
         choose_shard: Returns the shard for a new job.
         admission: Decides which jobs to refuse for the load.
         reservations: What standing jobs have reserved lately.
-        refusals: Refuses jobs.
         capacities: Returns the known capacities of a service's executors.
         incarnation: Incarnation of this process, part of the keys of its records.
-        log: Event log.
-        metrics: Metrics of the host.
     """
 
     def __init__(
         self,
-        job_registry: JobRegistry,
-        configuration: ConfigurationWatch,
-        form: CallerFormat,
-        waits: CallerWaits,
+        context: CallerContext,
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
         admission: Admission,
         reservations: StandingReservations,
-        refusals: Refusals,
         capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
-        log: EventLog,
-        metrics: HostMetrics,
     ) -> None:
-        self._job_registry = job_registry
-        self._configuration = configuration
-        self._form = form
-        self._waits = waits
+        self._job_registry = context.job_registry
+        self._configuration = context.configuration
+        self._form = context.form
+        self._waits = context.waits
+        self._refusals = context.refusals
+        self._log = context.log
+        self._metrics = context.metrics
         self._choose_shard = choose_shard
         self._admission = admission
         self._reservations = reservations
-        self._refusals = refusals
         self._capacities = capacities
         self._incarnation = incarnation
-        self._log = log
-        self._metrics = metrics
         self._submitting: dict[str, asyncio.Future[int]] = {}
 
     def __repr__(self) -> str:
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -19,15 +19,9 @@
 from linkspan.jobs.records import Cancelled
 
 if TYPE_CHECKING:
-    from linkspan.events import EventLog
+    from linkspan.host._caller_context import CallerContext
     from linkspan.host._submissions import Submissions
-    from linkspan.host.caller_format import CallerFormat
-    from linkspan.host.caller_waits import CallerWaits
-    from linkspan.host.refusals import Refusals
-    from linkspan.jobs.job_registry import JobRegistry
-    from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
-    from linkspan.shard.operator.configuration import ConfigurationWatch
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
@@ -51,36 +45,19 @@
     """Handler of the requests of callers.
 
     Args:
-        job_registry: Registry of all jobs.
-        configuration: Watch that provides the configuration in force.
-        form: Format of request and response bodies.
+        context: Dependencies shared by the components that serve callers.
         submissions: Accepts jobs.
-        waits: Waits of requests, which the submissions share.
-        refusals: Refuses jobs.
-        log: Event log.
-        metrics: Metrics of the host.
     """
 
-    def __init__(
-        self,
-        job_registry: JobRegistry,
-        configuration: ConfigurationWatch,
-        form: CallerFormat,
-        submissions: Submissions,
-        waits: CallerWaits,
-        *,
-        refusals: Refusals,
-        log: EventLog,
-        metrics: HostMetrics,
-    ) -> None:
-        self._job_registry = job_registry
-        self._configuration = configuration
-        self._form = form
+    def __init__(self, context: CallerContext, submissions: Submissions) -> None:
+        self._job_registry = context.job_registry
+        self._configuration = context.configuration
+        self._form = context.form
+        self._waits = context.waits
+        self._refusals = context.refusals
+        self._log = context.log
+        self._metrics = context.metrics
         self._submissions = submissions
-        self._refusals = refusals
-        self._waits = waits
-        self._log = log
-        self._metrics = metrics
         self._in_flight = 0
         self._body_reads: list[float] = []
 
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -8,6 +8,7 @@
 
 from linkspan.clock import steady
 from linkspan.events import Event
+from linkspan.host._caller_context import CallerContext
 from linkspan.host._claim_delay import ClaimDelay
 from linkspan.host._submissions import Submissions
 from linkspan.host.admission import Admission
@@ -135,56 +136,9 @@
             adapter.store, adapter.operator_format, settings.halls, log
         )
         self.configuration = self.operator_records.configuration
-        self.candidates = [
-            Candidate(
-                adapter.store,
-                shard=shard,
-                host=settings.name,
-                incarnation=incarnation,
-                home=shard == settings.shard,
-                make_tenure=self._make_tenure,
-                log=log,
-                claim_delay=self._claim_delay,
-                on_summary=self._on_summary,
-            )
-            for shard in range(len(settings.halls))
-        ]
-        waits = CallerWaits()
-        reservations = StandingReservations(self.job_registry.catalog)
-        self.job_registry.subscribe(reservations.on_job)
-        self._shard_chooser = ShardChooser(
-            settings,
-            self._summary_of,
-            evacuated=self._is_evacuated,
-            accepted_elsewhere=reservations.accepted_elsewhere,
-        )
-        refusals = Refusals(log, metrics)
-        submissions = Submissions(
-            self.job_registry,
-            self.configuration,
-            adapter.caller_format,
-            waits,
-            choose_shard=self._shard_chooser.choose,
-            admission=Admission(
-                self._hall_loads, self._shard_chooser.eligible_shards, reservations
-            ),
-            reservations=reservations,
-            refusals=refusals,
-            capacities=self._executor_capacities.of,
-            incarnation=incarnation,
-            log=log,
-            metrics=metrics,
-        )
-        self.front = Front(
-            self.job_registry,
-            self.configuration,
-            adapter.caller_format,
-            submissions,
-            waits,
-            refusals=refusals,
-            log=log,
-            metrics=metrics,
-        )
+        shards = range(len(settings.halls))
+        self.candidates = [self._make_candidate(shard, incarnation) for shard in shards]
+        self.front = self._make_front(incarnation)
         self.executor_registry.follower.pause_s = OWNER_EXECUTORS_PAUSE_S
         self.executor_registry.pause()
         self.executor_registry.on_change = self._on_executors
@@ -254,6 +208,47 @@
         while self.front.in_flight and steady() < started_at + limit_s:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
+    def _make_candidate(self, shard: int, incarnation: str) -> Candidate:
+        return Candidate(
+            self._adapter.store,
+            shard=shard,
+            host=self._settings.name,
+            incarnation=incarnation,
+            home=shard == self._settings.shard,
+            make_tenure=self._make_tenure,
+            log=self._log,
+            claim_delay=self._claim_delay,
+            on_summary=self._on_summary,
+        )
+
+    def _make_front(self, incarnation: str) -> Front:
+        context = CallerContext(
+            job_registry=self.job_registry,
+            configuration=self.configuration,
+            form=self._adapter.caller_format,
+            waits=CallerWaits(),
+            refusals=Refusals(self._log, self._metrics),
+            log=self._log,
+            metrics=self._metrics,
+        )
+        reservations = StandingReservations(self.job_registry.catalog)
+        self.job_registry.subscribe(reservations.on_job)
+        chooser = ShardChooser(
+            self._settings,
+            self._summary_of,
+            evacuated=self._is_evacuated,
+            accepted_elsewhere=reservations.accepted_elsewhere,
+        )
+        submissions = Submissions(
+            context,
+            choose_shard=chooser.choose,
+            admission=Admission(self._hall_loads, chooser.eligible_shards, reservations),
+            reservations=reservations,
+            capacities=self._executor_capacities.of,
+            incarnation=incarnation,
+        )
+        return Front(context, submissions)
+
     def _make_tenure(self, owner: Owner, shard: int, claim: Claim) -> Tenure:
         # Imported on demand: most hosts never own a shard, and the import would slow each start.
         from linkspan.shard.tenure import Tenure
--- a/tests/host/admission_builders.py
+++ b/tests/host/admission_builders.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from linkspan.clock import steady
+from linkspan.host._caller_context import CallerContext
 from linkspan.host._submissions import Submissions
 from linkspan.host.admission import Admission
 from linkspan.host.caller_waits import CallerWaits
@@ -101,19 +102,22 @@
     def __init__(self, store: MemoryStore, name: str, admission: Admission) -> None:
         self.log = EventRecorder()
         self.job_registry = JobRegistry(StoreLink(store, name), f"life-{name}", self.log)  # type: ignore[arg-type]
+        context = CallerContext(
+            job_registry=self.job_registry,
+            configuration=SimpleNamespace(current=Configuration(1, {SHORT.name: SHORT})),  # type: ignore[arg-type]
+            form=JsonCallerFormat(),
+            waits=CallerWaits(),
+            refusals=Refusals(self.log, HostMetrics()),  # type: ignore[arg-type]
+            log=self.log,  # type: ignore[arg-type]
+            metrics=HostMetrics(),
+        )
         self.submissions = Submissions(
-            self.job_registry,
-            SimpleNamespace(current=Configuration(1, {SHORT.name: SHORT})),  # type: ignore[arg-type]
-            JsonCallerFormat(),
-            CallerWaits(),
+            context,
             choose_shard=lambda _spec, _queue: 0,
             admission=admission,
             reservations=StandingReservations(self.job_registry.catalog),
-            refusals=Refusals(self.log, HostMetrics()),  # type: ignore[arg-type]
             capacities=lambda _service: (),
             incarnation=f"life-{name}",
-            log=self.log,  # type: ignore[arg-type]
-            metrics=HostMetrics(),
         )
         loop = asyncio.get_running_loop()
         self._tasks = [
