Say in comments what holds, not how it was found out

For a reader, some thirty comments in 20 modules told of a machine on which something was once measured ("326 ms and 108 ms on a busy machine", "made 70 plans a second"), of one deployment's hosts and images, or of what the platform counts or tolerates, in place of what the value does and why. A few were hard to parse ("What is kept for short work is no room").

They say the effect and the reason now. Figures that bound a value stay where the code depends on them (timeouts, intervals, limits).

Only comments and docstrings changed: the syntax trees without docstrings of all 20 modules are the same before and after (compared by a scratch script). docs/EVENTS.md is generated the same. With -n 2 the doctests of src, tests/test_layers.py and tests/test_events.py passed.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -422,8 +422,8 @@
         extra = {**kind, **details, **self._bound_fields, **details}
         logger = self._logger
         if logger.isEnabledFor(event.level):
-            # Handling the record directly skips the lookup of the caller's location, which no line
-            # contains. This saves 2 to 10 us per line.
+            # Handling the record directly saves the lookup of the caller's location, which no line
+            # contains.
             logger.handle(
                 logger.makeRecord(
                     logger.name, event.level, "", 0, event.text, (), None, extra=extra
--- a/src/linkspan/host/__main__.py
+++ b/src/linkspan/host/__main__.py
@@ -16,11 +16,11 @@
 def main() -> int:
     """Run a host daemon and return its exit code."""
     started_at = steady()
-    # Without a handler, a SIGHUP during the 0.6 s of imports would end the process. Ignoring it
-    # is safe, since the settings are read after the imports.
+    # Without a handler, a SIGHUP during the imports would end the process. Ignoring it is safe,
+    # since the settings are read after the imports.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Hosts use plain HTTP only, but the HTTP library loads the system's certificates when it is
-    # imported, which takes a sixth of the CPU time of all imports (0.38 s with, 0.32 s without).
+    # imported, which takes a sixth of the CPU time of all imports.
     os.environ["SSL_CERT_FILE"] = os.devnull
     from linkspan.host._run import run
 
--- a/src/linkspan/host/_claim_delay.py
+++ b/src/linkspan/host/_claim_delay.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 DELAY_PER_LOAD_SECOND = 0.5
-"""Seconds of delay per second of loading the program, which is the same work on each host.
-Hosts with two cores load it in some 0.3 s, those with half a core in 0.7 s. With claims 0.2 s
-apart, the fast hosts have claimed a shard before the slow ones check."""
+"""Seconds of delay per second of loading the program. Loading is the same work on each host, so
+slow hosts claim later than fast ones, by more than the interval between two checks."""
 
 MAX_CLAIM_DELAY_S = 0.3
 """Limits the delay of a claim, in seconds. A shard without an owner starts no tasks, and a host
@@ -19,8 +18,8 @@
     """Delay of a host's claims, from its load time and the lag of its event loop.
 
     An owner sends all orders of a hall, which takes about half a core with a hundred executors.
-    The hosts of a hall differ fourfold in cores, and most of them are weak: without a delay, a
-    weak host would own the shard in five of six cases.
+    Hosts of a hall differ in cores. Without a delay they would be equally likely to become the
+    owner, however slow they are.
 
     Args:
         loaded_s: Time that the program took to load, in seconds.
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -42,8 +42,8 @@
 
 MAX_PAST_RECORDS = 4
 """Limits the existing records with which a host starts to follow a hall's ownership. Two renewals
-name the owner, and one of them includes the summary of the hall. The records of a day take
-megabytes, which all hosts would request at once when they start together."""
+name the owner, and one of them includes the summary of the hall. All records that the store keeps
+take megabytes, which all hosts would request at once when they start together."""
 
 SUMMARY_READ_DELAY_S = 0.3
 """Time from a change that every owner publishes at once, in seconds, until other hosts read it."""
--- a/src/linkspan/host/job_outlook.py
+++ b/src/linkspan/host/job_outlook.py
@@ -21,9 +21,10 @@
 read it every 2 s and know its age to within 2 s."""
 
 HOPELESS_MARGIN = 2.0
-"""Factor by which a job's wait must exceed what would leave it of use. A refused caller may get
-nothing, while one who is accepted in vain gets a late answer. The waiting work has arrived within
-the time in which it is of use, so beyond this factor fewer than one in three jobs can be."""
+"""Factor by which a job's wait must exceed the longest one after which it is of use. A refused
+caller may get nothing, while an accepted one gets at least a late answer. The waiting work itself
+has arrived within the time in which it is of use, so that beyond this factor fewer than one in
+three jobs can still be of use."""
 
 MIN_SPARE_S = 1.0
 """Least time that a job is taken to have left, in seconds: summaries are about that old."""
@@ -32,7 +33,7 @@
 """Least time after which a refused job would fit, in seconds: callers are told whole seconds."""
 
 MAX_FIT_DELAY_S = 600.0
-"""Limits that time, in seconds: drain rates tell nothing of what is later."""
+"""Limits that time, in seconds: a drain rate does not hold for longer."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/host/retry_times.py
+++ b/src/linkspan/host/retry_times.py
@@ -6,8 +6,8 @@
 from zlib import crc32
 
 SPREAD_SHARE = 0.5
-"""Share of the time until a job would fit over which callers are spread after it: as long as the
-work that is ahead of them then drains in the same order."""
+"""Length of the interval over which returning callers are spread, as a share of the time until
+their jobs would fit, at which it begins."""
 
 MIN_SPREAD_S = 2
 """Least time over which callers are spread, in seconds: they are told whole seconds."""
--- a/src/linkspan/host/standing_admission.py
+++ b/src/linkspan/host/standing_admission.py
@@ -18,8 +18,9 @@
     from linkspan.shard.handover.executor_room import ExecutorRoom
 
 MIN_SHARE_WITH_ROOM = 0.5
-"""Least share of a step's tasks that must have room. With all of them, wide jobs would hardly be
-accepted; with one, most tasks would wait, and take what is kept for short work."""
+"""Least share of a step's tasks that must have room. If all of them had to, wide jobs would hardly
+be accepted. If one were enough, most tasks would wait, and later use room that is kept for short
+work."""
 
 PACKED_SHARE = 0.95
 """Share of the resources with room that tasks of several sizes fill, the rest being too small for
@@ -84,8 +85,8 @@
     """Return why the halls have no room for a standing job, ``None`` if they have or may have.
 
     A part of a step's tasks needs room, in all halls together; the others begin as room gets free.
-    The tasks of a gang need it in one hall. What is kept for short work is no room. A hall of which
-    nothing is known may have room.
+    The tasks of a gang need it in one hall. Room that is kept for short work does not count. A hall
+    of which nothing is known may have room.
 
     Args:
         spec: The job.
--- a/src/linkspan/host/standing_reservations.py
+++ b/src/linkspan/host/standing_reservations.py
@@ -136,13 +136,13 @@
     def accepted_since(self, shard: int, service: str, since: float) -> Demand:
         """Return what jobs reserve that were accepted for a shard lately.
 
-        Jobs that other hosts are storing now can't be read yet. They are counted in by the rate of
-        the last moments, as callers often hand in many jobs at once.
+        Jobs that other hosts are storing now cannot be read yet. They are estimated from the rate
+        of the last moments, as callers often submit many jobs at once.
 
         Args:
             shard: The shard.
             service: Service whose executors run the jobs.
-            since: Steady time from which on this host heard of them.
+            since: Steady time from which on this host has read of them.
         """
         now = steady()
         _forget(self._accepted, now - RECENT_S)
--- a/src/linkspan/jobs/job_registry.py
+++ b/src/linkspan/jobs/job_registry.py
@@ -27,8 +27,8 @@
 """Partition of all job records, which every host reads in the same order."""
 
 MAX_FRESH_AGE_S = 0.03
-"""Limits the age of a view of the jobs that counts as fresh, in seconds. The store answers
-within 7 to 15 ms, so a newer view would hardly differ."""
+"""Limits the age of a view of the jobs that counts as fresh, in seconds. A call to the store takes
+about as long, so a newer view would hardly differ."""
 
 
 MAX_REFRESH_WAIT_S = 1.0
--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -15,8 +15,8 @@
 
 MAX_REPEATED_TASKS = 30_000
 """Limits the tasks of all repetitions of a job together. An owner keeps every task in memory
-from the start, at 580 bytes each, or 1,280 bytes if each repetition consists of one task. That
-is up to 38 MB, a fifth of the memory of the smallest host."""
+from the start, at 580 bytes each, or 1,280 bytes if each repetition consists of one task: up to
+38 MB."""
 
 MAX_RESOURCE_AMOUNT = 2**31
 """Limits each resource of a task's demand, in thousandths of a core, megabytes or GPUs, so that
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -24,8 +24,8 @@
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
-        # The library looks up a series by its labels on each call, which takes 7 us. With these
-        # caches, a count takes 1 us and an observation 5 us.
+        # Caches: the library looks up a series by its labels on each call, which takes several
+        # times as long as the count itself.
         self._counts: dict[_Series, int] = {}
         self._series: dict[_Series, SeriesHistogram] = {}
         for name, doc in _COUNTERS.items():
--- a/src/linkspan/platform/__init__.py
+++ b/src/linkspan/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter to the users' platform: wire names, formats and calls, without any decisions."""
+"""Adapter to the platform: wire names, formats and calls, without any decisions."""
--- a/src/linkspan/routing/pool.py
+++ b/src/linkspan/routing/pool.py
@@ -34,9 +34,8 @@
 MIN_LATENCY_SAMPLES = 4
 """Answers required before the expected latency may cause a request to be refused.
 
-The first answer over a new connection takes up to three times as long as later ones
-(326 ms and 108 ms on a busy machine). A mean over four answers is then about 50 % too
-high, which the deadline check tolerates."""
+The first answer over a new connection takes up to three times as long as later ones. A
+mean over four answers is then about 50 % too high, which the deadline check tolerates."""
 
 SERVICE_TIME_FACTOR = 2.5
 """Multiplier of the mean latency in the deadline check; leaves time for slow answers."""
--- a/src/linkspan/shard/colocation/_effect_selector.py
+++ b/src/linkspan/shard/colocation/_effect_selector.py
@@ -14,10 +14,9 @@
     Pair = tuple[str, str]
 
 MAX_PUBLISHED_IN_TURN = 12
-"""Limits the effects published at once because their last publication is the oldest. A hall of 16
-standing images with 30 best-effort ones knows about 300 pairs. All are published within half a
-minute, so hosts that start learn them in that time. Each publication adds half a kilobyte to what
-every host reads."""
+"""Limits the effects published at once because their last publication is the oldest. Several
+hundred pairs of images are published within half a minute, so hosts that start learn them in that
+time. Each publication adds half a kilobyte to what every host reads."""
 
 MAX_PUBLISHED_AS_CHANGED = 12
 """Limits the effects published at once because they changed most since their last publication."""
--- a/src/linkspan/shard/colocation/_pressure_budget.py
+++ b/src/linkspan/shard/colocation/_pressure_budget.py
@@ -17,8 +17,8 @@
 
 MAX_PLACEMENT_PRESSURE = 0.805
 """Limits the pressure on a standing task up to which colocated best-effort tasks are placed and
-their pace is raised. The latency target is reached at 0.83, and loads are predicted to about
-0.04."""
+their pace is raised. It is below 0.83, at which the latency target is reached, because predicted
+loads may be too low."""
 
 MAX_KEPT_PACE_PRESSURE = 0.83
 """Limits the pressure up to which best-effort tasks keep their current pace: just under the latency
--- a/src/linkspan/shard/colocation/interference.py
+++ b/src/linkspan/shard/colocation/interference.py
@@ -31,8 +31,7 @@
 proportionally less."""
 
 UNLOADED_LATENCY_RATIO = 0.17
-"""Latency over target of an idle standing task. The lowest measurements on calm days are 0.2, at a
-quarter of the load."""
+"""Latency over target of an idle standing task. It lies below what a task shows at a low load."""
 
 MAX_PRESSURE = 0.97
 """Limits the pressure derived from a measurement: above it, latency no longer shows how far the
@@ -42,13 +41,13 @@
 """Assumed pressure of one core of an unknown image."""
 
 PRIOR_EFFECT_VARIANCE = 0.04**2
-"""Variance of that assumption: known effects go up to 0.2."""
+"""Variance of that assumption. It is large, as effects of images differ widely."""
 
 PRIOR_LOAD = 0.5
 """Assumed pressure of an unknown standing task's own load."""
 
 PRIOR_LOAD_VARIANCE = 0.15**2
-"""Variance of that assumption: own loads swing by half."""
+"""Variance of that assumption. Own loads vary by half."""
 
 MEASUREMENT_AGE_S = 0.25
 """Age of a measurement when it is read: it covers the half second before."""
@@ -60,7 +59,7 @@
 """Growth of an effect's variance per second, as effects change over time."""
 
 MEASUREMENT_VARIANCE = 0.08**2
-"""Noise variance of one measurement: tasks of one step differ by 0.07."""
+"""Noise variance of one measurement. It covers the differences between tasks of one step."""
 
 MAX_PUBLISHED_VARIANCE = 0.5 * PRIOR_EFFECT_VARIANCE
 """Limits the variance of effects that are published to other owners."""
--- a/src/linkspan/shard/colocation/pacing.py
+++ b/src/linkspan/shard/colocation/pacing.py
@@ -25,8 +25,8 @@
 their effects must be wrong. It covers two measurements of half a second."""
 
 PAUSE_ALL_AFTER_S = 2.4
-"""Time over target after which all colocated best-effort tasks pause. The platform counts harm from
-four seconds on, and a measurement is half a second old."""
+"""Time over target after which all colocated best-effort tasks pause. A standing task may exceed
+its target for less than four seconds, and a measurement is half a second old."""
 
 SLOW_ALL_FACTOR = 0.5
 """Factor on the pace of all colocated best-effort tasks when all are slowed down."""
--- a/src/linkspan/shard/crash_history.py
+++ b/src/linkspan/shard/crash_history.py
@@ -59,9 +59,9 @@
 
 MAX_CONFIRMED_CRASHES = 4
 """Limits the confirmed crashes of a task, whatever their score: the task is given up at the fourth.
-It is also given up at the fourth crash if its score suffices, although not all are confirmed. The
-platform tolerates two starts after the third crash; this limit uses one of them, because an
-owner that is lost may leave one start unrecorded."""
+It is also given up at the fourth crash if its score suffices, although not all are confirmed. At
+most two starts may follow the third crash. This limit uses one of them, because an owner that is
+lost may leave one start unrecorded."""
 
 MAX_CRASHES = 5
 """Limits the crashes of a task if not all of them are confirmed and certain; this uses both starts
@@ -72,12 +72,12 @@
 """Logged reason for failing a job whose task was given up."""
 
 MIN_CERTAIN_CRASHES = 2
-"""Certain crashes before which no task is given up; the platform does not allow fewer."""
+"""Certain crashes before which no task may be given up."""
 
 MIN_CERTAIN_CRASHES_IN_UNSTABLE_HALL = 3
 """Certain crashes before which no task is given up by score in a hall whose executors crash by
-themselves. There, a short task meets two crashes by chance, and the platform tolerates two starts
-after the third crash."""
+themselves. There, two executors may crash under a harmless task, and two starts may still follow
+the third crash."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -31,10 +31,9 @@
 milliseconds."""
 
 PLAN_DELAY_FACTOR = 10.0
-"""Time to collect changes as a multiple of the duration of the last plan. A plan over a hundred
-executors takes milliseconds, and each answer to its orders brings changes: without the delay an
-owner made 70 plans a second. With it planning takes at most an eleventh of an owner's time, until
-the maximum delay is reached."""
+"""Time to collect changes as a multiple of the duration of the last plan. Each answer to the orders
+of a plan brings changes, and without a delay an owner would plan again for each of them. With it
+planning takes at most an eleventh of an owner's time, until the maximum delay is reached."""
 
 MAX_RECORD_WAIT_S = 1.0
 """Limits how long a start waits for its record: a slow store answers in 0.4 s, and another append
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -30,16 +30,17 @@
 RELEASED_CLAIM_DELAY_S = 0.6
 """Time that hosts of the hall have to claim a released shard before hosts of other halls may. They
 see a release at once and claim the shard with two calls, so they are first even if the store takes
-0.4 s for each. Hosts check another hall's ownership every 2 s, so that the work of a cancelled job
-without an owner is still stopped within the 3 s that the platform grants."""
+0.4 s for each. Hosts check another hall's ownership every 2 s, and the work of a cancelled job must
+be stopped within 3 s also if the hall has no owner."""
 
 MAX_UNPROVED_S = 10.0
 """Time for which an owner continues without having proved its ownership. Outages of the store last
 up to 9 s."""
 
 MAX_REMEMBERED_EFFECTS = 2_000
-"""Interference effects that are kept for a hall, the newest: images change with the workload, and a
-host that does not own the hall must not keep the effects of weeks. Some 300 are known at a time."""
+"""Limits the interference effects that are kept for a hall, to the newest. Images change with the
+workload, and a host that does not own the hall would otherwise keep effects of images that are not
+used any more."""
 
 
 @dataclass(frozen=True, slots=True)
