Let a delegated standing task stay a share of its time in a full hall

What callers saw: a standing task that a hall got in vain stayed there for a second beside room in another one, whatever it had waited before.

Cause: the delay of a return had a limit of its own, beginning with the step.

Change: where another hall has room, a delegated standing task stays for a quarter of what is left of 6 s without a run (waited_s of the delegation counts), at least 0.15 s and at most the second of before. After MAX_FAST_SEARCH_S it's the second again, as each handover writes records. Tasks that need tickets, end or use what others leave stay as long as before.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -68,6 +68,14 @@
 """Time for which a task that has already waited in another hall waits in this one. Home had no room
 when it delegated the task, so it only has to try again."""
 
+STANDING_DEADLINE_S = 6.0
+"""Time without a run in which a standing task is to reach room, in whichever hall. The waits on its
+way have one deadline: each takes a share of what is left, so that their sum stays below it."""
+
+RETURN_SHARE = 0.25
+"""Share of the time left that a task stays in a hall without room while another one has room. The
+rest is for the handover home and for one more hall in vain."""
+
 MAX_FAST_SEARCH_S = 9.0
 """Time for which a waiting task is handed on that fast. After that no hall seems to have room, and
 each handover writes records."""
@@ -215,14 +223,21 @@
         self, step: StepRun, pending: list[Task], halls: OtherHalls, now: float
     ) -> Handover | None:
         """Return delegations whose tasks have not found capacity for a while."""
-        delay_s = self._return_delay_s(step, halls)
+        delay_s = self._return_delay_s(step, pending[0], halls, now)
         overdue = [task for task in pending if now - task.ready_since >= delay_s]
         if step.spec.gang and len(overdue) < len(step.tasks):
             return None
         return _handover(step, step.run.job.submitted.shard, overdue) if overdue else None
 
-    def _return_delay_s(self, step: StepRun, halls: OtherHalls) -> float:
-        """Return how long a step's delegated tasks wait in this hall before they are returned."""
+    def _return_delay_s(self, step: StepRun, first: Task, halls: OtherHalls, now: float) -> float:
+        """Return how long a step's delegated tasks wait in this hall before they are returned.
+
+        Args:
+            step: The step.
+            first: Its task that has waited longest.
+            halls: Room of the other halls.
+            now: Steady time.
+        """
         spec, job = step.spec, step.run.job
         if self._core.evacuation:
             return 0.0
@@ -231,7 +246,9 @@
         need = TaskNeed.of(spec, job.service, use_headroom=True)
         if spec.best_effort or not halls.with_room_for(need):
             return FULL_HALLS_RETURN_DELAY_S
-        return LONG_WAIT_S if job.requires_ticket else RETURN_DELAY_S
+        if job.requires_ticket:
+            return LONG_WAIT_S
+        return _standing_return_delay_s(first, now) if spec.standing else RETURN_DELAY_S
 
     def _delegate(
         self, step: StepRun, pending: list[Task], own: HallRoom, halls: OtherHalls, now: float
@@ -268,6 +285,15 @@
     return wait_s
 
 
+def _standing_return_delay_s(task: Task, now: float) -> float:
+    """Return how long a delegated standing task stays while another hall has room."""
+    waited_s = now - task.waiting_since
+    if waited_s >= MAX_FAST_SEARCH_S:
+        return RETURN_DELAY_S
+    share_s = RETURN_SHARE * (STANDING_DEADLINE_S - waited_s)
+    return min(max(share_s, ARRIVED_HANDOVER_WAIT_S), RETURN_DELAY_S)
+
+
 def _have_waited(tasks: list[Task], wait_s: float, now: float) -> list[Task]:
     """Return the tasks that have waited in this hall for as long as they have to."""
     return [t for t in tasks if now - t.ready_since >= _own_wait_s(t, wait_s, now)]
--- a/tests/host/full_halls.py
+++ b/tests/host/full_halls.py
@@ -26,6 +26,7 @@
 SMALL_JOBS_PER_HALL = 4
 SETTLED_AFTER_S = 14.0
 CHECK_INTERVAL_S = 0.05
+READ_TOPICS = ("jobs", "owners", "progress")
 
 MAX_AWAY_S = 6.0
 """Time from which on a standing task may not be away beside room for two of it."""
@@ -54,6 +55,21 @@
     ends: bool = False
 
 
+@dataclass(frozen=True)
+class SlowStore:
+    """A time in which the store answers all hosts' reads late.
+
+    Attributes:
+        from_s: Seconds after the acceptance of the waiting job.
+        for_s: Its duration in seconds.
+        answer_s: Duration of an answer in seconds.
+    """
+
+    from_s: float
+    for_s: float
+    answer_s: float = 0.8
+
+
 @dataclass
 class Wait:
     """How a job waited.
@@ -124,8 +140,11 @@
         running = {t for e in self.world.executors.values() if e.alive for t in e.running}
         return sum(task.job_id == job.job_id for task in running)
 
-    async def apply(self, change: Change) -> None:
+    async def apply(self, change: Change | SlowStore) -> None:
         """Make a change at its time from now."""
+        if isinstance(change, SlowStore):
+            await self._slow_down(change)
+            return
         await asyncio.sleep(change.at_s)
         if change.freed < 0:
             self.accept(change.hall, -change.freed, ends=change.ends)
@@ -134,12 +153,20 @@
         ended = [self.small_jobs[change.hall].pop(0) for _ in range(change.freed)]
         await asyncio.gather(*(self.world.cancel(host, job.job_id) for job in ended))
 
+    async def _slow_down(self, slow: SlowStore) -> None:
+        await asyncio.sleep(slow.from_s)
+        durations = self.world.store.read_duration_s
+        for name, _ in self.world.host_names():
+            durations |= {(name, topic): slow.answer_s for topic in READ_TOPICS}
+        await asyncio.sleep(slow.for_s)
+        durations.clear()
+
 
-def wait_of_job(*changes: Change, tasks: int = 2, limit_s: float = 30.0) -> Wait:
+def wait_of_job(*changes: Change | SlowStore, tasks: int = 2, limit_s: float = 30.0) -> Wait:
     """Return how a job waits whose home is the first hall.
 
     Args:
-        changes: Changes of the halls' room while it waits.
+        changes: Changes of the halls' room, and of the store, while it waits.
         tasks: Number of its tasks.
         limit_s: Time after which the play ends.
     """
@@ -152,7 +179,9 @@
     return run_virtual(play())
 
 
-async def _wait(halls: FullHalls, changes: tuple[Change, ...], tasks: int, limit_s: float) -> Wait:
+async def _wait(
+    halls: FullHalls, changes: tuple[Change | SlowStore, ...], tasks: int, limit_s: float
+) -> Wait:
     wait = Wait(halls.world)
     began = world_time()
     job = halls.accept(EAST, tasks)
--- a/tests/host/test_waits_beside_room.py
+++ b/tests/host/test_waits_beside_room.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.host.full_halls import NORTH, WEST, Change, Wait, wait_of_job
+from tests.host.full_halls import EAST, NORTH, WEST, Change, SlowStore, Wait, wait_of_job
 
 MAX_TO_ROOM_ELSEWHERE_S = 2.0
 """Longest time from room in another hall until a task runs there that has waited for seconds: a
@@ -51,3 +51,32 @@
     wait = wait_of_job(*changes, tasks=3)
     _assert_in_time(wait)
     assert wait.at_work_s - changes[-1].at_s <= MAX_TO_ROOM_ELSEWHERE_S
+
+
+# Guards against tasks that stay in each full hall for a second beside room in another one.
+@pytest.mark.parametrize("moved_s", [3.8, 4.2, 4.6, 5.0])
+def test_tasks_that_two_halls_get_in_vain_use_room_in_time(moved_s: float) -> None:
+    changes = (
+        Change(0.2, EAST, 1),
+        Change(1.0, WEST, 2),
+        Change(3.02, WEST, -2, ends=True),
+        Change(3.2, NORTH, 2),
+        Change(moved_s, NORTH, -2, ends=True),
+        Change(moved_s, WEST, 2),
+    )
+    wait = wait_of_job(*changes, tasks=3)
+    _assert_in_time(wait)
+    assert wait.at_work_s - moved_s <= MAX_TO_ROOM_ELSEWHERE_S
+
+
+# Guards against waits that leave no time for a store that is slow when a job is handed over.
+@pytest.mark.parametrize("freed_s", [3.15, 5.0])
+@pytest.mark.parametrize("from_s", [2.5, 3.3])
+@pytest.mark.parametrize("for_s", [1.0, 2.0])
+def test_a_slow_store_leaves_time_for_room_elsewhere(
+    for_s: float, from_s: float, freed_s: float
+) -> None:
+    room_in_west = Change(1.0, WEST, 2)
+    taken = Change(3.02, WEST, -2, ends=True)
+    slow = SlowStore(from_s, for_s)
+    _assert_in_time(wait_of_job(room_in_west, taken, Change(freed_s, NORTH, 2), slow))
