--- a/tests/host/never_run_day.py
+++ b/tests/host/never_run_day.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterator, Set
 from contextlib import contextmanager
+from dataclasses import dataclass
 from math import inf
 
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
@@ -38,32 +39,56 @@
 )
 """Names of the halls, of which a scenario has the first ones."""
 
-EXECUTORS_PER_HALL = 6
 
-MAX_STANDING_LOAD = 0.6
-"""Share of all cores that the standing jobs need before no more of them are submitted."""
+@dataclass(frozen=True)
+class StandingLoad:
+    """How much standing work a scenario has, and of which kinds.
 
-STANDING_JOB_SHARE = 0.35
-"""Share of the jobs that have standing tasks until then."""
-
-WIDTHS = 1, 3, 6, 11, 17
-"""Numbers of tasks of a standing job."""
+    Attributes:
+        executors_per_hall: Number of executors of each hall.
+        max_share: Share of all cores that the standing jobs need before no more of them are
+            submitted.
+        job_share: Share of the jobs that have standing tasks until then.
+        cancelled_share: Share of the standing jobs that their callers cancel.
+        widths: Numbers of tasks of a standing job.
+        sizes: Demands of a standing task: parts of an executor in cores, memory or both.
+        spreads: Maximum numbers of tasks of a step on one executor; 0 is no limit.
+    """
 
-SIZES = (
-    Demand(1_940, 2_400),
-    Demand(1_200, 9_000),
-    Demand(2_600, 700),
-    Demand(4_200, 5_000),
-    Demand(6_800, 12_000),
-    Demand(7_700, 3_000),
+    executors_per_hall: int = 6
+    max_share: float = 0.6
+    job_share: float = 0.35
+    cancelled_share: float = 0.3
+    widths: tuple[int, ...] = (1, 3, 6, 11, 17)
+    sizes: tuple[Demand, ...] = (
+        Demand(1_940, 2_400),
+        Demand(1_200, 9_000),
+        Demand(2_600, 700),
+        Demand(4_200, 5_000),
+        Demand(6_800, 12_000),
+        Demand(7_700, 3_000),
+    )
+    spreads: tuple[int, ...] = (0, 0, 1, 2)
+
+
+ORDINARY_LOAD = StandingLoad()
+
+FULL_HALLS = StandingLoad(
+    executors_per_hall=8,
+    max_share=0.9,
+    job_share=0.6,
+    cancelled_share=0.6,
+    widths=(2, 4, 6, 8, 12, 17),
+    sizes=(
+        Demand(970, 1_200),
+        Demand(1_250, 3_200),
+        Demand(1_625, 3_250),
+        Demand(1_900, 4_500),
+        Demand(2_400, 6_300),
+    ),
+    spreads=(0, 1, 1, 2),
 )
-"""Demands of a standing task: parts of an executor in cores, memory or both."""
-
-SPREADS = 0, 0, 1, 2
-"""Maximum numbers of tasks of a step on one executor; 0 is no limit."""
-
-CANCELLED_SHARE = 0.3
-"""Share of the standing jobs that their callers cancel."""
+"""Halls that fill up with small standing tasks, of which most end again."""
 
 CANCEL_RANGE_S = 2.0, 30.0
 """Range of times from the acceptance to the cancellation."""
@@ -96,14 +121,23 @@
         kinds: Names of the kinds of faults to inject, of which ``CALM`` injects none; by default
             all but that.
         hall_count: Number of halls.
+        load: Its standing work.
     """
 
-    def __init__(self, seed: int, kinds: tuple[str, ...] = (), *, hall_count: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int,
+        kinds: tuple[str, ...] = (),
+        *,
+        hall_count: int = 4,
+        load: StandingLoad = ORDINARY_LOAD,
+    ) -> None:
         super().__init__(seed, kinds)
+        self._load = load
         self.world = HallWorld(
             halls=ALL_HALLS[:hall_count],
             hosts_per_hall=2,
-            executors_per_hall=EXECUTORS_PER_HALL,
+            executors_per_hall=load.executors_per_hall,
             seed=seed,
             failing_share=0.02,
         )
@@ -115,20 +149,20 @@
         self._open_faults = 0
 
     def _job(self) -> JobSpec:
-        random, world = self.random, self.world
+        random, world, load = self.random, self.world, self._load
         all_cpu = len(world.halls) * world.executors_per_hall * world.milli_cpu
-        is_full = self._standing_cpu > MAX_STANDING_LOAD * all_cpu
-        if is_full or random.random() >= STANDING_JOB_SHARE:
+        is_full = self._standing_cpu > load.max_share * all_cpu
+        if is_full or random.random() >= load.job_share:
             return OverlappingDay._job(self)
-        count, demand = random.choice(WIDTHS), random.choice(SIZES)
+        count, demand = random.choice(load.widths), random.choice(load.sizes)
         self._standing_cpu += count * demand.milli_cpu
         self._standing += 1
-        spread = random.choice(SPREADS)
+        spread = random.choice(load.spreads)
         return world.new_job(StepSpec(count, demand, 1.0, standing=True, max_per_executor=spread))
 
     async def _caller(self, spec: JobSpec) -> None:
         await super()._caller(spec)
-        if not spec.standing or self.random.random() >= CANCELLED_SHARE:
+        if not spec.standing or self.random.random() >= self._load.cancelled_share:
             return
         await self.last(*CANCEL_RANGE_S)
         if spec.job_id not in self.world.accepted or not self.world.hosts:
--- a/tests/host/test_managed_tasks.py
+++ b/tests/host/test_managed_tasks.py
@@ -82,6 +82,12 @@
     assert run_virtual(ManagedDay(seed).play(), limit_s=400.0).problems == []
 
 
+@pytest.mark.parametrize("seed", (33208,))
+def test_a_task_beside_short_work_uses_room_in_another_hall(seed: int) -> None:
+    """Guards against a task that stays by summaries without room between those that show it."""
+    assert run_virtual(ManagedDay(seed).play(), limit_s=400.0).problems == []
+
+
 @pytest.mark.parametrize("seed", (7000, 7105))
 def test_each_task_has_one_owner_where_records_are_unreadable(seed: int) -> None:
     """Guards against a task that no hall manages, or two, after an unreadable record."""
--- a/tests/host/test_never_run_days.py
+++ b/tests/host/test_never_run_days.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.host.best_effort_memory_day import BestEffortMemoryDay
-from tests.host.never_run_day import CALM, NeverRunDay
+from tests.host.never_run_day import CALM, FULL_HALLS, NeverRunDay
 from tests.virtual_time import run_virtual
 
 LIMIT_S = 600.0
@@ -33,3 +33,17 @@
     """Guards against tasks that never start as best-effort work takes what memory is given back."""
     day = BestEffortMemoryDay(seed, (CALM,))
     assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
+
+
+@pytest.mark.parametrize("seed", [31024, 31027])
+def test_accepted_standing_tasks_use_room_that_comes_free_in_other_halls(seed: int) -> None:
+    """Guards against waits that add up: for summaries, and for one handover after the other."""
+    day = NeverRunDay(seed, (CALM,))
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
+
+
+@pytest.mark.parametrize("seed", [24014, 24016])
+def test_accepted_standing_tasks_use_small_pieces_of_room_in_full_halls(seed: int) -> None:
+    """Guards against the same waits in halls of which small pieces come free."""
+    day = NeverRunDay(seed, (CALM,), hall_count=3, load=FULL_HALLS)
+    assert run_virtual(day.play(), limit_s=LIMIT_S).problems == []
