State in a release whether all starts are on record

Cause: the next owner cannot know whether the former one sent starts on no record, which a next incarnation of the lost executor would carry out for 12 s more. So all inherited work waits, although the former owner knew.

The lost executor is proved to have ended after 1.5 s, so its lease is not what is waited for.

Why the fix works: the release says that the records of all repetitions as of the last order are durable, that no abandoned start may still arrive, and that the owner itself waits for no former one's. A claim right after such a release does not wait for next incarnations. Each start on record binds its own task as before; leases are waited for as before. Without the statement, or with another claim or a gap between, nothing changes.

--- a/src/linkspan/host/_shard_claim.py
+++ b/src/linkspan/host/_shard_claim.py
@@ -82,7 +82,11 @@
             if not self._may_claim(now):
                 return
             # Counts from before the call: an earlier unanswered claim may succeed meanwhile.
-            self._last = Claim(asked_at, now - asked_at + self._view.former_owners_remaining_s(now))
+            self._last = Claim(
+                asked_at,
+                now - asked_at + self._view.former_owners_remaining_s(now),
+                self._view.starts_recorded,
+            )
             appended = await self._append()
         except (OffsetConflict, StoreRefused, StoreUnanswered):
             # Another host has claimed the shard, or the follower will read this claim back.
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -199,9 +199,9 @@
         tenure = self._tenure
         if tenure is None:
             return
-        await tenure.hand_off(MAX_HAND_OFF_S)
+        recorded = await tenure.hand_off(MAX_HAND_OFF_S)
         try:
-            await self._append(OwnerAct.RELEASE)
+            await self._append(OwnerAct.RELEASE, starts_recorded=recorded)
         except (StoreRefused, StoreUnanswered) as error:
             self._log.write(Event.OWNER_HANDED_ON, shard=self._shard, failed=str(error))
         else:
@@ -312,13 +312,21 @@
         with suppress(StoreRefused, StoreUnanswered):
             await self._append(OwnerAct.RENEW, with_summary=with_summary)
 
-    async def _append(self, act: OwnerAct, *, with_summary: bool = False) -> None:
+    async def _append(
+        self, act: OwnerAct, *, with_summary: bool = False, starts_recorded: bool = False
+    ) -> None:
         owner = self._view.owner
         if owner is None or not self._view.mine:
             return
         self._renewals += 1
         summary = self._tenure.summary() if self._tenure and with_summary else None
         record = OwnerRecord(
-            act, self._host, self._incarnation, self._view.claim_token, self._renewals, summary
+            act,
+            self._host,
+            self._incarnation,
+            self._view.claim_token,
+            self._renewals,
+            summary,
+            starts_recorded,
         )
         await self._store.append(self._partition, [Record(record.encode())])
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -316,6 +316,10 @@
         """Return whether the record of a repetition must be written."""
         return (run.job.job_id, run.repetition) in self.dirty
 
+    def record_versions(self) -> dict[JobRun, int]:
+        """Return the present versions of the records of all repetitions."""
+        return {run: run.version for job in self.jobs.values() for run in job.runs.values()}
+
     def mark_start_ordered(self, job: ShardJob) -> None:
         """Record that a start of a task of the job may be sent from now on.
 
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -107,21 +107,36 @@
 
     # Recovery
 
-    def inherit(self, roster: Iterable[ExecutorRecord], until: float, *, read: bool = True) -> None:
+    def inherit(
+        self,
+        roster: Iterable[ExecutorRecord],
+        until: float,
+        *,
+        read: bool = True,
+        starts_recorded: bool = False,
+    ) -> None:
         """Take over executors on which a previous owner may have started work.
 
         Args:
             roster: Executors on the roster, or all registered ones if the roster is not readable.
             until: Steady time by which all leases granted to them have expired.
             read: Whether the roster was readable. If not, it may name further executors.
+            starts_recorded: Whether all starts that previous owners have sent are on record.
         """
-        self._liveness.inherit(roster, until, read=read)
+        self._liveness.inherit(roster, until, read=read, starts_recorded=starts_recorded)
 
     @property
     def awaiting_reports(self) -> bool:
         """Whether an inherited executor has not reported yet."""
         return bool(self.awaiting_report_ids)
 
+    def knows_all_starts(self, now: float) -> bool:
+        """Return whether every start that may still be carried out belongs to a known attempt.
+
+        Former owners may have sent others, and those of this tenure that it abandoned do not.
+        """
+        return not (self._liveness.awaits_former_starts or self._abandoned.any_late(now))
+
     def may_start(self, job: ShardJob, now: float) -> bool:
         """Return whether no run of a job that a previous owner left unrecorded can be alive."""
         return self._liveness.may_start(job, now)
--- a/src/linkspan/shard/ownership/owner_record.py
+++ b/src/linkspan/shard/ownership/owner_record.py
@@ -37,6 +37,8 @@
         number: Sequence number of the renewal within its tenure, or ``RESERVATION_NUMBER`` in the
             first record of a claim.
         summary: State of the hall, in some renewals.
+        starts_recorded: Whether all starts are on record that the tenure, and those before it, have
+            sent; only in a release.
     """
 
     act: OwnerAct
@@ -45,13 +47,16 @@
     token: int = 0
     number: int = 0
     summary: HallSummary | None = None
+    starts_recorded: bool = False
 
     def encode(self) -> bytes:
         """Return the record as bytes."""
         fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
         fields.append(self.number)
-        if self.summary:
-            fields.append(self.summary.encode())
+        if self.summary or self.starts_recorded:
+            fields.append(self.summary.encode() if self.summary else None)
+        if self.starts_recorded:
+            fields.append(1)
         return orjson.dumps(fields)
 
     @classmethod
@@ -64,7 +69,14 @@
         try:
             act, host, incarnation, token, number, *rest = parse_list(orjson.loads(value))
             identity = OwnerAct(parse_text(act)), parse_text(host), parse_text(incarnation)
-            return cls(*identity, parse_int(token), parse_int(number), _summary(rest))
+            return cls(
+                *identity,
+                parse_int(token),
+                parse_int(number),
+                _summary(rest),
+                # Later versions may append fields.
+                starts_recorded=rest[1:2] == [1],
+            )
         except (ValueError, TypeError) as error:
             raise RecordError(f"invalid ownership record: {error!r}; record ignored") from error
 
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -68,10 +68,12 @@
             as of this time, however late the host reads it back.
         former_owners_remaining_s: Time after ``sent_at`` for which former owners may act without
             having proved their ownership, in seconds.
+        starts_recorded: Whether all starts that former owners have sent are on record.
     """
 
     sent_at: float
     former_owners_remaining_s: float
+    starts_recorded: bool = False
 
 
 class OwnerView:
@@ -93,6 +95,7 @@
         self._claim_read = False
         self._has_gap = False
         self._released = False
+        self._starts_recorded = False
         self._last_record_at: float | None = None
         self._former_owners_until = float("-inf")
         self._summary: HallSummary | None = None
@@ -166,6 +169,7 @@
             if record.act is OwnerAct.RELEASE:
                 self._owner = None
                 self._released = True
+                self._starts_recorded = record.starts_recorded
         return record
 
     def _first_token(self, entry: Entry, claim: OwnerRecord) -> int:
@@ -211,6 +215,14 @@
             del self._effects[next(iter(self._effects))]
         self._summary = replace(summary, effects=tuple(self._effects.values()))
 
+    @property
+    def starts_recorded(self) -> bool:
+        """Whether all starts that former owners have sent are on record, if claimed now.
+
+        Their last one said so when it released the shard.
+        """
+        return self._released and self._starts_recorded and not self._has_gap
+
     def on_tenure_ended(self) -> None:
         """Record that this process no longer acts as the owner."""
         if self.mine:
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -21,6 +21,7 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.handover._handovers import Handovers
     from linkspan.shard.intake._feed import JobFeed
+    from linkspan.shard.ownership.ownership import Claim
     from linkspan.shard.reports._watch import ExecutorWatch
 
 T = TypeVar("T")
@@ -34,8 +35,7 @@
         feed: Adds jobs to the shard.
         handovers: Finishes moves of jobs to other shards.
         watch: Polls executors.
-        former_owners_remaining_s: Time after the claim for which former owners may still act, in
-            seconds.
+        claim: What is known of former owners.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         feed: JobFeed,
         handovers: Handovers,
         watch: ExecutorWatch,
-        former_owners_remaining_s: float,
+        claim: Claim,
     ) -> None:
         self._core = context.core
         self._shard = context.shard
@@ -64,7 +64,8 @@
         self._feed = feed
         self._handovers = handovers
         self._watch = watch
-        self._former_owners_remaining_s = former_owners_remaining_s
+        self._former_owners_remaining_s = claim.former_owners_remaining_s
+        self._starts_recorded = claim.starts_recorded
         self._token = context.token
         self._done = False
 
@@ -113,6 +114,7 @@
             took_s=round(now - self._proof.claimed_at, 3),
             roster=len(core.awaiting_report_ids),
             former_acts_s=round(self._former_owners_remaining_s, 2),
+            starts_recorded=self._starts_recorded,
             leases_end_s=round(leases_expire_at - now, 2),
             **core.describe(),
         )
@@ -148,7 +150,11 @@
         """Take over the executors of a roster, or the registered ones if it is unreadable."""
         core = self._core
         try:
-            core.inherit(decode_roster(roster) if roster else (), leases_expire_at)
+            core.inherit(
+                decode_roster(roster) if roster else (),
+                leases_expire_at,
+                starts_recorded=self._starts_recorded,
+            )
             self._changes.roster = frozenset(core.roster_names)
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -60,6 +60,10 @@
         """
         return self._late_until.get(Incarnation.of(executor_id).executor_id, NEVER)
 
+    def any_late(self, now: float) -> bool:
+        """Return whether an abandoned start may still arrive."""
+        return any(until > now for until in self._late_until.values())
+
     def on_bound(self, attempt: Attempt, now: float) -> None:
         """Handle an attempt whose start only a next incarnation could still carry out."""
         if not attempt.task.step.spec.standing:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -59,20 +59,30 @@
         self._claims = EntryClaims(state)
         self._inherited_leases_expire_at = float("-inf")
         self._roster_readable = True
+        self._former_starts_recorded = False
 
     def __repr__(self) -> str:
         return f"ExecutorLiveness({self._state!r})"
 
-    def inherit(self, roster: Iterable[ExecutorRecord], until: float, *, read: bool = True) -> None:
+    def inherit(
+        self,
+        roster: Iterable[ExecutorRecord],
+        until: float,
+        *,
+        read: bool = True,
+        starts_recorded: bool = False,
+    ) -> None:
         """Take over the executors on which a former owner may have started work.
 
         Args:
             roster: These executors, or the registered ones if the roster is not readable.
             until: Steady time by which all leases that former owners granted there have expired.
             read: Whether the roster was readable. If not, unlisted executors may run work, too.
+            starts_recorded: Whether all starts that former owners have sent are on record.
         """
         self._inherited_leases_expire_at = until
         self._roster_readable = read
+        self._former_starts_recorded = starts_recorded and read
         for record in roster:
             executor = self._add_executor(record)
             executor.rostered = read
@@ -82,6 +92,12 @@
             executor.withheld_ends.update(record.withheld_ends)
             self._state.awaiting_report_ids.add(record.executor_id)
 
+    @property
+    def awaits_former_starts(self) -> bool:
+        """Whether former owners may have sent starts on no record that may still be carried out."""
+        awaited = self._state.awaiting_report_ids or self._state.awaiting_next_ids
+        return bool(awaited) and not self._former_starts_recorded
+
     def may_start(self, job: ShardJob, now: float) -> bool:
         """Whether a job may start: no former owner's unrecorded run of it is alive or ended unseen.
 
@@ -239,8 +255,11 @@
         """Whether an executor's next incarnation may carry out unrecorded starts of former owners.
 
         No incarnation of its id has answered this owner, so none has received its higher fencing
-        token. A former owner that lost the store sends starts without a record.
+        token. A former owner that lost the store sends starts without a record. One that
+        released the shard may have stated that there are none.
         """
+        if self._former_starts_recorded:
+            return False
         if executor.is_placeholder:
             awaited = executor.executor_id in self._state.awaiting_next_ids
             return awaited and not self._leases_expired(executor, now)
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -54,6 +54,7 @@
     from linkspan.model.settings import HostSettings
     from linkspan.shard._context import Executors
     from linkspan.shard.handover.summary import HallSummary
+    from linkspan.shard.job_run import JobRun
     from linkspan.shard.machines import MachineService
     from linkspan.shard.operator.records import OperatorRecords
     from linkspan.shard.ownership.ownership import Claim, Owner
@@ -158,9 +159,7 @@
         self._unlisted_runs = UnlistedRuns(context)
         self._unmanaged_tasks = UnmanagedTasks(context)
         self._feed = JobFeed(context)
-        self._recovery = Recovery(
-            context, self._feed, self._handovers, self._watch, claim.former_owners_remaining_s
-        )
+        self._recovery = Recovery(context, self._feed, self._handovers, self._watch, claim)
 
     def __repr__(self) -> str:
         return f"Tenure(shard={self._shard}, token={self._owner.token})"
@@ -235,16 +234,26 @@
             for unsubscribe in unsubscribers:
                 unsubscribe()
 
-    async def hand_off(self, limit_s: float) -> None:
-        """Stop sending orders and write all pending records, within a time limit."""
+    async def hand_off(self, limit_s: float) -> bool:
+        """Stop sending orders and write all pending records, within a time limit.
+
+        Returns:
+            Whether all starts that this tenure and those before it have sent are on record.
+        """
         self._proof.stop()
         self._watch.cancel()
+        # No start is sent any more. Those that were have changed these versions before.
+        versions = self._core.record_versions()
         try:
             async with asyncio.timeout(limit_s):
                 await self._records.flush()
+                while any(_is_unrecorded(run, version) for run, version in versions.items()):
+                    await self._changes.next_stored()
         except (TimeoutError, LinkspanError) as error:
             # The next owner learns what is not on record from the executors' reports.
             self._log.write(Event.OWNER_HANDED_ON, shard=self._shard, left=repr(error))
+            return False
+        return self._recovery.done and self._core.knows_all_starts(steady())
 
     def on_executors(self) -> None:
         """Apply a change of the executors' registrations."""
@@ -299,3 +308,8 @@
             self._proof.check(now)
             if self._core.ready or self._core.orders or self._core.jobs:
                 self._changes.wake.set()
+
+
+def _is_unrecorded(run: JobRun, version: int) -> bool:
+    """Whether a version of a repetition is not durable; ended jobs are no longer recorded."""
+    return run.durable < version and not run.job.closing
--- /dev/null
+++ b/tests/host/test_planned_stops_beside_lost_executors.py
@@ -0,0 +1,56 @@
+"""Standing tasks whose executor is lost for good while their owner stops as planned."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.hall_world import HallWorld
+from tests.job_builders import step
+from tests.virtual_time import run_virtual, world_time
+
+LONG_TENURE_S = 30.0
+"""Time after which no owner before the present one may act any more."""
+
+MAX_AWAY_S = 6.0
+"""Time for which a standing task may be away where there is room for it."""
+
+TASKS = 3
+
+
+def _running(world: HallWorld) -> int:
+    return sum(len(e.running) for e in world.executors.values() if e.alive)
+
+
+@pytest.mark.parametrize("stops", [1, 2])
+@pytest.mark.parametrize("gap_s", [0.0, 0.6, 1.2])
+def test_tasks_are_at_work_soon_where_owner_and_executor_leave_together(
+    gap_s: float, stops: int
+) -> None:
+    """Guards against inherited work that waits 12 s for starts that nobody sent.
+
+    The next owner can't know whether the former one sent starts on no record, which a next
+    incarnation of the lost executor would carry out, unless the former one says so.
+    """
+
+    async def play() -> float:
+        world = HallWorld(hosts_per_hall=3)
+        await world.begin()
+        spec = world.new_job(step(TASKS, standing=True, cpu=3_000))
+        await world.submit("east-host-0", spec)
+        await asyncio.sleep(LONG_TENURE_S)
+        busy = next(address for address, e in world.executors.items() if e.running)
+        world.crash_executor(busy, back=False)
+        lost_at = world_time()
+        for _ in range(stops):
+            await asyncio.sleep(gap_s)
+            while (owner := world.owner()) is None:
+                await asyncio.sleep(0.05)
+            await world.remove_host(owner)
+        while _running(world) < TASKS and world_time() - lost_at < LONG_TENURE_S:
+            await asyncio.sleep(0.05)
+        assert world.problems == []
+        return world_time() - lost_at
+
+    assert run_virtual(play()) <= MAX_AWAY_S
