Name test cases the same way in all processes

Cases of test_entry_disputes.py were named by repr of sets, whose order differs between the processes of a parallel run: pytest refused to collect ('Different tests were collected between gw1 and gw0', once in a run of tests/shard). Their names are now the changed fields; the cases are the same.

--- a/tests/shard/test_entry_disputes.py
+++ b/tests/shard/test_entry_disputes.py
@@ -36,7 +36,7 @@
         yield
 
 
-@pytest.mark.parametrize("change", PLACES, ids=repr)
+@pytest.mark.parametrize("change", PLACES, ids=" ".join)
 def test_an_entry_that_moves_an_incarnation_is_disputed_until_it_has_stood_for_long(
     change: dict[str, object], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -52,7 +52,7 @@
     assert disputes.settled(9.0) == []
 
 
-@pytest.mark.parametrize("change", PLACES, ids=repr)
+@pytest.mark.parametrize("change", PLACES, ids=" ".join)
 def test_the_entry_that_an_executor_restores_ends_the_dispute(change: dict[str, object]) -> None:
     disputes = EntryDisputes()
     assert disputes.disputes("e0", replace(RECORD, **change), RECORD)  # type: ignore[arg-type]
@@ -60,7 +60,7 @@
     assert disputes.settled(float("inf")) == []
 
 
-@pytest.mark.parametrize("change", OTHER_FACTS, ids=repr)
+@pytest.mark.parametrize("change", OTHER_FACTS, ids=" ".join)
 def test_what_an_executor_may_change_is_not_disputed(change: dict[str, object]) -> None:
     disputes = EntryDisputes()
     assert not disputes.disputes("e0", replace(RECORD, **change), RECORD)  # type: ignore[arg-type]
