Check the called address again once the job records are read

What callers would see: an executor that gets no work for the rest of a tenure, where its first answer waits for the job records and another writer's entry gives it the address of another executor meanwhile.

Cause: the address was compared before the wait, and the report then confirmed the address that the entry claimed; the other executor's 421 there proved an end.

Change: the address is compared again right before the report counts.

--- a/src/linkspan/shard/reports/_watch.py
+++ b/src/linkspan/shard/reports/_watch.py
@@ -241,6 +241,8 @@
             return False
         executor.ack_delivered = max(executor.ack_delivered, acknowledged)
         report = await self._without_unread_jobs(report, first=not self._core.has_reported(name))
+        if executor.record.address != address:
+            return False
         now = steady()
         self._count_ends(name, report)
         self._core.on_report(executor.executor_id, report, asked=asked, now=now)
