Take no end from an address that an executor's entry contradicts

Found by the review.

Cause: an address on the roster counted as one at which the executor had answered, so the 421 of the other executor there proved its end.

Evidence: tests/shard/test_roster_addresses.py fails before: the task runs and counts as ended. The second start itself was not played. Change: if an entry of the incarnation names another address than the one that answers 421, neither is certain: the executor counts as silent, and is called at the address of its entry. Measured: the test passes, with test_entry_claims.py.

--- a/src/linkspan/shard/reports/_entry_claims.py
+++ b/src/linkspan/shard/reports/_entry_claims.py
@@ -55,6 +55,13 @@
             return known.address_confirmed and known.record.address != record.address
         return any(e.record.address == record.address for e in self._incarnations(record))
 
+    def gives_other_address(self, executor: ExecutorState) -> bool:
+        """Return whether an entry of an incarnation names another address than the one in use."""
+        claim = self._claims.get(Incarnation.of(executor.executor_id).executor_id)
+        if claim is None or claim.executor_id != executor.executor_id:
+            return False
+        return claim.address != executor.record.address
+
     def add(self, record: ExecutorRecord) -> None:
         """Add a claim. The known incarnations are polled at once, as the next one may answer."""
         executor_id = Incarnation.of(record.executor_id).executor_id
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -236,7 +236,9 @@
         """Handle the answer that another executor id runs at the address of a call.
 
         An incarnation that has answered there before has ended. For others the answer shows only
-        that their registration names a wrong address, or that they ended before they answered.
+        that their registration names a wrong address, or that they ended before they answered. The
+        same holds if an entry of the incarnation names another address: a roster may have the one
+        of another writer's entry. The incarnation is then called at the other one.
 
         Args:
             executor_id: The incarnation that was called.
@@ -246,6 +248,8 @@
         executor = self._state.executors.get(executor_id)
         if executor is None or executor.record.address != address:
             return
+        if self._claims.gives_other_address(executor):
+            executor.address_confirmed = False
         if executor.address_confirmed:
             self.on_incarnation_ended(executor_id, now, "another incarnation answers", since=None)
         else:
