Let disputed entries stand anew after an outage of the store

What callers would see: an executor that no hall uses for 15 s after an outage of the store of as long, if another writer's entry gave it another hall right before.

Cause: an entry that stands for 15 s counts as the executor's own, but during an outage no executor can replace one. Missing entries begin anew after an outage, disputed ones did not; and a settled entry kept the time since when its predecessor was missing.

Change: both begin anew when the store fails or recovers. Measured: the tests of disputed entries pass.

--- a/src/linkspan/shard/_entry_disputes.py
+++ b/src/linkspan/shard/_entry_disputes.py
@@ -52,6 +52,14 @@
         self._disputes[executor_id] = _Dispute(record, steady())
         return True
 
+    def restart(self) -> None:
+        """Let all disputed entries stand from now on, as their executors could not write before."""
+        now = steady()
+        self._disputes = {
+            executor_id: dispute._replace(since=now)
+            for executor_id, dispute in self._disputes.items()
+        }
+
     def settled(self, limit: float) -> list[str]:
         """Return the ids of the executors whose disputed entry stands since before a time."""
         return [name for name, dispute in self._disputes.items() if dispute.since < limit]
--- a/src/linkspan/shard/registry.py
+++ b/src/linkspan/shard/registry.py
@@ -134,6 +134,7 @@
         settled = self._disputes.settled(steady() - DISPUTE_S)
         for executor_id in settled:
             self._records[executor_id] = self._disputes.remove(executor_id)
+            self._missing_since.pop(executor_id, None)
         if expired or settled:
             self.on_change()
 
@@ -142,12 +143,14 @@
         self._on_health(healthy)
 
     def _on_health(self, healthy: bool) -> None:
-        """Restart the grace time of missing entries when the store fails or recovers.
+        """Restart the times of missing and of disputed entries when the store fails or recovers.
 
-        Executors cannot write during an outage, so that a missing entry then proves nothing.
+        Executors cannot write during an outage, so that a missing entry then proves nothing, and
+        neither does one that its executor has not replaced.
         """
         self._store_available = healthy
         self._missing_since = dict.fromkeys(self._missing_since, steady())
+        self._disputes.restart()
 
     def _on_entries(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
--- a/tests/shard/test_entry_disputes.py
+++ b/tests/shard/test_entry_disputes.py
@@ -65,3 +65,14 @@
     disputes = EntryDisputes()
     assert not disputes.disputes("e0", replace(RECORD, **change), RECORD)  # type: ignore[arg-type]
     assert not disputes.disputes("e0", replace(RECORD, **change), None)  # type: ignore[arg-type]
+
+
+# Guards against another writer's entry that counts as its executor could not write in an outage.
+def test_an_outage_of_the_store_settles_no_dispute(monkeypatch: pytest.MonkeyPatch) -> None:
+    disputes = EntryDisputes()
+    with _time(monkeypatch, 1.0):
+        assert disputes.disputes("e0", replace(RECORD, hall="west"), RECORD)
+    with _time(monkeypatch, 30.0):
+        disputes.restart()
+    assert disputes.settled(20.0) == []
+    assert disputes.settled(31.0) == ["e0"]
