Count no redirected call as not sent

What callers would see: a task that may run twice, if an executor answered a start with a redirection to an address that nothing can reach. By reading; no executor is known to redirect.

Cause: an error of the connection was taken for proof that nothing was sent, also where the call had been sent to another address before.

Evidence: the new case in test_unsent_calls.py fails before. Change: a call that once had a connection was sent. Measured: tests/platform/test_unsent_calls.py passes. Its address without connections is a stand-in of its own now.

--- a/src/linkspan/platform/_transmission.py
+++ b/src/linkspan/platform/_transmission.py
@@ -34,9 +34,12 @@
 
         The address was invalid, no connection could be established, or none became free in time.
         """
+        if self.has_connection:
+            # The error may belong to a redirection.
+            return False
         if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.InvalidURL)):
             return True
-        return self.needs_connection and not self.has_connection
+        return self.needs_connection
 
 
 _current: ContextVar[Transmission | None] = ContextVar("transmission", default=None)
--- a/tests/platform/test_unsent_calls.py
+++ b/tests/platform/test_unsent_calls.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections.abc import AsyncIterator, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
@@ -19,6 +17,7 @@
 from linkspan.shard.messages import StartOrder, TaskName
 from linkspan.store.types import Partition
 from tests.standins.platform_http import serving
+from tests.standins.unresponsive import unresponsive_address
 
 START = StartOrder("i-1", TaskName("5c0e7a21d94b36f8", 0, 1, 17), 2, "text", "")
 JOBS = Partition("jobs", 0, keyed=True)
@@ -48,24 +47,6 @@
     return web.Response()
 
 
-@contextmanager
-def _unresponsive_address() -> Iterator[str]:
-    """Provide an address at which connections are not established, as in a network cut.
-
-    The kernel drops the first packet of a connection to a listener whose backlog is full.
-    """
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        waiting = [socket.socket() for _ in range(4)]
-        for other in waiting:
-            other.setblocking(False)
-            other.connect_ex(listener.getsockname())
-        yield f"127.0.0.1:{listener.getsockname()[1]}"
-        for other in waiting:
-            other.close()
-
-
 # Guards against a start that binds its task for seconds although it was never sent.
 @pytest.mark.parametrize("address", INVALID_ADDRESSES)
 async def test_a_start_to_an_invalid_address_was_not_sent(
@@ -77,7 +58,7 @@
 
 # Guards against the same after a time-out before any connection was established.
 async def test_a_start_without_a_connection_was_not_sent(session: aiohttp.ClientSession) -> None:
-    with _unresponsive_address() as address, pytest.raises(Unconnected):
+    with unresponsive_address() as address, pytest.raises(Unconnected):
         await _executors(session).start(address, START, until_s=486.0)
 
 
@@ -116,10 +97,23 @@
     assert not isinstance(raised.value, Unconnected)
 
 
+# Guards against the same where the answer sends the call to an address that nothing can reach.
+async def test_a_redirected_start_may_have_been_carried_out(
+    session: aiohttp.ClientSession,
+) -> None:
+    async def redirect(_request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=307, headers={"Location": "http://127.0.0.1:9/x"})
+
+    async with serving(redirect) as address:
+        with pytest.raises(Unreachable) as raised:
+            await _executors(session).start(address, START, until_s=486.0)
+    assert not isinstance(raised.value, Unconnected)
+
+
 # Guards against the same with a session that does not record its connections.
 async def test_without_a_record_an_unanswered_start_may_have_been_sent() -> None:
     async with aiohttp.ClientSession() as plain:
-        with _unresponsive_address() as address, pytest.raises(Unreachable) as raised:
+        with unresponsive_address() as address, pytest.raises(Unreachable) as raised:
             await _executors(plain).start(address, START, until_s=486.0)
     assert not isinstance(raised.value, Unconnected)
 
@@ -128,7 +122,7 @@
 async def test_an_append_without_a_connection_was_not_sent(
     session: aiohttp.ClientSession,
 ) -> None:
-    with _unresponsive_address() as address, pytest.raises(StoreRefused):
+    with unresponsive_address() as address, pytest.raises(StoreRefused):
         await _store(session, address).append(JOBS, ())
 
 
