Try gateway requests elsewhere that got no connection in time

What callers saw: the earlier gateway answered a request that must not be repeated with an error, though no connection to the executor was established in a second and nothing of it was sent. The same class as the starts that were never sent; found by the review.

Evidence: tests/gateway/test_unsent_requests.py fails before, over sockets. Change: time-outs of a connection and invalid addresses count as not sent. Measured: the test passes.

--- a/src/linkspan/gateway/upstream.py
+++ b/src/linkspan/gateway/upstream.py
@@ -31,7 +31,11 @@
 MAX_STREAM_IDLE_S = 60.0
 """Limits the time between two reads from an executor's connection."""
 
-_NOT_SENT_ERRORS = (aiohttp.ClientConnectorError,)
+_NOT_SENT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
 """Errors that occur before any byte of the request is sent."""
 
 
