Give the store connections of its own, and read other halls at each record again

The fault that it mended, appends that wait for one of twelve connections while reads of other halls hold them, is mended by a limit of 40 for the store, which the store's reads that wait (halls and three more) can't use up.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -37,11 +37,6 @@
 REMOTE_READ_PAUSE_S = 2.0
 """Pause between reads of the ownership of another hall, in seconds."""
 
-CLOSE_READ_PAUSE_S = RENEWAL_INTERVAL_S
-"""The same while standing tasks of this host wait for room elsewhere. Reads that wait for the next
-record would be sooner, but those of a dozen halls would hold all connections to the store, and each
-append would wait for one."""
-
 RENEWALS_PER_SUMMARY = 2
 """Number of renewals per summary: one of them includes the summary of the hall."""
 
@@ -173,15 +168,17 @@
         self._summary_outdated.set()
 
     def read_closely(self, *, closely: bool) -> None:
-        """Read the ownership of another hall, and its summaries, at short or long intervals.
+        """Read the ownership of another hall, and its summaries, at each record or at intervals.
 
-        Short ones are for hosts whose standing tasks wait for room elsewhere. A summary that is
-        read at long intervals may tell of room only after the time that such a task has.
+        At each record is for hosts whose standing tasks wait for room elsewhere. A summary that is
+        read at intervals may tell of room only after the time that such a task has.
         """
         if self._home:
             return
-        pause_s = CLOSE_READ_PAUSE_S if closely else REMOTE_READ_PAUSE_S
-        self._follower.set_pace(pause_s=pause_s, wait_s=0.0)
+        if closely:
+            self._follower.set_pace(pause_s=0.0, wait_s=HOME_READ_WAIT_S)
+        else:
+            self._follower.set_pace(pause_s=REMOTE_READ_PAUSE_S, wait_s=0.0)
 
     async def run(self) -> None:
         """Follow the ownership and claim the shard when it is due, until cancelled."""
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -33,8 +33,12 @@
     from linkspan.model.settings import HostSettings
 
 MAX_CONNECTIONS_PER_PEER = 12
-"""Limits connections to one executor or to the store: one for a poll that waits, the others for
-concurrent orders. An executor accepts 64 from all hosts together."""
+"""Limits connections to one executor: one for a poll that waits, the others for concurrent orders.
+An executor accepts 64 from all hosts together."""
+
+MAX_STORE_CONNECTIONS = 40
+"""Limits connections to the store: one for each read that waits, of which there are as many as
+halls and three more, the others for appends and other reads."""
 
 KEEP_ALIVE_S = 60.0
 """Time after which an idle connection is closed, in seconds; each new one costs a handshake."""
@@ -82,27 +86,18 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        connector = RecordingConnector(
-            limit=0,
-            limit_per_host=MAX_CONNECTIONS_PER_PEER,
-            keepalive_timeout=KEEP_ALIVE_S,
-            socket_factory=open_call_socket,
-        )
-        session = aiohttp.ClientSession(
-            connector=connector,
-            timeout=aiohttp.ClientTimeout(total=None),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
-        async with session:
-            await self._serve(session)
+        async with (
+            open_session(MAX_CONNECTIONS_PER_PEER) as session,
+            open_session(MAX_STORE_CONNECTIONS) as store_session,
+        ):
+            await self._serve(_adapter(session, store_session, self._settings))
         self._log.write(Event.STOPPED)
 
-    async def _serve(self, session: aiohttp.ClientSession) -> None:
+    async def _serve(self, adapter: Adapter) -> None:
         settings = self._settings
         host = Host(
             settings,
-            _adapter(session, settings),
+            adapter,
             incarnation=self._incarnation,
             log=self._log,
             metrics=self._metrics,
@@ -167,9 +162,31 @@
         self._log.write(Event.SETTINGS_RELOADED, changed=settings != self._settings)
 
 
-def _adapter(session: aiohttp.ClientSession, settings: HostSettings) -> Adapter:
+def open_session(max_connections: int) -> aiohttp.ClientSession:
+    """Return a session for calls.
+
+    Args:
+        max_connections: Limit of the connections to each address.
+    """
+    connector = RecordingConnector(
+        limit=0,
+        limit_per_host=max_connections,
+        keepalive_timeout=KEEP_ALIVE_S,
+        socket_factory=open_call_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def _adapter(
+    session: aiohttp.ClientSession, store_session: aiohttp.ClientSession, settings: HostSettings
+) -> Adapter:
     return Adapter(
-        store=StoreClient(session, settings.store.address),
+        store=StoreClient(store_session, settings.store.address),
         executors=lambda token: ExecutorClient(session, token),
         machines=MachineClient(session, settings.machines) if settings.machines else None,
         policy=AdviceClient(session, settings.advice) if settings.advice else None,
