Log each link from a new executor to the run of another hall's task

A standing task that waits in a full hall while an executor joins another one passes eight links: entry read, executor ready, summary published, summary read, handover found, recorded and announced, tasks taken over, started. Lines 540, 550 and 530 told three of them, so that seconds on the way could not be attributed. New: 598 (executor ready), 600 (more room published), 599 (more room seen while standing tasks wait), 601 (handover durable and announced, with both durations) and 602 (tasks arrived).

Cost: 599 and 600 at most one a summary, 601 and 602 one a handover.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -268,6 +268,20 @@
         "see OPERATIONS.md, a task ran twice, if its job goes on in another hall",
     )
     WORK_HANDED_OVER = 550, logging.INFO, "waiting tasks handed over to another hall", "nothing"
+    HANDOVER_PUBLISHED = (
+        601,
+        logging.INFO,
+        "handover of tasks durable and announced to all hosts",
+        "nothing; 602 of the other hall follows",
+    )
+    TASKS_ARRIVED = 602, logging.INFO, "tasks of another hall taken over", "nothing; 530 follows"
+    ROOM_PUBLISHED = 600, logging.INFO, "summary with more free cores published", "nothing"
+    ROOM_SEEN = (
+        599,
+        logging.INFO,
+        "another hall's summary has more free cores while standing tasks wait here",
+        "nothing; 550 follows if a task that waits fits there",
+    )
     MOVE_KEPT = 555, logging.INFO, "move of a whole job is durable", "nothing; 556 follows"
     MOVE_TOLD = 556, logging.INFO, "move of a job announced to all hosts", "nothing"
     RUN_COPIED = 553, logging.INFO, "speculative copy of a slow run started", "nothing"
@@ -281,6 +295,12 @@
     LATENCY_OVER = 554, logging.INFO, "standing task was over its latency target", "see 539"
     CALLER_DROPPED = 565, logging.INFO, "connection closed because its caller was silent", "nothing"
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
+    EXECUTOR_READY = (
+        598,
+        logging.INFO,
+        "executor has answered and is on the roster, so that work may start there",
+        "nothing",
+    )
     ENTRY_CONTRADICTED = (
         597,
         logging.INFO,
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -48,6 +48,9 @@
 SUMMARY_READ_DELAY_S = 0.3
 """Time from a change that every owner publishes at once, in seconds, until other hosts read it."""
 
+MIN_LOGGED_MILLI_CPU = 1_000
+"""Thousandths of a core by which the hall's free cores have grown that is logged."""
+
 CRASH_PAUSE_S = 1.0
 """Pause after a tenure failed, in seconds, so that a persistent error causes no busy loop."""
 
@@ -126,6 +129,7 @@
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewed_at: dict[int, float] = {}
         self._renewals = 0
+        self._published_cpu = 0
         self._summary_token = 0
         self._summary_written_after = float("-inf")
         self._enabled = asyncio.Event()
@@ -320,6 +324,8 @@
             return
         self._renewals += 1
         summary = self._tenure.summary() if self._tenure and with_summary else None
+        if summary:
+            self._log_room(summary)
         record = OwnerRecord(
             act,
             self._host,
@@ -330,3 +336,11 @@
             starts_recorded,
         )
         await self._store.append(self._partition, [Record(record.encode())])
+
+    def _log_room(self, summary: HallSummary) -> None:
+        """Log that a summary to publish has more free cores than the last published one."""
+        before, self._published_cpu = self._published_cpu, summary.free
+        if summary.free >= before + MIN_LOGGED_MILLI_CPU:
+            self._log.write(
+                Event.ROOM_PUBLISHED, shard=self._shard, free=summary.free, before=before
+            )
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -299,6 +299,19 @@
         if task.step.open:
             self.ready[task.step] = None
 
+    def log_if_ready(self, executor: ExecutorState) -> None:
+        """Log that work may start on an executor from now on, if it has answered and is rostered.
+
+        Called when either has just become true.
+        """
+        if executor.has_reported and executor.rostered and executor.listed:
+            self.log(
+                Event.EXECUTOR_READY,
+                executor=executor.executor_id,
+                shard=self._shard,
+                token=self._token,
+            )
+
     def mark_dirty(self, run: JobRun, *, urgent: bool = True) -> None:
         """Request that the record of a repetition is written again.
 
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -43,12 +43,15 @@
         job = self._state.jobs.get(job_id)
         if job is None or not job.delegated_here:
             return
+        arrived = []
         for delegation in delegations:
             task = job.task(delegation.task_index)
             if task is None or task.managed_by is None:
                 continue
             if task.delegation_number < delegation.number:
                 self.take_over(task, delegation, now)
+                arrived.append(task)
+        self._log_arrived(arrived, now)
 
     def take_over(self, task: Task, delegation: Delegation, now: float) -> None:
         """Manage a task that another shard has handed over, with what it knows of its runs."""
@@ -95,6 +98,7 @@
         job = self._state.jobs.get(job_id)
         if job is None or job.delegated_here:
             return
+        arrived = []
         for delegation in returned:
             task = job.task(delegation.task_index)
             if task is None or task.managed_by is None:
@@ -103,6 +107,20 @@
                 task.returned_by[task.managed_by] = delegation.number
                 self.take_over(task, delegation, now)
                 self._state.mark_dirty(task.step.run)
+                arrived.append(task)
+        self._log_arrived(arrived, now)
+
+    def _log_arrived(self, tasks: list[Task], now: float) -> None:
+        if not tasks:
+            return
+        self._state.log(
+            Event.TASKS_ARRIVED,
+            job=tasks[0].name.job_id,
+            indexes=[task.name.index for task in tasks[:MAX_LOGGED_TASKS]],
+            waited_s=round(now - min(task.waiting_since for task in tasks), 2),
+            shard=self._state.shard,
+            token=self._state.token,
+        )
 
     def complete_tasks(self, job_id: str, tasks: Iterable[TaskIndex], now: float) -> None:
         """Mark tasks as done of which another shard has found the end.
--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -59,6 +59,11 @@
         """Steady time at which the summary was first seen, or was seen to stay the same."""
         return self._read_at
 
+    @property
+    def published_cpu(self) -> int:
+        """Thousandths of a core that are not reserved, by the summary alone."""
+        return self._summary.free
+
     @property
     def free_cpu(self) -> int:
         """Thousandths of a core that are not reserved."""
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -9,6 +9,7 @@
 from linkspan.clock import steady, wall_offset_s
 from linkspan.events import Event
 from linkspan.jobs.records import Delegated, Moved, Returned
+from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._delegations import last_delegation_of
 from linkspan.shard.handover._evidence import MoveEvidence
 from linkspan.shard.handover._returned_delegations import ReturnedDelegations
@@ -100,12 +101,27 @@
             return
         run = handed_over[0].step.run
         progress = encode_run(run, wall_offset_s())
+        began = steady()
         await self._writer.write([Record(progress, progress_key(run))])
+        recorded = steady()
         if job.delegated_here:
             await self._job_registry.write([self._returned(job_id, handed_over)])
         elif delegations := self._core.delegations(job_id, steady()).get(shard):
             await self._job_registry.write([Delegated(job_id, shard, delegations)])
         job.handing_over = False
+        self._log_handover(handover, recorded - began, steady() - recorded)
+
+    def _log_handover(self, handover: Handover, recorded_s: float, announced_s: float) -> None:
+        self._log.write(
+            Event.HANDOVER_PUBLISHED,
+            job=handover.job_id,
+            shard=self._shard,
+            to_shard=handover.shard,
+            indexes=[index for _, index in (handover.tasks or ())[:MAX_LOGGED_TASKS]],
+            recorded_s=round(recorded_s, 3),
+            announced_s=round(announced_s, 3),
+            token=self._token,
+        )
 
     def _returned(self, job_id: str, tasks: tuple[Task, ...]) -> Returned:
         entry = self._job_registry.catalog.get(job_id)
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -80,6 +80,9 @@
 """Time for which a waiting task is handed on that fast. After that no hall seems to have room, and
 each handover writes records."""
 
+MIN_LOGGED_MILLI_CPU = 1_000
+"""Thousandths of a core by which the room of another hall has grown that is logged."""
+
 
 class Handover(NamedTuple):
     """Work to hand over to another shard.
@@ -147,7 +150,10 @@
             now: Steady time.
         """
         halls = self._halls
+        before = {shard: room.published_cpu for shard, room in halls.rooms.items()}
         halls.read(self._summaries(), now)
+        if self._seeks_room:
+            self._log_more_room(before)
         self._spread_limits = SpreadLimits(self._core, now)
         self._own = own
         own_room = HallRoom(own, now)
@@ -262,6 +268,24 @@
             return StayReason.LOAD if step.spec.best_effort else StayReason.NO_ROOM
         return _handover(step, choice.shard, choice.tasks)
 
+    def _log_more_room(self, before: dict[int, int]) -> None:
+        """Log the halls whose last summary has more free cores than the one before it.
+
+        Args:
+            before: Free thousandths of a core of each hall, by its summary before.
+        """
+        for shard, room in self._halls.rooms.items():
+            known = before.get(shard, 0)
+            if room.published_cpu >= known + MIN_LOGGED_MILLI_CPU:
+                self._core.log(
+                    Event.ROOM_SEEN,
+                    elsewhere=shard,
+                    free=room.published_cpu,
+                    before=known,
+                    shard=self._core.shard,
+                    token=self._core.token,
+                )
+
     def _log(self, handover: Handover, step: StepRun, now: float) -> None:
         moves_job = handover.tasks is None
         self._core.log(
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -158,6 +158,7 @@
             executor = self._core.executors.get(executor_id)
             if executor and not executor.rostered:
                 executor.rostered = True
+                self._core.log_if_ready(executor)
                 self._changes.wake.set()
 
     async def finish_loop(self) -> None:
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -90,6 +90,7 @@
             # Ends that a former owner withheld and has acknowledged since are no longer listed.
             executor.withheld_ends.intersection_update(end.number for end in report.ended)
             self._state.resolve_inherited(executor.executor_id, "answered")
+            self._state.log_if_ready(executor)
             self.tick(now)
 
     def tick(self, now: float) -> None:
