Show that a new executor of another hall is used too late

Callers see: a standing task that waits in full halls beside a new executor of another hall is at work up to 4.3 s after the executor's start; the rule allows 3 s.

NewExecutor joins a hall while the job waits, its entry comes later.

--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -85,7 +85,13 @@
         return self._incarnations
 
     def add_executor(
-        self, hall: str, address: str, *, executor_id: str = "", clock_s: float | None = None
+        self,
+        hall: str,
+        address: str,
+        *,
+        executor_id: str = "",
+        clock_s: float | None = None,
+        entry_after_s: float = 0.0,
     ) -> MemoryExecutor:
         """Start an executor.
 
@@ -94,7 +100,11 @@
             address: Address at which it receives orders.
             executor_id: Id of a previous incarnation to reuse. By default a new id.
             clock_s: Initial reading of its clock. By default the time since the world's start.
+            entry_after_s: Seconds until its entry is in the store; at a restart under a previous id
+                by default those of the world.
         """
+        if executor_id and not entry_after_s:
+            entry_after_s = self.entry_after_s
         record = ExecutorRecord(
             executor_id or f"life-{self.next_incarnation()}",
             "pool",
@@ -114,11 +124,9 @@
             clock_ahead_s=0.0 if clock_s is None else clock_s - now * slow_clock,
         )
         self.executors[address] = executor
-        if executor_id and self.entry_after_s:
+        if entry_after_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(
-                self.entry_after_s, self._register_if_alive, executor, context=Context()
-            )
+            loop.call_later(entry_after_s, self._register_if_alive, executor, context=Context())
         else:
             self.register(executor)
         return executor
--- a/tests/host/full_halls.py
+++ b/tests/host/full_halls.py
@@ -55,6 +55,21 @@
     ends: bool = False
 
 
+@dataclass(frozen=True)
+class NewExecutor:
+    """An executor that joins a hall, with room for four tasks.
+
+    Attributes:
+        at_s: Seconds from the acceptance of the waiting job until it starts.
+        hall: Number of the hall.
+        entry_after_s: Seconds from its start until its entry is in the store.
+    """
+
+    at_s: float
+    hall: int
+    entry_after_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class SlowStore:
     """A time in which the store answers all hosts' reads late.
@@ -140,11 +155,14 @@
         running = {t for e in self.world.executors.values() if e.alive for t in e.running}
         return sum(task.job_id == job.job_id for task in running)
 
-    async def apply(self, change: Change | SlowStore) -> None:
+    async def apply(self, change: Change | NewExecutor | SlowStore) -> None:
         """Make a change at its time from now."""
         if isinstance(change, SlowStore):
             await self._slow_down(change)
             return
+        if isinstance(change, NewExecutor):
+            await self._join(change)
+            return
         await asyncio.sleep(change.at_s)
         if change.freed < 0:
             self.accept(change.hall, -change.freed, ends=change.ends)
@@ -153,6 +171,12 @@
         ended = [self.small_jobs[change.hall].pop(0) for _ in range(change.freed)]
         await asyncio.gather(*(self.world.cancel(host, job.job_id) for job in ended))
 
+    async def _join(self, new: NewExecutor) -> None:
+        await asyncio.sleep(new.at_s)
+        world, hall = self.world, HALLS[new.hall]
+        number = sum(e.record.hall == hall for e in world.executors.values())
+        world.add_executor(hall, f"{hall}-{number}:1", entry_after_s=new.entry_after_s)
+
     async def _slow_down(self, slow: SlowStore) -> None:
         await asyncio.sleep(slow.from_s)
         durations = self.world.store.read_duration_s
@@ -162,7 +186,9 @@
         durations.clear()
 
 
-def wait_of_job(*changes: Change | SlowStore, tasks: int = 2, limit_s: float = 30.0) -> Wait:
+def wait_of_job(
+    *changes: Change | NewExecutor | SlowStore, tasks: int = 2, limit_s: float = 30.0
+) -> Wait:
     """Return how a job waits whose home is the first hall.
 
     Args:
@@ -180,7 +206,7 @@
 
 
 async def _wait(
-    halls: FullHalls, changes: tuple[Change | SlowStore, ...], tasks: int, limit_s: float
+    halls: FullHalls, changes: tuple[Change | NewExecutor | SlowStore, ...], tasks: int, limit_s: float
 ) -> Wait:
     wait = Wait(halls.world)
     began = world_time()
