Do not count additional summaries as renewals

A renewal's number tells hosts that have not read its claim how old the tenure is, 0.6 s each: how long former owners may still act follows from it. A summary published at once (evacuations) raised the number as well.

Such records now carry the last renewal's number and, appended to the record, how many there have been; those without an answer do not count. Earlier versions take them for records of others and expect former owners for longer, which is safe.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -129,6 +129,7 @@
         self._tenure_task: asyncio.Task[None] | None = None
         self._renewed_at: dict[int, float] = {}
         self._renewals = 0
+        self._additional = 0
         self._published_cpu = 0
         self._summary_token = 0
         self._summary_written_after = float("-inf")
@@ -270,6 +271,7 @@
     def _begin_tenure(self, owner: Owner) -> None:
         # Renewals are numbered per tenure, so that hosts that start later know the tenure's age.
         self._renewals = 0
+        self._additional = 0
         self._tenure = self._make_tenure(owner, self._shard, self._claim.last)
         self._tenure_task = asyncio.create_task(self._run_tenure(self._tenure))
 
@@ -304,7 +306,7 @@
             await self._summary_outdated.wait()
             self._summary_outdated.clear()
             if self._tenure is not None:
-                await self._renew(with_summary=True)
+                await self._append_summary()
                 continue
             await asyncio.sleep(SUMMARY_READ_DELAY_S)
             with suppress(StoreRefused, StoreUnanswered):
@@ -316,13 +318,31 @@
         with suppress(StoreRefused, StoreUnanswered):
             await self._append(OwnerAct.RENEW, with_summary=with_summary)
 
+    async def _append_summary(self) -> None:
+        """Publish the summary beside the renewals, whose number tells the age of the tenure.
+
+        One that may not have been written doesn't count: another host's record could be in its
+        place.
+        """
+        tenure = self._tenure
+        with suppress(StoreRefused, StoreUnanswered):
+            await self._append(OwnerAct.RENEW, with_summary=True, additional=1)
+            if self._tenure is tenure:
+                self._additional += 1
+
     async def _append(
-        self, act: OwnerAct, *, with_summary: bool = False, starts_recorded: bool = False
+        self,
+        act: OwnerAct,
+        *,
+        with_summary: bool = False,
+        starts_recorded: bool = False,
+        additional: int = 0,
     ) -> None:
         owner = self._view.owner
         if owner is None or not self._view.mine:
             return
-        self._renewals += 1
+        if not additional:
+            self._renewals += 1
         summary = self._tenure.summary() if self._tenure and with_summary else None
         if summary:
             self._log_room(summary)
@@ -334,6 +354,7 @@
             self._renewals,
             summary,
             starts_recorded,
+            self._additional + additional,
         )
         await self._store.append(self._partition, [Record(record.encode())])
 
--- a/src/linkspan/shard/ownership/owner_record.py
+++ b/src/linkspan/shard/ownership/owner_record.py
@@ -39,6 +39,8 @@
         summary: State of the hall, in some renewals.
         starts_recorded: Whether all starts are on record that the tenure, and those before it, have
             sent; only in a release.
+        additional: How many records the tenure has written so far beside those that ``number``
+            counts: summaries that did not wait for the next renewal.
     """
 
     act: OwnerAct
@@ -48,15 +50,18 @@
     number: int = 0
     summary: HallSummary | None = None
     starts_recorded: bool = False
+    additional: int = 0
 
     def encode(self) -> bytes:
         """Return the record as bytes."""
         fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
         fields.append(self.number)
-        if self.summary or self.starts_recorded:
+        if self.summary or self.starts_recorded or self.additional:
             fields.append(self.summary.encode() if self.summary else None)
-        if self.starts_recorded:
-            fields.append(1)
+        if self.starts_recorded or self.additional:
+            fields.append(int(self.starts_recorded))
+        if self.additional:
+            fields.append(self.additional)
         return orjson.dumps(fields)
 
     @classmethod
@@ -76,6 +81,7 @@
                 _summary(rest),
                 # Later versions may append fields.
                 starts_recorded=rest[1:2] == [1],
+                additional=parse_int(rest[2]) if len(rest) > 2 else 0,
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"invalid ownership record: {error!r}; record ignored") from error
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -291,4 +291,5 @@
     some of them, possibly a claim.
     """
     since_claim = offset + 1 - renewal.token
-    return (renewal.number - 1) * RENEWAL_INTERVAL_S if since_claim <= renewal.number else 0.0
+    written = renewal.number + renewal.additional
+    return (renewal.number - 1) * RENEWAL_INTERVAL_S if since_claim <= written else 0.0
--- a/tests/host/full_halls.py
+++ b/tests/host/full_halls.py
@@ -206,7 +206,10 @@
 
 
 async def _wait(
-    halls: FullHalls, changes: tuple[Change | NewExecutor | SlowStore, ...], tasks: int, limit_s: float
+    halls: FullHalls,
+    changes: tuple[Change | NewExecutor | SlowStore, ...],
+    tasks: int,
+    limit_s: float,
 ) -> Wait:
     wait = Wait(halls.world)
     began = world_time()
--- a/tests/host/test_renewals_by_tenure.py
+++ b/tests/host/test_renewals_by_tenure.py
@@ -11,7 +11,13 @@
 from linkspan.host.candidate import Candidate
 from linkspan.shard.ownership._proof import TenureLost
 from linkspan.shard.ownership.owner_record import OwnerAct, OwnerRecord
-from linkspan.shard.ownership.ownership import Claim, Owner
+from linkspan.shard.ownership.ownership import (
+    MAX_UNPROVED_S,
+    RENEWAL_INTERVAL_S,
+    Claim,
+    Owner,
+    OwnerView,
+)
 from linkspan.shard.tenure import Tenure
 from linkspan.store.types import Appended, Partition, Producer, Record
 from tests.event_recorder import EventRecorder
@@ -89,6 +95,27 @@
     run_virtual(play())
 
 
+# Guards against summaries between two renewals that make a tenure seem older than it is: former
+# owners could then still act for a host that has just started and claims.
+def test_summaries_between_renewals_do_not_add_to_the_age_of_a_tenure() -> None:
+    async def play() -> None:
+        store = MemoryStore(0)
+        candidate = _candidate(StoreLink(store, "host"), [])
+        candidate.enable()
+        running = asyncio.create_task(candidate.run())
+        for _ in range(20):
+            await asyncio.sleep(SETTLED_S / 20)
+            candidate.share_summary()
+        await asyncio.sleep(RENEWAL_INTERVAL_S)
+        starting = OwnerView("host", "life-2", home=True)
+        starting.apply(store.log(OWNERS).entries[-1], 0.0)
+        may_act_s = starting.former_owners_remaining_s(0.0)
+        assert may_act_s >= MAX_UNPROVED_S - SETTLED_S - RENEWAL_INTERVAL_S
+        running.cancel()
+
+    run_virtual(play())
+
+
 def _candidate(link: StoreLink, tenures: list[_Tenure]) -> Candidate:
     def make(_owner: Owner, _shard: int, _claim: Claim) -> Tenure:
         tenures.append(_Tenure())
--- a/tests/shard/test_ownership.py
+++ b/tests/shard/test_ownership.py
@@ -86,8 +86,8 @@
     assert not seen.should_claim(0.5)
 
 
-def renewal(offset: int, host: str, *, token: int, number: int) -> Entry:
-    record = OwnerRecord(OwnerAct.RENEW, host, f"{host}-life", token, number)
+def renewal(offset: int, host: str, *, token: int, number: int, additional: int = 0) -> Entry:
+    record = OwnerRecord(OwnerAct.RENEW, host, f"{host}-life", token, number, additional=additional)
     return Entry(offset, record.encode())
 
 
@@ -116,6 +116,21 @@
     assert seen.former_owners_remaining_s(0.0) == 0.0
 
 
+# Guards against summaries between two renewals that make a tenure seem older than it is.
+def test_additional_records_do_not_add_to_the_age_of_a_tenure() -> None:
+    seen = view()
+    seen.apply(renewal(19, "me", token=1, number=2, additional=18), 0.0)
+    assert seen.former_owners_remaining_s(0.0) == MAX_UNPROVED_S - RENEWAL_INTERVAL_S
+
+
+# Guards against a long wait after summaries between renewals, as if others had written them.
+def test_additional_records_are_those_of_the_tenure() -> None:
+    seen = view()
+    renewals = int(MAX_UNPROVED_S / RENEWAL_INTERVAL_S) + 2
+    seen.apply(renewal(renewals + 3, "me", token=1, number=renewals, additional=3), 0.0)
+    assert seen.former_owners_remaining_s(0.0) == 0.0
+
+
 def test_a_previous_incarnation_known_by_its_claim_alone_may_have_followed_another_owner() -> None:
     seen = view()
     seen.apply(entry(9, OwnerAct.CLAIM, "me", incarnation="me-first"), 0.0)
