--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -266,6 +266,7 @@
             operator_records=self.operator_records,
             shard=shard,
             summary_of=self._summary_of,
+            share_summary=self.candidates[shard].share_summary,
             log=self._log,
             metrics=self._metrics,
         )
@@ -333,7 +334,7 @@
         self._executor_capacities.add_summary(shard, summary)
         for candidate in self.candidates:
             if candidate.tenure:
-                candidate.tenure.adopt(summary)
+                candidate.tenure.on_summary(shard, summary)
 
     def _on_evacuations(self, halls: frozenset[str]) -> None:
         evacuated = len(self.operator_records.evacuations.current)
