Standing tasks are started by their records alone

Callers saw standing tasks away for 10 to 23 s with room for them where an owner was killed as an executor of its hall was lost (LOST).

Cause: an owner sent a start without a record once the store had not answered for 0.3 s, or 1.0 s. So a next owner held each inherited task back until every executor on the roster had answered, had ended or had outlived its leases, and 12 s more for next incarnations.

A start of a standing task now waits for its record without a limit (it ends to wait where its executor went silent). Owners state this in their claims, renewals and releases, with the offset up to which they had read the ownership records; a next owner relies on it only if no claim can be hidden from it. It holds for all former owners by induction: an owner after one of an earlier version states it once each inherited executor has reported, ended or outlived its leases, and all is on record. Under a statement an inherited standing task without a recorded attempt starts at once; one with an attempt waits for that attempt alone. Other work, an unreadable roster or record, and a job that would move as a whole wait as before. Three ways to an attempt that the record lost: - an abandoned start may still arrive: the task's row says so until it cannot any more; - an attempt carried over to a next incarnation is recorded anew, as the roster does not name the previous one any more; - an attempt whose incarnation the roster does not name, but another one of its id, is not taken for ended.

What it costs: no standing task starts while the store does not answer.

--- a/src/linkspan/host/_shard_claim.py
+++ b/src/linkspan/host/_shard_claim.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -86,6 +87,7 @@
                 asked_at,
                 now - asked_at + self._view.former_owners_remaining_s(now),
                 self._view.starts_recorded,
+                self._view.standing_starts_recorded,
             )
             appended = await self._append()
         except (OffsetConflict, StoreRefused, StoreUnanswered):
@@ -104,10 +106,16 @@
         return now - self._follower.synced_at < self._max_view_age_s
 
     async def _append(self) -> Appended:
-        identity = OwnerAct.CLAIM, self._host, self._incarnation
-        reservation = OwnerRecord(*identity, number=RESERVATION_NUMBER)
-        records = [Record(record.encode()) for record in (reservation, OwnerRecord(*identity))]
-        return await self._store.append(self._partition, records, at=self._follower.offset)
+        offset = self._follower.offset
+        claim = OwnerRecord(
+            OwnerAct.CLAIM,
+            self._host,
+            self._incarnation,
+            recorded_up_to=offset if self._last.standing_starts_recorded else 0,
+        )
+        reservation = replace(claim, number=RESERVATION_NUMBER)
+        records = [Record(record.encode()) for record in (reservation, claim)]
+        return await self._store.append(self._partition, records, at=offset)
 
     def _log_claim(self, appended: Appended, previous: Owner | None, silent_s: float) -> None:
         self._log.write(
@@ -118,4 +126,5 @@
             silent_s=round(silent_s, 2),
             former_token=previous.token if previous else None,
             former_acts_s=round(self._last.former_owners_remaining_s, 2),
+            standing_starts_recorded=self._last.standing_starts_recorded,
         )
--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -323,7 +323,9 @@
         if owner is None or not self._view.mine:
             return
         self._renewals += 1
-        summary = self._tenure.summary() if self._tenure and with_summary else None
+        tenure = self._tenure
+        summary = tenure.summary() if tenure and with_summary else None
+        recorded = tenure is not None and tenure.standing_starts_recorded
         if summary:
             self._log_room(summary)
         record = OwnerRecord(
@@ -334,6 +336,7 @@
             self._renewals,
             summary,
             starts_recorded,
+            recorded_up_to=self._view.token_limit if recorded else 0,
         )
         await self._store.append(self._partition, [Record(record.encode())])
 
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -91,6 +91,8 @@
         withheld_count: Number of ends withheld so far; comparing two values shows cheaply whether
             an end was withheld.
         tasks_with_crash_history: Tasks with a crash history, as an ordered set.
+        tasks_with_unrecorded_starts: Tasks of which a start may be carried out that no record
+            names, as an ordered set.
         executor_crashes: Recent crashes of executors, the newest last.
         sole_owner_until: Steady time until which no later owner can have claimed the shard. A lease
             that ends by then has expired; a later owner may have renewed one that ends after it.
@@ -138,6 +140,7 @@
         self.executors_to_poll: set[str] = set()
         self.withheld_count = 0
         self.tasks_with_crash_history: dict[Task, None] = {}
+        self.tasks_with_unrecorded_starts: dict[Task, None] = {}
         self.executor_crashes: list[ExecutorCrash] = []
         self.sole_owner_until = float("inf")
         self.ready: dict[StepRun, None] = {}
@@ -269,6 +272,11 @@
         else:
             self.tasks_with_crash_history.pop(task, None)
 
+    def mark_unrecorded_starts(self, task: Task) -> None:
+        """Note that a start of a task may be carried out that its record does not name."""
+        task.unrecorded_starts = True
+        self.tasks_with_unrecorded_starts[task] = None
+
     def remove_finished_tasks(self) -> None:
         """Remove tasks with a crash history that are done or whose job has ended."""
         finished = [t for t in self.tasks_with_crash_history if t.done or t.step.run.job.closing]
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -17,7 +17,9 @@
 that only an incarnation which has not answered yet could carry out (``_abandoned_starts``).
 
 A new owner starts inherited work only once each inherited executor has answered the owner's
-higher token, has ended, or has no unexpired lease (``ShardCore.may_start``).
+higher token, has ended, or has no unexpired lease (``ShardCore.may_start``). Starts of standing
+tasks are sent once they are on record, so that these tasks wait only for the attempts that their
+records name, if all former owners did so (``ShardCore.may_start_task``).
 
 Each group of rules has its own module: ``_liveness`` (silent and ended executors), ``_restarts``
 (incarnations of one id), ``_reconciliation`` (reports), ``_crashes`` (crashes), ``_ends`` (ends of
@@ -114,6 +116,7 @@
         *,
         read: bool = True,
         starts_recorded: bool = False,
+        standing_starts_recorded: bool = False,
     ) -> None:
         """Take over executors on which a previous owner may have started work.
 
@@ -122,8 +125,28 @@
             until: Steady time by which all leases granted to them have expired.
             read: Whether the roster was readable. If not, it may name further executors.
             starts_recorded: Whether all starts that previous owners have sent are on record.
+            standing_starts_recorded: Whether those of standing tasks are.
         """
-        self._liveness.inherit(roster, until, read=read, starts_recorded=starts_recorded)
+        self._liveness.inherit(
+            roster,
+            until,
+            read=read,
+            starts_recorded=starts_recorded,
+            standing_starts_recorded=standing_starts_recorded,
+        )
+
+    @property
+    def roster_readable(self) -> bool:
+        """Whether the roster that a previous owner left was readable."""
+        return self._liveness.roster_readable
+
+    def distrust_records(self) -> None:
+        """Assume that all tasks have starts that their records do not name."""
+        for job in self.jobs.values():
+            for run in job.runs.values():
+                for task in run.tasks():
+                    self.mark_unrecorded_starts(task)
+                self.mark_dirty(run)
 
     @property
     def awaiting_reports(self) -> bool:
@@ -137,10 +160,24 @@
         """
         return not (self._liveness.awaits_former_starts or self._abandoned.any_late(now))
 
+    def knows_inherited_starts(self, now: float) -> bool:
+        """Return whether no executor of a previous owner may have a run that is unknown here."""
+        return self._liveness.knows_inherited_runs(now)
+
     def may_start(self, job: ShardJob, now: float) -> bool:
         """Return whether no run of a job that a previous owner left unrecorded can be alive."""
         return self._liveness.may_start(job, now)
 
+    def may_start_task(self, task: Task, now: float) -> bool:
+        """Return whether no run of a task that a previous owner left unrecorded can be alive."""
+        return self._liveness.may_start_task(task, now)
+
+    def tasks_that_may_start(self, job: ShardJob, tasks: list[Task], now: float) -> list[Task]:
+        """Return those tasks of a job of which no unrecorded run can be alive."""
+        if self._liveness.may_start(job, now):
+            return tasks
+        return [task for task in tasks if self._liveness.may_start_task(task, now)]
+
     # Executors
 
     def list_executors(
@@ -454,8 +491,18 @@
         self._reconciler.tick(now)
         self._orders.tick(now)
         self._abandoned.tick(now)
+        if self.tasks_with_unrecorded_starts and not self._abandoned.any_late(now):
+            self._forget_unrecorded_starts(now)
         self._acknowledgements.tick(now)
 
+    def _forget_unrecorded_starts(self, now: float) -> None:
+        if not self.knows_inherited_starts(now):
+            return
+        for task in self.tasks_with_unrecorded_starts:
+            task.unrecorded_starts = False
+            self.mark_dirty(task.step.run, urgent=False)
+        self.tasks_with_unrecorded_starts.clear()
+
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
         """Stop an attempt so that its task continues elsewhere."""
         self._orders.stop(attempt, now, reason=reason)
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -185,13 +185,15 @@
             return StayReason.TOO_SOON if undecided else StayReason.DECISION
         if job.closing or job.handing_over:
             return StayReason.RECORDING
-        if not self._core.may_start(job, now):
+        pending = self._core.tasks_that_may_start(job, pending, now)
+        if not pending:
             # A former owner may have started tasks here, which must not start elsewhere, too.
             return StayReason.INHERITED
         self._seeks_room = self._seeks_room or step.spec.standing
         if job.delegated_here:
             return self._return(step, pending, halls, now) or StayReason.RETURN_DELAY
-        if not (job.start_ordered or job.moved or job.has_delegations):
+        begun = job.start_ordered or job.moved or job.has_delegations
+        if not begun and self._core.may_start(job, now):
             shard = self._whole_moves.choose(step, own, halls, now)
             if shard is not None:
                 return Handover(job.job_id, shard, None)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -10,6 +10,7 @@
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.crash_history import GIVE_UP_REASON
+from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._expected_durations import update_expected_durations
@@ -24,6 +25,7 @@
     from linkspan.jobs.records import Delegation, Submitted, TaskIndex
     from linkspan.model.configuration import Configuration
     from linkspan.shard._shard_state import ShardState
+    from linkspan.shard.attempt import Attempt
     from linkspan.shard.handover._delegations import Delegations
     from linkspan.shard.job_run import JobRun
     from linkspan.shard.task import Task
@@ -128,6 +130,7 @@
         self._state.mark_start_ordered(job)
         for task in run.tasks():
             task.next_run = FIRST_RUN_WITHOUT_RECORD
+            self._state.mark_unrecorded_starts(task)
         for shard, delegations in delegated.items():
             for delegation in delegations:
                 found = run.task(TaskName(job.job_id, *delegation.task_index))
@@ -145,6 +148,8 @@
             task.never_ran = task.never_ran or task.next_run == 1
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
+            if task.unrecorded_starts:
+                self._state.mark_unrecorded_starts(task)
             for attempt in list(task.attempts):
                 executor = self._state.recorded_incarnation(attempt.executor_id)
                 if executor:
@@ -153,9 +158,15 @@
                 else:
                     # The roster does not name it, so the previous owner had proof of its end.
                     task.attempts.remove(attempt)
+                    self._note_other_incarnations(attempt)
         self._restore_expired_attempts(run)
         self._fail_if_attempts_exhausted(run)
 
+    def _note_other_incarnations(self, attempt: Attempt) -> None:
+        """Note that another incarnation of its id, which the roster names, may have the run."""
+        if Incarnation.of(attempt.executor_id).executor_id in self._state.incarnations_by_id:
+            self._state.mark_unrecorded_starts(attempt.task)
+
     def _restore_expired_attempts(self, run: JobRun) -> None:
         """Assign recorded attempts whose leases have expired to their executors.
 
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -37,12 +37,16 @@
 
 MAX_RECORD_WAIT_S = 1.0
 """Limits how long a start waits for its record: a slow store answers in 0.4 s, and another append
-may be in progress. A start of a task with a crash history waits without a limit."""
+may be in progress. A start of a standing task, or of one with a crash history, waits without a
+limit."""
 
 MAX_RECORD_WAIT_IN_OUTAGE_S = 0.3
 """The same limit while the store refuses or does not answer: work continues during a store
 outage."""
 
+RECORD_CHECK_INTERVAL_S = 0.1
+"""Interval between checks whether a start that waits for its record would still be sent."""
+
 MAX_ANSWER_WAIT_S = 2.0
 """Limits how long the start of a task that may crash executors waits for a fresh answer of its
 executor. On an overloaded host each answer is too old when it is applied."""
@@ -164,7 +168,9 @@
 
     async def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
-            await self._wait_for_record(order)
+            if not await self._wait_for_record(order):
+                self._on_undelivered(order)
+                return
             await self._wait_for_answer(order)
             await self._wait_for_acknowledgement(order)
         executor = self._core.executors.get(order.executor_id)
@@ -206,24 +212,45 @@
                 self._core.on_pace_unknown(order)
         self._changes.notify()
 
-    async def _wait_for_record(self, order: StartOrder) -> None:
-        """Wait until a start is on record.
+    async def _wait_for_record(self, order: StartOrder) -> bool:
+        """Wait until a start is on record, and return whether it may be sent.
 
         The executor's next incarnation may carry out a start seconds after its owner is lost. The
         next owner then needs the record to know where the task was started and which crash it
-        caused.
+        caused. Of standing tasks it relies on the records, so none of theirs is sent without one.
         """
         task = self._core.find_task(order.task)
         if task is None:
-            return
+            return False
         run = task.step.run
         version = run.version
+        if task.step.spec.standing:
+            return await self._wait_for_version(order, run, version)
         limit_s = None if task.crash_history else self._max_record_wait_s()
         with suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
                 while run.durable < version and self._may_still_start(run):
                     self._changes.starts.set()
                     await self._changes.next_stored()
+        return True
+
+    async def _wait_for_version(self, order: StartOrder, run: JobRun, version: int) -> bool:
+        """Wait until a version of a repetition is durable, and return whether it is.
+
+        The wait ends early if the start would not be sent any more.
+        """
+        while run.durable < version:
+            executor = self._core.executors.get(order.executor_id)
+            attempt = executor.attempts.get((order.task, order.run)) if executor else None
+            if attempt is None or attempt.phase is not Phase.STARTING:
+                return False
+            if (executor and executor.silent_since is not None) or not self._may_still_start(run):
+                return False
+            self._changes.starts.set()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RECORD_CHECK_INTERVAL_S):
+                    await self._changes.next_stored()
+        return True
 
     def _may_crash_executor(self, order: StartOrder) -> bool:
         """Whether so many executors crashed under a start's task that it may be the cause."""
--- a/src/linkspan/shard/ownership/owner_record.py
+++ b/src/linkspan/shard/ownership/owner_record.py
@@ -39,6 +39,9 @@
         summary: State of the hall, in some renewals.
         starts_recorded: Whether all starts are on record that the tenure, and those before it, have
             sent; only in a release.
+        recorded_up_to: 0, or the statement that each start of a standing task is on record before
+            it is sent, and that all are that earlier tenures have sent. It then is the offset up to
+            which the writer had read the ownership records, and found no claim after its own.
     """
 
     act: OwnerAct
@@ -48,15 +51,18 @@
     number: int = 0
     summary: HallSummary | None = None
     starts_recorded: bool = False
+    recorded_up_to: int = 0
 
     def encode(self) -> bytes:
         """Return the record as bytes."""
         fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
         fields.append(self.number)
-        if self.summary or self.starts_recorded:
+        if self.summary or self.starts_recorded or self.recorded_up_to:
             fields.append(self.summary.encode() if self.summary else None)
-        if self.starts_recorded:
-            fields.append(1)
+        if self.starts_recorded or self.recorded_up_to:
+            fields.append(int(self.starts_recorded))
+        if self.recorded_up_to:
+            fields.append(self.recorded_up_to)
         return orjson.dumps(fields)
 
     @classmethod
@@ -76,6 +82,7 @@
                 _summary(rest),
                 # Later versions may append fields.
                 starts_recorded=rest[1:2] == [1],
+                recorded_up_to=parse_int(rest[2]) if len(rest) > 2 else 0,
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"invalid ownership record: {error!r}; record ignored") from error
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from linkspan.errors import RecordError
 from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
 
 if TYPE_CHECKING:
@@ -69,11 +70,14 @@
         former_owners_remaining_s: Time after ``sent_at`` for which former owners may act without
             having proved their ownership, in seconds.
         starts_recorded: Whether all starts that former owners have sent are on record.
+        standing_starts_recorded: Whether those of standing tasks are, and each one that a former
+            owner may still send.
     """
 
     sent_at: float
     former_owners_remaining_s: float
     starts_recorded: bool = False
+    standing_starts_recorded: bool = False
 
 
 class OwnerView:
@@ -96,6 +100,8 @@
         self._has_gap = False
         self._released = False
         self._starts_recorded = False
+        self._read_from: int | None = None
+        self._standing_starts_recorded = False
         self._last_record_at: float | None = None
         self._former_owners_until = float("-inf")
         self._summary: HallSummary | None = None
@@ -143,7 +149,13 @@
         Raises:
             RecordError: The entry is not a valid ownership record.
         """
-        record = OwnerRecord.decode(entry.value)
+        try:
+            record = OwnerRecord.decode(entry.value)
+        except RecordError:
+            self._on_unread_records()
+            raise
+        if self._read_from is None:
+            self._read_from = entry.offset
         if record.act is OwnerAct.CLAIM:
             self._on_claim(record, now)
             self._claim_token = self._token_limit = entry.offset + 1
@@ -151,6 +163,7 @@
             self._claim_read = True
             self._has_gap = False
             self._released = False
+            self._standing_starts_recorded = record.recorded_up_to > 0
             self._last_record_at = now
         elif record.act is OwnerAct.RENEW and record.token > self._claim_token:
             # The claim itself is beyond the log's retention, or was not read. A renewal of an
@@ -161,8 +174,11 @@
             self._claim_read = False
             self._has_gap = False
             self._released = False
+            self._standing_starts_recorded = self._states_starts(record)
             self._on_owner_record(record, now)
         elif self._owner and record.token == self._claim_token:
+            # A statement stays true for the tenure; a record without it may come late.
+            self._standing_starts_recorded |= self._states_starts(record)
             self._on_owner_record(record, now)
             if self.mine and not self._has_gap:
                 self._token_limit = entry.offset + 1
@@ -184,6 +200,20 @@
         )
         return entry.offset if reserved else entry.offset + 1
 
+    def _states_starts(self, record: OwnerRecord) -> bool:
+        """Whether a renewal or a release states that starts of standing tasks are on record.
+
+        The statement holds for the newest tenure only. Records that neither its writer had read nor
+        this host has may hold the claim of a later one.
+        """
+        read_from = self._read_from
+        return read_from is not None and record.recorded_up_to >= max(read_from, 1)
+
+    def _on_unread_records(self) -> None:
+        """Handle records that this host cannot read, and that may be claims."""
+        self._read_from = None
+        self._standing_starts_recorded = False
+
     def _on_claim(self, claim: OwnerRecord, now: float) -> None:
         """Record how long former owners, known or unknown, may still act after a claim."""
         if self._released:
@@ -223,6 +253,15 @@
         """
         return self._released and self._starts_recorded and not self._has_gap
 
+    @property
+    def standing_starts_recorded(self) -> bool:
+        """Whether each start of a standing task that a former owner sends is on record before.
+
+        If so, that also holds for all that owners before it have sent. It is unknown, and counts as
+        untrue, of owners whose claim and statement this host has not read.
+        """
+        return self._standing_starts_recorded
+
     def on_tenure_ended(self) -> None:
         """Record that this process no longer acts as the owner."""
         if self.mine:
@@ -234,6 +273,7 @@
         self._claim_read = False
         self._last_record_at = now
         self._former_owners_until = now + MAX_UNPROVED_S
+        self._on_unread_records()
 
     def on_store_available(self, now: float) -> None:
         """Restart the owner's silence when the store answers this host again.
--- a/src/linkspan/shard/planning/_standing_waits.py
+++ b/src/linkspan/shard/planning/_standing_waits.py
@@ -167,7 +167,7 @@
         if attempt.phase in _REASON_BY_PHASE:
             return _REASON_BY_PHASE[attempt.phase]
     job = task.step.run.job
-    if not core.may_start(job, now):
+    if not core.may_start_task(task, now):
         return WaitReason.INHERITED
     if job.moving:
         return WaitReason.MOVE
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -95,8 +95,9 @@
                 break
             view.unserved.discard(step)
             orders = len(self._core.orders)
-            if self._core.may_start(step.run.job, view.now):
-                self._place_step(step, pending, view, waiting_steps)
+            known = self._core.tasks_that_may_start(step.run.job, pending, view.now)
+            if known:
+                self._place_step(step, known, view, waiting_steps)
             remaining -= len(self._core.orders) > orders
         self._unplaceable = view.unplaceable.examples()
 
--- /dev/null
+++ b/src/linkspan/shard/recovery/_recorded_starts.py
@@ -0,0 +1,55 @@
+"""Determines whether the records of a shard name all starts of standing tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from linkspan.shard.core import ShardCore
+    from linkspan.shard.job_run import JobRun
+
+
+class RecordedStarts:
+    """Determines what a tenure may state about its starts and those of earlier tenures.
+
+    This tenure sends no start of a standing task before its record is durable. Earlier ones may
+    have, unless they stated the same. Once each executor of theirs has reported, has ended or has
+    outlived its leases, all that runs is known, and is on record with the next write.
+
+    Args:
+        core: The shard's state.
+        known: Whether the former owner stated it, for itself and those before it.
+    """
+
+    def __init__(self, core: ShardCore, *, known: bool) -> None:
+        self._core = core
+        self._known = known
+        self._unwritten: dict[JobRun, int] | None = None
+
+    def __repr__(self) -> str:
+        return f"RecordedStarts({self._known})"
+
+    @property
+    def known(self) -> bool:
+        """Whether each start of a standing task is on record; once true, that stays so."""
+        return self._known
+
+    def tick(self, now: float) -> None:
+        """Check whether earlier tenures' starts have become known and are on record.
+
+        Args:
+            now: Steady time.
+        """
+        if self._known or not self._core.knows_inherited_starts(now):
+            return
+        if self._unwritten is None:
+            self._unwritten = self._core.record_versions()
+        self._unwritten = {
+            run: version for run, version in self._unwritten.items() if is_unrecorded(run, version)
+        }
+        self._known = not self._unwritten
+
+
+def is_unrecorded(run: JobRun, version: int) -> bool:
+    """Whether a version of a repetition is not durable; ended jobs are no longer recorded."""
+    return run.durable < version and not run.job.closing
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -66,6 +66,7 @@
         self._watch = watch
         self._former_owners_remaining_s = claim.former_owners_remaining_s
         self._starts_recorded = claim.starts_recorded
+        self._standing_starts_recorded = claim.standing_starts_recorded
         self._token = context.token
         self._done = False
 
@@ -103,6 +104,8 @@
         )
         self._inherit_executors(records.pop(ROSTER_KEY, b""), leases_expire_at)
         self._add_jobs(records, now)
+        if not core.roster_readable:
+            core.distrust_records()
         core.list_executors(self._executor_registry.executors(self._hall), now)
         self._done = True
         self._metrics.count("claims")
@@ -115,6 +118,7 @@
             roster=len(core.awaiting_report_ids),
             former_acts_s=round(self._former_owners_remaining_s, 2),
             starts_recorded=self._starts_recorded,
+            standing_starts_recorded=self._standing_starts_recorded,
             leases_end_s=round(leases_expire_at - now, 2),
             **core.describe(),
         )
@@ -154,6 +158,7 @@
                 decode_roster(roster) if roster else (),
                 leases_expire_at,
                 starts_recorded=self._starts_recorded,
+                standing_starts_recorded=self._standing_starts_recorded,
             )
             self._changes.roster = frozenset(core.roster_names)
         except RecordError as error:
--- a/src/linkspan/shard/recovery/_task_row.py
+++ b/src/linkspan/shard/recovery/_task_row.py
@@ -22,7 +22,7 @@
     from linkspan.shard.step_run import StepRun
     from linkspan.shard.task import Task
 
-EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [], [], [])
+EMPTY_FIELDS: tuple[Any, ...] = (0, 0, [], [], 0, 0, [], [], [], 0)
 """Empty values of the optional fields in the row of a started task."""
 
 EMPTY_DELEGATED_FIELDS: tuple[Any, ...] = (0, 0, [], 0, [], [], [], 0, [], "", 0)
@@ -80,6 +80,7 @@
         _limit_fields(task),
         _expired(task),
         wait_fields(task, wall_offset_s),
+        int(task.unrecorded_starts),
     )
     return [*first, *_without_empty_tail(EMPTY_FIELDS, *more)]
 
@@ -89,7 +90,7 @@
 
     The next owner knows since when it waits, unless its step opened after others were done.
     """
-    if task.next_run > 1 or task.failures or task.delegation_number:
+    if task.next_run > 1 or task.failures or task.delegation_number or task.unrecorded_starts:
         return False
     opened_later = task.step.spec.standing and task.step.spec.depends_on
     return not opened_later or task.waiting_since == NEVER
@@ -202,9 +203,10 @@
         _restore_delegated(task, row, now)
         return
     next_run, failures, checkpoint, attempts, delegation, *more = row
-    crashes, score, failed, identified, deferred, saved_by, limit, expired, wait = _padded(
-        EMPTY_FIELDS, more
+    crashes, score, failed, identified, deferred, saved_by, limit, expired, wait, unrecorded = (
+        _padded(EMPTY_FIELDS, more)
     )
+    task.unrecorded_starts = parse_int(unrecorded) > 0
     if limit:
         max_attempts, *version = parse_list(limit)
         task.step.run.job.apply_limit(
--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -138,6 +138,7 @@
         )
         self._bound.pop(attempt, None)
         executor.refusals.on_refused(attempt.task.step.spec, now)
+        self._state.mark_unrecorded_starts(attempt.task)
         self._state.close_attempt(attempt, now)
 
     def _is_observed(self, executor: ExecutorState, now: float) -> bool:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -23,6 +23,7 @@
     from linkspan.shard.reports._crashes import CrashTracker
     from linkspan.shard.reports._restarts import RestartTracker
     from linkspan.shard.shard_job import ShardJob
+    from linkspan.shard.task import Task
 
 
 ENTRY_GRACE_S = 2.5
@@ -60,6 +61,7 @@
         self._inherited_leases_expire_at = float("-inf")
         self._roster_readable = True
         self._former_starts_recorded = False
+        self._standing_starts_recorded = False
 
     def __repr__(self) -> str:
         return f"ExecutorLiveness({self._state!r})"
@@ -71,6 +73,7 @@
         *,
         read: bool = True,
         starts_recorded: bool = False,
+        standing_starts_recorded: bool = False,
     ) -> None:
         """Take over the executors on which a former owner may have started work.
 
@@ -79,10 +82,12 @@
             until: Steady time by which all leases that former owners granted there have expired.
             read: Whether the roster was readable. If not, unlisted executors may run work, too.
             starts_recorded: Whether all starts that former owners have sent are on record.
+            standing_starts_recorded: Whether those of standing tasks are.
         """
         self._inherited_leases_expire_at = until
         self._roster_readable = read
         self._former_starts_recorded = starts_recorded and read
+        self._standing_starts_recorded = standing_starts_recorded and read
         for record in roster:
             executor = self._add_executor(record)
             executor.rostered = read
@@ -98,6 +103,28 @@
         awaited = self._state.awaiting_report_ids or self._state.awaiting_next_ids
         return bool(awaited) and not self._former_starts_recorded
 
+    @property
+    def roster_readable(self) -> bool:
+        """Whether the former owner's roster was readable."""
+        return self._roster_readable
+
+    def knows_inherited_runs(self, now: float) -> bool:
+        """Whether no former owner's executor may have a run, now or later, that is unknown here."""
+        if self._state.awaiting_report_ids or self._state.awaiting_next_ids:
+            return False
+        return self._roster_readable or self._has_expired(self._inherited_leases_expire_at, now)
+
+    def may_start_task(self, task: Task, now: float) -> bool:
+        """Whether a task may start, of which the record names no attempt.
+
+        A start of a standing task is on record before it is sent. Where all former owners did so,
+        the task was started nowhere.
+        """
+        recorded = self._standing_starts_recorded and not task.unrecorded_starts
+        if recorded and task.step.spec.standing:
+            return True
+        return self.may_start(task.step.run.job, now)
+
     def may_start(self, job: ShardJob, now: float) -> bool:
         """Whether a job may start: no former owner's unrecorded run of it is alive or ended unseen.
 
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -253,7 +253,7 @@
             return
         if attempt.start_may_arrive_until <= now:
             self._state.close_attempt(attempt, now)
-        elif self._liveness.may_start(attempt.task.step.run.job, now):
+        elif self._liveness.may_start_task(attempt.task, now):
             attempt.phase = Phase.DOUBT
             self._state.resend_or_stop(attempt, now)
         else:
--- a/src/linkspan/shard/reports/_restarts.py
+++ b/src/linkspan/shard/reports/_restarts.py
@@ -215,6 +215,8 @@
         attempt.pace_confirmed = False
         attempt.stop_taken_at = None
         executor.add(attempt)
+        # The roster will not name the previous incarnation any more.
+        self._state.mark_dirty(attempt.task.step.run)
         if attempt.start_may_arrive_until > now and attempt.phase is Phase.RUNNING:
             # The run ended with the previous incarnation, and a start may still arrive at the next
             # one.
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -45,6 +45,8 @@
         refusals: Number of consecutive starts that executors refused.
         ready_since: Steady time since when this shard could have started it: ``waiting_since``, or
             the time at which the shard began to manage it, if that is later.
+        unrecorded_starts: Whether a start of it may still be carried out, or run, that its record
+            does not name.
         waiting_since: Steady time since when it has been waiting for a run: since its last run
             ended, in whichever hall, or since its step opened. ``NEVER`` while it runs. Waits that
             must end are measured from it, as handovers and refused starts do not change it.
@@ -69,6 +71,7 @@
     moves: int = 0
     preemptions: int = 0
     refusals: int = 0
+    unrecorded_starts: bool = False
     ready_since: float = NEVER
     waiting_since: float = NEVER
 
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -37,6 +37,7 @@
 from linkspan.shard.planning._advice_requester import AdviceRequester
 from linkspan.shard.planning._passed_over import PassedOver
 from linkspan.shard.planning._standing_waits import StandingWaits
+from linkspan.shard.recovery._recorded_starts import RecordedStarts, is_unrecorded
 from linkspan.shard.recovery._records import RecordWriter
 from linkspan.shard.recovery._recovery import Recovery
 from linkspan.shard.reports._unlisted_runs import UnlistedRuns
@@ -54,7 +55,6 @@
     from linkspan.model.settings import HostSettings
     from linkspan.shard._context import Executors
     from linkspan.shard.handover.summary import HallSummary
-    from linkspan.shard.job_run import JobRun
     from linkspan.shard.machines import MachineService
     from linkspan.shard.operator.records import OperatorRecords
     from linkspan.shard.ownership.ownership import Claim, Owner
@@ -160,6 +160,7 @@
         self._unmanaged_tasks = UnmanagedTasks(context)
         self._feed = JobFeed(context)
         self._recovery = Recovery(context, self._feed, self._handovers, self._watch, claim)
+        self._recorded_starts = RecordedStarts(core, known=claim.standing_starts_recorded)
 
     def __repr__(self) -> str:
         return f"Tenure(shard={self._shard}, token={self._owner.token})"
@@ -174,6 +175,11 @@
         """Whether a standing task has waited here for a while and could use room elsewhere."""
         return self._handovers.rebalancer.seeks_room
 
+    @property
+    def standing_starts_recorded(self) -> bool:
+        """Whether each start of a standing task is on record, of this tenure and earlier ones."""
+        return self._recorded_starts.known
+
     def on_renewal_confirmed(self, at: float, *, token_limit: int = 0) -> None:
         """Record a proof that this tenure owned the shard at a steady time.
 
@@ -247,7 +253,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 await self._records.flush()
-                while any(_is_unrecorded(run, version) for run, version in versions.items()):
+                while any(is_unrecorded(run, version) for run, version in versions.items()):
                     await self._changes.next_stored()
         except (TimeoutError, LinkspanError) as error:
             # The next owner learns what is not on record from the executors' reports.
@@ -304,12 +310,8 @@
             await asyncio.sleep(TICK_S)
             now = steady()
             self._core.tick(now)
+            self._recorded_starts.tick(now)
             self._watch.watch_new_incarnations()
             self._proof.check(now)
             if self._core.ready or self._core.orders or self._core.jobs:
                 self._changes.wake.set()
-
-
-def _is_unrecorded(run: JobRun, version: int) -> bool:
-    """Whether a version of a repetition is not durable; ended jobs are no longer recorded."""
-    return run.durable < version and not run.job.closing
