--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -198,12 +198,14 @@
             return StayReason.RECORDING
         if step.spec.standing:
             self._sought[SoughtRoom.of(step)] = None
-        if not self._core.may_start(job, now):
+        pending = self._core.tasks_that_may_start(job, pending, now)
+        if not pending:
             # A former owner may have started tasks here, which must not start elsewhere, too.
             return StayReason.INHERITED
         if job.delegated_here:
             return self._return(step, pending, halls, now) or StayReason.RETURN_DELAY
-        if not (job.start_ordered or job.moved or job.has_delegations):
+        begun = job.start_ordered or job.moved or job.has_delegations
+        if not begun and self._core.may_start(job, now):
             shard = self._whole_moves.choose(step, own, halls, now)
             if shard is not None:
                 return Handover(job.job_id, shard, None)
--- a/src/linkspan/shard/ownership/owner_record.py
+++ b/src/linkspan/shard/ownership/owner_record.py
@@ -41,6 +41,9 @@
             sent; only in a release.
         additional: How many records the tenure has written so far beside those that ``number``
             counts: summaries that did not wait for the next renewal.
+        recorded_up_to: 0, or the statement that each start of a standing task is on record before
+            it is sent, and that all are that earlier tenures have sent. It then is the offset up to
+            which the writer had read the ownership records, and found no claim after its own.
     """
 
     act: OwnerAct
@@ -51,17 +54,21 @@
     summary: HallSummary | None = None
     starts_recorded: bool = False
     additional: int = 0
+    recorded_up_to: int = 0
 
     def encode(self) -> bytes:
         """Return the record as bytes."""
         fields: list[object] = [self.act.value, self.host, self.incarnation, self.token]
         fields.append(self.number)
-        if self.summary or self.starts_recorded or self.additional:
-            fields.append(self.summary.encode() if self.summary else None)
-        if self.starts_recorded or self.additional:
-            fields.append(int(self.starts_recorded))
-        if self.additional:
-            fields.append(self.additional)
+        later = [
+            self.summary.encode() if self.summary else None,
+            int(self.starts_recorded),
+            self.additional,
+            self.recorded_up_to,
+        ]
+        while later and not later[-1]:
+            later.pop()
+        fields += later
         return orjson.dumps(fields)
 
     @classmethod
@@ -82,6 +89,7 @@
                 # Later versions may append fields.
                 starts_recorded=rest[1:2] == [1],
                 additional=parse_int(rest[2]) if len(rest) > 2 else 0,
+                recorded_up_to=parse_int(rest[3]) if len(rest) > 3 else 0,
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"invalid ownership record: {error!r}; record ignored") from error
