--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -41,6 +41,7 @@
         entry_after_s: Seconds from a restart until the next incarnation writes its entry.
         late_to_next_incarnation: Whether an order that arrives late is carried out by the
             incarnation that has the executor's id then, and not only by the addressed one.
+        plain_ids: Whether executors tell no start time, and return from a crash under a new id.
         reduced_capacity_applies_after_s: Seconds after which starts are judged by a reduced
             capacity.
         slow_poll_addresses: Executors that polls may reach late, as over a delayed link. Whichever
@@ -62,6 +63,7 @@
     crash_restart_s: float = 1.5
     entry_after_s: float = 0.0
     late_to_next_incarnation: bool = False
+    plain_ids: bool = False
     reduced_capacity_applies_after_s: float = CONTACT_S + HEARTBEAT_S
     max_poll_delay_s: float = 0.0
 
@@ -110,7 +112,7 @@
             self,
             record,
             slow_clock=slow_clock,
-            started_at_ms=WORLD_START_MS + int(now * 1000),
+            started_at_ms=None if self.plain_ids else WORLD_START_MS + int(now * 1000),
             clock_ahead_s=0.0 if clock_s is None else clock_s - now * slow_clock,
         )
         self.executors[address] = executor
@@ -128,7 +130,9 @@
             self.register(executor)
 
     def register(self, executor: MemoryExecutor, *, draining: bool = False) -> None:
-        entry = self.entry_fields(executor.record, draining=draining, born=executor.started_at_ms)
+        born = executor.started_at_ms
+        started = {} if born is None else {"born": born}
+        entry = self.entry_fields(executor.record, draining=draining, **started)
         self.enter(executor.record.executor_id, json.dumps(entry).encode())
 
     def entry_fields(
@@ -189,7 +193,9 @@
     def restart_executor(
         self, address: str, *, down_s: float = 0.5, clock_s: float | None = 0.0
     ) -> None:
-        """Crash an executor and restart it under the same id with all counters reset.
+        """Crash an executor and restart it with all counters reset.
+
+        It returns under the same id, or under a new one in a world of plain ids.
 
         Args:
             address: Address of the executor.
@@ -205,10 +211,13 @@
 
     def _restart_crashed(self, crashed: MemoryExecutor, clock_s: float | None) -> None:
         record = crashed.record
-        if self.executors[record.address] is crashed:
-            self.add_executor(
-                record.hall, record.address, executor_id=record.executor_id, clock_s=clock_s
-            )
+        if self.executors[record.address] is not crashed:
+            return
+        executor_id = record.executor_id
+        if self.plain_ids:
+            self.forget_registration(crashed)
+            executor_id = ""
+        self.add_executor(record.hall, record.address, executor_id=executor_id, clock_s=clock_s)
 
     def _crash(self, executor: MemoryExecutor) -> None:
         self.look_at_records()
--- a/tests/standins/memory_executor.py
+++ b/tests/standins/memory_executor.py
@@ -56,7 +56,7 @@
     Attributes:
         record: Its registration, with an id that previous incarnations may share.
         slow_clock: Rate of its clock.
-        started_at_ms: Start time in milliseconds since 1970.
+        started_at_ms: Start time in milliseconds since 1970, ``None`` if it tells none.
         clock_ahead_s: Offset of its clock from the time since the world's start.
         refuses_with: Outcome of all starts, of which it then carries out none; ``None`` if it is
             sound.
@@ -67,7 +67,7 @@
     world: HallExecutors
     record: ExecutorRecord
     slow_clock: float = 1.0
-    started_at_ms: int = 0
+    started_at_ms: int | None = 0
     clock_ahead_s: float = 0.0
     alive: bool = True
     token: int = 0
