Executors' entries may reach the store of a virtual world late

In the virtual world a hall read an executor's entry the moment it was made; the platform's discovery has a beat and a lag, so that up to two seconds of the rule's three pass before a hall can know of new room.

Discovery carries out the writes of entries in their order, each at the next beat and a lag later. By default at once, without a timer.

--- a/tests/hall_executors.py
+++ b/tests/hall_executors.py
@@ -13,6 +13,7 @@
 from linkspan.shard.machines import MachineList, MachineRecord, MachineState
 from linkspan.shard.messages import ExecutorRecord, StartOutcome, TaskName
 from linkspan.store.types import Partition
+from tests.discovery import Discovery
 from tests.one_hall import OneHall
 from tests.run_judge import CONTACT_S, RunJudge
 from tests.standins.memory_executor import MemoryExecutor
@@ -48,6 +49,8 @@
             incarnation has the id then carries the poll out, also if its caller has given up or
             has been killed.
         max_poll_delay_s: Longest delay of such a poll.
+        discovery: Writes the entries to the store, by default at once.
+        departed: Addresses of executors that have left for good.
         slowdowns: Factors by which runs take longer that start on an executor, by its address.
     """
 
@@ -74,6 +77,8 @@
         self.poll_random = Random(self.seed + 1)
         self.slow_poll_addresses: set[str] = set()
         self.slowdowns: dict[str, float] = {}
+        self.discovery = Discovery()
+        self.departed: set[str] = set()
         self.store = MemoryStore(self.seed)
         self.one_hall = OneHall(self.store)
         self.cuts: set[tuple[str, str]] = set()
@@ -164,7 +169,7 @@
 
     def enter_under(self, key: bytes, entry: bytes) -> None:
         """Write an entry under any key, also one that is not an executor id."""
-        self.store.put(EXECUTORS, key, entry)
+        self.discovery.write(lambda: self.store.put(EXECUTORS, key, entry))
 
     def resize(self, address: str, milli_cpu: int, memory_mb: int = 32_000) -> None:
         """Change the capacity of a running executor and publish it in its entry."""
@@ -175,7 +180,7 @@
 
     def forget_registration(self, executor: MemoryExecutor) -> None:
         """Remove an executor's entry while the executor continues to run."""
-        self.store.put(EXECUTORS, executor.record.executor_id.encode(), b"")
+        self.enter(executor.record.executor_id, b"")
 
     async def beat(self) -> None:
         while True:
