--- a/tests/host/disruptions.py
+++ b/tests/host/disruptions.py
@@ -17,7 +17,7 @@
     """Knows since when no fault has been in effect.
 
     A fault lasts from its injection until its function returns; executors that are down then are
-    in effect until they are back.
+    in effect until they are back, or have left for good.
     """
 
     def __init__(self) -> None:
@@ -36,6 +36,7 @@
 
     def calm_s(self, world: HallWorld, now: float) -> float:
         """Return for how long no fault has been in effect, in seconds."""
-        if self._open or not all(executor.alive for executor in world.executors.values()):
+        down = {address for address, executor in world.executors.items() if not executor.alive}
+        if self._open or down - world.departed:
             self._ended_at = now
         return now - self._ended_at
--- a/tests/host/never_run_day.py
+++ b/tests/host/never_run_day.py
@@ -96,11 +96,14 @@
 EXECUTOR_FAULTS = frozenset(
     (
         "crash_executor",
+        "dark",
         "drain",
         "drain_executors",
+        "join",
         "late",
         "late_orders",
         "replace",
+        "replace_in_turn",
         "restart",
         "restart_late",
         "shrink",
--- a/tests/host/standing_faults.py
+++ b/tests/host/standing_faults.py
@@ -170,7 +170,7 @@
 @standing_fault
 async def kill_owner(day: StandingFaultsDay) -> None:
     """Kill the owner of a hall and restart the host."""
-    await _kill_and_restart(day, day.some_owner())
+    await kill_and_restart(day, day.some_owner())
 
 
 @standing_fault
@@ -186,12 +186,13 @@
             if event == "WORK_HANDED_OVER":
                 giver, taker = world.log.writers[index], world.owner(fields["to_shard"])
                 await day.last(0.0, MAX_RECORDING_S)
-                await _kill_and_restart(day, day.random.choice((giver, taker)))
+                await kill_and_restart(day, day.random.choice((giver, taker)))
                 return
         first = len(world.log.lines)
 
 
-async def _kill_and_restart(day: StandingFaultsDay, name: str | None) -> None:
+async def kill_and_restart(day: StandingFaultsDay, name: str | None) -> None:
+    """Kill a host, if it runs, and restart it."""
     world = day.world
     if name not in world.hosts:
         return
--- a/tests/host/standing_faults_day.py
+++ b/tests/host/standing_faults_day.py
@@ -4,8 +4,11 @@
 
 import asyncio
 from collections.abc import Set
+from typing import Self
 
 from linkspan.shard.messages import TaskName
+from tests.host.platform_day import MAX_LATE_ROOM_S, let_room_come_late, put_on_platform
+from tests.host.platform_faults import PLATFORM_FAULTS, join
 from tests.host.restarting_troubles import MIN_CRASHES_TO_FAIL
 from tests.host.standing_day import CHECK_INTERVAL_S, MAX_IDLE_S, SETTLE_S, StandingDay
 from tests.host.standing_faults import STANDING_FAULTS
@@ -32,6 +35,8 @@
 CALM_S = SETTLE_S / 2 + LAST_FAULT_S + MAX_FAULT_S + AFTER_FAULTS_S
 """Time from the end of the traffic to the end."""
 
+ALL_FAULTS = STANDING_FAULTS | PLATFORM_FAULTS
+
 SOME_COUNTS = 1, 1, 2, 4
 """Numbers of executors that one fault affects."""
 
@@ -50,10 +55,25 @@
     def __init__(self, seed: int, kinds: tuple[str, ...] = ()) -> None:
         super().__init__(seed, calm_s=CALM_S)
         self._kinds = kinds or tuple(sorted(STANDING_FAULTS))
+        self._draws_all_kinds = not kinds
+        self._is_on_platform = False
         self._given_up: set[str] = set()
         self._lines_read = 0
         self.world.resets = self.random.random() < 0.5
 
+    def on_platform(self) -> Self:
+        """Put the scenario, before it begins, into a world of the platform's kind.
+
+        The platform's faults are drawn, too, unless the kinds are given, and in the end executors
+        leave and room comes late.
+        """
+        put_on_platform(self.world)
+        self._is_on_platform = True
+        self._calm_s += MAX_LATE_ROOM_S
+        if self._draws_all_kinds:
+            self._kinds = tuple(sorted(ALL_FAULTS))
+        return self
+
     def some_addresses(self) -> list[str]:
         """Return the addresses of one, two or four running executors."""
         alive = sorted(a for a, e in self.world.executors.items() if e.alive)
@@ -71,6 +91,8 @@
             for _ in range(SERIES_COUNT):
                 group.create_task(self._series(self.random.uniform(0.0, LAST_SERIES_S), last))
         self._checks_from = loop.time()
+        if self._is_on_platform:
+            await let_room_come_late(self, self._excused)
 
     async def _series(self, delay_s: float, last: float) -> None:
         """Inject some faults of one kind, one after the other."""
@@ -85,9 +107,12 @@
             await self._inject(kind)
 
     async def _inject(self, kind: str) -> None:
-        """Inject one fault, and return after its end."""
+        """Inject one fault, and return after its end; a new executor disturbs nothing."""
+        if kind == join.__name__:
+            await join(self)
+            return
         with self.checks.disruptions.lasting():
-            await STANDING_FAULTS[kind](self)
+            await ALL_FAULTS[kind](self)
 
     def _excused(self) -> Set[str]:
         self._read_give_ups()
