--- a/tests/host/test_platform_world.py
+++ b/tests/host/test_platform_world.py
@@ -10,6 +10,11 @@
 from tests.discovery import Discovery
 from tests.hall_executors import EXECUTORS
 from tests.hall_world import HallWorld
+from tests.host.disruptions import Disruptions
+from tests.host.platform_day import put_on_platform
+from tests.host.platform_faults import start_executor
+from tests.host.standing_rule import MAX_BESIDE_ROOM_S, StandingRule
+from tests.job_builders import step
 from tests.virtual_time import run_virtual, world_time
 
 ADDRESS = "east-0:1"
@@ -55,3 +60,30 @@
     assert 0.8 <= took_s <= 1.92
     assert [json.loads(entry)["capacity"]["cpu"] for entry in (added, resized)] == [8_000, 1_000]
     assert removed == b""
+
+
+# Guards against a judge that leaves a hall the time until the platform lists a new executor, or
+# that finds no calm as long as executors are gone for good.
+def test_room_counts_from_the_start_of_a_new_executor() -> None:
+    async def play() -> tuple[float, str]:
+        world = HallWorld()
+        put_on_platform(world)
+        world.add_executor("east", ADDRESS)
+        world.crash_executor(ADDRESS, back=False)
+        world.departed.add(ADDRESS)
+        spec = world.new_job(step(1, cpu=3_000, standing=True))
+        world.specs[spec.job_id] = spec
+        world.accepted.add(spec.job_id)
+        rule = StandingRule(Disruptions())
+        reported = rule.check(world, world_time(), set())
+        await asyncio.sleep(8.0)
+        start_executor(world, "east")
+        started = world_time()
+        while not reported:
+            reported = rule.check(world, world_time(), set())
+            await asyncio.sleep(0.1)
+        return world_time() - started, *reported
+
+    took_s, line = run_virtual(play(), limit_s=30.0)
+    assert took_s == pytest.approx(MAX_BESIDE_ROOM_S, abs=0.21)
+    assert "LOST" in line
