--- a/tests/host/platform_faults.py
+++ b/tests/host/platform_faults.py
@@ -19,10 +19,11 @@
 MUTE_S = 5.5
 """Time for which a mute executor answers nothing."""
 
-NOTICE_RANGE_S = 0.5, 1.5
-"""Range of times between the announcement of a departure and the end of the executor."""
+NOTICE_RANGE_S = 0.5, 2.5
+"""Range of times between the announcement of a departure and the end of the executor: shorter and
+longer than the discovery takes to tell of it."""
 
-OVERLAP_RANGE_S = 0.5, 2.0
+OVERLAP_RANGE_S = 0.5, 1.0
 """Range of times from the start of a new executor until the one that it replaces drains."""
 
 MAX_OWNER_LOSS_S = 1.5
