--- a/src/linkspan/commands/operator_commands.py
+++ b/src/linkspan/commands/operator_commands.py
@@ -4,6 +4,7 @@
 
 import os
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import orjson
@@ -22,7 +23,7 @@
         change_id: str = "",
         author: str = "",
         base: int | None = None,
-        delete: str = "",
+        delete: str | Sequence[object] = "",
         gateway: str = "",
         token: str = "",
         json: bool = False,
@@ -47,7 +48,7 @@
             "base": base,
             "author": author or os.environ.get("USER", "operator"),
             "values": dict(_parse_assignment(value) for value in values),
-            "deleted": [key for key in delete.split(",") if key],
+            "deleted": _parse_keys(delete),
         }
         response = client.call("POST", "/config/changes", body)
         print_response(response, json, lambda: _format_change(response))
@@ -100,6 +101,14 @@
         return key, value
 
 
+def _parse_keys(given: str | Sequence[object]) -> list[str]:
+    """Return the keys of a flag, which Fire turns into a sequence, a number or a boolean."""
+    if isinstance(given, bool):
+        raise SettingsError("--delete: write KEY,KEY")
+    keys = given if isinstance(given, (tuple, list)) else str(given).split(",")
+    return [str(key) for key in keys if key != ""]
+
+
 def _format_change(response: Any) -> list[str]:
     return [f"in force as version {response['version']}", *response["warnings"]]
 
