Move the writer of log lines out of the catalogue of events

Change: linkspan/_event_writer.py writes lines of any events, one layer below the catalogue; EventLog is the writer of the events of the catalogue. The Event enum, numbers, kinds and fields of lines are unchanged, and test_events.py sets the clock and reads the limit in the new module.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -1,20 +1,11 @@
-"""Log events: their catalogue, and the writer of log lines."""
+"""Log events: their catalogue, and the log that they are written to."""
 
 from __future__ import annotations
 
-import json
 import logging
-import sys
 from enum import Enum
-from typing import Any, TextIO
 
-from pythonjsonlogger.orjson import OrjsonFormatter, orjson_default
-
-from linkspan._dropping_stream import DroppingStream
-from linkspan.clock import steady
-
-FLOOD_PER_S = 200
-"""Maximum number of lines per second of one event; further lines are only counted."""
+from linkspan._event_writer import EventWriter
 
 
 class Event(Enum):
@@ -377,24 +368,8 @@
         self.remedy = remedy
 
 
-class _LineFormatter(OrjsonFormatter):
-    """Formats lines as JSON, including those with fields that the fast encoder rejects."""
-
-    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
-        try:
-            return super().jsonify_log_record(log_data)
-        except TypeError:
-            # The line contains a number of more than 64 bits or text that is not valid UTF-8.
-            return json.dumps(log_data, default=_to_json_value)
-
-
-def _to_json_value(value: Any) -> Any:
-    """Return a JSON representation for a value of a type that the encoder does not support."""
-    return list(value) if isinstance(value, tuple) else orjson_default(value)
-
-
-class EventLog:
-    """Writes events as JSON lines, with a rate limit for each event.
+class EventLog(EventWriter[Event]):
+    """Writes events of the catalogue as JSON lines.
 
     Args:
         daemon: Name of the daemon, which every line contains.
@@ -403,76 +378,9 @@
     """
 
     def __init__(self, daemon: str, *, level: str = "info", stream: str = "stderr") -> None:
-        self._logger = logging.getLogger(f"linkspan.{daemon}")
-        self._logger.setLevel(level.upper())
-        self._logger.propagate = False
-        self._stream = _stream(stream)
-        self._logger.handlers = [_handler(self._stream)]
-        self._bound_fields = {"daemon": daemon}
-        self._second = 0
-        self._lines_by_event: dict[Event, int] = {}
-
-    def __repr__(self) -> str:
-        return f"EventLog({self._bound_fields['daemon']!r})"
-
-    def bind(self, **common: Any) -> None:
-        """Add fields to all later lines."""
-        self._bound_fields.update(common)
-
-    def write(self, event: Event, **details: Any) -> None:
-        """Write a line, unless the event has reached its limit for the current second."""
-        second = int(steady())
-        if second != self._second:
-            self._report_flood()
-            self._report_dropped()
-            self._second = second
-        count = self._lines_by_event[event] = self._lines_by_event.get(event, 0) + 1
-        if count <= FLOOD_PER_S:
-            self._emit(event, details)
-
-    def _report_flood(self) -> None:
-        for event, count in self._lines_by_event.items():
-            if count > FLOOD_PER_S:
-                left_out = {"of": event.number, "left_out": count - FLOOD_PER_S}
-                self._emit(Event.FLOOD, left_out)
-        self._lines_by_event.clear()
-
-    def _report_dropped(self) -> None:
-        dropped = self._stream.take_dropped() if isinstance(self._stream, DroppingStream) else 0
-        if dropped:
-            self._emit(Event.LINES_DROPPED, {"lines": dropped})
-
-    def _emit(self, event: Event, details: dict[str, Any]) -> None:
-        # The fields of the event come first, as log viewers truncate long lines.
-        kind = {"event": event.number, "kind": event.name.lower()}
-        extra = {**kind, **details, **self._bound_fields, **details}
-        logger = self._logger
-        if logger.isEnabledFor(event.level):
-            # Handling the record directly saves the lookup of the caller's location, which no line
-            # contains.
-            logger.handle(
-                logger.makeRecord(
-                    logger.name, event.level, "", 0, event.text, (), None, extra=extra
-                )
-            )
-
-
-def _stream(name: str) -> DroppingStream | TextIO:
-    """Return the stream with a name; writes to standard output never block."""
-    return DroppingStream(sys.stdout.fileno()) if name == "stdout" else sys.stderr
-
-
-def _handler(stream: DroppingStream | TextIO) -> logging.Handler:
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        _LineFormatter(
-            "%(levelname)s %(message)s",
-            timestamp=True,
-            rename_fields={"levelname": "level"},
-            json_default=_to_json_value,
+        super().__init__(
+            daemon, flood=Event.FLOOD, dropped=Event.LINES_DROPPED, level=level, stream=stream
         )
-    )
-    return handler
 
 
 def catalogue() -> str:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from linkspan import events
+from linkspan import _event_writer
 from linkspan.events import Event, EventLog, catalogue
 from linkspan.shard.messages import EndKind, TaskName
 
@@ -26,14 +26,14 @@
     capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     now = 100.0
-    monkeypatch.setattr(events, "steady", lambda: now)
+    monkeypatch.setattr(_event_writer, "steady", lambda: now)
     log = EventLog("test")
-    for n in range(events.FLOOD_PER_S + 50):
+    for n in range(_event_writer.FLOOD_PER_S + 50):
         log.write(Event.ROUTED, n=n)
     now = 101.0
     log.write(Event.STOPPED)
     lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
-    assert len(lines) == events.FLOOD_PER_S + 2
+    assert len(lines) == _event_writer.FLOOD_PER_S + 2
     flood = lines[-2]
     assert (flood["event"], flood["of"], flood["left_out"]) == (106, 300, 50)
     assert lines[0]["kind"] == "routed" and lines[0]["daemon"] == "test"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,6 +20,7 @@
         "_rendezvous",
         "_typed",
     ),
+    ("_event_writer",),
     ("events", "settings", "trace", "selectors", "services", "store", "_fields", "_registry"),
     ("jobs", "config", "ledger", "report"),
     ("shard", "peer", "placement", "routing"),
