--- a/src/linkspan/gateway/daemon.py
+++ b/src/linkspan/gateway/daemon.py
@@ -24,6 +24,17 @@
     from linkspan.peer.messages import Heartbeat
     from linkspan.settings import GatewaySettings
 
+START_INTERVALS = 3
+"""Reads of the host list, and heartbeats, that a gateway waits for before it uses a slot."""
+
+
+def start_delay_s(settings: GatewaySettings) -> float:
+    """Return the time for which a gateway that starts collects heartbeats, in seconds.
+
+    In this time the host list shows it the other gateways, and each of them sends a heartbeat.
+    """
+    return START_INTERVALS * max(settings.hosts_poll_s, settings.heartbeat_s)
+
 
 class GatewayDaemon:
     """One gateway process.
@@ -46,7 +57,9 @@
         """Run until a stop is requested, and return the exit code."""
         node, settings = self._node, self._settings
         await node.start()
-        router = self._router = Router(node.name, node.address, settings.hall)
+        router = self._router = Router(
+            node.name, node.address, settings.hall, start_delay_s=start_delay_s(settings)
+        )
         claimer = Claimer(node)
         proxy = Proxy(node, router, claimer)
         node.complete_heartbeat = self._complete_heartbeat
--- a/src/linkspan/gateway/router.py
+++ b/src/linkspan/gateway/router.py
@@ -40,10 +40,19 @@
         hall: Hall of the gateway; only executors of this hall are used.
         takeover_s: Time for which a gateway must be silent and missing from the
             host list before its slots are redistributed.
+        start_delay_s: Time for which this gateway collects heartbeats when it starts.
     """
 
-    def __init__(self, name: str, address: str, hall: str, *, takeover_s: float = 15.0) -> None:
-        self.shares = ShareTable(name)
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        hall: str,
+        *,
+        takeover_s: float = 15.0,
+        start_delay_s: float = 3.0,
+    ) -> None:
+        self.shares = ShareTable(name, start_delay_s=start_delay_s)
         self.pools: dict[str, ServicePool] = {}
         self._name = name
         self._address = address
