Records that were not read as a whole stay distrusted at next owners

A job of which another repetition's record says that it moved away is taken in without its records if tasks of it came back since, so an attempt on record would not be known, and its standing task could start twice. Not seen; found by reading. Its tasks now wait as before.

Where the roster is unreadable, no record is written only to say so: the attempts that were dropped stand there until the next write, which says it. tests/shard/test_standing_starts_on_record.py has the next owner's side of both an unreadable record and an unreadable roster.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -29,6 +29,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 from linkspan.events import Event
@@ -140,13 +141,12 @@
         """Whether the roster that a previous owner left was readable."""
         return self._liveness.roster_readable
 
-    def distrust_records(self) -> None:
-        """Assume that all tasks have starts that their records do not name."""
-        for job in self.jobs.values():
-            for run in job.runs.values():
-                for task in run.tasks():
-                    self.mark_unrecorded_starts(task)
-                self.mark_dirty(run)
+    def distrust_records(self, job_ids: Iterable[str]) -> None:
+        """Assume that previous owners sent starts of jobs that the records here do not name."""
+        jobs = (self.jobs.get(job_id) for job_id in job_ids)
+        runs = (run for job in jobs if job for run in job.runs.values())
+        for task in chain.from_iterable(run.tasks() for run in runs):
+            self.mark_unrecorded_starts(task)
 
     @property
     def awaiting_reports(self) -> bool:
--- a/tests/shard/test_standing_starts_on_record.py
+++ b/tests/shard/test_standing_starts_on_record.py
@@ -111,6 +111,8 @@
         core.add_job(job, 0.0, inherited=True, progress=rows)
     except RecordError:
         assert progress == b"?"
+    if not core.roster_readable:
+        core.distrust_records([JOB])
     core.list_executors(records[-1:], 0.0)
     report_ends(core, roster[-1], asked=0.5, now=0.5)
     return core
@@ -130,6 +132,12 @@
     assert not plan(_next_owner(A, B, read=False), 1.0)
 
 
+def test_a_record_that_was_not_read_as_a_whole_stays_distrusted() -> None:
+    """Guards against TWICE: the next owner writes the record without attempts that it held."""
+    for core in (_next_owner(A, B, progress=b"?"), _next_owner(A, B, read=False)):
+        assert not plan(_inheriting(core, 2.0), 3.0)
+
+
 def test_a_job_does_not_move_as_a_whole_before_all_executors_have_answered() -> None:
     """Guards against TWICE: the other hall never hears of a run of the whole job here."""
     core = _next_owner(A, B, standing=False)
