Failing tests: tasks of a departed executor without a machine service

An executor announces that it leaves, its owner stops the runs there and is killed before it has read their ends, and the executor is gone before the next owner has asked it.

--- a/tests/host/test_owners_killed_beside_departures.py
+++ b/tests/host/test_owners_killed_beside_departures.py
@@ -56,3 +56,18 @@
     waits = run_virtual(accepted_waits(change, end))
     assert waits.world.problems == []
     assert waits.longest_s <= MAX_AWAY_S
+
+
+@pytest.mark.parametrize("back", [False, True])
+@pytest.mark.parametrize("after_s", [0.0, 0.2])
+def test_tasks_of_a_departed_executor_are_at_work_soon_without_a_machine_service(
+    after_s: float, back: bool
+) -> None:
+    """Guards against tasks that wait for the leases of an executor that has left.
+
+    Their runs are stopped, but their owner is killed before it has read the ends.
+    """
+    end = OwnerEnd(after_s, back=back, plain_ids=True, lists_machines=False)
+    waits = run_virtual(moved_waits(leave_for_good, end))
+    assert waits.world.problems == []
+    assert waits.longest_s <= MAX_AWAY_S
