A start of a standing task is sent without its record if the store refuses it for good

Standing tasks would never start there since their starts wait for the record without a limit.

After 10 s, more than an outage of the store lasts, the owner withdraws its statement, and sends the start once a renewal that it sent after that is read back. Claims are conditional appends, so any later one follows that renewal, and its owner waits for all executors as before. Renewals may be appended in another order than they were sent: the one with the highest number counts.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -94,6 +94,8 @@
         tasks_with_unrecorded_starts: Tasks of which a start may be carried out that no record
             names, and whether a former owner may have sent it.
         executor_crashes: Recent crashes of executors, the newest last.
+        statement_withdrawn_at: Steady time from which this tenure does not state any more that each
+            start of a standing task is on record; infinite for most.
         sole_owner_until: Steady time until which no later owner can have claimed the shard. A lease
             that ends by then has expired; a later owner may have renewed one that ends after it.
         ready: Steps with tasks that may wait for a start, as an ordered set.
@@ -142,6 +144,7 @@
         self.tasks_with_crash_history: dict[Task, None] = {}
         self.tasks_with_unrecorded_starts: dict[Task, bool] = {}
         self.executor_crashes: list[ExecutorCrash] = []
+        self.statement_withdrawn_at = float("inf")
         self.sole_owner_until = float("inf")
         self.ready: dict[StepRun, None] = {}
 
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -37,13 +37,16 @@
 
 MAX_RECORD_WAIT_S = 1.0
 """Limits how long a start waits for its record: a slow store answers in 0.4 s, and another append
-may be in progress. A start of a standing task, or of one with a crash history, waits without a
-limit."""
+may be in progress. A start of a task with a crash history waits without a limit."""
 
 MAX_RECORD_WAIT_IN_OUTAGE_S = 0.3
 """The same limit while the store refuses or does not answer: work continues during a store
 outage."""
 
+MAX_STANDING_RECORD_WAIT_S = 10.0
+"""Time for which a start of a standing task waits for its record before it may be sent without.
+Outages of the store last up to 9 s; a longer wait shows a record that the store does not take."""
+
 RECORD_CHECK_INTERVAL_S = 0.1
 """Interval between checks whether a start that waits for its record would still be sent."""
 
@@ -237,8 +240,10 @@
     async def _wait_for_version(self, order: StartOrder, run: JobRun, version: int) -> bool:
         """Wait until a version of a repetition is durable, and return whether it is.
 
-        The wait ends early if the start would not be sent any more.
+        The wait ends early if the start would not be sent any more. It also ends if the store takes
+        renewals but not this record, once next owners can know that starts may lack theirs.
         """
+        began = steady()
         while run.durable < version:
             executor = self._core.executors.get(order.executor_id)
             attempt = executor.attempts.get((order.task, order.run)) if executor else None
@@ -246,12 +251,23 @@
                 return False
             if (executor and executor.silent_since is not None) or not self._may_still_start(run):
                 return False
+            if steady() - began >= MAX_STANDING_RECORD_WAIT_S and self._has_withdrawn_statement():
+                return True
             self._changes.starts.set()
             with suppress(TimeoutError):
                 async with asyncio.timeout(RECORD_CHECK_INTERVAL_S):
                     await self._changes.next_stored()
         return True
 
+    def _has_withdrawn_statement(self) -> bool:
+        """Withdraw the statement on starts of standing tasks; return whether that is on record.
+
+        Any claim then follows a renewal without the statement.
+        """
+        withdrawn_at = min(self._core.statement_withdrawn_at, steady())
+        self._core.statement_withdrawn_at = withdrawn_at
+        return self._proof.proved_at > withdrawn_at
+
     def _may_crash_executor(self, order: StartOrder) -> bool:
         """Whether so many executors crashed under a start's task that it may be the cause."""
         task = self._core.find_task(order.task)
--- a/src/linkspan/shard/ownership/_proof.py
+++ b/src/linkspan/shard/ownership/_proof.py
@@ -54,6 +54,11 @@
         """Steady time of the claim."""
         return self._claimed_at
 
+    @property
+    def proved_at(self) -> float:
+        """Steady time at which the last renewal was sent that the store was read to hold."""
+        return self._proved_at
+
     @property
     def sole_owner_until(self) -> float:
         """Steady time until which no other host can have claimed the shard since the last proof."""
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -102,6 +102,7 @@
         self._starts_recorded = False
         self._read_from: int | None = None
         self._standing_starts_recorded = False
+        self._stated_in = 0
         self._last_record_at: float | None = None
         self._former_owners_until = float("-inf")
         self._summary: HallSummary | None = None
@@ -164,6 +165,7 @@
             self._has_gap = False
             self._released = False
             self._standing_starts_recorded = record.recorded_up_to > 0
+            self._stated_in = 0
             self._last_record_at = now
         elif record.act is OwnerAct.RENEW and record.token > self._claim_token:
             # The claim itself is beyond the log's retention, or was not read. A renewal of an
@@ -174,11 +176,12 @@
             self._claim_read = False
             self._has_gap = False
             self._released = False
-            self._standing_starts_recorded = self._states_starts(record)
+            self._apply_statement(record)
             self._on_owner_record(record, now)
         elif self._owner and record.token == self._claim_token:
-            # A statement stays true for the tenure; a record without it may come late.
-            self._standing_starts_recorded |= self._states_starts(record)
+            if record.number > self._stated_in:
+                # Records of a tenure may be appended in another order than they were sent.
+                self._apply_statement(record)
             self._on_owner_record(record, now)
             if self.mine and not self._has_gap:
                 self._token_limit = entry.offset + 1
@@ -200,14 +203,17 @@
         )
         return entry.offset if reserved else entry.offset + 1
 
-    def _states_starts(self, record: OwnerRecord) -> bool:
-        """Whether a renewal or a release states that starts of standing tasks are on record.
+    def _apply_statement(self, record: OwnerRecord) -> None:
+        """Apply what a renewal or a release states about starts of standing tasks.
 
         The statement holds for the newest tenure only. Records that neither its writer had read nor
         this host has may hold the claim of a later one.
         """
         read_from = self._read_from
-        return read_from is not None and record.recorded_up_to >= max(read_from, 1)
+        self._standing_starts_recorded = read_from is not None and record.recorded_up_to >= max(
+            read_from, 1
+        )
+        self._stated_in = record.number
 
     def _on_unread_records(self) -> None:
         """Handle records that this host cannot read, and that may be claims."""
--- a/src/linkspan/shard/recovery/_recorded_starts.py
+++ b/src/linkspan/shard/recovery/_recorded_starts.py
@@ -31,8 +31,8 @@
 
     @property
     def known(self) -> bool:
-        """Whether each start of a standing task is on record; once true, that stays so."""
-        return self._known
+        """Whether each start of a standing task is on record, and the owner keeps to that."""
+        return self._known and self._core.statement_withdrawn_at == float("inf")
 
     def tick(self, now: float) -> None:
         """Check whether earlier tenures' starts have become known and are on record.
--- a/tests/shard/test_starts_that_wait_for_their_record.py
+++ b/tests/shard/test_starts_that_wait_for_their_record.py
@@ -8,6 +8,7 @@
 
 from linkspan.clock import steady
 from linkspan.shard.core import ShardCore
+from linkspan.shard.ownership.ownership import RENEWAL_INTERVAL_S
 from tests.job_builders import step
 from tests.shard.builders import core_with, report_ends
 from tests.shard.crash_builders import only_task
@@ -60,3 +61,30 @@
         return len(only_task(core).attempts)
 
     assert run_virtual(play(), limit_s=2.0) == 0
+
+
+def test_a_start_is_sent_without_its_record_once_the_owner_has_withdrawn_its_statement() -> None:
+    """Guards against standing tasks that never start as the store refuses a record for good.
+
+    The start is only sent once a renewal that was sent after the withdrawal is read back: any later
+    claim then follows that renewal.
+    """
+
+    async def play() -> tuple[int, int]:
+        core = core_with(step(1, standing=True), executors=1)
+        stepped = SteppedDispatcher(core)
+        sending = await _sending(core, stepped)
+        for _ in range(20):
+            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            if core.statement_withdrawn_at == float("inf"):
+                stepped.proof.proved(steady())
+        assert core.statement_withdrawn_at < steady()
+        before = len(stepped.sent)
+        stepped.proof.proved(core.statement_withdrawn_at)
+        await asyncio.sleep(RENEWAL_INTERVAL_S)
+        before += len(stepped.sent)
+        stepped.proof.proved(core.statement_withdrawn_at + 0.01)
+        await sending
+        return before, len(stepped.sent)
+
+    assert run_virtual(play()) == (0, 1)
