A cleared note of unrecorded starts does not overwrite the record of a move

The note on a task's row is cleared with a new write of its repetition. A job that is being handed over, or is not managed here any more, must not be written then: its record may name the hall that it moved to. Found by reading; the note goes with the next write in any case.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -503,7 +503,10 @@
             return
         for task in self.tasks_with_unrecorded_starts:
             task.unrecorded_starts = False
-            self.mark_dirty(task.step.run, urgent=False)
+            job = task.step.run.job
+            # A moved job's record names its shard.
+            if self.jobs.get(job.job_id) is job and not job.handing_over:
+                self.mark_dirty(task.step.run, urgent=False)
         self.tasks_with_unrecorded_starts.clear()
 
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
