Tell of room for standing tasks before all executors of a former owner have reported

Callers see: standing tasks of other halls wait for up to 16 s beside room in a hall whose new owner still waits for one silent executor.

Cause: a new owner published no executors at all until each inherited one had reported, ended or outlived its leases, since work that arrives starts only then. Standing tasks start at once by now where their starts are on record, but no hall heard of the room. The same class as the wait of inherited tasks: one silent executor stood for the whole hall.

Such an owner now publishes the executors that have answered, and says that only standing tasks may use them: for other work the hall has no room, as before, and its admission counts it as unknown, as before.

--- a/src/linkspan/host/candidate.py
+++ b/src/linkspan/host/candidate.py
@@ -363,8 +363,7 @@
 
     def _log_room(self, summary: HallSummary) -> None:
         """Log that a summary to publish has more free cores than the last published one."""
-        before, self._published_cpu = self._published_cpu, summary.free
-        if summary.free >= before + MIN_LOGGED_MILLI_CPU:
-            self._log.write(
-                Event.ROOM_PUBLISHED, shard=self._shard, free=summary.free, before=before
-            )
+        free = summary.published_cpu
+        before, self._published_cpu = self._published_cpu, free
+        if free >= before + MIN_LOGGED_MILLI_CPU:
+            self._log.write(Event.ROOM_PUBLISHED, shard=self._shard, free=free, before=before)
--- a/src/linkspan/host/standing_admission.py
+++ b/src/linkspan/host/standing_admission.py
@@ -122,9 +122,11 @@
 
 
 def _is_known(load: HallLoad) -> bool:
-    """Return whether a hall's room is known; a new owner publishes no executors at first."""
+    """Return whether a hall's room is known; a new owner publishes some executors at first."""
     summary = load.usable_summary
-    return summary is not None and bool(summary.free_by_executor)
+    if summary is None or summary.standing_only:
+        return False
+    return bool(summary.free_by_executor)
 
 
 class _Usable(NamedTuple):
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -153,6 +153,14 @@
         """Whether an inherited executor has not reported yet."""
         return bool(self.awaiting_report_ids)
 
+    @property
+    def starts_standing_tasks(self) -> bool:
+        """Whether standing tasks that arrive now may start at once.
+
+        Other work starts once all inherited executors have reported.
+        """
+        return not self.awaiting_reports or self._liveness.standing_starts_recorded
+
     def knows_all_starts(self, now: float) -> bool:
         """Return whether every start that may still be carried out belongs to a known attempt.
 
--- a/src/linkspan/shard/handover/_hall_room.py
+++ b/src/linkspan/shard/handover/_hall_room.py
@@ -61,8 +61,8 @@
 
     @property
     def published_cpu(self) -> int:
-        """Thousandths of a core that are not reserved, by the summary alone."""
-        return self._summary.free
+        """Free thousandths of a core of all executors, by the summary alone."""
+        return self._summary.published_cpu
 
     @property
     def free_cpu(self) -> int:
@@ -102,6 +102,8 @@
         """Return for how many tasks the hall has room now."""
         if need.preempts and not self._summary.best_effort_memory:
             return 0
+        if not self._summary.takes(need):
+            return 0
         return self._slots_of(need).total
 
     def take(self, need: TaskNeed, count: int) -> None:
--- a/src/linkspan/shard/handover/_room_news.py
+++ b/src/linkspan/shard/handover/_room_news.py
@@ -73,7 +73,7 @@
     def _count_slots(self, now: float) -> dict[TaskNeed, int]:
         """Return for how many tasks of each need that other halls have there is room."""
         needs = sought_needs(self._summaries().values())
-        if not needs or self._core.awaiting_reports:
+        if not needs or not self._core.starts_standing_tasks:
             return {}
         least = min(need.demand.milli_cpu for need in needs)
         executors = executors_for_new_work(self._core, now)
--- a/src/linkspan/shard/handover/sought_room.py
+++ b/src/linkspan/shard/handover/sought_room.py
@@ -45,6 +45,7 @@
             leaves_headroom=False,
             max_per_executor=0,
             reserves_cpu=True,
+            standing=True,
         )
 
     @classmethod
--- a/src/linkspan/shard/handover/summarize.py
+++ b/src/linkspan/shard/handover/summarize.py
@@ -43,8 +43,7 @@
             spec = attempt.task.step.spec
             if spec.standing:
                 standing[spec.image] = standing.get(spec.image, 0) + spec.demand.milli_cpu
-    # Work that arrives now starts only once the executors of a former owner have reported.
-    accepting = [] if core.awaiting_reports else executors_for_new_work(core, now)
+    accepting = executors_for_new_work(core, now) if core.starts_standing_tasks else []
     kinds = group_by_kind(
         e.record for e in core.executors.values() if e.listed and e.record.takes_new_work
     )
@@ -56,7 +55,7 @@
     waiting = waiting_steps(core)
     return HallSummary(
         capacity=sum(e.record.capacity.milli_cpu for e in usable),
-        free=sum(row[0] for row in rows),
+        free=0 if core.awaiting_reports else sum(row[0] for row in rows),
         best_effort=sum(e.best_effort_cpu for e in usable),
         waiting=sum(cpu for step, cpu in waiting if step.spec.best_effort),
         queued=sum(cpu for step, cpu in waiting if not step.spec.best_effort),
@@ -68,6 +67,7 @@
         best_effort_memory=_best_effort_memory(ordered, core.set_asides),
         backlogs=backlogs_of(waiting, core.drain_rates, now, wall),
         headroom=_headroom_rows(ordered),
+        standing_only=core.awaiting_reports,
     )
 
 
--- a/src/linkspan/shard/handover/summary.py
+++ b/src/linkspan/shard/handover/summary.py
@@ -55,7 +55,7 @@
     Attributes:
         capacity: Thousandths of a core of all usable executors.
         free: Thousandths of a core that are neither reserved nor set aside there; 0 while a new
-            owner waits for executors to report, as it starts no new work until then.
+            owner waits for executors to report, as it starts no work but standing tasks until then.
         best_effort: Thousandths of a core that best-effort tasks there would use.
         waiting: Thousandths of a core that best-effort tasks wait for.
         queued: Thousandths of a core that other tasks wait for.
@@ -78,6 +78,7 @@
             there are any, accelerators there that standing tasks leave to short ones; ``None`` if
             not published.
         sought: Room that standing tasks there wait for.
+        standing_only: Whether only standing tasks may use ``free_by_executor`` now.
     """
 
     capacity: int = 0
@@ -96,6 +97,16 @@
     speeds: tuple[ExecutorSpeed, ...] = ()
     headroom: tuple[tuple[int, ...], ...] | None = None
     sought: tuple[SoughtRoom, ...] = ()
+    standing_only: bool = False
+
+    @property
+    def published_cpu(self) -> int:
+        """Free thousandths of a core of the executors in ``free_by_executor``."""
+        return sum(row[0] for row in self.free_by_executor)
+
+    def takes(self, need: TaskNeed) -> bool:
+        """Return whether the hall starts new work of a need now."""
+        return need.standing or not self.standing_only
 
     def count_capable(self, step: StepSpec, service: str) -> int:
         """Return how many executors could run a task of a step if they were empty."""
@@ -127,6 +138,8 @@
             need: Need of the tasks.
             enough: Number of tasks from which on the rest of the hall is not looked at.
         """
+        if not self.takes(need):
+            return 0
         found = 0
         for room in self.rooms():
             found += need.slots(room)
@@ -164,6 +177,7 @@
             [speed.encode() for speed in self.speeds],
             self.headroom,
             [list(room) for room in self.sought],
+            int(self.standing_only),
         ]
 
     @classmethod
@@ -187,6 +201,7 @@
             speeds = rest[6] if len(rest) > 6 else ()
             headroom = rest[7] if len(rest) > 7 else None
             sought = rest[8] if len(rest) > 8 else ()
+            standing_only = rest[9:10] == [1]
             return cls(
                 parse_int(capacity),
                 _signed(free),
@@ -211,6 +226,7 @@
                 if headroom is None
                 else tuple(_headroom(parse_list(row)) for row in parse_list(headroom)),
                 tuple(SoughtRoom.decode(parse_list(row)) for row in parse_list(sought)),
+                standing_only,
             )
         except (ValueError, TypeError) as error:
             raise RecordError(f"hall summary {excerpt(fields)}: {error!r}") from error
--- a/src/linkspan/shard/planning/task_need.py
+++ b/src/linkspan/shard/planning/task_need.py
@@ -82,6 +82,7 @@
             leave unused, which only the executor's own hall knows.
         preempts: Whether memory of best-effort runs counts as free, as these runs are stopped for
             the task.
+        standing: Whether it is a standing task.
     """
 
     service: str
@@ -91,6 +92,7 @@
     max_per_executor: int
     reserves_cpu: bool
     preempts: bool = False
+    standing: bool = False
 
     @classmethod
     def of(cls, spec: StepSpec, service: str, *, use_headroom: bool) -> TaskNeed:
@@ -108,6 +110,7 @@
             spec.standing and not use_headroom,
             spec.max_per_executor,
             reserves_cpu=not spec.best_effort,
+            standing=spec.standing,
         )
 
     def preempting(self) -> TaskNeed:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -115,6 +115,11 @@
         """Whether the former owner's roster was readable."""
         return self._roster_readable
 
+    @property
+    def standing_starts_recorded(self) -> bool:
+        """Whether all starts of standing tasks that former owners have sent are on record."""
+        return self._standing_starts_recorded
+
     def knows_inherited_runs(self, now: float) -> bool:
         """Whether no former owner's executor may have a run, now or later, that is unknown here."""
         if self._state.awaiting_report_ids or self._state.awaiting_next_ids:
