State that starts are recorded beside gangs that wait and jobs that move

Callers see: after an owner whose former one did not state that all starts of standing tasks are on record (the first of a new version, after a gap or an odd record), the next owner waits 11 to 22 s for silent executors, as before the statement.

Cause: such an owner makes the statement once all repetitions are written as of one moment. The version of one rose without a write: a gang that was partly placed and undone left it one higher with each plan, and a job that was to be written moved away first.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -359,17 +359,19 @@
             job.start_ordered = True
             self.start_ordered.append(job.job_id)
 
-    def unmark_start_ordered(self, run: JobRun, *, dirty: bool) -> None:
+    def unmark_start_ordered(self, run: JobRun, version: int, *, dirty: bool) -> None:
         """Revert :meth:`mark_start_ordered` before the start is sent or recorded.
 
         Args:
             run: The repetition of the task.
+            version: Version of the repetition before.
             dirty: Whether the repetition's record must be written for another reason.
         """
         run.job.start_ordered = False
         self.start_ordered.remove(run.job.job_id)
         if not dirty:
             self.dirty.pop((run.job.job_id, run.repetition), None)
+            run.version = version
 
     def mark_begun(self, job: ShardJob) -> None:
         """Request the announcement, once per job, that a task of the job has begun."""
--- a/src/linkspan/shard/planning/planner.py
+++ b/src/linkspan/shard/planning/planner.py
@@ -279,6 +279,7 @@
         checkpoint = max((task.checkpoint for task in pending), key=len)
         job_run = placement.step.run
         ordered, dirty = job_run.job.start_ordered, self._core.is_dirty(job_run)
+        version = job_run.version
         placed: list[Attempt] = []
         orders = len(self._core.orders)
         for task in pending:
@@ -291,7 +292,7 @@
                 self._undo_gang(placement, placed, orders)
                 if placed and not ordered:
                     # A job of which a start was ordered can't move to another hall.
-                    self._core.unmark_start_ordered(job_run, dirty=dirty)
+                    self._core.unmark_start_ordered(job_run, version, dirty=dirty)
                 return []
             task.checkpoint = checkpoint
             isolated = task.needs_isolation and executor.executor_id not in isolation.running()
--- a/src/linkspan/shard/recovery/_recorded_starts.py
+++ b/src/linkspan/shard/recovery/_recorded_starts.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from linkspan.shard.core import ShardCore
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.shard_job import ShardJob
 
 
 class RecordedStarts:
@@ -45,10 +46,16 @@
         if self._unwritten is None:
             self._unwritten = self._core.record_versions()
         self._unwritten = {
-            run: version for run, version in self._unwritten.items() if is_unrecorded(run, version)
+            run: version
+            for run, version in self._unwritten.items()
+            if self._is_here(run.job) and is_unrecorded(run, version)
         }
         self._known = not self._unwritten
 
+    def _is_here(self, job: ShardJob) -> bool:
+        """Return whether a job has not moved away, with whose record its progress is removed."""
+        return self._core.jobs.get(job.job_id) is job
+
 
 def is_unrecorded(run: JobRun, version: int) -> bool:
     """Whether a version of a repetition is not durable; ended jobs are no longer recorded."""
