Note unrecorded starts of standing tasks only

Callers see: after one unreadable roster, a hall with a job of 6,722 tasks or more writes no record of it any more, and no standing task of that hall starts.

Cause: the note that a record may lack a start is the row's tenth optional field (39 bytes in place of 2), and was set for all tasks of all jobs, though only standing ones are started by their records alone. 10,000 tasks took 390,003 bytes, the store takes 262,144.

A job of as many standing tasks that wait was over the limit before, too (47 bytes each).

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -276,12 +276,16 @@
             self.tasks_with_crash_history.pop(task, None)
 
     def mark_unrecorded_starts(self, task: Task, *, inherited: bool = True) -> None:
-        """Note that a start of a task may be carried out that its record does not name.
+        """Note that a start of a standing task may be carried out that its record does not name.
+
+        Others may have such starts at any time, so that their records need not say so.
 
         Args:
             task: The task.
             inherited: Whether a former owner may have sent it, so that it may be anywhere.
         """
+        if not task.step.spec.standing:
+            return
         task.unrecorded_starts = True
         inherited |= self.tasks_with_unrecorded_starts.get(task, False)
         self.tasks_with_unrecorded_starts[task] = inherited
