Walk through names of executors in order where events follow

Cause: three loops over sets of strings decide an order: which executors become ready after the roster is written, which are polled first, and which lost machines are handled first.

Not shown for other tests: sets of objects, which no hash seed pins, remain in _watch.watch_all.

--- a/src/linkspan/shard/machines.py
+++ b/src/linkspan/shard/machines.py
@@ -114,7 +114,11 @@
             self._clear_missing(present)
             return {}
         missing = set(known) - present
-        ended = {name: self._missing_since[name] for name in missing if name in self._missing_since}
+        ended = {
+            name: self._missing_since[name]
+            for name in sorted(missing)
+            if name in self._missing_since
+        }
         self._clear_missing(known)
         self._missing_since |= dict.fromkeys(missing - ended.keys(), asked)
         return ended
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -129,7 +129,7 @@
         for order in orders:
             self._scope.spawn(self._send(order))
         to_poll, core.executors_to_poll = core.executors_to_poll, set()
-        for executor_id in to_poll:
+        for executor_id in sorted(to_poll):
             executor = core.executors.get(executor_id)
             if executor:
                 self._scope.spawn(self._watch.poll_once(executor))
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -154,7 +154,7 @@
     ) -> None:
         for run, version in zip(runs, versions, strict=True):
             run.durable = max(run.durable, version)
-        for executor_id in roster:
+        for executor_id in sorted(roster):
             executor = self._core.executors.get(executor_id)
             if executor and not executor.rostered:
                 executor.rostered = True
