Run the independent commands of the test of exit codes side by side

Cause: the test starts twelve processes one after the other, most of its time is the start of each. Change: the six commands that neither change anything nor depend on another one run at the same time; all assertions stay.

--- a/tests/process/test_halls.py
+++ b/tests/process/test_halls.py
@@ -248,15 +248,19 @@
     assert code == 3 and "changed meanwhile: quotas/maps" in err
     code, _, err = await _cli("publish", "quota/maps=1", operator)
     assert code == 2 and "unknown section" in err
-    code, out, _ = await _cli("status", operator)
+    status, unknown, unreachable, invalid, *pages = await asyncio.gather(
+        _cli("status", operator),
+        _cli("jobs", "nobody", callers),
+        _cli("jobs", "x", "--gateway=127.0.0.1:1"),
+        _cli("scheduler", "--colour=red"),
+        *(_cli(daemon, "--help") for daemon in ("gateway", "scheduler")),
+    )
+    code, out, _ = status
     assert code == 0 and f"service {SERVICE}" in out
-    assert (await _cli("jobs", "nobody", callers))[0] == 3
-    assert (await _cli("jobs", "x", "--gateway=127.0.0.1:1"))[0] == 5
-    code, _, err = await _cli("scheduler", "--colour=red")
+    assert (unknown[0], unreachable[0]) == (3, 5)
+    code, _, err = invalid
     assert code == 2 and "--hall: missing" in err and "--colour" in err
-    for daemon in ("gateway", "scheduler"):
-        code, out, _ = await _cli(daemon, "--help")
-        assert code == 0 and "--heartbeat_s" in out
+    assert all(code == 0 and "--heartbeat_s" in out for code, out, _ in pages)
     await jobs_fleet.post(jobs_fleet.platform, "/faults", {"down": True})
     code, _, err = await _cli("cancel", "ghost", callers)
     assert code == 4 and "ask" in err
