Look for other halls first for standing tasks that are away for long

Cause: a search goes through the steps in the order in which they became ready, and what it hands over counts as taken for those behind.

--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -17,6 +17,7 @@
 from linkspan.shard.handover._delegation_halls import DelegationHalls
 from linkspan.shard.handover._hall_room import HallRoom
 from linkspan.shard.handover._other_halls import OtherHalls
+from linkspan.shard.handover._search_order import by_precedence
 from linkspan.shard.handover._spread_limit import SpreadLimits
 from linkspan.shard.handover._stay_reason import StayReason
 from linkspan.shard.handover._whole_moves import WholeMoves
@@ -146,7 +147,7 @@
 
     @property
     def sought(self) -> tuple[SoughtRoom, ...]:
-        """Room that standing tasks waited for at the last search, by the urgency of their steps."""
+        """Room that standing tasks waited for at the last search, the longest wait first."""
         return tuple(islice(self._sought, MAX_PUBLISHED_SOUGHT))
 
     def stay_reason(self, step: StepRun) -> StayReason:
@@ -171,7 +172,7 @@
         found: dict[str, Handover] = {}
         self._stay_reasons = {}
         self._sought = {}
-        for step in list(self._core.ready):
+        for step in by_precedence(self._core.ready, now):
             if step.run.job.job_id in found:
                 # Only one handover of a job at a time: two could give the job to two halls.
                 self._stay_reasons[step] = StayReason.RECORDING
--- a/tests/shard/test_rebalance.py
+++ b/tests/shard/test_rebalance.py
@@ -14,6 +14,7 @@
 )
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, TaskName
+from linkspan.shard.planning.task_need import HEADROOM_WAIT_S
 from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan, report_ends, submitted_job
 
@@ -172,3 +173,13 @@
         assert HallSummary.decode(fields[:length]) == replace(EMPTY, queued=7)
     assert HallSummary.decode(fields[:7]) == EMPTY
     assert HallSummary.decode([*fields, "more"]).queued == 7
+
+
+def test_a_standing_task_that_is_away_for_long_gets_room_before_short_tasks() -> None:
+    """Guards against room elsewhere that goes to short work while standing tasks stay."""
+    tight = HallSummary(capacity=16_000, free=9_000, free_by_executor=((9_000, 32_000), (0, 0)))
+    core = core_with(step(1, cpu=9_000), executors=0)
+    core.add_job(submitted_job(step(1, standing=True, cpu=9_000), job_id="standing"), 0.0)
+    rebalancer = Rebalancer(core, summaries=lambda: {1: tight}, count_capable=lambda *_: 2)
+    found = rebalancer.plan(FULL, HEADROOM_WAIT_S)
+    assert [handover.job_id for handover in found] == ["standing"]
