Give statements, notes of unrecorded starts and task waits modules of their own

What an owner states about its starts (StartsStatement), which tasks may have unrecorded ones (UnrecordedStarts) and how long tasks wait before a handover (_task_waits) stand alone now; nothing else changes.

--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -20,6 +20,7 @@
 from linkspan.shard.planning.short_demand import ShortDemand
 from linkspan.shard.planning.standing_ends import StandingEnds
 from linkspan.shard.planning.start_counts import StartCounts
+from linkspan.shard.recovery._unrecorded_starts import UnrecordedStarts
 from linkspan.shard.reports._speed_evidence import SpeedEvidence
 from linkspan.shard.reports.health import ExecutorHealth
 from linkspan.shard.task import index_of
@@ -91,8 +92,7 @@
         withheld_count: Number of ends withheld so far; comparing two values shows cheaply whether
             an end was withheld.
         tasks_with_crash_history: Tasks with a crash history, as an ordered set.
-        tasks_with_unrecorded_starts: Tasks of which a start may be carried out that no record
-            names, and whether a former owner may have sent it.
+        unrecorded_starts: Tasks of which a start may be carried out that no record names.
         executor_crashes: Recent crashes of executors, the newest last.
         statement_withdrawn_at: Steady time from which this tenure does not state any more that each
             start of a standing task is on record; infinite for most.
@@ -142,7 +142,7 @@
         self.executors_to_poll: set[str] = set()
         self.withheld_count = 0
         self.tasks_with_crash_history: dict[Task, None] = {}
-        self.tasks_with_unrecorded_starts: dict[Task, bool] = {}
+        self.unrecorded_starts = UnrecordedStarts(self)
         self.executor_crashes: list[ExecutorCrash] = []
         self.statement_withdrawn_at = float("inf")
         self.sole_owner_until = float("inf")
@@ -275,21 +275,6 @@
         else:
             self.tasks_with_crash_history.pop(task, None)
 
-    def mark_unrecorded_starts(self, task: Task, *, inherited: bool = True) -> None:
-        """Note that a start of a standing task may be carried out that its record does not name.
-
-        Others may have such starts at any time, so that their records need not say so.
-
-        Args:
-            task: The task.
-            inherited: Whether a former owner may have sent it, so that it may be anywhere.
-        """
-        if not task.step.spec.standing:
-            return
-        task.unrecorded_starts = True
-        inherited |= self.tasks_with_unrecorded_starts.get(task, False)
-        self.tasks_with_unrecorded_starts[task] = inherited
-
     def remove_finished_tasks(self) -> None:
         """Remove tasks with a crash history that are done or whose job has ended."""
         finished = [t for t in self.tasks_with_crash_history if t.done or t.step.run.job.closing]
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -29,7 +29,6 @@
 
 from __future__ import annotations
 
-from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 from linkspan.events import Event
@@ -141,13 +140,6 @@
         """Whether the roster that a previous owner left was readable."""
         return self._liveness.roster_readable
 
-    def distrust_records(self, job_ids: Iterable[str]) -> None:
-        """Assume that previous owners sent starts of jobs that the records here do not name."""
-        jobs = (self.jobs.get(job_id) for job_id in job_ids)
-        runs = (run for job in jobs if job for run in job.runs.values())
-        for task in chain.from_iterable(run.tasks() for run in runs):
-            self.mark_unrecorded_starts(task)
-
     @property
     def awaiting_reports(self) -> bool:
         """Whether an inherited executor has not reported yet."""
@@ -503,21 +495,14 @@
         self._reconciler.tick(now)
         self._orders.tick(now)
         self._abandoned.tick(now)
-        if self.tasks_with_unrecorded_starts and not self._abandoned.any_late(now):
-            self._forget_unrecorded_starts(now)
+        if (
+            self.unrecorded_starts.any
+            and not self._abandoned.any_late(now)
+            and self.knows_inherited_starts(now)
+        ):
+            self.unrecorded_starts.clear()
         self._acknowledgements.tick(now)
 
-    def _forget_unrecorded_starts(self, now: float) -> None:
-        if not self.knows_inherited_starts(now):
-            return
-        for task in self.tasks_with_unrecorded_starts:
-            task.unrecorded_starts = False
-            job = task.step.run.job
-            # A moved job's record names its shard.
-            if self.jobs.get(job.job_id) is job and not job.handing_over:
-                self.mark_dirty(task.step.run, urgent=False)
-        self.tasks_with_unrecorded_starts.clear()
-
     def stop(self, attempt: Attempt, now: float, *, reason: str) -> None:
         """Stop an attempt so that its task continues elsewhere."""
         self._orders.stop(attempt, now, reason=reason)
--- a/src/linkspan/shard/handover/rebalance.py
+++ b/src/linkspan/shard/handover/rebalance.py
@@ -20,6 +20,11 @@
 from linkspan.shard.handover._search_order import by_precedence
 from linkspan.shard.handover._spread_limit import SpreadLimits
 from linkspan.shard.handover._stay_reason import StayReason
+from linkspan.shard.handover._task_waits import (
+    RETURN_DELAY_S,
+    have_waited,
+    standing_return_delay_s,
+)
 from linkspan.shard.handover._whole_moves import WholeMoves
 from linkspan.shard.handover.sought_room import SoughtRoom
 from linkspan.shard.handover.summary import HallSummary
@@ -55,34 +60,15 @@
 """The same for tasks whose data is in the hall, and for those that need tickets, also where they
 are delegated to: the policies' service may take as long to answer."""
 
-RETURN_DELAY_S = 1.0
-"""Time for which a delegated task waits for capacity before it is returned, if another hall has
-room for it."""
-
 FULL_HALLS_RETURN_DELAY_S = 4.0
-"""The same if no other hall has room: home would only let it wait, too. Here it comes before the
-tasks that have waited less, and half of a standing task's nine seconds remain for a second hall."""
+"""Time for which a delegated task waits for capacity before it is returned, if no other hall has
+room: home would only let it wait, too. Here it comes before the tasks that have waited less, and
+half of a standing task's nine seconds remain for a second hall."""
 
 SPREAD_LIMIT_RETURN_DELAY_S = 0.15
 """The same where only executors at the step's spread limit have room, or none can run the step. It
 is long enough for the hall's owner to try."""
 
-ARRIVED_HANDOVER_WAIT_S = 0.15
-"""Time for which a task that has already waited in another hall waits in this one. Home had no room
-when it delegated the task, so it only has to try again."""
-
-STANDING_DEADLINE_S = 6.0
-"""Time without a run in which a standing task is to reach room, in whichever hall. The waits on its
-way have one deadline: each takes a share of what is left, so that their sum stays below it."""
-
-RETURN_SHARE = 0.25
-"""Share of the time left that a task stays in a hall without room while another one has room. The
-rest is for the handover home and for one more hall in vain."""
-
-MAX_FAST_SEARCH_S = 9.0
-"""Time for which a waiting task is handed on that fast. After that no hall seems to have room, and
-each handover writes records."""
-
 MAX_PUBLISHED_SOUGHT = 8
 """Limits the sizes of room that a hall says its standing tasks wait for, as each takes some 40
 bytes of the record. Room for others is told of at intervals."""
@@ -192,7 +178,7 @@
         # A task that may have to be given up may not start elsewhere, either. The delay after a
         # refused start, in contrast, is about this hall's executors.
         undecided = [t for t in step.pending() if not t.decision_pending]
-        pending = _have_waited(undecided, self._wait_s(step.spec), now)
+        pending = have_waited(undecided, self._wait_s(step.spec), now)
         if not pending:
             return StayReason.TOO_SOON if undecided else StayReason.DECISION
         if job.closing or job.handing_over:
@@ -269,13 +255,13 @@
             return FULL_HALLS_RETURN_DELAY_S
         if job.requires_ticket:
             return LONG_WAIT_S
-        return _standing_return_delay_s(first, now) if spec.standing else RETURN_DELAY_S
+        return standing_return_delay_s(first, now) if spec.standing else RETURN_DELAY_S
 
     def _delegate(
         self, step: StepRun, pending: list[Task], own: HallRoom, halls: OtherHalls, now: float
     ) -> Handover | StayReason:
         """Return the delegation of tasks to a hall that has room for them now."""
-        waited = _have_waited(pending, self._delegation_wait_s(step), now)
+        waited = have_waited(pending, self._delegation_wait_s(step), now)
         if not waited:
             return StayReason.TOO_SOON
         choice = self._delegation_halls.choose(step, waited, own, halls, now)
@@ -316,28 +302,6 @@
         )
 
 
-def _own_wait_s(task: Task, wait_s: float, now: float) -> float:
-    """Return how long a task waits in this hall, less if it has already waited in another one."""
-    has_waited_elsewhere = task.ready_since > task.waiting_since
-    if has_waited_elsewhere and now - task.waiting_since < MAX_FAST_SEARCH_S:
-        return min(wait_s, ARRIVED_HANDOVER_WAIT_S)
-    return wait_s
-
-
-def _standing_return_delay_s(task: Task, now: float) -> float:
-    """Return how long a delegated standing task stays while another hall has room."""
-    waited_s = now - task.waiting_since
-    if waited_s >= MAX_FAST_SEARCH_S:
-        return RETURN_DELAY_S
-    share_s = RETURN_SHARE * (STANDING_DEADLINE_S - waited_s)
-    return min(max(share_s, ARRIVED_HANDOVER_WAIT_S), RETURN_DELAY_S)
-
-
-def _have_waited(tasks: list[Task], wait_s: float, now: float) -> list[Task]:
-    """Return the tasks that have waited in this hall for as long as they have to."""
-    return [t for t in tasks if now - t.ready_since >= _own_wait_s(t, wait_s, now)]
-
-
 def _handover(step: StepRun, shard: int, tasks: list[Task]) -> Handover:
     """Return the delegation or the return of some of a step's tasks."""
     indexes = tuple((step.index, task.name.index) for task in tasks)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -130,7 +130,7 @@
         self._state.mark_start_ordered(job)
         for task in run.tasks():
             task.next_run = FIRST_RUN_WITHOUT_RECORD
-            self._state.mark_unrecorded_starts(task)
+            self._state.unrecorded_starts.note(task)
         for shard, delegations in delegated.items():
             for delegation in delegations:
                 found = run.task(TaskName(job.job_id, *delegation.task_index))
@@ -149,7 +149,7 @@
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
             if task.unrecorded_starts:
-                self._state.mark_unrecorded_starts(task)
+                self._state.unrecorded_starts.note(task)
             for attempt in list(task.attempts):
                 executor = self._state.recorded_incarnation(attempt.executor_id)
                 if executor:
@@ -165,7 +165,7 @@
     def _note_other_incarnations(self, attempt: Attempt) -> None:
         """Note that another incarnation of its id, which the roster names, may have the run."""
         if Incarnation.of(attempt.executor_id).executor_id in self._state.incarnations_by_id:
-            self._state.mark_unrecorded_starts(attempt.task)
+            self._state.unrecorded_starts.note(attempt.task)
 
     def _restore_expired_attempts(self, run: JobRun) -> None:
         """Assign recorded attempts whose leases have expired to their executors.
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.errors import RecordError
+from linkspan.shard.ownership._starts_statement import StartsStatement
 from linkspan.shard.ownership.owner_record import RESERVATION_NUMBER, OwnerAct, OwnerRecord
 
 if TYPE_CHECKING:
@@ -100,9 +101,7 @@
         self._has_gap = False
         self._released = False
         self._starts_recorded = False
-        self._read_from: int | None = None
-        self._standing_starts_recorded = False
-        self._stated_in = 0
+        self._statement = StartsStatement()
         self._last_record_at: float | None = None
         self._former_owners_until = float("-inf")
         self._summary: HallSummary | None = None
@@ -153,10 +152,9 @@
         try:
             record = OwnerRecord.decode(entry.value)
         except RecordError:
-            self._on_unread_records()
+            self._statement.on_unread()
             raise
-        if self._read_from is None:
-            self._read_from = entry.offset
+        self._statement.on_read(entry.offset)
         if record.act is OwnerAct.CLAIM:
             self._on_claim(record, now)
             self._claim_token = self._token_limit = entry.offset + 1
@@ -164,8 +162,7 @@
             self._claim_read = True
             self._has_gap = False
             self._released = False
-            self._standing_starts_recorded = record.recorded_up_to > 0
-            self._stated_in = 0
+            self._statement.on_claim(record)
             self._last_record_at = now
         elif record.act is OwnerAct.RENEW and record.token > self._claim_token:
             # The claim itself is beyond the log's retention, or was not read. A renewal of an
@@ -176,12 +173,10 @@
             self._claim_read = False
             self._has_gap = False
             self._released = False
-            self._apply_statement(record)
+            self._statement.on_new_tenure(record)
             self._on_owner_record(record, now)
         elif self._owner and record.token == self._claim_token:
-            if record.number > self._stated_in:
-                # Records of a tenure may be appended in another order than they were sent.
-                self._apply_statement(record)
+            self._statement.on_renewal(record)
             self._on_owner_record(record, now)
             if self.mine and not self._has_gap:
                 self._token_limit = entry.offset + 1
@@ -203,23 +198,6 @@
         )
         return entry.offset if reserved else entry.offset + 1
 
-    def _apply_statement(self, record: OwnerRecord) -> None:
-        """Apply what a renewal or a release states about starts of standing tasks.
-
-        The statement holds for the newest tenure only. Records that neither its writer had read nor
-        this host has may hold the claim of a later one.
-        """
-        read_from = self._read_from
-        self._standing_starts_recorded = read_from is not None and record.recorded_up_to >= max(
-            read_from, 1
-        )
-        self._stated_in = record.number
-
-    def _on_unread_records(self) -> None:
-        """Handle records that this host cannot read, and that may be claims."""
-        self._read_from = None
-        self._standing_starts_recorded = False
-
     def _on_claim(self, claim: OwnerRecord, now: float) -> None:
         """Record how long former owners, known or unknown, may still act after a claim."""
         if self._released:
@@ -263,10 +241,9 @@
     def standing_starts_recorded(self) -> bool:
         """Whether each start of a standing task that a former owner sends is on record before.
 
-        If so, that also holds for all that owners before it have sent. It is unknown, and counts as
-        untrue, of owners whose claim and statement this host has not read.
+        If so, that also holds for all that owners before it have sent.
         """
-        return self._standing_starts_recorded
+        return self._statement.holds
 
     def on_tenure_ended(self) -> None:
         """Record that this process no longer acts as the owner."""
@@ -279,7 +256,7 @@
         self._claim_read = False
         self._last_record_at = now
         self._former_owners_until = now + MAX_UNPROVED_S
-        self._on_unread_records()
+        self._statement.on_unread()
 
     def on_store_available(self, now: float) -> None:
         """Restart the owner's silence when the store answers this host again.
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -105,7 +105,7 @@
         self._inherit_executors(records.pop(ROSTER_KEY, b""), leases_expire_at)
         self._add_jobs(records, now)
         if not core.roster_readable:
-            core.distrust_records(list(core.jobs))
+            core.unrecorded_starts.distrust(list(core.jobs))
         core.list_executors(self._executor_registry.executors(self._hall), now)
         self._done = True
         self._metrics.count("claims")
@@ -184,7 +184,7 @@
                 if entry.open_delegations(self._shard):
                     # Tasks were delegated to this shard since: the record of the move is older.
                     self._feed.add_job(job_id, entry, now, inherited=True)
-                    self._core.distrust_records([job_id])
+                    self._core.unrecorded_starts.distrust([job_id])
             else:
                 self._feed.add_job(job_id, entry, now, inherited=True, progress=runs)
                 self._republish_delegations(job_id, entry)
--- a/src/linkspan/shard/reports/_abandoned_starts.py
+++ b/src/linkspan/shard/reports/_abandoned_starts.py
@@ -138,7 +138,7 @@
         )
         self._bound.pop(attempt, None)
         executor.refusals.on_refused(attempt.task.step.spec, now)
-        self._state.mark_unrecorded_starts(attempt.task, inherited=False)
+        self._state.unrecorded_starts.note(attempt.task, inherited=False)
         self._state.close_attempt(attempt, now)
 
     def _is_observed(self, executor: ExecutorState, now: float) -> bool:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -132,7 +132,7 @@
         A start of a standing task is on record before it is sent. Where all former owners did so,
         the task was started nowhere.
         """
-        unrecorded = self._state.tasks_with_unrecorded_starts.get(task, False)
+        unrecorded = self._state.unrecorded_starts.may_be_inherited(task)
         if self._standing_starts_recorded and task.step.spec.standing and not unrecorded:
             return True
         return self.may_start(task.step.run.job, now)
--- a/tests/shard/test_returns_from_full_halls.py
+++ b/tests/shard/test_returns_from_full_halls.py
@@ -4,15 +4,14 @@
 
 from linkspan.model.evacuation import Evacuation
 from linkspan.shard.core import ShardCore
-from linkspan.shard.handover.rebalance import (
+from linkspan.shard.handover._task_waits import (
     ARRIVED_HANDOVER_WAIT_S,
-    FULL_HALLS_RETURN_DELAY_S,
     MAX_FAST_SEARCH_S,
     RETURN_DELAY_S,
     RETURN_SHARE,
     STANDING_DEADLINE_S,
-    Rebalancer,
 )
+from linkspan.shard.handover.rebalance import FULL_HALLS_RETURN_DELAY_S, Rebalancer
 from linkspan.shard.handover.summary import HallSummary
 from tests.job_builders import step
 from tests.shard.builders import JOB, core_with, plan
--- a/tests/shard/test_review_of_record_sizes.py
+++ b/tests/shard/test_review_of_record_sizes.py
@@ -18,7 +18,7 @@
 def test_a_large_job_is_recorded_after_an_unreadable_roster() -> None:
     """Guards against a hall whose records are not written any more: no standing task starts."""
     core = core_with(step(MAX_TASKS, cpu=20), executors=0)
-    core.distrust_records([JOB])
+    core.unrecorded_starts.distrust([JOB])
     core.mark_dirty(core.jobs[JOB].runs[0])
     assert len(encode_run(core.jobs[JOB].runs[0])) <= MAX_RECORD_BYTES
 
--- a/tests/shard/test_review_of_standing_waits.py
+++ b/tests/shard/test_review_of_standing_waits.py
@@ -16,12 +16,8 @@
 from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._returned_delegations import ReturnedDelegations
-from linkspan.shard.handover.rebalance import (
-    HANDOVER_WAIT_S,
-    RETURN_DELAY_S,
-    Handover,
-    Rebalancer,
-)
+from linkspan.shard.handover._task_waits import RETURN_DELAY_S
+from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Handover, Rebalancer
 from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import EndedTask, EndKind, ExecutorReport
--- a/tests/shard/test_standing_starts_on_record.py
+++ b/tests/shard/test_standing_starts_on_record.py
@@ -122,7 +122,7 @@
     except RecordError:
         assert progress == b"?"
     if not core.roster_readable:
-        core.distrust_records([JOB])
+        core.unrecorded_starts.distrust([JOB])
     core.list_executors(records[-1:], 0.0)
     report_ends(core, roster[-1], asked=0.5, now=0.5)
     return core
--- a/tests/shard/test_task_need.py
+++ b/tests/shard/test_task_need.py
@@ -10,8 +10,9 @@
 
 from linkspan.jobs.spec import Demand, StepSpec
 from linkspan.shard.core import ShardCore
+from linkspan.shard.handover._task_waits import RETURN_DELAY_S
 from linkspan.shard.handover.executor_room import ExecutorRoom
-from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, RETURN_DELAY_S, Rebalancer
+from linkspan.shard.handover.rebalance import HANDOVER_WAIT_S, Rebalancer
 from linkspan.shard.handover.summarize import summarize
 from linkspan.shard.handover.summary import HallSummary
 from linkspan.shard.messages import ExecutorKind
