Restart standing tasks without a record in outages, where their record names an attempt

Cause: held each start of a standing task back until it was on record, so that next owners may rely on the records alone. They need that only for tasks that they start at once: those of which the record names no attempt.

Now only starts of such tasks wait for their record. A record that names no attempt counts from when it is made until a later one that does is durable.

Given up again: tasks with an attempt on record beside a lost executor that may return under its id.

--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -17,9 +17,9 @@
 that only an incarnation which has not answered yet could carry out (``_abandoned_starts``).
 
 A new owner starts inherited work only once each inherited executor has answered the owner's
-higher token, has ended, or has no unexpired lease (``ShardCore.may_start``). Starts of standing
-tasks are sent once they are on record, so that these tasks wait only for the attempts that their
-records name, if all former owners did so (``ShardCore.may_start_task``).
+higher token, has ended, or has no unexpired lease (``ShardCore.may_start``). A standing task of
+which the record names no attempt may start at once, if all former owners sent starts of such tasks
+only once they were on record (``ShardCore.may_start_task``).
 
 Each group of rules has its own module: ``_liveness`` (silent and ended executors), ``_restarts``
 (incarnations of one id), ``_reconciliation`` (reports), ``_crashes`` (crashes), ``_ends`` (ends of
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -59,6 +59,7 @@
         task.delegation_number = delegation.number
         task.next_run = max(task.next_run, delegation.next_run)
         task.never_ran = delegation.never_ran
+        task.idle_in_record = True
         task.save(delegation.saved_by, delegation.checkpoint)
         task.set_failed(task.failed.merged_with(_failures_of(delegation)))
         self._crashes.take_over_history(task, delegation, now)
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -15,6 +15,7 @@
 from linkspan.shard.handover._search_clock import SearchClock
 from linkspan.shard.handover.rebalance import Rebalancer
 from linkspan.shard.handover.summarize import summarize
+from linkspan.shard.recovery._recorded_attempts import note_encoded
 from linkspan.shard.recovery.progress import RunKey, encode_moved, encode_run, progress_key
 from linkspan.store.types import Record
 
@@ -105,6 +106,7 @@
             return
         run = handed_over[0].step.run
         progress = encode_run(run, wall_offset_s())
+        note_encoded(run)
         began = steady()
         await self._writer.write([Record(progress, progress_key(run))])
         recorded = steady()
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -148,7 +148,8 @@
             task.never_ran = task.never_ran or task.next_run == 1
             task.next_run += INHERITED_RUN_GAP
             self._state.set_crash_history(task, task.crash_history)
-            if task.unrecorded_starts:
+            task.idle_in_record = not task.attempts
+            if task.attempts or task.unrecorded_starts:
                 self._state.unrecorded_starts.note(task)
             for attempt in list(task.attempts):
                 executor = self._state.recorded_incarnation(attempt.executor_id)
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -220,14 +220,15 @@
 
         The executor's next incarnation may carry out a start seconds after its owner is lost. The
         next owner then needs the record to know where the task was started and which crash it
-        caused. Of standing tasks it relies on the records, so none of theirs is sent without one.
+        caused. It starts standing tasks without a recorded attempt at once, so no first start of
+        theirs is sent without a record.
         """
         task = self._core.find_task(order.task)
         if task is None:
             return False
         run = task.step.run
         version = run.version
-        if task.step.spec.standing:
+        if task.step.spec.standing and task.idle_in_record:
             return await self._wait_for_version(order, run, version)
         limit_s = None if task.crash_history else self._max_record_wait_s()
         with suppress(TimeoutError):
--- a/src/linkspan/shard/ownership/_starts_statement.py
+++ b/src/linkspan/shard/ownership/_starts_statement.py
@@ -25,7 +25,7 @@
 
     @property
     def holds(self) -> bool:
-        """Whether all starts of standing tasks are on record before they are sent.
+        """Whether standing tasks that a record shows without an attempt were started nowhere.
 
         It counts as untrue of owners whose claim and statement this host has not read.
         """
--- a/src/linkspan/shard/ownership/owner_record.py
+++ b/src/linkspan/shard/ownership/owner_record.py
@@ -41,9 +41,10 @@
             sent; only in a release.
         additional: How many records the tenure has written so far beside those that ``number``
             counts: summaries that did not wait for the next renewal.
-        recorded_up_to: 0, or the statement that each start of a standing task is on record before
-            it is sent, and that all are that earlier tenures have sent. It then is the offset up to
-            which the writer had read the ownership records, and found no claim after its own.
+        recorded_up_to: 0, or the statement that a standing task of which the record names no
+            attempt was started nowhere, by this tenure or earlier ones, and is started only once
+            that is on record. It then is the offset up to which the writer had read the ownership
+            records, and found no claim after its own.
     """
 
     act: OwnerAct
--- a/src/linkspan/shard/ownership/ownership.py
+++ b/src/linkspan/shard/ownership/ownership.py
@@ -239,7 +239,7 @@
 
     @property
     def standing_starts_recorded(self) -> bool:
-        """Whether each start of a standing task that a former owner sends is on record before.
+        """Whether former owners start no standing task that a record shows without an attempt.
 
         If so, that also holds for all that owners before it have sent.
         """
--- a/src/linkspan/shard/recovery/_recorded_starts.py
+++ b/src/linkspan/shard/recovery/_recorded_starts.py
@@ -1,4 +1,4 @@
-"""Determines whether the records of a shard name all starts of standing tasks."""
+"""Determines whether standing tasks without an attempt on record were started nowhere."""
 
 from __future__ import annotations
 
@@ -13,9 +13,10 @@
 class RecordedStarts:
     """Determines what a tenure may state about its starts and those of earlier tenures.
 
-    This tenure sends no start of a standing task before its record is durable. Earlier ones may
-    have, unless they stated the same. Once each executor of theirs has reported, has ended or has
-    outlived its leases, all that runs is known, and is on record with the next write.
+    This tenure starts no standing task that a record shows without an attempt before that start is
+    on record. Earlier ones may have, unless they stated the same. Once each executor of theirs has
+    reported, has ended or has outlived its leases, all that runs is known, and is on record with
+    the next write.
 
     Args:
         core: The shard's state.
@@ -32,7 +33,7 @@
 
     @property
     def known(self) -> bool:
-        """Whether each start of a standing task is on record, and the owner keeps to that."""
+        """Whether standing tasks without an attempt on record were started nowhere."""
         return self._known and self._core.statement_withdrawn_at == float("inf")
 
     def tick(self, now: float) -> None:
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -12,6 +12,7 @@
 from linkspan.events import Event
 from linkspan.jobs.records import Begun, Finished, StartOrdered, Tombstone
 from linkspan.shard.attempt import NEVER
+from linkspan.shard.recovery._recorded_attempts import note_durable, note_encoded
 from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, progress_key
 from linkspan.store.types import Record
 
@@ -133,6 +134,7 @@
         records = [Record(b"", key) for key in dropped]
         offset_s = wall_offset_s()
         records += [Record(encode_run(run, offset_s), progress_key(run)) for run in runs]
+        named = [attempt for run in runs for attempt in note_encoded(run)]
         roster, withheld_count = frozenset(core.roster_names), core.withheld_count
         if self._changes.roster_changed():
             executors = (e for name, e in core.executors.items() if name in roster)
@@ -141,6 +143,7 @@
         if not records:
             return
         await self._writer.write(records)
+        note_durable(named)
         self._changes.roster = roster
         self._changes.withheld_count = withheld_count
         if self._core.tasks_with_crash_history:
--- a/src/linkspan/shard/reports/_liveness.py
+++ b/src/linkspan/shard/reports/_liveness.py
@@ -117,7 +117,7 @@
 
     @property
     def standing_starts_recorded(self) -> bool:
-        """Whether all starts of standing tasks that former owners have sent are on record."""
+        """Whether standing tasks without an attempt on record were started nowhere."""
         return self._standing_starts_recorded
 
     def knows_inherited_runs(self, now: float) -> bool:
@@ -129,8 +129,8 @@
     def may_start_task(self, task: Task, now: float) -> bool:
         """Whether a task may start, of which the record names no attempt.
 
-        A start of a standing task is on record before it is sent. Where all former owners did so,
-        the task was started nowhere.
+        A standing task without an attempt on record is started only once that is on record. Where
+        all former owners did so, it was started nowhere.
         """
         unrecorded = self._state.unrecorded_starts.may_be_inherited(task)
         if self._standing_starts_recorded and task.step.spec.standing and not unrecorded:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -47,6 +47,8 @@
             the time at which the shard began to manage it, if that is later.
         unrecorded_starts: Whether a start of it may still be carried out, or run, that its record
             does not name.
+        idle_in_record: Whether a record that may be durable names no attempt of it.
+        idle_records: Number of records made here that named none.
         waiting_since: Steady time since when it has been waiting for a run: since its last run
             ended, in whichever hall, or since its step opened. ``NEVER`` while it runs. Waits that
             must end are measured from it, as handovers and refused starts do not change it.
@@ -72,6 +74,8 @@
     preemptions: int = 0
     refusals: int = 0
     unrecorded_starts: bool = False
+    idle_in_record: bool = True
+    idle_records: int = 0
     ready_since: float = NEVER
     waiting_since: float = NEVER
 
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -181,7 +181,7 @@
 
     @property
     def standing_starts_recorded(self) -> bool:
-        """Whether each start of a standing task is on record, of this tenure and earlier ones."""
+        """Whether standing tasks without an attempt on record were started nowhere."""
         return self._recorded_starts.known
 
     def on_renewal_confirmed(self, at: float, *, token_limit: int = 0) -> None:
