--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	$(BIN)/python -m pytest -n $(WORKERS) --ignore=tests/process --ignore=tests/soak
-	$(BIN)/python -m pytest tests/process tests/soak
+	$(BIN)/python -m pytest -n $(WORKERS) --ignore=tests/process --ignore=tests/soak --ignore=tests/hostile
+	$(BIN)/python -m pytest tests/process tests/soak tests/hostile
 
 bench: setup
 	$(BIN)/python -m bench.placement
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -43,6 +43,8 @@
         signals: Whether signals, restarts and configurations come in series of their own, and
             callers go on with connections that hosts are closing.
         odd_entries: Whether another writer overwrites the entries of executors.
+        memory_mb: Memory of each host's machine, in megabytes.
+        max_fds: File descriptors that each host may have open.
     """
 
     seed: int
@@ -57,6 +59,8 @@
     refuses_starts: bool = False
     signals: bool = False
     odd_entries: bool = False
+    memory_mb: int = 300
+    max_fds: int = 4100
 
     @classmethod
     def of_seed(cls, seed: int, seconds: float) -> Plan:
@@ -92,7 +96,7 @@
             "front": f"{address}:{CALLERS_PORT}",
             "ready": f"{address}:{READINESS_PORT}",
         },
-        "limits": {"memoryMb": 300},
+        "limits": {"memoryMb": plan.memory_mb, "maxFds": plan.max_fds},
         "heartbeatMs": 1500,
         "bounds": {"holdMaxMs": int(MAX_LEASE_S * 1000), "graceS": GRACE_S},
         "commands": "invoke",
@@ -106,8 +110,17 @@
     return f"/version-{version}/"
 
 
-def configuration(version: int, extra_routes: int, *, guards_room: bool) -> str:
-    """Return a configuration with the queue of all jobs, one of its version and extra ones."""
+def configuration(
+    version: int, extra_routes: int, *, guards_room: bool, limits: dict[str, int] | None = None
+) -> str:
+    """Return a configuration with the queue of all jobs, one of its version and extra ones.
+
+    Args:
+        version: Version of the configuration.
+        extra_routes: Number of extra queues.
+        guards_room: Whether executors reject starts beyond their capacity.
+        limits: Limits on callers' requests by their name in the configuration, by default none.
+    """
     names = [(QUEUE.name, QUEUE.prefix), (f"version-{version}", version_prefix(version))]
     names += [(f"extra-{n}", f"/extra-{n}/") for n in range(extra_routes)]
     routes = [
@@ -124,4 +137,5 @@
         for name, prefix in names
     ]
     services = [{"name": QUEUE.service, "admissionCheck": guards_room}]
-    return json.dumps({"version": version, "routes": routes, "services": services})
+    fields = {"version": version, "routes": routes, "services": services, "limits": limits or {}}
+    return json.dumps(fields)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -110,6 +110,11 @@
         """Whether the process exists, running or paused."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the newest incarnation's process, 0 before the first one."""
+        return self._process.pid if self._process else 0
+
     async def start(self) -> None:
         """Start an incarnation if none runs."""
         if self.alive or self._starting:
--- a/soak/world.py
+++ b/soak/world.py
@@ -50,6 +50,7 @@
         callers_at: Address of each proxy in ``callers``, by name of the host.
         violations: Violations by the host processes themselves.
         rate_factor: Factor on the rate at which callers submit jobs.
+        limits: Limits on callers' requests in the configurations to come, by their name there.
     """
 
     def __init__(self, plan: Plan, folder: Path) -> None:
@@ -67,6 +68,7 @@
         self.version = 0
         self.extra_routes = 0
         self.rate_factor = 1.0
+        self.limits: dict[str, int] = {}
 
     @property
     def executor_addresses(self) -> list[str]:
@@ -166,7 +168,9 @@
         self.version += VERSION_STEP
         self.extra_routes = extra_routes
         guards_room = self.plan.guards_room
-        value = configuration(self.version, extra_routes, guards_room=guards_room)
+        value = configuration(
+            self.version, extra_routes, guards_room=guards_room, limits=self.limits
+        )
         await self.store.send_command("put", {"topic": "op", "key": "config", "value": value})
 
     async def evacuate(self, hall: str) -> None:
