Read callers' requests with a server of our own that holds one request

What callers saw: heads, chunks, compressed bodies and upgrades of 300 connections brought a host to 147 to 2,320 MB; a head of 16,000 bytes that is inside the limit got 400.

Cause: the HTTP library's server bounds a request at the most, by its own limits and on decoded bytes: it keeps partial lines, one object for each field and chunk, 32 requests beyond the present one and all bytes behind an upgrade, and decompresses bodies unasked. The operator's limits of a head were not read.

Change: host/callers/ reads requests itself. A connection holds one head (looked up as bytes, no object for a field) and one body in pages; blank lines count as head, chunk extensions and trailers have the limit of a head; while a request is handled nothing more is read, chunked bodies go on in turns, and a response must be read before the next request. Unasked features are gone. The library is kept for the value of a response. 431, 413 and 400 close the connection so that the answer can be read.

Two tests of silent callers now set the limits at the new module.

--- a/src/linkspan/errors.py
+++ b/src/linkspan/errors.py
@@ -36,6 +36,31 @@
         self.remedy = remedy
 
 
+class MalformedRequest(LinkspanError):
+    """The bytes of a caller are not a valid HTTP request.
+
+    Args:
+        part: Part of the request that is not valid.
+    """
+
+    def __init__(self, part: str) -> None:
+        super().__init__(f"{part} is not valid; send HTTP/1.1 as RFC 9112 specifies it")
+
+
+class BodyRefused(LinkspanError):
+    """The body of a request is not read to its end; the request has no effect.
+
+    Args:
+        status: HTTP status of the refusal.
+        reason: Reason for the refusal.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(f"{reason}; see docs/OPERATIONS.md for the limits on requests")
+        self.status = status
+        self.reason = reason
+
+
 class SelectorSyntaxError(LinkspanError):
     """A selector has a syntax error.
 
--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -284,7 +284,18 @@
         "check the policy service; steps of its queues wait",
     )
     LATENCY_OVER = 554, logging.INFO, "standing task was over its latency target", "see 539"
-    CALLER_DROPPED = 565, logging.INFO, "connection closed because its caller was silent", "nothing"
+    CALLER_DROPPED = (
+        565,
+        logging.INFO,
+        "requests refused before they were handled, or connections closed, in the last second",
+        "see the reason and the count; OPERATIONS.md, callers outside the limits",
+    )
+    CALLER_REQUEST_FAILED = (
+        603,
+        logging.ERROR,
+        "request failed with an exception",
+        "report it with the line; the caller got 500",
+    )
     EXECUTOR_SEEN = 540, logging.INFO, "executor registered", "nothing"
     EXECUTOR_READY = (
         598,
--- /dev/null
+++ b/src/linkspan/host/callers/head.py
@@ -0,0 +1,144 @@
+"""Heads of requests: the request line and the header fields (RFC 9112, sections 3 and 5)."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from linkspan.errors import MalformedRequest
+
+HEAD_END = re.compile(rb"\n\r?\n")
+"""End of a head. Line ends without a carriage return are found here and refused by the parser."""
+
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
+_VALUE = rb"[^\x00-\x08\x0a-\x1f\x7f]*+"
+_REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([!-~]++) HTTP/1\.([01])\r\n")
+_FIELDS = re.compile(rb"(?:" + _TOKEN + rb":" + _VALUE + rb"\r\n)*+\r\n")
+
+_MAX_LENGTH_DIGITS = 18
+"""Digits of a content length that are read: any longer one exceeds every limit of a body."""
+
+
+class HeadFields:
+    """Header fields of a request, looked up in the bytes that arrived.
+
+    A head of 16 KB can have thousands of fields; one object for each would take a hundred times its
+    size.
+
+    Args:
+        head: Whole and valid head.
+    """
+
+    __slots__ = ("_head",)
+
+    def __init__(self, head: bytes) -> None:
+        self._head = head
+
+    def __repr__(self) -> str:
+        return f"HeadFields({len(self._head)} bytes)"
+
+    def get(self, name: str, default: str = "") -> str:
+        """Return the value of the first field with a name, in any case of letters.
+
+        Example:
+            >>> HeadFields(b"GET / HTTP/1.1\\r\\nHost:  a.example \\r\\n\\r\\n").get("host")
+            'a.example'
+        """
+        values = self.all(name, most=1)
+        return values[0] if values else default
+
+    def all(self, name: str, *, most: int = 0) -> list[str]:
+        """Return the values of the fields with a name, in order.
+
+        Args:
+            name: Name of the fields.
+            most: Number of values to return at most, 0 for all.
+        """
+        pattern = rb"(?i)\r\n" + re.escape(name.encode()) + rb":[ \t]*([^\r]*)"
+        found = []
+        for match in re.finditer(pattern, self._head):
+            found.append(match[1].rstrip(b" \t").decode("latin-1"))
+            if len(found) == most:
+                break
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of a request.
+
+    Attributes:
+        method: Method, for example ``POST``.
+        path: Path without the query, with its escapes resolved.
+        headers: Header fields.
+        body_length: Length of the body in bytes, ``None`` if it comes in chunks.
+        keep_alive: Whether the caller may send another request on the connection.
+        expects_continue: Whether the caller waits for a go-ahead before it sends the body.
+    """
+
+    method: str
+    path: str
+    headers: HeadFields
+    body_length: int | None
+    keep_alive: bool
+    expects_continue: bool
+
+
+def parse_head(head: bytes) -> RequestHead:
+    """Return the head of a request.
+
+    Args:
+        head: Bytes from the request line to the empty line after the fields.
+
+    Raises:
+        MalformedRequest: The head is not valid, or its framing could be understood in two ways.
+
+    Example:
+        >>> parse_head(b"GET /a%20b?c HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n").path
+        '/a b'
+    """
+    line = _REQUEST_LINE.match(head)
+    if line is None or not _FIELDS.fullmatch(head, line.end()):
+        raise MalformedRequest("head")
+    method, target, minor = line.groups()
+    headers = HeadFields(head)
+    modern = minor == b"1"
+    options = ",".join(headers.all("Connection")).lower()
+    return RequestHead(
+        method.decode(),
+        _path(target),
+        headers,
+        _body_length(headers, chunks_allowed=modern),
+        keep_alive=modern and "close" not in options,
+        expects_continue=modern and headers.get("Expect").lower() == "100-continue",
+    )
+
+
+def _path(target: bytes) -> str:
+    text = target.decode()
+    if not text.startswith("/") and "://" in text:
+        # A request in absolute form, as proxies receive it.
+        _, _, rest = text.partition("://")
+        text = "/" + rest.partition("/")[2]
+    path = text.partition("?")[0]
+    return unquote(path) if "%" in path else path
+
+
+def _body_length(headers: HeadFields, *, chunks_allowed: bool) -> int | None:
+    lengths = headers.all("Content-Length")
+    encodings = headers.all("Transfer-Encoding")
+    if not encodings:
+        return _content_length(lengths)
+    if lengths or not chunks_allowed or [name.lower() for name in encodings] != ["chunked"]:
+        raise MalformedRequest("transfer encoding")
+    return None
+
+
+def _content_length(lengths: list[str]) -> int:
+    if not lengths:
+        return 0
+    length = lengths[0]
+    if len(lengths) > 1 or not (length.isascii() and length.isdigit()):
+        raise MalformedRequest("content length")
+    return int(length.lstrip("0")[:_MAX_LENGTH_DIGITS] or "0")
--- /dev/null
+++ b/src/linkspan/host/callers/server.py
@@ -0,0 +1,222 @@
+"""All connections of one listener, and the limits on them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from linkspan.errors import BodyRefused
+from linkspan.host._responses import json_response, unavailable
+from linkspan.host.callers.connection import CallerConnection
+from linkspan.host.callers.phase import Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from linkspan.host.callers.request import Request
+    from linkspan.model.configuration import RequestLimits
+
+    Handler = Callable[[Request], Awaitable[web.Response]]
+
+READ_BYTES = 16 * 1024
+"""Limits the bytes that are read from one connection before the next one's turn."""
+
+MAX_REQUEST_HEAD_S = 10.0
+"""Limits the time from the first byte of a request to the end of its headers, in seconds.
+Callers time out after three seconds in total; the body is limited by the deadline of the
+request."""
+
+MAX_UNREAD_S = 10.0
+"""Limits the time for which a caller may read nothing of a response, in seconds."""
+
+MAX_CLOSING_S = 1.0
+"""Time for a caller to read the last response and close the connection, in seconds."""
+
+MAX_IDLE_CONNECTIONS = 512
+"""Limits idle connections; beyond it, those idle for longest are closed. It is half of the usual
+limit of file descriptors of a process (1,024), which calls to executors share."""
+
+SWEEP_INTERVAL_S = 1.0
+"""Interval between checks of all connections, in seconds."""
+
+
+class CallerServer:
+    """Server that creates the connections of callers and drops those that have gone silent.
+
+    Args:
+        handler: Handles a request.
+        limits: Returns the limits on each request that are in force.
+        on_refusals: Called about once a second with the number of requests refused before their
+            handler and of connections dropped, by reason, if there were any.
+        on_error: Called with an exception of the handler.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        limits: Callable[[], RequestLimits],
+        on_refusals: Callable[[Counter[str]], None],
+        on_error: Callable[[Exception], None],
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._on_refusals = on_refusals
+        self._on_error = on_error
+        self._phases: dict[Phase, dict[CallerConnection, None]] = {phase: {} for phase in Phase}
+        self._deferred: deque[CallerConnection] = deque()
+        self._refusals: Counter[str] = Counter()
+        self._sweeping: asyncio.TimerHandle | None = None
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
+
+    def __repr__(self) -> str:
+        return f"CallerServer({len(self.connections)} connections)"
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    @property
+    def connections(self) -> list[CallerConnection]:
+        """Open connections."""
+        return [connection for row in self._phases.values() for connection in row]
+
+    @property
+    def limits(self) -> RequestLimits:
+        """The limits on each request that are in force."""
+        return self._limits()
+
+    # Calls of connections.
+
+    def add(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        self._phases[connection.phase][connection] = None
+        if self._sweeping is None:
+            loop = asyncio.get_running_loop()
+            self._sweeping = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Forget a connection."""
+        self._phases[connection.phase].pop(connection, None)
+
+    def move(self, connection: CallerConnection, phase: Phase) -> None:
+        """Note that a connection enters a phase, as the newest one in it."""
+        if self._phases[connection.phase].pop(connection, connection) is None:
+            self._phases[phase][connection] = None
+
+    def defer(self, connection: CallerConnection) -> None:
+        """Let a connection go on in a later turn of the event loop, one connection a turn."""
+        self._deferred.append(connection)
+        if len(self._deferred) == 1:
+            asyncio.get_running_loop().call_soon(self._advance_deferred)
+
+    async def answer(self, request: Request) -> web.Response:
+        """Return the response to a request.
+
+        Raises:
+            BodyRefused: The body of the request is refused.
+        """
+        try:
+            return await self._handler(request)
+        except BodyRefused:
+            raise
+        except Exception as error:
+            self._on_error(error)
+            return _internal_error()
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a refused request or a dropped connection."""
+        self._refusals[reason] += 1
+
+    def refusal(self, status: int, reason: str) -> web.Response:
+        """Return the response to a request that its handler has not seen or not read."""
+        if status == web.HTTPServiceUnavailable.status_code:
+            return unavailable(reason)
+        return json_response(status, b'{"error":"refused, it has no effect"}', reason=reason)
+
+    # Calls of the listener.
+
+    def refuse_next(self) -> None:
+        """Close idle connections; let the others close after their next response."""
+        for connection in self.connections:
+            connection.refuse_next()
+
+    async def close(self, timeout_s: float) -> None:
+        """Drop all connections once the responses that are being written are sent.
+
+        Args:
+            timeout_s: Limits the wait for them, in seconds.
+        """
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while self._unfinished() and loop.time() < deadline:
+            await asyncio.sleep(_CLOSE_CHECK_INTERVAL_S)
+        for connection in self.connections:
+            connection.cancel()
+            connection.drop()
+        # The loop reports each connection as lost in its next turn.
+        await asyncio.sleep(0)
+
+    def _unfinished(self) -> bool:
+        """Return whether a response is due, or written and not sent."""
+        writing = (Phase.BUSY, Phase.WRITING)
+        return any(self._phases[phase] for phase in writing)
+
+    def _advance_deferred(self) -> None:
+        connection = self._deferred.popleft()
+        if self._deferred:
+            asyncio.get_running_loop().call_soon(self._advance_deferred)
+        connection.advance_deferred()
+
+    # Silent callers.
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._drop_silent(now)
+        idle = self._phases[Phase.IDLE]
+        for connection in list(idle)[: max(0, len(idle) - MAX_IDLE_CONNECTIONS)]:
+            self._drop(connection, "too many idle connections")
+        if self._refusals:
+            self._on_refusals(self._refusals)
+            self._refusals = Counter()
+        again = any(self._phases.values())
+        self._sweeping = loop.call_later(SWEEP_INTERVAL_S, self._sweep) if again else None
+
+    def _drop_silent(self, now: float) -> None:
+        for connection in self._older(Phase.HEAD, now - MAX_REQUEST_HEAD_S):
+            connection.refuse(408, "incomplete request")
+        for connection in self._older(Phase.CLOSING, now - MAX_CLOSING_S):
+            connection.drop()
+        for connection in list(self._phases[Phase.WRITING]):
+            connection.note_unsent(now)
+            if now - connection.progress_at > MAX_UNREAD_S:
+                self._drop(connection, "response not read")
+
+    def _older(self, phase: Phase, than: float) -> list[CallerConnection]:
+        """Return the connections that entered a phase before a loop time."""
+        older = []
+        for connection in self._phases[phase]:
+            if connection.since >= than:
+                break
+            older.append(connection)
+        return older
+
+    def _drop(self, connection: CallerConnection, reason: str) -> None:
+        self.count_refusal(reason)
+        connection.drop()
+
+
+def _internal_error() -> web.Response:
+    response = json_response(500, b'{"error":"not known whether it took effect"}')
+    response.force_close()
+    return response
+
+
+_CLOSE_CHECK_INTERVAL_S = 0.01
+"""Interval between checks for unsent responses while a server closes, in seconds."""
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -13,9 +13,9 @@
 
 from linkspan.errors import SettingsError, format_error
 from linkspan.events import Event, EventLog
+from linkspan.host.callers.listener import Listener
 from linkspan.host.client_sockets import open_call_socket
 from linkspan.host.host import Adapter, Host
-from linkspan.host.listener import Listener
 from linkspan.metrics import HostMetrics
 from linkspan.platform._transmission import RecordingConnector
 from linkspan.platform.advice import AdviceClient
@@ -28,8 +28,10 @@
 from linkspan.platform.store import EXECUTOR_RECORDS, StoreClient
 
 if TYPE_CHECKING:
+    from collections import Counter
     from pathlib import Path
 
+    from linkspan.host.callers.request import Request
     from linkspan.model.settings import HostSettings
 
 MAX_CONNECTIONS_PER_PEER = 12
@@ -104,7 +106,9 @@
             loaded_s=self._loaded_s,
         )
         self._host = host
-        callers = Listener(host.front.handle, on_drop=self._log_dropped_caller)
+        callers = Listener(
+            host.front.handle, on_refusals=self._log_refusals, on_error=self._log_failed_request
+        )
         listeners = [
             await callers.open(settings.callers),
             await Listener(self._answer_readiness).open(settings.readiness),
@@ -141,7 +145,7 @@
             self._log.write(Event.METRICS_UNSERVED, port=METRICS_PORT, error=str(error))
             return []
 
-    async def _answer_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _answer_readiness(self, request: Request) -> web.Response:
         if request.path == METRICS_PATH:
             body, headers = self._metrics.page(request.headers.get("Accept", ""))
             return web.Response(body=body, headers=headers)
@@ -149,8 +153,12 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._host.ready else 503)
 
-    def _log_dropped_caller(self, reason: str) -> None:
-        self._log.write(Event.CALLER_DROPPED, reason=reason)
+    def _log_refusals(self, counts: Counter[str]) -> None:
+        for reason, count in counts.items():
+            self._log.write(Event.CALLER_DROPPED, reason=reason, count=count)
+
+    def _log_failed_request(self, error: Exception) -> None:
+        self._log.write(Event.CALLER_REQUEST_FAILED, error=format_error(error))
 
     def _reload(self) -> None:
         """Validate the settings again and log whether they changed; changes need a restart."""
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -7,8 +7,6 @@
 import re
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
 from linkspan.clock import steady
 from linkspan.errors import ProducerFenced, StoreRefused
 from linkspan.events import Event
@@ -19,8 +17,11 @@
 from linkspan.jobs.records import Cancelled
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from linkspan.host._caller_context import CallerContext
     from linkspan.host._submissions import Submissions
+    from linkspan.host.callers.request import Request
     from linkspan.model.configuration import Queue
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
@@ -70,7 +71,7 @@
         limit = steady() - MAX_BODY_DRAIN_S
         return self._in_flight - sum(started_at < limit for started_at in self._body_reads)
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: Request) -> web.Response:
         """Handle a request."""
         self._in_flight += 1
         try:
@@ -86,7 +87,7 @@
         """Answer waiting requests before a steady time and close connections after responses."""
         self._waits.drain(until)
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    async def _respond(self, request: Request) -> web.Response:
         configuration = self._configuration.current
         if configuration is None:
             return unavailable("no configuration yet")
@@ -110,7 +111,7 @@
             return await self.cancel(job_id, deadline)
         return json_response(405, b'{"error":"use GET, POST or DELETE"}')
 
-    async def _read_body(self, request: web.BaseRequest, deadline: float) -> bytes | None:
+    async def _read_body(self, request: Request, deadline: float) -> bytes | None:
         """Return the body of a request, ``None`` if it is incomplete at a steady time.
 
         The connection may go silent for good in the middle of the body.
@@ -130,7 +131,7 @@
         response.force_close()
         return response
 
-    def _deadline(self, request: web.BaseRequest, queue: Queue) -> float:
+    def _deadline(self, request: Request, queue: Queue) -> float:
         """Return the steady time by which to answer a request."""
         timeout_ms = request.headers.get(self._form.timeout_header, "")
         return self._waits.deadline(
@@ -209,7 +210,7 @@
     return max(min(share_s, MAX_READ_WAIT_S), MIN_WAIT_S)
 
 
-def _host_name(request: web.BaseRequest) -> str:
+def _host_name(request: Request) -> str:
     """Return the ``Host`` header without the port."""
     name, _, port = (request.headers.get("Host") or "").rpartition(":")
     return name if name and port.isdecimal() else f"{name}:{port}" if name else port
--- a/src/linkspan/model/configuration.py
+++ b/src/linkspan/model/configuration.py
@@ -95,6 +95,19 @@
     spare: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits on each request of a caller.
+
+    Attributes:
+        max_head_bytes: Maximum size of the request line and the header fields.
+        max_body_bytes: Maximum size of a request body.
+    """
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+
 @dataclass(frozen=True)
 class Configuration:
     """One complete version of the configuration.
@@ -103,13 +116,13 @@
         version: Version number; every change increases it.
         queues: Queues by name.
         services: Services by name.
-        max_body_bytes: Maximum size of a request body.
+        limits: Limits on each request.
     """
 
     version: int
     queues: dict[str, Queue] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
-    max_body_bytes: int = 262_144
+    limits: RequestLimits = RequestLimits()
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, or ``None``."""
--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -19,7 +19,7 @@
 )
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
-from linkspan.model.configuration import AdviceRule, Configuration, Queue, Service
+from linkspan.model.configuration import AdviceRule, Configuration, Queue, RequestLimits, Service
 from linkspan.platform.store import CONFIG_KEY, CONFIG_RECORDS, EVACUATION_KEY_PREFIX
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
@@ -48,17 +48,29 @@
         fields = parse_object(orjson.loads(value))
         queues = [_parse_queue(parse_object(row)) for row in parse_list(fields.get("routes"))]
         services = [_parse_service(parse_object(row)) for row in parse_list(fields.get("services"))]
-        limits = parse_object(fields.get("limits"))
         return Configuration(
             version=parse_int(fields["version"]),
             queues={queue.name: queue for queue in queues},
             services={service.name: service for service in services},
-            max_body_bytes=parse_int(limits.get("maxBodyBytes") or 262_144),
+            limits=_parse_limits(parse_object(fields.get("limits"))),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RecordError(f"configuration: {error!r}; publish a valid one") from error
 
 
+_LIMIT_FIELDS = {
+    # field: name in the record
+    "max_head_bytes": "maxHeaderBytes",
+    "max_body_bytes": "maxBodyBytes",
+}
+
+
+def _parse_limits(fields: dict[str, Any]) -> RequestLimits:
+    """Return the limits of a configuration; one that is missing or 0 has its default."""
+    present = {field: name for field, name in _LIMIT_FIELDS.items() if fields.get(name)}
+    return RequestLimits(**{field: parse_int(fields[name]) for field, name in present.items()})
+
+
 def _parse_queue(row: dict[str, Any]) -> Queue:
     advice = parse_object(row.get("advice"))
     return Queue(
--- a/tests/host/test_planned_stop.py
+++ b/tests/host/test_planned_stop.py
@@ -15,8 +15,8 @@
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
+from linkspan.host.callers.listener import Listener
 from linkspan.host.host import DRAIN_CHECK_INTERVAL_S
-from linkspan.host.listener import Listener
 from linkspan.jobs.job_registry import JOBS
 from tests.hall_world import HallWorld
 from tests.job_builders import QUEUE, step
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -14,8 +14,8 @@
 import pytest_asyncio
 from aiohttp import web
 
-from linkspan.host import connections
-from linkspan.host.listener import Listener
+from linkspan.host.callers import server
+from linkspan.host.callers.listener import Listener
 from tests.hall_world import HallWorld
 from tests.job_builders import QUEUE
 from tests.virtual_time import run_virtual
@@ -88,9 +88,9 @@
 async def address(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[str]:
     """Return the address of a listener whose large answers exceed the buffers of a connection."""
     for name in ("MAX_REQUEST_HEAD_S", "MAX_UNREAD_S"):
-        monkeypatch.setattr(connections, name, LIMIT_S)
-    monkeypatch.setattr(connections, "SWEEP_INTERVAL_S", 0.05)
-    monkeypatch.setattr(connections, "MAX_IDLE_CONNECTIONS", 3)
+        monkeypatch.setattr(server, name, LIMIT_S)
+    monkeypatch.setattr(server, "SWEEP_INTERVAL_S", 0.05)
+    monkeypatch.setattr(server, "MAX_IDLE_CONNECTIONS", 3)
 
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
@@ -148,7 +148,7 @@
 async def test_a_caller_that_reads_slowly_is_not_cut_off(
     address: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(connections, "MAX_UNREAD_S", 1.0)
+    monkeypatch.setattr(server, "MAX_UNREAD_S", 1.0)
     reader, writer = await _connect(address, HEAD.replace(b"/ ", b"/large ") + b"\r\n")
     head = await reader.readuntil(b"\r\n\r\n")
     assert b"200" in head
--- a/tests/host/test_stop_during_request_bodies.py
+++ b/tests/host/test_stop_during_request_bodies.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from linkspan.host.listener import Listener
+from linkspan.host.callers.listener import Listener
 
 HEAD = b"POST / HTTP/1.1\r\nHost: host.example\r\nContent-Length: 8\r\n\r\n"
 BODY = b"12345678"
