Give all callers' bodies one budget of memory

What callers saw: 300 bodies of 262,144 bytes, each one byte short, brought a host to 123 to 193 MB; at the users' sizes 1,000 of them to 450 MB.

Cause: each connection may hold a whole body, and nothing bounded all of them together; the settings' memory was read and not used.

Change: a quarter of the memory over 48 MB is for bodies (CallerCapacity). A declared length is reserved at the head, before the body; chunks as they come; small bodies have a quarter that large ones can't take; a body that is alone is always admitted. Without room, the bodies that have arrived slowly for longest are refused, and only then the new one, with 503 and Retry-After. The reservation lasts until the response. maxFds of the settings is read.

--- a/src/linkspan/host/callers/connection.py
+++ b/src/linkspan/host/callers/connection.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from linkspan.errors import BodyRefused, MalformedRequest
 from linkspan.host.callers.body import Body, ChunkedBody, SizedBody
 from linkspan.host.callers.head import HEAD_END, parse_head
+from linkspan.host.callers.paged_bytes import PAGE_BYTES
 from linkspan.host.callers.phase import Phase
 from linkspan.host.callers.request import Request
 from linkspan.host.callers.response import CONTINUE, announces_close, encode
@@ -23,10 +25,19 @@
 MAX_CHUNKS_A_TURN = 1_024
 """Limits the small chunks that are read in one turn of the event loop."""
 
+MAX_PAUSE_S = 0.5
+"""Longest pause of a body that is not slow, in seconds."""
+
+MIN_BYTES_PER_S = 64 * 1024
+"""Lowest rate of a body that is not slow: half a megabit per second."""
+
 MAX_DISCARDED_BYTES = 512 * 1024
 """Limits what is read and discarded after the last response: a caller that sends a body of twice
 the usual limit still reads the refusal."""
 
+NO_MEMORY = "no memory for more bodies at present"
+"""Reason for which a body is refused that is within the limits of a request."""
+
 _BLANK = b"\r\n"
 _HEAD_END_OVERLAP = 3
 """Bytes before the newest ones with which the end of a head may begin."""
@@ -53,6 +64,7 @@
         self._body: Body | None = None
         self._body_done: asyncio.Future[None] | None = None
         self._body_refusal: BodyRefused | None = None
+        self._reserved_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._discarded = 0
         self._last_request = False
@@ -90,6 +102,8 @@
         self._refuse_body(BodyRefused(400, "connection lost"))
         self._pending = b""
         self._server.remove(self)
+        if self._task is None:
+            self._release()
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
@@ -159,6 +173,14 @@
         if self.phase in (Phase.HEAD, Phase.BODY):
             self._advance()
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether the body that is arriving is slow, at a loop time."""
+        took_s = now - self.since
+        if now - self.progress_at > MAX_PAUSE_S:
+            return True
+        received = len(self._body.content) if self._body else 0
+        return took_s > MAX_PAUSE_S and received < took_s * MIN_BYTES_PER_S
+
     def note_unsent(self, now: float) -> None:
         """Note whether the caller has read some of a response since the last call."""
         unsent = self.unsent_bytes()
@@ -208,6 +230,9 @@
         if length is not None and length > limits.max_body_bytes:
             self.refuse(413, "body exceeds its limit")
             return
+        if length and not self._reserve(length):
+            self.refuse(503, NO_MEMORY)
+            return
         self._head = head
         self._body_refusal = None
         if length is None:
@@ -232,6 +257,9 @@
         if end:
             self.progress_at = self._loop.time()
             self._pending = pending[end:]
+        if not self._reserve(len(self._body.content)):
+            self._refuse_body(BodyRefused(503, NO_MEMORY))
+            return
         if self._body.complete:
             self._enter(Phase.BUSY)
             self._wake_handler()
@@ -259,9 +287,27 @@
         """Let the handler's wait for the body fail."""
         if self._body is not None and not self._body.complete:
             self._body.content.take()
+            self._release()
             self._body_refusal = error
             self._wake_handler()
 
+    def _reserve(self, size: int) -> bool:
+        """Reserve memory for a body of a size, or for its part that has arrived."""
+        missing = size - self._reserved_bytes
+        if missing <= 0:
+            return True
+        # Whole pages, so that a body in small chunks asks seldom.
+        missing = math.ceil(missing / PAGE_BYTES) * PAGE_BYTES if self._reserved_bytes else missing
+        if not self._server.reserve(missing, self._reserved_bytes):
+            return False
+        self._reserved_bytes += missing
+        return True
+
+    def _release(self) -> None:
+        """Return the memory that is reserved for the body."""
+        self._server.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _wake_handler(self) -> None:
         if self._body_done is not None and not self._body_done.done():
             self._body_done.set_result(None)
@@ -294,6 +340,7 @@
         unread = self._body is not None and not self._body.complete
         last = unread or self._last_request or not head.keep_alive or announces_close(response)
         self._task = self._body = self._head = self._body_done = None
+        self._release()
         self._write(encode(response, close=last, with_body=head.method != "HEAD"))
         if last and (unread or self._pending):
             self._close_gently()
--- a/src/linkspan/host/callers/listener.py
+++ b/src/linkspan/host/callers/listener.py
@@ -7,7 +7,7 @@
 import socket
 from typing import TYPE_CHECKING, Any, Self
 
-from linkspan.host.callers.limits import RECEIVE_BUFFER_BYTES
+from linkspan.host.callers.limits import RECEIVE_BUFFER_BYTES, CallerCapacity
 from linkspan.host.callers.server import CallerServer
 from linkspan.model.configuration import RequestLimits
 
@@ -38,6 +38,7 @@
     Args:
         handler: Handles a request.
         limits: Returns the limits on each request that are in force.
+        capacity: Limits on what all callers together make the process hold.
         on_refusals: Called about once a second with the number of requests refused before their
             handler and of connections dropped, by reason, if there were any.
         on_error: Called with an exception of the handler.
@@ -48,11 +49,16 @@
         handler: Handler,
         *,
         limits: Callable[[], RequestLimits] = RequestLimits,
+        capacity: CallerCapacity | None = None,
         on_refusals: Callable[[Counter[str]], None] = lambda _counts: None,
         on_error: Callable[[Exception], None] = lambda _error: None,
     ) -> None:
         self._connections = CallerServer(
-            handler, limits=limits, on_refusals=on_refusals, on_error=on_error
+            handler,
+            limits=limits,
+            capacity=capacity or CallerCapacity(),
+            on_refusals=on_refusals,
+            on_error=on_error,
         )
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -10,6 +10,7 @@
 
 from linkspan.errors import BodyRefused
 from linkspan.host._responses import json_response, unavailable
+from linkspan.host.callers.body_budget import BodyBudget
 from linkspan.host.callers.connection import CallerConnection
 from linkspan.host.callers.limits import READ_BYTES
 from linkspan.host.callers.phase import Phase
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from linkspan.host.callers.limits import CallerCapacity
     from linkspan.host.callers.request import Request
     from linkspan.model.configuration import RequestLimits
 
@@ -47,6 +49,7 @@
     Args:
         handler: Handles a request.
         limits: Returns the limits on each request that are in force.
+        capacity: Limits on what all callers together make the process hold.
         on_refusals: Called about once a second with the number of requests refused before their
             handler and of connections dropped, by reason, if there were any.
         on_error: Called with an exception of the handler.
@@ -57,11 +60,13 @@
         handler: Handler,
         *,
         limits: Callable[[], RequestLimits],
+        capacity: CallerCapacity,
         on_refusals: Callable[[Counter[str]], None],
         on_error: Callable[[Exception], None],
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._budget = BodyBudget(capacity.max_body_bytes)
         self._on_refusals = on_refusals
         self._on_error = on_error
         self._phases: dict[Phase, dict[CallerConnection, None]] = {phase: {} for phase in Phase}
@@ -111,6 +116,27 @@
         if len(self._deferred) == 1:
             asyncio.get_running_loop().call_soon(self._advance_deferred)
 
+    def reserve(self, size: int, more_than: int) -> bool:
+        """Reserve memory for a body, if need be by refusing slow ones; return whether it is there.
+
+        Args:
+            size: Size to reserve, in bytes.
+            more_than: Bytes that are reserved for the same body already.
+        """
+        if self._budget.reserve(size, more_than):
+            return True
+        now = asyncio.get_running_loop().time()
+        for connection in list(self._phases[Phase.BODY]):
+            if connection.is_slow(now):
+                connection.refuse(503, "body arrived slowly while memory was short")
+                if self._budget.reserve(size, more_than):
+                    return True
+        return False
+
+    def release(self, size: int) -> None:
+        """Return reserved memory."""
+        self._budget.release(size)
+
     async def answer(self, request: Request) -> web.Response:
         """Return the response to a request.
 
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -13,6 +13,7 @@
 
 from linkspan.errors import SettingsError, format_error
 from linkspan.events import Event, EventLog
+from linkspan.host.callers.limits import CallerCapacity
 from linkspan.host.callers.listener import Listener
 from linkspan.host.client_sockets import open_call_socket
 from linkspan.host.host import Adapter, Host
@@ -107,7 +108,10 @@
         )
         self._host = host
         callers = Listener(
-            host.front.handle, on_refusals=self._log_refusals, on_error=self._log_failed_request
+            host.front.handle,
+            capacity=CallerCapacity.of_machine(settings.memory_mb, settings.max_fds),
+            on_refusals=self._log_refusals,
+            on_error=self._log_failed_request,
         )
         listeners = [
             await callers.open(settings.callers),
--- a/src/linkspan/model/settings.py
+++ b/src/linkspan/model/settings.py
@@ -69,6 +69,7 @@
         bounds: Time limits and factors that the deployment specifies.
         executor_heartbeat_s: Interval at which executors register themselves.
         memory_mb: Memory limit of the process.
+        max_fds: Limit of the process's open file descriptors.
         peer_ports: First and last port reserved for connections between hosts.
         ip: The host's IP address.
     """
@@ -84,6 +85,7 @@
     bounds: Bounds = Bounds()
     executor_heartbeat_s: float = 1.5
     memory_mb: int = 300
+    max_fds: int = 4100
     peer_ports: tuple[int, int] = (0, 0)
     ip: str = "127.0.0.1"
 
--- a/src/linkspan/platform/settings.py
+++ b/src/linkspan/platform/settings.py
@@ -64,6 +64,7 @@
 def _parse_settings(fields: dict[str, Any]) -> HostSettings:
     addresses = parse_object(fields["bindAddresses"])
     store = parse_object(fields["platform"])
+    limits = parse_object(fields.get("limits"))
     if fields.get("commands", "invoke") != "invoke":
         raise SettingsError("commands: only 'invoke' is supported; set it to that")
     hall = parse_text(fields["zone"])
@@ -85,7 +86,8 @@
         machines=parse_text(parse_object(fields.get("cloudApi")).get("address") or ""),
         bounds=_parse_bounds(parse_object(fields.get("bounds"))),
         executor_heartbeat_s=parse_number(fields.get("heartbeatMs") or 1500) / 1000,
-        memory_mb=parse_int(parse_object(fields.get("limits")).get("memoryMb") or 300, minimum=1),
+        memory_mb=parse_int(limits.get("memoryMb") or 300, minimum=1),
+        max_fds=parse_int(limits.get("maxFds") or 4100, minimum=1),
         peer_ports=_parse_ports(fields.get("internalPortRange")),
         ip=parse_text(fields["ip"]),
     )
