Bound the times of callers by the operator's limits

What callers saw: a head that did not arrive was waited for 10 s in place of the 3 s of headerTimeoutMs; a connection that asked for nothing stayed open for ever as long as there were few, not for idleTimeoutMs; a body one byte short was held as long as its caller said, an hour if need be.

Cause: both limits of the configuration were not read, and a body had no bound but its caller's Linkspan-Timeout-Ms.

Change: RequestLimits has both. A head gets 408 after headerTimeoutMs, a body that pauses for as long or arrives at less than 1 KB/s gets 503 with Retry-After, and an idle connection is closed after idleTimeoutMs. Bytes that wait for their turn here don't count as a pause.

--- a/src/linkspan/host/callers/connection.py
+++ b/src/linkspan/host/callers/connection.py
@@ -31,6 +31,9 @@
 MIN_BYTES_PER_S = 64 * 1024
 """Lowest rate of a body that is not slow: half a megabit per second."""
 
+STALLED_BYTES_PER_S = 1024
+"""Rate below which a body is not waited for, in bytes per second."""
+
 MAX_DISCARDED_BYTES = 512 * 1024
 """Limits what is read and discarded after the last response: a caller that sends a body of twice
 the usual limit still reads the refusal."""
@@ -68,6 +71,7 @@
         self._task: asyncio.Task[None] | None = None
         self._discarded = 0
         self._last_request = False
+        self._deferred = False
         self._unsent = 0
         self.phase = Phase.IDLE
         self.since = self._loop.time()
@@ -170,16 +174,33 @@
 
     def advance_deferred(self) -> None:
         """Go on with bytes whose turn was over."""
+        self._deferred = False
         if self.phase in (Phase.HEAD, Phase.BODY):
             self._advance()
 
     def is_slow(self, now: float) -> bool:
         """Return whether the body that is arriving is slow, at a loop time."""
-        took_s = now - self.since
-        if now - self.progress_at > MAX_PAUSE_S:
+        return self._falls_behind(now, MAX_PAUSE_S, MIN_BYTES_PER_S)
+
+    def stalls(self, now: float, max_pause_s: float) -> bool:
+        """Return whether the body that is arriving is not expected to arrive whole.
+
+        Args:
+            now: Loop time.
+            max_pause_s: Longest pause of a body, in seconds.
+        """
+        return self._falls_behind(now, max_pause_s, STALLED_BYTES_PER_S)
+
+    def _falls_behind(self, now: float, max_pause_s: float, min_bytes_per_s: float) -> bool:
+        """Return whether the body that is arriving pauses, or arrives at less than a rate."""
+        if self._deferred:
+            # It has arrived, and waits for its turn to be read.
+            return False
+        if now - self.progress_at > max_pause_s:
             return True
         received = len(self._body.content) if self._body else 0
-        return took_s > MAX_PAUSE_S and received < took_s * MIN_BYTES_PER_S
+        took_s = now - self.since
+        return took_s > max_pause_s and received < took_s * min_bytes_per_s
 
     def note_unsent(self, now: float) -> None:
         """Note whether the caller has read some of a response since the last call."""
@@ -265,8 +286,7 @@
             self._wake_handler()
         elif end and self._pending:
             # More of it can be read, but not in this turn.
-            self._pause_reading()
-            self._server.defer(self)
+            self._defer()
         else:
             self._resume_reading()
 
@@ -317,6 +337,13 @@
         if self._discarded > MAX_DISCARDED_BYTES:
             self.drop()
 
+    def _defer(self) -> None:
+        """Go on with the bytes that have arrived in a later turn, and read no more until then."""
+        self._pause_reading()
+        if not self._deferred:
+            self._deferred = True
+            self._server.defer(self)
+
     def _pause_reading(self) -> None:
         if self._transport is not None and self._transport.is_reading():
             self._transport.pause_reading()
@@ -359,7 +386,7 @@
         if self._pending:
             # What has arrived is used up before more is read.
             self._enter(Phase.HEAD)
-            self._server.defer(self)
+            self._defer()
             return
         self._enter(Phase.IDLE)
         self._resume_reading()
--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -24,11 +24,6 @@
 
     Handler = Callable[[Request], Awaitable[web.Response]]
 
-MAX_REQUEST_HEAD_S = 10.0
-"""Limits the time from the first byte of a request to the end of its headers, in seconds.
-Callers time out after three seconds in total; the body is limited by the deadline of the
-request."""
-
 MAX_UNREAD_S = 10.0
 """Limits the time for which a caller may read nothing of a response, in seconds."""
 
@@ -213,8 +208,14 @@
         self._sweeping = loop.call_later(SWEEP_INTERVAL_S, self._sweep) if again else None
 
     def _drop_silent(self, now: float) -> None:
-        for connection in self._older(Phase.HEAD, now - MAX_REQUEST_HEAD_S):
-            connection.refuse(408, "incomplete request")
+        limits = self.limits
+        for connection in self._older(Phase.HEAD, now - limits.head_timeout_s):
+            connection.refuse(408, "head did not arrive in time")
+        for connection in list(self._phases[Phase.BODY]):
+            if connection.stalls(now, limits.head_timeout_s):
+                connection.refuse(503, "body did not arrive whole")
+        for connection in self._older(Phase.IDLE, now - limits.idle_timeout_s):
+            connection.close()
         for connection in self._older(Phase.CLOSING, now - MAX_CLOSING_S):
             connection.drop()
         for connection in list(self._phases[Phase.WRITING]):
--- a/src/linkspan/model/configuration.py
+++ b/src/linkspan/model/configuration.py
@@ -102,10 +102,15 @@
     Attributes:
         max_head_bytes: Maximum size of the request line and the header fields.
         max_body_bytes: Maximum size of a request body.
+        head_timeout_s: Time from the first byte of a request to the end of its head, and longest
+            pause in its body.
+        idle_timeout_s: Time after which a connection between two requests is closed.
     """
 
     max_head_bytes: int = 16_384
     max_body_bytes: int = 262_144
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @dataclass(frozen=True)
--- a/src/linkspan/platform/records.py
+++ b/src/linkspan/platform/records.py
@@ -58,17 +58,17 @@
         raise RecordError(f"configuration: {error!r}; publish a valid one") from error
 
 
-_LIMIT_FIELDS = {
-    # field: name in the record
-    "max_head_bytes": "maxHeaderBytes",
-    "max_body_bytes": "maxBodyBytes",
-}
-
-
 def _parse_limits(fields: dict[str, Any]) -> RequestLimits:
     """Return the limits of a configuration; one that is missing or 0 has its default."""
-    present = {field: name for field, name in _LIMIT_FIELDS.items() if fields.get(name)}
-    return RequestLimits(**{field: parse_int(fields[name]) for field, name in present.items()})
+    default = RequestLimits()
+    head_timeout_ms = parse_number(fields.get("headerTimeoutMs") or 1000 * default.head_timeout_s)
+    idle_timeout_ms = parse_number(fields.get("idleTimeoutMs") or 1000 * default.idle_timeout_s)
+    return RequestLimits(
+        max_head_bytes=parse_int(fields.get("maxHeaderBytes") or default.max_head_bytes),
+        max_body_bytes=parse_int(fields.get("maxBodyBytes") or default.max_body_bytes),
+        head_timeout_s=head_timeout_ms / 1000,
+        idle_timeout_s=idle_timeout_ms / 1000,
+    )
 
 
 def _parse_queue(row: dict[str, Any]) -> Queue:
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -16,6 +16,8 @@
 
 from linkspan.host.callers import server
 from linkspan.host.callers.listener import Listener
+from linkspan.host.callers.request import Request
+from linkspan.model.configuration import RequestLimits
 from tests.hall_world import HallWorld
 from tests.job_builders import QUEUE
 from tests.virtual_time import run_virtual
@@ -87,15 +89,15 @@
 @pytest_asyncio.fixture
 async def address(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[str]:
     """Return the address of a listener whose large answers exceed the buffers of a connection."""
-    for name in ("MAX_REQUEST_HEAD_S", "MAX_UNREAD_S"):
-        monkeypatch.setattr(server, name, LIMIT_S)
+    monkeypatch.setattr(server, "MAX_UNREAD_S", LIMIT_S)
     monkeypatch.setattr(server, "SWEEP_INTERVAL_S", 0.05)
     monkeypatch.setattr(server, "MAX_IDLE_CONNECTIONS", 3)
 
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
 
-    listener = await Listener(answer).open("127.0.0.1:0")
+    limits = RequestLimits(head_timeout_s=LIMIT_S)
+    listener = await Listener(answer, limits=lambda: limits).open("127.0.0.1:0")
     try:
         port = listener.addresses[0][1]
         yield f"127.0.0.1:{port}"
@@ -218,3 +220,38 @@
     assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 30_000
     writer.close()
     await listener.close()
+
+
+async def test_a_connection_that_asks_for_nothing_is_closed_in_time() -> None:
+    """Guards against connections that are kept for ever, as long as they are few."""
+    limits = RequestLimits(idle_timeout_s=LIMIT_S)
+    listener = await Listener(_answer_whole, limits=lambda: limits).open(LOOPBACK)
+    reader, writer = await _connect(_address(listener), WHOLE_REQUEST)
+    assert b"200" in await reader.readline()
+    assert await _closed_after(reader) >= 0.5 * LIMIT_S
+    writer.close()
+    await listener.close()
+
+
+async def test_a_body_that_pauses_is_refused_however_long_its_caller_would_wait() -> None:
+    """Guards against bodies that are held for an hour, one byte short of their end."""
+    limits = RequestLimits(head_timeout_s=LIMIT_S)
+    listener = await Listener(_answer_whole, limits=lambda: limits).open(LOOPBACK)
+    head = HEAD.replace(b"GET", b"POST") + b"Content-Length: 9\r\n\r\n"
+    reader, writer = await _connect(_address(listener), head + b"12345678")
+    response = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+    assert b" 503 " in response and b"Retry-After" in response
+    writer.close()
+    await listener.close()
+
+
+async def _answer_whole(request: Request) -> web.Response:
+    await request.read()
+    return web.Response()
+
+
+def _address(listener: Listener) -> str:
+    return f"127.0.0.1:{listener.addresses[0][1]}"
+
+
+LOOPBACK = "127.0.0.1:0"
