--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -30,10 +30,6 @@
 MAX_CLOSING_S = 1.0
 """Time for a caller to read the last response and close the connection, in seconds."""
 
-MAX_IDLE_CONNECTIONS = 512
-"""Limits idle connections; beyond it, those idle for longest are closed. It is half of the usual
-limit of file descriptors of a process (1,024), which calls to executors share."""
-
 SWEEP_INTERVAL_S = 1.0
 """Interval between checks of all connections, in seconds."""
 
@@ -61,6 +57,8 @@
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._max_connections = capacity.max_connections
+        self._count = 0
         self._budget = BodyBudget(capacity.max_body_bytes)
         self._on_refusals = on_refusals
         self._on_error = on_error
@@ -90,21 +88,40 @@
     # Calls of connections.
 
     def add(self, connection: CallerConnection) -> None:
-        """Note a new connection."""
+        """Note a new connection; where there are too many, drop the least useful one."""
         self._phases[connection.phase][connection] = None
+        self._count += 1
+        if self._count > self._max_connections:
+            self._drop(self._least_useful(connection), "too many connections")
         if self._sweeping is None:
             loop = asyncio.get_running_loop()
             self._sweeping = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def remove(self, connection: CallerConnection) -> None:
         """Forget a connection."""
-        self._phases[connection.phase].pop(connection, None)
+        if self._phases[connection.phase].pop(connection, connection) is None:
+            self._count -= 1
 
     def move(self, connection: CallerConnection, phase: Phase) -> None:
         """Note that a connection enters a phase, as the newest one in it."""
+        # A dropped connection is in no phase any more.
         if self._phases[connection.phase].pop(connection, connection) is None:
             self._phases[phase][connection] = None
 
+    def _least_useful(self, newest: CallerConnection) -> CallerConnection:
+        """Return the connection to drop where there are too many.
+
+        Those that have been answered or ask for nothing go first, then those whose request has
+        been arriving for longest, and only then the newest one.
+        """
+        for phase in (Phase.CLOSING, Phase.IDLE, Phase.HEAD):
+            oldest = next(iter(self._phases[phase]), newest)
+            if oldest is not newest:
+                return oldest
+        now = asyncio.get_running_loop().time()
+        oldest = next(iter(self._phases[Phase.BODY]), newest)
+        return oldest if oldest is not newest and oldest.is_slow(now) else newest
+
     def defer(self, connection: CallerConnection) -> None:
         """Let a connection go on in a later turn of the event loop, one connection a turn."""
         self._deferred.append(connection)
@@ -198,9 +215,6 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         self._drop_silent(now)
-        idle = self._phases[Phase.IDLE]
-        for connection in list(idle)[: max(0, len(idle) - MAX_IDLE_CONNECTIONS)]:
-            self._drop(connection, "too many idle connections")
         if self._refusals:
             self._on_refusals(self._refusals)
             self._refusals = Counter()
@@ -234,6 +248,8 @@
 
     def _drop(self, connection: CallerConnection, reason: str) -> None:
         self.count_refusal(reason)
+        # The loop reports the connection as lost in a later turn; it counts no more from now on.
+        self.remove(connection)
         connection.drop()
 
 
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from linkspan.host.callers import server
+from linkspan.host.callers.limits import CallerCapacity
 from linkspan.host.callers.listener import Listener
 from linkspan.host.callers.request import Request
 from linkspan.model.configuration import RequestLimits
@@ -91,13 +92,13 @@
     """Return the address of a listener whose large answers exceed the buffers of a connection."""
     monkeypatch.setattr(server, "MAX_UNREAD_S", LIMIT_S)
     monkeypatch.setattr(server, "SWEEP_INTERVAL_S", 0.05)
-    monkeypatch.setattr(server, "MAX_IDLE_CONNECTIONS", 3)
 
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
 
     limits = RequestLimits(head_timeout_s=LIMIT_S)
-    listener = await Listener(answer, limits=lambda: limits).open("127.0.0.1:0")
+    capacity = CallerCapacity(max_connections=3)
+    listener = await Listener(answer, limits=lambda: limits, capacity=capacity).open("127.0.0.1:0")
     try:
         port = listener.addresses[0][1]
         yield f"127.0.0.1:{port}"
