Apply the operator's limits on requests while they change

What callers saw: a body over maxBodyBytes and a head over maxHeaderBytes of the configuration were accepted up to the library's limits.

Cause: the configuration's limits were read and no host used them.

Change: each request is read under the limits of the configuration in force when it begins; before the first one under the defaults.

--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -109,6 +109,7 @@
         self._host = host
         callers = Listener(
             host.front.handle,
+            limits=lambda: host.configuration.limits,
             capacity=CallerCapacity.of_machine(settings.memory_mb, settings.max_fds),
             on_refusals=self._log_refusals,
             on_error=self._log_failed_request,
--- a/src/linkspan/shard/operator/configuration.py
+++ b/src/linkspan/shard/operator/configuration.py
@@ -6,6 +6,7 @@
 
 from linkspan.errors import RecordError
 from linkspan.events import Event
+from linkspan.model.configuration import RequestLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -15,6 +16,9 @@
     from linkspan.store.types import Entry
 
 
+_DEFAULT_LIMITS = RequestLimits()
+
+
 class ConfigurationWatch:
     """Source of the newest configuration that the operator has published.
 
@@ -39,6 +43,11 @@
         """The configuration in force, ``None`` before the first."""
         return self._current
 
+    @property
+    def limits(self) -> RequestLimits:
+        """The limits on each request in force, the default ones before the first configuration."""
+        return self._current.limits if self._current else _DEFAULT_LIMITS
+
     def subscribe(self, listener: Callable[[Configuration], None]) -> Callable[[], None]:
         """Call a listener with each new configuration; return a function that unsubscribes it."""
         self._listeners.append(listener)
