Bound the time that a request waits on its caller's word

What callers saw: a Linkspan-Timeout-Ms of 5,000 digits failed with 500; one of an hour held a request for an hour.

Cause: the number was read whatever its length, and was the only bound.

Change: nine digits without leading zeros are read, and a minute is the most.

Measured: three cases of a new test fail before (two ValueErrors, one wait of an hour) and pass with it.

--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -37,6 +37,11 @@
 MAX_READ_WAIT_S = 2.0
 """Limits that wait regardless of the caller's timeout, in seconds; a healthy store takes 20 ms."""
 
+MAX_TIMEOUT_S = 60.0
+"""Limits the time for which a request waits on its caller's word, in seconds."""
+
+MAX_TIMEOUT_DIGITS = 9
+
 MAX_COUNT_AGE_S = 3.0
 """Limits the age of the job records from which waiting jobs are counted, in seconds: an accepted
 job must be visible on every host within this time."""
@@ -133,10 +138,12 @@
 
     def _deadline(self, request: Request, queue: Queue) -> float:
         """Return the steady time by which to answer a request."""
-        timeout_ms = request.headers.get(self._form.timeout_header, "")
-        return self._waits.deadline(
-            int(timeout_ms) / 1000 if timeout_ms.isdecimal() else queue.timeout_s
-        )
+        text = request.headers.get(self._form.timeout_header, "")
+        if not text.isdecimal():
+            return self._waits.deadline(queue.timeout_s)
+        # Only so many digits are read: any longer number is over the limit anyway.
+        timeout_s = int(text.lstrip("0")[:MAX_TIMEOUT_DIGITS] or "0") / 1000
+        return self._waits.deadline(min(timeout_s, MAX_TIMEOUT_S))
 
     async def submit(self, queue: Queue, job_id: str, body: bytes, deadline: float) -> web.Response:
         """Store a job and answer once it is durable, or refuse it."""
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -59,6 +59,25 @@
     assert not answer.keep_alive
 
 
+@pytest.mark.parametrize("timeout_ms", ["9" * 5_000, "0" * 5_000 + "9" * 12, "3600000"])
+def test_a_caller_that_would_wait_for_ever_is_answered_within_a_minute(timeout_ms: str) -> None:
+    """Guards against a number that is too long to be read, and against waits of an hour."""
+
+    async def play() -> tuple[int, float]:
+        world = HallWorld()
+        await world.begin()
+        front = world.hosts["east-host-0"].host.front
+        request = HalfRequest(f"{QUEUE.prefix}00000000000000aa")
+        request.headers["Linkspan-Timeout-Ms"] = timeout_ms
+        began = asyncio.get_running_loop().time()
+        answer = await front.handle(cast(Any, request))
+        return answer.status, asyncio.get_running_loop().time() - began
+
+    status, took_s = run_virtual(play())
+    assert status == 503
+    assert took_s <= 60.0
+
+
 def test_a_half_sent_request_does_not_delay_a_drain() -> None:
     """A drain waits one second for a body that is being received, not until its own limit."""
 
