Refuse jobs of too many steps before their steps are read

What callers saw: while a body of 262,144 bytes with 87,000 empty steps was refused, the host answered nobody for 0.44 s, and longer on a small machine.

Cause: the number of tasks was checked after all steps had been turned into objects, 40 MB of them.

Change: as each step has a task at least, the number of steps is checked first.

Measured: 0.44 s before, 0.02 s after for that body; the new test fails before with another error.

--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -219,12 +219,21 @@
     for index, step in enumerate(spec.steps):
         _check_step(index, step)
     total = sum(step.count for step in spec.steps)
-    if total > MAX_TASKS:
-        raise InvalidInput("steps", f"{total} tasks", f"give {MAX_TASKS} at most")
+    check_task_count(total)
     if spec.schedule:
         _check_schedule(spec.schedule, total)
 
 
+def check_task_count(total: int) -> None:
+    """Check the number of a job's tasks.
+
+    Raises:
+        InvalidInput: There are too many.
+    """
+    if total > MAX_TASKS:
+        raise InvalidInput("steps", f"{total} tasks", f"give {MAX_TASKS} at most")
+
+
 def _check_schedule(schedule: Schedule, tasks: int) -> None:
     if not 1 <= schedule.count <= MAX_REPEATED_TASKS // tasks:
         problem = f"{schedule.count} times {tasks} tasks"
--- a/src/linkspan/platform/jobs.py
+++ b/src/linkspan/platform/jobs.py
@@ -9,7 +9,7 @@
 from linkspan._typed import parse_int, parse_list, parse_number, parse_object, parse_text
 from linkspan.errors import InvalidInput
 from linkspan.jobs.records import JobState
-from linkspan.jobs.spec import JobSpec, Schedule, StepSpec, check_job
+from linkspan.jobs.spec import JobSpec, Schedule, StepSpec, check_job, check_task_count
 from linkspan.platform.records import demand_from_wire
 
 TIMEOUT_HEADER = "Linkspan-Timeout-Ms"
@@ -24,11 +24,14 @@
     """
     try:
         fields = parse_object(orjson.loads(body))
+        rows = parse_list(fields["steps"])
+        # Each step has a task at least, so that too many are found before they are read.
+        check_task_count(len(rows))
         spec = JobSpec(
             job_id=job_id,
             queue=queue,
             payload=parse_text(fields.get("spec") or ""),
-            steps=tuple(_parse_step(parse_object(row)) for row in parse_list(fields["steps"])),
+            steps=tuple(_parse_step(parse_object(row)) for row in rows),
             schedule=_parse_schedule(fields),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 
 from linkspan.errors import InvalidInput
-from linkspan.jobs.spec import MAX_REPEATED_TASKS
+from linkspan.jobs.spec import MAX_REPEATED_TASKS, MAX_TASKS
 from linkspan.platform.jobs import job_from_wire
 from tests.fuzz import builders
 from tests.fuzz.builders import EXAMPLES, check, damaged_bytes
@@ -46,3 +46,10 @@
     assert job_from_wire("0a", "q", json.dumps(body).encode()).repetitions == most
     with pytest.raises(InvalidInput, match=str(MAX_REPEATED_TASKS)):
         job_from_wire("0a", "q", json.dumps({**body, "repeatCount": most + 1}).encode())
+
+
+def test_more_steps_than_a_job_may_have_tasks_are_refused_before_they_are_read() -> None:
+    """Guards against half a second of work on a body of legal size that is refused anyway."""
+    steps: list[object] = [{}] * MAX_TASKS + ["not a step"]
+    with pytest.raises(InvalidInput, match=f"{MAX_TASKS} at most"):
+        job_from_wire("0a", "q", json.dumps({"steps": steps}).encode())
