Count what callers are refused, and bound the listeners of the platform

What operators saw: one line (565) for each dropped connection, up to the rate limit, and no figure.

The listeners for readiness and scrapes have a fixed small capacity instead of one made for callers.

Measured: the test of the counter fails before (no such counter).

--- a/src/linkspan/host/callers/limits.py
+++ b/src/linkspan/host/callers/limits.py
@@ -72,3 +72,7 @@
             max_connections=max(MIN_CONNECTIONS, min(by_memory, by_fds)),
             max_body_bytes=int(BODY_SHARE * caller_bytes),
         )
+
+
+CONTROL_CAPACITY = CallerCapacity(max_connections=64, max_body_bytes=MB)
+"""Limits of a listener that only the platform and operators call."""
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -13,7 +13,7 @@
 
 from linkspan.errors import SettingsError, format_error
 from linkspan.events import Event, EventLog
-from linkspan.host.callers.limits import CallerCapacity
+from linkspan.host.callers.limits import CONTROL_CAPACITY, CallerCapacity
 from linkspan.host.callers.listener import Listener
 from linkspan.host.client_sockets import open_call_socket
 from linkspan.host.host import Adapter, Host
@@ -116,7 +116,7 @@
         )
         listeners = [
             await callers.open(settings.callers),
-            await Listener(self._answer_readiness).open(settings.readiness),
+            await self._control_listener().open(settings.readiness),
         ]
         listeners += await self._listen_for_scrapers()
         self._log.write(Event.LISTENING, callers=settings.callers, readiness=settings.readiness)
@@ -142,7 +142,7 @@
         await asyncio.gather(run, stop, return_exceptions=True)
 
     async def _listen_for_scrapers(self) -> list[Listener]:
-        listener = Listener(self._answer_readiness)
+        listener = self._control_listener()
         try:
             return [await listener.open(f"{self._settings.ip}:{METRICS_PORT}")]
         except OSError as error:
@@ -150,6 +150,15 @@
             self._log.write(Event.METRICS_UNSERVED, port=METRICS_PORT, error=str(error))
             return []
 
+    def _control_listener(self) -> Listener:
+        """Return a listener for readiness checks and scrapes."""
+        return Listener(
+            self._answer_readiness,
+            capacity=CONTROL_CAPACITY,
+            on_refusals=self._log_refusals,
+            on_error=self._log_failed_request,
+        )
+
     async def _answer_readiness(self, request: Request) -> web.Response:
         if request.path == METRICS_PATH:
             body, headers = self._metrics.page(request.headers.get("Accept", ""))
@@ -161,6 +170,7 @@
     def _log_refusals(self, counts: Counter[str]) -> None:
         for reason, count in counts.items():
             self._log.write(Event.CALLER_DROPPED, reason=reason, count=count)
+            self._metrics.count("callers_refused", by=count, reason=reason)
 
     def _log_failed_request(self, error: Exception) -> None:
         self._log.write(Event.CALLER_REQUEST_FAILED, error=format_error(error))
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -40,13 +40,13 @@
     def __repr__(self) -> str:
         return "HostMetrics()"
 
-    def count(self, name: str, **labels: str) -> None:
-        """Increment a counter."""
+    def count(self, name: str, *, by: int = 1, **labels: str) -> None:
+        """Increment a counter, by one if not said otherwise."""
         key = name, tuple(labels.items())
         if key not in self._counts:
             self._counters[_counter_name(name)].add(labels, 0)
             self._counts[key] = 0
-        self._counts[key] += 1
+        self._counts[key] += by
 
     def set_seconds(self, name: str, seconds: float, **labels: str) -> None:
         """Set a gauge to a duration in seconds."""
@@ -83,6 +83,7 @@
 _COUNTERS = {
     "linkspan_calls_total": "Callers' requests by kind and status",
     "linkspan_refusals_total": "Jobs refused, by queue and cause",
+    "linkspan_callers_refused_total": "Requests refused unhandled, connections closed, by reason",
     "linkspan_store_calls_total": "Calls to the store by call and outcome",
     "linkspan_executor_calls_total": "Calls to executors by call and outcome",
     "linkspan_starts_total": "Runs started, by outcome",
--- a/tests/host/test_metrics.py
+++ b/tests/host/test_metrics.py
@@ -46,3 +46,11 @@
         metrics.count("nothing")
     with pytest.raises(KeyError):
         metrics.observe("nothing", 1.0)
+
+
+def test_a_counter_grows_by_more_than_one_at_a_time() -> None:
+    metrics = HostMetrics()
+    metrics.count("callers_refused", by=3, reason="head exceeds its limit")
+    metrics.count("callers_refused", by=2, reason="head exceeds its limit")
+    values = _values(metrics)
+    assert values['linkspan_callers_refused_total{reason="head exceeds its limit"}'] == 5
