Give an incoming body and the options of a listener modules of their own

Cause: the connection held the state of its body (what arrived, its memory, its refusal, the handler's wait) beside its own, and three constructors repeated the same four options. A body that had been refused could take another read before its handler answered.

Change: IncomingBody and ServerOptions; a refused body is fed no more.

--- a/src/linkspan/host/callers/connection.py
+++ b/src/linkspan/host/callers/connection.py
@@ -3,44 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from typing import TYPE_CHECKING
 
 from linkspan.errors import BodyRefused, MalformedRequest
-from linkspan.host.callers.body import Body, ChunkedBody, SizedBody
 from linkspan.host.callers.head import HEAD_END, parse_head
-from linkspan.host.callers.paged_bytes import PAGE_BYTES
+from linkspan.host.callers.incoming_body import IncomingBody
 from linkspan.host.callers.phase import Phase
 from linkspan.host.callers.request import Request
 from linkspan.host.callers.response import CONTINUE, announces_close, encode
 from linkspan.host.keepalive import Keepalive, enable_keepalive
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from linkspan.host.callers.head import RequestHead
     from linkspan.host.callers.server import CallerServer
 
 CALLER_KEEPALIVE = Keepalive(idle_s=15, interval_s=5, max_probes=3)
 """Closes the connection of a caller that has vanished."""
 
-MAX_CHUNKS_A_TURN = 1_024
-"""Limits the small chunks that are read in one turn of the event loop."""
-
-MAX_PAUSE_S = 0.5
-"""Longest pause of a body that is not slow, in seconds."""
-
-MIN_BYTES_PER_S = 64 * 1024
-"""Lowest rate of a body that is not slow: half a megabit per second."""
-
-STALLED_BYTES_PER_S = 1024
-"""Rate below which a body is not waited for, in bytes per second."""
-
 MAX_DISCARDED_BYTES = 512 * 1024
 """Limits what is read and discarded after the last response: a caller that sends a body of twice
 the usual limit still reads the refusal."""
 
-NO_MEMORY = "no memory for more bodies at present"
-"""Reason for which a body is refused that is within the limits of a request."""
-
 _BLANK = b"\r\n"
 _HEAD_END_OVERLAP = 3
 """Bytes before the newest ones with which the end of a head may begin."""
@@ -64,10 +49,7 @@
         self._scanned = 0
         self._blank_bytes = 0
         self._head: RequestHead | None = None
-        self._body: Body | None = None
-        self._body_done: asyncio.Future[None] | None = None
-        self._body_refusal: BodyRefused | None = None
-        self._reserved_bytes = 0
+        self._body: IncomingBody | None = None
         self._task: asyncio.Task[None] | None = None
         self._discarded = 0
         self._last_request = False
@@ -106,8 +88,6 @@
         self._refuse_body(BodyRefused(400, "connection lost"))
         self._pending = b""
         self._server.remove(self)
-        if self._task is None:
-            self._release()
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
@@ -180,7 +160,7 @@
 
     def is_slow(self, now: float) -> bool:
         """Return whether the body that is arriving is slow, at a loop time."""
-        return self._falls_behind(now, MAX_PAUSE_S, MIN_BYTES_PER_S)
+        return self._waits_for(lambda body: body.is_slow(now))
 
     def stalls(self, now: float, max_pause_s: float) -> bool:
         """Return whether the body that is arriving is not expected to arrive whole.
@@ -189,18 +169,11 @@
             now: Loop time.
             max_pause_s: Longest pause of a body, in seconds.
         """
-        return self._falls_behind(now, max_pause_s, STALLED_BYTES_PER_S)
-
-    def _falls_behind(self, now: float, max_pause_s: float, min_bytes_per_s: float) -> bool:
-        """Return whether the body that is arriving pauses, or arrives at less than a rate."""
-        if self._deferred:
-            # It has arrived, and waits for its turn to be read.
-            return False
-        if now - self.progress_at > max_pause_s:
-            return True
-        received = len(self._body.content) if self._body else 0
-        took_s = now - self.since
-        return took_s > max_pause_s and received < took_s * min_bytes_per_s
+        return self._waits_for(lambda body: body.stalls(now, max_pause_s))
+
+    def _waits_for(self, falls_behind: Callable[[IncomingBody], bool]) -> bool:
+        """Return whether a body falls behind that has not arrived and waits for no turn here."""
+        return self._body is not None and not self._deferred and falls_behind(self._body)
 
     def note_unsent(self, now: float) -> None:
         """Note whether the caller has read some of a response since the last call."""
@@ -215,6 +188,7 @@
     # Reading.
 
     def _advance(self) -> None:
+        """Read what has arrived."""
         if self.phase is Phase.HEAD:
             self._read_head()
         if self.phase is Phase.BODY:
@@ -246,91 +220,47 @@
 
     def _begin(self, head: RequestHead) -> None:
         """Begin a request whose head has arrived."""
-        limits = self._server.limits
-        length = head.body_length
-        if length is not None and length > limits.max_body_bytes:
-            self.refuse(413, "body exceeds its limit")
-            return
-        if length and not self._reserve(length):
-            self.refuse(503, NO_MEMORY)
-            return
+        if head.body_length != 0:
+            try:
+                self._body = IncomingBody(self._server, head.body_length)
+            except BodyRefused as error:
+                self.refuse(error.status, error.reason)
+                return
         self._head = head
-        self._body_refusal = None
-        if length is None:
-            self._body = ChunkedBody(
-                max_bytes=limits.max_body_bytes,
-                max_extra_bytes=limits.max_head_bytes,
-                max_chunks=MAX_CHUNKS_A_TURN,
-            )
-        else:
-            self._body = SizedBody(length) if length else None
         self._enter(Phase.BODY if self._body else Phase.BUSY)
-        self._task = self._loop.create_task(self._serve(Request(head, self._whole_body)))
+        self._task = self._loop.create_task(self._serve(Request(head, self._read_whole_body)))
 
     def _read_body(self) -> None:
-        assert self._body is not None
-        pending = self._pending
-        try:
-            end = self._body.feed(pending, 0)
-        except BodyRefused as error:
-            self._refuse_body(error)
-            return
-        if end:
-            self.progress_at = self._loop.time()
-            self._pending = pending[end:]
-        if not self._reserve(len(self._body.content)):
-            self._refuse_body(BodyRefused(503, NO_MEMORY))
+        body = self._body
+        assert body is not None
+        if body.refused:
             return
-        if self._body.complete:
+        taken = body.feed(self._pending)
+        self._pending = self._pending[taken:]
+        if body.refused:
+            # The handler is told, and its response ends the connection.
+            self._pause_reading()
+        elif body.complete:
             self._enter(Phase.BUSY)
-            self._wake_handler()
-        elif end and self._pending:
+        elif taken and self._pending:
             # More of it can be read, but not in this turn.
             self._defer()
         else:
             self._resume_reading()
 
-    async def _whole_body(self) -> bytes:
-        body = self._body
-        if body is None:
-            return b""
-        if not body.complete and self._body_refusal is None:
-            if self._head and self._head.expects_continue and not len(body.content):
-                self._write(CONTINUE)
-            self._body_done = self._loop.create_future()
-            await self._body_done
-        if self._body_refusal is not None:
-            raise self._body_refusal
-        return body.content.take()
+    async def _read_whole_body(self) -> bytes:
+        return await self._body.read(self._go_ahead) if self._body else b""
+
+    def _go_ahead(self) -> None:
+        """Tell the caller to send the body, if it waits for that."""
+        if self._head and self._head.expects_continue:
+            self._write(CONTINUE)
 
     def _refuse_body(self, error: BodyRefused) -> None:
-        """Let the handler's wait for the body fail."""
-        if self._body is not None and not self._body.complete:
-            self._body.content.take()
-            self._release()
-            self._body_refusal = error
-            self._wake_handler()
-
-    def _reserve(self, size: int) -> bool:
-        """Reserve memory for a body of a size, or for its part that has arrived."""
-        missing = size - self._reserved_bytes
-        if missing <= 0:
-            return True
-        # Whole pages, so that a body in small chunks asks seldom.
-        missing = math.ceil(missing / PAGE_BYTES) * PAGE_BYTES if self._reserved_bytes else missing
-        if not self._server.reserve(missing, self._reserved_bytes):
-            return False
-        self._reserved_bytes += missing
-        return True
-
-    def _release(self) -> None:
-        """Return the memory that is reserved for the body."""
-        self._server.release(self._reserved_bytes)
-        self._reserved_bytes = 0
-
-    def _wake_handler(self) -> None:
-        if self._body_done is not None and not self._body_done.done():
-            self._body_done.set_result(None)
+        """Read no more of a body that is arriving, and let its handler know."""
+        if self._body is not None:
+            self._body.refuse(error)
+            self._pause_reading()
 
     def _discard(self, count: int) -> None:
         self._discarded += count
@@ -364,10 +294,12 @@
             self._server.count_refusal(error.reason)
             response = self._server.refusal(error.status, error.reason)
             response.force_close()
-        unread = self._body is not None and not self._body.complete
+        body = self._body
+        unread = body is not None and not body.complete
         last = unread or self._last_request or not head.keep_alive or announces_close(response)
-        self._task = self._body = self._head = self._body_done = None
-        self._release()
+        self._task = self._body = self._head = None
+        if body is not None:
+            body.release()
         self._write(encode(response, close=last, with_body=head.method != "HEAD"))
         if last and (unread or self._pending):
             self._close_gently()
--- a/src/linkspan/host/callers/limits.py
+++ b/src/linkspan/host/callers/limits.py
@@ -48,8 +48,8 @@
         max_body_bytes: Maximum size of all bodies of requests that are not answered yet.
     """
 
-    max_connections: int = 512
-    max_body_bytes: int = 32 * MB
+    max_connections: int
+    max_body_bytes: int
 
     @classmethod
     def of_machine(cls, memory_mb: int, max_fds: int) -> CallerCapacity:
@@ -74,5 +74,8 @@
         )
 
 
+DEFAULT_CAPACITY = CallerCapacity(max_connections=512, max_body_bytes=32 * MB)
+"""Limits of a listener for whose machine no limits are known."""
+
 CONTROL_CAPACITY = CallerCapacity(max_connections=64, max_body_bytes=MB)
 """Limits of a listener that only the platform and operators call."""
--- a/src/linkspan/host/callers/listener.py
+++ b/src/linkspan/host/callers/listener.py
@@ -7,14 +7,11 @@
 import socket
 from typing import TYPE_CHECKING, Any, Self
 
-from linkspan.host.callers.limits import RECEIVE_BUFFER_BYTES, CallerCapacity
+from linkspan.host.callers.limits import RECEIVE_BUFFER_BYTES
+from linkspan.host.callers.options import ServerOptions
 from linkspan.host.callers.server import CallerServer
-from linkspan.model.configuration import RequestLimits
 
 if TYPE_CHECKING:
-    from collections import Counter
-    from collections.abc import Callable
-
     from linkspan.host.callers.connection import CallerConnection
     from linkspan.host.callers.server import Handler
 
@@ -32,35 +29,19 @@
 """Interval between checks for idle connections while a listener refuses requests, in seconds."""
 
 
+_DEFAULT_OPTIONS = ServerOptions()
+
+
 class Listener:
     """HTTP server at one address.
 
     Args:
         handler: Handles a request.
-        limits: Returns the limits on each request that are in force.
-        capacity: Limits on what all callers together make the process hold.
-        on_refusals: Called about once a second with the number of requests refused before their
-            handler and of connections dropped, by reason, if there were any.
-        on_error: Called with an exception of the handler.
+        options: Limits on callers, and who is told of refusals.
     """
 
-    def __init__(
-        self,
-        handler: Handler,
-        *,
-        limits: Callable[[], RequestLimits] = RequestLimits,
-        capacity: CallerCapacity | None = None,
-        on_refusals: Callable[[Counter[str]], None] = lambda _counts: None,
-        on_error: Callable[[Exception], None] = lambda _error: None,
-    ) -> None:
-        self._connections = CallerServer(
-            handler,
-            limits=limits,
-            capacity=capacity or CallerCapacity(),
-            on_refusals=on_refusals,
-            on_error=on_error,
-        )
-        self._socket: socket.socket | None = None
+    def __init__(self, handler: Handler, options: ServerOptions = _DEFAULT_OPTIONS) -> None:
+        self._connections = CallerServer(handler, options)
         self._server: asyncio.Server | None = None
 
     def __repr__(self) -> str:
--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from linkspan.host.callers.limits import CallerCapacity
+    from linkspan.host.callers.options import ServerOptions
     from linkspan.host.callers.request import Request
     from linkspan.model.configuration import RequestLimits
 
@@ -39,29 +39,14 @@
 
     Args:
         handler: Handles a request.
-        limits: Returns the limits on each request that are in force.
-        capacity: Limits on what all callers together make the process hold.
-        on_refusals: Called about once a second with the number of requests refused before their
-            handler and of connections dropped, by reason, if there were any.
-        on_error: Called with an exception of the handler.
+        options: Limits on callers, and who is told of refusals.
     """
 
-    def __init__(
-        self,
-        handler: Handler,
-        *,
-        limits: Callable[[], RequestLimits],
-        capacity: CallerCapacity,
-        on_refusals: Callable[[Counter[str]], None],
-        on_error: Callable[[Exception], None],
-    ) -> None:
+    def __init__(self, handler: Handler, options: ServerOptions) -> None:
         self._handler = handler
-        self._limits = limits
-        self._max_connections = capacity.max_connections
+        self._options = options
         self._count = 0
-        self._budget = BodyBudget(capacity.max_body_bytes)
-        self._on_refusals = on_refusals
-        self._on_error = on_error
+        self._budget = BodyBudget(options.capacity.max_body_bytes)
         self._phases: dict[Phase, dict[CallerConnection, None]] = {phase: {} for phase in Phase}
         self._deferred: deque[CallerConnection] = deque()
         self._refusals: Counter[str] = Counter()
@@ -83,7 +68,7 @@
     @property
     def limits(self) -> RequestLimits:
         """The limits on each request that are in force."""
-        return self._limits()
+        return self._options.limits()
 
     # Calls of connections.
 
@@ -91,7 +76,7 @@
         """Note a new connection; where there are too many, drop the least useful one."""
         self._phases[connection.phase][connection] = None
         self._count += 1
-        if self._count > self._max_connections:
+        if self._count > self._options.capacity.max_connections:
             self._drop(self._least_useful(connection), "too many connections")
         if self._sweeping is None:
             loop = asyncio.get_running_loop()
@@ -160,7 +145,7 @@
         except BodyRefused:
             raise
         except Exception as error:
-            self._on_error(error)
+            self._options.on_error(error)
             return _internal_error()
 
     def count_refusal(self, reason: str) -> None:
@@ -216,7 +201,7 @@
         now = loop.time()
         self._drop_silent(now)
         if self._refusals:
-            self._on_refusals(self._refusals)
+            self._options.on_refusals(self._refusals)
             self._refusals = Counter()
         again = any(self._phases.values())
         self._sweeping = loop.call_later(SWEEP_INTERVAL_S, self._sweep) if again else None
--- a/src/linkspan/host/daemon.py
+++ b/src/linkspan/host/daemon.py
@@ -6,6 +6,7 @@
 import gc
 import secrets
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -15,6 +16,7 @@
 from linkspan.events import Event, EventLog
 from linkspan.host.callers.limits import CONTROL_CAPACITY, CallerCapacity
 from linkspan.host.callers.listener import Listener
+from linkspan.host.callers.options import ServerOptions
 from linkspan.host.client_sockets import open_call_socket
 from linkspan.host.host import Adapter, Host
 from linkspan.metrics import HostMetrics
@@ -78,6 +80,9 @@
         self._log.bind(host=settings.name, hall=settings.hall, life=self._incarnation[:4])
         self._metrics = HostMetrics()
         self._stop = asyncio.Event()
+        self._listener_options = ServerOptions(
+            on_refusals=self._log_refusals, on_error=self._log_failed_request
+        )
 
     def __repr__(self) -> str:
         return f"HostDaemon({self._settings.name!r})"
@@ -107,13 +112,7 @@
             loaded_s=self._loaded_s,
         )
         self._host = host
-        callers = Listener(
-            host.front.handle,
-            limits=lambda: host.configuration.limits,
-            capacity=CallerCapacity.of_machine(settings.memory_mb, settings.max_fds),
-            on_refusals=self._log_refusals,
-            on_error=self._log_failed_request,
-        )
+        callers = Listener(host.front.handle, self._caller_options(host))
         listeners = [
             await callers.open(settings.callers),
             await self._control_listener().open(settings.readiness),
@@ -126,6 +125,14 @@
         for listener in listeners:
             await listener.close()
 
+    def _caller_options(self, host: Host) -> ServerOptions:
+        settings = self._settings
+        return replace(
+            self._listener_options,
+            limits=lambda: host.configuration.limits,
+            capacity=CallerCapacity.of_machine(settings.memory_mb, settings.max_fds),
+        )
+
     async def _run(self, host: Host, callers: Listener) -> None:
         run = asyncio.create_task(host.run())
         stop = asyncio.create_task(self._stop.wait())
@@ -153,10 +160,7 @@
     def _control_listener(self) -> Listener:
         """Return a listener for readiness checks and scrapes."""
         return Listener(
-            self._answer_readiness,
-            capacity=CONTROL_CAPACITY,
-            on_refusals=self._log_refusals,
-            on_error=self._log_failed_request,
+            self._answer_readiness, replace(self._listener_options, capacity=CONTROL_CAPACITY)
         )
 
     async def _answer_readiness(self, request: Request) -> web.Response:
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -17,6 +17,7 @@
 from linkspan.host.callers import server
 from linkspan.host.callers.limits import CallerCapacity
 from linkspan.host.callers.listener import Listener
+from linkspan.host.callers.options import ServerOptions
 from linkspan.host.callers.request import Request
 from linkspan.model.configuration import RequestLimits
 from tests.hall_world import HallWorld
@@ -116,8 +117,10 @@
         return web.Response(body=b"x" * (40_000_000 if request.path == "/large" else 10))
 
     limits = RequestLimits(head_timeout_s=LIMIT_S)
-    capacity = CallerCapacity(max_connections=3)
-    listener = await Listener(answer, limits=lambda: limits, capacity=capacity).open("127.0.0.1:0")
+    options = ServerOptions(
+        limits=lambda: limits, capacity=CallerCapacity(max_connections=3, max_body_bytes=1_000)
+    )
+    listener = await Listener(answer, options).open("127.0.0.1:0")
     try:
         port = listener.addresses[0][1]
         yield f"127.0.0.1:{port}"
@@ -245,7 +248,7 @@
 async def test_a_connection_that_asks_for_nothing_is_closed_in_time() -> None:
     """Guards against connections that are kept for ever, as long as they are few."""
     limits = RequestLimits(idle_timeout_s=LIMIT_S)
-    listener = await Listener(_answer_whole, limits=lambda: limits).open(LOOPBACK)
+    listener = await Listener(_answer_whole, ServerOptions(limits=lambda: limits)).open(LOOPBACK)
     reader, writer = await _connect(_address(listener), WHOLE_REQUEST)
     assert b"200" in await reader.readline()
     assert await _closed_after(reader) >= 0.5 * LIMIT_S
@@ -256,7 +259,7 @@
 async def test_a_body_that_pauses_is_refused_however_long_its_caller_would_wait() -> None:
     """Guards against bodies that are held for an hour, one byte short of their end."""
     limits = RequestLimits(head_timeout_s=LIMIT_S)
-    listener = await Listener(_answer_whole, limits=lambda: limits).open(LOOPBACK)
+    listener = await Listener(_answer_whole, ServerOptions(limits=lambda: limits)).open(LOOPBACK)
     head = HEAD.replace(b"GET", b"POST") + b"Content-Length: 9\r\n\r\n"
     reader, writer = await _connect(_address(listener), head + b"12345678")
     response = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
