--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,7 @@
 
     python -m soak run --seed 7 --seconds 20 [--hosts 4 --executors 6 --halls 2 --loses_halls]
     python -m soak series --first 1 --count 50 --seconds 20 --jobs 2 [--evacuates] [--loses_halls]
-        [--overloads] [--refuses_starts] [--signals] [--odd_entries]
+        [--overloads] [--refuses_starts] [--signals] [--odd_entries] [--hostile_callers]
         [--hosts 200 --executors 60 --halls 3]
     python -m soak regressions --jobs 2
 
@@ -59,7 +59,7 @@
         keep_logs: Folder in which logs are kept even without a violation.
         sizes: Other fields of the plan: ``hosts``, ``executors``, ``halls``, ``jobs_per_s``,
             ``evacuates``, ``loses_halls``, ``overloads``, ``refuses_starts``, ``signals``,
-            ``odd_entries``.
+            ``odd_entries``, ``hostile_callers``.
     """
     plan = replace(Plan.of_seed(seed, seconds), **sizes)
     folder = Path(keep_logs or LOGS) / f"seed-{seed}"
@@ -80,6 +80,7 @@
     refuses_starts: bool = False,
     signals: bool = False,
     odd_entries: bool = False,
+    hostile_callers: bool = False,
     **sizes: float,
 ) -> None:
     """Play consecutive seeds, several at a time, each in a separate process.
@@ -96,6 +97,7 @@
         refuses_starts: Whether executors refuse starts.
         signals: Whether signals and configurations come in series of their own.
         odd_entries: Whether another writer overwrites the entries of executors.
+        hostile_callers: Whether crowds of callers outside the limits come.
         sizes: Sizes of all runs in place of those of the seeds: ``hosts``, ``executors``,
             ``halls``, ``jobs_per_s``.
     """
@@ -107,6 +109,7 @@
         "--refuses_starts": refuses_starts,
         "--signals": signals,
         "--odd_entries": odd_entries,
+        "--hostile_callers": hostile_callers,
     }
     arguments = [flag for flag, on in flags.items() if on]
     arguments += [f"--{name}={value}" for name, value in sizes.items()]
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -43,6 +43,7 @@
         signals: Whether signals, restarts and configurations come in series of their own, and
             callers go on with connections that hosts are closing.
         odd_entries: Whether another writer overwrites the entries of executors.
+        hostile_callers: Whether crowds of callers outside the limits come beside the faults.
         memory_mb: Memory of each host's machine, in megabytes.
         max_fds: File descriptors that each host may have open.
     """
@@ -59,6 +60,7 @@
     refuses_starts: bool = False
     signals: bool = False
     odd_entries: bool = False
+    hostile_callers: bool = False
     memory_mb: int = 300
     max_fds: int = 4100
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak.evacuations import EVACUATION_FAULTS, check_evacuation
 from soak.faults import CAPACITY_FAULTS, RESTART_FAULTS, SERIES_COUNT, run_series
 from soak.hall_losses import HALL_LOSS_FAULTS
+from soak.hostile_crowds import CROWD_FAULTS, check_memory
 from soak.judge import (
     await_configuration,
     count_other_given_up_jobs,
@@ -163,6 +164,10 @@
             number = SERIES_COUNT + 6 + len(SIGNAL_SERIES)
             odd = run_series(world, number, until, self._log_fault, ODD_ENTRY_FAULTS)
             series.append(odd)
+        if self._plan.hostile_callers:
+            number = SERIES_COUNT + 7 + len(SIGNAL_SERIES)
+            crowds = run_series(world, number, until, self._log_fault, CROWD_FAULTS)
+            series.append(crowds)
         try:
             await asyncio.gather(*series)
         finally:
@@ -211,6 +216,8 @@
         outcome.violations += [
             f"ENDED {end}" for h in world.hosts.values() for end in h.unexpected_exits
         ]
+        if self._plan.hostile_callers:
+            outcome.violations += check_memory(list(world.hosts.values()), self._plan.memory_mb)
         outcome.counts = watch.checked
         outcome.jobs = len(callers.jobs)
         outcome.accepted = sum(1 for job in callers.jobs if job.accepted_at)
