Refuse methods that no standard names

Cause: the new reader of heads took any token for a method, and requests are counted by method: a caller that invents methods of up to 16 KB made a host keep each of them for ever.

Change: methods outside RFC 9110 and RFC 5789 get 400.

Measured: three cases of a new test fail before and pass with it.

--- a/src/linkspan/host/callers/head.py
+++ b/src/linkspan/host/callers/head.py
@@ -16,6 +16,11 @@
 _REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([!-~]++) HTTP/1\.([01])\r\n")
 _FIELDS = re.compile(rb"(?:" + _TOKEN + rb":" + _VALUE + rb"\r\n)*+\r\n")
 
+_METHODS = frozenset(
+    {b"GET", b"HEAD", b"POST", b"PUT", b"DELETE", b"CONNECT", b"OPTIONS", b"TRACE", b"PATCH"}
+)
+"""Methods of RFC 9110 and RFC 5789. Figures are kept by method, so callers must not invent any."""
+
 _MAX_LENGTH_DIGITS = 18
 """Digits of a content length that are read: any longer one exceeds every limit of a body."""
 
@@ -102,6 +107,8 @@
     if line is None or not _FIELDS.fullmatch(head, line.end()):
         raise MalformedRequest("head")
     method, target, minor = line.groups()
+    if method not in _METHODS:
+        raise MalformedRequest("method")
     headers = HeadFields(head)
     modern = minor == b"1"
     options = ",".join(headers.all("Connection")).lower()
--- a/tests/fuzz/test_request_framing.py
+++ b/tests/fuzz/test_request_framing.py
@@ -244,3 +244,10 @@
     """Guards against a request that a proxy before the host delimits in another way."""
     with pytest.raises(MalformedRequest):
         parse_head(b"POST / HTTP/1.1\r\n" + fields + b"\r\n")
+
+
+@pytest.mark.parametrize("method", [b"GETS", b"get", b"X" * 1_000])
+def test_a_method_that_no_standard_names_is_refused(method: bytes) -> None:
+    """Guards against one counter for each method that callers think of."""
+    with pytest.raises(MalformedRequest):
+        parse_head(method + b" / HTTP/1.1\r\n\r\n")
