Drop callers that do not read before those that still ask

What callers saw: with as many connections as there may be, each with a response that its caller does not read, a new caller's connection was dropped, for 10 s at a time.

Cause: such connections were not among those that give way.

Change: after those that are closing or idle, connections whose response has not been read for 0.5 s go before heads and slow bodies; all slow bodies are considered, not the oldest only.

Measured: the new test fails before (no response) and passes with it.

--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
+from itertools import chain, takewhile
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -16,7 +17,7 @@
 from linkspan.host.callers.phase import Phase
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
 
     from linkspan.host.callers.options import ServerOptions
     from linkspan.host.callers.request import Request
@@ -27,6 +28,10 @@
 MAX_UNREAD_S = 10.0
 """Limits the time for which a caller may read nothing of a response, in seconds."""
 
+MAX_UNREAD_IN_NEED_S = 0.5
+"""The same where there are too many connections, in seconds. A response of a host fits into the
+buffers of its connection, unless the caller has not read the ones before."""
+
 MAX_CLOSING_S = 1.0
 """Time for a caller to read the last response and close the connection, in seconds."""
 
@@ -96,16 +101,15 @@
     def _least_useful(self, newest: CallerConnection) -> CallerConnection:
         """Return the connection to drop where there are too many.
 
-        Those that have been answered or ask for nothing go first, then those whose request has
-        been arriving for longest, and only then the newest one.
+        Those that have been answered or ask for nothing go first, then those that do not read,
+        then those whose request has been arriving for longest, and only then the newest one.
         """
-        for phase in (Phase.CLOSING, Phase.IDLE, Phase.HEAD):
-            oldest = next(iter(self._phases[phase]), newest)
-            if oldest is not newest:
-                return oldest
         now = asyncio.get_running_loop().time()
-        oldest = next(iter(self._phases[Phase.BODY]), newest)
-        return oldest if oldest is not newest and oldest.is_slow(now) else newest
+        unread = self._older(Phase.WRITING, now - MAX_UNREAD_IN_NEED_S)
+        slow = (body for body in self._phases[Phase.BODY] if body.is_slow(now))
+        idle = chain(self._phases[Phase.CLOSING], self._phases[Phase.IDLE])
+        candidates = chain(idle, unread, self._phases[Phase.HEAD], slow)
+        return next((each for each in candidates if each is not newest), newest)
 
     def defer(self, connection: CallerConnection) -> None:
         """Let a connection go on in a later turn of the event loop, one connection a turn."""
@@ -208,28 +212,23 @@
 
     def _drop_silent(self, now: float) -> None:
         limits = self.limits
-        for connection in self._older(Phase.HEAD, now - limits.head_timeout_s):
+        for connection in list(self._older(Phase.HEAD, now - limits.head_timeout_s)):
             connection.refuse(408, "head did not arrive in time")
         for connection in list(self._phases[Phase.BODY]):
             if connection.stalls(now, limits.head_timeout_s):
                 connection.refuse(503, "body did not arrive whole")
-        for connection in self._older(Phase.IDLE, now - limits.idle_timeout_s):
+        for connection in list(self._older(Phase.IDLE, now - limits.idle_timeout_s)):
             connection.close()
-        for connection in self._older(Phase.CLOSING, now - MAX_CLOSING_S):
+        for connection in list(self._older(Phase.CLOSING, now - MAX_CLOSING_S)):
             connection.drop()
         for connection in list(self._phases[Phase.WRITING]):
             connection.note_unsent(now)
             if now - connection.progress_at > MAX_UNREAD_S:
                 self._drop(connection, "response not read")
 
-    def _older(self, phase: Phase, than: float) -> list[CallerConnection]:
-        """Return the connections that entered a phase before a loop time."""
-        older = []
-        for connection in self._phases[phase]:
-            if connection.since >= than:
-                break
-            older.append(connection)
-        return older
+    def _older(self, phase: Phase, than: float) -> Iterator[CallerConnection]:
+        """Yield the connections that entered a phase before a loop time, oldest first."""
+        return takewhile(lambda connection: connection.since < than, self._phases[phase])
 
     def _drop(self, connection: CallerConnection, reason: str) -> None:
         self.count_refusal(reason)
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -200,6 +200,20 @@
         writer.close()
 
 
+async def test_callers_that_do_not_read_keep_nobody_out(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that hold all places, each with a response that is not read."""
+    monkeypatch.setattr(server, "MAX_UNREAD_S", 60.0)
+    monkeypatch.setattr(server, "MAX_UNREAD_IN_NEED_S", LIMIT_S)
+    large = HEAD.replace(b"/ ", b"/large ") + b"\r\n"
+    unread = [await _connect(address, large) for _ in range(3)]
+    await asyncio.sleep(2 * LIMIT_S)
+    assert b"200" in await _ask(address)
+    for _, writer in unread:
+        writer.close()
+
+
 async def test_an_idle_connection_stays_open(address: str) -> None:
     """Healthy connections stay open; the system finds those whose other end vanished."""
     reader, writer = await _connect(address, WHOLE_REQUEST)
