Count what a body is decoded to as memory of its caller

What callers saw: 100 bodies of 30 KB, each a job of 10,000 empty steps, brought a host to 405 MB and were all in doubt (504) after 12.6 s.

Cause: the memory of a body was counted by its bytes; a step of three bytes becomes an object of some 360.

Change: 512 bytes for each object are reserved with the body until the response.

--- a/src/linkspan/host/callers/incoming_body.py
+++ b/src/linkspan/host/callers/incoming_body.py
@@ -24,6 +24,10 @@
 MIN_BYTES_PER_S = 64 * 1024
 """Lowest rate of a body that is not slow: half a megabit per second."""
 
+DECODED_OBJECT_BYTES = 512
+"""Memory of an object of a body once it is decoded: that of a job's step with its default values,
+until the job is stored."""
+
 STALLED_BYTES_PER_S = 1024
 """Rate below which a body is not waited for, in bytes per second."""
 
@@ -116,7 +120,10 @@
             await self._done
         if self._refusal is not None:
             raise self._refusal
-        return self._body.content.take()
+        content = self._body.content.take()
+        # Decoded, a short text of many objects takes a hundred times its size.
+        self._reserve(len(content) + DECODED_OBJECT_BYTES * content.count(b"{"))
+        return content
 
     def refuse(self, error: BodyRefused) -> None:
         """Hold no more of an incomplete body, and let the wait for it fail."""
