Decode large jobs beside the event loop, and refuse what can't be stored

What callers saw: with 300 jobs of 10,000 empty steps (30 KB each) a host answered nobody for 16 s, or said for over 30 s that its records were not read lately: their records have 460,596 bytes.

Cause: each body was decoded in one piece in the event loop, 46 ms here, and a job was written whatever the size of its record. The platform's store takes 262,144 bytes; the stand-in took it and could not return it.

Change: bodies over 8 KB are decoded in one thread, in turn and until their caller's deadline, then 503. A job whose record exceeds record_bytes of the settings gets 413 at once; it is not written with others' records.

--- a/src/linkspan/errors.py
+++ b/src/linkspan/errors.py
@@ -61,6 +61,18 @@
         self.reason = reason
 
 
+class UnstorableJob(LinkspanError):
+    """The record of a job exceeds what the store takes, so that the job can never be accepted.
+
+    Args:
+        size: Size of the record, in bytes.
+    """
+
+    def __init__(self, size: int) -> None:
+        super().__init__(f"the record of the job has {size} bytes; split it into smaller jobs")
+        self.size = size
+
+
 class SelectorSyntaxError(LinkspanError):
     """A selector has a syntax error.
 
--- a/src/linkspan/host/_refusal_cause.py
+++ b/src/linkspan/host/_refusal_cause.py
@@ -14,5 +14,7 @@
     WRITER_REPLACED = "this host's writer was replaced"
     INCOMPLETE = "request did not arrive whole"
     OVERSIZED = "larger than any executor of the service"
+    UNREAD = "other large jobs were read before it for too long"
+    UNSTORABLE = "the record of the job exceeds what the store takes"
     NO_ROOM = "no hall has room for a standing task of it beside short work"
     HOPELESS = "it could no longer be of use when done"
--- a/src/linkspan/host/_responses.py
+++ b/src/linkspan/host/_responses.py
@@ -42,3 +42,8 @@
     response = json_response(429, b'{"error":"not taken, it will not run"}', reason=reason)
     response.headers["Retry-After"] = str(OVERSIZED_RETRY_AFTER_S)
     return response
+
+
+def unstorable(reason: str) -> web.Response:
+    """Return the refusal of a job that can never be stored."""
+    return json_response(413, b'{"error":"not taken, it will not run"}', reason=reason)
--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
-from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused
+from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused, UnstorableJob
 from linkspan.events import Event
+from linkspan.host._job_decoder import JobDecoder
 from linkspan.host._oversized import oversized_step
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._responses import json_response
@@ -45,6 +46,7 @@
         reservations: What standing jobs have reserved lately.
         capacities: Returns the known capacities of a service's executors.
         incarnation: Incarnation of this process, part of the keys of its records.
+        max_record_bytes: Maximum size of a record in the store.
     """
 
     def __init__(
@@ -56,10 +58,11 @@
         reservations: StandingReservations,
         capacities: Callable[[str], Collection[Demand]],
         incarnation: str,
+        max_record_bytes: int = 262_144,
     ) -> None:
         self._job_registry = context.job_registry
         self._configuration = context.configuration
-        self._form = context.form
+        self._decoder = JobDecoder(context.form, context.waits, max_record_bytes)
         self._waits = context.waits
         self._refusals = context.refusals
         self._log = context.log
@@ -88,9 +91,13 @@
         if self._job_registry.knows(job_id):
             return self._respond_known(job_id, queue)
         try:
-            spec = self._form.job(job_id, queue.name, body)
+            spec = await self._decoder.decode(job_id, queue, body, deadline)
         except InvalidInput as error:
             return json_response(400, b'{"error":"invalid job"}', reason=str(error))
+        except UnstorableJob as error:
+            return self._refusals.refuse_unstorable(job_id, queue, error.size)
+        except TimeoutError:
+            return self._refusals.refuse(job_id, queue, RefusalCause.UNREAD, deadline)
         if job_id not in self._submitting:
             refusal = self._refusal_of(spec, queue, deadline)
             if refusal:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -246,6 +246,7 @@
             reservations=reservations,
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
+            max_record_bytes=self._settings.store.max_record_bytes,
         )
         return Front(context, submissions)
 
--- a/src/linkspan/host/refusals.py
+++ b/src/linkspan/host/refusals.py
@@ -7,7 +7,7 @@
 from linkspan.clock import steady
 from linkspan.events import Event
 from linkspan.host._refusal_cause import RefusalCause
-from linkspan.host._responses import RETRY_AFTER_S, oversized, unavailable
+from linkspan.host._responses import RETRY_AFTER_S, oversized, unavailable, unstorable
 from linkspan.host.retry_times import retry_after_s
 
 if TYPE_CHECKING:
@@ -66,6 +66,19 @@
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return oversized(reason)
 
+    def refuse_unstorable(self, job_id: str, queue: Queue, size: int) -> web.Response:
+        """Refuse a job whose record the store would refuse each time.
+
+        Args:
+            job_id: The job.
+            queue: Its queue.
+            size: Size of the record, in bytes.
+        """
+        reason = f"{RefusalCause.UNSTORABLE.value}: {size} bytes"
+        self._count(queue, RefusalCause.UNSTORABLE)
+        self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
+        return unstorable(reason)
+
     def refuse_hopeless(
         self, job_id: str, queue: Queue, outlook: JobOutlook, deadline: float
     ) -> web.Response:
--- a/src/linkspan/model/settings.py
+++ b/src/linkspan/model/settings.py
@@ -13,11 +13,13 @@
         address: ``ip:port`` of the store.
         writes_per_s: Maximum write calls per second, for all hosts together.
         reads_per_s: Maximum read calls per second, for all hosts together.
+        max_record_bytes: Maximum size of a record, with its key.
     """
 
     address: str
     writes_per_s: float = 800.0
     reads_per_s: float = 2000.0
+    max_record_bytes: int = 262_144
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/platform/settings.py
+++ b/src/linkspan/platform/settings.py
@@ -81,6 +81,7 @@
             parse_text(store["address"]),
             parse_number(store.get("writes_per_s") or 800),
             parse_number(store.get("reads_per_s") or 2000),
+            parse_int(store.get("record_bytes") or 262_144, minimum=1),
         ),
         advice=parse_text(fields.get("advice") or ""),
         machines=parse_text(parse_object(fields.get("cloudApi")).get("address") or ""),
--- a/tests/hostile/framing.py
+++ b/tests/hostile/framing.py
@@ -203,3 +203,10 @@
 @kind("garbage")
 def _garbage(_target: Target) -> Iterator[bytes]:
     yield from repeat(bytes(range(256)) * 64, ENDLESS_BYTES)
+
+
+@kind("many-steps")
+def _many_steps(target: Target) -> Iterator[bytes]:
+    """A whole job of very many steps, each of which takes three bytes."""
+    body = b'{"spec":"text","steps":[' + b",".join([b"{}"] * 9_999) + b"]}"
+    yield target.head(f"Content-Length: {len(body)}") + body
