--- a/tests/soak/test_runs_with_flags.py
+++ b/tests/soak/test_runs_with_flags.py
@@ -10,10 +10,15 @@
 
 from tests.soak.test_runs import FAILED_RUNS_FOLDER
 
-SEEDS = {"--refuses_starts": [86110, 86111], "--signals": [86701], "--odd_entries": [89001]}
+SEEDS = {
+    "--refuses_starts": [86110, 86111],
+    "--signals": [86701],
+    "--odd_entries": [89001],
+    "--hostile_callers": [95001],
+}
 """Seeds by flag. Executors answer 503 to starts in one run in calm times, and do not answer in the
-next one. The seed with series of signals never failed; with odd entries, hosts ended by
-themselves."""
+next one. The seeds with series of signals and with callers outside the limits never failed; with
+odd entries, hosts ended by themselves."""
 
 FAULTS_S = 8.0
 """Time during which faults start. With the checks after it a run takes a minute."""
