Drop callers that do not read the last response of their connection

Cause: a connection that was to be closed after its response waited for its caller to read it, in no phase that is checked: for ever, if need be.

Change: such a response is waited for like any other, and dropped once nothing of it has been read for 10 s.

Measured: the new case of the test of callers that stop reading fails before (the caller got all 40 MB after the limit) and passes with it; 44 tests of callers pass.

--- a/src/linkspan/host/callers/connection.py
+++ b/src/linkspan/host/callers/connection.py
@@ -297,14 +297,13 @@
         body = self._body
         unread = body is not None and not body.complete
         last = unread or self._last_request or not head.keep_alive or announces_close(response)
+        self._last_request = last
         self._task = self._body = self._head = None
         if body is not None:
             body.release()
         self._write(encode(response, close=last, with_body=head.method != "HEAD"))
         if last and (unread or self._pending):
             self._close_gently()
-        elif last:
-            self.close()
         elif self.unsent_bytes():
             self._enter(Phase.WRITING)
         else:
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -159,8 +159,10 @@
     assert b"200" in await _ask(address)
 
 
-async def test_a_caller_that_stops_reading_is_cut_off(address: str) -> None:
-    reader, writer = await _connect(address, HEAD.replace(b"/ ", b"/large ") + b"\r\n")
+@pytest.mark.parametrize("field", [b"", b"Connection: close\r\n"])
+async def test_a_caller_that_stops_reading_is_cut_off(address: str, field: bytes) -> None:
+    """Guards against connections that are kept for ever because they are being closed."""
+    reader, writer = await _connect(address, HEAD.replace(b"/ ", b"/large ") + field + b"\r\n")
     await asyncio.sleep(LIMIT_S + 1.0)
     body = b""
     with contextlib.suppress(ConnectionError):
