Give the decisions on accepting jobs a package of their own

Cause: host/ was one flat package of 28 modules, in which nothing showed which of them decide on a job and which serve its caller.

Change: host/admission/ holds the six modules that decide; nothing else in them is changed. oversized loses its underscore inside the package.

--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -10,9 +10,9 @@
 from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused, UnstorableJob
 from linkspan.events import Event
 from linkspan.host._job_decoder import JobDecoder
-from linkspan.host._oversized import oversized_step
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._responses import json_response
+from linkspan.host.admission.oversized import oversized_step
 from linkspan.host.caller_waits import MIN_WAIT_S
 from linkspan.jobs.records import Submitted
 
@@ -22,8 +22,8 @@
     from aiohttp import web
 
     from linkspan.host._caller_context import CallerContext
-    from linkspan.host.admission import Admission
-    from linkspan.host.standing_reservations import StandingReservations
+    from linkspan.host.admission.admission import Admission
+    from linkspan.host.admission.standing_reservations import StandingReservations
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.model.configuration import Queue
 
--- /dev/null
+++ b/src/linkspan/host/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which jobs a host accepts, and when the callers of the others come back."""
--- a/src/linkspan/host/admission.py
+++ b/src/linkspan/host/admission/admission.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
-from linkspan.host.job_outlook import (
+from linkspan.host.admission.job_outlook import (
     MAX_FIT_DELAY_S,
     MIN_FIT_DELAY_S,
     HallLoad,
@@ -13,12 +13,12 @@
     has_room,
     outlook_in,
 )
-from linkspan.host.standing_admission import StandingHall, StandingShortage, shortage_of
+from linkspan.host.admission.standing_admission import StandingHall, StandingShortage, shortage_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from linkspan.host.standing_reservations import StandingReservations
+    from linkspan.host.admission.standing_reservations import StandingReservations
     from linkspan.jobs.spec import JobSpec
     from linkspan.model.configuration import Queue
 
--- a/src/linkspan/host/standing_admission.py
+++ b/src/linkspan/host/admission/standing_admission.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from linkspan.host.job_outlook import HallLoad
+    from linkspan.host.admission.job_outlook import HallLoad
     from linkspan.jobs.spec import JobSpec, StepSpec
     from linkspan.shard.handover.executor_room import ExecutorRoom
 
--- a/src/linkspan/host/refusals.py
+++ b/src/linkspan/host/refusals.py
@@ -8,14 +8,14 @@
 from linkspan.events import Event
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._responses import RETRY_AFTER_S, oversized, unavailable, unstorable
-from linkspan.host.retry_times import retry_after_s
+from linkspan.host.admission.retry_times import retry_after_s
 
 if TYPE_CHECKING:
     from aiohttp import web
 
     from linkspan.events import EventLog
-    from linkspan.host.job_outlook import JobOutlook
-    from linkspan.host.standing_admission import StandingShortage
+    from linkspan.host.admission.job_outlook import JobOutlook
+    from linkspan.host.admission.standing_admission import StandingShortage
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
 
--- a/tests/host/admission_builders.py
+++ b/tests/host/admission_builders.py
@@ -12,11 +12,11 @@
 from linkspan.clock import steady
 from linkspan.host._caller_context import CallerContext
 from linkspan.host._submissions import Submissions
-from linkspan.host.admission import Admission
+from linkspan.host.admission.admission import Admission
+from linkspan.host.admission.job_outlook import HallLoad, JobOutlook
+from linkspan.host.admission.standing_reservations import StandingReservations
 from linkspan.host.caller_waits import CallerWaits
-from linkspan.host.job_outlook import HallLoad, JobOutlook
 from linkspan.host.refusals import Refusals
-from linkspan.host.standing_reservations import StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JobRegistry
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
--- a/tests/host/overloaded_hall.py
+++ b/tests/host/overloaded_hall.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from linkspan.host.admission import best_hopeless_outlook
-from linkspan.host.job_outlook import HallLoad
+from linkspan.host.admission.admission import best_hopeless_outlook
+from linkspan.host.admission.job_outlook import HallLoad
 from linkspan.jobs.records import Submitted
 from linkspan.jobs.spec import JobSpec
 from linkspan.model.configuration import Configuration, Service
--- a/tests/host/test_impossible.py
+++ b/tests/host/test_impossible.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linkspan.host._oversized import oversized_step
+from linkspan.host.admission.oversized import oversized_step
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
 from tests.hall_world import HallWorld
 from tests.job_builders import step
--- a/tests/host/test_job_outlook.py
+++ b/tests/host/test_job_outlook.py
@@ -12,8 +12,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linkspan.host.admission import best_hopeless_outlook
-from linkspan.host.job_outlook import (
+from linkspan.host.admission.admission import best_hopeless_outlook
+from linkspan.host.admission.job_outlook import (
     HOPELESS_MARGIN,
     MAX_SUMMARY_AGE_S,
     HallLoad,
--- a/tests/host/test_retry_times.py
+++ b/tests/host/test_retry_times.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from linkspan.host._responses import RETRY_AFTER_S
-from linkspan.host.retry_times import retry_after_s
+from linkspan.host.admission.retry_times import retry_after_s
 
 CALLERS = 1_000
 
--- a/tests/host/test_standing_admission.py
+++ b/tests/host/test_standing_admission.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from linkspan.host.job_outlook import MAX_SUMMARY_AGE_S, HallLoad
-from linkspan.host.standing_admission import (
+from linkspan.host.admission.job_outlook import MAX_SUMMARY_AGE_S, HallLoad
+from linkspan.host.admission.standing_admission import (
     HallCores,
     StandingHall,
     StandingShortage,
     shortage_of,
 )
-from linkspan.host.standing_reservations import RELEASE_WINDOW_S, StandingReservations
+from linkspan.host.admission.standing_reservations import RELEASE_WINDOW_S, StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.records import Begun, Cancelled, Finished, JobState, Submitted, Tombstone
 from linkspan.jobs.spec import Demand, JobSpec, StepSpec
--- a/tests/host/test_summary_ages.py
+++ b/tests/host/test_summary_ages.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from linkspan.clock import steady
-from linkspan.host.job_outlook import MAX_SUMMARY_AGE_S
+from linkspan.host.admission.job_outlook import MAX_SUMMARY_AGE_S
 from tests.hall_world import HallWorld
 from tests.virtual_time import run_virtual
 
--- a/tests/host/test_true_refusals.py
+++ b/tests/host/test_true_refusals.py
@@ -7,8 +7,8 @@
 
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._submissions import LATE_WRITE_S
-from linkspan.host.admission import Admission
-from linkspan.host.standing_reservations import StandingReservations
+from linkspan.host.admission.admission import Admission
+from linkspan.host.admission.standing_reservations import StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JOBS
 from tests.host.admission_builders import HopelessHalls, SubmittingHost, job
