--- a/src/linkspan/host/callers/head.py
+++ b/src/linkspan/host/callers/head.py
@@ -4,6 +4,7 @@
 
 import re
 from dataclasses import dataclass
+from functools import lru_cache
 from urllib.parse import unquote
 
 from linkspan.errors import MalformedRequest
@@ -16,6 +17,11 @@
 _REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([!-~]++) HTTP/1\.([01])\r\n")
 _FIELDS = re.compile(rb"(?:" + _TOKEN + rb":" + _VALUE + rb"\r\n)*+\r\n")
 
+_FRAMING_FIELDS = re.compile(
+    rb"(?i)\r\n(connection|content-length|transfer-encoding|expect):[ \t]*([^\r]*)"
+)
+"""Fields that say where a request ends and what follows it, with their values."""
+
 _METHODS = frozenset(
     {b"GET", b"HEAD", b"POST", b"PUT", b"DELETE", b"CONNECT", b"OPTIONS", b"TRACE", b"PATCH"}
 )
@@ -50,23 +56,14 @@
             >>> HeadFields(b"GET / HTTP/1.1\\r\\nHost:  a.example \\r\\n\\r\\n").get("host")
             'a.example'
         """
-        values = self.all(name, most=1)
-        return values[0] if values else default
+        match = _line_of(name).search(self._head)
+        return _text(match[1]) if match else default
 
-    def all(self, name: str, *, most: int = 0) -> list[str]:
-        """Return the values of the fields with a name, in order.
 
-        Args:
-            name: Name of the fields.
-            most: Number of values to return at most, 0 for all.
-        """
-        pattern = rb"(?i)\r\n" + re.escape(name.encode()) + rb":[ \t]*([^\r]*)"
-        found = []
-        for match in re.finditer(pattern, self._head):
-            found.append(match[1].rstrip(b" \t").decode("latin-1"))
-            if len(found) == most:
-                break
-        return found
+@lru_cache(maxsize=32)
+def _line_of(name: str) -> re.Pattern[bytes]:
+    """Return the pattern of a field with a name."""
+    return re.compile(rb"(?i)\r\n" + re.escape(name.encode()) + rb":[ \t]*([^\r]*)")
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,19 +106,25 @@
     method, target, minor = line.groups()
     if method not in _METHODS:
         raise MalformedRequest("method")
-    headers = HeadFields(head)
+    framing: dict[bytes, list[str]] = {}
+    for name, value in _FRAMING_FIELDS.findall(head):
+        framing.setdefault(name.lower(), []).append(_text(value).lower())
     modern = minor == b"1"
-    options = ",".join(headers.all("Connection")).lower()
     return RequestHead(
         method.decode(),
         _path(target),
-        headers,
-        _body_length(headers, chunks_allowed=modern),
-        keep_alive=modern and "close" not in options,
-        expects_continue=modern and headers.get("Expect").lower() == "100-continue",
+        HeadFields(head),
+        _body_length(framing, chunks_allowed=modern),
+        keep_alive=modern and "close" not in ",".join(framing.get(b"connection", ())),
+        expects_continue=modern and framing.get(b"expect") == ["100-continue"],
     )
 
 
+def _text(value: bytes) -> str:
+    """Return the value of a field without white space at its end."""
+    return value.rstrip(b" \t").decode("latin-1")
+
+
 def _path(target: bytes) -> str:
     text = target.decode()
     if not text.startswith("/") and "://" in text:
@@ -132,12 +135,12 @@
     return unquote(path) if "%" in path else path
 
 
-def _body_length(headers: HeadFields, *, chunks_allowed: bool) -> int | None:
-    lengths = headers.all("Content-Length")
-    encodings = headers.all("Transfer-Encoding")
+def _body_length(framing: dict[bytes, list[str]], *, chunks_allowed: bool) -> int | None:
+    lengths = framing.get(b"content-length", [])
+    encodings = framing.get(b"transfer-encoding")
     if not encodings:
         return _content_length(lengths)
-    if lengths or not chunks_allowed or [name.lower() for name in encodings] != ["chunked"]:
+    if lengths or not chunks_allowed or encodings != ["chunked"]:
         raise MalformedRequest("transfer encoding")
     return None
 
