Let callers that are refused together return at different times

Cause: each 503 before a request is handled said Retry-After 1, so that a crowd returned as one and was refused again.

Change: 1, 2 and 3 s in turn; stalled bodies have given their memory back after 3 s.

Measured: the new test fails before (all said 1) and passes with it.

--- a/src/linkspan/host/callers/server.py
+++ b/src/linkspan/host/callers/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
-from itertools import chain, takewhile
+from itertools import chain, cycle, takewhile
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -35,6 +35,10 @@
 MAX_CLOSING_S = 1.0
 """Time for a caller to read the last response and close the connection, in seconds."""
 
+MAX_RETRY_AFTER_S = 3
+"""Longest time after which a refused caller may retry, in seconds: memory that stalled bodies hold
+is free by then. Callers get different times in turn, so that they do not return together."""
+
 SWEEP_INTERVAL_S = 1.0
 """Interval between checks of all connections, in seconds."""
 
@@ -55,6 +59,7 @@
         self._phases: dict[Phase, dict[CallerConnection, None]] = {phase: {} for phase in Phase}
         self._deferred: deque[CallerConnection] = deque()
         self._refusals: Counter[str] = Counter()
+        self._retry_times_s = cycle(range(1, MAX_RETRY_AFTER_S + 1))
         self._sweeping: asyncio.TimerHandle | None = None
         self.read_buffer = memoryview(bytearray(READ_BYTES))
 
@@ -159,7 +164,7 @@
     def refusal(self, status: int, reason: str) -> web.Response:
         """Return the response to a request that its handler has not seen or not read."""
         if status == web.HTTPServiceUnavailable.status_code:
-            return unavailable(reason)
+            return unavailable(reason, retry_after_s=next(self._retry_times_s))
         return json_response(status, b'{"error":"refused, it has no effect"}', reason=reason)
 
     # Calls of the listener.
--- a/tests/host/test_silent_callers.py
+++ b/tests/host/test_silent_callers.py
@@ -284,6 +284,20 @@
     await listener.close()
 
 
+async def test_callers_refused_together_come_back_at_different_times() -> None:
+    """Guards against a crowd that returns as one, to be refused again."""
+    capacity = CallerCapacity(max_connections=100, max_body_bytes=1)
+    listener = await Listener(_answer_whole, ServerOptions(capacity=capacity)).open(LOOPBACK)
+    head = HEAD.replace(b"GET", b"POST") + b"Content-Length: 9\r\n\r\n"
+    opened = [await _connect(_address(listener), head) for _ in range(30)]
+    responses = [await reader.readuntil(b"\r\n\r\n") for reader, _ in opened[1:]]
+    times = [response.partition(b"Retry-After: ")[2][:1] for response in responses]
+    assert set(times) == {b"1", b"2", b"3"}
+    for _, writer in opened:
+        writer.close()
+    await listener.close()
+
+
 async def _answer_whole(request: Request) -> web.Response:
     await request.read()
     return web.Response()
