--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -290,6 +290,7 @@
         self.state = "ready"
         self.seq = 0
         self.gone = False
+        self.born = {"born": int(time.time() * 1000)} if world.tells_born else {}
 
     @property
     def clock_ms(self) -> int:
@@ -312,6 +313,7 @@
             "labels": ["a", f"r{self.number // 8}"],
             "clockMs": self.clock_ms,
             "callSeq": self.seq,
+            **self.born,
         }
         self.world.store.put("keyed.servers", self.id, json.dumps(entry).encode())
 
@@ -351,7 +353,7 @@
         return web.Response(status=404)
 
     def _answer(self, status: int, **fields: Any) -> web.Response:
-        data = orjson.dumps({"clockMs": self.clock_ms, **fields})
+        data = orjson.dumps({"clockMs": self.clock_ms, **self.born, **fields})
         return web.Response(body=data, status=status, content_type="application/json")
 
     def _lease(self, body: dict[str, Any]) -> None:
@@ -584,10 +586,12 @@
         executors: int,
         cpu: int = 32_000,
         mem_mb: int = 128_000,
+        tells_born: bool = False,
     ) -> None:
         self.folder, self.record = folder, record
         self.zones, self.cpu, self.mem_mb = zones, cpu, mem_mb
         self.bounds = dict(BOUNDS)
+        self.tells_born = tells_born
         self.store = Store(record)
         self.hosts = [
             Host(self, number, zone)
