Review: the scripts' hosts take free ports

Cause: two ports of the hosts were fixed, on addresses of the script's own. Change: ports that are free on that address.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -100,6 +100,15 @@
     return sock
 
 
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return ports that nobody listens at."""
+    socks = [listen(ip) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
 async def serve(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], ip: str, port: int = 0
 ) -> str:
@@ -462,7 +471,7 @@
         return f"{self.ip}:{self.front_port}"
 
     def write_settings(self, store: str) -> None:
-        self.front_port, self.ready_port = 8161, 8167
+        self.front_port, self.ready_port = free_ports(self.ip, 2)
         zones = {zone: "region" for zone in self.world.zones}
         fields = {
             "nodeName": self.name,
