An owner keeps only those repetitions of a job in memory that can run now

Cause: JobIntake.add_job made a JobRun with all steps and tasks for each repetition at once, some 1,200 bytes for one task, however far it lay ahead, and whoever claimed the hall made them all again. Each repetition that was done kept its progress record until the job ended, so that a claim read 10,080 records of a job in its last minute.

Change: a job has open repetitions and, in a few bytes, the numbers of those that are done. An executor's report, a record or a delegation opens the one that it names. One that is done is removed once one record per job says so; the same append drops its own record, so that a next owner reads one of them. Jobs with standing tasks keep all of theirs, since none is ever done.

The judge of test plays looked for the tasks that a step depends on among those of repetition 0, for all repetitions. It now looks among those of the task's own repetition, which is as strict for the first one and right for the others (tests/run_judge.py).

--- a/src/linkspan/jobs/spec.py
+++ b/src/linkspan/jobs/spec.py
@@ -14,9 +14,7 @@
 """Limits the tasks of one job: records of larger jobs could exceed the store's record size."""
 
 MAX_REPEATED_TASKS = 30_000
-"""Limits the tasks of all repetitions of a job together. An owner keeps every task in memory
-from the start, at 580 bytes each, or 1,280 bytes if each repetition consists of one task: up to
-38 MB."""
+"""Limits the tasks of all repetitions of a job together."""
 
 MAX_RESOURCE_AMOUNT = 2**31
 """Limits each resource of a task's demand, in thousandths of a core, megabytes or GPUs, so that
@@ -207,6 +205,19 @@
         """Number of times that the steps run."""
         return self.schedule.count if self.schedule else 1
 
+    @property
+    def tasks_per_repetition(self) -> int:
+        """Number of tasks of all steps."""
+        return sum(step.count for step in self.steps)
+
+    @property
+    def opens_on_demand(self) -> bool:
+        """Whether an owner keeps only those repetitions in memory that can run now.
+
+        Repetitions with standing tasks run until the job is cancelled.
+        """
+        return self.schedule is not None and not self.standing
+
 
 def check_job(spec: JobSpec) -> None:
     """Check the constraints that the types do not express.
--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -8,6 +8,7 @@
 from linkspan.jobs.records import Finished, JobState
 from linkspan.shard._executor_table import ExecutorTable
 from linkspan.shard._reasons import attempts_exhausted_fields, short_name
+from linkspan.shard._repetitions import Repetitions
 from linkspan.shard.attempt import NEVER, Phase
 from linkspan.shard.colocation.interference import InterferenceEstimator
 from linkspan.shard.leases import LeaseClock
@@ -93,6 +94,7 @@
             an end was withheld.
         tasks_with_crash_history: Tasks with a crash history, as an ordered set.
         unrecorded_starts: Tasks of which a start may be carried out that no record names.
+        repetitions: Opens repetitions of jobs and removes those that are done.
         executor_crashes: Recent crashes of executors, the newest last.
         statement_withdrawn_at: Steady time from which this tenure does not state any more that each
             start of a standing task is on record; infinite for most.
@@ -143,6 +145,7 @@
         self.withheld_count = 0
         self.tasks_with_crash_history: dict[Task, None] = {}
         self.unrecorded_starts = UnrecordedStarts(self)
+        self.repetitions = Repetitions(self)
         self.executor_crashes: list[ExecutorCrash] = []
         self.statement_withdrawn_at = float("inf")
         self.sole_owner_until = float("inf")
@@ -488,8 +491,11 @@
 
     def announce_done(self, task: Task) -> None:
         """Request a record, for other shards, that a task is done."""
-        tasks = self.completed.setdefault(task.name.job_id, {})
-        tasks[index_of(task)] = None
+        self.announce_done_task(task.name.job_id, index_of(task))
+
+    def announce_done_task(self, job_id: str, index: TaskIndex) -> None:
+        """Request the same for a task whose repetition may not be open any more."""
+        self.completed.setdefault(job_id, {})[index] = None
 
     def decide(self, job: ShardJob, state: JobState, **why: object) -> None:
         """Decide the final state of a job; later decisions have no effect.
@@ -530,7 +536,7 @@
         """Decide that a job succeeded once all of its repetitions are done."""
         if job.delegated_here:
             return
-        if len(job.runs) == job.spec.repetitions and all(run.done for run in job.runs.values()):
+        if job.done:
             self.decide(job, JobState.SUCCEEDED)
 
     def log_run(
@@ -540,6 +546,12 @@
         name = short_name(task)
         self.log(event, job=task.job_id, task=name, run=run, **fields, executor=executor_id)
 
+    def forget_steps(self, run: JobRun) -> None:
+        """Forget the steps of a repetition that is not managed any more."""
+        for step in run.steps:
+            self.ready.pop(step, None)
+            self.advice.remove_step(step)
+
     def remove_if_idle(self, job: ShardJob) -> None:
         """Remove a job whose final record is durable once none of its runs can be alive."""
         if any(True for _ in job.attempts()):
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -34,6 +34,7 @@
 from linkspan.events import Event
 from linkspan.shard._shard_state import Order, ShardState
 from linkspan.shard.attempt import FULL_PACE
+from linkspan.shard.done_repetitions import NO_REPETITIONS, DoneRepetitions
 from linkspan.shard.handover._delegations import Delegations
 from linkspan.shard.intake._jobs import JobIntake
 from linkspan.shard.orders._orders import Orders
@@ -45,7 +46,7 @@
 from linkspan.shard.reports._restarts import RestartTracker
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from linkspan.jobs.records import Delegation, Submitted, TaskIndex
     from linkspan.model.configuration import Configuration
@@ -283,10 +284,11 @@
         start_ordered: bool = False,
         begun: bool = False,
         progress: dict[int, bytes] | None = None,
+        done_repetitions: DoneRepetitions = NO_REPETITIONS,
         delegated_here: Iterable[Delegation] | None = None,
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
-        completed: Iterable[TaskIndex] = (),
+        completed: Collection[TaskIndex] = (),
         wall_offset_s: float = 0.0,
     ) -> None:
         """Add an accepted job.
@@ -299,6 +301,7 @@
             start_ordered: Whether a record shows that a start of a task may have been sent.
             begun: Whether a record shows that a task of the job has begun.
             progress: Progress records of the job's repetitions, by number.
+            done_repetitions: Repetitions that are done, of which there need be no records.
             delegated_here: Delegations of the job's tasks to this shard; ``None`` if this is the
                 job's home shard.
             delegated_elsewhere: Published delegations of the job's tasks to other shards, used if
@@ -319,6 +322,7 @@
             start_ordered=start_ordered,
             begun=begun,
             progress=progress,
+            done_repetitions=done_repetitions,
             delegated_here=delegated_here,
             delegated_elsewhere=delegated_elsewhere,
             returned=returned,
@@ -333,7 +337,7 @@
             wall: Time of day, in seconds since 1970.
             now: Steady time.
         """
-        self._intake.release_due(wall, now)
+        self.repetitions.release_due(wall, now)
 
     def refresh_queue(self, job: ShardJob) -> None:
         """Apply the terms of a job's queue from the configuration in force.
@@ -376,10 +380,6 @@
         """Handle the final record of a job becoming durable."""
         self._intake.on_finished(job_id)
 
-    def drop_progress(self, job_id: str, repetitions: Iterable[int]) -> None:
-        """Request the removal of progress records of a finished or unknown job."""
-        self._intake.drop_progress(job_id, repetitions)
-
     # Delegated tasks and moved jobs
 
     def accept_delegations(
@@ -408,7 +408,7 @@
         """
         return self._delegations.hand_over_tasks(job_id, shard, tasks, repetition)
 
-    def complete_tasks(self, job_id: str, tasks: Iterable[TaskIndex], now: float) -> None:
+    def complete_tasks(self, job_id: str, tasks: Collection[TaskIndex], now: float) -> None:
         """Mark tasks of a job as done of which another shard has found the end."""
         self._delegations.complete_tasks(job_id, tasks, now)
 
--- a/src/linkspan/shard/handover/_delegations.py
+++ b/src/linkspan/shard/handover/_delegations.py
@@ -10,10 +10,9 @@
 from linkspan.shard._reasons import MAX_LOGGED_TASKS, short_name
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.failures import Failures
-from linkspan.shard.recovery.progress import progress_key
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from linkspan.jobs.records import TaskIndex
     from linkspan.shard._shard_state import ShardState
@@ -45,6 +44,7 @@
             return
         arrived = []
         for delegation in delegations:
+            self._state.repetitions.open_if_missing(job, delegation.repetition)
             task = job.task(delegation.task_index)
             if task is None or task.managed_by is None:
                 continue
@@ -123,7 +123,7 @@
             token=self._state.token,
         )
 
-    def complete_tasks(self, job_id: str, tasks: Iterable[TaskIndex], now: float) -> None:
+    def complete_tasks(self, job_id: str, tasks: Collection[TaskIndex], now: float) -> None:
         """Mark tasks as done of which another shard has found the end.
 
         A run of such a task is stopped: its former run was thought to have ended without result.
@@ -131,6 +131,10 @@
         job = self._state.jobs.get(job_id)
         if job is None:
             return
+        if not job.delegated_here:
+            # A former owner may have delegated tasks of a repetition that is not open here yet.
+            for repetition in {task.repetition for task in tasks}:
+                self._state.repetitions.open_if_missing(job, repetition)
         found = [task for task in map(job.task, tasks) if task and not task.done]
         if not found:
             return
@@ -171,12 +175,12 @@
         """Remove a job that was moved to another shard."""
         self._state.departed_jobs.add(job_id)
         job = self._state.jobs.pop(job_id, None)
-        for run in job.runs.values() if job else ():
+        if job is None:
+            return
+        self._state.repetitions.drop_records(job)
+        for run in job.runs.values():
             self._state.dirty.pop((job_id, run.repetition), None)
-            self._state.dropped.append(progress_key(run))
-            for step in run.steps:
-                self._state.ready.pop(step, None)
-                self._state.advice.remove_step(step)
+            self._state.forget_steps(run)
 
 
 def last_delegation_of(task: Task, now: float) -> Delegation:
--- a/src/linkspan/shard/handover/_evidence.py
+++ b/src/linkspan/shard/handover/_evidence.py
@@ -34,7 +34,7 @@
         """
         rostered = [e for e in self._core.executors.values() if e.rostered]
         entry = self._job_registry.catalog.get(job.job_id)
-        run = job.runs[0]
+        run = next(iter(job.runs.values()))
         return {
             "by": origin(job),
             "rostered": len(rostered),
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -147,7 +147,7 @@
         if job is None or not job.delegated_here:
             # Otherwise tasks of the job were delegated back before this answer arrived.
             self._core.remove_moved(job_id)
-            self._core.drop_progress(job_id, [0])
+            self._core.dropped.append(RunKey(job_id, 0).encode())
         self._changes.notify()
 
     def _log_move(self, event: Event, job_id: str, shard: int, offset: int) -> None:
--- a/src/linkspan/shard/intake/_feed.py
+++ b/src/linkspan/shard/intake/_feed.py
@@ -8,11 +8,13 @@
 from linkspan.clock import steady, wall_offset_s
 from linkspan.errors import RecordError
 from linkspan.events import Event
+from linkspan.shard.done_repetitions import NO_REPETITIONS
 
 if TYPE_CHECKING:
     from linkspan.jobs.catalog import JobEntry
     from linkspan.jobs.records import Delegation
     from linkspan.shard._context import TenureContext
+    from linkspan.shard.recovery.job_progress import JobProgress
 
 MAX_LOGGED_DELEGATIONS = 20
 """Limits the delegations in one log line. A job may have hundreds of them, and the line for each
@@ -60,7 +62,7 @@
         now: float,
         *,
         inherited: bool,
-        progress: dict[int, bytes] | None = None,
+        progress: JobProgress | None = None,
     ) -> None:
         """Add a job to the shard, and log a progress record that does not match it."""
         if entry.submitted is None:
@@ -76,7 +78,8 @@
             inherited=inherited,
             adopting=len(self._core.awaiting_report_ids),
             left=job_id in self._core.departed_jobs,
-            records=len(progress or ()),
+            records=len(progress.runs) if progress else 0,
+            repetitions_done=progress.done.count if progress else 0,
             begun=entry.begun,
             ordered=entry.start_ordered,
             moved=entry.moved is not None,
@@ -91,7 +94,8 @@
                 moved=entry.moved is not None,
                 start_ordered=entry.start_ordered,
                 begun=entry.begun,
-                progress=progress,
+                progress=progress.runs if progress else None,
+                done_repetitions=progress.done if progress else NO_REPETITIONS,
                 delegated_here=delegations,
                 delegated_elsewhere={
                     s: entry.open_delegations(s) for s in entry.delegated if s != self._shard
@@ -114,8 +118,9 @@
         for shard in entry.delegated:
             for delegation in entry.open_delegations(shard):
                 task = job.task(delegation.task_index)
-                if task and task.done:
-                    self._core.announce_done(task)
+                repetition_done = delegation.repetition in job.done_repetitions
+                if repetition_done or (task and task.done):
+                    self._core.announce_done_task(job_id, delegation.task_index)
 
     def _on_known_job(self, job_id: str, entry: JobEntry, now: float) -> None:
         job = self._core.jobs[job_id]
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -10,17 +10,18 @@
 from linkspan.shard._reasons import short_name
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.crash_history import GIVE_UP_REASON
+from linkspan.shard.done_repetitions import NO_REPETITIONS, DoneRepetitions
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.job_run import INHERITED_RUN_GAP, new_run
 from linkspan.shard.messages import TaskName
 from linkspan.shard.planning._expected_durations import update_expected_durations
 from linkspan.shard.recovery._recorded_wait import wait_since_acceptance
-from linkspan.shard.recovery.progress import RunKey, progress_key, restore_run
+from linkspan.shard.recovery.progress import restore_run
 from linkspan.shard.shard_job import ShardJob
 from linkspan.shard.task import index_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from linkspan.jobs.records import Delegation, Submitted, TaskIndex
     from linkspan.model.configuration import Configuration
@@ -60,10 +61,11 @@
         start_ordered: bool = False,
         begun: bool = False,
         progress: dict[int, bytes] | None = None,
+        done_repetitions: DoneRepetitions = NO_REPETITIONS,
         delegated_here: Iterable[Delegation] | None = None,
         delegated_elsewhere: Mapping[int, Iterable[Delegation]] | None = None,
         returned: Iterable[Delegation] = (),
-        completed: Iterable[TaskIndex] = (),
+        completed: Collection[TaskIndex] = (),
         wall_offset_s: float = 0.0,
     ) -> None:
         """Add an accepted job; see :meth:`ShardCore.add_job` for the arguments.
@@ -86,14 +88,18 @@
         self._state.jobs[job.job_id] = job
         self.refresh_queue(job)
         errors: list[str] = []
-        for repetition in range(job.spec.repetitions):
-            run = job.runs[repetition] = new_run(job, repetition)
-            run.released = job.spec.schedule is None
+        records = progress or {}
+        if done_repetitions.count:
+            job.done_repetitions = done_repetitions
+            self._state.mark_begun(job)
+        delegated = chain(delegated_here or (), *(delegated_elsewhere or {}).values())
+        for repetition in _first_open(job, records, delegated):
+            run = self._state.repetitions.open(job, repetition, recorded=repetition in records)
             if delegated_here is None and (inherited or moved):
                 wait_since_acceptance(run, now, wall_offset_s, arrives=not inherited)
-            if progress and repetition in progress:
+            if repetition in records:
                 try:
-                    self._restore(run, progress[repetition], now, wall_offset_s)
+                    self._restore(run, records[repetition], now, wall_offset_s)
                 except RecordError as error:
                     errors.append(str(error))
                     run = job.runs[repetition] = self._new_run_without_record(
@@ -101,12 +107,12 @@
                     )
                     if delegated_here is None:
                         _number_above(run, returned)
-            elif inherited:
-                for task in run.tasks():
-                    task.next_run, task.never_ran = INHERITED_RUN_GAP, True
             if delegated_here is not None:
                 self._keep_delegated_tasks(run, delegated_here, submitted.shard, now)
             self._state.open_steps(run, now)
+            if run.recorded_as_done:
+                # An earlier version kept the record of each repetition that is done.
+                self._state.mark_dirty(run, urgent=False)
         self._delegations.complete_tasks(job_id, completed, now)
         if job.limit_version is None and job.max_attempts is not None and self._state.configuration:
             # The limit has no version. Any later configuration is newer than this limit, whichever
@@ -227,17 +233,6 @@
                 for run in job.runs.values():
                     self._fail_if_attempts_exhausted(run)
 
-    def release_due(self, wall: float, now: float) -> None:
-        """Release the repetitions whose due time has come."""
-        for job in self._state.jobs.values():
-            schedule = job.spec.schedule
-            if schedule is None or job.closing:
-                continue
-            for run in job.runs.values():
-                if not run.released and schedule.due(run.repetition) <= wall:
-                    run.released = True
-                    self._state.open_steps(run, now)
-
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job, unless its final state is already decided."""
         job = self._state.jobs.get(job_id)
@@ -250,16 +245,22 @@
         if job is None:
             return
         self._state.departed_jobs.add(job_id)
+        self._state.repetitions.drop_records(job)
         for run in job.runs.values():
             run.durable = float("inf")
             self._state.dirty.pop((job_id, run.repetition), None)
-            self._state.dropped.append(progress_key(run))
         job.closing = True
         self._state.remove_if_idle(job)
 
-    def drop_progress(self, job_id: str, repetitions: Iterable[int]) -> None:
-        """Request the removal of progress records of a finished or unknown job."""
-        self._state.dropped += [RunKey(job_id, number).encode() for number in repetitions]
+
+def _first_open(
+    job: ShardJob, records: Collection[int], delegated: Iterable[Delegation]
+) -> list[int]:
+    """Return the repetitions to open as a job is added; others are opened as they fall due."""
+    if not job.spec.opens_on_demand:
+        return list(range(job.spec.repetitions))
+    numbers = {*records, *(delegation.repetition for delegation in delegated)}
+    return sorted(n for n in numbers if n < job.spec.repetitions and n not in job.done_repetitions)
 
 
 def _has_begun(task: Task) -> bool:
--- a/src/linkspan/shard/job_run.py
+++ b/src/linkspan/shard/job_run.py
@@ -48,6 +48,18 @@
         """Whether every task is done."""
         return all(step.remaining_tasks == 0 for step in self.steps)
 
+    @property
+    def removable(self) -> bool:
+        """Whether it takes no memory any more once its record is durable, which says it is done."""
+        if not (self.recorded_as_done and self.durable >= self.version) or self.job.closing:
+            return False
+        return not self.expired_attempts and not any(task.attempts for task in self.tasks())
+
+    @property
+    def recorded_as_done(self) -> bool:
+        """Whether the job's record of done repetitions replaces its own record."""
+        return self.job.spec.opens_on_demand and self.done
+
     @property
     def remaining_work(self) -> float:
         """Remaining work of all its tasks, in thousandths of a core times seconds."""
@@ -70,6 +82,12 @@
         return self.steps[name.step].tasks[name.index]
 
 
+def skip_run_numbers(run: JobRun) -> None:
+    """Skip the run numbers that a previous owner may have used without a record."""
+    for task in run.tasks():
+        task.next_run, task.never_ran = INHERITED_RUN_GAP, True
+
+
 def new_run(job: ShardJob, repetition: int) -> JobRun:
     """Create a repetition of a job, with none of its tasks done."""
     run = JobRun(job, repetition)
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -13,7 +13,14 @@
 from linkspan.jobs.records import Begun, Finished, StartOrdered, Tombstone
 from linkspan.shard.attempt import NEVER
 from linkspan.shard.recovery._recorded_attempts import note_durable, note_encoded
-from linkspan.shard.recovery.progress import ROSTER_KEY, encode_roster, encode_run, progress_key
+from linkspan.shard.recovery.progress import (
+    ROSTER_KEY,
+    done_key,
+    encode_done,
+    encode_roster,
+    encode_run,
+    progress_key,
+)
 from linkspan.store.types import Record
 
 if TYPE_CHECKING:
@@ -132,8 +139,7 @@
         # Tombstones come first: a job that moved away may have returned with delegated tasks since,
         # and its new record must follow them.
         records = [Record(b"", key) for key in dropped]
-        offset_s = wall_offset_s()
-        records += [Record(encode_run(run, offset_s), progress_key(run)) for run in runs]
+        records += _progress_records(runs)
         named = [attempt for run in runs for attempt in note_encoded(run)]
         roster, withheld_count = frozenset(core.roster_names), core.withheld_count
         if self._changes.roster_changed():
@@ -157,6 +163,7 @@
     ) -> None:
         for run, version in zip(runs, versions, strict=True):
             run.durable = max(run.durable, version)
+        self._core.repetitions.on_durable(runs)
         for executor_id in sorted(roster):
             executor = self._core.executors.get(executor_id)
             if executor and not executor.rostered:
@@ -260,6 +267,24 @@
                 await self._job_registry.write(expired)
 
 
+def _progress_records(runs: Iterable[JobRun]) -> list[Record]:
+    """Return the progress records of repetitions.
+
+    The record of a job's done repetitions replaces those of each. They are in one append, so that
+    a next owner reads one of them at least.
+    """
+    offset_s = wall_offset_s()
+    jobs: dict[ShardJob, None] = {}
+    records = []
+    for run in runs:
+        if run.recorded_as_done:
+            jobs[run.job] = None
+            records.append(Record(b"", progress_key(run)))
+        else:
+            records.append(Record(encode_run(run, offset_s), progress_key(run)))
+    return [*(Record(encode_done(job), done_key(job.job_id)) for job in jobs), *records]
+
+
 def _removal_records(job_id: str, entry: JobEntry) -> list[JobRecord]:
     """Return the tombstones that remove a finished job completely.
 
--- a/src/linkspan/shard/recovery/_recovery.py
+++ b/src/linkspan/shard/recovery/_recovery.py
@@ -10,7 +10,15 @@
 from linkspan.events import Event
 from linkspan.jobs.records import Delegated, Returned
 from linkspan.shard.leases import inherited_lease_expiry
-from linkspan.shard.recovery.progress import ROSTER_KEY, decode_roster, moved_to, parse_key
+from linkspan.shard.recovery.job_progress import JobProgress
+from linkspan.shard.recovery.progress import (
+    ROSTER_KEY,
+    decode_done,
+    decode_roster,
+    job_of_done_key,
+    moved_to,
+    parse_key,
+)
 from linkspan.shard.reports._watch import INITIAL_BACKOFF_S
 from linkspan.store.keyed_snapshot import KeyedSnapshot
 
@@ -168,35 +176,45 @@
             )
 
     def _add_jobs(self, records: dict[bytes, bytes], now: float) -> None:
-        progress: dict[str, dict[int, bytes]] = {}
-        for key, value in records.items():
-            try:
-                run = parse_key(key)
-            except RecordError as error:
-                self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
-                continue
-            progress.setdefault(run.job_id, {})[run.repetition] = value
+        progress = self._by_job(records)
         for job_id, entry in list(self._job_registry.catalog.jobs_of_shard(self._shard)):
-            runs = progress.pop(job_id, {})
+            of_job = progress.pop(job_id, JobProgress())
             if entry.finished:
-                self._core.drop_progress(job_id, runs)
-            elif self._finish_move(job_id, entry, runs):
+                self._core.dropped += of_job.keys
+            elif self._finish_move(job_id, entry, of_job):
                 if entry.open_delegations(self._shard):
                     # Tasks were delegated to this shard since: the record of the move is older.
                     self._feed.add_job(job_id, entry, now, inherited=True)
                     self._core.unrecorded_starts.distrust([job_id])
             else:
-                self._feed.add_job(job_id, entry, now, inherited=True, progress=runs)
+                self._feed.add_job(job_id, entry, now, inherited=True, progress=of_job)
                 self._republish_delegations(job_id, entry)
-        for job_id, runs in progress.items():
+        for job_id, of_job in progress.items():
             # The records of an unknown job are kept: hosts of another version may know the job.
             if self._job_registry.catalog.get(job_id):
-                self._core.drop_progress(job_id, runs)
+                self._core.dropped += of_job.keys
+
+    def _by_job(self, records: dict[bytes, bytes]) -> dict[str, JobProgress]:
+        """Return the progress records of each job."""
+        progress: dict[str, JobProgress] = {}
+        for key, value in records.items():
+            try:
+                if job_id := job_of_done_key(key):
+                    of_job = progress.setdefault(job_id, JobProgress())
+                    of_job.done = decode_done(value)
+                else:
+                    run = parse_key(key)
+                    of_job = progress.setdefault(run.job_id, JobProgress())
+                    of_job.runs[run.repetition] = value
+                of_job.keys.append(key)
+            except RecordError as error:
+                self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
+        return progress
 
-    def _finish_move(self, job_id: str, entry: JobEntry, runs: dict[int, bytes]) -> bool:
+    def _finish_move(self, job_id: str, entry: JobEntry, progress: JobProgress) -> bool:
         """Finish a move that a former owner began, and return whether the job was moved away."""
         try:
-            shard = moved_to(runs.get(0, b""))
+            shard = moved_to(progress.runs.get(0, b""))
         except RecordError as error:
             self._log.write(Event.RECORD_SKIPPED, partition="progress", error=str(error))
             return False
@@ -207,7 +225,7 @@
             self._core.remove_moved(job_id)
             self._scope.spawn(self._handovers.publish_move(job_id, shard))
         else:
-            self._core.drop_progress(job_id, runs)
+            self._core.dropped += progress.keys
         return True
 
     def _republish_delegations(self, job_id: str, entry: JobEntry) -> None:
--- a/src/linkspan/shard/recovery/progress.py
+++ b/src/linkspan/shard/recovery/progress.py
@@ -9,6 +9,7 @@
 from linkspan._typed import parse_int, parse_list, parse_text
 from linkspan.errors import RecordError
 from linkspan.jobs.spec import Demand
+from linkspan.shard.done_repetitions import DoneRepetitions
 from linkspan.shard.incarnation import Incarnation
 from linkspan.shard.messages import ExecutorRecord
 from linkspan.shard.recovery._task_row import (
@@ -22,11 +23,16 @@
     from collections.abc import Iterable
 
     from linkspan.shard.job_run import JobRun
+    from linkspan.shard.shard_job import ShardJob
 
 ROSTER_KEY = b"roster"
 """Key of the record that lists all executors that may run something."""
 
 
+DONE_SUFFIX = "done"
+"""What the key of the record of a job's done repetitions has in place of a number."""
+
+
 class RunKey(NamedTuple):
     """Key of a repetition's progress record."""
 
@@ -43,6 +49,17 @@
     return RunKey(run.job.job_id, run.repetition).encode()
 
 
+def done_key(job_id: str) -> bytes:
+    """Return the key of the record of a job's done repetitions."""
+    return f"{job_id}.{DONE_SUFFIX}".encode()
+
+
+def job_of_done_key(key: bytes) -> str | None:
+    """Return the job of which a key names the done repetitions, ``None`` for any other key."""
+    job_id, _, suffix = key.decode(errors="replace").rpartition(".")
+    return job_id if job_id and suffix == DONE_SUFFIX else None
+
+
 def parse_key(key: bytes) -> RunKey:
     """Return the repetition that a key names.
 
@@ -65,6 +82,27 @@
     return orjson.dumps([step_rows(step, wall_offset_s) for step in run.steps])
 
 
+def encode_done(job: ShardJob) -> bytes:
+    """Return the record of a job's done repetitions, of which no other record is needed."""
+    open_and_done = (run.repetition for run in job.runs.values() if run.done)
+    done = job.done_repetitions.with_all(open_and_done)
+    return orjson.dumps([done.below, f"{done.above:x}"])
+
+
+def decode_done(value: bytes) -> DoneRepetitions:
+    """Return the repetitions of such a record.
+
+    Raises:
+        RecordError: The bytes are not such a record.
+    """
+    try:
+        # Later versions may append fields.
+        below, above, *_ = parse_list(orjson.loads(value))
+        return DoneRepetitions(parse_int(below), int(parse_text(above), 16))
+    except (ValueError, TypeError) as error:
+        raise RecordError(f"invalid done repetitions {value!r:.60}: {error!r}") from error
+
+
 def encode_moved(shard: int) -> bytes:
     """Return the record of a job that is being moved to another shard."""
     return orjson.dumps({"moved": shard})
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -51,7 +51,7 @@
     def on_end(self, executor: ExecutorState, end: EndedTask, now: float) -> None:
         """Apply an end; it is acknowledged once its consequences are durable."""
         executor.last_handled_end = end.number
-        task = self._state.find_task(end.task)
+        task = self._state.repetitions.reported_task(end.task)
         run = task.step.run if task else None
         attempt = executor.attempts.get((end.task, end.run))
         withheld_until = _withheld_until(executor, end, task, attempt, now)
--- a/src/linkspan/shard/reports/_reconciliation.py
+++ b/src/linkspan/shard/reports/_reconciliation.py
@@ -146,7 +146,7 @@
         A run to be stopped counts as an attempt until it has ended, so that its task is not started
         elsewhere before.
         """
-        task = self._state.find_task(row.task)
+        task = self._state.repetitions.reported_task(row.task)
         if task is None:
             self._state.orders.append(StopOrder(executor.executor_id, row.task, row.run))
             self._log_unwanted(executor, row)
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.shard.done_repetitions import NO_REPETITIONS, DoneRepetitions
 from linkspan.shard.messages import TaskName
 
 if TYPE_CHECKING:
@@ -25,7 +26,8 @@
     Attributes:
         submitted: Its submission.
         inherited: Whether a previous owner may have started tasks of it.
-        runs: Its repetitions by number.
+        runs: Its open repetitions by number: those that are due or have begun, and are not done.
+        done_repetitions: Those that are done and not among these any more.
         start_ordered: Whether a start of a task may have been sent, so that the job can't move to
             another shard as a whole any more.
         begun: Whether a task is known to have begun, by an answer, a report or a record.
@@ -56,6 +58,8 @@
     submitted: Submitted
     inherited: bool = False
     runs: dict[int, JobRun] = field(default_factory=dict)
+    done_repetitions: DoneRepetitions = NO_REPETITIONS
+    _next_repetition: int = 0
     start_ordered: bool = False
     begun: bool = False
     closing: bool = False
@@ -92,6 +96,39 @@
         """The job's id."""
         return self.submitted.spec.job_id
 
+    @property
+    def opens_repetitions(self) -> bool:
+        """Whether this shard opens further repetitions of it as they fall due."""
+        if self.closing or self.delegated_here or not self.spec.opens_on_demand:
+            return False
+        return self.next_repetition < self.spec.repetitions
+
+    @property
+    def next_repetition(self) -> int:
+        """Lowest number of a repetition that is neither open nor done."""
+        while self._next_repetition in self.runs or self._next_repetition in self.done_repetitions:
+            self._next_repetition += 1
+        return self._next_repetition
+
+    @property
+    def next_due_s(self) -> float:
+        """Time of day at which that repetition is due, in seconds since 1970; infinite if none."""
+        schedule = self.spec.schedule
+        if schedule is None or self.next_repetition >= schedule.count:
+            return float("inf")
+        return schedule.due(self.next_repetition)
+
+    @property
+    def open_tasks(self) -> int:
+        """Number of tasks of its open repetitions."""
+        return len(self.runs) * self.spec.tasks_per_repetition
+
+    @property
+    def done(self) -> bool:
+        """Whether all of its repetitions are done."""
+        open_and_done = sum(run.done for run in self.runs.values())
+        return self.done_repetitions.count + open_and_done == self.spec.repetitions
+
     @property
     def has_delegations(self) -> bool:
         """Whether a task of it was delegated to another shard."""
--- a/tests/run_judge.py
+++ b/tests/run_judge.py
@@ -111,7 +111,7 @@
             self.violations.append(f"{now:.2f} UNASKED {task}")
         for earlier in self.step_of(task).depends_on:
             count = self.specs[task.job_id].steps[earlier].count
-            names = [TaskName(task.job_id, 0, earlier, i) for i in range(count)]
+            names = [task._replace(step=earlier, index=i) for i in range(count)]
             if not all(name in self.done for name in names):
                 self.violations.append(f"{now:.2f} ORDER {task}")
         self.violations += [f"{now:.2f} {line}" for line in self.budget.on_start(task)]
