The jobs of a hall have a bound on their memory

Change: the catalog, which is the same on every host, adds up the estimated memory of unfinished jobs: what each host keeps of the records of all jobs, and what the owner of a hall keeps of its own and of those with tasks delegated to it. A job goes to an eligible hall with room; without one it is refused at once with 503 and Retry-After of 10 to 15 s, after a read that shows that no earlier try of it was stored. Moves and delegations pass over halls without room.

Hosts count what others accept once they have read it, so a burst at many hosts can exceed the bound by what they accept within a read.

--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -23,6 +23,7 @@
 
     from linkspan.host._caller_context import CallerContext
     from linkspan.host.admission.admission import Admission
+    from linkspan.host.admission.memory_limit import MemoryLimit
     from linkspan.host.admission.standing_reservations import StandingReservations
     from linkspan.jobs.spec import Demand, JobSpec
     from linkspan.model.configuration import Queue
@@ -42,6 +43,7 @@
     Args:
         context: Dependencies shared by the components that serve callers.
         choose_shard: Returns the shard for a new job.
+        memory_limit: Limits the jobs of each hall by their memory.
         admission: Decides which jobs to refuse for the load.
         reservations: What standing jobs have reserved lately.
         capacities: Returns the known capacities of a service's executors.
@@ -54,6 +56,7 @@
         context: CallerContext,
         *,
         choose_shard: Callable[[JobSpec, Queue], int],
+        memory_limit: MemoryLimit,
         admission: Admission,
         reservations: StandingReservations,
         capacities: Callable[[str], Collection[Demand]],
@@ -68,6 +71,7 @@
         self._log = context.log
         self._metrics = context.metrics
         self._choose_shard = choose_shard
+        self._memory_limit = memory_limit
         self._admission = admission
         self._reservations = reservations
         self._capacities = capacities
@@ -131,6 +135,9 @@
         self, spec: JobSpec, queue: Queue, deadline: float
     ) -> web.Response | None:
         """Return the refusal of a job that no hall could serve, ``None`` to accept it."""
+        memory = self._admission.memory_shortage(spec, queue)
+        if memory and await self._certainly_new(spec.job_id, deadline):
+            return self._refusals.refuse_for_memory(spec.job_id, queue, memory, deadline)
         if spec.standing and not spec.schedule:
             # The read also tells which standing jobs other hosts have accepted meanwhile.
             began = steady()
@@ -175,6 +182,7 @@
         self._submitting[spec.job_id] = write
         write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
         self._reservations.on_accept(record)
+        self._memory_limit.on_accept(spec, shard)
         return write
 
     def _configuration_version(self, queue: Queue) -> int | None:
@@ -194,6 +202,7 @@
             self._job_registry.note_accepted(job_id, done.result())
         elif not done.cancelled() and isinstance(done.exception(), StoreRefused):
             self._reservations.on_not_stored(job_id)
+            self._memory_limit.on_not_stored(job_id)
 
     async def _await_write(
         self, write: asyncio.Future[int], job_id: str, queue: Queue, deadline: float
--- a/src/linkspan/host/admission/admission.py
+++ b/src/linkspan/host/admission/admission.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from linkspan.host.admission.memory_limit import MemoryLimit, MemoryShortage
     from linkspan.host.admission.standing_reservations import StandingReservations
     from linkspan.jobs.spec import JobSpec
     from linkspan.model.configuration import Queue
@@ -33,6 +34,7 @@
         loads: Returns the loads of all halls, by number of the shard.
         eligible: Returns the shards that could get a job.
         reservations: What standing jobs have reserved and given back lately.
+        memory_limit: Limits the jobs of each hall by their memory.
     """
 
     def __init__(
@@ -40,14 +42,20 @@
         loads: Callable[[], list[HallLoad]],
         eligible: Callable[[JobSpec, Queue], list[int]],
         reservations: StandingReservations,
+        memory_limit: MemoryLimit,
     ) -> None:
         self._loads = loads
         self._eligible = eligible
         self._reservations = reservations
+        self._memory_limit = memory_limit
 
     def __repr__(self) -> str:
         return f"Admission({self._loads()!r})"
 
+    def memory_shortage(self, spec: JobSpec, queue: Queue) -> MemoryShortage | None:
+        """Return why no owner of a hall may take a job into its memory, ``None`` to accept it."""
+        return self._memory_limit.shortage(spec, self._eligible(spec, queue))
+
     def reason_to_refuse(
         self, spec: JobSpec, queue: Queue, priorities: Mapping[str, int]
     ) -> JobOutlook | None:
--- a/src/linkspan/host/host.py
+++ b/src/linkspan/host/host.py
@@ -13,6 +13,7 @@
 from linkspan.host._submissions import Submissions
 from linkspan.host.admission.admission import Admission
 from linkspan.host.admission.job_outlook import HallLoad
+from linkspan.host.admission.memory_limit import MemoryLimit
 from linkspan.host.admission.standing_reservations import StandingReservations
 from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.candidate import Candidate
@@ -233,16 +234,21 @@
         )
         reservations = StandingReservations(self.job_registry.catalog)
         self.job_registry.subscribe(reservations.on_job)
+        memory_limit = MemoryLimit(self.job_registry.catalog, self._settings.memory_mb)
         chooser = ShardChooser(
             self._settings,
             self._summary_of,
             evacuated=self._is_evacuated,
             accepted_elsewhere=reservations.accepted_elsewhere,
+            has_memory=memory_limit.has_room,
         )
         submissions = Submissions(
             context,
             choose_shard=chooser.choose,
-            admission=Admission(self._hall_loads, chooser.eligible_shards, reservations),
+            memory_limit=memory_limit,
+            admission=Admission(
+                self._hall_loads, chooser.eligible_shards, reservations, memory_limit
+            ),
             reservations=reservations,
             capacities=self._executor_capacities.of,
             incarnation=incarnation,
--- a/src/linkspan/host/refusals.py
+++ b/src/linkspan/host/refusals.py
@@ -15,11 +15,17 @@
 
     from linkspan.events import EventLog
     from linkspan.host.admission.job_outlook import JobOutlook
+    from linkspan.host.admission.memory_limit import MemoryShortage
     from linkspan.host.admission.standing_admission import StandingShortage
     from linkspan.metrics import HostMetrics
     from linkspan.model.configuration import Queue
 
 
+MEMORY_RETRY_AFTER_S = 10.0
+"""Time after which a job may be submitted again that found no memory, in seconds: other jobs have
+to finish before."""
+
+
 class Refusals:
     """Refusals of jobs by a host. A refused job never runs.
 
@@ -79,6 +85,26 @@
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return unstorable(reason)
 
+    def refuse_for_memory(
+        self, job_id: str, queue: Queue, shortage: MemoryShortage, deadline: float
+    ) -> web.Response:
+        """Refuse a job that no owner of a hall that could run it may hold in memory.
+
+        Args:
+            job_id: The job.
+            queue: Its queue.
+            shortage: Why it finds no memory.
+            deadline: Steady time until which the caller waits.
+        """
+        return self._refuse_for_load(
+            Event.JOB_REFUSED,
+            job_id,
+            queue,
+            RefusalCause.MEMORY,
+            retry_after_s(job_id, MEMORY_RETRY_AFTER_S, deadline - steady()),
+            **shortage._asdict(),
+        )
+
     def refuse_hopeless(
         self, job_id: str, queue: Queue, outlook: JobOutlook, deadline: float
     ) -> web.Response:
--- a/src/linkspan/host/shards.py
+++ b/src/linkspan/host/shards.py
@@ -84,6 +84,7 @@
         settings: Settings of the host.
         summary_of: Returns the last summary that the owner of a shard published, ``None`` if none.
         evacuated: Returns whether a hall is evacuated.
+        has_memory: Returns whether the owner of a shard may take a job into its memory.
         accepted_elsewhere: Returns the thousandths of a core that standing jobs reserve which other
             hosts accepted for a shard lately, by shard and service.
     """
@@ -94,10 +95,12 @@
         summary_of: Callable[[int], HallSummary | None],
         *,
         evacuated: Callable[[str], bool] = lambda _hall: False,
+        has_memory: Callable[[JobSpec, int], bool] = lambda _spec, _shard: True,
         accepted_elsewhere: Callable[[int, str], int] = lambda _shard, _service: 0,
     ) -> None:
         self._settings = settings
         self._evacuated = evacuated
+        self._has_memory = has_memory
         self._accepted_elsewhere = accepted_elsewhere
         self._summary_of = summary_of
         self._choices: deque[_Choice] = deque()
@@ -107,7 +110,8 @@
 
     def choose(self, spec: JobSpec, queue: Queue) -> int:
         """Return the number of the shard for a new job."""
-        shards = self.eligible_shards(spec, queue)
+        eligible = self.eligible_shards(spec, queue)
+        shards = [shard for shard in eligible if self._has_memory(spec, shard)] or eligible
         if len(shards) == 1:
             return shards[0]
         kind = _kind_of(spec)
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.jobs.memory import JobMemory
 from linkspan.jobs.records import (
     Begun,
     Cancelled,
@@ -104,11 +105,15 @@
 
     Applying records is idempotent and independent of their order. A reader that starts with the
     newest record of each key may see records again or out of order.
+
+    Attributes:
+        memory: Estimated memory of the unfinished jobs.
     """
 
     def __init__(self) -> None:
         self._jobs: dict[str, JobEntry] = {}
         self._waiting: dict[str, set[str]] = {}
+        self.memory = JobMemory()
         # These are few: a check of handovers need not go through all jobs.
         self._standing_or_delegated: dict[str, JobEntry] = {}
 
@@ -171,7 +176,7 @@
             entry.start_ordered = entry.begun = True
         elif entry.finished is None:
             entry.finished = record
-        self._update_waiting(record.job_id, entry)
+        self._update_sums(record.job_id, entry)
         return record.job_id
 
     def retain(self, job_ids: Iterable[str], *, before: int) -> int:
@@ -198,7 +203,7 @@
             entry.offset = offset
             if record.spec.standing:
                 self._standing_or_delegated[job_id] = entry
-        self._update_waiting(job_id, entry)
+        self._update_sums(job_id, entry)
 
     def _apply_tombstone(self, record: Tombstone) -> None:
         entry = self._jobs.get(record.job_id)
@@ -219,6 +224,15 @@
             self._remove(record.job_id)
         elif record.kind == "s":
             entry.submitted = None
+            self.memory.remove(record.job_id)
+
+    def _update_sums(self, job_id: str, entry: JobEntry) -> None:
+        """Update what is counted over all jobs."""
+        self._update_waiting(job_id, entry)
+        if entry.submitted is None or entry.finished or entry.shard is None:
+            self.memory.remove(job_id)
+        else:
+            self.memory.add(entry.submitted.spec, {entry.shard, *entry.delegated})
 
     def _update_waiting(self, job_id: str, entry: JobEntry) -> None:
         if entry.submitted is None:
@@ -232,6 +246,7 @@
     def _remove(self, job_id: str) -> None:
         entry = self._jobs.pop(job_id, None)
         self._standing_or_delegated.pop(job_id, None)
+        self.memory.remove(job_id)
         if entry:
             self._discard_waiting(job_id, entry)
 
--- a/src/linkspan/metrics.py
+++ b/src/linkspan/metrics.py
@@ -108,6 +108,9 @@
     "linkspan_largest_free_cores": "Most cores of one executor that no task reserves, whole ones",
     "linkspan_free_slots": "Tasks of so many cores each that fit beside all reservations",
     "linkspan_staying_tasks": "Tasks that have waited for seconds beside room in another hall",
+    "linkspan_open_repetitions": "Repetitions of jobs that the hall's owner keeps in memory",
+    "linkspan_open_tasks": "Tasks of these repetitions",
+    "linkspan_job_memory_bytes": "Estimated memory of the hall's jobs at its owner",
     "linkspan_unmanaged_tasks": "Standing tasks that no hall may manage, by the records",
 }
 
--- a/src/linkspan/shard/handover/_handovers.py
+++ b/src/linkspan/shard/handover/_handovers.py
@@ -7,6 +7,8 @@
 
 from linkspan.clock import steady, wall_offset_s
 from linkspan.events import Event
+from linkspan.jobs.footprint import JobFootprint
+from linkspan.jobs.memory import max_hall_bytes
 from linkspan.jobs.records import Delegated, Moved, Returned
 from linkspan.shard._reasons import MAX_LOGGED_TASKS
 from linkspan.shard.handover._delegations import last_delegation_of
@@ -26,6 +28,7 @@
     from linkspan.shard._context import TenureContext
     from linkspan.shard.handover.rebalance import Handover
     from linkspan.shard.handover.summary import HallSummary
+    from linkspan.shard.shard_job import ShardJob
     from linkspan.shard.task import Task
 
 
@@ -84,10 +87,20 @@
             own = summarize(self._core, steady(), wall=time.time())
             for handover in self._rebalancer.plan(own, steady()):
                 job = self._core.jobs[handover.job_id]
+                if not self._has_memory(job, handover.shard):
+                    continue
                 job.handing_over = True
                 job.moving = handover.tasks is None
                 self._scope.spawn(self._hand_over(handover))
 
+    def _has_memory(self, job: ShardJob, shard: int) -> bool:
+        """Return whether the owner of another shard may take a job into its memory."""
+        memory = self._job_registry.catalog.memory
+        if memory.includes(job.job_id, shard):
+            return True
+        taken = memory.of_shard(shard) + JobFootprint.of(job.spec).owner_bytes
+        return taken <= max_hall_bytes(self._settings.memory_mb)
+
     async def _hand_over(self, handover: Handover) -> None:
         job_id, shard, tasks, repetition = handover
         if tasks is None:
--- a/src/linkspan/shard/tenure.py
+++ b/src/linkspan/shard/tenure.py
@@ -22,6 +22,7 @@
 from linkspan.events import Event
 from linkspan.shard._changes import Changes
 from linkspan.shard._context import TenureContext
+from linkspan.shard._open_work import OpenWork
 from linkspan.shard.colocation._effect_selector import EffectSelector
 from linkspan.shard.core import ShardCore
 from linkspan.shard.handover._completions import Completions
@@ -162,6 +163,7 @@
         self._passed_over = PassedOver(context)
         self._unlisted_runs = UnlistedRuns(context)
         self._unmanaged_tasks = UnmanagedTasks(context)
+        self._open_work = OpenWork(context)
         self._feed = JobFeed(context)
         self._recovery = Recovery(context, self._feed, self._handovers, self._watch, claim)
         self._recorded_starts = RecordedStarts(core, known=claim.standing_starts_recorded)
@@ -237,6 +239,7 @@
                 scope.spawn(self._passed_over.report_loop())
                 scope.spawn(self._unlisted_runs.report_loop())
                 scope.spawn(self._unmanaged_tasks.report_loop())
+                scope.spawn(self._open_work.report_loop())
                 scope.spawn(self._tick_loop())
         except* (Fenced, ProducerFenced, ProducerGap, TenureLost) as errors:
             raise TenureLost(f"shard {self._shard}: {errors.exceptions[0]}") from errors
--- a/tests/host/admission_builders.py
+++ b/tests/host/admission_builders.py
@@ -14,6 +14,7 @@
 from linkspan.host._submissions import Submissions
 from linkspan.host.admission.admission import Admission
 from linkspan.host.admission.job_outlook import HallLoad, JobOutlook
+from linkspan.host.admission.memory_limit import MemoryLimit
 from linkspan.host.admission.standing_reservations import StandingReservations
 from linkspan.host.caller_waits import CallerWaits
 from linkspan.host.refusals import Refusals
@@ -35,6 +36,9 @@
 PRIORITIES = {SHORT.name: SHORT.priority, BATCH.name: BATCH.priority}
 
 CORES = 16
+
+MEMORY_MB = 300
+"""Memory limit of a host, in megabytes."""
 """Cores of a hall."""
 
 FULL = HallSummary(
@@ -77,14 +81,19 @@
     loads: Callable[[], list[HallLoad]], eligible: Callable[[JobSpec, Queue], list[int]]
 ) -> Admission:
     """Return the admission by some loads where no standing job was accepted lately."""
-    return Admission(loads, eligible, StandingReservations(JobCatalog()))
+    catalog = JobCatalog()
+    return Admission(
+        loads, eligible, StandingReservations(catalog), MemoryLimit(catalog, MEMORY_MB)
+    )
 
 
 class HopelessHalls(Admission):
     """Admission by halls that have no hope for any job."""
 
     def __init__(self) -> None:
-        super().__init__(list, lambda _spec, _queue: [], StandingReservations(JobCatalog()))
+        catalog = JobCatalog()
+        limit = MemoryLimit(catalog, MEMORY_MB)
+        super().__init__(list, lambda _spec, _queue: [], StandingReservations(catalog), limit)
 
     def reason_to_refuse(self, *_args: object) -> JobOutlook:
         return HOPELESS
@@ -114,6 +123,7 @@
         self.submissions = Submissions(
             context,
             choose_shard=lambda _spec, _queue: 0,
+            memory_limit=MemoryLimit(self.job_registry.catalog, MEMORY_MB),
             admission=admission,
             reservations=StandingReservations(self.job_registry.catalog),
             capacities=lambda _service: (),
