A cancel of an unknown job is on record before it is answered

Cause: Front.cancel answered 410 for a job without a record and left nothing behind, so that a record that came later counted as a new job. A limit of time at the writer alone does not help where the append is on its way already.

Change: the cancel of an unknown job is written like any other, and then the records are read again: 200 if a submission is among them by now, 410 if not. The catalog applies records in any order, so a submission that comes before or after counts as cancelled on every host, also on those that start later; its owner decides it as cancelled before it starts a task. A later POST of such an id is refused with 503 and the time that is left, as it would not run.

Price: a write and a read for each DELETE of an unknown job; writes of a host are appended in groups.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -155,6 +155,12 @@
         "nothing; the caller retries it",
     )
     JOB_CANCEL = 523, logging.INFO, "cancellation is durable", "nothing"
+    EARLY_CANCEL_REFUSED = (
+        604,
+        logging.WARNING,
+        "cancel of an unknown job refused, as too many of these are kept",
+        "see OPERATIONS.md, cancels of unknown jobs",
+    )
     JOB_ASKED = 524, logging.DEBUG, "job's state returned", "nothing"
     JOB_DECIDED = 525, logging.INFO, "job's final state decided", "if it failed, read the reason"
     JOB_TAKEN_IN = 526, logging.INFO, "shard starts to manage a job", "nothing"
--- a/src/linkspan/host/_refusal_cause.py
+++ b/src/linkspan/host/_refusal_cause.py
@@ -17,5 +17,6 @@
     UNREAD = "other large jobs were read before it for too long"
     UNSTORABLE = "the record of the job exceeds what the store takes"
     NO_ROOM = "no hall has room for a standing task of it beside short work"
+    CANCELLED = "it was cancelled before it was submitted"
     MEMORY = "the jobs of the halls that could run it take all memory that they may"
     HOPELESS = "it could no longer be of use when done"
--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -64,6 +64,7 @@
         max_record_bytes: int = 262_144,
     ) -> None:
         self._job_registry = context.job_registry
+        self._early_cancels = context.job_registry.catalog.early_cancels
         self._configuration = context.configuration
         self._decoder = JobDecoder(context.form, context.waits, max_record_bytes)
         self._waits = context.waits
@@ -94,6 +95,8 @@
         """
         if self._job_registry.knows(job_id):
             return self._respond_known(job_id, queue)
+        if job_id in self._early_cancels:
+            return self._refuse_cancelled(job_id, queue)
         try:
             spec = await self._decoder.decode(job_id, queue, body, deadline)
         except InvalidInput as error:
@@ -112,9 +115,15 @@
             # The read may have found the job, or another try of it has begun meanwhile.
             if self._job_registry.knows(job_id):
                 return self._respond_known(job_id, queue)
+            if job_id in self._early_cancels:
+                return self._refuse_cancelled(job_id, queue)
         write = self._submitting.get(job_id) or self._start_write(spec, queue)
         return await self._await_write(write, job_id, queue, deadline)
 
+    def _refuse_cancelled(self, job_id: str, queue: Queue) -> web.Response:
+        remaining_s = self._early_cancels.remaining_s(job_id, time.time())
+        return self._refusals.refuse_cancelled(job_id, queue, remaining_s)
+
     def _respond_known(self, job_id: str, queue: Queue) -> web.Response:
         self._log.write(Event.JOB_ACCEPTED, job=job_id, queue=queue.name, known=True)
         return json_response(200, b"{}")
@@ -225,6 +234,8 @@
                 waited_s=round(steady() - started_at, 3),
             )
             return json_response(504, b'{"error":"not known yet whether the job is kept"}')
+        if job_id in self._early_cancels:
+            return self._refuse_cancelled(job_id, queue)
         self._metrics.observe("accept", steady() - started_at)
         self._reservations.on_stored(steady() - started_at)
         self._log.write(
--- a/src/linkspan/host/front.py
+++ b/src/linkspan/host/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import re
+import time
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -166,17 +167,21 @@
         return json_response(410, b'{"error":"no such job"}')
 
     async def cancel(self, job_id: str, deadline: float) -> web.Response:
-        """Cancel a job and answer once the cancellation is durable."""
+        """Cancel a job and answer once the cancellation is durable.
+
+        That holds for an unknown job, too: a submission of it may be on its way to the store.
+        """
         entry, fresh = await self._job_registry.look_up(job_id, timeout_s=_read_wait_s(deadline))
-        if entry is None:
-            return (
-                json_response(410, b"{}")
-                if fresh
-                else unavailable("job records not read to their end")
-            )
-        if entry.state.final:
+        if entry is None and not fresh:
+            return unavailable("job records not read to their end")
+        if entry and entry.state.final:
             return json_response(200, b"{}")
-        write = self._job_registry.write([Cancelled(job_id)])
+        early_cancels = self._job_registry.catalog.early_cancels
+        if entry is None and job_id in early_cancels:
+            return json_response(410, b"{}")
+        if entry is None and early_cancels.full:
+            return self._refuse_early_cancel(job_id)
+        write = self._job_registry.write([Cancelled(job_id, time.time())])
         try:
             async with self._waits.until(max(deadline, steady() + MIN_WAIT_S)):
                 await asyncio.shield(write)
@@ -185,8 +190,22 @@
             return json_response(504, b'{"error":"not known yet whether the job is cancelled"}')
         except (StoreRefused, ProducerFenced):
             return unavailable("store is away")
-        self._log.write(Event.JOB_CANCEL, job=job_id)
-        return json_response(200, b"{}")
+        known = entry is not None or await self._is_known(job_id, deadline)
+        self._log.write(Event.JOB_CANCEL, job=job_id, known=known)
+        return json_response(200 if known else 410, b"{}")
+
+    async def _is_known(self, job_id: str, deadline: float) -> bool:
+        """Return whether a job's submission is on record, by a read that begins now."""
+        await self._job_registry.refresh(max_age_s=0.0, timeout_s=_read_wait_s(deadline))
+        return self._job_registry.catalog.get(job_id) is not None
+
+    def _refuse_early_cancel(self, job_id: str) -> web.Response:
+        """Refuse to cancel an unknown job: too many cancels of such jobs are kept already."""
+        first_room_s = self._job_registry.catalog.early_cancels.first_room_s(time.time())
+        self._log.write(Event.EARLY_CANCEL_REFUSED, job=job_id, first_room_s=round(first_room_s, 1))
+        return unavailable(
+            "too many cancels of unknown jobs", retry_after_s=max(math.ceil(first_room_s), 1)
+        )
 
     async def count(self, queue: Queue, deadline: float = math.inf) -> web.Response:
         """Respond with the number of waiting jobs of a queue.
--- a/src/linkspan/host/refusals.py
+++ b/src/linkspan/host/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -85,6 +86,18 @@
         self._log.write(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
         return unstorable(reason)
 
+    def refuse_cancelled(self, job_id: str, queue: Queue, remaining_s: float) -> web.Response:
+        """Refuse a job that was cancelled before it was known.
+
+        Args:
+            job_id: The job.
+            queue: Its queue.
+            remaining_s: Time for which its id stays cancelled, in seconds.
+        """
+        delay_s = max(ceil(remaining_s), 1)
+        cause = RefusalCause.CANCELLED
+        return self._refuse(Event.JOB_REFUSED, job_id, queue, cause, delay_s)
+
     def refuse_for_memory(
         self, job_id: str, queue: Queue, shortage: MemoryShortage, deadline: float
     ) -> web.Response:
@@ -96,7 +109,7 @@
             shortage: Why it finds no memory.
             deadline: Steady time until which the caller waits.
         """
-        return self._refuse_for_load(
+        return self._refuse(
             Event.JOB_REFUSED,
             job_id,
             queue,
@@ -116,7 +129,7 @@
             outlook: Its outlook where it would fit first.
             deadline: Steady time until which the caller waits.
         """
-        return self._refuse_for_load(
+        return self._refuse(
             Event.JOB_HOPELESS,
             job_id,
             queue,
@@ -146,7 +159,7 @@
             fits_after_s: Time after which it is expected to fit, in seconds.
             deadline: Steady time until which the caller waits.
         """
-        return self._refuse_for_load(
+        return self._refuse(
             Event.STANDING_REFUSED,
             job_id,
             queue,
@@ -160,7 +173,7 @@
             fits_after_s=round(fits_after_s, 1),
         )
 
-    def _refuse_for_load(
+    def _refuse(
         self,
         event: Event,
         job_id: str,
--- a/src/linkspan/jobs/catalog.py
+++ b/src/linkspan/jobs/catalog.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from linkspan.jobs.early_cancels import EarlyCancels
 from linkspan.jobs.memory import JobMemory
 from linkspan.jobs.records import (
     Begun,
@@ -108,12 +109,14 @@
 
     Attributes:
         memory: Estimated memory of the unfinished jobs.
+        early_cancels: Cancelled jobs of which no submission is known.
     """
 
     def __init__(self) -> None:
         self._jobs: dict[str, JobEntry] = {}
         self._waiting: dict[str, set[str]] = {}
         self.memory = JobMemory()
+        self.early_cancels = EarlyCancels()
         # These are few: a check of handovers need not go through all jobs.
         self._standing_or_delegated: dict[str, JobEntry] = {}
 
@@ -170,6 +173,8 @@
             entry.completed_parts.add(record.part)
         elif isinstance(record, Cancelled):
             entry.cancelled = True
+            if not entry.known:
+                self.early_cancels.add(record.job_id, record.at)
         elif isinstance(record, StartOrdered):
             entry.start_ordered = True
         elif isinstance(record, Begun):
@@ -211,6 +216,9 @@
             return
         if record.kind == "m":
             entry.moved = None
+        elif record.kind == "c":
+            if not entry.known:
+                self._remove(record.job_id)
         elif record.kind == "l":
             entry.delegated.pop(int(record.part), None)
         elif record.kind == "r":
@@ -229,6 +237,8 @@
     def _update_sums(self, job_id: str, entry: JobEntry) -> None:
         """Update what is counted over all jobs."""
         self._update_waiting(job_id, entry)
+        if entry.known:
+            self.early_cancels.discard(job_id)
         if entry.submitted is None or entry.finished or entry.shard is None:
             self.memory.remove(job_id)
         else:
@@ -247,6 +257,7 @@
         entry = self._jobs.pop(job_id, None)
         self._standing_or_delegated.pop(job_id, None)
         self.memory.remove(job_id)
+        self.early_cancels.discard(job_id)
         if entry:
             self._discard_waiting(job_id, entry)
 
--- a/src/linkspan/jobs/record_codec.py
+++ b/src/linkspan/jobs/record_codec.py
@@ -58,7 +58,7 @@
         rows = _completed_rows(record.tasks)
         return f"d:{record.job_id}:{record.part}".encode(), orjson.dumps(rows)
     if isinstance(record, Cancelled):
-        return f"c:{record.job_id}".encode(), b"1"
+        return f"c:{record.job_id}".encode(), orjson.dumps([record.at])
     if isinstance(record, StartOrdered | Begun):
         # Earlier versions read both as begun, so that they don't move the job, either.
         return f"b:{record.job_id}".encode(), b"1" if isinstance(record, Begun) else b"0"
@@ -239,6 +239,11 @@
     )
 
 
+def _cancelled_from(job_id: str, fields: Any) -> Cancelled:
+    """Parse a cancel; earlier versions wrote a number in place of a list."""
+    return Cancelled(job_id, parse_number(fields[0]) if isinstance(fields, list) else 0.0)
+
+
 def _completed_rows(tasks: tuple[TaskIndex, ...]) -> list[list[Any]]:
     """Return a row for each step with its repetition, its index and those of the tasks."""
     by_step: dict[tuple[int, int], list[int]] = {}
@@ -334,7 +339,7 @@
     "l": lambda job_id, shard, fields: Delegated(job_id, int(shard), _delegations_from(fields)),
     "r": lambda job_id, shard, fields: Returned(job_id, int(shard), _delegations_from(fields)),
     "d": _completed_from,
-    "c": lambda job_id, _part, _fields: Cancelled(job_id),
+    "c": lambda job_id, _part, fields: _cancelled_from(job_id, fields),
     "b": lambda job_id, _part, begun: Begun(job_id) if begun else StartOrdered(job_id),
     "f": _finished_from,
 }
--- a/src/linkspan/jobs/records.py
+++ b/src/linkspan/jobs/records.py
@@ -179,9 +179,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancelled:
-    """A caller cancelled a job."""
+    """A caller cancelled a job, which may not be known yet.
+
+    Attributes:
+        job_id: The job.
+        at: Time of day at the host that was asked, in seconds since 1970; 0 in records of earlier
+            versions, which wrote none for unknown jobs.
+    """
 
     job_id: str
+    at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -7,6 +7,7 @@
 from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from linkspan.clock import steady, wall_offset_s
 from linkspan.events import Event
@@ -257,15 +258,26 @@
         while True:
             await asyncio.sleep(PRUNE_INTERVAL_S)
             limit = time.time() - self._settings.bounds.state_kept_s - PRUNE_MARGIN_S
-            expired = [
+            expired: list[JobRecord] = [
                 record
                 for job_id, entry in self._job_registry.catalog.jobs_of_shard(self._shard)
                 if entry.finished and entry.finished.at < limit
                 for record in _removal_records(job_id, entry)
             ]
+            expired += self._expired_early_cancels()
             if expired:
                 await self._job_registry.write(expired)
 
+    def _expired_early_cancels(self) -> list[JobRecord]:
+        """Return the tombstones of expired early cancels, each of which one shard removes."""
+        early_cancels = self._job_registry.catalog.early_cancels
+        shards = len(self._settings.halls)
+        return [
+            Tombstone("c", job_id)
+            for job_id in early_cancels.expired(time.time())
+            if crc32(job_id.encode()) % shards == self._shard
+        ]
+
 
 def _progress_records(runs: Iterable[JobRun]) -> list[Record]:
     """Return the progress records of repetitions.
@@ -294,7 +306,8 @@
     submissions = [Tombstone("s", job_id, writer_id) for writer_id in entry.writer_ids]
     # Another shard may have written such a record after the final state.
     completions = _completion_tombstones(job_id, entry)
-    return [*submissions, *completions, Tombstone("f", job_id)]
+    # So may a host that was asked to cancel it.
+    return [*submissions, *completions, Tombstone("c", job_id), Tombstone("f", job_id)]
 
 
 def _completion_tombstones(job_id: str, entry: JobEntry | None) -> list[Tombstone]:
