A submission is sent to the store for a minute at most

What callers would see: a submission in doubt was sent again without a limit, so that a host that was cut off or stopped for long could store a job after all records of its cancel were removed (600 s, or 180 s after the final record where another host's submission had come first), and it would run.

Cause: GroupWriter sends an unanswered append until it is answered, whatever its age.

Change: a submission is given up after 60 s by the clock that includes stops of the process; its outcome stays in doubt, which its caller was told long before (522). If an append of it may be on its way, the writer begins a higher epoch: with the next append the store carries out none of the former epoch, and no later group counts as answered by it. All other records are sent until they are stored.

--- a/src/linkspan/host/_submissions.py
+++ b/src/linkspan/host/_submissions.py
@@ -7,7 +7,13 @@
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
-from linkspan.errors import InvalidInput, ProducerFenced, StoreRefused, UnstorableJob
+from linkspan.errors import (
+    InvalidInput,
+    ProducerFenced,
+    StoreRefused,
+    StoreUnanswered,
+    UnstorableJob,
+)
 from linkspan.events import Event
 from linkspan.host._job_decoder import JobDecoder
 from linkspan.host._refusal_cause import RefusalCause
@@ -36,6 +42,10 @@
 """Time after a failure of this host's calls for job records in which no job is refused for the
 load, in seconds. Submissions that got no answer elsewhere may be carried out seconds later."""
 
+MAX_SUBMISSION_AGE_S = 60.0
+"""Time for which a submission is sent to the store, in seconds. Its caller has left long before.
+Early cancels and final records are kept for longer."""
+
 
 class Submissions:
     """Submissions of jobs to this host.
@@ -187,7 +197,9 @@
         shard = self._choose_shard(spec, queue)
         version = self._configuration_version(queue)
         record = Submitted(spec, shard, time.time(), self._incarnation, queue.terms, version)
-        write = self._job_registry.write([record], retry_refused=False)
+        write = self._job_registry.write(
+            [record], retry_refused=False, max_age_s=MAX_SUBMISSION_AGE_S
+        )
         self._submitting[spec.job_id] = write
         write.add_done_callback(lambda done: self._on_written(spec.job_id, done))
         self._reservations.on_accept(record)
@@ -209,7 +221,7 @@
         self._submitting.pop(job_id, None)
         if not done.cancelled() and done.exception() is None:
             self._job_registry.note_accepted(job_id, done.result())
-        elif not done.cancelled() and isinstance(done.exception(), StoreRefused):
+        elif not done.cancelled() and isinstance(done.exception(), StoreRefused | StoreUnanswered):
             self._reservations.on_not_stored(job_id)
             self._memory_limit.on_not_stored(job_id)
 
@@ -226,7 +238,7 @@
             )
         except ProducerFenced:
             return self._refusals.refuse(job_id, queue, RefusalCause.WRITER_REPLACED, deadline)
-        except TimeoutError:
+        except (TimeoutError, StoreUnanswered):
             self._log.write(
                 Event.JOB_IN_DOUBT,
                 job=job_id,
--- a/src/linkspan/jobs/job_registry.py
+++ b/src/linkspan/jobs/job_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from linkspan.clock import steady
@@ -90,11 +91,15 @@
         return lambda: self._listeners.remove(listener)
 
     def write(
-        self, records: Sequence[JobRecord], *, retry_refused: bool = True
+        self,
+        records: Sequence[JobRecord],
+        *,
+        retry_refused: bool = True,
+        max_age_s: float = math.inf,
     ) -> asyncio.Future[int]:
         """Queue job records; see :meth:`GroupWriter.write`."""
         rows = [Record(value, key) for key, value in map(encode, records)]
-        return self.writer.write(rows, retry_refused=retry_refused)
+        return self.writer.write(rows, retry_refused=retry_refused, max_age_s=max_age_s)
 
     def knows(self, job_id: str) -> bool:
         """Whether a job was accepted, by any host as far as read or by this host just now."""
--- a/src/linkspan/store/writer.py
+++ b/src/linkspan/store/writer.py
@@ -42,12 +42,14 @@
         records: Records to append together.
         done: Future of the offset of the first record.
         retry_refused: Whether to retry after a refusal.
+        expires_at: Steady time from which it is not sent any more.
         size: Bytes of the records including their framing.
     """
 
     records: tuple[Record, ...]
     done: asyncio.Future[int]
     retry_refused: bool
+    expires_at: float
     size: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -115,7 +117,11 @@
         return self._failed_at
 
     def write(
-        self, records: Sequence[Record], *, retry_refused: bool = True
+        self,
+        records: Sequence[Record],
+        *,
+        retry_refused: bool = True,
+        max_age_s: float = float("inf"),
     ) -> asyncio.Future[int]:
         """Queue records and return a future of the offset of the first one.
 
@@ -123,10 +129,12 @@
             records: Records to append together.
             retry_refused: Whether to retry after a refusal. Otherwise the write fails with
                 ``StoreRefused`` once it is certain that none of its records was appended.
+            max_age_s: Time for which to send them, in seconds. Then the write fails with
+                ``StoreUnanswered``; what was sent before may still be appended. The writer must
+                be one that may renumber.
         """
-        write = _QueuedWrite(
-            tuple(records), asyncio.get_running_loop().create_future(), retry_refused
-        )
+        done = asyncio.get_running_loop().create_future()
+        write = _QueuedWrite(tuple(records), done, retry_refused, steady() + max_age_s)
         self._queue.append(write)
         self._wake.set()
         return write.done
@@ -156,7 +164,7 @@
     async def _write_group(self, group: list[_QueuedWrite]) -> None:
         self._unanswered = 0
         backoff_s = INITIAL_BACKOFF_S
-        while group:
+        while group := self._without_expired(group):
             try:
                 offset = await self._append(group)
             except StoreRefused as error:
@@ -175,11 +183,7 @@
                     for write in group:
                         _fail(write, error)
                     raise
-                # The group may already be in the log under the old epoch. Appending it twice is
-                # harmless: readers apply records idempotently, and no record hides another.
-                self._epoch += 1
-                self._sequence = 1
-                self._on_renumber(self._epoch)
+                self._renumber()
             else:
                 self._set_health(True)
                 _resolve(group, offset)
@@ -187,6 +191,29 @@
             await asyncio.sleep(backoff_s)
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    def _without_expired(self, group: list[_QueuedWrite]) -> list[_QueuedWrite]:
+        """Give up the writes of a group that have expired, and return the others."""
+        now = steady()
+        expired = [write for write in group if write.expires_at <= now]
+        if not expired:
+            return group
+        if self._unanswered:
+            # An append with the same number would count as the one that holds these writes.
+            self._renumber()
+        for write in expired:
+            _fail(write, StoreUnanswered("not appended in time"))
+        return [write for write in group if write.expires_at > now]
+
+    def _renumber(self) -> None:
+        """Begin a higher epoch, after which the store carries out no append of a lower one.
+
+        The present group may already be in the log under the old epoch. Appending it twice is
+        harmless: readers apply records idempotently, and no record hides another.
+        """
+        self._epoch += 1
+        self._sequence = 1
+        self._on_renumber(self._epoch)
+
     async def _append(self, group: list[_QueuedWrite]) -> int:
         unanswered = self._unanswered
         records = [self._rewrite(record, unanswered) for write in group for record in write.records]
--- a/tests/host/test_early_cancels.py
+++ b/tests/host/test_early_cancels.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from linkspan.jobs import early_cancels
+from linkspan.jobs.early_cancels import KEPT_S
 from linkspan.jobs.job_registry import JOBS
 from linkspan.jobs.spec import JobSpec
+from linkspan.shard.recovery._records import PRUNE_INTERVAL_S
 from tests.hall_world import HallWorld
 from tests.job_builders import step
 from tests.virtual_time import run_virtual
@@ -144,3 +147,60 @@
         await _check(world, spec)
 
     run_virtual(play())
+
+
+def test_a_submission_is_not_stored_minutes_later() -> None:
+    """Guards against a job that runs after all records of its cancel were removed."""
+
+    async def play() -> None:
+        world, spec = await _begin()
+        world.store.silent.add(FIRST)
+        assert await world.submit(FIRST, spec) != 200
+        await asyncio.sleep(75.0)
+        world.store.calm()
+        await asyncio.sleep(10.0)
+        assert await world.state(SECOND, spec.job_id) == "410"
+        assert await world.submit(FIRST, spec) == 200
+        await asyncio.sleep(2.0)
+        assert [task for task in world.starts if task.job_id == spec.job_id]
+
+    run_virtual(play())
+
+
+def test_an_early_cancel_leaves_nothing_behind_in_the_end() -> None:
+    """Guards against callers that fill the store with ids that no job has."""
+
+    async def play() -> None:
+        world = HallWorld(hosts_per_hall=1, executors_per_hall=0)
+        await world.begin()
+        specs = [world.new_job(step(1)) for _ in range(3)]
+        for spec in specs:
+            assert await world.cancel(FIRST, spec.job_id) == 410
+        # A second one writes nothing.
+        end = world.store.log(JOBS).end
+        assert await world.cancel(FIRST, specs[0].job_id) == 410
+        assert world.store.log(JOBS).end == end
+        assert await world.submit(FIRST, specs[0]) == 503
+        await asyncio.sleep(KEPT_S + PRUNE_INTERVAL_S + 2.0)
+        newest = {entry.key: entry.value for entry in world.store.log(JOBS).entries}
+        assert not any(newest.values())
+        assert await world.submit(FIRST, specs[0]) == 200
+
+    run_virtual(play(), limit_s=2 * KEPT_S)
+
+
+def test_too_many_early_cancels_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against callers that fill the memory of hosts, and against untrue answers."""
+    monkeypatch.setattr(early_cancels, "MAX_EARLY_CANCELS", 3)
+
+    async def play() -> None:
+        world, spec = await _begin()
+        assert await world.submit(FIRST, spec) == 200
+        for _ in range(3):
+            assert await world.cancel(FIRST, world.new_job(step(1)).job_id) == 410
+        assert await world.cancel(SECOND, world.new_job(step(1)).job_id) == 503
+        (refused,) = world.log.named("EARLY_CANCEL_REFUSED")
+        assert KEPT_S - 5.0 < refused["first_room_s"] <= KEPT_S
+        assert await world.cancel(SECOND, spec.job_id) == 200
+
+    run_virtual(play())
