Tests of true refusals give the admission its memory limit

Cause: the bound on the memory of jobs added a dependency to Admission. The builder of idle halls in tests/host/test_true_refusals.py was overlooked, and all nine tests there failed with a TypeError. It now passes the same limit as the other builders. Measured: the nine tests pass.

--- a/tests/host/test_true_refusals.py
+++ b/tests/host/test_true_refusals.py
@@ -8,10 +8,11 @@
 from linkspan.host._refusal_cause import RefusalCause
 from linkspan.host._submissions import LATE_WRITE_S
 from linkspan.host.admission.admission import Admission
+from linkspan.host.admission.memory_limit import MemoryLimit
 from linkspan.host.admission.standing_reservations import StandingReservations
 from linkspan.jobs.catalog import JobCatalog
 from linkspan.jobs.job_registry import JOBS
-from tests.host.admission_builders import HopelessHalls, SubmittingHost, job
+from tests.host.admission_builders import MEMORY_MB, HopelessHalls, SubmittingHost, job
 from tests.job_builders import step
 from tests.standins.memory_store import MemoryStore
 from tests.virtual_time import run_virtual
@@ -23,7 +24,9 @@
     """Admission by halls without load."""
 
     def __init__(self) -> None:
-        super().__init__(list, lambda _spec, _queue: [], StandingReservations(JobCatalog()))
+        catalog = JobCatalog()
+        limit = MemoryLimit(catalog, MEMORY_MB)
+        super().__init__(list, lambda _spec, _queue: [], StandingReservations(catalog), limit)
 
 
 def play(
