A start that follows a failed run is sent once the failure is on record

Cause, found by forced orders in virtual time: a start waits for its record for 1 s, or 0.3 s while the writer is unhealthy, and is then sent without. So a task ran again after a failure that only its owner knew of. If the executor of the failed run is gone by the time the owner is lost, nobody can tell the next one, which then counts one failure too few.

Change: a start waits until the failed runs of its task, in a gang those of all members, are on record. After 1 s it is withheld (605): the task gives its place back, and is placed again once the record is there.

Evidence: 14 of 16 rows of test_a_failed_run_is_on_record_before_its_task_starts_again failed before, and all pass.

Price: while the store does not take records, tasks that have failed wait for it, as tasks do under which executors crashed; others start as before.

--- a/src/linkspan/events.py
+++ b/src/linkspan/events.py
@@ -155,6 +155,12 @@
         "nothing; the caller retries it",
     )
     JOB_CANCEL = 523, logging.INFO, "cancellation is durable", "nothing"
+    START_WITHHELD = (
+        605,
+        logging.WARNING,
+        "start not sent, as a failed run of its task is not on record; it follows once that is",
+        "check the store, or why it does not take the job's record (510)",
+    )
     EARLY_CANCEL_REFUSED = (
         604,
         logging.WARNING,
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -476,6 +476,10 @@
         """Handle a pace order with an unknown outcome: the pace will be set again."""
         self._orders.on_pace_unknown(order)
 
+    def on_start_withheld(self, order: StartOrder) -> None:
+        """Handle a start that is not sent yet, as failed runs of its task are not on record."""
+        self._orders.on_start_withheld(order)
+
     def on_start_unsent(self, order: StartOrder, now: float) -> None:
         """Handle a start that is certain not to have been sent."""
         self._orders.on_start_unsent(order, now)
--- a/src/linkspan/shard/job_run.py
+++ b/src/linkspan/shard/job_run.py
@@ -48,6 +48,11 @@
         """Whether every task is done."""
         return all(step.remaining_tasks == 0 for step in self.steps)
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether a run of one of its tasks has failed."""
+        return any(step.has_failures for step in self.steps)
+
     @property
     def removable(self) -> bool:
         """Whether it takes no memory any more once its record is durable, which says it is done."""
--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -22,6 +22,7 @@
     from linkspan.shard.executor import ExecutorState
     from linkspan.shard.job_run import JobRun
     from linkspan.shard.reports._watch import ExecutorWatch
+    from linkspan.shard.task import Task
 
 MIN_PLAN_DELAY_S = 0.004
 """Minimum time to collect changes before a plan."""
@@ -39,6 +40,10 @@
 """Limits how long a start waits for its record: a slow store answers in 0.4 s, and another append
 may be in progress. A start of a task with a crash history waits without a limit."""
 
+MAX_FAILURE_RECORD_WAIT_S = 1.0
+"""Limits how long a start that follows a failed run holds capacity while the failure is not on
+record. The start is then withheld, and the task placed again once that is."""
+
 MAX_RECORD_WAIT_IN_OUTAGE_S = 0.3
 """The same limit while the store refuses or does not answer: work continues during a store
 outage."""
@@ -167,7 +172,7 @@
         if self._core.acknowledgements.prevents_starts(executor, steady()):
             return False
         # Crashes found since the plan must be on record before the start, as those before it.
-        return attempt.task.crash_history_durable
+        return attempt.task.crash_history_durable and attempt.task.failures_durable
 
     async def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
@@ -230,6 +235,8 @@
         version = run.version
         if task.step.spec.standing and task.idle_in_record:
             return await self._wait_for_version(order, run, version)
+        if not await self._wait_for_failures(order, task):
+            return False
         limit_s = None if task.crash_history else self._max_record_wait_s()
         with suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
@@ -238,6 +245,20 @@
                     await self._changes.next_stored()
         return True
 
+    async def _wait_for_failures(self, order: StartOrder, task: Task) -> bool:
+        """Wait until a task's failed runs are on record, and return whether they are.
+
+        A next owner that does not know of one would start the task beyond its queue's limit.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(MAX_FAILURE_RECORD_WAIT_S):
+                while not task.failures_durable and self._may_still_start(task.step.run):
+                    self._changes.starts.set()
+                    await self._changes.next_stored()
+        if not task.failures_durable:
+            self._core.on_start_withheld(order)
+        return task.failures_durable
+
     async def _wait_for_version(self, order: StartOrder, run: JobRun, version: int) -> bool:
         """Wait until a version of a repetition is durable, and return whether it is.
 
--- a/src/linkspan/shard/orders/_orders.py
+++ b/src/linkspan/shard/orders/_orders.py
@@ -168,6 +168,17 @@
         if attempt:
             attempt.pace_confirmed = False
 
+    def on_start_withheld(self, order: StartOrder) -> None:
+        """Keep a task from being placed until its failed runs are on record."""
+        task = self._state.find_task(order.task)
+        if task is None:
+            return
+        for member in task.step.tasks if task.step.spec.gang else (task,):
+            member.withheld_version = member.failed_version
+        self._state.log_run(
+            Event.START_WITHHELD, order.executor_id, order.task, order.run, failures=task.failures
+        )
+
     def on_start_unsent(self, order: StartOrder, now: float) -> None:
         """Handle a start that was certainly not sent."""
         attempt = self._state.find_attempt(order.task, order.run)
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -153,10 +153,10 @@
         note_durable(named)
         self._changes.roster = roster
         self._changes.withheld_count = withheld_count
-        if self._core.tasks_with_crash_history:
-            # Tasks with a crash history wait until their crashes are recorded.
-            self._changes.wake.set()
         self._mark_durable(runs, versions, roster)
+        if self._core.tasks_with_crash_history or any(run.has_failures for run in runs):
+            # Tasks wait until their crashes and their failed runs are recorded.
+            self._changes.wake.set()
         self._changes.stored()
 
     def _mark_durable(
--- a/src/linkspan/shard/reports/_ends.py
+++ b/src/linkspan/shard/reports/_ends.py
@@ -146,7 +146,7 @@
             self._quarantine_if_failing(executor, task, now)
             return
         earlier_failures = task.failures
-        task.set_failed(task.failed.with_run(FailedRun(end.run, executor.executor_id)))
+        task.note_failed(task.failed.with_run(FailedRun(end.run, executor.executor_id)))
         failures = task.step.failures if task.step.spec.gang else task.failures
         counts: dict[str, Any] = {"failures": failures, "most": job.max_attempts}
         if task.failures == earlier_failures:
--- a/src/linkspan/shard/task.py
+++ b/src/linkspan/shard/task.py
@@ -26,6 +26,10 @@
         step: Its step.
         done: Whether a run of it succeeded; final.
         failed: Its failed runs; none are kept for standing tasks, which have no limit.
+        failed_version: First version of its repetition's record that holds the last one of which
+            this owner has heard.
+        withheld_version: Version that must be durable before it may be placed again: a start of it
+            was not sent, as its failed runs were not on record.
         next_run: Number of its next run.
         never_ran: Whether no run had any of the lower numbers, as far as its owners know: starts
             were refused or certainly not carried out, or a new owner skipped the numbers.
@@ -58,6 +62,8 @@
     step: StepRun
     done: bool = False
     failed: Failures = NO_FAILURES
+    failed_version: int = 0
+    withheld_version: int = 0
     next_run: int = 1
     never_ran: bool = False
     managed_by: int | None = None
@@ -90,6 +96,11 @@
         self.failed = failed
         self.step.has_failures = self.step.has_failures or failed.count > 0
 
+    def note_failed(self, failed: Failures) -> None:
+        """Set its failed runs, one of which this owner has just heard of and is about to record."""
+        self.set_failed(failed)
+        self.failed_version = self.step.run.version + 1
+
     @property
     def failures(self) -> int:
         """Number of its failed runs."""
@@ -103,10 +114,12 @@
     def startable(self, now: float) -> bool:
         """Return whether it may be started by this shard.
 
-        It may not while a refused start is not to be retried yet, and while its owner has yet to
-        decide whether to give it up.
+        It may not while a refused start is not to be retried yet, while its owner has yet to decide
+        whether to give it up, and while failed runs for which a start was withheld are not on
+        record.
         """
-        return self.not_before <= now and not self.decision_pending
+        recorded = self.step.run.durable >= self.withheld_version
+        return self.not_before <= now and not self.decision_pending and recorded
 
     @property
     def decision_pending(self) -> bool:
@@ -140,6 +153,18 @@
         """
         return self.crash_history is None or self.step.run.durable >= self.crash_history.version
 
+    @property
+    def failures_durable(self) -> bool:
+        """Whether the store holds all failures that this owner has heard of, of its gang, too.
+
+        Until then, the next owner would not count them, and start the task once too often.
+        """
+        if not self.step.has_failures:
+            return True
+        counted = self.step.tasks if self.step.spec.gang else (self,)
+        durable = self.step.run.durable
+        return all(task.failed_version <= durable for task in counted)
+
     @property
     def remaining_share(self) -> float:
         """Remaining share of its work, 0 to 1, by the progress that its runs report.
