No start is sent once the end of its job is decided

Cause: a start that waits for its record stops waiting as its job closes, since the record of a closed job is not written any more, and was then sent all the same until the next tick stopped its run. A task that fails for the last time so released the waiting starts of the other tasks of its job, on no record. A next owner that comes before the job's final record is durable takes the job up again from the older record, and counts the other tasks' failures and runs too low.

Change: an order to start is not sent once its job is closed.

--- a/src/linkspan/shard/orders/_dispatch.py
+++ b/src/linkspan/shard/orders/_dispatch.py
@@ -164,6 +164,9 @@
         # found since the plan may be enough to give the task up.
         if attempt is None or attempt.phase is not Phase.STARTING or attempt.task.decision_pending:
             return False
+        if attempt.task.step.run.job.closing:
+            # A start whose job ends while it waits is not on record, and nothing needs it any more.
+            return False
         if not self._core.admits_starts(executor):
             return False
         if executor.silent_since is not None:
