--- a/src/linkspan/shard/_shard_state.py
+++ b/src/linkspan/shard/_shard_state.py
@@ -508,6 +508,8 @@
         if job.closing:
             return
         job.closing = True
+        # Most jobs succeed, and their final record is durable in a moment.
+        job.records_progress = state is JobState.FAILED
         if job.delegated_here and state is not JobState.FAILED:
             # The home shard writes the final record. It cannot know of failures here, so only a
             # failure is recorded by this shard.
--- a/src/linkspan/shard/core.py
+++ b/src/linkspan/shard/core.py
@@ -376,6 +376,10 @@
         """Cancel a job, unless its final state is already decided."""
         self._intake.cancel_job(job_id)
 
+    def record_progress_of_ended(self, job_id: str) -> None:
+        """Record the progress of a job whose final record is not durable yet."""
+        self._intake.record_progress_of_ended(job_id)
+
     def on_finished(self, job_id: str) -> None:
         """Handle the final record of a job becoming durable."""
         self._intake.on_finished(job_id)
--- a/src/linkspan/shard/intake/_jobs.py
+++ b/src/linkspan/shard/intake/_jobs.py
@@ -250,8 +250,18 @@
             run.durable = float("inf")
             self._state.dirty.pop((job_id, run.repetition), None)
         job.closing = True
+        job.records_progress = False
         self._state.remove_if_idle(job)
 
+    def record_progress_of_ended(self, job_id: str) -> None:
+        """Record the progress of a job whose final record is not durable yet."""
+        job = self._state.jobs.get(job_id)
+        if job is None:
+            return
+        job.records_progress = True
+        for run in job.runs.values():
+            self._state.mark_dirty(run)
+
 
 def _first_open(
     job: ShardJob, records: Collection[int], delegated: Iterable[Delegation]
--- a/src/linkspan/shard/recovery/_records.py
+++ b/src/linkspan/shard/recovery/_records.py
@@ -48,6 +48,10 @@
 MAX_ANSWER_RECORD_DELAY_S = 0.5
 """Longest time before the answer to a start is recorded."""
 
+MAX_FINAL_RECORD_S = 0.25
+"""Time for which the final record of a job may be on its way before its progress is recorded, too.
+The next owner of a job without either would run again what was done last."""
+
 BEGUN_BATCH_S = 1.0
 """Time for which begins of jobs are collected into one write; published counts may be two seconds
 old."""
@@ -133,9 +137,7 @@
         core.dirty.clear()
         core.write_urgent = False
         dropped, core.dropped = core.dropped, []
-        # Progress of a job whose final state is being written is dropped once that state is
-        # durable.
-        runs = [run for run in runs if not run.job.closing]
+        runs = [run for run in runs if run.job.records_progress]
         versions = [run.version for run in runs]
         # Tombstones come first: a job that moved away may have returned with delegated tasks since,
         # and its new record must follow them.
@@ -208,7 +210,14 @@
             for kind in ("l", "r")
         ]
         records += _completion_tombstones(finished.job_id, entry)
-        await self._job_registry.write(records)
+        write = self._job_registry.write(records)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(MAX_FINAL_RECORD_S):
+                await asyncio.shield(write)
+        if not write.done():
+            self._core.record_progress_of_ended(finished.job_id)
+            self._changes.notify()
+        await write
         self._core.on_finished(finished.job_id)
         self._changes.notify()
 
--- a/src/linkspan/shard/shard_job.py
+++ b/src/linkspan/shard/shard_job.py
@@ -32,6 +32,8 @@
             another shard as a whole any more.
         begun: Whether a task is known to have begun, by an answer, a report or a record.
         closing: Whether its final state is decided; nothing is started any more.
+        records_progress: Whether its progress is still recorded, so that a next owner decides the
+            same if this one is lost before the final state is on record.
         handing_over: Whether a handover of the job, or of tasks of it, is being recorded.
         moving: Whether the whole job is being moved to another shard.
         moved: Whether it was moved here from another shard.
@@ -63,6 +65,7 @@
     start_ordered: bool = False
     begun: bool = False
     closing: bool = False
+    records_progress: bool = True
     handing_over: bool = False
     moving: bool = False
     moved: bool = False
