--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -69,6 +69,11 @@
 }  # those of sites/bbl-finder.toml
 
 
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
+"""Limits of the store on one record and on one call."""
+
+
 def free_port(ip: str = "127.0.0.1") -> int:
     with socket.socket() as s:
         s.bind((ip, 0))
@@ -237,6 +242,8 @@
             (size,) = struct.unpack_from(">I", body, at)
             bodies.append(body[at + 4 : at + 4 + size])
             at += 4 + size
+        if len(body) > CALL_BYTES or any(len(each) > RECORD_BYTES for each in bodies):
+            return 413, {}  # all or nothing
         producer = query.get("producer")
         if producer:
             epoch, seq = int(query["epoch"]), int(query["callSeq"])
@@ -557,8 +564,8 @@
                 "form": "log",
                 "writes_per_s": 800,
                 "reads_per_s": 2000,
-                "record_bytes": 262144,
-                "call_bytes": 2097152,
+                "record_bytes": RECORD_BYTES,
+                "call_bytes": CALL_BYTES,
                 "keep_s": 300,
                 "ttl_min_ms": 1000,
             },
